Workspace, core, ports and document structs

Cause: an empty repository; the packages need contracts to be built side by side. Change: CMake workspace with checked layers, core, ports, model structs, the architecture page. Nothing else yet.

--- /dev/null
+++ b/cmake/libraries.cmake
@@ -0,0 +1,12 @@
+# The outside libraries, each from Debian's packages (.ci/packages.txt).
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(CURL REQUIRED)
+pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(CPPUTEST REQUIRED cpputest)
+pkg_check_modules(CAPNP_RPC REQUIRED IMPORTED_TARGET capnp-rpc)
+find_library(ACE_LIBRARY ACE REQUIRED)
+find_library(OPENTRACING_LIBRARY opentracing REQUIRED)
--- /dev/null
+++ b/libs/model/include/model/keys.hpp
@@ -0,0 +1,19 @@
+/// \file
+/// Keys in the key-value service.
+#pragma once
+
+#include <string>
+
+namespace camphorhitch::model::keys
+{
+
+inline const std::string root = "/camphorhitch/";
+inline const std::string config = root + "config";
+inline const std::string roster = root + "roster";
+inline const std::string members = root + "members/"; ///< leased, one per entry host
+inline const std::string pools = root + "pools/";
+inline const std::string waves = root + "waves/";
+inline const std::string jobs = root + "jobs/"; ///< + pool + "/" + bucket
+inline const std::string experiments = root + "experiments/";
+
+} // namespace camphorhitch::model::keys
