dispatch: owner and sender sides of permits, first whole version

Cause: entry hosts share the slots of targets, and a caller's request needs one order of claim, permit, checks and send. Conclusion: the interfaces are ready for the daemon.

--- /dev/null
+++ b/libs/dispatch/src/admission.cpp
@@ -0,0 +1,128 @@
+#include "admission.hpp"
+
+#include <algorithm>
+
+namespace camphorhitch::dispatch
+{
+
+namespace
+{
+
+constexpr double sample_weight = 0.05; // of the newest measurement in a class's times
+constexpr double us_per_second = 1e6;
+
+void mix_in(double& mean, double sample)
+{
+    mean = mean == 0 ? sample : mean + sample_weight * (sample - mean);
+}
+
+core::micros whole(double us)
+{
+    return core::micros{static_cast<std::int64_t>(us)};
+}
+
+int serving_slots(const pool_dispatcher& d)
+{
+    int n = 0;
+    for (const auto& [name, it] : d.targets)
+    {
+        n += it.serving && it.health.state != health_state::ejected ? it.slots : 0;
+    }
+    return n;
+}
+
+bool any_serving(const pool_dispatcher& d)
+{
+    return std::any_of(d.targets.begin(),
+        d.targets.end(),
+        [](const auto& it) { return it.second.serving && it.second.slots > 0; });
+}
+
+void refill(pool_dispatcher& d, core::mono_time now)
+{
+    const auto since = static_cast<double>((now - d.retries.filled).count()) / us_per_second;
+    const auto earned = std::max(0.0, since) * d.settings.retries_per_second;
+    d.retries.tokens = std::min(d.settings.retry_burst, d.retries.tokens + earned);
+    d.retries.filled = now;
+}
+
+/// Retries of a failing pool multiply its load just when it can carry least. The bucket bounds them
+/// to a share of first attempts, whoever sends them.
+bool take_retry_token(pool_dispatcher& d, bool retry, core::mono_time now)
+{
+    refill(d, now);
+    if (!retry)
+    {
+        d.retries.tokens = std::min(d.settings.retry_burst, d.retries.tokens + d.pool.retry_ratio);
+        return true;
+    }
+    if (d.retries.tokens < 1)
+    {
+        return false;
+    }
+    d.retries.tokens -= 1;
+    return true;
+}
+
+} // namespace
+
+core::micros expected_service(
+    const pool_dispatcher& d, ports::request_class klass, core::millis declared)
+{
+    const auto measured = d.times[index_of(klass)].service_us;
+    return measured > 0 ? whole(measured) : core::micros{declared};
+}
+
+core::micros expected_wait(const pool_dispatcher& d, ports::request_class klass, std::size_t ahead)
+{
+    const auto& times = d.times[index_of(klass)];
+    const auto slots = std::max(1, serving_slots(d));
+    const auto guess = times.service_us / slots;
+    const auto each = times.per_position_us > 0 ? times.per_position_us : guess;
+    return whole(each * static_cast<double>(ahead));
+}
+
+core::millis bounded_retry_after(const pool_dispatcher& d, core::micros wait)
+{
+    const auto it = std::chrono::duration_cast<core::millis>(wait);
+    return std::clamp(it, d.settings.shortest_retry_after, d.settings.longest_retry_after);
+}
+
+void note_service(pool_dispatcher& d, ports::request_class klass, core::micros elapsed)
+{
+    mix_in(d.times[index_of(klass)].service_us, static_cast<double>(elapsed.count()));
+}
+
+void note_wait(pool_dispatcher& d, const waiting_request& request, core::mono_time now)
+{
+    const auto waited = static_cast<double>((now - request.arrived).count());
+    const auto position = static_cast<double>(std::max<std::size_t>(1, request.ahead));
+    mix_in(d.times[index_of(request.klass)].per_position_us, waited / position);
+}
+
+admission admit(pool_dispatcher& d, const ports::permit_request& request, core::mono_time now)
+{
+    if (!any_serving(d))
+    {
+        return {refusal::no_target, d.settings.no_target_retry_after};
+    }
+    const auto queued = d.queues[index_of(request.klass)].size();
+    const auto room = static_cast<std::size_t>(limits_of(d.pool, request.klass).queue);
+    const auto wait = expected_wait(d, request.klass, queued);
+    if (queued >= room)
+    {
+        return {refusal::queue_full, bounded_retry_after(d, wait)};
+    }
+    const auto run = expected_service(d, request.klass, request.expected);
+    if (request.time_left.count() <= 0 || (queued > 0 && wait + run > request.time_left))
+    {
+        return {refusal::deadline, bounded_retry_after(d, wait)};
+    }
+    if (!take_retry_token(d, request.retry, now))
+    {
+        return {refusal::retry_budget, d.settings.no_target_retry_after};
+    }
+    return {};
+}
+
+} // namespace camphorhitch::dispatch
--- /dev/null
+++ b/libs/dispatch/src/flow_answers.hpp
@@ -0,0 +1,27 @@
+/// \file
+/// What a caller is told: the table of statuses, outcomes and Retry-After.
+#pragma once
+
+#include "dispatch/request_flow.hpp"
+
+namespace camphorhitch::dispatch
+{
+
+/// An answer of our own.
+answer_caller own_answer(
+    int status, caller_outcome outcome, core::millis retry_after, const std::string& detail);
+
+/// A refusal, by the rule that the owner gave. Nothing of this request has run.
+answer_caller not_run_answer(
+    const std::string& reason, core::millis retry_after, const sender_settings& settings);
+
+/// The target's own answer.
+answer_caller target_answer(ports::http_response response);
+
+/// The answer to an earlier request with the same key.
+answer_caller remembered_answer(const ports::claim_entry& entry);
+
+/// What a claim's refusal means for this attempt.
+answer_caller claim_answer(const ports::claim_reply& reply, const sender_settings& settings);
+
+} // namespace camphorhitch::dispatch
