--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,42 @@
 # The commands of the README. Each does its own set-up.
 BUILD ?= build
 SHELL := /bin/bash
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
 
-.PHONY: demo test bench soak build install format lint sanitize
+.PHONY: demo test bench soak build configure install format lint sanitize
 
 install:
 	@./.ci/install
 
-build: install
-	@cmake -S . -B $(BUILD) -G Ninja > $(BUILD).log 2>&1 || { mkdir -p $(BUILD); cat $(BUILD).log; exit 1; }
-	@mv $(BUILD).log $(BUILD)/configure.log
+configure: install
+	@mkdir -p $(BUILD)
+	@cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS) > $(BUILD)/configure.log 2>&1 || { cat $(BUILD)/configure.log; exit 1; }
+
+build: configure
 	@cmake --build $(BUILD)
+
+test: build
+	@tools/run_tests $(BUILD)
+
+lint: build
+	@tools/lint $(BUILD)
+
+format:
+	@git ls-files '*.cpp' '*.hpp' | grep -v '/generated/' | xargs clang-format -i
+
+demo: build
+	@tools/demo $(BUILD)
+
+bench: build
+	@tools/bench $(BUILD) $(if $(QUICK),quick,full)
+
+soak: build
+	@tools/soak $(BUILD)
+
+# make sanitize KIND=address,undefined | thread
+KIND ?= address,undefined
+sanitize:
+	@$(MAKE) test BUILD=build-$(subst $(comma),-,$(KIND)) CMAKE_FLAGS='-DCAMPHORHITCH_SANITIZE=$(KIND) -DCMAKE_BUILD_TYPE=RelWithDebInfo'
+
+comma := ,
