--- /dev/null
+++ b/programs/camphorhitchd/src/updater.cpp
@@ -0,0 +1,148 @@
+#include "updater.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace camphorhitch::daemon
+{
+
+namespace
+{
+
+constexpr core::millis pause_after_conflict{20};
+
+struct running_update : std::enable_shared_from_this<running_update>
+{
+    updater with;
+    std::string key;
+    change_function change;
+    update_callback finished;
+    ports::lease_id lease = 0;
+    int tries = 0;
+    std::string written;             ///< the text of the newest write
+    std::optional<std::string> lost; ///< the text of a write whose answer was lost
+
+    explicit running_update(const updater& u) : with(u)
+    {
+    }
+
+    void fail(core::error_code code, const std::string& text)
+    {
+        const auto truthful = lost && code == core::error_code::unavailable
+                                  ? core::error_code::unknown_effect
+                                  : code;
+        finished(core::error{truthful, key + ": " + text});
+    }
+
+    void attempt(const ports::kv_entry* current)
+    {
+        if (++tries > with.most_tries)
+        {
+            fail(core::error_code::unavailable, "too many conflicting changes, try again");
+            return;
+        }
+        auto next = change(current != nullptr ? &current->value : nullptr);
+        if (!core::is_ok(next))
+        {
+            finished(core::failure(next));
+            return;
+        }
+        if (!core::value(next))
+        {
+            finished(core::done{});
+            return;
+        }
+        put(std::move(*core::value(next)), current != nullptr ? current->modified : 0);
+    }
+
+    void put(std::string text, ports::revision expected)
+    {
+        written = text;
+        with.store.put_if(key,
+            std::move(text),
+            expected,
+            lease,
+            [self = shared_from_this()](ports::kv_write reply)
+            { self->on_written(std::move(reply)); });
+    }
+
+    void on_written(ports::kv_write reply)
+    {
+        switch (reply.status)
+        {
+        case ports::kv_status::ok:
+            with.documents.note({key, written, reply.modified, lease});
+            finished(core::done{});
+            return;
+        case ports::kv_status::conflict:
+            on_conflict(std::move(reply.current));
+            return;
+        case ports::kv_status::unknown:
+            // The write may stand although no answer came. Reading tells: if our very text is there,
+            // it was written. Without this a repeat would have its effect twice.
+            lost = written;
+            read_again();
+            return;
+        case ports::kv_status::unavailable:
+            fail(core::error_code::unavailable, "the key-value service can't be reached");
+            return;
+        case ports::kv_status::rejected:
+            fail(core::error_code::unavailable, "the key-value service refused the write");
+            return;
+        }
+    }
+
+    void on_conflict(ports::kv_entry current)
+    {
+        with.documents.note(current);
+        if (lost && current.value == *lost)
+        {
+            finished(core::done{});
+            return;
+        }
+        with.scheduler.after(pause_after_conflict,
+            [self = shared_from_this(), entry = std::move(current)]
+            { self->attempt(entry.key.empty() ? nullptr : &entry); });
+    }
+
+    void read_again()
+    {
+        with.store.get(key,
+            [self = shared_from_this()](ports::kv_read reply) { self->on_read(reply); });
+    }
+
+    void on_read(const ports::kv_read& reply)
+    {
+        if (reply.status != ports::kv_status::ok)
+        {
+            fail(core::error_code::unavailable, "the key-value service can't be reached");
+            return;
+        }
+        const ports::kv_entry* current = reply.entries.empty() ? nullptr : &reply.entries.front();
+        if (current != nullptr)
+        {
+            with.documents.note(*current);
+            if (lost && current->value == *lost)
+            {
+                finished(core::done{});
+                return;
+            }
+        }
+        attempt(current);
+    }
+};
+
+} // namespace
+
+void update_document(const updater& u, std::string key, change_function change,
+    update_callback finished, ports::lease_id lease)
+{
+    auto run = std::make_shared<running_update>(u);
+    run->key = std::move(key);
+    run->change = std::move(change);
+    run->finished = std::move(finished);
+    run->lease = lease;
+    run->attempt(u.documents.find(run->key));
+}
+
+} // namespace camphorhitch::daemon
