ports: identities in replies, versions of claim entries, silence in heartbeats

Cause: a new process at a former holder's address would have answered 'nothing granted' for it; copies can arrive in another order than they were sent; one member's silence alone must not remove a peer. Change: additive fields of heartbeat, held_reply, claim_entry, claim_reply, slot_state, slot_pull_reply; claim_state::released.

--- a/libs/ports/include/ports/peer.hpp
+++ b/libs/ports/include/ports/peer.hpp
@@ -29,10 +29,12 @@
 {
     std::string member;
     std::string incarnation;
-    epoch_number epoch = 0;          ///< newest roster adopted
-    std::int64_t config_version = 0; ///< newest configuration in force here
-    bool store_reachable = false;    ///< the key-value service confirmed us lately
-    std::int64_t sequence = 0;       ///< of the sender, to match the reply
+    epoch_number epoch = 0;                ///< newest roster adopted
+    std::int64_t config_version = 0;       ///< newest configuration in force here
+    bool store_reachable = false;          ///< the key-value service confirmed us lately
+    bool fresh = false;                    ///< the sender is fresh by its own rule
+    std::int64_t sequence = 0;             ///< of the sender, to match the reply
+    std::vector<std::string> silent_peers; ///< members that the sender has not heard for too long
     /// Attached only for a peer that was seen to be behind.
     std::string roster_document;
     std::string config_document;
@@ -111,7 +113,9 @@
 
 struct held_reply
 {
-    epoch_number epoch = 0; ///< adopted by the replier; permits of older owners are refused since
+    epoch_number epoch = 0;  ///< adopted by the replier; permits of older owners are refused since
+    std::string member;      ///< the replier; another process at the same address proves nothing
+    std::string incarnation; ///< of that member
     std::vector<held_permit> permits;
 };
 
@@ -121,7 +125,8 @@
 {
     claimed, ///< an executor may be running it
     done,    ///< ran, and its answer is remembered
-    unknown  ///< may have run; never runs again while remembered
+    unknown, ///< may have run; never runs again while remembered
+    released ///< its attempt was never sent and never will be; another attempt may claim the key
 };
 
 struct claim_entry
@@ -135,7 +140,9 @@
     int status = 0; ///< of the remembered answer
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
-    bool answer_kept = false; ///< false: too large to remember, only that it ran
+    bool answer_kept = false;   ///< false: too large to remember, only that it ran
+    epoch_number epoch = 0;     ///< of the first holder that changed the entry last
+    std::uint64_t sequence = 0; ///< counts that holder's changes; (epoch, sequence) tells the newer
 };
 
 struct claim_request
@@ -162,6 +169,7 @@
 {
     claim_verdict verdict = claim_verdict::not_ready;
     claim_entry entry;
+    core::millis retry_after{0};
 };
 
 /// The end of an attempt, from its executor to the slot's holders.
@@ -175,7 +183,8 @@
     claim_entry entry;    ///< state done or unknown otherwise
 };
 
-/// From a slot's first holder to its second: remember this, if the epoch still stands.
+/// From a slot's first holder to its second: remember this, if the epoch still stands. With an
+/// empty key it only asks whether the epoch still stands.
 struct claim_copy
 {
     epoch_number epoch = 0;
@@ -190,6 +199,10 @@
     std::uint32_t slot = 0;
     epoch_number complete_through = 0; ///< last epoch in which it held the slot whole; 0: never
     epoch_number refused_through = 0;  ///< promises to accept no copy of this or an older epoch
+    /// After quarantine_left, what was granted through this epoch is forgotten or among the
+    /// entries.
+    epoch_number quarantined_through = 0;
+    core::millis quarantine_left{0};
     std::vector<claim_entry> entries;
 };
 
@@ -202,7 +215,9 @@
 
 struct slot_pull_reply
 {
-    bool adopted = false; ///< the replier has adopted that epoch; without it the reply is void
+    bool adopted = false;    ///< the replier has adopted that epoch; without it the reply is void
+    std::string member;      ///< the replier; another process at the same address proves nothing
+    std::string incarnation; ///< of that member
     std::vector<slot_state> slots;
 };
 
