dispatch: answers as docs/callers.md has them, flow in modules, holders proven gone

Cause: the callers' page names fields and statuses; the flow stood in one long file; a former member whose process is proven to be gone held drains for the longest request's time.

--- a/libs/dispatch/include/dispatch/caller_request.hpp
+++ b/libs/dispatch/include/dispatch/caller_request.hpp
@@ -17,13 +17,23 @@
 namespace fields
 {
 
+// From callers.
 inline constexpr std::string_view idempotency_key = "Idempotency-Key";
 inline constexpr std::string_view idempotent = "Camphorhitch-Idempotent"; ///< true or false
 inline constexpr std::string_view request_class = "Camphorhitch-Class";   ///< quick, normal, long
-inline constexpr std::string_view time_left = "Camphorhitch-Time-Left-Ms";
+inline constexpr std::string_view deadline = "Camphorhitch-Deadline-Ms";
 inline constexpr std::string_view expected = "Camphorhitch-Expected-Ms"; ///< run time
+
+// From hop to hop; a target that calls on passes them on.
+inline constexpr std::string_view time_left = "Camphorhitch-Time-Left-Ms";
 inline constexpr std::string_view retry = "Camphorhitch-Retry"; ///< earlier attempts, by anybody
+
+// To callers.
 inline constexpr std::string_view outcome = "Camphorhitch-Outcome";
+inline constexpr std::string_view reason = "Camphorhitch-Reason";
+inline constexpr std::string_view attempt = "Camphorhitch-Attempt";   ///< not-sent
+inline constexpr std::string_view replayed = "Camphorhitch-Replayed"; ///< true
+inline constexpr std::string_view replayed_status = "Camphorhitch-Replayed-Status";
 inline constexpr std::string_view retry_after = "Retry-After"; ///< whole seconds
 
 } // namespace fields
--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -44,16 +44,18 @@
 enum class refusal
 {
     queue_full,
-    deadline,     ///< can't be met, or has passed
+    deadline,     ///< can't be met: by the measured times the wait alone takes too long
+    expired,      ///< the deadline passed while the request waited
     retry_budget, ///< the pool's retries are spent
     no_target,    ///< no host of the pool takes requests
     given_up,     ///< by the sender itself
     not_ready     ///< the owner doesn't know yet what is in flight
 };
 
-inline constexpr core::name_table<refusal, 6> refusal_names{{
+inline constexpr core::name_table<refusal, 7> refusal_names{{
     {refusal::queue_full, "queue_full"},
     {refusal::deadline, "deadline"},
+    {refusal::expired, "expired"},
     {refusal::retry_budget, "retry_budget"},
     {refusal::no_target, "no_target"},
     {refusal::given_up, "given_up"},
@@ -140,6 +142,7 @@
 {
     std::string member;
     std::string incarnation;
+    bool gone = false; ///< its process is proven to have ended
     /// What it held by the last word that anybody has of it.
     std::vector<ports::held_permit> last_reported;
 };
@@ -148,8 +151,16 @@
 {
     std::map<std::string, permit_holder> missing; ///< members whose report is not in, by name
     core::mono_time answers_by;                   ///< a silent member starts nothing from then on
-    core::mono_time gone_by;      ///< all that was sent under older permits has ended
-    bool unknown_holders = false; ///< until gone_by, members that nobody can ask may hold permits
+    core::mono_time gone_by; ///< all that was sent under older permits has ended
+    /// Members that may hold permits which nobody counted, by name, and until when.
+    std::map<std::string, core::mono_time> unheard;
+};
+
+/// An ask that is over.
+struct closed_ask
+{
+    core::mono_time until;     ///< then it is forgotten
+    ports::permit_reply reply; ///< to a repeat of it
 };
 
 /// What happened, for metrics.
@@ -173,7 +184,7 @@
     std::map<std::string, target_state> targets;
     std::array<std::deque<waiting_request>, class_count> queues;
     std::map<ask_key, permit_record> permits;
-    std::map<ask_key, core::mono_time> closed; ///< asks that are over, until forgotten
+    std::map<ask_key, closed_ask> closed; ///< until forgotten
     std::deque<ask_key> closed_order;
     std::array<class_times, class_count> times;
     retry_budget retries;
@@ -206,6 +217,9 @@
 /// Takes new limits of the same pool; requests that wait stay.
 void set_pool(pool_dispatcher& d, const model::pool_config& pool);
 
+/// A newer roster under which the pool's owner is still the same.
+void set_epoch(pool_dispatcher& d, ports::epoch_number epoch);
+
 permit_answers on_request(
     pool_dispatcher& d, const ports::permit_request& request, core::mono_time now);
 
--- a/libs/dispatch/include/dispatch/request_flow.hpp
+++ b/libs/dispatch/include/dispatch/request_flow.hpp
@@ -89,7 +89,7 @@
     caller_outcome outcome = caller_outcome::unknown;
     ports::http_response response; ///< with the fields for outcome and Retry-After
     core::millis retry_after{0};   ///< 0: none was told
-    std::string detail;            ///< the rule that decided, for logs
+    std::string reason;            ///< name of the rule that decided
 };
 
 using flow_action = std::variant<ask_claim,
@@ -127,12 +127,13 @@
     core::mono_time deadline;
     core::mono_time pause_until;
     core::millis pause{0};
-    bool caller_waits = true;   ///< it is there and was not answered
-    bool claimed = false;       ///< the claim was granted
-    bool maybe_claimed = false; ///< the claim may have been granted without our hearing of it
-    std::uint64_t attempt = 0;  ///< of the claim
-    std::uint64_t ask = 0;      ///< number of the newest ask for a permit
-    core::mono_time asked_at;   ///< when that ask was made first
+    bool caller_waits = true;      ///< it is there and was not answered
+    bool claimed = false;          ///< the claim was granted
+    bool maybe_claimed = false;    ///< the claim may have been granted without our hearing of it
+    ports::claim_reply last_claim; ///< the newest reply to an ask for the claim
+    std::uint64_t attempt = 0;     ///< of the claim
+    std::uint64_t ask = 0;         ///< number of the newest ask for a permit
+    core::mono_time asked_at;      ///< when that ask was made first
     ports::epoch_number ask_epoch = 0;
     ports::permit_reply permit; ///< while sending
     core::mono_time sent_at;
--- a/libs/dispatch/include/dispatch/settings.hpp
+++ b/libs/dispatch/include/dispatch/settings.hpp
@@ -45,7 +45,7 @@
     core::millis result_grace{5000};  ///< a sender may wait that long past a request's deadline
     core::millis clock_margin{500};   ///< for differences between two hosts' clocks
     core::millis silent_linger{3000}; ///< a slot stays taken after a call that ended unheard
-    core::millis answer_memory{5000}; ///< an ask is known again after its permit was returned
+    core::millis answer_memory{3000}; ///< an ask is known again after its permit was returned
     double zone_penalty = 0.25;       ///< load share that another zone must be better by
     double aged_share = 0.5;       ///< of a class's deadline in the queue, after which it has aged
     double aged_slots = 0.1;       ///< share of the slots that a class's aged requests get first
--- a/libs/dispatch/src/admission.cpp
+++ b/libs/dispatch/src/admission.cpp
@@ -64,6 +64,13 @@
     return true;
 }
 
+core::micros time_to_token(const pool_dispatcher& d)
+{
+    const auto missing = 1 - d.retries.tokens;
+    const auto rate = d.settings.retries_per_second;
+    return rate > 0 ? whole(missing / rate * us_per_second) : d.settings.longest_retry_after;
+}
+
 } // namespace
 
 core::micros expected_service(
@@ -120,7 +127,7 @@
     }
     if (!take_retry_token(d, request.retry, now))
     {
-        return {refusal::retry_budget, d.settings.no_target_retry_after};
+        return {refusal::retry_budget, bounded_retry_after(d, time_to_token(d))};
     }
     return {};
 }
--- a/libs/dispatch/src/caller_request.cpp
+++ b/libs/dispatch/src/caller_request.cpp
@@ -17,6 +17,8 @@
     "GET", "HEAD", "PUT", "DELETE", "OPTIONS"};
 constexpr std::int64_t longest_time_ms = 86400000; // a day: beyond it, a figure is a mistake
 constexpr std::int64_t most_attempts = 1000;
+constexpr char first_printable = ' ';
+constexpr char delete_sign = 0x7f;
 
 core::finding wrong_field(std::string_view name, const std::string& text)
 {
@@ -68,10 +70,12 @@
     {
         return {};
     }
-    if (text->empty() || text->size() > longest_key)
+    const bool printable = std::all_of(
+        text->begin(), text->end(), [](char c) { return c >= first_printable && c < delete_sign; });
+    if (text->empty() || text->size() > longest_key || !printable)
     {
         wrong.push_back(wrong_field(fields::idempotency_key,
-            "must have 1 to " + std::to_string(longest_key) + " characters"));
+            "must have 1 to " + std::to_string(longest_key) + " printable characters"));
     }
     return *text;
 }
@@ -106,9 +110,15 @@
     return core::stable_hash(request.body, out);
 }
 
-core::millis clamp_time(std::optional<std::int64_t> asked, const model::class_limits& limits)
+/// The caller's deadline and the time that a hop before us has left: the shorter one counts.
+core::millis read_time(
+    const ports::http_request& request, const model::class_limits& limits, core::findings& wrong)
 {
-    return asked ? std::min(core::millis{*asked}, limits.longest) : limits.deadline;
+    const auto own = read_number(request, fields::deadline, longest_time_ms, wrong);
+    const auto carried = read_number(request, fields::time_left, longest_time_ms, wrong);
+    const auto longest = limits.longest.count();
+    const auto asked = std::min(own.value_or(longest), carried.value_or(longest));
+    return own || carried ? core::millis{std::min(asked, longest)} : limits.deadline;
 }
 
 } // namespace
@@ -124,8 +134,7 @@
     out.key = key.empty() ? key : pool.name + "/" + key;
     out.idempotent = read_idempotent(request, !key.empty(), wrong);
     out.body_hash = hash_of(request);
-    out.time_left = clamp_time(read_number(request, fields::time_left, longest_time_ms, wrong),
-        limits_of(pool, out.klass));
+    out.time_left = read_time(request, limits_of(pool, out.klass), wrong);
     out.expected =
         core::millis{read_number(request, fields::expected, longest_time_ms, wrong).value_or(0)};
     out.earlier_attempts =
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "admission.hpp"
 #include "dispatch/take_over.hpp"
+#include "expiry.hpp"
 #include "health.hpp"
 #include "scheduling.hpp"
 #include "take_over_parts.hpp"
@@ -28,68 +29,6 @@
         [&](auto& it) { return find_waiting(it, key) != it.end(); });
 }
 
-bool is_withheld(const ports::live_list& live, const std::string& host)
-{
-    return std::any_of(live.hosts.begin(),
-        live.hosts.end(),
-        [&](const auto& it) { return it.id == host && it.state != ports::live_state::live; });
-}
-
-void take_host(pool_dispatcher& d, const model::host_record& from, const ports::live_list& live)
-{
-    auto& it = d.targets[from.id];
-    const bool moved = it.address != from.target;
-    it.host = from.id;
-    it.zone = from.zone;
-    it.address = from.target;
-    it.slots = std::max(0, std::min(from.slots, from.connections));
-    it.serving = from.state == model::host_state::serving && !from.target.empty() && it.slots > 0 &&
-                 !is_withheld(live, from.id);
-    if (moved)
-    {
-        it.health = target_health{};
-    }
-}
-
-/// A host out of sight is kept while permits for it are out: they still have to come back.
-void forget_unused(pool_dispatcher& d, core::mono_time now)
-{
-    std::erase_if(d.targets,
-        [&](const auto& it) { return !it.second.serving && slots_taken(it.second, now) == 0; });
-}
-
-void refuse_all_waiting(pool_dispatcher& d, refusal why, core::mono_time now, permit_answers& out)
-{
-    for (auto& queue : d.queues)
-    {
-        for (const auto& it : queue)
-        {
-            refuse(d, it.key, why, d.settings.no_target_retry_after, now, out);
-        }
-        queue.clear();
-    }
-}
-
-bool none_serving(const pool_dispatcher& d)
-{
-    return std::none_of(
-        d.targets.begin(), d.targets.end(), [](const auto& it) { return it.second.serving; });
-}
-
-void serve_when_ready(pool_dispatcher& d, core::mono_time now, permit_answers& out)
-{
-    if (!d.hosts_known || !is_ready(d))
-    {
-        return;
-    }
-    if (none_serving(d))
-    {
-        refuse_all_waiting(d, refusal::no_target, now, out);
-        return;
-    }
-    serve(d, now, out);
-}
-
 void enqueue(pool_dispatcher& d, const ports::permit_request& request, core::mono_time now)
 {
     auto& queue = d.queues[index_of(request.klass)];
@@ -146,7 +85,7 @@
     const ports::permit_return& back,
     core::mono_time now)
 {
-    close_ask(d, it->first, now);
+    close_given_up(d, it->first, now);
     if (it->second.lingering)
     {
         return;
@@ -160,138 +99,31 @@
     release(d, it);
 }
 
-void expire_permits(pool_dispatcher& d, core::mono_time now)
-{
-    for (auto it = d.permits.begin(); it != d.permits.end();)
-    {
-        const auto next = std::next(it);
-        if (it->second.bound <= now)
-        {
-            if (!it->second.lingering)
-            {
-                d.counters.expired += 1;
-                note_failure(d, d.targets.at(it->second.host), it->second.probe, now);
-                close_ask(d, it->first, now);
-            }
-            release(d, it);
-        }
-        it = next;
-    }
-}
-
-void expire_reserves(pool_dispatcher& d, core::mono_time now)
-{
-    for (auto& [name, target] : d.targets)
-    {
-        std::erase_if(target.reserves, [&](const auto& it) { return it.until <= now; });
-    }
-    if (d.take_over.unknown_holders && d.take_over.gone_by <= now)
-    {
-        d.take_over.unknown_holders = false;
-    }
-}
-
-core::mono_time earliest_wake(const pool_dispatcher& d)
+/// \return the answer to an ask that came before. Without it a repeat would get a second permit,
+/// and the sender, which knows of one only, would never return the other.
+std::optional<ports::permit_reply> earlier_answer(
+    const pool_dispatcher& d, const ask_key& key, core::mono_time now)
 {
-    auto out = core::mono_time::max();
-    for (const auto& [key, it] : d.permits)
-    {
-        out = std::min(out, it.bound);
-    }
-    for (const auto& queue : d.queues)
-    {
-        for (const auto& it : queue)
-        {
-            out = std::min(out, it.deadline);
-        }
-    }
-    for (const auto& [name, target] : d.targets)
+    const auto held = d.permits.find(key);
+    if (held != d.permits.end())
     {
-        for (const auto& it : target.reserves)
-        {
-            out = std::min(out, it.until);
-        }
-        const bool probe_due = target.health.state == health_state::ejected &&
-                               !target.health.probing && target.serving;
-        out = probe_due ? std::min(out, target.health.probe_at) : out;
+        return held->second.lingering
+                   ? refusal_reply(refusal::given_up, d.settings.shortest_retry_after)
+                   : held->second.reply;
     }
-    if (!d.take_over.missing.empty())
+    const auto over = d.closed.find(key);
+    if (over != d.closed.end() && over->second.until > now)
     {
-        out = std::min(out, d.take_over.answers_by);
+        return over->second.reply;
     }
-    return d.take_over.unknown_holders ? std::min(out, d.take_over.gone_by) : out;
+    return std::nullopt;
 }
 
 } // namespace
 
-dispatcher_builder& dispatcher_builder::pool(model::pool_config it)
+void set_epoch(pool_dispatcher& d, ports::epoch_number epoch)
 {
-    made_.pool = std::move(it);
-    return *this;
-}
-
-dispatcher_builder& dispatcher_builder::settings(dispatcher_settings it)
-{
-    made_.settings = it;
-    return *this;
-}
-
-dispatcher_builder& dispatcher_builder::epoch(ports::epoch_number it)
-{
-    made_.epoch = it;
-    return *this;
-}
-
-dispatcher_builder& dispatcher_builder::first_permit(std::uint64_t it)
-{
-    made_.next_permit = it;
-    return *this;
-}
-
-std::variant<pool_dispatcher, core::findings> dispatcher_builder::build() const
-{
-    auto wrong = check(made_.settings, "dispatcher settings");
-    if (made_.pool.name.empty())
-    {
-        wrong.push_back({{"dispatcher", "", 0, 0}, "the pool has no name", ""});
-    }
-    if (made_.next_permit == 0)
-    {
-        wrong.push_back({{"dispatcher", "", 0, 0}, "permit 0 means none", ""});
-    }
-    if (!wrong.empty())
-    {
-        return wrong;
-    }
-    auto out = made_;
-    out.retries.tokens = out.settings.retry_burst;
-    return out;
-}
-
-permit_answers set_hosts(pool_dispatcher& d,
-    const model::pool_document& document,
-    const ports::live_list& live,
-    core::mono_time now)
-{
-    permit_answers out;
-    for (auto& [name, it] : d.targets)
-    {
-        it.serving = false;
-    }
-    for (const auto& it : document.hosts)
-    {
-        take_host(d, it, live);
-    }
-    d.hosts_known = true;
-    forget_unused(d, now);
-    bound_ejections(d);
-    serve_when_ready(d, now, out);
-    return out;
-}
-
-void set_pool(pool_dispatcher& d, const model::pool_config& pool)
-{
-    d.pool = pool;
+    d.epoch = std::max(d.epoch, epoch);
 }
 
 permit_answers on_request(
@@ -299,18 +131,13 @@
 {
     permit_answers out;
     const ask_key key{request.member, request.incarnation, request.request};
-    if (const auto held = d.permits.find(key); held != d.permits.end() && !held->second.lingering)
-    {
-        out.push_back({key, held->second.reply});
-        return out;
-    }
     if (is_waiting(d, key))
     {
         return out;
     }
-    if (const auto over = d.closed.find(key); over != d.closed.end() && over->second > now)
+    if (const auto earlier = earlier_answer(d, key, now))
     {
-        refuse(d, key, refusal::given_up, d.settings.shortest_retry_after, now, out);
+        out.push_back({key, *earlier});
         return out;
     }
     // A sender that knows a newer roster may follow another owner, whose permits we can't count.
@@ -326,7 +153,7 @@
         return out;
     }
     enqueue(d, request, now);
-    serve_when_ready(d, now, out);
+    serve(d, now, out);
     return out;
 }
 
@@ -349,10 +176,10 @@
     }
     else if (back.permit == 0)
     {
-        close_ask(d, key, now); // the ask itself may come later than its own withdrawal
+        close_given_up(d, key, now); // the ask itself may come later than its own withdrawal
     }
     forget_unused(d, now);
-    serve_when_ready(d, now, out);
+    serve(d, now, out);
     return out;
 }
 
@@ -371,15 +198,20 @@
     {
         std::erase_if(queue, [&](const auto& it) { return its_own(it.key); });
     }
+    if (proven)
+    {
+        note_gone(d, member, incarnation, now);
+    }
     for (auto& [key, permit] : d.permits)
     {
         if (proven && !permit.lingering && its_own(key))
         {
             note_unused(d.targets.at(permit.host), permit.probe);
+            close_given_up(d, key, now);
             linger(d, permit, now);
         }
     }
-    serve_when_ready(d, now, out);
+    serve(d, now, out);
     return out;
 }
 
@@ -390,11 +222,11 @@
     expire_reserves(d, now);
     if (!d.take_over.missing.empty() && d.take_over.answers_by <= now)
     {
-        end_waiting_for_reports(d);
+        end_waiting_for_reports(d, now);
     }
     forget_unused(d, now);
-    serve_when_ready(d, now, out);
-    d.wake = earliest_wake(d);
+    serve(d, now, out);
+    d.wake = earliest_wake(d, now);
     return out;
 }
 
@@ -403,38 +235,9 @@
     return d.wake;
 }
 
-host_use outstanding_on(const pool_dispatcher& d, const std::string& host, core::mono_time now)
-{
-    host_use out;
-    out.unknown = !d.hosts_known || !is_ready(d) ||
-                  (d.take_over.unknown_holders && now < d.take_over.gone_by);
-    const auto it = d.targets.find(host);
-    if (it == d.targets.end())
-    {
-        return out;
-    }
-    for (const auto& [key, permit] : d.permits)
-    {
-        out.permits += permit.host == host ? 1 : 0;
-    }
-    out.reserved = slots_taken(it->second, now) - out.permits;
-    return out;
-}
-
-bool is_quiet(const host_use& use)
-{
-    return use.permits == 0 && use.reserved == 0 && !use.unknown;
-}
-
 std::size_t waiting(const pool_dispatcher& d, ports::request_class klass)
 {
     return d.queues[index_of(klass)].size();
 }
 
-int idle_connections(const model::host_record& host, std::size_t members)
-{
-    const auto spare = std::max(0, host.connections - host.slots);
-    return members == 0 ? spare : spare / static_cast<int>(members);
-}
-
 } // namespace camphorhitch::dispatch
--- a/libs/dispatch/src/flow_answers.hpp
+++ b/libs/dispatch/src/flow_answers.hpp
@@ -8,8 +8,13 @@
 {
 
 /// An answer of our own.
-answer_caller own_answer(
-    int status, caller_outcome outcome, core::millis retry_after, const std::string& detail);
+/// \param reason name of the rule that decided.
+/// \param text a sentence for a person.
+answer_caller own_answer(int status,
+    caller_outcome outcome,
+    core::millis retry_after,
+    const std::string& reason,
+    const std::string& text);
 
 /// A refusal, by the rule that the owner gave. Nothing of this request has run.
 answer_caller not_run_answer(
@@ -21,7 +26,8 @@
 /// The answer to an earlier request with the same key.
 answer_caller remembered_answer(const ports::claim_entry& entry);
 
-/// What a claim's refusal means for this attempt.
+/// What a claim's refusal means for this call. "Not run" is said only where it holds for earlier
+/// calls with the key too: a caller would take it for the whole truth and charge again.
 answer_caller claim_answer(const ports::claim_reply& reply, const sender_settings& settings);
 
 } // namespace camphorhitch::dispatch
--- /dev/null
+++ b/libs/dispatch/src/flow_send.cpp
@@ -0,0 +1,201 @@
+#include "flow_parts.hpp"
+
+#include "core/invariant.hpp"
+#include "flow_answers.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorhitch::dispatch
+{
+
+namespace
+{
+
+constexpr int status_server_error = 500;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_timeout = 504;
+
+bool may_send_again(const request_flow& flow, const request_sender& sender, core::mono_time now)
+{
+    return flow.sends < sender.settings.most_attempts && now < flow.deadline && flow.caller_waits;
+}
+
+void send_again(request_flow& flow, request_sender& sender, core::mono_time now, flow_actions& out)
+{
+    flow.avoid.push_back(flow.permit.host);
+    ask_for_permit(flow, sender, true, now, out);
+}
+
+void on_answered(request_flow& flow,
+    request_sender& sender,
+    const ports::http_outcome& outcome,
+    core::mono_time now,
+    flow_actions& out)
+{
+    const bool failed = outcome.response.status >= status_server_error;
+    if (failed && flow.request.idempotent && may_send_again(flow, sender, now))
+    {
+        flow.kept = outcome.response;
+        flow.retrying = true;
+        send_again(flow, sender, now, out);
+        return;
+    }
+    flow.phase = flow_phase::ended;
+    keep_result(flow, sender, ports::claim_state::done, outcome.response, out);
+    answer(flow, target_answer(outcome.response), out);
+}
+
+void on_not_sent(request_flow& flow, request_sender& sender, core::mono_time now, flow_actions& out)
+{
+    if (may_send_again(flow, sender, now))
+    {
+        send_again(flow, sender, now, out);
+        return;
+    }
+    end_unsent(flow,
+        sender,
+        own_answer(status_unavailable,
+            caller_outcome::not_run,
+            sender.settings.retry_after,
+            "target_not_reached",
+            "No target could be reached; it was not run."),
+        out);
+}
+
+void on_lost(request_flow& flow, request_sender& sender, core::mono_time now, flow_actions& out)
+{
+    flow.may_have_run = true;
+    if (flow.request.idempotent && may_send_again(flow, sender, now))
+    {
+        flow.retrying = true;
+        send_again(flow, sender, now, out);
+        return;
+    }
+    flow.phase = flow_phase::ended;
+    keep_result(flow, sender, ports::claim_state::unknown, {}, out);
+    if (flow.kept)
+    {
+        answer(flow, target_answer(std::move(*flow.kept)), out);
+        return;
+    }
+    const int status = now >= flow.deadline ? status_timeout : status_bad_gateway;
+    answer(flow,
+        own_answer(status,
+            caller_outcome::unknown,
+            sender.settings.retry_after,
+            "answer_lost",
+            "It was sent and may have run; no whole answer came."),
+        out);
+}
+
+ports::permit_outcome outcome_for_owner(const ports::http_outcome& outcome)
+{
+    switch (outcome.end)
+    {
+    case ports::call_end::answered:
+        return outcome.response.status >= status_server_error ? ports::permit_outcome::failed
+                                                              : ports::permit_outcome::answered;
+    case ports::call_end::interrupted:
+        return ports::permit_outcome::silent;
+    case ports::call_end::not_sent:
+    case ports::call_end::answer_broken:
+        break;
+    }
+    return ports::permit_outcome::failed;
+}
+
+} // namespace
+
+void start_send(request_flow& flow,
+    const request_sender& sender,
+    const ports::permit_reply& permit,
+    core::mono_time now,
+    flow_actions& out)
+{
+    const auto left = std::chrono::duration_cast<core::millis>(flow.deadline - now);
+    core::require(flow.request.idempotent || !flow.may_have_run,
+        "second send of a request that may have run",
+        flow.request.key);
+    core::require(
+        flow.request.key.empty() || flow.claimed, "send without its claim", flow.request.key);
+    send_request it;
+    it.host = permit.host;
+    it.address = permit.address;
+    it.fresh_connection = !flow.request.idempotent;
+    it.connect_timeout = std::min(sender.settings.connect_timeout, left);
+    it.total_timeout = flow.request.idempotent ? left : left + sender.settings.result_grace;
+    it.fields.emplace_back(std::string{fields::time_left}, std::to_string(left.count()));
+    if (flow.sends > 0)
+    {
+        it.fields.emplace_back(std::string{fields::retry}, std::to_string(flow.sends));
+    }
+    flow.phase = flow_phase::sending;
+    flow.permit = permit;
+    flow.sent_at = now;
+    flow.send_until = now + it.total_timeout;
+    flow.sends += 1;
+    out.emplace_back(std::move(it));
+}
+
+void stop_sending(
+    request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out)
+{
+    out.emplace_back(cancel_send{});
+    give_permit_back(flow,
+        sender,
+        flow.permit,
+        flow.ask,
+        ports::permit_outcome::silent,
+        now - flow.sent_at,
+        out);
+    flow.phase = flow_phase::ended;
+    flow.may_have_run = true;
+}
+
+void time_out_sending(
+    request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out)
+{
+    if (flow.request.idempotent)
+    {
+        stop_sending(flow, sender, now, out);
+    }
+    answer(flow,
+        own_answer(status_timeout,
+            caller_outcome::unknown,
+            sender.settings.retry_after,
+            "target_timeout",
+            "The target did not answer in time; it may have run."),
+        out);
+}
+
+flow_actions on_outcome(request_flow& flow,
+    request_sender& sender,
+    const ports::http_outcome& outcome,
+    core::mono_time now)
+{
+    flow_actions out;
+    if (flow.phase != flow_phase::sending)
+    {
+        return out;
+    }
+    give_permit_back(
+        flow, sender, flow.permit, flow.ask, outcome_for_owner(outcome), outcome.elapsed, out);
+    switch (outcome.end)
+    {
+    case ports::call_end::answered:
+        on_answered(flow, sender, outcome, now, out);
+        break;
+    case ports::call_end::not_sent:
+        on_not_sent(flow, sender, now, out);
+        break;
+    case ports::call_end::interrupted:
+    case ports::call_end::answer_broken:
+        on_lost(flow, sender, now, out);
+        break;
+    }
+    return out;
+}
+
+} // namespace camphorhitch::dispatch
--- /dev/null
+++ b/libs/dispatch/src/hosts.cpp
@@ -0,0 +1,96 @@
+#include "choice.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "dispatch/take_over.hpp"
+#include "expiry.hpp"
+#include "health.hpp"
+#include "scheduling.hpp"
+#include "take_over_parts.hpp"
+
+#include <algorithm>
+
+namespace camphorhitch::dispatch
+{
+
+namespace
+{
+
+bool is_withheld(const ports::live_list& live, const std::string& host)
+{
+    return std::any_of(live.hosts.begin(),
+        live.hosts.end(),
+        [&](const auto& it) { return it.id == host && it.state != ports::live_state::live; });
+}
+
+void take_host(pool_dispatcher& d, const model::host_record& from, const ports::live_list& live)
+{
+    auto& it = d.targets[from.id];
+    const bool moved = it.address != from.target;
+    it.host = from.id;
+    it.zone = from.zone;
+    it.address = from.target;
+    it.slots = std::max(0, std::min(from.slots, from.connections));
+    it.serving = from.state == model::host_state::serving && !from.target.empty() && it.slots > 0 &&
+                 !is_withheld(live, from.id);
+    if (moved)
+    {
+        it.health = target_health{};
+    }
+}
+
+} // namespace
+
+permit_answers set_hosts(pool_dispatcher& d,
+    const model::pool_document& document,
+    const ports::live_list& live,
+    core::mono_time now)
+{
+    permit_answers out;
+    for (auto& [name, it] : d.targets)
+    {
+        it.serving = false;
+    }
+    for (const auto& it : document.hosts)
+    {
+        take_host(d, it, live);
+    }
+    d.hosts_known = true;
+    forget_unused(d, now);
+    bound_ejections(d);
+    serve(d, now, out);
+    return out;
+}
+
+void set_pool(pool_dispatcher& d, const model::pool_config& pool)
+{
+    d.pool = pool;
+}
+
+host_use outstanding_on(const pool_dispatcher& d, const std::string& host, core::mono_time now)
+{
+    host_use out;
+    out.unknown = !d.hosts_known || !is_ready(d) || has_unheard(d, now);
+    const auto it = d.targets.find(host);
+    if (it == d.targets.end())
+    {
+        return out;
+    }
+    for (const auto& [key, permit] : d.permits)
+    {
+        out.permits += permit.host == host ? 1 : 0;
+    }
+    out.reserved = slots_taken(it->second, now) - out.permits;
+    return out;
+}
+
+bool is_quiet(const host_use& use)
+{
+    return use.permits == 0 && use.reserved == 0 && !use.unknown;
+}
+
+int idle_connections(const model::host_record& host, std::size_t members)
+{
+    const auto spare = std::max(0, host.connections - host.slots);
+    return members == 0 ? spare : spare / static_cast<int>(members);
+}
+
+} // namespace camphorhitch::dispatch
--- a/libs/dispatch/src/scheduling.cpp
+++ b/libs/dispatch/src/scheduling.cpp
@@ -1,7 +1,9 @@
 #include "scheduling.hpp"
 
 #include "admission.hpp"
+#include "choice.hpp"
 #include "core/invariant.hpp"
+#include "dispatch/take_over.hpp"
 #include "health.hpp"
 
 #include <algorithm>
@@ -17,92 +19,6 @@
 constexpr std::array<ports::request_class, class_count> by_urgency{
     ports::request_class::quick, ports::request_class::normal, ports::request_class::long_running};
 
-bool contains(const std::vector<std::string>& names, const std::string& it)
-{
-    return std::find(names.begin(), names.end(), it) != names.end();
-}
-
-/// Permits of \p klass and of the classes that are less urgent.
-int slower_in_use(const target_state& target, ports::request_class klass)
-{
-    const auto from = target.in_use.begin() + static_cast<std::ptrdiff_t>(index_of(klass));
-    return std::accumulate(from, target.in_use.end(), 0);
-}
-
-/// The less urgent classes never hold all slots of a target, so that a quick request does not have
-/// to wait for the end of a long one.
-bool leaves_reserve(
-    const pool_dispatcher& d, const target_state& target, ports::request_class klass)
-{
-    const auto reserved = std::min(limits_of(d.pool, klass).reserved_slots, target.slots - 1);
-    return slower_in_use(target, klass) + 1 <= target.slots - std::max(0, reserved);
-}
-
-bool has_room(const pool_dispatcher& d,
-    const target_state& target,
-    ports::request_class klass,
-    core::mono_time now)
-{
-    const auto limit = std::min(target.slots, health_limit(target, now));
-    return target.serving && slots_taken(target, now) < limit && leaves_reserve(d, target, klass);
-}
-
-/// Whether the pool has a target that takes requests and that the request doesn't avoid. When it
-/// has none, a target that failed the request already is better than no target.
-bool can_avoid(const pool_dispatcher& d, const waiting_request& request)
-{
-    return std::any_of(d.targets.begin(),
-        d.targets.end(),
-        [&](const auto& it)
-        {
-            const auto& target = it.second;
-            return target.serving && target.health.state != health_state::ejected &&
-                   !contains(request.avoid, target.host);
-        });
-}
-
-double load_of(const pool_dispatcher& d,
-    const target_state& target,
-    const std::string& zone,
-    core::mono_time now)
-{
-    const auto share = static_cast<double>(slots_taken(target, now)) / target.slots;
-    return share + (target.zone == zone ? 0 : d.settings.zone_penalty);
-}
-
-/// \return the target for \p request, or nullptr while none has room for it.
-target_state* choose_target(pool_dispatcher& d, const waiting_request& request, core::mono_time now)
-{
-    const bool avoid = !request.avoid.empty() && can_avoid(d, request);
-    target_state* best = nullptr;
-    double best_load = 0;
-    for (auto& [name, it] : d.targets)
-    {
-        if (!has_room(d, it, request.klass, now) || (avoid && contains(request.avoid, it.host)))
-        {
-            continue;
-        }
-        if (would_probe(it, now))
-        {
-            return &it; // a probe that is due goes first, or a busy pool would never have one
-        }
-        const auto load = load_of(d, it, request.zone, now);
-        if (best == nullptr || load < best_load)
-        {
-            best = &it;
-            best_load = load;
-        }
-    }
-    return best;
-}
-
-bool any_room(const pool_dispatcher& d, ports::request_class klass, core::mono_time now)
-{
-    return std::any_of(d.targets.begin(),
-        d.targets.end(),
-        [&](const auto& it) { return has_room(d, it.second, klass, now); });
-}
-
 /// The invariant of permits: recounted from the permits themselves, not from the counters that the
 /// choice was made by.
 void check_target(const pool_dispatcher& d, const target_state& target, core::mono_time now)
@@ -238,37 +154,61 @@
                 continue;
             }
             const auto wait = expected_wait(d, it.klass, queue.size());
-            refuse(d, it.key, refusal::deadline, bounded_retry_after(d, wait), now, out);
+            refuse(d, it.key, refusal::expired, bounded_retry_after(d, wait), now, out);
             queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
         }
     }
 }
 
-} // namespace
-
-int slots_taken(const target_state& target, core::mono_time now)
+void close_ask(
+    pool_dispatcher& d, const ask_key& key, const ports::permit_reply& reply, core::mono_time now)
 {
-    int n = std::accumulate(target.in_use.begin(), target.in_use.end(), target.taken_over);
-    for (const auto& it : target.reserves)
-    {
-        n += it.until > now ? it.slots : 0;
-    }
-    return n;
-}
-
-void close_ask(pool_dispatcher& d, const ask_key& key, core::mono_time now)
-{
-    while (!d.closed_order.empty() && d.closed[d.closed_order.front()] <= now)
+    while (!d.closed_order.empty() && d.closed[d.closed_order.front()].until <= now)
     {
         d.closed.erase(d.closed_order.front());
         d.closed_order.pop_front();
     }
-    if (d.closed.emplace(key, now + d.settings.answer_memory).second)
+    if (d.closed.emplace(key, closed_ask{now + d.settings.answer_memory, reply}).second)
     {
         d.closed_order.push_back(key);
     }
 }
 
+void refuse_all_waiting(pool_dispatcher& d, refusal why, core::mono_time now, permit_answers& out)
+{
+    for (auto& queue : d.queues)
+    {
+        for (const auto& it : queue)
+        {
+            refuse(d, it.key, why, d.settings.no_target_retry_after, now, out);
+        }
+        queue.clear();
+    }
+}
+
+bool none_serving(const pool_dispatcher& d)
+{
+    return std::none_of(
+        d.targets.begin(), d.targets.end(), [](const auto& it) { return it.second.serving; });
+}
+
+} // namespace
+
+ports::permit_reply refusal_reply(refusal why, core::millis retry_after)
+{
+    ports::permit_reply out;
+    out.verdict = why == refusal::not_ready ? ports::permit_verdict::not_ready
+                                            : ports::permit_verdict::refused;
+    out.reason = core::name_of(refusal_names, why);
+    out.retry_after = retry_after;
+    return out;
+}
+
+void close_given_up(pool_dispatcher& d, const ask_key& key, core::mono_time now)
+{
+    close_ask(d, key, refusal_reply(refusal::given_up, d.settings.shortest_retry_after), now);
+}
+
 void refuse(pool_dispatcher& d,
     const ask_key& key,
     refusal why,
@@ -276,18 +216,13 @@
     core::mono_time now,
     permit_answers& out)
 {
-    permit_answer it;
-    it.to = key;
-    it.reply.verdict = why == refusal::not_ready ? ports::permit_verdict::not_ready
-                                                 : ports::permit_verdict::refused;
-    it.reply.reason = core::name_of(refusal_names, why);
-    it.reply.retry_after = retry_after;
+    const auto reply = refusal_reply(why, retry_after);
     d.counters.refused += 1;
     if (why != refusal::not_ready)
     {
-        close_ask(d, key, now);
+        close_ask(d, key, reply, now);
     }
-    out.push_back(std::move(it));
+    out.push_back({key, reply});
 }
 
 void release(pool_dispatcher& d, std::map<ask_key, permit_record>::iterator it)
@@ -304,6 +239,15 @@
 
 void serve(pool_dispatcher& d, core::mono_time now, permit_answers& out)
 {
+    if (!d.hosts_known || !is_ready(d))
+    {
+        return;
+    }
+    if (none_serving(d))
+    {
+        refuse_all_waiting(d, refusal::no_target, now, out);
+        return;
+    }
     refuse_late(d, now, out);
     while (grant_next(d, now, out))
     {
--- a/libs/dispatch/src/scheduling.hpp
+++ b/libs/dispatch/src/scheduling.hpp
@@ -7,14 +7,13 @@
 namespace camphorhitch::dispatch
 {
 
-/// \return the slots of \p target that are taken, by permits and reserves.
-int slots_taken(const target_state& target, core::mono_time now);
-
 /// Grants permits while there is a request that may go and a target that may take it, and refuses
-/// requests whose deadline has passed.
+/// requests whose deadline has passed. Does nothing before a take-over is complete.
 void serve(pool_dispatcher& d, core::mono_time now, permit_answers& out);
 
-/// Answers \p request with a refusal.
+ports::permit_reply refusal_reply(refusal why, core::millis retry_after);
+
+/// Answers \p key with a refusal.
 void refuse(pool_dispatcher& d,
     const ask_key& key,
     refusal why,
@@ -22,8 +21,8 @@
     core::mono_time now,
     permit_answers& out);
 
-/// Remembers that an ask is over, so that a late repeat of it gets no permit that nobody returns.
-void close_ask(pool_dispatcher& d, const ask_key& key, core::mono_time now);
+/// Remembers that the sender is done with an ask: a late repeat of it must get no permit.
+void close_given_up(pool_dispatcher& d, const ask_key& key, core::mono_time now);
 
 /// Takes a permit off its target's counts.
 void release(pool_dispatcher& d, std::map<ask_key, permit_record>::iterator it);
--- a/libs/dispatch/src/take_over.cpp
+++ b/libs/dispatch/src/take_over.cpp
@@ -25,6 +25,16 @@
     }
 }
 
+/// What a member that can't be asked may have in flight ends by the longest request's time, or soon
+/// when its process is gone and its connections with it.
+void count_as_unheard(pool_dispatcher& d, const permit_holder& holder, core::mono_time now)
+{
+    const auto until = holder.gone ? now + d.settings.silent_linger : d.take_over.gone_by;
+    reserve_for(d, holder, until);
+    d.take_over.unheard[holder.member] = until;
+    d.wake = std::min(d.wake, until);
+}
+
 void take_permit(
     pool_dispatcher& d, const ask_key& key, const ports::held_permit& held, core::mono_time now)
 {
@@ -76,24 +86,38 @@
     }
     state.answers_by = plan.answers_by;
     state.gone_by = std::max(now, plan.answers_by) + longest_use(d);
-    state.unknown_holders = !plan.former.empty();
+    state.unheard.clear();
     for (const auto& it : plan.former)
     {
-        reserve_for(d, it, state.gone_by);
+        count_as_unheard(d, it, now);
     }
     d.wake = std::min({d.wake, state.answers_by, state.gone_by});
 }
 
-void end_waiting_for_reports(pool_dispatcher& d)
+void end_waiting_for_reports(pool_dispatcher& d, core::mono_time now)
 {
     for (const auto& [name, it] : d.take_over.missing)
     {
-        reserve_for(d, it, d.take_over.gone_by);
-        d.take_over.unknown_holders = true;
+        count_as_unheard(d, it, now);
     }
     d.take_over.missing.clear();
 }
 
+void note_gone(pool_dispatcher& d,
+    const std::string& member,
+    const std::string& incarnation,
+    core::mono_time now)
+{
+    const auto missing = d.take_over.missing.find(member);
+    if (missing != d.take_over.missing.end() && missing->second.incarnation == incarnation)
+    {
+        auto holder = missing->second;
+        holder.gone = true;
+        d.take_over.missing.erase(missing);
+        count_as_unheard(d, holder, now);
+    }
+}
+
 permit_answers on_held(pool_dispatcher& d,
     const std::string& member,
     const std::string& incarnation,
@@ -112,6 +136,13 @@
     return on_tick(d, now);
 }
 
+bool has_unheard(const pool_dispatcher& d, core::mono_time now)
+{
+    return std::any_of(d.take_over.unheard.begin(),
+        d.take_over.unheard.end(),
+        [&](const auto& it) { return it.second > now; });
+}
+
 bool is_ready(const pool_dispatcher& d)
 {
     return d.take_over.missing.empty();
