--- /dev/null
+++ b/bench/dispatch_policy/src/permits_policy.cpp
@@ -0,0 +1,318 @@
+#include "dispatch/dispatcher.hpp"
+#include "dispatch/request_flow.hpp"
+#include "policies.hpp"
+
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace camphorhitch::bench
+{
+
+namespace
+{
+
+using namespace camphorhitch::dispatch;
+
+constexpr const char* pool_name = "quotes";
+
+std::string zone_of(int index, const load_settings& load)
+{
+    return "z" + std::to_string(index % load.zones);
+}
+
+model::pool_config pool_for(const load_settings& load)
+{
+    model::pool_config out;
+    out.name = pool_name;
+    out.quick.deadline = load.quick_deadline;
+    out.long_running.deadline = load.long_deadline;
+    return out;
+}
+
+struct request_state
+{
+    offered request;
+    request_flow flow;
+    core::mono_time timer = core::mono_time::max();
+};
+
+/// Senders and owners joined by delayed messages. One owner for all, or one for each sender.
+class permit_world
+{
+public:
+    permit_world(const load_settings& load, const dispatcher_settings& settings, bool own_subsets)
+        : world_{load}, subsets_{own_subsets}
+    {
+        const int owners = own_subsets ? load.senders : 1;
+        for (int i = 0; i < owners; ++i)
+        {
+            auto made =
+                dispatcher_builder{}.pool(pool_for(load)).settings(settings).epoch(1).build();
+            owners_.push_back(std::get<pool_dispatcher>(std::move(made)));
+            ticks_.push_back(core::mono_time::max());
+            set_hosts(owners_.back(), hosts_of(i), {}, {});
+        }
+        for (int i = 0; i < load.senders; ++i)
+        {
+            request_sender it;
+            it.member = std::to_string(i);
+            it.incarnation = "1";
+            it.zone = zone_of(i, load);
+            it.epoch = 1;
+            senders_.push_back(it);
+        }
+    }
+
+    run_result run(const std::string& name)
+    {
+        return offer_load(world_, name, [this](const offered& it) { arrive(it); });
+    }
+
+private:
+    model::pool_document hosts_of(int owner) const
+    {
+        const auto& load = world_.settings;
+        model::pool_document out;
+        for (int i = 0; i < load.targets; ++i)
+        {
+            model::host_record it;
+            it.id = std::to_string(i);
+            it.zone = zone_of(i, load);
+            it.target = it.id;
+            it.slots = subsets_ ? slots_in_subset(owner, i) : load.slots;
+            out.hosts.push_back(it);
+        }
+        return out;
+    }
+
+    /// All slots in a row are cut into one piece a sender.
+    int slots_in_subset(int owner, int target_index) const
+    {
+        const auto& load = world_.settings;
+        const int all = load.targets * load.slots;
+        int n = 0;
+        for (int i = 0; i < load.slots; ++i)
+        {
+            n += (target_index * load.slots + i) * load.senders / all == owner ? 1 : 0;
+        }
+        return n;
+    }
+
+    void arrive(const offered& request)
+    {
+        const auto id = next_++;
+        auto& it = requests_[id];
+        it.request = request;
+        caller_request asked;
+        asked.pool = pool_name;
+        asked.klass = request.klass;
+        asked.idempotent = request.idempotent;
+        asked.time_left = request.deadline;
+        act(id, begin(it.flow, sender_of(it), asked, world_.events.now()));
+    }
+
+    request_sender& sender_of(const request_state& it)
+    {
+        return senders_[static_cast<std::size_t>(it.request.sender)];
+    }
+
+    std::size_t owner_of(int sender) const
+    {
+        return subsets_ ? static_cast<std::size_t>(sender) : 0;
+    }
+
+    core::micros delay_to_owner(int sender) const
+    {
+        const bool itself = subsets_ || sender == 0;
+        return itself ? core::micros{0} : world_.settings.message_delay;
+    }
+
+    void act(std::uint64_t id, const flow_actions& actions)
+    {
+        for (const auto& it : actions)
+        {
+            std::visit([&](const auto& action) { perform(id, action); }, it);
+        }
+        const auto at = requests_.find(id);
+        if (at != requests_.end() && has_ended(at->second.flow))
+        {
+            requests_.erase(at);
+            return;
+        }
+        if (at != requests_.end())
+        {
+            set_timer(id, at->second);
+        }
+    }
+
+    void set_timer(std::uint64_t id, request_state& it)
+    {
+        const auto when = wake_at(it.flow);
+        if (when == it.timer || when == core::mono_time::max())
+        {
+            return;
+        }
+        it.timer = when;
+        world_.events.at(when,
+            [this, id]
+            {
+                const auto at = requests_.find(id);
+                if (at != requests_.end())
+                {
+                    at->second.timer = core::mono_time::max();
+                    act(id, on_timer(at->second.flow, sender_of(at->second), world_.events.now()));
+                }
+            });
+    }
+
+    void perform(std::uint64_t id, const ask_permit& action)
+    {
+        const auto sender = requests_.at(id).request.sender;
+        asks_[{std::to_string(sender), "1", action.message.request}] = id;
+        world_.events.after(delay_to_owner(sender),
+            [this, sender, message = action.message]
+            {
+                const auto owner = owner_of(sender);
+                deliver(owner, on_request(owners_[owner], message, world_.events.now()));
+            });
+    }
+
+    void perform(std::uint64_t id, const return_permit& action)
+    {
+        const auto sender = requests_.at(id).request.sender;
+        world_.events.after(delay_to_owner(sender),
+            [this, sender, message = action.message]
+            {
+                const auto owner = owner_of(sender);
+                deliver(owner, on_return(owners_[owner], message, world_.events.now()));
+            });
+    }
+
+    void perform(std::uint64_t id, const send_request& action)
+    {
+        const auto index = std::stoi(action.host);
+        const auto service = requests_.at(id).request.service;
+        const auto started = world_.events.now();
+        world_.count_send(index);
+        world_.events.after(world_.settings.message_delay,
+            [this, id, index, service, started]
+            {
+                world_.targets[static_cast<std::size_t>(index)].submit(service,
+                    [this, id, started](target_result result)
+                    { answer_later(id, result, started); });
+            });
+    }
+
+    void answer_later(std::uint64_t id, target_result result, core::mono_time started)
+    {
+        world_.events.after(world_.settings.message_delay,
+            [this, id, result, started]
+            {
+                const auto at = requests_.find(id);
+                if (at == requests_.end())
+                {
+                    return;
+                }
+                ports::http_outcome it;
+                it.end = ports::call_end::answered;
+                it.response.status = result.status;
+                it.elapsed = world_.events.now() - started;
+                act(id,
+                    on_outcome(at->second.flow, sender_of(at->second), it, world_.events.now()));
+            });
+    }
+
+    void perform(std::uint64_t id, const answer_caller& action)
+    {
+        const auto& request = requests_.at(id).request;
+        const bool ok = action.outcome == caller_outcome::answered && action.response.status < 500;
+        const auto other =
+            action.outcome == caller_outcome::not_run ? ending::refused : ending::failed;
+        world_.ended(request, ok ? ending::answered : other);
+    }
+
+    void perform(std::uint64_t, const cancel_send&)
+    {
+    }
+
+    void perform(std::uint64_t, const ask_claim&)
+    {
+    }
+
+    void perform(std::uint64_t, const finish_claim&)
+    {
+    }
+
+    void deliver(std::size_t owner, const permit_answers& answers)
+    {
+        for (const auto& it : answers)
+        {
+            const auto ask = asks_.find(it.to);
+            if (ask == asks_.end())
+            {
+                continue;
+            }
+            const auto id = ask->second;
+            asks_.erase(ask);
+            world_.events.after(
+                delay_to_owner(std::stoi(it.to.member)), [this, id, it] { take_permit(id, it); });
+        }
+        set_tick(owner);
+    }
+
+    void take_permit(std::uint64_t id, const permit_answer& answer)
+    {
+        const auto at = requests_.find(id);
+        if (at != requests_.end())
+        {
+            act(id,
+                on_permit(at->second.flow,
+                    sender_of(at->second),
+                    answer.to.request,
+                    ports::peer_status::ok,
+                    answer.reply,
+                    true,
+                    world_.events.now()));
+        }
+    }
+
+    void set_tick(std::size_t owner)
+    {
+        const auto when = next_wakeup(owners_[owner]);
+        if (when >= ticks_[owner])
+        {
+            return;
+        }
+        ticks_[owner] = when;
+        world_.events.at(when,
+            [this, owner]
+            {
+                ticks_[owner] = core::mono_time::max();
+                deliver(owner, on_tick(owners_[owner], world_.events.now()));
+            });
+    }
+
+    world world_;
+    bool subsets_;
+    std::vector<pool_dispatcher> owners_;
+    std::vector<core::mono_time> ticks_;
+    std::vector<request_sender> senders_;
+    std::map<std::uint64_t, request_state> requests_;
+    std::map<ask_key, std::uint64_t> asks_;
+    std::uint64_t next_ = 1;
+};
+
+} // namespace
+
+run_result run_permits(const load_settings& load, const dispatcher_settings& settings)
+{
+    return permit_world{load, settings, false}.run("permits");
+}
+
+run_result run_subsets(const load_settings& load, const dispatcher_settings& settings)
+{
+    return permit_world{load, settings, true}.run("subsets");
+}
+
+} // namespace camphorhitch::bench
