--- a/libs/checked_json/include/checked_json/reader.hpp
+++ b/libs/checked_json/include/checked_json/reader.hpp
@@ -85,6 +85,7 @@
 
 /// \return the list's elements, or null after a finding.
 const array* read_array(const value& at);
+/// Reports each text that stands a second time; \p texts belong to the elements of \p at's list.
 void report_duplicates(
     const value& at, const std::vector<std::string_view>& texts, std::string_view key);
 
@@ -248,6 +249,7 @@
 {
     read_list(at, out);
     std::vector<std::string_view> ids;
+    ids.reserve(out.size());
     for (const auto& it : out)
     {
         ids.emplace_back(it.*rule.id);
@@ -255,7 +257,13 @@
     report_duplicates(at, ids, rule.key);
 }
 
-/// Reads a list of texts, each by \p rules.
+/// Reads a list of texts, each with \p check.
+inline void read(const value& at, std::vector<std::string>& out, text_check check)
+{
+    read_list(at, out, check);
+}
+
+/// Reads a list of texts that differ, each by \p rules.
 template <class... Rules>
 void read(
     const value& at, std::vector<std::string>& out, const unique_texts&, const Rules&... rules)
--- a/libs/checked_json/include/checked_json/writer.hpp
+++ b/libs/checked_json/include/checked_json/writer.hpp
@@ -7,7 +7,6 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-#include <concepts>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -109,16 +108,14 @@
     template <class T, class... Rules>
     static void write_any(slot at, const T& v, const Rules&...)
     {
-        if constexpr (std::is_same_v<T, bool> || std::is_same_v<T, std::uint64_t>)
-        {
-            write(at, v);
-        }
-        else if constexpr (std::integral<T>)
+        constexpr bool is_plain = std::is_arithmetic_v<T> || std::is_same_v<T, std::string> ||
+                                  std::is_same_v<T, core::millis>;
+        if constexpr (std::is_integral_v<T> && !std::is_same_v<T, bool> &&
+                      !std::is_same_v<T, std::uint64_t>)
         {
             write(at, static_cast<std::int64_t>(v));
         }
-        else if constexpr (std::is_floating_point_v<T> || std::is_same_v<T, std::string> ||
-                           std::is_same_v<T, core::millis>)
+        else if constexpr (is_plain)
         {
             write(at, v);
         }
--- a/libs/checked_json/src/reader.cpp
+++ b/libs/checked_json/src/reader.cpp
@@ -251,7 +251,6 @@
     std::stable_sort(order.begin(),
         order.end(),
         [&](std::size_t a, std::size_t b) { return texts[a] < texts[b]; });
-    const array& list = std::get<array>(at.it->value);
     for (std::size_t i = 1; i < order.size() && at.found->has_room(); ++i)
     {
         const auto text = texts[order[i]];
@@ -260,8 +259,9 @@
             continue; // an empty one was reported when it was read
         }
         const std::size_t index = order[i];
+        const node& element = std::get<array>(at.it->value)[index];
         const std::string what = key.empty() ? "'" : std::string{key} + " '";
-        add_finding({&list[index], at.found, &at, {}, index},
+        add_finding({&element, at.found, &at, {}, index},
             what + shown(text) + "' stands twice in the list");
     }
 }
--- a/libs/checked_json/src/text_cursor.hpp
+++ b/libs/checked_json/src/text_cursor.hpp
@@ -39,10 +39,10 @@
 
     void advance();
 
-    /// The place of the character read last.
-    position last() const
+    /// The start of the token that is being read, or else the place of the character read last.
+    position here() const
     {
-        return last_;
+        return in_token_ ? token_ : last_;
     }
 
     /// \return the start of the token read last; the next token begins after this call.
--- a/libs/checked_json/src/tree_builder.cpp
+++ b/libs/checked_json/src/tree_builder.cpp
@@ -11,11 +11,22 @@
 
 constexpr std::size_t most_duplicate_findings = 20;
 
-/// nlohmann's text without its own prefix, which repeats the place.
+/// nlohmann's text without its number and prefix, which repeat the place, and in ASCII: it quotes
+/// the bytes that were no UTF-8, and whoever shows the finding as JSON would fail on them.
 std::string bare_message(const std::string& text)
 {
-    const auto place_end = text.find(": ");
-    return place_end == std::string::npos ? text : text.substr(place_end + 2);
+    std::string out = text.substr(text.find("] ") + 2);
+    if (out.rfind("parse error", 0) == 0)
+    {
+        out.erase(0, out.find(": ") + 2);
+    }
+    const auto is_ascii = [](char c)
+    {
+        return static_cast<unsigned char>(c) < 0x80;
+    };
+    std::replace_if(
+        out.begin(), out.end(), [&](char c) { return !is_ascii(c); }, '?');
+    return out;
 }
 
 } // namespace
@@ -155,7 +166,7 @@
 
 bool tree_builder::stop(const std::string& text)
 {
-    const position at = cursor_.last();
+    const position at = cursor_.here();
     fatal_.push_back({{document_.name, pointer(), at.line, at.column}, text, {}});
     return false;
 }
--- /dev/null
+++ b/libs/model/tests/damage_tests.cpp
@@ -0,0 +1,140 @@
+#include "any_document.hpp"
+#include "model/codec.hpp"
+
+#include <rapidcheck.h>
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::model;
+
+namespace
+{
+
+template <class T>
+std::string findings_of(const decoded<T>& d)
+{
+    const auto* found = std::get_if<core::findings>(&d);
+    return found == nullptr ? std::string{} : core::to_text(*found);
+}
+
+/// Cuts, overwrites or repeats a part of \p text.
+std::string damaged(std::string text)
+{
+    const auto n = static_cast<std::int64_t>(text.size());
+    const auto begin = static_cast<std::size_t>(any_int(0, n - 1));
+    const auto count = static_cast<std::size_t>(any_int(1, 12));
+    const auto with = *rc::gen::element<std::string>("", "-1", "\"", "{", "]", "null", "\xff", ",");
+    if (any_count(1) == 0)
+    {
+        return text.replace(begin, count, with);
+    }
+    return text.insert(begin, text.substr(static_cast<std::size_t>(any_int(0, n - 1)), count));
+}
+
+/// What any reader must do with any text: accept what writes back, or tell what is wrong.
+template <class T>
+void accepts_or_tells(const decoded<T>& d)
+{
+    if (const auto* found = std::get_if<core::findings>(&d))
+    {
+        RC_ASSERT(!found->empty());
+        return;
+    }
+    RC_ASSERT(!encode(std::get<T>(d)).empty());
+}
+
+} // namespace
+
+TEST_GROUP(damage){};
+
+TEST(damage, damaged_documents_are_accepted_or_told)
+{
+    CHECK(rc::check("damage",
+        []
+        {
+            constexpr auto how = strictness::lenient;
+            accepts_or_tells(decode_configuration(damaged(encode(any_configuration())), "d", how));
+            accepts_or_tells(decode_pool(damaged(encode(any_pool())), "d", how));
+            accepts_or_tells(decode_wave(damaged(encode(any_wave())), "d", how));
+            accepts_or_tells(decode_roster(damaged(encode(any_roster())), "d"));
+            accepts_or_tells(decode_member(damaged(encode(any_member(0))), "d"));
+        }));
+}
+
+TEST(damage, older_and_newer_forms_are_read_and_contradictions_told)
+{
+    struct row
+    {
+        const char* text;
+        strictness how;
+        const char* findings;
+    };
+    const row rows[] = {
+        {R"({"pool":"p"})", strictness::lenient, ""},
+        {R"({"pool":"p","hosts":[{"id":"h"}],"newer":1})", strictness::lenient, ""},
+        {R"({"pool":"p","newer":1})", strictness::strict, "d:1:13 /newer: unknown key\n"},
+        {R"({"hosts":[]})", strictness::lenient, "d:1:1: lacks the key 'pool'\n"},
+        {R"({"pool":"p","hosts":[{"id":"h"},{"id":"h"}]})",
+            strictness::lenient,
+            "d:1:33 /hosts/1: id 'h' stands twice in the list\n"},
+        {R"({"pool":"p","hosts":[{"id":"h","state":"asleep"}]})",
+            strictness::lenient,
+            "d:1:40 /hosts/0/state: 'asleep' is none of: serving, draining, drained, rebooting, "
+            "failed, held\n"},
+    };
+    for (const auto& it : rows)
+    {
+        STRCMP_EQUAL(it.findings, findings_of(decode_pool(it.text, "d", it.how)).c_str());
+    }
+}
+
+TEST_GROUP(check_of_configuration){};
+
+TEST(check_of_configuration, each_contradiction_is_told)
+{
+    struct row
+    {
+        void (*change)(configuration&);
+        const char* findings;
+    };
+    const row rows[] = {
+        {[](configuration&) {}, ""},
+        {[](configuration& c) { c.pools[0].policy = "fas"; },
+            "c /pools/0/policy: no policy is named 'fas' (did you mean 'fast'?)\n"},
+        {[](configuration& c) {
+             c.pools[0].budget = {0, 0};
+         },
+            "c /pools/0/budget/absent: must be at least 1, or no host can ever be maintained\n"
+            "c /pools/0/budget/absent_per_zone: must be at least 1, or no host can ever be "
+            "maintained\n"},
+        {[](configuration& c) {
+             c.pools[1].budget = {2, 3};
+         },
+            "c /pools/1/budget/absent_per_zone: is 3, above 'absent' of 2\n"},
+        {[](configuration& c) { c.pools[1].services.push_back("quotes"); },
+            "c /pools/1/services/1: service 'quotes' belongs to pool 'a' already\n"},
+        {[](configuration& c) { c.pools[1].spare = true; },
+            "c /pools/1/services: a pool of spare hosts serves no service\n"},
+        {[](configuration& c) { c.pools[0].normal.longest = core::millis{4999}; },
+            "c /pools/0/normal/deadline_ms: is 5000 ms, above 'longest_ms' of 4999 ms\n"},
+        {[](configuration& c) { c.pools[0].quick.reserved_slots = 2; },
+            "c /pools/0: a quicker class must leave no more reserved_slots than a slower one\n"},
+    };
+    for (const auto& it : rows)
+    {
+        configuration c;
+        c.policies = {{"fast", policy_kind::fastest}};
+        c.pools.resize(2);
+        c.pools[0].name = "a";
+        c.pools[0].services = {"quotes"};
+        c.pools[0].policy = "fast";
+        c.pools[1] = c.pools[0];
+        c.pools[1].name = "b";
+        c.pools[1].services = {"holds"};
+        it.change(c);
+        STRCMP_EQUAL(it.findings, core::to_text(check(c, "c")).c_str());
+    }
+}
