Event loop over ACE

Cause: every adapter needs one thread with timers, descriptors and posts from other threads. Change: libs/reactor fills ports::scheduler over ACE_Dev_Poll_Reactor (select as fall-back), with monotonic timers, watch_fd and signals as callbacks.

--- /dev/null
+++ b/libs/reactor/src/event_loop.cpp
@@ -0,0 +1,237 @@
+#include "reactor/event_loop.hpp"
+
+#include "core/invariant.hpp"
+#include "loop_state.hpp"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Monotonic_Time_Policy.h>
+#include <ace/Select_Reactor.h>
+#include <ace/Timer_Heap_T.h>
+#include <ace/Timer_Queue_Adapters.h>
+
+#include <cerrno>
+#include <csignal>
+
+namespace camphorhitch::reactor
+{
+
+namespace
+{
+
+/// ACE's default queue follows the wall clock: a step of it would fire or starve every timer.
+using monotonic_timers = ACE_Timer_Heap_T<ACE_Event_Handler*,
+    ACE_Event_Handler_Handle_Timeout_Upcall,
+    ACE_SYNCH_RECURSIVE_MUTEX,
+    ACE_Monotonic_Time_Policy>;
+
+std::unique_ptr<ACE_Reactor_Impl> open_epoll(std::size_t most, ACE_Timer_Queue* timers)
+{
+    auto impl = std::make_unique<ACE_Dev_Poll_Reactor>(most, true, nullptr, timers);
+    return impl->initialized() ? std::move(impl) : nullptr;
+}
+
+std::unique_ptr<ACE_Reactor_Impl> open_select(ACE_Timer_Queue* timers)
+{
+    auto impl = std::make_unique<ACE_Select_Reactor>(nullptr, timers);
+    return impl->initialized() ? std::move(impl) : nullptr;
+}
+
+ACE_Reactor_Mask to_mask(bool read, bool write)
+{
+    ACE_Reactor_Mask mask = 0;
+    if (read)
+    {
+        mask |= ACE_Event_Handler::READ_MASK;
+    }
+    if (write)
+    {
+        mask |= ACE_Event_Handler::WRITE_MASK;
+    }
+    return mask;
+}
+
+core::mono_time now()
+{
+    const auto t = std::chrono::steady_clock::now().time_since_epoch();
+    return core::mono_time{std::chrono::duration_cast<core::micros>(t)};
+}
+
+core::wall_time wall_now()
+{
+    const auto t = std::chrono::system_clock::now().time_since_epoch();
+    return core::wall_time{std::chrono::duration_cast<core::millis>(t)};
+}
+
+} // namespace
+
+loop_state::loop_state(
+    std::unique_ptr<ACE_Timer_Queue> queue, std::unique_ptr<ACE_Reactor_Impl> implementation)
+    : timer_queue(std::move(queue)),
+      ace(std::make_unique<ACE_Reactor>(implementation.release(), true)), timers(*ace), posts(*ace)
+{
+}
+
+loop_state::~loop_state()
+{
+    for (const int number : signals.numbers)
+    {
+        ace->remove_handler(number, static_cast<ACE_Sig_Action*>(nullptr));
+    }
+    while (!watched.empty())
+    {
+        watch_fd(watched.begin()->first, false, false, {});
+    }
+    ace->purge_pending_notifications(&posts);
+    ace->close();
+}
+
+void loop_state::watch_fd(int fd, bool read, bool write, fd_callback callback)
+{
+    const auto mask = to_mask(read, write);
+    const auto it = watched.find(fd);
+    if (mask == 0)
+    {
+        if (it != watched.end())
+        {
+            ace->remove_handler(
+                fd, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+            forget_fd(fd);
+        }
+        return;
+    }
+    if (it != watched.end())
+    {
+        it->second->callback = std::move(callback);
+        if (it->second->mask != mask)
+        {
+            it->second->mask = mask;
+            ace->mask_ops(fd, mask, ACE_Reactor::SET_MASK);
+        }
+        return;
+    }
+    auto handler = std::make_unique<fd_handler>(*this, fd, std::move(callback));
+    handler->mask = mask;
+    core::require(
+        ace->register_handler(fd, handler.get(), mask) == 0, "a descriptor can be watched");
+    watched.emplace(fd, std::move(handler));
+}
+
+void loop_state::forget_fd(int fd)
+{
+    const auto it = watched.find(fd);
+    if (it != watched.end())
+    {
+        removed.push_back(std::move(it->second));
+        watched.erase(it);
+    }
+}
+
+event_loop::event_loop(std::unique_ptr<loop_state> state) : state_(std::move(state))
+{
+}
+event_loop::event_loop(event_loop&&) noexcept = default;
+event_loop& event_loop::operator=(event_loop&&) noexcept = default;
+event_loop::~event_loop() = default;
+
+ports::scheduler event_loop::scheduler() const
+{
+    auto* const loop = state_.get();
+    ports::scheduler out;
+    out.now = now;
+    out.wall_now = wall_now;
+    out.post = [loop](std::function<void()> fn)
+    {
+        loop->posts.post(std::move(fn));
+    };
+    out.after = [loop](core::millis delay, std::function<void()> fn)
+    {
+        return loop->timers.after(delay, std::move(fn));
+    };
+    out.cancel = [loop](ports::timer_id id)
+    {
+        loop->timers.cancel(id);
+    };
+    return out;
+}
+
+void event_loop::run()
+{
+    while (!state_->stopping.exchange(false))
+    {
+        state_->ace->handle_events();
+        state_->removed.clear();
+    }
+}
+
+void event_loop::run_once(core::millis longest_wait)
+{
+    ACE_Time_Value wait;
+    wait.set(std::chrono::duration_cast<core::micros>(longest_wait));
+    state_->ace->handle_events(&wait);
+    state_->removed.clear();
+}
+
+void event_loop::stop()
+{
+    state_->stopping = true;
+    state_->posts.post([] {}); // wakes a loop that waits
+}
+
+void event_loop::watch_fd(int fd, bool read, bool write, fd_callback callback)
+{
+    state_->watch_fd(fd, read, write, std::move(callback));
+}
+
+void event_loop::on_signals(
+    const std::vector<int>& numbers, std::function<void(int number)> callback)
+{
+    auto& signals = state_->signals;
+    signals.callback = std::move(callback);
+    for (const int it : numbers)
+    {
+        signals.numbers.push_back(it);
+        core::require(state_->ace->register_handler(it, &signals) == 0, "a signal can be handled");
+    }
+    watch_fd(signals.read_end(),
+        true,
+        false,
+        [&signals](fd_events)
+        {
+            while (const int number = signals.next())
+            {
+                signals.callback(number);
+            }
+        });
+}
+
+event_loop_builder& event_loop_builder::most_descriptors(std::size_t n)
+{
+    most_descriptors_ = n;
+    return *this;
+}
+
+event_loop_builder& event_loop_builder::use_select(bool on)
+{
+    use_select_ = on;
+    return *this;
+}
+
+event_loop event_loop_builder::build() const
+{
+    // A peer that closes first must be an error of one write, not the end of the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    std::unique_ptr<ACE_Timer_Queue> timers = std::make_unique<monotonic_timers>();
+    std::unique_ptr<ACE_Reactor_Impl> impl;
+    if (!use_select_)
+    {
+        impl = open_epoll(most_descriptors_, timers.get());
+    }
+    if (!impl)
+    {
+        impl = open_select(timers.get());
+    }
+    core::require(impl != nullptr, "a reactor can be opened");
+    return event_loop(std::make_unique<loop_state>(std::move(timers), std::move(impl)));
+}
+
+} // namespace camphorhitch::reactor
--- /dev/null
+++ b/libs/reactor/src/loop_state.hpp
@@ -0,0 +1,119 @@
+/// \file
+/// Inside of event_loop: the ACE reactor and the handlers that it calls.
+#pragma once
+
+#include "core/time.hpp"
+#include "ports/scheduler.hpp"
+#include "reactor/event_loop.hpp"
+
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+#include <ace/Reactor_Impl.h>
+#include <ace/Timer_Queue.h>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorhitch::reactor
+{
+
+/// One watched descriptor.
+class fd_handler : public ACE_Event_Handler
+{
+public:
+    fd_handler(loop_state& loop, int fd, fd_callback callback);
+
+    int handle_input(ACE_HANDLE fd) override;
+    int handle_output(ACE_HANDLE fd) override;
+    int handle_close(ACE_HANDLE fd, ACE_Reactor_Mask mask) override;
+
+    loop_state& loop;
+    const int fd;
+    fd_callback callback;
+    ACE_Reactor_Mask mask = 0;
+};
+
+/// All timers of a loop.
+class timer_handler : public ACE_Event_Handler
+{
+public:
+    explicit timer_handler(ACE_Reactor& reactor);
+
+    ports::timer_id after(core::millis delay, std::function<void()> fn);
+    void cancel(ports::timer_id id);
+    int handle_timeout(const ACE_Time_Value& now, const void* id) override;
+
+private:
+    struct timer
+    {
+        long ace_id = -1;
+        std::function<void()> fn;
+    };
+    ACE_Reactor& ace_;
+    ports::timer_id last_id_ = 0;
+    std::unordered_map<ports::timer_id, timer> timers_;
+};
+
+/// Functions that other threads handed over.
+class post_handler : public ACE_Event_Handler
+{
+public:
+    explicit post_handler(ACE_Reactor& reactor);
+
+    void post(std::function<void()> fn);
+    int handle_exception(ACE_HANDLE fd) override;
+
+private:
+    ACE_Reactor& ace_;
+    std::mutex mutex_;
+    std::vector<std::function<void()>> waiting_;
+};
+
+/// Turns signals into bytes of a pipe that the loop reads.
+class signal_handler : public ACE_Event_Handler
+{
+public:
+    signal_handler();
+    ~signal_handler() override;
+    signal_handler(const signal_handler&) = delete;
+    signal_handler& operator=(const signal_handler&) = delete;
+
+    int handle_signal(int number, siginfo_t* info, ucontext_t* context) override;
+    /// \return the next signal that came, or 0.
+    int next() const;
+    int read_end() const;
+
+    std::function<void(int)> callback;
+    std::vector<int> numbers;
+
+private:
+    int pipe_[2] = {-1, -1};
+};
+
+struct loop_state
+{
+    loop_state(
+        std::unique_ptr<ACE_Timer_Queue> queue, std::unique_ptr<ACE_Reactor_Impl> implementation);
+    ~loop_state();
+    loop_state(const loop_state&) = delete;
+    loop_state& operator=(const loop_state&) = delete;
+
+    void watch_fd(int fd, bool read, bool write, fd_callback callback);
+    void forget_fd(int fd);
+
+    std::unique_ptr<ACE_Timer_Queue> timer_queue; ///< outlives the reactor, which borrows it
+    std::unique_ptr<ACE_Reactor> ace;
+    timer_handler timers;
+    post_handler posts;
+    signal_handler signals;
+    std::map<int, std::unique_ptr<fd_handler>> watched;
+    /// ACE may look at a handler's address after its upcall has removed it; freed between events.
+    std::vector<std::unique_ptr<fd_handler>> removed;
+    std::atomic<bool> stopping{false};
+};
+
+} // namespace camphorhitch::reactor
--- /dev/null
+++ b/libs/reactor/tests/event_loop_tests.cpp
@@ -0,0 +1,216 @@
+#include "reactor/event_loop.hpp"
+
+#include <array>
+#include <csignal>
+#include <functional>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto give_up = 10s;
+
+/// \return whether \p holds came true before the test gives up.
+bool run_until(reactor::event_loop& loop, const std::function<bool()>& holds)
+{
+    const auto time = loop.scheduler();
+    const auto end = time.now() + give_up;
+    while (!holds() && time.now() < end)
+    {
+        loop.run_once(50ms);
+    }
+    return holds();
+}
+
+/// Both reactors that a process may end up with.
+constexpr std::array both_kinds = {false, true};
+
+struct socket_pair
+{
+    socket_pair()
+    {
+        ::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends);
+    }
+    ~socket_pair()
+    {
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+    int ends[2] = {-1, -1};
+};
+
+} // namespace
+
+TEST_GROUP(event_loop){};
+
+TEST(event_loop, timers_fire_in_order_and_cancelled_ones_never)
+{
+    for (const bool select : both_kinds)
+    {
+        auto loop = reactor::event_loop::builder().use_select(select).build();
+        const auto time = loop.scheduler();
+        std::string seen;
+        const auto start = time.now();
+        time.after(30ms, [&] { seen += "c"; });
+        time.after(10ms, [&] { seen += "a"; });
+        const auto second = time.after(20ms, [&] { seen += "b"; });
+        time.after(15ms,
+            [&]
+            {
+                seen += "x";
+                time.cancel(second);
+            });
+        CHECK(run_until(loop, [&] { return seen.size() == 3; }));
+        STRCMP_EQUAL("axc", seen.c_str());
+        CHECK(time.now() - start >= 30ms);
+        time.cancel(second);
+    }
+}
+
+TEST(event_loop, posts_of_other_threads_all_run_on_the_loop)
+{
+    constexpr int threads = 4;
+    constexpr int each = 2000;
+    for (const bool select : both_kinds)
+    {
+        auto loop = reactor::event_loop::builder().use_select(select).build();
+        const auto time = loop.scheduler();
+        const auto own = std::this_thread::get_id();
+        int ran = 0;
+        int elsewhere = 0;
+        const auto body = [&]
+        {
+            for (int i = 0; i < each; ++i)
+            {
+                time.post(
+                    [&]
+                    {
+                        ++ran;
+                        elsewhere += std::this_thread::get_id() == own ? 0 : 1;
+                    });
+            }
+        };
+        std::vector<std::thread> workers;
+        for (int i = 0; i < threads; ++i)
+        {
+            workers.emplace_back(body);
+        }
+        CHECK(run_until(loop, [&] { return ran == threads * each; }));
+        for (auto& it : workers)
+        {
+            it.join();
+        }
+        LONGS_EQUAL(0, elsewhere);
+    }
+}
+
+TEST(event_loop, stop_ends_run_from_another_thread_and_before_it)
+{
+    auto loop = reactor::event_loop::builder().build();
+    loop.stop();
+    loop.run();
+    std::thread other([&] { loop.stop(); });
+    loop.run();
+    other.join();
+}
+
+TEST(event_loop, a_watched_descriptor_reports_what_was_asked_for)
+{
+    for (const bool select : both_kinds)
+    {
+        socket_pair pair;
+        auto loop = reactor::event_loop::builder().use_select(select).build();
+        int reads = 0;
+        int writes = 0;
+        const auto seen = [&](reactor::fd_events it)
+        {
+            reads += it.readable ? 1 : 0;
+            writes += it.writable ? 1 : 0;
+        };
+        loop.watch_fd(pair.ends[0], false, true, seen);
+        CHECK(run_until(loop, [&] { return writes > 1; }));
+        LONGS_EQUAL(0, reads);
+        loop.watch_fd(pair.ends[0], true, false, seen);
+        writes = 0;
+        LONGS_EQUAL(1, ::write(pair.ends[1], "x", 1));
+        CHECK(run_until(loop, [&] { return reads > 1; }));
+        LONGS_EQUAL(0, writes);
+        loop.watch_fd(pair.ends[0], false, false, {});
+        reads = 0;
+        loop.run_once(5ms);
+        loop.run_once(5ms);
+        LONGS_EQUAL(0, reads);
+    }
+}
+
+// A descriptor is closed and its number comes back for another connection inside one callback, as
+// curl does when it reconnects. Events of the new one must reach the new callback.
+TEST(event_loop, a_descriptor_number_can_be_reused_inside_its_own_callback)
+{
+    for (const bool select : both_kinds)
+    {
+        auto loop = reactor::event_loop::builder().use_select(select).build();
+        socket_pair first;
+        socket_pair second;
+        const int number = first.ends[0];
+        std::string seen;
+        const auto on_second = [&](reactor::fd_events)
+        {
+            char c = 0;
+            seen += ::read(number, &c, 1) == 1 ? c : '?';
+        };
+        const auto on_first = [&](reactor::fd_events)
+        {
+            seen += "first ";
+            loop.watch_fd(number, false, false, {});
+            ::dup2(second.ends[0], number);
+            loop.watch_fd(number, true, false, on_second);
+        };
+        loop.watch_fd(number, true, false, on_first);
+        LONGS_EQUAL(1, ::write(first.ends[1], "1", 1));
+        CHECK(run_until(loop, [&] { return !seen.empty(); }));
+        LONGS_EQUAL(2, ::write(second.ends[1], "23", 2));
+        CHECK(run_until(loop, [&] { return seen.size() > 7; }));
+        STRCMP_EQUAL("first 23", seen.c_str());
+        loop.watch_fd(number, false, false, {});
+    }
+}
+
+// The other end hangs up while nobody waits to read. The callback learns of it once, and the loop
+// must not spin on a descriptor that stays in error.
+TEST(event_loop, a_hang_up_is_reported)
+{
+    int ends[2] = {-1, -1};
+    LONGS_EQUAL(0, ::pipe(ends));
+    auto loop = reactor::event_loop::builder().build();
+    int failures = 0;
+    loop.watch_fd(ends[0], true, false, [&](reactor::fd_events it) { failures += it.failed; });
+    ::close(ends[1]);
+    CHECK(run_until(loop, [&] { return failures == 1; }));
+    loop.run_once(5ms);
+    LONGS_EQUAL(1, failures);
+    ::close(ends[0]);
+}
+
+TEST(event_loop, signals_become_callbacks_on_the_loop)
+{
+    for (const bool select : both_kinds)
+    {
+        auto loop = reactor::event_loop::builder().use_select(select).build();
+        std::vector<int> seen;
+        loop.on_signals({SIGTERM, SIGINT}, [&](int number) { seen.push_back(number); });
+        ::raise(SIGTERM);
+        ::raise(SIGINT);
+        CHECK(seen.empty());
+        CHECK(run_until(loop, [&] { return seen.size() == 2; }));
+        CHECK(seen == std::vector<int>({SIGTERM, SIGINT}));
+    }
+}
