--- a/cmake/test_main.cpp
+++ b/cmake/test_main.cpp
@@ -17,8 +17,8 @@
 int main(int argc, char** argv)
 {
     // CppUTest's leak check counts what libraries keep in statics (RapidCheck's configuration)
-    // against whichever test used them first. The address sanitizer's leak check tells the two
-    // apart.
+    // against whichever test used them first, and its lists are not safe with threads. The address
+    // sanitizer's leak check (make sanitize) tells the two apart and takes its place.
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
     setenv("RC_PARAMS", fixed_property_parameters, 0);
     return CommandLineTestRunner::RunAllTests(argc, argv);
