--- a/libs/ports/include/ports/peer.hpp
+++ b/libs/ports/include/ports/peer.hpp
@@ -73,6 +73,7 @@
     std::string address; ///< of the target, "ip:port"
     std::string reason;  ///< the rule that decided
     core::millis retry_after{0};
+    core::millis waited{0}; ///< at the owner from the ask's arrival to the grant, rounded down
 };
 
 enum class permit_outcome : std::uint8_t
