Stand-in for the key-value service, first working version

Cause: the daemon needs a platform to run against in tests. Change: standin_support (event loop, HTTP server on libmicrohttpd, JSON readers, router, faults) and standin_kv (compare-and-swap, leases, watches, outages, lost answers, rate limits, history). Tested: by hand with curl (compare-and-swap, conflict, lease expiry, watch, the three outage modes); no unit tests yet. Conclusion: usable by the store adapter; tests follow.

--- /dev/null
+++ b/testing/standin_kv/src/service.cpp
@@ -0,0 +1,377 @@
+#include "service.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace camphorhitch::standin_kv
+{
+
+using nlohmann::json;
+using standin_support::exchange_ptr;
+using standin_support::json_response;
+using standin_support::object_reader;
+using standin_support::path_parts;
+
+namespace
+{
+
+constexpr core::millis tick_interval{20};
+constexpr int grpc_not_found = 5;
+constexpr int grpc_exhausted = 8;
+constexpr int grpc_out_of_range = 11;
+
+std::string line(const json& result)
+{
+    return json{{"result", result}}.dump() + "\n";
+}
+
+std::int64_t to_seconds(core::millis ms)
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(ms).count();
+}
+
+ports::http_response no_lease()
+{
+    return gateway_error(404, grpc_not_found, "etcdserver: requested lease not found");
+}
+
+} // namespace
+
+service::service(standin_support::standin& s, service_settings settings)
+    : standin_(s), settings_(settings), gate_(s,
+                                            [this]
+                                            {
+                                                extend_all(store_, standin_.loop.now());
+                                                pump();
+                                            }),
+      dice_(s.settings.seed)
+{
+    store_.most_kept_bytes = settings.history_bytes;
+    limiter_.limits = settings.limits;
+    port_ = &gate_.listen(standin_support::make_router(s.settings.token,
+        {
+            counted(call_kind::range, "/v3/kv/range", &service::on_range),
+            counted(call_kind::transaction, "/v3/kv/txn", &service::on_transaction),
+            counted(call_kind::grant, "/v3/lease/grant", &service::on_grant),
+            counted(call_kind::keep_alive, "/v3/lease/keepalive", &service::on_keep_alive),
+            counted(call_kind::revoke, "/v3/lease/revoke", &service::on_revoke),
+            counted(call_kind::watch, "/v3/watch", &service::on_watch),
+        }));
+    control_port_ = &s.server.listen(s.settings.control_port,
+        standin_support::make_router(s.settings.token,
+            {
+                standin_support::simple_route(
+                    "POST", "/control", [this](const auto& r) { return on_control(r); }),
+                standin_support::simple_route(
+                    "GET", "/control/stats", [this](const auto&) { return stats(); }),
+                standin_support::simple_route(
+                    "GET", "/control/history", [this](const auto& r) { return history(r); }),
+            }));
+    s.loop.every(tick_interval, [this] { tick(); });
+}
+
+standin_support::route service::counted(
+    call_kind kind, std::string path, void (service::*act)(const exchange_ptr&))
+{
+    const auto serve = [this, kind, act](const exchange_ptr& held, const path_parts&)
+    {
+        const auto now = standin_.loop.now();
+        count_call(counts_, kind, held->request.body.size(), now);
+        if (!admit(limiter_, kind, now))
+        {
+            ++counts_.limited;
+            held->respond(gateway_error(429, grpc_exhausted, "etcdserver: too many requests"));
+            return;
+        }
+        // A lease whose time is over is gone for this call too, though the tick hasn't come yet.
+        expire(store_, now, standin_support::unix_ms());
+        (this->*act)(held);
+        pump();
+    };
+    return {"POST", std::move(path), serve};
+}
+
+std::int64_t service::read_revision()
+{
+    if (!dice_.chance(stale_reads_))
+    {
+        return store_.revision;
+    }
+    ++counts_.stale;
+    const auto oldest =
+        std::max({store_.compacted + 1, store_.revision - stale_revisions_, std::int64_t{1}});
+    return dice_.between(std::min(oldest, store_.revision), store_.revision);
+}
+
+void service::on_range(const exchange_ptr& held)
+{
+    const auto request = parse_range(held->request.body);
+    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    {
+        held->respond(gateway_error(*wrong));
+        return;
+    }
+    const auto& r = std::get<range_request>(request);
+    if (r.revision != 0 && (r.revision <= store_.compacted || r.revision > store_.revision))
+    {
+        held->respond(gateway_error(
+            400, grpc_out_of_range, "etcdserver: mvcc: required revision is not available"));
+        return;
+    }
+    const auto revision = read_revision();
+    const auto found = read(store_,
+        r.range,
+        r.revision != 0 ? r.revision : revision,
+        static_cast<std::size_t>(r.limit));
+    const auto answer = json_response(200, range_json(revision, found));
+    count_answer(counts_, call_kind::range, answer.body.size());
+    held->respond(answer);
+}
+
+ports::http_response service::transaction_answer(const transaction& t, verdict v)
+{
+    const auto header = header_json(store_.revision);
+    json all = {{"header", header}};
+    if (v == verdict::conflict)
+    {
+        ++counts_.conflicts;
+        if (t.reads_on_failure)
+        {
+            const auto found = read(store_, {t.key, ""});
+            all["responses"] = {{{"response_range", range_json(store_.revision, found)}}};
+        }
+        return json_response(200, all);
+    }
+    json done = {{"header", header}};
+    if (t.deletes && t.expected != 0)
+    {
+        done["deleted"] = "1";
+    }
+    all["succeeded"] = true;
+    all["responses"] = {{{t.deletes ? "response_delete_range" : "response_put", done}}};
+    return json_response(200, all);
+}
+
+void service::on_transaction(const exchange_ptr& held)
+{
+    const auto request = parse_transaction(held->request.body, settings_.largest_value);
+    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    {
+        held->respond(gateway_error(*wrong));
+        return;
+    }
+    const auto& t = std::get<transaction>(request);
+    const auto v = apply(store_, t, standin_support::unix_ms());
+    const auto answer = v == verdict::no_lease ? no_lease() : transaction_answer(t, v);
+    count_answer(counts_, call_kind::transaction, answer.body.size());
+    gate_.answer_write(held, t.key, answer);
+}
+
+void service::on_grant(const exchange_ptr& held)
+{
+    const auto request = parse_grant(held->request.body);
+    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    {
+        held->respond(gateway_error(*wrong));
+        return;
+    }
+    const auto ttl = std::get<core::millis>(request);
+    const auto id = grant(store_, ttl, standin_.loop.now());
+    const auto answer = json_response(200,
+        {{"header", header_json(store_.revision)},
+            {"ID", std::to_string(id)},
+            {"TTL", std::to_string(to_seconds(ttl))}});
+    count_answer(counts_, call_kind::grant, answer.body.size());
+    gate_.answer_write(held, "", answer);
+}
+
+void service::on_keep_alive(const exchange_ptr& held)
+{
+    const auto request = parse_lease_id(held->request.body);
+    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    {
+        held->respond(gateway_error(*wrong));
+        return;
+    }
+    const auto id = std::get<std::int64_t>(request);
+    const auto ttl = keep_alive(store_, id, standin_.loop.now());
+    json result = {{"header", header_json(store_.revision)}, {"ID", std::to_string(id)}};
+    if (ttl)
+    {
+        result["TTL"] = std::to_string(to_seconds(*ttl));
+    }
+    const auto answer = json_response(200, {{"result", result}});
+    count_answer(counts_, call_kind::keep_alive, answer.body.size());
+    held->respond(answer);
+}
+
+void service::on_revoke(const exchange_ptr& held)
+{
+    const auto request = parse_lease_id(held->request.body);
+    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    {
+        held->respond(gateway_error(*wrong));
+        return;
+    }
+    const auto known = revoke(store_, std::get<std::int64_t>(request), standin_support::unix_ms());
+    const auto answer =
+        known ? json_response(200, {{"header", header_json(store_.revision)}}) : no_lease();
+    count_answer(counts_, call_kind::revoke, answer.body.size());
+    gate_.answer_write(held, "", answer);
+}
+
+void service::on_watch(const exchange_ptr& held)
+{
+    const auto request = parse_watch(held->request.body);
+    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    {
+        held->respond(gateway_error(*wrong));
+        return;
+    }
+    const auto& wanted = std::get<watch_request>(request);
+    const auto start = wanted.start_revision == 0 ? store_.revision + 1 : wanted.start_revision;
+    auto it = std::make_shared<watch>();
+    it->request = held->request;
+    it->range = wanted.range;
+    it->next = position_of(store_, start);
+    it->stream = held->stream(200, "application/json");
+    json created = {{"header", header_json(store_.revision)}, {"created", true}};
+    it->stream->write(line(created));
+    if (start <= store_.compacted)
+    {
+        created.erase("created");
+        created["canceled"] = true;
+        created["compact_revision"] = std::to_string(store_.compacted);
+        it->stream->write(line(created));
+        it->stream->finish();
+        return;
+    }
+    const std::weak_ptr<watch> weak = it;
+    it->stream->on_end = [this, weak]
+    {
+        std::erase_if(watches_, [gone = weak.lock()](const auto& w) { return w == gone; });
+    };
+    watches_.push_back(it);
+    counts_.most_watches = std::max(counts_.most_watches, watches_.size());
+}
+
+void service::tick()
+{
+    if (!gate_.is_out())
+    {
+        expire(store_, standin_.loop.now(), standin_support::unix_ms());
+        pump();
+    }
+}
+
+void service::pump()
+{
+    // A copy: writing to a stream whose caller is gone takes the watch out of the list.
+    const auto all = watches_;
+    for (const auto& it : all)
+    {
+        if (it->next < store_.history.size() && !gate_.is_partitioned(it->request))
+        {
+            pump_one(*it);
+        }
+    }
+}
+
+void service::pump_one(watch& w)
+{
+    const auto newest = standin_support::unix_ms() - watch_lag_.count();
+    json events;
+    std::int64_t revision = 0;
+    for (; w.next < store_.history.size(); ++w.next)
+    {
+        const auto& it = store_.history[w.next];
+        if (it.at_ms > newest)
+        {
+            break;
+        }
+        if (contains(w.range, it.now.key))
+        {
+            events.push_back(event_json(it));
+            revision = it.now.mod_revision;
+        }
+    }
+    if (!events.empty())
+    {
+        const auto text = line({{"header", header_json(revision)}, {"events", events}});
+        count_answer(counts_, call_kind::watch, text.size());
+        w.stream->write(text);
+    }
+}
+
+void service::end_partitioned_watches()
+{
+    const auto all = watches_;
+    for (const auto& it : all)
+    {
+        if (gate_.is_partitioned(it->request) && !gate_.partition_hangs())
+        {
+            it->stream->cut();
+        }
+    }
+}
+
+ports::http_response service::on_control(const ports::http_request& r)
+{
+    object_reader command(r.body);
+    gate_.control(command);
+    end_partitioned_watches();
+    command.read_share("stale_reads", stale_reads_);
+    command.read("stale_revisions", stale_revisions_);
+    command.read("writes_per_second", limiter_.limits.writes);
+    command.read("reads_per_second", limiter_.limits.reads);
+    std::int64_t lag_ms = 0;
+    if (command.read("watch_lag_ms", lag_ms))
+    {
+        watch_lag_ = core::millis{lag_ms};
+    }
+    const auto wrong = command.finish();
+    return wrong.empty() ? json_response(200, json::object())
+                         : standin_support::error_response(400, core::to_text(wrong));
+}
+
+ports::http_response service::stats() const
+{
+    auto all = to_json(counts_);
+    all["revision"] = store_.revision;
+    all["keys"] = read(store_, {std::string(1, '\0'), std::string(1, '\0')}).size();
+    all["leases"] = store_.leases.size();
+    all["watches"] = watches_.size();
+    all["connections"] = port_->counts().open;
+    all["lost_answers"] = gate_.lost_answers();
+    all["out"] = gate_.is_out();
+    return json_response(200, all);
+}
+
+ports::http_response service::history(const ports::http_request& r) const
+{
+    const auto from = standin_support::query_value(r.query, "from_revision");
+    const auto prefix = standin_support::query_value(r.query, "prefix");
+    json all = json::array();
+    for (auto i = position_of(store_, std::atoll(from.c_str())); i < store_.history.size(); ++i)
+    {
+        const auto& it = store_.history[i];
+        if (!it.now.key.starts_with(prefix))
+        {
+            continue;
+        }
+        json one = {{"key", it.now.key},
+            {"revision", it.now.mod_revision},
+            {"at_ms", it.at_ms},
+            {"lease", it.now.lease}};
+        one[it.deleted ? "deleted" : "value"] = it.deleted ? json(true) : json(it.now.value);
+        if (it.value_dropped)
+        {
+            one["value_dropped"] = true;
+        }
+        all.push_back(std::move(one));
+    }
+    return json_response(200, {{"changes", all}});
+}
+
+} // namespace camphorhitch::standin_kv
--- /dev/null
+++ b/testing/standin_kv/src/wire.hpp
@@ -0,0 +1,49 @@
+/// \file
+/// The subset of etcd's v3 JSON gateway: requests into the store's terms, records into JSON.
+#pragma once
+
+#include "standin_support/json.hpp"
+#include "store.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+#include <variant>
+
+namespace camphorhitch::standin_kv
+{
+
+struct range_request
+{
+    key_range range;
+    std::int64_t revision = 0;
+    std::int64_t limit = 0;
+};
+
+struct watch_request
+{
+    key_range range;
+    std::int64_t start_revision = 0;
+};
+
+template <class T>
+using parsed = std::variant<T, core::findings>;
+
+parsed<range_request> parse_range(const std::string& body);
+/// Refuses all that is more than compare-and-swap on one key.
+parsed<transaction> parse_transaction(const std::string& body, std::size_t largest_value);
+parsed<watch_request> parse_watch(const std::string& body);
+/// \return the lease's TTL.
+parsed<core::millis> parse_grant(const std::string& body);
+/// \return the lease's id.
+parsed<std::int64_t> parse_lease_id(const std::string& body);
+
+// As the gateway does, each leaves out members that are 0, false or empty.
+nlohmann::json header_json(std::int64_t revision);
+nlohmann::json record_json(const record& r);
+nlohmann::json range_json(std::int64_t revision, const std::vector<record>& found);
+nlohmann::json event_json(const change& c);
+
+/// \param code of gRPC.
+ports::http_response gateway_error(int status, int code, const std::string& text);
+ports::http_response gateway_error(const core::findings& wrong);
+
+} // namespace camphorhitch::standin_kv
--- /dev/null
+++ b/testing/standin_support/src/faults.cpp
@@ -0,0 +1,201 @@
+#include "standin_support/faults.hpp"
+
+#include <utility>
+
+namespace camphorhitch::standin_support
+{
+
+namespace
+{
+
+void read_mode(object_reader& command, const char* name, outage_mode& to)
+{
+    std::string text;
+    if (!command.read(name, text))
+    {
+        return;
+    }
+    const auto mode = core::value_of(outage_mode_names, text);
+    if (!mode)
+    {
+        command.add_finding(name, "must be close, refuse or hang");
+        return;
+    }
+    to = *mode;
+}
+
+} // namespace
+
+fault_gate::fault_gate(standin& s, std::function<void()> on_outage_end)
+    : standin_(s), on_outage_end_(std::move(on_outage_end)), dice_(s.settings.seed)
+{
+}
+
+listener& fault_gate::listen(exchange_handler inner)
+{
+    inner_ = std::move(inner);
+    port_ = &standin_.server.listen(
+        standin_.settings.port, [this](const exchange_ptr& held) { admit(held); });
+    return *port_;
+}
+
+bool fault_gate::is_partitioned(const ports::http_request& r) const
+{
+    const auto* const member = ports::find_field(r.fields, member_header);
+    return member != nullptr && partition_.contains(*member);
+}
+
+void fault_gate::admit(const exchange_ptr& held)
+{
+    if (out_)
+    {
+        fail(held, mode_);
+        return;
+    }
+    if (is_partitioned(held->request))
+    {
+        fail(held, partition_mode_);
+        return;
+    }
+    if (dice_.chance(drop_requests_))
+    {
+        held->cut();
+        return;
+    }
+    if (slow_ == core::millis{0})
+    {
+        inner_(held);
+        return;
+    }
+    // A caller that gives up while it waits here gets its write done all the same, as in a real
+    // service whose queue is long.
+    const auto serve_late = [this, held]
+    {
+        if (out_)
+        {
+            fail(held, mode_);
+            return;
+        }
+        inner_(held);
+    };
+    standin_.loop.after(slow_, serve_late);
+}
+
+void fault_gate::fail(const exchange_ptr& held, outage_mode mode)
+{
+    if (mode == outage_mode::hang)
+    {
+        hung_.push_back(held);
+        return;
+    }
+    held->cut();
+}
+
+bool fault_gate::loses(const std::string& key)
+{
+    if (!key.starts_with(lose_prefix_))
+    {
+        return false;
+    }
+    if (lose_next_ > 0)
+    {
+        --lose_next_;
+        return true;
+    }
+    return dice_.chance(lose_answers_);
+}
+
+void fault_gate::answer_write(
+    const exchange_ptr& held, const std::string& key, const ports::http_response& r)
+{
+    if (loses(key))
+    {
+        ++lost_answers_;
+        held->cut();
+        return;
+    }
+    held->respond(r);
+}
+
+void fault_gate::begin_outage(core::millis length, outage_mode mode)
+{
+    out_ = true;
+    mode_ = mode;
+    const auto number = ++outage_;
+    if (mode == outage_mode::hang)
+    {
+        port_->silence([] { return true; });
+    }
+    else
+    {
+        port_->cut_connections();
+    }
+    if (mode == outage_mode::refuse)
+    {
+        port_->close();
+    }
+    const auto end = [this, number]
+    {
+        if (number == outage_)
+        {
+            end_outage();
+        }
+    };
+    standin_.loop.after(length, end);
+}
+
+void fault_gate::end_outage()
+{
+    out_ = false;
+    for (const auto& it : std::exchange(hung_, {}))
+    {
+        it->cut();
+    }
+    if (mode_ == outage_mode::hang)
+    {
+        port_->cut_connections();
+    }
+    port_->open();
+    on_outage_end_();
+}
+
+void fault_gate::control(object_reader& command)
+{
+    std::int64_t outage_ms = 0;
+    auto mode = outage_mode::close;
+    read_mode(command, "outage_mode", mode);
+    if (command.read("outage_ms", outage_ms))
+    {
+        if (outage_ms > 0)
+        {
+            begin_outage(core::millis{outage_ms}, mode);
+        }
+        else if (out_)
+        {
+            ++outage_;
+            end_outage();
+        }
+    }
+    std::int64_t slow_ms = 0;
+    if (command.read("slow_ms", slow_ms))
+    {
+        slow_ = core::millis{slow_ms};
+    }
+    command.read_share("lose_answers", lose_answers_);
+    command.read("lose_next", lose_next_);
+    command.read("lose_prefix", lose_prefix_);
+    command.read_share("drop_requests", drop_requests_);
+    read_mode(command, "partition_mode", partition_mode_);
+    std::vector<std::string> members;
+    if (command.read("partition", members))
+    {
+        partition_ = {members.begin(), members.end()};
+    }
+    std::int64_t seed = 0;
+    if (command.read("seed", seed))
+    {
+        dice_.reseed(static_cast<std::uint64_t>(seed));
+    }
+}
+
+} // namespace camphorhitch::standin_support
