--- a/libs/core/tests/core_tests.cpp
+++ b/libs/core/tests/core_tests.cpp
@@ -7,9 +7,7 @@
 
 using namespace camphorhitch::core;
 
-TEST_GROUP(findings)
-{
-};
+TEST_GROUP(findings){};
 
 TEST(findings, text_names_place_and_suggestion)
 {
@@ -44,9 +42,7 @@
     }
 }
 
-TEST_GROUP(rendezvous)
-{
-};
+TEST_GROUP(rendezvous){};
 
 TEST(rendezvous, order_of_members_does_not_matter)
 {
@@ -73,9 +69,7 @@
     }
 }
 
-TEST_GROUP(invariant)
-{
-};
+TEST_GROUP(invariant){};
 
 TEST(invariant, a_broken_one_reaches_the_handler)
 {
--- /dev/null
+++ b/libs/http/tests/client_tests.cpp
@@ -0,0 +1,501 @@
+#include "fixture.hpp"
+
+#include <netinet/tcp.h>
+#include <optional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::http;
+using namespace std::chrono_literals;
+using ports::call_end;
+
+namespace
+{
+
+ports::http_call make_call(std::uint16_t port, std::string method = "POST", std::string body = "x")
+{
+    ports::http_call out;
+    out.address = loopback(port);
+    out.request.method = std::move(method);
+    out.request.path = "/book";
+    out.request.body = std::move(body);
+    return out;
+}
+
+const std::string good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_GROUP(http_client)
+{
+    reactor::event_loop loop = reactor::event_loop::builder().build();
+    client made = client::builder().loop(loop).build();
+    ports::http_client port = made.port();
+    scripted_target target{loop};
+
+    ports::http_outcome call(ports::http_call it)
+    {
+        std::optional<ports::http_outcome> out;
+        port.send(std::move(it), [&](ports::http_outcome o) { out = std::move(o); });
+        CHECK(run_until(loop, [&] { return out.has_value(); }));
+        return out.value_or(ports::http_outcome{});
+    }
+};
+
+TEST(http_client, a_request_goes_out_as_it_was_given)
+{
+    target.on_request = [&](int id, int)
+    {
+        target.say(id, good);
+    };
+    const std::string binary("a\0b\xff", 4);
+    auto it = make_call(target.port(), "PUT", binary);
+    it.request.path = "/a%2Fb/../c";
+    it.request.query = "q=1&r=%20";
+    it.request.fields = {
+        {"X-Trace", "t1"}, {"Empty", ""}, {"Content-Length", "999"}, {"Connection", "close"}};
+    const auto out = call(it);
+    CHECK(out.end == call_end::answered);
+    STRCMP_EQUAL("ok", out.response.body.c_str());
+    const std::string head = "PUT /a%2Fb/../c?q=1&r=%20 HTTP/1.1\r\nHost: " + it.address +
+                             "\r\nX-Trace: t1\r\nEmpty:\r\nContent-Length: 4\r\n\r\n";
+    STRCMP_EQUAL(head.c_str(), target.last.substr(0, head.size()).c_str());
+    CHECK(target.last == head + binary);
+}
+
+TEST(http_client, each_end_of_an_answer_is_told_truthfully)
+{
+    struct row
+    {
+        const char* about;
+        std::string method;
+        std::string bytes;
+        bool close;
+        call_end end;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const row rows[] = {
+        {"length", "GET", good, false, call_end::answered},
+        {"chunks",
+            "GET",
+            ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            false,
+            call_end::answered},
+        {"interim answer first",
+            "GET",
+            "HTTP/1.1 103 Early\r\nA: b\r\n\r\n" + good,
+            false,
+            call_end::answered},
+        {"redirect is not followed",
+            "GET",
+            "HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n",
+            false,
+            call_end::answered},
+        {"head", "HEAD", ok + "Content-Length: 7\r\n\r\n", false, call_end::answered},
+        {"empty", "DELETE", "HTTP/1.1 204 No Content\r\n\r\n", false, call_end::answered},
+        {"cut within length",
+            "GET",
+            ok + "Content-Length: 9\r\n\r\nok",
+            true,
+            call_end::answer_broken},
+        {"cut within chunks",
+            "GET",
+            ok + "Transfer-Encoding: chunked\r\n\r\n9\r\nok",
+            true,
+            call_end::answer_broken},
+        {"last chunk is missing",
+            "GET",
+            ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            true,
+            call_end::answer_broken},
+        {"bad chunk size",
+            "GET",
+            ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\nok",
+            false,
+            call_end::answer_broken},
+        {"end not marked", "GET", ok + "\r\nok", true, call_end::answer_broken},
+        {"cut within header", "GET", ok + "Content-Le", true, call_end::answer_broken},
+        {"no HTTP at all", "GET", "hello\r\n\r\n", true, call_end::answer_broken},
+        {"two lengths",
+            "GET",
+            ok + "Content-Length: 2\r\nContent-Length: x\r\n\r\nok",
+            true,
+            call_end::answer_broken},
+        {"length over the bound",
+            "GET",
+            ok + "Content-Length: 5000\r\n\r\n",
+            false,
+            call_end::answer_broken},
+        {"chunks over the bound",
+            "GET",
+            ok + "Transfer-Encoding: chunked\r\n\r\n1000\r\n" + std::string(4096, 'x') + "\r\n",
+            false,
+            call_end::answer_broken},
+        {"header over the bound",
+            "GET",
+            ok + "A: " + std::string(4000, 'x') + "\r\n\r\n",
+            true,
+            call_end::answer_broken},
+        {"closed with no answer", "GET", "", true, call_end::interrupted},
+        {"closed after an interim answer",
+            "GET",
+            "HTTP/1.1 100 Continue\r\n\r\n",
+            true,
+            call_end::interrupted},
+    };
+    for (const auto& it : rows)
+    {
+        target.on_request = [&](int id, int)
+        {
+            target.say(id, it.bytes);
+            if (it.close)
+            {
+                target.drop(id);
+            }
+        };
+        auto request = make_call(target.port(), it.method, "");
+        request.largest_answer = 3000;
+        const int before = target.requests;
+        const auto out = call(request);
+        CHECK_TEXT(out.end == it.end, it.about);
+        LONGS_EQUAL_TEXT(before + 1, target.requests, it.about);
+    }
+}
+
+TEST(http_client, what_certainly_was_not_sent_is_told_so)
+{
+    scripted_target closed{loop};
+    const auto refusing = closed.port();
+    closed.close_listener();
+    struct row
+    {
+        const char* about;
+        std::function<void(ports::http_call&)> change;
+    };
+    const row rows[] = {
+        {"connection refused",
+            [&](auto& it)
+            {
+                it.address = loopback(refusing);
+            }},
+        {"a name",
+            [](auto& it)
+            {
+                it.address = "localhost:80";
+            }},
+        {"no port",
+            [](auto& it)
+            {
+                it.address = "127.0.0.1";
+            }},
+        {"bad method",
+            [](auto& it)
+            {
+                it.request.method = "GET /x";
+            }},
+        {"line break in the path",
+            [](auto& it)
+            {
+                it.request.path = "/x\r\nA: b";
+            }},
+        {"line break in a field",
+            [](auto& it)
+            {
+                it.request.fields = {{"A", "b\r\nC: d"}};
+            }},
+        {"field name is no token",
+            [](auto& it)
+            {
+                it.request.fields = {{"A b", "c"}};
+            }},
+    };
+    for (const auto& it : rows)
+    {
+        auto request = make_call(target.port());
+        it.change(request);
+        const auto out = call(request);
+        CHECK_TEXT(out.end == call_end::not_sent, it.about);
+        CHECK_TEXT(!out.detail.empty(), it.about);
+    }
+    LONGS_EQUAL(0, target.requests);
+}
+
+// The target's listen queue is full, so a connection never stands. The caller may be told that
+// its request was not run: curl has had no socket to write to.
+TEST(http_client, a_connect_timeout_is_not_sent)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    auto at = loopback_address(0);
+    socklen_t n = sizeof(at);
+    ::bind(fd, reinterpret_cast<sockaddr*>(&at), n);
+    ::listen(fd, 0);
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &n);
+    raw_caller first(ntohs(at.sin_port)); // takes the only place
+    auto it = make_call(ntohs(at.sin_port));
+    it.connect_timeout = 100ms;
+    CHECK(call(it).end == call_end::not_sent);
+    it.connect_timeout = 10s;
+    it.total_timeout = 100ms;
+    CHECK(call(it).end == call_end::not_sent);
+    ::close(fd);
+}
+
+// A connection of the pool was closed by the target just after it had read the next request, as a
+// target does that runs it and then dies. curl would write the request again on a new connection
+// and the deposit would be charged twice. The target must have seen the request once only, and
+// the call must end as interrupted, with or without fresh_connection.
+TEST(http_client, a_request_is_never_sent_twice_when_a_pooled_connection_closes)
+{
+    for (const char* method : {"POST", "GET", "HEAD"})
+    {
+        for (const bool fresh : {false, true})
+        {
+            target.on_request = [&](int id, int)
+            {
+                target.say(id, good);
+            };
+            CHECK(call(make_call(target.port())).end == call_end::answered);
+            target.on_request = [&](int id, int)
+            {
+                target.drop(id);
+            };
+            const int before = target.requests;
+            auto it = make_call(target.port(), method, "");
+            it.fresh_connection = fresh;
+            const auto out = call(it);
+            CHECK(out.end == call_end::interrupted);
+            CHECK(out.new_connection == fresh);
+            run_for(loop, 50ms);
+            LONGS_EQUAL(before + 1, target.requests);
+        }
+    }
+}
+
+// The same, with more idle connections in the pool: curl would take the next of them.
+TEST(http_client, a_request_is_not_repeated_on_another_pooled_connection)
+{
+    target.on_request = [&](int id, int)
+    {
+        loop.scheduler().after(30ms, [&, id] { target.say(id, good); });
+    };
+    int ended = 0;
+    for (int i = 0; i < 4; ++i)
+    {
+        port.send(make_call(target.port()), [&](const ports::http_outcome&) { ++ended; });
+    }
+    CHECK(run_until(loop, [&] { return ended == 4; }));
+    LONGS_EQUAL(4, target.connections);
+    target.on_request = [&](int id, int)
+    {
+        target.drop(id);
+    };
+    CHECK(call(make_call(target.port())).end == call_end::interrupted);
+    run_for(loop, 50ms);
+    LONGS_EQUAL(5, target.requests);
+}
+
+// The call times out, or is cancelled, and the target answers afterwards. The late answer must not
+// be read as the answer to the next caller's request: its connection has been closed.
+TEST(http_client, a_late_answer_never_reaches_another_call)
+{
+    const std::string late = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+    for (const bool cancels : {false, true})
+    {
+        target.on_request = [&](int id, int)
+        {
+            loop.scheduler().after(150ms, [&, id] { target.say(id, late); });
+        };
+        auto it = make_call(target.port());
+        it.total_timeout = cancels ? 10s : 60ms;
+        bool called = false;
+        ports::http_outcome out;
+        const auto call_id = port.send(it,
+            [&](ports::http_outcome o)
+            {
+                called = true;
+                out = std::move(o);
+            });
+        const int before = target.requests;
+        CHECK(run_until(loop, [&] { return target.requests > before; }));
+        if (cancels)
+        {
+            port.cancel(call_id);
+        }
+        run_for(loop, 100ms);
+        CHECK(called == !cancels);
+        CHECK(cancels || out.end == call_end::interrupted);
+        target.on_request = [&](int id, int)
+        {
+            loop.scheduler().after(100ms, [&, id] { target.say(id, good); });
+        };
+        const auto next = call(make_call(target.port()));
+        CHECK(next.new_connection);
+        STRCMP_EQUAL("ok", next.response.body.c_str());
+    }
+}
+
+TEST(http_client, an_answer_that_stalls_halfway_is_interrupted)
+{
+    target.on_request = [&](int id, int)
+    {
+        target.say(id, good.substr(0, good.size() - 1));
+    };
+    auto it = make_call(target.port());
+    it.total_timeout = 60ms;
+    CHECK(call(it).end == call_end::interrupted);
+}
+
+TEST(http_client, connections_are_reused_bounded_and_not_used_when_fresh_is_asked_for)
+{
+    made = client::builder().loop(loop).limits({.most_connections_per_host = 2}).build();
+    port = made.port();
+    int at_once = 0;
+    int most = 0;
+    target.on_request = [&](int id, int)
+    {
+        most = std::max(most, ++at_once);
+        loop.scheduler().after(10ms,
+            [&, id]
+            {
+                --at_once;
+                target.say(id, good);
+            });
+    };
+    int answered = 0;
+    for (int i = 0; i < 10; ++i)
+    {
+        port.send(make_call(target.port()),
+            [&](const ports::http_outcome& it) { answered += it.end == call_end::answered; });
+    }
+    CHECK(run_until(loop, [&] { return answered == 10; }));
+    LONGS_EQUAL(2, most);
+    LONGS_EQUAL(2, target.connections);
+    auto it = make_call(target.port());
+    it.fresh_connection = true;
+    CHECK(call(it).new_connection);
+    LONGS_EQUAL(3, target.connections);
+}
+
+// Something between the two ends has lost track of an idle connection. Its bytes would vanish, so
+// an old one isn't used again, and one with unacknowledged bytes is given up early.
+TEST(http_client, old_connections_are_not_used_and_sockets_have_a_user_timeout)
+{
+    const client_limits limits{.longest_idle = 1s, .longest_unacknowledged = 1234ms};
+    made = client::builder().loop(loop).limits(limits).build();
+    port = made.port();
+    target.on_request = [&](int id, int)
+    {
+        target.say(id, good);
+    };
+    CHECK(call(make_call(target.port())).new_connection);
+    CHECK(!call(make_call(target.port())).new_connection);
+    bool found = false;
+    for (int fd = 0; fd < 256; ++fd)
+    {
+        unsigned wait = 0;
+        socklen_t n = sizeof(wait);
+        ::getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &wait, &n);
+        found = found || wait == 1234;
+    }
+    CHECK(found);
+    run_for(loop, 2100ms);
+    CHECK(call(make_call(target.port())).new_connection);
+}
+
+TEST(http_client, calls_may_be_started_and_cancelled_inside_callbacks)
+{
+    target.on_request = [&](int id, int)
+    {
+        target.say(id, good);
+    };
+    int ended = 0;
+    ports::call_id doomed = 0;
+    port.send(make_call(target.port()),
+        [&](const ports::http_outcome&)
+        {
+            port.cancel(doomed);
+            port.send(make_call(target.port()), [&](const ports::http_outcome&) { ++ended; });
+        });
+    auto slow = make_call(target.port());
+    slow.address = "127.0.0.1:9";
+    target.on_request = [&](int id, int)
+    {
+        target.say(id, good);
+    };
+    doomed = port.send(make_call(target.port()), [&](const ports::http_outcome&) { ended += 100; });
+    CHECK(run_until(loop, [&] { return ended > 0; }));
+    run_for(loop, 30ms);
+    LONGS_EQUAL(1, ended % 100);
+}
+
+TEST(http_client, a_stream_gives_its_parts_and_ends_when_it_falls_silent_or_is_cut)
+{
+    struct row
+    {
+        bool close;
+        call_end end;
+    };
+    for (const row it : {row{false, call_end::interrupted}, row{true, call_end::answer_broken}})
+    {
+        target.on_request = [&](int id, int)
+        {
+            target.say(id, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+            loop.scheduler().after(60ms, [&, id] { target.say(id, "1\r\nb\r\n"); });
+            loop.scheduler().after(120ms,
+                [&, id]
+                {
+                    target.say(id, "1\r\nc\r\n");
+                    if (it.close)
+                    {
+                        target.drop(id);
+                    }
+                });
+        };
+        std::string seen;
+        std::optional<ports::http_outcome> out;
+        stream_call stream;
+        stream.call = make_call(target.port());
+        stream.call.total_timeout = 1ms; // does not count
+        stream.longest_silence = 100ms;
+        stream.on_chunk = [&](std::string_view part)
+        {
+            seen += std::string(part) + ",";
+        };
+        stream.on_end = [&](ports::http_outcome o)
+        {
+            out = std::move(o);
+        };
+        made.stream(stream);
+        CHECK(run_until(loop, [&] { return out.has_value(); }));
+        STRCMP_EQUAL("a,b,c,", seen.c_str());
+        CHECK(out->end == it.end);
+        LONGS_EQUAL(200, out->response.status);
+    }
+}
+
+TEST(http_client, a_stream_can_be_cancelled_by_its_own_part)
+{
+    target.on_request = [&](int id, int)
+    {
+        target.say(id, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n");
+    };
+    int parts = 0;
+    bool ended = false;
+    ports::call_id id = 0;
+    stream_call stream;
+    stream.call = make_call(target.port());
+    stream.on_chunk = [&](std::string_view)
+    {
+        ++parts;
+        port.cancel(id);
+    };
+    stream.on_end = [&](const ports::http_outcome&)
+    {
+        ended = true;
+    };
+    id = made.stream(stream);
+    CHECK(run_until(loop, [&] { return parts == 1; }));
+    run_for(loop, 30ms);
+    CHECK(!ended);
+}
--- a/libs/model/include/model/codec.hpp
+++ b/libs/model/include/model/codec.hpp
@@ -32,8 +32,10 @@
 /// \param name the document's name in findings.
 decoded<configuration> decode_configuration(
     const std::string& text, const std::string& name, strictness how);
-decoded<pool_document> decode_pool(const std::string& text, const std::string& name, strictness how);
-decoded<wave_document> decode_wave(const std::string& text, const std::string& name, strictness how);
+decoded<pool_document> decode_pool(
+    const std::string& text, const std::string& name, strictness how);
+decoded<wave_document> decode_wave(
+    const std::string& text, const std::string& name, strictness how);
 decoded<roster_document> decode_roster(const std::string& text, const std::string& name);
 decoded<member_record> decode_member(const std::string& text, const std::string& name);
 
--- a/libs/model/include/model/config.hpp
+++ b/libs/model/include/model/config.hpp
@@ -22,10 +22,10 @@
 /// Bounds on the waiting requests of one class.
 struct class_limits
 {
-    int queue = 200;               ///< waiting requests; one more is refused
-    core::millis deadline{2000};   ///< for requests that bring none
-    core::millis longest{10000};   ///< most time a request may ask for
-    int reserved_slots = 0;        ///< slots of each target that this class leaves to quicker ones
+    int queue = 200;             ///< waiting requests; one more is refused
+    core::millis deadline{2000}; ///< for requests that bring none
+    core::millis longest{10000}; ///< most time a request may ask for
+    int reserved_slots = 0;      ///< slots of each target that this class leaves to quicker ones
 };
 
 struct pool_config
@@ -33,9 +33,9 @@
     std::string name;
     std::vector<std::string> services; ///< names that callers use
     availability_budget budget;
-    std::string policy;      ///< name of a wave policy
-    bool spare = false;      ///< holds spare hosts for the other pools
-    double size_class = 0;   ///< for pairing in experiments; 0: by number of hosts
+    std::string policy;    ///< name of a wave policy
+    bool spare = false;    ///< holds spare hosts for the other pools
+    double size_class = 0; ///< for pairing in experiments; 0: by number of hosts
     class_limits quick{200, core::millis{2000}, core::millis{10000}, 0};
     class_limits normal{200, core::millis{5000}, core::millis{20000}, 1};
     class_limits long_running{100, core::millis{30000}, core::millis{60000}, 3};
@@ -60,11 +60,11 @@
 {
     std::string name;
     policy_kind kind = policy_kind::one_by_one;
-    int canary = 1;        ///< hosts in the first batch
-    double growth = 2.0;   ///< next batch over the last one
-    int largest_batch = 0; ///< 0: what the budgets allow
-    int halt_after = 2;    ///< hosts that failed to come back, to halt the wave
-    int fixed_buffer = 1;  ///< spare hosts held back in each pool (one_by_one)
+    int canary = 1;                      ///< hosts in the first batch
+    double growth = 2.0;                 ///< next batch over the last one
+    int largest_batch = 0;               ///< 0: what the budgets allow
+    int halt_after = 2;                  ///< hosts that failed to come back, to halt the wave
+    int fixed_buffer = 1;                ///< spare hosts held back in each pool (one_by_one)
     core::millis return_timeout{600000}; ///< a host not back by then has failed
     core::millis drain_timeout{120000};  ///< a drain not done by then is reported
 };
--- a/libs/model/src/find.cpp
+++ b/libs/model/src/find.cpp
@@ -26,8 +26,9 @@
 const pool_config* find_pool_of_service(const configuration& c, const std::string& service)
 {
     return find_in(c.pools,
-        [&](const auto& it)
-        { return std::find(it.services.begin(), it.services.end(), service) != it.services.end(); });
+        [&](const auto& it) {
+            return std::find(it.services.begin(), it.services.end(), service) != it.services.end();
+        });
 }
 
 const policy_config* find_policy(const configuration& c, const std::string& name)
--- a/libs/ports/include/ports/http.hpp
+++ b/libs/ports/include/ports/http.hpp
@@ -72,7 +72,7 @@
     core::millis connect_timeout{1000};
     core::millis total_timeout{10000};
     std::size_t largest_answer = 8u << 20; ///< bytes
-    bool fresh_connection = false; ///< never a connection that has been idle
+    bool fresh_connection = false;         ///< never a connection that has been idle
 };
 
 struct http_outcome
--- a/libs/ports/include/ports/key_value.hpp
+++ b/libs/ports/include/ports/key_value.hpp
@@ -69,7 +69,10 @@
     /// All keys that start with \p prefix.
     std::function<void(std::string prefix, std::function<void(kv_read)>)> range;
     /// Writes when the key's revision is \p expected (0: only when it does not exist).
-    std::function<void(std::string key, std::string value, revision expected, lease_id lease,
+    std::function<void(std::string key,
+        std::string value,
+        revision expected,
+        lease_id lease,
         std::function<void(kv_write)>)>
         put_if;
     std::function<void(std::string key, revision expected, std::function<void(kv_write)>)>
@@ -79,8 +82,10 @@
     std::function<void(lease_id, std::function<void(kv_status)>)> revoke_lease;
     /// Streams changes of keys under \p prefix from \p from_revision on. \p on_end is called once
     /// when the stream has ended for whatever reason; the holder reads again and watches anew.
-    std::function<watch_id(std::string prefix, revision from_revision,
-        std::function<void(std::vector<kv_event>)> on_events, std::function<void()> on_end)>
+    std::function<watch_id(std::string prefix,
+        revision from_revision,
+        std::function<void(std::vector<kv_event>)> on_events,
+        std::function<void()> on_end)>
         watch;
     std::function<void(watch_id)> cancel_watch;
 };
--- a/libs/ports/include/ports/peer.hpp
+++ b/libs/ports/include/ports/peer.hpp
@@ -29,10 +29,10 @@
 {
     std::string member;
     std::string incarnation;
-    epoch_number epoch = 0;           ///< newest roster adopted
-    std::int64_t config_version = 0;  ///< newest configuration in force here
-    bool store_reachable = false;     ///< the key-value service confirmed us lately
-    std::int64_t sequence = 0;        ///< of the sender, to match the reply
+    epoch_number epoch = 0;          ///< newest roster adopted
+    std::int64_t config_version = 0; ///< newest configuration in force here
+    bool store_reachable = false;    ///< the key-value service confirmed us lately
+    std::int64_t sequence = 0;       ///< of the sender, to match the reply
     /// Attached only for a peer that was seen to be behind.
     std::string roster_document;
     std::string config_document;
@@ -43,14 +43,14 @@
 struct permit_request
 {
     epoch_number epoch = 0;
-    std::string member;      ///< who will send
-    std::string incarnation; ///< of that member
+    std::string member;        ///< who will send
+    std::string incarnation;   ///< of that member
     std::uint64_t request = 0; ///< unique within the incarnation
     std::string pool;
-    std::string zone;        ///< the sender's, preferred
+    std::string zone; ///< the sender's, preferred
     request_class klass = request_class::normal;
     core::millis time_left{0};
-    core::millis expected{0};  ///< expected run time; 0: not known
+    core::millis expected{0};       ///< expected run time; 0: not known
     std::vector<std::string> avoid; ///< hosts that failed this request already
     bool retry = false;
 };
--- a/libs/ports/include/ports/platform.hpp
+++ b/libs/ports/include/ports/platform.hpp
@@ -35,8 +35,8 @@
 enum class platform_status
 {
     ok,
-    refused,     ///< certainly not done
-    unknown      ///< may have been done
+    refused, ///< certainly not done
+    unknown  ///< may have been done
 };
 
 /// A task as the platform runs it.
@@ -97,7 +97,9 @@
         reboot;
     std::function<void(task_order, std::function<void(platform_status)>)> start_task;
     /// One call for many tasks of one host.
-    std::function<void(std::string host, std::vector<std::string> tasks, task_action,
+    std::function<void(std::string host,
+        std::vector<std::string> tasks,
+        task_action,
         std::function<void(platform_status)>)>
         act_on_tasks;
     std::function<void(std::string host, std::function<void(task_reports)>)> read_tasks;
