Add fleet: rules and deciders of pools and waves, policies

Cause: hosts must leave for maintenance, move between pools and come back within the budgets, whoever decides. Conclusion: interfaces are ready for the daemon to call.

--- /dev/null
+++ b/libs/fleet/src/pool_decider.cpp
@@ -0,0 +1,159 @@
+#include "fleet/pool_decider.hpp"
+
+#include "fleet/budget.hpp"
+#include "pool_steps.hpp"
+
+#include <algorithm>
+
+namespace camphorhitch::fleet
+{
+
+using model::host_record;
+using model::host_state;
+
+namespace
+{
+
+/// Starts the timer of each host whose state or turn is new, and drops those of hosts that left.
+void keep_timers(const pool_inputs& in, pool_memory& m)
+{
+    std::map<std::string, host_timer> next;
+    for (const auto& it : in.own.document.hosts)
+    {
+        const auto known = m.hosts.find(it.id);
+        const bool same_turn = known != m.hosts.end() && known->second.command == it.command;
+        host_timer timer =
+            same_turn ? known->second : host_timer{it.state, it.command, in.now, {}, {}};
+        if (timer.state != it.state)
+        {
+            timer.state = it.state;
+            timer.since = in.now;
+            timer.reported.reset();
+        }
+        next.emplace(it.id, std::move(timer));
+    }
+    m.hosts = std::move(next);
+}
+
+void drain_actions(const pool_inputs& in,
+    const host_record& h,
+    const model::policy_config& p,
+    host_timer& timer,
+    std::vector<pool_action>& out)
+{
+    const auto activity = activity_of(in, h.id);
+    const auto elapsed = std::chrono::duration_cast<core::millis>(in.now - timer.since);
+    if (activity.jobs > 0)
+    {
+        out.emplace_back(move_jobs_off{h.id, std::max(core::millis{0}, p.drain_timeout - elapsed)});
+    }
+    const auto last = timer.reported.value_or(core::mono_time{});
+    const bool again = !timer.reported || in.now - last >= in.settings.drain_report_every;
+    if (elapsed >= p.drain_timeout && again)
+    {
+        timer.reported = in.now;
+        out.emplace_back(report_slow_drain{h.id,
+            "drains for " + std::to_string(elapsed.count()) + " ms: " +
+                std::to_string(activity.requests) + " requests, " + std::to_string(activity.jobs) +
+                " jobs" + (activity.certain ? "" : ", not certain yet")});
+    }
+}
+
+/// What the document as it stands asks for; never what is only about to be written.
+void standing_actions(const pool_inputs& in, pool_memory& m, std::vector<pool_action>& out)
+{
+    const auto& d = in.own.document;
+    const auto p = managing_policy(d, in.waves, in.config);
+    for (const auto& it : d.hosts)
+    {
+        auto& timer = m.hosts[it.id];
+        if (!accepts_work(it))
+        {
+            out.emplace_back(stop_host{it.id});
+        }
+        if (it.state == host_state::draining)
+        {
+            drain_actions(in, it, p, timer, out);
+        }
+        if (reboot_pending(it) && !timer.reboot_acknowledged)
+        {
+            out.emplace_back(order_reboot{it.id, it.command});
+        }
+    }
+}
+
+} // namespace
+
+bool is_quiet(const host_activity& a)
+{
+    return a.stopped && a.certain && a.requests == 0 && a.jobs == 0;
+}
+
+void note_reboot_acknowledged(
+    pool_memory& m, const std::string& host, const std::string& command, core::mono_time now)
+{
+    const auto it = m.hosts.find(host);
+    if (it != m.hosts.end() && it->second.command == command && !it->second.reboot_acknowledged)
+    {
+        it->second.reboot_acknowledged = now;
+    }
+}
+
+bool step(draft& d, const pool_event& e)
+{
+    const auto out = apply(d.next, e, rule_context{d.in.config, d.in.wall_now});
+    const bool done = core::is_ok(out) && core::value(out).changed;
+    if (done)
+    {
+        d.notes.push_back(core::value(out).note);
+    }
+    return done;
+}
+
+host_activity activity_of(const pool_inputs& in, const std::string& host)
+{
+    const auto it = std::find_if(in.activity.begin(),
+        in.activity.end(),
+        [&](const host_activity& a) { return a.host == host; });
+    return it == in.activity.end() ? host_activity{} : *it;
+}
+
+bool is_settled(const draft& d, const std::string& host)
+{
+    return is_settled(host, d.next.pool, d.in.own.revision, d.in.others);
+}
+
+std::vector<std::string> host_ids(const draft& d)
+{
+    std::vector<std::string> out;
+    out.reserve(d.next.hosts.size());
+    for (const auto& it : d.next.hosts)
+    {
+        out.push_back(it.id);
+    }
+    return out;
+}
+
+std::vector<pool_action> decide_pool(const pool_inputs& in, pool_memory& memory)
+{
+    keep_timers(in, memory);
+    std::vector<pool_action> out;
+    standing_actions(in, memory, out);
+    draft d{in, memory, in.own.document, {}};
+    take_live_news(d);
+    take_timeouts(d);
+    undo_what_must_not_go_on(d);
+    advance_drains(d);
+    exchange_hosts(d);
+    send_guests_on(d);
+    lend_spares(d);
+    start_wave_drains(d);
+    keep_buffer(d);
+    if (!d.notes.empty())
+    {
+        out.emplace_back(write_pool{std::move(d.next), in.own.revision, std::move(d.notes)});
+    }
+    return out;
+}
+
+} // namespace camphorhitch::fleet
--- /dev/null
+++ b/libs/fleet/src/wave_plan.cpp
@@ -0,0 +1,181 @@
+#include "wave_plan.hpp"
+
+#include "fleet/budget.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace camphorhitch::fleet
+{
+
+using model::host_record;
+using model::host_state;
+using model::wave_document;
+
+namespace
+{
+
+turn turn_of(const host_record& h, const wave_document& w)
+{
+    if (h.state == host_state::failed)
+    {
+        return turn::failed;
+    }
+    if (h.maintained == w.id)
+    {
+        return turn::done;
+    }
+    if (is_absent(h))
+    {
+        return h.wave == w.id ? turn::absent : turn::busy;
+    }
+    return is_guest(h) || !is_member(h) ? turn::busy : turn::untouched;
+}
+
+void sort_by(wave_order order, std::vector<wave_host>& hosts)
+{
+    const auto key = [&](const wave_host& it)
+    {
+        const bool by_pool = order == wave_order::pool_by_pool;
+        const bool by_zone = order == wave_order::zone_by_zone;
+        return std::make_tuple(!it.spare,
+            by_zone ? it.zone : std::string{},
+            by_pool || by_zone ? it.pool : std::string{},
+            by_pool ? it.zone : std::string{});
+    };
+    std::stable_sort(hosts.begin(),
+        hosts.end(),
+        [&](const wave_host& a, const wave_host& b) { return key(a) < key(b); });
+}
+
+int fit_spares(const wave_inputs& in)
+{
+    int n = 0;
+    for (const auto& view : in.pools)
+    {
+        const bool spare_pool = is_spare_pool(in.config, view.document.pool);
+        for (const auto& it : view.document.hosts)
+        {
+            const bool spare = is_guest(it) || (spare_pool && is_member(it));
+            n += spare && it.state != host_state::failed ? 1 : 0;
+        }
+        for (const auto& it : view.document.released)
+        {
+            n += is_guest(it.host) ? 1 : 0;
+        }
+    }
+    return n;
+}
+
+void count(wave_summary& s, turn at)
+{
+    ++s.hosts;
+    s.done += at == turn::done ? 1 : 0;
+    s.in_progress += at == turn::absent ? 1 : 0;
+    s.waiting += at == turn::untouched || at == turn::busy ? 1 : 0;
+    s.failed += at == turn::failed ? 1 : 0;
+    s.gone += at == turn::gone ? 1 : 0;
+}
+
+} // namespace
+
+std::unordered_map<std::string, std::size_t> index_owners(const std::vector<pool_view>& pools)
+{
+    std::unordered_map<std::string, std::size_t> out;
+    std::unordered_map<std::string, std::int64_t> best;
+    for (std::size_t i = 0; i < pools.size(); ++i)
+    {
+        for (const auto& it : pools[i].document.hosts)
+        {
+            auto& known = best[it.id];
+            if (it.ownership >= known)
+            {
+                known = it.ownership;
+                out[it.id] = i;
+            }
+        }
+    }
+    // A released host has no document to stand in until it is adopted.
+    for (const auto& view : pools)
+    {
+        for (const auto& it : view.document.released)
+        {
+            if (it.host.ownership > best[it.host.id])
+            {
+                best[it.host.id] = it.host.ownership;
+                out[it.host.id] = pools.size();
+            }
+        }
+    }
+    return out;
+}
+
+wave_host locate(const std::string& id,
+    const wave_document& w,
+    const std::vector<pool_view>& pools,
+    const std::unordered_map<std::string, std::size_t>& owners)
+{
+    wave_host out;
+    out.id = id;
+    const auto it = owners.find(id);
+    if (it == owners.end())
+    {
+        return out;
+    }
+    if (it->second == pools.size())
+    {
+        out.at = turn::busy;
+        return out;
+    }
+    const auto& d = pools[it->second].document;
+    const auto* h = model::find_host(d, id);
+    out.pool = d.pool;
+    out.zone = h->zone;
+    out.at = turn_of(*h, w);
+    out.by_wave = out.at == turn::failed && (h->wave == w.id || h->maintained == w.id);
+    return out;
+}
+
+wave_plan plan_of(const wave_inputs& in)
+{
+    const auto& w = in.own.document;
+    const auto owners = index_owners(in.pools);
+    const auto spares = fit_spares(in);
+    wave_plan out;
+    for (const auto& id : w.hosts)
+    {
+        auto h = locate(id, w, in.pools, owners);
+        const auto* claims = claimant(id, in.waves);
+        const bool taken = claims != nullptr && claims->id != w.id;
+        h.at = taken && h.at == turn::untouched ? turn::busy : h.at;
+        h.spare = h.at == turn::untouched && is_spare_pool(in.config, h.pool);
+        const auto p = policy_in_force(in.config, h.pool, w.policy);
+        auto& group = out.groups[p.name];
+        group.policy = p;
+        group.progress.spares = spares;
+        ++group.progress.hosts;
+        group.progress.done += h.at == turn::done ? 1 : 0;
+        group.failures += h.by_wave ? 1 : 0;
+        out.failures += h.by_wave ? 1 : 0;
+        count(out.summary, h.at);
+        group.hosts.push_back(std::move(h));
+    }
+    for (auto& [name, group] : out.groups)
+    {
+        sort_by(policy_of(group.policy.kind).order, group.hosts);
+    }
+    return out;
+}
+
+wave_summary summarize(const wave_document& w, const std::vector<pool_view>& pools)
+{
+    const auto owners = index_owners(pools);
+    wave_summary out;
+    for (const auto& id : w.hosts)
+    {
+        count(out, locate(id, w, pools, owners).at);
+    }
+    return out;
+}
+
+} // namespace camphorhitch::fleet
