--- a/libs/model/tests/any_document.hpp
+++ b/libs/model/tests/any_document.hpp
@@ -156,6 +156,7 @@
     it.wave = any_text();
     it.maintained = any_text();
     it.move_to = any_text();
+    it.lent_by = any_text();
     it.command = any_text();
     it.ownership = any_int(0, 1LL << 60);
     it.boot_count = any_int(0, 1LL << 60);
