Jobs: submission, fenced placement rounds, leases, faults, quotas

Change: libs/jobs, pure decisions over sixteen documents a pool. An owner puts its mark into every document before it places, because a host's capacity and a team's quota span all of them while a write is conditional on one only. Rounds themselves are not tested yet.

--- /dev/null
+++ b/libs/jobs/src/job.cpp
@@ -0,0 +1,150 @@
+#include "jobs/job.hpp"
+
+#include "core/rendezvous.hpp"
+#include "model/keys.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace camphorhitch::jobs
+{
+
+namespace
+{
+
+/// Sums of shares of a processor or gigabyte are off by rounding; this is far below any real size.
+constexpr double rounding = 1e-6;
+
+template <class Document>
+auto find_in(Document& d, const std::string& id) -> decltype(d.jobs.data())
+{
+    const auto it =
+        std::find_if(d.jobs.begin(), d.jobs.end(), [&](const job& j) { return j.id == id; });
+    return it == d.jobs.end() ? nullptr : &*it;
+}
+
+std::string task_prefix(const job& j)
+{
+    return j.id + '/' + std::to_string(j.submitted_ms) + '.';
+}
+
+} // namespace
+
+amounts operator+(const amounts& a, const amounts& b)
+{
+    return {
+        a.processors + b.processors, a.memory_gb + b.memory_gb, a.accelerators + b.accelerators};
+}
+
+amounts operator-(const amounts& a, const amounts& b)
+{
+    return {
+        a.processors - b.processors, a.memory_gb - b.memory_gb, a.accelerators - b.accelerators};
+}
+
+bool operator==(const amounts& a, const amounts& b)
+{
+    return a.processors == b.processors && a.memory_gb == b.memory_gb &&
+           a.accelerators == b.accelerators;
+}
+
+bool fits(const amounts& need, const amounts& room)
+{
+    return need.processors <= room.processors + rounding &&
+           need.memory_gb <= room.memory_gb + rounding && need.accelerators <= room.accelerators;
+}
+
+bool operator==(const placer_mark& a, const placer_mark& b)
+{
+    return a.epoch == b.epoch && a.incarnation == b.incarnation;
+}
+
+int bucket_of(const std::string& job_id)
+{
+    return static_cast<int>(core::stable_hash(job_id) % buckets_per_pool);
+}
+
+std::string document_key(const std::string& pool, int bucket)
+{
+    return model::keys::jobs + pool + '/' + std::to_string(bucket);
+}
+
+job* find_job(job_document& d, const std::string& id)
+{
+    return find_in(d, id);
+}
+
+const job* find_job(const job_document& d, const std::string& id)
+{
+    return find_in(d, id);
+}
+
+bool holds_host(const job& j)
+{
+    switch (j.state)
+    {
+    case job_state::starting:
+    case job_state::running:
+    case job_state::checkpointing:
+        return true;
+    case job_state::cancelled:
+        return !j.host.empty();
+    default:
+        return false;
+    }
+}
+
+bool is_over(const job& j)
+{
+    switch (j.state)
+    {
+    case job_state::finished:
+    case job_state::failed:
+    case job_state::cancelled:
+    case job_state::set_aside:
+    case job_state::unknown:
+        return true;
+    default:
+        return false;
+    }
+}
+
+std::string task_name(const job& j)
+{
+    return task_prefix(j) + std::to_string(j.attempt);
+}
+
+std::string job_of_task(const std::string& task)
+{
+    const std::size_t n = task.find('/');
+    return n == std::string::npos ? std::string{} : task.substr(0, n);
+}
+
+int attempt_of_task(const job& j, const std::string& task)
+{
+    const std::string prefix = task_prefix(j);
+    int attempt = 0;
+    if (task.compare(0, prefix.size(), prefix) == 0)
+    {
+        std::from_chars(task.data() + prefix.size(), task.data() + task.size(), attempt);
+    }
+    return attempt;
+}
+
+void enter(job& j, job_state next, std::int64_t now_ms, std::string rule, std::string weighed)
+{
+    j.state = next;
+    j.since_ms = now_ms;
+    j.why = {std::move(rule), std::move(weighed), now_ms};
+    if (is_over(j))
+    {
+        j.payload.clear();
+    }
+}
+
+std::string group_of(const job& j)
+{
+    return j.team + '/' + j.kind;
+}
+
+} // namespace camphorhitch::jobs
--- /dev/null
+++ b/libs/jobs/src/submit.cpp
@@ -0,0 +1,354 @@
+#include "jobs/submit.hpp"
+
+#include "core/rendezvous.hpp"
+#include "text.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <unordered_map>
+
+namespace camphorhitch::jobs
+{
+
+namespace
+{
+
+constexpr std::size_t longest_name = 64;
+
+/// Names of fields, punctuation, numbers and times of one job, all at their longest.
+constexpr std::size_t fixed_job_bytes = 900;
+constexpr std::size_t fixed_document_bytes = 256;
+constexpr std::size_t failure_bytes = 40;
+
+bool is_name_character(unsigned char c)
+{
+    return std::isalnum(c) != 0 || c == '.' || c == '_' || c == ':' || c == '-';
+}
+
+void check_name(core::findings& all, const std::string& text, const char* pointer, bool may_lack)
+{
+    if (text.empty() && !may_lack)
+    {
+        all.push_back({{"submission", pointer, 0, 0}, "is missing", ""});
+    }
+    if (text.size() > longest_name)
+    {
+        all.push_back({{"submission", pointer, 0, 0}, "is longer than 64 characters", ""});
+    }
+    if (!std::all_of(text.begin(), text.end(), is_name_character))
+    {
+        all.push_back({{"submission", pointer, 0, 0},
+            "may hold letters, digits, '.', '_', ':' and '-' only",
+            ""});
+    }
+}
+
+void expect(core::findings& all, bool holds, const char* pointer, const std::string& text)
+{
+    if (!holds)
+    {
+        all.push_back({{"submission", pointer, 0, 0}, text, ""});
+    }
+}
+
+/// Every bit of a size counts, so the numbers are hashed as they are stored.
+std::uint64_t hash_of(const amounts& a)
+{
+    const std::array<double, 3> numbers{
+        a.processors, a.memory_gb, static_cast<double>(a.accelerators)};
+    return core::stable_hash({reinterpret_cast<const char*>(numbers.data()), sizeof(numbers)});
+}
+
+std::uint64_t hash_of(const submission& s)
+{
+    std::string text =
+        s.team + '\n' + s.kind + '\n' + std::string{core::name_of(job_class_names, s.klass)} +
+        '\n' + std::to_string(hash_of(s.declared)) + '\n' + std::to_string(s.run_time.count()) +
+        '\n' + (s.idempotent ? "1" : "0") + '\n';
+    return core::stable_hash(s.payload, core::stable_hash(text));
+}
+
+job to_job(const submission& s, std::uint64_t hash, std::int64_t now_ms)
+{
+    job j;
+    j.id = s.id;
+    j.team = s.team;
+    j.kind = s.kind;
+    j.klass = s.klass;
+    j.declared = s.declared;
+    j.run_time = s.run_time;
+    j.idempotent = s.idempotent;
+    j.payload = s.payload;
+    j.body_hash = hash;
+    j.submitted_ms = now_ms;
+    enter(j, job_state::waiting, now_ms, "submitted", "waits for a placement round");
+    return j;
+}
+
+/// Length as a JSON string: what must be escaped takes two or six characters.
+std::size_t json_length(const std::string& text)
+{
+    std::size_t n = text.size();
+    for (const unsigned char c : text)
+    {
+        if (c == '"' || c == '\\')
+        {
+            n += 1;
+        }
+        else if (c < ' ')
+        {
+            n += 5;
+        }
+    }
+    return n;
+}
+
+const model::team_config* find_team(
+    const std::vector<model::team_config>& teams, const std::string& name)
+{
+    const auto it = std::find_if(
+        teams.begin(), teams.end(), [&](const auto& team) { return team.name == name; });
+    return it == teams.end() ? nullptr : &*it;
+}
+
+std::string unknown_team(const std::string& name, const std::vector<model::team_config>& teams)
+{
+    std::vector<std::string> known;
+    known.reserve(teams.size());
+    for (const auto& it : teams)
+    {
+        known.push_back(it.name);
+    }
+    const std::string near_miss = core::nearest_name(name, known);
+    const std::string text = "team '" + name + "' has no quota in the configuration";
+    return near_miss.empty() ? text : text + " (did you mean '" + near_miss + "'?)";
+}
+
+/// How far a host falls short, as a sum over what lacks, each relative to the need.
+double shortfall(const amounts& need, const amounts& room)
+{
+    const auto part = [](double want, double have)
+    {
+        return want > have ? (want - have) / want : 0.0;
+    };
+    return part(need.processors, room.processors) + part(need.memory_gb, room.memory_gb) +
+           part(need.accelerators, room.accelerators);
+}
+
+std::string no_host_fits(const amounts& need, const model::pool_document& hosts)
+{
+    const model::host_record* nearest = nullptr;
+    double smallest = 0;
+    for (const auto& it : hosts.hosts)
+    {
+        const amounts room{it.processors, it.memory_gb, it.accelerators};
+        if (fits(need, room))
+        {
+            return {};
+        }
+        const double lack = shortfall(need, room);
+        if (nearest == nullptr || lack < smallest)
+        {
+            nearest = &it;
+            smallest = lack;
+        }
+    }
+    if (nearest == nullptr)
+    {
+        return "pool '" + hosts.pool + "' has no host";
+    }
+    const amounts room{nearest->processors, nearest->memory_gb, nearest->accelerators};
+    return "needs " + to_text(need) + "; no host of pool '" + hosts.pool +
+           "' has that; the nearest is " + nearest->id + " with " + to_text(room) + ", short of " +
+           lacking_text(need, room);
+}
+
+struct bounds
+{
+    std::size_t jobs = 0;
+    std::size_t bytes = 0;
+};
+
+bool has_room(const bounds& b, const settings& rules, std::size_t more)
+{
+    return b.jobs < rules.most_jobs && b.bytes + more <= rules.most_bytes;
+}
+
+submit_outcome submit_one(job_document& d,
+    std::unordered_map<std::string, std::size_t>& known,
+    bounds& taken,
+    const submission& s,
+    const submit_input& in)
+{
+    core::findings wrong = check(s, in.rules);
+    if (!wrong.empty())
+    {
+        return wrong;
+    }
+    const std::uint64_t hash = hash_of(s);
+    if (const auto it = known.find(s.id); it != known.end())
+    {
+        const job& before = d.jobs[it->second];
+        if (before.body_hash != hash)
+        {
+            return other_body{};
+        }
+        return accepted{true, before.state};
+    }
+    std::string why = why_impossible(s.declared, s.team, in.hosts, in.teams);
+    if (!why.empty())
+    {
+        return never_fits{std::move(why)};
+    }
+    job made = to_job(s, hash, core::to_unix_ms(in.now));
+    const std::size_t n = text_bound(made);
+    if (!has_room(taken, in.rules, n))
+    {
+        return document_full{};
+    }
+    taken.jobs += 1;
+    taken.bytes += n;
+    known.emplace(made.id, d.jobs.size());
+    d.jobs.push_back(std::move(made));
+    return accepted{};
+}
+
+cancel_outcome cancel_one(job* j, const std::string& command, std::int64_t now_ms)
+{
+    if (j == nullptr)
+    {
+        return cancel_outcome::not_found;
+    }
+    if (j->state == job_state::cancelled)
+    {
+        return j->host.empty() ? cancel_outcome::cancelled : cancel_outcome::stopping;
+    }
+    if (j->state == job_state::finished || j->state == job_state::failed)
+    {
+        return cancel_outcome::was_over;
+    }
+    const bool may_run = holds_host(*j);
+    if (!may_run)
+    {
+        j->host.clear();
+    }
+    const bool doubt = j->state == job_state::unknown;
+    enter(*j,
+        job_state::cancelled,
+        now_ms,
+        "cancelled_by_command",
+        command + (may_run ? "; its task is being stopped and may have run in part"
+                           : (doubt ? "; it may have run" : "; it held no host")));
+    j->releasing = release_reason::none;
+    return may_run ? cancel_outcome::stopping : cancel_outcome::cancelled;
+}
+
+} // namespace
+
+core::findings check(const submission& s, const settings& rules)
+{
+    core::findings all;
+    check_name(all, s.id, "/id", false);
+    check_name(all, s.team, "/team", false);
+    check_name(all, s.kind, "/kind", true);
+    expect(all, s.declared.processors > 0, "/processors", "must be above 0");
+    expect(all, s.declared.memory_gb > 0, "/memory_gb", "must be above 0");
+    expect(all, s.declared.accelerators >= 0, "/accelerators", "must not be negative");
+    expect(all, s.run_time.count() > 0, "/run_time_ms", "must be above 0");
+    expect(all,
+        s.payload.size() <= rules.most_payload,
+        "/payload",
+        "is longer than " + std::to_string(rules.most_payload) + " bytes");
+    return all;
+}
+
+std::string why_impossible(const amounts& declared,
+    const std::string& team,
+    const model::pool_document& hosts,
+    const std::vector<model::team_config>& teams)
+{
+    const model::team_config* quota = find_team(teams, team);
+    if (quota == nullptr)
+    {
+        return unknown_team(team, teams);
+    }
+    const amounts limit{quota->processors, quota->memory_gb, quota->accelerators};
+    if (!fits(declared, limit))
+    {
+        return "needs " + to_text(declared) + "; the quota of team '" + team + "' is " +
+               to_text(limit) + ", short of " + lacking_text(declared, limit);
+    }
+    return no_host_fits(declared, hosts);
+}
+
+std::vector<submit_outcome> submit(
+    job_document& d, const std::vector<submission>& all, const submit_input& in)
+{
+    forget_old(d, in.rules, in.now);
+    std::unordered_map<std::string, std::size_t> known;
+    for (std::size_t i = 0; i < d.jobs.size(); ++i)
+    {
+        known.emplace(d.jobs[i].id, i);
+    }
+    bounds taken{d.jobs.size(), text_bound(d)};
+    std::vector<submit_outcome> outcomes;
+    outcomes.reserve(all.size());
+    for (const auto& it : all)
+    {
+        outcomes.push_back(submit_one(d, known, taken, it, in));
+    }
+    return outcomes;
+}
+
+std::vector<cancel_outcome> cancel(job_document& d,
+    const std::vector<std::string>& ids,
+    const std::string& command,
+    core::wall_time now)
+{
+    std::unordered_map<std::string, job*> known;
+    for (auto& it : d.jobs)
+    {
+        known.emplace(it.id, &it);
+    }
+    std::vector<cancel_outcome> outcomes;
+    outcomes.reserve(ids.size());
+    for (const auto& it : ids)
+    {
+        const auto found = known.find(it);
+        outcomes.push_back(cancel_one(
+            found == known.end() ? nullptr : found->second, command, core::to_unix_ms(now)));
+    }
+    return outcomes;
+}
+
+std::size_t forget_old(job_document& d, const settings& rules, core::wall_time now)
+{
+    const std::int64_t oldest = core::to_unix_ms(now) - rules.keep_over.count();
+    return std::erase_if(
+        d.jobs, [&](const job& j) { return is_over(j) && !holds_host(j) && j.since_ms < oldest; });
+}
+
+std::size_t text_bound(const job& j)
+{
+    std::size_t n = fixed_job_bytes + json_length(j.payload) + json_length(j.why.weighed);
+    n += j.id.size() + j.team.size() + j.kind.size() + j.host.size() + j.starter.size();
+    n += json_length(j.checkpoint) + j.moved_in.size() + j.why.rule.size();
+    for (const auto& it : j.failures)
+    {
+        n += failure_bytes + it.host.size();
+    }
+    return n;
+}
+
+std::size_t text_bound(const job_document& d)
+{
+    std::size_t n = fixed_document_bytes + d.pool.size() + d.placer.incarnation.size();
+    for (const auto& it : d.jobs)
+    {
+        n += text_bound(it);
+    }
+    return n;
+}
+
+} // namespace camphorhitch::jobs
