--- a/libs/jobs/include/jobs/job.hpp
+++ b/libs/jobs/include/jobs/job.hpp
@@ -98,6 +98,11 @@
     double processors = 0;
     double memory_gb = 0;
     int accelerators = 0;
+
+    bool empty() const
+    {
+        return processors == 0 && memory_gb == 0 && accelerators == 0;
+    }
 };
 
 amounts operator+(const amounts& a, const amounts& b);
--- a/libs/jobs/include/jobs/submit.hpp
+++ b/libs/jobs/include/jobs/submit.hpp
@@ -19,7 +19,7 @@
 /// What a caller sends.
 struct submission
 {
-    std::string id; ///< chosen by the caller; letters, digits, '.', '_', ':' and '-'
+    std::string id; ///< chosen by the caller; see checked_json::check_name()
     std::string team;
     std::string kind;
     job_class klass = job_class::normal;
--- a/libs/jobs/src/submit.cpp
+++ b/libs/jobs/src/submit.cpp
@@ -1,11 +1,11 @@
 #include "jobs/submit.hpp"
 
+#include "checked_json/rules.hpp"
 #include "core/rendezvous.hpp"
 #include "text.hpp"
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <unordered_map>
 
 namespace camphorhitch::jobs
@@ -14,33 +14,17 @@
 namespace
 {
 
-constexpr std::size_t longest_name = 64;
-
 /// Names of fields, punctuation, numbers and times of one job, all at their longest.
 constexpr std::size_t fixed_job_bytes = 900;
 constexpr std::size_t fixed_document_bytes = 256;
 constexpr std::size_t failure_bytes = 40;
 
-bool is_name_character(unsigned char c)
-{
-    return std::isalnum(c) != 0 || c == '.' || c == '_' || c == ':' || c == '-';
-}
-
-void check_name(core::findings& all, const std::string& text, const char* pointer, bool may_lack)
+void check_name(core::findings& all, const std::string& text, const char* pointer)
 {
-    if (text.empty() && !may_lack)
-    {
-        all.push_back({{"submission", pointer, 0, 0}, "is missing", ""});
-    }
-    if (text.size() > longest_name)
-    {
-        all.push_back({{"submission", pointer, 0, 0}, "is longer than 64 characters", ""});
-    }
-    if (!std::all_of(text.begin(), text.end(), is_name_character))
+    const std::string wrong = checked_json::check_name(text);
+    if (!wrong.empty())
     {
-        all.push_back({{"submission", pointer, 0, 0},
-            "may hold letters, digits, '.', '_', ':' and '-' only",
-            ""});
+        all.push_back({{"submission", pointer, 0, 0}, wrong, ""});
     }
 }
 
@@ -249,9 +233,12 @@
 core::findings check(const submission& s, const settings& rules)
 {
     core::findings all;
-    check_name(all, s.id, "/id", false);
-    check_name(all, s.team, "/team", false);
-    check_name(all, s.kind, "/kind", true);
+    check_name(all, s.id, "/id");
+    check_name(all, s.team, "/team");
+    if (!s.kind.empty())
+    {
+        check_name(all, s.kind, "/kind");
+    }
     expect(all, s.declared.processors > 0, "/processors", "must be above 0");
     expect(all, s.declared.memory_gb > 0, "/memory_gb", "must be above 0");
     expect(all, s.declared.accelerators >= 0, "/accelerators", "must not be negative");
