--- a/libs/membership/src/owners.cpp
+++ b/libs/membership/src/owners.cpp
@@ -21,8 +21,8 @@
 
 bool contains_process(const member_list& members, const model::member_record& who)
 {
-    const auto* found = find_member(members, who.id);
-    return found != nullptr && same_process(*found, who);
+    return std::any_of(
+        members.begin(), members.end(), [&](const auto& m) { return same_process(m, who); });
 }
 
 std::string process_name(const model::member_record& who)
