--- a/libs/model/include/model/codec.hpp
+++ b/libs/model/include/model/codec.hpp
@@ -4,6 +4,7 @@
 /// operators' input (strict) and are ignored in stored documents (lenient).
 #pragma once
 
+#include "checked_json/reader.hpp"
 #include "core/findings.hpp"
 #include "model/config.hpp"
 #include "model/fleet.hpp"
@@ -14,11 +15,7 @@
 namespace camphorhitch::model
 {
 
-enum class strictness
-{
-    strict,
-    lenient
-};
+using checked_json::strictness;
 
 template <class T>
 using decoded = std::variant<T, core::findings>;
@@ -32,8 +29,10 @@
 /// \param name the document's name in findings.
 decoded<configuration> decode_configuration(
     const std::string& text, const std::string& name, strictness how);
-decoded<pool_document> decode_pool(const std::string& text, const std::string& name, strictness how);
-decoded<wave_document> decode_wave(const std::string& text, const std::string& name, strictness how);
+decoded<pool_document> decode_pool(
+    const std::string& text, const std::string& name, strictness how);
+decoded<wave_document> decode_wave(
+    const std::string& text, const std::string& name, strictness how);
 decoded<roster_document> decode_roster(const std::string& text, const std::string& name);
 decoded<member_record> decode_member(const std::string& text, const std::string& name);
 
--- a/libs/peer/schema/peer.capnp
+++ b/libs/peer/schema/peer.capnp
@@ -35,6 +35,8 @@
   sequence @5 :Int64;
   rosterDocument @6 :Data;
   configDocument @7 :Data;
+  fresh @8 :Bool;
+  silentPeers @9 :List(Text);
 }
 
 enum RequestClass {
@@ -71,6 +73,7 @@
   address @3 :Text;
   reason @4 :Text;
   retryAfterMs @5 :Int64;
+  waitedMs @6 :Int64;
 }
 
 enum PermitOutcome {
@@ -111,12 +114,15 @@
 struct HeldReply {
   epoch @0 :UInt64;
   permits @1 :List(HeldPermit);
+  member @2 :Text;
+  incarnation @3 :Text;
 }
 
 enum ClaimState {
   claimed @0;
   done @1;
   unknown @2;
+  released @3;
 }
 
 struct Field {
@@ -135,6 +141,8 @@
   fields @7 :List(Field);
   body @8 :Data;
   answerKept @9 :Bool;
+  epoch @10 :UInt64;
+  sequence @11 :UInt64;
 }
 
 struct ClaimRequest {
@@ -158,6 +166,7 @@
 struct ClaimReply {
   verdict @0 :ClaimVerdict = notReady;
   entry @1 :ClaimEntry;
+  retryAfterMs @2 :Int64;
 }
 
 struct ClaimFinish {
@@ -181,6 +190,8 @@
   completeThrough @1 :UInt64;
   refusedThrough @2 :UInt64;
   entries @3 :List(ClaimEntry);
+  quarantinedThrough @4 :UInt64;
+  quarantineLeftMs @5 :Int64;
 }
 
 struct SlotPull {
@@ -192,6 +203,8 @@
 struct SlotPullReply {
   adopted @0 :Bool;
   slots @1 :List(SlotState);
+  member @2 :Text;
+  incarnation @3 :Text;
 }
 
 struct ExplainQuery {
