Stand-ins: options read as text

Cause: cxxopts' reading of integers gives a false -Wrestrict warning with g++ 12. Change: options are text for cxxopts and read as numbers by us; cxxopts stays out of the headers.

--- a/testing/standin_support/include/standin_support/program.hpp
+++ b/testing/standin_support/include/standin_support/program.hpp
@@ -7,10 +7,12 @@
 #include "standin_support/router.hpp"
 
 #include <cstdint>
-#include <cxxopts.hpp>
 #include <functional>
+#include <map>
 #include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace camphorhitch::standin_support
 {
@@ -72,11 +74,33 @@
     void serve(const listener& service, const listener& control);
 };
 
-/// Adds the common options, parses, and runs \p body.
+/// One command line option; all have a value.
+struct option
+{
+    std::string name;
+    std::string help;
+    std::string standard; ///< value when it isn't given
+};
+
+/// The command line, read.
+class option_values
+{
+public:
+    explicit option_values(std::map<std::string, std::string> values) : values_(std::move(values))
+    {
+    }
+
+    const std::string& text(const std::string& name) const;
+    /// \return the value; throws std::invalid_argument when it is no whole number from 0 on.
+    std::int64_t number(const std::string& name) const;
+
+private:
+    std::map<std::string, std::string> values_;
+};
+
+/// Reads the command line (the common options and \p own) and runs \p body.
 /// \return the program's exit code: 0, or 2 for wrong options.
-int run_standin(int argc,
-    char** argv,
-    cxxopts::Options& options,
-    const std::function<void(standin&, const cxxopts::ParseResult&)>& body);
+int run_standin(int argc, char** argv, const std::string& about, std::vector<option> own,
+    const std::function<void(standin&, const option_values&)>& body);
 
 } // namespace camphorhitch::standin_support
--- a/testing/standin_support/src/program.cpp
+++ b/testing/standin_support/src/program.cpp
@@ -1,8 +1,11 @@
 #include "standin_support/program.hpp"
 
+#include <charconv>
 #include <chrono>
 #include <csignal>
+#include <cxxopts.hpp>
 #include <iostream>
+#include <stdexcept>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -26,13 +29,20 @@
     return stops;
 }
 
-common_settings read_common(const cxxopts::ParseResult& parsed)
+const std::vector<option> common_options = {
+    {"port", "port on 127.0.0.1, 0 for a free one", "0"},
+    {"control-port", "port of the control interface, 0 for a free one", "0"},
+    {"token", "token that requests must bring; empty for none", ""},
+    {"seed", "seed of all chance", "1"},
+};
+
+common_settings read_common(const option_values& values)
 {
     common_settings s;
-    s.port = parsed["port"].as<std::uint16_t>();
-    s.control_port = parsed["control-port"].as<std::uint16_t>();
-    s.token = parsed["token"].as<std::string>();
-    s.seed = parsed["seed"].as<std::uint64_t>();
+    s.port = static_cast<std::uint16_t>(values.number("port"));
+    s.control_port = static_cast<std::uint16_t>(values.number("control-port"));
+    s.token = values.text("token");
+    s.seed = static_cast<std::uint64_t>(values.number("seed"));
     return s;
 }
 
@@ -56,24 +66,36 @@
     close(fd);
 }
 
-int run_standin(int argc,
-    char** argv,
-    cxxopts::Options& options,
-    const std::function<void(standin&, const cxxopts::ParseResult&)>& body)
+const std::string& option_values::text(const std::string& name) const
+{
+    return values_.at(name);
+}
+
+std::int64_t option_values::number(const std::string& name) const
+{
+    const auto& value = text(name);
+    std::int64_t n = -1;
+    const auto [at, ec] = std::from_chars(value.data(), value.data() + value.size(), n);
+    if (ec != std::errc{} || at != value.data() + value.size() || n < 0)
+    {
+        throw std::invalid_argument("--" + name + " must be a whole number from 0 on");
+    }
+    return n;
+}
+
+int run_standin(int argc, char** argv, const std::string& about, std::vector<option> own,
+    const std::function<void(standin&, const option_values&)>& body)
 {
     block_stop_signals();
-    auto add = options.add_options();
-    add("port",
-        "port on 127.0.0.1, 0 for a free one",
-        cxxopts::value<std::uint16_t>()->default_value("0"));
-    add("control-port",
-        "port of the control interface, 0 for a free one",
-        cxxopts::value<std::uint16_t>()->default_value("0"));
-    add("token",
-        "token that requests must bring",
-        cxxopts::value<std::string>()->default_value(""));
-    add("seed", "seed of all chance", cxxopts::value<std::uint64_t>()->default_value("1"));
-    add("help", "print this");
+    own.insert(own.end(), common_options.begin(), common_options.end());
+    cxxopts::Options options(argv[0], about);
+    options.add_options()("help", "print this");
+    for (const auto& it : own)
+    {
+        // All as text: cxxopts' own reading of numbers gives a false warning with g++ 12.
+        const auto value = cxxopts::value<std::string>()->default_value(it.standard);
+        options.add_options()(it.name, it.help, value);
+    }
     try
     {
         const auto parsed = options.parse(argc, argv);
@@ -82,14 +104,25 @@
             std::cout << options.help();
             return 0;
         }
-        standin s(read_common(parsed));
-        body(s, parsed);
+        std::map<std::string, std::string> values;
+        for (const auto& it : own)
+        {
+            values[it.name] = parsed[it.name].as<std::string>();
+        }
+        const option_values read(std::move(values));
+        standin s(read_common(read));
+        body(s, read);
     }
     catch (const cxxopts::exceptions::exception& e)
     {
         std::cerr << e.what() << "\n";
         return exit_usage;
     }
+    catch (const std::invalid_argument& e)
+    {
+        std::cerr << e.what() << "\n";
+        return exit_usage;
+    }
     return 0;
 }
 
