--- /dev/null
+++ b/programs/camphorhitchd/src/membership_service.cpp
@@ -0,0 +1,465 @@
+#include "membership_service.hpp"
+
+#include "model/codec.hpp"
+#include "model/keys.hpp"
+
+#include <set>
+#include <utility>
+
+namespace camphorhitch::daemon
+{
+
+namespace
+{
+
+/// A keep-alive this often per life of the lease survives two lost calls.
+constexpr int keep_alives_per_ttl = 4;
+
+model::member_record sender_of(const ports::heartbeat& it, const std::string& address)
+{
+    return {it.member, it.incarnation, address, ""};
+}
+
+} // namespace
+
+membership_service::membership_service(
+    context& c, membership::freshness_settings freshness, membership_events events)
+    : context_(c), events_(std::move(events))
+{
+    freshness_.settings = freshness;
+    freshness_.self = c.self;
+    roster_state_.self = c.self;
+    stop_.settings = freshness;
+    stop_.self = c.self;
+}
+
+void membership_service::start()
+{
+    grant_lease();
+    context_.every(context_.rounds.lease_ttl / keep_alives_per_ttl, [this] { keep_lease(); });
+    context_.every(context_.rounds.confirm, [this] { confirm(); });
+    context_.every(context_.rounds.beat, [this] { beat_all(); });
+    context_.every(context_.rounds.membership, [this] { look(); });
+}
+
+bool membership_service::fresh() const
+{
+    return membership::is_fresh(freshness_, context_.scheduler.now());
+}
+
+bool membership_service::store_reachable() const
+{
+    return membership::is_store_reachable(freshness_, context_.scheduler.now());
+}
+
+bool membership_service::in_roster() const
+{
+    return membership::contains_process(roster_.members, context_.self);
+}
+
+const model::roster_document& membership_service::roster() const
+{
+    return roster_;
+}
+
+core::mono_time membership_service::older_epochs_stopped() const
+{
+    return membership::stopped_from(stop_, roster_);
+}
+
+const std::map<std::string, peer_view>& membership_service::peers() const
+{
+    return peers_;
+}
+
+void membership_service::set_config(config_in_force it)
+{
+    config_ = std::move(it);
+}
+
+void membership_service::leave(std::function<void()> done)
+{
+    leaving_ = true;
+    left_ = std::move(done);
+    membership::leave(roster_state_);
+    look();
+}
+
+void membership_service::give_up_lease(std::function<void()> done)
+{
+    stopped_ = true;
+    if (lease_ == 0)
+    {
+        done();
+        return;
+    }
+    context_.store.revoke_lease(lease_, [done = std::move(done)](ports::kv_status) { done(); });
+}
+
+void membership_service::grant_lease()
+{
+    if (granting_ || stopped_)
+    {
+        return;
+    }
+    granting_ = true;
+    context_.store.grant_lease(context_.rounds.lease_ttl,
+        [this](ports::kv_lease it)
+        {
+            granting_ = false;
+            if (it.status == ports::kv_status::ok)
+            {
+                lease_ = it.id;
+                register_self();
+            }
+        });
+}
+
+void membership_service::keep_lease()
+{
+    if (lease_ == 0)
+    {
+        grant_lease();
+        return;
+    }
+    if (stopped_)
+    {
+        return;
+    }
+    context_.store.keep_alive(lease_,
+        [this](ports::kv_lease it)
+        {
+            const bool lapsed = it.status == ports::kv_status::ok && it.ttl.count() <= 0;
+            if (lapsed || it.status == ports::kv_status::rejected)
+            {
+                context_.log(ports::log_level::warning, "lease_lapsed", {});
+                lease_ = 0;
+                grant_lease();
+            }
+        });
+}
+
+void membership_service::register_self()
+{
+    if (registering_ || lease_ == 0 || leaving_)
+    {
+        return;
+    }
+    registering_ = true;
+    const auto text = model::encode(context_.self);
+    update_document(
+        context_.writer(),
+        model::keys::members + context_.self.id,
+        [text](const std::string*) -> change_result { return std::optional<std::string>{text}; },
+        [this](const core::result<core::done>& it)
+        {
+            registering_ = false;
+            if (!core::is_ok(it))
+            {
+                context_.log(ports::log_level::warning,
+                    "register_failed",
+                    {{"text", core::failure(it).message}});
+                lease_ = 0; // granted again at the next round, then registered
+            }
+        },
+        lease_);
+}
+
+/// Confirms by the store that the roster adopted here is still the one in force. The time that counts
+/// is when the question was sent: an answer read after a pause tells of the time before it.
+void membership_service::confirm()
+{
+    if (confirming_ || roster_revision_ == 0)
+    {
+        return;
+    }
+    confirming_ = true;
+    const auto started = context_.scheduler.now();
+    const auto epoch = roster_.epoch;
+    context_.store.check(model::keys::roster,
+        roster_revision_,
+        [this, started, epoch](const ports::kv_write& it)
+        {
+            confirming_ = false;
+            if (it.status == ports::kv_status::ok)
+            {
+                membership::on_store_confirmed(freshness_, epoch, started);
+            }
+            else if (it.status == ports::kv_status::conflict)
+            {
+                context_.documents->refresh();
+            }
+        });
+}
+
+ports::heartbeat membership_service::own_beat() const
+{
+    ports::heartbeat it;
+    it.member = context_.self.id;
+    it.incarnation = context_.self.incarnation;
+    it.epoch = roster_.epoch;
+    it.config_version = config_.version;
+    it.store_reachable = store_reachable();
+    it.fresh = fresh();
+    it.sequence = sequence_;
+    it.silent_peers = membership::silent_peers(roster_state_, context_.scheduler.now());
+    return it;
+}
+
+void membership_service::beat_all()
+{
+    ++sequence_;
+    std::set<std::string> asked;
+    for (const auto* list : {&roster_.members, &roster_state_.leased})
+    {
+        for (const auto& it : *list)
+        {
+            if (!membership::same_process(it, context_.self) && asked.insert(it.address).second)
+            {
+                beat(it);
+            }
+        }
+    }
+}
+
+void membership_service::beat(const model::member_record& to)
+{
+    auto message = own_beat();
+    const auto known = peers_.find(to.id);
+    if (known != peers_.end() && known->second.epoch < roster_.epoch)
+    {
+        message.roster_document = roster_text_;
+    }
+    if (known != peers_.end() && known->second.config_version < config_.version)
+    {
+        message.config_document = config_.document;
+    }
+    const auto started = context_.scheduler.now();
+    context_.peers.beat(to.address,
+        std::move(message),
+        [this, to, started](ports::peer_status status, const ports::heartbeat& reply)
+        { on_beat_reply(to, status, reply, started); });
+}
+
+void membership_service::on_beat_reply(const model::member_record& to, ports::peer_status status,
+    const ports::heartbeat& reply, core::mono_time started)
+{
+    const auto now = context_.scheduler.now();
+    if (status == ports::peer_status::refused)
+    {
+        membership::on_refused(roster_state_, to, now);
+        membership::on_process_gone(stop_, to, now);
+        events_.on_process_gone(to);
+        return;
+    }
+    if (status != ports::peer_status::ok)
+    {
+        return;
+    }
+    if (reply.member == to.id && reply.incarnation != to.incarnation)
+    {
+        // Another process answers at that address, so the one we meant is gone.
+        membership::on_process_gone(stop_, to, now);
+        events_.on_process_gone(to);
+        return;
+    }
+    membership::on_peer_confirmed(freshness_, reply, started);
+    membership::on_heard(roster_state_, to, reply.silent_peers, now);
+    take_word(reply);
+}
+
+ports::heartbeat membership_service::on_beat(const ports::heartbeat& from)
+{
+    const auto now = context_.scheduler.now();
+    membership::on_epoch_heard(freshness_, from.epoch);
+    for (const auto* list : {&roster_.members, &roster_state_.leased})
+    {
+        for (const auto& it : *list)
+        {
+            if (it.id == from.member && it.incarnation == from.incarnation)
+            {
+                membership::on_heard(roster_state_, it, from.silent_peers, now);
+            }
+        }
+    }
+    take_word(from);
+    auto reply = own_beat();
+    reply.sequence = from.sequence;
+    if (from.epoch < roster_.epoch)
+    {
+        reply.roster_document = roster_text_;
+    }
+    if (from.config_version < config_.version)
+    {
+        reply.config_document = config_.document;
+    }
+    return reply;
+}
+
+void membership_service::take_word(const ports::heartbeat& from)
+{
+    const auto now = context_.scheduler.now();
+    peers_[from.member] = {from.config_version, from.epoch, from.fresh, now};
+    membership::on_word(stop_, sender_of(from, ""), from.epoch, now);
+    if (!from.roster_document.empty())
+    {
+        adopt(from.roster_document, 0);
+    }
+    if (!from.config_document.empty())
+    {
+        events_.on_config_offer(from.config_document, from.fresh);
+    }
+}
+
+void membership_service::on_document(const ports::kv_entry& entry)
+{
+    if (entry.key == model::keys::roster)
+    {
+        adopt(entry.value, entry.modified);
+    }
+    else if (entry.key.compare(0, model::keys::members.size(), model::keys::members) == 0)
+    {
+        take_leased();
+    }
+}
+
+void membership_service::on_documents_read()
+{
+    const auto now = context_.scheduler.now();
+    if (context_.documents->find(model::keys::roster) == nullptr)
+    {
+        membership::on_roster(roster_state_, std::nullopt, 0, now);
+    }
+    else
+    {
+        // The same document again tells the roster logic that it has been read since a pause.
+        membership::on_roster(roster_state_, roster_, roster_revision_, now);
+    }
+    take_leased();
+}
+
+void membership_service::take_leased()
+{
+    if (!context_.documents->loaded())
+    {
+        return;
+    }
+    membership::member_list leased;
+    for (const auto* it : context_.documents->under(model::keys::members))
+    {
+        auto one = model::decode_member(it->value, it->key);
+        if (const auto* record = std::get_if<model::member_record>(&one))
+        {
+            leased.push_back(*record);
+        }
+    }
+    membership::on_leased(roster_state_, std::move(leased), context_.scheduler.now());
+}
+
+void membership_service::adopt(const std::string& text, ports::revision modified)
+{
+    auto decoded = model::decode_roster(text, model::keys::roster);
+    const auto* next = std::get_if<model::roster_document>(&decoded);
+    if (next == nullptr)
+    {
+        context_.log(ports::log_level::error,
+            "roster_damaged",
+            {{"findings", core::to_text(std::get<core::findings>(decoded))}});
+        return;
+    }
+    const auto now = context_.scheduler.now();
+    if (modified > 0)
+    {
+        membership::on_roster(roster_state_, *next, modified, now);
+    }
+    if (next->epoch == roster_.epoch && modified > 0)
+    {
+        roster_revision_ = modified;
+    }
+    if (next->epoch <= roster_.epoch)
+    {
+        return;
+    }
+    roster_ = *next;
+    roster_text_ = text;
+    roster_revision_ = modified;
+    membership::on_roster_adopted(freshness_, roster_);
+    membership::on_epoch_adopted(stop_, roster_, now);
+    context_.log(ports::log_level::info,
+        "roster_adopted",
+        {{"epoch", std::to_string(roster_.epoch)},
+            {"members", std::to_string(roster_.members.size())},
+            {"from", modified > 0 ? "store" : "peer"}});
+    if (modified == 0)
+    {
+        context_.documents->refresh();
+    }
+    confirm();
+    events_.on_roster();
+    if (left_ && !in_roster())
+    {
+        std::exchange(left_, nullptr)();
+    }
+}
+
+void membership_service::look()
+{
+    const auto now = context_.scheduler.now();
+    const bool reachable = store_reachable();
+    if (was_reachable_ && !reachable)
+    {
+        membership::on_store_lost(roster_state_);
+        context_.documents->refresh();
+    }
+    was_reachable_ = reachable;
+    context_.telemetry.gauge("camphorhitch_fresh", {}, fresh() ? 1 : 0);
+    for (const auto& it : membership::on_tick(roster_state_, context_.unit(), now))
+    {
+        if (const auto* next = std::get_if<membership::propose_roster>(&it))
+        {
+            act(*next);
+        }
+        else if (std::holds_alternative<membership::reread_store>(it))
+        {
+            context_.documents->refresh();
+        }
+        else
+        {
+            register_self();
+        }
+    }
+}
+
+void membership_service::act(const membership::propose_roster& it)
+{
+    std::string reasons;
+    for (const auto& one : it.reasons)
+    {
+        reasons += (reasons.empty() ? "" : "; ") + one;
+    }
+    context_.log(ports::log_level::info,
+        "roster_proposed",
+        {{"epoch", std::to_string(it.next.epoch)}, {"why", reasons}});
+    const auto text = model::encode(it.next);
+    context_.store.put_if(model::keys::roster,
+        text,
+        it.expected,
+        0,
+        [this, text](const ports::kv_write& reply)
+        {
+            if (reply.status == ports::kv_status::ok)
+            {
+                context_.documents->note({model::keys::roster, text, reply.modified, 0});
+            }
+            else if (reply.status == ports::kv_status::conflict && !reply.current.key.empty())
+            {
+                context_.documents->note(reply.current);
+            }
+            else
+            {
+                context_.documents->refresh();
+            }
+        });
+}
+
+} // namespace camphorhitch::daemon
