standin_kv: a comparison without a write

Cause: ports::key_value::check confirms a revision without a read that may be stale. Change: a transaction without success is a comparison; counted as 'check', a read; keys_only.

--- a/testing/standin_kv/src/counts.hpp
+++ b/testing/standin_kv/src/counts.hpp
@@ -15,6 +15,7 @@
 enum class call_kind
 {
     range,
+    check, ///< a transaction without a write
     transaction,
     grant,
     keep_alive,
@@ -22,8 +23,9 @@
     watch
 };
 
-inline constexpr core::name_table<call_kind, 6> call_kind_names{{
+inline constexpr core::name_table<call_kind, 7> call_kind_names{{
     {call_kind::range, "range"},
+    {call_kind::check, "check"},
     {call_kind::transaction, "txn"},
     {call_kind::grant, "lease_grant"},
     {call_kind::keep_alive, "lease_keepalive"},
--- a/testing/standin_kv/src/service.cpp
+++ b/testing/standin_kv/src/service.cpp
@@ -31,6 +31,13 @@
     return std::chrono::duration_cast<std::chrono::seconds>(ms).count();
 }
 
+/// No base64 text holds an underscore, so these names stand for members only.
+bool is_check(call_kind kind, const std::string& body)
+{
+    return kind == call_kind::transaction && body.find("request_put") == std::string::npos &&
+           body.find("request_delete_range") == std::string::npos;
+}
+
 ports::http_response no_lease()
 {
     return gateway_error(404, grpc_not_found, "etcdserver: requested lease not found");
@@ -74,8 +81,9 @@
 standin_support::route service::counted(
     call_kind kind, std::string path, void (service::*act)(const exchange_ptr&))
 {
-    const auto serve = [this, kind, act](const exchange_ptr& held, const path_parts&)
+    const auto serve = [this, path_kind = kind, act](const exchange_ptr& held, const path_parts&)
     {
+        const auto kind = is_check(path_kind, held->request.body) ? call_kind::check : path_kind;
         const auto now = standin_.loop.now();
         count_call(counts_, kind, held->request.body.size(), now);
         if (!admit(limiter_, kind, now))
@@ -124,7 +132,7 @@
         r.range,
         r.revision != 0 ? r.revision : revision,
         static_cast<std::size_t>(r.limit));
-    const auto answer = json_response(200, range_json(revision, found));
+    const auto answer = json_response(200, range_json(revision, found, r.keys_only));
     count_answer(counts_, call_kind::range, answer.body.size());
     held->respond(answer);
 }
@@ -139,17 +147,22 @@
         if (t.reads_on_failure)
         {
             const auto found = read(store_, {t.key, ""});
-            all["responses"] = {{{"response_range", range_json(store_.revision, found)}}};
+            all["responses"] = {{{"response_range", range_json(store_.revision, found, t.reads_keys_only)}}};
         }
         return json_response(200, all);
     }
+    all["succeeded"] = true;
+    if (t.does == effect::none)
+    {
+        return json_response(200, all);
+    }
     json done = {{"header", header}};
-    if (t.deletes && t.expected != 0)
+    if (t.does == effect::remove && t.expected != 0)
     {
         done["deleted"] = "1";
     }
-    all["succeeded"] = true;
-    all["responses"] = {{{t.deletes ? "response_delete_range" : "response_put", done}}};
+    const auto* const name = t.does == effect::remove ? "response_delete_range" : "response_put";
+    all["responses"] = {{{name, done}}};
     return json_response(200, all);
 }
 
@@ -164,6 +177,12 @@
     const auto& t = std::get<transaction>(request);
     const auto v = apply(store_, t, standin_support::unix_ms());
     const auto answer = v == verdict::no_lease ? no_lease() : transaction_answer(t, v);
+    if (t.does == effect::none)
+    {
+        count_answer(counts_, call_kind::check, answer.body.size());
+        held->respond(answer);
+        return;
+    }
     count_answer(counts_, call_kind::transaction, answer.body.size());
     gate_.answer_write(held, t.key, answer);
 }
--- a/testing/standin_kv/src/store.cpp
+++ b/testing/standin_kv/src/store.cpp
@@ -143,7 +143,11 @@
     {
         return verdict::conflict;
     }
-    if (t.deletes)
+    if (t.does == effect::none)
+    {
+        return verdict::done;
+    }
+    if (t.does == effect::remove)
     {
         remove(s, old ? std::vector<record>{*old} : std::vector<record>{}, at_ms);
         return verdict::done;
--- a/testing/standin_kv/src/store.hpp
+++ b/testing/standin_kv/src/store.hpp
@@ -73,15 +73,24 @@
 /// \return the key's record now.
 std::optional<record> read_one(const store& s, const std::string& key);
 
-/// A transaction: one comparison on one key, and one write of that key.
+/// What a transaction does when its comparison holds.
+enum class effect
+{
+    none, ///< a comparison only
+    put,
+    remove
+};
+
+/// A transaction: one comparison on one key, and at most one write of that key.
 struct transaction
 {
     std::string key;
     std::int64_t expected = 0; ///< the key's mod_revision; 0: it doesn't exist
-    bool deletes = false;
+    effect does = effect::none;
     std::string value;
     std::int64_t lease = 0;
     bool reads_on_failure = false;
+    bool reads_keys_only = false;
 };
 
 enum class verdict
--- a/testing/standin_kv/src/wire.cpp
+++ b/testing/standin_kv/src/wire.cpp
@@ -76,6 +76,10 @@
 
 void parse_success(object_reader& reader, transaction& t, std::size_t largest_value)
 {
+    if (!reader.has("success"))
+    {
+        return;
+    }
     auto success = only(reader, "success");
     if (!success)
     {
@@ -88,7 +92,7 @@
         success->add_finding("", "must be one request_put or one request_delete_range");
         return;
     }
-    t.deletes = remove.has_value();
+    t.does = remove ? effect::remove : effect::put;
     if (remove)
     {
         read_key(*remove, t.key);
@@ -123,6 +127,7 @@
             continue;
         }
         read_key(*range, t.key);
+        range->read("keys_only", t.reads_keys_only);
         t.reads_on_failure = true;
     }
 }
@@ -147,6 +152,7 @@
     read_range(reader, r.range);
     reader.read("revision", r.revision);
     reader.read("limit", r.limit);
+    reader.read("keys_only", r.keys_only);
     reader.read("serializable", serializable);
     return finished(reader, std::move(r));
 }
@@ -226,12 +232,17 @@
     return all;
 }
 
-json range_json(std::int64_t revision, const std::vector<record>& found)
+json range_json(std::int64_t revision, const std::vector<record>& found, bool keys_only)
 {
     json all = {{"header", header_json(revision)}};
     for (const auto& it : found)
     {
-        all["kvs"].push_back(record_json(it));
+        auto one = record_json(it);
+        if (keys_only)
+        {
+            one.erase("value");
+        }
+        all["kvs"].push_back(std::move(one));
     }
     put_number(all, "count", static_cast<std::int64_t>(found.size()));
     return all;
