--- a/testing/standin_kv/src/service.cpp
+++ b/testing/standin_kv/src/service.cpp
@@ -147,7 +147,8 @@
         if (t.reads_on_failure)
         {
             const auto found = read(store_, {t.key, ""});
-            all["responses"] = {{{"response_range", range_json(store_.revision, found, t.reads_keys_only)}}};
+            all["responses"] = {
+                {{"response_range", range_json(store_.revision, found, t.reads_keys_only)}}};
         }
         return json_response(200, all);
     }
--- a/testing/standin_kv/src/wire.hpp
+++ b/testing/standin_kv/src/wire.hpp
@@ -40,8 +40,7 @@
 // As the gateway does, each leaves out members that are 0, false or empty.
 nlohmann::json header_json(std::int64_t revision);
 nlohmann::json record_json(const record& r);
-nlohmann::json range_json(
-    std::int64_t revision, const std::vector<record>& found, bool keys_only);
+nlohmann::json range_json(std::int64_t revision, const std::vector<record>& found, bool keys_only);
 nlohmann::json event_json(const change& c);
 
 /// \param code of gRPC.
--- a/testing/standin_support/include/standin_support/program.hpp
+++ b/testing/standin_support/include/standin_support/program.hpp
@@ -100,7 +100,10 @@
 
 /// Reads the command line (the common options and \p own) and runs \p body.
 /// \return the program's exit code: 0, or 2 for wrong options.
-int run_standin(int argc, char** argv, const std::string& about, std::vector<option> own,
+int run_standin(int argc,
+    char** argv,
+    const std::string& about,
+    std::vector<option> own,
     const std::function<void(standin&, const option_values&)>& body);
 
 } // namespace camphorhitch::standin_support
--- a/testing/standin_support/src/program.cpp
+++ b/testing/standin_support/src/program.cpp
@@ -83,7 +83,10 @@
     return n;
 }
 
-int run_standin(int argc, char** argv, const std::string& about, std::vector<option> own,
+int run_standin(int argc,
+    char** argv,
+    const std::string& about,
+    std::vector<option> own,
     const std::function<void(standin&, const option_values&)>& body)
 {
     block_stop_signals();
