--- a/libs/peer/src/served_peer.hpp
+++ b/libs/peer/src/served_peer.hpp
@@ -70,10 +70,11 @@
         context.allowCancellation();
         return owner_.ask<Method>(std::move(message))
             .then(
-                [context, largest = owner_.largest_message()](typename Method::reply reply) mutable
+                [context, largest = owner_.largest_message()](
+                    kj::Own<typename Method::reply> reply) mutable
                 {
                     auto results = context.getResults();
-                    encode(reply, results);
+                    encode(*reply, results);
                     require_size(results.totalSize(), largest);
                 });
     }
--- a/libs/peer/src/service.hpp
+++ b/libs/peer/src/service.hpp
@@ -56,7 +56,7 @@
 
     /// \return the reply that the handler will give. Called by the served object.
     template <class Method>
-    kj::Promise<typename Method::reply> ask(typename Method::request message);
+    kj::Promise<kj::Own<typename Method::reply>> ask(typename Method::request message);
 
     bool right_token(capnp::Data::Reader shown) const;
     /// Lifts the bounds that hold before the token.
@@ -68,7 +68,7 @@
     struct session;
 
     template <class Reply>
-    using waiting = std::unordered_map<served_id, kj::Own<kj::PromiseFulfiller<Reply>>>;
+    using waiting = std::unordered_map<served_id, kj::Own<kj::PromiseFulfiller<kj::Own<Reply>>>>;
 
     kj::Promise<void> take_connections(kj::ConnectionReceiver& listener);
     void take(kj::Own<kj::AsyncIoStream> io);
@@ -104,15 +104,15 @@
     }
     auto fulfiller = kj::mv(it->second);
     table.erase(it);
-    fulfiller->fulfill(std::move(message));
+    fulfiller->fulfill(kj::heap<Reply>(std::move(message)));
 }
 
 template <class Method>
-kj::Promise<typename Method::reply> service::ask(typename Method::request message)
+kj::Promise<kj::Own<typename Method::reply>> service::ask(typename Method::request message)
 {
     using reply_type = typename Method::reply;
     const served_id id = ++last_id_;
-    auto paf = kj::newPromiseAndFulfiller<reply_type>();
+    auto paf = kj::newPromiseAndFulfiller<kj::Own<reply_type>>();
     auto& table = std::get<waiting<reply_type>>(waiting_);
     table.emplace(id, kj::mv(paf.fulfiller));
     add(counts_.served[static_cast<std::size_t>(Method::kind)]);
--- a/libs/peer/tests/codec_tests.cpp
+++ b/libs/peer/tests/codec_tests.cpp
@@ -88,6 +88,8 @@
     return std::tie(a);
 }
 
+bool same(const ports::slot_state& x, const ports::slot_state& y);
+
 template <class T>
 bool same(const T& x, const T& y)
 {
@@ -97,9 +99,8 @@
 template <class T>
 bool same(const std::vector<T>& x, const std::vector<T>& y)
 {
-    return std::equal(x.begin(), x.end(), y.begin(), y.end(), [](const T& a, const T& b) {
-        return same(a, b);
-    });
+    return std::equal(
+        x.begin(), x.end(), y.begin(), y.end(), [](const T& a, const T& b) { return same(a, b); });
 }
 
 bool same(const ports::held_reply& x, const ports::held_reply& y)
@@ -156,7 +157,8 @@
     test_scheduler loop;
     Request arrived;
     auto handlers = plain_handlers();
-    handlers.*handler = [&](Request r, const std::function<void(Reply)>& reply) {
+    handlers.*handler = [&](Request r, const std::function<void(Reply)>& reply)
+    {
         arrived = std::move(r);
         reply(answer);
     };
@@ -195,8 +197,7 @@
 
 TEST(messages, heartbeats)
 {
-    const ports::heartbeat full{
-        "e1", "i1", 5, 6, true, true, 7, {"e2", "e3"}, binary, large};
+    const ports::heartbeat full{"e1", "i1", 5, 6, true, true, 7, {"e2", "e3"}, binary, large};
     check_round_trip(
         &ports::peer_client::beat, &ports::peer_handlers::beat, full, ports::heartbeat{});
     check_round_trip(
@@ -216,17 +217,10 @@
         millis{20},
         {"h1", "h2"},
         true};
-    const ports::permit_reply answer{ports::permit_verdict::granted,
-        4,
-        "h3",
-        "10.0.0.1:80",
-        "rule",
-        millis{70},
-        millis{8}};
-    check_round_trip(&ports::peer_client::request_permit,
-        &ports::peer_handlers::request_permit,
-        ask,
-        answer);
+    const ports::permit_reply answer{
+        ports::permit_verdict::granted, 4, "h3", "10.0.0.1:80", "rule", millis{70}, millis{8}};
+    check_round_trip(
+        &ports::peer_client::request_permit, &ports::peer_handlers::request_permit, ask, answer);
     const std::vector<ports::permit_return> returns{
         {"e1", "i1", 1, 2, "p", "h", ports::permit_outcome::silent, micros{12345}},
         {"e2", "i2", 3, 4, "q", "g", ports::permit_outcome::unused, micros{0}}};
