Take out conflict markers that a merge left in config.hpp and peer.hpp

Change: the side with the comparison operators and the newer heartbeat stays. Tested: the tree builds.

--- a/libs/model/include/model/config.hpp
+++ b/libs/model/include/model/config.hpp
@@ -28,11 +28,8 @@
     core::millis deadline{2000}; ///< for requests that bring none
     core::millis longest{10000}; ///< most time a request may ask for
     int reserved_slots = 0;      ///< slots of each target that this class leaves to quicker ones
-<<<<<<< HEAD
 
     bool operator==(const class_limits&) const = default;
-=======
->>>>>>> helper/http
 };
 
 struct pool_config
--- a/libs/ports/include/ports/peer.hpp
+++ b/libs/ports/include/ports/peer.hpp
@@ -29,19 +29,12 @@
 {
     std::string member;
     std::string incarnation;
-<<<<<<< HEAD
     epoch_number epoch = 0;                ///< newest roster adopted
     std::int64_t config_version = 0;       ///< newest configuration in force here
     bool store_reachable = false;          ///< the key-value service confirmed us lately
     bool fresh = false;                    ///< the sender is fresh by its own rule
     std::int64_t sequence = 0;             ///< of the sender, to match the reply
     std::vector<std::string> silent_peers; ///< members that the sender has not heard for too long
-=======
-    epoch_number epoch = 0;          ///< newest roster adopted
-    std::int64_t config_version = 0; ///< newest configuration in force here
-    bool store_reachable = false;    ///< the key-value service confirmed us lately
-    std::int64_t sequence = 0;       ///< of the sender, to match the reply
->>>>>>> helper/http
     /// Attached only for a peer that was seen to be behind.
     std::string roster_document;
     std::string config_document;
