dispatch: the flow stands on the claims package's attempt

Cause: which claim verdict means what, and when 'not run' may be said, stood twice: in libs/claims and in the flow. Change: request_flow holds a claims::attempt; a claim too old for a send is made again; the end is told to the holders after the caller's answer and until acknowledged (phase telling, on_finish_ack). Tested: dispatch_tests 45 tests, all pass. Conclusion: one place decides on claims.

--- a/bench/dispatch_policy/src/simulation.hpp
+++ b/bench/dispatch_policy/src/simulation.hpp
@@ -113,7 +113,7 @@
 
 struct class_result
 {
-    std::uint64_t offered = 0;
+    std::uint64_t offered = 0;  ///< that ended in the time measured
     std::uint64_t answered = 0; ///< in time
     std::uint64_t failed = 0;
     std::uint64_t refused = 0;
--- a/libs/dispatch/include/dispatch/caller_request.hpp
+++ b/libs/dispatch/include/dispatch/caller_request.hpp
@@ -33,8 +33,7 @@
 inline constexpr std::string_view reason = "Camphorhitch-Reason";
 inline constexpr std::string_view attempt = "Camphorhitch-Attempt";   ///< not-sent
 inline constexpr std::string_view replayed = "Camphorhitch-Replayed"; ///< true
-inline constexpr std::string_view replayed_status = "Camphorhitch-Replayed-Status";
-inline constexpr std::string_view retry_after = "Retry-After"; ///< whole seconds
+inline constexpr std::string_view retry_after = "Retry-After";        ///< whole seconds
 
 } // namespace fields
 
--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -53,13 +53,13 @@
 };
 
 inline constexpr core::name_table<refusal, 7> refusal_names{{
-    {refusal::queue_full, "queue_full"},
+    {refusal::queue_full, "queue-full"},
     {refusal::deadline, "deadline"},
     {refusal::expired, "expired"},
-    {refusal::retry_budget, "retry_budget"},
-    {refusal::no_target, "no_target"},
-    {refusal::given_up, "given_up"},
-    {refusal::not_ready, "not_ready"},
+    {refusal::retry_budget, "retry-budget"},
+    {refusal::no_target, "no-target"},
+    {refusal::given_up, "given-up"},
+    {refusal::not_ready, "not-ready"},
 }};
 
 enum class health_state
--- a/libs/dispatch/include/dispatch/request_flow.hpp
+++ b/libs/dispatch/include/dispatch/request_flow.hpp
@@ -81,7 +81,7 @@
 
 struct finish_claim
 {
-    ports::claim_finish message; ///< to the slot's holders, repeated until acknowledged
+    ports::claim_finish message; ///< to the first holder of the key's slot, by the newest roster
 };
 
 struct answer_caller
@@ -108,15 +108,17 @@
     asking,
     ask_pause, ///< asks for a permit again at pause_until
     sending,
+    telling, ///< the caller has its answer; the claim's holders don't know the end yet
     ended
 };
 
-inline constexpr core::name_table<flow_phase, 6> flow_phase_names{{
+inline constexpr core::name_table<flow_phase, 7> flow_phase_names{{
     {flow_phase::claiming, "claiming"},
     {flow_phase::claim_pause, "claim_pause"},
     {flow_phase::asking, "asking"},
     {flow_phase::ask_pause, "ask_pause"},
     {flow_phase::sending, "sending"},
+    {flow_phase::telling, "telling"},
     {flow_phase::ended, "ended"},
 }};
 
@@ -127,13 +129,11 @@
     core::mono_time deadline;
     core::mono_time pause_until;
     core::millis pause{0};
-    bool caller_waits = true;      ///< it is there and was not answered
-    bool claimed = false;          ///< the claim was granted
-    bool maybe_claimed = false;    ///< the claim may have been granted without our hearing of it
-    ports::claim_reply last_claim; ///< the newest reply to an ask for the claim
-    std::uint64_t attempt = 0;     ///< of the claim
-    std::uint64_t ask = 0;         ///< number of the newest ask for a permit
-    core::mono_time asked_at;      ///< when that ask was made first
+    bool caller_waits = true;             ///< it is there and was not answered
+    std::optional<claims::attempt> claim; ///< of a request with a key
+    core::mono_time claim_asked_at;       ///< when the newest ask for the claim was made
+    std::uint64_t ask = 0;                ///< number of the newest ask for a permit
+    core::mono_time asked_at;             ///< when that ask was made first
     ports::epoch_number ask_epoch = 0;
     ports::permit_reply permit; ///< while sending
     core::mono_time sent_at;
@@ -155,6 +155,13 @@
     const ports::claim_reply& reply,
     core::mono_time now);
 
+/// The end of a finish_claim.
+flow_actions on_finish_ack(request_flow& flow,
+    request_sender& sender,
+    ports::peer_status status,
+    const ports::ack& ack,
+    core::mono_time now);
+
 /// \param ask the number of the ask that this is the reply to.
 /// \param fresh whether this process still knows the truth, asked just now.
 flow_actions on_permit(request_flow& flow,
--- a/libs/dispatch/include/dispatch/settings.hpp
+++ b/libs/dispatch/include/dispatch/settings.hpp
@@ -2,6 +2,7 @@
 /// Settings of both sides of permits. The two sides must agree on permit_ttl and result_grace.
 #pragma once
 
+#include "claims/executor.hpp"
 #include "core/findings.hpp"
 #include "core/time.hpp"
 #include "model/config.hpp"
@@ -66,9 +67,11 @@
     core::millis first_pause{20}; ///< before an owner or holder is asked again; it doubles
     core::millis longest_pause{500};
     core::millis retry_after{1000}; ///< told to callers when nobody gave a better figure
-    core::millis quarantine_retry_after{60000};
-    int most_attempts = 3; ///< sends of one request, the callers' own retries counted
+    int most_attempts = 3;          ///< sends of one request, the callers' own retries counted
     std::size_t answer_kept_bytes = 16384; ///< larger answers are remembered without body
+    /// Its permit_ttl must cover the longest wait for a permit and be the holders' own; otherwise
+    /// keyed requests that wait long are never sent.
+    claims::executor_settings claims;
 };
 
 /// \return what is wrong with \p settings, as findings of a document named \p name.
--- a/libs/dispatch/src/flow_answers.cpp
+++ b/libs/dispatch/src/flow_answers.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch/dispatcher.hpp"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace camphorhitch::dispatch
@@ -49,6 +51,40 @@
     return status_unavailable;
 }
 
+struct claim_row
+{
+    claims::outcome_reason reason;
+    int status;
+    const char* text;
+};
+
+/// What a call that was not sent is told, by the claim's rule.
+const claim_row& row_of(claims::outcome_reason reason)
+{
+    using enum claims::outcome_reason;
+    static constexpr std::array<claim_row, 8> rows{{
+        {not_claimed,
+            status_unavailable,
+            "This call was not sent; whether an earlier one with its key ran is not known."},
+        {answer_not_kept, status_gone, "It ran; its answer was too large to be remembered."},
+        {running, status_conflict, "A call with this key is running."},
+        {may_have_run,
+            status_bad_gateway,
+            "An earlier call with this key may have run; it will not run again."},
+        {other_body,
+            status_other_body,
+            "The key was used for another request; this one was not run."},
+        {keys_full, status_unavailable, "There is no room to remember one more key."},
+        {quarantined,
+            status_unavailable,
+            "This call was not sent; whether an earlier one with its key ran is not known."},
+        {given_up, status_unavailable, "This call was not sent."},
+    }};
+    const auto it = std::find_if(
+        rows.begin(), rows.end(), [&](const auto& row) { return row.reason == reason; });
+    return it == rows.end() ? rows.front() : *it;
+}
+
 } // namespace
 
 answer_caller own_answer(int status,
@@ -86,74 +122,42 @@
     answer_caller out;
     out.outcome = caller_outcome::answered;
     out.response = std::move(response);
-    out.reason = "target_answer";
+    out.reason = "answered";
     set_outcome(out.response, out.outcome);
     return out;
 }
 
-answer_caller remembered_answer(const ports::claim_entry& entry)
-{
-    if (!entry.answer_kept)
-    {
-        auto out = own_answer(status_gone,
-            caller_outcome::answered,
-            core::millis{0},
-            "answer_not_kept",
-            "It ran; its answer was too large to be remembered.");
-        out.response.fields.emplace_back(
-            std::string{fields::replayed_status}, std::to_string(entry.status));
-        return out;
-    }
-    auto out = target_answer({entry.status, entry.fields, entry.body});
-    out.response.fields.emplace_back(std::string{fields::replayed}, "true");
-    out.reason = "remembered_answer";
-    return out;
-}
-
-answer_caller not_sent_answer(int status, core::millis retry_after, const std::string& reason)
+answer_caller unknown_answer(const answer_caller& refused)
 {
-    auto out = own_answer(status,
+    const bool late = refused.response.status == status_timeout;
+    return own_answer(late ? status_timeout : status_bad_gateway,
         caller_outcome::unknown,
-        retry_after,
-        reason,
-        "This call was not sent; whether an earlier one with its key ran is not known.");
-    out.response.fields.emplace_back(std::string{fields::attempt}, "not-sent");
-    return out;
+        refused.retry_after,
+        refused.reason,
+        "It was sent and may have run; sending it again was refused.");
 }
 
-answer_caller claim_answer(const ports::claim_reply& reply, const sender_settings& settings)
+answer_caller claim_answer(const claims::outcome_report& told)
 {
-    const auto wait = reply.retry_after.count() > 0 ? reply.retry_after : settings.retry_after;
-    switch (reply.verdict)
+    if (told.kind == claims::outcome::answered)
     {
-    case ports::claim_verdict::other_body:
-        return own_answer(status_other_body,
-            caller_outcome::not_run,
-            core::millis{0},
-            "key_reused",
-            "The idempotency key was used for another request; this one was not run.");
-    case ports::claim_verdict::full:
-        return own_answer(status_unavailable,
-            caller_outcome::not_run,
-            wait,
-            "keys_full",
-            "There is no room to remember one more idempotency key.");
-    case ports::claim_verdict::quarantined:
-        return not_sent_answer(status_unavailable, wait, "key_quarantined");
-    case ports::claim_verdict::known:
-        break;
-    default:
-        return not_sent_answer(status_unavailable, wait, "key_holders_unreachable");
+        auto out = target_answer(told.response);
+        out.response.fields.emplace_back(std::string{fields::replayed}, "true");
+        return out;
     }
-    if (reply.entry.state == ports::claim_state::unknown)
+    const auto& row = row_of(told.reason);
+    const auto outcome =
+        told.kind == claims::outcome::not_run ? caller_outcome::not_run : caller_outcome::unknown;
+    auto out = own_answer(row.status,
+        outcome,
+        told.retry_after,
+        std::string{core::name_of(claims::outcome_reason_names, told.reason)},
+        row.text);
+    if (outcome == caller_outcome::unknown)
     {
-        return own_answer(status_bad_gateway,
-            caller_outcome::unknown,
-            core::millis{0},
-            "key_unknown",
-            "An earlier call with this key may have run; it will not run again.");
+        out.response.fields.emplace_back(std::string{fields::attempt}, "not-sent");
     }
-    return not_sent_answer(status_conflict, wait, "key_in_use");
+    return out;
 }
 
 } // namespace camphorhitch::dispatch
--- a/libs/dispatch/src/flow_answers.hpp
+++ b/libs/dispatch/src/flow_answers.hpp
@@ -23,11 +23,11 @@
 /// The target's own answer.
 answer_caller target_answer(ports::http_response response);
 
-/// The answer to an earlier request with the same key.
-answer_caller remembered_answer(const ports::claim_entry& entry);
+/// The answer when a request was sent and may have run, and a second send was refused.
+answer_caller unknown_answer(const answer_caller& refused);
 
-/// What a claim's refusal means for this call. "Not run" is said only where it holds for earlier
-/// calls with the key too: a caller would take it for the whole truth and charge again.
-answer_caller claim_answer(const ports::claim_reply& reply, const sender_settings& settings);
+/// What the claim's rules say of a call that was not sent. "Not run" is said only where it holds
+/// for earlier calls with the key too: a caller would take it for the whole truth and charge again.
+answer_caller claim_answer(const claims::outcome_report& told);
 
 } // namespace camphorhitch::dispatch
--- a/libs/dispatch/src/flow_parts.hpp
+++ b/libs/dispatch/src/flow_parts.hpp
@@ -15,17 +15,16 @@
 
 void pause_in(request_flow& flow, flow_phase phase, core::millis wait, core::mono_time now);
 
-void ask_for_claim(request_flow& flow, const request_sender& sender, flow_actions& out);
+void start_claim(
+    request_flow& flow, request_sender& sender, core::mono_time now, flow_actions& out);
 
-/// Gives the claim back: this attempt was not sent and will not be.
-void release_claim(request_flow& flow, const request_sender& sender, flow_actions& out);
+void ask_for_claim(
+    request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out);
 
-/// Tells the holders how the attempt ended.
-void keep_result(request_flow& flow,
-    const request_sender& sender,
-    ports::claim_state state,
-    const ports::http_response& response,
-    flow_actions& out);
+/// Ends the flow, after the claim's holders have been told if there is something to tell. Called
+/// after the caller is answered: from then on another attempt may run.
+void tell_end(
+    request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out);
 
 /// \param renew a new number: nothing of the ask before can be outstanding, or it was given back.
 void ask_for_permit(
@@ -58,10 +57,14 @@
     request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out);
 
 /// The end of a request that is not in flight (any more).
-void end_unsent(
-    request_flow& flow, const request_sender& sender, answer_caller refused, flow_actions& out);
+void end_unsent(request_flow& flow,
+    const request_sender& sender,
+    answer_caller refused,
+    core::mono_time now,
+    flow_actions& out);
 
 /// Ends a request that waits for its claim or permit.
-void give_up(request_flow& flow, const request_sender& sender, flow_actions& out);
+void give_up(
+    request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out);
 
 } // namespace camphorhitch::dispatch
--- a/libs/dispatch/src/flow_permit.cpp
+++ b/libs/dispatch/src/flow_permit.cpp
@@ -39,7 +39,8 @@
         ask_for_permit(flow, sender, true, now, out); // the owner let go of this number
         return;
     }
-    end_unsent(flow, sender, not_run_answer(reply.reason, reply.retry_after, sender.settings), out);
+    end_unsent(
+        flow, sender, not_run_answer(reply.reason, reply.retry_after, sender.settings), now, out);
 }
 
 void on_granted(request_flow& flow,
@@ -49,7 +50,9 @@
     core::mono_time now,
     flow_actions& out)
 {
-    if (now < flow.deadline && fresh && !is_fenced(flow, sender) &&
+    const bool claim_holds =
+        !flow.claim || claims::may_send(*flow.claim, sender.settings.claims, fresh, now);
+    if (now < flow.deadline && fresh && claim_holds && !is_fenced(flow, sender) &&
         !has_lapsed(flow, sender, reply, now))
     {
         flow.pause = core::millis{0};
@@ -61,6 +64,11 @@
     give_permit_back(
         flow, sender, reply, flow.ask, ports::permit_outcome::unused, core::micros{0}, out);
     flow.ask = 0;
+    if (fresh && !claim_holds && now < flow.deadline)
+    {
+        ask_for_claim(flow, sender, now, out); // the holders may forget a claim as old as this one
+        return;
+    }
     pause_in(flow, flow_phase::ask_pause, next_pause(flow, sender.settings), now);
 }
 
--- a/libs/dispatch/src/flow_send.cpp
+++ b/libs/dispatch/src/flow_send.cpp
@@ -42,9 +42,8 @@
         send_again(flow, sender, now, out);
         return;
     }
-    flow.phase = flow_phase::ended;
-    keep_result(flow, sender, ports::claim_state::done, outcome.response, out);
     answer(flow, target_answer(outcome.response), out);
+    tell_end(flow, sender, now, out);
 }
 
 void on_not_sent(request_flow& flow, request_sender& sender, core::mono_time now, flow_actions& out)
@@ -59,11 +58,26 @@
         own_answer(status_unavailable,
             caller_outcome::not_run,
             sender.settings.retry_after,
-            "target_not_reached",
+            "target-not-reached",
             "No target could be reached; it was not run."),
+        now,
         out);
 }
 
+answer_caller lost_answer(
+    const request_flow& flow, const request_sender& sender, core::mono_time now)
+{
+    if (flow.kept)
+    {
+        return target_answer(*flow.kept);
+    }
+    return own_answer(now >= flow.deadline ? status_timeout : status_bad_gateway,
+        caller_outcome::unknown,
+        sender.settings.retry_after,
+        "answer-lost",
+        "It was sent and may have run; no whole answer came.");
+}
+
 void on_lost(request_flow& flow, request_sender& sender, core::mono_time now, flow_actions& out)
 {
     flow.may_have_run = true;
@@ -73,21 +87,8 @@
         send_again(flow, sender, now, out);
         return;
     }
-    flow.phase = flow_phase::ended;
-    keep_result(flow, sender, ports::claim_state::unknown, {}, out);
-    if (flow.kept)
-    {
-        answer(flow, target_answer(std::move(*flow.kept)), out);
-        return;
-    }
-    const int status = now >= flow.deadline ? status_timeout : status_bad_gateway;
-    answer(flow,
-        own_answer(status,
-            caller_outcome::unknown,
-            sender.settings.retry_after,
-            "answer_lost",
-            "It was sent and may have run; no whole answer came."),
-        out);
+    answer(flow, lost_answer(flow, sender, now), out);
+    tell_end(flow, sender, now, out);
 }
 
 ports::permit_outcome outcome_for_owner(const ports::http_outcome& outcome)
@@ -119,7 +120,11 @@
         "second send of a request that may have run",
         flow.request.key);
     core::require(
-        flow.request.key.empty() || flow.claimed, "send without its claim", flow.request.key);
+        flow.request.key.empty() || flow.claim, "send without its claim", flow.request.key);
+    if (flow.claim)
+    {
+        claims::begin_send(*flow.claim, sender.settings.claims, true, now);
+    }
     send_request it;
     it.host = permit.host;
     it.address = permit.address;
@@ -165,7 +170,7 @@
         own_answer(status_timeout,
             caller_outcome::unknown,
             sender.settings.retry_after,
-            "target_timeout",
+            "target-timeout",
             "The target did not answer in time; it may have run."),
         out);
 }
@@ -182,6 +187,10 @@
     }
     give_permit_back(
         flow, sender, flow.permit, flow.ask, outcome_for_owner(outcome), outcome.elapsed, out);
+    if (flow.claim)
+    {
+        claims::on_target_end(*flow.claim, outcome, now);
+    }
     switch (outcome.end)
     {
     case ports::call_end::answered:
--- a/libs/dispatch/src/request_flow.cpp
+++ b/libs/dispatch/src/request_flow.cpp
@@ -10,14 +10,6 @@
 namespace camphorhitch::dispatch
 {
 
-namespace
-{
-
-constexpr int status_bad_gateway = 502;
-constexpr int status_timeout = 504;
-
-} // namespace
-
 void answer(request_flow& flow, answer_caller it, flow_actions& out)
 {
     if (flow.caller_waits)
@@ -40,44 +32,48 @@
     flow.pause_until = std::min(now + wait, std::max(now, flow.deadline));
 }
 
-void end_unsent(
-    request_flow& flow, const request_sender& sender, answer_caller refused, flow_actions& out)
+void end_unsent(request_flow& flow,
+    const request_sender& sender,
+    answer_caller refused,
+    core::mono_time now,
+    flow_actions& out)
 {
-    flow.phase = flow_phase::ended;
     if (flow.kept)
     {
         answer(flow, target_answer(std::move(*flow.kept)), out);
-        return;
     }
-    if (flow.may_have_run)
-    {
-        const int status =
-            refused.response.status == status_timeout ? status_timeout : status_bad_gateway;
-        answer(flow,
-            own_answer(status,
-                caller_outcome::unknown,
-                refused.retry_after,
-                refused.reason,
-                "It was sent and may have run; sending it again was refused."),
-            out);
-        return;
+    else if (flow.may_have_run)
+    {
+        answer(flow, unknown_answer(refused), out);
     }
-    release_claim(flow, sender, out);
-    answer(flow, std::move(refused), out);
+    else if (flow.claim)
+    {
+        using enum claims::outcome_reason;
+        const auto told = claims::give_up(*flow.claim, sender.settings.claims, given_up, now);
+        const bool not_run = told.kind == claims::outcome::not_run;
+        answer(flow, not_run ? std::move(refused) : claim_answer(told), out);
+    }
+    else
+    {
+        answer(flow, std::move(refused), out);
+    }
+    tell_end(flow, sender, now, out);
 }
 
-void give_up(request_flow& flow, const request_sender& sender, flow_actions& out)
+void give_up(
+    request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out)
 {
-    const auto late = std::string{core::name_of(refusal_names, refusal::expired)};
-    const bool claiming =
-        flow.phase == flow_phase::claiming || flow.phase == flow_phase::claim_pause;
-    if (claiming)
+    if (flow.phase == flow_phase::claiming || flow.phase == flow_phase::claim_pause)
     {
-        end_unsent(flow, sender, claim_answer(flow.last_claim, sender.settings), out);
+        using enum claims::outcome_reason;
+        const auto told = claims::give_up(*flow.claim, sender.settings.claims, not_claimed, now);
+        answer(flow, claim_answer(told), out);
+        tell_end(flow, sender, now, out);
         return;
     }
+    const auto late = std::string{core::name_of(refusal_names, refusal::expired)};
     withdraw_ask(flow, sender, out);
-    end_unsent(flow, sender, not_run_answer(late, core::millis{0}, sender.settings), out);
+    end_unsent(flow, sender, not_run_answer(late, core::millis{0}, sender.settings), now, out);
 }
 
 flow_actions begin(
@@ -92,8 +88,7 @@
         ask_for_permit(flow, sender, true, now, out);
         return out;
     }
-    flow.attempt = sender.next_number++;
-    ask_for_claim(flow, sender, out);
+    start_claim(flow, sender, now, out);
     return out;
 }
 
@@ -108,13 +103,17 @@
     {
         time_out_sending(flow, sender, now, out);
     }
+    else if (flow.phase == flow_phase::telling)
+    {
+        tell_end(flow, sender, now, out);
+    }
     else if (now >= flow.deadline)
     {
-        give_up(flow, sender, out);
+        give_up(flow, sender, now, out);
     }
     else if (flow.phase == flow_phase::claim_pause)
     {
-        ask_for_claim(flow, sender, out);
+        ask_for_claim(flow, sender, now, out);
     }
     else if (flow.phase == flow_phase::ask_pause)
     {
@@ -127,13 +126,14 @@
 {
     flow_actions out;
     flow.caller_waits = false;
+    const bool over = flow.phase == flow_phase::telling || flow.phase == flow_phase::ended;
     if (flow.phase == flow_phase::sending && flow.request.idempotent)
     {
         stop_sending(flow, sender, now, out);
     }
-    else if (flow.phase != flow_phase::sending && flow.phase != flow_phase::ended)
+    else if (flow.phase != flow_phase::sending && !over)
     {
-        give_up(flow, sender, out);
+        give_up(flow, sender, now, out);
     }
     return out;
 }
@@ -150,6 +150,8 @@
         return flow.deadline;
     case flow_phase::sending:
         return flow.caller_waits ? flow.deadline : core::mono_time::max();
+    case flow_phase::telling:
+        return flow.pause_until;
     case flow_phase::ended:
         break;
     }
