platform: live list, reboots and tasks over HTTP

Cause: the fleet's and jobs' decisions need the platform. Change: libs/platform; a status of 500 counts as unknown, since a worker may have taken the order before it failed.

--- /dev/null
+++ b/libs/platform/tests/platform_tests.cpp
@@ -0,0 +1,72 @@
+#include "messages.hpp"
+#include "platform/platform_client.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+
+TEST_GROUP(platform_messages){};
+
+TEST(platform_messages, a_damaged_live_list_is_not_known)
+{
+    for (const char* text : {"", "{}", "[]", "{\"hosts\":3}", "\xff"})
+    {
+        CHECK_FALSE(platform::read_live_list(text).known);
+        CHECK_FALSE(platform::read_task_reports("h1", text).known);
+    }
+}
+
+TEST(platform_messages, entries_that_make_no_sense_are_left_out)
+{
+    const auto list = platform::read_live_list(
+        R"({"hosts":[{"id":"h1","state":"live","boot_count":3},{"id":"h2","state":"odd"},7,
+            {"id":"h3","state":"leaving","boot_count":"x"}]})");
+    CHECK(list.known);
+    LONGS_EQUAL(2, list.hosts.size());
+    LONGS_EQUAL(3, list.hosts[0].boot_count);
+    CHECK(list.hosts[1].state == ports::live_state::leaving);
+}
+
+TEST_GROUP(platform_client){};
+
+// An order's answer is lost after the worker took it. The caller must not be told that it was
+// refused: it would order again under another name and run a job twice.
+TEST(platform_client, an_end_of_a_call_is_told_truthfully)
+{
+    struct row
+    {
+        ports::call_end end;
+        int status;
+        ports::platform_status told;
+    };
+    const row rows[] = {
+        {ports::call_end::answered, 200, ports::platform_status::ok},
+        {ports::call_end::answered, 409, ports::platform_status::refused},
+        {ports::call_end::answered, 500, ports::platform_status::unknown},
+        {ports::call_end::not_sent, 0, ports::platform_status::refused},
+        {ports::call_end::interrupted, 0, ports::platform_status::unknown},
+        {ports::call_end::answer_broken, 200, ports::platform_status::unknown},
+    };
+    for (const auto& it : rows)
+    {
+        ports::http_client http;
+        http.send = [&](const ports::http_call&, std::function<void(ports::http_outcome)> done)
+        {
+            ports::http_outcome out;
+            out.end = it.end;
+            out.response.status = it.status;
+            done(out);
+            return ports::call_id{1};
+        };
+        auto built = platform::platform_client::builder()
+                         .http(http)
+                         .live_list("127.0.0.1:1")
+                         .workers("127.0.0.1:2")
+                         .build();
+        CHECK(core::is_ok(built));
+        auto told = ports::platform_status::ok;
+        core::value(built).port().start_task(
+            {}, [&](ports::platform_status status) { told = status; });
+        CHECK(told == it.told);
+    }
+}
