Jobs: rounds tested against fakes; measured load never beyond the host

Cause: rounds had no tests. Found and mended: a dangling reservation when the kept job went to another host (crash); a throttled task alone on its host was never let go again, since its measured use with headroom was larger than the host.

--- a/libs/jobs/src/codec.cpp
+++ b/libs/jobs/src/codec.cpp
@@ -13,13 +13,13 @@
 /// A document holds thousands of jobs, each with a few dozen values.
 constexpr checked_json::bounds document_bounds{1u << 20, 16, 1u << 18};
 
+} // namespace
+
 struct submission_list
 {
     std::vector<submission> jobs;
 };
 
-} // namespace
-
 /// T, or const T when writing.
 template <class T, class Record>
 concept is_record = std::is_same_v<std::remove_const_t<T>, Record>;
@@ -106,9 +106,8 @@
 void describe(Keys& keys, R& r)
 {
     keys.required("team", r.team)
-        .optional("grants",
-            r.grants,
-            checked_json::unique_by<quota_grant>{"pool", &quota_grant::pool});
+        .optional(
+            "grants", r.grants, checked_json::unique_by<quota_grant>{"pool", &quota_grant::pool});
 }
 
 template <class Keys, is_record<submission> R>
@@ -159,8 +158,7 @@
 decoded<std::vector<submission>> decode_submissions(
     const std::string& text, const std::string& name)
 {
-    auto list =
-        checked_json::decode<submission_list>(text, name, checked_json::strictness::strict);
+    auto list = checked_json::decode<submission_list>(text, name, checked_json::strictness::strict);
     if (auto* wrong = std::get_if<core::findings>(&list))
     {
         return std::move(*wrong);
--- a/libs/jobs/src/host_views.cpp
+++ b/libs/jobs/src/host_views.cpp
@@ -1,5 +1,7 @@
 #include "host_views.hpp"
 
+#include "jobs/quota.hpp"
+
 #include <algorithm>
 #include <map>
 
@@ -42,7 +44,7 @@
 
 void add_task(host_view& v, placed_job task, const round_input& in)
 {
-    v.load = v.load + load_of(*task.it, task.task, in.rules, in.now);
+    v.load = v.load + load_of(task, v.capacity, in);
     v.declared = v.declared + task.it->declared;
     v.unsettled += is_unsettled(*task.it, task.task) ? 1 : 0;
     v.tasks.push_back(task);
@@ -92,25 +94,27 @@
 
 } // namespace
 
-amounts load_of(const job& j, const task_view* task, const settings& rules, core::mono_time now)
+amounts load_of(const placed_job& placed, const amounts& capacity, const round_input& in)
 {
+    const job& j = *placed.it;
+    const task_view& task = *placed.task;
     amounts load = j.reserved;
-    if (task != nullptr && task->reported_at)
+    if (task.reported_at)
     {
-        const amounts measured{task->peak.processors * rules.measured_processors_factor,
-            task->peak.memory_gb * rules.measured_memory_factor,
+        const amounts measured{task.peak.processors * in.rules.measured_processors_factor,
+            task.peak.memory_gb * in.rules.measured_memory_factor,
             j.declared.accelerators};
-        const bool trusted = now - began(*task) >= rules.trust_after;
-        if (trusted && task->peak.processors > 0 && task->peak.memory_gb > 0)
+        const bool trusted = in.now - began(task) >= in.rules.trust_after;
+        if (trusted && task.peak.processors > 0 && task.peak.memory_gb > 0)
         {
-            load = measured;
+            load = smaller(measured, capacity);
         }
-        load.processors = std::max(load.processors, measured.processors);
-        load.memory_gb = std::max(load.memory_gb, measured.memory_gb);
+        // Headroom beyond the whole host would keep even a lone task throttled for ever.
+        load = larger(load, smaller(measured, capacity));
     }
-    if (j.throttled && task != nullptr && task->throttle_settled)
+    if (j.throttled && task.throttle_settled)
     {
-        load.processors *= rules.throttled_share;
+        load.processors *= in.rules.throttled_share;
     }
     return load;
 }
--- a/libs/jobs/src/host_views.hpp
+++ b/libs/jobs/src/host_views.hpp
@@ -53,8 +53,8 @@
     bool any_staying = false;   ///< some open host isn't about to leave
 };
 
-/// What one task counts for on its host.
-amounts load_of(const job& j, const task_view* task, const settings& rules, core::mono_time now);
+/// \return what one task counts for on a host of that capacity.
+amounts load_of(const placed_job& task, const amounts& capacity, const round_input& in);
 
 /// \return the predicted time until the task ends.
 core::millis time_left(const job& j, const task_view* task, core::mono_time now);
--- a/libs/jobs/src/make_room.cpp
+++ b/libs/jobs/src/make_room.cpp
@@ -53,9 +53,9 @@
            j.releasing == release_reason::none && j.preemptions < rules.most_preemptions;
 }
 
-amounts freed_by(const placed_job& t, way how, const round_input& in)
+amounts freed_by(const placed_job& t, way how, const amounts& capacity, const round_input& in)
 {
-    const amounts load = load_of(*t.it, t.task, in.rules, in.now);
+    const amounts load = load_of(t, capacity, in);
     if (how == way::checkpoint)
     {
         return load;
@@ -72,11 +72,11 @@
         const job& j = *it.it;
         if (j.state == job_state::checkpointing || j.state == job_state::cancelled)
         {
-            room = room + load_of(j, it.task, in.rules, in.now);
+            room = room + load_of(it, v.capacity, in);
         }
         else if (j.throttled && !it.task->throttle_settled)
         {
-            room = room + freed_by(it, way::throttle, in);
+            room = room + freed_by(it, way::throttle, v.capacity, in);
         }
     }
     return room;
@@ -109,7 +109,7 @@
 
 void choose(plan& p, amounts& room, std::size_t task, way how, const round_input& in)
 {
-    const amounts freed = freed_by(p.host->tasks[task], how, in);
+    const amounts freed = freed_by(p.host->tasks[task], how, p.host->capacity, in);
     room = room + freed;
     p.victims.push_back({task, how});
     p.cost += freed.processors * (how == way::throttle ? throttle_cost : checkpoint_cost);
@@ -244,8 +244,7 @@
     ends.reserve(v.tasks.size());
     for (const auto& it : v.tasks)
     {
-        ends.emplace_back(
-            time_left(*it.it, it.task, in.now), load_of(*it.it, it.task, in.rules, in.now));
+        ends.emplace_back(time_left(*it.it, it.task, in.now), load_of(it, v.capacity, in));
     }
     std::sort(
         ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -345,10 +344,10 @@
             {
                 continue;
             }
-            const amounts now = load_of(j, it.task, r.in.rules, r.in.now);
+            const amounts now = load_of(it, v.capacity, r.in);
             const double full = now.processors / r.in.rules.throttled_share;
-            const double more = full - now.processors;
-            if (v.load.processors + v.claimed.processors + more > v.capacity.processors)
+            const amounts more{full - now.processors, 0, 0};
+            if (!fits(v.load + v.claimed + more, v.capacity))
             {
                 continue;
             }
@@ -356,7 +355,7 @@
             j.why = {"unthrottled", "room again on " + j.host, core::to_unix_ms(r.in.wall_now)};
             unsettle_throttle(*it.task);
             touch(*it.bucket, j, write_need::soon, r.in.now);
-            v.load.processors += more;
+            v.load = v.load + more;
         }
     }
 }
--- a/libs/jobs/src/place.cpp
+++ b/libs/jobs/src/place.cpp
@@ -138,6 +138,31 @@
            all.memory_gb <= v.capacity.memory_gb * rules.most_overcommit;
 }
 
+namespace
+{
+
+void forget_claims(round_state& r, const job& j)
+{
+    if (const auto it = r.all.claims.find(j.id); it != r.all.claims.end())
+    {
+        if (host_view* v = find_host_view(r.views, it->second.host))
+        {
+            v->claimed = v->claimed - it->second.size;
+        }
+        r.all.claims.erase(it);
+    }
+    if (const auto it = r.all.reservations.find(j.id); it != r.all.reservations.end())
+    {
+        if (host_view* v = find_host_view(r.views, it->second.host))
+        {
+            v->kept_for = nullptr;
+        }
+        r.all.reservations.erase(it);
+    }
+}
+
+} // namespace
+
 void assign(round_state& r,
     placed_job& waiting,
     host_view& host,
@@ -148,20 +173,7 @@
     job& j = *waiting.it;
     const amounts need = need_on(size.size, j.declared, host.capacity);
     const std::string& id = host.record->id;
-    const auto claimed = r.all.claims.find(j.id);
-    if (claimed != r.all.claims.end())
-    {
-        if (host_view* v = find_host_view(r.views, claimed->second.host))
-        {
-            v->claimed = v->claimed - claimed->second.size;
-        }
-        r.all.claims.erase(claimed);
-    }
-    if (host.kept_for != nullptr && *host.kept_for == j.id)
-    {
-        host.kept_for = nullptr;
-    }
-    r.all.reservations.erase(j.id);
+    forget_claims(r, j);
     r.all.waiting_since.erase(j.id);
     r.all.wait_until.erase(j.id);
 
--- /dev/null
+++ b/libs/jobs/tests/start_tests.cpp
@@ -0,0 +1,234 @@
+#include "small_world.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::jobs;
+using namespace camphorhitch::jobs_test;
+using job_fakes::make_member;
+using job_fakes::member;
+using job_fakes::write_fault;
+
+TEST_GROUP(starts)
+{
+    job_fakes::world w = make_world(4);
+    member m = make_member("quotes", 1, "e1", w.now);
+
+    void submit(const submission& s)
+    {
+        job_fakes::submit(w, {s});
+    }
+};
+
+TEST(starts, a_job_runs_and_finishes)
+{
+    submit(make_submission("j1"));
+    pass_time(m, w, tick);
+    STRCMP_EQUAL("starting", state_of(w, "j1").c_str());
+    CHECK_EQUAL(1, starts_of(w, "j1"));
+    pass_time(m, w, core::millis{15000});
+    STRCMP_EQUAL("finished", state_of(w, "j1").c_str());
+    CHECK_EQUAL(1, starts_of(w, "j1"));
+    CHECK_EQUAL(0, tasks_on(m.jobs, host_of(w, "j1")));
+}
+
+TEST(starts, an_empty_pool_costs_no_write)
+{
+    pass_time(m, w, core::millis{10000});
+    CHECK_EQUAL(0, w.kv.writes);
+}
+
+// The store takes the write that records a start and its answer is lost. Ordering again after a
+// second write, or not at all, would both be wrong: the member reads the document, finds its own
+// record, and orders that task once.
+TEST(starts, a_lost_answer_to_the_record_of_a_start_orders_one_task)
+{
+    const write_fault faults[] = {
+        write_fault::lost_answer, write_fault::no_effect, write_fault::late};
+    for (const auto fault : faults)
+    {
+        w = make_world(4);
+        m = make_member("quotes", 1, "e1", w.now);
+        submit(make_submission("j1", 2, job_class::normal, false));
+        pass_time(m, w, tick); // fences
+        submit(make_submission("j2", 2, job_class::normal, false));
+        int left = 1;
+        w.kv.next_fault = [&]
+        {
+            return left-- > 0 ? fault : write_fault::none;
+        };
+        pass_time(m, w, core::millis{2000});
+        CHECK_EQUAL(1, starts_of(w, "j2"));
+        pass_time(m, w, core::millis{15000});
+        STRCMP_EQUAL("finished", state_of(w, "j2").c_str());
+    }
+}
+
+// An owner records a start, and dies before or after it ordered the task: nobody can tell. The next
+// owner may start an idempotent job again when the lease has certainly lapsed; one that may run
+// once becomes unknown and never runs again by itself.
+TEST(starts, an_owner_dies_between_record_and_order)
+{
+    struct row
+    {
+        bool idempotent;
+        bool ordered;
+        int starts_at_the_end;
+        const char* state;
+    };
+    const row rows[] = {
+        {true, false, 1, "finished"},
+        {true, true, 1, "finished"}, // its task is found in the worker's report
+        {false, false, 0, "unknown"},
+        {false, true, 1, "finished"},
+    };
+    for (const auto& it : rows)
+    {
+        w = make_world(4);
+        m = make_member("quotes", 1, "e1", w.now);
+        submit(make_submission("j1", 2, job_class::normal, it.idempotent));
+        w.order_fault = [&](const ports::task_order& order)
+        {
+            if (it.ordered)
+            {
+                job_fakes::start(w.platform, order, w.now);
+            }
+            return ports::platform_status::unknown;
+        };
+        pass_time(m, w, tick);
+        STRCMP_EQUAL("starting", state_of(w, "j1").c_str());
+
+        w.order_fault = nullptr;
+        member next = make_member("quotes", 2, "e2", w.now);
+        pass_time(next, w, core::millis{60000});
+        if (!it.ordered)
+        {
+            // The former owner might be paused and renew yet: no lease counts as lapsed.
+            STRCMP_EQUAL("starting", state_of(w, "j1").c_str());
+        }
+        next.jobs.predecessor_stopped = w.now;
+        pass_time(next, w, core::millis{60000});
+        STRCMP_EQUAL(it.state, state_of(w, "j1").c_str());
+        CHECK_EQUAL(it.starts_at_the_end, starts_of(w, "j1"));
+    }
+}
+
+// The platform says that it certainly did not start the task, so that even a job that may run once
+// goes to another try.
+TEST(starts, a_refused_start_is_tried_again)
+{
+    int refusals = 2;
+    w.order_fault = [&](const ports::task_order& order)
+    {
+        return refusals-- > 0 ? ports::platform_status::refused
+                              : job_fakes::start(w.platform, order, w.now);
+    };
+    submit(make_submission("j1", 2, job_class::normal, false));
+    pass_time(m, w, core::millis{30000});
+    STRCMP_EQUAL("finished", state_of(w, "j1").c_str());
+    CHECK_EQUAL(1, starts_of(w, "j1"));
+    CHECK_EQUAL(3, job_fakes::stored_job(w, "j1")->attempt);
+}
+
+// A former owner was paused in the middle of its work, wakes up after another took the pool over
+// and filled the same host, and goes on: every write it tries is in conflict and it orders nothing.
+TEST(starts, a_paused_owner_can_place_nothing_after_a_take_over)
+{
+    submit(make_submission("j1", 6));
+    pass_time(m, w, tick);
+    member next = make_member("quotes", 2, "e2", w.now);
+    pass_time(next, w, tick);
+    for (const char* id : {"j2", "j3", "j4", "j5"})
+    {
+        submit(make_submission(id, 6));
+    }
+    const auto before = w.kv.entries;
+    // It sees the new submissions but not the marks.
+    for (auto& it : w.kv.entries)
+    {
+        it.document.placer = {1, "e1"};
+    }
+    job_fakes::read_changes(m, w);
+    w.kv.entries = before;
+    m.revisions.fill(0);
+    const std::size_t starts = w.platform.starts.size();
+    job_fakes::step(m, w);
+    CHECK_EQUAL(starts, w.platform.starts.size());
+    job_fakes::read_changes(m, w);
+    CHECK_TRUE(m.jobs.superseded);
+    pass_time(next, w, core::millis{1000});
+    CHECK_EQUAL(starts + 3, w.platform.starts.size()); // three of four: the host of j1 is full
+}
+
+// A write that records a start gets no answer and arrives late. Until the document has moved past
+// it the room it may take counts as taken, or another job would be placed there as well.
+TEST(starts, room_that_a_late_write_may_take_stays_taken)
+{
+    w = make_world(1);
+    m = make_member("quotes", 1, "e1", w.now);
+    submit(make_submission("fence", 1));
+    pass_time(m, w, core::millis{15000});
+    submit(make_submission("j1", 6));
+    bool first = true;
+    w.kv.next_fault = [&]
+    {
+        return std::exchange(first, false) ? write_fault::late : write_fault::none;
+    };
+    job_fakes::read_changes(m, w);
+    job_fakes::step(m, w);
+    CHECK_EQUAL(1u, w.kv.late.size());
+    job_fakes::read_changes(m, w);
+    w.kv.next_fault = []
+    {
+        return write_fault::no_effect;
+    };
+    job_fakes::step(m, w); // settles nothing: this write fails as well
+    job_fakes::read_changes(m, w);
+    submit(make_submission("j2", 6));
+    w.kv.next_fault = nullptr;
+    submit(make_submission("j2", 6));
+    job_fakes::arrive(w.kv, 0);
+    pass_time(m, w, core::millis{3000});
+    const double used = [&]
+    {
+        double n = 0;
+        for (const auto& it : w.platform.all["w0"].tasks)
+        {
+            n += it.second.state == ports::task_state::running ? it.second.order.processors : 0;
+        }
+        return n;
+    }();
+    CHECK(used <= 8);
+    pass_time(m, w, core::millis{40000});
+    STRCMP_EQUAL("finished", state_of(w, "j1").c_str());
+    STRCMP_EQUAL("finished", state_of(w, "j2").c_str());
+    CHECK_EQUAL(1, starts_of(w, "j1"));
+}
+
+// A worker is cut off while it runs two jobs. Their leases run out without a word: the idempotent
+// one runs elsewhere, the other is unknown. Then the worker is back and has finished both: its
+// report settles the unknown one, and nothing ran twice that may run once.
+TEST(starts, a_worker_is_cut_off_and_comes_back)
+{
+    submit(make_submission("twice", 2, job_class::normal, true));
+    submit(make_submission("once", 2, job_class::normal, false));
+    pass_time(m, w, core::millis{3000});
+    const std::string host = host_of(w, "once");
+    for (auto& it : w.platform.all)
+    {
+        it.second.reachable = false;
+        it.second.paused_until = w.now + core::millis{600000};
+    }
+    pass_time(m, w, core::millis{30000});
+    STRCMP_EQUAL("running", state_of(w, "once").c_str());
+    pass_time(m, w, core::millis{60000});
+    STRCMP_EQUAL("unknown", state_of(w, "once").c_str());
+    for (auto& it : w.platform.all)
+    {
+        it.second.reachable = true;
+    }
+    pass_time(m, w, core::millis{60000});
+    STRCMP_EQUAL("finished", state_of(w, "once").c_str());
+    STRCMP_EQUAL("finished", state_of(w, "twice").c_str());
+    CHECK_EQUAL(1, starts_of(w, "once"));
+}
