HTTP server and client on the event loop

Cause: callers and targets speak HTTP; answers must be whole, each caller's own, and truthful. The loop watches descriptors in one epoll set, because curl 7.88 closes unconnected sockets before it says so and ACE can't forget a closed descriptor (seen as a crash in a connect-timeout test).

--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -125,11 +125,11 @@
     events = {[](auto, const auto&) {},
         [](auto) {
         }};
-    time.cancel(work_timer_);
     time.cancel(sweep_timer_);
     if (daemon_ != nullptr)
     {
         loop.watch_fd(daemon_fd_, false, false, {});
+        drop_exchanges();
         MHD_stop_daemon(daemon_);
     }
     if (closures_ >= 0)
@@ -139,6 +139,18 @@
     }
 }
 
+void server_state::drop_exchanges()
+{
+    // The library aborts the process when it is stopped with suspended connections.
+    for (auto& [id, it] : exchanges_)
+    {
+        it->at = phase::over;
+        resume(*it);
+    }
+    MHD_run(daemon_);
+    time.cancel(work_timer_);
+}
+
 std::string server_state::start(const std::string& address)
 {
     const auto at = parse_endpoint(address);
--- a/libs/http/src/server_exchange.cpp
+++ b/libs/http/src/server_exchange.cpp
@@ -258,10 +258,19 @@
     auto& it = *found->second;
     it.at = phase::answered;
     it.answer = std::move(response);
+    resume(it);
+}
+
+void server_state::resume(exchange& it)
+{
     if (it.suspended)
     {
         it.suspended = false;
         MHD_resume_connection(it.on->mhd);
+        // With epoll from outside nothing else tells that the library has work: the answer would
+        // wait for the next sweep.
+        time.cancel(work_timer_);
+        work_timer_ = time.after(core::millis{0}, [this] { work(); });
     }
 }
 
@@ -275,11 +284,7 @@
     }
     current->at = phase::over;
     --with_owner;
-    if (current->suspended)
-    {
-        current->suspended = false;
-        MHD_resume_connection(it.mhd);
-    }
+    resume(*current);
     events.on_gone(current->id);
 }
 
--- a/libs/http/src/server_state.hpp
+++ b/libs/http/src/server_state.hpp
@@ -83,6 +83,7 @@
     std::size_t with_owner = 0; ///< handed over and not yet written out
 
 private:
+    void drop_exchanges();
     void work();
     void arm();
     void sweep();
@@ -94,6 +95,7 @@
     MHD_Result read_body(exchange& it, const char* upload, std::size_t* upload_size);
     MHD_Result hand_over(exchange& it);
     MHD_Result refuse_early(exchange& it);
+    void resume(exchange& it);
     MHD_Result queue_answer(exchange& it);
     ports::http_response first_fault(const exchange& it) const;
 
@@ -101,7 +103,6 @@
     int daemon_fd_ = -1;
     int closures_ = -1; ///< epoll of all connections, for callers that close
     bool quiesced_ = false;
-    bool work_posted_ = false;
     ports::timer_id work_timer_ = 0;
     ports::timer_id sweep_timer_ = 0;
     ports::exchange_id last_exchange_ = 0;
--- a/libs/http/src/transfer.cpp
+++ b/libs/http/src/transfer.cpp
@@ -46,6 +46,18 @@
     it.response.fields.emplace_back(line.substr(0, colon), text);
 }
 
+/// \return whether the body that the header announces is within the bound.
+bool expect_body(transfer& it)
+{
+    const auto length = content_length(it.response.fields).value_or(0);
+    if (it.streams || it.call.request.method == "HEAD")
+    {
+        return true;
+    }
+    it.response.body.reserve(std::min<std::uint64_t>(length, largest_reserve));
+    return length <= it.call.largest_answer;
+}
+
 /// Called by curl for each line of the answer's header, and of a trailer.
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* cls)
 {
@@ -64,6 +76,7 @@
     else if (line == "\r\n" || line == "\n")
     {
         it.in_body = true;
+        return expect_body(it) ? line.size() : refuse_more(it);
     }
     else if (!it.in_body && colon != std::string_view::npos)
     {
@@ -81,15 +94,6 @@
         it.pending.append(data, n);
         return n;
     }
-    if (it.response.body.empty())
-    {
-        const auto length = content_length(it.response.fields).value_or(0);
-        if (length > it.call.largest_answer)
-        {
-            return refuse_more(it);
-        }
-        it.response.body.reserve(std::min<std::uint64_t>(length, largest_reserve));
-    }
     if (is_too_much(it, n))
     {
         return refuse_more(it);
@@ -313,7 +317,7 @@
     return {};
 }
 
-void prepare(transfer& it, const core::millis& unacknowledged)
+void prepare(transfer& it, core::millis unacknowledged)
 {
     auto* const easy = it.easy;
     add_lines(it);
--- a/libs/http/src/transfer.hpp
+++ b/libs/http/src/transfer.hpp
@@ -50,7 +50,7 @@
 
 /// Sets up the curl handle of a transfer for its call.
 /// \param unacknowledged see client_limits
-void prepare(transfer& it, const core::millis& unacknowledged);
+void prepare(transfer& it, core::millis unacknowledged);
 
 /// \return what became of the call; takes the response out of \p it.
 ports::http_outcome judge(transfer& it, CURLcode code, core::mono_time now);
--- a/libs/http/tests/fixture.hpp
+++ b/libs/http/tests/fixture.hpp
@@ -105,6 +105,11 @@
     {
         return read().find(text) != std::string::npos;
     }
+    void reset_on_close() const
+    {
+        const linger now{1, 0};
+        ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    }
     void close()
     {
         if (fd_ >= 0)
--- a/libs/reactor/src/event_loop.cpp
+++ b/libs/reactor/src/event_loop.cpp
@@ -36,20 +36,6 @@
     return impl->initialized() ? std::move(impl) : nullptr;
 }
 
-ACE_Reactor_Mask to_mask(bool read, bool write)
-{
-    ACE_Reactor_Mask mask = 0;
-    if (read)
-    {
-        mask |= ACE_Event_Handler::READ_MASK;
-    }
-    if (write)
-    {
-        mask |= ACE_Event_Handler::WRITE_MASK;
-    }
-    return mask;
-}
-
 core::mono_time now()
 {
     const auto t = std::chrono::steady_clock::now().time_since_epoch();
@@ -67,7 +53,8 @@
 loop_state::loop_state(
     std::unique_ptr<ACE_Timer_Queue> queue, std::unique_ptr<ACE_Reactor_Impl> implementation)
     : timer_queue(std::move(queue)),
-      ace(std::make_unique<ACE_Reactor>(implementation.release(), true)), timers(*ace), posts(*ace)
+      ace(std::make_unique<ACE_Reactor>(implementation.release(), true)), timers(*ace), posts(*ace),
+      watches(*ace)
 {
 }
 
@@ -77,53 +64,8 @@
     {
         ace->remove_handler(number, static_cast<ACE_Sig_Action*>(nullptr));
     }
-    while (!watched.empty())
-    {
-        watch_fd(watched.begin()->first, false, false, {});
-    }
     ace->purge_pending_notifications(&posts);
-    ace->close();
-}
-
-void loop_state::watch_fd(int fd, bool read, bool write, fd_callback callback)
-{
-    const auto mask = to_mask(read, write);
-    const auto it = watched.find(fd);
-    if (mask == 0)
-    {
-        if (it != watched.end())
-        {
-            ace->remove_handler(
-                fd, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-            forget_fd(fd);
-        }
-        return;
-    }
-    if (it != watched.end())
-    {
-        it->second->callback = std::move(callback);
-        if (it->second->mask != mask)
-        {
-            it->second->mask = mask;
-            ace->mask_ops(fd, mask, ACE_Reactor::SET_MASK);
-        }
-        return;
-    }
-    auto handler = std::make_unique<fd_handler>(*this, fd, std::move(callback));
-    handler->mask = mask;
-    core::require(
-        ace->register_handler(fd, handler.get(), mask) == 0, "a descriptor can be watched");
-    watched.emplace(fd, std::move(handler));
-}
-
-void loop_state::forget_fd(int fd)
-{
-    const auto it = watched.find(fd);
-    if (it != watched.end())
-    {
-        removed.push_back(std::move(it->second));
-        watched.erase(it);
-    }
+    ace->cancel_timer(&timers);
 }
 
 event_loop::event_loop(std::unique_ptr<loop_state> state) : state_(std::move(state))
@@ -159,7 +101,6 @@
     while (!state_->stopping.exchange(false))
     {
         state_->ace->handle_events();
-        state_->removed.clear();
     }
 }
 
@@ -168,7 +109,6 @@
     ACE_Time_Value wait;
     wait.set(std::chrono::duration_cast<core::micros>(longest_wait));
     state_->ace->handle_events(&wait);
-    state_->removed.clear();
 }
 
 void event_loop::stop()
@@ -179,7 +119,14 @@
 
 void event_loop::watch_fd(int fd, bool read, bool write, fd_callback callback)
 {
-    state_->watch_fd(fd, read, write, std::move(callback));
+    if (read || write)
+    {
+        state_->watches.watch(fd, read, write, std::move(callback));
+    }
+    else
+    {
+        state_->watches.forget(fd);
+    }
 }
 
 void event_loop::on_signals(
--- a/libs/reactor/src/handlers.cpp
+++ b/libs/reactor/src/handlers.cpp
@@ -10,44 +10,6 @@
 namespace camphorhitch::reactor
 {
 
-fd_handler::fd_handler(loop_state& owner, int handle, fd_callback fn)
-    : loop(owner), fd(handle), callback(std::move(fn))
-{
-}
-
-namespace
-{
-
-/// Calls a copy, because the callback may replace itself by watching its descriptor anew.
-int call(const fd_handler& handler, fd_events events)
-{
-    const auto fn = handler.callback;
-    fn(events);
-    return 0;
-}
-
-} // namespace
-
-int fd_handler::handle_input(ACE_HANDLE)
-{
-    return call(*this, {true, false, false});
-}
-
-int fd_handler::handle_output(ACE_HANDLE)
-{
-    return call(*this, {false, true, false});
-}
-
-int fd_handler::handle_close(ACE_HANDLE, ACE_Reactor_Mask)
-{
-    // ACE has removed the handler already: error or hang-up with nothing to read or write.
-    const auto fn = callback;
-    mask = 0;
-    loop.forget_fd(fd);
-    fn({false, false, true});
-    return 0;
-}
-
 timer_handler::timer_handler(ACE_Reactor& reactor) : ace_(reactor)
 {
 }
--- a/libs/reactor/src/loop_state.hpp
+++ b/libs/reactor/src/loop_state.hpp
@@ -12,7 +12,6 @@
 #include <ace/Timer_Queue.h>
 
 #include <atomic>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -21,20 +20,38 @@
 namespace camphorhitch::reactor
 {
 
-/// One watched descriptor.
-class fd_handler : public ACE_Event_Handler
+/// All watched descriptors, in an epoll set of their own that ACE sees as one readable descriptor.
+///
+/// Not one ACE handler each: curl 7.88 closes a socket that has not connected before it says so,
+/// and ACE can't forget a closed descriptor: it would call a freed handler when the number comes
+/// back. The kernel forgets it by itself.
+class watch_handler : public ACE_Event_Handler
 {
 public:
-    fd_handler(loop_state& loop, int fd, fd_callback callback);
+    explicit watch_handler(ACE_Reactor& reactor);
+    ~watch_handler() override;
+    watch_handler(const watch_handler&) = delete;
+    watch_handler& operator=(const watch_handler&) = delete;
 
+    void watch(int fd, bool read, bool write, fd_callback callback);
+    void forget(int fd);
     int handle_input(ACE_HANDLE fd) override;
-    int handle_output(ACE_HANDLE fd) override;
-    int handle_close(ACE_HANDLE fd, ACE_Reactor_Mask mask) override;
 
-    loop_state& loop;
-    const int fd;
-    fd_callback callback;
-    ACE_Reactor_Mask mask = 0;
+private:
+    struct watched
+    {
+        std::uint32_t generation = 0; ///< tells a reused number from what it was before
+        std::uint32_t wanted = 0;     ///< epoll's bits
+        std::shared_ptr<const fd_callback> callback;
+    };
+
+    void put(int operation, int fd, const watched& it) const;
+    void dispatch(std::uint64_t tag, std::uint32_t events);
+
+    ACE_Reactor& ace_;
+    int epoll_;
+    std::uint32_t last_generation_ = 0;
+    std::unordered_map<int, watched> watched_;
 };
 
 /// All timers of a loop.
@@ -102,17 +119,12 @@
     loop_state(const loop_state&) = delete;
     loop_state& operator=(const loop_state&) = delete;
 
-    void watch_fd(int fd, bool read, bool write, fd_callback callback);
-    void forget_fd(int fd);
-
     std::unique_ptr<ACE_Timer_Queue> timer_queue; ///< outlives the reactor, which borrows it
     std::unique_ptr<ACE_Reactor> ace;
     timer_handler timers;
     post_handler posts;
+    watch_handler watches;
     signal_handler signals;
-    std::map<int, std::unique_ptr<fd_handler>> watched;
-    /// ACE may look at a handler's address after its upcall has removed it; freed between events.
-    std::vector<std::unique_ptr<fd_handler>> removed;
     std::atomic<bool> stopping{false};
 };
 
