--- a/libs/http/src/refusal.cpp
+++ b/libs/http/src/refusal.cpp
@@ -33,7 +33,10 @@
     {
         for (const auto& [name, value] : *fields)
         {
-            text += name + ": " + value + "\r\n";
+            text += name;
+            text += ": ";
+            text += value;
+            text += "\r\n";
         }
     }
     text += "Connection: close\r\nContent-Length: " + std::to_string(refusal.body.size()) +
--- a/libs/http/src/server_exchange.cpp
+++ b/libs/http/src/server_exchange.cpp
@@ -65,7 +65,7 @@
         body->size(), body->data(), free_body, body.get());
     if (out != nullptr)
     {
-        body.release(); // libmicrohttpd frees it
+        static_cast<void>(body.release()); // libmicrohttpd frees it
     }
     return out;
 }
@@ -92,8 +92,7 @@
 exchange* server_state::begin_exchange(MHD_Connection* mhd, const char* uri)
 {
     const auto* const info = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-    const auto id = reinterpret_cast<connection_id>(info->socket_context);
-    auto& on = *connections_.at(id);
+    auto& on = *static_cast<connection*>(info->socket_context);
     auto it = std::make_unique<exchange>();
     it->server = this;
     it->on = &on;
--- a/libs/http/src/server_state.hpp
+++ b/libs/http/src/server_state.hpp
@@ -14,6 +14,9 @@
 struct server_state;
 struct connection;
 
+/// Names a connection; descriptors are reused, these never.
+using connection_id = std::uint64_t;
+
 /// Where an exchange stands.
 enum class phase
 {
@@ -40,6 +43,7 @@
 
 struct connection
 {
+    connection_id id = 0;
     MHD_Connection* mhd = nullptr;
     int fd = -1;
     exchange* current = nullptr;
@@ -48,9 +52,6 @@
     bool over_limit = false;
 };
 
-/// Names a connection; descriptors are reused, these never.
-using connection_id = std::uint64_t;
-
 struct server_state
 {
     server_state(reactor::event_loop& loop,
@@ -71,8 +72,8 @@
     MHD_Result on_progress(
         exchange& it, const char* method, const char* upload, std::size_t* upload_size);
     void end_exchange(exchange& it);
-    void* open_connection(MHD_Connection* mhd);
-    void close_connection(connection_id id);
+    connection* open_connection(MHD_Connection* mhd);
+    void close_connection(connection& it);
 
     reactor::event_loop& loop;
     ports::scheduler time;
--- a/libs/http/src/transfer.hpp
+++ b/libs/http/src/transfer.hpp
@@ -49,8 +49,17 @@
 std::string request_fault(const ports::http_call& call);
 
 /// Sets up the curl handle of a transfer for its call.
-/// \param unacknowledged see client_limits
-void prepare(transfer& it, core::millis unacknowledged);
+/// \param unacknowledged see client_limits; outlives the sockets
+void prepare(transfer& it, const core::millis& unacknowledged);
+
+/// Called by curl for each line of the answer's header, and of a trailer; \p cls is the transfer.
+std::size_t on_header(char* data, std::size_t size, std::size_t count, void* cls);
+
+/// Called by curl for each part of the answer's body.
+std::size_t on_body(char* data, std::size_t size, std::size_t count, void* cls);
+
+/// \return bytes of the call's request that curl has handed to the kernel.
+long bytes_sent(CURL* easy);
 
 /// \return what became of the call; takes the response out of \p it.
 ports::http_outcome judge(transfer& it, CURLcode code, core::mono_time now);
--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 #include <optional>
+#include <tuple>
 
 #include <CppUTest/TestHarness.h>
 
@@ -228,7 +229,7 @@
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
     auto at = loopback_address(0);
     socklen_t n = sizeof(at);
-    ::bind(fd, reinterpret_cast<sockaddr*>(&at), n);
+    std::ignore = ::bind(fd, reinterpret_cast<sockaddr*>(&at), n);
     ::listen(fd, 0);
     ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &n);
     raw_caller first(ntohs(at.sin_port)); // takes the only place
--- a/libs/http/tests/fixture.hpp
+++ b/libs/http/tests/fixture.hpp
@@ -14,6 +14,7 @@
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
+#include <tuple>
 #include <unistd.h>
 
 namespace camphorhitch::http
@@ -62,7 +63,7 @@
     explicit raw_caller(std::uint16_t port) : fd_(::socket(AF_INET, SOCK_STREAM, 0))
     {
         const auto to = loopback_address(port);
-        ::connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+        std::ignore = ::connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
         ::fcntl(fd_, F_SETFL, O_NONBLOCK);
     }
     ~raw_caller()
@@ -133,7 +134,7 @@
         : loop_(loop), listen_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
     {
         const auto at = loopback_address(0);
-        ::bind(listen_, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
+        std::ignore = ::bind(listen_, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
         ::listen(listen_, 64);
         loop_.watch_fd(listen_, true, false, [this](reactor::fd_events) { accept(); });
     }
--- a/libs/reactor/src/handlers.cpp
+++ b/libs/reactor/src/handlers.cpp
@@ -17,11 +17,12 @@
 ports::timer_id timer_handler::after(core::millis delay, std::function<void()> fn)
 {
     const auto id = ++last_id_;
+    auto it = std::make_unique<timer>(timer{id, -1, std::move(fn)});
     ACE_Time_Value wait;
-    wait.set(std::chrono::duration_cast<std::chrono::microseconds>(std::max(delay, {})));
-    const long ace_id = ace_.schedule_timer(this, reinterpret_cast<const void*>(id), wait);
-    core::require(ace_id != -1, "a timer can be scheduled");
-    timers_.emplace(id, timer{ace_id, std::move(fn)});
+    wait.set(std::chrono::duration_cast<core::micros>(std::max(delay, {})));
+    it->ace_id = ace_.schedule_timer(this, it.get(), wait);
+    core::require(it->ace_id != -1, "a timer can be scheduled");
+    timers_.emplace(id, std::move(it));
     return id;
 }
 
@@ -30,20 +31,18 @@
     const auto it = timers_.find(id);
     if (it != timers_.end())
     {
-        ace_.cancel_timer(it->second.ace_id);
+        ace_.cancel_timer(it->second->ace_id);
         timers_.erase(it);
     }
 }
 
-int timer_handler::handle_timeout(const ACE_Time_Value&, const void* id)
+int timer_handler::handle_timeout(const ACE_Time_Value&, const void* argument)
 {
-    const auto it = timers_.find(reinterpret_cast<ports::timer_id>(id));
-    if (it != timers_.end())
-    {
-        const auto fn = std::move(it->second.fn);
-        timers_.erase(it);
-        fn();
-    }
+    // ACE has no timer left that cancel() took out, so the pointer is good.
+    const auto it = timers_.find(static_cast<const timer*>(argument)->id);
+    const auto fn = std::move(it->second->fn);
+    timers_.erase(it);
+    fn();
     return 0;
 }
 
--- a/libs/reactor/src/loop_state.hpp
+++ b/libs/reactor/src/loop_state.hpp
@@ -62,17 +62,18 @@
 
     ports::timer_id after(core::millis delay, std::function<void()> fn);
     void cancel(ports::timer_id id);
-    int handle_timeout(const ACE_Time_Value& now, const void* id) override;
+    int handle_timeout(const ACE_Time_Value& now, const void* argument) override;
 
 private:
     struct timer
     {
+        ports::timer_id id = 0;
         long ace_id = -1;
         std::function<void()> fn;
     };
     ACE_Reactor& ace_;
     ports::timer_id last_id_ = 0;
-    std::unordered_map<ports::timer_id, timer> timers_;
+    std::unordered_map<ports::timer_id, std::unique_ptr<timer>> timers_;
 };
 
 /// Functions that other threads handed over.
--- a/libs/reactor/tests/event_loop_tests.cpp
+++ b/libs/reactor/tests/event_loop_tests.cpp
@@ -99,6 +99,7 @@
             }
         };
         std::vector<std::thread> workers;
+        workers.reserve(threads);
         for (int i = 0; i < threads; ++i)
         {
             workers.emplace_back(body);
