--- a/testing/standin_kv/src/service.cpp
+++ b/testing/standin_kv/src/service.cpp
@@ -350,9 +350,7 @@
     {
         watch_lag_ = core::millis{lag_ms};
     }
-    const auto wrong = command.finish();
-    return wrong.empty() ? json_response(200, json::object())
-                         : standin_support::error_response(400, core::to_text(wrong));
+    return standin_support::control_answer(command);
 }
 
 ports::http_response service::stats() const
--- a/testing/standin_support/include/standin_support/json.hpp
+++ b/testing/standin_support/include/standin_support/json.hpp
@@ -73,4 +73,8 @@
     node* here_ = nullptr;
 };
 
+/// Finishes a control command.
+/// \return 200, or 400 with all findings.
+ports::http_response control_answer(object_reader& command);
+
 } // namespace camphorhitch::standin_support
--- a/testing/standin_support/src/json.cpp
+++ b/testing/standin_support/src/json.cpp
@@ -231,4 +231,11 @@
     return whole_->findings;
 }
 
+ports::http_response control_answer(object_reader& command)
+{
+    const auto wrong = command.finish();
+    return wrong.empty() ? json_response(200, json::object())
+                         : error_response(400, core::to_text(wrong));
+}
+
 } // namespace camphorhitch::standin_support
--- a/testing/standin_target/src/service.cpp
+++ b/testing/standin_target/src/service.cpp
@@ -84,9 +84,7 @@
     {
         it->control(command);
     }
-    const auto wrong = command.finish();
-    return wrong.empty() ? json_response(200, {{"hosts", chosen.size()}})
-                         : error_response(400, core::to_text(wrong));
+    return standin_support::control_answer(command);
 }
 
 ports::http_response service::stats() const
