--- a/testing/standin_livelist/src/service.cpp
+++ b/testing/standin_livelist/src/service.cpp
@@ -28,14 +28,15 @@
         s.settings.token, {simple_route("GET", "/v1/hosts", read_lagging)}));
     // Updates come by the control port, so that they get through while readers see an outage.
     const auto set = [this](const exchange_ptr& held, const path_parts& parts)
-    { on_set_state(held, parts); };
+    {
+        on_set_state(held, parts);
+    };
     control_port_ = &s.server.listen(s.settings.control_port,
         standin_support::make_router(s.settings.token,
             {
                 {"PUT", "/v1/hosts/*", set},
-                simple_route("GET",
-                    "/v1/hosts",
-                    [this](const auto&) { return hosts(standin_.loop.now()); }),
+                simple_route(
+                    "GET", "/v1/hosts", [this](const auto&) { return hosts(standin_.loop.now()); }),
                 simple_route("POST", "/control", [this](const auto& r) { return on_control(r); }),
                 simple_route("GET",
                     "/control/stats",
