model: a test that every struct's member has its key

Cause: a member forgotten in describe() is lost at each write without a word. Change: the test counts the members of each aggregate and the keys that describe() names. Tested: model_tests 5 passed.

--- a/libs/model/tests/codec_tests.cpp
+++ b/libs/model/tests/codec_tests.cpp
@@ -1,4 +1,7 @@
 #include "any_document.hpp"
+#include "describe_config.hpp"
+#include "describe_fleet.hpp"
+#include "field_count.hpp"
 #include "model/codec.hpp"
 
 #include <rapidcheck.h>
@@ -64,3 +67,35 @@
     CHECK(returns_unchanged("roster", any_roster));
     CHECK(returns_unchanged("member", [] { return any_member(0); }));
 }
+
+/// A member that a later change adds to a struct and forgets in describe() would be lost at each
+/// write, without a word: the document is read back with the member's default.
+TEST(codec, every_member_of_every_struct_has_its_key)
+{
+    struct row
+    {
+        const char* record;
+        std::size_t members;
+        std::size_t keys;
+    };
+    const row rows[] = {
+        {"budget", field_count<availability_budget>(), key_count<availability_budget>()},
+        {"class_limits", field_count<class_limits>(), key_count<class_limits>()},
+        {"pool_config", field_count<pool_config>(), key_count<pool_config>()},
+        {"policy_config", field_count<policy_config>(), key_count<policy_config>()},
+        {"team_config", field_count<team_config>(), key_count<team_config>()},
+        {"configuration", field_count<configuration>(), key_count<configuration>()},
+        {"decision_record", field_count<decision_record>(), key_count<decision_record>()},
+        {"host_record", field_count<host_record>(), key_count<host_record>()},
+        {"released_host", field_count<released_host>(), key_count<released_host>()},
+        {"pool_document", field_count<pool_document>(), key_count<pool_document>()},
+        {"wave_document", field_count<wave_document>(), key_count<wave_document>()},
+        {"member_record", field_count<member_record>(), key_count<member_record>()},
+        {"former_roster", field_count<former_roster>(), key_count<former_roster>()},
+        {"roster_document", field_count<roster_document>(), key_count<roster_document>()},
+    };
+    for (const auto& it : rows)
+    {
+        CHECK_EQUAL_TEXT(it.members, it.keys, it.record);
+    }
+}
