--- a/libs/model/include/model/config.hpp
+++ b/libs/model/include/model/config.hpp
@@ -37,9 +37,11 @@
     std::string name;
     std::vector<std::string> services; ///< names that callers use
     availability_budget budget;
-    std::string policy;    ///< name of a wave policy
-    bool spare = false;    ///< holds spare hosts for the other pools
-    double size_class = 0; ///< for pairing in experiments; 0: by number of hosts
+    std::string policy;        ///< name of a wave policy
+    std::string experiment;    ///< that set the policy, or empty: operators chose it
+    std::string policy_before; ///< what operators chose, while an experiment is on
+    bool spare = false;        ///< holds spare hosts for the other pools
+    double size_class = 0;     ///< for pairing in experiments; 0: by number of hosts
     class_limits quick{200, core::millis{2000}, core::millis{10000}, 0};
     class_limits normal{200, core::millis{5000}, core::millis{20000}, 1};
     class_limits long_running{100, core::millis{30000}, core::millis{60000}, 3};
--- a/libs/model/src/check.cpp
+++ b/libs/model/src/check.cpp
@@ -29,10 +29,9 @@
     return "/pools/" + std::to_string(index);
 }
 
-void check_policy(checker& c, std::size_t index)
+void check_policy(checker& c, std::size_t index, const char* key, const std::string& policy)
 {
-    const pool_config& pool = c.config.pools[index];
-    if (find_policy(c.config, pool.policy) != nullptr)
+    if (find_policy(c.config, policy) != nullptr)
     {
         return;
     }
@@ -41,9 +40,21 @@
     {
         names.push_back(it.name);
     }
-    c.add(pool_pointer(index) + "/policy",
-        "no policy is named '" + pool.policy + "'",
-        core::nearest_name(pool.policy, names));
+    c.add(pool_pointer(index) + key,
+        "no policy is named '" + policy + "'",
+        core::nearest_name(policy, names));
+}
+
+/// A pool in an experiment also needs the policy that it gets back: without it, the end of the
+/// experiment would leave it under a policy that nobody chose.
+void check_policies(checker& c, std::size_t index)
+{
+    const pool_config& pool = c.config.pools[index];
+    check_policy(c, index, "/policy", pool.policy);
+    if (!pool.experiment.empty())
+    {
+        check_policy(c, index, "/policy_before", pool.policy_before);
+    }
 }
 
 /// A budget of 0 can never be met: no host could ever leave for maintenance, and a wave would
@@ -119,7 +130,7 @@
     checker c{config, name, {}, {}};
     for (std::size_t i = 0; i < config.pools.size(); ++i)
     {
-        check_policy(c, i);
+        check_policies(c, i);
         check_budget(c, i);
         check_services(c, i);
         check_classes(c, i);
--- a/libs/model/tests/any_document.hpp
+++ b/libs/model/tests/any_document.hpp
@@ -91,6 +91,8 @@
     it.services = any_names();
     it.budget = {any_count(100000), any_count(100000)};
     it.policy = any_name(0);
+    it.experiment = any_text();
+    it.policy_before = any_text();
     it.spare = any_count(1) == 1;
     it.size_class = any_real(0, 1e6);
     it.quick = any_limits();
