--- a/libs/http/src/server_exchange.cpp
+++ b/libs/http/src/server_exchange.cpp
@@ -65,7 +65,7 @@
         body->size(), body->data(), free_body, body.get());
     if (out != nullptr)
     {
-        body.release(); // libmicrohttpd frees it
+        static_cast<void>(body.release()); // libmicrohttpd frees it
     }
     return out;
 }
@@ -92,8 +92,7 @@
 exchange* server_state::begin_exchange(MHD_Connection* mhd, const char* uri)
 {
     const auto* const info = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-    const auto id = reinterpret_cast<connection_id>(info->socket_context);
-    auto& on = *connections_.at(id);
+    auto& on = *static_cast<connection*>(info->socket_context);
     auto it = std::make_unique<exchange>();
     it->server = this;
     it->on = &on;
@@ -258,10 +257,19 @@
     auto& it = *found->second;
     it.at = phase::answered;
     it.answer = std::move(response);
+    resume(it);
+}
+
+void server_state::resume(exchange& it)
+{
     if (it.suspended)
     {
         it.suspended = false;
         MHD_resume_connection(it.on->mhd);
+        // With epoll from outside nothing else tells that the library has work: the answer would
+        // wait for the next sweep.
+        time.cancel(work_timer_);
+        work_timer_ = time.after(core::millis{0}, [this] { work(); });
     }
 }
 
@@ -275,11 +283,7 @@
     }
     current->at = phase::over;
     --with_owner;
-    if (current->suspended)
-    {
-        current->suspended = false;
-        MHD_resume_connection(it.mhd);
-    }
+    resume(*current);
     events.on_gone(current->id);
 }
 
--- a/libs/http/src/server_state.hpp
+++ b/libs/http/src/server_state.hpp
@@ -14,6 +14,9 @@
 struct server_state;
 struct connection;
 
+/// Names a connection; descriptors are reused, these never.
+using connection_id = std::uint64_t;
+
 /// Where an exchange stands.
 enum class phase
 {
@@ -40,6 +43,7 @@
 
 struct connection
 {
+    connection_id id = 0;
     MHD_Connection* mhd = nullptr;
     int fd = -1;
     exchange* current = nullptr;
@@ -48,9 +52,6 @@
     bool over_limit = false;
 };
 
-/// Names a connection; descriptors are reused, these never.
-using connection_id = std::uint64_t;
-
 struct server_state
 {
     server_state(reactor::event_loop& loop,
@@ -71,8 +72,8 @@
     MHD_Result on_progress(
         exchange& it, const char* method, const char* upload, std::size_t* upload_size);
     void end_exchange(exchange& it);
-    void* open_connection(MHD_Connection* mhd);
-    void close_connection(connection_id id);
+    connection* open_connection(MHD_Connection* mhd);
+    void close_connection(connection& it);
 
     reactor::event_loop& loop;
     ports::scheduler time;
@@ -83,6 +84,7 @@
     std::size_t with_owner = 0; ///< handed over and not yet written out
 
 private:
+    void drop_exchanges();
     void work();
     void arm();
     void sweep();
@@ -94,6 +96,7 @@
     MHD_Result read_body(exchange& it, const char* upload, std::size_t* upload_size);
     MHD_Result hand_over(exchange& it);
     MHD_Result refuse_early(exchange& it);
+    void resume(exchange& it);
     MHD_Result queue_answer(exchange& it);
     ports::http_response first_fault(const exchange& it) const;
 
@@ -101,7 +104,6 @@
     int daemon_fd_ = -1;
     int closures_ = -1; ///< epoll of all connections, for callers that close
     bool quiesced_ = false;
-    bool work_posted_ = false;
     ports::timer_id work_timer_ = 0;
     ports::timer_id sweep_timer_ = 0;
     ports::exchange_id last_exchange_ = 0;
