--- a/programs/camphorhitchd/src/mirror.hpp
+++ b/programs/camphorhitchd/src/mirror.hpp
@@ -52,6 +52,8 @@
     void start();
     /// \return true once the whole prefix has been read at least once.
     bool loaded() const;
+    /// \return the store's revision at which all documents here were current, by reads and the watch.
+    ports::revision read_revision() const;
     /// \return the entry, or nullptr.
     const ports::kv_entry* find(const std::string& key) const;
     /// \return all entries whose keys start with \p prefix, in the order of their keys.
