--- a/libs/dispatch/include/dispatch/request_flow.hpp
+++ b/libs/dispatch/include/dispatch/request_flow.hpp
@@ -122,6 +122,15 @@
     {flow_phase::ended, "ended"},
 }};
 
+/// A send whose connection was closed while the target may have been running the request.
+struct cut_send
+{
+    std::uint64_t ask = 0;
+    ports::permit_reply permit;
+    core::mono_time sent_at;
+    core::mono_time until; ///< the target has stopped by then
+};
+
 struct request_flow
 {
     caller_request request;
@@ -141,6 +150,7 @@
     int sends = 0;              ///< with earlier attempts of others counted
     bool retrying = false;      ///< a send that may have run came before
     bool may_have_run = false;
+    std::vector<cut_send> cuts; ///< that a target may still be running
     std::vector<std::string> avoid;
     std::optional<ports::http_response> kept; ///< a failure to answer with if no retry is had
 };
@@ -188,9 +198,11 @@
 /// \return when on_timer has something to do; max(): never.
 core::mono_time wake_at(const request_flow& flow);
 
-/// \return the permit under which a request of this flow is in flight.
-std::optional<ports::held_permit> held_by(const request_flow& flow, core::mono_time now);
+/// \return the permits under which a request of this flow is in flight or may still be running.
+std::vector<ports::held_permit> held_by(const request_flow& flow, core::mono_time now);
 
+/// \return whether the flow may be forgotten. It outlives its answer until the claim's holders know
+/// the end and the targets have stopped what was cut.
 bool has_ended(const request_flow& flow);
 
 } // namespace camphorhitch::dispatch
--- a/libs/dispatch/include/dispatch/settings.hpp
+++ b/libs/dispatch/include/dispatch/settings.hpp
@@ -1,5 +1,6 @@
 /// \file
-/// Settings of both sides of permits. The two sides must agree on permit_ttl and result_grace.
+/// Settings of both sides of permits. The two sides must agree on permit_ttl, result_grace and
+/// silent_linger.
 #pragma once
 
 #include "claims/executor.hpp"
@@ -45,7 +46,7 @@
     core::millis permit_ttl{1000};    ///< a sender doesn't use an older permit
     core::millis result_grace{5000};  ///< a sender may wait that long past a request's deadline
     core::millis clock_margin{500};   ///< for differences between two hosts' clocks
-    core::millis silent_linger{3000}; ///< a slot stays taken after a call that ended unheard
+    core::millis silent_linger{3000}; ///< a target may run a request on after its call was cut
     core::millis answer_memory{3000}; ///< an ask is known again after its permit was returned
     double zone_penalty = 0.25;       ///< load share that another zone must be better by
     double aged_share = 0.5;       ///< of a class's deadline in the queue, after which it has aged
@@ -61,8 +62,9 @@
 
 struct sender_settings
 {
-    core::millis permit_ttl{1000};   ///< as the dispatcher's
-    core::millis result_grace{5000}; ///< wait past the deadline for a keyed request's result
+    core::millis permit_ttl{1000};    ///< as the dispatcher's
+    core::millis result_grace{5000};  ///< wait past the deadline for a keyed request's result
+    core::millis silent_linger{3000}; ///< as the dispatcher's
     core::millis connect_timeout{500};
     core::millis first_pause{20}; ///< before an owner or holder is asked again; it doubles
     core::millis longest_pause{500};
@@ -74,6 +76,10 @@
     claims::executor_settings claims;
 };
 
+/// \return how long after a request's deadline its permit may still be in use at the target: it is
+/// sent late, left to finish, and cut without the target's noticing at once.
+core::millis use_after_deadline(const dispatcher_settings& settings);
+
 /// \return what is wrong with \p settings, as findings of a document named \p name.
 core::findings check(const dispatcher_settings& settings, const std::string& name);
 
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -76,7 +76,7 @@
 void linger(pool_dispatcher& d, permit_record& permit, core::mono_time now)
 {
     permit.lingering = true;
-    permit.bound = std::min(permit.bound, now + d.settings.silent_linger);
+    permit.bound = now + d.settings.silent_linger;
     d.wake = std::min(d.wake, permit.bound);
 }
 
--- a/libs/dispatch/src/flow_send.cpp
+++ b/libs/dispatch/src/flow_send.cpp
@@ -91,6 +91,22 @@
     tell_end(flow, sender, now, out);
 }
 
+/// Returns the permit of the send, and remembers the send if the target may be running it on.
+void end_send(request_flow& flow,
+    const request_sender& sender,
+    ports::permit_outcome outcome,
+    core::micros elapsed,
+    core::mono_time now,
+    flow_actions& out)
+{
+    give_permit_back(flow, sender, flow.permit, flow.ask, outcome, elapsed, out);
+    if (outcome == ports::permit_outcome::silent)
+    {
+        const auto until = now + sender.settings.silent_linger;
+        flow.cuts.push_back({flow.ask, flow.permit, flow.sent_at, until});
+    }
+}
+
 ports::permit_outcome outcome_for_owner(const ports::http_outcome& outcome)
 {
     switch (outcome.end)
@@ -148,13 +164,7 @@
     request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out)
 {
     out.emplace_back(cancel_send{});
-    give_permit_back(flow,
-        sender,
-        flow.permit,
-        flow.ask,
-        ports::permit_outcome::silent,
-        now - flow.sent_at,
-        out);
+    end_send(flow, sender, ports::permit_outcome::silent, now - flow.sent_at, now, out);
     flow.phase = flow_phase::ended;
     flow.may_have_run = true;
 }
@@ -185,8 +195,7 @@
     {
         return out;
     }
-    give_permit_back(
-        flow, sender, flow.permit, flow.ask, outcome_for_owner(outcome), outcome.elapsed, out);
+    end_send(flow, sender, outcome_for_owner(outcome), outcome.elapsed, now, out);
     if (flow.claim)
     {
         claims::on_target_end(*flow.claim, outcome, now);
--- a/libs/dispatch/src/request_flow.cpp
+++ b/libs/dispatch/src/request_flow.cpp
@@ -92,13 +92,53 @@
     return out;
 }
 
-flow_actions on_timer(request_flow& flow, request_sender& sender, core::mono_time now)
+namespace
 {
-    flow_actions out;
-    if (flow.phase == flow_phase::ended || now < wake_at(flow))
+
+core::mono_time phase_wake(const request_flow& flow)
+{
+    switch (flow.phase)
     {
-        return out;
+    case flow_phase::claim_pause:
+    case flow_phase::ask_pause:
+        return std::min(flow.pause_until, flow.deadline);
+    case flow_phase::claiming:
+    case flow_phase::asking:
+        return flow.deadline;
+    case flow_phase::sending:
+        return flow.caller_waits ? flow.deadline : core::mono_time::max();
+    case flow_phase::telling:
+        return flow.pause_until;
+    case flow_phase::ended:
+        break;
     }
+    return core::mono_time::max();
+}
+
+/// The owner that gave the permit counts it by itself, but a new owner has only our report of it,
+/// and waits for its return.
+void return_cut_sends(
+    request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out)
+{
+    for (const auto& it : flow.cuts)
+    {
+        if (it.until <= now)
+        {
+            give_permit_back(flow,
+                sender,
+                it.permit,
+                it.ask,
+                ports::permit_outcome::unused,
+                core::micros{0},
+                out);
+        }
+    }
+    std::erase_if(flow.cuts, [&](const auto& it) { return it.until <= now; });
+}
+
+void on_phase_timer(
+    request_flow& flow, request_sender& sender, core::mono_time now, flow_actions& out)
+{
     if (flow.phase == flow_phase::sending)
     {
         time_out_sending(flow, sender, now, out);
@@ -119,6 +159,18 @@
     {
         ask_for_permit(flow, sender, false, now, out);
     }
+}
+
+} // namespace
+
+flow_actions on_timer(request_flow& flow, request_sender& sender, core::mono_time now)
+{
+    flow_actions out;
+    if (phase_wake(flow) <= now)
+    {
+        on_phase_timer(flow, sender, now, out);
+    }
+    return_cut_sends(flow, sender, now, out);
     return out;
 }
 
@@ -140,41 +192,36 @@
 
 core::mono_time wake_at(const request_flow& flow)
 {
-    switch (flow.phase)
+    auto out = phase_wake(flow);
+    for (const auto& it : flow.cuts)
     {
-    case flow_phase::claim_pause:
-    case flow_phase::ask_pause:
-        return std::min(flow.pause_until, flow.deadline);
-    case flow_phase::claiming:
-    case flow_phase::asking:
-        return flow.deadline;
-    case flow_phase::sending:
-        return flow.caller_waits ? flow.deadline : core::mono_time::max();
-    case flow_phase::telling:
-        return flow.pause_until;
-    case flow_phase::ended:
-        break;
+        out = std::min(out, it.until);
     }
-    return core::mono_time::max();
+    return out;
 }
 
-std::optional<ports::held_permit> held_by(const request_flow& flow, core::mono_time now)
+std::vector<ports::held_permit> held_by(const request_flow& flow, core::mono_time now)
 {
-    if (flow.phase != flow_phase::sending)
+    std::vector<ports::held_permit> out;
+    const auto add = [&](const std::string& host, std::uint64_t ask, core::mono_time sent_at)
+    {
+        const auto age = std::chrono::duration_cast<core::millis>(now - sent_at);
+        out.push_back({flow.request.pool, host, ask, age});
+    };
+    if (flow.phase == flow_phase::sending)
+    {
+        add(flow.permit.host, flow.ask, flow.sent_at);
+    }
+    for (const auto& it : flow.cuts)
     {
-        return std::nullopt;
+        add(it.permit.host, it.ask, it.sent_at);
     }
-    ports::held_permit out;
-    out.pool = flow.request.pool;
-    out.host = flow.permit.host;
-    out.request = flow.ask;
-    out.age = std::chrono::duration_cast<core::millis>(now - flow.sent_at);
     return out;
 }
 
 bool has_ended(const request_flow& flow)
 {
-    return flow.phase == flow_phase::ended;
+    return flow.phase == flow_phase::ended && flow.cuts.empty();
 }
 
 } // namespace camphorhitch::dispatch
--- a/libs/dispatch/src/scheduling.cpp
+++ b/libs/dispatch/src/scheduling.cpp
@@ -46,8 +46,7 @@
     permit_record made;
     made.host = target.host;
     made.klass = request.klass;
-    made.bound = std::max(request.deadline, now) + settings.permit_ttl + settings.result_grace +
-                 settings.clock_margin;
+    made.bound = std::max(request.deadline, now) + use_after_deadline(settings);
     made.probe = would_probe(target, now);
     made.reply.verdict = ports::permit_verdict::granted;
     made.reply.permit = d.next_permit++;
--- a/libs/dispatch/src/settings.cpp
+++ b/libs/dispatch/src/settings.cpp
@@ -39,6 +39,12 @@
     return pool.normal;
 }
 
+core::millis use_after_deadline(const dispatcher_settings& settings)
+{
+    return settings.permit_ttl + settings.result_grace + settings.clock_margin +
+           settings.silent_linger;
+}
+
 core::findings check(const dispatcher_settings& settings, const std::string& name)
 {
     core::findings out;
--- a/libs/dispatch/src/take_over.cpp
+++ b/libs/dispatch/src/take_over.cpp
@@ -72,7 +72,7 @@
 {
     const auto longest =
         std::max({d.pool.quick.longest, d.pool.normal.longest, d.pool.long_running.longest});
-    return longest + d.settings.permit_ttl + d.settings.result_grace + d.settings.clock_margin;
+    return longest + use_after_deadline(d.settings);
 }
 
 void begin_take_over(pool_dispatcher& d, const take_over_plan& plan, core::mono_time now)
--- /dev/null
+++ b/libs/dispatch/tests/random_world.cpp
@@ -0,0 +1,606 @@
+#include "random_world.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorhitch::dispatch::test
+{
+
+namespace
+{
+
+constexpr int hosts = 3;
+constexpr int slots = 2;
+constexpr std::size_t senders = 3;
+constexpr std::uint32_t key_count = 5;
+constexpr std::uint32_t longest_step_ms = 150;
+constexpr std::size_t most_calls = 400;
+const char* const zones[] = {"a", "b", "a"};
+
+std::unique_ptr<pool_dispatcher> make_owner(ports::epoch_number epoch, std::uint64_t first_permit)
+{
+    auto pool = quotes_pool();
+    pool.quick.queue = 4;
+    pool.normal.reserved_slots = 1;
+    auto made = dispatcher_builder{}.pool(pool).epoch(epoch).first_permit(first_permit).build();
+    return std::make_unique<pool_dispatcher>(std::get<pool_dispatcher>(std::move(made)));
+}
+
+} // namespace
+
+random_world::random_world() : document_{document_of(hosts, slots)}
+{
+    owners_.push_back(make_owner(1, 1));
+    set_hosts(*owners_.back(), document_, {}, now_);
+    for (std::size_t i = 0; i < senders; ++i)
+    {
+        request_sender it;
+        it.member = "e" + std::to_string(i);
+        it.incarnation = "1";
+        it.zone = zones[i];
+        it.epoch = 1;
+        senders_.push_back(it);
+        follows_.push_back(0);
+        processes_.push_back(1);
+    }
+}
+
+const std::vector<std::string>& random_world::broken() const
+{
+    return broken_;
+}
+
+const random_world::counts& random_world::happened() const
+{
+    return happened_;
+}
+
+void random_world::require(bool holds, const std::string& text)
+{
+    if (!holds)
+    {
+        broken_.push_back(text + " at choice " + std::to_string(choices_));
+    }
+}
+
+void random_world::step(std::uint32_t choice)
+{
+    constexpr std::uint32_t kinds = 32;
+    const auto arg = choice / kinds;
+    const auto kind = choice % kinds;
+    choices_ += 1;
+    if (kind < 3)
+    {
+        arrive(arg);
+    }
+    else if (kind < 18)
+    {
+        pass_message(arg, false);
+    }
+    else if (kind < 19)
+    {
+        pass_message(arg, true);
+    }
+    else if (kind < 22)
+    {
+        advance(core::millis{arg % longest_step_ms});
+    }
+    else if (kind < 27)
+    {
+        end_run(arg);
+    }
+    else if (kind < 28)
+    {
+        toggle_mark(arg);
+    }
+    else if (kind < 29)
+    {
+        caller_goes(arg);
+    }
+    else if (kind < 30)
+    {
+        arg % 4 == 0 ? kill_sender(arg / 4) : caller_goes(arg);
+    }
+    else if (kind < 31 && arg % 4 == 0)
+    {
+        take_over();
+    }
+    look_for_quiet();
+}
+
+void random_world::settle()
+{
+    constexpr int rounds = 4000;
+    for (int i = 0; i < rounds; ++i)
+    {
+        while (!messages_.empty())
+        {
+            pass_message(0, false);
+        }
+        while (!runs_.empty())
+        {
+            end_run(0);
+        }
+        advance(core::millis{longest_step_ms});
+    }
+    for (const auto& it : calls_)
+    {
+        require(it->gone || it->answers == 1, "a caller has not exactly one answer");
+        require(!it->told_not_run || it->runs == 0, "a request ran after 'not run'");
+    }
+    for (const auto& it : document_.hosts)
+    {
+        require(is_quiet(outstanding_on(*owners_.back(), it.id, now_)), "a slot is lost for good");
+    }
+}
+
+void random_world::post(std::function<void()> deliver, std::function<void()> lose)
+{
+    messages_.push_back({std::move(deliver), std::move(lose)});
+}
+
+void random_world::pass_message(std::uint32_t arg, bool lost)
+{
+    if (messages_.empty())
+    {
+        return;
+    }
+    const auto index = arg % messages_.size();
+    auto it = std::move(messages_[index]);
+    messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(index));
+    lost ? it.lose() : it.deliver();
+}
+
+void random_world::arrive(std::uint32_t arg)
+{
+    if (calls_.size() >= most_calls)
+    {
+        return;
+    }
+    auto made = std::make_unique<call>();
+    made->sender = arg % senders;
+    made->process = processes_[made->sender];
+    caller_request request;
+    request.pool = "quotes";
+    request.klass = static_cast<ports::request_class>(arg / 3 % class_count);
+    request.idempotent = arg / 9 % 3 == 0;
+    made->keyed = arg / 9 % 3 == 1;
+    request.key = made->keyed ? "quotes/" + std::to_string(arg / 27 % key_count) : "";
+    request.time_left = core::millis{100 + arg / 135 % 3000};
+    calls_.push_back(std::move(made));
+    const auto id = calls_.size() - 1;
+    act(id, begin(calls_[id]->flow, sender_of(id), request, now_));
+}
+
+void random_world::advance(core::millis by)
+{
+    now_ += by;
+    for (std::size_t i = 0; i < runs_.size();)
+    {
+        const bool over = runs_[i].ends <= now_;
+        const bool cut = runs_[i].cut;
+        if (over && cut)
+        {
+            runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(i));
+            continue;
+        }
+        if (over)
+        {
+            end_run(i, ports::call_end::interrupted, 0);
+        }
+        ++i;
+    }
+    for (std::size_t i = 0; i < calls_.size(); ++i)
+    {
+        if (is_alive(i) && wake_at(calls_[i]->flow) <= now_)
+        {
+            act(i, on_timer(calls_[i]->flow, sender_of(i), now_));
+        }
+    }
+    for (std::size_t i = 0; i < owners_.size(); ++i)
+    {
+        if (next_wakeup(*owners_[i]) <= now_)
+        {
+            feed_owner(i, on_tick(*owners_[i], now_));
+        }
+    }
+}
+
+void random_world::end_run(std::uint32_t arg)
+{
+    if (runs_.empty())
+    {
+        return;
+    }
+    const auto index = arg % runs_.size();
+    if (runs_[index].cut)
+    {
+        runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(index));
+        return;
+    }
+    using enum ports::call_end;
+    struct row
+    {
+        ports::call_end end;
+        int status;
+    };
+    const row rows[] = {{answered, 200},
+        {answered, 200},
+        {answered, 200},
+        {answered, 500},
+        {interrupted, 0},
+        {answer_broken, 0},
+        {not_sent, 0}};
+    const auto& it = rows[arg / 8 % std::size(rows)];
+    end_run(index, it.end, it.status);
+}
+
+void random_world::end_run(std::size_t index, ports::call_end end, int status)
+{
+    const auto id = runs_[index].call;
+    if (end == ports::call_end::interrupted)
+    {
+        runs_[index].cut = true; // the target may go on for a while
+        runs_[index].ends = now_ + owners_.back()->settings.silent_linger;
+    }
+    else
+    {
+        runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    calls_[id]->runs += end == ports::call_end::not_sent ? 0 : 1;
+    ports::http_outcome it;
+    it.end = end;
+    it.response.status = status;
+    act(id, on_outcome(calls_[id]->flow, sender_of(id), it, now_));
+}
+
+void random_world::toggle_mark(std::uint32_t arg)
+{
+    auto& host = document_.hosts[arg % hosts];
+    auto& mark = marks_[host.id];
+    mark.marked = !mark.marked;
+    mark.handed_over = false;
+    mark.since = now_;
+    host.state = mark.marked ? model::host_state::draining : model::host_state::serving;
+    for (std::size_t i = 0; i < owners_.size(); ++i)
+    {
+        feed_owner(i, set_hosts(*owners_[i], document_, {}, now_));
+    }
+}
+
+void random_world::look_for_quiet()
+{
+    for (auto& [host, mark] : marks_)
+    {
+        if (!mark.marked || mark.handed_over ||
+            !is_quiet(outstanding_on(*owners_.back(), host, now_)))
+        {
+            continue;
+        }
+        mark.handed_over = true;
+        happened_.handed_over += 1;
+        const auto& name = host;
+        require(std::none_of(
+                    runs_.begin(), runs_.end(), [&](const auto& it) { return it.host == name; }),
+            "a quiet host has a request in flight");
+    }
+}
+
+void random_world::caller_goes(std::uint32_t arg)
+{
+    if (calls_.empty())
+    {
+        return;
+    }
+    const auto id = arg % calls_.size();
+    if (is_alive(id) && calls_[id]->answers == 0 && !calls_[id]->gone)
+    {
+        calls_[id]->gone = true;
+        act(id, on_caller_gone(calls_[id]->flow, sender_of(id), now_));
+    }
+}
+
+/// The process ends and another one starts in its place. Its connections are closed, and the owner
+/// hears of it some time later.
+void random_world::kill_sender(std::uint32_t arg)
+{
+    const auto index = arg % senders;
+    auto& sender = senders_[index];
+    for (auto& it : calls_)
+    {
+        it->gone = it->gone || (it->sender == index && it->process == processes_[index]);
+    }
+    for (auto& it : runs_)
+    {
+        if (!it.cut && calls_[it.call]->sender == index)
+        {
+            calls_[it.call]->runs += 1;
+            it.cut = true;
+            it.ends = now_ + owners_.back()->settings.silent_linger;
+        }
+    }
+    const auto member = sender.member;
+    const auto incarnation = sender.incarnation;
+    processes_[index] += 1;
+    sender.incarnation = std::to_string(processes_[index]);
+    const bool uncounted = !is_ready(*owners_.back());
+    std::erase_if(runs_, [&](const auto& it) { return uncounted && !is_alive(it.call); });
+    sender.refuse_below.clear();
+    const auto tell = [this, member, incarnation]
+    {
+        for (std::size_t i = 0; i < owners_.size(); ++i)
+        {
+            feed_owner(i, on_member_lost(*owners_[i], member, incarnation, true, now_));
+        }
+    };
+    post(tell, [] {});
+}
+
+/// Another owner for the pool. The old one goes on for those who have not heard of the new one.
+void random_world::take_over()
+{
+    constexpr std::size_t most_take_overs = 8;
+    if (!is_ready(*owners_.back()) || owners_.size() > most_take_overs)
+    {
+        return;
+    }
+    happened_.take_overs += 1;
+    // What a dead process left running is in nobody's report: a known gap, sharing-slots.md names
+    // it.
+    std::erase_if(runs_, [&](const auto& it) { return !is_alive(it.call); });
+    const auto epoch = owners_.back()->epoch + 1;
+    owners_.push_back(make_owner(epoch, owners_.back()->next_permit));
+    take_over_plan plan;
+    plan.epoch = epoch;
+    plan.answers_by = core::mono_time::max() - longest_use(*owners_.back());
+    for (const auto& it : senders_)
+    {
+        plan.asked.push_back({it.member, it.incarnation, false, {}});
+    }
+    begin_take_over(*owners_.back(), plan, now_);
+    set_hosts(*owners_.back(), document_, {}, now_);
+    for (std::size_t i = 0; i < senders; ++i)
+    {
+        ask_held(i, owners_.size() - 1);
+    }
+}
+
+void random_world::ask_held(std::size_t sender, std::size_t owner)
+{
+    const auto again = [this, sender, owner]
+    {
+        ask_held(sender, owner);
+    };
+    const auto ask = [this, sender, owner, again]
+    {
+        auto& it = senders_[sender];
+        ports::held_reply reply;
+        reply.epoch = owners_[owner]->epoch;
+        on_held_query(it, {reply.epoch, "", {"quotes"}});
+        it.epoch = std::max(it.epoch, reply.epoch);
+        follows_[sender] = std::max(follows_[sender], owner);
+        for (std::size_t i = 0; i < calls_.size(); ++i)
+        {
+            if (calls_[i]->sender != sender || !is_alive(i))
+            {
+                continue;
+            }
+            for (const auto& held : held_by(calls_[i]->flow, now_))
+            {
+                reply.permits.push_back(held);
+            }
+            act(i, on_owner_changed(calls_[i]->flow, it, now_));
+        }
+        const auto tell = [this, owner, member = it.member, incarnation = it.incarnation, reply]
+        {
+            feed_owner(owner, on_held(*owners_[owner], member, incarnation, reply, now_));
+        };
+        post(tell, again);
+    };
+    post(ask, again);
+}
+
+void random_world::feed_owner(std::size_t owner, const permit_answers& answers)
+{
+    (void)owner;
+    for (const auto& it : answers)
+    {
+        const auto ask = asks_.find(it.to);
+        if (ask == asks_.end())
+        {
+            continue;
+        }
+        const auto id = ask->second;
+        const auto hear = [this, id, it](ports::peer_status status, bool fresh)
+        {
+            if (is_alive(id))
+            {
+                act(id,
+                    on_permit(calls_[id]->flow,
+                        sender_of(id),
+                        it.to.request,
+                        status,
+                        it.reply,
+                        fresh,
+                        now_));
+            }
+        };
+        const bool fresh = it.to.request % 16 != 0;
+        post([hear, fresh] { hear(ports::peer_status::ok, fresh); },
+            [hear] { hear(ports::peer_status::unreachable, true); });
+    }
+}
+
+void random_world::act(std::size_t call, const flow_actions& actions)
+{
+    for (const auto& it : actions)
+    {
+        std::visit([&](const auto& action) { perform(call, action); }, it);
+    }
+}
+
+void random_world::perform(std::size_t call, const ask_permit& it)
+{
+    const auto owner = follows_[calls_[call]->sender];
+    asks_[{it.message.member, it.message.incarnation, it.message.request}] = call;
+    post([this, owner, message = it.message]
+        { feed_owner(owner, on_request(*owners_[owner], message, now_)); },
+        [this, call, ask = it.message.request]
+        {
+            if (is_alive(call))
+            {
+                act(call,
+                    on_permit(calls_[call]->flow,
+                        sender_of(call),
+                        ask,
+                        ports::peer_status::unreachable,
+                        {},
+                        true,
+                        now_));
+            }
+        });
+}
+
+void random_world::perform(std::size_t call, const ask_claim& it)
+{
+    const auto hear = [this, call](ports::peer_status status, const ports::claim_reply& reply)
+    {
+        if (is_alive(call))
+        {
+            act(call, on_claim(calls_[call]->flow, sender_of(call), status, reply, now_));
+        }
+    };
+    const auto lose = [hear]
+    {
+        hear(ports::peer_status::unreachable, {});
+    };
+    const auto decide = [this, hear, lose, message = it.message]
+    {
+        const auto reply = claim(message);
+        post([hear, reply] { hear(ports::peer_status::ok, reply); }, lose);
+    };
+    post(decide, lose);
+}
+
+void random_world::perform(std::size_t call, const send_request& it)
+{
+    const auto& mark = marks_[it.host];
+    const auto& flow = calls_[call]->flow;
+    const auto ttl = sender_of(call).settings.permit_ttl;
+    require(!mark.handed_over, "a request is sent to a host that was handed over");
+    require(!mark.marked || now_ - mark.since <= ttl, "a request is sent long after the mark");
+    require(!calls_[call]->keyed || !key_ran(flow.request.key), "a keyed request is sent twice");
+    runs_.push_back({call, it.host, false, now_ + it.total_timeout});
+    happened_.sends += 1;
+    const auto there = std::count_if(
+        runs_.begin(), runs_.end(), [&](const auto& run) { return run.host == it.host; });
+    require(there <= slots, "a target has more requests than slots");
+}
+
+void random_world::perform(std::size_t call, const cancel_send&)
+{
+    for (auto& it : runs_)
+    {
+        if (it.call == call && !it.cut)
+        {
+            calls_[call]->runs += 1;
+            it.cut = true;
+            it.ends = now_ + owners_.back()->settings.silent_linger;
+        }
+    }
+}
+
+void random_world::perform(std::size_t call, const return_permit& it)
+{
+    const auto owner = follows_[calls_[call]->sender];
+    post([this, owner, message = it.message]
+        { feed_owner(owner, on_return(*owners_[owner], message, now_)); },
+        [] {});
+}
+
+void random_world::perform(std::size_t call, const finish_claim& it)
+{
+    const auto hear = [this, call](ports::peer_status status)
+    {
+        if (is_alive(call))
+        {
+            act(call, on_finish_ack(calls_[call]->flow, sender_of(call), status, {true}, now_));
+        }
+    };
+    const auto lose = [hear]
+    {
+        hear(ports::peer_status::unreachable);
+    };
+    const auto decide = [this, hear, lose, message = it.message]
+    {
+        const auto at = keys_.find(message.key);
+        if (at != keys_.end() && at->second.attempt == message.attempt &&
+            at->second.executor == message.executor)
+        {
+            at->second = message.entry;
+            at->second.state = message.not_run ? ports::claim_state::released : message.entry.state;
+        }
+        post([hear] { hear(ports::peer_status::ok); }, lose);
+    };
+    post(decide, lose);
+}
+
+void random_world::perform(std::size_t call, const answer_caller& it)
+{
+    auto& answered = *calls_[call];
+    answered.answers += 1;
+    answered.told_not_run = it.outcome == caller_outcome::not_run;
+    happened_.answered += it.outcome == caller_outcome::answered ? 1 : 0;
+    happened_.not_run += it.outcome == caller_outcome::not_run ? 1 : 0;
+    happened_.unknown += it.outcome == caller_outcome::unknown ? 1 : 0;
+    if (answered.told_not_run && answered.keyed)
+    {
+        require(!key_ran(answered.flow.request.key), "'not run' was said of a key that ran");
+    }
+}
+
+/// Both holders of a slot in one, as far as a flow can tell.
+ports::claim_reply random_world::claim(const ports::claim_request& it)
+{
+    auto& entry = keys_[it.key];
+    const bool same = entry.executor == it.executor && entry.attempt == it.attempt;
+    const bool free = entry.key.empty() || (entry.state == ports::claim_state::released && !same);
+    ports::claim_reply out;
+    if (free)
+    {
+        entry = {};
+        entry.key = it.key;
+        entry.executor = it.executor;
+        entry.attempt = it.attempt;
+    }
+    const bool granted = free || (same && entry.state == ports::claim_state::claimed);
+    out.verdict = granted ? ports::claim_verdict::granted : ports::claim_verdict::known;
+    out.entry = entry;
+    return out;
+}
+
+bool random_world::is_alive(std::size_t call) const
+{
+    return calls_[call]->process == processes_[calls_[call]->sender];
+}
+
+/// Whether a request with that key is running or has run. One that never left does not count.
+bool random_world::key_ran(const std::string& key) const
+{
+    const auto same = [&](const call& it)
+    {
+        return it.keyed && it.flow.request.key == key;
+    };
+    return std::any_of(calls_.begin(),
+               calls_.end(),
+               [&](const auto& it) { return same(*it) && it->runs > 0; }) ||
+           std::any_of(
+               runs_.begin(), runs_.end(), [&](const auto& it) { return same(*calls_[it.call]); });
+}
+
+request_sender& random_world::sender_of(std::size_t call)
+{
+    return senders_[calls_[call]->sender];
+}
+
+} // namespace camphorhitch::dispatch::test
