dispatch: a slow call is cut only when its run-on fits the slot's pause; bench of silent connections

Cause: with patience for all classes the bench saw 9 requests at a target with 8 slots: legitimate long runs were cut and ran on for longer than the pause of their slot, and were run again with less time. Change: a call is cut early only when half of the time is left for the next send and the class's long runs are shorter than silent_linger. The bench models the calls' timeouts and swallowed sends.

--- a/bench/dispatch_policy/src/direct_policies.cpp
+++ b/bench/dispatch_policy/src/direct_policies.cpp
@@ -62,7 +62,10 @@
         auto it = std::make_shared<call>(call{request, number, choose(sender)});
         own_[sender][it->target_index] += 1;
         world_.count_send(static_cast<int>(it->target_index));
-        world_.events.after(world_.settings.message_delay, [this, it] { reach(it); });
+        if (!world_.is_swallowed(false))
+        {
+            world_.events.after(world_.settings.message_delay, [this, it] { reach(it); });
+        }
         const auto part = core::micros{request.deadline} / (settings_.retries + 1);
         world_.events.after(part, [this, it] { end(it, true); });
     }
--- a/bench/dispatch_policy/src/policies.hpp
+++ b/bench/dispatch_policy/src/policies.hpp
@@ -9,10 +9,13 @@
 {
 
 /// Permits from the pool's owner, and real request flows at the senders.
-run_result run_permits(const load_settings& load, const dispatch::dispatcher_settings& settings);
+run_result run_permits(const load_settings& load);
+
+/// The same, but no call is given up before its deadline.
+run_result run_permits_patient(const load_settings& load);
 
 /// Each sender owns a fixed subset of the slots and schedules them alone, without messages.
-run_result run_subsets(const load_settings& load, const dispatch::dispatcher_settings& settings);
+run_result run_subsets(const load_settings& load);
 
 /// Round robin per sender, no limits, three retries, each attempt with a share of the deadline.
 run_result run_baseline(const load_settings& load);
--- a/bench/dispatch_policy/src/simulation.cpp
+++ b/bench/dispatch_policy/src/simulation.cpp
@@ -154,7 +154,7 @@
     return running_ + static_cast<int>(queue_.size());
 }
 
-world::world(const load_settings& from) : settings{from}
+world::world(const load_settings& from) : settings{from}, silence_{from.seed}
 {
     targets.reserve(static_cast<std::size_t>(from.targets));
     for (int i = 0; i < from.targets; ++i)
@@ -173,6 +173,11 @@
     result.sends_to_failing += target_index < settings.failing_targets ? 1 : 0;
 }
 
+bool world::is_swallowed(bool fresh_connection)
+{
+    return !fresh_connection && std::bernoulli_distribution{settings.silent_share}(silence_);
+}
+
 void world::ended(const offered& request, ending how)
 {
     if (events.now() < core::mono_time{settings.warm_up})
--- a/bench/dispatch_policy/src/simulation.hpp
+++ b/bench/dispatch_policy/src/simulation.hpp
@@ -90,6 +90,7 @@
     core::millis warm_up{20000};
     core::millis measured{60000};
     int failing_targets = 0;
+    double silent_share = 0; ///< of the sends on used connections, which are swallowed
     std::uint64_t seed = 1;
 };
 
@@ -144,6 +145,11 @@
     explicit world(const load_settings& from);
     void ended(const offered& request, ending how);
     void count_send(int target_index);
+    /// \return whether a send is swallowed by a connection that has gone silent.
+    bool is_swallowed(bool fresh_connection);
+
+private:
+    std::mt19937_64 silence_; ///< apart from the load's randomness, which is the same for all
 };
 
 /// Offers the load to \p policy and returns what was measured.
--- a/libs/dispatch/src/flow_send.cpp
+++ b/libs/dispatch/src/flow_send.cpp
@@ -148,7 +148,10 @@
     }
     const auto patience =
         std::chrono::duration_cast<core::millis>(long_run(run, settings.patience_deviations));
-    return std::min(whole, std::max(patience, settings.least_patience));
+    const auto enough = std::max(patience, settings.least_patience);
+    // Cut later, the second send would hardly have the time that it needs; and a target may run on
+    // what was cut for longer than its slot is left alone.
+    return enough * 2 <= left && enough <= settings.silent_linger ? enough : whole;
 }
 
 } // namespace
