--- a/libs/checked_json/include/checked_json/document.hpp
+++ b/libs/checked_json/include/checked_json/document.hpp
@@ -33,7 +33,8 @@
 std::variant<document, core::findings> parse(
     const std::string& text, const std::string& name, const bounds& most = {});
 
-/// \return the place of the value at \p pointer, without line when there is no such value.
+/// \return the place of the value at \p pointer, with the line of the innermost object or list on
+/// the way when there is no such value.
 core::place place_of(const document& d, const std::string& pointer);
 
 /// \return \p text cut to a length fit for a message, with control characters replaced.
--- a/libs/checked_json/include/checked_json/reader.hpp
+++ b/libs/checked_json/include/checked_json/reader.hpp
@@ -24,7 +24,7 @@
 
 enum class strictness
 {
-    strict, ///< unknown keys are findings
+    strict, ///< unknown keys are findings, but for the comment key "//"
     lenient ///< unknown keys are ignored: a newer version may have written them
 };
 
@@ -89,6 +89,9 @@
 void report_duplicates(
     const value& at, const std::vector<std::string_view>& texts, std::string_view key);
 
+/// Reports a list with fewer than \p least elements.
+void report_too_few(const value& at, std::size_t least);
+
 /// \return the text, or null after a finding.
 const std::string* read_text(const value& at);
 
@@ -266,9 +269,10 @@
 /// Reads a list of texts that differ, each by \p rules.
 template <class... Rules>
 void read(
-    const value& at, std::vector<std::string>& out, const unique_texts&, const Rules&... rules)
+    const value& at, std::vector<std::string>& out, const unique_texts& rule, const Rules&... rules)
 {
     read_list(at, out, rules...);
+    report_too_few(at, rule.least);
     report_duplicates(at, {out.begin(), out.end()}, {});
 }
 
--- a/libs/checked_json/include/checked_json/rules.hpp
+++ b/libs/checked_json/include/checked_json/rules.hpp
@@ -50,9 +50,10 @@
     std::string T::*id;
 };
 
-/// Asks that no two texts of a list be the same.
+/// Asks that no two texts of a list be the same, and for some number of them.
 struct unique_texts
 {
+    std::size_t least = 0;
 };
 
 /// A name: 1 to 64 of `A-Z a-z 0-9 . _ -`, fit for keys, paths and labels.
--- a/libs/ports/include/ports/telemetry.hpp
+++ b/libs/ports/include/ports/telemetry.hpp
@@ -2,6 +2,7 @@
 /// Port for logs, metrics and traces.
 #pragma once
 
+#include "core/names.hpp"
 #include "core/time.hpp"
 
 #include <cstdint>
@@ -22,6 +23,13 @@
     error
 };
 
+inline constexpr core::name_table<log_level, 4> log_level_names{{
+    {log_level::debug, "debug"},
+    {log_level::info, "info"},
+    {log_level::warning, "warning"},
+    {log_level::error, "error"},
+}};
+
 /// The pairs of one event's line, in order.
 using log_fields = std::vector<std::pair<std::string, std::string>>;
 
--- /dev/null
+++ b/libs/settings/src/contradictions.cpp
@@ -0,0 +1,174 @@
+#include "contradictions.hpp"
+
+#include <algorithm>
+
+namespace camphorhitch::settings
+{
+
+namespace
+{
+
+constexpr int beats_in_freshness = 3; ///< so that one lost heartbeat makes nobody stale
+constexpr int calls_in_lease = 2;     ///< so that one lost answer loses no lease
+
+/// Collects contradictions between values that are each right.
+class checker
+{
+public:
+    checker(const checked_json::document& d, const core::findings& known)
+        : document_(d), known_(known)
+    {
+    }
+
+    /// Reports \p text at \p pointer when \p holds is false.
+    /// \param other the value that \p pointer's contradicts.
+    void expect(bool holds, const char* pointer, const char* other, const std::string& text)
+    {
+        if (!holds && !is_known(pointer) && !is_known(other))
+        {
+            found_.push_back({checked_json::place_of(document_, pointer), text, {}});
+        }
+    }
+
+    core::findings take()
+    {
+        return std::move(found_);
+    }
+
+private:
+    bool is_known(const std::string& pointer) const
+    {
+        return std::any_of(known_.begin(),
+            known_.end(),
+            [&](const core::finding& it)
+            { return !it.where.pointer.empty() && pointer.rfind(it.where.pointer, 0) == 0; });
+    }
+
+    const checked_json::document& document_;
+    const core::findings& known_;
+    core::findings found_;
+};
+
+std::string ip_of(const std::string& address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+std::string port_of(const std::string& address)
+{
+    return address.substr(address.rfind(':') + 1);
+}
+
+bool is_any_address(const std::string& address)
+{
+    const auto ip = ip_of(address);
+    return ip == "0.0.0.0" || ip == "[::]";
+}
+
+/// Port 0 asks for a free port and clashes with nothing. An empty address was reported before.
+bool clash(const std::string& a, const std::string& b)
+{
+    if (a.empty() || b.empty())
+    {
+        return false;
+    }
+    const bool same_ip = ip_of(a) == ip_of(b) || is_any_address(a) || is_any_address(b);
+    return same_ip && port_of(a) == port_of(b) && port_of(a) != "0";
+}
+
+std::string ms(core::millis t)
+{
+    return std::to_string(t.count()) + " ms";
+}
+
+void check_addresses(checker& c, const daemon_settings& s)
+{
+    c.expect(!is_any_address(s.peer_address),
+        "/peer_address",
+        "/peer_address",
+        "peers need an address to reach, not one that stands for all");
+    c.expect(!clash(s.caller_address, s.peer_address),
+        "/caller_address",
+        "/peer_address",
+        "is the address of 'peer_address' too");
+    c.expect(!clash(s.operator_address, s.peer_address),
+        "/operator_address",
+        "/peer_address",
+        "is the address of 'peer_address' too");
+    c.expect(!clash(s.operator_address, s.caller_address),
+        "/operator_address",
+        "/caller_address",
+        "is the address of 'caller_address' too");
+}
+
+/// Whoever reads the token of one service in a configuration or a log must not hold the others.
+void check_tokens(checker& c, const daemon_settings& s)
+{
+    c.expect(s.store.token != s.operator_token,
+        "/operator_token",
+        "/store/token",
+        "must differ from the token of 'store'");
+    c.expect(s.platform.token != s.operator_token,
+        "/operator_token",
+        "/platform/token",
+        "must differ from the token of 'platform'");
+}
+
+void check_store(checker& c, const daemon_settings& s)
+{
+    c.expect(s.store.lease_ttl >= calls_in_lease * s.store.timeout,
+        "/store/lease_ttl_ms",
+        "/store/timeout_ms",
+        "must be at least " + ms(calls_in_lease * s.store.timeout) +
+            ", twice 'timeout_ms', or one lost answer loses the lease");
+    c.expect(s.store.timeout < s.timing.freshness,
+        "/store/timeout_ms",
+        "/timing/freshness_ms",
+        "must be less than 'timing/freshness_ms' of " + ms(s.timing.freshness) +
+            ", or one slow call makes the member stale");
+}
+
+void check_timing(checker& c, const daemon_settings& s)
+{
+    const timing_settings& t = s.timing;
+    c.expect(t.freshness >= beats_in_freshness * t.beat_interval,
+        "/timing/freshness_ms",
+        "/timing/beat_interval_ms",
+        "must be at least " + ms(beats_in_freshness * t.beat_interval) +
+            ", three times 'beat_interval_ms', or one lost heartbeat makes the member stale");
+    c.expect(t.permit_ttl <= t.freshness,
+        "/timing/permit_ttl_ms",
+        "/timing/freshness_ms",
+        "must be at most 'freshness_ms' of " + ms(t.freshness) +
+            ", or a permit outlives the time after which others count on its end");
+    c.expect(t.outage_grace >= t.freshness + t.take_over_margin,
+        "/timing/outage_grace_ms",
+        "/timing/freshness_ms",
+        "must be at least " + ms(t.freshness + t.take_over_margin) +
+            ", 'freshness_ms' and 'take_over_margin_ms' together");
+}
+
+void check_limits(checker& c, const daemon_settings& s)
+{
+    c.expect(s.limits.open_requests <= s.limits.connections,
+        "/limits/open_requests",
+        "/limits/connections",
+        "must be at most 'connections' of " + std::to_string(s.limits.connections) +
+            ": a connection carries one request at a time");
+}
+
+} // namespace
+
+core::findings contradictions(
+    const daemon_settings& s, const checked_json::document& d, const core::findings& found)
+{
+    checker c{d, found};
+    check_addresses(c, s);
+    check_tokens(c, s);
+    check_store(c, s);
+    check_timing(c, s);
+    check_limits(c, s);
+    return c.take();
+}
+
+} // namespace camphorhitch::settings
