Tests of targets, workers and live list; smaller files

Cause: drivers rest on what these count and on their faults. Change: tests of the ledger, slots, cut-off counts, silent connections, tasks, leases, reboots and notices; long files split; one refusal of wrong bodies in place of seven.

--- a/testing/standin_kv/src/service.cpp
+++ b/testing/standin_kv/src/service.cpp
@@ -38,6 +38,18 @@
            body.find("request_delete_range") == std::string::npos;
 }
 
+/// \return what was asked for, or nullptr when it was refused.
+template <class T>
+const T* accepted(const exchange_ptr& held, const parsed<T>& request)
+{
+    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    {
+        held->respond(gateway_error(*wrong));
+        return nullptr;
+    }
+    return &std::get<T>(request);
+}
+
 ports::http_response no_lease()
 {
     return gateway_error(404, grpc_not_found, "etcdserver: requested lease not found");
@@ -115,12 +127,12 @@
 void service::on_range(const exchange_ptr& held)
 {
     const auto request = parse_range(held->request.body);
-    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    const auto* const wanted = accepted(held, request);
+    if (wanted == nullptr)
     {
-        held->respond(gateway_error(*wrong));
         return;
     }
-    const auto& r = std::get<range_request>(request);
+    const auto& r = *wanted;
     if (r.revision != 0 && (r.revision <= store_.compacted || r.revision > store_.revision))
     {
         held->respond(gateway_error(
@@ -170,12 +182,12 @@
 void service::on_transaction(const exchange_ptr& held)
 {
     const auto request = parse_transaction(held->request.body, settings_.largest_value);
-    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    const auto* const wanted = accepted(held, request);
+    if (wanted == nullptr)
     {
-        held->respond(gateway_error(*wrong));
         return;
     }
-    const auto& t = std::get<transaction>(request);
+    const auto& t = *wanted;
     const auto v = apply(store_, t, standin_support::unix_ms());
     const auto answer = v == verdict::no_lease ? no_lease() : transaction_answer(t, v);
     if (t.does == effect::none)
@@ -191,12 +203,12 @@
 void service::on_grant(const exchange_ptr& held)
 {
     const auto request = parse_grant(held->request.body);
-    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    const auto* const wanted = accepted(held, request);
+    if (wanted == nullptr)
     {
-        held->respond(gateway_error(*wrong));
         return;
     }
-    const auto ttl = std::get<core::millis>(request);
+    const auto ttl = *wanted;
     const auto id = grant(store_, ttl, standin_.loop.now());
     const auto answer = json_response(200,
         {{"header", header_json(store_.revision)},
@@ -209,12 +221,12 @@
 void service::on_keep_alive(const exchange_ptr& held)
 {
     const auto request = parse_lease_id(held->request.body);
-    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    const auto* const wanted = accepted(held, request);
+    if (wanted == nullptr)
     {
-        held->respond(gateway_error(*wrong));
         return;
     }
-    const auto id = std::get<std::int64_t>(request);
+    const auto id = *wanted;
     const auto ttl = keep_alive(store_, id, standin_.loop.now());
     json result = {{"header", header_json(store_.revision)}, {"ID", std::to_string(id)}};
     if (ttl)
@@ -229,12 +241,12 @@
 void service::on_revoke(const exchange_ptr& held)
 {
     const auto request = parse_lease_id(held->request.body);
-    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    const auto* const wanted = accepted(held, request);
+    if (wanted == nullptr)
     {
-        held->respond(gateway_error(*wrong));
         return;
     }
-    const auto known = revoke(store_, std::get<std::int64_t>(request), standin_support::unix_ms());
+    const auto known = revoke(store_, *wanted, standin_support::unix_ms());
     const auto answer =
         known ? json_response(200, {{"header", header_json(store_.revision)}}) : no_lease();
     count_answer(counts_, call_kind::revoke, answer.body.size());
@@ -244,16 +256,15 @@
 void service::on_watch(const exchange_ptr& held)
 {
     const auto request = parse_watch(held->request.body);
-    if (const auto* const wrong = std::get_if<core::findings>(&request))
+    const auto* const wanted = accepted(held, request);
+    if (wanted == nullptr)
     {
-        held->respond(gateway_error(*wrong));
         return;
     }
-    const auto& wanted = std::get<watch_request>(request);
-    const auto start = wanted.start_revision == 0 ? store_.revision + 1 : wanted.start_revision;
+    const auto start = wanted->start_revision == 0 ? store_.revision + 1 : wanted->start_revision;
     auto it = std::make_shared<watch>();
     it->request = held->request;
-    it->range = wanted.range;
+    it->range = wanted->range;
     it->next = position_of(store_, start);
     it->stream = held->stream(200, "application/json");
     json created = {{"header", header_json(store_.revision)}, {"created", true}};
@@ -336,60 +347,4 @@
     }
 }
 
-ports::http_response service::on_control(const ports::http_request& r)
-{
-    object_reader command(r.body);
-    gate_.control(command);
-    end_partitioned_watches();
-    command.read_share("stale_reads", stale_reads_);
-    command.read("stale_revisions", stale_revisions_);
-    command.read("writes_per_second", limiter_.limits.writes);
-    command.read("reads_per_second", limiter_.limits.reads);
-    std::int64_t lag_ms = 0;
-    if (command.read("watch_lag_ms", lag_ms))
-    {
-        watch_lag_ = core::millis{lag_ms};
-    }
-    return standin_support::control_answer(command);
-}
-
-ports::http_response service::stats() const
-{
-    auto all = to_json(counts_);
-    all["revision"] = store_.revision;
-    all["keys"] = read(store_, {std::string(1, '\0'), std::string(1, '\0')}).size();
-    all["leases"] = store_.leases.size();
-    all["watches"] = watches_.size();
-    all["connections"] = port_->counts().open;
-    all["lost_answers"] = gate_.lost_answers();
-    all["out"] = gate_.is_out();
-    return json_response(200, all);
-}
-
-ports::http_response service::history(const ports::http_request& r) const
-{
-    const auto from = standin_support::query_value(r.query, "from_revision");
-    const auto prefix = standin_support::query_value(r.query, "prefix");
-    json all = json::array();
-    for (auto i = position_of(store_, std::atoll(from.c_str())); i < store_.history.size(); ++i)
-    {
-        const auto& it = store_.history[i];
-        if (!it.now.key.starts_with(prefix))
-        {
-            continue;
-        }
-        json one = {{"key", it.now.key},
-            {"revision", it.now.mod_revision},
-            {"at_ms", it.at_ms},
-            {"lease", it.now.lease}};
-        one[it.deleted ? "deleted" : "value"] = it.deleted ? json(true) : json(it.now.value);
-        if (it.value_dropped)
-        {
-            one["value_dropped"] = true;
-        }
-        all.push_back(std::move(one));
-    }
-    return json_response(200, {{"changes", all}});
-}
-
 } // namespace camphorhitch::standin_kv
--- a/testing/standin_livelist/src/service.cpp
+++ b/testing/standin_livelist/src/service.cpp
@@ -72,10 +72,9 @@
     {
         body.add_finding("state", "must be live, leaving or down");
     }
-    const auto wrong = body.finish();
-    if (!wrong.empty())
+    if (const auto wrong = standin_support::refusal(body))
     {
-        held->respond(error_response(400, core::to_text(wrong)));
+        held->respond(*wrong);
         return;
     }
     host.state = *known;
--- a/testing/standin_support/include/standin_support/json.hpp
+++ b/testing/standin_support/include/standin_support/json.hpp
@@ -73,6 +73,10 @@
     node* here_ = nullptr;
 };
 
+/// Finishes a body.
+/// \return 400 with all findings, or nothing when there are none.
+std::optional<ports::http_response> refusal(object_reader& body);
+
 /// Finishes a control command.
 /// \return 200, or 400 with all findings.
 ports::http_response control_answer(object_reader& command);
--- a/testing/standin_support/src/http_server.cpp
+++ b/testing/standin_support/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include "standin_support/http_server.hpp"
 
+#include "answers.hpp"
 #include "connection.hpp"
 #include "core/invariant.hpp"
 
@@ -19,24 +20,6 @@
 
 constexpr unsigned most_connections = 15000;
 
-struct cut_short
-{
-    std::string body;
-};
-
-ssize_t read_half(void* cls, std::uint64_t at, char* buf, std::size_t room)
-{
-    const auto& body = static_cast<cut_short*>(cls)->body;
-    const auto end = body.size() / 2;
-    if (at >= end)
-    {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
-    }
-    const auto n = std::min(room, end - static_cast<std::size_t>(at));
-    std::memcpy(buf, body.data() + at, n);
-    return static_cast<ssize_t>(n);
-}
-
 MHD_Result add_field(void* cls, MHD_ValueKind, const char* name, const char* text)
 {
     auto& fields = *static_cast<ports::http_fields*>(cls);
@@ -44,17 +27,6 @@
     return MHD_YES;
 }
 
-MHD_Result queue(MHD_Connection* wire, const ports::http_response& r, MHD_Response* response)
-{
-    for (const auto& [name, text] : r.fields)
-    {
-        MHD_add_response_header(response, name.c_str(), text.c_str());
-    }
-    const auto ec = MHD_queue_response(wire, static_cast<unsigned>(r.status), response);
-    MHD_destroy_response(response);
-    return ec;
-}
-
 } // namespace
 
 /// libmicrohttpd's callbacks, gathered so that the classes need one friend only.
@@ -173,22 +145,12 @@
 
     static MHD_Result finish(MHD_Connection* wire, const exchange_ptr& held)
     {
-        const auto& r = held->response_;
         switch (held->how_)
         {
         case exchange::ending::answer:
-            return queue(wire,
-                r,
-                MHD_create_response_from_buffer(
-                    r.body.size(), const_cast<char*>(r.body.data()), MHD_RESPMEM_MUST_COPY));
+            return queue_whole(wire, held->response_);
         case exchange::ending::truncated:
-            return queue(wire,
-                r,
-                MHD_create_response_from_callback(r.body.size(),
-                    block_size,
-                    &read_half,
-                    new cut_short{r.body},
-                    [](void* cls) { delete static_cast<cut_short*>(cls); }));
+            return queue_truncated(wire, held->response_);
         case exchange::ending::stream:
             return start_stream(wire, held);
         case exchange::ending::open:
@@ -202,7 +164,7 @@
     {
         held->stream_->wire_ = wire;
         auto* const response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
-            block_size,
+            answer_block_size,
             &read_stream,
             new exchange_ptr(held),
             [](void* cls) { delete static_cast<exchange_ptr*>(cls); });
@@ -269,8 +231,6 @@
             tell();
         }
     }
-
-    static constexpr std::size_t block_size = 64 * 1024;
 };
 
 http_server::http_server(event_loop& loop, std::size_t largest_body)
--- a/testing/standin_support/src/json.cpp
+++ b/testing/standin_support/src/json.cpp
@@ -231,11 +231,19 @@
     return whole_->findings;
 }
 
+std::optional<ports::http_response> refusal(object_reader& body)
+{
+    const auto wrong = body.finish();
+    if (wrong.empty())
+    {
+        return std::nullopt;
+    }
+    return error_response(400, core::to_text(wrong));
+}
+
 ports::http_response control_answer(object_reader& command)
 {
-    const auto wrong = command.finish();
-    return wrong.empty() ? json_response(200, json::object())
-                         : error_response(400, core::to_text(wrong));
+    return refusal(command).value_or(json_response(200, json::object()));
 }
 
 } // namespace camphorhitch::standin_support
--- a/testing/standin_target/src/service.cpp
+++ b/testing/standin_target/src/service.cpp
@@ -120,10 +120,9 @@
     object_reader query(r.body);
     std::vector<std::string> ids;
     query.read("ids", ids);
-    const auto wrong = query.finish();
-    if (!wrong.empty())
+    if (const auto wrong = standin_support::refusal(query))
     {
-        return error_response(400, core::to_text(wrong));
+        return *wrong;
     }
     json all = json::object();
     for (const auto& it : ids)
--- a/testing/standin_worker/src/control.cpp
+++ b/testing/standin_worker/src/control.cpp
@@ -131,7 +131,7 @@
             {"starts", fleet_.records.size()},
             {"ends", ends},
             {"calls", calls_},
-            {"notices_pending", livelist_.pending() + targets_.pending()}});
+            {"notices_pending", notices_pending()}});
 }
 
 ports::http_response service::record() const
--- a/testing/standin_worker/src/service.cpp
+++ b/testing/standin_worker/src/service.cpp
@@ -166,10 +166,9 @@
     {
         body.add_finding("command", "is missing");
     }
-    const auto wrong = body.finish();
-    if (!wrong.empty())
+    if (const auto wrong = standin_support::refusal(body))
     {
-        held->respond(error_response(400, core::to_text(wrong)));
+        held->respond(*wrong);
         return;
     }
     gate_.answer_write(held, "reboot", to_response(reboot(fleet_, parts.front(), command, now())));
@@ -179,10 +178,9 @@
 {
     object_reader body(held->request.body);
     const auto order = read_order(body, parts.front());
-    const auto wrong = body.finish();
-    if (!wrong.empty())
+    if (const auto wrong = standin_support::refusal(body))
     {
-        held->respond(error_response(400, core::to_text(wrong)));
+        held->respond(*wrong);
         return;
     }
     gate_.answer_write(held, "start", to_response(start(fleet_, order, now())));
@@ -200,10 +198,9 @@
     {
         body.add_finding("action", "must be renew, checkpoint, throttle, unthrottle or stop");
     }
-    const auto wrong = body.finish();
-    if (!wrong.empty())
+    if (const auto wrong = standin_support::refusal(body))
     {
-        held->respond(error_response(400, core::to_text(wrong)));
+        held->respond(*wrong);
         return;
     }
     const auto acted = act(fleet_, parts.front(), tasks, *action, now());
--- a/testing/standin_worker/src/service.hpp
+++ b/testing/standin_worker/src/service.hpp
@@ -39,6 +39,12 @@
         return *control_port_;
     }
 
+    /// \return notices that the neighbours have not taken yet.
+    std::size_t notices_pending()
+    {
+        return livelist_.pending() + targets_.pending();
+    }
+
 private:
     using exchange_ptr = standin_support::exchange_ptr;
     using path_parts = standin_support::path_parts;
