--- a/testing/standin_support/src/base64.cpp
+++ b/libs/core/src/base64.cpp
@@ -1,8 +1,9 @@
-#include "standin_support/json.hpp"
+#include "core/base64.hpp"
 
 #include <array>
+#include <cstdint>
 
-namespace camphorhitch::standin_support
+namespace camphorhitch::core
 {
 
 namespace
@@ -81,4 +82,4 @@
     return bytes;
 }
 
-} // namespace camphorhitch::standin_support
+} // namespace camphorhitch::core
--- a/libs/http/src/answer.cpp
+++ b/libs/http/src/answer.cpp
@@ -159,17 +159,12 @@
 {
     auto& it = *static_cast<transfer*>(cls);
     const std::size_t n = size * count;
-    if (it.streams)
-    {
-        it.pending.append(data, n);
-        return n;
-    }
     if (is_too_much(it, n))
     {
         return refuse_more(it);
     }
     it.received += n;
-    it.response.body.append(data, n);
+    (it.streams ? it.pending : it.response.body).append(data, n);
     return n;
 }
 
@@ -183,6 +178,8 @@
     out.response = std::move(it.response);
     out.new_connection = it.new_connection;
     out.elapsed = now - it.started;
+    out.bytes_sent = static_cast<std::uint64_t>(bytes_sent(it.easy));
+    out.bytes_received = it.received;
     return out;
 }
 
--- a/libs/http/src/endpoint.cpp
+++ b/libs/http/src/endpoint.cpp
@@ -1,5 +1,7 @@
 #include "endpoint.hpp"
 
+#include "http/address.hpp"
+
 #include <arpa/inet.h>
 #include <charconv>
 #include <netinet/in.h>
@@ -73,6 +75,11 @@
     return std::nullopt;
 }
 
+bool is_address(const std::string& text)
+{
+    return parse_endpoint(text).has_value();
+}
+
 std::uint16_t local_port(int fd)
 {
     endpoint out;
--- a/libs/http/src/endpoint.hpp
+++ b/libs/http/src/endpoint.hpp
@@ -16,7 +16,7 @@
     socklen_t length = 0;
 };
 
-/// \param text "127.0.0.1:80" or "[::1]:80"; names are refused, so nothing waits for a resolver
+/// \return nothing when \p text is no address; see http/address.hpp.
 std::optional<endpoint> parse_endpoint(const std::string& text);
 
 /// \return the local port of a bound socket, or 0.
--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -1,4 +1,6 @@
-#include "fixture.hpp"
+#include "http/client.hpp"
+#include "http/server.hpp"
+#include "http_fakes/fakes.hpp"
 
 #include <netinet/tcp.h>
 #include <optional>
@@ -8,6 +10,7 @@
 
 using namespace camphorhitch;
 using namespace camphorhitch::http;
+using namespace camphorhitch::http_fakes;
 using namespace std::chrono_literals;
 using ports::call_end;
 
--- a/libs/ports/include/ports/http.hpp
+++ b/libs/ports/include/ports/http.hpp
@@ -82,6 +82,8 @@
     std::string detail; ///< for logs
     bool new_connection = false;
     core::micros elapsed{0};
+    std::uint64_t bytes_sent = 0;     ///< of HTTP, header included
+    std::uint64_t bytes_received = 0; ///< of HTTP, header included
 };
 
 /// Names one call; 0 is none.
--- a/libs/ports/include/ports/key_value.hpp
+++ b/libs/ports/include/ports/key_value.hpp
@@ -68,8 +68,8 @@
     std::function<void(std::string key, std::function<void(kv_read)>)> get;
     /// All keys that start with \p prefix.
     std::function<void(std::string prefix, std::function<void(kv_read)>)> range;
-    /// Compares only: ok when the key's revision is \p expected, conflict otherwise. Never stale, and
-    /// small on the wire, since no value is returned.
+    /// Compares only: ok when the key's revision is \p expected, conflict otherwise. Never stale,
+    /// and small on the wire, since no value is returned.
     std::function<void(std::string key, revision expected, std::function<void(kv_write)>)> check;
     /// Writes when the key's revision is \p expected (0: only when it does not exist).
     std::function<void(std::string key,
--- a/libs/http/tests/fixture.hpp
+++ b/testing/http_fakes/include/http_fakes/fakes.hpp
@@ -1,9 +1,8 @@
 /// \file
-/// What the tests of server and client share: a loop, raw callers, and a peer that misbehaves.
+/// Peers that misbehave, for tests of what speaks HTTP: raw callers and a scripted target.
 #pragma once
 
-#include "http/client.hpp"
-#include "http/server.hpp"
+#include "reactor/event_loop.hpp"
 
 #include <arpa/inet.h>
 #include <chrono>
@@ -16,8 +15,9 @@
 #include <sys/socket.h>
 #include <tuple>
 #include <unistd.h>
+#include <utility>
 
-namespace camphorhitch::http
+namespace camphorhitch::http_fakes
 {
 
 inline constexpr std::chrono::seconds give_up{10};
@@ -233,4 +233,4 @@
     std::map<int, peer> open_;
 };
 
-} // namespace camphorhitch::http
+} // namespace camphorhitch::http_fakes
--- a/testing/standin_kv/src/wire.cpp
+++ b/testing/standin_kv/src/wire.cpp
@@ -1,5 +1,7 @@
 #include "wire.hpp"
 
+#include "core/base64.hpp"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -220,14 +222,14 @@
 
 json record_json(const record& r)
 {
-    json all = {{"key", standin_support::to_base64(r.key)}};
+    json all = {{"key", core::to_base64(r.key)}};
     put_number(all, "create_revision", r.create_revision);
     put_number(all, "mod_revision", r.mod_revision);
     put_number(all, "version", r.version);
     put_number(all, "lease", r.lease);
     if (!r.value.empty())
     {
-        all["value"] = standin_support::to_base64(r.value);
+        all["value"] = core::to_base64(r.value);
     }
     return all;
 }
--- a/testing/standin_support/include/standin_support/json.hpp
+++ b/testing/standin_support/include/standin_support/json.hpp
@@ -17,10 +17,6 @@
 namespace camphorhitch::standin_support
 {
 
-std::string to_base64(std::string_view bytes);
-/// \return nothing when \p text isn't base64.
-std::optional<std::string> from_base64(std::string_view text);
-
 ports::http_response json_response(int status, const nlohmann::json& body);
 /// \return {"error": \p text}.
 ports::http_response error_response(int status, const std::string& text);
--- a/testing/standin_support/src/json.cpp
+++ b/testing/standin_support/src/json.cpp
@@ -1,5 +1,7 @@
 #include "standin_support/json.hpp"
 
+#include "core/base64.hpp"
+
 #include <charconv>
 #include <deque>
 #include <nlohmann/json.hpp>
@@ -150,7 +152,7 @@
     {
         return false;
     }
-    auto bytes = from_base64(text);
+    auto bytes = core::from_base64(text);
     if (!bytes)
     {
         add_finding(name, "must be base64");
