--- a/programs/camphorhitchd/src/membership_service.cpp
+++ b/programs/camphorhitchd/src/membership_service.cpp
@@ -67,6 +67,26 @@
     return membership::stopped_from(stop_, roster_);
 }
 
+membership::member_list membership_service::recent_formers(core::millis longest) const
+{
+    const auto now = context_.scheduler.now();
+    membership::member_list found;
+    for (const auto& former : roster_.history)
+    {
+        for (const auto& it : former.members)
+        {
+            const auto left = left_at_.find(membership::process_name(it));
+            const bool long_ago = left != left_at_.end() && now - left->second > longest;
+            if (!long_ago && !membership::contains_process(roster_.members, it) &&
+                !membership::contains_process(found, it))
+            {
+                found.push_back(it);
+            }
+        }
+    }
+    return found;
+}
+
 const std::map<std::string, peer_view>& membership_service::peers() const
 {
     return peers_;
@@ -380,6 +400,13 @@
     {
         return;
     }
+    for (const auto& it : roster_.members)
+    {
+        if (!membership::contains_process(next->members, it))
+        {
+            left_at_[membership::process_name(it)] = now;
+        }
+    }
     roster_ = *next;
     roster_text_ = text;
     roster_revision_ = modified;
