--- a/libs/core/tests/core_tests.cpp
+++ b/libs/core/tests/core_tests.cpp
@@ -1,3 +1,4 @@
+#include "core/base64.hpp"
 #include "core/findings.hpp"
 #include "core/invariant.hpp"
 #include "core/names.hpp"
@@ -80,3 +81,27 @@
     set_invariant_handler(before);
     STRCMP_EQUAL("two owners: h1", seen.c_str());
 }
+
+TEST_GROUP(base64)
+{
+};
+
+TEST(base64, there_and_back)
+{
+    struct row
+    {
+        const char* bytes;
+        const char* text;
+    };
+    const row rows[] = {
+        {"", ""}, {"a", "YQ=="}, {"ab", "YWI="}, {"abc", "YWJj"}, {"\xff\xfe\xfd>", "//79Pg=="}};
+    for (const auto& it : rows)
+    {
+        STRCMP_EQUAL(it.text, to_base64(it.bytes).c_str());
+        STRCMP_EQUAL(it.bytes, from_base64(it.text).value().c_str());
+    }
+    for (const auto* const it : {"YQ", "Y?==", "YQ=a"})
+    {
+        CHECK(!from_base64(it).has_value());
+    }
+}
--- a/libs/store/include/store/etcd_store.hpp
+++ b/libs/store/include/store/etcd_store.hpp
@@ -19,6 +19,7 @@
 enum class call_kind : std::uint8_t
 {
     range,
+    check,
     put,
     remove,
     grant,
@@ -27,8 +28,9 @@
     watch
 };
 
-inline constexpr core::name_table<call_kind, 7> call_kind_names{{
+inline constexpr core::name_table<call_kind, 8> call_kind_names{{
     {call_kind::range, "range"},
+    {call_kind::check, "check"},
     {call_kind::put, "put"},
     {call_kind::remove, "remove"},
     {call_kind::grant, "grant"},
--- a/libs/store/src/etcd_store.cpp
+++ b/libs/store/src/etcd_store.cpp
@@ -64,6 +64,18 @@
         deliver(std::move(to), effect::write, read_transaction));
 }
 
+void check(store_state& it,
+    const std::string& key,
+    ports::revision expected,
+    std::function<void(ports::kv_write)> to)
+{
+    it.call(call_kind::check,
+        "/v3/kv/txn",
+        check_body(key, expected),
+        effect::none,
+        deliver(std::move(to), effect::none, read_check));
+}
+
 void grant(store_state& it, core::millis ttl, std::function<void(ports::kv_lease)> to)
 {
     it.call(call_kind::grant,
@@ -136,6 +148,10 @@
     {
         range(it, prefix, std::move(to));
     };
+    out.check = [&it](const std::string& key, ports::revision expected, auto to)
+    {
+        check(it, key, expected, std::move(to));
+    };
     out.put_if = [&it](const std::string& key,
                      const std::string& value,
                      ports::revision expected,
--- a/libs/store/src/wire.cpp
+++ b/libs/store/src/wire.cpp
@@ -68,16 +68,19 @@
         {"range_end", core::to_base64(end_of(prefix))}};
 }
 
-/// One comparison, one effect, and a read of what stands there when the comparison fails.
-json transaction(const std::string& key, ports::revision expected, json effect)
+json comparison(const std::string& key, ports::revision expected)
 {
-    const auto encoded = core::to_base64(key);
-    const json compare = {{"key", encoded},
+    return {{"key", core::to_base64(key)},
         {"target", "MOD"},
         {"result", "EQUAL"},
         {"mod_revision", std::to_string(expected)}};
-    const json read = {{"request_range", {{"key", encoded}}}};
-    return {{"compare", json::array({compare})},
+}
+
+/// One comparison, one effect, and a read of what stands there when the comparison fails.
+json transaction(const std::string& key, ports::revision expected, json effect)
+{
+    const json read = {{"request_range", {{"key", core::to_base64(key)}}}};
+    return {{"compare", json::array({comparison(key, expected)})},
         {"success", json::array({std::move(effect)})},
         {"failure", json::array({read})}};
 }
@@ -270,6 +273,11 @@
     return transaction(key, expected, remove).dump();
 }
 
+std::string check_body(const std::string& key, ports::revision expected)
+{
+    return json{{"compare", json::array({comparison(key, expected)})}}.dump();
+}
+
 std::string grant_body(core::millis ttl)
 {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(ttl).count();
@@ -346,6 +354,19 @@
     return out;
 }
 
+std::optional<ports::kv_write> read_check(const std::string& text)
+{
+    const auto answer = parse(text);
+    if (!revision_of(answer))
+    {
+        return std::nullopt;
+    }
+    ports::kv_write out;
+    out.status =
+        is_true(answer, "succeeded") ? ports::kv_status::ok : ports::kv_status::conflict;
+    return out;
+}
+
 std::optional<ports::kv_lease> read_grant(const std::string& text)
 {
     return read_lease(parse(text));
--- a/libs/store/src/wire.hpp
+++ b/libs/store/src/wire.hpp
@@ -19,6 +19,8 @@
     const std::string& value,
     ports::revision expected,
     ports::lease_id lease);
+/// A comparison alone, which changes nothing and returns no value.
+std::string check_body(const std::string& key, ports::revision expected);
 std::string delete_body(const std::string& key, ports::revision expected);
 std::string grant_body(core::millis ttl);
 std::string lease_body(ports::lease_id id);
@@ -44,6 +46,7 @@
 
 std::optional<ports::kv_read> read_range(const std::string& text);
 std::optional<ports::kv_write> read_transaction(const std::string& text);
+std::optional<ports::kv_write> read_check(const std::string& text);
 std::optional<ports::kv_lease> read_grant(const std::string& text);
 std::optional<ports::kv_lease> read_keep_alive(const std::string& text);
 
--- a/programs/camphorhitchd/src/claim_service.cpp
+++ b/programs/camphorhitchd/src/claim_service.cpp
@@ -152,12 +152,7 @@
                 copy->copy,
                 [this, number = copy->number](ports::peer_status status, ports::ack reply)
                 {
-                    act(claims::on_copy_result(table_,
-                        number,
-                        status,
-                        reply,
-                        members_.fresh(),
-                        context_.scheduler.now()));
+                    act(claims::on_copy_result(table_, number, status, reply, members_.fresh()));
                 });
         }
         else if (const auto* pull = std::get_if<claims::send_pull>(&it))
--- a/programs/camphorhitchd/src/membership_service.cpp
+++ b/programs/camphorhitchd/src/membership_service.cpp
@@ -268,8 +268,7 @@
     if (status == ports::peer_status::refused)
     {
         membership::on_refused(roster_state_, to, now);
-        membership::on_process_gone(stop_, to, now);
-        events_.on_process_gone(to);
+        note_gone(to);
         return;
     }
     if (status != ports::peer_status::ok)
@@ -279,8 +278,7 @@
     if (reply.member == to.id && reply.incarnation != to.incarnation)
     {
         // Another process answers at that address, so the one we meant is gone.
-        membership::on_process_gone(stop_, to, now);
-        events_.on_process_gone(to);
+        note_gone(to);
         return;
     }
     membership::on_peer_confirmed(freshness_, reply, started);
@@ -288,6 +286,21 @@
     take_word(reply);
 }
 
+void membership_service::note_gone(const model::member_record& who)
+{
+    membership::on_process_gone(stop_, who, context_.scheduler.now());
+    if (gone_.insert(membership::process_name(who)).second)
+    {
+        context_.log(ports::log_level::info, "process_gone", {{"member", who.id}});
+        events_.on_process_gone(who);
+    }
+}
+
+bool membership_service::is_gone(const model::member_record& who) const
+{
+    return gone_.count(membership::process_name(who)) > 0;
+}
+
 ports::heartbeat membership_service::on_beat(const ports::heartbeat& from)
 {
     const auto now = context_.scheduler.now();
--- a/programs/camphorhitchd/src/membership_service.hpp
+++ b/programs/camphorhitchd/src/membership_service.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace camphorhitch::daemon
@@ -59,6 +60,8 @@
     const model::roster_document& roster() const;
     /// \return when no process acts under an older epoch any more.
     core::mono_time older_epochs_stopped() const;
+    /// \return whether that process is proven to have ended.
+    bool is_gone(const model::member_record& who) const;
     /// \return processes of former rosters that may have acted less than \p longest ago.
     membership::member_list recent_formers(core::millis longest) const;
     const std::map<std::string, peer_view>& peers() const;
@@ -77,6 +80,7 @@
     void beat(const model::member_record& to);
     void on_beat_reply(const model::member_record& to, ports::peer_status status,
         const ports::heartbeat& reply, core::mono_time started);
+    void note_gone(const model::member_record& who);
     void take_word(const ports::heartbeat& from);
     void look();
     void act(const membership::propose_roster& it);
@@ -94,6 +98,7 @@
     ports::revision roster_revision_ = 0; ///< 0: heard from a peer only
     config_in_force config_;
     std::map<std::string, peer_view> peers_;
+    std::set<std::string> gone_; ///< proven to have ended, by process name
     /// When this process saw another leave the roster, by process name.
     std::map<std::string, core::mono_time> left_at_;
     ports::lease_id lease_ = 0;
--- a/programs/camphorhitchd/src/node.cpp
+++ b/programs/camphorhitchd/src/node.cpp
@@ -82,7 +82,7 @@
 {
     settings::daemon_settings settings;
     reactor::event_loop loop;
-    telemetry::telemetry tel;
+    telemetry::hub tel;
     std::unique_ptr<peer::network> network;
     std::optional<http::client> client;
     std::optional<store::etcd_store> store;
@@ -105,10 +105,10 @@
     explicit parts(const settings::daemon_settings& s)
         : settings(s),
           loop(reactor::event_loop::builder().build()),
-          tel(telemetry::telemetry::builder()
+          tel(telemetry::builder()
                   .level(s.log.level)
                   .sample(s.trace.sample)
-                  .service("camphorhitchd/" + s.member)
+                  .field("member", s.member)
                   .build())
     {
     }
@@ -129,8 +129,8 @@
     client = http::client::builder().loop(loop).build();
     auto made = store::etcd_store::builder()
                     .client(*client)
-                    .scheduler(loop.scheduler())
-                    .addresses(settings.store.addresses)
+                    .address(settings.store.addresses.front())
+                    .extra_fields({{"Camphorhitch-Member", settings.member}})
                     .token(settings.store.token)
                     .timeout(settings.store.timeout)
                     .build();
--- a/programs/camphorhitchd/src/permit_service.cpp
+++ b/programs/camphorhitchd/src/permit_service.cpp
@@ -156,11 +156,11 @@
     plan.epoch = roster.epoch;
     for (const auto& it : roster.members)
     {
-        plan.asked.push_back({it.id, it.incarnation, {}});
+        plan.asked.push_back({it.id, it.incarnation, false, {}});
     }
     for (const auto& it : members_.recent_formers(dispatch::longest_use(*d)))
     {
-        plan.former.push_back({it.id, it.incarnation, {}});
+        plan.former.push_back({it.id, it.incarnation, members_.is_gone(it), {}});
     }
     const auto now = context_.scheduler.now();
     plan.answers_by = members_.older_epochs_stopped();
--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -352,17 +352,12 @@
         {{"service", r.service}, {"class", klass}, {"outcome", outcome}},
         1);
     context_.telemetry.observe("camphorhitch_request_seconds", {{"class", klass}}, took.count());
-    note(r, "answers outcome=" + outcome + " rule=" + it.detail);
+    note(r, "answers outcome=" + outcome + " rule=" + it.reason);
     r.span.tag("outcome", outcome);
-    r.span.tag("rule", it.detail);
+    r.span.tag("rule", it.reason);
     r.span.finish();
-    auto response = it.response;
-    if (!it.detail.empty())
-    {
-        set_field(response.fields, "Camphorhitch-Reason", it.detail);
-    }
     by_exchange_.erase(r.exchange);
-    server_.respond(r.exchange, std::move(response));
+    server_.respond(r.exchange, it.response);
 }
 
 void request_service::note(open_request& r, std::string text)
--- a/testing/standin_kv/tests/service_tests.cpp
+++ b/testing/standin_kv/tests/service_tests.cpp
@@ -1,3 +1,4 @@
+#include "core/base64.hpp"
 #include "service.hpp"
 #include "standin_support/test_client.hpp"
 
@@ -6,7 +7,7 @@
 using namespace camphorhitch;
 using namespace camphorhitch::standin_kv;
 using standin_support::test_client;
-using standin_support::to_base64;
+using core::to_base64;
 
 namespace
 {
--- a/testing/standin_support/tests/json_tests.cpp
+++ b/testing/standin_support/tests/json_tests.cpp
@@ -8,26 +8,6 @@
 
 TEST_GROUP(standin_text){};
 
-TEST(standin_text, base64_there_and_back)
-{
-    struct row
-    {
-        const char* bytes;
-        const char* text;
-    };
-    const row rows[] = {
-        {"", ""}, {"a", "YQ=="}, {"ab", "YWI="}, {"abc", "YWJj"}, {"\xff\xfe\xfd>", "//79Pg=="}};
-    for (const auto& it : rows)
-    {
-        STRCMP_EQUAL(it.text, to_base64(it.bytes).c_str());
-        STRCMP_EQUAL(it.bytes, from_base64(it.text).value().c_str());
-    }
-    for (const auto* const it : {"YQ", "Y?==", "YQ=a"})
-    {
-        CHECK(!from_base64(it).has_value());
-    }
-}
-
 TEST(standin_text, reader_reports_all_findings_together)
 {
     object_reader reader(R"({"n": "12x", "on": 1, "share": 2, "inner": {"odd": 1}, "more": 0})");
