Stand-ins: clang-tidy clean

Cause: five findings of clang-tidy. Change: unused names, a loop and a copy. Tested: clang-tidy over all sources and tests of the stand-ins, then over the five mended files: clean.

--- a/testing/standin_kv/src/service.cpp
+++ b/testing/standin_kv/src/service.cpp
@@ -10,7 +10,6 @@
 using nlohmann::json;
 using standin_support::exchange_ptr;
 using standin_support::json_response;
-using standin_support::object_reader;
 using standin_support::path_parts;
 
 namespace
--- a/testing/standin_livelist/src/lagging_list.cpp
+++ b/testing/standin_livelist/src/lagging_list.cpp
@@ -1,5 +1,6 @@
 #include "lagging_list.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorhitch::standin_livelist
@@ -16,13 +17,14 @@
     std::vector<ports::live_host> all;
     for (const auto& [id, states] : l.hosts)
     {
-        for (auto it = states.rbegin(); it != states.rend(); ++it)
+        const auto had_begun = [then](const dated_state& it)
         {
-            if (it->since <= then)
-            {
-                all.push_back(it->host);
-                break;
-            }
+            return it.since <= then;
+        };
+        const auto newest = std::find_if(states.rbegin(), states.rend(), had_begun);
+        if (newest != states.rend())
+        {
+            all.push_back(newest->host);
         }
     }
     return all;
--- a/testing/standin_livelist/src/service.cpp
+++ b/testing/standin_livelist/src/service.cpp
@@ -9,7 +9,6 @@
 {
 
 using nlohmann::json;
-using standin_support::error_response;
 using standin_support::exchange_ptr;
 using standin_support::json_response;
 using standin_support::object_reader;
--- a/testing/standin_support/src/answers.hpp
+++ b/testing/standin_support/src/answers.hpp
@@ -9,7 +9,7 @@
 namespace camphorhitch::standin_support
 {
 
-inline constexpr std::size_t answer_block_size = 64 * 1024; ///< bytes
+inline constexpr std::size_t answer_block_size = 64u << 10; ///< bytes
 
 /// Queues \p response with status and header fields of \p r, and gives it up.
 MHD_Result queue(MHD_Connection* wire, const ports::http_response& r, MHD_Response* response);
--- a/testing/standin_support/src/http_server.cpp
+++ b/testing/standin_support/src/http_server.cpp
@@ -5,7 +5,6 @@
 #include "core/invariant.hpp"
 
 #include <algorithm>
-#include <cstring>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <sys/epoll.h>
@@ -189,8 +188,7 @@
             MHD_suspend_connection(stream.wire_);
             return 0;
         }
-        const auto n = std::min(room, stream.pending_.size());
-        std::memcpy(buf, stream.pending_.data(), n);
+        const auto n = stream.pending_.copy(buf, room);
         stream.pending_.erase(0, n);
         return static_cast<ssize_t>(n);
     }
