peer: failure tests, bounds before the token, hostile input

Cause: a refused connection is taken for proof that a process is gone, connections may go silent, and anyone can reach the port. One fault found by the tests: a continuation that kj had kept by reference, used after its end.

--- a/libs/peer/include/peer/network.hpp
+++ b/libs/peer/include/peer/network.hpp
@@ -99,7 +99,7 @@
     std::uint16_t port() const;
 
     /// May be called from any thread.
-    counters counts() const;
+    peer::counters counters() const;
 
 private:
     std::unique_ptr<parts> parts_;
--- a/libs/peer/src/calls.cpp
+++ b/libs/peer/src/calls.cpp
@@ -64,8 +64,10 @@
         return connect_end{};
     }
     add(counts_.connects);
-    auto made = connect_to(io_.unixEventPort, core::value(to))
-                    .then([this](connect_outcome socket) { return greet(kj::mv(socket)); });
+    auto made = kj::evalNow(
+        [&]() {
+            return connect_to(io_.unixEventPort, core::value(to));
+        }).then([this](connect_outcome socket) { return greet(kj::mv(socket)); });
     return io_.lowLevelProvider->getTimer()
         .timeoutAfter(settings_.connect_timeout.count() * kj::MILLISECONDS, kj::mv(made))
         .catch_([](kj::Exception&&) { return connect_end{}; });
@@ -103,11 +105,9 @@
     if (end.made)
     {
         state.current = end.made;
-        auto gone = [this, address, serial = end.made->serial()]()
-        {
-            retire(address, serial);
-        };
-        tasks_.add(end.made->on_disconnect().then(gone, [gone](kj::Exception&&) { gone(); }));
+        auto ended = end.made->on_disconnect().catch_([](kj::Exception&&) {});
+        tasks_.add(ended.then(
+            [this, address, serial = end.made->serial()]() { retire(address, serial); }));
     }
     forget_if_idle(address);
 }
--- a/libs/peer/src/network.cpp
+++ b/libs/peer/src/network.cpp
@@ -6,9 +6,10 @@
 #include "service.hpp"
 #include "sockets.hpp"
 
+#include <csignal>
 #include <kj/exception.h>
+#include <mutex>
 #include <pthread.h>
-#include <signal.h>
 #include <thread>
 
 namespace camphorhitch::peer
@@ -34,6 +35,15 @@
     }
 };
 
+/// kj's set-up fills static tables at its first use. Their guard is inside a library that the
+/// thread sanitizer can't see into; one thread at a time spares it a false report.
+kj::AsyncIoContext set_up_loop()
+{
+    static std::mutex one_at_a_time;
+    const std::lock_guard lock(one_at_a_time);
+    return kj::setupAsyncIo();
+}
+
 /// Blocks all signals while it lives, so that a thread started then leaves them to the others.
 class signals_blocked
 {
@@ -141,9 +151,10 @@
     };
 }
 
-core::error invalid(const std::string& text)
+void append(std::string& list, std::string_view item)
 {
-    return {core::error_code::invalid, "peer network: " + text};
+    list += list.empty() ? "" : ", ";
+    list += item;
 }
 
 std::string missing_handlers(const ports::peer_handlers& handlers)
@@ -155,13 +166,33 @@
             using type = decltype(method);
             if (!(handlers.*type::handler))
             {
-                names += names.empty() ? "" : ", ";
-                names += core::name_of(call_kind_names, type::kind);
+                append(names, core::name_of(call_kind_names, type::kind));
             }
         });
     return names;
 }
 
+/// \return what a builder lacks, or an empty string.
+std::string missing_parts(
+    const std::string& token, const ports::scheduler& s, const ports::peer_handlers& h)
+{
+    std::string all;
+    if (token.empty())
+    {
+        append(all, "a token");
+    }
+    if (!s.post)
+    {
+        append(all, "a scheduler");
+    }
+    const auto names = missing_handlers(h);
+    if (!names.empty())
+    {
+        append(all, "handlers for " + names);
+    }
+    return all;
+}
+
 } // namespace
 
 struct network::parts
@@ -183,7 +214,7 @@
 {
     try
     {
-        auto io = kj::setupAsyncIo();
+        auto io = set_up_loop();
         const quiet_callback quiet;
         calls out(io, outgoing, counts);
         service in(io, incoming, counts);
@@ -218,7 +249,7 @@
     return parts_->listening.port;
 }
 
-counters network::counts() const
+counters network::counters() const
 {
     return snapshot(parts_->counts);
 }
@@ -267,11 +298,10 @@
 
 core::result<std::unique_ptr<network>> network::builder::build()
 {
-    const auto missing = missing_handlers(handlers_);
-    if (token_.empty() || !scheduler_.post || !missing.empty())
+    const auto missing = missing_parts(token_, scheduler_, handlers_);
+    if (!missing.empty())
     {
-        return invalid("it needs a token, a scheduler and all handlers; missing handlers: " +
-                       (missing.empty() ? "none" : missing));
+        return core::error{core::error_code::invalid, "peer network: it needs " + missing};
     }
     const auto at = parse_address(address_);
     if (!core::is_ok(at))
--- a/libs/peer/src/served_peer.hpp
+++ b/libs/peer/src/served_peer.hpp
@@ -97,7 +97,7 @@
         if (!first || !owner_.right_token(context.getParams().getToken()))
         {
             add(owner_.counts().wrong_tokens);
-            KJ_FAIL_REQUIRE("wrong token");
+            return KJ_EXCEPTION(FAILED, "wrong token");
         }
         owner_.trust(messages_);
         context.getResults().setPeer(kj::heap<served_peer>(owner_));
--- a/libs/peer/src/service.cpp
+++ b/libs/peer/src/service.cpp
@@ -67,13 +67,9 @@
 kj::Promise<void> service::take_connections(kj::ConnectionReceiver& listener)
 {
     return listener.accept()
-        .then(
-            [this](kj::Own<kj::AsyncIoStream> io) -> kj::Promise<void>
-            {
-                take(kj::mv(io));
-                return kj::READY_NOW;
-            },
-            [this](kj::Exception&&) -> kj::Promise<void>
+        .then([this](kj::Own<kj::AsyncIoStream> io) { take(kj::mv(io)); })
+        .catch_(
+            [this](kj::Exception&&)
             {
                 // The socket stays open: closing it would tell the others that we are gone.
                 return io_.lowLevelProvider->getTimer().afterDelay(accept_pause);
--- a/libs/peer/tests/fixture.hpp
+++ b/libs/peer/tests/fixture.hpp
@@ -101,11 +101,16 @@
     return h;
 }
 
-/// A builder with everything set but what a test is about.
+/// A builder with everything set but what a test is about. What must come may take its time.
 inline network::builder plain_builder(test_scheduler& loop)
 {
     network::builder b;
     b.listen("127.0.0.1:0").token("secret").scheduler(loop.port()).handlers(plain_handlers());
+    b.connect_timeout(patience);
+    for (const auto& it : call_kind_names)
+    {
+        b.timeout(it.value, patience);
+    }
     return b;
 }
 
