--- a/programs/camphorhitchd/src/membership_service.hpp
+++ b/programs/camphorhitchd/src/membership_service.hpp
@@ -59,6 +59,8 @@
     const model::roster_document& roster() const;
     /// \return when no process acts under an older epoch any more.
     core::mono_time older_epochs_stopped() const;
+    /// \return processes of former rosters that may have acted less than \p longest ago.
+    membership::member_list recent_formers(core::millis longest) const;
     const std::map<std::string, peer_view>& peers() const;
     void set_config(config_in_force it);
 
@@ -92,6 +94,8 @@
     ports::revision roster_revision_ = 0; ///< 0: heard from a peer only
     config_in_force config_;
     std::map<std::string, peer_view> peers_;
+    /// When this process saw another leave the roster, by process name.
+    std::map<std::string, core::mono_time> left_at_;
     ports::lease_id lease_ = 0;
     bool granting_ = false;
     bool registering_ = false;
--- a/testing/standin_support/include/standin_support/json.hpp
+++ b/testing/standin_support/include/standin_support/json.hpp
@@ -17,10 +17,6 @@
 namespace camphorhitch::standin_support
 {
 
-std::string to_base64(std::string_view bytes);
-/// \return nothing when \p text isn't base64.
-std::optional<std::string> from_base64(std::string_view text);
-
 ports::http_response json_response(int status, const nlohmann::json& body);
 /// \return {"error": \p text}.
 ports::http_response error_response(int status, const std::string& text);
@@ -73,4 +69,12 @@
     node* here_ = nullptr;
 };
 
+/// Finishes a body.
+/// \return 400 with all findings, or nothing when there are none.
+std::optional<ports::http_response> refusal(object_reader& body);
+
+/// Finishes a control command.
+/// \return 200, or 400 with all findings.
+ports::http_response control_answer(object_reader& command);
+
 } // namespace camphorhitch::standin_support
