--- a/programs/camphorhitch/src/arguments.cpp
+++ b/programs/camphorhitch/src/arguments.cpp
@@ -23,16 +23,25 @@
 {
     cxxopts::Options options("camphorhitch", "Queries and commands for a camphorhitch fleet.");
     auto add = options.add_options();
-    add("s,server", "operators' address of a daemon, ip:port; several are tried in order",
+    add("s,server",
+        "operators' address of a daemon, ip:port; several are tried in order",
         cxxopts::value<std::vector<std::string>>());
     add("token-file", "file that holds the operators' token", cxxopts::value<std::string>());
-    add("f,file", "read statements from a file; - is standard input", cxxopts::value<std::string>());
+    add("f,file",
+        "read statements from a file; - is standard input",
+        cxxopts::value<std::string>());
+    add("apply",
+        "apply a file of configuration and hosts; - is standard input",
+        cxxopts::value<std::string>());
     add("json", "print JSON instead of tables");
     add("wait", "wait until a command is in force everywhere, or a wave has ended");
-    add("wait-seconds", "give up waiting after this long", cxxopts::value<int>()->default_value("600"));
+    add("wait-seconds",
+        "give up waiting after this long",
+        cxxopts::value<int>()->default_value("600"));
     add("watch", "repeat a query every N seconds", cxxopts::value<int>()->default_value("0"));
     add("timeout-ms", "most time for one call", cxxopts::value<int>()->default_value("10000"));
-    add("command-id", "id of the command; give the same one to repeat it safely",
+    add("command-id",
+        "id of the command; give the same one to repeat it safely",
         cxxopts::value<std::string>()->default_value(""));
     add("h,help", "print this text");
     add("version", "print the version");
@@ -86,7 +95,8 @@
 
 void read_statements(const cxxopts::ParseResult& given, arguments& out, core::findings& wrong)
 {
-    if (given.count("file") == 0)
+    out.apply = given.count("apply") > 0;
+    if (given.count("file") == 0 && !out.apply)
     {
         out.statements_name = "argument";
         if (given.count("statements") > 0)
@@ -97,7 +107,7 @@
             }
         }
     }
-    else if (const auto name = given["file"].as<std::string>(); name == "-")
+    else if (const auto name = given[out.apply ? "apply" : "file"].as<std::string>(); name == "-")
     {
         out.statements_name = "standard input";
         out.statements = whole(std::cin);
@@ -115,7 +125,8 @@
     }
     if (out.statements.empty())
     {
-        wrong.push_back({{out.statements_name, "", 0, 0}, "no statement, for example 'show hosts'", ""});
+        wrong.push_back(
+            {{out.statements_name, "", 0, 0}, "no statement, for example 'show hosts'", ""});
     }
 }
 
--- a/programs/camphorhitch/src/arguments.hpp
+++ b/programs/camphorhitch/src/arguments.hpp
@@ -15,9 +15,10 @@
 {
     std::vector<std::string> servers; ///< "ip:port", tried in order
     std::string token;
-    std::string statements;   ///< the text to execute
+    std::string statements;      ///< the text to execute
     std::string statements_name; ///< "argument", a file's name, or "standard input"
-    std::string command_id;   ///< given again to repeat a command whose answer was lost
+    bool apply = false;          ///< the text is a file of configuration and hosts, not statements
+    std::string command_id;      ///< given again to repeat a command whose answer was lost
     bool json = false;
     bool wait = false;
     int wait_seconds = 600;
--- a/programs/camphorhitch/src/session.cpp
+++ b/programs/camphorhitch/src/session.cpp
@@ -57,19 +57,31 @@
     return size * count;
 }
 
-raw_answer post(const arguments& a, const std::string& server, const std::string& body)
+/// One request to one server.
+struct request
+{
+    const char* method = "POST";
+    std::string path;
+    std::string body;
+    std::string command_id;
+};
+
+raw_answer send(const arguments& a, const std::string& server, const request& r)
 {
     raw_answer out;
     std::unique_ptr<CURL, easy_deleter> easy(curl_easy_init());
     curl_slist* list = curl_slist_append(nullptr, "Content-Type: application/json");
+    list = curl_slist_append(list, "Expect:");
     list = curl_slist_append(list, ("Authorization: Bearer " + a.token).c_str());
+    list = curl_slist_append(list, ("Camphorhitch-Command: " + r.command_id).c_str());
     std::unique_ptr<curl_slist, list_deleter> fields(list);
-    const std::string url = "http://" + server + "/v1/execute";
+    const std::string url = "http://" + server + r.path;
     curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy.get(), CURLOPT_CUSTOMREQUEST, r.method);
     curl_easy_setopt(easy.get(), CURLOPT_PROXY, "");
     curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, fields.get());
-    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
-    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.c_str());
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(r.body.size()));
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, r.body.c_str());
     curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(a.timeout_ms));
     curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, append);
     curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &out.body);
@@ -123,16 +135,22 @@
 
 call_outcome execute(const arguments& a, const std::string& command_id, bool check_only)
 {
-    const json request = {{"text", a.statements},
-        {"name", a.statements_name},
-        {"command", command_id},
-        {"check_only", check_only}};
-    const auto body = request.dump(-1, ' ', false, json::error_handler_t::replace);
+    request r{"PUT", "/v1/apply", a.statements, command_id};
+    if (!a.apply || check_only)
+    {
+        const json body = {{"text", a.statements},
+            {"name", a.statements_name},
+            {"command", command_id},
+            {"check_only", check_only}};
+        r.method = "POST";
+        r.path = "/v1/execute";
+        r.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    }
     call_outcome last;
     bool maybe_done = false;
     for (const auto& server : a.servers)
     {
-        const auto raw = post(a, server, body);
+        const auto raw = send(a, server, r);
         if (raw.ec == CURLE_OK)
         {
             auto out = read_raw(a, server, raw);
--- a/programs/camphorhitchd/src/membership_service.cpp
+++ b/programs/camphorhitchd/src/membership_service.cpp
@@ -185,8 +185,8 @@
         lease_);
 }
 
-/// Confirms by the store that the roster adopted here is still the one in force. The time that counts
-/// is when the question was sent: an answer read after a pause tells of the time before it.
+/// Confirms by the store that the roster adopted here is still the one in force. The time that
+/// counts is when the question was sent: an answer read after a pause tells of the time before it.
 void membership_service::confirm()
 {
     if (confirming_ || roster_revision_ == 0)
@@ -261,8 +261,10 @@
         { on_beat_reply(to, status, reply, started); });
 }
 
-void membership_service::on_beat_reply(const model::member_record& to, ports::peer_status status,
-    const ports::heartbeat& reply, core::mono_time started)
+void membership_service::on_beat_reply(const model::member_record& to,
+    ports::peer_status status,
+    const ports::heartbeat& reply,
+    core::mono_time started)
 {
     const auto now = context_.scheduler.now();
     if (status == ports::peer_status::refused)
@@ -356,7 +358,7 @@
     }
 }
 
-void membership_service::on_documents_read()
+void membership_service::on_documents_read(core::mono_time asked_at)
 {
     const auto now = context_.scheduler.now();
     if (context_.documents->find(model::keys::roster) == nullptr)
@@ -369,6 +371,12 @@
         membership::on_roster(roster_state_, roster_, roster_revision_, now);
     }
     take_leased();
+    // A read sent before it was asked for may tell of the time before a pause.
+    if (asked_reread_ && asked_at >= asked_reread_->at)
+    {
+        membership::on_reread(roster_state_, asked_reread_->ticket, now);
+        asked_reread_.reset();
+    }
 }
 
 void membership_service::take_leased()
@@ -459,8 +467,9 @@
         {
             act(*next);
         }
-        else if (std::holds_alternative<membership::reread_store>(it))
+        else if (const auto* reread = std::get_if<membership::reread_store>(&it))
         {
+            asked_reread_ = {reread->ticket, now};
             context_.documents->refresh();
         }
         else
--- a/programs/camphorhitchd/src/membership_service.hpp
+++ b/programs/camphorhitchd/src/membership_service.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -45,8 +46,8 @@
 class membership_service
 {
 public:
-    membership_service(context& c, membership::freshness_settings freshness,
-        membership_events events);
+    membership_service(
+        context& c, membership::freshness_settings freshness, membership_events events);
 
     void start();
     /// Leaves the roster; \p done is called when a roster without us is in force.
@@ -69,7 +70,8 @@
 
     ports::heartbeat on_beat(const ports::heartbeat& from);
     void on_document(const ports::kv_entry& entry);
-    void on_documents_read();
+    /// All documents were read. \param asked_at when the read was sent.
+    void on_documents_read(core::mono_time asked_at);
 
 private:
     void keep_lease();
@@ -78,8 +80,10 @@
     void confirm();
     void beat_all();
     void beat(const model::member_record& to);
-    void on_beat_reply(const model::member_record& to, ports::peer_status status,
-        const ports::heartbeat& reply, core::mono_time started);
+    void on_beat_reply(const model::member_record& to,
+        ports::peer_status status,
+        const ports::heartbeat& reply,
+        core::mono_time started);
     void note_gone(const model::member_record& who);
     void take_word(const ports::heartbeat& from);
     void look();
@@ -96,6 +100,13 @@
     model::roster_document roster_;
     std::string roster_text_;
     ports::revision roster_revision_ = 0; ///< 0: heard from a peer only
+    /// A whole read that the roster's logic asked for.
+    struct asked_reread
+    {
+        std::uint64_t ticket = 0;
+        core::mono_time at{};
+    };
+    std::optional<asked_reread> asked_reread_;
     config_in_force config_;
     std::map<std::string, peer_view> peers_;
     std::set<std::string> gone_; ///< proven to have ended, by process name
--- a/programs/camphorhitchd/src/node.cpp
+++ b/programs/camphorhitchd/src/node.cpp
@@ -55,8 +55,7 @@
     return out;
 }
 
-claims::claim_settings claims_of(
-    const settings::daemon_settings& s, const model::configuration& c)
+claims::claim_settings claims_of(const settings::daemon_settings& s, const model::configuration& c)
 {
     claims::claim_settings out;
     out.permit_ttl = s.timing.permit_ttl;
@@ -103,8 +102,7 @@
     std::optional<http::server> operator_server;
 
     explicit parts(const settings::daemon_settings& s)
-        : settings(s),
-          loop(reactor::event_loop::builder().build()),
+        : settings(s), loop(reactor::event_loop::builder().build()),
           tel(telemetry::builder()
                   .level(s.log.level)
                   .sample(s.trace.sample)
@@ -173,20 +171,43 @@
 ports::peer_handlers node::parts::handlers()
 {
     ports::peer_handlers h;
-    h.beat = [this](const auto& it, const auto& reply) { reply(members->on_beat(it)); };
-    h.request_permit = [this](const auto& it, const auto& reply) { permits->on_request(it, reply); };
+    h.beat = [this](const auto& it, const auto& reply)
+    {
+        reply(members->on_beat(it));
+    };
+    h.request_permit = [this](const auto& it, const auto& reply)
+    {
+        permits->on_request(it, reply);
+    };
     h.return_permits = [this](const auto& it, const auto& reply)
     {
         permits->on_returns(it);
         reply({true});
     };
-    h.query_held = [this](const auto& it, const auto& reply) { reply(requests->held(it)); };
-    h.claim = [this](const auto& it, const auto& reply) { claims->on_claim(it, reply); };
-    h.finish_claim = [this](const auto& it, const auto& reply) { claims->on_finish(it, reply); };
-    h.copy_claim = [this](const auto& it, const auto& reply) { reply(claims->on_copy(it)); };
-    h.pull_slots = [this](const auto& it, const auto& reply) { reply(claims->on_pull(it)); };
+    h.query_held = [this](const auto& it, const auto& reply)
+    {
+        reply(requests->held(it));
+    };
+    h.claim = [this](const auto& it, const auto& reply)
+    {
+        claims->on_claim(it, reply);
+    };
+    h.finish_claim = [this](const auto& it, const auto& reply)
+    {
+        claims->on_finish(it, reply);
+    };
+    h.copy_claim = [this](const auto& it, const auto& reply)
+    {
+        reply(claims->on_copy(it));
+    };
+    h.pull_slots = [this](const auto& it, const auto& reply)
+    {
+        reply(claims->on_pull(it));
+    };
     h.explain = [this](const auto& it, const auto& reply)
-    { reply({requests->explain(it.id)}); };
+    {
+        reply({requests->explain(it.id)});
+    };
     return h;
 }
 
@@ -216,25 +237,32 @@
         ctx.scheduler,
         ctx.telemetry,
         mirror_events{[this](const ports::kv_entry& it) { on_document(it); },
-            [this](core::mono_time) { members->on_documents_read(); }});
+            [this](core::mono_time asked_at)
+            {
+                members->on_documents_read(asked_at);
+            }});
     ctx.documents = documents.get();
     const jobs::settings job_rules;
     members = std::make_unique<membership_service>(ctx,
         freshness_of(settings),
         membership_events{[this] { on_roster(); },
             [this](const std::string& text, bool fresh) { config->on_offer(text, fresh); },
-            [this](const model::member_record& who) { permits->on_process_gone(who); }});
+            [this](const model::member_record& who)
+            {
+                permits->on_process_gone(who);
+            }});
     config = std::make_unique<config_service>(ctx, *members);
     permits = std::make_unique<permit_service>(ctx, *members, dispatcher_of(settings));
     claims = std::make_unique<claim_service>(ctx, *members, claims_of(settings, {}));
-    requests = std::make_unique<request_service>(
-        ctx, *members, *permits, *claims, sender_of(settings));
+    requests =
+        std::make_unique<request_service>(ctx, *members, *permits, *claims, sender_of(settings));
     fleet = std::make_unique<fleet_service>(ctx, *members, *permits);
     jobs = std::make_unique<job_service>(ctx, *members, *permits, *fleet, job_rules);
     intake = std::make_unique<job_intake>(ctx, *fleet, job_rules);
-    operators = std::make_unique<operator_service>(
-        ctx, operator_parts{*members, *config, *permits, *claims, *requests, *fleet, *jobs, *intake},
-        settings.operator_token, [this] { return tel.render(); });
+    operators = std::make_unique<operator_service>(ctx,
+        operator_parts{*members, *config, *permits, *claims, *requests, *fleet, *jobs, *intake},
+        settings.operator_token,
+        [this] { return tel.render(); });
     stopping = std::make_unique<stop_sequence>(ctx, *members, *claims, *requests);
 }
 
@@ -245,7 +273,9 @@
     fleet->set_jobs({[this](const std::string& pool, const std::string& host)
         { return jobs->tasks_on(pool, host); },
         [this](const std::string& pool, const std::string& host, core::millis left)
-        { jobs->move_off(pool, host, left); }});
+        {
+            jobs->move_off(pool, host, left);
+        }});
 }
 
 core::result<core::done> node::parts::open_servers()
@@ -261,7 +291,10 @@
                      .limits(limits)
                      .events({[this](ports::exchange_id id, ports::http_request r)
                          { requests->on_request(id, std::move(r)); },
-                         [this](ports::exchange_id id) { requests->on_gone(id); }})
+                         [this](ports::exchange_id id)
+                         {
+                             requests->on_gone(id);
+                         }})
                      .build();
     if (!core::is_ok(first))
     {
@@ -275,7 +308,10 @@
                       .limits(limits)
                       .events({[this](ports::exchange_id id, ports::http_request r)
                           { operators->on_request(id, std::move(r)); },
-                          [this](ports::exchange_id id) { operators->on_gone(id); }})
+                          [this](ports::exchange_id id)
+                          {
+                              operators->on_gone(id);
+                          }})
                       .build();
     if (!core::is_ok(second))
     {
