--- /dev/null
+++ b/libs/language/include/language/parse.hpp
@@ -0,0 +1,37 @@
+/// \file
+/// Text to statements.
+#pragma once
+
+#include "core/findings.hpp"
+#include "language/statements.hpp"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace camphorhitch::language
+{
+
+/// Longer texts give a finding and are not read.
+inline constexpr std::size_t longest_text = 1u << 20; // bytes
+
+struct located_statement
+{
+    position at;
+    statement what;
+};
+
+/// What a text holds. With any finding, nothing of it may be run: a script takes effect as it was
+/// meant or not at all.
+struct parsed
+{
+    std::vector<located_statement> statements;
+    core::findings found;
+};
+
+/// Reads statements separated by `;` or line breaks; `#` starts a comment. Goes on after a mistake
+/// at the next separator, so that all findings come together.
+/// \param document the text's name in findings.
+parsed parse(const std::string& text, const std::string& document);
+
+} // namespace camphorhitch::language
--- /dev/null
+++ b/libs/language/src/grammar.hpp
@@ -0,0 +1,23 @@
+/// \file
+/// The grammar; the only code that includes Boost.Spirit.
+#pragma once
+
+#include "language/statements.hpp"
+#include "source.hpp"
+
+#include <variant>
+
+namespace camphorhitch::language
+{
+
+/// A statement and the place after it.
+struct statement_end
+{
+    statement what;
+    const char* after = nullptr;
+};
+
+/// \param it where a statement begins.
+std::variant<statement_end, core::finding> read_statement(const source& text, const char* it);
+
+} // namespace camphorhitch::language
