--- a/libs/http/src/server_exchange.cpp
+++ b/libs/http/src/server_exchange.cpp
@@ -5,7 +5,7 @@
 #include "server_state.hpp"
 
 #include <algorithm>
-#include <cstring>
+#include <poll.h>
 
 namespace camphorhitch::http
 {
@@ -81,6 +81,13 @@
     }
 }
 
+/// Asks the socket: its caller may have left after the last look at the closures.
+bool has_left(int fd)
+{
+    pollfd it{fd, POLLRDHUP, 0};
+    return ::poll(&it, 1, 0) > 0;
+}
+
 std::size_t header_size(MHD_Connection* mhd)
 {
     const auto* const info = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
@@ -225,7 +232,7 @@
 
 MHD_Result server_state::hand_over(exchange& it)
 {
-    if (it.on->peer_closed)
+    if (it.on->peer_closed || has_left(it.on->fd))
     {
         it.at = phase::over;
         return MHD_NO;
--- a/libs/http/src/server_state.cpp
+++ b/libs/http/src/server_state.cpp
@@ -226,6 +226,9 @@
 
 void server_state::sweep()
 {
+    // First what lies in the buffers: a process that was paused wakes here, and would close
+    // connections whose requests have come meanwhile.
+    work();
     for (auto& it : connections_)
     {
         sweep_connection(*it.second);
