--- /dev/null
+++ b/programs/camphorhitchd/src/main.cpp
@@ -0,0 +1,89 @@
+/// \file
+/// camphorhitchd: the daemon of every entry host.
+
+#include "node.hpp"
+
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace
+{
+
+using namespace camphorhitch;
+
+/// Exit codes, documented in docs/operators/daemon.md.
+enum exit_code : int
+{
+    exit_ok = 0,
+    exit_usage = 2,       ///< the command line is wrong
+    exit_settings = 3,    ///< the settings are wrong; findings are printed
+    exit_cannot_start = 4 ///< an address can't be opened, or a library failed
+};
+
+int check_and_run(const std::string& file, bool only_check)
+{
+    std::ifstream in(file);
+    if (!in)
+    {
+        std::cerr << file << ": can't be read\n";
+        return exit_settings;
+    }
+    const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    const auto read = settings::read_daemon_settings(text, file);
+    if (const auto* wrong = std::get_if<core::findings>(&read))
+    {
+        std::cerr << core::to_text(*wrong);
+        return exit_settings;
+    }
+    if (only_check)
+    {
+        std::cout << file << ": good\n";
+        return exit_ok;
+    }
+    auto opened = daemon::node::open(std::get<settings::daemon_settings>(read));
+    if (!core::is_ok(opened))
+    {
+        std::cerr << core::failure(opened).message << '\n';
+        return exit_cannot_start;
+    }
+    return core::value(opened)->run();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("camphorhitchd", "Fleet capacity and maintenance manager.");
+    auto add = options.add_options();
+    add("settings", "settings file (JSON)", cxxopts::value<std::string>());
+    add("check", "check the settings and end");
+    add("h,help", "print this text");
+    add("version", "print the version");
+    try
+    {
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") > 0)
+        {
+            std::cout << options.help();
+            return exit_ok;
+        }
+        if (given.count("version") > 0)
+        {
+            std::cout << "camphorhitchd 0.1.0\n";
+            return exit_ok;
+        }
+        if (given.count("settings") == 0)
+        {
+            std::cerr << "--settings FILE is missing\n";
+            return exit_usage;
+        }
+        return check_and_run(given["settings"].as<std::string>(), given.count("check") > 0);
+    }
+    catch (const cxxopts::exceptions::exception& ec)
+    {
+        std::cerr << ec.what() << '\n';
+        return exit_usage;
+    }
+}
--- a/programs/camphorhitchd/src/membership_service.cpp
+++ b/programs/camphorhitchd/src/membership_service.cpp
@@ -67,6 +67,26 @@
     return membership::stopped_from(stop_, roster_);
 }
 
+membership::member_list membership_service::recent_formers(core::millis longest) const
+{
+    const auto now = context_.scheduler.now();
+    membership::member_list found;
+    for (const auto& former : roster_.history)
+    {
+        for (const auto& it : former.members)
+        {
+            const auto left = left_at_.find(membership::process_name(it));
+            const bool long_ago = left != left_at_.end() && now - left->second > longest;
+            if (!long_ago && !membership::contains_process(roster_.members, it) &&
+                !membership::contains_process(found, it))
+            {
+                found.push_back(it);
+            }
+        }
+    }
+    return found;
+}
+
 const std::map<std::string, peer_view>& membership_service::peers() const
 {
     return peers_;
@@ -248,8 +268,7 @@
     if (status == ports::peer_status::refused)
     {
         membership::on_refused(roster_state_, to, now);
-        membership::on_process_gone(stop_, to, now);
-        events_.on_process_gone(to);
+        note_gone(to);
         return;
     }
     if (status != ports::peer_status::ok)
@@ -259,8 +278,7 @@
     if (reply.member == to.id && reply.incarnation != to.incarnation)
     {
         // Another process answers at that address, so the one we meant is gone.
-        membership::on_process_gone(stop_, to, now);
-        events_.on_process_gone(to);
+        note_gone(to);
         return;
     }
     membership::on_peer_confirmed(freshness_, reply, started);
@@ -268,6 +286,21 @@
     take_word(reply);
 }
 
+void membership_service::note_gone(const model::member_record& who)
+{
+    membership::on_process_gone(stop_, who, context_.scheduler.now());
+    if (gone_.insert(membership::process_name(who)).second)
+    {
+        context_.log(ports::log_level::info, "process_gone", {{"member", who.id}});
+        events_.on_process_gone(who);
+    }
+}
+
+bool membership_service::is_gone(const model::member_record& who) const
+{
+    return gone_.count(membership::process_name(who)) > 0;
+}
+
 ports::heartbeat membership_service::on_beat(const ports::heartbeat& from)
 {
     const auto now = context_.scheduler.now();
@@ -380,6 +413,13 @@
     {
         return;
     }
+    for (const auto& it : roster_.members)
+    {
+        if (!membership::contains_process(next->members, it))
+        {
+            left_at_[membership::process_name(it)] = now;
+        }
+    }
     roster_ = *next;
     roster_text_ = text;
     roster_revision_ = modified;
--- /dev/null
+++ b/programs/camphorhitchd/src/operator_parts.hpp
@@ -0,0 +1,38 @@
+/// \file
+/// The services that operators' requests look at and act through.
+#pragma once
+
+#include "claim_service.hpp"
+#include "config_service.hpp"
+#include "fleet_service.hpp"
+#include "job_intake.hpp"
+#include "job_service.hpp"
+#include "membership_service.hpp"
+#include "permit_service.hpp"
+#include "request_service.hpp"
+
+namespace camphorhitch::daemon
+{
+
+struct operator_parts
+{
+    membership_service& members;
+    config_service& config;
+    permit_service& permits;
+    claim_service& claims;
+    request_service& requests;
+    fleet_service& fleet;
+    job_service& jobs;
+    job_intake& intake;
+};
+
+/// What became of one statement or change, as operators' clients read it.
+struct statement_result
+{
+    bool ok = true;
+    core::error_code code = core::error_code::invalid; ///< when not ok
+    std::string text;                                  ///< for people, ends with a newline
+    std::string json = "null";                         ///< the same as data
+};
+
+} // namespace camphorhitch::daemon
