--- a/testing/standin_kv/tests/service_tests.cpp
+++ b/testing/standin_kv/tests/service_tests.cpp
@@ -6,8 +6,8 @@
 
 using namespace camphorhitch;
 using namespace camphorhitch::standin_kv;
-using standin_support::test_client;
 using core::to_base64;
+using standin_support::test_client;
 
 namespace
 {
