--- a/programs/camphorhitchd/src/membership_service.cpp
+++ b/programs/camphorhitchd/src/membership_service.cpp
@@ -185,8 +185,8 @@
         lease_);
 }
 
-/// Confirms by the store that the roster adopted here is still the one in force. The time that counts
-/// is when the question was sent: an answer read after a pause tells of the time before it.
+/// Confirms by the store that the roster adopted here is still the one in force. The time that
+/// counts is when the question was sent: an answer read after a pause tells of the time before it.
 void membership_service::confirm()
 {
     if (confirming_ || roster_revision_ == 0)
@@ -261,15 +261,16 @@
         { on_beat_reply(to, status, reply, started); });
 }
 
-void membership_service::on_beat_reply(const model::member_record& to, ports::peer_status status,
-    const ports::heartbeat& reply, core::mono_time started)
+void membership_service::on_beat_reply(const model::member_record& to,
+    ports::peer_status status,
+    const ports::heartbeat& reply,
+    core::mono_time started)
 {
     const auto now = context_.scheduler.now();
     if (status == ports::peer_status::refused)
     {
         membership::on_refused(roster_state_, to, now);
-        membership::on_process_gone(stop_, to, now);
-        events_.on_process_gone(to);
+        note_gone(to);
         return;
     }
     if (status != ports::peer_status::ok)
@@ -279,8 +280,7 @@
     if (reply.member == to.id && reply.incarnation != to.incarnation)
     {
         // Another process answers at that address, so the one we meant is gone.
-        membership::on_process_gone(stop_, to, now);
-        events_.on_process_gone(to);
+        note_gone(to);
         return;
     }
     membership::on_peer_confirmed(freshness_, reply, started);
@@ -288,6 +288,21 @@
     take_word(reply);
 }
 
+void membership_service::note_gone(const model::member_record& who)
+{
+    membership::on_process_gone(stop_, who, context_.scheduler.now());
+    if (gone_.insert(membership::process_name(who)).second)
+    {
+        context_.log(ports::log_level::info, "process_gone", {{"member", who.id}});
+        events_.on_process_gone(who);
+    }
+}
+
+bool membership_service::is_gone(const model::member_record& who) const
+{
+    return gone_.count(membership::process_name(who)) > 0;
+}
+
 ports::heartbeat membership_service::on_beat(const ports::heartbeat& from)
 {
     const auto now = context_.scheduler.now();
@@ -343,7 +358,7 @@
     }
 }
 
-void membership_service::on_documents_read()
+void membership_service::on_documents_read(core::mono_time asked_at)
 {
     const auto now = context_.scheduler.now();
     if (context_.documents->find(model::keys::roster) == nullptr)
@@ -356,6 +371,12 @@
         membership::on_roster(roster_state_, roster_, roster_revision_, now);
     }
     take_leased();
+    // A read sent before it was asked for may tell of the time before a pause.
+    if (asked_reread_ && asked_at >= asked_reread_->at)
+    {
+        membership::on_reread(roster_state_, asked_reread_->ticket, now);
+        asked_reread_.reset();
+    }
 }
 
 void membership_service::take_leased()
@@ -446,8 +467,9 @@
         {
             act(*next);
         }
-        else if (std::holds_alternative<membership::reread_store>(it))
+        else if (const auto* reread = std::get_if<membership::reread_store>(&it))
         {
+            asked_reread_ = {reread->ticket, now};
             context_.documents->refresh();
         }
         else
--- /dev/null
+++ b/programs/camphorhitchd/src/node.hpp
@@ -0,0 +1,34 @@
+/// \file
+/// One camphorhitchd: the adapters, the services, and what they tell one another.
+#pragma once
+
+#include "core/result.hpp"
+#include "settings/daemon_settings.hpp"
+
+#include <memory>
+
+namespace camphorhitch::daemon
+{
+
+class node
+{
+public:
+    /// Opens all addresses.
+    /// \return the node, or why it can't start.
+    static core::result<std::unique_ptr<node>> open(const settings::daemon_settings& s);
+    ~node();
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    /// Runs until a graceful stop has ended.
+    /// \return the process's exit code.
+    int run();
+
+private:
+    struct parts;
+    explicit node(std::unique_ptr<parts> p);
+
+    std::unique_ptr<parts> parts_;
+};
+
+} // namespace camphorhitch::daemon
--- /dev/null
+++ b/programs/camphorhitchd/src/operator_service.cpp
@@ -0,0 +1,260 @@
+#include "operator_service.hpp"
+
+#include "jobs/codec.hpp"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace camphorhitch::daemon
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_unauthorized = 401;
+constexpr int status_not_found = 404;
+constexpr const char* json_type = "application/json";
+constexpr const char* text_type = "text/plain; version=0.0.4";
+const std::string jobs_path = "/v1/jobs";
+
+constexpr core::name_table<core::error_code, 5> code_names{{
+    {core::error_code::invalid, "refused"},
+    {core::error_code::not_found, "refused"},
+    {core::error_code::conflict, "conflict"},
+    {core::error_code::unavailable, "unavailable"},
+    {core::error_code::unknown_effect, "unknown_effect"},
+}};
+
+std::string dump(const json& it)
+{
+    return it.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// Takes as long whatever the difference, so that answers' times tell nothing of the token.
+bool same_secret(const std::string& a, const std::string& b)
+{
+    unsigned char difference = a.size() == b.size() ? 0 : 1;
+    for (std::size_t i = 0; i < a.size(); ++i)
+    {
+        const char other = b.empty() ? '\0' : b[i % b.size()];
+        difference |= static_cast<unsigned char>(a[i] ^ other);
+    }
+    return difference == 0;
+}
+
+std::string text_of(const json& object, const char* name)
+{
+    const auto it = object.find(name);
+    return it != object.end() && it->is_string() ? it->get<std::string>() : std::string{};
+}
+
+} // namespace
+
+operator_service::operator_service(context& c, operator_parts parts, std::string token,
+    std::function<std::string()> metrics)
+    : context_(c),
+      parts_(parts),
+      token_(std::move(token)),
+      metrics_(std::move(metrics)),
+      setup_(c, parts),
+      runner_(c, parts)
+{
+}
+
+void operator_service::set_server(ports::http_server server)
+{
+    server_ = std::move(server);
+}
+
+void operator_service::on_document(const ports::kv_entry& entry)
+{
+    runner_.on_document(entry);
+}
+
+void operator_service::on_gone(ports::exchange_id exchange)
+{
+    open_.erase(exchange);
+}
+
+bool operator_service::authorized(const ports::http_request& request) const
+{
+    const auto* field = ports::find_field(request.fields, "Authorization");
+    return field != nullptr && same_secret(*field, "Bearer " + token_);
+}
+
+void operator_service::answer(
+    ports::exchange_id exchange, int status, std::string body, const char* type)
+{
+    if (open_.erase(exchange) > 0)
+    {
+        server_.respond(exchange, {status, {{"Content-Type", type}}, std::move(body)});
+    }
+}
+
+void operator_service::on_request(ports::exchange_id exchange, ports::http_request request)
+{
+    open_.insert(exchange);
+    if (!authorized(request))
+    {
+        context_.log(ports::log_level::warning, "operator_refused", {{"path", request.path}});
+        answer(exchange, status_unauthorized, dump({{"text", "a token is needed"}}), json_type);
+    }
+    else if (request.path == "/metrics")
+    {
+        answer(exchange, status_ok, metrics_(), text_type);
+    }
+    else if (request.path == "/v1/status")
+    {
+        answer(exchange, status_ok, status(), json_type);
+    }
+    else if (request.path == "/v1/execute" && request.method == "POST")
+    {
+        execute(exchange, request);
+    }
+    else if (request.path == "/v1/apply" && request.method == "PUT")
+    {
+        apply(exchange, request);
+    }
+    else if (request.path == jobs_path && request.method == "POST")
+    {
+        submit_jobs(exchange, request);
+    }
+    else if (request.path.compare(0, jobs_path.size() + 1, jobs_path + "/") == 0)
+    {
+        show_job(exchange, request.path.substr(jobs_path.size() + 1));
+    }
+    else
+    {
+        answer(exchange, status_not_found, dump({{"text", "no such path"}}), json_type);
+    }
+}
+
+std::string operator_service::status() const
+{
+    const auto& claims = parts_.claims.table();
+    return dump({{"member", context_.self.id},
+        {"incarnation", context_.self.incarnation},
+        {"fresh", parts_.members.fresh()},
+        {"store_reachable", parts_.members.store_reachable()},
+        {"epoch", parts_.members.roster().epoch},
+        {"members", parts_.members.roster().members.size()},
+        {"in_roster", parts_.members.in_roster()},
+        {"ready", parts_.requests.ready()},
+        {"config_version", parts_.config.current().version},
+        {"open_requests", parts_.requests.open_requests()},
+        {"pools_owned", parts_.permits.dispatchers().size()},
+        {"keys_remembered", claims::remembered_keys(claims)},
+        {"slots_waiting", claims::waiting_slots(claims)}});
+}
+
+void operator_service::answer_results(
+    ports::exchange_id exchange, const std::vector<statement_result>& all, bool settled)
+{
+    json results = json::array();
+    for (const auto& it : all)
+    {
+        results.push_back({{"code", it.ok ? "ok" : core::name_of(code_names, it.code)},
+            {"text", it.text},
+            {"data", json::parse(it.json, nullptr, false)}});
+    }
+    const json body = {{"member", context_.self.id},
+        {"fresh", parts_.members.fresh()},
+        {"store_reachable", parts_.members.store_reachable()},
+        {"settled", settled},
+        {"results", std::move(results)}};
+    answer(exchange, status_ok, dump(body), json_type);
+}
+
+void operator_service::execute(ports::exchange_id exchange, const ports::http_request& request)
+{
+    const auto body = json::parse(request.body, nullptr, false);
+    if (!body.is_object() || text_of(body, "text").empty() || text_of(body, "command").empty())
+    {
+        answer(exchange,
+            status_bad_request,
+            dump({{"text", "the body must be an object with the texts 'text' and 'command'"}}),
+            json_type);
+        return;
+    }
+    const auto check_only = body.find("check_only");
+    statement_batch batch{text_of(body, "text"), text_of(body, "name"), text_of(body, "command")};
+    if (check_only != body.end() && check_only->is_boolean() && check_only->get<bool>())
+    {
+        answer_results(exchange, {}, runner_.settled(batch));
+        return;
+    }
+    runner_.run(batch,
+        [this, exchange, batch](const std::vector<statement_result>& all)
+        { answer_results(exchange, all, runner_.settled(batch)); });
+}
+
+void operator_service::apply(ports::exchange_id exchange, const ports::http_request& request)
+{
+    const auto* id = ports::find_field(request.fields, "Camphorhitch-Command");
+    if (id == nullptr || id->empty())
+    {
+        answer(exchange,
+            status_bad_request,
+            dump({{"text", "the field Camphorhitch-Command must name the command"}}),
+            json_type);
+        return;
+    }
+    setup_.apply(request.body,
+        *id,
+        [this, exchange](const std::vector<statement_result>& all)
+        { answer_results(exchange, all, true); });
+}
+
+void operator_service::submit_jobs(
+    ports::exchange_id exchange, const ports::http_request& request)
+{
+    const std::string prefix = "pool=";
+    const auto pool = request.query.compare(0, prefix.size(), prefix) == 0
+                          ? request.query.substr(prefix.size())
+                          : std::string{};
+    auto decoded = jobs::decode_submissions(request.body, "submission");
+    if (const auto* wrong = std::get_if<core::findings>(&decoded))
+    {
+        answer_results(
+            exchange, {{false, core::error_code::invalid, core::to_text(*wrong), "null"}}, true);
+        return;
+    }
+    if (parts_.fleet.find_pool(pool) == nullptr)
+    {
+        const auto text = "no pool '" + pool + "'; use " + jobs_path + "?pool=NAME\n";
+        answer_results(exchange, {{false, core::error_code::not_found, text, "null"}}, true);
+        return;
+    }
+    parts_.intake.submit(pool,
+        std::get<std::vector<jobs::submission>>(decoded),
+        [this, exchange](const std::vector<intake_outcome>& all)
+        {
+            std::vector<statement_result> results;
+            for (const auto& it : all)
+            {
+                const json data = {{"id", it.id}, {"accepted", it.accepted}, {"text", it.text}};
+                results.push_back({it.accepted, it.code, it.id + ": " + it.text + '\n', dump(data)});
+            }
+            answer_results(exchange, results, true);
+        });
+}
+
+void operator_service::show_job(ports::exchange_id exchange, const std::string& id)
+{
+    std::string pool;
+    const auto* job = parts_.jobs.find(id, pool);
+    if (job == nullptr)
+    {
+        answer(exchange, status_not_found, dump({{"text", "no such job"}}), json_type);
+        return;
+    }
+    auto data = json::parse(jobs::encode(*job), nullptr, false);
+    data["pool"] = pool;
+    answer(exchange, status_ok, dump(data), json_type);
+}
+
+} // namespace camphorhitch::daemon
