--- a/testing/fleet_sim/include/fleet_sim/world.hpp
+++ b/testing/fleet_sim/include/fleet_sim/world.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -25,13 +26,14 @@
 {
     std::string pool; ///< empty for a wave's
     std::variant<fleet::pool_action, fleet::write_wave> what;
+    std::shared_ptr<const model::configuration> config; ///< by which it was decided
 };
 
 /// One entry host: what it read last, and what it is about to do.
 struct sim_member
 {
     std::string id;
-    model::configuration config;
+    std::shared_ptr<const model::configuration> config;
     std::vector<fleet::pool_view> pools;
     std::vector<fleet::wave_view> waves;
     std::int64_t as_of = 0; ///< store revision of the last read; 0: never read
@@ -59,7 +61,7 @@
     std::int64_t epoch = 1;
     std::vector<std::string> roster;
     std::int64_t job_moves = 0;
-    const model::configuration* writer_config = nullptr; ///< of the member that writes now
+    const model::configuration* writer_config = nullptr; ///< by which the write was decided
     std::vector<std::string> violations; ///< promises that were broken; must stay empty
 };
 
--- a/testing/fleet_sim/src/world.cpp
+++ b/testing/fleet_sim/src/world.cpp
@@ -88,10 +88,10 @@
 {
     const auto seen = activity(w, m, own);
     const fleet::pool_inputs in{
-        own, m.config, m.waves, m.as_of > 0, {m.pools, m.as_of}, live, seen, {}, mono(w), wall(w)};
+        own, *m.config, m.waves, m.as_of > 0, {m.pools, m.as_of}, live, seen, {}, mono(w), wall(w)};
     for (auto& it : fleet::decide_pool(in, m.memory[own.document.pool]))
     {
-        m.pending.push_back({own.document.pool, std::move(it)});
+        m.pending.push_back({own.document.pool, std::move(it), m.config});
     }
 }
 
@@ -102,9 +102,13 @@
     place = {d, revision};
 }
 
-answer write(world& w, sim_member& m, const model::pool_document& d, std::int64_t expected)
+answer write(world& w,
+    sim_member& m,
+    const model::configuration& config,
+    const model::pool_document& d,
+    std::int64_t expected)
 {
-    w.writer_config = &m.config;
+    w.writer_config = &config;
     const auto out = put_pool(w.kv, d, expected);
     if (out == answer::ok)
     {
@@ -113,21 +117,21 @@
     return out;
 }
 
-void carry_out(world& w, sim_member& m, const std::string&, const fleet::write_pool& a)
+void carry_out(world& w, sim_member& m, const pending_step& step, const fleet::write_pool& a)
 {
-    write(w, m, a.document, a.expected);
+    write(w, m, *step.config, a.document, a.expected);
 }
 
-void carry_out(world& w, sim_member& m, const std::string& pool, const fleet::order_reboot& a)
+void carry_out(world& w, sim_member& m, const pending_step& step, const fleet::order_reboot& a)
 {
     reboot(w.platform, a.host, a.command);
-    fleet::note_reboot_acknowledged(m.memory[pool], a.host, a.command, mono(w));
+    fleet::note_reboot_acknowledged(m.memory[step.pool], a.host, a.command, mono(w));
 }
 
 /// Jobs that end in time stay; the others go to hosts of the pool, best to those not to come.
-void carry_out(world& w, sim_member& m, const std::string& pool, const fleet::move_jobs_off& a)
+void carry_out(world& w, sim_member& m, const pending_step& step, const fleet::move_jobs_off& a)
 {
-    const auto* view = find_view(m, pool);
+    const auto* view = find_view(m, step.pool);
     auto& from = w.platform.hosts.at(a.host);
     const auto upcoming = fleet::upcoming_hosts(m.pools, m.waves);
     const std::int64_t until = w.platform.now_ms + a.time_left.count();
@@ -162,16 +166,16 @@
     from.jobs.erase(moving, from.jobs.end());
 }
 
-void carry_out(world&, sim_member&, const std::string&, const fleet::stop_host&)
+void carry_out(world&, sim_member&, const pending_step&, const fleet::stop_host&)
 {
     // may_send() works by the member's own view, which has the host stopped already.
 }
 
-void carry_out(world&, sim_member&, const std::string&, const fleet::report_slow_drain&)
+void carry_out(world&, sim_member&, const pending_step&, const fleet::report_slow_drain&)
 {
 }
 
-void carry_out(world& w, sim_member& m, const std::string&, const fleet::write_wave& a)
+void carry_out(world& w, sim_member& m, const pending_step&, const fleet::write_wave& a)
 {
     if (put_wave(w.kv, a.document, a.expected) != answer::ok)
     {
@@ -208,7 +212,10 @@
     }
     m.pools = w.kv.pools;
     m.waves = w.kv.waves;
-    m.config = w.config;
+    if (!m.config || m.config->version != w.config.version)
+    {
+        m.config = std::make_shared<const model::configuration>(w.config);
+    }
     m.as_of = w.kv.revision;
     m.epoch = w.epoch;
     m.confirmed_ms = w.platform.now_ms;
@@ -256,10 +263,10 @@
         {
             continue;
         }
-        const fleet::wave_inputs in{it, m.config, m.pools, m.as_of > 0, m.waves, wall(w)};
+        const fleet::wave_inputs in{it, *m.config, m.pools, m.as_of > 0, m.waves, wall(w)};
         if (auto next = fleet::decide_wave(in))
         {
-            m.pending.push_back({"", std::move(*next)});
+            m.pending.push_back({"", std::move(*next), m.config});
         }
     }
 }
@@ -272,7 +279,7 @@
         m.pending.pop_front();
         const auto one = [&](const auto& a)
         {
-            carry_out(w, m, next.pool, a);
+            carry_out(w, m, next, a);
         };
         if (const auto* action = std::get_if<fleet::pool_action>(&next.what))
         {
@@ -295,16 +302,16 @@
 bool wish(world& w, sim_member& m, const std::string& pool, const fleet::pool_event& e)
 {
     const auto* view = find_view(m, pool);
-    if (view == nullptr)
+    if (view == nullptr || !m.config)
     {
         return false;
     }
-    const auto out = fleet::change(view->document, e, m.config, wall(w));
+    const auto out = fleet::change(view->document, e, *m.config, wall(w));
     if (!core::is_ok(out) || !core::value(out).what.changed)
     {
         return false;
     }
-    return write(w, m, core::value(out).next, view->revision) == answer::ok;
+    return write(w, m, *m.config, core::value(out).next, view->revision) == answer::ok;
 }
 
 } // namespace camphorhitch::fleet_sim
