--- a/libs/fleet/tests/random_run_tests.cpp
+++ b/libs/fleet/tests/random_run_tests.cpp
@@ -28,7 +28,7 @@
 constexpr int default_steps = 500;
 constexpr int runs = 60;
 constexpr int hosts_per_pool = 6;
-constexpr int settle_rounds = 400;
+constexpr int settle_rounds = 3000;
 
 std::uint64_t number_from(const char* variable, std::uint64_t otherwise)
 {
@@ -83,10 +83,10 @@
         w.config.pools[0].policy = "least_buffer";
         w.config.pools[1].policy = "fastest";
         w.platform.now_ms = 1'000'000;
-        w.platform.reboot_ms = 60000;
+        w.platform.reboot_ms = 20000;
         for (auto& it : w.config.policies)
         {
-            it.return_timeout = core::millis{180000};
+            it.return_timeout = core::millis{60000};
             it.drain_timeout = core::millis{30000};
             it.fixed_buffer = 1;
         }
@@ -152,15 +152,15 @@
 {
     const int kind = s.what % 32;
     auto& m = member(s.a);
-    if (kind < 7)
+    if (kind < 3)
     {
         fleet_sim::decide(w, m);
     }
-    else if (kind < 14)
+    else if (kind < 8)
     {
         fleet_sim::perform(w, m, 1 + s.b % 4);
     }
-    else if (kind < 17)
+    else if (kind < 11)
     {
         fleet_sim::refresh(w, m);
     }
@@ -170,12 +170,18 @@
     }
     else if (kind < 23)
     {
-        const std::int64_t long_pause = s.c % 8 == 0 ? 40000 : 0;
+        const std::int64_t long_pause = s.c % 8 == 0 ? 30000 : 0;
         fleet_sim::advance(w.platform, 50 * std::int64_t{s.b} + long_pause);
     }
     else if (kind < 26)
     {
-        send(s);
+        for (std::uint8_t i = 0; i < 5; ++i)
+        {
+            send({s.what,
+                s.a,
+                static_cast<std::uint8_t>(s.b + i),
+                static_cast<std::uint8_t>(s.c * (i + 1))});
+        }
     }
     else if (kind == 26)
     {
@@ -330,7 +336,7 @@
         w.violations.push_back("sent to host " + h.id + " that was handed over");
     }
     auto& work = s.c % 4 == 0 ? h.jobs : h.requests;
-    const std::int64_t longest = s.c % 4 == 0 ? 60000 : w.settings.longest_request_ms;
+    const std::int64_t longest = s.c % 4 == 0 ? 20000 : w.settings.longest_request_ms;
     work.push_back(w.platform.now_ms + longest * s.c / 256);
 }
 
@@ -356,7 +362,7 @@
             fleet_sim::set_leaving(w.platform, id, false);
         }
     }
-    for (int i = 0; i < settle_rounds; ++i)
+    for (int i = 0; i < settle_rounds && (i == 0 || !stranded().empty()); ++i)
     {
         fleet_sim::advance(w.platform, 5000);
         for (auto& [id, it] : w.platform.hosts)
