Operators' statements, tables, explanations, experiments in the daemon

Cause: operators had no language yet. Change: statement_runner over libs/language, tables, why, wave commands, experiment_service.

--- /dev/null
+++ b/programs/camphorhitchd/src/fleet_tables.cpp
@@ -0,0 +1,334 @@
+#include "fleet_tables.hpp"
+
+#include "fleet/budget.hpp"
+#include "membership/owners.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace camphorhitch::daemon
+{
+
+namespace
+{
+
+using language::cell;
+using language::row;
+using language::table;
+using language::value_kind;
+
+cell text(std::string_view it)
+{
+    return std::string{it};
+}
+
+cell whole(std::size_t n)
+{
+    return static_cast<std::int64_t>(n);
+}
+
+cell whole(int n)
+{
+    return static_cast<std::int64_t>(n);
+}
+
+std::string owner_name(const model::member_record* it)
+{
+    return it == nullptr ? std::string{} : it->id;
+}
+
+table hosts_table(const operator_parts& parts)
+{
+    table t;
+    t.columns = {{"id", value_kind::text},
+        {"pool", value_kind::text},
+        {"zone", value_kind::text},
+        {"rack", value_kind::text},
+        {"state", value_kind::text},
+        {"purpose", value_kind::text},
+        {"wave", value_kind::text},
+        {"maintained", value_kind::text},
+        {"lent_by", value_kind::text},
+        {"target", value_kind::text},
+        {"slots", value_kind::whole},
+        {"processors", value_kind::number},
+        {"memory_gb", value_kind::number},
+        {"accelerators", value_kind::whole}};
+    for (const auto& pool : parts.fleet.pools())
+    {
+        for (const auto& it : pool.document.hosts)
+        {
+            const auto purpose = it.purpose == model::drain_purpose::none
+                                     ? std::string_view{}
+                                     : core::name_of(model::drain_purpose_names, it.purpose);
+            t.rows.push_back({text(it.id),
+                text(pool.document.pool),
+                text(it.zone),
+                text(it.rack),
+                text(core::name_of(model::host_state_names, it.state)),
+                text(purpose),
+                text(it.wave),
+                text(it.maintained),
+                text(it.lent_by),
+                text(it.target),
+                whole(it.slots),
+                it.processors,
+                it.memory_gb,
+                whole(it.accelerators)});
+        }
+    }
+    return t;
+}
+
+row pool_row(const fleet::pool_view& pool, const operator_parts& parts)
+{
+    const auto& d = pool.document;
+    const auto& config = parts.config.current();
+    const auto* settings = model::find_pool(config, d.pool);
+    const auto count = [&](model::host_state state)
+    {
+        return whole(static_cast<std::size_t>(std::count_if(
+            d.hosts.begin(), d.hosts.end(), [&](const auto& it) { return it.state == state; })));
+    };
+    const auto* owner = membership::owner_of_pool(parts.members.roster(), d.pool);
+    return {text(d.pool),
+        text(settings == nullptr ? "" : settings->policy),
+        whole(d.hosts.size()),
+        count(model::host_state::serving),
+        count(model::host_state::held),
+        count(model::host_state::draining),
+        count(model::host_state::rebooting),
+        count(model::host_state::failed),
+        whole(fleet::count_absences(d).missing),
+        whole(settings == nullptr ? 0 : settings->budget.absent),
+        whole(settings == nullptr ? 0 : settings->budget.absent_per_zone),
+        text(owner_name(owner))};
+}
+
+table pools_table(const operator_parts& parts)
+{
+    table t;
+    t.columns = {{"id", value_kind::text},
+        {"policy", value_kind::text},
+        {"hosts", value_kind::whole},
+        {"serving", value_kind::whole},
+        {"held", value_kind::whole},
+        {"draining", value_kind::whole},
+        {"rebooting", value_kind::whole},
+        {"failed", value_kind::whole},
+        {"absent", value_kind::whole},
+        {"budget", value_kind::whole},
+        {"budget_per_zone", value_kind::whole},
+        {"owner", value_kind::text}};
+    for (const auto& pool : parts.fleet.pools())
+    {
+        t.rows.push_back(pool_row(pool, parts));
+    }
+    return t;
+}
+
+table waves_table(const operator_parts& parts)
+{
+    table t;
+    t.columns = {{"id", value_kind::text},
+        {"phase", value_kind::text},
+        {"hosts", value_kind::whole},
+        {"done", value_kind::whole},
+        {"in_progress", value_kind::whole},
+        {"waiting", value_kind::whole},
+        {"failed", value_kind::whole},
+        {"batch", value_kind::whole},
+        {"policy", value_kind::text},
+        {"took", value_kind::duration}};
+    for (const auto& wave : parts.fleet.waves())
+    {
+        const auto& d = wave.document;
+        const auto sum = fleet::summarize(d, parts.fleet.pools());
+        t.rows.push_back({text(d.id),
+            text(core::name_of(model::wave_phase_names, d.phase)),
+            whole(sum.hosts),
+            whole(sum.done),
+            whole(sum.in_progress),
+            whole(sum.waiting),
+            whole(sum.failed),
+            whole(d.batch),
+            text(d.policy),
+            {}});
+        if (d.ended_ms > 0)
+        {
+            t.rows.back().back() = core::millis{d.ended_ms - d.started_ms};
+        }
+    }
+    return t;
+}
+
+table jobs_table(const operator_parts& parts)
+{
+    table t;
+    t.columns = {{"id", value_kind::text},
+        {"pool", value_kind::text},
+        {"team", value_kind::text},
+        {"class", value_kind::text},
+        {"state", value_kind::text},
+        {"host", value_kind::text},
+        {"attempt", value_kind::whole},
+        {"processors", value_kind::number},
+        {"memory_gb", value_kind::number},
+        {"accelerators", value_kind::whole},
+        {"run_time", value_kind::duration}};
+    for (const auto& [pool, list] : parts.jobs.all_jobs())
+    {
+        for (const auto* it : list)
+        {
+            t.rows.push_back({text(it->id),
+                text(pool),
+                text(it->team),
+                text(core::name_of(jobs::job_class_names, it->klass)),
+                text(core::name_of(jobs::job_state_names, it->state)),
+                text(it->host),
+                whole(it->attempt),
+                it->declared.processors,
+                it->declared.memory_gb,
+                whole(it->declared.accelerators),
+                it->run_time});
+        }
+    }
+    return t;
+}
+
+table members_table(const operator_parts& parts)
+{
+    table t;
+    t.columns = {{"id", value_kind::text},
+        {"zone", value_kind::text},
+        {"address", value_kind::text},
+        {"epoch", value_kind::whole},
+        {"config_version", value_kind::whole},
+        {"fresh", value_kind::truth},
+        {"incarnation", value_kind::text}};
+    for (const auto& it : parts.members.roster().members)
+    {
+        const auto peer = parts.members.peers().find(it.id);
+        const bool known = peer != parts.members.peers().end();
+        const bool here = membership::same_process(it, parts.members.self());
+        row one{text(it.id), text(it.zone), text(it.address), {}, {}, {}, text(it.incarnation)};
+        if (here)
+        {
+            one[3] = static_cast<std::int64_t>(parts.members.roster().epoch);
+            one[4] = parts.config.current().version;
+            one[5] = parts.members.fresh();
+        }
+        else if (known)
+        {
+            one[3] = static_cast<std::int64_t>(peer->second.epoch);
+            one[4] = peer->second.config_version;
+            one[5] = peer->second.fresh;
+        }
+        t.rows.push_back(std::move(one));
+    }
+    return t;
+}
+
+table config_table(const operator_parts& parts)
+{
+    const auto& c = parts.config.current();
+    table t;
+    t.columns = {{"name", value_kind::text}, {"value", value_kind::text}};
+    t.rows = {{text("version"), text(std::to_string(c.version))},
+        {text("pools"), text(std::to_string(c.pools.size()))},
+        {text("policies"), text(std::to_string(c.policies.size()))},
+        {text("teams"), text(std::to_string(c.teams.size()))},
+        {text("key_memory"), text(language::to_text(c.key_memory))},
+        {text("keys_per_slot"), text(std::to_string(c.keys_per_slot))},
+        {text("answer_kept_bytes"), text(std::to_string(c.answer_kept_bytes))}};
+    return t;
+}
+
+table policies_table(const operator_parts& parts)
+{
+    table t;
+    t.columns = {{"id", value_kind::text},
+        {"kind", value_kind::text},
+        {"canary", value_kind::whole},
+        {"growth", value_kind::number},
+        {"largest_batch", value_kind::whole},
+        {"halt_after", value_kind::whole},
+        {"fixed_buffer", value_kind::whole},
+        {"return_timeout", value_kind::duration},
+        {"drain_timeout", value_kind::duration}};
+    for (const auto& it : parts.config.current().policies)
+    {
+        t.rows.push_back({text(it.name),
+            text(core::name_of(model::policy_kind_names, it.kind)),
+            whole(it.canary),
+            it.growth,
+            whole(it.largest_batch),
+            whole(it.halt_after),
+            whole(it.fixed_buffer),
+            it.return_timeout,
+            it.drain_timeout});
+    }
+    return t;
+}
+
+table teams_table(const operator_parts& parts)
+{
+    table t;
+    t.columns = {{"id", value_kind::text},
+        {"processors", value_kind::number},
+        {"memory_gb", value_kind::number},
+        {"accelerators", value_kind::whole}};
+    for (const auto& it : parts.config.current().teams)
+    {
+        t.rows.push_back({text(it.name), it.processors, it.memory_gb, whole(it.accelerators)});
+    }
+    return t;
+}
+
+void sort_by_id(table& t)
+{
+    std::sort(t.rows.begin(),
+        t.rows.end(),
+        [](const row& a, const row& b)
+        { return std::get<std::string>(a[0]) < std::get<std::string>(b[0]); });
+}
+
+} // namespace
+
+language::table make_table(language::table_kind what, const operator_parts& parts)
+{
+    table t;
+    switch (what)
+    {
+    case language::table_kind::hosts:
+        t = hosts_table(parts);
+        break;
+    case language::table_kind::pools:
+        t = pools_table(parts);
+        break;
+    case language::table_kind::waves:
+        t = waves_table(parts);
+        break;
+    case language::table_kind::jobs:
+        t = jobs_table(parts);
+        break;
+    case language::table_kind::members:
+        t = members_table(parts);
+        break;
+    case language::table_kind::config:
+        return config_table(parts);
+    case language::table_kind::experiments:
+        t = parts.experiments.make_table();
+        break;
+    case language::table_kind::policies:
+        t = policies_table(parts);
+        break;
+    case language::table_kind::teams:
+        t = teams_table(parts);
+        break;
+    }
+    sort_by_id(t);
+    return t;
+}
+
+} // namespace camphorhitch::daemon
--- a/programs/camphorhitchd/src/membership_service.cpp
+++ b/programs/camphorhitchd/src/membership_service.cpp
@@ -57,6 +57,11 @@
     return membership::contains_process(roster_.members, context_.self);
 }
 
+const model::member_record& membership_service::self() const
+{
+    return context_.self;
+}
+
 const model::roster_document& membership_service::roster() const
 {
     return roster_;
--- a/programs/camphorhitchd/src/membership_service.hpp
+++ b/programs/camphorhitchd/src/membership_service.hpp
@@ -58,6 +58,7 @@
     bool fresh() const;
     bool store_reachable() const;
     bool in_roster() const;
+    const model::member_record& self() const;
     const model::roster_document& roster() const;
     /// \return when no process acts under an older epoch any more.
     core::mono_time older_epochs_stopped() const;
--- a/programs/camphorhitchd/src/node.cpp
+++ b/programs/camphorhitchd/src/node.cpp
@@ -3,6 +3,7 @@
 #include "claim_service.hpp"
 #include "config_service.hpp"
 #include "context.hpp"
+#include "experiment_service.hpp"
 #include "fleet_service.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
@@ -96,6 +97,7 @@
     std::unique_ptr<fleet_service> fleet;
     std::unique_ptr<job_service> jobs;
     std::unique_ptr<job_intake> intake;
+    std::unique_ptr<experiment_service> experiments;
     std::unique_ptr<operator_service> operators;
     std::unique_ptr<stop_sequence> stopping;
     std::optional<http::server> callers;
@@ -259,8 +261,10 @@
     fleet = std::make_unique<fleet_service>(ctx, *members, *permits);
     jobs = std::make_unique<job_service>(ctx, *members, *permits, *fleet, job_rules);
     intake = std::make_unique<job_intake>(ctx, *fleet, job_rules);
+    experiments = std::make_unique<experiment_service>(ctx, *members, *fleet, *jobs);
     operators = std::make_unique<operator_service>(ctx,
-        operator_parts{*members, *config, *permits, *claims, *requests, *fleet, *jobs, *intake},
+        operator_parts{
+            *members, *config, *permits, *claims, *requests, *fleet, *jobs, *intake, *experiments},
         settings.operator_token,
         [this] { return tel.render(); });
     stopping = std::make_unique<stop_sequence>(ctx, *members, *claims, *requests);
@@ -328,7 +332,7 @@
     config->on_document(entry);
     fleet->on_document(entry);
     jobs->on_document(entry);
-    operators->on_document(entry);
+    experiments->on_document(entry);
 }
 
 void node::parts::on_roster()
@@ -397,6 +401,7 @@
     p.members->start();
     p.fleet->start();
     p.jobs->start();
+    p.experiments->start();
     p.loop.run();
     p.ctx.log(ports::log_level::info, "stopped", {});
     return 0;
--- a/programs/camphorhitchd/src/operator_parts.hpp
+++ b/programs/camphorhitchd/src/operator_parts.hpp
@@ -4,6 +4,7 @@
 
 #include "claim_service.hpp"
 #include "config_service.hpp"
+#include "experiment_service.hpp"
 #include "fleet_service.hpp"
 #include "job_intake.hpp"
 #include "job_service.hpp"
@@ -24,6 +25,7 @@
     fleet_service& fleet;
     job_service& jobs;
     job_intake& intake;
+    experiment_service& experiments;
 };
 
 /// What became of one statement or change, as operators' clients read it.
--- a/programs/camphorhitchd/src/operator_service.cpp
+++ b/programs/camphorhitchd/src/operator_service.cpp
@@ -54,14 +54,10 @@
 
 } // namespace
 
-operator_service::operator_service(context& c, operator_parts parts, std::string token,
-    std::function<std::string()> metrics)
-    : context_(c),
-      parts_(parts),
-      token_(std::move(token)),
-      metrics_(std::move(metrics)),
-      setup_(c, parts),
-      runner_(c, parts)
+operator_service::operator_service(
+    context& c, operator_parts parts, std::string token, std::function<std::string()> metrics)
+    : context_(c), parts_(parts), token_(std::move(token)), metrics_(std::move(metrics)),
+      setup_(c, parts), runner_(c, parts)
 {
 }
 
@@ -70,11 +66,6 @@
     server_ = std::move(server);
 }
 
-void operator_service::on_document(const ports::kv_entry& entry)
-{
-    runner_.on_document(entry);
-}
-
 void operator_service::on_gone(ports::exchange_id exchange)
 {
     open_.erase(exchange);
@@ -209,8 +200,7 @@
         { answer_results(exchange, all, true); });
 }
 
-void operator_service::submit_jobs(
-    ports::exchange_id exchange, const ports::http_request& request)
+void operator_service::submit_jobs(ports::exchange_id exchange, const ports::http_request& request)
 {
     const std::string prefix = "pool=";
     const auto pool = request.query.compare(0, prefix.size(), prefix) == 0
@@ -237,7 +227,8 @@
             for (const auto& it : all)
             {
                 const json data = {{"id", it.id}, {"accepted", it.accepted}, {"text", it.text}};
-                results.push_back({it.accepted, it.code, it.id + ": " + it.text + '\n', dump(data)});
+                results.push_back(
+                    {it.accepted, it.code, it.id + ": " + it.text + '\n', dump(data)});
             }
             answer_results(exchange, results, true);
         });
--- a/programs/camphorhitchd/src/operator_service.hpp
+++ b/programs/camphorhitchd/src/operator_service.hpp
@@ -19,19 +19,18 @@
 {
 public:
     /// \param metrics renders all metrics as Prometheus text.
-    operator_service(context& c, operator_parts parts, std::string token,
-        std::function<std::string()> metrics);
+    operator_service(
+        context& c, operator_parts parts, std::string token, std::function<std::string()> metrics);
 
     void set_server(ports::http_server server);
-    void on_document(const ports::kv_entry& entry);
     void on_request(ports::exchange_id exchange, ports::http_request request);
     void on_gone(ports::exchange_id exchange);
 
 private:
     bool authorized(const ports::http_request& request) const;
     void answer(ports::exchange_id exchange, int status, std::string body, const char* type);
-    void answer_results(ports::exchange_id exchange, const std::vector<statement_result>& all,
-        bool settled);
+    void answer_results(
+        ports::exchange_id exchange, const std::vector<statement_result>& all, bool settled);
     void execute(ports::exchange_id exchange, const ports::http_request& request);
     void apply(ports::exchange_id exchange, const ports::http_request& request);
     void submit_jobs(ports::exchange_id exchange, const ports::http_request& request);
--- a/programs/camphorhitchd/src/statement_runner.cpp
+++ b/programs/camphorhitchd/src/statement_runner.cpp
@@ -1,34 +1,514 @@
 #include "statement_runner.hpp"
 
+#include "explanations.hpp"
+#include "fleet/pool_rules.hpp"
+#include "fleet_tables.hpp"
+#include "jobs/codec.hpp"
+#include "language/settings.hpp"
+#include "membership/owners.hpp"
+#include "model/codec.hpp"
+#include "model/keys.hpp"
+#include "wave_commands.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
 namespace camphorhitch::daemon
 {
 
-statement_runner::statement_runner(context& c, operator_parts parts) : context_(c), parts_(parts)
+namespace
+{
+
+statement_result good(const std::string& text)
+{
+    return {true, {}, text, nlohmann::json(text).dump()};
+}
+
+statement_result bad(core::error_code code, std::string text)
+{
+    if (text.empty() || text.back() != '\n')
+    {
+        text += '\n';
+    }
+    return {false, code, std::move(text), "null"};
+}
+
+statement_result bad(const core::findings& all)
+{
+    return bad(core::error_code::invalid, core::to_text(all));
+}
+
+template <class T>
+statement_result told(const core::result<T>& end, const std::string& text)
+{
+    return core::is_ok(end) ? good(text) : bad(core::failure(end).code, core::failure(end).message);
+}
+
+std::string statement_command(const std::string& command, std::size_t index)
 {
+    return command + "/" + std::to_string(index);
 }
 
-void statement_runner::on_document(const ports::kv_entry&)
+core::error not_read(const std::string& key, const core::findings& why)
+{
+    return {core::error_code::unavailable, key + ": " + core::to_text(why)};
+}
+
+} // namespace
+
+struct statement_runner::work
+{
+    statement_batch batch;
+    language::parsed parsed;
+    std::size_t index = 0;
+    std::vector<statement_result> results;
+    callback done;
+};
+
+statement_runner::statement_runner(context& c, operator_parts parts) : context_(c), parts_(parts)
 {
 }
 
 void statement_runner::run(const statement_batch& batch, callback done)
 {
-    std::string out;
-    for (const auto& pool : parts_.fleet.pools())
+    auto w = std::make_shared<work>();
+    w->batch = batch;
+    w->parsed = language::parse(batch.text, batch.name);
+    w->done = std::move(done);
+    if (!w->parsed.found.empty())
+    {
+        w->done({bad(w->parsed.found)});
+        return;
+    }
+    next(w);
+}
+
+void statement_runner::next(const std::shared_ptr<work>& w)
+{
+    const bool failed = !w->results.empty() && !w->results.back().ok;
+    if (failed || w->index == w->parsed.statements.size())
+    {
+        w->done(w->results);
+        return;
+    }
+    const auto index = w->index++;
+    const place at{w->batch.name, statement_command(w->batch.command, index)};
+    const auto& what = w->parsed.statements[index].what;
+    if (!language::is_query(what))
     {
-        for (const auto& it : pool.document.hosts)
+        context_.log(ports::log_level::info,
+            "command",
+            {{"command", at.command}, {"text", language::to_text(what)}});
+    }
+    std::visit(
+        [&](const auto& s)
         {
-            out += it.id + " " + pool.document.pool + " " +
-                   std::string(core::name_of(model::host_state_names, it.state)) + "\n";
+            run_one(s,
+                at,
+                [this, w](statement_result it)
+                {
+                    w->results.push_back(std::move(it));
+                    next(w);
+                });
+        },
+        what);
+}
+
+bool statement_runner::settled(const statement_batch& batch) const
+{
+    const auto parsed = language::parse(batch.text, batch.name);
+    for (std::size_t i = 0; i < parsed.statements.size(); ++i)
+    {
+        const auto command = statement_command(batch.command, i);
+        const auto& what = parsed.statements[i].what;
+        if (std::holds_alternative<language::set_statement>(what) &&
+            (!parts_.config.applied(command) ||
+                !parts_.config.in_force_everywhere(parts_.config.current().version)))
+        {
+            return false;
+        }
+        const bool starts_wave = std::holds_alternative<language::start_wave_statement>(what) ||
+                                 std::holds_alternative<language::drain_statement>(what);
+        if (starts_wave && !has_ended(command, parts_.fleet))
+        {
+            return false;
         }
     }
-    done({{true, {}, out, "null"}});
-    (void)batch;
+    return true;
 }
 
-bool statement_runner::settled(const statement_batch& batch) const
+void statement_runner::run_one(
+    const language::show_statement& s, const place& at, result_callback done)
+{
+    const auto shown = language::evaluate(s, make_table(s.what, parts_), at.document);
+    if (const auto* wrong = std::get_if<core::findings>(&shown))
+    {
+        done(bad(*wrong));
+        return;
+    }
+    const auto& t = std::get<language::table>(shown);
+    done({true, {}, language::to_text(t), language::to_json(t)});
+}
+
+void statement_runner::run_one(
+    const language::why_statement& s, const place& /*at*/, result_callback done)
+{
+    if (s.kind == language::subject_kind::request)
+    {
+        ask_peers(s, std::move(done));
+        return;
+    }
+    const auto text = explain(s.kind, s.id.text, parts_);
+    const auto kind = std::string(core::name_of(language::subject_kind_names, s.kind));
+    done(text ? good(*text)
+              : bad(core::error_code::not_found, "no " + kind + " named " + s.id.text));
+}
+
+/// A request's steps are remembered by the entry host that carried it, so all of them are asked.
+void statement_runner::ask_peers(const language::why_statement& s, result_callback done)
+{
+    struct gathering
+    {
+        std::string text;
+        std::size_t missing = 0;
+        result_callback done;
+    };
+    auto all = std::make_shared<gathering>();
+    all->text = explain(s.kind, s.id.text, parts_).value_or("");
+    all->done = std::move(done);
+    const auto finish = [all, id = s.id.text]
+    {
+        all->done(all->text.empty()
+                      ? bad(core::error_code::not_found, "no entry host remembers request " + id)
+                      : good(all->text));
+    };
+    const auto& members = parts_.members.roster().members;
+    all->missing = static_cast<std::size_t>(std::count_if(members.begin(),
+        members.end(),
+        [&](const auto& it) { return !membership::same_process(it, context_.self); }));
+    if (all->missing == 0)
+    {
+        finish();
+        return;
+    }
+    for (const auto& it : members)
+    {
+        if (membership::same_process(it, context_.self))
+        {
+            continue;
+        }
+        context_.peers.explain(it.address,
+            {"request", s.id.text},
+            [all, finish, id = it.id](ports::peer_status status, const ports::explain_reply& reply)
+            {
+                if (status == ports::peer_status::ok && !reply.lines.empty())
+                {
+                    all->text += "at " + id + "\n";
+                    for (const auto& line : reply.lines)
+                    {
+                        all->text += "  " + line + "\n";
+                    }
+                }
+                if (--all->missing == 0)
+                {
+                    finish();
+                }
+            });
+    }
+}
+
+void statement_runner::run_one(
+    const language::set_statement& s, const place& at, result_callback done)
+{
+    if (const auto wrong = language::check(s, at.document); !wrong.empty())
+    {
+        done(bad(wrong));
+        return;
+    }
+    parts_.config.change(
+        at.command,
+        [s, document = at.document](model::configuration& c) -> core::result<core::done>
+        {
+            const auto wrong = language::apply(s, c, document);
+            return wrong.empty() ? core::result<core::done>{core::done{}}
+                                 : core::error{core::error_code::invalid, core::to_text(wrong)};
+        },
+        [done = std::move(done)](const core::result<std::int64_t>& end)
+        {
+            done(core::is_ok(end)
+                     ? good("configuration version " + std::to_string(core::value(end)) + "\n")
+                     : bad(core::failure(end).code, core::failure(end).message));
+        });
+}
+
+void statement_runner::change_host(
+    const std::string& host, fleet::pool_event event, result_callback done)
+{
+    const auto owner = fleet::owner_of(host, parts_.fleet.pools());
+    if (owner.pool.empty())
+    {
+        done(bad(core::error_code::not_found, "no host named " + host));
+        return;
+    }
+    const auto note = std::make_shared<std::string>();
+    update_document(
+        context_.writer(),
+        model::keys::pools + owner.pool,
+        [this, event = std::move(event), note, pool = owner.pool](
+            const std::string* current) -> change_result
+        {
+            auto decoded = model::decode_pool(
+                current == nullptr ? "{}" : *current, pool, model::strictness::lenient);
+            if (const auto* wrong = std::get_if<core::findings>(&decoded))
+            {
+                return not_read(pool, *wrong);
+            }
+            const auto changed = fleet::change(std::get<model::pool_document>(decoded),
+                event,
+                parts_.config.current(),
+                context_.scheduler.wall_now());
+            if (!core::is_ok(changed))
+            {
+                return core::failure(changed);
+            }
+            *note = core::value(changed).what.note;
+            return core::value(changed).what.changed
+                       ? std::optional<std::string>{model::encode(core::value(changed).next)}
+                       : std::optional<std::string>{};
+        },
+        [note, host, done = std::move(done)](const core::result<core::done>& end)
+        { done(told(end, note->empty() ? "host " + host + ": done\n" : *note + "\n")); });
+}
+
+void statement_runner::run_one(
+    const language::move_statement& s, const place& at, result_callback done)
+{
+    change_host(
+        s.host.text, fleet::wish_move{s.host.text, s.pool.text, at.command}, std::move(done));
+}
+
+void statement_runner::run_one(
+    const language::drain_statement& s, const place& at, result_callback done)
 {
-    return parts_.config.applied(batch.command);
+    if (s.leaving && s.by == language::drain_by::host)
+    {
+        change_host(s.what.text, fleet::host_leaving{s.what.text, 0}, std::move(done));
+        return;
+    }
+    if (s.leaving)
+    {
+        done(bad(core::error_code::invalid, "'for leaving' takes one host"));
+        return;
+    }
+    if (s.by == language::drain_by::host && !s.wave)
+    {
+        change_host(s.what.text, fleet::wish_drain{s.what.text, at.command}, std::move(done));
+        return;
+    }
+    start_wave(wish_of(s, at.command), std::move(done));
+}
+
+void statement_runner::run_one(
+    const language::start_wave_statement& s, const place& at, result_callback done)
+{
+    fleet::wave_wish wish{s.id.text, {}, s.policy ? s.policy->text : std::string{}, at.command};
+    if (!s.where.empty())
+    {
+        const auto hosts = make_table(language::table_kind::hosts, parts_);
+        const auto rows = language::select_rows(hosts, s.where, at.document);
+        if (const auto* wrong = std::get_if<core::findings>(&rows))
+        {
+            done(bad(*wrong));
+            return;
+        }
+        for (const auto n : std::get<std::vector<std::size_t>>(rows))
+        {
+            wish.which.hosts.push_back(std::get<std::string>(hosts.rows[n].front()));
+        }
+        if (wish.which.hosts.empty())
+        {
+            done(bad(core::error_code::not_found, "no host matches the conditions"));
+            return;
+        }
+    }
+    start_wave(wish, std::move(done));
+}
+
+void statement_runner::start_wave(const fleet::wave_wish& wish, result_callback done)
+{
+    write_wave_start(context_,
+        parts_.fleet,
+        wish,
+        [id = wish.id, done = std::move(done)](const core::result<std::string>& end) {
+            done(told(end, core::is_ok(end) ? "wave " + id + ": " + core::value(end) + "\n" : ""));
+        });
+}
+
+void statement_runner::run_one(
+    const language::cancel_wave_statement& s, const place& at, result_callback done)
+{
+    write_wave_change(context_,
+        parts_.fleet,
+        s.id.text,
+        wave_verb::cancel,
+        at.command,
+        [id = s.id.text, done = std::move(done)](const core::result<std::string>& end)
+        { done(told(end, "wave " + id + " cancelled\n")); });
+}
+
+void statement_runner::run_one(
+    const language::resume_wave_statement& s, const place& at, result_callback done)
+{
+    write_wave_change(context_,
+        parts_.fleet,
+        s.id.text,
+        wave_verb::resume,
+        at.command,
+        [id = s.id.text, done = std::move(done)](const core::result<std::string>& end)
+        { done(told(end, "wave " + id + " resumed\n")); });
+}
+
+void statement_runner::run_one(
+    const language::start_experiment_statement& s, const place& at, result_callback done)
+{
+    constexpr core::millis default_duration{14LL * 24 * 3600 * 1000};
+    experiment::start_request request;
+    request.id = s.id.text;
+    request.command = at.command;
+    for (const auto& it : s.arms)
+    {
+        request.arms.push_back({it.arm.text, it.policy.text});
+    }
+    for (const auto& it : s.pools)
+    {
+        request.pools.push_back(it.text);
+    }
+    request.duration = s.duration.value_or(default_duration);
+    request.seed = static_cast<std::uint64_t>(s.seed.value_or(1));
+    parts_.experiments.begin(request,
+        [done = std::move(done)](const core::result<std::string>& end)
+        { done(told(end, core::is_ok(end) ? core::value(end) : "")); });
+}
+
+void statement_runner::run_one(
+    const language::stop_experiment_statement& s, const place& at, result_callback done)
+{
+    parts_.experiments.stop(s.id.text,
+        at.command,
+        [this, id = s.id.text, done = std::move(done)](const core::result<core::done>& end) {
+            done(
+                told(end, parts_.experiments.report(id).value_or("experiment " + id + " stops\n")));
+        });
+}
+
+void statement_runner::run_one(
+    const language::cancel_job_statement& s, const place& at, result_callback done)
+{
+    std::string pool;
+    if (parts_.jobs.find(s.id.text, pool) == nullptr)
+    {
+        done(bad(core::error_code::not_found, "no job named " + s.id.text));
+        return;
+    }
+    cancel_jobs({{pool, {s.id.text}}}, at.command, std::move(done));
+}
+
+void statement_runner::run_one(
+    const language::cancel_jobs_statement& s, const place& at, result_callback done)
+{
+    const auto all = make_table(language::table_kind::jobs, parts_);
+    const auto rows = language::select_rows(all, s.where, at.document);
+    if (const auto* wrong = std::get_if<core::findings>(&rows))
+    {
+        done(bad(*wrong));
+        return;
+    }
+    std::map<std::string, std::vector<std::string>> by_pool;
+    for (const auto n : std::get<std::vector<std::size_t>>(rows))
+    {
+        by_pool[std::get<std::string>(all.rows[n][1])].push_back(
+            std::get<std::string>(all.rows[n][0]));
+    }
+    cancel_jobs(std::move(by_pool), at.command, std::move(done));
+}
+
+void statement_runner::cancel_jobs(std::map<std::string, std::vector<std::string>> by_pool,
+    const std::string& command,
+    result_callback done)
+{
+    struct gathering
+    {
+        std::size_t missing = 0;
+        std::size_t cancelled = 0;
+        std::string problems;
+        core::error_code code = core::error_code::not_found;
+        result_callback done;
+    };
+    if (by_pool.empty())
+    {
+        done(good("no job matches\n"));
+        return;
+    }
+    auto all = std::make_shared<gathering>();
+    all->missing = by_pool.size();
+    all->done = std::move(done);
+    for (const auto& [pool, ids] : by_pool)
+    {
+        parts_.intake.cancel(pool,
+            ids,
+            command,
+            [all](const std::vector<intake_outcome>& outcomes)
+            {
+                for (const auto& it : outcomes)
+                {
+                    all->cancelled += it.accepted ? 1 : 0;
+                    all->problems += it.accepted ? std::string{} : it.id + ": " + it.text + "\n";
+                    all->code = it.accepted ? all->code : it.code;
+                }
+                if (--all->missing == 0)
+                {
+                    const auto n = std::to_string(all->cancelled);
+                    all->done(all->problems.empty() ? good(n + " jobs cancelled\n")
+                                                    : bad(all->code, all->problems));
+                }
+            });
+    }
+}
+
+void statement_runner::run_one(
+    const language::submit_job_statement& s, const place& at, result_callback done)
+{
+    auto object = nlohmann::json::parse(s.json, nullptr, false);
+    const auto named = object.find("pool");
+    if (named == object.end() || !named->is_string())
+    {
+        done(bad(
+            {{{at.document, "/pool", s.at.line, s.at.column}, "the job must name its pool", ""}}));
+        return;
+    }
+    const auto pool = named->get<std::string>();
+    object.erase("pool");
+    const nlohmann::json list = {{"jobs", {object}}};
+    auto decoded = jobs::decode_submissions(list.dump(), at.document);
+    if (const auto* wrong = std::get_if<core::findings>(&decoded))
+    {
+        done(bad(*wrong));
+        return;
+    }
+    if (parts_.fleet.find_pool(pool) == nullptr)
+    {
+        done(bad(core::error_code::not_found, "no pool named " + pool));
+        return;
+    }
+    parts_.intake.submit(pool,
+        std::get<std::vector<jobs::submission>>(decoded),
+        [done = std::move(done)](const std::vector<intake_outcome>& outcomes)
+        {
+            const auto& it = outcomes.front();
+            done(it.accepted ? good("job " + it.id + ": " + it.text + "\n")
+                             : bad(it.code, "job " + it.id + ": " + it.text));
+        });
 }
 
 } // namespace camphorhitch::daemon
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -190,6 +190,16 @@
   for n in $(seq 1 "$daemons"); do
     wait_until 20 "daemon $n to be ready" is_ready "$n"
   done
+  wait_until 20 "every pool to serve" all_serve
+}
+
+# all_serve: every pool but the spare one has a serving host, and every daemon the configuration.
+all_serve() {
+  local n
+  for n in $(seq 1 "$daemons"); do
+    [ "$(status_of "$n" config_version)" -ge 1 ] || return 1
+  done
+  [ "$(operators --json 'show pools where serving > 0' | jq '.results[0].data | length')" -ge 3 ]
 }
 
 status_of() { # status_of N FIELD
