model: format two headers

Cause: fields added by merges left comments out of line; the formatter's check fails on them. Change: clang-format, no other. Tested: clang-format clean on checked_json, model, settings, telemetry.

--- a/libs/model/include/model/fleet.hpp
+++ b/libs/model/include/model/fleet.hpp
@@ -70,12 +70,12 @@
     int connections = 64; ///< most connections of all entry hosts to the target
     host_state state = host_state::serving;
     drain_purpose purpose = drain_purpose::none;
-    std::string wave;            ///< wave that the drain belongs to, or empty
-    std::string maintained;      ///< last wave that maintained it, or empty
-    std::string move_to;         ///< pool that a move goes to, or empty
-    std::string lent_by;         ///< spare pool that lent the host, or empty for a pool's own
-    std::string command;         ///< id of the command or step behind the state
-    std::int64_t ownership = 1;  ///< grows with each move; the highest is the owner; 0: not ours yet
+    std::string wave;           ///< wave that the drain belongs to, or empty
+    std::string maintained;     ///< last wave that maintained it, or empty
+    std::string move_to;        ///< pool that a move goes to, or empty
+    std::string lent_by;        ///< spare pool that lent the host, or empty for a pool's own
+    std::string command;        ///< id of the command or step behind the state
+    std::int64_t ownership = 1; ///< grows with each move; the highest is the owner; 0: not ours yet
     std::int64_t boot_count = 0; ///< last seen in the live list; at a reboot's order, the old one
     std::int64_t since_ms = 0;   ///< when the state began
     decision_record why;
--- a/libs/model/include/model/keys.hpp
+++ b/libs/model/include/model/keys.hpp
@@ -13,7 +13,7 @@
 inline const std::string members = root + "members/"; ///< leased, one per entry host
 inline const std::string pools = root + "pools/";
 inline const std::string waves = root + "waves/";
-inline const std::string jobs = root + "jobs/"; ///< + pool + "/" + bucket
+inline const std::string jobs = root + "jobs/";     ///< + pool + "/" + bucket
 inline const std::string quotas = root + "quotas/"; ///< + team
 inline const std::string experiments = root + "experiments/";
 
