HTTP client: a call is not sent after its latest start; store: a conflict needs its read

Cause: the right to send is checked before send(), but a call may then wait for a connection, or its process be paused, past it, and the request would reach a target that is drained. A transaction's answer whose failure branch lacks the read was taken for a conflict with nothing there (found by a row of the table). Change: http_call.latest_start (additive in ports), checked just before the first byte; later is not_sent. A malformed conflict is unknown. Conclusion: the dispatcher should set latest_start to the permit's end.

--- a/libs/http/src/answer.cpp
+++ b/libs/http/src/answer.cpp
@@ -100,7 +100,7 @@
 ports::call_end judge_failure(const transfer& it, CURLcode code, std::string& detail)
 {
     const bool timed_out = code == CURLE_OPERATION_TIMEDOUT || it.silent;
-    detail = curl_easy_strerror(code);
+    detail = it.too_late ? "the time to send it has passed" : curl_easy_strerror(code);
     if (!it.began || (bytes_sent(it.easy) == 0 && !it.resend_refused))
     {
         return ports::call_end::not_sent;
--- a/libs/http/src/client_state.cpp
+++ b/libs/http/src/client_state.cpp
@@ -180,6 +180,7 @@
 {
     auto& it = *made;
     it.id = ++last_id_;
+    it.time = &time;
     it.started = time.now();
     it.last_byte = it.started;
     transfers_.emplace(it.id, std::move(made));
--- a/libs/http/src/transfer.cpp
+++ b/libs/http/src/transfer.cpp
@@ -31,6 +31,11 @@
         it.resend_refused = true;
         return CURL_PREREQFUNC_ABORT;
     }
+    if (it.time->now() > it.call.latest_start)
+    {
+        it.too_late = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     if (!it.began)
     {
         long connects = 0;
--- a/libs/http/src/transfer.hpp
+++ b/libs/http/src/transfer.hpp
@@ -28,6 +28,7 @@
     core::millis longest_silence{0};
     std::function<void(std::string_view)> on_chunk;
 
+    const ports::scheduler* time = nullptr;
     CURL* easy = nullptr;
     std::unique_ptr<curl_slist, free_list> lines; ///< the request's fields, as curl wants them
     core::mono_time started;
@@ -42,6 +43,7 @@
     bool in_body = false;        ///< the answer's header is whole
     bool deaf = false;           ///< we refused to take more of the answer
     bool resend_refused = false;
+    bool too_late = false; ///< for latest_start
     bool silent = false;
 };
 
--- a/libs/ports/include/ports/http.hpp
+++ b/libs/ports/include/ports/http.hpp
@@ -71,6 +71,9 @@
     http_request request;
     core::millis connect_timeout{1000};
     core::millis total_timeout{10000};
+    /// Checked when a connection stands, just before the first byte: later it is not sent. A call
+    /// may wait for a connection, or its process be paused, longer than the right to send lasts.
+    core::mono_time latest_start = core::mono_time::max();
     std::size_t largest_answer = 8u << 20; ///< bytes
     bool fresh_connection = false;         ///< never a connection that has been idle
 };
--- a/libs/store/src/wire.cpp
+++ b/libs/store/src/wire.cpp
@@ -184,8 +184,9 @@
     {
         return std::nullopt;
     }
-    const auto found = read_entries(at(at(responses[0], "response_range"), "kvs"));
-    if (!found)
+    const auto& range = at(responses[0], "response_range");
+    const auto found = read_entries(at(range, "kvs"));
+    if (!range.is_object() || !found)
     {
         return std::nullopt;
     }
@@ -362,8 +363,7 @@
         return std::nullopt;
     }
     ports::kv_write out;
-    out.status =
-        is_true(answer, "succeeded") ? ports::kv_status::ok : ports::kv_status::conflict;
+    out.status = is_true(answer, "succeeded") ? ports::kv_status::ok : ports::kv_status::conflict;
     return out;
 }
 
