A wave runs end to end: take-over waits for the live members, idle pools count as free of tasks

Cause: (1) the take-over's bound lay in the past when no older epoch could act, so every member counted as silent at once and drains waited for the longest request; (2) a pool without jobs is never marked by its placer, and its tasks counted as not known. Ruled out: the live list and the reboot (never ordered). Change: three seconds for the members' reports; counts_all_tasks().

--- a/libs/jobs/include/jobs/pool_jobs.hpp
+++ b/libs/jobs/include/jobs/pool_jobs.hpp
@@ -168,6 +168,11 @@
 /// \return the view of a task, made when it is new.
 task_view& view_of(pool_jobs& all, const std::string& task, core::mono_time now);
 
+/// \return whether tasks_on() counts every task there can be: all documents are read, and nobody
+/// else can place. Documents without work need no mark for that: to place a job, a former owner
+/// would have to write a document that has changed since it read it.
+bool counts_all_tasks(const pool_jobs& all);
+
 /// \return tasks that may still run on the host; a drain is complete at 0.
 int tasks_on(const pool_jobs& all, const std::string& host);
 
--- a/libs/jobs/src/pool_jobs.cpp
+++ b/libs/jobs/src/pool_jobs.cpp
@@ -171,6 +171,14 @@
                                   [](const bucket_view& b) { return b.loaded && b.fenced; });
 }
 
+bool counts_all_tasks(const pool_jobs& all)
+{
+    const bool loaded = std::all_of(
+        all.buckets.begin(), all.buckets.end(), [](const bucket_view& b) { return b.loaded; });
+    const bool idle = std::none_of(all.buckets.begin(), all.buckets.end(), holds_work);
+    return !all.superseded && loaded && (idle || may_place(all));
+}
+
 void touch(bucket_view& b, write_need need, core::mono_time now)
 {
     if (b.need == write_need::none)
--- a/programs/camphorhitchd/src/explanations.cpp
+++ b/programs/camphorhitchd/src/explanations.cpp
@@ -43,6 +43,8 @@
            fleet::describe_absences(
                pool->document, fleet::budget_of(parts.config.current(), owner.pool)) +
            "\n";
+    const auto tasks = parts.jobs.tasks_on(owner.pool, id);
+    out += tasks ? "  tasks: " + std::to_string(*tasks) + "\n" : "  tasks: not known here\n";
     if (const auto use = parts.permits.use_of(owner.pool, id))
     {
         out += "  in flight: " + std::to_string(use->permits) + " requests" +
--- a/programs/camphorhitchd/src/job_service.cpp
+++ b/programs/camphorhitchd/src/job_service.cpp
@@ -22,8 +22,11 @@
 
 } // namespace
 
-job_service::job_service(context& c, membership_service& members, permit_service& permits,
-    fleet_service& fleet, jobs::settings rules)
+job_service::job_service(context& c,
+    membership_service& members,
+    permit_service& permits,
+    fleet_service& fleet,
+    jobs::settings rules)
     : context_(c), members_(members), permits_(permits), fleet_(fleet), rules_(rules)
 {
 }
@@ -76,8 +79,8 @@
     }
     const auto mark_text = context_.self.incarnation + "/" + std::to_string(++take_overs_);
     owned fresh;
-    fresh.jobs = jobs::make_pool_jobs(
-        pool, {members_.roster().epoch, mark_text}, context_.scheduler.now());
+    fresh.jobs =
+        jobs::make_pool_jobs(pool, {members_.roster().epoch, mark_text}, context_.scheduler.now());
     fresh.revisions.fill(-1);
     fresh.tried.fill(-1);
     auto& o = owned_[pool] = std::move(fresh);
@@ -106,8 +109,7 @@
     {
         stored = it->second;
     }
-    const auto cause =
-        revision == o.tried[n] ? jobs::read_cause::same : jobs::read_cause::newer;
+    const auto cause = revision == o.tried[n] ? jobs::read_cause::same : jobs::read_cause::newer;
     if (jobs::take_document(o.jobs, bucket, std::move(stored), cause, context_.scheduler.now()))
     {
         o.revisions[n] = revision;
@@ -247,8 +249,8 @@
     }
 }
 
-void job_service::on_written(const std::string& pool, int bucket, const std::string& text,
-    const ports::kv_write& reply)
+void job_service::on_written(
+    const std::string& pool, int bucket, const std::string& text, const ports::kv_write& reply)
 {
     auto& o = *find_owned(pool);
     const auto n = static_cast<std::size_t>(bucket);
@@ -376,15 +378,14 @@
 std::optional<int> job_service::tasks_on(const std::string& pool, const std::string& host) const
 {
     const auto it = owned_.find(pool);
-    if (it == owned_.end() || !jobs::may_place(it->second.jobs))
+    if (it == owned_.end() || !jobs::counts_all_tasks(it->second.jobs))
     {
         return std::nullopt;
     }
     return jobs::tasks_on(it->second.jobs, host);
 }
 
-void job_service::move_off(
-    const std::string& pool, const std::string& host, core::millis time_left)
+void job_service::move_off(const std::string& pool, const std::string& host, core::millis time_left)
 {
     asked_to_leave_[pool][host] = time_left;
 }
--- a/programs/camphorhitchd/src/permit_service.cpp
+++ b/programs/camphorhitchd/src/permit_service.cpp
@@ -11,9 +11,10 @@
 namespace
 {
 
-constexpr core::millis round{20};        ///< between looks at timers of all dispatchers
-constexpr core::millis ask_again{300};   ///< between two rounds of asking for held permits
-constexpr core::millis return_again{50}; ///< between two tries to give permits back
+constexpr core::millis round{20};          ///< between looks at timers of all dispatchers
+constexpr core::millis ask_again{300};     ///< between two rounds of asking for held permits
+constexpr core::millis ask_patience{3000}; ///< for the reports of members that are not suspected
+constexpr core::millis return_again{50};   ///< between two tries to give permits back
 constexpr core::millis return_for{30000};
 /// Numbers of permits never repeat within an incarnation; each take-over starts a block.
 constexpr std::uint64_t permit_block = std::uint64_t{1} << 32;
@@ -99,10 +100,8 @@
             drop(pool.name);
             continue;
         }
-        const bool gap = had && dispatch::needs_take_over(roster,
-                                    last_owned_[pool.name],
-                                    context_.self.id,
-                                    pool.name);
+        const bool gap = had && dispatch::needs_take_over(
+                                    roster, last_owned_[pool.name], context_.self.id, pool.name);
         if (!had || gap)
         {
             drop(pool.name);
@@ -163,7 +162,9 @@
         plan.former.push_back({it.id, it.incarnation, members_.is_gone(it), {}});
     }
     const auto now = context_.scheduler.now();
-    plan.answers_by = members_.older_epochs_stopped();
+    // The live members need time to answer even when nobody else can be acting any more: without it
+    // all of them would count as silent at once, and drains would wait for the longest request.
+    plan.answers_by = std::max(members_.older_epochs_stopped(), now + ask_patience);
     dispatch::begin_take_over(*d, plan, now);
     auto& mine = dispatchers_.emplace(pool.name, std::move(*d)).first->second;
     const auto document = documents_.find(pool.name);
@@ -239,8 +240,8 @@
 {
     for (auto& [pool, d] : dispatchers_)
     {
-        answer(dispatch::on_member_lost(
-            d, who.id, who.incarnation, true, context_.scheduler.now()));
+        answer(
+            dispatch::on_member_lost(d, who.id, who.incarnation, true, context_.scheduler.now()));
     }
 }
 
@@ -269,7 +270,8 @@
     if (it == dispatchers_.end() || request.epoch > members_.roster().epoch)
     {
         const bool mine = owns(request.pool);
-        done(not_here(mine ? ports::permit_verdict::not_ready : ports::permit_verdict::wrong_owner));
+        done(
+            not_here(mine ? ports::permit_verdict::not_ready : ports::permit_verdict::wrong_owner));
         return;
     }
     if (!members_.fresh())
