Platform names in one table; a host that is down refuses for certain

Cause: the platform adapter and the stand-ins had the same tables of names; the adapter reads 5xx as 'unknown', so a host that is down looked as if it might have started the task. Change: ports/platform.hpp has the tables (additive); the worker stand-in answers 409 for a host that is down, as nothing was done; its test expects 409 in place of 503.

--- a/libs/platform/src/messages.cpp
+++ b/libs/platform/src/messages.cpp
@@ -1,7 +1,5 @@
 #include "messages.hpp"
 
-#include "core/names.hpp"
-
 #include <nlohmann/json.hpp>
 
 namespace camphorhitch::platform
@@ -12,28 +10,6 @@
 
 using json = nlohmann::json;
 
-constexpr core::name_table<ports::live_state, 3> live_state_names{{
-    {ports::live_state::live, "live"},
-    {ports::live_state::leaving, "leaving"},
-    {ports::live_state::down, "down"},
-}};
-
-constexpr core::name_table<ports::task_state, 5> task_state_names{{
-    {ports::task_state::running, "running"},
-    {ports::task_state::finished, "finished"},
-    {ports::task_state::failed, "failed"},
-    {ports::task_state::stopped, "stopped"},
-    {ports::task_state::lapsed, "lapsed"},
-}};
-
-constexpr core::name_table<ports::task_action, 5> task_action_names{{
-    {ports::task_action::renew, "renew"},
-    {ports::task_action::checkpoint, "checkpoint"},
-    {ports::task_action::throttle, "throttle"},
-    {ports::task_action::unthrottle, "unthrottle"},
-    {ports::task_action::stop, "stop"},
-}};
-
 template <class T>
 T field(const json& object, const char* name, T otherwise)
 {
@@ -76,7 +52,8 @@
     out.known = true;
     for (const auto& it : list)
     {
-        const auto state = core::value_of(live_state_names, field<std::string>(it, "state", ""));
+        const auto state =
+            core::value_of(ports::live_state_names, field<std::string>(it, "state", ""));
         const auto id = field<std::string>(it, "id", "");
         if (state && !id.empty())
         {
@@ -100,7 +77,8 @@
         ports::task_report one;
         one.host = host;
         one.task = field<std::string>(it, "task", "");
-        const auto state = core::value_of(task_state_names, field<std::string>(it, "state", ""));
+        const auto state =
+            core::value_of(ports::task_state_names, field<std::string>(it, "state", ""));
         one.processors_used = field<double>(it, "processors_used", 0);
         one.memory_gb_used = field<double>(it, "memory_gb_used", 0);
         one.checkpoint = field<std::string>(it, "checkpoint", "");
@@ -134,7 +112,7 @@
 
 std::string action_body(const std::vector<std::string>& tasks, ports::task_action action)
 {
-    return dump({{"tasks", tasks}, {"action", core::name_of(task_action_names, action)}});
+    return dump({{"tasks", tasks}, {"action", core::name_of(ports::task_action_names, action)}});
 }
 
 } // namespace camphorhitch::platform
--- a/libs/ports/include/ports/platform.hpp
+++ b/libs/ports/include/ports/platform.hpp
@@ -2,6 +2,7 @@
 /// Port to the platform: the lagging live list, reboots, and tasks on workers.
 #pragma once
 
+#include "core/names.hpp"
 #include "core/time.hpp"
 
 #include <cstdint>
@@ -19,6 +20,12 @@
     down
 };
 
+inline constexpr core::name_table<live_state, 3> live_state_names{{
+    {live_state::live, "live"},
+    {live_state::leaving, "leaving"},
+    {live_state::down, "down"},
+}};
+
 struct live_host
 {
     std::string id;
@@ -63,6 +70,14 @@
     lapsed
 };
 
+inline constexpr core::name_table<task_state, 5> task_state_names{{
+    {task_state::running, "running"},
+    {task_state::finished, "finished"},
+    {task_state::failed, "failed"},
+    {task_state::stopped, "stopped"},
+    {task_state::lapsed, "lapsed"},
+}};
+
 struct task_report
 {
     std::string host;
@@ -89,6 +104,14 @@
     stop
 };
 
+inline constexpr core::name_table<task_action, 5> task_action_names{{
+    {task_action::renew, "renew"},
+    {task_action::checkpoint, "checkpoint"},
+    {task_action::throttle, "throttle"},
+    {task_action::unthrottle, "unthrottle"},
+    {task_action::stop, "stop"},
+}};
+
 struct platform
 {
     std::function<void(std::function<void(live_list)>)> read_live_list;
--- a/testing/standin_livelist/src/service.cpp
+++ b/testing/standin_livelist/src/service.cpp
@@ -1,7 +1,5 @@
 #include "service.hpp"
 
-#include "standin_support/platform_names.hpp"
-
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -52,7 +50,7 @@
     for (const auto& it : read(list_, then))
     {
         all.push_back({{"id", it.id},
-            {"state", core::name_of(standin_support::live_state_names, it.state)},
+            {"state", core::name_of(ports::live_state_names, it.state)},
             {"boot_count", it.boot_count}});
     }
     return json_response(200, {{"hosts", all}});
@@ -66,7 +64,7 @@
     std::string state;
     body.read("state", state);
     body.read("boot_count", host.boot_count);
-    const auto known = core::value_of(standin_support::live_state_names, state);
+    const auto known = core::value_of(ports::live_state_names, state);
     if (!known)
     {
         body.add_finding("state", "must be live, leaving or down");
--- a/testing/standin_worker/src/control.cpp
+++ b/testing/standin_worker/src/control.cpp
@@ -1,7 +1,5 @@
 #include "service.hpp"
 
-#include "standin_support/platform_names.hpp"
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -116,7 +114,7 @@
         hosts.push_back({{"id", id},
             {"zone", it.zone},
             {"rack", it.rack},
-            {"state", core::name_of(standin_support::live_state_names, it.state)},
+            {"state", core::name_of(ports::live_state_names, it.state)},
             {"boot_count", it.boot_count},
             {"reboots", it.commands.size()},
             {"running", running}});
--- a/testing/standin_worker/src/fleet.cpp
+++ b/testing/standin_worker/src/fleet.cpp
@@ -1,6 +1,5 @@
 #include "fleet.hpp"
 
-#include "standin_support/platform_names.hpp"
 #include "truth.hpp"
 
 #include <cmath>
@@ -34,7 +33,7 @@
     t.detail = std::move(detail);
     auto& record = f.records[t.record];
     record.ended_ms = at.unix_ms;
-    record.end = core::name_of(standin_support::task_state_names, state);
+    record.end = core::name_of(ports::task_state_names, state);
 }
 
 void lose_tasks(fleet& f, host& h, moment at)
--- a/testing/standin_worker/src/service.cpp
+++ b/testing/standin_worker/src/service.cpp
@@ -1,7 +1,5 @@
 #include "service.hpp"
 
-#include "standin_support/platform_names.hpp"
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -31,7 +29,7 @@
     case verdict::no_host:
         return error_response(404, "no such host");
     case verdict::host_down:
-        return error_response(503, "the host is down; nothing was done");
+        return error_response(409, "the host is down; nothing was done");
     case verdict::refused:
         break;
     }
@@ -74,7 +72,7 @@
 json report_json(const ports::task_report& r)
 {
     return {{"task", r.task},
-        {"state", core::name_of(standin_support::task_state_names, r.state)},
+        {"state", core::name_of(ports::task_state_names, r.state)},
         {"processors_used", r.processors_used},
         {"memory_gb_used", r.memory_gb_used},
         {"checkpoint", r.checkpoint},
@@ -128,7 +126,7 @@
 {
     for (const auto& it : std::exchange(fleet_.notices, {}))
     {
-        const auto state = core::name_of(standin_support::live_state_names, it.state);
+        const auto state = core::name_of(ports::live_state_names, it.state);
         const json for_list = {{"state", state}, {"boot_count", it.boot_count}};
         livelist_.send({"PUT", "/v1/hosts/" + it.host, for_list.dump()});
         const json for_target = {{"host", it.host},
@@ -193,7 +191,7 @@
     std::string name;
     body.read("tasks", tasks);
     body.read("action", name);
-    const auto action = core::value_of(standin_support::task_action_names, name);
+    const auto action = core::value_of(ports::task_action_names, name);
     if (!action)
     {
         body.add_finding("action", "must be renew, checkpoint, throttle, unthrottle or stop");
--- a/testing/standin_worker/tests/service_tests.cpp
+++ b/testing/standin_worker/tests/service_tests.cpp
@@ -67,7 +67,7 @@
         {"GET", "/v1/hosts/h1/tasks", "", "200 {\"boot_count\":1,\"host\":\"h1\",\"tasks\":[{"},
         {"POST", "/v1/hosts/h2/reboot", "{}", "400 "},
         {"POST", "/v1/hosts/h2/reboot", R"({"command":"c"})", "200 {\"repeat\":false}"},
-        {"GET", "/v1/hosts/h2/tasks", "", "503 "},
+        {"GET", "/v1/hosts/h2/tasks", "", "409 "},
     };
     for (const auto& it : rows)
     {
