--- a/programs/camphorhitchd/src/claim_service.cpp
+++ b/programs/camphorhitchd/src/claim_service.cpp
@@ -11,8 +11,6 @@
 {
 
 constexpr core::millis round{100};
-constexpr core::millis finish_again{200}; ///< between two tries to tell an attempt's end
-constexpr core::millis finish_for{60000};
 
 } // namespace
 
@@ -23,7 +21,6 @@
     table_.settings = settings;
     table_.self = c.self;
     context_.every(round, [this] { act(claims::on_tick(table_, context_.scheduler.now())); });
-    context_.every(finish_again, [this] { send_finishes(); });
 }
 
 void claim_service::on_settings(const claims::claim_settings& settings)
@@ -65,8 +62,7 @@
 {
     const auto ticket = next_ticket_++;
     claim_replies_[ticket] = std::move(done);
-    act(claims::on_claim(
-        table_, ticket, request, members_.fresh(), context_.scheduler.now()));
+    act(claims::on_claim(table_, ticket, request, members_.fresh(), context_.scheduler.now()));
 }
 
 void claim_service::on_finish(
@@ -87,39 +83,21 @@
     return claims::on_pull(table_, pull, context_.scheduler.now());
 }
 
-void claim_service::finish(const ports::claim_finish& message)
+void claim_service::finish(const ports::claim_finish& message, finish_callback done)
 {
-    finishes_.push_back({message, context_.scheduler.now() + finish_for});
-    send_finishes();
-}
-
-void claim_service::send_finishes()
-{
-    for (auto& it : std::exchange(finishes_, {}))
+    const auto* to = holder(message.key);
+    if (to == nullptr)
     {
-        const auto* to = holder(it.message.key);
-        if (context_.scheduler.now() > it.until || to == nullptr)
-        {
-            continue;
-        }
-        it.message.epoch = members_.roster().epoch;
-        auto heard = [this, it](ports::peer_status status, ports::ack reply)
-        {
-            if (status != ports::peer_status::ok || !reply.accepted)
-            {
-                finishes_.push_back(it);
-            }
-        };
-        if (membership::same_process(*to, context_.self))
-        {
-            on_finish(it.message,
-                [heard](ports::ack reply) { heard(ports::peer_status::ok, reply); });
-        }
-        else
-        {
-            context_.peers.finish_claim(to->address, it.message, heard);
-        }
+        done(ports::peer_status::unreachable, {});
+        return;
     }
+    if (membership::same_process(*to, context_.self))
+    {
+        on_finish(message,
+            [done = std::move(done)](ports::ack reply) { done(ports::peer_status::ok, reply); });
+        return;
+    }
+    context_.peers.finish_claim(to->address, message, std::move(done));
 }
 
 void claim_service::act(const claims::claim_actions& actions)
@@ -151,16 +129,14 @@
             context_.peers.copy_claim(copy->to.address,
                 copy->copy,
                 [this, number = copy->number](ports::peer_status status, ports::ack reply)
-                {
-                    act(claims::on_copy_result(table_, number, status, reply, members_.fresh()));
-                });
+                { act(claims::on_copy_result(table_, number, status, reply, members_.fresh())); });
         }
         else if (const auto* pull = std::get_if<claims::send_pull>(&it))
         {
             context_.peers.pull_slots(pull->to.address,
                 pull->pull,
-                [this, asked = *pull](ports::peer_status status, const ports::slot_pull_reply& reply)
-                {
+                [this, asked = *pull](
+                    ports::peer_status status, const ports::slot_pull_reply& reply) {
                     act(claims::on_pull_result(
                         table_, asked, status, reply, context_.scheduler.now()));
                 });
--- a/programs/camphorhitchd/src/claim_service.hpp
+++ b/programs/camphorhitchd/src/claim_service.hpp
@@ -16,6 +16,7 @@
 class claim_service
 {
 public:
+    using finish_callback = std::function<void(ports::peer_status, ports::ack)>;
     using claim_callback = std::function<void(ports::peer_status, ports::claim_reply)>;
 
     claim_service(context& c, membership_service& members, claims::claim_settings settings);
@@ -25,11 +26,12 @@
 
     /// Asks the first holder of the key's slot, here or elsewhere.
     void ask(const ports::claim_request& request, claim_callback done);
-    /// Tells the first holder how an attempt ended; repeated until it was heard.
-    void finish(const ports::claim_finish& message);
+    /// Tells the first holder how an attempt ended, once; the flow repeats it until it was heard.
+    void finish(const ports::claim_finish& message, finish_callback done);
 
     /// A peer's messages.
-    void on_claim(const ports::claim_request& request, std::function<void(ports::claim_reply)> done);
+    void on_claim(
+        const ports::claim_request& request, std::function<void(ports::claim_reply)> done);
     void on_finish(const ports::claim_finish& message, std::function<void(ports::ack)> done);
     ports::ack on_copy(const ports::claim_copy& copy);
     ports::slot_pull_reply on_pull(const ports::slot_pull& pull);
@@ -39,7 +41,6 @@
 
 private:
     void act(const claims::claim_actions& actions);
-    void send_finishes();
     const model::member_record* holder(const std::string& key) const;
 
     context& context_;
@@ -48,12 +49,6 @@
     std::uint64_t next_ticket_ = 1;
     std::unordered_map<std::uint64_t, std::function<void(ports::claim_reply)>> claim_replies_;
     std::unordered_map<std::uint64_t, std::function<void(ports::ack)>> finish_replies_;
-    struct pending_finish
-    {
-        ports::claim_finish message;
-        core::mono_time until;
-    };
-    std::vector<pending_finish> finishes_;
 };
 
 } // namespace camphorhitch::daemon
--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr core::millis round{5};          ///< between looks at the flows' timers
+constexpr core::millis round{5};              ///< between looks at the flows' timers
 constexpr std::size_t remembered_ends = 2000; ///< requests that `why request` still finds
 constexpr int status_not_found = 404;
 constexpr int status_bad_request = 400;
@@ -43,8 +43,9 @@
 {
     fields.erase(std::remove_if(fields.begin(),
                      fields.end(),
-                     [&](const auto& it)
-                     { return ports::find_field({{it.first, ""}}, name) != nullptr; }),
+                     [&](const auto& it) {
+                         return ports::find_field({{it.first, ""}}, name) != nullptr;
+                     }),
         fields.end());
     fields.emplace_back(name, text);
 }
@@ -83,8 +84,11 @@
 
 } // namespace
 
-request_service::request_service(context& c, membership_service& members, permit_service& permits,
-    claim_service& claims, dispatch::sender_settings settings)
+request_service::request_service(context& c,
+    membership_service& members,
+    permit_service& permits,
+    claim_service& claims,
+    dispatch::sender_settings settings)
     : context_(c), members_(members), permits_(permits), claims_(claims)
 {
     sender_.member = c.self.id;
@@ -118,8 +122,7 @@
         const auto it = open_.find(id);
         if (it != open_.end())
         {
-            run(id,
-                dispatch::on_owner_changed(it->second.flow, sender_, context_.scheduler.now()));
+            run(id, dispatch::on_owner_changed(it->second.flow, sender_, context_.scheduler.now()));
         }
     }
 }
@@ -141,8 +144,11 @@
     end_if_over(0);
 }
 
-void request_service::refuse(ports::exchange_id exchange, int status, const std::string& reason,
-    const std::string& text, int retry_after_s)
+void request_service::refuse(ports::exchange_id exchange,
+    int status,
+    const std::string& reason,
+    const std::string& text,
+    int retry_after_s)
 {
     ports::http_response out;
     out.status = status;
@@ -151,7 +157,8 @@
         {"Camphorhitch-Reason", reason}};
     if (retry_after_s > 0)
     {
-        out.fields.emplace_back(std::string(dispatch::fields::retry_after), std::to_string(retry_after_s));
+        out.fields.emplace_back(
+            std::string(dispatch::fields::retry_after), std::to_string(retry_after_s));
     }
     out.body = nlohmann::json({{"outcome", "not-run"}, {"reason", reason}, {"text", text}})
                    .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -336,9 +343,19 @@
     permits_.give_back(it.message);
 }
 
-void request_service::step(request_id /*id*/, const dispatch::finish_claim& it)
+void request_service::step(request_id id, const dispatch::finish_claim& it)
 {
-    claims_.finish(it.message);
+    claims_.finish(it.message,
+        [this, id](ports::peer_status status, const ports::ack& ack)
+        {
+            const auto found = open_.find(id);
+            if (found != open_.end())
+            {
+                run(id,
+                    dispatch::on_finish_ack(
+                        found->second.flow, sender_, status, ack, context_.scheduler.now()));
+            }
+        });
 }
 
 void request_service::step(request_id id, const dispatch::answer_caller& it)
@@ -413,7 +430,8 @@
     for (const auto& [id, r] : open_)
     {
         auto one = dispatch::held_by(r.flow, context_.scheduler.now());
-        if (one && std::find(query.pools.begin(), query.pools.end(), one->pool) != query.pools.end())
+        if (one &&
+            std::find(query.pools.begin(), query.pools.end(), one->pool) != query.pools.end())
         {
             reply.permits.push_back(std::move(*one));
         }
