--- a/libs/language/include/language/parse.hpp
+++ b/libs/language/include/language/parse.hpp
@@ -15,14 +15,17 @@
 /// Longer texts give a finding and are not read.
 inline constexpr std::size_t longest_text = 1u << 20; // bytes
 
+/// Reading ends there: a long text could make a finding of each few bytes.
+inline constexpr std::size_t most_findings = 100;
+
 struct located_statement
 {
     position at;
     statement what;
 };
 
-/// What a text holds. With any finding, nothing of it may be run: a script takes effect as it was
-/// meant or not at all.
+/// What a text holds. With any finding nothing of it may be run, so that a slip in one line doesn't
+/// leave the lines before it done.
 struct parsed
 {
     std::vector<located_statement> statements;
--- a/libs/language/src/grammar.hpp
+++ b/libs/language/src/grammar.hpp
@@ -18,6 +18,8 @@
 };
 
 /// \param it where a statement begins.
-std::variant<statement_end, core::finding> read_statement(const source& text, const char* it);
+/// \param document the text's name in a finding.
+std::variant<statement_end, core::finding> read_statement(
+    const source& text, const char* it, const std::string& document);
 
 } // namespace camphorhitch::language
--- a/libs/language/src/parse.cpp
+++ b/libs/language/src/parse.cpp
@@ -1,6 +1,7 @@
 #include "language/parse.hpp"
 
 #include "checked_json/document.hpp"
+#include "finding.hpp"
 #include "grammar.hpp"
 #include "language/settings.hpp"
 #include "source.hpp"
@@ -18,7 +19,6 @@
 /// What the grammar can't see: mistakes inside a statement that is well formed.
 struct checker
 {
-    const source& text;
     const std::string& document;
     core::findings& found;
 
@@ -31,7 +31,8 @@
     {
         if (s.arms.size() < least_arms)
         {
-            found.push_back(text.finding_at(s.id.at, "an experiment compares two arms or more"));
+            found.push_back(
+                finding_at(s.id.at, document, "an experiment compares two arms or more"));
         }
         std::set<std::string> arms;
         for (const auto& it : s.arms)
@@ -68,8 +69,8 @@
     {
         if (!known.insert(it.text).second)
         {
-            found.push_back(
-                text.finding_at(it.at, std::string(what) + " '" + it.text + "' is named twice"));
+            found.push_back(finding_at(
+                it.at, document, std::string(what) + ' ' + cited(it.text) + " is named twice"));
         }
     }
 
@@ -87,17 +88,23 @@
 parsed parse(const std::string& text, const std::string& document)
 {
     parsed all;
-    const source from(text, document);
+    const source from(text);
     if (text.size() > longest_text)
     {
-        all.found.push_back(from.finding_at(
-            {1, 1}, "longer than " + std::to_string(longest_text) + " bytes, not read"));
+        all.found.push_back(finding_at(
+            {1, 1}, document, "longer than " + std::to_string(longest_text) + " bytes, not read"));
         return all;
     }
     const char* it = from.skip_blank(from.begin());
     while (it != from.end())
     {
-        auto read = read_statement(from, it);
+        if (all.found.size() >= most_findings)
+        {
+            all.found.push_back(finding_at(
+                from.position_of(it), document, "too many findings; not read from here on"));
+            break;
+        }
+        auto read = read_statement(from, it, document);
         if (auto* wrong = std::get_if<core::finding>(&read))
         {
             all.found.push_back(std::move(*wrong));
@@ -105,7 +112,7 @@
             continue;
         }
         auto& good = std::get<statement_end>(read);
-        std::visit(checker{from, document, all.found}, good.what);
+        std::visit(checker{document, all.found}, good.what);
         all.statements.push_back({from.position_of(it), std::move(good.what)});
         it = from.skip_blank(good.after);
     }
--- a/libs/language/src/print.cpp
+++ b/libs/language/src/print.cpp
@@ -64,8 +64,9 @@
                            " and ",
                            [](const condition& it)
                            {
-                               return written_name(it.field) + ' ' + word(comparison_names, it.how) +
-                                      ' ' + written(it.operand.text);
+                               return written_name(it.field) + ' ' +
+                                      word(comparison_names, it.how) + ' ' +
+                                      written(it.operand.text);
                            });
 }
 
@@ -81,7 +82,8 @@
         std::string text = "show " + word(table_kind_names, s.what) + where_text(s.where);
         if (s.order)
         {
-            text += " order by " + written_name(s.order->field) + (s.order->descending ? " desc" : "");
+            text +=
+                " order by " + written_name(s.order->field) + (s.order->descending ? " desc" : "");
         }
         return text + (s.limit ? " limit " + std::to_string(*s.limit) : "");
     }
--- a/libs/language/src/query.cpp
+++ b/libs/language/src/query.cpp
@@ -1,3 +1,4 @@
+#include "finding.hpp"
 #include "language/table.hpp"
 
 #include <algorithm>
@@ -20,12 +21,6 @@
     return names;
 }
 
-core::finding finding_at(
-    position at, const std::string& document, std::string text, std::string suggestion = {})
-{
-    return {{document, "", at.line, at.column}, std::move(text), std::move(suggestion)};
-}
-
 /// \return the index of the column, or the number of columns and a finding.
 std::size_t find_column(
     const table& t, const name& field, const std::string& document, core::findings& found)
@@ -39,7 +34,7 @@
     {
         found.push_back(finding_at(field.at,
             document,
-            "no field '" + field.text + "' here",
+            "no field " + cited(field.text) + " here",
             core::nearest_name(field.text, names_of(t))));
     }
     return i;
@@ -122,17 +117,17 @@
     switch (c.how)
     {
     case comparison::equal:
-        return order == 0;
+        return std::is_eq(order);
     case comparison::not_equal:
-        return order != 0;
+        return std::is_neq(order);
     case comparison::less:
-        return order < 0;
+        return std::is_lt(order);
     case comparison::less_or_equal:
-        return order <= 0;
+        return std::is_lteq(order);
     case comparison::greater:
-        return order > 0;
+        return std::is_gt(order);
     case comparison::greater_or_equal:
-        return order >= 0;
+        return std::is_gteq(order);
     case comparison::contains:
         return contains(it, c.operand);
     }
@@ -176,7 +171,7 @@
         if (wrong.empty() && !asks_for_empty && operand.index() == 0)
         {
             wrong =
-                "'" + it.field.text + "' is " + in_words(kind) + ", not '" + it.operand.text + "'";
+                cited(it.field.text) + " is " + in_words(kind) + ", not " + cited(it.operand.text);
         }
         if (!wrong.empty())
         {
@@ -214,7 +209,7 @@
             {
                 return x.index() != 0 && y.index() == 0;
             }
-            return descending ? compare(y, x) < 0 : compare(x, y) < 0;
+            return std::is_lt(descending ? compare(y, x) : compare(x, y));
         });
 }
 
--- a/libs/language/src/settings.cpp
+++ b/libs/language/src/settings.cpp
@@ -1,7 +1,9 @@
 #include "language/settings.hpp"
 
-#include <algorithm>
+#include "finding.hpp"
+
 #include <limits>
+#include <set>
 #include <variant>
 
 namespace camphorhitch::language
@@ -79,7 +81,7 @@
 
 std::string not_a(value_kind kind, const value& v)
 {
-    return "takes " + in_words(kind) + ", not '" + v.text + "'";
+    return "takes " + in_words(kind) + ", not " + cited(v.text);
 }
 
 template <class Read, class To>
@@ -139,7 +141,7 @@
     {
         names += (names.empty() ? "" : ", ") + std::string(it.name);
     }
-    return kind ? std::string{} : "takes one of " + names + ", not '" + v.text + "'";
+    return kind ? std::string{} : "takes one of " + names + ", not " + cited(v.text);
 }
 
 value_kind kind_of(const member& m)
@@ -153,12 +155,6 @@
     return kinds[m.index()];
 }
 
-core::finding finding_at(
-    position at, const std::string& document, std::string text, std::string suggestion = {})
-{
-    return {{document, "", at.line, at.column}, std::move(text), std::move(suggestion)};
-}
-
 // ---- one owner ----
 
 template <class Owner>
@@ -166,6 +162,7 @@
 {
     Owner any;
     std::vector<setting> all;
+    all.reserve(entries.size());
     for (const auto& it : entries)
     {
         all.push_back({it.name, kind_of(it.of(any))});
@@ -173,6 +170,44 @@
     return all;
 }
 
+template <class Owner>
+const entry<Owner>* find_entry(const std::vector<entry<Owner>>& entries, const std::string& field)
+{
+    for (const auto& it : entries)
+    {
+        if (field == it.name)
+        {
+            return &it;
+        }
+    }
+    return nullptr;
+}
+
+template <class Owner>
+core::finding no_such_setting(const set_statement& s,
+    const std::vector<entry<Owner>>& entries,
+    const name& field,
+    const std::string& document)
+{
+    std::vector<std::string> names;
+    names.reserve(entries.size());
+    for (const auto& it : entries)
+    {
+        names.emplace_back(it.name);
+    }
+    const std::string owner(core::name_of(setting_owner_names, s.owner));
+    return finding_at(field.at,
+        document,
+        cited(field.text) + " is no " + owner + " setting",
+        core::nearest_name(field.text, names));
+}
+
+core::finding about(
+    const name& field, position at, const std::string& wrong, const std::string& document)
+{
+    return finding_at(at, document, cited(field.text) + ' ' + wrong);
+}
+
 template <class Owner>
 core::findings assign_all(const set_statement& s,
     const std::vector<entry<Owner>>& entries,
@@ -180,37 +215,24 @@
     const std::string& document)
 {
     core::findings found;
-    std::vector<std::string> assigned;
-    for (const auto& [field, to] : s.assignments)
+    std::set<std::string> assigned;
+    for (const auto& it : s.assignments)
     {
-        const auto it = std::find_if(entries.begin(),
-            entries.end(),
-            [&field](const auto& known) { return field.text == known.name; });
-        if (it == entries.end())
+        const auto* known = find_entry(entries, it.field.text);
+        if (known == nullptr)
         {
-            std::vector<std::string> names;
-            std::transform(entries.begin(),
-                entries.end(),
-                std::back_inserter(names),
-                [](const auto& known) { return known.name; });
-            found.push_back(finding_at(field.at,
-                document,
-                "'" + field.text + "' is no " +
-                    std::string(core::name_of(setting_owner_names, s.owner)) + " setting",
-                core::nearest_name(field.text, names)));
+            found.push_back(no_such_setting(s, entries, it.field, document));
             continue;
         }
-        if (std::find(assigned.begin(), assigned.end(), field.text) != assigned.end())
+        if (!assigned.insert(it.field.text).second)
         {
-            found.push_back(
-                finding_at(field.at, document, "'" + field.text + "' is assigned twice"));
+            found.push_back(about(it.field, it.field.at, "is assigned twice", document));
         }
-        assigned.push_back(field.text);
         const auto wrong =
-            std::visit([&to = to](auto* target) { return assign(to, *target); }, it->of(owner));
+            std::visit([&it](auto* target) { return assign(it.to, *target); }, known->of(owner));
         if (!wrong.empty())
         {
-            found.push_back(finding_at(to.at, document, "'" + field.text + "' " + wrong));
+            found.push_back(about(it.field, it.to.at, wrong, document));
         }
     }
     return found;
@@ -244,8 +266,8 @@
     }
     return {finding_at(s.of.at,
         document,
-        "there is no " + std::string(core::name_of(setting_owner_names, s.owner)) + " '" +
-            s.of.text + "'",
+        "there is no " + std::string(core::name_of(setting_owner_names, s.owner)) + ' ' +
+            cited(s.of.text),
         core::nearest_name(s.of.text, names))};
 }
 
@@ -262,8 +284,8 @@
         {
             found.push_back(finding_at(it.field.at,
                 document,
-                "experiment '" + pool->experiment + "' chooses the policy of pool '" + pool->name +
-                    "'; stop it first"));
+                "experiment " + cited(pool->experiment) + " chooses the policy of pool " +
+                    cited(pool->name) + "; stop it first"));
         }
     }
     return found;
--- a/libs/language/src/source.cpp
+++ b/libs/language/src/source.cpp
@@ -25,8 +25,7 @@
     return is_letter_or_digit || is_utf8 || std::string_view("_.:/@+-").find(c) < 7;
 }
 
-source::source(const std::string& text, std::string document)
-    : text_(text), document_(std::move(document)), line_starts_{begin()}
+source::source(const std::string& text) : text_(text), line_starts_{begin()}
 {
     for (const char* it = begin(); it != end(); ++it)
     {
@@ -53,11 +52,6 @@
     return {static_cast<int>(next - line_starts_.begin()), static_cast<int>(it - next[-1]) + 1};
 }
 
-core::finding source::finding_at(position at, std::string text, std::string suggestion) const
-{
-    return {{document_, "", at.line, at.column}, std::move(text), std::move(suggestion)};
-}
-
 const char* source::skip_blank(const char* it) const
 {
     while (it != end())
--- a/libs/language/src/source.hpp
+++ b/libs/language/src/source.hpp
@@ -2,7 +2,6 @@
 /// The text under the parser: places in it, and where statements end.
 #pragma once
 
-#include "core/findings.hpp"
 #include "language/statements.hpp"
 
 #include <string>
@@ -18,12 +17,11 @@
 {
 public:
     /// \param text must outlive the source.
-    source(const std::string& text, std::string document);
+    explicit source(const std::string& text);
 
     const char* begin() const;
     const char* end() const;
     position position_of(const char* it) const;
-    core::finding finding_at(position at, std::string text, std::string suggestion = {}) const;
 
     /// \return the next place from \p it on where a statement begins, or the end.
     const char* skip_blank(const char* it) const;
@@ -40,7 +38,6 @@
     const char* after_quotes(const char* it) const;
 
     const std::string& text_;
-    std::string document_;
     std::vector<const char*> line_starts_;
 };
 
