--- a/testing/standin_kv/tests/service_tests.cpp
+++ b/testing/standin_kv/tests/service_tests.cpp
@@ -1,3 +1,4 @@
+#include "core/base64.hpp"
 #include "service.hpp"
 #include "standin_support/test_client.hpp"
 
@@ -5,8 +6,8 @@
 
 using namespace camphorhitch;
 using namespace camphorhitch::standin_kv;
+using core::to_base64;
 using standin_support::test_client;
-using standin_support::to_base64;
 
 namespace
 {
