membership: tests; a removed process is heard anew before it returns

Cause: a member that most others could not hear was removed and, by the one who still heard it, brought back in the same moment.

--- a/libs/claims/tests/random_runs_tests.cpp
+++ b/libs/claims/tests/random_runs_tests.cpp
@@ -5,6 +5,7 @@
 
 #include "core/invariant.hpp"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <rapidcheck.h>
@@ -20,6 +21,8 @@
 {
 
 constexpr int run_length_ms = 60000;
+/// Changes of the roster while all are well are the hardest on the claims, so they come more often.
+constexpr int more_reshuffles = 6;
 constexpr int most_faults = 30;
 constexpr std::uint64_t steps_by_default = 1000000;
 constexpr std::uint64_t least_steps_of_run = 5000;
@@ -32,12 +35,12 @@
 
 rc::Gen<fault> any_fault()
 {
-    const auto kinds = static_cast<int>(fault_kind::count);
+    const auto last = static_cast<int>(fault_kind::reshuffle);
     return rc::gen::apply(
-        [](int kind, int at, int host, int length) {
-            return fault{static_cast<fault_kind>(kind), at, host, length};
+        [last](int kind, int at, int host, int length) {
+            return fault{static_cast<fault_kind>(std::min(kind, last)), at, host, length};
         },
-        below(kinds),
+        below(last + more_reshuffles),
         below(run_length_ms),
         below(9),
         below(12000));
--- a/libs/claims/tests/world.cpp
+++ b/libs/claims/tests/world.cpp
@@ -97,8 +97,10 @@
 public:
     explicit world(const world_options& options) : options_{options}, random_{options.seed}
     {
+        beat_every_ = 2 + draw(6);
+        read_every_ = 3 + draw(7);
         // Long freshness leaves the work to the holders' agreement, a short one to freshness.
-        freshness_.freshness = millis{1200 + draw(2800)};
+        freshness_.freshness = tick_interval * (2 * read_every_) + millis{draw(2500)};
         freshness_.store_window = freshness_.freshness / 2;
         freshness_.outage_grace = freshness_.freshness + millis{draw(4000)};
         settings_.key_memory = world_key_memory;
@@ -327,11 +329,39 @@
         case fault_kind::bad_network:
             bad_until_ = until;
             break;
+        case fault_kind::reshuffle:
+            for (int n = 0; n <= it.length_ms % 4; ++n)
+            {
+                at(millis{n * draw(400)}, [this] { reshuffle(); });
+            }
+            break;
         default:
             start_new_host();
         }
     }
 
+    void reshuffle()
+    {
+        const auto leased = view_store().leased;
+        if (!store_.roster || leased.empty())
+        {
+            return;
+        }
+        auto next = *store_.roster;
+        next.history.insert(next.history.begin(), {next.epoch, next.members});
+        next.history.resize(std::min<std::size_t>(next.history.size(), 16));
+        ++next.epoch;
+        const auto& who = leased[static_cast<std::size_t>(draw(static_cast<int>(leased.size())))];
+        const auto removed =
+            std::erase_if(next.members, [&](const auto& m) { return m.id == who.id; });
+        if (removed == 0)
+        {
+            next.members.push_back(who);
+        }
+        store_.roster = next;
+        ++store_.revision;
+    }
+
     // ---- the store ----
 
     /// \param op runs at the store; \param done runs at the process, with whether an answer came.
@@ -520,11 +550,11 @@
         {
             act(p, it);
         }
-        if (p.ticks % 3 == 0)
+        if (p.ticks % beat_every_ == 0)
         {
             send_beats(p);
         }
-        if (p.ticks % 4 == 0)
+        if (p.ticks % read_every_ == 0)
         {
             read_store(p);
         }
@@ -812,6 +842,8 @@
     mono_time split_until_{};
     mono_time bad_until_{};
     store store_;
+    int beat_every_ = 0; ///< ticks
+    int read_every_ = 0; ///< ticks
     int hosts_ = 0;
     std::uint64_t answers_ = 0;
     world_result result_;
--- a/libs/claims/tests/world.hpp
+++ b/libs/claims/tests/world.hpp
@@ -24,7 +24,7 @@
     split,       ///< the hosts can't reach the other half
     bad_network, ///< many losses, long delays
     resize,      ///< a host more, without a failure
-    count
+    reshuffle    ///< several rosters in a row, each without one that is well, or with it again
 };
 
 struct fault
--- a/libs/membership/src/roster_logic.cpp
+++ b/libs/membership/src/roster_logic.cpp
@@ -306,6 +306,22 @@
     on_store_lost(state);
 }
 
+/// A process that was just removed has to be heard anew, however long it was heard before;
+/// otherwise who still hears it would bring it back at once, and the others remove it again.
+void restart_removed(
+    roster_state& state, const std::optional<model::roster_document>& next, core::mono_time now)
+{
+    for (auto& it : state.peers)
+    {
+        const bool is_member = next && contains_process(next->members, it.who);
+        if (contains_process(members_of(state), it.who) && !is_member)
+        {
+            it.heard_since = now;
+            it.ever_heard = false;
+        }
+    }
+}
+
 bool may_act_again(roster_state& state, core::mono_time now)
 {
     if (state.acted && now - *state.acted < state.settings.repeat)
@@ -358,6 +374,7 @@
         state.wanted_since.reset();
         state.acted.reset();
     }
+    restart_removed(state, document, now);
     state.current = std::move(document);
     state.revision = modified;
     track_peers(state, now);
