--- a/libs/fleet/src/transfer_rules.cpp
+++ b/libs/fleet/src/transfer_rules.cpp
@@ -64,9 +64,13 @@
     {
         return unchanged("host " + e.entry.host.id + " was adopted before");
     }
-    core::require(known == nullptr || !is_member(*known),
-        "a host stands in one pool's hosts only",
-        e.entry.host.id);
+    if (known != nullptr && is_member(*known))
+    {
+        // We gave it away and got it back since: our document is an old one, and so is this
+        // decision.
+        return refuse(error_code::conflict,
+            "pool " + d.pool + " was read before host " + known->id + " left it");
+    }
     if (known == nullptr)
     {
         known = &d.hosts.emplace_back();
--- a/libs/fleet/tests/move_tests.cpp
+++ b/libs/fleet/tests/move_tests.cpp
@@ -147,6 +147,10 @@
     const auto stale = apply(b, adopt_host{entry, "a", false, false}, {config, sample::now});
     CHECK(!core::is_ok(stale));
     CHECK(b.hosts.empty());
+    // Its own document may be the old one: it still has the host that has since come back.
+    auto old = sample::pool("b", {sample::host("h1")});
+    const auto refused = apply(old, adopt_host{entry, "a", false, true}, {config, sample::now});
+    CHECK(core::failure(refused).code == core::error_code::conflict);
     const std::vector<pool_view> documents{{sample::pool("a", {}), 7}};
     CHECK(!is_current({documents, 9}, 10));
     CHECK(is_settled("h1", "b", 10, {documents, 10}));
--- a/testing/fleet_sim/src/world.cpp
+++ b/testing/fleet_sim/src/world.cpp
@@ -44,9 +44,14 @@
     return find_view(const_cast<sim_member&>(m), pool);
 }
 
-/// Notes which pools are newly owned, and forgets the timers of those that are not any more.
-void take_over(world& w, sim_member& m)
+/// Notes which pools are newly owned, and forgets the timers of those that are not any more. A member
+/// that missed an epoch can't know that nobody owned its pools in between: it takes them over anew.
+void take_over(world& w, sim_member& m, bool missed_epochs)
 {
+    if (missed_epochs)
+    {
+        m.taken_over_ms.clear();
+    }
     for (const auto& it : m.pools)
     {
         const auto& pool = it.document.pool;
@@ -217,9 +222,19 @@
         m.config = std::make_shared<const model::configuration>(w.config);
     }
     m.as_of = w.kv.revision;
+    const bool missed_epochs = w.epoch > m.epoch + 1;
     m.epoch = w.epoch;
     m.confirmed_ms = w.platform.now_ms;
-    take_over(w, m);
+    take_over(w, m, missed_epochs);
+}
+
+void refresh_one(world& w, sim_member& m, const std::string& pool)
+{
+    const auto* newest = find_pool(w.kv, pool);
+    if (!w.kv.down && newest != nullptr && m.as_of > 0)
+    {
+        learn(m, newest->document, newest->revision);
+    }
 }
 
 bool is_certain(const world& w, const sim_member& m, const std::string& pool)
