--- a/libs/jobs/include/jobs/pool_jobs.hpp
+++ b/libs/jobs/include/jobs/pool_jobs.hpp
@@ -62,7 +62,8 @@
     std::optional<core::mono_time> release_since; ///< when it was first asked to leave
     std::optional<core::mono_time> throttle_sent;
     std::optional<ports::task_action> throttle_command; ///< the newest sent
-    bool throttle_settled = false; ///< the worker is known to throttle it, or not, as recorded
+    /// What the worker is known to do; unknown while a command to change it is under way.
+    std::optional<bool> throttled_there;
     bool proved = false;           ///< its success was noted
     bool judged = false; ///< its end was noted: a conflicting write makes a round take it in again
 };
--- a/libs/jobs/src/commands.cpp
+++ b/libs/jobs/src/commands.cpp
@@ -42,7 +42,7 @@
     core::require(!t.ordered_at, "a task was ordered twice", j.id);
     core::require(j.idempotent || j.checkpoint.empty(), "a job that may run once resumes", j.id);
     t.ordered_at = c.in.now;
-    t.throttle_settled = true;
+    t.throttled_there = false;
     start_task made;
     made.order.host = j.host;
     made.order.task = task_name(j);
@@ -91,11 +91,12 @@
 
 void command_throttle(commanding& c, const job& j, task_view& t)
 {
-    if (t.throttle_settled || !is_due(t.throttle_sent, c.in))
+    if (t.throttled_there == j.throttled || !is_due(t.throttle_sent, c.in))
     {
         return;
     }
     t.throttle_sent = c.in.now;
+    t.throttled_there.reset();
     t.throttle_command =
         j.throttled ? ports::task_action::throttle : ports::task_action::unthrottle;
     send(c, j, *t.throttle_command, task_name(j));
--- a/libs/jobs/src/host_views.cpp
+++ b/libs/jobs/src/host_views.cpp
@@ -112,7 +112,7 @@
         // Headroom beyond the whole host would keep even a lone task throttled for ever.
         load = larger(load, smaller(measured, capacity));
     }
-    if (j.throttled && task.throttle_settled)
+    if (j.throttled && task.throttled_there == true)
     {
         load.processors *= in.rules.throttled_share;
     }
--- a/libs/jobs/src/make_room.cpp
+++ b/libs/jobs/src/make_room.cpp
@@ -74,7 +74,7 @@
         {
             room = room + load_of(it, v.capacity, in);
         }
-        else if (j.throttled && !it.task->throttle_settled)
+        else if (j.throttled && it.task->throttled_there != true)
         {
             room = room + freed_by(it, way::throttle, v.capacity, in);
         }
@@ -178,13 +178,6 @@
     return best;
 }
 
-void unsettle_throttle(task_view& t)
-{
-    t.throttle_settled = false;
-    t.throttle_sent.reset();
-    t.throttle_command.reset();
-}
-
 void carry_out(round_state& r, const plan& p, const job& urgent, const amounts& need)
 {
     const auto now = core::to_unix_ms(r.in.wall_now);
@@ -196,7 +189,7 @@
         {
             t.it->throttled = true;
             t.it->why = {"throttled_for_urgent", why, now};
-            unsettle_throttle(*t.task);
+            t.task->throttle_sent.reset();
         }
         else
         {
@@ -340,7 +333,7 @@
         for (auto& it : v.tasks)
         {
             job& j = *it.it;
-            if (!j.throttled || !it.task->throttle_settled || j.state != job_state::running)
+            if (!j.throttled || it.task->throttled_there != true || j.state != job_state::running)
             {
                 continue;
             }
@@ -353,7 +346,7 @@
             }
             j.throttled = false;
             j.why = {"unthrottled", "room again on " + j.host, core::to_unix_ms(r.in.wall_now)};
-            unsettle_throttle(*it.task);
+            it.task->throttle_sent.reset();
             touch(*it.bucket, j, write_need::soon, r.in.now);
             v.load = v.load + more;
         }
--- a/libs/jobs/src/pool_jobs.cpp
+++ b/libs/jobs/src/pool_jobs.cpp
@@ -230,7 +230,7 @@
         const auto found = all.tasks.find(it);
         if (found != all.tasks.end() && found->second.throttle_command == what)
         {
-            found->second.throttle_settled = true;
+            found->second.throttled_there = what == ports::task_action::throttle;
         }
     }
 }
