--- a/testing/job_fakes/src/member.cpp
+++ b/testing/job_fakes/src/member.cpp
@@ -27,6 +27,11 @@
 
 void carry_out(member& m, world& w, const jobs::command_tasks& it)
 {
+    if (w.command_lost && w.command_lost(it))
+    {
+        jobs::note_command_ended(m.jobs, it.tasks, it.what, ports::platform_status::unknown);
+        return;
+    }
     const auto end = act(w.platform, it.host, it.tasks, it.what, w.now);
     jobs::note_command_ended(m.jobs, it.tasks, it.what, end);
 }
@@ -84,12 +89,16 @@
     return m;
 }
 
-void read_changes(member& m, world& w)
+namespace
+{
+
+void read_documents(member& m, world& w, bool newer_marks)
 {
     for (std::size_t i = 0; i < m.revisions.size(); ++i)
     {
         const store::entry& it = w.kv.entries[i];
-        if (!m.must_read[i] && it.revision == m.revisions[i])
+        const bool unchanged = !m.must_read[i] && it.revision == m.revisions[i];
+        if (unchanged || (!newer_marks && it.document.placer.epoch > m.jobs.mark.epoch))
         {
             continue;
         }
@@ -103,6 +112,18 @@
     }
 }
 
+} // namespace
+
+void read_changes(member& m, world& w)
+{
+    read_documents(m, w, true);
+}
+
+void read_changes_but_marks(member& m, world& w)
+{
+    read_documents(m, w, false);
+}
+
 void poll(member& m, world& w)
 {
     for (const auto& it : w.hosts.hosts)
