camphorhitchd: calls and bytes of the service, the peers and the platform at /metrics

Cause: control traffic of a node could not be seen; the adapters counted it and nobody asked. Change: wire_metrics brings the adapters' totals into counters when /metrics is read. caller_load tells good answers and latency by key; standin_target can slow down beyond its slots (crowding).

--- a/programs/camphorhitchd/src/node.cpp
+++ b/programs/camphorhitchd/src/node.cpp
@@ -20,6 +20,7 @@
 #include "stop_sequence.hpp"
 #include "store/etcd_store.hpp"
 #include "telemetry/telemetry.hpp"
+#include "wire_metrics.hpp"
 
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
@@ -100,6 +101,7 @@
     std::unique_ptr<experiment_service> experiments;
     std::unique_ptr<operator_service> operators;
     std::unique_ptr<stop_sequence> stopping;
+    std::unique_ptr<wire_metrics> wire;
     std::optional<http::server> callers;
     std::optional<http::server> operator_server;
 
@@ -262,11 +264,16 @@
     jobs = std::make_unique<job_service>(ctx, *members, *permits, *fleet, job_rules);
     intake = std::make_unique<job_intake>(ctx, *fleet, job_rules);
     experiments = std::make_unique<experiment_service>(ctx, *members, *fleet, *jobs);
+    wire = std::make_unique<wire_metrics>(ctx.telemetry);
     operators = std::make_unique<operator_service>(ctx,
         operator_parts{
             *members, *config, *permits, *claims, *requests, *fleet, *jobs, *intake, *experiments},
         settings.operator_token,
-        [this] { return tel.render(); });
+        [this]
+        {
+            wire->update(*store, network->counters(), platform->counts());
+            return tel.render();
+        });
     stopping = std::make_unique<stop_sequence>(ctx, *members, *claims, *requests);
 }
 
--- a/testing/caller_load/src/caller.cpp
+++ b/testing/caller_load/src/caller.cpp
@@ -152,6 +152,7 @@
     curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy_, CURLOPT_PROXY, "");
     curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy_, CURLOPT_MAXCONNECTS, static_cast<long>(plan_.entries.size()));
     curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, list);
     curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, static_cast<long>(plan_.timeout_ms));
     curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, take_body);
@@ -184,17 +185,19 @@
 
 void caller::run(const planned& p)
 {
-    request_record total{p.type->name, p.keyed, "", 0, 0};
+    request_record total{p.type->name, p.keyed, "", false, 0, 0};
     for (int repeat = 0; repeat <= plan_.most_repeats; ++repeat)
     {
         const auto& entry = plan_.entries[(p.first_entry + repeat) % plan_.entries.size()];
         const auto one = call(p, entry, repeat);
         recorder_.add(p, one);
         total.outcome = one.outcome;
+        total.good = one.outcome == "answered" && one.status == 200;
         ++total.calls;
         // A request without a key may be repeated when it certainly was not run, or is a GET; all
         // of ours without a key are GETs.
-        if (one.outcome == "answered")
+        const bool failed_direct = plan_.direct && one.status >= 500;
+        if (one.outcome == "answered" && !failed_direct)
         {
             break;
         }
--- a/testing/caller_load/src/caller.hpp
+++ b/testing/caller_load/src/caller.hpp
@@ -48,6 +48,7 @@
     std::string type;
     bool keyed = false;
     std::string outcome;
+    bool good = false; ///< answered with 200
     int calls = 0;
     double elapsed_ms = 0; ///< from when it was due to its last answer
 };
--- a/testing/caller_load/src/main.cpp
+++ b/testing/caller_load/src/main.cpp
@@ -36,11 +36,13 @@
     for (std::size_t i = 0; i < n; ++i)
     {
         auto& it = all[i];
-        it.id = "r" + std::to_string(p.seed) + "-" + std::to_string(i);
+        it.id = p.id_prefix + std::to_string(p.seed) + "-" + std::to_string(i);
         it.type = &p.kinds[pick(random)];
         it.keyed = unit(random) < p.keyed;
         it.service = p.services.empty() ? std::string{} : p.services[i % p.services.size()];
-        it.first_entry = static_cast<std::size_t>(unit(random) * 1e6);
+        // A balancer picks entry hosts by chance; callers without one go round robin.
+        const auto picked = static_cast<std::size_t>(unit(random) * 1e6);
+        it.first_entry = p.direct ? i : picked;
         const double offset_s = static_cast<double>(i) / p.rate;
         it.due = begin + std::chrono::microseconds{static_cast<std::int64_t>(offset_s * 1e6)};
     }
@@ -73,32 +75,48 @@
     return sorted[i];
 }
 
+json quantiles_of(std::map<std::string, std::vector<double>>& times)
+{
+    json out = json::object();
+    for (auto& [name, list] : times)
+    {
+        std::sort(list.begin(), list.end());
+        out[name] = {{"n", list.size()},
+            {"p50_ms", quantile(list, 0.5)},
+            {"p99_ms", quantile(list, 0.99)},
+            {"p999_ms", quantile(list, 0.999)},
+            {"max_ms", list.back()}};
+    }
+    return out;
+}
+
 json summary_of(const std::vector<request_record>& all)
 {
     std::map<std::string, std::vector<double>> times;
     std::map<std::string, int> outcomes;
+    std::map<std::string, int> by_class;
+    std::map<std::string, std::vector<double>> by_key;
     std::size_t calls = 0;
+    std::size_t good = 0;
     for (const auto& it : all)
     {
+        ++by_class[it.type + " " + it.outcome];
+        good += it.good ? 1 : 0;
         ++outcomes[(it.keyed ? "keyed " : "plain ") + it.outcome];
         calls += static_cast<std::size_t>(it.calls);
         if (it.outcome == "answered")
         {
             times[it.type].push_back(it.elapsed_ms);
+            by_key[it.keyed ? "keyed" : "plain"].push_back(it.elapsed_ms);
         }
     }
-    json latency;
-    for (auto& [type, list] : times)
-    {
-        std::sort(list.begin(), list.end());
-        latency[type] = {{"n", list.size()},
-            {"p50_ms", quantile(list, 0.5)},
-            {"p99_ms", quantile(list, 0.99)},
-            {"p999_ms", quantile(list, 0.999)},
-            {"max_ms", list.back()}};
-    }
-    return {
-        {"requests", all.size()}, {"calls", calls}, {"outcomes", outcomes}, {"latency", latency}};
+    return {{"requests", all.size()},
+        {"good", good},
+        {"calls", calls},
+        {"outcomes", outcomes},
+        {"classes", by_class},
+        {"latency", quantiles_of(times)},
+        {"latency_by_key", quantiles_of(by_key)}};
 }
 
 int run(const plan& p)
--- a/testing/caller_load/src/plan.cpp
+++ b/testing/caller_load/src/plan.cpp
@@ -22,6 +22,10 @@
     add("threads", "callers", cxxopts::value<int>()->default_value("16"));
     add("repeats", "most repeats of a request", cxxopts::value<int>()->default_value("4"));
     add("timeout-ms", "most time of a call", cxxopts::value<int>()->default_value("15000"));
+    add("repeat-pause-ms",
+        "before the first repeat; grows",
+        cxxopts::value<int>()->default_value("100"));
+    add("id-prefix", "of request ids", cxxopts::value<std::string>()->default_value("r"));
     add("direct", "entries are targets");
     add("seed", "of the schedule", cxxopts::value<std::uint64_t>()->default_value("1"));
     add("record",
@@ -80,6 +84,8 @@
     out.threads = given["threads"].as<int>();
     out.most_repeats = given["repeats"].as<int>();
     out.timeout_ms = given["timeout-ms"].as<int>();
+    out.repeat_pause_ms = given["repeat-pause-ms"].as<int>();
+    out.id_prefix = given["id-prefix"].as<std::string>();
     out.direct = given.count("direct") > 0;
     out.seed = given["seed"].as<std::uint64_t>();
     out.record = given["record"].as<std::string>();
--- a/testing/caller_load/src/plan.hpp
+++ b/testing/caller_load/src/plan.hpp
@@ -32,7 +32,9 @@
     int most_repeats = 4; ///< repeats of one request
     int repeat_pause_ms = 100;
     int timeout_ms = 15000; ///< of one call
-    bool direct = false;    ///< straight to targets, for comparison
+    std::string id_prefix =
+        "r";             ///< of request ids; runs against the same targets need different ones
+    bool direct = false; ///< straight to targets, for comparison
     std::uint64_t seed = 1;
     std::string record;    ///< file for one JSON line a call, or empty
     std::string stop_file; ///< the load ends early when this file exists, or empty
--- a/testing/standin_target/src/target.cpp
+++ b/testing/standin_target/src/target.cpp
@@ -116,7 +116,9 @@
             finish(number);
         }
     };
-    const core::millis delay{number_field(r, delay_header, settings_.delay.count())};
+    const core::millis asked{number_field(r, delay_header, settings_.delay.count())};
+    const bool crowded = settings_.crowding && counts_.running > settings_.slots;
+    const auto delay = crowded ? asked * counts_.running / settings_.slots : asked;
     services_[number] = {held, std::move(id)};
     if (!hangs)
     {
@@ -228,6 +230,7 @@
         settings_.delay = core::millis{ms};
     }
     command.read("slots", settings_.slots);
+    command.read("crowding", settings_.crowding);
     double share = 0;
     if (command.read_share("silent", share))
     {
--- a/testing/standin_target/src/target.hpp
+++ b/testing/standin_target/src/target.hpp
@@ -50,6 +50,7 @@
     std::string host;
     std::uint16_t port = 0;
     int slots = 8;
+    bool crowding = false; ///< beyond its slots, all that begin take longer in proportion
     core::millis delay{5};
 };
 
