--- a/libs/checked_json/include/checked_json/reader.hpp
+++ b/libs/checked_json/include/checked_json/reader.hpp
@@ -24,7 +24,7 @@
 
 enum class strictness
 {
-    strict, ///< unknown keys are findings
+    strict, ///< unknown keys are findings, but for the comment key "//"
     lenient ///< unknown keys are ignored: a newer version may have written them
 };
 
@@ -70,6 +70,12 @@
     std::size_t index = 0;         ///< within the parent, when that is an array
 };
 
+/// \return the JSON pointer of \p at.
+std::string pointer_of(const value& at);
+
+/// Reports that \p at isn't \p wanted.
+void report_type(const value& at, const char* wanted);
+
 /// Reports \p text about \p at.
 void add_finding(const value& at, std::string text, std::string suggestion = {});
 
@@ -89,6 +95,9 @@
 void report_duplicates(
     const value& at, const std::vector<std::string_view>& texts, std::string_view key);
 
+/// Reports a list with fewer than \p least elements.
+void report_too_few(const value& at, std::size_t least);
+
 /// \return the text, or null after a finding.
 const std::string* read_text(const value& at);
 
@@ -266,9 +275,10 @@
 /// Reads a list of texts that differ, each by \p rules.
 template <class... Rules>
 void read(
-    const value& at, std::vector<std::string>& out, const unique_texts&, const Rules&... rules)
+    const value& at, std::vector<std::string>& out, const unique_texts& rule, const Rules&... rules)
 {
     read_list(at, out, rules...);
+    report_too_few(at, rule.least);
     report_duplicates(at, {out.begin(), out.end()}, {});
 }
 
--- a/libs/checked_json/tests/findings_tests.cpp
+++ b/libs/checked_json/tests/findings_tests.cpp
@@ -36,6 +36,7 @@
     };
     const row rows[] = {
         {R"({"name":"a"})", ""},
+        {R"({"//":"a comment","name":"a"})", ""},
         {R"({})", "s:1:1: lacks the key 'name'\n"},
         {R"([])", "s:1:1: must be an object, is a list\n"},
         {R"(7)", "s:1:1: must be an object, is a number\n"},
@@ -47,10 +48,11 @@
         {R"({"name":"a","ready":1})", "s:1:21 /ready: must be true or false, is a number\n"},
         {R"({"name":"a","size":11})", "s:1:20 /size: must be at most 10\n"},
         {R"({"name":"a","size":0})", "s:1:20 /size: must be at least 1\n"},
-        {R"({"name":"a","size":2.5})", "s:1:20 /size: must be a whole number, is a number\n"},
+        {R"({"name":"a","size":2.5})",
+            "s:1:20 /size: must be a whole number, is a floating-point number\n"},
         {R"({"name":"a","size":null})", "s:1:20 /size: must be a whole number, is null\n"},
         {R"({"name":"a","size":18446744073709551615})",
-            "s:1:20 /size: must be a whole number, is a number\n"},
+            "s:1:20 /size: must be a whole number, is a number above 2^63\n"},
         {R"({"name":"a","epoch":18446744073709551615})", ""},
         {R"({"name":"a","epoch":-1})", "s:1:21 /epoch: must be at least 0\n"},
         {R"({"name":"a","share":1.5})", "s:1:21 /share: must be at most 1\n"},
@@ -161,8 +163,8 @@
         {"/a", 2, 5},
         {"/a/1", 3, 2},
         {"/a/1/x~1y", 3, 9},
-        {"/b", 0, 0},
-        {"/a/9", 0, 0}};
+        {"/b", 1, 1},
+        {"/a/9", 2, 5}};
     const auto parsed = parse("{\n\"a\":[0,\n {\"x/y\":true}]}", "d");
     for (const auto& it : rows)
     {
--- a/libs/jobs/include/jobs/pool_jobs.hpp
+++ b/libs/jobs/include/jobs/pool_jobs.hpp
@@ -62,7 +62,8 @@
     std::optional<core::mono_time> release_since; ///< when it was first asked to leave
     std::optional<core::mono_time> throttle_sent;
     std::optional<ports::task_action> throttle_command; ///< the newest sent
-    bool throttle_settled = false; ///< the worker is known to throttle it, or not, as recorded
+    /// What the worker is known to do; unknown while a command to change it is under way.
+    std::optional<bool> throttled_there;
     bool proved = false;           ///< its success was noted
     bool judged = false; ///< its end was noted: a conflicting write makes a round take it in again
 };
@@ -168,6 +169,11 @@
 /// \return the view of a task, made when it is new.
 task_view& view_of(pool_jobs& all, const std::string& task, core::mono_time now);
 
+/// \return whether tasks_on() counts every task there can be: all documents are read, and nobody
+/// else can place. Documents without work need no mark for that: to place a job, a former owner
+/// would have to write a document that has changed since it read it.
+bool counts_all_tasks(const pool_jobs& all);
+
 /// \return tasks that may still run on the host; a drain is complete at 0.
 int tasks_on(const pool_jobs& all, const std::string& host);
 
--- a/testing/job_fakes/include/job_fakes/member.hpp
+++ b/testing/job_fakes/include/job_fakes/member.hpp
@@ -31,6 +31,7 @@
     core::mono_time now{core::millis{1'000'000}};
     /// Whether an order's answer is lost; the order may have been carried out or not.
     std::function<ports::platform_status(const ports::task_order&)> order_fault;
+    std::function<bool(const jobs::command_tasks&)> command_lost; ///< empty: none is
     std::function<void(const jobs::action&)> on_action; ///< to count
     std::int64_t wall_base_ms = 1'700'000'000'000;
 };
@@ -54,15 +55,23 @@
 /// Reads every document whose revision has moved, as a watch would tell.
 void read_changes(member& m, world& w);
 
+/// The same but for documents that carry a newer owner's mark, which this member's watch is late to
+/// tell.
+void read_changes_but_marks(member& m, world& w);
+
 /// Reads the reports of every host.
 void poll(member& m, world& w);
 
 /// One round, its actions, and the writes that are due; again while something was stored.
 void step(member& m, world& w);
 
+/// The same with no command to tasks but orders: what a former owner could do at the very worst.
+void step_starts_only(member& m, world& w);
+
 /// Adds submissions as any member would.
-/// \return outcomes in order.
-std::vector<jobs::submit_outcome> submit(world& w, const std::vector<jobs::submission>& all);
+/// \return outcomes in order; nothing where the write got no answer or was in conflict.
+std::vector<std::optional<jobs::submit_outcome>> submit(
+    world& w, const std::vector<jobs::submission>& all);
 
 /// Cancels as any member would, with one write for each document.
 void cancel(world& w, const std::vector<std::string>& ids);
--- a/testing/job_fakes/src/member.cpp
+++ b/testing/job_fakes/src/member.cpp
@@ -27,6 +27,11 @@
 
 void carry_out(member& m, world& w, const jobs::command_tasks& it)
 {
+    if (w.command_lost && w.command_lost(it))
+    {
+        jobs::note_command_ended(m.jobs, it.tasks, it.what, ports::platform_status::unknown);
+        return;
+    }
     const auto end = act(w.platform, it.host, it.tasks, it.what, w.now);
     jobs::note_command_ended(m.jobs, it.tasks, it.what, end);
 }
@@ -84,12 +89,16 @@
     return m;
 }
 
-void read_changes(member& m, world& w)
+namespace
+{
+
+void read_documents(member& m, world& w, bool newer_marks)
 {
     for (std::size_t i = 0; i < m.revisions.size(); ++i)
     {
         const store::entry& it = w.kv.entries[i];
-        if (!m.must_read[i] && it.revision == m.revisions[i])
+        const bool unchanged = !m.must_read[i] && it.revision == m.revisions[i];
+        if (unchanged || (!newer_marks && it.document.placer.epoch > m.jobs.mark.epoch))
         {
             continue;
         }
@@ -103,6 +112,18 @@
     }
 }
 
+} // namespace
+
+void read_changes(member& m, world& w)
+{
+    read_documents(m, w, true);
+}
+
+void read_changes_but_marks(member& m, world& w)
+{
+    read_documents(m, w, false);
+}
+
 void poll(member& m, world& w)
 {
     for (const auto& it : w.hosts.hosts)
@@ -112,7 +133,10 @@
     m.polled = w.now;
 }
 
-void step(member& m, world& w)
+namespace
+{
+
+void step_with(member& m, world& w, bool starts_only)
 {
     const jobs::round_input in{
         w.hosts, w.teams, w.grants, w.leaving_in, w.rules, w.now, wall_now(w)};
@@ -124,7 +148,10 @@
             {
                 w.on_action(it);
             }
-            std::visit([&](const auto& a) { carry_out(m, w, a); }, it);
+            if (!starts_only || std::holds_alternative<jobs::start_task>(it))
+            {
+                std::visit([&](const auto& a) { carry_out(m, w, a); }, it);
+            }
         }
         bool stored = false;
         for (const auto& it : jobs::due_writes(m.jobs, w.rules, w.now))
@@ -138,9 +165,22 @@
     }
 }
 
-std::vector<jobs::submit_outcome> submit(world& w, const std::vector<jobs::submission>& all)
+} // namespace
+
+void step(member& m, world& w)
 {
-    std::vector<jobs::submit_outcome> outcomes(all.size());
+    step_with(m, w, false);
+}
+
+void step_starts_only(member& m, world& w)
+{
+    step_with(m, w, true);
+}
+
+std::vector<std::optional<jobs::submit_outcome>> submit(
+    world& w, const std::vector<jobs::submission>& all)
+{
+    std::vector<std::optional<jobs::submit_outcome>> outcomes(all.size());
     std::map<int, std::vector<std::size_t>> by_bucket;
     for (std::size_t i = 0; i < all.size(); ++i)
     {
@@ -156,11 +196,14 @@
             batch.push_back(all[n]);
         }
         const auto made = jobs::submit(d, batch, {w.hosts, w.teams, w.rules, wall_now(w)});
+        if (put_if(w.kv, it.first, d, entry.revision).how != jobs::write_end::stored)
+        {
+            continue;
+        }
         for (std::size_t n = 0; n < made.size(); ++n)
         {
             outcomes[it.second[n]] = made[n];
         }
-        put_if(w.kv, it.first, d, entry.revision);
     }
     return outcomes;
 }
--- a/testing/standin_support/src/json.cpp
+++ b/testing/standin_support/src/json.cpp
@@ -1,5 +1,7 @@
 #include "standin_support/json.hpp"
 
+#include "core/base64.hpp"
+
 #include <charconv>
 #include <deque>
 #include <nlohmann/json.hpp>
@@ -150,7 +152,7 @@
     {
         return false;
     }
-    auto bytes = from_base64(text);
+    auto bytes = core::from_base64(text);
     if (!bytes)
     {
         add_finding(name, "must be base64");
@@ -231,11 +233,19 @@
     return whole_->findings;
 }
 
+std::optional<ports::http_response> refusal(object_reader& body)
+{
+    const auto wrong = body.finish();
+    if (wrong.empty())
+    {
+        return std::nullopt;
+    }
+    return error_response(400, core::to_text(wrong));
+}
+
 ports::http_response control_answer(object_reader& command)
 {
-    const auto wrong = command.finish();
-    return wrong.empty() ? json_response(200, json::object())
-                         : error_response(400, core::to_text(wrong));
+    return refusal(command).value_or(json_response(200, json::object()));
 }
 
 } // namespace camphorhitch::standin_support
