A planned replacement of a member holds no drain back

Cause: a process that left the roster counted for the longest request (65 s) as a possible holder of permits, although it had answered all its requests and ended; the proof that it was gone came after the take-over and was not looked at, and a process that replaced it at its own address did not count as proof. Ruled out: the wave's decider (admitted at once) and the jobs. Change: proof after the take-over shortens the wait to the linger; a member at the same address is proof; unheard processes are told apart by incarnation. Test: proof_after_the_take_over_shortens_the_wait_for_a_former_member.

--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -150,13 +151,16 @@
     std::vector<ports::held_permit> last_reported;
 };
 
+/// One process: a member's id and its incarnation.
+using process_id = std::pair<std::string, std::string>;
+
 struct take_over_state
 {
     std::map<std::string, permit_holder> missing; ///< members whose report is not in, by name
     core::mono_time answers_by;                   ///< a silent member starts nothing from then on
     core::mono_time gone_by; ///< all that was sent under older permits has ended
     /// Members that may hold permits which nobody counted, by name, and until when.
-    std::map<std::string, core::mono_time> unheard;
+    std::map<process_id, core::mono_time> unheard;
 };
 
 /// An ask that is over.
--- a/libs/dispatch/src/take_over.cpp
+++ b/libs/dispatch/src/take_over.cpp
@@ -31,7 +31,7 @@
 {
     const auto until = holder.gone ? now + d.settings.silent_linger : d.take_over.gone_by;
     reserve_for(d, holder, until);
-    d.take_over.unheard[holder.member] = until;
+    d.take_over.unheard[{holder.member, holder.incarnation}] = until;
     d.wake = std::min(d.wake, until);
 }
 
@@ -116,6 +116,14 @@
         d.take_over.missing.erase(missing);
         count_as_unheard(d, holder, now);
     }
+    // One that had left the roster before: with its process its connections are gone too. Without
+    // this a drain would wait for the longest request after each planned replacement of a member.
+    const auto former = d.take_over.unheard.find({member, incarnation});
+    if (former != d.take_over.unheard.end())
+    {
+        former->second = std::min(former->second, now + d.settings.silent_linger);
+        d.wake = std::min(d.wake, former->second);
+    }
 }
 
 permit_answers on_held(pool_dispatcher& d,
--- a/libs/dispatch/tests/take_over_tests.cpp
+++ b/libs/dispatch/tests/take_over_tests.cpp
@@ -67,6 +67,23 @@
     CHECK(is_granted(f.give_back(old, permit_outcome::answered, at(60))));
 }
 
+// A member was stopped and replaced: first the roster loses it, and only later its process is
+// proven to be gone. Its connections went with it. Without the proof counting then, too, the drains
+// of its pools would stand still for the longest request (a minute) after each planned replacement.
+// Proof about another process of the same member must not count.
+TEST(take_over, proof_after_the_take_over_shortens_the_wait_for_a_former_member)
+{
+    pool_fixture f{2, 2};
+    begin_take_over(f.d, plan_of({holder("e1")}, {holder("e2")}), at(0));
+    on_held(f.d, "e1", "i1", report(2, {}), at(10));
+    on_member_lost(f.d, "e2", "i2", true, at(100));
+    CHECK_FALSE(is_quiet(outstanding_on(f.d, "h1", at(20000))));
+    on_member_lost(f.d, "e2", "i1", true, at(20000));
+    const auto linger = f.d.settings.silent_linger;
+    CHECK_FALSE(is_quiet(outstanding_on(f.d, "h1", at(20000) + linger - core::millis{1})));
+    CHECK(is_quiet(outstanding_on(f.d, "h1", at(20000) + linger)));
+}
+
 // A member of the new roster is paused and never reports. After its bound it can't start anything
 // any more, so the pool serves again; what it may have in flight blocks its slots as far as it was
 // known, and every drain, until the longest request's time has passed.
--- a/programs/camphorhitchd/src/config_service.cpp
+++ b/programs/camphorhitchd/src/config_service.cpp
@@ -37,8 +37,10 @@
     return std::get<model::configuration>(std::move(decoded));
 }
 
-change_result apply(const std::string* text, const std::string& command,
-    const config_change& change, std::int64_t& version)
+change_result apply(const std::string* text,
+    const std::string& command,
+    const config_change& change,
+    std::int64_t& version)
 {
     auto known = read(text);
     if (!core::is_ok(known))
@@ -112,10 +114,9 @@
 {
     auto next = read(&document);
     const auto version = current_.version > 0 ? std::optional(current_.version) : std::nullopt;
-    const auto source = fresh_peer ? membership::config_source::fresh_peer
-                                   : membership::config_source::stale_peer;
-    if (core::is_ok(next) &&
-        membership::accept_config(version, core::value(next).version, source))
+    const auto source =
+        fresh_peer ? membership::config_source::fresh_peer : membership::config_source::stale_peer;
+    if (core::is_ok(next) && membership::accept_config(version, core::value(next).version, source))
     {
         adopt(document, core::value(next), "peer");
     }
@@ -134,7 +135,8 @@
     adopted_(current_);
 }
 
-void config_service::change(const std::string& command, config_change change,
+void config_service::change(const std::string& command,
+    config_change change,
     std::function<void(core::result<std::int64_t>)> done)
 {
     const auto version = std::make_shared<std::int64_t>(0);
--- a/programs/camphorhitchd/src/config_service.hpp
+++ b/programs/camphorhitchd/src/config_service.hpp
@@ -29,7 +29,8 @@
 
     /// Writes a new version. \p command: a repeat of it has its effect once.
     /// \param done told the version that holds the change, or why there is none.
-    void change(const std::string& command, config_change change,
+    void change(const std::string& command,
+        config_change change,
         std::function<void(core::result<std::int64_t>)> done);
 
     const model::configuration& current() const;
--- a/programs/camphorhitchd/src/context.hpp
+++ b/programs/camphorhitchd/src/context.hpp
@@ -21,13 +21,13 @@
 /// Times of the daemon's own rounds.
 struct round_settings
 {
-    core::millis beat{500};        ///< between heartbeats to each peer
-    core::millis membership{250};  ///< between looks at the roster
-    core::millis confirm{1000};    ///< between confirmations by the store
-    core::millis lease_ttl{5000};  ///< of our member record
-    core::millis fleet{200};       ///< between decision rounds of pools and waves
-    core::millis live_list{1000};  ///< between reads of the live list
-    core::millis jobs{250};        ///< between placement rounds
+    core::millis beat{500};         ///< between heartbeats to each peer
+    core::millis membership{250};   ///< between looks at the roster
+    core::millis confirm{1000};     ///< between confirmations by the store
+    core::millis lease_ttl{5000};   ///< of our member record
+    core::millis fleet{200};        ///< between decision rounds of pools and waves
+    core::millis live_list{1000};   ///< between reads of the live list
+    core::millis jobs{250};         ///< between placement rounds
     core::millis stop_bound{20000}; ///< most time for a graceful stop
 };
 
@@ -52,8 +52,8 @@
     /// Runs \p fn every \p period with up to a tenth of jitter, until the process ends.
     void every(core::millis period, std::function<void()> fn)
     {
-        const auto wait = core::millis{static_cast<std::int64_t>(
-            static_cast<double>(period.count()) * (0.9 + 0.2 * unit()))};
+        const auto wait = core::millis{
+            static_cast<std::int64_t>(static_cast<double>(period.count()) * (0.9 + 0.2 * unit()))};
         scheduler.after(wait,
             [this, period, fn = std::move(fn)]() mutable
             {
--- a/programs/camphorhitchd/src/fleet_service.cpp
+++ b/programs/camphorhitchd/src/fleet_service.cpp
@@ -126,7 +126,10 @@
 
 void fleet_service::take_wave(const ports::kv_entry& entry, const std::string& id)
 {
-    const auto same = [&](const auto& it) { return it.document.id == id; };
+    const auto same = [&](const auto& it)
+    {
+        return it.document.id == id;
+    };
     if (entry.modified == 0)
     {
         waves_.erase(std::remove_if(waves_.begin(), waves_.end(), same), waves_.end());
@@ -239,17 +242,12 @@
     {
         return;
     }
-    const fleet::wave_inputs in{own,
-        config_,
-        pools_,
-        context_.documents->loaded(),
-        waves_,
-        context_.scheduler.wall_now()};
+    const fleet::wave_inputs in{
+        own, config_, pools_, context_.documents->loaded(), waves_, context_.scheduler.wall_now()};
     if (const auto next = fleet::decide_wave(in))
     {
-        context_.log(ports::log_level::info,
-            "wave_step",
-            {{"wave", own.document.id}, {"note", next->note}});
+        context_.log(
+            ports::log_level::info, "wave_step", {{"wave", own.document.id}, {"note", next->note}});
         write(key, model::encode(next->document), next->expected);
     }
 }
@@ -263,8 +261,7 @@
     write(model::keys::pools + pool, model::encode(it.document), it.expected);
 }
 
-void fleet_service::write(
-    const std::string& key, const std::string& text, ports::revision expected)
+void fleet_service::write(const std::string& key, const std::string& text, ports::revision expected)
 {
     writing_.insert(key);
     context_.store.put_if(key,
--- a/programs/camphorhitchd/src/fleet_setup.cpp
+++ b/programs/camphorhitchd/src/fleet_setup.cpp
@@ -141,12 +141,13 @@
         command,
         [next = *w->file.config](model::configuration& c) -> core::result<core::done>
         {
-            // A file that names a version is meant against that version; 0 replaces whatever is there.
+            // A file that names a version is meant against that version; 0 replaces whatever is
+            // there.
             if (next.version != 0 && next.version != c.version)
             {
                 return core::error{core::error_code::conflict,
-                    "the file is for version " + std::to_string(next.version) +
-                        ", but version " + std::to_string(c.version) + " is in force"};
+                    "the file is for version " + std::to_string(next.version) + ", but version " +
+                        std::to_string(c.version) + " is in force"};
             }
             const auto version = c.version;
             const auto commands = c.commands;
@@ -186,7 +187,8 @@
             document.pool = wanted.pool;
             if (current != nullptr)
             {
-                auto decoded = model::decode_pool(*current, wanted.pool, model::strictness::lenient);
+                auto decoded =
+                    model::decode_pool(*current, wanted.pool, model::strictness::lenient);
                 if (const auto* wrong = std::get_if<core::findings>(&decoded))
                 {
                     return core::error{core::error_code::unavailable, core::to_text(*wrong)};
--- a/programs/camphorhitchd/src/fleet_setup.hpp
+++ b/programs/camphorhitchd/src/fleet_setup.hpp
@@ -20,7 +20,8 @@
 
     fleet_setup(context& c, operator_parts parts);
 
-    /// \param text `{"configuration": {...}, "pools": [{"pool": ..., "hosts": [...]}]}`; either part
+    /// \param text `{"configuration": {...}, "pools": [{"pool": ..., "hosts": [...]}]}`; either
+    /// part
     ///   may be missing. All findings are reported before anything is done.
     /// \param command a repeat has its effect once.
     void apply(const std::string& text, const std::string& command, callback done);
--- a/programs/camphorhitchd/src/job_intake.cpp
+++ b/programs/camphorhitchd/src/job_intake.cpp
@@ -95,8 +95,10 @@
     }
 }
 
-void job_intake::cancel(const std::string& pool, const std::vector<std::string>& ids,
-    const std::string& command, intake_callback done)
+void job_intake::cancel(const std::string& pool,
+    const std::vector<std::string>& ids,
+    const std::string& command,
+    intake_callback done)
 {
     if (ids.empty())
     {
@@ -145,8 +147,10 @@
         { finish(key, *batch, *outcomes, end); });
 }
 
-change_result job_intake::change(const std::string& key, const std::string* current,
-    const std::vector<entry>& batch, std::vector<intake_outcome>& outcomes)
+change_result job_intake::change(const std::string& key,
+    const std::string* current,
+    const std::vector<entry>& batch,
+    std::vector<intake_outcome>& outcomes)
 {
     const auto& pool = pool_of_key_.at(key);
     const auto* hosts = fleet_.find_pool(pool);
@@ -173,7 +177,8 @@
     {
         if (it.submitted)
         {
-            outcomes.push_back(outcome_of(it.id, jobs::submit(document, {*it.submitted}, in).front()));
+            outcomes.push_back(
+                outcome_of(it.id, jobs::submit(document, {*it.submitted}, in).front()));
             continue;
         }
         const auto how = jobs::cancel(document, {it.id}, it.command, now).front();
@@ -191,8 +196,10 @@
     return std::optional<std::string>{std::move(text)};
 }
 
-void job_intake::finish(const std::string& key, const std::vector<entry>& batch,
-    const std::vector<intake_outcome>& outcomes, const core::result<core::done>& end)
+void job_intake::finish(const std::string& key,
+    const std::vector<entry>& batch,
+    const std::vector<intake_outcome>& outcomes,
+    const core::result<core::done>& end)
 {
     queues_[key].writing = false;
     for (std::size_t i = 0; i < batch.size(); ++i)
--- a/programs/camphorhitchd/src/job_intake.hpp
+++ b/programs/camphorhitchd/src/job_intake.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// Submissions and cancellations of jobs, at any member: those that come while a write is under way go
-/// together in the next one, so that a burst costs few writes.
+/// Submissions and cancellations of jobs, at any member: those that come while a write is under way
+/// go together in the next one, so that a burst costs few writes.
 #pragma once
 
 #include "context.hpp"
@@ -33,11 +33,13 @@
     job_intake(context& c, fleet_service& fleet, jobs::settings rules);
 
     /// Calls \p done once, with an outcome for each submission, when all were decided.
-    void submit(const std::string& pool, const std::vector<jobs::submission>& all,
-        intake_callback done);
+    void submit(
+        const std::string& pool, const std::vector<jobs::submission>& all, intake_callback done);
     /// \param command id of the command behind it.
-    void cancel(const std::string& pool, const std::vector<std::string>& ids,
-        const std::string& command, intake_callback done);
+    void cancel(const std::string& pool,
+        const std::vector<std::string>& ids,
+        const std::string& command,
+        intake_callback done);
 
 private:
     struct entry
@@ -57,10 +59,14 @@
     void add(const std::string& pool, entry it);
     void plan(const std::string& key);
     void write(const std::string& key);
-    void finish(const std::string& key, const std::vector<entry>& batch,
-        const std::vector<intake_outcome>& outcomes, const core::result<core::done>& end);
-    change_result change(const std::string& key, const std::string* current,
-        const std::vector<entry>& batch, std::vector<intake_outcome>& outcomes);
+    void finish(const std::string& key,
+        const std::vector<entry>& batch,
+        const std::vector<intake_outcome>& outcomes,
+        const core::result<core::done>& end);
+    change_result change(const std::string& key,
+        const std::string* current,
+        const std::vector<entry>& batch,
+        std::vector<intake_outcome>& outcomes);
 
     context& context_;
     fleet_service& fleet_;
--- a/programs/camphorhitchd/src/job_service.hpp
+++ b/programs/camphorhitchd/src/job_service.hpp
@@ -22,8 +22,11 @@
 class job_service
 {
 public:
-    job_service(context& c, membership_service& members, permit_service& permits,
-        fleet_service& fleet, jobs::settings rules);
+    job_service(context& c,
+        membership_service& members,
+        permit_service& permits,
+        fleet_service& fleet,
+        jobs::settings rules);
 
     void start();
     void on_roster();
@@ -58,8 +61,8 @@
     void act(const std::string& pool, const jobs::quota_wish& it);
     void act(const std::string& pool, const jobs::worker_judged& it);
     void write_due(const std::string& pool);
-    void on_written(const std::string& pool, int bucket, const std::string& text,
-        const ports::kv_write& reply);
+    void on_written(
+        const std::string& pool, int bucket, const std::string& text, const ports::kv_write& reply);
     std::map<std::string, core::millis> leaving_in(const std::string& pool) const;
     owned* find_owned(const std::string& pool);
 
@@ -69,8 +72,8 @@
     fleet_service& fleet_;
     jobs::settings rules_;
     std::map<std::string, owned> owned_;
-    std::map<std::string, jobs::job_document> stored_;   ///< by key
-    std::map<std::string, jobs::quota_document> quotas_; ///< by team
+    std::map<std::string, jobs::job_document> stored_;                          ///< by key
+    std::map<std::string, jobs::quota_document> quotas_;                        ///< by team
     std::map<std::string, std::map<std::string, core::millis>> asked_to_leave_; ///< pool, host
     std::set<std::string> adjusting_; ///< teams whose quota is being written
     std::uint64_t take_overs_ = 0;
--- a/programs/camphorhitchd/src/membership_service.cpp
+++ b/programs/camphorhitchd/src/membership_service.cpp
@@ -3,6 +3,7 @@
 #include "model/codec.hpp"
 #include "model/keys.hpp"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -293,6 +294,20 @@
     take_word(reply);
 }
 
+void membership_service::note_replaced()
+{
+    for (const auto& former : roster_.history)
+    {
+        for (const auto& it : former.members)
+        {
+            if (is_replaced(it))
+            {
+                note_gone(it);
+            }
+        }
+    }
+}
+
 void membership_service::note_gone(const model::member_record& who)
 {
     membership::on_process_gone(stop_, who, context_.scheduler.now());
@@ -303,9 +318,20 @@
     }
 }
 
+/// Two processes can't listen at one address: where another one is a member now, the older is gone.
+bool membership_service::is_replaced(const model::member_record& who) const
+{
+    const auto in_its_place = [&](const model::member_record& it)
+    {
+        return it.address == who.address && !membership::same_process(it, who);
+    };
+    return in_its_place(context_.self) ||
+           std::any_of(roster_.members.begin(), roster_.members.end(), in_its_place);
+}
+
 bool membership_service::is_gone(const model::member_record& who) const
 {
-    return gone_.count(membership::process_name(who)) > 0;
+    return gone_.count(membership::process_name(who)) > 0 || is_replaced(who);
 }
 
 ports::heartbeat membership_service::on_beat(const ports::heartbeat& from)
@@ -438,6 +464,7 @@
     roster_revision_ = modified;
     membership::on_roster_adopted(freshness_, roster_);
     membership::on_epoch_adopted(stop_, roster_, now);
+    note_replaced();
     context_.log(ports::log_level::info,
         "roster_adopted",
         {{"epoch", std::to_string(roster_.epoch)},
--- a/programs/camphorhitchd/src/membership_service.hpp
+++ b/programs/camphorhitchd/src/membership_service.hpp
@@ -86,6 +86,8 @@
         const ports::heartbeat& reply,
         core::mono_time started);
     void note_gone(const model::member_record& who);
+    bool is_replaced(const model::member_record& who) const;
+    void note_replaced();
     void take_word(const ports::heartbeat& from);
     void look();
     void act(const membership::propose_roster& it);
--- a/programs/camphorhitchd/src/mirror.cpp
+++ b/programs/camphorhitchd/src/mirror.cpp
@@ -28,15 +28,13 @@
     ports::timer_id timer = 0;
     core::millis pause{0};
 
-    parts(mirror_settings s, const ports::key_value& kv, const ports::scheduler& sch,
-        const ports::telemetry& tel, mirror_events ev)
-        : settings(std::move(s)),
-          store(kv),
-          scheduler(sch),
-          telemetry(tel),
-          events(std::move(ev)),
-          random(settings.seed),
-          pause(settings.retry_first)
+    parts(mirror_settings s,
+        const ports::key_value& kv,
+        const ports::scheduler& sch,
+        const ports::telemetry& tel,
+        mirror_events ev)
+        : settings(std::move(s)), store(kv), scheduler(sch), telemetry(tel), events(std::move(ev)),
+          random(settings.seed), pause(settings.retry_first)
     {
     }
 
@@ -101,8 +99,8 @@
         read_again = false;
     }
 
-    /// A read that is older than what is known here (a stale replica answered) must not bring back an
-    /// old document or hide a new one; each entry is compared by its own revision.
+    /// A read that is older than what is known here (a stale replica answered) must not bring back
+    /// an old document or hide a new one; each entry is compared by its own revision.
     void take_all(const ports::kv_read& reply)
     {
         std::set<std::string> seen;
@@ -178,8 +176,8 @@
             });
     }
 
-    /// A watch that lived long ended for want of news: the next one goes on from what was seen, which
-    /// saves reading every document again. One that ended at once can't go on from there.
+    /// A watch that lived long ended for want of news: the next one goes on from what was seen,
+    /// which saves reading every document again. One that ended at once can't go on from there.
     void on_watch_end()
     {
         watch = 0;
@@ -209,8 +207,11 @@
     }
 };
 
-mirror::mirror(mirror_settings settings, const ports::key_value& store,
-    const ports::scheduler& scheduler, const ports::telemetry& telemetry, mirror_events events)
+mirror::mirror(mirror_settings settings,
+    const ports::key_value& store,
+    const ports::scheduler& scheduler,
+    const ports::telemetry& telemetry,
+    mirror_events events)
     : parts_(std::make_shared<parts>(
           std::move(settings), store, scheduler, telemetry, std::move(events)))
 {
--- a/programs/camphorhitchd/src/mirror.hpp
+++ b/programs/camphorhitchd/src/mirror.hpp
@@ -2,8 +2,8 @@
 /// A mirror of the key-value service's documents: one read of everything, then one watch.
 ///
 /// One prefix is read and watched instead of one watch a document, because the service counts each
-/// waiting watch as a call. After an outage each process waits a random while before it reads again,
-/// so that nine of them don't read everything in the same instant.
+/// waiting watch as a call. After an outage each process waits a random while before it reads
+/// again, so that nine of them don't read everything in the same instant.
 #pragma once
 
 #include "core/time.hpp"
@@ -26,9 +26,9 @@
     std::string prefix;
     core::millis retry_first{200}; ///< pause before the first new try; doubles up to retry_most
     core::millis retry_most{3000};
-    core::millis reread{300000}; ///< a whole read this often, in case the watch lost something
+    core::millis reread{300000};   ///< a whole read this often, in case the watch lost something
     core::millis long_watch{5000}; ///< a watch that lived this long is simply started again
-    std::uint64_t seed = 1;     ///< of the jitter
+    std::uint64_t seed = 1;        ///< of the jitter
 };
 
 /// What a mirror tells its owner.
@@ -43,8 +43,11 @@
 class mirror
 {
 public:
-    mirror(mirror_settings settings, const ports::key_value& store,
-        const ports::scheduler& scheduler, const ports::telemetry& telemetry, mirror_events events);
+    mirror(mirror_settings settings,
+        const ports::key_value& store,
+        const ports::scheduler& scheduler,
+        const ports::telemetry& telemetry,
+        mirror_events events);
     ~mirror();
     mirror(const mirror&) = delete;
     mirror& operator=(const mirror&) = delete;
@@ -52,7 +55,8 @@
     void start();
     /// \return true once the whole prefix has been read at least once.
     bool loaded() const;
-    /// \return the store's revision at which all documents here were current, by reads and the watch.
+    /// \return the store's revision at which all documents here were current, by reads and the
+    /// watch.
     ports::revision read_revision() const;
     /// \return the entry, or nullptr.
     const ports::kv_entry* find(const std::string& key) const;
--- a/programs/camphorhitchd/src/permit_service.hpp
+++ b/programs/camphorhitchd/src/permit_service.hpp
@@ -41,11 +41,13 @@
     void give_back(const ports::permit_return& back);
 
     /// A peer's messages.
-    void on_request(const ports::permit_request& request, std::function<void(ports::permit_reply)> done);
+    void on_request(
+        const ports::permit_request& request, std::function<void(ports::permit_reply)> done);
     void on_returns(const std::vector<ports::permit_return>& all);
 
     /// \return what may be in flight at the host, or nothing when this member can't tell.
-    std::optional<dispatch::host_use> use_of(const std::string& pool, const std::string& host) const;
+    std::optional<dispatch::host_use> use_of(
+        const std::string& pool, const std::string& host) const;
     bool owns(const std::string& pool) const;
     /// \return whether the pool's permits are granted here now.
     bool ready(const std::string& pool) const;
--- a/programs/camphorhitchd/src/request_service.hpp
+++ b/programs/camphorhitchd/src/request_service.hpp
@@ -20,8 +20,11 @@
 class request_service
 {
 public:
-    request_service(context& c, membership_service& members, permit_service& permits,
-        claim_service& claims, dispatch::sender_settings settings);
+    request_service(context& c,
+        membership_service& members,
+        permit_service& permits,
+        claim_service& claims,
+        dispatch::sender_settings settings);
 
     /// Where answers go; set once the server listens.
     void set_server(ports::http_server server);
@@ -67,8 +70,11 @@
     void on_outcome(request_id id, const ports::http_outcome& outcome);
     void end_if_over(request_id id);
     void note(open_request& r, std::string text);
-    void refuse(ports::exchange_id exchange, int status, const std::string& reason,
-        const std::string& text, int retry_after_s);
+    void refuse(ports::exchange_id exchange,
+        int status,
+        const std::string& reason,
+        const std::string& text,
+        int retry_after_s);
     void tick();
 
     context& context_;
--- a/programs/camphorhitchd/src/stop_sequence.cpp
+++ b/programs/camphorhitchd/src/stop_sequence.cpp
@@ -13,8 +13,8 @@
 
 } // namespace
 
-stop_sequence::stop_sequence(context& c, membership_service& members, claim_service& claims,
-    request_service& requests)
+stop_sequence::stop_sequence(
+    context& c, membership_service& members, claim_service& claims, request_service& requests)
     : context_(c), members_(members), claims_(claims), requests_(requests)
 {
 }
@@ -41,8 +41,8 @@
     members_.leave([this] { wait_for_hand_over(); });
 }
 
-/// Ending before the new holders have our slots would leave one copy of each of them; the loss of one
-/// more member would then put its keys into quarantine.
+/// Ending before the new holders have our slots would leave one copy of each of them; the loss of
+/// one more member would then put its keys into quarantine.
 void stop_sequence::wait_for_hand_over()
 {
     if (over_)
--- a/programs/camphorhitchd/src/stop_sequence.hpp
+++ b/programs/camphorhitchd/src/stop_sequence.hpp
@@ -1,7 +1,7 @@
 /// \file
-/// A graceful stop: refuse new requests, finish those in flight, leave the roster, hand over what is
-/// remembered of idempotency keys, give the lease back, end. Each step waits for a condition, and the
-/// whole for no longer than its bound.
+/// A graceful stop: refuse new requests, finish those in flight, leave the roster, hand over what
+/// is remembered of idempotency keys, give the lease back, end. Each step waits for a condition,
+/// and the whole for no longer than its bound.
 #pragma once
 
 #include "claim_service.hpp"
@@ -17,8 +17,8 @@
 class stop_sequence
 {
 public:
-    stop_sequence(context& c, membership_service& members, claim_service& claims,
-        request_service& requests);
+    stop_sequence(
+        context& c, membership_service& members, claim_service& claims, request_service& requests);
 
     /// \param ended called once; a second begin changes nothing.
     void begin(std::function<void()> ended);
--- a/programs/camphorhitchd/src/updater.cpp
+++ b/programs/camphorhitchd/src/updater.cpp
@@ -28,9 +28,8 @@
 
     void fail(core::error_code code, const std::string& text)
     {
-        const auto truthful = lost && code == core::error_code::unavailable
-                                  ? core::error_code::unknown_effect
-                                  : code;
+        const auto truthful =
+            lost && code == core::error_code::unavailable ? core::error_code::unknown_effect : code;
         finished(core::error{truthful, key + ": " + text});
     }
 
@@ -78,8 +77,8 @@
             on_conflict(std::move(reply.current));
             return;
         case ports::kv_status::unknown:
-            // The write may stand although no answer came. Reading tells: if our very text is there,
-            // it was written. Without this a repeat would have its effect twice.
+            // The write may stand although no answer came. Reading tells: if our very text is
+            // there, it was written. Without this a repeat would have its effect twice.
             lost = written;
             read_again();
             return;
@@ -107,8 +106,8 @@
 
     void read_again()
     {
-        with.store.get(key,
-            [self = shared_from_this()](ports::kv_read reply) { self->on_read(reply); });
+        with.store.get(
+            key, [self = shared_from_this()](ports::kv_read reply) { self->on_read(reply); });
     }
 
     void on_read(const ports::kv_read& reply)
@@ -134,8 +133,11 @@
 
 } // namespace
 
-void update_document(const updater& u, std::string key, change_function change,
-    update_callback finished, ports::lease_id lease)
+void update_document(const updater& u,
+    std::string key,
+    change_function change,
+    update_callback finished,
+    ports::lease_id lease)
 {
     auto run = std::make_shared<running_update>(u);
     run->key = std::move(key);
--- a/programs/camphorhitchd/src/updater.hpp
+++ b/programs/camphorhitchd/src/updater.hpp
@@ -33,7 +33,10 @@
 };
 
 /// Starts an update of \p key. \p lease is attached to the key when not 0.
-void update_document(const updater& u, std::string key, change_function change,
-    update_callback finished, ports::lease_id lease = 0);
+void update_document(const updater& u,
+    std::string key,
+    change_function change,
+    update_callback finished,
+    ports::lease_id lease = 0);
 
 } // namespace camphorhitch::daemon
