dispatch: one way to find a pool's owner; claims last as long as a request may wait

Cause: needs_take_over had its own copy of membership's owner; the daemon gave claims the life of a permit (1 s) at the holders and 2 s at the senders: a sender could use a claim older than its holders count on, and a keyed request that waited 2 s for its permit was never sent. Change: membership::owner_of_pool; a claim's life is 60 s on both sides; a flow told of another owner withdraws its old ask, since the owner may be the same one. Tested: dispatch_tests 50 tests pass; the whole tree builds.

--- a/libs/dispatch/include/dispatch/request_flow.hpp
+++ b/libs/dispatch/include/dispatch/request_flow.hpp
@@ -1,7 +1,8 @@
 /// \file
 /// The sender's side: one caller's request at its entry host, from its arrival to its answer.
 ///
-/// Events go in with the time, actions come out in the order in which they are to be done. For a
+/// Events go in with the time, actions come out in the order in which they are to be done; an ask
+/// or a send is always the last one, so that its end may come while it is being started. For a
 /// request with an idempotency key the claim comes first, then the permit, then the checks just
 /// before the send, then the send. The caller is answered exactly once unless it went away.
 #pragma once
--- a/libs/dispatch/src/flow_permit.cpp
+++ b/libs/dispatch/src/flow_permit.cpp
@@ -189,6 +189,7 @@
     flow_actions out;
     if (flow.phase == flow_phase::asking)
     {
+        withdraw_ask(flow, sender, out); // should the owner be the same one after all
         ask_for_permit(flow, sender, true, now, out);
     }
     else if (flow.phase == flow_phase::ask_pause)
--- a/libs/dispatch/src/take_over.cpp
+++ b/libs/dispatch/src/take_over.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/take_over.hpp"
 
-#include "core/rendezvous.hpp"
+#include "membership/owners.hpp"
 #include "take_over_parts.hpp"
 
 #include <algorithm>
@@ -54,16 +54,11 @@
     d.permits.emplace(key, std::move(it));
 }
 
-std::string owner_of(const std::vector<model::member_record>& members, const std::string& pool)
+bool owned(const model::former_roster& then, const std::string& member, const std::string& pool)
 {
-    std::vector<std::string_view> names;
-    names.reserve(members.size());
-    for (const auto& it : members)
-    {
-        names.push_back(it.id);
-    }
-    const auto order = core::rendezvous_order("pool/" + pool, names);
-    return order.empty() ? std::string{} : members[order.front()].id;
+    const model::roster_document roster{then.epoch, then.members, {}};
+    const auto* owner = membership::owner_of_pool(roster, pool);
+    return owner != nullptr && owner->id == member;
 }
 
 } // namespace
@@ -168,7 +163,7 @@
     auto oldest_seen = roster.epoch;
     for (const auto& it : roster.history)
     {
-        if (it.epoch > last_owned && owner_of(it.members, pool) != member)
+        if (it.epoch > last_owned && !owned(it, member, pool))
         {
             return true;
         }
--- a/programs/camphorhitchd/src/node.cpp
+++ b/programs/camphorhitchd/src/node.cpp
@@ -50,17 +50,23 @@
     return out;
 }
 
+/// From a claim to its send, for senders and holders alike: a request may wait in its pool's queue
+/// in between. Were it as short as a permit's life, a keyed request that waits longer would claim
+/// anew each time its permit came, and never be sent.
+constexpr core::millis claim_ttl{60000};
+
 dispatch::sender_settings sender_of(const settings::daemon_settings& s)
 {
     dispatch::sender_settings out;
     out.permit_ttl = s.timing.permit_ttl;
+    out.claims.permit_ttl = claim_ttl;
     return out;
 }
 
 claims::claim_settings claims_of(const settings::daemon_settings& s, const model::configuration& c)
 {
     claims::claim_settings out;
-    out.permit_ttl = s.timing.permit_ttl;
+    out.permit_ttl = claim_ttl;
     out.stop_bound = s.timing.outage_grace + s.timing.take_over_margin;
     out.key_memory = c.key_memory;
     out.keys_per_slot = static_cast<std::size_t>(c.keys_per_slot);
