--- a/bench/dispatch_policy/src/main.cpp
+++ b/bench/dispatch_policy/src/main.cpp
@@ -144,6 +144,7 @@
     load_settings load;
     load.seed = options["seed"].as<std::uint64_t>();
     load.measured = core::millis{options["seconds"].as<std::int64_t>() * 1000};
+    load.message_delay = core::micros{options["delay-us"].as<std::int64_t>()};
     print_header();
     nlohmann::json out;
     out["seed"] = load.seed;
@@ -168,12 +169,16 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options{"bench_dispatch_policy", "ways to share the targets' slots"};
-    options.add_options()("json", "write the figures to this file", cxxopts::value<std::string>())(
-        "seconds",
+    auto add = options.add_options();
+    add("json", "write the figures to this file", cxxopts::value<std::string>());
+    add("seconds",
         "virtual time measured in each run",
-        cxxopts::value<std::int64_t>()->default_value("60"))("seed",
-        "of the load",
-        cxxopts::value<std::uint64_t>()->default_value("1"))("help", "print this");
+        cxxopts::value<std::int64_t>()->default_value("60"));
+    add("seed", "of the load", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("delay-us",
+        "of a message between two hosts, one way",
+        cxxopts::value<std::int64_t>()->default_value("1000"));
+    add("help", "print this");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0)
     {
