--- a/libs/platform/include/platform/platform_client.hpp
+++ b/libs/platform/include/platform/platform_client.hpp
@@ -42,8 +42,8 @@
 {
 public:
     builder& http(ports::http_client it);
-    builder& live_list(std::string address); ///< "ip:port"
-    builder& workers(std::string address);   ///< "ip:port"
+    builder& live_list(std::string address); ///< "ip:port", or empty: there is none
+    builder& workers(std::string address);   ///< "ip:port", or empty: there are none
     builder& token(std::string it);
     builder& timeout(core::millis it);
     core::result<platform_client> build() const;
--- a/libs/platform/src/platform_client.cpp
+++ b/libs/platform/src/platform_client.cpp
@@ -58,6 +58,11 @@
         it.request.body = std::move(body);
         it.connect_timeout = timeout;
         it.total_timeout = timeout;
+        if (address.empty())
+        {
+            done({}); // the operators have none of it; nothing was sent
+            return;
+        }
         ++counts.calls;
         counts.bytes_out += it.request.body.size();
         http.send(std::move(it),
@@ -168,10 +173,10 @@
 
 core::result<platform_client> platform_client::builder::build() const
 {
-    if (!http_.send || live_list_.empty() || workers_.empty() || timeout_.count() <= 0)
+    if (!http_.send || timeout_.count() <= 0)
     {
-        return core::error{core::error_code::invalid,
-            "the platform needs an HTTP client, the live list's and workers' addresses, a timeout"};
+        return core::error{
+            core::error_code::invalid, "the platform needs an HTTP client and a timeout"};
     }
     auto p = std::make_shared<parts>();
     p->http = http_;
--- a/libs/settings/include/settings/daemon_settings.hpp
+++ b/libs/settings/include/settings/daemon_settings.hpp
@@ -26,10 +26,11 @@
 /// The platform's list of live hosts and its workers.
 struct platform_settings
 {
-    std::string live_list;   ///< "ip:port", or empty: there is none
-    std::string workers;     ///< "ip:port", or empty: no jobs are run
-    std::string token;       ///< empty: none is sent
-    core::millis poll{1000}; ///< between two readings of the live list
+    std::string live_list;       ///< "ip:port", or empty: there is none
+    std::string workers;         ///< "ip:port", or empty: no jobs are run
+    std::string token;           ///< empty: none is sent
+    core::millis poll{1000};     ///< between two readings of the live list
+    core::millis list_lag{5000}; ///< the list is never older than this
 };
 
 /// Bounds on what callers and targets may cost this process.
@@ -70,6 +71,7 @@
     std::string caller_address;   ///< "ip:port" to listen at
     std::string operator_address; ///< "ip:port" to listen at
     std::string operator_token;
+    std::string peer_token; ///< that the entry hosts show one another
     store_settings store;
     platform_settings platform;
     limit_settings limits;
--- a/libs/settings/src/contradictions.cpp
+++ b/libs/settings/src/contradictions.cpp
@@ -112,6 +112,18 @@
         "/operator_token",
         "/platform/token",
         "must differ from the token of 'platform'");
+    c.expect(s.peer_token.empty() || s.peer_token != s.operator_token,
+        "/peer_token",
+        "/operator_token",
+        "must differ from 'operator_token'");
+    c.expect(s.peer_token.empty() || s.store.token != s.peer_token,
+        "/peer_token",
+        "/store/token",
+        "must differ from the token of 'store'");
+    c.expect(s.peer_token.empty() || s.platform.token != s.peer_token,
+        "/peer_token",
+        "/platform/token",
+        "must differ from the token of 'platform'");
 }
 
 void check_store(checker& c, const daemon_settings& s)
--- a/libs/settings/src/describe.hpp
+++ b/libs/settings/src/describe.hpp
@@ -69,7 +69,8 @@
     keys.optional("live_list", r.live_list, checked_json::check_address_or_empty)
         .optional("workers", r.workers, checked_json::check_address_or_empty)
         .optional("token", r.token, check_token_or_empty)
-        .defaulted("poll_ms", r.poll, bounds_of::short_time);
+        .defaulted("poll_ms", r.poll, bounds_of::short_time)
+        .defaulted("list_lag_ms", r.list_lag, bounds_of::short_time);
 }
 
 template <class Keys>
@@ -114,6 +115,7 @@
         .required("caller_address", r.caller_address, checked_json::check_address)
         .required("operator_address", r.operator_address, checked_json::check_address)
         .required("operator_token", r.operator_token, check_token)
+        .required("peer_token", r.peer_token, check_token)
         .required("store", r.store)
         .defaulted("platform", r.platform)
         .defaulted("limits", r.limits)
--- a/programs/camphorhitchd/src/context.hpp
+++ b/programs/camphorhitchd/src/context.hpp
@@ -21,14 +21,15 @@
 /// Times of the daemon's own rounds.
 struct round_settings
 {
-    core::millis beat{500};         ///< between heartbeats to each peer
-    core::millis membership{250};   ///< between looks at the roster
-    core::millis confirm{1000};     ///< between confirmations by the store
-    core::millis lease_ttl{5000};   ///< of our member record
-    core::millis fleet{200};        ///< between decision rounds of pools and waves
-    core::millis live_list{1000};   ///< between reads of the live list
-    core::millis jobs{250};         ///< between placement rounds
-    core::millis stop_bound{20000}; ///< most time for a graceful stop
+    core::millis beat{500};           ///< between heartbeats to each peer
+    core::millis membership{250};     ///< between looks at the roster
+    core::millis confirm{1000};       ///< between confirmations by the store
+    core::millis lease_ttl{5000};     ///< of our member record
+    core::millis fleet{200};          ///< between decision rounds of pools and waves
+    core::millis live_list{1000};     ///< between reads of the live list
+    core::millis live_list_lag{5000}; ///< the list is never older than this
+    core::millis jobs{250};           ///< between placement rounds
+    core::millis stop_bound{20000};   ///< most time for a graceful stop
 };
 
 struct context
--- a/programs/camphorhitchd/src/fleet_service.cpp
+++ b/programs/camphorhitchd/src/fleet_service.cpp
@@ -219,6 +219,8 @@
         return;
     }
     const auto activity = activity_of(own);
+    fleet::fleet_settings rules;
+    rules.live_list_lag = context_.rounds.live_list_lag;
     const fleet::pool_inputs in{own,
         config_,
         waves_,
@@ -226,7 +228,7 @@
         {pools_, context_.documents->read_revision()},
         live_,
         activity,
-        {},
+        rules,
         context_.scheduler.now(),
         context_.scheduler.wall_now()};
     for (const auto& action : fleet::decide_pool(in, memory_[pool]))
--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -109,6 +109,12 @@
     sender_.settings.answer_kept_bytes = static_cast<std::size_t>(config.answer_kept_bytes);
 }
 
+void request_service::on_claim_settings(core::millis permit_ttl, core::millis key_memory)
+{
+    sender_.settings.claims.permit_ttl = permit_ttl;
+    sender_.settings.claims.key_memory = key_memory;
+}
+
 void request_service::on_roster()
 {
     sender_.epoch = members_.roster().epoch;
--- a/programs/camphorhitchd/src/request_service.hpp
+++ b/programs/camphorhitchd/src/request_service.hpp
@@ -29,6 +29,8 @@
     /// Where answers go; set once the server listens.
     void set_server(ports::http_server server);
     void on_config(const model::configuration& config);
+    /// \param permit_ttl the holders' own time from a claim's request to the send.
+    void on_claim_settings(core::millis permit_ttl, core::millis key_memory);
     void on_roster();
 
     void on_request(ports::exchange_id exchange, ports::http_request request);
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -104,9 +104,9 @@
     --arg live "127.0.0.1:$(port_in livelist port)" --arg workers "127.0.0.1:$(port_in worker port)" \
     --argjson sample "${trace_sample:-0}" '{
       member: $member, zone: $zone, peer_address: $peer, caller_address: $caller,
-      operator_address: $operator, operator_token: $token,
+      operator_address: $operator, operator_token: $token, peer_token: "local-peers",
       store: {addresses: [$kv], token: $ptoken, lease_ttl_ms: 5000},
-      platform: {live_list: $live, workers: $workers, token: $ptoken, poll_ms: 500},
+      platform: {live_list: $live, workers: $workers, token: $ptoken, poll_ms: 500, list_lag_ms: 1000},
       trace: {sample: $sample}}' > "$work/entry-$n.json"
 }
 
