--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -6,12 +6,12 @@
 /// does. Every event may answer asks of others, since it may free a slot.
 #pragma once
 
+#include "dispatch/run_times.hpp"
 #include "dispatch/settings.hpp"
 #include "model/fleet.hpp"
 #include "ports/platform.hpp"
 
 #include <array>
-#include <compare>
 #include <deque>
 #include <map>
 #include <optional>
@@ -29,7 +29,8 @@
     std::string incarnation;
     std::uint64_t request = 0;
 
-    auto operator<=>(const ask_key&) const = default;
+    bool operator<(const ask_key& other) const;
+    bool operator==(const ask_key&) const = default;
 };
 
 struct permit_answer
@@ -44,20 +45,22 @@
 enum class refusal
 {
     queue_full,
-    deadline,     ///< can't be met, or has passed
+    deadline,     ///< can't be met: by the measured times the wait alone takes too long
+    expired,      ///< the deadline passed while the request waited
     retry_budget, ///< the pool's retries are spent
     no_target,    ///< no host of the pool takes requests
     given_up,     ///< by the sender itself
     not_ready     ///< the owner doesn't know yet what is in flight
 };
 
-inline constexpr core::name_table<refusal, 6> refusal_names{{
-    {refusal::queue_full, "queue_full"},
+inline constexpr core::name_table<refusal, 7> refusal_names{{
+    {refusal::queue_full, "queue-full"},
     {refusal::deadline, "deadline"},
-    {refusal::retry_budget, "retry_budget"},
-    {refusal::no_target, "no_target"},
-    {refusal::given_up, "given_up"},
-    {refusal::not_ready, "not_ready"},
+    {refusal::expired, "expired"},
+    {refusal::retry_budget, "retry-budget"},
+    {refusal::no_target, "no-target"},
+    {refusal::given_up, "given-up"},
+    {refusal::not_ready, "not-ready"},
 }};
 
 enum class health_state
@@ -117,7 +120,9 @@
     std::string host;
     std::optional<ports::request_class> klass; ///< none: given by an earlier owner
     core::mono_time bound;                     ///< whoever holds it has stopped by then
-    bool lingering = false; ///< returned, but the target may still be running the request
+    bool lingering = false;     ///< returned, but the target may still be running the request
+    core::mono_time slot_until; ///< while lingering: then its slot is used again
+    bool counted = true;        ///< takes a slot of its target
     bool probe = false;
     ports::permit_reply reply;
 };
@@ -125,7 +130,7 @@
 /// Measured times of one class.
 struct class_times
 {
-    double service_us = 0;      ///< mean time a slot is held; 0: not known
+    run_times run;
     double per_position_us = 0; ///< mean wait per request ahead in the queue; 0: not known
 };
 
@@ -140,6 +145,7 @@
 {
     std::string member;
     std::string incarnation;
+    bool gone = false; ///< its process is proven to have ended
     /// What it held by the last word that anybody has of it.
     std::vector<ports::held_permit> last_reported;
 };
@@ -148,8 +154,16 @@
 {
     std::map<std::string, permit_holder> missing; ///< members whose report is not in, by name
     core::mono_time answers_by;                   ///< a silent member starts nothing from then on
-    core::mono_time gone_by;      ///< all that was sent under older permits has ended
-    bool unknown_holders = false; ///< until gone_by, members that nobody can ask may hold permits
+    core::mono_time gone_by; ///< all that was sent under older permits has ended
+    /// Members that may hold permits which nobody counted, by name, and until when.
+    std::map<std::string, core::mono_time> unheard;
+};
+
+/// An ask that is over.
+struct closed_ask
+{
+    core::mono_time until;     ///< then it is forgotten
+    ports::permit_reply reply; ///< to a repeat of it
 };
 
 /// What happened, for metrics.
@@ -173,7 +187,7 @@
     std::map<std::string, target_state> targets;
     std::array<std::deque<waiting_request>, class_count> queues;
     std::map<ask_key, permit_record> permits;
-    std::map<ask_key, core::mono_time> closed; ///< asks that are over, until forgotten
+    std::map<ask_key, closed_ask> closed; ///< until forgotten
     std::deque<ask_key> closed_order;
     std::array<class_times, class_count> times;
     retry_budget retries;
@@ -206,6 +220,9 @@
 /// Takes new limits of the same pool; requests that wait stay.
 void set_pool(pool_dispatcher& d, const model::pool_config& pool);
 
+/// A newer roster under which the pool's owner is still the same.
+void set_epoch(pool_dispatcher& d, ports::epoch_number epoch);
+
 permit_answers on_request(
     pool_dispatcher& d, const ports::permit_request& request, core::mono_time now);
 
--- a/libs/dispatch/src/flow_answers.cpp
+++ b/libs/dispatch/src/flow_answers.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch/dispatcher.hpp"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace camphorhitch::dispatch
@@ -11,13 +13,13 @@
 {
 
 constexpr int status_conflict = 409;
+constexpr int status_gone = 410;
 constexpr int status_other_body = 422;
 constexpr int status_too_many = 429;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
 constexpr std::int64_t ms_per_second = 1000;
-constexpr std::string_view remembered_field = "Camphorhitch-Remembered";
 
 void set_outcome(ports::http_response& response, caller_outcome outcome)
 {
@@ -36,9 +38,10 @@
     switch (core::value_of(refusal_names, reason).value_or(refusal::not_ready))
     {
     case refusal::queue_full:
+    case refusal::deadline:
     case refusal::retry_budget:
         return status_too_many;
-    case refusal::deadline:
+    case refusal::expired:
         return status_timeout;
     case refusal::no_target:
     case refusal::given_up:
@@ -48,23 +51,61 @@
     return status_unavailable;
 }
 
+struct claim_row
+{
+    claims::outcome_reason reason;
+    int status;
+    const char* text;
+};
+
+/// What a call that was not sent is told, by the claim's rule.
+const claim_row& row_of(claims::outcome_reason reason)
+{
+    using enum claims::outcome_reason;
+    static constexpr std::array<claim_row, 8> rows{{
+        {not_claimed,
+            status_unavailable,
+            "This call was not sent; whether an earlier one with its key ran is not known."},
+        {answer_not_kept, status_gone, "It ran; its answer was too large to be remembered."},
+        {running, status_conflict, "A call with this key is running."},
+        {may_have_run,
+            status_bad_gateway,
+            "An earlier call with this key may have run; it will not run again."},
+        {other_body,
+            status_other_body,
+            "The key was used for another request; this one was not run."},
+        {keys_full, status_unavailable, "There is no room to remember one more key."},
+        {quarantined,
+            status_unavailable,
+            "This call was not sent; whether an earlier one with its key ran is not known."},
+        {given_up, status_unavailable, "This call was not sent."},
+    }};
+    const auto it = std::find_if(
+        rows.begin(), rows.end(), [&](const auto& row) { return row.reason == reason; });
+    return it == rows.end() ? rows.front() : *it;
+}
+
 } // namespace
 
-answer_caller own_answer(
-    int status, caller_outcome outcome, core::millis retry_after, const std::string& detail)
+answer_caller own_answer(int status,
+    caller_outcome outcome,
+    core::millis retry_after,
+    const std::string& reason,
+    const std::string& text)
 {
     answer_caller out;
     out.outcome = outcome;
     out.retry_after = retry_after;
-    out.detail = detail;
+    out.reason = reason;
     out.response.status = status;
     out.response.fields.emplace_back("Content-Type", "text/plain");
+    out.response.fields.emplace_back(std::string{fields::reason}, reason);
     set_outcome(out.response, outcome);
     if (retry_after.count() > 0)
     {
         out.response.fields.emplace_back(std::string{fields::retry_after}, in_seconds(retry_after));
     }
-    out.response.body = detail + "\n";
+    out.response.body = text + "\n";
     return out;
 }
 
@@ -72,7 +113,8 @@
     const std::string& reason, core::millis retry_after, const sender_settings& settings)
 {
     const auto wait = retry_after.count() > 0 ? retry_after : settings.retry_after;
-    return own_answer(status_of(reason), caller_outcome::not_run, wait, reason);
+    return own_answer(
+        status_of(reason), caller_outcome::not_run, wait, reason, "Refused; it was not run.");
 }
 
 answer_caller target_answer(ports::http_response response)
@@ -80,59 +122,42 @@
     answer_caller out;
     out.outcome = caller_outcome::answered;
     out.response = std::move(response);
-    out.detail = "target_answer";
+    out.reason = "answered";
     set_outcome(out.response, out.outcome);
     return out;
 }
 
-answer_caller remembered_answer(const ports::claim_entry& entry)
+answer_caller unknown_answer(const answer_caller& refused)
 {
-    if (!entry.answer_kept)
-    {
-        return own_answer(status_conflict,
-            caller_outcome::answered,
-            core::millis{0},
-            "it ran and was answered with status " + std::to_string(entry.status) +
-                "; the answer was too large to keep");
-    }
-    auto out = target_answer({entry.status, entry.fields, entry.body});
-    out.response.fields.emplace_back(std::string{remembered_field}, "true");
-    out.detail = "remembered_answer";
-    return out;
+    const bool late = refused.response.status == status_timeout;
+    return own_answer(late ? status_timeout : status_bad_gateway,
+        caller_outcome::unknown,
+        refused.retry_after,
+        refused.reason,
+        "It was sent and may have run; sending it again was refused.");
 }
 
-answer_caller claim_answer(const ports::claim_reply& reply, const sender_settings& settings)
+answer_caller claim_answer(const claims::outcome_report& told)
 {
-    switch (reply.verdict)
+    if (told.kind == claims::outcome::answered)
     {
-    case ports::claim_verdict::other_body:
-        return own_answer(status_other_body,
-            caller_outcome::not_run,
-            core::millis{0},
-            "the idempotency key was used with another request");
-    case ports::claim_verdict::full:
-        return own_answer(status_unavailable,
-            caller_outcome::not_run,
-            settings.retry_after,
-            "no room to remember the idempotency key");
-    case ports::claim_verdict::quarantined:
-        return own_answer(status_bad_gateway,
-            caller_outcome::unknown,
-            settings.quarantine_retry_after,
-            "this attempt was not sent; whether an earlier one ran is not known");
-    case ports::claim_verdict::known:
-        return own_answer(status_bad_gateway,
-            caller_outcome::unknown,
-            core::millis{0},
-            "an earlier attempt may have run; it will not run again");
-    default:
-        break;
+        auto out = target_answer(told.response);
+        out.response.fields.emplace_back(std::string{fields::replayed}, "true");
+        return out;
     }
-    // Not "not-run": an earlier attempt with this key may have run, and its holder wasn't heard.
-    return own_answer(status_timeout,
-        caller_outcome::unknown,
-        settings.retry_after,
-        "this attempt was not sent; whether an earlier one ran is not known");
+    const auto& row = row_of(told.reason);
+    const auto outcome =
+        told.kind == claims::outcome::not_run ? caller_outcome::not_run : caller_outcome::unknown;
+    auto out = own_answer(row.status,
+        outcome,
+        told.retry_after,
+        std::string{core::name_of(claims::outcome_reason_names, told.reason)},
+        row.text);
+    if (outcome == caller_outcome::unknown)
+    {
+        out.response.fields.emplace_back(std::string{fields::attempt}, "not-sent");
+    }
+    return out;
 }
 
 } // namespace camphorhitch::dispatch
--- /dev/null
+++ b/libs/dispatch/src/flow_claim.cpp
@@ -0,0 +1,113 @@
+#include "flow_answers.hpp"
+#include "flow_parts.hpp"
+
+#include <utility>
+
+namespace camphorhitch::dispatch
+{
+
+namespace
+{
+
+/// A large answer would fill the message and the holders' memory; that it ran is what matters.
+void trim_answer(ports::claim_finish& finish, std::size_t most_bytes)
+{
+    if (finish.entry.body.size() > most_bytes)
+    {
+        finish.entry.answer_kept = false;
+        finish.entry.fields.clear();
+        finish.entry.body.clear();
+    }
+}
+
+} // namespace
+
+void start_claim(request_flow& flow, request_sender& sender, core::mono_time now, flow_actions& out)
+{
+    auto& it = flow.claim.emplace();
+    it.key = flow.request.key;
+    it.body_hash = flow.request.body_hash;
+    it.executor = sender.member + "/" + sender.incarnation;
+    it.number = sender.next_number++;
+    it.deadline = flow.deadline;
+    ask_for_claim(flow, sender, now, out);
+}
+
+void ask_for_claim(
+    request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out)
+{
+    flow.phase = flow_phase::claiming;
+    flow.claim_asked_at = now;
+    out.emplace_back(ask_claim{claims::make_claim(*flow.claim, sender.epoch)});
+}
+
+void tell_end(
+    request_flow& flow, const request_sender& sender, core::mono_time now, flow_actions& out)
+{
+    flow.phase = flow_phase::ended;
+    if (!flow.claim)
+    {
+        return;
+    }
+    auto finish = claims::due_finish(*flow.claim, sender.settings.claims, sender.epoch, now);
+    if (finish)
+    {
+        trim_answer(*finish, sender.settings.answer_kept_bytes);
+        flow.phase = flow_phase::telling;
+        flow.pause_until = now + sender.settings.claims.finish_delay;
+        out.emplace_back(finish_claim{std::move(*finish)});
+    }
+}
+
+flow_actions on_claim(request_flow& flow,
+    request_sender& sender,
+    ports::peer_status status,
+    const ports::claim_reply& reply,
+    core::mono_time now)
+{
+    flow_actions out;
+    const bool over = flow.phase == flow_phase::telling || flow.phase == flow_phase::ended;
+    if (!flow.claim || (flow.phase != flow_phase::claiming && !over))
+    {
+        return out;
+    }
+    const auto step = claims::on_claim_reply(
+        *flow.claim, sender.settings.claims, status, reply, flow.claim_asked_at, now);
+    if (over)
+    {
+        tell_end(flow, sender, now, out);
+        return out;
+    }
+    if (const auto* again = std::get_if<claims::ask_again>(&step))
+    {
+        pause_in(flow, flow_phase::claim_pause, again->delay, now);
+    }
+    else if (const auto* told = std::get_if<claims::outcome_report>(&step))
+    {
+        answer(flow, claim_answer(*told), out);
+        tell_end(flow, sender, now, out);
+    }
+    else
+    {
+        ask_for_permit(flow, sender, true, now, out);
+    }
+    return out;
+}
+
+flow_actions on_finish_ack(request_flow& flow,
+    request_sender& sender,
+    ports::peer_status status,
+    const ports::ack& ack,
+    core::mono_time now)
+{
+    if (flow.phase == flow_phase::telling && status == ports::peer_status::ok)
+    {
+        claims::on_finish_ack(*flow.claim, ack);
+        const bool told =
+            !claims::due_finish(*flow.claim, sender.settings.claims, sender.epoch, now);
+        flow.phase = told ? flow_phase::ended : flow_phase::telling;
+    }
+    return {};
+}
+
+} // namespace camphorhitch::dispatch
--- a/libs/http/src/transfer.hpp
+++ b/libs/http/src/transfer.hpp
@@ -28,6 +28,7 @@
     core::millis longest_silence{0};
     std::function<void(std::string_view)> on_chunk;
 
+    const ports::scheduler* time = nullptr;
     CURL* easy = nullptr;
     std::unique_ptr<curl_slist, free_list> lines; ///< the request's fields, as curl wants them
     core::mono_time started;
@@ -42,6 +43,7 @@
     bool in_body = false;        ///< the answer's header is whole
     bool deaf = false;           ///< we refused to take more of the answer
     bool resend_refused = false;
+    bool too_late = false; ///< for latest_start
     bool silent = false;
 };
 
@@ -49,9 +51,18 @@
 std::string request_fault(const ports::http_call& call);
 
 /// Sets up the curl handle of a transfer for its call.
-/// \param unacknowledged see client_limits
+/// \param unacknowledged see client_limits; outlives the sockets
 void prepare(transfer& it, const core::millis& unacknowledged);
 
+/// Called by curl for each line of the answer's header, and of a trailer; \p cls is the transfer.
+std::size_t on_header(char* data, std::size_t size, std::size_t count, void* cls);
+
+/// Called by curl for each part of the answer's body.
+std::size_t on_body(char* data, std::size_t size, std::size_t count, void* cls);
+
+/// \return bytes of the call's request that curl has handed to the kernel.
+long bytes_sent(CURL* easy);
+
 /// \return what became of the call; takes the response out of \p it.
 ports::http_outcome judge(transfer& it, CURLcode code, core::mono_time now);
 
--- a/libs/jobs/src/make_room.cpp
+++ b/libs/jobs/src/make_room.cpp
@@ -53,9 +53,9 @@
            j.releasing == release_reason::none && j.preemptions < rules.most_preemptions;
 }
 
-amounts freed_by(const placed_job& t, way how, const round_input& in)
+amounts freed_by(const placed_job& t, way how, const amounts& capacity, const round_input& in)
 {
-    const amounts load = load_of(*t.it, t.task, in.rules, in.now);
+    const amounts load = load_of(t, capacity, in);
     if (how == way::checkpoint)
     {
         return load;
@@ -72,11 +72,11 @@
         const job& j = *it.it;
         if (j.state == job_state::checkpointing || j.state == job_state::cancelled)
         {
-            room = room + load_of(j, it.task, in.rules, in.now);
+            room = room + load_of(it, v.capacity, in);
         }
-        else if (j.throttled && !it.task->throttle_settled)
+        else if (j.throttled && it.task->throttled_there != true)
         {
-            room = room + freed_by(it, way::throttle, in);
+            room = room + freed_by(it, way::throttle, v.capacity, in);
         }
     }
     return room;
@@ -109,7 +109,7 @@
 
 void choose(plan& p, amounts& room, std::size_t task, way how, const round_input& in)
 {
-    const amounts freed = freed_by(p.host->tasks[task], how, in);
+    const amounts freed = freed_by(p.host->tasks[task], how, p.host->capacity, in);
     room = room + freed;
     p.victims.push_back({task, how});
     p.cost += freed.processors * (how == way::throttle ? throttle_cost : checkpoint_cost);
@@ -178,13 +178,6 @@
     return best;
 }
 
-void unsettle_throttle(task_view& t)
-{
-    t.throttle_settled = false;
-    t.throttle_sent.reset();
-    t.throttle_command.reset();
-}
-
 void carry_out(round_state& r, const plan& p, const job& urgent, const amounts& need)
 {
     const auto now = core::to_unix_ms(r.in.wall_now);
@@ -196,7 +189,7 @@
         {
             t.it->throttled = true;
             t.it->why = {"throttled_for_urgent", why, now};
-            unsettle_throttle(*t.task);
+            t.task->throttle_sent.reset();
         }
         else
         {
@@ -244,8 +237,7 @@
     ends.reserve(v.tasks.size());
     for (const auto& it : v.tasks)
     {
-        ends.emplace_back(
-            time_left(*it.it, it.task, in.now), load_of(*it.it, it.task, in.rules, in.now));
+        ends.emplace_back(time_left(*it.it, it.task, in.now), load_of(it, v.capacity, in));
     }
     std::sort(
         ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -341,22 +333,22 @@
         for (auto& it : v.tasks)
         {
             job& j = *it.it;
-            if (!j.throttled || !it.task->throttle_settled || j.state != job_state::running)
+            if (!j.throttled || it.task->throttled_there != true || j.state != job_state::running)
             {
                 continue;
             }
-            const amounts now = load_of(j, it.task, r.in.rules, r.in.now);
+            const amounts now = load_of(it, v.capacity, r.in);
             const double full = now.processors / r.in.rules.throttled_share;
-            const double more = full - now.processors;
-            if (v.load.processors + v.claimed.processors + more > v.capacity.processors)
+            const amounts more{full - now.processors, 0, 0};
+            if (!fits(v.load + v.claimed + more, v.capacity))
             {
                 continue;
             }
             j.throttled = false;
             j.why = {"unthrottled", "room again on " + j.host, core::to_unix_ms(r.in.wall_now)};
-            unsettle_throttle(*it.task);
+            it.task->throttle_sent.reset();
             touch(*it.bucket, j, write_need::soon, r.in.now);
-            v.load.processors += more;
+            v.load = v.load + more;
         }
     }
 }
--- a/libs/jobs/src/pool_jobs.cpp
+++ b/libs/jobs/src/pool_jobs.cpp
@@ -171,6 +171,14 @@
                                   [](const bucket_view& b) { return b.loaded && b.fenced; });
 }
 
+bool counts_all_tasks(const pool_jobs& all)
+{
+    const bool loaded = std::all_of(
+        all.buckets.begin(), all.buckets.end(), [](const bucket_view& b) { return b.loaded; });
+    const bool idle = std::none_of(all.buckets.begin(), all.buckets.end(), holds_work);
+    return !all.superseded && loaded && (idle || may_place(all));
+}
+
 void touch(bucket_view& b, write_need need, core::mono_time now)
 {
     if (b.need == write_need::none)
@@ -230,7 +238,7 @@
         const auto found = all.tasks.find(it);
         if (found != all.tasks.end() && found->second.throttle_command == what)
         {
-            found->second.throttle_settled = true;
+            found->second.throttled_there = what == ports::task_action::throttle;
         }
     }
 }
--- a/libs/peer/src/served_peer.hpp
+++ b/libs/peer/src/served_peer.hpp
@@ -70,10 +70,11 @@
         context.allowCancellation();
         return owner_.ask<Method>(std::move(message))
             .then(
-                [context, largest = owner_.largest_message()](typename Method::reply reply) mutable
+                [context, largest = owner_.largest_message()](
+                    kj::Own<typename Method::reply> reply) mutable
                 {
                     auto results = context.getResults();
-                    encode(reply, results);
+                    encode(*reply, results);
                     require_size(results.totalSize(), largest);
                 });
     }
@@ -96,7 +97,7 @@
         if (!first || !owner_.right_token(context.getParams().getToken()))
         {
             add(owner_.counts().wrong_tokens);
-            KJ_FAIL_REQUIRE("wrong token");
+            return KJ_EXCEPTION(FAILED, "wrong token");
         }
         owner_.trust(messages_);
         context.getResults().setPeer(kj::heap<served_peer>(owner_));
--- a/programs/camphorhitchd/src/mirror.cpp
+++ b/programs/camphorhitchd/src/mirror.cpp
@@ -235,6 +235,11 @@
     return parts_->loaded;
 }
 
+ports::revision mirror::read_revision() const
+{
+    return parts_->read_revision;
+}
+
 const ports::kv_entry* mirror::find(const std::string& key) const
 {
     const auto it = parts_->entries.find(key);
