claims: half of the randomised runs with faults of one kind

Cause: a quarantine that ended too early went unseen: it takes a long split with the store on the smaller side, which mixed faults seldom bring.

--- a/libs/claims/tests/random_runs_tests.cpp
+++ b/libs/claims/tests/random_runs_tests.cpp
@@ -48,6 +48,24 @@
         below(longest_fault_ms));
 }
 
+/// Half of the runs have faults of one kind only: some breaks need several of a kind in a row, and
+/// a mix seldom brings them.
+rc::Gen<std::vector<fault>> any_faults()
+{
+    const auto kinds = static_cast<int>(fault_kind::reshuffle) + 1;
+    return rc::gen::apply(
+        [kinds](std::vector<fault> faults, int theme)
+        {
+            for (auto& it : faults)
+            {
+                it.kind = theme < kinds ? static_cast<fault_kind>(theme) : it.kind;
+            }
+            return faults;
+        },
+        rc::gen::resize(most_faults, rc::gen::container<std::vector<fault>>(any_fault())),
+        below(2 * kinds));
+}
+
 std::uint64_t number_from(const char* name, std::uint64_t otherwise)
 {
     const char* text = std::getenv(name);
@@ -106,20 +124,6 @@
 
 } // namespace
 
-namespace rc
-{
-
-template <>
-struct Arbitrary<fault>
-{
-    static Gen<fault> arbitrary()
-    {
-        return any_fault();
-    }
-};
-
-} // namespace rc
-
 namespace camphorhitch::claims::testing
 {
 
@@ -157,8 +161,7 @@
             options.run_ms = run_length_ms;
             options.members = 1 + *below(9);
             options.seed = *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>());
-            options.faults =
-                *rc::gen::resize(most_faults, rc::gen::arbitrary<std::vector<fault>>());
+            options.faults = *any_faults();
             const auto result = run_world(options);
             add(sum, result.counts);
             for (const auto& it : broken_promises(result.seen, world_key_memory))
