--- a/libs/dispatch/include/dispatch/request_flow.hpp
+++ b/libs/dispatch/include/dispatch/request_flow.hpp
@@ -7,8 +7,10 @@
 #pragma once
 
 #include "dispatch/caller_request.hpp"
+#include "dispatch/run_times.hpp"
 #include "ports/peer.hpp"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -26,7 +28,8 @@
     std::string zone;
     ports::epoch_number epoch = 0; ///< newest roster adopted
     sender_settings settings;
-    std::uint64_t next_number = 1; ///< of asks and attempts
+    std::uint64_t next_number = 1;                                  ///< of asks and attempts
+    std::map<std::string, std::array<run_times, class_count>> runs; ///< by pool and class
     /// By pool: permits asked for under older epochs are refused, as was told to a new owner.
     std::map<std::string, ports::epoch_number> refuse_below;
 };
@@ -81,7 +84,7 @@
 
 struct finish_claim
 {
-    ports::claim_finish message; ///< to the slot's holders, repeated until acknowledged
+    ports::claim_finish message; ///< to the first holder of the key's slot, by the newest roster
 };
 
 struct answer_caller
@@ -89,7 +92,7 @@
     caller_outcome outcome = caller_outcome::unknown;
     ports::http_response response; ///< with the fields for outcome and Retry-After
     core::millis retry_after{0};   ///< 0: none was told
-    std::string detail;            ///< the rule that decided, for logs
+    std::string reason;            ///< name of the rule that decided
 };
 
 using flow_action = std::variant<ask_claim,
@@ -108,18 +111,29 @@
     asking,
     ask_pause, ///< asks for a permit again at pause_until
     sending,
+    telling, ///< the caller has its answer; the claim's holders don't know the end yet
     ended
 };
 
-inline constexpr core::name_table<flow_phase, 6> flow_phase_names{{
+inline constexpr core::name_table<flow_phase, 7> flow_phase_names{{
     {flow_phase::claiming, "claiming"},
     {flow_phase::claim_pause, "claim_pause"},
     {flow_phase::asking, "asking"},
     {flow_phase::ask_pause, "ask_pause"},
     {flow_phase::sending, "sending"},
+    {flow_phase::telling, "telling"},
     {flow_phase::ended, "ended"},
 }};
 
+/// A send whose connection was closed while the target may have been running the request.
+struct cut_send
+{
+    std::uint64_t ask = 0;
+    ports::permit_reply permit;
+    core::mono_time sent_at;
+    core::mono_time until; ///< the target has stopped by then
+};
+
 struct request_flow
 {
     caller_request request;
@@ -127,12 +141,11 @@
     core::mono_time deadline;
     core::mono_time pause_until;
     core::millis pause{0};
-    bool caller_waits = true;   ///< it is there and was not answered
-    bool claimed = false;       ///< the claim was granted
-    bool maybe_claimed = false; ///< the claim may have been granted without our hearing of it
-    std::uint64_t attempt = 0;  ///< of the claim
-    std::uint64_t ask = 0;      ///< number of the newest ask for a permit
-    core::mono_time asked_at;   ///< when that ask was made first
+    bool caller_waits = true;             ///< it is there and was not answered
+    std::optional<claims::attempt> claim; ///< of a request with a key
+    core::mono_time claim_asked_at;       ///< when the newest ask for the claim was made
+    std::uint64_t ask = 0;                ///< number of the newest ask for a permit
+    core::mono_time asked_at;             ///< when that ask was made first
     ports::epoch_number ask_epoch = 0;
     ports::permit_reply permit; ///< while sending
     core::mono_time sent_at;
@@ -140,6 +153,7 @@
     int sends = 0;              ///< with earlier attempts of others counted
     bool retrying = false;      ///< a send that may have run came before
     bool may_have_run = false;
+    std::vector<cut_send> cuts; ///< that a target may still be running
     std::vector<std::string> avoid;
     std::optional<ports::http_response> kept; ///< a failure to answer with if no retry is had
 };
@@ -154,6 +168,13 @@
     const ports::claim_reply& reply,
     core::mono_time now);
 
+/// The end of a finish_claim.
+flow_actions on_finish_ack(request_flow& flow,
+    request_sender& sender,
+    ports::peer_status status,
+    const ports::ack& ack,
+    core::mono_time now);
+
 /// \param ask the number of the ask that this is the reply to.
 /// \param fresh whether this process still knows the truth, asked just now.
 flow_actions on_permit(request_flow& flow,
@@ -180,9 +201,11 @@
 /// \return when on_timer has something to do; max(): never.
 core::mono_time wake_at(const request_flow& flow);
 
-/// \return the permit under which a request of this flow is in flight.
-std::optional<ports::held_permit> held_by(const request_flow& flow, core::mono_time now);
+/// \return the permits under which a request of this flow is in flight or may still be running.
+std::vector<ports::held_permit> held_by(const request_flow& flow, core::mono_time now);
 
+/// \return whether the flow may be forgotten. It outlives its answer until the claim's holders know
+/// the end and the targets have stopped what was cut.
 bool has_ended(const request_flow& flow);
 
 } // namespace camphorhitch::dispatch
--- a/libs/model/tests/any_document.hpp
+++ b/libs/model/tests/any_document.hpp
@@ -91,6 +91,8 @@
     it.services = any_names();
     it.budget = {any_count(100000), any_count(100000)};
     it.policy = any_name(0);
+    it.experiment = any_text();
+    it.policy_before = any_text();
     it.spare = any_count(1) == 1;
     it.size_class = any_real(0, 1e6);
     it.quick = any_limits();
@@ -156,6 +158,7 @@
     it.wave = any_text();
     it.maintained = any_text();
     it.move_to = any_text();
+    it.lent_by = any_text();
     it.command = any_text();
     it.ownership = any_int(0, 1LL << 60);
     it.boot_count = any_int(0, 1LL << 60);
--- /dev/null
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -0,0 +1,475 @@
+#include "request_service.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace camphorhitch::daemon
+{
+
+namespace
+{
+
+constexpr core::millis round{5};              ///< between looks at the flows' timers
+constexpr std::size_t remembered_ends = 2000; ///< requests that `why request` still finds
+constexpr int status_not_found = 404;
+constexpr int status_bad_request = 400;
+constexpr int status_unavailable = 503;
+const std::string call_prefix = "/call/";
+
+/// Fields that belong to one connection only and are never passed on.
+const char* const hop_fields[] = {"Connection",
+    "Keep-Alive",
+    "Transfer-Encoding",
+    "Content-Length",
+    "TE",
+    "Trailer",
+    "Upgrade",
+    "Proxy-Authorization",
+    "Proxy-Authenticate",
+    "Proxy-Connection",
+    "Expect",
+    "Host"};
+
+bool is_hop_field(const std::string& name)
+{
+    const ports::http_fields one{{name, ""}};
+    return std::any_of(std::begin(hop_fields),
+        std::end(hop_fields),
+        [&](const char* it) { return ports::find_field(one, it) != nullptr; });
+}
+
+void set_field(ports::http_fields& fields, const std::string& name, const std::string& text)
+{
+    fields.erase(std::remove_if(fields.begin(),
+                     fields.end(),
+                     [&](const auto& it) {
+                         return ports::find_field({{it.first, ""}}, name) != nullptr;
+                     }),
+        fields.end());
+    fields.emplace_back(name, text);
+}
+
+ports::http_fields without_hop_fields(const ports::http_fields& all)
+{
+    ports::http_fields kept;
+    for (const auto& it : all)
+    {
+        if (!is_hop_field(it.first))
+        {
+            kept.push_back(it);
+        }
+    }
+    return kept;
+}
+
+/// Splits "/call/<service>/<path>".
+bool split_path(const std::string& path, std::string& service, std::string& rest)
+{
+    if (path.compare(0, call_prefix.size(), call_prefix) != 0)
+    {
+        return false;
+    }
+    const auto slash = path.find('/', call_prefix.size());
+    service = path.substr(call_prefix.size(), slash - call_prefix.size());
+    rest = slash == std::string::npos ? "/" : path.substr(slash);
+    return !service.empty();
+}
+
+std::string key_of(const ports::http_request& r)
+{
+    const auto* key = ports::find_field(r.fields, dispatch::fields::idempotency_key);
+    return key == nullptr ? std::string{} : *key;
+}
+
+} // namespace
+
+request_service::request_service(context& c,
+    membership_service& members,
+    permit_service& permits,
+    claim_service& claims,
+    dispatch::sender_settings settings)
+    : context_(c), members_(members), permits_(permits), claims_(claims)
+{
+    sender_.member = c.self.id;
+    sender_.incarnation = c.self.incarnation;
+    sender_.zone = c.self.zone;
+    sender_.settings = settings;
+    context_.every(round, [this] { tick(); });
+}
+
+void request_service::set_server(ports::http_server server)
+{
+    server_ = std::move(server);
+}
+
+void request_service::on_config(const model::configuration& config)
+{
+    config_ = config;
+    sender_.settings.answer_kept_bytes = static_cast<std::size_t>(config.answer_kept_bytes);
+}
+
+void request_service::on_roster()
+{
+    sender_.epoch = members_.roster().epoch;
+    std::vector<request_id> ids;
+    for (const auto& [id, r] : open_)
+    {
+        ids.push_back(id);
+    }
+    for (const auto id : ids)
+    {
+        const auto it = open_.find(id);
+        if (it != open_.end())
+        {
+            run(id, dispatch::on_owner_changed(it->second.flow, sender_, context_.scheduler.now()));
+        }
+    }
+}
+
+bool request_service::ready() const
+{
+    return !stopping_ && members_.fresh() && members_.in_roster() && config_.version > 0;
+}
+
+std::size_t request_service::open_requests() const
+{
+    return open_.size();
+}
+
+void request_service::stop(std::function<void()> done)
+{
+    stopping_ = true;
+    stopped_ = std::move(done);
+    end_if_over(0);
+}
+
+void request_service::refuse(ports::exchange_id exchange,
+    int status,
+    const std::string& reason,
+    const std::string& text,
+    int retry_after_s)
+{
+    ports::http_response out;
+    out.status = status;
+    out.fields = {{"Content-Type", "application/json"},
+        {std::string(dispatch::fields::outcome), "not-run"},
+        {"Camphorhitch-Reason", reason}};
+    if (retry_after_s > 0)
+    {
+        out.fields.emplace_back(
+            std::string(dispatch::fields::retry_after), std::to_string(retry_after_s));
+    }
+    out.body = nlohmann::json({{"outcome", "not-run"}, {"reason", reason}, {"text", text}})
+                   .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    context_.telemetry.count("camphorhitch_refused_total", {{"reason", reason}}, 1);
+    server_.respond(exchange, std::move(out));
+}
+
+void request_service::on_request(ports::exchange_id exchange, ports::http_request request)
+{
+    if (request.path == "/-/live" || request.path == "/-/ready")
+    {
+        const bool good = request.path == "/-/live" || ready();
+        server_.respond(exchange, {good ? 200 : status_unavailable, {}, good ? "yes\n" : "no\n"});
+        return;
+    }
+    std::string service;
+    std::string rest;
+    if (!split_path(request.path, service, rest))
+    {
+        refuse(exchange, status_not_found, "no_such_path", "use /call/<service>/<path>", 0);
+        return;
+    }
+    if (!ready())
+    {
+        const char* why = stopping_ ? "stopping" : "not_ready";
+        refuse(exchange, status_unavailable, why, "this entry host takes no requests now", 1);
+        return;
+    }
+    const auto* pool = model::find_pool_of_service(config_, service);
+    if (pool == nullptr)
+    {
+        refuse(exchange, status_not_found, "no_such_service", "no pool serves " + service, 0);
+        return;
+    }
+    const auto id = next_id_++;
+    auto& r = open_[id];
+    by_exchange_[exchange] = id;
+    r.exchange = exchange;
+    r.service = service;
+    r.began = context_.scheduler.now();
+    r.http = std::move(request);
+    r.http.path = rest;
+    begin(id, *pool);
+}
+
+void request_service::begin(request_id id, const model::pool_config& pool)
+{
+    auto& r = open_.at(id);
+    auto asked = dispatch::read_caller_request(r.http, pool);
+    if (const auto* wrong = std::get_if<core::findings>(&asked))
+    {
+        refuse(r.exchange, status_bad_request, "bad_request", core::to_text(*wrong), 0);
+        by_exchange_.erase(r.exchange);
+        open_.erase(id);
+        return;
+    }
+    const auto* parent = ports::find_field(r.http.fields, "traceparent");
+    r.span = context_.telemetry.start_span("request", parent == nullptr ? "" : *parent);
+    r.span.tag("service", r.service);
+    note(r, "began pool=" + pool.name);
+    const auto now = context_.scheduler.now();
+    run(id, dispatch::begin(r.flow, sender_, std::get<dispatch::caller_request>(asked), now));
+}
+
+void request_service::run(request_id id, dispatch::flow_actions actions)
+{
+    for (const auto& action : actions)
+    {
+        std::visit(
+            [&](const auto& it)
+            {
+                if (open_.count(id) > 0)
+                {
+                    step(id, it);
+                }
+            },
+            action);
+    }
+    end_if_over(id);
+}
+
+void request_service::step(request_id id, const dispatch::ask_claim& it)
+{
+    note(open_.at(id), "asks claim key=" + it.message.key);
+    claims_.ask(it.message,
+        [this, id](ports::peer_status status, const ports::claim_reply& reply)
+        {
+            const auto found = open_.find(id);
+            if (found == open_.end())
+            {
+                return;
+            }
+            note(found->second, "claim verdict=" + std::to_string(static_cast<int>(reply.verdict)));
+            run(id,
+                dispatch::on_claim(
+                    found->second.flow, sender_, status, reply, context_.scheduler.now()));
+        });
+}
+
+void request_service::step(request_id id, const dispatch::ask_permit& it)
+{
+    note(open_.at(id), "asks permit pool=" + it.message.pool);
+    permits_.ask(it.message,
+        [this, id, ask = it.message.request, pool = it.message.pool](
+            ports::peer_status status, const ports::permit_reply& reply)
+        {
+            const auto found = open_.find(id);
+            if (found == open_.end())
+            {
+                // The flow gave the ask up before the answer came; its return names the ask, which
+                // is enough for the owner.
+                return;
+            }
+            note(found->second, "permit host=" + reply.host + " rule=" + reply.reason);
+            // Asked just before the send: after a pause between the two the old answer is void.
+            const bool fresh = members_.fresh();
+            run(id,
+                dispatch::on_permit(found->second.flow,
+                    sender_,
+                    ask,
+                    status,
+                    reply,
+                    fresh,
+                    context_.scheduler.now()));
+        });
+}
+
+void request_service::step(request_id id, const dispatch::send_request& it)
+{
+    auto& r = open_.at(id);
+    note(r, "sends host=" + it.host + " address=" + it.address);
+    ports::http_call call;
+    call.address = it.address;
+    call.request = r.http;
+    call.request.fields = without_hop_fields(r.http.fields);
+    for (const auto& [name, text] : it.fields)
+    {
+        set_field(call.request.fields, name, text);
+    }
+    r.send_span = context_.telemetry.start_span("send", r.span.traceparent);
+    r.send_span.tag("host", it.host);
+    set_field(call.request.fields, "traceparent", r.send_span.traceparent);
+    call.connect_timeout = it.connect_timeout;
+    call.total_timeout = it.total_timeout;
+    call.fresh_connection = it.fresh_connection;
+    r.call = context_.http.send(
+        std::move(call), [this, id](const ports::http_outcome& o) { on_outcome(id, o); });
+}
+
+void request_service::on_outcome(request_id id, const ports::http_outcome& outcome)
+{
+    const auto found = open_.find(id);
+    if (found == open_.end())
+    {
+        return;
+    }
+    auto& r = found->second;
+    r.call = 0;
+    note(r, "send ended status=" + std::to_string(outcome.response.status) + " " + outcome.detail);
+    r.send_span.tag("status", std::to_string(outcome.response.status));
+    r.send_span.finish();
+    context_.telemetry.count(
+        "camphorhitch_sends_total", {{"connection", outcome.new_connection ? "new" : "kept"}}, 1);
+    auto cleaned = outcome;
+    cleaned.response.fields = without_hop_fields(outcome.response.fields);
+    run(id, dispatch::on_outcome(r.flow, sender_, cleaned, context_.scheduler.now()));
+}
+
+void request_service::step(request_id id, const dispatch::cancel_send& /*it*/)
+{
+    auto& r = open_.at(id);
+    if (r.call != 0)
+    {
+        context_.http.cancel(std::exchange(r.call, 0));
+        r.send_span.tag("cancelled", "true");
+        r.send_span.finish();
+    }
+}
+
+void request_service::step(request_id /*id*/, const dispatch::return_permit& it)
+{
+    permits_.give_back(it.message);
+}
+
+void request_service::step(request_id id, const dispatch::finish_claim& it)
+{
+    claims_.finish(it.message,
+        [this, id](ports::peer_status status, const ports::ack& ack)
+        {
+            const auto found = open_.find(id);
+            if (found != open_.end())
+            {
+                run(id,
+                    dispatch::on_finish_ack(
+                        found->second.flow, sender_, status, ack, context_.scheduler.now()));
+            }
+        });
+}
+
+void request_service::step(request_id id, const dispatch::answer_caller& it)
+{
+    auto& r = open_.at(id);
+    const auto outcome = std::string(core::name_of(dispatch::caller_outcome_names, it.outcome));
+    const std::chrono::duration<double> took = context_.scheduler.now() - r.began;
+    const auto klass =
+        std::string(core::name_of(dispatch::request_class_names, r.flow.request.klass));
+    context_.telemetry.count("camphorhitch_requests_total",
+        {{"service", r.service}, {"class", klass}, {"outcome", outcome}},
+        1);
+    context_.telemetry.observe("camphorhitch_request_seconds", {{"class", klass}}, took.count());
+    note(r, "answers outcome=" + outcome + " rule=" + it.reason);
+    r.span.tag("outcome", outcome);
+    r.span.tag("rule", it.reason);
+    r.span.finish();
+    by_exchange_.erase(r.exchange);
+    server_.respond(r.exchange, it.response);
+}
+
+void request_service::note(open_request& r, std::string text)
+{
+    const auto ms = std::chrono::duration_cast<core::micros>(context_.scheduler.now() - r.began);
+    r.steps.push_back("+" + std::to_string(ms.count()) + "us " + std::move(text));
+}
+
+void request_service::end_if_over(request_id id)
+{
+    const auto it = open_.find(id);
+    if (it != open_.end() && dispatch::has_ended(it->second.flow))
+    {
+        auto& r = it->second;
+        by_exchange_.erase(r.exchange);
+        const auto* own = ports::find_field(r.http.fields, "Request-Id");
+        ended_.push_back({own == nullptr ? "" : *own, key_of(r.http), std::move(r.steps)});
+        open_.erase(it);
+        if (ended_.size() > remembered_ends)
+        {
+            ended_.pop_front();
+        }
+    }
+    if (stopping_ && open_.empty() && stopped_)
+    {
+        std::exchange(stopped_, nullptr)();
+    }
+}
+
+void request_service::on_gone(ports::exchange_id exchange)
+{
+    const auto it = by_exchange_.find(exchange);
+    if (it == by_exchange_.end())
+    {
+        return;
+    }
+    const auto id = it->second;
+    note(open_.at(id), "caller went away");
+    run(id, dispatch::on_caller_gone(open_.at(id).flow, sender_, context_.scheduler.now()));
+}
+
+ports::held_reply request_service::held(const ports::held_query& query)
+{
+    ports::held_reply reply;
+    reply.epoch = members_.roster().epoch;
+    reply.member = context_.self.id;
+    reply.incarnation = context_.self.incarnation;
+    if (reply.epoch < query.epoch)
+    {
+        return reply; // the owner asks again once this member has adopted its epoch
+    }
+    dispatch::on_held_query(sender_, query);
+    for (const auto& [id, r] : open_)
+    {
+        auto one = dispatch::held_by(r.flow, context_.scheduler.now());
+        if (one &&
+            std::find(query.pools.begin(), query.pools.end(), one->pool) != query.pools.end())
+        {
+            reply.permits.push_back(std::move(*one));
+        }
+    }
+    return reply;
+}
+
+void request_service::tick()
+{
+    const auto now = context_.scheduler.now();
+    std::vector<request_id> due;
+    for (const auto& [id, r] : open_)
+    {
+        if (dispatch::wake_at(r.flow) <= now)
+        {
+            due.push_back(id);
+        }
+    }
+    for (const auto id : due)
+    {
+        const auto it = open_.find(id);
+        if (it != open_.end())
+        {
+            run(id, dispatch::on_timer(it->second.flow, sender_, now));
+        }
+    }
+}
+
+std::vector<std::string> request_service::explain(const std::string& id) const
+{
+    for (auto it = ended_.rbegin(); it != ended_.rend(); ++it)
+    {
+        if (it->id == id || (!it->key.empty() && it->key == id))
+        {
+            return it->steps;
+        }
+    }
+    return {};
+}
+
+} // namespace camphorhitch::daemon
--- a/libs/http/tests/fixture.hpp
+++ b/testing/http_fakes/include/http_fakes/fakes.hpp
@@ -1,9 +1,8 @@
 /// \file
-/// What the tests of server and client share: a loop, raw callers, and a peer that misbehaves.
+/// Peers that misbehave, for tests of what speaks HTTP: raw callers and a scripted target.
 #pragma once
 
-#include "http/client.hpp"
-#include "http/server.hpp"
+#include "reactor/event_loop.hpp"
 
 #include <arpa/inet.h>
 #include <chrono>
@@ -14,9 +13,11 @@
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
+#include <tuple>
 #include <unistd.h>
+#include <utility>
 
-namespace camphorhitch::http
+namespace camphorhitch::http_fakes
 {
 
 inline constexpr std::chrono::seconds give_up{10};
@@ -62,7 +63,7 @@
     explicit raw_caller(std::uint16_t port) : fd_(::socket(AF_INET, SOCK_STREAM, 0))
     {
         const auto to = loopback_address(port);
-        ::connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+        std::ignore = ::connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
         ::fcntl(fd_, F_SETFL, O_NONBLOCK);
     }
     ~raw_caller()
@@ -105,6 +106,11 @@
     {
         return read().find(text) != std::string::npos;
     }
+    void reset_on_close() const
+    {
+        const linger now{1, 0};
+        ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    }
     void close()
     {
         if (fd_ >= 0)
@@ -128,7 +134,7 @@
         : loop_(loop), listen_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
     {
         const auto at = loopback_address(0);
-        ::bind(listen_, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
+        std::ignore = ::bind(listen_, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
         ::listen(listen_, 64);
         loop_.watch_fd(listen_, true, false, [this](reactor::fd_events) { accept(); });
     }
@@ -227,4 +233,4 @@
     std::map<int, peer> open_;
 };
 
-} // namespace camphorhitch::http
+} // namespace camphorhitch::http_fakes
--- a/testing/standin_kv/src/wire.cpp
+++ b/testing/standin_kv/src/wire.cpp
@@ -1,5 +1,7 @@
 #include "wire.hpp"
 
+#include "core/base64.hpp"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -76,6 +78,10 @@
 
 void parse_success(object_reader& reader, transaction& t, std::size_t largest_value)
 {
+    if (!reader.has("success"))
+    {
+        return;
+    }
     auto success = only(reader, "success");
     if (!success)
     {
@@ -88,7 +94,7 @@
         success->add_finding("", "must be one request_put or one request_delete_range");
         return;
     }
-    t.deletes = remove.has_value();
+    t.does = remove ? effect::remove : effect::put;
     if (remove)
     {
         read_key(*remove, t.key);
@@ -123,6 +129,7 @@
             continue;
         }
         read_key(*range, t.key);
+        range->read("keys_only", t.reads_keys_only);
         t.reads_on_failure = true;
     }
 }
@@ -147,6 +154,7 @@
     read_range(reader, r.range);
     reader.read("revision", r.revision);
     reader.read("limit", r.limit);
+    reader.read("keys_only", r.keys_only);
     reader.read("serializable", serializable);
     return finished(reader, std::move(r));
 }
@@ -214,24 +222,29 @@
 
 json record_json(const record& r)
 {
-    json all = {{"key", standin_support::to_base64(r.key)}};
+    json all = {{"key", core::to_base64(r.key)}};
     put_number(all, "create_revision", r.create_revision);
     put_number(all, "mod_revision", r.mod_revision);
     put_number(all, "version", r.version);
     put_number(all, "lease", r.lease);
     if (!r.value.empty())
     {
-        all["value"] = standin_support::to_base64(r.value);
+        all["value"] = core::to_base64(r.value);
     }
     return all;
 }
 
-json range_json(std::int64_t revision, const std::vector<record>& found)
+json range_json(std::int64_t revision, const std::vector<record>& found, bool keys_only)
 {
     json all = {{"header", header_json(revision)}};
     for (const auto& it : found)
     {
-        all["kvs"].push_back(record_json(it));
+        auto one = record_json(it);
+        if (keys_only)
+        {
+            one.erase("value");
+        }
+        all["kvs"].push_back(std::move(one));
     }
     put_number(all, "count", static_cast<std::int64_t>(found.size()));
     return all;
