bench/wave_policies: waves per policy and size; policies mended by what it showed

Cause: least_buffer sent guests home after each host and covered some absences only; fastest left one zone's hosts over for the end. Change: a guest for each planned absence, kept while the wave works on the pool and sent on to the next; the pools and zones with most turns left go first in fastest, the canary among them; one_by_one takes a largest_batch.

--- /dev/null
+++ b/bench/wave_policies/src/rollout.hpp
@@ -0,0 +1,61 @@
+/// \file
+/// One wave over a whole fleet, from its start to its end.
+#pragma once
+
+#include "fleets.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace camphorhitch::bench
+{
+
+/// What happens beside the wave.
+enum class trouble
+{
+    none,
+    correlated ///< a rack goes down, and two hosts running don't come back from their reboot
+};
+
+struct measure
+{
+    double value = 0;
+    double bound = 0; ///< lower; 0: none
+};
+
+struct document_writes
+{
+    std::int64_t at_ms = 0;
+    std::string pool;
+};
+
+struct rollout
+{
+    std::string fleet;
+    std::string policy;
+    trouble with = trouble::none;
+    int hosts = 0;
+    int done = 0;
+    bool ended = false;
+    measure roll_out_h;    ///< hours
+    measure buffer_hosts;  ///< most hosts held back at once
+    measure buffer_host_h; ///< host-hours held back during the roll-out
+    measure job_moves;
+    std::int64_t host_moves = 0;
+    std::int64_t writes = 0;
+    std::int64_t cut_off = 0;
+    std::vector<std::string> violations;
+    std::vector<document_writes> log;
+};
+
+rollout run_wave(const fleet_shape& shape,
+    const measured_policy& policy,
+    const work_settings& work,
+    trouble with);
+
+/// \return hours that a roll-out takes at least, whatever the policy: the budgets of each pool and
+/// zone let so many hosts reboot at once.
+double roll_out_bound_h(const std::vector<pool_shape>& pools, int zones, std::int64_t reboot_ms);
+
+} // namespace camphorhitch::bench
--- a/libs/fleet/include/fleet/budget.hpp
+++ b/libs/fleet/include/fleet/budget.hpp
@@ -31,6 +31,9 @@
 /// \return whether requests and jobs may be sent to \p h.
 bool accepts_work(const model::host_record& h);
 
+/// \return how many guests serve in \p d.
+int serving_guests(const model::pool_document& d);
+
 /// \return whether \p h leaves by a plan that has not been handed over yet, and so can be undone.
 bool is_undoable(const model::host_record& h);
 
--- a/libs/fleet/include/fleet/policies.hpp
+++ b/libs/fleet/include/fleet/policies.hpp
@@ -16,7 +16,7 @@
 {
     zone_by_zone, ///< one availability zone after the other
     pool_by_pool, ///< one pool after the other, zone by zone inside it
-    all_at_once   ///< any zone and pool that has room
+    all_at_once   ///< any zone and pool that has room, those with most turns left first
 };
 
 /// What a policy weighs in one pool.
@@ -26,8 +26,8 @@
     int budget = 0;         ///< model::availability_budget::absent
     int planned_absent = 0; ///< own hosts, draining, drained or rebooting
     int failed = 0;         ///< own hosts
-    int waiting = 0;        ///< own hosts that active waves admitted and that have not left yet
-    int unfinished = 0; ///< own hosts that active waves work on, admitted or not, and not failed
+    int admitted = 0;       ///< own hosts that active waves admitted, maintained ones among them
+    int unfinished = 0;     ///< own hosts that active waves have yet to maintain, and not failed
 };
 
 /// What a policy weighs for the hosts that one wave maintains under it.
--- a/libs/fleet/include/fleet/pool_decider.hpp
+++ b/libs/fleet/include/fleet/pool_decider.hpp
@@ -43,6 +43,8 @@
 {
     core::millis live_list_lag{5000}; ///< the platform's list is never older than this
     core::millis drain_report_every{60000};
+    /// How long a guest stays when it is not needed: the wave's next pool may want it next.
+    core::millis guest_stay{10000};
 };
 
 /// What the owner remembers of one host's state, on its own clock: no timeout compares the wall
@@ -60,6 +62,7 @@
 {
     std::map<std::string, host_timer> hosts;
     std::optional<core::mono_time> short_of_guests; ///< since when drains wait for a guest
+    std::optional<core::mono_time> guests_idle; ///< since when there are more guests than needed
 };
 
 /// Notes that the platform took \p command; a repeat of it is taken too.
--- a/libs/fleet/src/budget.cpp
+++ b/libs/fleet/src/budget.cpp
@@ -29,6 +29,13 @@
     return is_member(h) && h.state == host_state::serving;
 }
 
+int serving_guests(const model::pool_document& d)
+{
+    return static_cast<int>(std::count_if(d.hosts.begin(),
+        d.hosts.end(),
+        [](const host_record& h) { return is_guest(h) && accepts_work(h); }));
+}
+
 bool is_undoable(const host_record& h)
 {
     const bool before_hand_over = h.state == host_state::draining || h.state == host_state::drained;
--- a/libs/fleet/src/buffer_steps.cpp
+++ b/libs/fleet/src/buffer_steps.cpp
@@ -42,13 +42,6 @@
     return out;
 }
 
-int count_guests(const model::pool_document& d)
-{
-    return static_cast<int>(std::count_if(d.hosts.begin(),
-        d.hosts.end(),
-        [](const host_record& h) { return is_guest(h) && accepts_work(h); }));
-}
-
 bool any_spare_pool(const model::configuration& c)
 {
     return std::any_of(
@@ -60,7 +53,7 @@
 bool waits_for_guest(draft& d, const model::policy_config& p)
 {
     const int wanted = guests_wanted(d.next, d.in.waves, d.in.config);
-    if (count_guests(d.next) >= wanted || !any_spare_pool(d.in.config))
+    if (serving_guests(d.next) >= wanted || !any_spare_pool(d.in.config))
     {
         d.memory.short_of_guests.reset();
         return false;
--- a/libs/fleet/src/exchange_steps.cpp
+++ b/libs/fleet/src/exchange_steps.cpp
@@ -94,13 +94,6 @@
     return it == wanting.end() ? guest.lent_by : *it;
 }
 
-int serving_guests(const pool_document& d)
-{
-    return static_cast<int>(std::count_if(d.hosts.begin(),
-        d.hosts.end(),
-        [](const host_record& h) { return is_guest(h) && accepts_work(h); }));
-}
-
 /// Whether a spare pool before this one, by name, has a host to lend: that one does, so that two
 /// don't answer the same need.
 bool leaves_it_to_another(const draft& d)
@@ -175,6 +168,17 @@
 void send_guests_on(draft& d)
 {
     int surplus = serving_guests(d.next) - guests_wanted(d.next, d.in.waves, d.in.config);
+    if (surplus <= 0)
+    {
+        d.memory.guests_idle.reset();
+        return;
+    }
+    const auto since = d.memory.guests_idle.value_or(d.in.now);
+    d.memory.guests_idle = since;
+    if (d.in.now - since < d.in.settings.guest_stay)
+    {
+        return;
+    }
     for (const auto& id : host_ids(d))
     {
         const auto* h = model::find_host(d.next, id);
--- a/libs/fleet/src/policies.cpp
+++ b/libs/fleet/src/policies.cpp
@@ -47,7 +47,7 @@
 
 int window_of_one(const policy_config& p, const wave_progress&)
 {
-    return at_most_largest(p, 1);
+    return std::max(1, p.largest_batch);
 }
 
 /// A fixed buffer stands in each pool and serves while hosts are absent. One host always serves.
@@ -67,17 +67,18 @@
     return at_most_largest(p, std::min(covered, batch_after(p, w.done)));
 }
 
-/// A guest where a planned absence would leave no room for a failure, or where failures are more
-/// than the budget. It stays while the wave works on the pool, so that it moves once.
-int guests_for_failure_room(const policy_config&, const pool_need& n)
+/// A guest for each planned absence, so that no pool needs a buffer of its own, and more where
+/// failures would exceed the budget. Guests stay while waves are at work on the pool: each moves
+/// once.
+int guests_for_absences(const policy_config&, const pool_need& n)
 {
-    const bool at_work = n.planned_absent > 0 || n.waiting > 0;
+    const bool at_work = n.planned_absent > 0 || (n.admitted > 0 && n.unfinished > 0);
     if (!at_work)
     {
         return std::max(0, n.failed - n.budget);
     }
-    const int planned = std::max(n.planned_absent, n.unfinished > 0 ? 1 : 0);
-    return std::max(0, n.failed + planned + failure_room - n.budget);
+    const int planned = std::max(1, n.planned_absent);
+    return std::max(planned, n.failed + planned + failure_room - n.budget);
 }
 
 // ---- fastest ----
@@ -93,7 +94,7 @@
         wave_order::pool_by_pool,
         window_of_spares,
         no_limit,
-        guests_for_failure_room,
+        guests_for_absences,
         none},
     {policy_kind::fastest, wave_order::all_at_once, window_after_canary, no_limit, none, none},
 };
--- a/libs/fleet/src/wave_decider.cpp
+++ b/libs/fleet/src/wave_decider.cpp
@@ -72,7 +72,7 @@
         const model::policy_config& p,
         pool_need need) const
     {
-        need.waiting = 1;
+        need.admitted = 1;
         need.unfinished = 1;
         const bool lends = policy.guests_wanted(p, need) > 0;
         b.absent += lends ? spares_ : 0;
--- a/libs/fleet/src/wave_plan.cpp
+++ b/libs/fleet/src/wave_plan.cpp
@@ -32,20 +32,61 @@
     return is_guest(h) || !is_member(h) ? turn::busy : turn::untouched;
 }
 
-void sort_by(wave_order order, std::vector<wave_host>& hosts)
+bool by_zone_then_pool(const wave_host& a, const wave_host& b)
+{
+    return std::tie(a.zone, a.pool) < std::tie(b.zone, b.pool);
+}
+
+bool by_pool_then_zone(const wave_host& a, const wave_host& b)
 {
-    const auto key = [&](const wave_host& it)
+    return std::tie(a.pool, a.zone) < std::tie(b.pool, b.zone);
+}
+
+/// The pool with most turns left decides how long the wave takes, so even the canary is one of its.
+/// Inside a pool the fullest zones go first; else one zone's hosts would be left over at the end,
+/// to leave one after the other.
+bool by_turns_left(const wave_host& a, const wave_host& b)
+{
+    const auto most = [](const wave_host& it)
     {
-        const bool by_pool = order == wave_order::pool_by_pool;
-        const bool by_zone = order == wave_order::zone_by_zone;
-        return std::make_tuple(!it.spare,
-            by_zone ? it.zone : std::string{},
-            by_pool || by_zone ? it.pool : std::string{},
-            by_pool ? it.zone : std::string{});
+        return std::max(it.pool_turns, it.zone_turns);
     };
+    return std::make_tuple(most(a), a.zone_turns) > std::make_tuple(most(b), b.zone_turns);
+}
+
+void sort_by(wave_order order, std::vector<wave_host>& hosts)
+{
+    const auto before = order == wave_order::zone_by_zone   ? by_zone_then_pool
+                        : order == wave_order::pool_by_pool ? by_pool_then_zone
+                                                            : by_turns_left;
     std::stable_sort(hosts.begin(),
         hosts.end(),
-        [&](const wave_host& a, const wave_host& b) { return key(a) < key(b); });
+        [&](const wave_host& a, const wave_host& b)
+        { return a.spare != b.spare ? a.spare : before(a, b); });
+}
+
+int turns_of(int hosts, int at_once)
+{
+    const int most = std::max(1, at_once);
+    return (hosts + most - 1) / most;
+}
+
+void count_turns(wave_group& group, const model::configuration& c)
+{
+    std::map<std::string, int> in_pool;
+    std::map<std::pair<std::string, std::string>, int> in_zone;
+    for (const auto& it : group.hosts)
+    {
+        const int left = it.at == turn::untouched || it.at == turn::absent ? 1 : 0;
+        in_pool[it.pool] += left;
+        in_zone[{it.pool, it.zone}] += left;
+    }
+    for (auto& it : group.hosts)
+    {
+        const auto budget = budget_of(c, it.pool).value_or(model::availability_budget{});
+        it.pool_turns = turns_of(in_pool[it.pool], budget.absent);
+        it.zone_turns = turns_of(in_zone[{it.pool, it.zone}], budget.absent_per_zone);
+    }
 }
 
 int fit_spares(const wave_inputs& in)
@@ -61,7 +102,8 @@
         }
         for (const auto& it : view.document.released)
         {
-            n += is_guest(it.host) ? 1 : 0;
+            const bool on_its_way = owner_of(it.host.id, in.pools).in_transit;
+            n += on_its_way && (is_guest(it.host) || is_spare_pool(in.config, it.to)) ? 1 : 0;
         }
     }
     return n;
@@ -162,6 +204,7 @@
     }
     for (auto& [name, group] : out.groups)
     {
+        count_turns(group, in.config);
         sort_by(policy_of(group.policy.kind).order, group.hosts);
     }
     return out;
--- a/libs/fleet/src/wave_plan.hpp
+++ b/libs/fleet/src/wave_plan.hpp
@@ -30,6 +30,8 @@
     std::string pool;
     std::string zone;
     turn at = turn::gone;
+    int pool_turns = 0;   ///< hosts to go in its pool over what the budget allows at once
+    int zone_turns = 0;   ///< the same in its zone of the pool
     bool spare = false;   ///< fit and empty in a spare pool
     bool by_wave = false; ///< failed while this wave had it, or after
 };
--- a/libs/fleet/src/waves.cpp
+++ b/libs/fleet/src/waves.cpp
@@ -38,9 +38,13 @@
 
 void count_work(pool_need& n, const host_record& h, const std::vector<wave_view>& waves)
 {
-    const auto* wave = h.state == host_state::failed ? nullptr : working_wave(h, waves);
-    n.unfinished += wave != nullptr ? 1 : 0;
-    n.waiting += wave != nullptr && !is_absent(h) && admits(*wave, h.id) ? 1 : 0;
+    const auto* wave = claimant(h.id, waves);
+    if (wave == nullptr || !is_active(*wave))
+    {
+        return;
+    }
+    n.admitted += admits(*wave, h.id) ? 1 : 0;
+    n.unfinished += h.state != host_state::failed && h.maintained != wave->id ? 1 : 0;
 }
 
 } // namespace
--- a/libs/fleet/tests/pool_decider_tests.cpp
+++ b/libs/fleet/tests/pool_decider_tests.cpp
@@ -270,6 +270,8 @@
     CHECK(o.own.document.hosts[1].state == host_state::serving);
     o.config.pools[0].policy = "fastest";
     o.decide_and_write();
+    o.now += fleet_settings{}.guest_stay;
+    o.decide_and_write();
     CHECK(o.h1().state == host_state::draining);
     CHECK(o.own.document.hosts[1].state == host_state::serving);
     CHECK(o.own.document.hosts[2].purpose == drain_purpose::move);
