--- a/libs/jobs/tests/history.cpp
+++ b/libs/jobs/tests/history.cpp
@@ -161,6 +161,8 @@
         break;
     case event_kind::take_over:
         epoch_ += 1;
+        faulty_writes_ = static_cast<int>(n % 64); // the marks arrive at different times
+        write_fault_ = n;
         owners_.push_back(
             job_fakes::make_member("quotes", epoch_, "e" + std::to_string(epoch_), world_.now));
         break;
--- a/libs/jobs/tests/start_tests.cpp
+++ b/libs/jobs/tests/start_tests.cpp
@@ -141,12 +141,14 @@
     CHECK(bucket_of("a") != bucket_of("bb"));
     submit(make_submission("fence", 1));
     pass_time(m, w, core::millis{15000});
-    submit(make_submission("a", 6));
-    submit(make_submission("bb", 6));
+    submit(make_submission("a", 6, job_class::normal, false));
+    submission urgent = make_submission("bb", 6, job_class::urgent);
+    urgent.declared.memory_gb = 30;
+    submit(urgent);
 
     member next = make_member("quotes", 2, "e2", w.now);
     w.kv.refused_bucket = bucket_of("a"); // its mark doesn't get there for a while
-    pass_time(next, w, tick);
+    pass_time(next, w, core::millis{500});
     CHECK_EQUAL(1u, w.platform.starts.size());
     w.kv.refused_bucket = -1;
     job_fakes::read_changes_but_marks(m, w);
