--- a/libs/dispatch/tests/dispatcher_tests.cpp
+++ b/libs/dispatch/tests/dispatcher_tests.cpp
@@ -108,11 +108,11 @@
     };
     using core::millis;
     const row rows[] = {
-        {"queue_full", 3, millis{2000}, false, model::host_state::serving},
+        {"queue-full", 3, millis{2000}, false, model::host_state::serving},
         {"deadline", 2, millis{30}, false, model::host_state::serving},
         {"deadline", 0, millis{0}, false, model::host_state::serving},
-        {"no_target", 0, millis{2000}, false, model::host_state::draining},
-        {"retry_budget", 0, millis{2000}, true, model::host_state::serving},
+        {"no-target", 0, millis{2000}, false, model::host_state::draining},
+        {"retry-budget", 0, millis{2000}, true, model::host_state::serving},
     };
     for (const auto& it : rows)
     {
@@ -196,7 +196,7 @@
 
     f.give_back(first.front(), permit_outcome::answered, at(100));
     const auto late = f.request(granted, at(110));
-    STRCMP_EQUAL("given_up", late.front().reply.reason.c_str());
+    STRCMP_EQUAL("given-up", late.front().reply.reason.c_str());
 }
 
 // A sender gives up before it heard the answer. Its word may come while the ask waits, after the
@@ -219,7 +219,7 @@
         if (it == order::before_ask)
         {
             f.give_back(nothing, permit_outcome::unused, at(1));
-            STRCMP_EQUAL("given_up", f.request(request, at(2)).front().reply.reason.c_str());
+            STRCMP_EQUAL("given-up", f.request(request, at(2)).front().reply.reason.c_str());
         }
         else
         {
@@ -245,14 +245,14 @@
 }
 
 // The return of a permit is lost. The slot stays taken until whoever holds the permit must have
-// stopped: the request's time, the permit's life, the grace for its result and the clocks' margin.
+// stopped: the request's time, the permit's life, the grace for its result, the clocks' margin and
+// what a target may run on after a cut.
 // Then it is free, and a drain that waited for it goes on.
 TEST(dispatcher, a_lost_return_holds_its_slot_until_its_bound_and_no_longer)
 {
     pool_fixture f{1, 1};
     f.granted(at(0));
-    const auto& s = f.d.settings;
-    const auto bound = at(2000) + s.permit_ttl + s.result_grace + s.clock_margin;
+    const auto bound = at(2000) + use_after_deadline(f.d.settings);
     f.mark("h1", model::host_state::draining, at(100));
     on_tick(f.d, bound - core::millis{1});
     CHECK_FALSE(is_quiet(outstanding_on(f.d, "h1", bound - core::millis{1})));
@@ -262,6 +262,23 @@
     LONGS_EQUAL(1, f.d.counters.expired);
 }
 
+// A burst of requests is cut at their deadlines. Each cut request takes a slot for as long as its
+// class mostly runs; if it were the worst case of seconds, a pool of quick requests would stand
+// still after the burst. A drain still waits for the worst case.
+TEST(dispatcher, a_slot_waits_for_a_cut_request_as_long_as_such_requests_run)
+{
+    pool_fixture f{1, 1};
+    for (int i = 0; i < 200; ++i)
+    {
+        f.give_back(f.granted(at(i)), permit_outcome::answered, at(i), core::millis{20});
+    }
+    f.give_back(f.granted(at(200)), permit_outcome::silent, at(250));
+    CHECK(f.request(f.ask(), at(251)).empty());
+    CHECK(is_granted(on_tick(f.d, at(275))));
+    CHECK_FALSE(is_quiet(outstanding_on(f.d, "h1", at(300))));
+    LONGS_EQUAL(2, outstanding_on(f.d, "h1", at(300)).permits);
+}
+
 // A call ended unheard: its connection was closed while the target was working on it. The target
 // may go on for a while, so the next request must not get the slot at once, or the target would
 // see one more than its slots.
@@ -298,7 +315,7 @@
         f.live = {true, {{"h1", it.live, 1}}};
         const auto refused = f.mark("h1", it.state, at(2));
         LONGS_EQUAL(1, refused.size());
-        STRCMP_EQUAL("no_target", refused.front().reply.reason.c_str());
+        STRCMP_EQUAL("no-target", refused.front().reply.reason.c_str());
         CHECK(f.give_back(first, permit_outcome::answered, at(3)).empty());
         CHECK_FALSE(is_quiet(outstanding_on(f.d, "h1", at(3))));
         f.give_back(second, permit_outcome::answered, at(4));
--- /dev/null
+++ b/programs/camphorhitchd/src/job_service.cpp
@@ -0,0 +1,419 @@
+#include "job_service.hpp"
+
+#include "jobs/codec.hpp"
+#include "model/keys.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorhitch::daemon
+{
+
+namespace
+{
+
+constexpr core::millis poll_every{2000};
+constexpr core::millis leave_soon{0};
+
+bool under(const std::string& key, const std::string& prefix)
+{
+    return key.compare(0, prefix.size(), prefix) == 0;
+}
+
+} // namespace
+
+job_service::job_service(context& c,
+    membership_service& members,
+    permit_service& permits,
+    fleet_service& fleet,
+    jobs::settings rules)
+    : context_(c), members_(members), permits_(permits), fleet_(fleet), rules_(rules)
+{
+}
+
+void job_service::start()
+{
+    context_.every(context_.rounds.jobs,
+        [this]
+        {
+            on_roster(); // a pool that is new in the configuration has an owner too
+            std::vector<std::string> pools;
+            for (const auto& [pool, o] : owned_)
+            {
+                pools.push_back(pool);
+            }
+            for (const auto& pool : pools)
+            {
+                round(pool);
+            }
+        });
+}
+
+job_service::owned* job_service::find_owned(const std::string& pool)
+{
+    const auto it = owned_.find(pool);
+    return it == owned_.end() ? nullptr : &it->second;
+}
+
+void job_service::on_roster()
+{
+    for (const auto& pool : fleet_.config().pools)
+    {
+        const bool mine = permits_.owns(pool.name);
+        if (!mine)
+        {
+            owned_.erase(pool.name);
+        }
+        else if (owned_.count(pool.name) == 0 || owned_.at(pool.name).jobs.superseded)
+        {
+            take_over(pool.name);
+        }
+    }
+}
+
+void job_service::take_over(const std::string& pool)
+{
+    if (!context_.documents->loaded())
+    {
+        return;
+    }
+    const auto mark_text = context_.self.incarnation + "/" + std::to_string(++take_overs_);
+    owned fresh;
+    fresh.jobs =
+        jobs::make_pool_jobs(pool, {members_.roster().epoch, mark_text}, context_.scheduler.now());
+    fresh.revisions.fill(-1);
+    fresh.tried.fill(-1);
+    auto& o = owned_[pool] = std::move(fresh);
+    for (int bucket = 0; bucket < jobs::buckets_per_pool; ++bucket)
+    {
+        offer(o, bucket);
+    }
+}
+
+/// Hands the stored document to the pool's jobs when it is newer than what they have.
+void job_service::offer(owned& o, int bucket)
+{
+    const auto n = static_cast<std::size_t>(bucket);
+    const auto key = jobs::document_key(o.jobs.pool, bucket);
+    const auto* entry = context_.documents->find(key);
+    const ports::revision revision = entry == nullptr ? 0 : entry->modified;
+    if (revision <= o.revisions[n] && o.revisions[n] >= 0 && revision != o.tried[n])
+    {
+        return;
+    }
+    jobs::job_document stored;
+    stored.pool = o.jobs.pool;
+    stored.bucket = bucket;
+    const auto it = stored_.find(key);
+    if (it != stored_.end())
+    {
+        stored = it->second;
+    }
+    const auto cause = revision == o.tried[n] ? jobs::read_cause::same : jobs::read_cause::newer;
+    if (jobs::take_document(o.jobs, bucket, std::move(stored), cause, context_.scheduler.now()))
+    {
+        o.revisions[n] = revision;
+        o.tried[n] = -1;
+    }
+}
+
+void job_service::on_document(const ports::kv_entry& entry)
+{
+    if (!under(entry.key, model::keys::jobs))
+    {
+        if (entry.modified > 0 && under(entry.key, model::keys::root + "quotas/"))
+        {
+            auto decoded = jobs::decode_quota(entry.value, entry.key);
+            if (auto* it = std::get_if<jobs::quota_document>(&decoded))
+            {
+                quotas_[it->team] = std::move(*it);
+            }
+        }
+        return;
+    }
+    if (entry.modified == 0)
+    {
+        stored_.erase(entry.key);
+        return;
+    }
+    auto decoded = jobs::decode_jobs(entry.value, entry.key);
+    if (const auto* wrong = std::get_if<core::findings>(&decoded))
+    {
+        context_.log(ports::log_level::error,
+            "job_document_damaged",
+            {{"key", entry.key}, {"findings", core::to_text(*wrong)}});
+        return;
+    }
+    auto& stored = stored_[entry.key] = std::get<jobs::job_document>(std::move(decoded));
+    if (auto* o = find_owned(stored.pool))
+    {
+        offer(*o, stored.bucket);
+    }
+}
+
+std::map<std::string, core::millis> job_service::leaving_in(const std::string& pool) const
+{
+    std::map<std::string, core::millis> all;
+    const auto asked = asked_to_leave_.find(pool);
+    if (asked != asked_to_leave_.end())
+    {
+        all = asked->second;
+    }
+    for (const auto& it : fleet_.live().hosts)
+    {
+        if (it.state == ports::live_state::leaving)
+        {
+            all[it.id] = leave_soon;
+        }
+    }
+    return all;
+}
+
+void job_service::round(const std::string& pool)
+{
+    auto* o = find_owned(pool);
+    const auto* hosts = fleet_.find_pool(pool);
+    if (o == nullptr || hosts == nullptr || !members_.fresh())
+    {
+        return;
+    }
+    const auto now = context_.scheduler.now();
+    const auto stopped = members_.older_epochs_stopped();
+    if (stopped <= now && !o->jobs.predecessor_stopped)
+    {
+        o->jobs.predecessor_stopped = stopped;
+    }
+    for (int bucket = 0; bucket < jobs::buckets_per_pool; ++bucket)
+    {
+        if (!o->jobs.buckets[static_cast<std::size_t>(bucket)].loaded ||
+            o->tried[static_cast<std::size_t>(bucket)] >= 0)
+        {
+            offer(*o, bucket);
+        }
+    }
+    if (now - o->polled > poll_every)
+    {
+        o->polled = now;
+        for (const auto& it : hosts->document.hosts)
+        {
+            if (jobs::tasks_on(o->jobs, it.id) > 0)
+            {
+                poll(pool, it.id);
+            }
+        }
+    }
+    std::map<std::string, jobs::amounts> grants;
+    for (const auto& [team, document] : quotas_)
+    {
+        grants[team] = jobs::granted_to(document, pool);
+    }
+    const auto leaving = leaving_in(pool);
+    const jobs::round_input in{hosts->document,
+        fleet_.config().teams,
+        grants,
+        leaving,
+        rules_,
+        now,
+        context_.scheduler.wall_now()};
+    for (const auto& action : jobs::decide_round(o->jobs, in))
+    {
+        std::visit([&](const auto& it) { act(pool, it); }, action);
+    }
+    write_due(pool);
+}
+
+void job_service::write_due(const std::string& pool)
+{
+    auto* o = find_owned(pool);
+    if (o == nullptr || o->jobs.superseded)
+    {
+        return;
+    }
+    for (const auto& due : jobs::due_writes(o->jobs, rules_, context_.scheduler.now()))
+    {
+        const auto text = jobs::encode(*due.document);
+        const auto n = static_cast<std::size_t>(due.bucket);
+        context_.store.put_if(jobs::document_key(pool, due.bucket),
+            text,
+            std::max<ports::revision>(o->revisions[n], 0),
+            0,
+            [this, pool, bucket = due.bucket, text, mark = o->jobs.mark](
+                const ports::kv_write& reply)
+            {
+                auto* still = find_owned(pool);
+                if (still != nullptr && still->jobs.mark == mark)
+                {
+                    on_written(pool, bucket, text, reply);
+                }
+            });
+    }
+}
+
+void job_service::on_written(
+    const std::string& pool, int bucket, const std::string& text, const ports::kv_write& reply)
+{
+    auto& o = *find_owned(pool);
+    const auto n = static_cast<std::size_t>(bucket);
+    const auto key = jobs::document_key(pool, bucket);
+    switch (reply.status)
+    {
+    case ports::kv_status::ok:
+        o.revisions[n] = reply.modified;
+        o.tried[n] = -1;
+        jobs::write_ended(o.jobs, bucket, jobs::write_end::stored);
+        context_.documents->note({key, text, reply.modified, 0});
+        round(pool);
+        return;
+    case ports::kv_status::conflict:
+        jobs::write_ended(o.jobs, bucket, jobs::write_end::conflict);
+        if (!reply.current.key.empty())
+        {
+            context_.documents->note(reply.current);
+        }
+        offer(o, bucket);
+        return;
+    default:
+        // No answer tells: read it again, and only then go on with this document.
+        jobs::write_ended(o.jobs, bucket, jobs::write_end::doubt);
+        o.tried[n] = o.revisions[n];
+        context_.documents->refresh();
+        return;
+    }
+}
+
+void job_service::poll(const std::string& pool, const std::string& host)
+{
+    auto* o = find_owned(pool);
+    if (o == nullptr || !o->polling.insert(host).second)
+    {
+        return;
+    }
+    context_.platform.read_tasks(host,
+        [this, pool, host](const ports::task_reports& reports)
+        {
+            if (auto* still = find_owned(pool))
+            {
+                still->polling.erase(host);
+                jobs::note_reports(still->jobs, host, reports, context_.scheduler.now());
+            }
+        });
+}
+
+void job_service::act(const std::string& pool, const jobs::start_task& it)
+{
+    context_.log(ports::log_level::info,
+        "task_ordered",
+        {{"pool", pool}, {"host", it.order.host}, {"task", it.order.task}});
+    context_.platform.start_task(it.order,
+        [this, pool, task = it.order.task](ports::platform_status status)
+        {
+            if (auto* o = find_owned(pool))
+            {
+                jobs::note_order_ended(o->jobs, task, status);
+            }
+        });
+}
+
+void job_service::act(const std::string& pool, const jobs::command_tasks& it)
+{
+    context_.platform.act_on_tasks(it.host,
+        it.tasks,
+        it.what,
+        [this, pool, it](ports::platform_status status)
+        {
+            if (auto* o = find_owned(pool))
+            {
+                jobs::note_command_ended(o->jobs, it.tasks, it.what, status);
+            }
+        });
+}
+
+void job_service::act(const std::string& pool, const jobs::poll_host& it)
+{
+    poll(pool, it.host);
+}
+
+void job_service::act(const std::string& pool, const jobs::quota_wish& it)
+{
+    const auto& teams = fleet_.config().teams;
+    const auto team = std::find_if(
+        teams.begin(), teams.end(), [&](const auto& one) { return one.name == it.team; });
+    if (team == teams.end() || !adjusting_.insert(it.team).second)
+    {
+        return;
+    }
+    const jobs::amounts quota{team->processors, team->memory_gb, team->accelerators};
+    update_document(
+        context_.writer(),
+        jobs::quota_key(it.team),
+        [it, pool, quota](const std::string* current) -> change_result
+        {
+            jobs::quota_document document;
+            document.team = it.team;
+            if (current != nullptr)
+            {
+                auto decoded = jobs::decode_quota(*current, it.team);
+                if (auto* known = std::get_if<jobs::quota_document>(&decoded))
+                {
+                    document = std::move(*known);
+                }
+            }
+            if (!jobs::adjust(document, pool, it.in_use, it.wanted, quota))
+            {
+                return std::optional<std::string>{};
+            }
+            return std::optional<std::string>{jobs::encode(document)};
+        },
+        [this, team_name = it.team](const core::result<core::done>&)
+        { adjusting_.erase(team_name); });
+}
+
+void job_service::act(const std::string& pool, const jobs::worker_judged& it)
+{
+    context_.log(it.set_aside ? ports::log_level::warning : ports::log_level::info,
+        it.set_aside ? "worker_set_aside" : "worker_back",
+        {{"pool", pool}, {"host", it.host}, {"why", it.why}});
+}
+
+std::optional<int> job_service::tasks_on(const std::string& pool, const std::string& host) const
+{
+    const auto it = owned_.find(pool);
+    if (it == owned_.end() || !jobs::counts_all_tasks(it->second.jobs))
+    {
+        return std::nullopt;
+    }
+    return jobs::tasks_on(it->second.jobs, host);
+}
+
+void job_service::move_off(const std::string& pool, const std::string& host, core::millis time_left)
+{
+    asked_to_leave_[pool][host] = time_left;
+}
+
+std::map<std::string, std::vector<const jobs::job*>> job_service::all_jobs() const
+{
+    std::map<std::string, std::vector<const jobs::job*>> all;
+    for (const auto& [key, document] : stored_)
+    {
+        for (const auto& it : document.jobs)
+        {
+            all[document.pool].push_back(&it);
+        }
+    }
+    return all;
+}
+
+const jobs::job* job_service::find(const std::string& id, std::string& pool) const
+{
+    for (const auto& [key, document] : stored_)
+    {
+        if (const auto* it = jobs::find_job(document, id))
+        {
+            pool = document.pool;
+            return it;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace camphorhitch::daemon
--- a/programs/camphorhitchd/src/membership_service.cpp
+++ b/programs/camphorhitchd/src/membership_service.cpp
@@ -57,6 +57,11 @@
     return membership::contains_process(roster_.members, context_.self);
 }
 
+const model::member_record& membership_service::self() const
+{
+    return context_.self;
+}
+
 const model::roster_document& membership_service::roster() const
 {
     return roster_;
@@ -67,6 +72,26 @@
     return membership::stopped_from(stop_, roster_);
 }
 
+membership::member_list membership_service::recent_formers(core::millis longest) const
+{
+    const auto now = context_.scheduler.now();
+    membership::member_list found;
+    for (const auto& former : roster_.history)
+    {
+        for (const auto& it : former.members)
+        {
+            const auto left = left_at_.find(membership::process_name(it));
+            const bool long_ago = left != left_at_.end() && now - left->second > longest;
+            if (!long_ago && !membership::contains_process(roster_.members, it) &&
+                !membership::contains_process(found, it))
+            {
+                found.push_back(it);
+            }
+        }
+    }
+    return found;
+}
+
 const std::map<std::string, peer_view>& membership_service::peers() const
 {
     return peers_;
@@ -165,8 +190,8 @@
         lease_);
 }
 
-/// Confirms by the store that the roster adopted here is still the one in force. The time that counts
-/// is when the question was sent: an answer read after a pause tells of the time before it.
+/// Confirms by the store that the roster adopted here is still the one in force. The time that
+/// counts is when the question was sent: an answer read after a pause tells of the time before it.
 void membership_service::confirm()
 {
     if (confirming_ || roster_revision_ == 0)
@@ -241,15 +266,16 @@
         { on_beat_reply(to, status, reply, started); });
 }
 
-void membership_service::on_beat_reply(const model::member_record& to, ports::peer_status status,
-    const ports::heartbeat& reply, core::mono_time started)
+void membership_service::on_beat_reply(const model::member_record& to,
+    ports::peer_status status,
+    const ports::heartbeat& reply,
+    core::mono_time started)
 {
     const auto now = context_.scheduler.now();
     if (status == ports::peer_status::refused)
     {
         membership::on_refused(roster_state_, to, now);
-        membership::on_process_gone(stop_, to, now);
-        events_.on_process_gone(to);
+        note_gone(to);
         return;
     }
     if (status != ports::peer_status::ok)
@@ -259,8 +285,7 @@
     if (reply.member == to.id && reply.incarnation != to.incarnation)
     {
         // Another process answers at that address, so the one we meant is gone.
-        membership::on_process_gone(stop_, to, now);
-        events_.on_process_gone(to);
+        note_gone(to);
         return;
     }
     membership::on_peer_confirmed(freshness_, reply, started);
@@ -268,6 +293,21 @@
     take_word(reply);
 }
 
+void membership_service::note_gone(const model::member_record& who)
+{
+    membership::on_process_gone(stop_, who, context_.scheduler.now());
+    if (gone_.insert(membership::process_name(who)).second)
+    {
+        context_.log(ports::log_level::info, "process_gone", {{"member", who.id}});
+        events_.on_process_gone(who);
+    }
+}
+
+bool membership_service::is_gone(const model::member_record& who) const
+{
+    return gone_.count(membership::process_name(who)) > 0;
+}
+
 ports::heartbeat membership_service::on_beat(const ports::heartbeat& from)
 {
     const auto now = context_.scheduler.now();
@@ -323,7 +363,7 @@
     }
 }
 
-void membership_service::on_documents_read()
+void membership_service::on_documents_read(core::mono_time asked_at)
 {
     const auto now = context_.scheduler.now();
     if (context_.documents->find(model::keys::roster) == nullptr)
@@ -336,6 +376,12 @@
         membership::on_roster(roster_state_, roster_, roster_revision_, now);
     }
     take_leased();
+    // A read sent before it was asked for may tell of the time before a pause.
+    if (asked_reread_ && asked_at >= asked_reread_->at)
+    {
+        membership::on_reread(roster_state_, asked_reread_->ticket, now);
+        asked_reread_.reset();
+    }
 }
 
 void membership_service::take_leased()
@@ -380,6 +426,13 @@
     {
         return;
     }
+    for (const auto& it : roster_.members)
+    {
+        if (!membership::contains_process(next->members, it))
+        {
+            left_at_[membership::process_name(it)] = now;
+        }
+    }
     roster_ = *next;
     roster_text_ = text;
     roster_revision_ = modified;
@@ -419,8 +472,9 @@
         {
             act(*next);
         }
-        else if (std::holds_alternative<membership::reread_store>(it))
+        else if (const auto* reread = std::get_if<membership::reread_store>(&it))
         {
+            asked_reread_ = {reread->ticket, now};
             context_.documents->refresh();
         }
         else
