--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -175,6 +175,7 @@
   zones=${zones:-3}
   work=$(mktemp -d)
   trap 'cluster_end; [ -n "${keep_work:-}" ] || rm -rf "$work"' EXIT
+  trap 'exit 1' HUP INT TERM # without it a signal skips the line above
   start_standins "$hosts" "$zones"
   local ports n
   read -r -a ports <<< "$(free_ports $((3 * daemons)))"
