A keyed request refused by the entry host itself is unknown, not-sent; it was told not-run

Only the key's holders know, and a host that refuses by itself has not asked them. Change: these refusals, and no_such_service, are unknown with Camphorhitch-Attempt: not-sent when the request brings a key.

--- /dev/null
+++ b/programs/camphorhitchd/src/refusal.cpp
@@ -0,0 +1,41 @@
+#include "refusal.hpp"
+
+#include "dispatch/caller_request.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorhitch::daemon
+{
+
+std::string key_of(const ports::http_request& r)
+{
+    const auto* key = ports::find_field(r.fields, dispatch::fields::idempotency_key);
+    return key == nullptr ? std::string{} : *key;
+}
+
+// Without the difference: a deposit's first call ends unknown, the caller repeats it with its key
+// through an entry host that is stopping, hears "not run", and books the deposit as not charged.
+// Only the key's holders know better, and a host that refuses by itself hasn't asked them.
+ports::http_response answer_of(const refusal& it)
+{
+    const std::string outcome = it.may_have_run_before ? "unknown" : "not-run";
+    ports::http_response out;
+    out.status = it.status;
+    out.fields = {{"Content-Type", "application/json"},
+        {std::string(dispatch::fields::outcome), outcome},
+        {std::string(dispatch::fields::reason), it.reason}};
+    if (it.may_have_run_before)
+    {
+        out.fields.emplace_back(std::string(dispatch::fields::attempt), "not-sent");
+    }
+    if (it.retry_after_s > 0)
+    {
+        out.fields.emplace_back(
+            std::string(dispatch::fields::retry_after), std::to_string(it.retry_after_s));
+    }
+    out.body = nlohmann::json({{"outcome", outcome}, {"reason", it.reason}, {"text", it.text}})
+                   .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return out;
+}
+
+} // namespace camphorhitch::daemon
--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -1,7 +1,6 @@
 #include "request_service.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace camphorhitch::daemon
@@ -76,12 +75,6 @@
     return !service.empty();
 }
 
-std::string key_of(const ports::http_request& r)
-{
-    const auto* key = ports::find_field(r.fields, dispatch::fields::idempotency_key);
-    return key == nullptr ? std::string{} : *key;
-}
-
 } // namespace
 
 request_service::request_service(context& c,
@@ -144,26 +137,10 @@
     end_if_over(0);
 }
 
-void request_service::refuse(ports::exchange_id exchange,
-    int status,
-    const std::string& reason,
-    const std::string& text,
-    int retry_after_s)
+void request_service::refuse(ports::exchange_id exchange, const refusal& why)
 {
-    ports::http_response out;
-    out.status = status;
-    out.fields = {{"Content-Type", "application/json"},
-        {std::string(dispatch::fields::outcome), "not-run"},
-        {"Camphorhitch-Reason", reason}};
-    if (retry_after_s > 0)
-    {
-        out.fields.emplace_back(
-            std::string(dispatch::fields::retry_after), std::to_string(retry_after_s));
-    }
-    out.body = nlohmann::json({{"outcome", "not-run"}, {"reason", reason}, {"text", text}})
-                   .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    context_.telemetry.count("camphorhitch_refused_total", {{"reason", reason}}, 1);
-    server_.respond(exchange, std::move(out));
+    context_.telemetry.count("camphorhitch_refused_total", {{"reason", why.reason}}, 1);
+    server_.respond(exchange, answer_of(why));
 }
 
 void request_service::on_request(ports::exchange_id exchange, ports::http_request request)
@@ -178,19 +155,22 @@
     std::string rest;
     if (!split_path(request.path, service, rest))
     {
-        refuse(exchange, status_not_found, "no_such_path", "use /call/<service>/<path>", 0);
+        refuse(exchange, {status_not_found, "no_such_path", "use /call/<service>/<path>", 0, false});
         return;
     }
+    const bool keyed = !key_of(request).empty();
     if (!ready())
     {
         const char* why = stopping_ ? "stopping" : "not_ready";
-        refuse(exchange, status_unavailable, why, "this entry host takes no requests now", 1);
+        refuse(exchange,
+            {status_unavailable, why, "this entry host takes no requests now", 1, keyed});
         return;
     }
     const auto* pool = model::find_pool_of_service(config_, service);
     if (pool == nullptr)
     {
-        refuse(exchange, status_not_found, "no_such_service", "no pool serves " + service, 0);
+        refuse(
+            exchange, {status_not_found, "no_such_service", "no pool serves " + service, 0, keyed});
         return;
     }
     const auto id = next_id_++;
@@ -210,7 +190,7 @@
     auto asked = dispatch::read_caller_request(r.http, pool);
     if (const auto* wrong = std::get_if<core::findings>(&asked))
     {
-        refuse(r.exchange, status_bad_request, "bad_request", core::to_text(*wrong), 0);
+        refuse(r.exchange, {status_bad_request, "bad_request", core::to_text(*wrong), 0, false});
         by_exchange_.erase(r.exchange);
         open_.erase(id);
         return;
@@ -429,11 +409,12 @@
     dispatch::on_held_query(sender_, query);
     for (const auto& [id, r] : open_)
     {
-        auto one = dispatch::held_by(r.flow, context_.scheduler.now());
-        if (one &&
-            std::find(query.pools.begin(), query.pools.end(), one->pool) != query.pools.end())
+        for (auto& one : dispatch::held_by(r.flow, context_.scheduler.now()))
         {
-            reply.permits.push_back(std::move(*one));
+            if (std::find(query.pools.begin(), query.pools.end(), one.pool) != query.pools.end())
+            {
+                reply.permits.push_back(std::move(one));
+            }
         }
     }
     return reply;
--- a/programs/camphorhitchd/src/request_service.hpp
+++ b/programs/camphorhitchd/src/request_service.hpp
@@ -8,6 +8,7 @@
 #include "membership_service.hpp"
 #include "model/config.hpp"
 #include "permit_service.hpp"
+#include "refusal.hpp"
 
 #include <deque>
 #include <functional>
@@ -67,8 +68,7 @@
     void on_outcome(request_id id, const ports::http_outcome& outcome);
     void end_if_over(request_id id);
     void note(open_request& r, std::string text);
-    void refuse(ports::exchange_id exchange, int status, const std::string& reason,
-        const std::string& text, int retry_after_s);
+    void refuse(ports::exchange_id exchange, const refusal& why);
     void tick();
 
     context& context_;
