--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -147,12 +147,13 @@
 }
 
 # fleet_file HOSTS ZONES: the operators' file for the hosts: services quotes, holds, deposits, and spares.
+# Racks and zones are the worker stand-in's: four neighbours to a rack, racks to zones in turn.
 fleet_file() {
   jq -n --slurpfile ports "$work/ports.json" --argjson zones "$2" --argjson absent "${absent:-2}" '
     ["quotes", "holds", "deposits"] as $names
     | ($ports[0] | to_entries | map({n: (.key[1:] | tonumber), id: .key, port: .value}) | sort_by(.n)) as $hosts
     | (($hosts | length) / 10 | floor) as $spares
-    | def host: {id: .id, zone: ("abcd"[((.n - 1) % $zones):((.n - 1) % $zones + 1)]),
+    | def host: {id: .id, zone: (((.n - 1) / 4 | floor) % $zones | "abcd"[.:. + 1]),
                  rack: ("r" + (((.n - 1) / 4 | floor) + 1 | tostring)),
                  target: ("127.0.0.1:" + (.port | tostring))};
       {configuration: {
