--- a/programs/camphorhitchd/src/request_service.hpp
+++ b/programs/camphorhitchd/src/request_service.hpp
@@ -21,8 +21,11 @@
 class request_service
 {
 public:
-    request_service(context& c, membership_service& members, permit_service& permits,
-        claim_service& claims, dispatch::sender_settings settings);
+    request_service(context& c,
+        membership_service& members,
+        permit_service& permits,
+        claim_service& claims,
+        dispatch::sender_settings settings);
 
     /// Where answers go; set once the server listens.
     void set_server(ports::http_server server);
