--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -429,11 +429,12 @@
     dispatch::on_held_query(sender_, query);
     for (const auto& [id, r] : open_)
     {
-        auto one = dispatch::held_by(r.flow, context_.scheduler.now());
-        if (one &&
-            std::find(query.pools.begin(), query.pools.end(), one->pool) != query.pools.end())
+        for (auto& one : dispatch::held_by(r.flow, context_.scheduler.now()))
         {
-            reply.permits.push_back(std::move(*one));
+            if (std::find(query.pools.begin(), query.pools.end(), one.pool) != query.pools.end())
+            {
+                reply.permits.push_back(std::move(one));
+            }
         }
     }
     return reply;
