--- a/programs/camphorhitchd/src/mirror.cpp
+++ b/programs/camphorhitchd/src/mirror.cpp
@@ -68,17 +68,17 @@
         reading = true;
         const auto asked_at = scheduler.now();
         store.range(settings.prefix,
-            [weak = weak_from_this(), asked_at](ports::kv_read reply)
+            [weak = weak_from_this(), asked_at](const ports::kv_read& reply)
             {
                 if (auto self = weak.lock())
                 {
                     self->reading = false;
-                    self->on_reply(std::move(reply), asked_at);
+                    self->on_reply(reply, asked_at);
                 }
             });
     }
 
-    void on_reply(ports::kv_read reply, core::mono_time asked_at)
+    void on_reply(const ports::kv_read& reply, core::mono_time asked_at)
     {
         if (reply.status != ports::kv_status::ok)
         {
@@ -160,7 +160,7 @@
         watch = store.watch(
             settings.prefix,
             from,
-            [weak = weak_from_this()](std::vector<ports::kv_event> all)
+            [weak = weak_from_this()](const std::vector<ports::kv_event>& all)
             {
                 if (auto self = weak.lock())
                 {
--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -210,7 +210,7 @@
     run(id, dispatch::begin(r.flow, sender_, std::get<dispatch::caller_request>(asked), now));
 }
 
-void request_service::run(request_id id, dispatch::flow_actions actions)
+void request_service::run(request_id id, const dispatch::flow_actions& actions)
 {
     for (const auto& action : actions)
     {
@@ -450,14 +450,10 @@
 
 std::vector<std::string> request_service::explain(const std::string& id) const
 {
-    for (auto it = ended_.rbegin(); it != ended_.rend(); ++it)
-    {
-        if (it->id == id || (!it->key.empty() && it->key == id))
-        {
-            return it->steps;
-        }
-    }
-    return {};
+    const auto it = std::find_if(ended_.rbegin(),
+        ended_.rend(),
+        [&](const auto& one) { return one.id == id || (!one.key.empty() && one.key == id); });
+    return it == ended_.rend() ? std::vector<std::string>{} : it->steps;
 }
 
 } // namespace camphorhitch::daemon
--- a/programs/camphorhitchd/src/request_service.hpp
+++ b/programs/camphorhitchd/src/request_service.hpp
@@ -62,7 +62,7 @@
     using request_id = std::uint64_t;
 
     void begin(request_id id, const model::pool_config& pool);
-    void run(request_id id, dispatch::flow_actions actions);
+    void run(request_id id, const dispatch::flow_actions& actions);
     void step(request_id id, const dispatch::ask_claim& it);
     void step(request_id id, const dispatch::ask_permit& it);
     void step(request_id id, const dispatch::send_request& it);
--- a/programs/camphorhitchd/src/statement_runner.cpp
+++ b/programs/camphorhitchd/src/statement_runner.cpp
@@ -139,7 +139,7 @@
 }
 
 void statement_runner::run_one(
-    const language::show_statement& s, const place& at, result_callback done)
+    const language::show_statement& s, const place& at, const result_callback& done)
 {
     const auto shown = language::evaluate(s, make_table(s.what, parts_), at.document);
     if (const auto* wrong = std::get_if<core::findings>(&shown))
@@ -430,10 +430,10 @@
         by_pool[std::get<std::string>(all.rows[n][1])].push_back(
             std::get<std::string>(all.rows[n][0]));
     }
-    cancel_jobs(std::move(by_pool), at.command, std::move(done));
+    cancel_jobs(by_pool, at.command, std::move(done));
 }
 
-void statement_runner::cancel_jobs(std::map<std::string, std::vector<std::string>> by_pool,
+void statement_runner::cancel_jobs(const std::map<std::string, std::vector<std::string>>& by_pool,
     const std::string& command,
     result_callback done)
 {
--- a/programs/camphorhitchd/src/statement_runner.hpp
+++ b/programs/camphorhitchd/src/statement_runner.hpp
@@ -48,7 +48,7 @@
     };
 
     void next(const std::shared_ptr<work>& w);
-    void run_one(const language::show_statement& s, const place& at, result_callback done);
+    void run_one(const language::show_statement& s, const place& at, const result_callback& done);
     void run_one(const language::why_statement& s, const place& at, result_callback done);
     void run_one(const language::set_statement& s, const place& at, result_callback done);
     void run_one(const language::drain_statement& s, const place& at, result_callback done);
@@ -66,7 +66,7 @@
     void ask_peers(const language::why_statement& s, result_callback done);
     void change_host(const std::string& host, fleet::pool_event event, result_callback done);
     void start_wave(const fleet::wave_wish& wish, result_callback done);
-    void cancel_jobs(std::map<std::string, std::vector<std::string>> by_pool,
+    void cancel_jobs(const std::map<std::string, std::vector<std::string>>& by_pool,
         const std::string& command,
         result_callback done);
 
--- a/programs/camphorhitchd/src/updater.cpp
+++ b/programs/camphorhitchd/src/updater.cpp
@@ -61,11 +61,10 @@
             std::move(text),
             expected,
             lease,
-            [self = shared_from_this()](ports::kv_write reply)
-            { self->on_written(std::move(reply)); });
+            [self = shared_from_this()](const ports::kv_write& reply) { self->on_written(reply); });
     }
 
-    void on_written(ports::kv_write reply)
+    void on_written(const ports::kv_write& reply)
     {
         switch (reply.status)
         {
@@ -74,7 +73,7 @@
             finished(core::done{});
             return;
         case ports::kv_status::conflict:
-            on_conflict(std::move(reply.current));
+            on_conflict(reply.current);
             return;
         case ports::kv_status::unknown:
             // The write may stand although no answer came. Reading tells: if our very text is
@@ -91,7 +90,7 @@
         }
     }
 
-    void on_conflict(ports::kv_entry current)
+    void on_conflict(const ports::kv_entry& current)
     {
         with.documents.note(current);
         if (lost && current.value == *lost)
@@ -100,14 +99,14 @@
             return;
         }
         with.scheduler.after(pause_after_conflict,
-            [self = shared_from_this(), entry = std::move(current)]
+            [self = shared_from_this(), entry = current]
             { self->attempt(entry.key.empty() ? nullptr : &entry); });
     }
 
     void read_again()
     {
-        with.store.get(
-            key, [self = shared_from_this()](ports::kv_read reply) { self->on_read(reply); });
+        with.store.get(key,
+            [self = shared_from_this()](const ports::kv_read& reply) { self->on_read(reply); });
     }
 
     void on_read(const ports::kv_read& reply)
--- a/testing/caller_load/src/main.cpp
+++ b/testing/caller_load/src/main.cpp
@@ -7,6 +7,7 @@
 #include <boost/random/discrete_distribution.hpp>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
+#include <cmath>
 #include <filesystem>
 #include <iostream>
 #include <map>
@@ -71,7 +72,8 @@
     {
         return 0;
     }
-    const auto i = static_cast<std::size_t>(q * static_cast<double>(sorted.size() - 1) + 0.5);
+    const auto i =
+        static_cast<std::size_t>(std::lround(q * static_cast<double>(sorted.size() - 1)));
     return sorted[i];
 }
 
