--- a/libs/claims/tests/random_runs_tests.cpp
+++ b/libs/claims/tests/random_runs_tests.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <ostream>
 #include <rapidcheck.h>
 #include <stdexcept>
 
@@ -127,10 +128,10 @@
 namespace camphorhitch::claims::testing
 {
 
-void showValue(const fault& it, std::ostream& out)
+std::ostream& operator<<(std::ostream& out, const fault& it)
 {
-    out << "{" << static_cast<int>(it.kind) << "," << it.at_ms << "," << it.host << ","
-        << it.length_ms << "}";
+    return out << "{" << static_cast<int>(it.kind) << "," << it.at_ms << "," << it.host << ","
+               << it.length_ms << "}";
 }
 
 } // namespace camphorhitch::claims::testing
--- a/libs/claims/tests/world.cpp
+++ b/libs/claims/tests/world.cpp
@@ -376,7 +376,9 @@
     // ---- the store ----
 
     /// \param op runs at the store; \param done runs at the process, with whether an answer came.
-    void at_store(process& p, std::function<store_view()> op, std::function<void(store_view)> done)
+    void at_store(process& p,
+        const std::function<store_view()>& op,
+        const std::function<void(store_view)>& done)
     {
         auto* caller = &p;
         at(delay(),
@@ -519,8 +521,9 @@
             peers.try_emplace(it.id, it);
         }
         peers.erase(p.who.id);
-        for (const auto& [id, peer] : peers)
+        for (const auto& entry : peers)
         {
+            const auto& peer = entry.second;
             const auto started = now_;
             const auto message = beat_of(p, p.freshness.epoch - 1);
             call<beat_message>(
