Jobs: shares of a quota are fenced and nothing starts on one being given back

Cause: a pool's owner asked for a smaller share and went on placing by the larger one until the answer came, while another pool could be granted the difference; and a former owner's late wish could lower the share under what the newer owner had placed. The grants were read from a watch, which lags. Change: quota_wish carries pool and owner's mark; adjust() refuses older marks; the owner places by what note_granted() told it, and only up to its use while a wish is under way. hosts_to_poll() includes hosts of unknown jobs, so that they can be settled. The daemon follows.

--- a/libs/jobs/include/jobs/actions.hpp
+++ b/libs/jobs/include/jobs/actions.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jobs/job.hpp"
+#include "jobs/quota.hpp"
 #include "ports/platform.hpp"
 
 #include <string>
@@ -32,14 +33,6 @@
     std::string host;
 };
 
-/// The team could use another share of its quota in this pool; see adjust().
-struct quota_wish
-{
-    std::string team;
-    amounts in_use;
-    amounts wanted; ///< in use and waiting together
-};
-
 /// For logs and metrics: a worker fails everything, or is well again.
 struct worker_judged
 {
@@ -48,6 +41,7 @@
     std::string why;
 };
 
+/// A quota_wish: adjust() the team's document; when it is stored, tell note_granted().
 using action = std::variant<start_task, command_tasks, poll_host, quota_wish, worker_judged>;
 
 } // namespace camphorhitch::jobs
--- a/libs/jobs/include/jobs/pool_jobs.hpp
+++ b/libs/jobs/include/jobs/pool_jobs.hpp
@@ -11,6 +11,7 @@
 #include "jobs/estimator.hpp"
 #include "jobs/health.hpp"
 #include "jobs/job.hpp"
+#include "jobs/quota.hpp"
 #include "jobs/settings.hpp"
 #include "ports/platform.hpp"
 
@@ -68,6 +69,18 @@
     bool judged = false; ///< its end was noted: a conflicting write makes a round take it in again
 };
 
+/// What a team may use of its quota in this pool.
+struct team_grant
+{
+    amounts granted; ///< nothing until the first wish of this owner is stored
+    /// A wish is under way, and what it lowers may be granted to another pool at any moment: until
+    /// its end is known nothing is placed beyond what was in use when it was sent.
+    bool pending = false;
+    amounts used_when_sent;
+    amounts wanted_when_sent;
+    std::optional<core::mono_time> sent_at;
+};
+
 /// Room being made on a host for an urgent job.
 struct claim
 {
@@ -99,7 +112,7 @@
     std::unordered_map<std::string, core::mono_time> waiting_since; ///< by job
     std::unordered_map<std::string, claim> claims;                  ///< by job
     std::unordered_map<std::string, reservation> reservations;      ///< by job
-    std::unordered_map<std::string, core::mono_time> wished_at;     ///< by team
+    std::unordered_map<std::string, team_grant> teams; ///< by name
     estimator sizes;
     pool_health health;
     bool learned = false; ///< the documents' jobs that are over were learned from
@@ -166,6 +179,13 @@
     ports::task_action what,
     ports::platform_status how);
 
+/// Notes what a wish got: the document that holds it is stored. A wish that failed in any other way
+/// is made again.
+void note_granted(pool_jobs& all, const quota_wish& wish, const amounts& granted);
+
+/// \return hosts whose reports matter: a task may run there, or a job of unknown outcome did.
+std::vector<std::string> hosts_to_poll(const pool_jobs& all);
+
 /// \return the view of a task, made when it is new.
 task_view& view_of(pool_jobs& all, const std::string& task, core::mono_time now);
 
--- a/libs/jobs/include/jobs/quota.hpp
+++ b/libs/jobs/include/jobs/quota.hpp
@@ -5,15 +5,27 @@
 
 #include "jobs/job.hpp"
 
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace camphorhitch::jobs
 {
 
+/// What a pool's owner asks for a team.
+struct quota_wish
+{
+    std::string team;
+    std::string pool;
+    placer_mark owner;
+    amounts in_use; ///< sizes of the pool's tasks; no grant goes below it
+    amounts wanted; ///< in use and waiting together
+};
+
 struct quota_grant
 {
     std::string pool;
+    placer_mark owner; ///< who asked last
     amounts granted;
     amounts wanted; ///< when last asked
 };
@@ -27,20 +39,16 @@
 /// \return the document's key in the key-value service.
 std::string quota_key(const std::string& team);
 
-/// \return what a pool was granted.
-amounts granted_to(const quota_document& d, const std::string& pool);
+/// \return what the pool was granted in answer to the wish or an earlier one of its owner; nothing
+/// when the document doesn't hold the owner's wish, or a newer owner's.
+std::optional<amounts> granted_to(const quota_document& d, const quota_wish& wish);
 
 /// Adapts a pool's grant to what it uses and wants. A pool that wants more gets what is left, with
 /// some to spare; while another pool lacks something, each keeps what it uses or its equal part.
-/// \param in_use sizes of the pool's tasks; no grant goes below it.
-/// \param wanted in use and waiting together.
-/// \return whether the document changed. While a smaller grant is being written, its owner must
-/// place by the smaller one: the write may take effect at any moment.
-bool adjust(quota_document& d,
-    const std::string& pool,
-    const amounts& in_use,
-    const amounts& wanted,
-    const amounts& quota);
+/// A wish of a former owner, delayed until the pool has a newer one, changes nothing: it would lower
+/// the grant below what the newer one has placed since.
+/// \return whether the document changed.
+bool adjust(quota_document& d, const quota_wish& wish, const amounts& quota);
 
 /// \return the smaller of each.
 amounts smaller(const amounts& a, const amounts& b);
--- a/libs/jobs/include/jobs/round.hpp
+++ b/libs/jobs/include/jobs/round.hpp
@@ -21,7 +21,6 @@
 {
     const model::pool_document& hosts;
     const std::vector<model::team_config>& teams;
-    const std::map<std::string, amounts>& grants; ///< by team: what this pool may use of its quota
     /// By host: time until a drain of it is expected (a wave's next batches, hosts marked as
     /// leaving). Hosts that no drain is known for are missing.
     const std::map<std::string, core::millis>& leaving_in;
--- a/libs/jobs/src/codec.cpp
+++ b/libs/jobs/src/codec.cpp
@@ -99,7 +99,10 @@
 template <class Keys, is_record<quota_grant> R>
 void describe(Keys& keys, R& r)
 {
-    keys.required("pool", r.pool).optional("granted", r.granted).optional("wanted", r.wanted);
+    keys.required("pool", r.pool)
+        .defaulted("owner", r.owner)
+        .optional("granted", r.granted)
+        .optional("wanted", r.wanted);
 }
 
 template <class Keys, is_record<quota_document> R>
--- a/libs/jobs/src/collect.cpp
+++ b/libs/jobs/src/collect.cpp
@@ -40,9 +40,10 @@
     {
         it.second.wanted = it.second.in_use;
     }
-    for (const auto& it : r.in.grants)
+    for (const auto& it : r.all.teams)
     {
-        r.teams[it.first].grant = it.second;
+        const team_grant& g = it.second;
+        r.teams[it.first].grant = g.pending ? smaller(g.granted, g.used_when_sent) : g.granted;
     }
 }
 
--- a/libs/jobs/src/pool_jobs.cpp
+++ b/libs/jobs/src/pool_jobs.cpp
@@ -3,6 +3,7 @@
 #include "core/invariant.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace camphorhitch::jobs
@@ -243,6 +244,32 @@
     }
 }
 
+void note_granted(pool_jobs& all, const quota_wish& wish, const amounts& granted)
+{
+    if (wish.owner == all.mark)
+    {
+        team_grant& t = all.teams[wish.team];
+        t.granted = granted;
+        t.pending = false;
+    }
+}
+
+std::vector<std::string> hosts_to_poll(const pool_jobs& all)
+{
+    std::set<std::string> hosts;
+    for (const auto& b : all.buckets)
+    {
+        for (const auto& j : b.document.jobs)
+        {
+            if (holds_host(j) || j.state == job_state::unknown)
+            {
+                hosts.insert(j.host);
+            }
+        }
+    }
+    return {hosts.begin(), hosts.end()};
+}
+
 task_view& view_of(pool_jobs& all, const std::string& task, core::mono_time now)
 {
     const auto [it, added] = all.tasks.try_emplace(task);
--- a/libs/jobs/src/quota.cpp
+++ b/libs/jobs/src/quota.cpp
@@ -45,15 +45,20 @@
     {
         return *it;
     }
-    d.grants.push_back({pool, {}, {}});
+    d.grants.push_back({pool, {}, {}, {}});
     return d.grants.back();
 }
 
+bool lacks(const quota_grant& it)
+{
+    return !fits(it.wanted, it.granted);
+}
+
 int lacking_pools(const quota_document& d, const std::string& but)
 {
     return static_cast<int>(std::count_if(d.grants.begin(),
         d.grants.end(),
-        [&](const auto& it) { return it.pool != but && !fits(it.wanted, it.granted); }));
+        [&](const auto& it) { return it.pool != but && lacks(it); }));
 }
 
 int pools_with_interest(const quota_document& d)
@@ -82,16 +87,16 @@
     return model::keys::quotas + team;
 }
 
-amounts granted_to(const quota_document& d, const std::string& pool)
+std::optional<amounts> granted_to(const quota_document& d, const quota_wish& wish)
 {
     for (const auto& it : d.grants)
     {
-        if (it.pool == pool)
+        if (it.pool == wish.pool && it.owner == wish.owner)
         {
             return it.granted;
         }
     }
-    return {};
+    return std::nullopt;
 }
 
 amounts smaller(const amounts& a, const amounts& b)
@@ -108,24 +113,24 @@
         std::max(a.accelerators, b.accelerators)};
 }
 
-bool adjust(quota_document& d,
-    const std::string& pool,
-    const amounts& in_use,
-    const amounts& wanted,
-    const amounts& quota)
+bool adjust(quota_document& d, const quota_wish& wish, const amounts& quota)
 {
     const amounts before = sum_of(d);
-    quota_grant& own = grant_of(d, pool);
+    quota_grant& own = grant_of(d, wish.pool);
     const quota_grant old = own;
-    own.wanted = smaller(wanted, quota);
+    if (old.owner.epoch > wish.owner.epoch)
+    {
+        return false;
+    }
+    own.owner = wish.owner;
+    own.wanted = smaller(wish.wanted, quota);
     const amounts others = before - own.granted;
     const amounts left = larger(quota - others, {});
-    const amounts target = smaller(target_of(d, own, in_use, quota), left);
+    const amounts target = smaller(target_of(d, own, wish.in_use, quota), left);
     // What runs can't be taken back: after a quota was lowered the use stands until jobs end.
-    own.granted = larger(target, smaller(in_use, own.granted));
-    core::require(
-        fits(sum_of(d), larger(quota, before)), "a team's grants exceed its quota", d.team);
-    return !(own.granted == old.granted) || !(own.wanted == old.wanted);
+    own.granted = larger(target, smaller(wish.in_use, own.granted));
+    core::require(fits(sum_of(d), larger(quota, before)), "a team's grants exceed its quota", d.team);
+    return !(own.owner == old.owner) || !(own.granted == old.granted) || lacks(own) != lacks(old);
 }
 
 } // namespace camphorhitch::jobs
--- a/libs/jobs/src/round.cpp
+++ b/libs/jobs/src/round.cpp
@@ -5,6 +5,7 @@
 #include "make_room.hpp"
 #include "place.hpp"
 #include "reconcile.hpp"
+#include "wishes.hpp"
 #include "text.hpp"
 
 #include <algorithm>
@@ -15,9 +16,6 @@
 namespace
 {
 
-/// Time between two wishes of one team, so that a used-up quota isn't asked for in every round.
-constexpr core::millis wish_interval{5000};
-
 /// Views of tasks that no job names and no report named for this long are forgotten.
 constexpr core::millis forget_after{600000};
 
@@ -41,24 +39,6 @@
     }
 }
 
-void wish_for_quota(round_state& r)
-{
-    for (const auto& it : r.teams)
-    {
-        const team_view& t = it.second;
-        const bool lacks = !fits(t.wanted, t.grant);
-        const bool spares = !fits(t.grant, t.wanted + t.wanted);
-        const auto last = r.all.wished_at.find(it.first);
-        const bool recent =
-            last != r.all.wished_at.end() && r.in.now - last->second < wish_interval;
-        if ((lacks || spares) && !recent)
-        {
-            r.all.wished_at[it.first] = r.in.now;
-            r.actions.emplace_back(quota_wish{it.first, t.in_use, t.wanted});
-        }
-    }
-}
-
 void forget_tasks(pool_jobs& all, const round_input& in)
 {
     std::erase_if(all.tasks,
--- a/libs/jobs/tests/history.cpp
+++ b/libs/jobs/tests/history.cpp
@@ -48,7 +48,7 @@
 history::history() : world_(make_world(hosts))
 {
     world_.rules.trust_after = core::millis{1'000'000'000}; // so that what is reserved is counted
-    world_.grants = {{"lens", {12, 1000, 0}}, {"trips", {14, 1000, 0}}};
+    world_.teams = {{"lens", 12, 1000, 0}, {"trips", 14, 1000, 0}};
     world_.platform.behaviour = really;
     world_.kv.next_fault = [this]
     {
@@ -302,10 +302,10 @@
             const jobs::job* j = job_fakes::stored_job(world_, jobs::job_of_task(t.order.task));
             use[j->team] = use[j->team] + j->declared;
         });
-    for (const auto& it : use)
+    for (const auto& it : world_.teams)
     {
-        expect(jobs::fits(it.second, world_.grants.at(it.first)),
-            "a team is over its quota: " + it.first);
+        const jobs::amounts quota{it.processors, it.memory_gb, it.accelerators};
+        expect(jobs::fits(use[it.name], quota), "a team is over its quota: " + it.name);
     }
 }
 
--- a/libs/jobs/tests/learning_tests.cpp
+++ b/libs/jobs/tests/learning_tests.cpp
@@ -154,11 +154,27 @@
     quota_document d;
     for (const auto& it : rows)
     {
-        adjust(d,
+        const quota_wish wish{"lens",
             it.pool,
+            {1, "e1"},
             {it.in_use, it.in_use, 0},
-            {it.wanted, it.wanted, 0},
-            {it.quota, it.quota, 0});
-        DOUBLES_EQUAL(it.granted, granted_to(d, it.pool).processors, 1e-9);
+            {it.wanted, it.wanted, 0}};
+        adjust(d, wish, {it.quota, it.quota, 0});
+        DOUBLES_EQUAL(it.granted, granted_to(d, wish)->processors, 1e-9);
     }
 }
+
+// A former owner asked for less, and its write is delayed until a newer owner has asked and placed
+// jobs: taking it would hand the difference to another pool while jobs run on it.
+TEST(quota, a_former_owners_late_wish_changes_nothing)
+{
+    quota_document d;
+    const quota_wish newer{"lens", "a", {2, "e2"}, {8, 8, 0}, {8, 8, 0}};
+    const quota_wish older{"lens", "a", {1, "e1"}, {1, 1, 0}, {1, 1, 0}};
+    CHECK_TRUE(adjust(d, older, {16, 16, 0}));
+    CHECK_TRUE(adjust(d, newer, {16, 16, 0}));
+    CHECK_FALSE(adjust(d, newer, {16, 16, 0}));
+    CHECK_FALSE(adjust(d, older, {16, 16, 0}));
+    DOUBLES_EQUAL(10, granted_to(d, newer)->processors, 1e-9);
+    CHECK_FALSE(granted_to(d, older).has_value());
+}
--- a/libs/jobs/tests/order_tests.cpp
+++ b/libs/jobs/tests/order_tests.cpp
@@ -142,7 +142,7 @@
 
 TEST(order, quotas_hold_and_free_up)
 {
-    w.grants["lens"] = {4, 100, 0};
+    w.teams[0].processors = 4;
     for (const char* id : {"j1", "j2", "j3"})
     {
         submit(make_submission(id, 2));
@@ -164,6 +164,31 @@
     CHECK_EQUAL(3u, w.platform.starts.size());
 }
 
+// Two pools share a team's quota. One gives back what it doesn't need; while its write is under way it
+// must not start a job on it, since the other pool may have been granted the same.
+TEST(order, nothing_starts_on_a_share_that_is_being_given_back)
+{
+    w.teams[0].processors = 12;
+    submit(make_submission("j1", 4));
+    submit(make_submission("j2", 4));
+    pass_time(m, w, core::millis{3000});
+    quota_document& d = w.quotas["lens"];
+    quota_wish other{"lens", "other", {1, "x"}, {}, {12, 12, 0}};
+    const amounts quota{12, 4000, 10};
+    w.wishes_unanswered = true; // stored, but the answer doesn't come
+    pass_time(m, w, core::millis{20000});
+    adjust(d, other, quota);
+    const double left = granted_to(d, other)->processors;
+    CHECK(left > 4);
+    submit(make_submission("j3", 8));
+    pass_time(m, w, core::millis{3000});
+    CHECK_EQUAL(0, starts_of(w, "j3"));
+    w.wishes_unanswered = false;
+    adjust(d, {"lens", "other", {1, "x"}, {}, {}}, quota);
+    pass_time(m, w, core::millis{10000});
+    CHECK_EQUAL(1, starts_of(w, "j3"));
+}
+
 TEST(order, accelerators_are_left_to_jobs_that_need_them)
 {
     w.hosts.hosts[0].accelerators = 2;
--- a/libs/jobs/tests/small_world.hpp
+++ b/libs/jobs/tests/small_world.hpp
@@ -30,10 +30,6 @@
         w.platform.all[h.id] = {h.id, {8, 32, 0}, false, true, {}, {}, {}};
     }
     w.teams = {{"lens", 1000, 4000, 10}, {"trips", 1000, 4000, 10}};
-    for (const auto& it : w.teams)
-    {
-        w.grants[it.name] = {it.processors, it.memory_gb, it.accelerators};
-    }
     w.platform.behaviour = [](const ports::task_order& it)
     {
         return job_fakes::real_task{
--- a/programs/camphorhitchd/src/job_service.cpp
+++ b/programs/camphorhitchd/src/job_service.cpp
@@ -4,6 +4,7 @@
 #include "model/keys.hpp"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace camphorhitch::daemon
@@ -121,14 +122,6 @@
 {
     if (!under(entry.key, model::keys::jobs))
     {
-        if (entry.modified > 0 && under(entry.key, model::keys::root + "quotas/"))
-        {
-            auto decoded = jobs::decode_quota(entry.value, entry.key);
-            if (auto* it = std::get_if<jobs::quota_document>(&decoded))
-            {
-                quotas_[it->team] = std::move(*it);
-            }
-        }
         return;
     }
     if (entry.modified == 0)
@@ -194,23 +187,14 @@
     if (now - o->polled > poll_every)
     {
         o->polled = now;
-        for (const auto& it : hosts->document.hosts)
+        for (const auto& it : jobs::hosts_to_poll(o->jobs))
         {
-            if (jobs::tasks_on(o->jobs, it.id) > 0)
-            {
-                poll(pool, it.id);
-            }
+            poll(pool, it);
         }
     }
-    std::map<std::string, jobs::amounts> grants;
-    for (const auto& [team, document] : quotas_)
-    {
-        grants[team] = jobs::granted_to(document, pool);
-    }
     const auto leaving = leaving_in(pool);
     const jobs::round_input in{hosts->document,
         fleet_.config().teams,
-        grants,
         leaving,
         rules_,
         now,
@@ -338,15 +322,17 @@
     const auto& teams = fleet_.config().teams;
     const auto team = std::find_if(
         teams.begin(), teams.end(), [&](const auto& one) { return one.name == it.team; });
-    if (team == teams.end() || !adjusting_.insert(it.team).second)
+    if (team == teams.end() || !adjusting_.insert(it.team + '/' + pool).second)
     {
         return;
     }
     const jobs::amounts quota{team->processors, team->memory_gb, team->accelerators};
+    // What the update leaves behind, whether it had to write or not.
+    const auto granted = std::make_shared<std::optional<jobs::amounts>>();
     update_document(
         context_.writer(),
         jobs::quota_key(it.team),
-        [it, pool, quota](const std::string* current) -> change_result
+        [it, quota, granted](const std::string* current) -> change_result
         {
             jobs::quota_document document;
             document.team = it.team;
@@ -358,14 +344,24 @@
                     document = std::move(*known);
                 }
             }
-            if (!jobs::adjust(document, pool, it.in_use, it.wanted, quota))
+            const bool changed = jobs::adjust(document, it, quota);
+            *granted = jobs::granted_to(document, it);
+            if (!changed)
             {
                 return std::optional<std::string>{};
             }
             return std::optional<std::string>{jobs::encode(document)};
         },
-        [this, team_name = it.team](const core::result<core::done>&)
-        { adjusting_.erase(team_name); });
+        [this, pool, it, granted](const core::result<core::done>& end)
+        {
+            adjusting_.erase(it.team + '/' + pool);
+            auto* o = find_owned(pool);
+            if (o != nullptr && core::is_ok(end) && *granted)
+            {
+                jobs::note_granted(o->jobs, it, **granted);
+                round(pool);
+            }
+        });
 }
 
 void job_service::act(const std::string& pool, const jobs::worker_judged& it)
--- a/programs/camphorhitchd/src/job_service.hpp
+++ b/programs/camphorhitchd/src/job_service.hpp
@@ -70,9 +70,8 @@
     jobs::settings rules_;
     std::map<std::string, owned> owned_;
     std::map<std::string, jobs::job_document> stored_;   ///< by key
-    std::map<std::string, jobs::quota_document> quotas_; ///< by team
     std::map<std::string, std::map<std::string, core::millis>> asked_to_leave_; ///< pool, host
-    std::set<std::string> adjusting_; ///< teams whose quota is being written
+    std::set<std::string> adjusting_; ///< "team/pool" whose share of a quota is being written
     std::uint64_t take_overs_ = 0;
 };
 
--- a/testing/job_fakes/include/job_fakes/member.hpp
+++ b/testing/job_fakes/include/job_fakes/member.hpp
@@ -25,7 +25,8 @@
     workers platform;
     model::pool_document hosts;
     std::vector<model::team_config> teams;
-    std::map<std::string, jobs::amounts> grants;
+    std::map<std::string, jobs::quota_document> quotas; ///< by team
+    bool wishes_unanswered = false; ///< wishes are stored and their answers lost
     std::map<std::string, core::millis> leaving_in;
     jobs::settings rules;
     core::mono_time now{core::millis{1'000'000}};
@@ -45,6 +46,7 @@
     std::array<std::int64_t, jobs::buckets_per_pool> tried{}; ///< revision of a write in doubt
     std::array<bool, jobs::buckets_per_pool> must_read{};
     core::mono_time polled{};
+    bool again = false; ///< something ended that the next round may build upon
 };
 
 member make_member(const std::string& pool,
--- a/testing/job_fakes/src/member.cpp
+++ b/testing/job_fakes/src/member.cpp
@@ -2,6 +2,8 @@
 
 #include "jobs/submit.hpp"
 
+#include <algorithm>
+
 namespace camphorhitch::job_fakes
 {
 
@@ -41,15 +43,29 @@
     jobs::note_reports(m.jobs, it.host, read_tasks(w.platform, it.host, w.now), w.now);
 }
 
-void carry_out(member&, world&, const jobs::quota_wish&)
+void carry_out(member& m, world& w, const jobs::quota_wish& it)
 {
+    const auto team = std::find_if(
+        w.teams.begin(), w.teams.end(), [&](const auto& t) { return t.name == it.team; });
+    if (team == w.teams.end())
+    {
+        return;
+    }
+    jobs::quota_document& d = w.quotas[it.team];
+    d.team = it.team;
+    jobs::adjust(d, it, {team->processors, team->memory_gb, team->accelerators});
+    if (const auto granted = jobs::granted_to(d, it); granted && !w.wishes_unanswered)
+    {
+        jobs::note_granted(m.jobs, it, *granted);
+        m.again = true;
+    }
 }
 
 void carry_out(member&, world&, const jobs::worker_judged&)
 {
 }
 
-void write_one(member& m, world& w, const jobs::due_write& it, bool& stored)
+void write_one(member& m, world& w, const jobs::due_write& it)
 {
     const auto n = static_cast<std::size_t>(it.bucket);
     const write_answer answer = put_if(w.kv, it.bucket, *it.document, m.revisions[n]);
@@ -58,7 +74,7 @@
     {
         m.revisions[n] = answer.revision;
         m.tried[n] = 0;
-        stored = true;
+        m.again = true;
         return;
     }
     m.must_read[n] = true;
@@ -139,9 +155,10 @@
 void step_with(member& m, world& w, bool starts_only)
 {
     const jobs::round_input in{
-        w.hosts, w.teams, w.grants, w.leaving_in, w.rules, w.now, wall_now(w)};
+        w.hosts, w.teams, w.leaving_in, w.rules, w.now, wall_now(w)};
     for (int i = 0; i < most_rounds; ++i)
     {
+        m.again = false;
         for (const auto& it : jobs::decide_round(m.jobs, in))
         {
             if (w.on_action)
@@ -153,12 +170,11 @@
                 std::visit([&](const auto& a) { carry_out(m, w, a); }, it);
             }
         }
-        bool stored = false;
         for (const auto& it : jobs::due_writes(m.jobs, w.rules, w.now))
         {
-            write_one(m, w, it, stored);
+            write_one(m, w, it);
         }
-        if (!stored)
+        if (!m.again)
         {
             return;
         }
