--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -104,9 +104,9 @@
     --arg live "127.0.0.1:$(port_in livelist port)" --arg workers "127.0.0.1:$(port_in worker port)" \
     --argjson sample "${trace_sample:-0}" '{
       member: $member, zone: $zone, peer_address: $peer, caller_address: $caller,
-      operator_address: $operator, operator_token: $token,
+      operator_address: $operator, operator_token: $token, peer_token: "local-peers",
       store: {addresses: [$kv], token: $ptoken, lease_ttl_ms: 5000},
-      platform: {live_list: $live, workers: $workers, token: $ptoken, poll_ms: 500},
+      platform: {live_list: $live, workers: $workers, token: $ptoken, poll_ms: 500, list_lag_ms: 1000},
       trace: {sample: $sample}}' > "$work/entry-$n.json"
 }
 
@@ -147,12 +147,13 @@
 }
 
 # fleet_file HOSTS ZONES: the operators' file for the hosts: services quotes, holds, deposits, and spares.
+# Racks and zones are the worker stand-in's: four neighbours to a rack, racks to zones in turn.
 fleet_file() {
   jq -n --slurpfile ports "$work/ports.json" --argjson zones "$2" --argjson absent "${absent:-2}" '
     ["quotes", "holds", "deposits"] as $names
     | ($ports[0] | to_entries | map({n: (.key[1:] | tonumber), id: .key, port: .value}) | sort_by(.n)) as $hosts
     | (($hosts | length) / 10 | floor) as $spares
-    | def host: {id: .id, zone: ("abcd"[((.n - 1) % $zones):((.n - 1) % $zones + 1)]),
+    | def host: {id: .id, zone: (((.n - 1) / 4 | floor) % $zones | "abcd"[.:. + 1]),
                  rack: ("r" + (((.n - 1) / 4 | floor) + 1 | tostring)),
                  target: ("127.0.0.1:" + (.port | tostring))};
       {configuration: {
@@ -175,6 +176,7 @@
   zones=${zones:-3}
   work=$(mktemp -d)
   trap 'cluster_end; [ -n "${keep_work:-}" ] || rm -rf "$work"' EXIT
+  trap 'exit 1' HUP INT TERM # without it a signal skips the line above
   start_standins "$hosts" "$zones"
   local ports n
   read -r -a ports <<< "$(free_ports $((3 * daemons)))"
