--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,12 @@
 bench: build
 	@tools/bench $(BUILD) $(if $(QUICK),quick,full)
 
+# make soak SECONDS=120 SEED=1 DAEMONS=3
+SECONDS ?= 120
+SEED ?= 1
+DAEMONS ?= 3
 soak: build
-	@tools/soak $(BUILD)
+	@tools/soak $(BUILD) $(SECONDS) $(SEED) $(DAEMONS)
 
 # make sanitize KIND=address,undefined | thread
 KIND ?= address,undefined
--- a/testing/promise_checker/src/main.cpp
+++ b/testing/promise_checker/src/main.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cxxopts.hpp>
+#include <functional>
 #include <iostream>
 #include <map>
 
@@ -63,6 +64,30 @@
     std::cout << "\n";
 }
 
+/// Why calls were not answered, most frequent first.
+void print_reasons(const records& r)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto& it : r.calls)
+    {
+        if (it.outcome != "answered")
+        {
+            ++counts[it.outcome + (it.attempt.empty() ? "" : ", " + it.attempt) + " (" + it.reason +
+                     ")"];
+        }
+    }
+    std::multimap<std::size_t, std::string, std::greater<>> sorted;
+    for (const auto& [text, n] : counts)
+    {
+        sorted.emplace(n, text);
+    }
+    std::cout << "not answered:\n";
+    for (const auto& [n, text] : sorted)
+    {
+        std::cout << "  " << n << " " << text << "\n";
+    }
+}
+
 int report(const records& r, const verdict& v)
 {
     std::array<std::size_t, titles.size()> broken{};
@@ -72,6 +97,7 @@
         ++broken[static_cast<std::size_t>(it.which) - 1];
     }
     print_checked(r, v);
+    print_reasons(r);
     for (std::size_t i = 0; i < titles.size(); ++i)
     {
         std::cout << "promise " << i + 1 << " " << (broken[i] == 0 ? "held" : "BROKEN") << ": "
