--- a/libs/claims/tests/random_runs_tests.cpp
+++ b/libs/claims/tests/random_runs_tests.cpp
@@ -23,6 +23,8 @@
 constexpr int run_length_ms = 60000;
 /// Changes of the roster while all are well are the hardest on the claims, so they come more often.
 constexpr int more_reshuffles = 6;
+/// Longer than a quarantine, so that who was cut off meets what was granted after it.
+constexpr int longest_fault_ms = 25000;
 constexpr int most_faults = 30;
 constexpr std::uint64_t steps_by_default = 1000000;
 constexpr std::uint64_t least_steps_of_run = 5000;
@@ -43,7 +45,25 @@
         below(last + more_reshuffles),
         below(run_length_ms),
         below(9),
-        below(12000));
+        below(longest_fault_ms));
+}
+
+/// Half of the runs have faults of one kind only: some breaks need several of a kind in a row, and
+/// a mix seldom brings them.
+rc::Gen<std::vector<fault>> any_faults()
+{
+    const auto kinds = static_cast<int>(fault_kind::reshuffle) + 1;
+    return rc::gen::apply(
+        [kinds](std::vector<fault> faults, int theme)
+        {
+            for (auto& it : faults)
+            {
+                it.kind = theme < kinds ? static_cast<fault_kind>(theme) : it.kind;
+            }
+            return faults;
+        },
+        rc::gen::resize(most_faults, rc::gen::container<std::vector<fault>>(any_fault())),
+        below(2 * kinds));
 }
 
 std::uint64_t number_from(const char* name, std::uint64_t otherwise)
@@ -104,20 +124,6 @@
 
 } // namespace
 
-namespace rc
-{
-
-template <>
-struct Arbitrary<fault>
-{
-    static Gen<fault> arbitrary()
-    {
-        return any_fault();
-    }
-};
-
-} // namespace rc
-
 namespace camphorhitch::claims::testing
 {
 
@@ -155,8 +161,7 @@
             options.run_ms = run_length_ms;
             options.members = 1 + *below(9);
             options.seed = *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>());
-            options.faults =
-                *rc::gen::resize(most_faults, rc::gen::arbitrary<std::vector<fault>>());
+            options.faults = *any_faults();
             const auto result = run_world(options);
             add(sum, result.counts);
             for (const auto& it : broken_promises(result.seen, world_key_memory))
@@ -171,6 +176,7 @@
     {
         // A run that never got to one of the outcomes would show nothing about it.
         const bool reached = it.value == outcome_reason::answer_not_kept ||
+                             wanted < steps_by_default ||
                              sum.reasons[static_cast<int>(it.value)] > 0;
         CHECK_TEXT(reached, std::string{it.name}.c_str());
     }
--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -102,6 +102,12 @@
     sender_.settings.answer_kept_bytes = static_cast<std::size_t>(config.answer_kept_bytes);
 }
 
+void request_service::on_claim_settings(core::millis permit_ttl, core::millis key_memory)
+{
+    sender_.settings.claims.permit_ttl = permit_ttl;
+    sender_.settings.claims.key_memory = key_memory;
+}
+
 void request_service::on_roster()
 {
     sender_.epoch = members_.roster().epoch;
@@ -155,15 +161,16 @@
     std::string rest;
     if (!split_path(request.path, service, rest))
     {
-        refuse(exchange, {status_not_found, "no_such_path", "use /call/<service>/<path>", 0, false});
+        refuse(
+            exchange, {status_not_found, "no_such_path", "use /call/<service>/<path>", 0, false});
         return;
     }
     const bool keyed = !key_of(request).empty();
     if (!ready())
     {
         const char* why = stopping_ ? "stopping" : "not_ready";
-        refuse(exchange,
-            {status_unavailable, why, "this entry host takes no requests now", 1, keyed});
+        refuse(
+            exchange, {status_unavailable, why, "this entry host takes no requests now", 1, keyed});
         return;
     }
     const auto* pool = model::find_pool_of_service(config_, service);
