--- a/testing/promise_checker/src/pools.cpp
+++ b/testing/promise_checker/src/pools.cpp
@@ -111,15 +111,16 @@
     /// \return whether some configuration that a decision at \p at_ms may rest on allows it.
     bool is_allowed(const pool_document& d, const host_record& h, std::int64_t at_ms) const
     {
-        for (auto it = configs_.rbegin(); it != configs_.rend(); ++it)
+        for (std::size_t i = configs_.size(); i > 0; --i)
         {
-            const auto* found = model::find_pool(it->config, d.pool);
+            const auto& it = configs_[i - 1];
+            const auto* found = model::find_pool(it.config, d.pool);
             if (found != nullptr && missing_in(d, "") <= found->budget.absent &&
                 missing_in(d, h.zone) <= found->budget.absent_per_zone)
             {
                 return true;
             }
-            if (it->at_ms + limits_.old_config_ms < at_ms)
+            if (it.at_ms + limits_.old_config_ms < at_ms)
             {
                 return false;
             }
--- a/testing/promise_checker/src/records.cpp
+++ b/testing/promise_checker/src/records.cpp
@@ -1,6 +1,7 @@
 #include "records.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <ctime>
 #include <filesystem>
 #include <fstream>
@@ -172,8 +173,7 @@
         return 0;
     }
     const auto fraction = *rest == '.' ? std::stod(rest) : 0.0;
-    return static_cast<std::int64_t>(timegm(&parts)) * 1000 +
-           static_cast<std::int64_t>(fraction * 1000 + 0.5);
+    return static_cast<std::int64_t>(timegm(&parts)) * 1000 + std::lround(fraction * 1000);
 }
 
 void read_logs(const std::string& folder, records& to)
