--- a/tools/bench_parts/common.sh
+++ b/tools/bench_parts/common.sh
@@ -104,10 +104,15 @@
   "$build_folder/bin/caller_load" --entries "$(entries)" "$@"
 }
 
-# direct ARGS...: the same straight to the targets of the pool $direct_pool (default: quotes).
+# serving_hosts POOL: ids of its hosts that serve now (a policy holds some back as a buffer).
+serving_hosts() {
+  operators --json "show hosts where pool = $1 and state = serving" | jq -r '.results[0].data[].id'
+}
+
+# direct ARGS...: the same straight to the hosts that serve the pool quotes.
 direct() {
   local list
-  list=$(jq -r --arg p "${direct_pool:-quotes}" '[.pools[] | select(.pool == $p) | .hosts[].target] | join(",")' "$work/fleet.json")
+  list=$(operators --json 'show hosts where pool = quotes and state = serving' | jq -r '[.results[0].data[].target] | join(",")')
   "$build_folder/bin/caller_load" --direct --entries "$list" --repeats 3 "$@"
 }
 
