--- a/tools/bench_parts/common.sh
+++ b/tools/bench_parts/common.sh
@@ -19,7 +19,7 @@
     | ($ports[0] | to_entries | map({n: (.key[1:] | tonumber), id: .key, port: .value}) | sort_by(.n)) as $hosts
     | ([($hosts | length) / 10 | floor, 1] | max) as $spares
     | (($hosts | length) - $spares) as $used
-    | def host: {id: .id, zone: ("abcd"[((.n - 1) % $zones):((.n - 1) % $zones + 1)]),
+    | def host: {id: .id, zone: (((.n - 1) / 4 | floor) % $zones | "abcd"[.:. + 1]),
                  rack: ("r" + (((.n - 1) / 4 | floor) + 1 | tostring)),
                  target: ("127.0.0.1:" + (.port | tostring))};
       {configuration: {
