--- /dev/null
+++ b/programs/camphorhitchd/tests/session_tests.cpp
@@ -0,0 +1,193 @@
+#include "transcript.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::daemon;
+
+namespace
+{
+
+const char* const configuration = R"({
+  "pools": [
+    {"name": "quotes", "services": ["quotes"], "policy": "steady",
+     "budget": {"absent": 2, "absent_per_zone": 1}},
+    {"name": "holds", "services": ["holds"], "policy": "steady",
+     "budget": {"absent": 2, "absent_per_zone": 1}}],
+  "policies": [
+    {"name": "steady", "kind": "one_by_one", "halt_after": 1, "fixed_buffer": 0,
+     "return_timeout_ms": 20000},
+    {"name": "swift", "kind": "fastest", "return_timeout_ms": 20000}],
+  "teams": [{"name": "prints", "processors": 64, "memory_gb": 256, "accelerators": 0}]})";
+
+std::string host_text(int n)
+{
+    const auto number = std::to_string(n);
+    const auto zone = std::string(1, static_cast<char>('a' + n % 3));
+    return R"({"id": "h)" + number + R"(", "zone": ")" + zone + R"(", "rack": "r)" + zone +
+           R"(", "target": "10.0.0.)" + number + R"(:80"})";
+}
+
+/// Pools quotes and holds with hosts h1 to h6, three in each.
+std::string fleet_file()
+{
+    std::string pools[2];
+    for (int n = 1; n <= 6; ++n)
+    {
+        auto& to = pools[n <= 3 ? 0 : 1];
+        to += (to.empty() ? "" : ", ") + host_text(n);
+    }
+    return std::string(R"({"configuration": )") + configuration +
+           R"(, "pools": [{"pool": "quotes", "hosts": [)" + pools[0] +
+           R"(]}, {"pool": "holds", "hosts": [)" + pools[1] + "]}]}";
+}
+
+void add_hosts(test_fleet& fleet)
+{
+    for (int n = 1; n <= 6; ++n)
+    {
+        const auto number = std::to_string(n);
+        fleet.platform.add_host("h" + number, "10.0.0." + number + ":80", {32, 128, 0});
+    }
+}
+
+std::string jobs_text()
+{
+    return R"({"jobs": [)"
+           R"({"id": "nightly-1", "team": "prints", "class": "normal", "run_time_ms": 20000, )"
+           R"("declared": {"processors": 4, "memory_gb": 8}}, )"
+           R"({"id": "nightly-2", "team": "prints", "class": "long", "run_time_ms": 3600000, )"
+           R"("idempotent": true, "declared": {"processors": 8, "memory_gb": 16}}, )"
+           R"({"id": "huge-1", "team": "prints", "class": "normal", "run_time_ms": 20000, )"
+           R"("declared": {"processors": 48, "memory_gb": 8}}]})";
+}
+
+std::string operators_day()
+{
+    test_fleet fleet(1);
+    add_hosts(fleet);
+    CHECK(fleet.wait_ready());
+    operator_session s(fleet, fleet.at(0));
+    s.say("show pools; show hosts; show members");
+    s.apply("fleet.json", fleet_file());
+    s.say("show config; show policies; show teams");
+    s.wait_shown("show hosts where state = serving", "h6");
+    s.say("show pools; show hosts order by id");
+    s.submit("quotes", jobs_text());
+    s.wait_shown("show jobs where state = running", "nightly-2");
+    s.say("show jobs order by id");
+    s.say("why job nightly-2; why job huge-1");
+    s.note("host h3 will not come back from its next reboot");
+    fleet.platform.hosts["h3"].returns = false;
+    s.say("start wave spring where pool = quotes");
+    s.wait_shown("show waves", "halted");
+    s.say("show waves; show hosts where pool = quotes order by id");
+    s.say("why wave spring; why host h3; why host h1");
+    s.note("host h3 is repaired");
+    fleet.platform.boot("h3");
+    s.say("resume wave spring");
+    s.wait_shown("show waves", "done");
+    s.say("show waves; show hosts where pool = quotes order by id; why host h2");
+    s.say("show jobs order by id");
+    s.say("move host h5 to pool quotes");
+    s.wait_shown("show hosts where pool = quotes and state = serving", "h5");
+    s.say("show hosts order by id; why host h5");
+    s.say("set pool quotes budget.absent = 1; set policy swift return_timeout = 15s");
+    s.say("show pools; show policies");
+    s.say("start experiment e1 arms now=steady,then=swift on pool quotes,holds for 1h seed 7");
+    s.wait_shown("show experiments", "running");
+    s.say("show experiments; show pools");
+    fleet.run_for(core::millis{300000});
+    s.say("start wave summer");
+    s.wait_shown("show waves where id = summer", "done");
+    s.say("stop experiment e1");
+    s.wait_shown("show experiments", "ended");
+    s.say("show experiments; show pools; stop experiment e1");
+    s.say("cancel job nightly-2; cancel jobs where team = prints and state = waiting");
+    s.wait_shown("show jobs where id = nightly-2", "cancelled");
+    s.say("show jobs order by id");
+    return s.text();
+}
+
+std::string day_of_mistakes()
+{
+    test_fleet fleet(1);
+    add_hosts(fleet);
+    CHECK(fleet.wait_ready());
+    operator_session s(fleet, fleet.at(0));
+    s.apply("a file that is no JSON", "{");
+    s.apply("a file with an unknown key", R"({"pool": []})");
+    s.apply("a file with contradictions",
+        R"({"configuration": {"pools": [{"name": "quotes", "services": ["quotes"], )"
+        R"("policy": "steadi", "budget": {"absent": 0}}], "policies": [{"name": "steady"}]}})");
+    s.apply("fleet.json", fleet_file());
+    s.apply("fleet.json, meant for a version of the past",
+        R"({"configuration": {"version": 41, "pools": []}})");
+    s.wait_shown("show hosts where state = serving", "h6");
+    const char* const mistakes[] = {
+        "show hots",
+        "shw hosts",
+        "show hosts where stat = serving",
+        "show hosts where slots = many; show hosts order by colour",
+        "show hosts limit x",
+        "show hosts where id = \"h1",
+        "why cat tom",
+        "why host h99",
+        "why wave w9; show hosts",
+        "why request nobodys",
+        "set pool quotes budget.absnt = 1",
+        "set pool quote budget.absent = 1",
+        "set pool quotes budget.absent = -1",
+        "set pool quotes policy = steddy",
+        "set policy steady growth = 0.5, kind = fasted",
+        "set config key_memory = 15 minutes",
+        "drain host h99",
+        "drain zone q",
+        "drain rack r9 for leaving",
+        "move host h1 to pool nowhere",
+        "move host h1 in pool holds",
+        "start wave w1 where zone = q",
+        "start wave w1 policy steddy",
+        "resume wave w9; show hosts",
+        "cancel wave w9",
+        "start experiment e1 arms now=steady on pool quotes",
+        "start experiment e1 arms now=steady,then=swit on pool quotes,hold",
+        "start experiment e1 arms a=b c",
+        "stop experiment e9",
+        "cancel jobs",
+        "cancel job j9",
+        "submit job {\"id\": ",
+        "submit job {\"id\": \"j1\", \"team\": \"prints\", \"class\": \"slow\"}",
+        "show hosts limit 1\nshow hots\ndrain cupboard c1",
+    };
+    for (const auto* it : mistakes)
+    {
+        s.say(it);
+    }
+    s.submit("nowhere", jobs_text());
+    s.submit("quotes", R"({"jobs": [{"id": "j1"}]})");
+    s.submit("quotes",
+        R"({"jobs": [{"id": "j1", "team": "print", "class": "normal", "run_time_ms": 1000, )"
+        R"("declared": {"processors": 4, "memory_gb": 8}}]})");
+    s.say("show waves; show experiments; show jobs; show config");
+    return s.text();
+}
+
+} // namespace
+
+TEST_GROUP(session){};
+
+TEST(session, an_operators_day_reads_as_on_file)
+{
+    STRCMP_EQUAL("", compare_with_golden("operators_day.txt", operators_day()).c_str());
+}
+
+TEST(session, mistakes_are_answered_as_on_file)
+{
+    STRCMP_EQUAL("", compare_with_golden("mistakes.txt", day_of_mistakes()).c_str());
+}
+
+TEST(session, a_second_run_is_the_same_byte_for_byte)
+{
+    STRCMP_EQUAL(operators_day().c_str(), operators_day().c_str());
+}
--- /dev/null
+++ b/programs/camphorhitchd/tests/test_fleet.cpp
@@ -0,0 +1,142 @@
+#include "test_fleet.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace camphorhitch::daemon
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::uint64_t first_seed = 7;
+
+told read_answer(const ports::http_response& r)
+{
+    told out;
+    out.answered = true;
+    out.status = r.status;
+    const auto body = json::parse(r.body, nullptr, false);
+    if (!body.is_object() || !body.contains("results"))
+    {
+        out.text = r.body + '\n';
+        return out;
+    }
+    out.settled = body["settled"].get<bool>();
+    for (const auto& it : body["results"])
+    {
+        const auto code = it["code"].get<std::string>();
+        out.text += (code == "ok" ? "" : code + ": ") + it["text"].get<std::string>();
+    }
+    return out;
+}
+
+} // namespace
+
+test_fleet::test_fleet(int count) : store(time), targets(time), platform(time, targets), peers(time)
+{
+    for (int i = 1; i <= count; ++i)
+    {
+        const auto member = "e" + std::to_string(i);
+        add(member, member + "-first");
+    }
+}
+
+test_daemon& test_fleet::at(std::size_t n)
+{
+    return *daemons.at(n);
+}
+
+test_daemon& test_fleet::add(const std::string& member, const std::string& incarnation)
+{
+    daemons.push_back(std::make_unique<test_daemon>());
+    auto& d = *daemons.back();
+    const auto n = daemons.size();
+    const auto zone = std::string(1, static_cast<char>('a' + (n - 1) % 3));
+    d.ctx.self = {member, incarnation, "peer-" + incarnation, zone};
+    d.ctx.scheduler = time.port(d.process);
+    d.ctx.store = store.port(d.process);
+    d.ctx.http = targets.port(d.process);
+    d.ctx.peers = peers.port(d.process);
+    d.ctx.platform = platform.port(d.process);
+    d.ctx.telemetry = d.log.port(time);
+    d.ctx.random.seed(first_seed + n);
+    service_settings settings;
+    settings.operator_token = operator_token;
+    settings.metrics = [] { return std::string{}; };
+    d.all = std::make_unique<services>(d.ctx, std::move(settings));
+    d.all->requests->set_server(d.callers.port());
+    d.all->operators->set_server(d.operators.port());
+    peers.listen(d.ctx.self.address, d.process, d.all->handlers());
+    d.all->start();
+    return d;
+}
+
+bool test_fleet::run_until(const std::function<bool()>& holds, core::millis bound)
+{
+    return time.run_until(holds, bound);
+}
+
+void test_fleet::run_for(core::millis wait)
+{
+    time.run_for(wait);
+}
+
+bool test_fleet::wait_ready()
+{
+    return run_until(
+        [this]
+        {
+            return std::all_of(daemons.begin(),
+                daemons.end(),
+                [this](const auto& it)
+                {
+                    const auto& m = *it->all->members;
+                    return m.fresh() && m.in_roster() &&
+                           m.roster().members.size() == daemons.size();
+                });
+        });
+}
+
+told test_fleet::ask(test_daemon& d, ports::http_request r, core::millis bound)
+{
+    r.fields.emplace_back("Authorization", "Bearer " + operator_token);
+    const auto id = d.operators.send(d.process, d.all->operator_events(), std::move(r));
+    run_until([&] { return d.operators.find(id) != nullptr; }, bound);
+    const auto* answer = d.operators.find(id);
+    return answer == nullptr ? told{} : read_answer(*answer);
+}
+
+told test_fleet::execute(test_daemon& d, const std::string& text, const std::string& command)
+{
+    const json body = {{"text", text}, {"command", command}};
+    return ask(d, {"POST", "/v1/execute", "", {}, body.dump()});
+}
+
+told test_fleet::apply(test_daemon& d, const std::string& text, const std::string& command)
+{
+    return ask(d, {"PUT", "/v1/apply", "", {{"Camphorhitch-Command", command}}, text});
+}
+
+told test_fleet::submit(test_daemon& d, const std::string& pool, const std::string& text)
+{
+    return ask(d, {"POST", "/v1/jobs", "pool=" + pool, {}, text});
+}
+
+ports::exchange_id test_fleet::request(test_daemon& d,
+    const std::string& service,
+    const std::string& body,
+    const std::string& key,
+    const ports::http_fields& more)
+{
+    ports::http_request r{"POST", "/" + service + "/run", "", more, body};
+    if (!key.empty())
+    {
+        r.fields.emplace_back("Idempotency-Key", key);
+    }
+    return d.callers.send(d.process, d.all->caller_events(), std::move(r));
+}
+
+} // namespace camphorhitch::daemon
--- /dev/null
+++ b/programs/camphorhitchd/tests/test_fleet.hpp
@@ -0,0 +1,75 @@
+/// \file
+/// Whole daemons in one process, on fakes at their ports and virtual time.
+#pragma once
+
+#include "daemon_fakes/key_value.hpp"
+#include "daemon_fakes/peers.hpp"
+#include "daemon_fakes/platform.hpp"
+#include "daemon_fakes/recorders.hpp"
+#include "daemon_fakes/targets.hpp"
+#include "daemon_fakes/virtual_time.hpp"
+#include "services.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace camphorhitch::daemon
+{
+
+inline const std::string operator_token = "operators-word";
+
+/// What an operator was answered.
+struct told
+{
+    bool answered = false;
+    int status = 0;
+    std::string text; ///< of all results, each with its code in front unless that is "ok"
+    bool settled = false;
+};
+
+struct test_daemon
+{
+    daemon_fakes::process process;
+    daemon_fakes::log_recorder log;
+    daemon_fakes::answer_recorder callers;
+    daemon_fakes::answer_recorder operators;
+    context ctx;
+    std::unique_ptr<services> all;
+};
+
+struct test_fleet
+{
+    /// \param daemons how many; each is called e1, e2, ... and stands in zone a, b, ...
+    explicit test_fleet(int daemons);
+
+    test_daemon& at(std::size_t n);
+    /// Adds a further daemon. \param incarnation fixed, so that runs are the same
+    test_daemon& add(const std::string& member, const std::string& incarnation);
+    bool run_until(const std::function<bool()>& holds, core::millis bound = core::millis{60000});
+    void run_for(core::millis wait);
+    /// Waits until all daemons are in the roster and fresh.
+    bool wait_ready();
+
+    /// One operator's request to \p d, awaited.
+    told ask(test_daemon& d, ports::http_request r, core::millis bound = core::millis{60000});
+    told execute(test_daemon& d, const std::string& text, const std::string& command);
+    told apply(test_daemon& d, const std::string& text, const std::string& command);
+    told submit(test_daemon& d, const std::string& pool, const std::string& text);
+
+    /// Hands a caller's request to \p d. \param key of idempotency, or empty
+    static ports::exchange_id request(test_daemon& d,
+        const std::string& service,
+        const std::string& body,
+        const std::string& key = {},
+        const ports::http_fields& more = {});
+
+    daemon_fakes::virtual_time time;
+    daemon_fakes::key_value store;
+    daemon_fakes::targets targets;
+    daemon_fakes::platform platform;
+    daemon_fakes::peers peers;
+    std::vector<std::unique_ptr<test_daemon>> daemons;
+};
+
+} // namespace camphorhitch::daemon
--- /dev/null
+++ b/testing/daemon_fakes/src/key_value.cpp
@@ -0,0 +1,376 @@
+#include "daemon_fakes/key_value.hpp"
+
+namespace camphorhitch::daemon_fakes
+{
+
+namespace
+{
+
+/// A call to a service that doesn't answer ends after this long.
+constexpr core::millis call_timeout{1000};
+
+bool starts_with(const std::string& text, const std::string& prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+} // namespace
+
+key_value::key_value(virtual_time& time) : time_(time)
+{
+}
+
+const ports::kv_entry* key_value::find(const std::string& key) const
+{
+    const auto it = now_.entries.find(key);
+    return it == now_.entries.end() ? nullptr : &it->second;
+}
+
+ports::revision key_value::put(
+    const std::string& key, const std::string& value, ports::lease_id lease)
+{
+    ++writes;
+    const auto modified = ++now_.revision;
+    now_.entries[key] = {key, value, modified, lease};
+    tell({false, now_.entries[key]});
+    return modified;
+}
+
+void key_value::remove(const std::string& key)
+{
+    if (now_.entries.erase(key) > 0)
+    {
+        ++writes;
+        tell({true, {key, "", ++now_.revision, 0}});
+    }
+}
+
+void key_value::set_down(bool down)
+{
+    down_ = down;
+    if (down)
+    {
+        end_watches();
+    }
+}
+
+void key_value::freeze_ranges()
+{
+    frozen_ = now_;
+}
+
+void key_value::thaw_ranges()
+{
+    frozen_.reset();
+}
+
+void key_value::end_watches()
+{
+    const auto all = watchers_;
+    for (const auto& [id, it] : all)
+    {
+        end_watch(id);
+    }
+}
+
+void key_value::tell(ports::kv_event event)
+{
+    history_.push_back(event);
+    for (const auto& [id, it] : watchers_)
+    {
+        if (starts_with(event.entry.key, it.prefix))
+        {
+            deliver(id, {event});
+        }
+    }
+}
+
+void key_value::deliver(ports::watch_id id, std::vector<ports::kv_event> events)
+{
+    time_.after(wire_delay,
+        [this, id, events = std::move(events)]
+        {
+            const auto it = watchers_.find(id);
+            if (it == watchers_.end())
+            {
+                return;
+            }
+            if (it->second.owner->store_cut)
+            {
+                end_watch(id); // an event is lost, so the stream is broken
+                return;
+            }
+            it->second.owner->enter(
+                [this, id, events]
+                {
+                    const auto still = watchers_.find(id);
+                    if (still != watchers_.end())
+                    {
+                        const auto on_events = still->second.on_events;
+                        on_events(events);
+                    }
+                });
+        });
+}
+
+void key_value::end_watch(ports::watch_id id)
+{
+    time_.after(wire_delay,
+        [this, id]
+        {
+            const auto it = watchers_.find(id);
+            if (it == watchers_.end())
+            {
+                return;
+            }
+            const auto gone = it->second;
+            watchers_.erase(it);
+            gone.owner->enter(gone.on_end);
+        });
+}
+
+void key_value::drop_lease(ports::lease_id id)
+{
+    leases_.erase(id);
+    std::vector<std::string> keys;
+    for (const auto& [key, it] : now_.entries)
+    {
+        if (it.lease == id)
+        {
+            keys.push_back(key);
+        }
+    }
+    for (const auto& key : keys)
+    {
+        remove(key);
+    }
+}
+
+void key_value::lapse(ports::lease_id id)
+{
+    const auto it = leases_.find(id);
+    if (it == leases_.end())
+    {
+        return;
+    }
+    if (down_)
+    {
+        it->second.until = time_.now() + it->second.ttl; // a service that is down lapses nothing
+    }
+    if (it->second.until <= time_.now())
+    {
+        drop_lease(id);
+        return;
+    }
+    const auto left = std::chrono::ceil<core::millis>(it->second.until - time_.now());
+    time_.after(left, [this, id] { lapse(id); });
+}
+
+ports::kv_read key_value::read(const std::string& key, bool prefix)
+{
+    const auto& from = prefix && frozen_ ? *frozen_ : now_;
+    ports::kv_read out;
+    out.status = ports::kv_status::ok;
+    out.store_revision = from.revision;
+    for (auto it = from.entries.lower_bound(key); it != from.entries.end(); ++it)
+    {
+        if (prefix ? !starts_with(it->first, key) : it->first != key)
+        {
+            break;
+        }
+        out.entries.push_back(it->second);
+    }
+    ranges += prefix ? 1 : 0;
+    return out;
+}
+
+ports::kv_write key_value::compare(const std::string& key, ports::revision expected) const
+{
+    const auto* known = find(key);
+    ports::kv_write out;
+    out.modified = known == nullptr ? 0 : known->modified;
+    out.status = out.modified == expected ? ports::kv_status::ok : ports::kv_status::conflict;
+    if (out.status == ports::kv_status::conflict && known != nullptr)
+    {
+        out.current = *known;
+    }
+    return out;
+}
+
+void key_value::call(
+    process& p, std::function<std::function<void()>()> serve, std::function<void()> lost)
+{
+    const auto to_owner = [this, &p](core::millis delay, std::function<void()> fn)
+    {
+        time_.after(delay, [&p, fn = std::move(fn)] { p.enter(fn); });
+    };
+    if (down_ || p.store_cut)
+    {
+        to_owner(call_timeout, std::move(lost));
+        return;
+    }
+    time_.after(wire_delay,
+        [this, &p, to_owner, serve = std::move(serve), lost = std::move(lost)]
+        {
+            const bool reached = !down_ && !p.store_cut;
+            to_owner(reached ? wire_delay : call_timeout, reached ? serve() : lost);
+        });
+}
+
+void key_value::call_write(
+    process& p, std::function<ports::kv_write()> serve, const write_callback& done)
+{
+    call(
+        p,
+        [this, serve = std::move(serve), done]() -> std::function<void()>
+        {
+            auto reply = serve();
+            if (reply.status == ports::kv_status::ok && answers_to_lose > 0)
+            {
+                --answers_to_lose;
+                reply = {};
+                reply.status = ports::kv_status::unknown;
+            }
+            return [done, reply] { done(reply); };
+        },
+        [done] { done({}); });
+}
+
+ports::key_value key_value::port(process& p)
+{
+    ports::key_value out;
+    const auto read_by = [this, &p](bool prefix)
+    {
+        return [this, &p, prefix](const std::string& key, std::function<void(ports::kv_read)> done)
+        {
+            call(
+                p,
+                [this, key, prefix, done]() -> std::function<void()>
+                { return [done, reply = read(key, prefix)] { done(reply); }; },
+                [done] { done({}); });
+        };
+    };
+    out.get = read_by(false);
+    out.range = read_by(true);
+    out.check = [this, &p](std::string key, ports::revision expected, write_callback done)
+    {
+        call(
+            p,
+            [this, key = std::move(key), expected, done]() -> std::function<void()>
+            {
+                auto reply = compare(key, expected);
+                reply.current = {};
+                return [done, reply] { done(reply); };
+            },
+            [done] { done({}); });
+    };
+    out.put_if = [this, &p](std::string key,
+                     std::string value,
+                     ports::revision expected,
+                     ports::lease_id lease,
+                     write_callback done)
+    {
+        call_write(
+            p,
+            [this, key = std::move(key), value = std::move(value), expected, lease]
+            {
+                auto reply = compare(key, expected);
+                if (lease != 0 && leases_.count(lease) == 0)
+                {
+                    reply.status = ports::kv_status::rejected;
+                }
+                else if (reply.status == ports::kv_status::ok)
+                {
+                    reply.modified = put(key, value, lease);
+                }
+                return reply;
+            },
+            done);
+    };
+    out.delete_if = [this, &p](std::string key, ports::revision expected, write_callback done)
+    {
+        call_write(
+            p,
+            [this, key = std::move(key), expected]
+            {
+                const auto reply = compare(key, expected);
+                if (reply.status == ports::kv_status::ok)
+                {
+                    remove(key);
+                }
+                return reply;
+            },
+            done);
+    };
+    out.grant_lease = [this, &p](core::millis ttl, std::function<void(ports::kv_lease)> done)
+    {
+        call(
+            p,
+            [this, ttl, done]() -> std::function<void()>
+            {
+                const auto id = ++last_lease_;
+                leases_[id] = {ttl, time_.now() + ttl};
+                time_.after(ttl, [this, id] { lapse(id); });
+                return [done, id, ttl] { done({ports::kv_status::ok, id, ttl}); };
+            },
+            [done] { done({}); });
+    };
+    out.keep_alive = [this, &p](ports::lease_id id, std::function<void(ports::kv_lease)> done)
+    {
+        call(
+            p,
+            [this, id, done]() -> std::function<void()>
+            {
+                const auto it = leases_.find(id);
+                core::millis left{0};
+                if (it != leases_.end())
+                {
+                    left = it->second.ttl;
+                    it->second.until = time_.now() + left;
+                }
+                return [done, id, left] { done({ports::kv_status::ok, id, left}); };
+            },
+            [done] { done({}); });
+    };
+    out.revoke_lease = [this, &p](ports::lease_id id, std::function<void(ports::kv_status)> done)
+    {
+        call(
+            p,
+            [this, id, done]() -> std::function<void()>
+            {
+                drop_lease(id);
+                return [done] { done(ports::kv_status::ok); };
+            },
+            [done] { done(ports::kv_status::unavailable); });
+    };
+    out.watch = [this, &p](std::string prefix,
+                    ports::revision from,
+                    std::function<void(std::vector<ports::kv_event>)> on_events,
+                    std::function<void()> on_end)
+    {
+        const auto id = ++last_watch_;
+        watchers_[id] = {&p, std::move(prefix), std::move(on_events), std::move(on_end)};
+        if (down_ || p.store_cut)
+        {
+            end_watch(id);
+            return id;
+        }
+        std::vector<ports::kv_event> missed;
+        for (const auto& it : history_)
+        {
+            if (it.entry.modified >= from && starts_with(it.entry.key, watchers_[id].prefix))
+            {
+                missed.push_back(it);
+            }
+        }
+        if (!missed.empty())
+        {
+            deliver(id, missed);
+        }
+        return id;
+    };
+    out.cancel_watch = [this](ports::watch_id id) { watchers_.erase(id); };
+    return out;
+}
+
+} // namespace camphorhitch::daemon_fakes
