--- a/programs/camphorhitchd/tests/session_tests.cpp
+++ b/programs/camphorhitchd/tests/session_tests.cpp
@@ -8,17 +8,14 @@
 namespace
 {
 
-const char* const configuration = R"({
-  "pools": [
-    {"name": "quotes", "services": ["quotes"], "policy": "steady",
-     "budget": {"absent": 2, "absent_per_zone": 1}},
-    {"name": "holds", "services": ["holds"], "policy": "steady",
-     "budget": {"absent": 2, "absent_per_zone": 1}}],
-  "policies": [
-    {"name": "steady", "kind": "one_by_one", "halt_after": 1, "fixed_buffer": 0,
-     "return_timeout_ms": 20000},
-    {"name": "swift", "kind": "fastest", "return_timeout_ms": 20000}],
-  "teams": [{"name": "prints", "processors": 64, "memory_gb": 256, "accelerators": 0}]})";
+constexpr int most_hosts = 13;
+const char* const pool_names[] = {"quotes", "holds", "deposits", "refunds", "ledger", "alerts"};
+
+std::string pool_config(const std::string& name)
+{
+    return R"({"name": ")" + name + R"(", "services": [")" + name +
+           R"("], "policy": "steady", "budget": {"absent": 1, "absent_per_zone": 1}})";
+}
 
 std::string host_text(int n)
 {
@@ -28,40 +25,85 @@
            R"(", "target": "10.0.0.)" + number + R"(:80"})";
 }
 
-/// Pools quotes and holds with hosts h1 to h6, three in each.
+/// Pool quotes with the hosts h1 to h3, and five pools with two hosts each.
 std::string fleet_file()
 {
-    std::string pools[2];
-    for (int n = 1; n <= 6; ++n)
+    std::string configs;
+    std::string pools;
+    int next = 1;
+    for (const std::string name : pool_names)
     {
-        auto& to = pools[n <= 3 ? 0 : 1];
-        to += (to.empty() ? "" : ", ") + host_text(n);
+        std::string hosts;
+        for (const int last = next + (next == 1 ? 2 : 1); next <= last; ++next)
+        {
+            hosts += (hosts.empty() ? "" : ", ") + host_text(next);
+        }
+        const auto* comma = configs.empty() ? "" : ", ";
+        configs += comma + pool_config(name);
+        pools += comma + (R"({"pool": ")" + name + R"(", "hosts": [)") + hosts + "]}";
     }
-    return std::string(R"({"configuration": )") + configuration +
-           R"(, "pools": [{"pool": "quotes", "hosts": [)" + pools[0] +
-           R"(]}, {"pool": "holds", "hosts": [)" + pools[1] + "]}]}";
+    return R"({"configuration": {"pools": [)" + configs + R"(],
+  "policies": [
+    {"name": "steady", "kind": "one_by_one", "halt_after": 1, "fixed_buffer": 0,
+     "return_timeout_ms": 20000},
+    {"name": "swift", "kind": "fastest", "return_timeout_ms": 20000}],
+  "teams": [{"name": "prints", "processors": 64, "memory_gb": 256, "accelerators": 0}]},
+ "pools": [)" + pools + "]}";
 }
 
 void add_hosts(test_fleet& fleet)
 {
-    for (int n = 1; n <= 6; ++n)
+    for (int n = 1; n <= most_hosts; ++n)
     {
         const auto number = std::to_string(n);
         fleet.platform.add_host("h" + number, "10.0.0." + number + ":80", {32, 128, 0});
     }
 }
 
+/// One short job, one long, and one that fits no host.
 std::string jobs_text()
 {
     return R"({"jobs": [)"
            R"({"id": "nightly-1", "team": "prints", "class": "normal", "run_time_ms": 20000, )"
            R"("declared": {"processors": 4, "memory_gb": 8}}, )"
-           R"({"id": "nightly-2", "team": "prints", "class": "long", "run_time_ms": 3600000, )"
+           R"({"id": "nightly-2", "team": "prints", "class": "long_running", "run_time_ms": 3600000, )"
            R"("idempotent": true, "declared": {"processors": 8, "memory_gb": 16}}, )"
            R"({"id": "huge-1", "team": "prints", "class": "normal", "run_time_ms": 20000, )"
            R"("declared": {"processors": 48, "memory_gb": 8}}]})";
 }
 
+void wave_with_a_failure(test_fleet& fleet, operator_session& s)
+{
+    s.note("host h3 will not come back from its next reboot");
+    fleet.platform.hosts["h3"].returns = false;
+    s.say("start wave spring where pool = quotes");
+    s.wait_shown("show waves where phase = halted", "spring");
+    s.say("show waves; show hosts where pool = quotes order by id");
+    s.say("why wave spring; why host h3; why host h2");
+    s.note("host h3 is repaired");
+    fleet.platform.boot("h3");
+    s.say("resume wave spring");
+    s.wait_shown("show waves where phase = done", "spring");
+    s.say("show waves; show hosts where pool = quotes order by id; why wave spring; why host h2");
+    s.say("show jobs order by id; why job nightly-2");
+}
+
+void experiment_with_a_wave(test_fleet& fleet, operator_session& s)
+{
+    s.say("start experiment e1 arms now=steady,then=swift on pool "
+          "quotes,holds,deposits,refunds,ledger,alerts for 1h seed 7");
+    s.wait_shown("show experiments where state = running", "e1");
+    s.say("show experiments; show pools; set pool quotes policy = swift");
+    fleet.run_for(core::millis{300000});
+    s.say("start wave summer");
+    s.wait_shown("show waves where phase = done", "summer");
+    s.say("show waves");
+    fleet.run_for(core::millis{300000});
+    s.say("stop experiment e1");
+    s.wait_shown("show experiments where state = ended", "e1");
+    s.say("show experiments; show pools; stop experiment e1");
+}
+
 std::string operators_day()
 {
     test_fleet fleet(1);
@@ -71,41 +113,22 @@
     s.say("show pools; show hosts; show members");
     s.apply("fleet.json", fleet_file());
     s.say("show config; show policies; show teams");
-    s.wait_shown("show hosts where state = serving", "h6");
+    s.wait_shown("show hosts where state = serving", "h13");
     s.say("show pools; show hosts order by id");
     s.submit("quotes", jobs_text());
+    s.submit("quotes", jobs_text());
     s.wait_shown("show jobs where state = running", "nightly-2");
-    s.say("show jobs order by id");
-    s.say("why job nightly-2; why job huge-1");
-    s.note("host h3 will not come back from its next reboot");
-    fleet.platform.hosts["h3"].returns = false;
-    s.say("start wave spring where pool = quotes");
-    s.wait_shown("show waves", "halted");
-    s.say("show waves; show hosts where pool = quotes order by id");
-    s.say("why wave spring; why host h3; why host h1");
-    s.note("host h3 is repaired");
-    fleet.platform.boot("h3");
-    s.say("resume wave spring");
-    s.wait_shown("show waves", "done");
-    s.say("show waves; show hosts where pool = quotes order by id; why host h2");
-    s.say("show jobs order by id");
+    s.say("show jobs order by id; why job nightly-2; why job huge-1");
+    wave_with_a_failure(fleet, s);
     s.say("move host h5 to pool quotes");
     s.wait_shown("show hosts where pool = quotes and state = serving", "h5");
-    s.say("show hosts order by id; why host h5");
-    s.say("set pool quotes budget.absent = 1; set policy swift return_timeout = 15s");
-    s.say("show pools; show policies");
-    s.say("start experiment e1 arms now=steady,then=swift on pool quotes,holds for 1h seed 7");
-    s.wait_shown("show experiments", "running");
-    s.say("show experiments; show pools");
-    fleet.run_for(core::millis{300000});
-    s.say("start wave summer");
-    s.wait_shown("show waves where id = summer", "done");
-    s.say("stop experiment e1");
-    s.wait_shown("show experiments", "ended");
-    s.say("show experiments; show pools; stop experiment e1");
+    s.say("show hosts where pool = quotes; why host h5");
+    s.say("set pool quotes budget.absent = 2; set policy swift return_timeout = 15s");
+    s.say("show pools; show policies; show config");
+    experiment_with_a_wave(fleet, s);
     s.say("cancel job nightly-2; cancel jobs where team = prints and state = waiting");
-    s.wait_shown("show jobs where id = nightly-2", "cancelled");
-    s.say("show jobs order by id");
+    s.wait_shown("show jobs where state = cancelled", "nightly-2");
+    s.say("show jobs order by id; why job nightly-2");
     return s.text();
 }
 
@@ -123,7 +146,7 @@
     s.apply("fleet.json", fleet_file());
     s.apply("fleet.json, meant for a version of the past",
         R"({"configuration": {"version": 41, "pools": []}})");
-    s.wait_shown("show hosts where state = serving", "h6");
+    s.wait_shown("show hosts where state = serving", "h13");
     const char* const mistakes[] = {
         "show hots",
         "shw hosts",
@@ -158,6 +181,7 @@
         "cancel job j9",
         "submit job {\"id\": ",
         "submit job {\"id\": \"j1\", \"team\": \"prints\", \"class\": \"slow\"}",
+        "set pool quotes budget.absent = 2; show hosts where stat = serving",
         "show hosts limit 1\nshow hots\ndrain cupboard c1",
     };
     for (const auto* it : mistakes)
--- a/programs/camphorhitchd/tests/test_fleet.cpp
+++ b/programs/camphorhitchd/tests/test_fleet.cpp
@@ -1,6 +1,7 @@
 #include "test_fleet.hpp"
 
 #include <algorithm>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 
 namespace camphorhitch::daemon
@@ -55,7 +56,8 @@
     auto& d = *daemons.back();
     const auto n = daemons.size();
     const auto zone = std::string(1, static_cast<char>('a' + (n - 1) % 3));
-    d.ctx.self = {member, incarnation, "peer-" + incarnation, zone};
+    const auto address = "10.1.0." + std::to_string(n) + ":7000";
+    d.ctx.self = {member, incarnation, address, zone};
     d.ctx.scheduler = time.port(d.process);
     d.ctx.store = store.port(d.process);
     d.ctx.http = targets.port(d.process);
@@ -100,6 +102,17 @@
         });
 }
 
+void test_fleet::dump() const
+{
+    for (const auto& it : daemons)
+    {
+        for (const auto& line : it->log.lines)
+        {
+            std::printf("%s %s\n", it->ctx.self.incarnation.c_str(), line.c_str());
+        }
+    }
+}
+
 told test_fleet::ask(test_daemon& d, ports::http_request r, core::millis bound)
 {
     r.fields.emplace_back("Authorization", "Bearer " + operator_token);
@@ -111,7 +124,7 @@
 
 told test_fleet::execute(test_daemon& d, const std::string& text, const std::string& command)
 {
-    const json body = {{"text", text}, {"command", command}};
+    const json body = {{"text", text}, {"command", command}, {"name", "session"}};
     return ask(d, {"POST", "/v1/execute", "", {}, body.dump()});
 }
 
--- a/programs/camphorhitchd/tests/test_fleet.hpp
+++ b/programs/camphorhitchd/tests/test_fleet.hpp
@@ -50,6 +50,8 @@
     void run_for(core::millis wait);
     /// Waits until all daemons are in the roster and fresh.
     bool wait_ready();
+    /// Prints all log lines, for whoever looks into a failure.
+    void dump() const;
 
     /// One operator's request to \p d, awaited.
     told ask(test_daemon& d, ports::http_request r, core::millis bound = core::millis{60000});
