--- a/programs/camphorhitch/src/arguments.cpp
+++ b/programs/camphorhitch/src/arguments.cpp
@@ -1,13 +1,14 @@
 #include "arguments.hpp"
 
+#include "options.hpp"
+#include "settings/client_settings.hpp"
+
 #include <cstdlib>
-// Statements hold commas; a list of values is given by repeating the option.
-#define CXXOPTS_VECTOR_DELIMITER (char)0
-#include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
 #include <iterator>
 #include <sstream>
+#include <utility>
 
 namespace camphorhitch::client
 {
@@ -17,44 +18,14 @@
 
 constexpr const char* version_text = "camphorhitch 0.1.0\n";
 constexpr const char* no_server =
-    "no server: give --server ip:port, or set CAMPHORHITCH_SERVERS to a list of them";
+    "no server: give --server ip:port or --settings FILE, or set CAMPHORHITCH_SERVERS";
+// A daemon can't tell of a file, as it can of statements, when it is in force everywhere; with
+// this let through, the client would say so at once without knowing.
+constexpr const char* wait_of_a_file = "--wait is for statements, not for --apply";
 
-cxxopts::Options describe()
+core::finding on_command_line(const std::string& text)
 {
-    cxxopts::Options options("camphorhitch", "Queries and commands for a camphorhitch fleet.");
-    auto add = options.add_options();
-    add("s,server",
-        "operators' address of a daemon, ip:port; several are tried in order",
-        cxxopts::value<std::vector<std::string>>());
-    add("token-file", "file that holds the operators' token", cxxopts::value<std::string>());
-    add("f,file",
-        "read statements from a file; - is standard input",
-        cxxopts::value<std::string>());
-    add("apply",
-        "apply a file of configuration and hosts; - is standard input",
-        cxxopts::value<std::string>());
-    add("json", "print JSON instead of tables");
-    add("wait", "wait until a command is in force everywhere, or a wave has ended");
-    add("wait-seconds",
-        "give up waiting after this long",
-        cxxopts::value<int>()->default_value("600"));
-    add("watch", "repeat a query every N seconds", cxxopts::value<int>()->default_value("0"));
-    add("timeout-ms", "most time for one call", cxxopts::value<int>()->default_value("10000"));
-    add("command-id",
-        "id of the command; give the same one to repeat it safely",
-        cxxopts::value<std::string>()->default_value(""));
-    add("h,help", "print this text");
-    add("version", "print the version");
-    add("statements", "statements, separated by ;", cxxopts::value<std::vector<std::string>>());
-    options.parse_positional({"statements"});
-    options.positional_help("'STATEMENT; ...'");
-    return options;
-}
-
-std::string from_environment(const char* name)
-{
-    const char* text = std::getenv(name);
-    return text == nullptr ? std::string{} : std::string{text};
+    return {{"command line", "", 0, 0}, text, ""};
 }
 
 std::vector<std::string> split(const std::string& text)
@@ -76,97 +47,208 @@
     return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
 }
 
-void read_token(const cxxopts::ParseResult& given, arguments& out, core::findings& wrong)
+/// Reads one command line; what is wrong gathers in found().
+class reader
 {
-    out.token = from_environment("CAMPHORHITCH_TOKEN");
-    if (given.count("token-file") == 0)
+public:
+    reader(const cxxopts::ParseResult& given, const surroundings& around)
+        : given_(given), around_(around)
     {
-        return;
     }
-    const auto name = given["token-file"].as<std::string>();
-    std::ifstream file(name);
-    if (!file)
+
+    parsed_arguments read()
     {
-        wrong.push_back({{name, "", 0, 0}, "can't read the token", ""});
-        return;
+        read_settings();
+        read_servers();
+        read_token();
+        read_statements();
+        read_ways();
+        if (!wrong_.empty())
+        {
+            return wrong_;
+        }
+        return out_;
     }
-    std::getline(file, out.token);
-}
 
-void read_statements(const cxxopts::ParseResult& given, arguments& out, core::findings& wrong)
-{
-    out.apply = given.count("apply") > 0;
-    if (given.count("file") == 0 && !out.apply)
+private:
+    std::optional<std::string> text_of_file(const std::string& name, const char* problem)
     {
-        out.statements_name = "argument";
-        if (given.count("statements") > 0)
+        auto text = around_.file(name);
+        if (!text)
         {
-            for (const auto& it : given["statements"].as<std::vector<std::string>>())
-            {
-                out.statements += out.statements.empty() ? it : " " + it;
-            }
+            wrong_.push_back({{name, "", 0, 0}, problem, ""});
         }
+        return text;
     }
-    else if (const auto name = given[out.apply ? "apply" : "file"].as<std::string>(); name == "-")
+
+    bool has(const char* option) const
     {
-        out.statements_name = "standard input";
-        out.statements = whole(std::cin);
+        return given_.count(option) > 0;
     }
-    else
+
+    std::string value(const char* option) const
     {
-        out.statements_name = name;
-        std::ifstream file(name);
-        if (!file)
+        return given_[option].as<std::string>();
+    }
+
+    void read_settings()
+    {
+        if (!has("settings"))
+        {
+            return;
+        }
+        const auto text = text_of_file(value("settings"), "can't read the settings");
+        if (!text)
         {
-            wrong.push_back({{name, "", 0, 0}, "can't read the statements", ""});
             return;
         }
-        out.statements = whole(file);
+        auto read = settings::read_client_settings(*text, value("settings"));
+        if (const auto* found = std::get_if<core::findings>(&read))
+        {
+            wrong_.insert(wrong_.end(), found->begin(), found->end());
+            return;
+        }
+        auto& good = std::get<settings::client_settings>(read);
+        out_.servers = std::move(good.operators);
+        out_.token = std::move(good.token);
+        out_.timeout_ms = static_cast<int>(good.timeout.count());
     }
-    if (out.statements.empty())
+
+    void read_servers()
     {
-        wrong.push_back(
-            {{out.statements_name, "", 0, 0}, "no statement, for example 'show hosts'", ""});
+        if (has("server"))
+        {
+            out_.servers = given_["server"].as<std::vector<std::string>>();
+        }
+        else if (const auto text = around_.variable("CAMPHORHITCH_SERVERS"))
+        {
+            out_.servers = split(*text);
+        }
+        if (out_.servers.empty() && wrong_.empty())
+        {
+            wrong_.push_back(on_command_line(no_server));
+        }
     }
-}
 
-parsed_arguments take(const cxxopts::ParseResult& given)
-{
-    arguments out;
-    core::findings wrong;
-    out.servers = split(from_environment("CAMPHORHITCH_SERVERS"));
-    if (given.count("server") > 0)
+    void read_token()
     {
-        out.servers = given["server"].as<std::vector<std::string>>();
+        if (!has("token-file"))
+        {
+            out_.token = around_.variable("CAMPHORHITCH_TOKEN").value_or(out_.token);
+            return;
+        }
+        if (const auto text = text_of_file(value("token-file"), "can't read the token"))
+        {
+            out_.token = text->substr(0, text->find('\n'));
+        }
     }
-    if (out.servers.empty())
+
+    void read_statements()
     {
-        wrong.push_back({{"command line", "", 0, 0}, no_server, ""});
+        out_.apply = has("apply");
+        if (out_.apply && has("file"))
+        {
+            wrong_.push_back(on_command_line("--file and --apply don't go together"));
+        }
+        if (out_.apply || has("file"))
+        {
+            read_named_text(value(out_.apply ? "apply" : "file"));
+        }
+        else
+        {
+            join_statements();
+        }
+        if (out_.statements.empty() && wrong_.empty())
+        {
+            wrong_.push_back(
+                {{out_.statements_name, "", 0, 0}, "no statement, for example 'show hosts'", ""});
+        }
     }
-    read_token(given, out, wrong);
-    read_statements(given, out, wrong);
-    out.json = given.count("json") > 0;
-    out.wait = given.count("wait") > 0;
-    out.wait_seconds = given["wait-seconds"].as<int>();
-    out.watch_seconds = given["watch"].as<int>();
-    out.timeout_ms = given["timeout-ms"].as<int>();
-    out.command_id = given["command-id"].as<std::string>();
-    if (out.watch_seconds < 0 || out.wait_seconds < 0 || out.timeout_ms <= 0)
+
+    void read_named_text(const std::string& name)
     {
-        wrong.push_back({{"command line", "", 0, 0}, "times must not be negative", ""});
+        if (has("statements"))
+        {
+            wrong_.push_back(
+                on_command_line("statements come from the file or from here, not both"));
+        }
+        if (name == "-")
+        {
+            out_.statements_name = "standard input";
+            out_.statements = around_.standard_input();
+            return;
+        }
+        out_.statements_name = name;
+        out_.statements = text_of_file(name, "can't read the statements").value_or("");
     }
-    if (!wrong.empty())
+
+    void join_statements()
     {
-        return wrong;
+        out_.statements_name = "argument";
+        if (has("statements"))
+        {
+            for (const auto& it : given_["statements"].as<std::vector<std::string>>())
+            {
+                out_.statements += out_.statements.empty() ? it : " " + it;
+            }
+        }
     }
-    return out;
+
+    void read_ways()
+    {
+        out_.json = has("json");
+        out_.wait = has("wait");
+        out_.wait_seconds = given_["wait-seconds"].as<int>();
+        out_.watch_seconds = given_["watch"].as<int>();
+        out_.timeout_ms = has("timeout-ms") ? given_["timeout-ms"].as<int>() : out_.timeout_ms;
+        out_.command_id = value("command-id");
+        if (out_.watch_seconds < 0 || out_.wait_seconds < 0)
+        {
+            wrong_.push_back(on_command_line("times must not be negative"));
+        }
+        if (out_.timeout_ms <= 0)
+        {
+            wrong_.push_back(on_command_line("--timeout-ms must be more than 0"));
+        }
+        if (out_.wait && out_.apply)
+        {
+            wrong_.push_back(on_command_line(wait_of_a_file));
+        }
+    }
+
+    const cxxopts::ParseResult& given_;
+    const surroundings& around_;
+    arguments out_;
+    core::findings wrong_;
+};
+
+std::optional<std::string> own_variable(const std::string& name)
+{
+    const char* text = std::getenv(name.c_str());
+    return text == nullptr ? std::nullopt : std::optional<std::string>{text};
+}
+
+std::optional<std::string> own_file(const std::string& name)
+{
+    std::ifstream in(name);
+    return in ? std::optional<std::string>{whole(in)} : std::nullopt;
 }
 
 } // namespace
 
-parsed_arguments read_arguments(int argc, char** argv)
+surroundings own_surroundings()
+{
+    return {own_variable,
+        own_file,
+        []
+        {
+            return whole(std::cin);
+        }};
+}
+
+parsed_arguments read_arguments(int argc, const char* const* argv, const surroundings& around)
 {
-    auto options = describe();
+    auto options = describe_options();
     try
     {
         const auto given = options.parse(argc, argv);
@@ -178,11 +260,11 @@
         {
             return only_text{version_text};
         }
-        return take(given);
+        return reader(given, around).read();
     }
     catch (const cxxopts::exceptions::exception& ec)
     {
-        return core::findings{{{"command line", "", 0, 0}, ec.what(), ""}};
+        return core::findings{on_command_line(ec.what())};
     }
 }
 
--- a/programs/camphorhitch/src/arguments.hpp
+++ b/programs/camphorhitch/src/arguments.hpp
@@ -4,6 +4,8 @@
 
 #include "core/findings.hpp"
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -34,8 +36,19 @@
 
 using parsed_arguments = std::variant<arguments, only_text, core::findings>;
 
-/// Reads the command line, the environment (CAMPHORHITCH_SERVERS, CAMPHORHITCH_TOKEN) and the
-/// statements' file or standard input.
-parsed_arguments read_arguments(int argc, char** argv);
+/// What the client is started in, so that tests can give their own.
+struct surroundings
+{
+    std::function<std::optional<std::string>(const std::string& name)> variable;
+    std::function<std::optional<std::string>(const std::string& name)> file;
+    std::function<std::string()> standard_input;
+};
+
+/// \return the process's own environment, files and standard input.
+surroundings own_surroundings();
+
+/// Reads the command line and what it names. Of each value, an option goes before the environment
+/// (CAMPHORHITCH_SERVERS, CAMPHORHITCH_TOKEN) and that before the settings file.
+parsed_arguments read_arguments(int argc, const char* const* argv, const surroundings& around);
 
 } // namespace camphorhitch::client
--- a/programs/camphorhitch/src/session.hpp
+++ b/programs/camphorhitch/src/session.hpp
@@ -1,40 +1,32 @@
 /// \file
-/// One call of the client: sends statements to a daemon, and tries the next when it can't be reached.
+/// One call of the client: sends statements to a daemon, and tries the next when it can't be
+/// reached.
 #pragma once
 
+#include "answers.hpp"
 #include "arguments.hpp"
 
+#include <functional>
 #include <string>
 
 namespace camphorhitch::client
 {
 
-/// Exit codes, documented in docs/operators/client.md.
-enum class exit_code
+struct operator_request
 {
-    ok = 0,
-    refused = 1,        ///< a statement is wrong or was refused; findings are printed
-    usage = 2,          ///< the command line is wrong
-    conflict = 3,       ///< somebody else's change came first
-    unavailable = 4,    ///< certainly not done; may work later
-    unknown_effect = 5, ///< may have been done: repeat with the same --command-id
-    unauthorized = 6,   ///< the token is missing or wrong
-    wait_ended = 7      ///< done, but not in force everywhere within --wait-seconds
+    const char* method = "POST";
+    std::string path;
+    std::string body;
+    std::string command_id;
 };
 
-struct call_outcome
-{
-    exit_code code = exit_code::unavailable;
-    std::string text; ///< for standard output
-    std::string problem; ///< for standard error
-    bool settled = true; ///< with --wait: in force everywhere
-};
+/// Sends one request to one server and waits for the answer.
+using send_function =
+    std::function<raw_answer(const std::string& server, const operator_request& request)>;
 
 /// \param command_id the same one makes a repeat have its effect once.
 /// \param check_only only asks whether the command is in force everywhere by now.
-call_outcome execute(const arguments& a, const std::string& command_id, bool check_only);
-
-/// \return a random UUID.
-std::string new_command_id();
+call_outcome execute(
+    const arguments& a, const send_function& send, const std::string& command_id, bool check_only);
 
 } // namespace camphorhitch::client
