--- a/libs/jobs/tests/history.cpp
+++ b/libs/jobs/tests/history.cpp
@@ -48,7 +48,7 @@
 history::history() : world_(make_world(hosts))
 {
     world_.rules.trust_after = core::millis{1'000'000'000}; // so that what is reserved is counted
-    world_.grants = {{"lens", {12, 1000, 0}}, {"trips", {14, 1000, 0}}};
+    world_.teams = {{"lens", 12, 1000, 0}, {"trips", 14, 1000, 0}};
     world_.platform.behaviour = really;
     world_.kv.next_fault = [this]
     {
@@ -60,7 +60,10 @@
         write_fault_ = write_fault_ * 1664525 + 1013904223;
         return static_cast<job_fakes::write_fault>(write_fault_ / 65536 % 4);
     };
-    world_.command_lost = [this](const jobs::command_tasks&) { return faulty_commands_-- > 0; };
+    world_.command_lost = [this](const jobs::command_tasks&)
+    {
+        return faulty_commands_-- > 0;
+    };
     world_.order_fault = [this](const ports::task_order& it)
     {
         return order(it);
@@ -161,6 +164,8 @@
         break;
     case event_kind::take_over:
         epoch_ += 1;
+        faulty_writes_ = static_cast<int>(n % 64); // the marks arrive at different times
+        write_fault_ = n;
         owners_.push_back(
             job_fakes::make_member("quotes", epoch_, "e" + std::to_string(epoch_), world_.now));
         break;
@@ -300,10 +305,10 @@
             const jobs::job* j = job_fakes::stored_job(world_, jobs::job_of_task(t.order.task));
             use[j->team] = use[j->team] + j->declared;
         });
-    for (const auto& it : use)
+    for (const auto& it : world_.teams)
     {
-        expect(jobs::fits(it.second, world_.grants.at(it.first)),
-            "a team is over its quota: " + it.first);
+        const jobs::amounts quota{it.processors, it.memory_gb, it.accelerators};
+        expect(jobs::fits(use[it.name], quota), "a team is over its quota: " + it.name);
     }
 }
 
