No gap of freshness at an outage's begin and end

Cause: at the begin, a member's newest confirmation (up to 1 s old) ran out while peers still reported the store reachable; at the end, the first member to reach the store voided its word for the others until their own next turn (all refusals lay 0.15 to 0.6 s after the outage's end). Ruled out: the claims' holders and the owners (all refusals had the reason not_ready at the entry host). Change: confirmations every 0.7 s; a member that hears of a reachable store asks it at once.

--- a/programs/camphorhitchd/src/context.hpp
+++ b/programs/camphorhitchd/src/context.hpp
@@ -21,9 +21,12 @@
 /// Times of the daemon's own rounds.
 struct round_settings
 {
-    core::millis beat{500};           ///< between heartbeats to each peer
-    core::millis membership{250};     ///< between looks at the roster
-    core::millis confirm{1000};       ///< between confirmations by the store
+    core::millis beat{500};       ///< between heartbeats to each peer
+    core::millis membership{250}; ///< between looks at the roster
+    /// Between confirmations by the store. When it goes out of reach, the newest one must still
+    /// hold (3 s) when the peers own store windows (1.5 s) and a heartbeat (0.5 s) have passed;
+    /// else all members refuse requests for a moment at the begin of each outage.
+    core::millis confirm{700};
     core::millis lease_ttl{5000};     ///< of our member record
     core::millis fleet{200};          ///< between decision rounds of pools and waves
     core::millis live_list{1000};     ///< between reads of the live list
--- a/programs/camphorhitchd/src/membership_service.cpp
+++ b/programs/camphorhitchd/src/membership_service.cpp
@@ -367,6 +367,12 @@
     const auto now = context_.scheduler.now();
     peers_[from.member] = {from.config_version, from.epoch, from.fresh, now};
     membership::on_word(stop_, sender_of(from, ""), from.epoch, now);
+    if (from.store_reachable && !store_reachable())
+    {
+        // The peer reaches the store again, so its word no longer counts for us. Without asking the
+        // store at once this member would refuse requests until its next turn to ask.
+        confirm();
+    }
     if (!from.roster_document.empty())
     {
         adopt(from.roster_document, 0);
