--- a/programs/camphorhitch/src/session.cpp
+++ b/programs/camphorhitch/src/session.cpp
@@ -43,7 +43,9 @@
                 return out;
             }
             last.text = out.text;
-            last.problem += out.problem;
+            // Daemons that lack the same thing say the same.
+            const bool told = last.problem.find(out.problem) != std::string::npos;
+            last.problem += told ? std::string{} : out.problem;
             continue;
         }
         // The command carries its id, so asking the next daemon after bytes have left is safe.
--- a/programs/camphorhitch/tests/run_tests.cpp
+++ b/programs/camphorhitch/tests/run_tests.cpp
@@ -121,6 +121,15 @@
     STRCMP_EQUAL("a:1 POST /v1/execute given-id", again.asked.front().c_str());
 }
 
+TEST(run, what_all_servers_lack_is_told_once)
+{
+    fake_process p;
+    p.answers = {answered(R"({"results": [{"code": "unavailable", "text": "no service\n"}]})")};
+    CHECK_EQUAL(4, static_cast<int>(p.run(ask("drain host h1"))));
+    CHECK_EQUAL(2U, p.asked.size());
+    STRCMP_EQUAL("no service\n", p.err.str().c_str());
+}
+
 TEST(run, a_file_is_put_as_it_is)
 {
     fake_process p;
