Jobs: what was accepted never outgrows its document

Change: bounds follow what is stored; records of jobs that are over drop what only a task needs; a crowded document forgets after 15 minutes instead of 6 hours; texts of workers are cut; running keeps the reason of placement. Tested: jobs_tests 34 tests, 1296 checks, all pass.

--- a/libs/jobs/include/jobs/pool_jobs.hpp
+++ b/libs/jobs/include/jobs/pool_jobs.hpp
@@ -65,7 +65,7 @@
     std::optional<ports::task_action> throttle_command; ///< the newest sent
     /// What the worker is known to do; unknown while a command to change it is under way.
     std::optional<bool> throttled_there;
-    bool proved = false;           ///< its success was noted
+    bool proved = false; ///< its success was noted
     bool judged = false; ///< its end was noted: a conflicting write makes a round take it in again
 };
 
@@ -112,7 +112,7 @@
     std::unordered_map<std::string, core::mono_time> waiting_since; ///< by job
     std::unordered_map<std::string, claim> claims;                  ///< by job
     std::unordered_map<std::string, reservation> reservations;      ///< by job
-    std::unordered_map<std::string, team_grant> teams; ///< by name
+    std::unordered_map<std::string, team_grant> teams;              ///< by name
     estimator sizes;
     pool_health health;
     bool learned = false; ///< the documents' jobs that are over were learned from
--- a/libs/jobs/include/jobs/quota.hpp
+++ b/libs/jobs/include/jobs/quota.hpp
@@ -45,9 +45,8 @@
 
 /// Adapts a pool's grant to what it uses and wants. A pool that wants more gets what is left, with
 /// some to spare; while another pool lacks something, each keeps what it uses or its equal part.
-/// A wish of a former owner, delayed until the pool has a newer one, changes nothing: it would lower
-/// the grant below what the newer one has placed since.
-/// \return whether the document changed.
+/// A wish of a former owner, delayed until the pool has a newer one, changes nothing: it would
+/// lower the grant below what the newer one has placed since. \return whether the document changed.
 bool adjust(quota_document& d, const quota_wish& wish, const amounts& quota);
 
 /// \return the smaller of each.
--- a/libs/jobs/include/jobs/settings.hpp
+++ b/libs/jobs/include/jobs/settings.hpp
@@ -18,6 +18,7 @@
     std::size_t most_bytes = 900000;         ///< of one document's text
     std::size_t most_payload = 4096;         ///< bytes of one job's payload
     core::millis keep_over{6 * 3600 * 1000}; ///< how long a job that is over is remembered
+    core::millis keep_over_least{900000};    ///< the same in a document that is half full
     core::millis lazy_write{3000};           ///< longest wait of a change that nobody needs soon
 
     // Leases.
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -15,6 +15,9 @@
 /// Sums of shares of a processor or gigabyte are off by rounding; this is far below any real size.
 constexpr double rounding = 1e-6;
 
+/// A worker's own words go into the record; their length must not fill a document.
+constexpr std::size_t longest_weighed = 200;
+
 template <class Document>
 auto find_in(Document& d, const std::string& id) -> decltype(d.jobs.data())
 {
@@ -133,6 +136,12 @@
 
 void enter(job& j, job_state next, std::int64_t now_ms, std::string rule, std::string weighed)
 {
+    if (weighed.size() > longest_weighed)
+    {
+        weighed.resize(longest_weighed);
+    }
+    std::replace_if(
+        weighed.begin(), weighed.end(), [](unsigned char c) { return c < ' '; }, ' ');
     j.state = next;
     j.since_ms = now_ms;
     j.why = {std::move(rule), std::move(weighed), now_ms};
@@ -140,6 +149,13 @@
     {
         j.payload.clear();
     }
+    if (is_over(j) && !holds_host(j) && next != job_state::unknown)
+    {
+        j.starter.clear();
+        j.reserved = {};
+        j.expected = core::millis{0};
+        j.lease = core::millis{0};
+    }
 }
 
 std::string group_of(const job& j)
--- a/libs/jobs/src/quota.cpp
+++ b/libs/jobs/src/quota.cpp
@@ -129,7 +129,8 @@
     const amounts target = smaller(target_of(d, own, wish.in_use, quota), left);
     // What runs can't be taken back: after a quota was lowered the use stands until jobs end.
     own.granted = larger(target, smaller(wish.in_use, own.granted));
-    core::require(fits(sum_of(d), larger(quota, before)), "a team's grants exceed its quota", d.team);
+    core::require(
+        fits(sum_of(d), larger(quota, before)), "a team's grants exceed its quota", d.team);
     return !(own.owner == old.owner) || !(own.granted == old.granted) || lacks(own) != lacks(old);
 }
 
--- a/libs/jobs/src/reconcile.cpp
+++ b/libs/jobs/src/reconcile.cpp
@@ -14,6 +14,9 @@
 
 constexpr int most_doublings = 8;
 
+/// A longer name is taken for none: it would not fit the documents.
+constexpr std::size_t longest_checkpoint_name = 128;
+
 /// Why a job may be given a new task.
 enum class restart_proof
 {
@@ -159,6 +162,12 @@
     }
 }
 
+bool has_new_checkpoint(const reconciling& r)
+{
+    const std::string& name = r.task.report.checkpoint;
+    return !name.empty() && name.size() <= longest_checkpoint_name && name != r.it.checkpoint;
+}
+
 void on_stopped(reconciling& r)
 {
     if (!r.it.idempotent)
@@ -170,7 +179,7 @@
             "its worker stopped it on " + r.it.host);
         return;
     }
-    if (!r.task.report.checkpoint.empty())
+    if (has_new_checkpoint(r))
     {
         r.it.checkpoint = r.task.report.checkpoint;
     }
@@ -212,10 +221,11 @@
 {
     if (r.it.state == job_state::starting)
     {
-        change(r, job_state::running, write_need::lazy, "seen_running", "on " + r.it.host);
+        r.it.state = job_state::running; // the record goes on saying why it was placed there
+        r.it.since_ms = now_ms(r.in);
+        touch(r.bucket, r.it, write_need::lazy, r.in.now);
     }
-    if (!r.task.report.checkpoint.empty() && r.task.report.checkpoint != r.it.checkpoint &&
-        r.it.state == job_state::running)
+    if (has_new_checkpoint(r) && r.it.state == job_state::running)
     {
         r.it.checkpoint = r.task.report.checkpoint;
         touch(r.bucket, r.it, write_need::lazy, r.in.now);
--- a/libs/jobs/src/round.cpp
+++ b/libs/jobs/src/round.cpp
@@ -5,8 +5,8 @@
 #include "make_room.hpp"
 #include "place.hpp"
 #include "reconcile.hpp"
-#include "wishes.hpp"
 #include "text.hpp"
+#include "wishes.hpp"
 
 #include <algorithm>
 
--- a/libs/jobs/src/submit.cpp
+++ b/libs/jobs/src/submit.cpp
@@ -15,7 +15,13 @@
 {
 
 /// Names of fields, punctuation, numbers and times of one job, all at their longest.
-constexpr std::size_t fixed_job_bytes = 900;
+constexpr std::size_t fixed_job_bytes = 600;
+
+/// The same of what only a placed job has.
+constexpr std::size_t placed_job_bytes = 260;
+
+/// Texts that a job gets when it is placed: host, starter, checkpoint, reasons.
+constexpr std::size_t texts_to_come = 400;
 constexpr std::size_t fixed_document_bytes = 256;
 constexpr std::size_t failure_bytes = 40;
 
@@ -311,21 +317,28 @@
 
 std::size_t forget_old(job_document& d, const settings& rules, core::wall_time now)
 {
-    const std::int64_t oldest = core::to_unix_ms(now) - rules.keep_over.count();
+    const bool crowded =
+        d.jobs.size() > rules.most_jobs / 2 || text_bound(d) > rules.most_bytes / 2;
+    const core::millis kept = crowded ? rules.keep_over_least : rules.keep_over;
+    const std::int64_t oldest = core::to_unix_ms(now) - kept.count();
     return std::erase_if(
         d.jobs, [&](const job& j) { return is_over(j) && !holds_host(j) && j.since_ms < oldest; });
 }
 
 std::size_t text_bound(const job& j)
 {
-    std::size_t n = fixed_job_bytes + json_length(j.payload) + json_length(j.why.weighed);
-    n += j.id.size() + j.team.size() + j.kind.size() + j.host.size() + j.starter.size();
-    n += json_length(j.checkpoint) + j.moved_in.size() + j.why.rule.size();
+    std::size_t n = fixed_job_bytes + json_length(j.payload);
+    n += j.id.size() + j.team.size() + json_length(j.kind) + json_length(j.moved_in);
+    std::size_t texts = json_length(j.host) + json_length(j.starter) + json_length(j.checkpoint);
+    texts += json_length(j.why.weighed) + j.why.rule.size();
     for (const auto& it : j.failures)
     {
-        n += failure_bytes + it.host.size();
+        texts += failure_bytes + it.host.size();
     }
-    return n;
+    const bool placed = j.lease.count() != 0 || !j.reserved.empty();
+    const bool changes = !is_over(j) || holds_host(j);
+    n += changes ? std::max(texts, texts_to_come) : texts;
+    return n + (placed || changes ? placed_job_bytes : 0);
 }
 
 std::size_t text_bound(const job_document& d)
--- a/libs/jobs/src/wishes.cpp
+++ b/libs/jobs/src/wishes.cpp
@@ -9,7 +9,8 @@
 /// Time between two wishes of one team: a used-up quota isn't asked for in every round.
 constexpr core::millis wish_interval{5000};
 
-/// The same while a team wants more than it did: an urgent job must not wait for the next regular wish.
+/// The same while a team wants more than it did: an urgent job must not wait for the next regular
+/// wish.
 constexpr core::millis growing_interval{200};
 
 /// A grant larger than this share of what is wanted is partly given back.
@@ -52,8 +53,7 @@
         g.used_when_sent = t.in_use;
         g.wanted_when_sent = t.wanted;
         g.sent_at = r.in.now;
-        r.actions.emplace_back(
-            quota_wish{it.first, r.all.pool, r.all.mark, t.in_use, t.wanted});
+        r.actions.emplace_back(quota_wish{it.first, r.all.pool, r.all.mark, t.in_use, t.wanted});
     }
 }
 
--- a/libs/jobs/tests/learning_tests.cpp
+++ b/libs/jobs/tests/learning_tests.cpp
@@ -154,11 +154,8 @@
     quota_document d;
     for (const auto& it : rows)
     {
-        const quota_wish wish{"lens",
-            it.pool,
-            {1, "e1"},
-            {it.in_use, it.in_use, 0},
-            {it.wanted, it.wanted, 0}};
+        const quota_wish wish{
+            "lens", it.pool, {1, "e1"}, {it.in_use, it.in_use, 0}, {it.wanted, it.wanted, 0}};
         adjust(d, wish, {it.quota, it.quota, 0});
         DOUBLES_EQUAL(it.granted, granted_to(d, wish)->processors, 1e-9);
     }
--- a/libs/jobs/tests/order_tests.cpp
+++ b/libs/jobs/tests/order_tests.cpp
@@ -102,7 +102,10 @@
     w = make_world(1);
     m = make_member("quotes", 1, "e1", w.now);
     fill(job_class::long_running, true);
-    w.command_lost = [](const command_tasks& it) { return it.what == ports::task_action::throttle; };
+    w.command_lost = [](const command_tasks& it)
+    {
+        return it.what == ports::task_action::throttle;
+    };
     submission s = make_submission("urgent", 4, job_class::urgent);
     s.declared.memory_gb = 1;
     submit(s);
@@ -164,8 +167,8 @@
     CHECK_EQUAL(3u, w.platform.starts.size());
 }
 
-// Two pools share a team's quota. One gives back what it doesn't need; while its write is under way it
-// must not start a job on it, since the other pool may have been granted the same.
+// Two pools share a team's quota. One gives back what it doesn't need; while its write is under way
+// it must not start a job on it, since the other pool may have been granted the same.
 TEST(order, nothing_starts_on_a_share_that_is_being_given_back)
 {
     w.teams[0].processors = 12;
--- a/testing/job_fakes/src/member.cpp
+++ b/testing/job_fakes/src/member.cpp
@@ -154,8 +154,7 @@
 
 void step_with(member& m, world& w, bool starts_only)
 {
-    const jobs::round_input in{
-        w.hosts, w.teams, w.leaving_in, w.rules, w.now, wall_now(w)};
+    const jobs::round_input in{w.hosts, w.teams, w.leaving_in, w.rules, w.now, wall_now(w)};
     for (int i = 0; i < most_rounds; ++i)
     {
         m.again = false;
