--- a/libs/jobs/include/jobs/job.hpp
+++ b/libs/jobs/include/jobs/job.hpp
@@ -105,12 +105,32 @@
     }
 };
 
-amounts operator+(const amounts& a, const amounts& b);
-amounts operator-(const amounts& a, const amounts& b);
-bool operator==(const amounts& a, const amounts& b);
+inline amounts operator+(const amounts& a, const amounts& b)
+{
+    return {
+        a.processors + b.processors, a.memory_gb + b.memory_gb, a.accelerators + b.accelerators};
+}
+
+inline amounts operator-(const amounts& a, const amounts& b)
+{
+    return {
+        a.processors - b.processors, a.memory_gb - b.memory_gb, a.accelerators - b.accelerators};
+}
 
-/// \return whether \p need fits into \p room, with a tolerance for rounding.
-bool fits(const amounts& need, const amounts& room);
+inline bool operator==(const amounts& a, const amounts& b)
+{
+    return a.processors == b.processors && a.memory_gb == b.memory_gb &&
+           a.accelerators == b.accelerators;
+}
+
+/// \return whether \p need fits into \p room. Sums of shares of a processor or gigabyte are off by
+/// rounding; the tolerance is far below any real size.
+inline bool fits(const amounts& need, const amounts& room)
+{
+    constexpr double rounding = 1e-6;
+    return need.processors <= room.processors + rounding &&
+           need.memory_gb <= room.memory_gb + rounding && need.accelerators <= room.accelerators;
+}
 
 /// Failures of one job on one host.
 struct host_failure
@@ -154,6 +174,8 @@
     // In memory only.
     std::uint64_t pending_write = 0; ///< number of the write that will store it; 0: stored
     wait_reason waits_for = wait_reason::none;
+    int team_number = -1;  ///< see pool_jobs::team_numbers
+    int group_number = -1; ///< see pool_jobs::group_numbers
 };
 
 /// Who may place a pool's jobs: stands in each of its documents, and only ever grows.
--- a/libs/jobs/include/jobs/pool_jobs.hpp
+++ b/libs/jobs/include/jobs/pool_jobs.hpp
@@ -29,7 +29,8 @@
 enum class write_need : std::uint8_t
 {
     none,
-    lazy, ///< nobody waits for it; goes with the next change, or after settings::lazy_write
+    with_next, ///< goes with the next change, whenever that comes
+    lazy,      ///< the same, but is written after settings::lazy_write
     soon
 };
 
@@ -65,10 +66,21 @@
     std::optional<ports::task_action> throttle_command; ///< the newest sent
     /// What the worker is known to do; unknown while a command to change it is under way.
     std::optional<bool> throttled_there;
+    std::uint64_t round = 0; ///< number of the last round in which a job held it
     bool proved = false; ///< its success was noted
     bool judged = false; ///< its end was noted: a conflicting write makes a round take it in again
 };
 
+/// Numbers for names, given in the order in which they come.
+struct name_numbers
+{
+    std::unordered_map<std::string, int> numbers;
+    std::vector<std::string> names;
+};
+
+/// \return the number of \p name.
+int number_of(name_numbers& all, const std::string& name);
+
 /// What a team may use of its quota in this pool.
 struct team_grant
 {
@@ -115,6 +127,10 @@
     std::unordered_map<std::string, team_grant> teams;              ///< by name
     estimator sizes;
     pool_health health;
+    std::uint64_t rounds = 0; ///< run so far
+    core::mono_time forgot_at{}; ///< when views that nobody needs were last forgotten
+    name_numbers team_numbers;   ///< jobs carry their numbers, so that a round compares no texts
+    name_numbers group_numbers;  ///< of group_of()
     bool learned = false; ///< the documents' jobs that are over were learned from
 };
 
--- a/libs/jobs/src/candidates.cpp
+++ b/libs/jobs/src/candidates.cpp
@@ -143,6 +143,7 @@
     {
         host_view& v = index.at(it->second);
         const answer a = can_take(v, s);
+        best.end.any_room = best.end.any_room || a != answer::no_room;
         if (a == answer::leaves_too_soon)
         {
             best.end.reason = wait_reason::drains_too_soon;
@@ -252,17 +253,38 @@
         entries_.end(),
         [&](const entry& it)
         {
-            return it.size.run_time <= s.size.run_time && (it.favoured || !favoured) &&
-                   fits(it.size.size, s.size.size) && fits(it.declared, s.it.declared);
+            const bool same_hosts =
+                (it.declared.accelerators > 0) == (s.it.declared.accelerators > 0);
+            return same_hosts && it.size.run_time <= s.size.run_time &&
+                   (it.favoured || !favoured) && fits(it.size.size, s.size.size) &&
+                   fits(it.declared, s.it.declared);
         });
 }
 
-void failed_sizes::add(const search& s, wait_reason why)
+void failed_sizes::add(const search& s, const search_end& why)
 {
-    reason_ = why;
-    if (is_plain(s) && entries_.size() < most_failed_sizes)
+    reason_ = why.reason;
+    if (!is_plain(s))
     {
-        entries_.push_back({s.size, s.it.declared, is_favoured(s.it)});
+        return;
+    }
+    entry made{s.size, s.it.declared, is_favoured(s.it)};
+    if (!why.any_room)
+    {
+        // However short and however favoured, there is no room for it.
+        made.size.run_time = core::millis{0};
+        made.favoured = true;
+    }
+    std::erase_if(entries_,
+        [&](const entry& it)
+        {
+            return made.size.run_time <= it.size.run_time && (made.favoured || !it.favoured) &&
+                   made.declared.accelerators == it.declared.accelerators &&
+                   fits(made.size.size, it.size.size) && fits(made.declared, it.declared);
+        });
+    if (entries_.size() < most_failed_sizes)
+    {
+        entries_.push_back(made);
     }
 }
 
--- a/libs/jobs/src/candidates.hpp
+++ b/libs/jobs/src/candidates.hpp
@@ -14,7 +14,7 @@
 struct search
 {
     round_state& r;
-    const job& it;
+    job& it;
     const estimate& size;
 };
 
@@ -46,6 +46,7 @@
 {
     host_view* host = nullptr;
     wait_reason reason = wait_reason::no_room; ///< when there is none
+    bool any_room = false; ///< some host had room, but something else was against it
 };
 
 search_end find_host(candidate_index& index, const search& s);
@@ -56,7 +57,7 @@
 {
 public:
     bool covers(const search& s) const;
-    void add(const search& s, wait_reason why);
+    void add(const search& s, const search_end& why);
     wait_reason reason() const;
 
 private:
--- a/libs/jobs/src/collect.cpp
+++ b/libs/jobs/src/collect.cpp
@@ -18,32 +18,56 @@
     g.in_rack[static_cast<std::size_t>(v.rack)] += 1;
 }
 
+team_view make_team(const round_state& r, const std::string& name)
+{
+    team_view t;
+    if (const auto it = r.all.teams.find(name); it != r.all.teams.end())
+    {
+        const team_grant& g = it->second;
+        t.grant = g.pending ? smaller(g.granted, g.used_when_sent) : g.granted;
+    }
+    for (const auto& it : r.in.teams)
+    {
+        if (it.name == name)
+        {
+            t.quota = {it.processors, it.memory_gb, it.accelerators};
+            t.configured = true;
+        }
+    }
+    return t;
+}
+
+void add_teams_up_to(round_state& r, std::size_t count)
+{
+    for (std::size_t i = r.teams.size(); i < count; ++i)
+    {
+        r.teams.push_back(make_team(r, r.all.team_numbers.names[i]));
+    }
+}
+
+/// Also teams whose last job has ended: what they were granted goes back.
 void count_teams(round_state& r)
 {
-    for (auto& b : r.all.buckets)
+    add_teams_up_to(r, r.all.team_numbers.names.size());
+    for (const auto& it : r.active)
     {
-        for (auto& j : b.document.jobs)
+        if (holds_host(*it.it))
         {
-            if (holds_host(j))
-            {
-                team_view& t = r.teams[j.team];
-                t.in_use = t.in_use + j.declared;
-            }
+            team_view& t = team_view_of(r, *it.it);
+            t.in_use = t.in_use + it.it->declared;
         }
+    }
+    for (auto& b : r.all.buckets)
+    {
         for (auto& j : b.doubted)
         {
-            team_view& t = r.teams[j.team];
+            team_view& t = team_view_of(r, j);
             t.in_use = t.in_use + j.declared;
         }
     }
     for (auto& it : r.teams)
     {
-        it.second.wanted = it.second.in_use;
-    }
-    for (const auto& it : r.all.teams)
-    {
-        const team_grant& g = it.second;
-        r.teams[it.first].grant = g.pending ? smaller(g.granted, g.used_when_sent) : g.granted;
+        it.wanted = it.in_use;
     }
 }
 
@@ -66,43 +90,28 @@
     }
 }
 
-/// Whether one of the pool's hosts, whatever its state, and the team's quota can hold the size.
-class possible_sizes
+/// \return the different sizes of the pool's hosts, whatever their state.
+std::vector<amounts> host_sizes(const model::pool_document& hosts)
 {
-public:
-    explicit possible_sizes(const round_input& in)
-    {
-        for (const auto& it : in.hosts.hosts)
-        {
-            add({it.processors, it.memory_gb, it.accelerators});
-        }
-        for (const auto& it : in.teams)
-        {
-            quotas_[it.name] = {it.processors, it.memory_gb, it.accelerators};
-        }
-    }
-
-    bool holds(const job& j) const
-    {
-        const auto quota = quotas_.find(j.team);
-        return quota != quotas_.end() && fits(j.declared, quota->second) &&
-               std::any_of(shapes_.begin(),
-                   shapes_.end(),
-                   [&](const amounts& it) { return fits(j.declared, it); });
-    }
-
-private:
-    void add(const amounts& shape)
+    std::vector<amounts> sizes;
+    for (const auto& it : hosts.hosts)
     {
-        if (std::find(shapes_.begin(), shapes_.end(), shape) == shapes_.end())
+        const amounts size{it.processors, it.memory_gb, it.accelerators};
+        if (std::find(sizes.begin(), sizes.end(), size) == sizes.end())
         {
-            shapes_.push_back(shape);
+            sizes.push_back(size);
         }
     }
+    return sizes;
+}
 
-    std::vector<amounts> shapes_;
-    std::unordered_map<std::string, amounts> quotas_;
-};
+bool is_possible(const job& j, const team_view& t, const std::vector<amounts>& sizes)
+{
+    return t.configured && fits(j.declared, t.quota) &&
+           std::any_of(sizes.begin(),
+               sizes.end(),
+               [&](const amounts& it) { return fits(j.declared, it); });
+}
 
 bool goes_first(const placed_job& a, const placed_job& b)
 {
@@ -119,18 +128,36 @@
 
 } // namespace
 
-group_view& group_view_of(round_state& r, const job& j)
+team_view& team_view_of(round_state& r, job& j)
+{
+    if (j.team_number < 0)
+    {
+        j.team_number = number_of(r.all.team_numbers, j.team);
+    }
+    const auto n = static_cast<std::size_t>(j.team_number);
+    add_teams_up_to(r, n + 1);
+    return r.teams[n];
+}
+
+group_view& group_view_of(round_state& r, job& j)
 {
-    const std::string name = group_of(j);
-    const auto [it, added] = r.groups.try_emplace(name);
-    if (added)
+    if (j.group_number < 0)
+    {
+        j.group_number = number_of(r.all.group_numbers, group_of(j));
+    }
+    const auto n = static_cast<std::size_t>(j.group_number);
+    r.groups.resize(std::max(r.groups.size(), n + 1));
+    group_view& g = r.groups[n];
+    if (!g.known)
     {
-        it->second.size = correction_of(r.all.sizes, name, r.in.rules);
-        it->second.in_zone.resize(static_cast<std::size_t>(r.views.zones));
-        it->second.in_rack.resize(static_cast<std::size_t>(r.views.racks));
-        it->second.held_back = is_held_back(r.all.health, name, r.in.rules);
+        const std::string& name = r.all.group_numbers.names[n];
+        g.size = correction_of(r.all.sizes, name, r.in.rules);
+        g.in_zone.resize(static_cast<std::size_t>(r.views.zones));
+        g.in_rack.resize(static_cast<std::size_t>(r.views.racks));
+        g.held_back = is_held_back(r.all.health, name, r.in.rules);
+        g.known = true;
     }
-    return it->second;
+    return g;
 }
 
 void collect(round_state& r)
@@ -143,7 +170,7 @@
             count_task(r, it, v);
         }
     }
-    const possible_sizes possible{r.in};
+    const std::vector<amounts> sizes = host_sizes(r.in.hosts);
     for (auto& b : r.all.buckets)
     {
         for (auto& j : b.document.jobs)
@@ -153,13 +180,13 @@
             {
                 continue;
             }
-            if (possible.holds(j) != waits)
+            if (is_possible(j, team_view_of(r, j), sizes) != waits)
             {
                 judge_possible(r, b, j);
             }
             if (j.state == job_state::waiting)
             {
-                team_view& t = r.teams[j.team];
+                team_view& t = team_view_of(r, j);
                 t.wanted = t.wanted + j.declared;
                 r.waiting.push_back({&j, &b, nullptr});
             }
--- a/libs/jobs/src/commands.cpp
+++ b/libs/jobs/src/commands.cpp
@@ -143,6 +143,10 @@
     for (auto& it : c.all.tasks)
     {
         task_view& t = it.second;
+        if (t.round == c.all.rounds)
+        {
+            continue; // the task of a job that holds it
+        }
         const bool running = t.reported_at && t.report.state == ports::task_state::running &&
                              c.in.now - *t.reported_at <= c.in.rules.report_patience;
         if (!running || !is_due(t.stop_sent, c.in))
@@ -167,21 +171,17 @@
 
 } // namespace
 
-void command_stored(pool_jobs& all, const round_input& in, std::vector<action>& actions)
+void command_stored(pool_jobs& all,
+    const active_jobs& active,
+    const round_input& in,
+    std::vector<action>& actions)
 {
     commanding c{all, in, actions, {}, {}};
-    for (const auto& b : all.buckets)
+    for (const auto& it : active)
     {
-        if (!b.fenced || !b.loaded)
-        {
-            continue;
-        }
-        for (const auto& j : b.document.jobs)
+        if (holds_host(*it.it) && it.it->pending_write == 0)
         {
-            if (holds_host(j) && j.pending_write == 0)
-            {
-                command_one(c, j, view_of(all, task_name(j), in.now));
-            }
+            command_one(c, *it.it, *it.task);
         }
     }
     stop_older_attempts(c);
@@ -195,32 +195,25 @@
     }
 }
 
-void renew_leases(pool_jobs& all, const round_input& in, std::vector<action>& actions)
+void renew_leases(
+    const active_jobs& active, const round_input& in, std::vector<action>& actions)
 {
     std::map<std::string, std::vector<std::string>> due;
-    for (const auto& b : all.buckets)
+    for (const auto& it : active)
     {
-        for (const auto& j : b.document.jobs)
+        const job& j = *it.it;
+        task_view& t = *it.task;
+        const bool renewable = holds_host(j) && j.state != job_state::cancelled;
+        if (!renewable || !t.reported_at || is_silent(t, in.rules, in.now))
+        {
+            continue;
+        }
+        const core::mono_time last = t.renewed_at.value_or(t.ordered_at.value_or(t.first_seen));
+        const bool first = !t.renewed_at && !t.ordered_at;
+        if (first || in.now - last >= j.lease / renewals_per_lease)
         {
-            if (!holds_host(j) || j.state == job_state::cancelled)
-            {
-                continue;
-            }
-            const std::string name = task_name(j);
-            const auto it = all.tasks.find(name);
-            if (it == all.tasks.end() || !it->second.reported_at ||
-                is_silent(it->second, in.rules, in.now))
-            {
-                continue;
-            }
-            task_view& t = it->second;
-            const core::mono_time last = t.renewed_at.value_or(t.ordered_at.value_or(t.first_seen));
-            const bool first = !t.renewed_at && !t.ordered_at;
-            if (first || in.now - last >= j.lease / renewals_per_lease)
-            {
-                t.renewed_at = in.now;
-                due[j.host].push_back(name);
-            }
+            t.renewed_at = in.now;
+            due[j.host].push_back(task_name(j));
         }
     }
     for (auto& it : due)
--- a/libs/jobs/src/host_views.cpp
+++ b/libs/jobs/src/host_views.cpp
@@ -50,19 +50,20 @@
     v.tasks.push_back(task);
 }
 
-void add_tasks(host_views& views, pool_jobs& all, const round_input& in)
+void add_tasks(host_views& views, const pool_jobs& all, const active_jobs& active,
+    const round_input& in)
 {
-    for (auto& b : all.buckets)
+    for (const auto& it : active)
     {
-        for (auto& j : b.document.jobs)
+        host_view* v = holds_host(*it.it) ? find_host_view(views, it.it->host) : nullptr;
+        if (v != nullptr)
         {
-            host_view* v = holds_host(j) ? find_host_view(views, j.host) : nullptr;
-            if (v != nullptr)
-            {
-                add_task(*v, {&j, &b, &view_of(all, task_name(j), in.now)}, in);
-            }
+            add_task(*v, it, in);
         }
-        for (auto& j : b.doubted)
+    }
+    for (const auto& b : all.buckets)
+    {
+        for (const auto& j : b.doubted)
         {
             if (host_view* v = find_host_view(views, j.host))
             {
@@ -133,7 +134,34 @@
     return it == views.by_id.end() ? nullptr : &views.hosts[it->second];
 }
 
-host_views make_host_views(pool_jobs& all, const round_input& in)
+active_jobs collect_active(pool_jobs& all, core::mono_time now)
+{
+    active_jobs active;
+    for (auto& b : all.buckets)
+    {
+        for (auto& j : b.document.jobs)
+        {
+            if (holds_host(j) || j.state == job_state::unknown)
+            {
+                task_view& t = view_of(all, task_name(j), now);
+                t.round = all.rounds;
+                active.push_back({&j, &b, &t});
+            }
+            else if (j.state == job_state::waiting && j.attempt > 0)
+            {
+                const auto it = all.tasks.find(task_name(j));
+                if (it != all.tasks.end())
+                {
+                    active.push_back({&j, &b, &it->second});
+                }
+            }
+        }
+    }
+    return active;
+}
+
+host_views make_host_views(
+    const pool_jobs& all, const active_jobs& active, const round_input& in)
 {
     host_views views;
     std::map<std::string, int> zones;
@@ -152,7 +180,7 @@
     }
     views.zones = static_cast<int>(zones.size());
     views.racks = static_cast<int>(racks.size());
-    add_tasks(views, all, in);
+    add_tasks(views, all, active, in);
     add_claims(views, all);
     for (auto& it : views.hosts)
     {
--- a/libs/jobs/src/host_views.hpp
+++ b/libs/jobs/src/host_views.hpp
@@ -59,7 +59,13 @@
 /// \return the predicted time until the task ends.
 core::millis time_left(const job& j, const task_view* task, core::mono_time now);
 
-host_views make_host_views(pool_jobs& all, const round_input& in);
+/// The jobs that may hold a task, or whose task's reports matter, each with its task's view.
+using active_jobs = std::vector<placed_job>;
+
+active_jobs collect_active(pool_jobs& all, core::mono_time now);
+
+host_views make_host_views(
+    const pool_jobs& all, const active_jobs& active, const round_input& in);
 
 /// \return the host, or nullptr when the pool has it no more.
 host_view* find_host_view(host_views& views, const std::string& id);
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-/// Sums of shares of a processor or gigabyte are off by rounding; this is far below any real size.
-constexpr double rounding = 1e-6;
-
 /// A worker's own words go into the record; their length must not fill a document.
 constexpr std::size_t longest_weighed = 200;
 
@@ -33,30 +30,6 @@
 
 } // namespace
 
-amounts operator+(const amounts& a, const amounts& b)
-{
-    return {
-        a.processors + b.processors, a.memory_gb + b.memory_gb, a.accelerators + b.accelerators};
-}
-
-amounts operator-(const amounts& a, const amounts& b)
-{
-    return {
-        a.processors - b.processors, a.memory_gb - b.memory_gb, a.accelerators - b.accelerators};
-}
-
-bool operator==(const amounts& a, const amounts& b)
-{
-    return a.processors == b.processors && a.memory_gb == b.memory_gb &&
-           a.accelerators == b.accelerators;
-}
-
-bool fits(const amounts& need, const amounts& room)
-{
-    return need.processors <= room.processors + rounding &&
-           need.memory_gb <= room.memory_gb + rounding && need.accelerators <= room.accelerators;
-}
-
 bool operator==(const placer_mark& a, const placer_mark& b)
 {
     return a.epoch == b.epoch && a.incarnation == b.incarnation;
--- a/libs/jobs/src/make_room.cpp
+++ b/libs/jobs/src/make_room.cpp
@@ -253,7 +253,7 @@
     return std::nullopt;
 }
 
-bool keep_one(round_state& r, const job& j)
+bool keep_one(round_state& r, job& j)
 {
     const estimate size = corrected(j, group_view_of(r, j).size);
     host_view* best = nullptr;
@@ -359,7 +359,7 @@
         std::min(static_cast<std::size_t>(r.in.rules.most_reservations), r.views.hosts.size() / 2);
     for (const auto& w : r.waiting)
     {
-        const job& j = *w.it;
+        job& j = *w.it;
         if (j.waits_for != wait_reason::no_room)
         {
             continue;
--- a/libs/jobs/src/place.cpp
+++ b/libs/jobs/src/place.cpp
@@ -21,7 +21,7 @@
         j.waits_for = wait_reason::backing_off;
         return false;
     }
-    const team_view& t = r.teams[j.team];
+    const team_view& t = team_view_of(r, j);
     if (!fits(t.in_use + j.declared, t.grant))
     {
         j.waits_for = wait_reason::quota;
@@ -97,7 +97,7 @@
     if (found.host == nullptr)
     {
         j.waits_for = found.reason;
-        failed.add(s, found.reason);
+        failed.add(s, found);
         return false;
     }
     index.remove(*found.host);
@@ -195,7 +195,7 @@
     host.unsettled += 1;
     waiting.task = &view_of(r.all, task_name(j), r.in.now);
     host.tasks.push_back(waiting);
-    team_view& t = r.teams[j.team];
+    team_view& t = team_view_of(r, j);
     t.in_use = t.in_use + j.declared;
     group_view& g = group_view_of(r, j);
     g.tasks += 1;
--- a/libs/jobs/src/place.hpp
+++ b/libs/jobs/src/place.hpp
@@ -5,7 +5,6 @@
 #include "host_views.hpp"
 
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace camphorhitch::jobs
@@ -17,6 +16,8 @@
     amounts in_use;
     amounts wanted; ///< in use and waiting together
     amounts grant;
+    amounts quota; ///< of the configuration
+    bool configured = false;
 };
 
 /// Jobs of one team and kind in this round.
@@ -28,6 +29,7 @@
     int tasks = 0;
     int unsettled = 0;
     bool held_back = false;
+    bool known = false; ///< the rest is filled in
 };
 
 /// The state of one round, shared by its steps.
@@ -36,8 +38,9 @@
     pool_jobs& all;
     const round_input& in;
     host_views views;
-    std::unordered_map<std::string, team_view> teams;
-    std::unordered_map<std::string, group_view> groups;
+    const active_jobs& active;
+    std::vector<team_view> teams;   ///< by number
+    std::vector<group_view> groups; ///< by number
     std::vector<placed_job> waiting; ///< in the order of placement; those placed are removed
     std::vector<action> actions;
 };
@@ -56,8 +59,9 @@
     const std::string& rule,
     const std::string& weighed);
 
-/// \return the group of a job, made when it is new.
-group_view& group_view_of(round_state& r, const job& j);
+/// \return the team and the group of a job.
+team_view& team_view_of(round_state& r, job& j);
+group_view& group_view_of(round_state& r, job& j);
 
 /// \return what the job must find free on that host: its corrected size, but not more than the
 /// whole host when its declared size fits there.
--- a/libs/jobs/src/pool_jobs.cpp
+++ b/libs/jobs/src/pool_jobs.cpp
@@ -61,6 +61,15 @@
     }
 }
 
+/// The document may come from another object's memory, whose numbers mean nothing here.
+void forget_transient(job& j)
+{
+    j.pending_write = 0;
+    j.waits_for = wait_reason::none;
+    j.team_number = -1;
+    j.group_number = -1;
+}
+
 void keep_doubted(bucket_view& b)
 {
     for (const auto& it : b.document.jobs)
@@ -101,6 +110,10 @@
     b.document = std::move(stored);
     b.document.pool = all.pool;
     b.document.bucket = bucket;
+    for (auto& it : b.document.jobs)
+    {
+        forget_transient(it);
+    }
     b.loaded = true;
     b.fenced = b.document.placer == all.mark;
     b.need = write_need::none;
@@ -182,7 +195,7 @@
 
 void touch(bucket_view& b, write_need need, core::mono_time now)
 {
-    if (b.need == write_need::none)
+    if (b.need < write_need::lazy)
     {
         b.need_since = now;
     }
@@ -270,6 +283,16 @@
     return {hosts.begin(), hosts.end()};
 }
 
+int number_of(name_numbers& all, const std::string& name)
+{
+    const auto [it, added] = all.numbers.try_emplace(name, static_cast<int>(all.names.size()));
+    if (added)
+    {
+        all.names.push_back(name);
+    }
+    return it->second;
+}
+
 task_view& view_of(pool_jobs& all, const std::string& task, core::mono_time now)
 {
     const auto [it, added] = all.tasks.try_emplace(task);
--- a/libs/jobs/src/reconcile.cpp
+++ b/libs/jobs/src/reconcile.cpp
@@ -302,7 +302,7 @@
     else if (never_ordered || refused || reported_over || lapsed)
     {
         r.it.host.clear();
-        touch(r.bucket, r.it, write_need::lazy, r.in.now);
+        touch(r.bucket, r.it, write_need::with_next, r.in.now);
     }
 }
 
@@ -340,38 +340,22 @@
     }
 }
 
-bool has_task(const job& j)
+void take_in(reconciling r)
 {
-    return holds_host(j) || j.state == job_state::unknown;
-}
-
-void take_in(
-    pool_jobs& all, const round_input& in, std::vector<action>& actions, bucket_view& b, job& j)
-{
-    const std::string name = task_name(j);
-    if (!has_task(j))
+    switch (r.it.state)
     {
-        const auto it =
-            j.state == job_state::waiting && j.attempt > 0 ? all.tasks.find(name) : all.tasks.end();
-        if (it != all.tasks.end())
-        {
-            reconciling r{all, in, actions, b, j, it->second};
-            take_in_late_end(r);
-        }
+    case job_state::waiting:
+        take_in_late_end(r);
         return;
-    }
-    reconciling r{all, in, actions, b, j, view_of(all, name, in.now)};
-    if (j.state == job_state::cancelled)
-    {
+    case job_state::cancelled:
         take_in_cancelled(r);
-    }
-    else if (j.state == job_state::unknown)
-    {
+        return;
+    case job_state::unknown:
         take_in_unknown(r);
-    }
-    else
-    {
+        return;
+    default:
         take_in_live(r);
+        return;
     }
 }
 
@@ -403,14 +387,14 @@
     return in.now - last > j.lease + in.rules.lease_margin;
 }
 
-void reconcile(pool_jobs& all, const round_input& in, std::vector<action>& actions)
+void reconcile(pool_jobs& all,
+    const active_jobs& active,
+    const round_input& in,
+    std::vector<action>& actions)
 {
-    for (auto& b : all.buckets)
+    for (const auto& it : active)
     {
-        for (auto& j : b.document.jobs)
-        {
-            take_in(all, in, actions, b, j);
-        }
+        take_in({all, in, actions, *it.bucket, *it.it, *it.task});
     }
 }
 
--- a/libs/jobs/src/reconcile.hpp
+++ b/libs/jobs/src/reconcile.hpp
@@ -2,13 +2,16 @@
 /// Takes what is known of tasks (reports, ended orders, lapsed leases) into the jobs.
 #pragma once
 
-#include "jobs/round.hpp"
+#include "host_views.hpp"
 
 namespace camphorhitch::jobs
 {
 
 /// Changes the jobs' states from what is known of their tasks.
-void reconcile(pool_jobs& all, const round_input& in, std::vector<action>& actions);
+void reconcile(pool_jobs& all,
+    const active_jobs& active,
+    const round_input& in,
+    std::vector<action>& actions);
 
 /// \return whether the task hasn't been seen for longer than settings::report_patience. Its lease
 /// is not renewed any more.
--- a/libs/jobs/src/round.cpp
+++ b/libs/jobs/src/round.cpp
@@ -18,6 +18,7 @@
 
 /// Views of tasks that no job names and no report named for this long are forgotten.
 constexpr core::millis forget_after{600000};
+constexpr core::millis forget_interval{60000};
 
 /// A new owner learns from the jobs that are over in the documents, as it has seen none itself.
 void learn_from_documents(pool_jobs& all)
@@ -70,6 +71,17 @@
         });
 }
 
+void forget_now_and_then(pool_jobs& all, const round_input& in)
+{
+    if (in.now - all.forgot_at < forget_interval)
+    {
+        return;
+    }
+    all.forgot_at = in.now;
+    forget_tasks(all, in);
+    forget_waits(all, in);
+}
+
 std::string size_line(const job& j)
 {
     return "declared " + to_text(j.declared) + " for " + std::to_string(j.run_time.count() / 1000) +
@@ -85,15 +97,17 @@
     {
         return actions;
     }
-    renew_leases(all, in, actions);
+    all.rounds += 1;
+    const active_jobs active = collect_active(all, in.now);
+    renew_leases(active, in, actions);
     if (!may_place(all))
     {
         return actions;
     }
     learn_from_documents(all);
-    reconcile(all, in, actions);
+    reconcile(all, active, in, actions);
     drop_old_claims(all, in);
-    round_state r{all, in, make_host_views(all, in), {}, {}, {}, {}};
+    round_state r{all, in, make_host_views(all, active, in), active, {}, {}, {}, {}};
     collect(r);
     leave_draining_hosts(r);
     place(r);
@@ -102,9 +116,8 @@
     keep_hosts_for_the_longest_waiting(r);
     wish_for_quota(r);
     std::move(r.actions.begin(), r.actions.end(), std::back_inserter(actions));
-    command_stored(all, in, actions);
-    forget_tasks(all, in);
-    forget_waits(all, in);
+    command_stored(all, active, in, actions);
+    forget_now_and_then(all, in);
     return actions;
 }
 
--- a/libs/jobs/src/wishes.cpp
+++ b/libs/jobs/src/wishes.cpp
@@ -41,10 +41,11 @@
 
 void wish_for_quota(round_state& r)
 {
-    for (const auto& it : r.teams)
+    for (std::size_t i = 0; i < r.teams.size(); ++i)
     {
-        const team_view& t = it.second;
-        team_grant& g = r.all.teams[it.first];
+        const std::string& name = r.all.team_numbers.names[i];
+        const team_view& t = r.teams[i];
+        team_grant& g = r.all.teams[name];
         if (!is_due(t, g, r.in.now))
         {
             continue;
@@ -53,7 +54,7 @@
         g.used_when_sent = t.in_use;
         g.wanted_when_sent = t.wanted;
         g.sent_at = r.in.now;
-        r.actions.emplace_back(quota_wish{it.first, r.all.pool, r.all.mark, t.in_use, t.wanted});
+        r.actions.emplace_back(quota_wish{name, r.all.pool, r.all.mark, t.in_use, t.wanted});
     }
 }
 
--- a/testing/job_fakes/include/job_fakes/store.hpp
+++ b/testing/job_fakes/include/job_fakes/store.hpp
@@ -37,6 +37,7 @@
         std::int64_t revision = 0; ///< 0: the key does not exist
     };
     std::array<entry, jobs::buckets_per_pool> entries;
+    std::function<void(const jobs::job_document&)> on_stored;
     std::int64_t newest_revision = 0;
     std::vector<late_write> late;
     std::function<write_fault()> next_fault; ///< empty: none
--- a/testing/job_fakes/include/job_fakes/workers.hpp
+++ b/testing/job_fakes/include/job_fakes/workers.hpp
@@ -31,6 +31,7 @@
     ports::task_state state = ports::task_state::running;
     core::mono_time started{};
     core::mono_time lease_until{};
+    core::mono_time ended{};
     double done_ms = 0;       ///< of its run time
     double checkpoint_ms = 0; ///< progress that the newest checkpoint holds
     std::string checkpoint;
@@ -67,6 +68,7 @@
     std::map<std::string, worker> all;
     std::function<real_task(const ports::task_order&)> behaviour;
     core::millis usage_lag{10000};
+    core::millis keep_ended{600000}; ///< how long reports name a task that has ended
     double throttled_share = 0.1;
     std::vector<start_record> starts;
     std::int64_t out_of_memory = 0; ///< tasks killed because their host's memory was used up
--- a/testing/job_fakes/src/workers.cpp
+++ b/testing/job_fakes/src/workers.cpp
@@ -107,6 +107,21 @@
     }
 }
 
+/// Forgets tasks whose end was reported for long enough.
+void forget_ended(const workers& all, worker& w, core::mono_time now)
+{
+    for (auto it = w.tasks.begin(); it != w.tasks.end();)
+    {
+        worker_task& t = it->second;
+        if (!runs(t) && t.ended == core::mono_time{})
+        {
+            t.ended = now;
+        }
+        const bool old = !runs(t) && now - t.ended > all.keep_ended;
+        it = old ? w.tasks.erase(it) : std::next(it);
+    }
+}
+
 double checkpointed_ms(const std::string& checkpoint)
 {
     const std::size_t n = checkpoint.rfind('@');
@@ -223,6 +238,7 @@
             }
         }
         kill_for_memory(all, w);
+        forget_ended(all, w, now);
     }
 }
 
