--- a/libs/jobs/src/wishes.cpp
+++ b/libs/jobs/src/wishes.cpp
@@ -9,7 +9,8 @@
 /// Time between two wishes of one team: a used-up quota isn't asked for in every round.
 constexpr core::millis wish_interval{5000};
 
-/// The same while a team wants more than it did: an urgent job must not wait for the next regular wish.
+/// The same while a team wants more than it did: an urgent job must not wait for the next regular
+/// wish.
 constexpr core::millis growing_interval{200};
 
 /// A grant larger than this share of what is wanted is partly given back.
@@ -40,10 +41,11 @@
 
 void wish_for_quota(round_state& r)
 {
-    for (const auto& it : r.teams)
+    for (std::size_t i = 0; i < r.teams.size(); ++i)
     {
-        const team_view& t = it.second;
-        team_grant& g = r.all.teams[it.first];
+        const std::string& name = r.all.team_numbers.names[i];
+        const team_view& t = r.teams[i];
+        team_grant& g = r.all.teams[name];
         if (!is_due(t, g, r.in.now))
         {
             continue;
@@ -52,8 +54,7 @@
         g.used_when_sent = t.in_use;
         g.wanted_when_sent = t.wanted;
         g.sent_at = r.in.now;
-        r.actions.emplace_back(
-            quota_wish{it.first, r.all.pool, r.all.mark, t.in_use, t.wanted});
+        r.actions.emplace_back(quota_wish{name, r.all.pool, r.all.mark, t.in_use, t.wanted});
     }
 }
 
