--- a/programs/camphorhitchd/src/node.cpp
+++ b/programs/camphorhitchd/src/node.cpp
@@ -23,6 +23,11 @@
 namespace
 {
 
+/// A target takes 64 connections of all entry hosts together, and there are at most 9 of these.
+constexpr std::size_t connections_per_target = 7;
+/// What lies between may forget an idle connection; an old one is not worth its risk.
+constexpr core::millis longest_idle{5000};
+
 service_settings service_settings_of(const settings::daemon_settings& s)
 {
     service_settings out;
@@ -51,7 +56,8 @@
     // Its listening socket closes with it, which proves to the others that this process is gone; so
     // it is destroyed after whatever may still send to a target.
     std::unique_ptr<peer::network> network;
-    std::optional<http::client> client;
+    std::optional<http::client> client;        ///< to the platform
+    std::optional<http::client> target_client; ///< to targets, which bound their connections
     std::optional<store::etcd_store> store;
     std::optional<platform::platform_client> platform;
     context ctx;
@@ -81,6 +87,10 @@
 core::result<core::done> node::parts::open_adapters()
 {
     client = http::client::builder().loop(loop).build();
+    http::client_limits limits;
+    limits.most_connections_per_host = connections_per_target;
+    limits.longest_idle = longest_idle;
+    target_client = http::client::builder().loop(loop).limits(limits).build();
     auto made = store::etcd_store::builder()
                     .client(*client)
                     .address(settings.store.addresses.front())
@@ -155,7 +165,7 @@
     ctx.rounds.stop_bound = settings.timing.drain_stop;
     ctx.scheduler = loop.scheduler();
     ctx.store = store->port();
-    ctx.http = client->port();
+    ctx.http = target_client->port();
     ctx.peers = network->client();
     ctx.platform = platform->port();
     ctx.telemetry = tel.port();
--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -1,5 +1,7 @@
 #include "request_service.hpp"
 
+#include "membership/owners.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -108,15 +110,27 @@
     sender_.settings.claims.key_memory = key_memory;
 }
 
+/// Only requests whose pool has another owner ask anew: the others would lose their place in the
+/// queue.
 void request_service::on_roster()
 {
     sender_.epoch = members_.roster().epoch;
-    std::vector<request_id> ids;
+    std::map<std::string, std::string> owners;
+    for (const auto& pool : config_.pools)
+    {
+        const auto* it = membership::owner_of_pool(members_.roster(), pool.name);
+        owners[pool.name] = it == nullptr ? std::string{} : membership::process_name(*it);
+    }
+    std::swap(owners, owners_);
+    std::vector<request_id> moved;
     for (const auto& [id, r] : open_)
     {
-        ids.push_back(id);
+        if (owners[r.flow.request.pool] != owners_[r.flow.request.pool])
+        {
+            moved.push_back(id);
+        }
     }
-    for (const auto id : ids)
+    for (const auto id : moved)
     {
         const auto it = open_.find(id);
         if (it != open_.end())
--- a/programs/camphorhitchd/src/request_service.hpp
+++ b/programs/camphorhitchd/src/request_service.hpp
@@ -12,6 +12,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <string>
 #include <unordered_map>
 
@@ -82,6 +83,7 @@
     claim_service& claims_;
     dispatch::request_sender sender_;
     model::configuration config_;
+    std::map<std::string, std::string> owners_; ///< process names, by pool
     ports::http_server server_;
     std::unordered_map<request_id, open_request> open_;
     std::unordered_map<ports::exchange_id, request_id> by_exchange_;
--- a/programs/camphorhitchd/src/statement_runner.cpp
+++ b/programs/camphorhitchd/src/statement_runner.cpp
@@ -134,10 +134,35 @@
         {
             return false;
         }
+        if (!host_settled(what))
+        {
+            return false;
+        }
     }
     return true;
 }
 
+bool statement_runner::host_settled(const language::statement& what) const
+{
+    if (const auto* moved = std::get_if<language::move_statement>(&what))
+    {
+        const auto owner = fleet::owner_of(moved->host.text, parts_.fleet.pools());
+        return owner.pool == moved->pool.text && !owner.in_transit;
+    }
+    const auto* drain = std::get_if<language::drain_statement>(&what);
+    if (drain == nullptr || drain->by != language::drain_by::host)
+    {
+        return true;
+    }
+    const auto owner = fleet::owner_of(drain->what.text, parts_.fleet.pools());
+    const auto* pool = parts_.fleet.find_pool(owner.pool);
+    const auto* host =
+        pool == nullptr ? nullptr : model::find_host(pool->document, drain->what.text);
+    const bool under_way = host != nullptr && host->purpose != model::drain_purpose::none;
+    const bool gone = host == nullptr || host->state == model::host_state::drained;
+    return !under_way || (drain->leaving && gone);
+}
+
 void statement_runner::run_one(
     const language::show_statement& s, const place& at, const result_callback& done)
 {
@@ -293,7 +318,13 @@
 {
     if (s.leaving && s.by == language::drain_by::host)
     {
-        change_host(s.what.text, fleet::host_leaving{s.what.text, 0}, std::move(done));
+        // The rule takes news of the boot that the host is in, and no older.
+        const auto owner = fleet::owner_of(s.what.text, parts_.fleet.pools());
+        const auto* pool = parts_.fleet.find_pool(owner.pool);
+        const auto* host =
+            pool == nullptr ? nullptr : model::find_host(pool->document, s.what.text);
+        const auto boot_count = host == nullptr ? 0 : host->boot_count;
+        change_host(s.what.text, fleet::host_leaving{s.what.text, boot_count}, std::move(done));
         return;
     }
     if (s.leaving)
--- a/programs/camphorhitchd/src/statement_runner.hpp
+++ b/programs/camphorhitchd/src/statement_runner.hpp
@@ -48,6 +48,8 @@
     };
 
     void next(const std::shared_ptr<work>& w);
+    /// \return whether the host that a drain or move names is through with it.
+    bool host_settled(const language::statement& what) const;
     void run_one(const language::show_statement& s, const place& at, const result_callback& done);
     void run_one(const language::why_statement& s, const place& at, result_callback done);
     void run_one(const language::set_statement& s, const place& at, result_callback done);
