operators' texts: every statement is checked before any is run

Cause: the runner looked for mistakes of fields, conditions and jobs only when a statement's turn came, so a text with a mistake in its second statement had run the first, and told of one mistake only. Ruled out: the parser, which finds its own mistakes and those of settings before anything runs. Change: check_statements() looks at all statements first; read_submission() is used by it and by the runner, and its findings point at the statement instead of at a list that the caller never saw.

--- a/programs/camphorhitchd/src/statement_runner.cpp
+++ b/programs/camphorhitchd/src/statement_runner.cpp
@@ -3,11 +3,11 @@
 #include "explanations.hpp"
 #include "fleet/pool_rules.hpp"
 #include "fleet_tables.hpp"
-#include "jobs/codec.hpp"
 #include "language/settings.hpp"
 #include "membership/owners.hpp"
 #include "model/codec.hpp"
 #include "model/keys.hpp"
+#include "statement_checks.hpp"
 #include "wave_commands.hpp"
 
 #include <algorithm>
@@ -76,9 +76,9 @@
     w->batch = batch;
     w->parsed = language::parse(batch.text, batch.name);
     w->done = std::move(done);
-    if (!w->parsed.found.empty())
+    if (const auto wrong = check_statements(w->parsed, parts_, batch.name); !wrong.empty())
     {
-        w->done({bad(w->parsed.found)});
+        w->done({bad(wrong)});
         return;
     }
     next(w);
@@ -479,30 +479,20 @@
 void statement_runner::run_one(
     const language::submit_job_statement& s, const place& at, result_callback done)
 {
-    auto object = nlohmann::json::parse(s.json, nullptr, false);
-    const auto named = object.find("pool");
-    if (named == object.end() || !named->is_string())
-    {
-        done(bad(
-            {{{at.document, "/pool", s.at.line, s.at.column}, "the job must name its pool", ""}}));
-        return;
-    }
-    const auto pool = named->get<std::string>();
-    object.erase("pool");
-    const nlohmann::json list = {{"jobs", {object}}};
-    auto decoded = jobs::decode_submissions(list.dump(), at.document);
-    if (const auto* wrong = std::get_if<core::findings>(&decoded))
+    auto read = read_submission(s, at.document);
+    if (const auto* wrong = std::get_if<core::findings>(&read))
     {
         done(bad(*wrong));
         return;
     }
+    const auto& [pool, job] = std::get<named_submission>(read);
     if (parts_.fleet.find_pool(pool) == nullptr)
     {
         done(bad(core::error_code::not_found, "no pool named " + pool));
         return;
     }
     parts_.intake.submit(pool,
-        std::get<std::vector<jobs::submission>>(decoded),
+        {job},
         [done = std::move(done)](const std::vector<intake_outcome>& outcomes)
         {
             const auto& it = outcomes.front();
--- a/testing/daemon_fakes/src/platform.cpp
+++ b/testing/daemon_fakes/src/platform.cpp
@@ -53,6 +53,7 @@
 {
     auto& it = hosts.at(id);
     it.up = true;
+    it.returns = true;
     ++it.boot_count;
     workers.all[id].reachable = true;
     targets_.all[it.target].down = false;
