experiments: a halted wave counts against the pools whose hosts failed in it

Cause: each pool that a halted wave selects hosts of was given the halt, so the experiment's end named the first pool in order, with all its hosts fine, and one halt was counted once a pool. Ruled out: danger_of(), which names the pool it is given. Change: a sample's halt needs a host of that pool that failed in that wave.

--- a/programs/camphorhitchd/src/experiment_service.cpp
+++ b/programs/camphorhitchd/src/experiment_service.cpp
@@ -48,6 +48,12 @@
         [](const auto& it) { return it.state == model::host_state::held; }));
 }
 
+bool failed_in(const model::wave_document& w, const model::host_record& host)
+{
+    return host.state == model::host_state::failed &&
+           (host.wave == w.id || host.maintained == w.id);
+}
+
 } // namespace
 
 experiment_service::experiment_service(
@@ -314,7 +320,13 @@
             {
                 it.rollouts.push_back(static_cast<double>(w.ended_ms - w.started_ms) / ms_per_hour);
             }
-            it.halted_waves += touches && halted && !first ? 1 : 0;
+            // A wave halts for the hosts that failed in it; pools that it merely reaches too are
+            // not to blame.
+            const bool failed_here =
+                view != nullptr && std::any_of(view->document.hosts.begin(),
+                                       view->document.hosts.end(),
+                                       [&](const auto& host) { return failed_in(w, host); });
+            it.halted_waves += failed_here && halted && !first ? 1 : 0;
         }
     }
     if (first)
--- a/programs/camphorhitchd/tests/session_tests.cpp
+++ b/programs/camphorhitchd/tests/session_tests.cpp
@@ -104,6 +104,19 @@
     s.say("show experiments; show pools; stop experiment e1");
 }
 
+void experiment_in_danger(test_fleet& fleet, operator_session& s)
+{
+    s.note("host h9 will not come back from its next reboot");
+    fleet.platform.hosts["h9"].returns = false;
+    s.say("start experiment e2 arms now=steady,then=swift on pool "
+          "quotes,holds,deposits,refunds,ledger,alerts for 1h seed 8");
+    s.wait_shown("show experiments where state = running", "e2");
+    fleet.run_for(core::millis{120000});
+    s.say("start wave autumn");
+    s.wait_shown("show experiments where state = ended", "e2");
+    s.say("stop experiment e2; cancel wave autumn; show waves");
+}
+
 std::string operators_day()
 {
     test_fleet fleet(1);
@@ -126,6 +139,7 @@
     s.say("set pool quotes budget.absent = 2; set policy swift return_timeout = 15s");
     s.say("show pools; show policies; show config");
     experiment_with_a_wave(fleet, s);
+    experiment_in_danger(fleet, s);
     s.say("cancel job nightly-2; cancel jobs where team = prints and state = waiting");
     s.wait_shown("show jobs where state = cancelled", "nightly-2");
     s.say("show jobs order by id; why job nightly-2");
