waves: one that is done keeps its own counts

Cause: 'show waves' and 'why wave' count a wave's hosts in the pools' documents, where a host remembers the last wave alone; after the next wave an ended one showed '0 of 3 hosts done, 3 waiting'. Ruled out: the wave's decider, which had counted rightly when it ended the wave. Change (model and fleet, additive): wave_document has failed_at_end and gone_at_end, written when the wave is done and used by summarize() for such waves. Cancelled waves are still counted by the pools' documents.

--- a/libs/fleet/src/wave_decider.cpp
+++ b/libs/fleet/src/wave_decider.cpp
@@ -249,6 +249,8 @@
                                 " gone";
     set_phase(next, wave_phase::done, "all_through", weighed, now);
     next.ended_ms = core::to_unix_ms(now);
+    next.failed_at_end = s.failed;
+    next.gone_at_end = s.gone;
 }
 
 /// Admits what may leave, and tells when nothing can.
--- a/libs/fleet/src/wave_plan.cpp
+++ b/libs/fleet/src/wave_plan.cpp
@@ -212,8 +212,17 @@
 
 wave_summary summarize(const wave_document& w, const std::vector<pool_view>& pools)
 {
-    const auto owners = index_owners(pools);
     wave_summary out;
+    if (w.phase == model::wave_phase::done)
+    {
+        // Hosts remember the last wave alone, so the pools tell nothing of one that is done.
+        out.hosts = static_cast<int>(w.hosts.size());
+        out.failed = w.failed_at_end;
+        out.gone = w.gone_at_end;
+        out.done = out.hosts - out.failed - out.gone;
+        return out;
+    }
+    const auto owners = index_owners(pools);
     for (const auto& id : w.hosts)
     {
         count(out, locate(id, w, pools, owners).at);
--- a/libs/model/include/model/fleet.hpp
+++ b/libs/model/include/model/fleet.hpp
@@ -134,6 +134,8 @@
     std::int64_t started_ms = 0;
     std::int64_t ended_ms = 0;
     int failures_excused = 0; ///< failures that operators resumed over
+    int failed_at_end = 0;    ///< hosts that had failed when the wave was done
+    int gone_at_end = 0;      ///< hosts that were in no pool any more when the wave was done
     std::string policy;       ///< overrides the pools' policies, or empty
     std::vector<std::string> commands;
     decision_record why;
--- a/libs/model/src/describe_fleet.hpp
+++ b/libs/model/src/describe_fleet.hpp
@@ -89,6 +89,8 @@
         .optional("started_ms", r.started_ms, fleet_bounds::since_zero)
         .optional("ended_ms", r.ended_ms, fleet_bounds::since_zero)
         .optional("failures_excused", r.failures_excused, fleet_bounds::since_zero)
+        .optional("failed_at_end", r.failed_at_end, fleet_bounds::since_zero)
+        .optional("gone_at_end", r.gone_at_end, fleet_bounds::since_zero)
         .optional("policy", r.policy)
         .optional("commands", r.commands)
         .defaulted("why", r.why);
--- a/programs/camphorhitchd/tests/session_tests.cpp
+++ b/programs/camphorhitchd/tests/session_tests.cpp
@@ -51,15 +51,6 @@
  "pools": [)" + pools + "]}";
 }
 
-void add_hosts(test_fleet& fleet)
-{
-    for (int n = 1; n <= most_hosts; ++n)
-    {
-        const auto number = std::to_string(n);
-        fleet.platform.add_host("h" + number, "10.0.0." + number + ":80", {32, 128, 0});
-    }
-}
-
 /// One short job, one long, and one that fits no host.
 std::string jobs_text()
 {
@@ -120,7 +111,7 @@
 std::string operators_day()
 {
     test_fleet fleet(1);
-    add_hosts(fleet);
+    add_hosts(fleet, most_hosts);
     CHECK(fleet.wait_ready());
     operator_session s(fleet, fleet.at(0));
     s.say("show pools; show hosts; show members");
@@ -149,7 +140,7 @@
 std::string day_of_mistakes()
 {
     test_fleet fleet(1);
-    add_hosts(fleet);
+    add_hosts(fleet, most_hosts);
     CHECK(fleet.wait_ready());
     operator_session s(fleet, fleet.at(0));
     s.apply("a file that is no JSON", "{");
--- a/programs/camphorhitchd/tests/test_fleet.cpp
+++ b/programs/camphorhitchd/tests/test_fleet.cpp
@@ -138,13 +138,24 @@
     return ask(d, {"POST", "/v1/jobs", "pool=" + pool, {}, text});
 }
 
+bool test_fleet::wait_serving()
+{
+    return run_until(
+        [this]
+        {
+            return std::all_of(daemons.begin(),
+                daemons.end(),
+                [](const auto& it) { return it->process.dead || it->all->requests->ready(); });
+        });
+}
+
 ports::exchange_id test_fleet::request(test_daemon& d,
     const std::string& service,
     const std::string& body,
     const std::string& key,
     const ports::http_fields& more)
 {
-    ports::http_request r{"POST", "/" + service + "/run", "", more, body};
+    ports::http_request r{"POST", "/call/" + service + "/run", "", more, body};
     if (!key.empty())
     {
         r.fields.emplace_back("Idempotency-Key", key);
@@ -152,4 +163,46 @@
     return d.callers.send(d.process, d.all->caller_events(), std::move(r));
 }
 
+outcome outcome_of(const test_daemon& d, ports::exchange_id id)
+{
+    const auto* answer = d.callers.find(id);
+    if (answer == nullptr)
+    {
+        return {};
+    }
+    const auto field = [answer](const char* name)
+    {
+        const auto* found = ports::find_field(answer->fields, name);
+        return found == nullptr ? std::string{} : *found;
+    };
+    return {answer->status, field("Camphorhitch-Outcome"), field("Camphorhitch-Reason"), answer->body};
+}
+
+std::string small_fleet(int hosts)
+{
+    std::string list;
+    for (int n = 1; n <= hosts; ++n)
+    {
+        const auto number = std::to_string(n);
+        const auto zone = std::string(1, static_cast<char>('a' + n % 3));
+        list += (list.empty() ? "" : ", ");
+        list += R"({"id": "h)" + number + R"(", "zone": ")" + zone + R"(", "rack": "r)" + zone +
+                R"(", "target": "10.0.0.)" + number + R"(:80"})";
+    }
+    return R"({"configuration": {"pools": [{"name": "quotes", "services": ["quotes"],
+  "policy": "steady", "budget": {"absent": 1, "absent_per_zone": 1}}],
+  "policies": [{"name": "steady", "kind": "one_by_one", "fixed_buffer": 0,
+    "return_timeout_ms": 20000}]},
+ "pools": [{"pool": "quotes", "hosts": [)" + list + "]}]}";
+}
+
+void add_hosts(test_fleet& fleet, int hosts)
+{
+    for (int n = 1; n <= hosts; ++n)
+    {
+        const auto number = std::to_string(n);
+        fleet.platform.add_host("h" + number, "10.0.0." + number + ":80", {32, 128, 0});
+    }
+}
+
 } // namespace camphorhitch::daemon
--- a/programs/camphorhitchd/tests/test_fleet.hpp
+++ b/programs/camphorhitchd/tests/test_fleet.hpp
@@ -50,6 +50,8 @@
     void run_for(core::millis wait);
     /// Waits until all daemons are in the roster and fresh.
     bool wait_ready();
+    /// Waits until all daemons that live take requests.
+    bool wait_serving();
     /// Prints all log lines, for whoever looks into a failure.
     void dump() const;
 
@@ -74,4 +76,20 @@
     std::vector<std::unique_ptr<test_daemon>> daemons;
 };
 
+/// What a caller was answered; status 0 while there is no answer.
+struct outcome
+{
+    int status = 0;
+    std::string word; ///< Camphorhitch-Outcome
+    std::string reason;
+    std::string body;
+};
+
+outcome outcome_of(const test_daemon& d, ports::exchange_id id);
+
+/// The operators' file of pool quotes with hosts h1, h2, ...
+std::string small_fleet(int hosts);
+/// The platform's side of those hosts.
+void add_hosts(test_fleet& fleet, int hosts);
+
 } // namespace camphorhitch::daemon
