--- a/libs/core/tests/core_tests.cpp
+++ b/libs/core/tests/core_tests.cpp
@@ -82,9 +82,7 @@
     STRCMP_EQUAL("two owners: h1", seen.c_str());
 }
 
-TEST_GROUP(base64)
-{
-};
+TEST_GROUP(base64){};
 
 TEST(base64, there_and_back)
 {
--- a/libs/jobs/include/jobs/pool_jobs.hpp
+++ b/libs/jobs/include/jobs/pool_jobs.hpp
@@ -64,7 +64,7 @@
     std::optional<ports::task_action> throttle_command; ///< the newest sent
     /// What the worker is known to do; unknown while a command to change it is under way.
     std::optional<bool> throttled_there;
-    bool proved = false;           ///< its success was noted
+    bool proved = false; ///< its success was noted
     bool judged = false; ///< its end was noted: a conflicting write makes a round take it in again
 };
 
--- a/libs/jobs/tests/history.cpp
+++ b/libs/jobs/tests/history.cpp
@@ -60,7 +60,10 @@
         write_fault_ = write_fault_ * 1664525 + 1013904223;
         return static_cast<job_fakes::write_fault>(write_fault_ / 65536 % 4);
     };
-    world_.command_lost = [this](const jobs::command_tasks&) { return faulty_commands_-- > 0; };
+    world_.command_lost = [this](const jobs::command_tasks&)
+    {
+        return faulty_commands_-- > 0;
+    };
     world_.order_fault = [this](const ports::task_order& it)
     {
         return order(it);
--- a/libs/jobs/tests/order_tests.cpp
+++ b/libs/jobs/tests/order_tests.cpp
@@ -102,7 +102,10 @@
     w = make_world(1);
     m = make_member("quotes", 1, "e1", w.now);
     fill(job_class::long_running, true);
-    w.command_lost = [](const command_tasks& it) { return it.what == ports::task_action::throttle; };
+    w.command_lost = [](const command_tasks& it)
+    {
+        return it.what == ports::task_action::throttle;
+    };
     submission s = make_submission("urgent", 4, job_class::urgent);
     s.declared.memory_gb = 1;
     submit(s);
--- a/libs/jobs/tests/start_tests.cpp
+++ b/libs/jobs/tests/start_tests.cpp
@@ -131,9 +131,9 @@
 }
 
 // A former owner was paused, wakes up while the next one is taking over, and sees whatever is not
-// marked yet. It may place through documents that the new owner's mark hasn't reached, so the new one
-// must not place before all are marked: together they would fill a host twice. Once all are marked,
-// every write of the former owner is in conflict and it orders nothing.
+// marked yet. It may place through documents that the new owner's mark hasn't reached, so the new
+// one must not place before all are marked: together they would fill a host twice. Once all are
+// marked, every write of the former owner is in conflict and it orders nothing.
 TEST(starts, a_paused_owner_wakes_during_a_take_over)
 {
     w = make_world(1);
@@ -180,7 +180,10 @@
     submit(make_submission("fence", 1));
     pass_time(m, w, core::millis{15000});
     submit(make_submission("late", 6));
-    w.kv.next_fault = [] { return write_fault::late; };
+    w.kv.next_fault = []
+    {
+        return write_fault::late;
+    };
     job_fakes::read_changes(m, w);
     job_fakes::step(m, w);
     CHECK_EQUAL(1u, w.kv.late.size());
--- a/programs/camphorhitch/src/session.hpp
+++ b/programs/camphorhitch/src/session.hpp
@@ -1,5 +1,6 @@
 /// \file
-/// One call of the client: sends statements to a daemon, and tries the next when it can't be reached.
+/// One call of the client: sends statements to a daemon, and tries the next when it can't be
+/// reached.
 #pragma once
 
 #include "arguments.hpp"
@@ -25,7 +26,7 @@
 struct call_outcome
 {
     exit_code code = exit_code::unavailable;
-    std::string text; ///< for standard output
+    std::string text;    ///< for standard output
     std::string problem; ///< for standard error
     bool settled = true; ///< with --wait: in force everywhere
 };
--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -161,15 +161,16 @@
     std::string rest;
     if (!split_path(request.path, service, rest))
     {
-        refuse(exchange, {status_not_found, "no_such_path", "use /call/<service>/<path>", 0, false});
+        refuse(
+            exchange, {status_not_found, "no_such_path", "use /call/<service>/<path>", 0, false});
         return;
     }
     const bool keyed = !key_of(request).empty();
     if (!ready())
     {
         const char* why = stopping_ ? "stopping" : "not_ready";
-        refuse(exchange,
-            {status_unavailable, why, "this entry host takes no requests now", 1, keyed});
+        refuse(
+            exchange, {status_unavailable, why, "this entry host takes no requests now", 1, keyed});
         return;
     }
     const auto* pool = model::find_pool_of_service(config_, service);
--- a/programs/camphorhitchd/src/statement_checks.cpp
+++ b/programs/camphorhitchd/src/statement_checks.cpp
@@ -76,8 +76,7 @@
     }
     std::stable_sort(all.begin(),
         all.end(),
-        [](const core::finding& a, const core::finding& b)
-        {
+        [](const core::finding& a, const core::finding& b) {
             return std::tie(a.where.line, a.where.column) < std::tie(b.where.line, b.where.column);
         });
     return all;
--- a/programs/camphorhitchd/tests/session_tests.cpp
+++ b/programs/camphorhitchd/tests/session_tests.cpp
@@ -48,7 +48,8 @@
      "return_timeout_ms": 20000},
     {"name": "swift", "kind": "fastest", "return_timeout_ms": 20000}],
   "teams": [{"name": "prints", "processors": 64, "memory_gb": 256, "accelerators": 0}]},
- "pools": [)" + pools + "]}";
+ "pools": [)" +
+           pools + "]}";
 }
 
 /// One short job, one long, and one that fits no host.
--- a/programs/camphorhitchd/tests/test_fleet.cpp
+++ b/programs/camphorhitchd/tests/test_fleet.cpp
@@ -67,7 +67,10 @@
     d.ctx.random.seed(first_seed + n);
     service_settings settings;
     settings.operator_token = operator_token;
-    settings.metrics = [] { return std::string{}; };
+    settings.metrics = []
+    {
+        return std::string{};
+    };
     d.all = std::make_unique<services>(d.ctx, std::move(settings));
     d.all->requests->set_server(d.callers.port());
     d.all->operators->set_server(d.operators.port());
@@ -175,7 +178,8 @@
         const auto* found = ports::find_field(answer->fields, name);
         return found == nullptr ? std::string{} : *found;
     };
-    return {answer->status, field("Camphorhitch-Outcome"), field("Camphorhitch-Reason"), answer->body};
+    return {
+        answer->status, field("Camphorhitch-Outcome"), field("Camphorhitch-Reason"), answer->body};
 }
 
 std::string small_fleet(int hosts)
@@ -193,7 +197,8 @@
   "policy": "steady", "budget": {"absent": 1, "absent_per_zone": 1}}],
   "policies": [{"name": "steady", "kind": "one_by_one", "fixed_buffer": 0,
     "return_timeout_ms": 20000}]},
- "pools": [{"pool": "quotes", "hosts": [)" + list + "]}]}";
+ "pools": [{"pool": "quotes", "hosts": [)" +
+           list + "]}]}";
 }
 
 void add_hosts(test_fleet& fleet, int hosts)
--- a/testing/fleet_sim/include/fleet_sim/world.hpp
+++ b/testing/fleet_sim/include/fleet_sim/world.hpp
@@ -77,7 +77,8 @@
 /// Reads every document and the roster; does nothing while the store is down.
 void refresh(world& w, sim_member& m);
 
-/// Takes in one pool's newest document alone, as after a conflict; the other views stay as they are.
+/// Takes in one pool's newest document alone, as after a conflict; the other views stay as they
+/// are.
 void refresh_one(world& w, sim_member& m, const std::string& pool);
 
 /// Decides for each pool and wave that \p m takes itself to own.
--- a/testing/fleet_sim/src/world.cpp
+++ b/testing/fleet_sim/src/world.cpp
@@ -44,8 +44,9 @@
     return find_view(const_cast<sim_member&>(m), pool);
 }
 
-/// Notes which pools are newly owned, and forgets the timers of those that are not any more. A member
-/// that missed an epoch can't know that nobody owned its pools in between: it takes them over anew.
+/// Notes which pools are newly owned, and forgets the timers of those that are not any more. A
+/// member that missed an epoch can't know that nobody owned its pools in between: it takes them
+/// over anew.
 void take_over(world& w, sim_member& m, bool missed_epochs)
 {
     if (missed_epochs)
--- a/testing/job_fakes/include/job_fakes/member.hpp
+++ b/testing/job_fakes/include/job_fakes/member.hpp
@@ -32,7 +32,7 @@
     /// Whether an order's answer is lost; the order may have been carried out or not.
     std::function<ports::platform_status(const ports::task_order&)> order_fault;
     std::function<bool(const jobs::command_tasks&)> command_lost; ///< empty: none is
-    std::function<void(const jobs::action&)> on_action; ///< to count
+    std::function<void(const jobs::action&)> on_action;           ///< to count
     std::int64_t wall_base_ms = 1'700'000'000'000;
 };
 
--- a/testing/job_fakes/include/job_fakes/store.hpp
+++ b/testing/job_fakes/include/job_fakes/store.hpp
@@ -40,7 +40,7 @@
     std::int64_t newest_revision = 0;
     std::vector<late_write> late;
     std::function<write_fault()> next_fault; ///< empty: none
-    int refused_bucket = -1; ///< writes to it have no effect
+    int refused_bucket = -1;                 ///< writes to it have no effect
     std::int64_t writes = 0;                 ///< that took effect
     std::int64_t conflicts = 0;
 };
