--- a/programs/camphorhitchd/tests/transcript.cpp
+++ b/programs/camphorhitchd/tests/transcript.cpp
@@ -41,8 +41,7 @@
 void operator_session::put(const std::string& words, const told& answer)
 {
     char at[32];
-    std::snprintf(
-        at, sizeof(at), "[%8.3f] ", static_cast<double>(fleet_.time.passed_ms()) / 1000);
+    std::snprintf(at, sizeof(at), "[%8.3f] ", static_cast<double>(fleet_.time.passed_ms()) / 1000);
     text_ += at + words + '\n';
     for (const auto& line : lines_of(answer.text))
     {
