--- a/testing/daemon_fakes/include/daemon_fakes/targets.hpp
+++ b/testing/daemon_fakes/include/daemon_fakes/targets.hpp
@@ -21,7 +21,12 @@
     bool down = false;   ///< refuses connections
     int running = 0;
     int most_running = 0;
+    /// The same without requests whose sender could not tell of them to a new owner since: dead, or
+    /// with a lapse. Nobody reserves slots for these.
+    int most_told = 0;
     std::vector<std::string> ran; ///< bodies of all requests, in the order of their start
+    /// Senders of what runs now, each with its lapses at the start.
+    std::vector<std::pair<const process*, int>> senders;
 };
 
 class targets
--- a/testing/daemon_fakes/include/daemon_fakes/virtual_time.hpp
+++ b/testing/daemon_fakes/include/daemon_fakes/virtual_time.hpp
@@ -24,6 +24,7 @@
     bool dead = false;
     bool store_cut = false; ///< no call reaches the key-value service or comes back
     bool peers_cut = false; ///< the same with other processes
+    int lapses = 0; ///< times that it became unable to tell others what it does; by the test
     std::vector<std::function<void()>> waiting;
 
     void enter(std::function<void()> fn);
--- a/testing/daemon_fakes/src/recorders.cpp
+++ b/testing/daemon_fakes/src/recorders.cpp
@@ -21,11 +21,18 @@
         }
         lines.push_back(line);
     };
-    out.count = [](const std::string&, const ports::metric_labels&, double) {};
-    out.gauge = [](const std::string&, const ports::metric_labels&, double) {};
-    out.observe = [](const std::string&, const ports::metric_labels&, double) {};
-    out.start_span = [](const std::string&, const std::string&) {
-        return ports::span{"", [](const std::string&, const std::string&) {}, [] {}};
+    out.count = [](const std::string&, const ports::metric_labels&, double) {
+    };
+    out.gauge = [](const std::string&, const ports::metric_labels&, double) {
+    };
+    out.observe = [](const std::string&, const ports::metric_labels&, double) {
+    };
+    out.start_span = [](const std::string&, const std::string&)
+    {
+        return ports::span{"",
+            [](const std::string&, const std::string&) {},
+            [] {
+            }};
     };
     return out;
 }
@@ -44,8 +51,14 @@
     {
         answers[id] = std::move(r);
     };
-    out.stop_accepting = [this] { accepting = false; };
-    out.open_exchanges = [this] { return static_cast<std::size_t>(last) - answers.size(); };
+    out.stop_accepting = [this]
+    {
+        accepting = false;
+    };
+    out.open_exchanges = [this]
+    {
+        return static_cast<std::size_t>(last) - answers.size();
+    };
     return out;
 }
 
--- a/testing/daemon_fakes/src/virtual_time.cpp
+++ b/testing/daemon_fakes/src/virtual_time.cpp
@@ -64,8 +64,14 @@
 ports::scheduler virtual_time::port(process& p)
 {
     ports::scheduler out;
-    out.now = [this] { return now(); };
-    out.wall_now = [this] { return wall_now(); };
+    out.now = [this]
+    {
+        return now();
+    };
+    out.wall_now = [this]
+    {
+        return wall_now();
+    };
     out.post = [this, &p](std::function<void()> fn)
     {
         after(core::millis{0}, [&p, fn = std::move(fn)] { p.enter(fn); });
@@ -89,7 +95,10 @@
                     });
             });
     };
-    out.cancel = [this](ports::timer_id id) { cancel(id); };
+    out.cancel = [this](ports::timer_id id)
+    {
+        cancel(id);
+    };
     return out;
 }
 
