permits: a take-over's bound is looked at again as members tell of the new epoch

Cause: a new owner fixed the bound for missing reports when it adopted the roster. Nobody had told of the new epoch yet, so a majority counted as silent and the bound was the whole grace of an outage (600 s): with the owner killed and one more member paused, the pool was shut for that long. Symptom: callers at the three live entry hosts of five were refused for the test's 30 s. Ruled out: the killed owner (proven gone), and the roster's change, which came within seconds. Change: each tick of an owner that waits gives dispatch::hasten_take_over() the bound by what is known by now; an earlier one replaces the plan's, also for drains. Before: failures.owner_killed_while_another_is_paused failed; after: passes.

--- a/libs/dispatch/include/dispatch/take_over.hpp
+++ b/libs/dispatch/include/dispatch/take_over.hpp
@@ -20,6 +20,10 @@
 /// request's time has passed: in slots as far as it was reported, for drains in any case.
 void begin_take_over(pool_dispatcher& d, const take_over_plan& plan, core::mono_time now);
 
+/// It is known by now that a silent member starts nothing from an earlier time on than was planned.
+/// \param answers_by that time; a later one than the plan's changes nothing.
+void hasten_take_over(pool_dispatcher& d, core::mono_time answers_by);
+
 /// A member's report. The owner's own permits are reported in the same way.
 permit_answers on_held(pool_dispatcher& d,
     const std::string& member,
--- a/libs/dispatch/src/take_over.cpp
+++ b/libs/dispatch/src/take_over.cpp
@@ -89,6 +89,18 @@
     d.wake = std::min({d.wake, state.answers_by, state.gone_by});
 }
 
+void hasten_take_over(pool_dispatcher& d, core::mono_time answers_by)
+{
+    auto& state = d.take_over;
+    if (state.missing.empty() || answers_by >= state.answers_by)
+    {
+        return;
+    }
+    state.answers_by = answers_by;
+    state.gone_by = answers_by + longest_use(d);
+    d.wake = std::min(d.wake, answers_by);
+}
+
 void end_waiting_for_reports(pool_dispatcher& d, core::mono_time now)
 {
     for (const auto& [name, it] : d.take_over.missing)
--- a/programs/camphorhitchd/src/permit_service.cpp
+++ b/programs/camphorhitchd/src/permit_service.cpp
@@ -162,6 +162,7 @@
         plan.former.push_back({it.id, it.incarnation, members_.is_gone(it), {}});
     }
     const auto now = context_.scheduler.now();
+    taken_over_at_[pool.name] = now;
     // The live members need time to answer even when nobody else can be acting any more: without it
     // all of them would count as silent at once, and drains would wait for the longest request.
     plan.answers_by = std::max(members_.older_epochs_stopped(), now + ask_patience);
@@ -372,6 +373,14 @@
     const auto now = context_.scheduler.now();
     for (auto& [pool, d] : dispatchers_)
     {
+        // When the take-over began nobody had told of the new epoch yet, and so many silent members
+        // might have gone on by themselves for the whole grace of an outage. Each word since then
+        // leaves fewer; without this look one paused member would keep the pool shut for minutes.
+        if (!dispatch::is_ready(d))
+        {
+            const auto first = taken_over_at_[pool] + ask_patience;
+            dispatch::hasten_take_over(d, std::max(first, members_.older_epochs_stopped()));
+        }
         if (dispatch::next_wakeup(d) <= now)
         {
             answer(dispatch::on_tick(d, now));
--- a/programs/camphorhitchd/src/permit_service.hpp
+++ b/programs/camphorhitchd/src/permit_service.hpp
@@ -74,6 +74,7 @@
     held_function held_;
     model::configuration config_;
     ports::live_list live_;
+    std::map<std::string, core::mono_time> taken_over_at_; ///< by pool
     std::map<std::string, model::pool_document> documents_;
     std::map<std::string, dispatch::pool_dispatcher> dispatchers_;
     std::map<std::string, ports::epoch_number> last_owned_;
--- a/programs/camphorhitchd/tests/failure_tests.cpp
+++ b/programs/camphorhitchd/tests/failure_tests.cpp
@@ -134,6 +134,24 @@
     CHECK(serves_soon(old, "again"));
 }
 
+// The owner is killed while another member is paused. The new owner can't hear the paused one, and
+// must wait until that one is stale, not for the whole grace of an outage: callers at the others
+// are served again within seconds.
+TEST(failures, owner_killed_while_another_is_paused)
+{
+    fleet.add("e4", "e4-first");
+    fleet.add("e5", "e5-first");
+    CHECK(fleet.wait_ready());
+    owner = owner_of_quotes(fleet, 0);
+    other = (owner + 1) % 5;
+    CHECK(serves_soon(fleet.at(other), "before"));
+    fleet.at(owner).process.dead = true;
+    fleet.at((owner + 2) % 5).process.paused = true;
+    CHECK(serves_soon(fleet.at(other), "a"));
+    CHECK(serves_soon(fleet.at((owner + 3) % 5), "b"));
+    check_slots();
+}
+
 // One entry host loses the store while the others keep it: they may change the roster without its
 // knowledge, so it stops by itself and says "not-run"; the others go on. With the store back it
 // serves again.
