permits: a new owner waits for a former owner that may grant still

Cause: a new owner waited for the reports of the new roster's members alone. A former owner that the others took out of the roster while it lives (its peers cut off, or alone in its roster and without the store) is fresh for up to 3 s more, or for the grace of an outage, and granted on to its own callers: targets of 8 slots ran 10 and 11 requests. Change: former owners of the pool that aren't proven gone, and may not have stopped yet, are asked and awaited like members. Cost: after an owner was paused or cut off a pool is served again only when it must have stopped (freshness and margin after the last word); after a kill (proof) or a graceful stop (its report) nothing changes.

--- a/programs/camphorhitchd/src/permit_service.cpp
+++ b/programs/camphorhitchd/src/permit_service.cpp
@@ -157,12 +157,22 @@
     {
         plan.asked.push_back({it.id, it.incarnation, false, {}});
     }
+    const auto now = context_.scheduler.now();
+    taken_over_at_[pool.name] = now;
+    auto& awaited = former_owners_[pool.name];
+    awaited.clear();
     for (const auto& it : members_.recent_formers(dispatch::longest_use(*d)))
     {
-        plan.former.push_back({it.id, it.incarnation, members_.is_gone(it), {}});
+        if (may_still_grant(it, pool.name))
+        {
+            awaited.push_back(it);
+            plan.asked.push_back({it.id, it.incarnation, false, {}});
+        }
+        else
+        {
+            plan.former.push_back({it.id, it.incarnation, members_.is_gone(it), {}});
+        }
     }
-    const auto now = context_.scheduler.now();
-    taken_over_at_[pool.name] = now;
     // The live members need time to answer even when nobody else can be acting any more: without it
     // all of them would count as silent at once, and drains would wait for the longest request.
     plan.answers_by = std::max(members_.older_epochs_stopped(), now + ask_patience);
@@ -181,13 +191,41 @@
     ask_members(pool.name);
 }
 
+/// A former owner that was taken out of the roster while it lives may be fresh by what it heard
+/// before, or alone and without the store, and then it grants on: a target would get the slots of
+/// two owners at once. So it is awaited as members are, until it tells that it has adopted our
+/// epoch, is proven gone, or must have stopped.
+bool permit_service::may_still_grant(const model::member_record& who, const std::string& pool) const
+{
+    const auto& roster = members_.roster();
+    const bool replaced = std::any_of(roster.members.begin(),
+        roster.members.end(),
+        [&](const auto& it) { return it.id == who.id; });
+    const bool stopped = members_.older_epochs_stopped() <= context_.scheduler.now();
+    if (replaced || stopped || members_.is_gone(who))
+    {
+        return false;
+    }
+    return std::any_of(roster.history.begin(),
+        roster.history.end(),
+        [&](const model::former_roster& then)
+        {
+            const model::roster_document old{then.epoch, then.members, {}};
+            const auto* it = membership::owner_of_pool(old, pool);
+            return it != nullptr && membership::same_process(*it, who);
+        });
+}
+
 void permit_service::ask_members(const std::string& pool)
 {
     ports::held_query query;
     query.epoch = members_.roster().epoch;
     query.member = context_.self.id;
     query.pools = {pool};
-    for (const auto& to : members_.roster().members)
+    auto all = members_.roster().members;
+    const auto& awaited = former_owners_[pool];
+    all.insert(all.end(), awaited.begin(), awaited.end());
+    for (const auto& to : all)
     {
         auto take = [this, pool, to](ports::peer_status status, const ports::held_reply& reply)
         {
--- a/programs/camphorhitchd/src/permit_service.hpp
+++ b/programs/camphorhitchd/src/permit_service.hpp
@@ -63,6 +63,7 @@
     void answer(const dispatch::permit_answers& all);
     void take_over(const model::pool_config& pool);
     void drop(const std::string& pool);
+    bool may_still_grant(const model::member_record& who, const std::string& pool) const;
     void ask_members(const std::string& pool);
     void tick();
     void send_returns();
@@ -75,6 +76,8 @@
     model::configuration config_;
     ports::live_list live_;
     std::map<std::string, core::mono_time> taken_over_at_; ///< by pool
+    /// Former owners of a pool that we wait for, by pool.
+    std::map<std::string, membership::member_list> former_owners_;
     std::map<std::string, model::pool_document> documents_;
     std::map<std::string, dispatch::pool_dispatcher> dispatchers_;
     std::map<std::string, ports::epoch_number> last_owned_;
--- a/programs/camphorhitchd/tests/failure_tests.cpp
+++ b/programs/camphorhitchd/tests/failure_tests.cpp
@@ -134,6 +134,32 @@
     CHECK(serves_soon(old, "again"));
 }
 
+// The owner loses its peers, not the store: the others take it out of the roster while it is fresh
+// by the store's last word, and so it grants on for a while. Its successor must not grant
+// meanwhile, or a target gets the slots of two owners at once.
+TEST(failures, owner_cut_off_from_its_peers)
+{
+    for (auto& [address, it] : fleet.targets.all)
+    {
+        it.run_time = core::millis{1500};
+    }
+    auto& old = fleet.at(owner);
+    old.process.peers_cut = true;
+    for (int i = 0; i < 100; ++i)
+    {
+        for (int n = 0; n < 4; ++n)
+        {
+            const auto body = std::to_string(i) + "-" + std::to_string(n);
+            test_fleet::request(old, "quotes", "old" + body);
+            test_fleet::request(fleet.at(other), "quotes", "new" + body);
+        }
+        fleet.run_for(core::millis{100});
+    }
+    CHECK_FALSE(old.all->members->in_roster());
+    check_slots();
+    CHECK(serves_soon(fleet.at(other), "a"));
+}
+
 // The owner is killed while another member is paused. The new owner can't hear the paused one, and
 // must wait until that one is stale, not for the whole grace of an outage: callers at the others
 // are served again within seconds.
