--- a/programs/camphorhitchd/tests/session_tests.cpp
+++ b/programs/camphorhitchd/tests/session_tests.cpp
@@ -48,16 +48,8 @@
      "return_timeout_ms": 20000},
     {"name": "swift", "kind": "fastest", "return_timeout_ms": 20000}],
   "teams": [{"name": "prints", "processors": 64, "memory_gb": 256, "accelerators": 0}]},
- "pools": [)" + pools + "]}";
-}
-
-void add_hosts(test_fleet& fleet)
-{
-    for (int n = 1; n <= most_hosts; ++n)
-    {
-        const auto number = std::to_string(n);
-        fleet.platform.add_host("h" + number, "10.0.0." + number + ":80", {32, 128, 0});
-    }
+ "pools": [)" +
+           pools + "]}";
 }
 
 /// One short job, one long, and one that fits no host.
@@ -104,10 +96,23 @@
     s.say("show experiments; show pools; stop experiment e1");
 }
 
+void experiment_in_danger(test_fleet& fleet, operator_session& s)
+{
+    s.note("host h9 will not come back from its next reboot");
+    fleet.platform.hosts["h9"].returns = false;
+    s.say("start experiment e2 arms now=steady,then=swift on pool "
+          "quotes,holds,deposits,refunds,ledger,alerts for 1h seed 8");
+    s.wait_shown("show experiments where state = running", "e2");
+    fleet.run_for(core::millis{120000});
+    s.say("start wave autumn");
+    s.wait_shown("show experiments where state = ended", "e2");
+    s.say("stop experiment e2; cancel wave autumn; show waves");
+}
+
 std::string operators_day()
 {
     test_fleet fleet(1);
-    add_hosts(fleet);
+    add_hosts(fleet, most_hosts);
     CHECK(fleet.wait_ready());
     operator_session s(fleet, fleet.at(0));
     s.say("show pools; show hosts; show members");
@@ -126,6 +131,7 @@
     s.say("set pool quotes budget.absent = 2; set policy swift return_timeout = 15s");
     s.say("show pools; show policies; show config");
     experiment_with_a_wave(fleet, s);
+    experiment_in_danger(fleet, s);
     s.say("cancel job nightly-2; cancel jobs where team = prints and state = waiting");
     s.wait_shown("show jobs where state = cancelled", "nightly-2");
     s.say("show jobs order by id; why job nightly-2");
@@ -135,7 +141,7 @@
 std::string day_of_mistakes()
 {
     test_fleet fleet(1);
-    add_hosts(fleet);
+    add_hosts(fleet, most_hosts);
     CHECK(fleet.wait_ready());
     operator_session s(fleet, fleet.at(0));
     s.apply("a file that is no JSON", "{");
