--- a/testing/daemon_fakes/include/daemon_fakes/key_value.hpp
+++ b/testing/daemon_fakes/include/daemon_fakes/key_value.hpp
@@ -67,7 +67,7 @@
     void call_write(process& p, std::function<ports::kv_write()> serve, const write_callback& done);
     ports::kv_write compare(const std::string& key, ports::revision expected) const;
     ports::kv_read read(const std::string& key, bool prefix);
-    void tell(ports::kv_event event);
+    void tell(const ports::kv_event& event);
     void deliver(ports::watch_id id, std::vector<ports::kv_event> events);
     void end_watch(ports::watch_id id);
     void lapse(ports::lease_id id);
--- a/testing/daemon_fakes/src/recorders.cpp
+++ b/testing/daemon_fakes/src/recorders.cpp
@@ -17,7 +17,7 @@
         std::string line = at + event;
         for (const auto& [key, value] : fields)
         {
-            line += " " + key + "=" + value;
+            line.append(" ").append(key).append("=").append(value);
         }
         lines.push_back(line);
     };
