http: connections that the kernel holds when the server stops accepting are taken in, not reset

Closing the listening socket resets what stands in its queue. Ruled out: requests in flight, since the daemon had logged requests_finished 30 s before. Change: before it stops accepting, the server takes in what is connected. Test: stop_accepting_takes_in_those_who_are_connected_already, 40 callers, failed before, passes now.

--- a/libs/http/src/server_state.cpp
+++ b/libs/http/src/server_state.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,6 +18,9 @@
 namespace
 {
 
+/// The library accepts some connections a round; a full queue of the kernel takes a few hundred.
+constexpr int most_accept_rounds = 1000;
+
 /// Beyond the limit so many connections are still accepted, to be told 503; more wait in the
 /// listen queue until one closes.
 constexpr std::size_t spare_connections = 64;
@@ -301,10 +305,28 @@
     }
 }
 
+/// The kernel has completed connections that the library hasn't accepted yet. Closing the listening
+/// socket resets them, and their callers see a broken call during a planned stop. Taken in first,
+/// they are answered like all others; who connects after the last look is refused by the kernel.
+void server_state::accept_waiting()
+{
+    const auto* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_LISTEN_FD);
+    if (info == nullptr)
+    {
+        return;
+    }
+    pollfd listening{info->listen_fd, POLLIN, 0};
+    for (int i = 0; i<most_accept_rounds&& ::poll(&listening, 1, 0)> 0; ++i)
+    {
+        MHD_run(daemon_);
+    }
+}
+
 void server_state::stop_accepting()
 {
     if (!quiesced_)
     {
+        accept_waiting();
         quiesced_ = true;
         const int fd = MHD_quiesce_daemon(daemon_);
         if (fd >= 0)
--- a/libs/http/src/server_state.hpp
+++ b/libs/http/src/server_state.hpp
@@ -66,6 +66,7 @@
     std::string start(const std::string& address);
     void respond(ports::exchange_id id, ports::http_response response);
     void stop_accepting();
+    void accept_waiting();
 
     // ---- called by libmicrohttpd ----
     exchange* begin_exchange(MHD_Connection* mhd, const char* uri);
--- a/libs/http/tests/server_tests.cpp
+++ b/libs/http/tests/server_tests.cpp
@@ -2,6 +2,7 @@
 #include "http/server.hpp"
 #include "http_fakes/fakes.hpp"
 
+#include <list>
 #include <optional>
 #include <sys/resource.h>
 #include <vector>
@@ -336,6 +337,29 @@
     CHECK(run_until(loop, [&] { return port.open_exchanges() == 0; }));
 }
 
+// Callers whose connections stand in the kernel's queue have sent their requests, and the program
+// hasn't seen them yet when it stops accepting. A reset there is a broken call that may have run.
+TEST(http_server, stop_accepting_takes_in_those_who_are_connected_already)
+{
+    start();
+    constexpr std::size_t waiting = 40;
+    std::list<raw_caller> callers;
+    for (std::size_t i = 0; i < waiting; ++i)
+    {
+        callers.emplace_back(port.port);
+        callers.back().send_now("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    then = [this](ports::exchange_id id)
+    {
+        port.respond(id, text("whole"));
+    };
+    port.stop_accepting();
+    for (auto& it : callers)
+    {
+        CHECK(saw(it, "whole"));
+    }
+}
+
 TEST(http_server, destroying_it_with_open_exchanges_is_quiet)
 {
     start();
--- a/testing/http_fakes/include/http_fakes/fakes.hpp
+++ b/testing/http_fakes/include/http_fakes/fakes.hpp
@@ -85,6 +85,11 @@
                 return text.empty();
             });
     }
+    /// Writes a text that fits into the kernel's buffer, without a turn of the loop.
+    void send_now(std::string_view text) const
+    {
+        std::ignore = ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+    }
     /// \return what came so far.
     const std::string& read()
     {
