camphorhitchd: callers who are connected at the end of a planned stop get their answers

The same finding: the process ended at once after giving its lease back, and never stopped accepting before. Change: it stops accepting, then waits at least 200 ms and until no exchange is open, at most 2 s.

--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -143,6 +143,12 @@
     end_if_over(0);
 }
 
+void request_service::answer_last(std::function<void()> done)
+{
+    last_.emplace(context_.scheduler, server_);
+    last_->begin(std::move(done));
+}
+
 void request_service::refuse(ports::exchange_id exchange, const refusal& why)
 {
     context_.telemetry.count("camphorhitch_refused_total", {{"reason", why.reason}}, 1);
--- a/programs/camphorhitchd/src/request_service.hpp
+++ b/programs/camphorhitchd/src/request_service.hpp
@@ -5,6 +5,7 @@
 #include "claim_service.hpp"
 #include "context.hpp"
 #include "dispatch/request_flow.hpp"
+#include "last_answers.hpp"
 #include "membership_service.hpp"
 #include "model/config.hpp"
 #include "permit_service.hpp"
@@ -12,6 +13,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -40,6 +42,9 @@
 
     /// From now on new requests are refused; \p done is called when the last one has ended.
     void stop(std::function<void()> done);
+
+    /// Takes no new connection and waits for those connected to be answered, for a bounded time.
+    void answer_last(std::function<void()> done);
     /// \return whether a balancer should send requests here.
     bool ready() const;
     std::size_t open_requests() const;
@@ -83,6 +88,7 @@
     dispatch::request_sender sender_;
     model::configuration config_;
     ports::http_server server_;
+    std::optional<last_answers> last_;
     std::unordered_map<request_id, open_request> open_;
     std::unordered_map<ports::exchange_id, request_id> by_exchange_;
     request_id next_id_ = 1;
--- a/programs/camphorhitchd/src/stop_sequence.cpp
+++ b/programs/camphorhitchd/src/stop_sequence.cpp
@@ -64,8 +64,16 @@
         return;
     }
     context_.log(ports::log_level::info, "stop_ended", {{"why", why}});
-    context_.scheduler.after(lease_patience, [this] { std::exchange(ended_, [] {})(); });
-    members_.give_up_lease([this] { std::exchange(ended_, [] {})(); });
+    context_.scheduler.after(lease_patience, [this] { answer_last(); });
+    members_.give_up_lease([this] { answer_last(); });
+}
+
+void stop_sequence::answer_last()
+{
+    if (!std::exchange(answering_, true))
+    {
+        requests_.answer_last([this] { std::exchange(ended_, [] {})(); });
+    }
 }
 
 } // namespace camphorhitch::daemon
--- a/programs/camphorhitchd/src/stop_sequence.hpp
+++ b/programs/camphorhitchd/src/stop_sequence.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// A graceful stop: refuse new requests, finish those in flight, leave the roster, hand over what
-/// is remembered of idempotency keys, give the lease back, end. Each step waits for a condition,
-/// and the whole for no longer than its bound.
+/// is remembered of idempotency keys, give the lease back, answer who is still connected, end. Each
+/// step waits for a condition, and the whole for no longer than its bound.
 #pragma once
 
 #include "claim_service.hpp"
@@ -27,6 +27,7 @@
     void leave();
     void wait_for_hand_over();
     void finish(const char* why);
+    void answer_last();
 
     context& context_;
     membership_service& members_;
@@ -35,6 +36,7 @@
     std::function<void()> ended_;
     bool begun_ = false;
     bool over_ = false;
+    bool answering_ = false;
 };
 
 } // namespace camphorhitch::daemon
