claims: focused tests for lagging holders, early releases and the quarantine's length

Cause: trials with broken rules showed which safeguards only the randomised runs, or none, looked at.

--- a/libs/claims/tests/claim_table_tests.cpp
+++ b/libs/claims/tests/claim_table_tests.cpp
@@ -244,6 +244,18 @@
     CHECK(t.verdict(ticket) == claim_verdict::known);
 }
 
+/// The second holder of both epochs is whole in the newer one. Its acknowledgement of an older copy
+/// would let the old first holder grant beside the new one.
+TEST(claim_table, a_copy_of_an_older_epoch_is_refused)
+{
+    three t;
+    t.claim("a", t.key, "x");
+    const auto late = std::exchange(t.copies, {}).at(0);
+    t.adopt("b", next_of(t.roster, abc));
+    CHECK(is_active(t["b"], membership::slot_of_key(t.key)));
+    CHECK_FALSE(t.deliver(late).accepted);
+}
+
 TEST(claim_table, bounds)
 {
     three t;
--- a/libs/claims/tests/takeover_tests.cpp
+++ b/libs/claims/tests/takeover_tests.cpp
@@ -154,6 +154,71 @@
     CHECK(t.verdict(again) == claim_verdict::granted);
 }
 
+/// A new member becomes first holder while the old pair has not heard of it. What it pulls before
+/// they adopted its epoch would be out of date at once, since they go on granting.
+TEST(takeover, holders_that_lag_behind)
+{
+    const names ab{"a", "b"};
+    const auto key = key_held_by(ab, "a", "b");
+    tables t;
+    const auto roster = roster_of(ab);
+    const auto next = next_of(roster, {"c", "d"});
+    t.adopt("a", roster);
+    t.adopt("b", roster);
+    t.adopt("c", next);
+    t.adopt("d", next);
+    t.deliver_pulls();
+    const auto granted = t.claim("a", key, "x");
+    auto late = std::exchange(t.copies, {}).at(0);
+    t.acknowledge(late, peer_status::ok, t.deliver(late));
+    CHECK(t.verdict(granted) == claim_verdict::granted);
+
+    t.claim("a", key, "x");
+    late = std::exchange(t.copies, {}).at(0);
+    t.adopt("b", next);
+    CHECK_FALSE(t.deliver(late).accepted);
+    t.now += 1000;
+    for (const auto* it : {"c", "d"})
+    {
+        t.take(it, on_tick(t[it], at_ms(t.now)));
+    }
+    t.deliver_pulls();
+    const auto slot = membership::slot_of_key(key);
+    const auto holder = membership::claim_holders(next.members, slot).first->id;
+    const auto ticket = t.claim(holder, key, "y");
+    t.deliver_copies();
+    CHECK(t.verdict(ticket) == claim_verdict::known);
+}
+
+/// An attempt whose claim never arrived is released at a new holder that still waits for the slot's
+/// state. Remembered there, the release would look newer than another attempt's claim that comes
+/// with the state.
+TEST(takeover, a_release_waits_for_the_slots_state)
+{
+    const names ab{"a", "b"};
+    const auto key = key_held_by(ab, "a", "b");
+    tables t;
+    const auto roster = roster_of(ab);
+    const auto next = next_of(roster, {"c", "d"});
+    t.adopt("a", roster);
+    t.adopt("b", roster);
+    t.claim("a", key, "y");
+    t.deliver_copies();
+    for (const auto* it : {"a", "b", "c", "d"})
+    {
+        t.adopt(it, next);
+    }
+    const auto slot = membership::slot_of_key(key);
+    const auto holder = membership::claim_holders(next.members, slot).first->id;
+    const auto release = t.finish(holder, key, "x", ports::claim_state::released);
+    t.deliver_copies();
+    CHECK_FALSE(t.finishes[release].accepted);
+    t.deliver_pulls();
+    const auto ticket = t.claim(holder, key, "z");
+    t.deliver_copies();
+    CHECK(t.verdict(ticket) == claim_verdict::known);
+}
+
 /// Nobody can say what the lost holders granted. Until the last key they may have granted is
 /// forgotten, an unseen key is neither run nor called "not run"; then the slot serves again. A
 /// further change of the roster does not start the wait anew.
@@ -194,6 +259,42 @@
     }
 }
 
+/// Both holders are cut off together with a majority. They are replaced, go on granting as long as
+/// they may call themselves fresh, and one executor uses its grant at the last moment. Nobody can
+/// be asked; the successors have to wait until that key, too, has been remembered for its time.
+TEST(takeover, a_quarantine_outlasts_what_silent_holders_may_still_grant)
+{
+    const claim_settings settings;
+    const auto last_fresh = static_cast<int>(settings.stop_bound.count()) - 1;
+    const auto last_send = last_fresh + static_cast<int>(settings.permit_ttl.count()) - 1;
+    const auto remembered = last_send + static_cast<int>(settings.key_memory.count());
+    tables t;
+    t.now = 0;
+    const auto roster = roster_of({"a", "b"});
+    t.adopt("a", roster);
+    t.adopt("b", roster);
+    const auto next = next_of(roster, {"c", "d"});
+    t.adopt("c", next);
+    t.adopt("d", next);
+    t.deliver_pulls({}, {"a", "b"});
+    t.now = last_fresh;
+    const auto key = key_held_by({"a", "b"}, "a", "b");
+    const auto granted = t.claim("a", key, "x");
+    t.deliver_copies();
+    CHECK(t.verdict(granted) == claim_verdict::granted);
+    t.now = remembered - 1;
+    for (const auto* it : {"c", "d"})
+    {
+        t.take(it, on_tick(t[it], at_ms(t.now)));
+    }
+    t.deliver_pulls({}, {"a", "b"});
+    const auto slot = membership::slot_of_key(key);
+    const auto holder = membership::claim_holders(next.members, slot).first->id;
+    const auto again = t.claim(holder, key, "y");
+    t.deliver_copies();
+    CHECK(t.verdict(again) == claim_verdict::quarantined);
+}
+
 TEST(takeover, a_leaving_member_waits_until_its_slots_were_pulled)
 {
     tables t;
