--- a/libs/claims/src/claim_table.cpp
+++ b/libs/claims/src/claim_table.cpp
@@ -1,4 +1,5 @@
 #include "entries.hpp"
+#include "holder_parts.hpp"
 
 #include "core/invariant.hpp"
 
@@ -20,14 +21,6 @@
     return table.slots[membership::slot_of_key(key)];
 }
 
-/// One message to answer.
-struct claim_context
-{
-    std::uint64_t ticket = 0;
-    std::uint32_t slot = 0;
-    core::mono_time now{};
-};
-
 claim_actions reply(std::uint64_t ticket, claim_verdict verdict, core::millis retry_after = {})
 {
     ports::claim_reply answer;
@@ -36,11 +29,6 @@
     return {reply_claim{ticket, std::move(answer)}};
 }
 
-bool is_of(const remembered_key& known, const std::string& executor, std::uint64_t attempt)
-{
-    return known.executor == executor && known.attempt == attempt;
-}
-
 bool is_in_roster(const claim_table& table, const std::string& executor)
 {
     for (const auto& it : table.roster.members)
@@ -87,16 +75,6 @@
     return reply(at.ticket, claim_verdict::quarantined, std::max(left, table.settings.retry_soon));
 }
 
-pending_copy pending_for(const claim_table& table, copy_purpose purpose, const claim_context& at)
-{
-    pending_copy pending;
-    pending.purpose = purpose;
-    pending.epoch = table.roster.epoch;
-    pending.slot = at.slot;
-    pending.ticket = at.ticket;
-    return pending;
-}
-
 claim_actions conclude(claim_table& table, const pending_copy& pending, bool fresh);
 
 /// Sends the entry to the second holder, or concludes at once when there is none. Statements that
@@ -118,13 +96,6 @@
     return {std::move(action)};
 }
 
-claim_actions copy_entry(
-    claim_table& table, pending_copy pending, const remembered_key& known, const claim_context& at)
-{
-    auto entry = to_wire(pending.key, known, at.now);
-    return copy_first(table, std::move(pending), std::move(entry));
-}
-
 claim_actions grant_after_copy(claim_table& table,
     const ports::claim_request& request,
     const remembered_key& known,
@@ -229,97 +200,30 @@
     }
 }
 
-claim_actions finish_after_copy(claim_table& table,
-    const std::string& key,
-    const remembered_key& known,
-    const claim_context& at)
-{
-    auto pending = pending_for(table, copy_purpose::finish, at);
-    pending.key = key;
-    return copy_entry(table, std::move(pending), known, at);
-}
+} // namespace
 
-claim_actions accept_finish(const claim_context& at, bool accepted)
+bool is_of(const remembered_key& known, const std::string& executor, std::uint64_t attempt)
 {
-    return {reply_finish{at.ticket, ports::ack{accepted}}};
+    return known.executor == executor && known.attempt == attempt;
 }
 
-/// Releases a claim, and only that attempt's own. A slot that is not whole could hold an old entry
-/// where another attempt's newer claim belongs, so there the executor has to ask again later.
-claim_actions release(
-    claim_table& table, const ports::claim_finish& finish, const claim_context& at)
+pending_copy pending_for(const claim_table& table, copy_purpose purpose, const claim_context& at)
 {
-    auto& slot = table.slots[at.slot];
-    if (!is_active(table, at.slot))
-    {
-        return accept_finish(at, false);
-    }
-    auto* known = find_live(slot, table.settings, finish.key, at.now);
-    if (known == nullptr)
-    {
-        // The claim may still be on its way; remembering the release keeps it from being granted to
-        // an attempt that nobody waits for, which would block the key.
-        if (!make_room(slot, table.settings, at.now))
-        {
-            return accept_finish(at, true);
-        }
-        known = &slot.keys[finish.key];
-        known->executor = finish.executor;
-        known->attempt = finish.attempt;
-        known->body_hash = finish.entry.body_hash;
-        known->state = claim_state::claimed;
-    }
-    if (!is_of(*known, finish.executor, finish.attempt))
-    {
-        return accept_finish(at, true);
-    }
-    if (known->state == claim_state::claimed)
-    {
-        known->state = claim_state::released;
-        stamp(slot, *known, table.roster.epoch, at.now);
-    }
-    return finish_after_copy(table, finish.key, *known, at);
+    pending_copy pending;
+    pending.purpose = purpose;
+    pending.epoch = table.roster.epoch;
+    pending.slot = at.slot;
+    pending.ticket = at.ticket;
+    return pending;
 }
 
-/// Remembers how an attempt ended. That an attempt ran is true whatever is known here, so it is
-/// remembered in a quarantined slot, too; only another attempt's entry is never overwritten.
-claim_actions remember_end(
-    claim_table& table, const ports::claim_finish& finish, const claim_context& at)
+claim_actions copy_entry(
+    claim_table& table, pending_copy pending, const remembered_key& known, const claim_context& at)
 {
-    auto& slot = table.slots[at.slot];
-    const bool active = is_active(table, at.slot);
-    auto* known = find_live(slot, table.settings, finish.key, at.now);
-    const bool own = known == nullptr || is_of(*known, finish.executor, finish.attempt);
-    if (!own)
-    {
-        return accept_finish(at, active);
-    }
-    if (known == nullptr)
-    {
-        known = &slot.keys[finish.key];
-        known->executor = finish.executor;
-        known->attempt = finish.attempt;
-        known->body_hash = finish.entry.body_hash;
-        known->state = claim_state::claimed;
-    }
-    const bool improves =
-        known->state == claim_state::claimed ||
-        (known->state == claim_state::unknown && finish.entry.state == claim_state::done);
-    if (improves)
-    {
-        known->state = finish.entry.state;
-        keep_answer(slot, table.settings, *known, finish.entry);
-        stamp(slot, *known, table.roster.epoch, at.now);
-    }
-    if (!active)
-    {
-        return accept_finish(at, false);
-    }
-    return finish_after_copy(table, finish.key, *known, at);
+    auto entry = to_wire(pending.key, known, at.now);
+    return copy_first(table, std::move(pending), std::move(entry));
 }
 
-} // namespace
-
 claim_actions on_claim(claim_table& table,
     std::uint64_t ticket,
     const ports::claim_request& request,
@@ -407,17 +311,4 @@
     return {true};
 }
 
-claim_actions on_finish(claim_table& table,
-    std::uint64_t ticket,
-    const ports::claim_finish& finish,
-    core::mono_time now)
-{
-    const claim_context at{ticket, membership::slot_of_key(finish.key), now};
-    if (table.slots[at.slot].role != slot_role::first)
-    {
-        return accept_finish(at, false);
-    }
-    return finish.not_run ? release(table, finish, at) : remember_end(table, finish, at);
-}
-
 } // namespace camphorhitch::claims
--- a/libs/claims/tests/executor_tests.cpp
+++ b/libs/claims/tests/executor_tests.cpp
@@ -46,11 +46,9 @@
 {
     struct row
     {
-        const char* what;
         peer_status status;
         ports::claim_reply reply;
-        outcome kind;
-        outcome_reason reason;
+        const char* told;
         bool releases;
     };
     const auto known = [](claim_state state)
@@ -61,66 +59,16 @@
     not_kept.entry.answer_kept = false;
     const auto ok = peer_status::ok;
     const row rows[] = {
-        {"answered",
-            ok,
-            known(claim_state::done),
-            outcome::answered,
-            outcome_reason::replayed,
-            false},
-        {"answer too large",
-            ok,
-            not_kept,
-            outcome::unknown,
-            outcome_reason::answer_not_kept,
-            false},
-        {"running",
-            ok,
-            known(claim_state::claimed),
-            outcome::unknown,
-            outcome_reason::running,
-            false},
-        {"sent",
-            ok,
-            known(claim_state::unknown),
-            outcome::unknown,
-            outcome_reason::may_have_run,
-            false},
-        {"other body",
-            ok,
-            reply_of(claim_verdict::other_body),
-            outcome::not_run,
-            outcome_reason::other_body,
-            false},
-        {"full",
-            ok,
-            reply_of(claim_verdict::full),
-            outcome::not_run,
-            outcome_reason::keys_full,
-            false},
-        {"quarantined",
-            ok,
-            reply_of(claim_verdict::quarantined),
-            outcome::unknown,
-            outcome_reason::quarantined,
-            false},
-        {"not ready",
-            ok,
-            reply_of(claim_verdict::not_ready),
-            outcome::unknown,
-            outcome_reason::not_claimed,
-            true},
-        {"answer lost, perhaps a grant",
-            peer_status::unreachable,
-            {},
-            outcome::unknown,
-            outcome_reason::not_claimed,
-            true},
-        {"holder gone",
-            peer_status::refused,
-            {},
-            outcome::unknown,
-            outcome_reason::not_claimed,
-            false},
+        {ok, known(claim_state::done), "answered replayed", false},
+        {ok, not_kept, "unknown answer-not-kept", false},
+        {ok, known(claim_state::claimed), "unknown running", false},
+        {ok, known(claim_state::unknown), "unknown may-have-run", false},
+        {ok, reply_of(claim_verdict::other_body), "not-run other-body", false},
+        {ok, reply_of(claim_verdict::full), "not-run keys-full", false},
+        {ok, reply_of(claim_verdict::quarantined), "unknown quarantined", false},
+        {ok, reply_of(claim_verdict::not_ready), "unknown not-claimed", true},
+        {peer_status::unreachable, {}, "unknown not-claimed", true}, // perhaps a grant was lost
+        {peer_status::refused, {}, "unknown not-claimed", false},
     };
     for (const auto& it : rows)
     {
@@ -128,9 +76,11 @@
         const auto step =
             on_claim_reply(a, settings, it.status, it.reply, at_ms(2900), at_ms(2999));
         const auto& told = std::get<outcome_report>(step);
-        CHECK_TEXT(it.kind == told.kind && it.reason == told.reason, it.what);
+        const auto text = std::string{core::name_of(outcome_names, told.kind)} + " " +
+                          std::string{core::name_of(outcome_reason_names, told.reason)};
+        STRCMP_EQUAL(it.told, text.c_str());
         CHECK_FALSE(told.attempt_sent);
-        CHECK_EQUAL_TEXT(it.releases, due_finish(a, settings, 1, at_ms(3000)).has_value(), it.what);
+        CHECK_EQUAL_TEXT(it.releases, due_finish(a, settings, 1, at_ms(3000)).has_value(), it.told);
     }
 }
 
--- a/libs/claims/tests/world_members.cpp
+++ b/libs/claims/tests/world_members.cpp
@@ -3,7 +3,7 @@
 namespace camphorhitch::claims::testing
 {
 
-void world::at_store(process& p, std::function<void(store&)> write)
+void world::at_store(process& p, const std::function<void(store&)>& write)
 {
     const auto started = bag_.now();
     const auto ticket = p.roster.read_ticket;
--- a/libs/claims/tests/world_parts.hpp
+++ b/libs/claims/tests/world_parts.hpp
@@ -162,7 +162,7 @@
     void reshuffle();
     /// \param write runs at the store, if the call gets there; then the process is told what
     /// stands.
-    void at_store(process& p, std::function<void(store&)> write);
+    void at_store(process& p, const std::function<void(store&)>& write);
     void on_store_answer(
         process& p, const store_view& seen, mono_time started, std::uint64_t ticket);
     void read_store(process& p);
