--- a/programs/camphorhitchd/src/request_service.hpp
+++ b/programs/camphorhitchd/src/request_service.hpp
@@ -8,6 +8,7 @@
 #include "membership_service.hpp"
 #include "model/config.hpp"
 #include "permit_service.hpp"
+#include "refusal.hpp"
 
 #include <deque>
 #include <functional>
@@ -29,6 +30,8 @@
     /// Where answers go; set once the server listens.
     void set_server(ports::http_server server);
     void on_config(const model::configuration& config);
+    /// \param permit_ttl the holders' own time from a claim's request to the send.
+    void on_claim_settings(core::millis permit_ttl, core::millis key_memory);
     void on_roster();
 
     void on_request(ports::exchange_id exchange, ports::http_request request);
@@ -59,7 +62,7 @@
     using request_id = std::uint64_t;
 
     void begin(request_id id, const model::pool_config& pool);
-    void run(request_id id, dispatch::flow_actions actions);
+    void run(request_id id, const dispatch::flow_actions& actions);
     void step(request_id id, const dispatch::ask_claim& it);
     void step(request_id id, const dispatch::ask_permit& it);
     void step(request_id id, const dispatch::send_request& it);
@@ -70,11 +73,7 @@
     void on_outcome(request_id id, const ports::http_outcome& outcome);
     void end_if_over(request_id id);
     void note(open_request& r, std::string text);
-    void refuse(ports::exchange_id exchange,
-        int status,
-        const std::string& reason,
-        const std::string& text,
-        int retry_after_s);
+    void refuse(ports::exchange_id exchange, const refusal& why);
     void tick();
 
     context& context_;
--- a/testing/job_fakes/include/job_fakes/member.hpp
+++ b/testing/job_fakes/include/job_fakes/member.hpp
@@ -25,14 +25,18 @@
     workers platform;
     model::pool_document hosts;
     std::vector<model::team_config> teams;
-    std::map<std::string, jobs::amounts> grants;
+    std::map<std::string, jobs::quota_document> quotas; ///< by team
+    bool wishes_unanswered = false; ///< wishes are stored and their answers lost
     std::map<std::string, core::millis> leaving_in;
     jobs::settings rules;
     core::mono_time now{core::millis{1'000'000}};
     /// Whether an order's answer is lost; the order may have been carried out or not.
     std::function<ports::platform_status(const ports::task_order&)> order_fault;
     std::function<bool(const jobs::command_tasks&)> command_lost; ///< empty: none is
-    std::function<void(const jobs::action&)> on_action; ///< to count
+    std::function<void(const jobs::action&)> on_action;           ///< to count
+    std::function<void()> before_round; ///< to time the decision alone
+    std::function<void()> after_round;
+    int rounds_per_step = 6; ///< rounds that follow one another because something ended
     std::int64_t wall_base_ms = 1'700'000'000'000;
 };
 
@@ -45,6 +49,7 @@
     std::array<std::int64_t, jobs::buckets_per_pool> tried{}; ///< revision of a write in doubt
     std::array<bool, jobs::buckets_per_pool> must_read{};
     core::mono_time polled{};
+    bool again = false; ///< something ended that the next round may build upon
 };
 
 member make_member(const std::string& pool,
--- a/tools/bench_parts/common.sh
+++ b/tools/bench_parts/common.sh
@@ -19,7 +19,7 @@
     | ($ports[0] | to_entries | map({n: (.key[1:] | tonumber), id: .key, port: .value}) | sort_by(.n)) as $hosts
     | ([($hosts | length) / 10 | floor, 1] | max) as $spares
     | (($hosts | length) - $spares) as $used
-    | def host: {id: .id, zone: ("abcd"[((.n - 1) % $zones):((.n - 1) % $zones + 1)]),
+    | def host: {id: .id, zone: (((.n - 1) / 4 | floor) % $zones | "abcd"[.:. + 1]),
                  rack: ("r" + (((.n - 1) / 4 | floor) + 1 | tostring)),
                  target: ("127.0.0.1:" + (.port | tostring))};
       {configuration: {
@@ -104,10 +104,15 @@
   "$build_folder/bin/caller_load" --entries "$(entries)" "$@"
 }
 
-# direct ARGS...: the same straight to the targets of the pool $direct_pool (default: quotes).
+# serving_hosts POOL: ids of its hosts that serve now (a policy holds some back as a buffer).
+serving_hosts() {
+  operators --json "show hosts where pool = $1 and state = serving" | jq -r '.results[0].data[].id'
+}
+
+# direct ARGS...: the same straight to the hosts that serve the pool quotes.
 direct() {
   local list
-  list=$(jq -r --arg p "${direct_pool:-quotes}" '[.pools[] | select(.pool == $p) | .hosts[].target] | join(",")' "$work/fleet.json")
+  list=$(operators --json 'show hosts where pool = quotes and state = serving' | jq -r '[.results[0].data[].target] | join(",")')
   "$build_folder/bin/caller_load" --direct --entries "$list" --repeats 3 "$@"
 }
 
