fleet: decisions look at their own hosts only; operators can let a host go

Cause: each pool's decision searched the whole live list and wave; an operator's 'leaving' was undone by the list. Change: wave lists are sorted and searched by halves, live_lookup, wish_leave; a timer that outlived its drain is reset; bench times one round of decisions.

--- a/bench/wave_policies/src/rollout.hpp
+++ b/bench/wave_policies/src/rollout.hpp
@@ -54,6 +54,18 @@
     const work_settings& work,
     trouble with);
 
+/// CPU time of the decisions of one tick in the midst of a wave, with nothing to write.
+struct round_time
+{
+    std::string fleet;
+    int hosts = 0;
+    int pools = 0;
+    double all_pools_us = 0; ///< every pool's decision, as if one member owned them all
+    double wave_us = 0;      ///< the wave's decision
+};
+
+round_time time_round(const fleet_shape& shape, const measured_policy& policy);
+
 /// \return hours that a roll-out takes at least, whatever the policy: the budgets of each pool and
 /// zone let so many hosts reboot at once.
 double roll_out_bound_h(const std::vector<pool_shape>& pools, int zones, std::int64_t reboot_ms);
--- a/libs/fleet/include/fleet/pool_decider.hpp
+++ b/libs/fleet/include/fleet/pool_decider.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -69,6 +70,20 @@
 void note_reboot_acknowledged(
     pool_memory& m, const std::string& host, const std::string& command, core::mono_time now);
 
+/// The live list by host, so that each pool's decision looks at its own hosts only.
+class live_lookup
+{
+public:
+    explicit live_lookup(const ports::live_list& all);
+
+    /// \return the entries of the hosts of \p d.
+    ports::live_list of(const model::pool_document& d) const;
+
+private:
+    bool known_;
+    std::unordered_map<std::string, ports::live_host> hosts_;
+};
+
 struct pool_inputs
 {
     const pool_view& own; ///< as read or written last
@@ -76,7 +91,7 @@
     const std::vector<wave_view>& waves;
     bool waves_known = false; ///< false: not read yet; nothing is concluded from a wave's absence
     other_pools others;
-    const ports::live_list& live;
+    const ports::live_list& live; ///< of this pool's hosts, or of more
     const std::vector<host_activity>& activity;
     fleet_settings settings;
     core::mono_time now;
--- a/libs/fleet/include/fleet/pool_events.hpp
+++ b/libs/fleet/include/fleet/pool_events.hpp
@@ -21,6 +21,13 @@
     std::string command;
 };
 
+/// Drain a host that the platform will take away, or that is to be given back to it.
+struct wish_leave
+{
+    std::string host;
+    std::string command;
+};
+
 /// Hand a host over to another pool, for good.
 struct wish_move
 {
@@ -180,6 +187,7 @@
 };
 
 using pool_event = std::variant<wish_drain,
+    wish_leave,
     wish_move,
     wish_undo,
     wish_add,
--- a/libs/fleet/include/fleet/wave_rules.hpp
+++ b/libs/fleet/include/fleet/wave_rules.hpp
@@ -24,7 +24,7 @@
     std::vector<std::string> hosts;
 };
 
-/// \return the hosts that match, by zone, rack and id.
+/// \return the hosts that match, sorted.
 std::vector<std::string> select_hosts(
     const std::vector<pool_view>& pools, const host_selection& which);
 
--- a/libs/fleet/src/budget.cpp
+++ b/libs/fleet/src/budget.cpp
@@ -39,7 +39,8 @@
 bool is_undoable(const host_record& h)
 {
     const bool before_hand_over = h.state == host_state::draining || h.state == host_state::drained;
-    return before_hand_over && h.purpose != drain_purpose::leaving;
+    const bool taken_by_platform = h.purpose == drain_purpose::leaving && h.command.empty();
+    return before_hand_over && !taken_by_platform;
 }
 
 absences count_absences(const model::pool_document& d)
--- a/libs/fleet/src/buffer_steps.cpp
+++ b/libs/fleet/src/buffer_steps.cpp
@@ -48,8 +48,8 @@
         c.pools.begin(), c.pools.end(), [](const model::pool_config& it) { return it.spare; });
 }
 
-/// Whether a drain should wait for a guest. Spare hosts may all be taken or broken, so the wait
-/// ends: without the guest the budget still holds, with less room for a failure.
+/// Whether a drain should wait for a guest. Spare hosts may all be taken or broken, so the wait ends
+/// after the time that another host's turn may take: without the guest the budget still holds.
 bool waits_for_guest(draft& d, const model::policy_config& p)
 {
     const int wanted = guests_wanted(d.next, d.in.waves, d.in.config);
@@ -62,7 +62,7 @@
     {
         d.memory.short_of_guests = d.in.now;
     }
-    return d.in.now - *d.memory.short_of_guests < p.drain_timeout;
+    return d.in.now - *d.memory.short_of_guests < p.return_timeout;
 }
 
 std::string weigh(const draft& d, const candidate& c, const model::policy_config& p)
@@ -108,7 +108,12 @@
 
 void start_wave_drains(draft& d)
 {
-    for (const auto& it : candidates_of(d))
+    const auto candidates = candidates_of(d);
+    if (candidates.empty())
+    {
+        d.memory.short_of_guests.reset();
+    }
+    for (const auto& it : candidates)
     {
         const auto p = policy_in_force(d.in.config, d.next.pool, it.wave->policy);
         const auto need = need_of(d.next, d.in.waves, d.in.config);
--- a/libs/fleet/src/pool_decider.cpp
+++ b/libs/fleet/src/pool_decider.cpp
@@ -84,6 +84,29 @@
 
 } // namespace
 
+live_lookup::live_lookup(const ports::live_list& all) : known_(all.known)
+{
+    for (const auto& it : all.hosts)
+    {
+        hosts_.emplace(it.id, it);
+    }
+}
+
+ports::live_list live_lookup::of(const model::pool_document& d) const
+{
+    ports::live_list out;
+    out.known = known_;
+    for (const auto& it : d.hosts)
+    {
+        const auto found = hosts_.find(it.id);
+        if (found != hosts_.end())
+        {
+            out.hosts.push_back(found->second);
+        }
+    }
+    return out;
+}
+
 bool is_quiet(const host_activity& a)
 {
     return a.stopped && a.certain && a.requests == 0 && a.jobs == 0;
--- a/libs/fleet/src/pool_rules.cpp
+++ b/libs/fleet/src/pool_rules.cpp
@@ -15,8 +15,9 @@
 /// Whether an event starts an absence by plan, after which the budgets must hold.
 bool starts_planned_absence(const pool_event& e)
 {
-    return std::holds_alternative<wish_drain>(e) || std::holds_alternative<wish_move>(e) ||
-           std::holds_alternative<start_drain>(e) || std::holds_alternative<send_guest_on>(e);
+    return std::holds_alternative<wish_drain>(e) || std::holds_alternative<wish_leave>(e) ||
+           std::holds_alternative<wish_move>(e) || std::holds_alternative<start_drain>(e) ||
+           std::holds_alternative<send_guest_on>(e);
 }
 
 bool is_each_host_once(const model::pool_document& d)
--- a/libs/fleet/src/rule_support.hpp
+++ b/libs/fleet/src/rule_support.hpp
@@ -49,6 +49,7 @@
 // One function an event; the overloads of apply() below are in wish_rules.cpp, news_rules.cpp,
 // drain_rules.cpp and transfer_rules.cpp.
 rule_result apply_one(model::pool_document& d, const wish_drain& e, const rule_context& c);
+rule_result apply_one(model::pool_document& d, const wish_leave& e, const rule_context& c);
 rule_result apply_one(model::pool_document& d, const wish_move& e, const rule_context& c);
 rule_result apply_one(model::pool_document& d, const wish_undo& e, const rule_context& c);
 rule_result apply_one(model::pool_document& d, const wish_add& e, const rule_context& c);
--- a/libs/fleet/src/wave_decider.cpp
+++ b/libs/fleet/src/wave_decider.cpp
@@ -1,5 +1,6 @@
 #include "fleet/wave_decider.hpp"
 
+#include "core/invariant.hpp"
 #include "fleet/budget.hpp"
 #include "fleet/wave_rules.hpp"
 #include "wave_plan.hpp"
@@ -97,15 +98,15 @@
     std::unordered_map<std::string, pool_document> drafts_;
 };
 
-bool erase(std::vector<std::string>& all, const std::string& one)
+void insert_sorted(std::vector<std::string>& all, const std::string& one)
 {
-    const auto it = std::find(all.begin(), all.end(), one);
-    const bool found = it != all.end();
-    if (found)
-    {
-        all.erase(it);
-    }
-    return found;
+    all.insert(std::lower_bound(all.begin(), all.end(), one), one);
+}
+
+void erase_sorted(std::vector<std::string>& all, const std::string& one)
+{
+    const auto [first, last] = std::equal_range(all.begin(), all.end(), one);
+    all.erase(first, last);
 }
 
 /// Keeps what was admitted and waits, as long as its pool has room. What has none is withdrawn, so
@@ -122,7 +123,7 @@
         }
         else if (waits)
         {
-            erase(next.admitted, it.id);
+            erase_sorted(next.admitted, it.id);
         }
     }
 }
@@ -152,7 +153,7 @@
         const bool free = it.at == turn::untouched && !admits(next, it.id);
         if (in_zone && free && room.take(it, group.policy))
         {
-            next.admitted.push_back(it.id);
+            insert_sorted(next.admitted, it.id);
             ++group.progress.in_progress;
             ++n;
         }
@@ -325,6 +326,10 @@
     {
         return std::nullopt;
     }
+    core::require(std::is_sorted(next.hosts.begin(), next.hosts.end()) &&
+                      std::is_sorted(next.admitted.begin(), next.admitted.end()),
+        "a wave's hosts are sorted",
+        w.id);
     const std::string note = next.why.rule + ": " + next.why.weighed;
     return write_wave{std::move(next), in.own.revision, note};
 }
--- a/libs/fleet/src/wave_plan.cpp
+++ b/libs/fleet/src/wave_plan.cpp
@@ -32,6 +32,11 @@
     return is_guest(h) || !is_member(h) ? turn::busy : turn::untouched;
 }
 
+bool by_place(const wave_host& a, const wave_host& b)
+{
+    return std::tie(a.zone, a.rack, a.id) < std::tie(b.zone, b.rack, b.id);
+}
+
 bool by_zone_then_pool(const wave_host& a, const wave_host& b)
 {
     return std::tie(a.zone, a.pool) < std::tie(b.zone, b.pool);
@@ -59,6 +64,7 @@
     const auto before = order == wave_order::zone_by_zone   ? by_zone_then_pool
                         : order == wave_order::pool_by_pool ? by_pool_then_zone
                                                             : by_turns_left;
+    std::sort(hosts.begin(), hosts.end(), by_place);
     std::stable_sort(hosts.begin(),
         hosts.end(),
         [&](const wave_host& a, const wave_host& b)
@@ -173,6 +179,7 @@
     const auto* h = model::find_host(d, id);
     out.pool = d.pool;
     out.zone = h->zone;
+    out.rack = h->rack;
     out.at = turn_of(*h, w);
     out.by_wave = out.at == turn::failed && (h->wave == w.id || h->maintained == w.id);
     return out;
--- a/libs/fleet/src/wave_plan.hpp
+++ b/libs/fleet/src/wave_plan.hpp
@@ -29,6 +29,7 @@
     std::string id;
     std::string pool;
     std::string zone;
+    std::string rack;
     turn at = turn::gone;
     int pool_turns = 0;   ///< hosts to go in its pool over what the budget allows at once
     int zone_turns = 0;   ///< the same in its zone of the pool
--- a/libs/fleet/src/wave_rules.cpp
+++ b/libs/fleet/src/wave_rules.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 
 namespace camphorhitch::fleet
 {
@@ -143,7 +142,7 @@
 std::vector<std::string> select_hosts(
     const std::vector<pool_view>& pools, const host_selection& which)
 {
-    std::vector<std::tuple<std::string, std::string, std::string>> found;
+    std::vector<std::string> out;
     for (const auto& view : pools)
     {
         for (const auto& it : view.document.hosts)
@@ -153,16 +152,11 @@
                                 matches(which.hosts, it.id);
             if (wanted)
             {
-                found.emplace_back(it.zone, it.rack, it.id);
+                out.push_back(it.id);
             }
         }
     }
-    std::sort(found.begin(), found.end());
-    std::vector<std::string> out;
-    for (const auto& it : found)
-    {
-        out.push_back(std::get<2>(it));
-    }
+    std::sort(out.begin(), out.end());
     return out;
 }
 
--- a/libs/fleet/src/waves.cpp
+++ b/libs/fleet/src/waves.cpp
@@ -18,9 +18,10 @@
 namespace
 {
 
-bool contains(const std::vector<std::string>& all, const std::string& one)
+/// A wave may select the whole fleet, and each pool asks for each of its hosts.
+bool contains(const std::vector<std::string>& sorted, const std::string& one)
 {
-    return std::find(all.begin(), all.end(), one) != all.end();
+    return std::binary_search(sorted.begin(), sorted.end(), one);
 }
 
 bool started_before(const wave_document& a, const wave_document& b)
--- a/libs/fleet/src/wish_rules.cpp
+++ b/libs/fleet/src/wish_rules.cpp
@@ -78,6 +78,12 @@
         d, e.host, e.command, c, [](host_record& it) { it.purpose = drain_purpose::maintenance; });
 }
 
+rule_result apply_one(pool_document& d, const wish_leave& e, const rule_context& c)
+{
+    return drain_by_wish(
+        d, e.host, e.command, c, [](host_record& it) { it.purpose = drain_purpose::leaving; });
+}
+
 rule_result apply_one(pool_document& d, const wish_move& e, const rule_context& c)
 {
     if (e.to == d.pool)
@@ -144,7 +150,7 @@
     }
     if (const auto* known = model::find_host(d, e.host.id))
     {
-        return refuse(error_code::conflict, describe(*known) + " in this pool already");
+        return unchanged(describe(*known) + " in this pool already");
     }
     host_record h = e.host;
     clear_plan(h);
--- a/libs/fleet/tests/pool_rules_tests.cpp
+++ b/libs/fleet/tests/pool_rules_tests.cpp
@@ -60,6 +60,9 @@
         {s::draining, move, wish_drain{"h1", "c1"}, "conflict", s::draining},
         {s::failed, none, wish_drain{"h1", "c1"}, "conflict", s::failed},
         {s::serving, none, wish_drain{"h9", "c1"}, "not_found", s::serving},
+        {s::serving, none, wish_leave{"h1", "c1"}, "changed", s::draining},
+        {s::rebooting, maintenance, wish_leave{"h1", "c1"}, "conflict", s::rebooting},
+        {s::serving, none, wish_add{sample::host("h1"), "c1"}, "unchanged", s::serving},
         {s::serving, none, wish_move{"h1", "b", "c1"}, "changed", s::draining},
         {s::serving, none, wish_move{"h1", "nowhere", "c1"}, "not_found", s::serving},
         {s::serving, none, wish_move{"h1", "a", "c1"}, "unchanged", s::serving},
@@ -178,6 +181,20 @@
     LONGS_EQUAL(remembered_commands, d.commands.size());
 }
 
+TEST(pool_rules, a_host_that_operators_let_go_is_not_brought_back_by_the_live_list)
+{
+    const auto config = sample::config();
+    auto d = sample::pool("a", {sample::host("h1"), sample::host("h2", "z2")});
+    const rule_context c{config, sample::now};
+    apply(d, wish_leave{"h1", "c1"}, c);
+    STRCMP_EQUAL("unchanged", outcome(apply(d, host_live{"h1", 1, false}, c)));
+    STRCMP_EQUAL("changed", outcome(apply(d, wish_undo{"h1", "c2"}, c)));
+    apply(d, wish_leave{"h1", "c3"}, c);
+    apply(d, confirm_quiet{"h1"}, c);
+    STRCMP_EQUAL("changed", outcome(apply(d, wish_forget{"h1", "c4", true}, c)));
+    LONGS_EQUAL(1, d.hosts.size());
+}
+
 TEST(pool_rules, a_refusal_names_what_stands_in_the_way)
 {
     const auto config = sample::config();
--- a/libs/model/include/model/fleet.hpp
+++ b/libs/model/include/model/fleet.hpp
@@ -127,8 +127,8 @@
 struct wave_document
 {
     std::string id;
-    std::vector<std::string> hosts;    ///< selected when it was started, in a stable order
-    std::vector<std::string> admitted; ///< those that pools may drain now or have drained already
+    std::vector<std::string> hosts;    ///< selected when it was started, sorted
+    std::vector<std::string> admitted; ///< those that pools may drain now or have drained, sorted
     int batch = 0;                     ///< size of the newest batch
     wave_phase phase = wave_phase::canary;
     std::int64_t started_ms = 0;
--- a/testing/fleet_sim/src/world.cpp
+++ b/testing/fleet_sim/src/world.cpp
@@ -90,8 +90,9 @@
     return out;
 }
 
-void decide_one_pool(world& w, sim_member& m, const pool_view& own, const ports::live_list& live)
+void decide_one_pool(world& w, sim_member& m, const pool_view& own, const fleet::live_lookup& all)
 {
+    const auto live = all.of(own.document);
     const auto seen = activity(w, m, own);
     const fleet::pool_inputs in{
         own, *m.config, m.waves, m.as_of > 0, {m.pools, m.as_of}, live, seen, {}, mono(w), wall(w)};
@@ -265,7 +266,7 @@
 
 void decide(world& w, sim_member& m)
 {
-    const auto live = live_list(w.platform);
+    const fleet::live_lookup live(live_list(w.platform));
     for (const auto& [pool, since] : m.taken_over_ms)
     {
         if (const auto* own = find_view(m, pool))
