--- a/bench/wave_policies/src/main.cpp
+++ b/bench/wave_policies/src/main.cpp
@@ -137,7 +137,9 @@
         {
             for (const auto with : {trouble::none, trouble::correlated})
             {
-                if (count_hosts(shape) > largest || rounds_only)
+                const auto only = options["fleet"].as<std::string>();
+                const bool other = !only.empty() && only != shape.name;
+                if (count_hosts(shape) > largest || rounds_only || other)
                 {
                     continue;
                 }
@@ -164,6 +166,7 @@
     options.add_options()("json", "write the figures to this file", cxxopts::value<std::string>())(
         "largest", "most hosts of a fleet", cxxopts::value<int>()->default_value("1100"))(
         "seed", "of the work", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "fleet", "only this one", cxxopts::value<std::string>()->default_value(""))(
         "rounds-only", "only the CPU time of decisions")("help", "print this");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0)
--- a/bench/wave_policies/src/rollout.cpp
+++ b/bench/wave_policies/src/rollout.cpp
@@ -16,7 +16,7 @@
 {
 
 constexpr std::int64_t tick_ms = 1000;
-constexpr std::int64_t longest_skip_ms = 30000;
+constexpr std::int64_t longest_skip_ms = 120000;
 constexpr double ms_per_hour = 3600000;
 constexpr std::int64_t give_up_ms = std::int64_t{60} * 24 * 3600000;
 constexpr double trouble_after = 0.3; ///< share of hosts through
--- a/libs/fleet/include/fleet/policies.hpp
+++ b/libs/fleet/include/fleet/policies.hpp
@@ -33,7 +33,7 @@
 /// What a policy weighs for the hosts that one wave maintains under it.
 struct wave_progress
 {
-    int hosts = 0;       ///< selected
+    int hosts = 0;       ///< selected and in some pool
     int done = 0;        ///< maintained
     int in_progress = 0; ///< admitted and not maintained yet
     int spares = 0;      ///< hosts of spare pools that are fit, lent ones among them
--- a/libs/fleet/src/buffer_steps.cpp
+++ b/libs/fleet/src/buffer_steps.cpp
@@ -48,8 +48,8 @@
         c.pools.begin(), c.pools.end(), [](const model::pool_config& it) { return it.spare; });
 }
 
-/// Whether a drain should wait for a guest. Spare hosts may all be taken or broken, so the wait ends
-/// after the time that another host's turn may take: without the guest the budget still holds.
+/// Whether a drain should wait for a guest. Spare hosts may all be taken or broken, so the wait
+/// ends after the time that another host's turn may take: without the guest the budget still holds.
 bool waits_for_guest(draft& d, const model::policy_config& p)
 {
     const int wanted = guests_wanted(d.next, d.in.waves, d.in.config);
--- a/libs/fleet/src/exchange_steps.cpp
+++ b/libs/fleet/src/exchange_steps.cpp
@@ -16,12 +16,12 @@
 
 void adopt_from(draft& d, const pool_document& other)
 {
-    const bool current = is_current(d.in.others, d.in.own.revision);
-    const bool hold = is_spare_pool(d.in.config, d.next.pool);
     for (const auto& it : other.released)
     {
         if (it.to == d.next.pool)
         {
+            const bool current = is_current(d.in.others, d.in.own.revision);
+            const bool hold = is_spare_pool(d.in.config, d.next.pool);
             step(d, adopt_host{it, other.pool, hold, current});
         }
     }
@@ -156,7 +156,7 @@
 {
     for (const auto& view : d.in.others.documents)
     {
-        if (view.document.pool != d.next.pool)
+        if (!view.document.released.empty() && view.document.pool != d.next.pool)
         {
             adopt_from(d, view.document);
         }
--- a/libs/fleet/src/policies.cpp
+++ b/libs/fleet/src/policies.cpp
@@ -147,7 +147,7 @@
 
 bool canary_passed(const policy_config& p, const wave_progress& w)
 {
-    return w.done >= std::max(1, p.canary);
+    return w.done >= std::min(std::max(1, p.canary), w.hosts);
 }
 
 } // namespace camphorhitch::fleet
--- a/libs/fleet/src/wave_plan.cpp
+++ b/libs/fleet/src/wave_plan.cpp
@@ -77,9 +77,44 @@
     return (hosts + most - 1) / most;
 }
 
-void count_turns(wave_group& group, const model::configuration& c)
+/// What the configuration says of one pool, looked up once for all its hosts.
+struct pool_facts
 {
-    std::map<std::string, int> in_pool;
+    model::policy_config policy;
+    model::availability_budget budget;
+    bool spare = false;
+};
+
+class pool_book
+{
+public:
+    pool_book(const model::configuration& c, const std::string& policy)
+        : config_(c), policy_(policy)
+    {
+    }
+
+    const pool_facts& of(const std::string& pool)
+    {
+        const auto known = facts_.find(pool);
+        if (known != facts_.end())
+        {
+            return known->second;
+        }
+        const pool_facts out{policy_in_force(config_, pool, policy_),
+            budget_of(config_, pool).value_or(model::availability_budget{}),
+            is_spare_pool(config_, pool)};
+        return facts_.emplace(pool, out).first->second;
+    }
+
+private:
+    const model::configuration& config_;
+    const std::string& policy_;
+    std::unordered_map<std::string, pool_facts> facts_;
+};
+
+void count_turns(wave_group& group, pool_book& pools)
+{
+    std::unordered_map<std::string, int> in_pool;
     std::map<std::pair<std::string, std::string>, int> in_zone;
     for (const auto& it : group.hosts)
     {
@@ -89,12 +124,24 @@
     }
     for (auto& it : group.hosts)
     {
-        const auto budget = budget_of(c, it.pool).value_or(model::availability_budget{});
+        const auto& budget = pools.of(it.pool).budget;
         it.pool_turns = turns_of(in_pool[it.pool], budget.absent);
         it.zone_turns = turns_of(in_zone[{it.pool, it.zone}], budget.absent_per_zone);
     }
 }
 
+void add(wave_plan& plan, wave_host h, const pool_facts& facts, int spares)
+{
+    auto& group = plan.groups[facts.policy.name];
+    group.policy = facts.policy;
+    group.progress.spares = spares;
+    group.progress.hosts += h.at == turn::gone ? 0 : 1;
+    group.progress.done += h.at == turn::done ? 1 : 0;
+    group.failures += h.by_wave ? 1 : 0;
+    plan.failures += h.by_wave ? 1 : 0;
+    group.hosts.push_back(std::move(h));
+}
+
 int fit_spares(const wave_inputs& in)
 {
     int n = 0;
@@ -127,19 +174,17 @@
 
 } // namespace
 
-std::unordered_map<std::string, std::size_t> index_owners(const std::vector<pool_view>& pools)
+std::unordered_map<std::string, host_place> index_owners(const std::vector<pool_view>& pools)
 {
-    std::unordered_map<std::string, std::size_t> out;
-    std::unordered_map<std::string, std::int64_t> best;
-    for (std::size_t i = 0; i < pools.size(); ++i)
+    std::unordered_map<std::string, host_place> out;
+    for (const auto& view : pools)
     {
-        for (const auto& it : pools[i].document.hosts)
+        for (const auto& it : view.document.hosts)
         {
-            auto& known = best[it.id];
-            if (it.ownership >= known)
+            auto& known = out[it.id];
+            if (known.host == nullptr || it.ownership >= known.host->ownership)
             {
-                known = it.ownership;
-                out[it.id] = i;
+                known = {&it, &view.document.pool, false};
             }
         }
     }
@@ -148,10 +193,10 @@
     {
         for (const auto& it : view.document.released)
         {
-            if (it.host.ownership > best[it.host.id])
+            auto& known = out[it.host.id];
+            if (known.host == nullptr || it.host.ownership > known.host->ownership)
             {
-                best[it.host.id] = it.host.ownership;
-                out[it.host.id] = pools.size();
+                known = {&it.host, &it.to, true};
             }
         }
     }
@@ -160,8 +205,7 @@
 
 wave_host locate(const std::string& id,
     const wave_document& w,
-    const std::vector<pool_view>& pools,
-    const std::unordered_map<std::string, std::size_t>& owners)
+    const std::unordered_map<std::string, host_place>& owners)
 {
     wave_host out;
     out.id = id;
@@ -170,18 +214,12 @@
     {
         return out;
     }
-    if (it->second == pools.size())
-    {
-        out.at = turn::busy;
-        return out;
-    }
-    const auto& d = pools[it->second].document;
-    const auto* h = model::find_host(d, id);
-    out.pool = d.pool;
-    out.zone = h->zone;
-    out.rack = h->rack;
-    out.at = turn_of(*h, w);
-    out.by_wave = out.at == turn::failed && (h->wave == w.id || h->maintained == w.id);
+    const auto& h = *it->second.host;
+    out.pool = *it->second.pool;
+    out.zone = h.zone;
+    out.rack = h.rack;
+    out.at = it->second.in_transit ? turn::busy : turn_of(h, w);
+    out.by_wave = out.at == turn::failed && (h.wave == w.id || h.maintained == w.id);
     return out;
 }
 
@@ -190,28 +228,22 @@
     const auto& w = in.own.document;
     const auto owners = index_owners(in.pools);
     const auto spares = fit_spares(in);
+    pool_book facts(in.config, w.policy);
     wave_plan out;
     for (const auto& id : w.hosts)
     {
-        auto h = locate(id, w, in.pools, owners);
+        auto h = locate(id, w, owners);
         const auto* claims = claimant(id, in.waves);
         const bool taken = claims != nullptr && claims->id != w.id;
         h.at = taken && h.at == turn::untouched ? turn::busy : h.at;
-        h.spare = h.at == turn::untouched && is_spare_pool(in.config, h.pool);
-        const auto p = policy_in_force(in.config, h.pool, w.policy);
-        auto& group = out.groups[p.name];
-        group.policy = p;
-        group.progress.spares = spares;
-        ++group.progress.hosts;
-        group.progress.done += h.at == turn::done ? 1 : 0;
-        group.failures += h.by_wave ? 1 : 0;
-        out.failures += h.by_wave ? 1 : 0;
+        const auto& of_pool = facts.of(h.pool);
+        h.spare = h.at == turn::untouched && of_pool.spare;
         count(out.summary, h.at);
-        group.hosts.push_back(std::move(h));
+        add(out, std::move(h), of_pool, spares);
     }
     for (auto& [name, group] : out.groups)
     {
-        count_turns(group, in.config);
+        count_turns(group, facts);
         sort_by(policy_of(group.policy.kind).order, group.hosts);
     }
     return out;
@@ -223,7 +255,7 @@
     wave_summary out;
     for (const auto& id : w.hosts)
     {
-        count(out, locate(id, w, pools, owners).at);
+        count(out, locate(id, w, owners).at);
     }
     return out;
 }
--- a/libs/fleet/src/wave_plan.hpp
+++ b/libs/fleet/src/wave_plan.hpp
@@ -55,13 +55,20 @@
 
 wave_plan plan_of(const wave_inputs& in);
 
+/// Where a host stands. The pointers are into the documents.
+struct host_place
+{
+    const model::host_record* host = nullptr;
+    const std::string* pool = nullptr; ///< that owns it
+    bool in_transit = false;           ///< released to the pool and not adopted there yet
+};
+
 /// \return how far \p id is in \p w.
 wave_host locate(const std::string& id,
     const model::wave_document& w,
-    const std::vector<pool_view>& pools,
-    const std::unordered_map<std::string, std::size_t>& owners);
+    const std::unordered_map<std::string, host_place>& owners);
 
-/// \return for each host the index of the document that owns it, by ownership numbers.
-std::unordered_map<std::string, std::size_t> index_owners(const std::vector<pool_view>& pools);
+/// \return the place of each host, by ownership numbers.
+std::unordered_map<std::string, host_place> index_owners(const std::vector<pool_view>& pools);
 
 } // namespace camphorhitch::fleet
