--- a/bench/wave_policies/src/main.cpp
+++ b/bench/wave_policies/src/main.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <limits>
 
 namespace
 {
@@ -16,6 +17,8 @@
 using namespace camphorhitch;
 using namespace camphorhitch::bench;
 
+constexpr int most_hosts_quick = 100;
+
 double ratio(const measure& m)
 {
     return m.bound > 0 ? m.value / m.bound : 0;
@@ -85,7 +88,56 @@
         r.violations.size() + static_cast<std::size_t>(r.cut_off));
 }
 
-nlohmann::json measure_rounds(int largest)
+nlohmann::json to_json(const cut_cost& it, const rollout& r)
+{
+    const double seconds = r.roll_out_h.value * 3600;
+    return {{"fleet", r.fleet},
+        {"cut", it.cut},
+        {"documents", it.documents},
+        {"largest_bytes", it.largest_bytes},
+        {"writes", it.writes},
+        {"written_bytes", it.written_bytes},
+        {"bytes_per_s", it.written_bytes / seconds},
+        {"same_second", it.same_second}};
+}
+
+/// What each way to cut the documents writes in the fastest wave.
+nlohmann::json print_cuts(const std::vector<rollout>& runs)
+{
+    auto all = nlohmann::json::array();
+    std::printf("\n%-13s %-12s %9s %9s %7s %12s %9s %11s\n",
+        "fleet",
+        "documents",
+        "number",
+        "largest B",
+        "writes",
+        "bytes",
+        "bytes/s",
+        "same second");
+    for (const auto& r : runs)
+    {
+        if (r.policy != "fastest" || r.with != trouble::none)
+        {
+            continue;
+        }
+        for (const auto& it : r.cuts)
+        {
+            all.push_back(to_json(it, r));
+            std::printf("%-13s %-12s %9d %9zu %7lld %12.0f %9.0f %11lld\n",
+                r.fleet.c_str(),
+                it.cut.c_str(),
+                it.documents,
+                it.largest_bytes,
+                static_cast<long long>(it.writes),
+                it.written_bytes,
+                all.back()["bytes_per_s"].get<double>(),
+                static_cast<long long>(it.same_second));
+        }
+    }
+    return all;
+}
+
+nlohmann::json measure_rounds()
 {
     auto all = nlohmann::json::array();
     std::printf("\n%-13s %-13s %6s %6s %14s %14s\n",
@@ -99,10 +151,6 @@
     {
         for (const auto& policy : all_policies(shape))
         {
-            if (count_hosts(shape) > largest)
-            {
-                continue;
-            }
             const auto it = time_round(shape, policy);
             std::printf("%-13s %-13s %6d %6d %14.0f %14.0f\n",
                 it.fleet.c_str(),
@@ -122,35 +170,45 @@
     return all;
 }
 
-int run(const cxxopts::ParseResult& options)
+std::vector<rollout> run_waves(int largest, const std::string& only, const work_settings& work)
 {
-    work_settings work;
-    work.seed = options["seed"].as<std::uint64_t>();
-    const int largest = options["largest"].as<int>();
-    auto runs = nlohmann::json::array();
-    std::size_t broken = 0;
-    const bool rounds_only = options.count("rounds-only") > 0;
+    std::vector<rollout> out;
     print_header();
     for (const auto& shape : all_fleets())
     {
+        const bool other = !only.empty() && only != shape.name;
+        if (other || count_hosts(shape) > largest)
+        {
+            continue;
+        }
         for (const auto& policy : all_policies(shape))
         {
             for (const auto with : {trouble::none, trouble::correlated})
             {
-                const auto only = options["fleet"].as<std::string>();
-                const bool other = !only.empty() && only != shape.name;
-                if (count_hosts(shape) > largest || rounds_only || other)
-                {
-                    continue;
-                }
-                const auto r = run_wave(shape, policy, work, with);
-                print(r);
-                runs.push_back(to_json(r));
-                broken += r.violations.size() + static_cast<std::size_t>(r.cut_off);
+                out.push_back(run_wave(shape, policy, work, with));
+                print(out.back());
             }
         }
     }
-    nlohmann::json out{{"seed", work.seed}, {"runs", runs}, {"rounds", measure_rounds(largest)}};
+    return out;
+}
+
+int run(const cxxopts::ParseResult& options)
+{
+    work_settings work;
+    work.seed = options["seed"].as<std::uint64_t>();
+    const bool quick = options.count("quick") > 0;
+    const int largest = quick ? most_hosts_quick : std::numeric_limits<int>::max();
+    const auto waves = run_waves(largest, options["fleet"].as<std::string>(), work);
+    nlohmann::json out{{"seed", work.seed}, {"runs", nlohmann::json::array()}};
+    std::size_t broken = 0;
+    for (const auto& it : waves)
+    {
+        out["runs"].push_back(to_json(it));
+        broken += it.violations.size() + static_cast<std::size_t>(it.cut_off);
+    }
+    out["documents"] = print_cuts(waves);
+    out["rounds"] = measure_rounds();
     if (options.count("json") > 0)
     {
         std::ofstream{options["json"].as<std::string>()} << out.dump(2) << "\n";
@@ -164,10 +222,10 @@
 {
     cxxopts::Options options{"bench_wave_policies", "wave policies on virtual time"};
     options.add_options()("json", "write the figures to this file", cxxopts::value<std::string>())(
-        "largest", "most hosts of a fleet", cxxopts::value<int>()->default_value("1100"))(
+        "quick", "no waves over more than 100 hosts")(
+        "fleet", "only waves over this one", cxxopts::value<std::string>()->default_value(""))(
         "seed", "of the work", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "fleet", "only this one", cxxopts::value<std::string>()->default_value(""))(
-        "rounds-only", "only the CPU time of decisions")("help", "print this");
+        "help", "print this");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0)
     {
--- a/bench/wave_policies/src/rollout.cpp
+++ b/bench/wave_policies/src/rollout.cpp
@@ -281,11 +281,12 @@
         {},
         {}};
     const auto jobs = ends_of_jobs(w);
+    std::vector<pool_write> log;
     const auto checks = w.kv.on_pool_write;
     w.kv.on_pool_write = [&](const model::pool_document& before, const model::pool_document& after)
     {
         checks(before, after);
-        out.log.push_back({w.platform.now_ms, after.pool});
+        log.push_back({w.platform.now_ms, after.pool, changed_zones(before, after)});
     };
     const std::int64_t began_ms = w.platform.now_ms;
     const std::int64_t writes_before = w.kv.writes;
@@ -311,6 +312,7 @@
         static_cast<double>(jobs_that_outlast(jobs, w.platform.now_ms - work.reboot_ms))};
     out.host_moves = w.kv.host_moves;
     out.writes = w.kv.writes - writes_before;
+    out.cuts = cost_of_cuts(w.kv.pools, log);
     out.cut_off = w.platform.cut_off;
     out.violations = w.violations;
     return out;
--- a/bench/wave_policies/src/rollout.hpp
+++ b/bench/wave_policies/src/rollout.hpp
@@ -2,6 +2,7 @@
 /// One wave over a whole fleet, from its start to its end.
 #pragma once
 
+#include "document_cuts.hpp"
 #include "fleets.hpp"
 
 #include <cstdint>
@@ -24,12 +25,6 @@
     double bound = 0; ///< lower; 0: none
 };
 
-struct document_writes
-{
-    std::int64_t at_ms = 0;
-    std::string pool;
-};
-
 struct rollout
 {
     std::string fleet;
@@ -46,7 +41,7 @@
     std::int64_t writes = 0;
     std::int64_t cut_off = 0;
     std::vector<std::string> violations;
-    std::vector<document_writes> log;
+    std::vector<cut_cost> cuts;
 };
 
 rollout run_wave(const fleet_shape& shape,
