camphorhitchd: 'drain ... for leaving' is an operator's wish; a pool without a document is decided too

Cause: the live list undid the drain of a host that operators let go (boot 0 even made it history at once); a host released to a configured pool that had no document yet was adopted by nobody.

--- a/programs/camphorhitchd/src/fleet_service.cpp
+++ b/programs/camphorhitchd/src/fleet_service.cpp
@@ -53,6 +53,15 @@
 void fleet_service::on_config(const model::configuration& config)
 {
     config_ = config;
+    // A pool that has no document yet needs a decider too: a host may have been released to it, and
+    // belongs nowhere else until it is adopted.
+    for (const auto& it : config.pools)
+    {
+        if (find_pool(it.name) == nullptr)
+        {
+            pools_.push_back({model::pool_document{it.name, {}, {}, {}}, 0});
+        }
+    }
 }
 
 void fleet_service::on_roster()
--- a/programs/camphorhitchd/src/statement_runner.cpp
+++ b/programs/camphorhitchd/src/statement_runner.cpp
@@ -293,7 +293,7 @@
 {
     if (s.leaving && s.by == language::drain_by::host)
     {
-        change_host(s.what.text, fleet::host_leaving{s.what.text, 0}, std::move(done));
+        change_host(s.what.text, fleet::wish_leave{s.what.text, at.command}, std::move(done));
         return;
     }
     if (s.leaving)
