--- a/programs/camphorhitchd/src/statement_runner.cpp
+++ b/programs/camphorhitchd/src/statement_runner.cpp
@@ -318,13 +318,7 @@
 {
     if (s.leaving && s.by == language::drain_by::host)
     {
-        // The rule takes news of the boot that the host is in, and no older.
-        const auto owner = fleet::owner_of(s.what.text, parts_.fleet.pools());
-        const auto* pool = parts_.fleet.find_pool(owner.pool);
-        const auto* host =
-            pool == nullptr ? nullptr : model::find_host(pool->document, s.what.text);
-        const auto boot_count = host == nullptr ? 0 : host->boot_count;
-        change_host(s.what.text, fleet::host_leaving{s.what.text, boot_count}, std::move(done));
+        change_host(s.what.text, fleet::wish_leave{s.what.text, at.command}, std::move(done));
         return;
     }
     if (s.leaving)
