--- a/bench/wave_policies/src/rollout.cpp
+++ b/bench/wave_policies/src/rollout.cpp
@@ -16,7 +16,7 @@
 {
 
 constexpr std::int64_t tick_ms = 1000;
-constexpr std::int64_t longest_skip_ms = 30000;
+constexpr std::int64_t longest_skip_ms = 120000;
 constexpr double ms_per_hour = 3600000;
 constexpr std::int64_t give_up_ms = std::int64_t{60} * 24 * 3600000;
 constexpr double trouble_after = 0.3; ///< share of hosts through
@@ -78,7 +78,6 @@
     };
     for (const auto& [id, h] : w.platform.hosts)
     {
-        const auto* record = fleet_sim::find_host(w.kv, id);
         if (h.up_at_ms)
         {
             consider(*h.up_at_ms);
@@ -87,10 +86,17 @@
         {
             consider(h.history.back().at_ms + w.platform.lag_ms);
         }
-        if (record != nullptr && record->state == host_state::draining)
+    }
+    for (const auto& view : w.kv.pools)
+    {
+        for (const auto& it : view.document.hosts)
         {
-            std::for_each(h.requests.begin(), h.requests.end(), consider);
-            std::for_each(h.jobs.begin(), h.jobs.end(), consider);
+            if (it.state == host_state::draining)
+            {
+                const auto& h = w.platform.hosts.at(it.id);
+                std::for_each(h.requests.begin(), h.requests.end(), consider);
+                std::for_each(h.jobs.begin(), h.jobs.end(), consider);
+            }
         }
     }
     return next;
@@ -275,11 +281,12 @@
         {},
         {}};
     const auto jobs = ends_of_jobs(w);
+    std::vector<pool_write> log;
     const auto checks = w.kv.on_pool_write;
     w.kv.on_pool_write = [&](const model::pool_document& before, const model::pool_document& after)
     {
         checks(before, after);
-        out.log.push_back({w.platform.now_ms, after.pool});
+        log.push_back({w.platform.now_ms, after.pool, changed_zones(before, after)});
     };
     const std::int64_t began_ms = w.platform.now_ms;
     const std::int64_t writes_before = w.kv.writes;
@@ -305,6 +312,7 @@
         static_cast<double>(jobs_that_outlast(jobs, w.platform.now_ms - work.reboot_ms))};
     out.host_moves = w.kv.host_moves;
     out.writes = w.kv.writes - writes_before;
+    out.cuts = cost_of_cuts(w.kv.pools, log);
     out.cut_off = w.platform.cut_off;
     out.violations = w.violations;
     return out;
--- a/libs/claims/tests/random_runs_tests.cpp
+++ b/libs/claims/tests/random_runs_tests.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <ostream>
 #include <rapidcheck.h>
 #include <stdexcept>
 
@@ -77,10 +78,6 @@
     sum.steps += more.steps;
     sum.epochs += more.epochs;
     sum.sent += more.sent;
-    for (std::size_t n = 0; n < 3; ++n)
-    {
-        sum.told[n] += more.told[n];
-    }
     for (std::size_t n = 0; n < outcome_reason_names.size(); ++n)
     {
         sum.reasons[n] += more.reasons[n];
@@ -127,10 +124,10 @@
 namespace camphorhitch::claims::testing
 {
 
-void showValue(const fault& it, std::ostream& out)
+std::ostream& operator<<(std::ostream& out, const fault& it)
 {
-    out << "{" << static_cast<int>(it.kind) << "," << it.at_ms << "," << it.host << ","
-        << it.length_ms << "}";
+    return out << "{" << static_cast<int>(it.kind) << "," << it.at_ms << "," << it.host << ","
+               << it.length_ms << "}";
 }
 
 } // namespace camphorhitch::claims::testing
--- a/libs/dispatch/src/take_over.cpp
+++ b/libs/dispatch/src/take_over.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/take_over.hpp"
 
-#include "core/rendezvous.hpp"
+#include "membership/owners.hpp"
 #include "take_over_parts.hpp"
 
 #include <algorithm>
@@ -54,16 +54,11 @@
     d.permits.emplace(key, std::move(it));
 }
 
-std::string owner_of(const std::vector<model::member_record>& members, const std::string& pool)
+bool owned(const model::former_roster& then, const std::string& member, const std::string& pool)
 {
-    std::vector<std::string_view> names;
-    names.reserve(members.size());
-    for (const auto& it : members)
-    {
-        names.push_back(it.id);
-    }
-    const auto order = core::rendezvous_order("pool/" + pool, names);
-    return order.empty() ? std::string{} : members[order.front()].id;
+    const model::roster_document roster{then.epoch, then.members, {}};
+    const auto* owner = membership::owner_of_pool(roster, pool);
+    return owner != nullptr && owner->id == member;
 }
 
 } // namespace
@@ -94,6 +89,18 @@
     d.wake = std::min({d.wake, state.answers_by, state.gone_by});
 }
 
+void hasten_take_over(pool_dispatcher& d, core::mono_time answers_by)
+{
+    auto& state = d.take_over;
+    if (state.missing.empty() || answers_by >= state.answers_by)
+    {
+        return;
+    }
+    state.answers_by = answers_by;
+    state.gone_by = answers_by + longest_use(d);
+    d.wake = std::min(d.wake, answers_by);
+}
+
 void end_waiting_for_reports(pool_dispatcher& d, core::mono_time now)
 {
     for (const auto& [name, it] : d.take_over.missing)
@@ -168,7 +175,7 @@
     auto oldest_seen = roster.epoch;
     for (const auto& it : roster.history)
     {
-        if (it.epoch > last_owned && owner_of(it.members, pool) != member)
+        if (it.epoch > last_owned && !owned(it, member, pool))
         {
             return true;
         }
--- a/libs/jobs/src/pool_jobs.cpp
+++ b/libs/jobs/src/pool_jobs.cpp
@@ -3,6 +3,7 @@
 #include "core/invariant.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace camphorhitch::jobs
@@ -60,6 +61,15 @@
     }
 }
 
+/// The document may come from another object's memory, whose numbers mean nothing here.
+void forget_transient(job& j)
+{
+    j.pending_write = 0;
+    j.waits_for = wait_reason::none;
+    j.team_number = -1;
+    j.group_number = -1;
+}
+
 void keep_doubted(bucket_view& b)
 {
     for (const auto& it : b.document.jobs)
@@ -100,6 +110,10 @@
     b.document = std::move(stored);
     b.document.pool = all.pool;
     b.document.bucket = bucket;
+    for (auto& it : b.document.jobs)
+    {
+        forget_transient(it);
+    }
     b.loaded = true;
     b.fenced = b.document.placer == all.mark;
     b.need = write_need::none;
@@ -181,7 +195,7 @@
 
 void touch(bucket_view& b, write_need need, core::mono_time now)
 {
-    if (b.need == write_need::none)
+    if (b.need < write_need::lazy)
     {
         b.need_since = now;
     }
@@ -243,6 +257,42 @@
     }
 }
 
+void note_granted(pool_jobs& all, const quota_wish& wish, const amounts& granted)
+{
+    if (wish.owner == all.mark)
+    {
+        team_grant& t = all.teams[wish.team];
+        t.granted = granted;
+        t.pending = false;
+    }
+}
+
+std::vector<std::string> hosts_to_poll(const pool_jobs& all)
+{
+    std::set<std::string> hosts;
+    for (const auto& b : all.buckets)
+    {
+        for (const auto& j : b.document.jobs)
+        {
+            if (holds_host(j) || j.state == job_state::unknown)
+            {
+                hosts.insert(j.host);
+            }
+        }
+    }
+    return {hosts.begin(), hosts.end()};
+}
+
+int number_of(name_numbers& all, const std::string& name)
+{
+    const auto [it, added] = all.numbers.try_emplace(name, static_cast<int>(all.names.size()));
+    if (added)
+    {
+        all.names.push_back(name);
+    }
+    return it->second;
+}
+
 task_view& view_of(pool_jobs& all, const std::string& task, core::mono_time now)
 {
     const auto [it, added] = all.tasks.try_emplace(task);
--- a/libs/jobs/src/reconcile.cpp
+++ b/libs/jobs/src/reconcile.cpp
@@ -14,6 +14,9 @@
 
 constexpr int most_doublings = 8;
 
+/// A longer name is taken for none: it would not fit the documents.
+constexpr std::size_t longest_checkpoint_name = 128;
+
 /// Why a job may be given a new task.
 enum class restart_proof
 {
@@ -159,6 +162,12 @@
     }
 }
 
+bool has_new_checkpoint(const reconciling& r)
+{
+    const std::string& name = r.task.report.checkpoint;
+    return !name.empty() && name.size() <= longest_checkpoint_name && name != r.it.checkpoint;
+}
+
 void on_stopped(reconciling& r)
 {
     if (!r.it.idempotent)
@@ -170,7 +179,7 @@
             "its worker stopped it on " + r.it.host);
         return;
     }
-    if (!r.task.report.checkpoint.empty())
+    if (has_new_checkpoint(r))
     {
         r.it.checkpoint = r.task.report.checkpoint;
     }
@@ -212,10 +221,11 @@
 {
     if (r.it.state == job_state::starting)
     {
-        change(r, job_state::running, write_need::lazy, "seen_running", "on " + r.it.host);
+        r.it.state = job_state::running; // the record goes on saying why it was placed there
+        r.it.since_ms = now_ms(r.in);
+        touch(r.bucket, r.it, write_need::lazy, r.in.now);
     }
-    if (!r.task.report.checkpoint.empty() && r.task.report.checkpoint != r.it.checkpoint &&
-        r.it.state == job_state::running)
+    if (has_new_checkpoint(r) && r.it.state == job_state::running)
     {
         r.it.checkpoint = r.task.report.checkpoint;
         touch(r.bucket, r.it, write_need::lazy, r.in.now);
@@ -292,7 +302,7 @@
     else if (never_ordered || refused || reported_over || lapsed)
     {
         r.it.host.clear();
-        touch(r.bucket, r.it, write_need::lazy, r.in.now);
+        touch(r.bucket, r.it, write_need::with_next, r.in.now);
     }
 }
 
@@ -330,38 +340,22 @@
     }
 }
 
-bool has_task(const job& j)
+void take_in(reconciling r)
 {
-    return holds_host(j) || j.state == job_state::unknown;
-}
-
-void take_in(
-    pool_jobs& all, const round_input& in, std::vector<action>& actions, bucket_view& b, job& j)
-{
-    const std::string name = task_name(j);
-    if (!has_task(j))
+    switch (r.it.state)
     {
-        const auto it =
-            j.state == job_state::waiting && j.attempt > 0 ? all.tasks.find(name) : all.tasks.end();
-        if (it != all.tasks.end())
-        {
-            reconciling r{all, in, actions, b, j, it->second};
-            take_in_late_end(r);
-        }
+    case job_state::waiting:
+        take_in_late_end(r);
         return;
-    }
-    reconciling r{all, in, actions, b, j, view_of(all, name, in.now)};
-    if (j.state == job_state::cancelled)
-    {
+    case job_state::cancelled:
         take_in_cancelled(r);
-    }
-    else if (j.state == job_state::unknown)
-    {
+        return;
+    case job_state::unknown:
         take_in_unknown(r);
-    }
-    else
-    {
+        return;
+    default:
         take_in_live(r);
+        return;
     }
 }
 
@@ -393,14 +387,14 @@
     return in.now - last > j.lease + in.rules.lease_margin;
 }
 
-void reconcile(pool_jobs& all, const round_input& in, std::vector<action>& actions)
+void reconcile(pool_jobs& all,
+    const active_jobs& active,
+    const round_input& in,
+    std::vector<action>& actions)
 {
-    for (auto& b : all.buckets)
+    for (const auto& it : active)
     {
-        for (auto& j : b.document.jobs)
-        {
-            take_in(all, in, actions, b, j);
-        }
+        take_in({all, in, actions, *it.bucket, *it.it, *it.task});
     }
 }
 
--- a/libs/jobs/src/round.cpp
+++ b/libs/jobs/src/round.cpp
@@ -6,6 +6,7 @@
 #include "place.hpp"
 #include "reconcile.hpp"
 #include "text.hpp"
+#include "wishes.hpp"
 
 #include <algorithm>
 
@@ -15,11 +16,9 @@
 namespace
 {
 
-/// Time between two wishes of one team, so that a used-up quota isn't asked for in every round.
-constexpr core::millis wish_interval{5000};
-
 /// Views of tasks that no job names and no report named for this long are forgotten.
 constexpr core::millis forget_after{600000};
+constexpr core::millis forget_interval{60000};
 
 /// A new owner learns from the jobs that are over in the documents, as it has seen none itself.
 void learn_from_documents(pool_jobs& all)
@@ -41,24 +40,6 @@
     }
 }
 
-void wish_for_quota(round_state& r)
-{
-    for (const auto& it : r.teams)
-    {
-        const team_view& t = it.second;
-        const bool lacks = !fits(t.wanted, t.grant);
-        const bool spares = !fits(t.grant, t.wanted + t.wanted);
-        const auto last = r.all.wished_at.find(it.first);
-        const bool recent =
-            last != r.all.wished_at.end() && r.in.now - last->second < wish_interval;
-        if ((lacks || spares) && !recent)
-        {
-            r.all.wished_at[it.first] = r.in.now;
-            r.actions.emplace_back(quota_wish{it.first, t.in_use, t.wanted});
-        }
-    }
-}
-
 void forget_tasks(pool_jobs& all, const round_input& in)
 {
     std::erase_if(all.tasks,
@@ -90,6 +71,17 @@
         });
 }
 
+void forget_now_and_then(pool_jobs& all, const round_input& in)
+{
+    if (in.now - all.forgot_at < forget_interval)
+    {
+        return;
+    }
+    all.forgot_at = in.now;
+    forget_tasks(all, in);
+    forget_waits(all, in);
+}
+
 std::string size_line(const job& j)
 {
     return "declared " + to_text(j.declared) + " for " + std::to_string(j.run_time.count() / 1000) +
@@ -105,15 +97,17 @@
     {
         return actions;
     }
-    renew_leases(all, in, actions);
+    all.rounds += 1;
+    const active_jobs active = collect_active(all, in.now);
+    renew_leases(active, in, actions);
     if (!may_place(all))
     {
         return actions;
     }
     learn_from_documents(all);
-    reconcile(all, in, actions);
+    reconcile(all, active, in, actions);
     drop_old_claims(all, in);
-    round_state r{all, in, make_host_views(all, in), {}, {}, {}, {}};
+    round_state r{all, in, make_host_views(all, active, in), active, {}, {}, {}, {}};
     collect(r);
     leave_draining_hosts(r);
     place(r);
@@ -122,9 +116,8 @@
     keep_hosts_for_the_longest_waiting(r);
     wish_for_quota(r);
     std::move(r.actions.begin(), r.actions.end(), std::back_inserter(actions));
-    command_stored(all, in, actions);
-    forget_tasks(all, in);
-    forget_waits(all, in);
+    command_stored(all, active, in, actions);
+    forget_now_and_then(all, in);
     return actions;
 }
 
--- a/libs/model/include/model/fleet.hpp
+++ b/libs/model/include/model/fleet.hpp
@@ -127,13 +127,15 @@
 struct wave_document
 {
     std::string id;
-    std::vector<std::string> hosts;    ///< selected when it was started, in a stable order
-    std::vector<std::string> admitted; ///< those that pools may drain now or have drained already
+    std::vector<std::string> hosts;    ///< selected when it was started, sorted
+    std::vector<std::string> admitted; ///< those that pools may drain now or have drained, sorted
     int batch = 0;                     ///< size of the newest batch
     wave_phase phase = wave_phase::canary;
     std::int64_t started_ms = 0;
     std::int64_t ended_ms = 0;
     int failures_excused = 0; ///< failures that operators resumed over
+    int failed_at_end = 0;    ///< hosts that had failed when the wave was done
+    int gone_at_end = 0;      ///< hosts that were in no pool any more when the wave was done
     std::string policy;       ///< overrides the pools' policies, or empty
     std::vector<std::string> commands;
     decision_record why;
--- a/programs/camphorhitchd/src/request_service.cpp
+++ b/programs/camphorhitchd/src/request_service.cpp
@@ -1,5 +1,7 @@
 #include "request_service.hpp"
 
+#include "membership/owners.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -108,15 +110,27 @@
     sender_.settings.claims.key_memory = key_memory;
 }
 
+/// Only requests whose pool has another owner ask anew: the others would lose their place in the
+/// queue.
 void request_service::on_roster()
 {
     sender_.epoch = members_.roster().epoch;
-    std::vector<request_id> ids;
+    std::map<std::string, std::string> owners;
+    for (const auto& pool : config_.pools)
+    {
+        const auto* it = membership::owner_of_pool(members_.roster(), pool.name);
+        owners[pool.name] = it == nullptr ? std::string{} : membership::process_name(*it);
+    }
+    std::swap(owners, owners_);
+    std::vector<request_id> moved;
     for (const auto& [id, r] : open_)
     {
-        ids.push_back(id);
+        if (owners[r.flow.request.pool] != owners_[r.flow.request.pool])
+        {
+            moved.push_back(id);
+        }
     }
-    for (const auto id : ids)
+    for (const auto id : moved)
     {
         const auto it = open_.find(id);
         if (it != open_.end())
@@ -143,6 +157,12 @@
     end_if_over(0);
 }
 
+void request_service::answer_last(std::function<void()> done)
+{
+    last_.emplace(context_.scheduler, server_);
+    last_->begin(std::move(done));
+}
+
 void request_service::refuse(ports::exchange_id exchange, const refusal& why)
 {
     context_.telemetry.count("camphorhitch_refused_total", {{"reason", why.reason}}, 1);
@@ -161,15 +181,16 @@
     std::string rest;
     if (!split_path(request.path, service, rest))
     {
-        refuse(exchange, {status_not_found, "no_such_path", "use /call/<service>/<path>", 0, false});
+        refuse(
+            exchange, {status_not_found, "no_such_path", "use /call/<service>/<path>", 0, false});
         return;
     }
     const bool keyed = !key_of(request).empty();
     if (!ready())
     {
         const char* why = stopping_ ? "stopping" : "not_ready";
-        refuse(exchange,
-            {status_unavailable, why, "this entry host takes no requests now", 1, keyed});
+        refuse(
+            exchange, {status_unavailable, why, "this entry host takes no requests now", 1, keyed});
         return;
     }
     const auto* pool = model::find_pool_of_service(config_, service);
@@ -209,7 +230,7 @@
     run(id, dispatch::begin(r.flow, sender_, std::get<dispatch::caller_request>(asked), now));
 }
 
-void request_service::run(request_id id, dispatch::flow_actions actions)
+void request_service::run(request_id id, const dispatch::flow_actions& actions)
 {
     for (const auto& action : actions)
     {
@@ -449,14 +470,10 @@
 
 std::vector<std::string> request_service::explain(const std::string& id) const
 {
-    for (auto it = ended_.rbegin(); it != ended_.rend(); ++it)
-    {
-        if (it->id == id || (!it->key.empty() && it->key == id))
-        {
-            return it->steps;
-        }
-    }
-    return {};
+    const auto it = std::find_if(ended_.rbegin(),
+        ended_.rend(),
+        [&](const auto& one) { return one.id == id || (!one.key.empty() && one.key == id); });
+    return it == ended_.rend() ? std::vector<std::string>{} : it->steps;
 }
 
 } // namespace camphorhitch::daemon
--- a/programs/camphorhitchd/src/statement_runner.cpp
+++ b/programs/camphorhitchd/src/statement_runner.cpp
@@ -3,11 +3,11 @@
 #include "explanations.hpp"
 #include "fleet/pool_rules.hpp"
 #include "fleet_tables.hpp"
-#include "jobs/codec.hpp"
 #include "language/settings.hpp"
 #include "membership/owners.hpp"
 #include "model/codec.hpp"
 #include "model/keys.hpp"
+#include "statement_checks.hpp"
 #include "wave_commands.hpp"
 
 #include <algorithm>
@@ -76,9 +76,9 @@
     w->batch = batch;
     w->parsed = language::parse(batch.text, batch.name);
     w->done = std::move(done);
-    if (!w->parsed.found.empty())
+    if (const auto wrong = check_statements(w->parsed, parts_, batch.name); !wrong.empty())
     {
-        w->done({bad(w->parsed.found)});
+        w->done({bad(wrong)});
         return;
     }
     next(w);
@@ -134,12 +134,37 @@
         {
             return false;
         }
+        if (!host_settled(what))
+        {
+            return false;
+        }
     }
     return true;
 }
 
+bool statement_runner::host_settled(const language::statement& what) const
+{
+    if (const auto* moved = std::get_if<language::move_statement>(&what))
+    {
+        const auto owner = fleet::owner_of(moved->host.text, parts_.fleet.pools());
+        return owner.pool == moved->pool.text && !owner.in_transit;
+    }
+    const auto* drain = std::get_if<language::drain_statement>(&what);
+    if (drain == nullptr || drain->by != language::drain_by::host)
+    {
+        return true;
+    }
+    const auto owner = fleet::owner_of(drain->what.text, parts_.fleet.pools());
+    const auto* pool = parts_.fleet.find_pool(owner.pool);
+    const auto* host =
+        pool == nullptr ? nullptr : model::find_host(pool->document, drain->what.text);
+    const bool under_way = host != nullptr && host->purpose != model::drain_purpose::none;
+    const bool gone = host == nullptr || host->state == model::host_state::drained;
+    return !under_way || (drain->leaving && gone);
+}
+
 void statement_runner::run_one(
-    const language::show_statement& s, const place& at, result_callback done)
+    const language::show_statement& s, const place& at, const result_callback& done)
 {
     const auto shown = language::evaluate(s, make_table(s.what, parts_), at.document);
     if (const auto* wrong = std::get_if<core::findings>(&shown))
@@ -293,7 +318,13 @@
 {
     if (s.leaving && s.by == language::drain_by::host)
     {
-        change_host(s.what.text, fleet::host_leaving{s.what.text, 0}, std::move(done));
+        // The rule takes news of the boot that the host is in, and no older.
+        const auto owner = fleet::owner_of(s.what.text, parts_.fleet.pools());
+        const auto* pool = parts_.fleet.find_pool(owner.pool);
+        const auto* host =
+            pool == nullptr ? nullptr : model::find_host(pool->document, s.what.text);
+        const auto boot_count = host == nullptr ? 0 : host->boot_count;
+        change_host(s.what.text, fleet::host_leaving{s.what.text, boot_count}, std::move(done));
         return;
     }
     if (s.leaving)
@@ -430,10 +461,10 @@
         by_pool[std::get<std::string>(all.rows[n][1])].push_back(
             std::get<std::string>(all.rows[n][0]));
     }
-    cancel_jobs(std::move(by_pool), at.command, std::move(done));
+    cancel_jobs(by_pool, at.command, std::move(done));
 }
 
-void statement_runner::cancel_jobs(std::map<std::string, std::vector<std::string>> by_pool,
+void statement_runner::cancel_jobs(const std::map<std::string, std::vector<std::string>>& by_pool,
     const std::string& command,
     result_callback done)
 {
@@ -479,30 +510,20 @@
 void statement_runner::run_one(
     const language::submit_job_statement& s, const place& at, result_callback done)
 {
-    auto object = nlohmann::json::parse(s.json, nullptr, false);
-    const auto named = object.find("pool");
-    if (named == object.end() || !named->is_string())
-    {
-        done(bad(
-            {{{at.document, "/pool", s.at.line, s.at.column}, "the job must name its pool", ""}}));
-        return;
-    }
-    const auto pool = named->get<std::string>();
-    object.erase("pool");
-    const nlohmann::json list = {{"jobs", {object}}};
-    auto decoded = jobs::decode_submissions(list.dump(), at.document);
-    if (const auto* wrong = std::get_if<core::findings>(&decoded))
+    auto read = read_submission(s, at.document);
+    if (const auto* wrong = std::get_if<core::findings>(&read))
     {
         done(bad(*wrong));
         return;
     }
+    const auto& [pool, job] = std::get<named_submission>(read);
     if (parts_.fleet.find_pool(pool) == nullptr)
     {
         done(bad(core::error_code::not_found, "no pool named " + pool));
         return;
     }
     parts_.intake.submit(pool,
-        std::get<std::vector<jobs::submission>>(decoded),
+        {job},
         [done = std::move(done)](const std::vector<intake_outcome>& outcomes)
         {
             const auto& it = outcomes.front();
