--- a/bench/job_placement/src/class_times.cpp
+++ b/bench/job_placement/src/class_times.cpp
@@ -116,8 +116,7 @@
             {
                 continue;
             }
-            const double ms =
-                std::chrono::duration<double, std::milli>(w.now - it->second).count();
+            const double ms = std::chrono::duration<double, std::milli>(w.now - it->second).count();
             (it->first[0] == 'u' ? made.urgent_ms : made.quick_ms).push_back(ms);
             submitted.erase(it);
         }
@@ -132,7 +131,14 @@
 {
     std::printf("\nsubmission to start beside long jobs on full hosts, 50 workers, ms\n"
                 "%-24s %9s %9s %9s %9s %9s %9s %9s %9s\n",
-        "", "urg. p50", "urg. p99", "urg. max", "quick p50", "quick p99", "never", "throttled",
+        "",
+        "urg. p50",
+        "urg. p99",
+        "urg. max",
+        "quick p50",
+        "quick p99",
+        "never",
+        "throttled",
         "checkp.");
     auto out = nlohmann::json::array();
     double p99 = 0;
@@ -145,14 +151,24 @@
         const class_times t = measure(std::move(it), how);
         p99 = quantile(t.urgent_ms, 0.99);
         std::printf("%-24s %9.0f %9.0f %9.0f %9.0f %9.0f %9d %9lld %9lld\n",
-            t.name.c_str(), quantile(t.urgent_ms, 0.5), p99, quantile(t.urgent_ms, 1),
-            quantile(t.quick_ms, 0.5), quantile(t.quick_ms, 0.99), t.never_started,
-            static_cast<long long>(t.throttles), static_cast<long long>(t.checkpoints));
-        out.push_back({{"way", t.name}, {"urgent_p50_ms", quantile(t.urgent_ms, 0.5)},
-            {"urgent_p99_ms", p99}, {"urgent_max_ms", quantile(t.urgent_ms, 1)},
+            t.name.c_str(),
+            quantile(t.urgent_ms, 0.5),
+            p99,
+            quantile(t.urgent_ms, 1),
+            quantile(t.quick_ms, 0.5),
+            quantile(t.quick_ms, 0.99),
+            t.never_started,
+            static_cast<long long>(t.throttles),
+            static_cast<long long>(t.checkpoints));
+        out.push_back({{"way", t.name},
+            {"urgent_p50_ms", quantile(t.urgent_ms, 0.5)},
+            {"urgent_p99_ms", p99},
+            {"urgent_max_ms", quantile(t.urgent_ms, 1)},
             {"quick_p50_ms", quantile(t.quick_ms, 0.5)},
-            {"quick_p99_ms", quantile(t.quick_ms, 0.99)}, {"never_started", t.never_started},
-            {"urgent", t.urgent_ms.size()}, {"throttled", t.throttles},
+            {"quick_p99_ms", quantile(t.quick_ms, 0.99)},
+            {"never_started", t.never_started},
+            {"urgent", t.urgent_ms.size()},
+            {"throttled", t.throttles},
             {"checkpointed", t.checkpoints}});
     }
     print_goal("urgent p99 ms", p99, "<=", 1000, p99 <= 1000);
--- a/bench/job_placement/src/first_fit.cpp
+++ b/bench/job_placement/src/first_fit.cpp
@@ -136,7 +136,7 @@
 
     bool skips_;
     std::deque<queued> queue_;
-    std::map<std::string, queued> running_; ///< by task
+    std::map<std::string, queued> running_;     ///< by task
     std::map<std::string, jobs::amounts> used_; ///< by host, as declared
     int given_up_ = 0;
 };
--- a/bench/job_placement/src/main.cpp
+++ b/bench/job_placement/src/main.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// Measures the placement of jobs on virtual time, beside first fit by declared size in the same run.
+/// Measures the placement of jobs on virtual time, beside first fit by declared size in the same
+/// run.
 #include "parts.hpp"
 
 #include <cxxopts.hpp>
@@ -14,7 +15,8 @@
 
 void print_goal(const char* what, double measured, const char* relation, double goal, bool met)
 {
-    std::printf("goal: %s %.3g %s %.3g: %s\n", what, measured, relation, goal, met ? "met" : "NOT MET");
+    std::printf(
+        "goal: %s %.3g %s %.3g: %s\n", what, measured, relation, goal, met ? "met" : "NOT MET");
 }
 
 } // namespace camphorhitch::bench
@@ -24,11 +26,12 @@
     using namespace camphorhitch::bench;
     cxxopts::Options options{"bench_job_placement", "placement of jobs"};
     options.add_options()("json", "write the figures to this file", cxxopts::value<std::string>())(
-        "quick", "shorter runs")("part", "one of rounds, classes, sizes, writes, faults; all of them "
-                                         "without it",
-        cxxopts::value<std::string>()->default_value(""))(
-        "seed", "of the load", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "help", "print this");
+        "quick", "shorter runs")("part",
+        "one of rounds, classes, sizes, writes, faults; all of them "
+        "without it",
+        cxxopts::value<std::string>()->default_value(""))("seed",
+        "of the load",
+        cxxopts::value<std::uint64_t>()->default_value("1"))("help", "print this");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0)
     {
--- a/bench/job_placement/src/round_times.cpp
+++ b/bench/job_placement/src/round_times.cpp
@@ -19,7 +19,7 @@
 struct round_times
 {
     int hosts = 0;
-    double first_ms = 0;      ///< 10,000 waiting, all hosts empty
+    double first_ms = 0; ///< 10,000 waiting, all hosts empty
     int first_placed = 0;
     std::vector<double> later_ms; ///< 10,000 waiting, hosts nearly full
     std::int64_t placed = 0;
@@ -66,7 +66,10 @@
 public:
     explicit round_clock(job_fakes::world& w)
     {
-        w.before_round = [this] { begin_ = clock::now(); };
+        w.before_round = [this]
+        {
+            begin_ = clock::now();
+        };
         w.after_round = [this]
         {
             const std::chrono::duration<double, std::milli> took = clock::now() - begin_;
@@ -89,7 +92,9 @@
     w.rules = roomy_rules();
     workload load{seed, {error_model::by_kind, 30, 600, 12, false}};
     w.platform.behaviour = [&](const ports::task_order& it)
-    { return load.real_of(jobs::job_of_task(it.task)); };
+    {
+        return load.real_of(jobs::job_of_task(it.task));
+    };
     job_fakes::member m = job_fakes::make_member("bench", 1, "e1", w.now);
     m.jobs.predecessor_stopped = w.now;
     top_up(w, load, 0);
@@ -120,7 +125,14 @@
 nlohmann::json measure_rounds(const bench_settings& how)
 {
     std::printf("\nplacement rounds, 10000 jobs waiting\n%8s %10s %10s %10s %10s %10s %12s %12s\n",
-        "workers", "first ms", "placed", "p50 ms", "p99 ms", "max ms", "placed/s", "decided/s");
+        "workers",
+        "first ms",
+        "placed",
+        "p50 ms",
+        "p99 ms",
+        "max ms",
+        "placed/s",
+        "decided/s");
     auto out = nlohmann::json::array();
     double p99 = 0;
     for (const int hosts : {50, 1100})
@@ -134,11 +146,21 @@
         p99 = quantile(it.later_ms, 0.99);
         const double most = quantile(it.later_ms, 1);
         std::printf("%8d %10.1f %10d %10.2f %10.2f %10.2f %12.0f %12.0f\n",
-            hosts, it.first_ms, it.first_placed, quantile(it.later_ms, 0.5), p99, most,
-            static_cast<double>(it.placed) / seconds, static_cast<double>(it.judged) / seconds);
-        out.push_back({{"workers", hosts}, {"first_ms", it.first_ms},
-            {"first_placed", it.first_placed}, {"p50_ms", quantile(it.later_ms, 0.5)},
-            {"p99_ms", p99}, {"max_ms", most}, {"rounds", it.later_ms.size()},
+            hosts,
+            it.first_ms,
+            it.first_placed,
+            quantile(it.later_ms, 0.5),
+            p99,
+            most,
+            static_cast<double>(it.placed) / seconds,
+            static_cast<double>(it.judged) / seconds);
+        out.push_back({{"workers", hosts},
+            {"first_ms", it.first_ms},
+            {"first_placed", it.first_placed},
+            {"p50_ms", quantile(it.later_ms, 0.5)},
+            {"p99_ms", p99},
+            {"max_ms", most},
+            {"rounds", it.later_ms.size()},
             {"placed_per_s", static_cast<double>(it.placed) / seconds},
             {"decided_per_s", static_cast<double>(it.judged) / seconds}});
     }
--- a/bench/job_placement/src/scheduler.hpp
+++ b/bench/job_placement/src/scheduler.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// Two ways to place the same jobs on the same workers: the product's, and the baseline (first fit by
-/// declared size, first come first served).
+/// Two ways to place the same jobs on the same workers: the product's, and the baseline (first fit
+/// by declared size, first come first served).
 #pragma once
 
 #include "job_fakes/member.hpp"
--- a/bench/job_placement/src/size_errors.cpp
+++ b/bench/job_placement/src/size_errors.cpp
@@ -24,9 +24,9 @@
 {
     std::string way;
     std::string errors;
-    double used = 0;    ///< share of all processors in use
-    double useful = 0;  ///< share of all processor time that went into jobs that finished
-    double memory = 0;  ///< share of all memory in use
+    double used = 0;   ///< share of all processors in use
+    double useful = 0; ///< share of all processor time that went into jobs that finished
+    double memory = 0; ///< share of all memory in use
     int finished = 0;
     int killed = 0; ///< jobs killed because memory was short, at least once
     int slowed = 0; ///< jobs that processors were short for, at least once
@@ -57,8 +57,8 @@
         }
         if (t.state == ports::task_state::finished && finished.insert(job).second)
         {
-            useful_s += t.real.size.processors *
-                        std::chrono::duration<double>(t.real.run_time).count();
+            useful_s +=
+                t.real.size.processors * std::chrono::duration<double>(t.real.run_time).count();
         }
     }
 };
@@ -88,7 +88,9 @@
     w.rules.keep_over = core::millis{120000};
     workload load{how.seed, {errors, 30, 600, 12, true}};
     w.platform.behaviour = [&](const ports::task_order& it)
-    { return load.real_of(jobs::job_of_task(it.task)); };
+    {
+        return load.real_of(jobs::job_of_task(it.task));
+    };
     const core::mono_time from = w.now + warm_up;
     const core::mono_time until = from + core::millis{how.quick ? 1800000 : 7200000};
     const jobs::amounts capacity = capacity_of(w);
@@ -140,15 +142,28 @@
 {
     const double thousands = it.finished / 1000.0;
     std::printf("%-8s %-24s %8.1f%% %8.1f%% %8.1f%% %9d %9.1f %9.1f %9d\n",
-        it.errors.c_str(), it.way.c_str(), it.used * 100, it.useful * 100, it.memory * 100,
-        it.finished, it.killed / thousands, it.slowed / thousands, it.given_up);
+        it.errors.c_str(),
+        it.way.c_str(),
+        it.used * 100,
+        it.useful * 100,
+        it.memory * 100,
+        it.finished,
+        it.killed / thousands,
+        it.slowed / thousands,
+        it.given_up);
 }
 
 nlohmann::json to_json(const size_result& it)
 {
-    return {{"way", it.way}, {"errors", it.errors}, {"processors_used", it.used},
-        {"useful", it.useful}, {"memory_used", it.memory}, {"finished", it.finished},
-        {"killed_for_memory", it.killed}, {"slowed", it.slowed}, {"given_up", it.given_up}};
+    return {{"way", it.way},
+        {"errors", it.errors},
+        {"processors_used", it.used},
+        {"useful", it.useful},
+        {"memory_used", it.memory},
+        {"finished", it.finished},
+        {"killed_for_memory", it.killed},
+        {"slowed", it.slowed},
+        {"given_up", it.given_up}};
 }
 
 double hurt_per_thousand(const size_result& it)
@@ -160,9 +175,18 @@
 
 nlohmann::json measure_sizes(const bench_settings& how)
 {
-    std::printf("\ndeclared sizes off by 0.3x to 3x, 50 workers, always 400 jobs waiting; killed and slowed "
+    std::printf("\ndeclared sizes off by 0.3x to 3x, 50 workers, always 400 jobs waiting; killed "
+                "and slowed "
                 "for each 1000 jobs finished\n%-8s %-24s %9s %9s %9s %9s %9s %9s %9s\n",
-        "errors", "", "used", "useful", "memory", "finished", "killed", "slowed", "given up");
+        "errors",
+        "",
+        "used",
+        "useful",
+        "memory",
+        "finished",
+        "killed",
+        "slowed",
+        "given up");
     auto out = nlohmann::json::array();
     const std::vector<std::pair<error_model, const char*>> models{
         {error_model::by_kind, "by kind"}, {error_model::by_job, "by job"}};
@@ -186,7 +210,8 @@
         print_goal("useful processor time over baseline's", ratio, ">=", 1.25, ratio >= 1.25);
         const double hurt = hurt_per_thousand(ours);
         const double base_hurt = hurt_per_thousand(base);
-        print_goal("jobs hurt per 1000, against baseline's", hurt, "<=", base_hurt, hurt <= base_hurt);
+        print_goal(
+            "jobs hurt per 1000, against baseline's", hurt, "<=", base_hurt, hurt <= base_hurt);
     }
     return out;
 }
--- a/bench/job_placement/src/wasted_starts.cpp
+++ b/bench/job_placement/src/wasted_starts.cpp
@@ -33,7 +33,9 @@
     w.platform.all.begin()->second.fails_all = true;
     workload load{how.seed, {error_model::none, 30, 300, 12, true}};
     w.platform.behaviour = [&](const ports::task_order& it)
-    { return load.real_of(jobs::job_of_task(it.task)); };
+    {
+        return load.real_of(jobs::job_of_task(it.task));
+    };
     const int rounds = how.quick ? 3000 : 9000;
     for (int i = 0; i < rounds; ++i)
     {
@@ -64,8 +66,11 @@
 
 nlohmann::json measure_faults(const bench_settings& how)
 {
-    std::printf("\none of 50 workers fails all it gets\n%-24s %14s %10s %10s\n", "", "wasted starts",
-        "jobs hit", "given up");
+    std::printf("\none of 50 workers fails all it gets\n%-24s %14s %10s %10s\n",
+        "",
+        "wasted starts",
+        "jobs hit",
+        "given up");
     auto out = nlohmann::json::array();
     std::vector<std::unique_ptr<scheduler>> ways;
     ways.push_back(make_first_fit(false));
@@ -73,9 +78,14 @@
     for (auto& it : ways)
     {
         const waste r = measure(std::move(it), how);
-        std::printf("%-24s %14lld %10zu %10d\n", r.way.c_str(), static_cast<long long>(r.wasted),
-            r.jobs_hit, r.given_up);
-        out.push_back({{"way", r.way}, {"wasted_starts", r.wasted}, {"jobs_hit", r.jobs_hit},
+        std::printf("%-24s %14lld %10zu %10d\n",
+            r.way.c_str(),
+            static_cast<long long>(r.wasted),
+            r.jobs_hit,
+            r.given_up);
+        out.push_back({{"way", r.way},
+            {"wasted_starts", r.wasted},
+            {"jobs_hit", r.jobs_hit},
             {"given_up", r.given_up}});
     }
     return out;
--- a/bench/job_placement/src/workload.cpp
+++ b/bench/job_placement/src/workload.cpp
@@ -32,8 +32,7 @@
 
 } // namespace
 
-workload::workload(std::uint64_t seed, const workload_settings& how)
-    : random_(seed), how_(how)
+workload::workload(std::uint64_t seed, const workload_settings& how) : random_(seed), how_(how)
 {
     for (int i = 0; i < how_.kinds; ++i)
     {
@@ -67,10 +66,12 @@
     const double share = uniform(0, 1);
     s.declared.processors = std::find_if(sizes.begin(),
         sizes.end(),
-        [&](const size_share& it) { return share < it.up_to; })->processors;
+        [&](const size_share& it) {
+            return share < it.up_to;
+        })->processors;
     s.declared.memory_gb = std::round(s.declared.processors * uniform(2, 4));
-    s.run_time = core::millis{static_cast<std::int64_t>(
-        1000 * log_uniform(how_.shortest_s, how_.longest_s))};
+    s.run_time = core::millis{
+        static_cast<std::int64_t>(1000 * log_uniform(how_.shortest_s, how_.longest_s))};
     s.klass = how_.fixed_class ? jobs::job_class::normal : jobs::job_class::long_running;
     s.idempotent = true;
     s.payload = "run";
@@ -85,18 +86,17 @@
         {
             return log_uniform(smallest_factor, largest_factor);
         }
-        const double own = log_uniform(
-            std::pow(smallest_factor, own_error), std::pow(largest_factor, own_error));
-        return std::clamp(kind_factors_[static_cast<std::size_t>(kind)] * own,
-            smallest_factor,
-            largest_factor);
+        const double own =
+            log_uniform(std::pow(smallest_factor, own_error), std::pow(largest_factor, own_error));
+        return std::clamp(
+            kind_factors_[static_cast<std::size_t>(kind)] * own, smallest_factor, largest_factor);
     };
     job_fakes::real_task real;
     // A task can't use more than a whole host: a larger one runs on what there is.
     real.size.processors = std::min(32.0, s.declared.processors * factor());
     real.size.memory_gb = std::min(120.0, s.declared.memory_gb * factor());
-    real.run_time = core::millis{
-        static_cast<std::int64_t>(static_cast<double>(s.run_time.count()) * factor())};
+    real.run_time =
+        core::millis{static_cast<std::int64_t>(static_cast<double>(s.run_time.count()) * factor())};
     real.checkpoint_time = core::millis{static_cast<std::int64_t>(log_uniform(100, 2000))};
     real_[s.id] = real;
     return s;
--- a/bench/job_placement/src/workload.hpp
+++ b/bench/job_placement/src/workload.hpp
@@ -57,7 +57,8 @@
     int made_ = 0;
 };
 
-/// Hosts of 32 processors and 128 GB, four to a rack, every fifth with four accelerators when asked.
+/// Hosts of 32 processors and 128 GB, four to a rack, every fifth with four accelerators when
+/// asked.
 job_fakes::world make_world(int hosts, int zones, bool accelerators);
 
 /// \return a bound on what the world's hosts have together.
--- a/bench/job_placement/src/write_counts.cpp
+++ b/bench/job_placement/src/write_counts.cpp
@@ -1,5 +1,5 @@
-#include "parts.hpp"
 #include "jobs/codec.hpp"
+#include "parts.hpp"
 #include "workload.hpp"
 
 #include <nlohmann/json.hpp>
@@ -22,14 +22,17 @@
     workload load;
     job_fakes::member m = job_fakes::make_member("bench", 1, "e1", w.now);
 
-    explicit write_counter(std::uint64_t seed)
-        : load(seed, {error_model::none, 5, 30, 12, true})
+    explicit write_counter(std::uint64_t seed) : load(seed, {error_model::none, 5, 30, 12, true})
     {
         m.jobs.predecessor_stopped = w.now;
         w.platform.behaviour = [this](const ports::task_order& it)
-        { return load.real_of(jobs::job_of_task(it.task)); };
+        {
+            return load.real_of(jobs::job_of_task(it.task));
+        };
         w.kv.on_stored = [this](const jobs::job_document& d)
-        { bytes += static_cast<std::int64_t>(jobs::encode(d).size()); };
+        {
+            bytes += static_cast<std::int64_t>(jobs::encode(d).size());
+        };
     }
 
     std::int64_t bytes = 0;
@@ -130,12 +133,16 @@
         count_jobs("1000 jobs, 1 each second", 1, core::millis{1000}, how.seed),
         count_cancellations(how.seed),
     };
-    std::printf("\nwrites of documents, submission and end included\n%-34s %8s %12s\n", "", "writes",
+    std::printf("\nwrites of documents, submission and end included\n%-34s %8s %12s\n",
+        "",
+        "writes",
         "kB written");
     auto out = nlohmann::json::array();
     for (const auto& it : results)
     {
-        std::printf("%-34s %8lld %12.0f\n", it.what.c_str(), static_cast<long long>(it.writes),
+        std::printf("%-34s %8lld %12.0f\n",
+            it.what.c_str(),
+            static_cast<long long>(it.writes),
             static_cast<double>(it.bytes) / 1000);
         out.push_back({{"what", it.what}, {"writes", it.writes}, {"bytes", it.bytes}});
     }
--- a/libs/jobs/include/jobs/pool_jobs.hpp
+++ b/libs/jobs/include/jobs/pool_jobs.hpp
@@ -44,9 +44,9 @@
     std::uint64_t next_write = 1;  ///< number that the next write will have
     std::uint64_t in_flight = 0;   ///< number of the write under way, or 0
     bool in_flight_marked = false; ///< the write under way carries our mark
-    /// Tasks that a write without an answer may have recorded: they count as placed until the
-    /// document's revision has moved past that write.
-    std::vector<job> doubted;
+    /// A write got no answer and may still arrive: until the stored revision has moved past it, the
+    /// document may come to hold a start, or a task at full speed again, that we would not count.
+    bool doubtful = false;
 };
 
 /// What is known of one task beside its job's document. Lost with the process; rebuilt by reports.
@@ -67,7 +67,7 @@
     /// What the worker is known to do; unknown while a command to change it is under way.
     std::optional<bool> throttled_there;
     std::uint64_t round = 0; ///< number of the last round in which a job held it
-    bool proved = false; ///< its success was noted
+    bool proved = false;     ///< its success was noted
     bool judged = false; ///< its end was noted: a conflicting write makes a round take it in again
 };
 
@@ -127,11 +127,11 @@
     std::unordered_map<std::string, team_grant> teams;              ///< by name
     estimator sizes;
     pool_health health;
-    std::uint64_t rounds = 0; ///< run so far
+    std::uint64_t rounds = 0;    ///< run so far
     core::mono_time forgot_at{}; ///< when views that nobody needs were last forgotten
     name_numbers team_numbers;   ///< jobs carry their numbers, so that a round compares no texts
     name_numbers group_numbers;  ///< of group_of()
-    bool learned = false; ///< the documents' jobs that are over were learned from
+    bool learned = false;        ///< the documents' jobs that are over were learned from
 };
 
 /// \param mark the roster's epoch (above 0) and a text that no other call ever used, such as the
@@ -171,7 +171,8 @@
 
 void write_ended(pool_jobs& all, int bucket, write_end how);
 
-/// \return whether every document is read and carries our mark, so that this process may place.
+/// \return whether every document is read, carries our mark, and awaits no write in doubt, so that
+/// this process sees all tasks and may place.
 bool may_place(const pool_jobs& all);
 
 /// Marks a document as changed.
--- a/libs/jobs/include/jobs/settings.hpp
+++ b/libs/jobs/include/jobs/settings.hpp
@@ -14,14 +14,14 @@
 struct settings
 {
     // Documents.
-    std::size_t most_jobs = 2500;            ///< in one document
-    std::size_t most_bytes = 900000;         ///< of one document's text
-    std::size_t most_payload = 4096;         ///< bytes of one job's payload
+    std::size_t most_jobs = 2500;    ///< in one document
+    std::size_t most_bytes = 900000; ///< of one document's text
+    std::size_t most_payload = 4096; ///< bytes of one job's payload
     /// Jobs that are over and stay in one document: they are written again with each change of it.
     std::size_t most_over = 64;
     core::millis keep_over{6 * 3600 * 1000}; ///< how long a job that is over is remembered
     core::millis keep_over_least{900000};    ///< the same while there are more than most_over
-    core::millis lazy_write{10000};           ///< longest wait of a change that nobody needs soon
+    core::millis lazy_write{10000};          ///< longest wait of a change that nobody needs soon
 
     // Leases.
     core::millis lease_ttl{30000};
--- a/libs/jobs/src/collect.cpp
+++ b/libs/jobs/src/collect.cpp
@@ -57,14 +57,6 @@
             t.in_use = t.in_use + it.it->declared;
         }
     }
-    for (auto& b : r.all.buckets)
-    {
-        for (auto& j : b.doubted)
-        {
-            team_view& t = team_view_of(r, j);
-            t.in_use = t.in_use + j.declared;
-        }
-    }
     for (auto& it : r.teams)
     {
         it.wanted = it.in_use;
@@ -108,9 +100,8 @@
 bool is_possible(const job& j, const team_view& t, const std::vector<amounts>& sizes)
 {
     return t.configured && fits(j.declared, t.quota) &&
-           std::any_of(sizes.begin(),
-               sizes.end(),
-               [&](const amounts& it) { return fits(j.declared, it); });
+           std::any_of(
+               sizes.begin(), sizes.end(), [&](const amounts& it) { return fits(j.declared, it); });
 }
 
 bool goes_first(const placed_job& a, const placed_job& b)
--- a/libs/jobs/src/commands.cpp
+++ b/libs/jobs/src/commands.cpp
@@ -171,10 +171,8 @@
 
 } // namespace
 
-void command_stored(pool_jobs& all,
-    const active_jobs& active,
-    const round_input& in,
-    std::vector<action>& actions)
+void command_stored(
+    pool_jobs& all, const active_jobs& active, const round_input& in, std::vector<action>& actions)
 {
     commanding c{all, in, actions, {}, {}};
     for (const auto& it : active)
@@ -195,8 +193,7 @@
     }
 }
 
-void renew_leases(
-    const active_jobs& active, const round_input& in, std::vector<action>& actions)
+void renew_leases(const active_jobs& active, const round_input& in, std::vector<action>& actions)
 {
     std::map<std::string, std::vector<std::string>> due;
     for (const auto& it : active)
--- a/libs/jobs/src/host_views.cpp
+++ b/libs/jobs/src/host_views.cpp
@@ -50,8 +50,7 @@
     v.tasks.push_back(task);
 }
 
-void add_tasks(host_views& views, const pool_jobs& all, const active_jobs& active,
-    const round_input& in)
+void add_tasks(host_views& views, const active_jobs& active, const round_input& in)
 {
     for (const auto& it : active)
     {
@@ -61,17 +60,6 @@
             add_task(*v, it, in);
         }
     }
-    for (const auto& b : all.buckets)
-    {
-        for (const auto& j : b.doubted)
-        {
-            if (host_view* v = find_host_view(views, j.host))
-            {
-                v->load = v->load + j.reserved;
-                v->declared = v->declared + j.declared;
-            }
-        }
-    }
 }
 
 void add_claims(host_views& views, const pool_jobs& all)
@@ -160,8 +148,7 @@
     return active;
 }
 
-host_views make_host_views(
-    const pool_jobs& all, const active_jobs& active, const round_input& in)
+host_views make_host_views(const pool_jobs& all, const active_jobs& active, const round_input& in)
 {
     host_views views;
     std::map<std::string, int> zones;
@@ -180,7 +167,7 @@
     }
     views.zones = static_cast<int>(zones.size());
     views.racks = static_cast<int>(racks.size());
-    add_tasks(views, all, active, in);
+    add_tasks(views, active, in);
     add_claims(views, all);
     for (auto& it : views.hosts)
     {
--- a/libs/jobs/src/host_views.hpp
+++ b/libs/jobs/src/host_views.hpp
@@ -64,8 +64,7 @@
 
 active_jobs collect_active(pool_jobs& all, core::mono_time now);
 
-host_views make_host_views(
-    const pool_jobs& all, const active_jobs& active, const round_input& in);
+host_views make_host_views(const pool_jobs& all, const active_jobs& active, const round_input& in);
 
 /// \return the host, or nullptr when the pool has it no more.
 host_view* find_host_view(host_views& views, const std::string& id);
--- a/libs/jobs/src/place.hpp
+++ b/libs/jobs/src/place.hpp
@@ -39,8 +39,8 @@
     const round_input& in;
     host_views views;
     const active_jobs& active;
-    std::vector<team_view> teams;   ///< by number
-    std::vector<group_view> groups; ///< by number
+    std::vector<team_view> teams;    ///< by number
+    std::vector<group_view> groups;  ///< by number
     std::vector<placed_job> waiting; ///< in the order of placement; those placed are removed
     std::vector<action> actions;
 };
--- a/libs/jobs/src/pool_jobs.cpp
+++ b/libs/jobs/src/pool_jobs.cpp
@@ -70,17 +70,6 @@
     j.group_number = -1;
 }
 
-void keep_doubted(bucket_view& b)
-{
-    for (const auto& it : b.document.jobs)
-    {
-        if (it.pending_write != 0 && it.state == job_state::starting)
-        {
-            b.doubted.push_back(it);
-        }
-    }
-}
-
 } // namespace
 
 pool_jobs make_pool_jobs(std::string pool, placer_mark mark, core::mono_time now)
@@ -119,12 +108,11 @@
     b.need = write_need::none;
     if (cause == read_cause::newer)
     {
-        b.doubted.clear();
+        b.doubtful = false;
     }
-    if (!b.doubted.empty())
+    if (b.doubtful)
     {
-        // The write may still arrive and fill a host that looks free. A write of ours at the same
-        // revision settles it: after that one, the older can only conflict.
+        // A write of ours at the same revision settles it: after that, the older can only conflict.
         touch(b, write_need::soon, now);
     }
     fence_when_needed(all, now);
@@ -161,7 +149,7 @@
     if (how == write_end::stored)
     {
         b.fenced = b.in_flight_marked;
-        b.doubted.clear();
+        b.doubtful = false;
         for (auto& it : b.document.jobs)
         {
             if (it.pending_write <= number)
@@ -172,23 +160,22 @@
         return;
     }
     b.loaded = false;
-    if (how == write_end::doubt)
-    {
-        keep_doubted(b);
-    }
+    b.doubtful = b.doubtful || how == write_end::doubt;
 }
 
 bool may_place(const pool_jobs& all)
 {
-    return !all.superseded && std::all_of(all.buckets.begin(),
-                                  all.buckets.end(),
-                                  [](const bucket_view& b) { return b.loaded && b.fenced; });
+    return !all.superseded &&
+           std::all_of(all.buckets.begin(),
+               all.buckets.end(),
+               [](const bucket_view& b) { return b.loaded && b.fenced && !b.doubtful; });
 }
 
 bool counts_all_tasks(const pool_jobs& all)
 {
-    const bool loaded = std::all_of(
-        all.buckets.begin(), all.buckets.end(), [](const bucket_view& b) { return b.loaded; });
+    const bool loaded = std::all_of(all.buckets.begin(),
+        all.buckets.end(),
+        [](const bucket_view& b) { return b.loaded && !b.doubtful; });
     const bool idle = std::none_of(all.buckets.begin(), all.buckets.end(), holds_work);
     return !all.superseded && loaded && (idle || may_place(all));
 }
@@ -311,8 +298,6 @@
         n += static_cast<int>(std::count_if(b.document.jobs.begin(),
             b.document.jobs.end(),
             [&](const job& j) { return holds_host(j) && j.host == host; }));
-        n += static_cast<int>(std::count_if(
-            b.doubted.begin(), b.doubted.end(), [&](const job& j) { return j.host == host; }));
     }
     return n;
 }
--- a/libs/jobs/src/reconcile.cpp
+++ b/libs/jobs/src/reconcile.cpp
@@ -387,10 +387,8 @@
     return in.now - last > j.lease + in.rules.lease_margin;
 }
 
-void reconcile(pool_jobs& all,
-    const active_jobs& active,
-    const round_input& in,
-    std::vector<action>& actions)
+void reconcile(
+    pool_jobs& all, const active_jobs& active, const round_input& in, std::vector<action>& actions)
 {
     for (const auto& it : active)
     {
--- a/libs/jobs/src/reconcile.hpp
+++ b/libs/jobs/src/reconcile.hpp
@@ -8,10 +8,8 @@
 {
 
 /// Changes the jobs' states from what is known of their tasks.
-void reconcile(pool_jobs& all,
-    const active_jobs& active,
-    const round_input& in,
-    std::vector<action>& actions);
+void reconcile(
+    pool_jobs& all, const active_jobs& active, const round_input& in, std::vector<action>& actions);
 
 /// \return whether the task hasn't been seen for longer than settings::report_patience. Its lease
 /// is not renewed any more.
--- a/libs/jobs/src/submit.cpp
+++ b/libs/jobs/src/submit.cpp
@@ -317,7 +317,8 @@
 
 std::size_t forget_old(job_document& d, const settings& rules, core::wall_time now)
 {
-    const auto over = static_cast<std::size_t>(std::count_if(d.jobs.begin(), d.jobs.end(), is_over));
+    const auto over =
+        static_cast<std::size_t>(std::count_if(d.jobs.begin(), d.jobs.end(), is_over));
     const bool crowded = over > rules.most_over;
     const core::millis kept = crowded ? rules.keep_over_least : rules.keep_over;
     const std::int64_t oldest = core::to_unix_ms(now) - kept.count();
--- a/testing/job_fakes/include/job_fakes/member.hpp
+++ b/testing/job_fakes/include/job_fakes/member.hpp
@@ -34,7 +34,7 @@
     std::function<ports::platform_status(const ports::task_order&)> order_fault;
     std::function<bool(const jobs::command_tasks&)> command_lost; ///< empty: none is
     std::function<void(const jobs::action&)> on_action;           ///< to count
-    std::function<void()> before_round; ///< to time the decision alone
+    std::function<void()> before_round;                           ///< to time the decision alone
     std::function<void()> after_round;
     int rounds_per_step = 6; ///< rounds that follow one another because something ended
     std::int64_t wall_base_ms = 1'700'000'000'000;
