--- a/programs/camphorhitchd/src/statement_runner.cpp
+++ b/programs/camphorhitchd/src/statement_runner.cpp
@@ -3,15 +3,16 @@
 #include "explanations.hpp"
 #include "fleet/pool_rules.hpp"
 #include "fleet_tables.hpp"
+#include "job_statements.hpp"
 #include "language/settings.hpp"
 #include "membership/owners.hpp"
 #include "model/codec.hpp"
 #include "model/keys.hpp"
 #include "statement_checks.hpp"
+#include "statement_results.hpp"
 #include "wave_commands.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace camphorhitch::daemon
@@ -20,31 +21,6 @@
 namespace
 {
 
-statement_result good(const std::string& text)
-{
-    return {true, {}, text, nlohmann::json(text).dump()};
-}
-
-statement_result bad(core::error_code code, std::string text)
-{
-    if (text.empty() || text.back() != '\n')
-    {
-        text += '\n';
-    }
-    return {false, code, std::move(text), "null"};
-}
-
-statement_result bad(const core::findings& all)
-{
-    return bad(core::error_code::invalid, core::to_text(all));
-}
-
-template <class T>
-statement_result told(const core::result<T>& end, const std::string& text)
-{
-    return core::is_ok(end) ? good(text) : bad(core::failure(end).code, core::failure(end).message);
-}
-
 std::string statement_command(const std::string& command, std::size_t index)
 {
     return command + "/" + std::to_string(index);
@@ -428,102 +404,21 @@
 }
 
 void statement_runner::run_one(
-    const language::cancel_job_statement& s, const place& at, result_callback done)
+    const language::cancel_job_statement& s, const place& at, const result_callback& done)
 {
-    std::string pool;
-    if (parts_.jobs.find(s.id.text, pool) == nullptr)
-    {
-        done(bad(core::error_code::not_found, "no job named " + s.id.text));
-        return;
-    }
-    cancel_jobs({{pool, {s.id.text}}}, at.command, std::move(done));
+    cancel_job(parts_, s, at.command, done);
 }
 
 void statement_runner::run_one(
-    const language::cancel_jobs_statement& s, const place& at, result_callback done)
+    const language::cancel_jobs_statement& s, const place& at, const result_callback& done)
 {
-    const auto all = make_table(language::table_kind::jobs, parts_);
-    const auto rows = language::select_rows(all, s.where, at.document);
-    if (const auto* wrong = std::get_if<core::findings>(&rows))
-    {
-        done(bad(*wrong));
-        return;
-    }
-    std::map<std::string, std::vector<std::string>> by_pool;
-    for (const auto n : std::get<std::vector<std::size_t>>(rows))
-    {
-        by_pool[std::get<std::string>(all.rows[n][1])].push_back(
-            std::get<std::string>(all.rows[n][0]));
-    }
-    cancel_jobs(by_pool, at.command, std::move(done));
-}
-
-void statement_runner::cancel_jobs(const std::map<std::string, std::vector<std::string>>& by_pool,
-    const std::string& command,
-    result_callback done)
-{
-    struct gathering
-    {
-        std::size_t missing = 0;
-        std::size_t cancelled = 0;
-        std::string problems;
-        core::error_code code = core::error_code::not_found;
-        result_callback done;
-    };
-    if (by_pool.empty())
-    {
-        done(good("no job matches\n"));
-        return;
-    }
-    auto all = std::make_shared<gathering>();
-    all->missing = by_pool.size();
-    all->done = std::move(done);
-    for (const auto& [pool, ids] : by_pool)
-    {
-        parts_.intake.cancel(pool,
-            ids,
-            command,
-            [all](const std::vector<intake_outcome>& outcomes)
-            {
-                for (const auto& it : outcomes)
-                {
-                    all->cancelled += it.accepted ? 1 : 0;
-                    all->problems += it.accepted ? std::string{} : it.id + ": " + it.text + "\n";
-                    all->code = it.accepted ? all->code : it.code;
-                }
-                if (--all->missing == 0)
-                {
-                    const auto n = std::to_string(all->cancelled);
-                    all->done(all->problems.empty() ? good(n + " jobs cancelled\n")
-                                                    : bad(all->code, all->problems));
-                }
-            });
-    }
+    cancel_jobs(parts_, s, at.document, at.command, done);
 }
 
 void statement_runner::run_one(
-    const language::submit_job_statement& s, const place& at, result_callback done)
+    const language::submit_job_statement& s, const place& at, const result_callback& done)
 {
-    auto read = read_submission(s, at.document);
-    if (const auto* wrong = std::get_if<core::findings>(&read))
-    {
-        done(bad(*wrong));
-        return;
-    }
-    const auto& [pool, job] = std::get<named_submission>(read);
-    if (parts_.fleet.find_pool(pool) == nullptr)
-    {
-        done(bad(core::error_code::not_found, "no pool named " + pool));
-        return;
-    }
-    parts_.intake.submit(pool,
-        {job},
-        [done = std::move(done)](const std::vector<intake_outcome>& outcomes)
-        {
-            const auto& it = outcomes.front();
-            done(it.accepted ? good("job " + it.id + ": " + it.text + "\n")
-                             : bad(it.code, "job " + it.id + ": " + it.text));
-        });
+    submit_job(parts_, s, at.document, done);
 }
 
 } // namespace camphorhitch::daemon
--- a/programs/camphorhitchd/src/statement_runner.hpp
+++ b/programs/camphorhitchd/src/statement_runner.hpp
@@ -5,11 +5,11 @@
 #include "context.hpp"
 #include "fleet/pool_events.hpp"
 #include "fleet/wave_rules.hpp"
+#include "job_statements.hpp"
 #include "language/parse.hpp"
 #include "operator_parts.hpp"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -39,7 +39,6 @@
 
 private:
     struct work;
-    using result_callback = std::function<void(statement_result)>;
     /// One statement's surroundings.
     struct place
     {
@@ -62,15 +61,15 @@
         const language::stop_experiment_statement& s, const place& at, result_callback done);
     void run_one(const language::cancel_wave_statement& s, const place& at, result_callback done);
     void run_one(const language::resume_wave_statement& s, const place& at, result_callback done);
-    void run_one(const language::cancel_job_statement& s, const place& at, result_callback done);
-    void run_one(const language::cancel_jobs_statement& s, const place& at, result_callback done);
-    void run_one(const language::submit_job_statement& s, const place& at, result_callback done);
+    void run_one(
+        const language::cancel_job_statement& s, const place& at, const result_callback& done);
+    void run_one(
+        const language::cancel_jobs_statement& s, const place& at, const result_callback& done);
+    void run_one(
+        const language::submit_job_statement& s, const place& at, const result_callback& done);
     void ask_peers(const language::why_statement& s, result_callback done);
     void change_host(const std::string& host, fleet::pool_event event, result_callback done);
     void start_wave(const fleet::wave_wish& wish, result_callback done);
-    void cancel_jobs(const std::map<std::string, std::vector<std::string>>& by_pool,
-        const std::string& command,
-        result_callback done);
 
     context& context_;
     operator_parts parts_;
