--- a/bench/job_placement/src/class_times.cpp
+++ b/bench/job_placement/src/class_times.cpp
@@ -79,6 +79,7 @@
                    : load.real_of(job);
     };
     std::vector<jobs::submission> all;
+    all.reserve(600);
     for (int i = 0; i < 600; ++i)
     {
         all.push_back(load.next());
--- a/bench/job_placement/src/write_counts.cpp
+++ b/bench/job_placement/src/write_counts.cpp
@@ -83,6 +83,7 @@
         if (left > 0 && c.w.now >= next)
         {
             std::vector<jobs::submission> all;
+            all.reserve(static_cast<std::size_t>(burst));
             for (int i = 0; i < burst; ++i)
             {
                 all.push_back(c.load.next());
--- a/libs/experiment/src/start.cpp
+++ b/libs/experiment/src/start.cpp
@@ -32,6 +32,7 @@
 std::vector<std::string> names_of(const Items& items)
 {
     std::vector<std::string> names;
+    names.reserve(items.size());
     for (const auto& it : items)
     {
         names.push_back(it.name);
