--- a/bench/wave_policies/src/main.cpp
+++ b/bench/wave_policies/src/main.cpp
@@ -41,6 +41,7 @@
         {"buffer_hosts", to_json(r.buffer_hosts)},
         {"buffer_host_h", to_json(r.buffer_host_h)},
         {"job_moves", to_json(r.job_moves)},
+        {"jobs_moved_again", r.jobs_moved_again},
         {"host_moves", r.host_moves},
         {"writes", r.writes},
         {"cut_off", r.cut_off},
@@ -49,7 +50,7 @@
 
 void print_header()
 {
-    std::printf("%-13s %-13s %-10s %9s %6s %7s %6s %9s %6s %6s %6s %6s %7s %6s\n",
+    std::printf("%-13s %-13s %-10s %9s %6s %7s %6s %9s %6s %6s %6s %6s %6s %7s %6s\n",
         "fleet",
         "policy",
         "trouble",
@@ -62,14 +63,15 @@
         "hmoves",
         "jmoves",
         "bound",
+        "again",
         "writes",
         "broken");
 }
 
 void print(const rollout& r)
 {
-    std::printf(
-        "%-13s %-13s %-10s %4d/%4d%s %6.1f %7.2f %6.0f %9.1f %6.2f %6lld %6.0f %6.0f %7lld %6zu\n",
+    std::printf("%-13s %-13s %-10s %4d/%4d%s %6.1f %7.2f %6.0f %9.1f %6.2f %6lld %6.0f %6.0f %6lld "
+                "%7lld %6zu\n",
         r.fleet.c_str(),
         r.policy.c_str(),
         r.with == trouble::correlated ? "correlated" : "none",
@@ -84,6 +86,7 @@
         static_cast<long long>(r.host_moves),
         r.job_moves.value,
         r.job_moves.bound,
+        static_cast<long long>(r.jobs_moved_again),
         static_cast<long long>(r.writes),
         r.violations.size() + static_cast<std::size_t>(r.cut_off));
 }
--- a/bench/wave_policies/src/rollout.cpp
+++ b/bench/wave_policies/src/rollout.cpp
@@ -265,21 +265,11 @@
     world w;
     build(w, shape, policy, work);
     start(w, policy);
-    rollout out{shape.name,
-        policy.name,
-        with,
-        count_hosts(shape),
-        0,
-        false,
-        {},
-        {},
-        {},
-        {},
-        0,
-        0,
-        0,
-        {},
-        {}};
+    rollout out;
+    out.fleet = shape.name;
+    out.policy = policy.name;
+    out.with = with;
+    out.hosts = count_hosts(shape);
     const auto jobs = ends_of_jobs(w);
     std::vector<pool_write> log;
     const auto checks = w.kv.on_pool_write;
@@ -310,6 +300,7 @@
     out.buffer_host_h.bound = out.hosts * static_cast<double>(work.reboot_ms) / ms_per_hour;
     out.job_moves = {static_cast<double>(w.job_moves),
         static_cast<double>(jobs_that_outlast(jobs, w.platform.now_ms - work.reboot_ms))};
+    out.jobs_moved_again = w.job_moves_again;
     out.host_moves = w.kv.host_moves;
     out.writes = w.kv.writes - writes_before;
     out.cuts = cost_of_cuts(w.kv.pools, log);
--- a/bench/wave_policies/src/rollout.hpp
+++ b/bench/wave_policies/src/rollout.hpp
@@ -37,6 +37,7 @@
     measure buffer_hosts;  ///< most hosts held back at once
     measure buffer_host_h; ///< host-hours held back during the roll-out
     measure job_moves;
+    std::int64_t jobs_moved_again = 0; ///< moves of jobs that had moved before
     std::int64_t host_moves = 0;
     std::int64_t writes = 0;
     std::int64_t cut_off = 0;
--- a/testing/fleet_sim/include/fleet_sim/world.hpp
+++ b/testing/fleet_sim/include/fleet_sim/world.hpp
@@ -14,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -61,6 +62,8 @@
     std::int64_t epoch = 1;
     std::vector<std::string> roster;
     std::int64_t job_moves = 0;
+    std::int64_t job_moves_again = 0;                    ///< of jobs that had moved before
+    std::set<std::int64_t> moved_jobs;                   ///< by their ends, which tell them apart
     const model::configuration* writer_config = nullptr; ///< by which the write was decided
     std::vector<std::string> violations; ///< promises that were broken; must stay empty
 };
--- a/testing/fleet_sim/src/world.cpp
+++ b/testing/fleet_sim/src/world.cpp
@@ -166,6 +166,9 @@
     };
     const auto moving = std::stable_partition(from.jobs.begin(), from.jobs.end(), stays);
     w.job_moves += std::distance(moving, from.jobs.end());
+    std::for_each(moving,
+        from.jobs.end(),
+        [&](std::int64_t end) { w.job_moves_again += w.moved_jobs.insert(end).second ? 0 : 1; });
     if (best != nullptr)
     {
         best->jobs.insert(best->jobs.end(), moving, from.jobs.end());
