--- a/libs/fleet/src/wave_rules.cpp
+++ b/libs/fleet/src/wave_rules.cpp
@@ -10,7 +10,6 @@
 {
 
 using core::error_code;
-using model::host_record;
 using model::host_state;
 using model::pool_document;
 using model::wave_document;
--- a/libs/fleet/src/waves.cpp
+++ b/libs/fleet/src/waves.cpp
@@ -8,7 +8,6 @@
 namespace camphorhitch::fleet
 {
 
-using model::drain_purpose;
 using model::host_record;
 using model::host_state;
 using model::pool_document;
