fleet: a wave says which hosts it waits for

Cause: a wave whose last hosts were lent, moving or in another wave stayed 'growing' without a reason. Change: rule waits_for_others; the room of admissions has a file of its own. The test of two waves asked that the second writes nothing; it now asks that it admits nothing, says so once and is silent after.

--- a/libs/fleet/src/wave_decider.cpp
+++ b/libs/fleet/src/wave_decider.cpp
@@ -3,16 +3,14 @@
 #include "core/invariant.hpp"
 #include "fleet/budget.hpp"
 #include "fleet/wave_rules.hpp"
+#include "room_book.hpp"
 #include "wave_plan.hpp"
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace camphorhitch::fleet
 {
 
-using model::host_state;
-using model::pool_document;
 using model::wave_document;
 using model::wave_phase;
 
@@ -21,82 +19,7 @@
 
 constexpr auto blocked_rule = "budget_blocked";
 constexpr auto halted_rule = "hosts_not_back";
-
-/// The pools as they will be when all that was admitted has left, for counting the room.
-class room_book
-{
-public:
-    explicit room_book(const wave_inputs& in) : in_(in), spares_(count_lendable(in))
-    {
-    }
-
-    /// Marks \p h as absent if its pool has room. \return whether it had.
-    bool take(const wave_host& h, const model::policy_config& p)
-    {
-        auto& d = draft_of(h.pool);
-        const auto budget = budget_of(in_.config, h.pool);
-        const auto need = need_of(d, in_.config);
-        const auto& policy = policy_of(p.kind);
-        if (!budget || need.planned_absent >= policy.pool_limit(p, need))
-        {
-            return false;
-        }
-        auto* host = model::find_host(d, h.id);
-        const auto before = host->state;
-        host->state = host_state::draining;
-        if (!within(count_absences(d), with_spares(*budget, policy, p, need)))
-        {
-            host->state = before;
-            return false;
-        }
-        return true;
-    }
-
-private:
-    static int count_lendable(const wave_inputs& in)
-    {
-        int n = 0;
-        for (const auto& view : in.pools)
-        {
-            for (const auto& it : view.document.hosts)
-            {
-                const bool spare = is_spare_pool(in.config, view.document.pool);
-                n += spare && is_lendable(it, in.waves) ? 1 : 0;
-            }
-        }
-        return n;
-    }
-
-    /// A guest that can be had stands in for one of the pool's absences.
-    model::availability_budget with_spares(model::availability_budget b,
-        const wave_policy& policy,
-        const model::policy_config& p,
-        pool_need need) const
-    {
-        need.admitted = 1;
-        need.unfinished = 1;
-        const bool lends = policy.guests_wanted(p, need) > 0;
-        b.absent += lends ? spares_ : 0;
-        return b;
-    }
-
-    pool_document& draft_of(const std::string& pool)
-    {
-        const auto known = drafts_.find(pool);
-        if (known != drafts_.end())
-        {
-            return known->second;
-        }
-        const auto it = std::find_if(in_.pools.begin(),
-            in_.pools.end(),
-            [&](const pool_view& v) { return v.document.pool == pool; });
-        return drafts_.emplace(pool, it->document).first->second;
-    }
-
-    const wave_inputs& in_;
-    int spares_;
-    std::unordered_map<std::string, pool_document> drafts_;
-};
+constexpr auto waiting_rule = "waits_for_others";
 
 void insert_sorted(std::vector<std::string>& all, const std::string& one)
 {
@@ -194,19 +117,31 @@
     return false;
 }
 
-std::string list_of(const wave_plan& plan)
+/// \return the ids of the hosts that \p matches, as one line.
+template <class Match>
+std::string list_hosts(const wave_plan& plan, Match matches)
 {
     std::string text;
     for (const auto& [name, group] : plan.groups)
     {
         for (const auto& it : group.hosts)
         {
-            text += it.by_wave ? " " + it.id : "";
+            text += matches(it) ? " " + it.id : "";
         }
     }
     return text;
 }
 
+std::string hosts_at(const wave_plan& plan, turn at)
+{
+    return list_hosts(plan, [&](const wave_host& it) { return it.at == at; });
+}
+
+std::string failed_by_wave(const wave_plan& plan)
+{
+    return list_hosts(plan, [](const wave_host& it) { return it.by_wave; });
+}
+
 std::string describe_blocked(const wave_inputs& in, const wave_plan& plan)
 {
     std::string text;
@@ -254,6 +189,34 @@
     next.gone_at_end = s.gone;
 }
 
+int count_in_progress(const wave_plan& plan)
+{
+    int n = 0;
+    for (const auto& [name, group] : plan.groups)
+    {
+        n += group.progress.in_progress;
+    }
+    return n;
+}
+
+/// Tells once that nothing can go on now, and why; it is looked at again at each decision.
+void wait(wave_document& next, const wave_plan& plan, const wave_inputs& in)
+{
+    if (!hosts_at(plan, turn::untouched).empty())
+    {
+        if (next.phase != wave_phase::halted || next.why.rule != blocked_rule)
+        {
+            set_phase(next, wave_phase::halted, blocked_rule, describe_blocked(in, plan), in.now);
+        }
+    }
+    else if (next.why.rule != waiting_rule)
+    {
+        const auto phase = all_canaries_passed(plan) ? wave_phase::growing : wave_phase::canary;
+        const std::string weighed = "under other plans or lent:" + hosts_at(plan, turn::busy);
+        set_phase(next, phase, waiting_rule, weighed, in.now);
+    }
+}
+
 /// Admits what may leave, and tells when nothing can.
 void go_on(wave_document& next, wave_plan& plan, const wave_inputs& in)
 {
@@ -263,29 +226,17 @@
         review_waiting(next, group, room);
     }
     const int admitted = admit_all(next, plan, room);
-    int in_progress = 0;
-    bool untouched = false;
-    for (const auto& [name, group] : plan.groups)
-    {
-        in_progress += group.progress.in_progress;
-        untouched = untouched || std::any_of(group.hosts.begin(),
-                                     group.hosts.end(),
-                                     [](const wave_host& it) { return it.at == turn::untouched; });
-    }
-    const bool halted = next.phase == wave_phase::halted;
-    if (in_progress == 0 && untouched)
+    const int in_progress = count_in_progress(plan);
+    if (in_progress == 0)
     {
-        if (!halted || next.why.rule != blocked_rule)
-        {
-            set_phase(next, wave_phase::halted, blocked_rule, describe_blocked(in, plan), in.now);
-        }
+        wait(next, plan, in);
         return;
     }
     const auto phase = all_canaries_passed(plan) ? wave_phase::growing : wave_phase::canary;
     if (admitted > 0 || phase != next.phase)
     {
+        const std::string rule = next.phase == wave_phase::halted ? "resumed" : "admitted";
         next.batch = in_progress;
-        const std::string rule = halted ? "resumed" : "admitted";
         set_phase(next, phase, rule, std::to_string(in_progress) + " in progress", in.now);
     }
 }
@@ -313,7 +264,8 @@
     {
         if (next.phase != wave_phase::halted || next.why.rule != halted_rule)
         {
-            set_phase(next, wave_phase::halted, halted_rule, "not back:" + list_of(plan), in.now);
+            set_phase(
+                next, wave_phase::halted, halted_rule, "not back:" + failed_by_wave(plan), in.now);
         }
     }
     else if (s.in_progress + s.waiting == 0)
--- a/libs/fleet/tests/wave_tests.cpp
+++ b/libs/fleet/tests/wave_tests.cpp
@@ -228,6 +228,28 @@
     CHECK(scene.own.document.phase == wave_phase::growing);
 }
 
+TEST(waves, a_wave_says_which_hosts_it_waits_for)
+{
+    wave_scene scene("fastest");
+    scene.decide();
+    for (auto& view : scene.pools)
+    {
+        for (auto& it : view.document.hosts)
+        {
+            it.maintained = it.id == "a0" ? "" : "w1";
+        }
+    }
+    scene.host("a0").lent_by = "s";
+    scene.decide();
+    STRCMP_EQUAL("waits_for_others", scene.own.document.why.rule.c_str());
+    STRCMP_CONTAINS("a0", scene.own.document.why.weighed.c_str());
+    const auto revision = scene.own.revision;
+    scene.decide();
+    LONGS_EQUAL(revision, scene.own.revision);
+    scene.host("a0").lent_by.clear();
+    STRCMP_EQUAL("a0", scene.decide().c_str());
+}
+
 TEST(waves, hosts_that_are_gone_or_stay_failed_do_not_hold_the_end_up)
 {
     wave_scene scene("fastest");
@@ -311,6 +333,10 @@
     maintained.maintained = "w1";
     CHECK(working_wave(maintained, both) == nullptr);
     const wave_inputs in{second, scene.config, scene.pools, true, both, sample::now};
+    const auto out = decide_wave(in);
+    CHECK(out->document.admitted.empty());
+    STRCMP_EQUAL("waits_for_others", out->document.why.rule.c_str());
+    second = {out->document, out->expected + 1};
     CHECK(!decide_wave(in));
 }
 
