--- a/libs/claims/src/claim_table.cpp
+++ b/libs/claims/src/claim_table.cpp
@@ -159,7 +159,8 @@
     return grant_after_copy(table, request, known, at);
 }
 
-/// Whether \p pending still describes what stands in the table.
+/// Whether \p pending still describes what stands in the table. The epoch is a second line: who is
+/// whole in a newer one has handed the entry on, but a grant should not need that to be argued.
 bool still_stands(const claim_table& table, const pending_copy& pending)
 {
     return pending.epoch == table.roster.epoch && is_active(table, pending.slot) &&
