--- a/cmake/workspace.cmake
+++ b/cmake/workspace.cmake
@@ -26,7 +26,7 @@
 
 function(camphorhitch_add_tests name)
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-  if(NOT tests)
+  if(NOT tests OR NOT CAMPHORHITCH_TESTS)
     return()
   endif()
   add_executable(${name}_tests ${tests} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
--- /dev/null
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -0,0 +1,191 @@
+/// \file
+/// What the coordinator believes: jobs, their runs, and the hosts that run them.
+#pragma once
+
+#include "core/names.hpp"
+#include "core/time.hpp"
+#include "ports/key_value.hpp"
+#include "ports/runners.hpp"
+#include "workflow/model.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace camphorhitch::coordinator
+{
+
+enum class run_phase
+{
+    ordered,   ///< the start order is out and unanswered
+    unsettled, ///< its answer was lost: it may run, or start seconds later
+    running,   ///< the runner said so
+    stopping   ///< a stop is wanted; it takes room until its end is certain
+};
+
+inline constexpr core::name_table<run_phase, 4> run_phase_names{{
+    {run_phase::ordered, "ordered"},
+    {run_phase::unsettled, "unsettled"},
+    {run_phase::running, "running"},
+    {run_phase::stopping, "stopping"},
+}};
+
+/// One start of a task on one host.
+struct run_entry
+{
+    std::int64_t number = 0;
+    std::string host; ///< id of the runner's life
+    run_phase phase = run_phase::ordered;
+    core::mono_time ordered_at;
+    /// A poll that began before this says nothing about the present phase.
+    core::mono_time changed_at;
+    bool stop_in_flight = false;
+    bool stop_confirmed = false; ///< the runner will not start this run any more
+    core::mono_time stop_again;  ///< earliest repeat of an unanswered stop
+    int percent = 0;             ///< of its work, as last reported
+    std::int64_t figure = 0;     ///< as ports::reported_run::figure
+    int pace = 100;              ///< percent ordered last
+};
+
+struct task_entry
+{
+    workflow::task_progress progress;
+    std::int64_t last_run = 0; ///< highest number that any runner may have seen
+    std::vector<run_entry> runs;
+    std::vector<std::string> failed_on; ///< hosts; avoided while there are others
+};
+
+/// Counts over the tasks of one step of one occurrence.
+struct step_entry
+{
+    int done = 0;
+    int idle = 0; ///< neither done nor with a run
+};
+
+struct job_entry
+{
+    workflow::job spec;
+    workflow::job_state state = workflow::job_state::queued;
+    bool cancelled = false;     ///< a cancel was accepted
+    bool inherited = false;     ///< accepted before this term: a former owner may have started it
+    bool dirty = false;         ///< the stored progress is older than this entry
+    ports::revision stored = 0; ///< revision of the stored progress; 0: none
+    std::vector<task_entry> tasks; ///< by workflow::task_place; empty once final
+    std::vector<step_entry> steps; ///< by occurrence and step
+    std::size_t live_runs = 0;
+    std::size_t done_tasks = 0;
+};
+
+/// Why no new task may start on a host, beside its own state.
+enum class host_use
+{
+    open,
+    closed_for_maintenance,
+    closed_for_move
+};
+
+struct host_entry
+{
+    ports::runner_ref ref;
+    std::string pool;
+    std::string zone;
+    std::string rack;
+    std::vector<std::string> labels;
+    workflow::resources capacity;
+    bool listed = false;   ///< in the newest list of runners
+    bool draining = false; ///< about to leave
+    host_use use = host_use::open;
+    core::mono_time closed_at; ///< when use left open
+    bool recorded = false;     ///< a successor will find it among the runners in use
+
+    bool prior = false; ///< a former owner may have ordered runs here that we have not seen
+    bool reachable = false;
+    core::mono_time added_at;
+    core::mono_time last_answer;
+    std::int64_t clock_ms = -1;      ///< the runner's clock in its newest answer; -1: none yet
+    core::mono_time clock_at;        ///< when that answer arrived
+    std::int64_t lease_until_ms = 0; ///< latest end of a lease that anyone may have granted
+    core::mono_time prior_lapse_at;  ///< a former owner's leases have certainly ended by then
+
+    workflow::resources used;    ///< by all runs, stopping and unsettled ones included
+    std::size_t strays = 0;      ///< runs of jobs that are not known; they take unknown room
+    std::int64_t seen_end = 0;   ///< highest end that was taken in
+    std::int64_t stored_end = 0; ///< ends up to here are stored and may be acknowledged
+    int recent_failures = 0;     ///< failed runs less finished ones, not below 0
+    /// Tasks with a run here; key: workflow::write_task_name.
+    std::map<std::string, workflow::task_name> runs;
+};
+
+/// A run that has to be stopped although no entry stands for it.
+struct stray_run
+{
+    std::string host;
+    std::string task;
+    std::int64_t number = 0;
+};
+
+/// Times and bounds of the coordinator.
+struct coordinator_settings
+{
+    /// Longest lease granted to a runner. Long enough to bridge a take-over (lease of the leader,
+    /// election, first poll), short enough that work on a silent host restarts soon.
+    core::millis runner_lease{3500};
+    /// Lease of the leader itself: how long a former owner may have gone on granting leases.
+    core::millis leader_lease{1500};
+    /// Share by which a runner's clock may be slow.
+    double clock_drift = 0.02;
+    /// Beyond a lease's computed end, for delays that neither clock shows.
+    core::millis lapse_margin{250};
+    /// Between repeats of an unanswered stop.
+    core::millis stop_repeat{400};
+    /// Runs of one task within one term of ownership.
+    std::int64_t runs_per_term = 1000;
+};
+
+struct fleet
+{
+    coordinator_settings settings;
+    std::int64_t term = 0;          ///< counts owners; 0 is the first
+    ports::revision term_began = 0; ///< store revision of this term's begin; the fencing token
+    std::unordered_map<std::string, std::unique_ptr<job_entry>> jobs;
+    std::unordered_set<std::string> open_jobs; ///< not final, or with live runs
+    std::map<std::string, host_entry> hosts;   ///< by runner id
+    std::vector<stray_run> strays;             ///< to be stopped
+    std::vector<std::string> dirty;            ///< jobs whose progress has to be stored
+};
+
+/// What happened to a task, for the log.
+struct task_event
+{
+    std::string what; ///< the decision or the belief that changed
+    std::string task;
+    std::int64_t run = 0;
+    std::string host;
+    std::string reason; ///< the inputs that decided
+};
+
+using task_events = std::vector<task_event>;
+
+/// A runner as the platform lists it.
+struct host_listing
+{
+    ports::runner_ref ref;
+    std::string pool;
+    std::string zone;
+    std::string rack;
+    std::vector<std::string> labels;
+    workflow::resources capacity;
+    bool draining = false;
+};
+
+/// A runner that a former owner used.
+struct prior_host
+{
+    ports::runner_ref ref;
+};
+
+} // namespace camphorhitch::coordinator
--- /dev/null
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -0,0 +1,58 @@
+/// \file
+/// Jobs and hosts come into the coordinator's view, and leave it.
+#pragma once
+
+#include "coordinator/fleet.hpp"
+
+namespace camphorhitch::coordinator
+{
+
+/// Takes a job in; a job that is known already changes nothing.
+/// \param created store revision of its acceptance
+/// \param progress as stored, with \p stored its revision; revision 0: nothing is stored
+void add_job(fleet& f,
+    workflow::job spec,
+    ports::revision created,
+    const workflow::job_progress& progress,
+    ports::revision stored);
+
+/// Ends a job at its caller's wish: nothing of it starts any more, and what runs is stopped.
+void cancel_job(fleet& f, const std::string& id, core::mono_time now, task_events& out);
+
+/// Forgets a job that is final and has no runs.
+void forget_job(fleet& f, const std::string& id);
+
+/// Runners that a former owner used: each has to be examined, or its leases to have lapsed, before
+/// an inherited task starts anywhere.
+void add_prior_hosts(fleet& f, const std::vector<prior_host>& all, core::mono_time now);
+
+/// The newest list of runners.
+void see_hosts(
+    fleet& f, const std::vector<host_listing>& all, core::mono_time now, task_events& out);
+
+/// A runner's life has certainly ended: all its runs are over.
+/// \param proof what shows it, for the log
+void end_host(fleet& f, const std::string& id, const std::string& proof, task_events& out);
+
+/// Removes hosts whose leases have certainly lapsed unheard, and frees their tasks.
+void lapse_hosts(fleet& f, core::mono_time now, task_events& out);
+
+/// \return the runner's clock now, at least; -1 when it never told.
+std::int64_t least_clock(const fleet& f, const host_entry& h, core::mono_time now);
+
+/// \return whether every lease that may have been granted on \p h has certainly ended.
+bool has_lapsed(const fleet& f, const host_entry& h, core::mono_time now);
+
+/// \return the end of a lease granted now, on the runner's clock; 0 when its clock is unknown.
+std::int64_t lease_end_for(const fleet& f, const host_entry& h, core::mono_time now);
+
+/// Notes that a lease until \p until_ms may be in force on \p h.
+void note_lease(host_entry& h, std::int64_t until_ms);
+
+/// \return the progress to store.
+workflow::job_progress progress_of(const job_entry& j);
+
+/// \return whether some runner may hold runs of a former owner that nobody has looked at.
+bool has_unexamined_hosts(const fleet& f);
+
+} // namespace camphorhitch::coordinator
--- /dev/null
+++ b/libs/coordinator/include/coordinator/placement.hpp
@@ -0,0 +1,55 @@
+/// \file
+/// Which task starts where, and which run has to be stopped.
+#pragma once
+
+#include "coordinator/fleet.hpp"
+
+#include <functional>
+
+namespace camphorhitch::coordinator
+{
+
+struct start_action
+{
+    ports::runner_ref host;
+    workflow::task_name task;
+    std::int64_t run = 0;
+    std::string payload;
+    std::string checkpoint;
+};
+
+struct stop_action
+{
+    ports::runner_ref host;
+    workflow::task_name task;
+    std::int64_t run = 0;
+};
+
+struct plan
+{
+    std::vector<start_action> starts;
+    std::vector<stop_action> stops;
+};
+
+/// Decides all orders that are due, and notes them in \p f as sent.
+/// \param unix_ms wall time, for scheduled jobs and the age of jobs
+/// \param may_start false: only stops (nothing that starts could be recorded)
+plan make_plan(
+    fleet& f, core::mono_time now, std::int64_t unix_ms, bool may_start, task_events& out);
+
+/// Wants a run stopped; the next plan orders it. The task may start again once its end is certain.
+void want_stop(fleet& f,
+    const workflow::task_name& task,
+    std::int64_t run,
+    core::mono_time now,
+    const std::string& reason,
+    task_events& out);
+
+/// \return tasks of the same step that are not at work, without \p task itself.
+int others_away(const job_entry& j, const workflow::task_name& task);
+
+/// \return the number of accepted jobs by queue of which no task has started, scheduled ones left
+/// out.
+std::map<std::string, int> pending_jobs(const fleet& f);
+
+} // namespace camphorhitch::coordinator
--- /dev/null
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -0,0 +1,71 @@
+/// \file
+/// Maintenance waves: which hosts are emptied next, and which may go down now.
+#pragma once
+
+#include "coordinator/fleet.hpp"
+#include "ports/machines.hpp"
+
+#include <set>
+
+namespace camphorhitch::coordinator
+{
+
+/// The platform's newest list of machines, by id.
+struct machine_table
+{
+    std::map<std::string, ports::machine_entry> machines;
+    core::mono_time read_at; ///< when the call for it was sent
+    bool known = false;
+};
+
+struct wave
+{
+    std::int64_t number = 0;
+    std::vector<std::string> machines;
+    int most_at_once = 1;
+    core::mono_time due;
+    std::set<std::string> begun;                    ///< their maintenance has begun, or is over
+    std::set<std::string> asked;                    ///< an order is out
+    std::map<std::string, core::mono_time> down_at; ///< begun and not seen up again
+    bool completed = false;
+};
+
+struct wave_settings
+{
+    /// Hosts that are emptied ahead of a free place, so that one is ready when it comes.
+    int ahead = 2;
+    /// A list that was asked for sooner after an order may not show its effect yet.
+    core::millis list_lag{300};
+    /// A closed host's batch tasks get this long to end by themselves, then they are stopped.
+    core::millis patience{2500};
+    /// A host takes about this long to be emptied and maintained; by it the wave's end is judged.
+    core::millis turn{4000};
+};
+
+/// Notes what the newest list shows.
+/// \return whether the wave has become completed.
+bool see_machines(wave& w, const machine_table& list, const wave_settings& s);
+
+/// Closes hosts that come next, wants their tasks stopped where that is allowed, and picks those
+/// that are empty.
+/// \return machines whose maintenance may begin now.
+std::vector<std::string> plan_wave(fleet& f,
+    wave& w,
+    const machine_table& list,
+    const wave_settings& s,
+    core::mono_time now,
+    task_events& out);
+
+/// The platform says that the maintenance of \p machine has begun.
+void maintenance_began(fleet& f,
+    wave& w,
+    const machine_table& list,
+    const std::string& machine,
+    core::mono_time now,
+    task_events& out);
+
+/// Wants the host's tasks stopped: long-running ones within what their steps may miss, others
+/// when \p batch_too.
+void empty_host(fleet& f, host_entry& h, bool batch_too, core::mono_time now, task_events& out);
+
+} // namespace camphorhitch::coordinator
--- /dev/null
+++ b/libs/coordinator/src/answers.cpp
@@ -0,0 +1,491 @@
+#include "coordinator/answers.hpp"
+
+#include "bookkeeping.hpp"
+#include "coordinator/intake.hpp"
+#include "core/invariant.hpp"
+#include "workflow/records.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+using ports::runner_verdict;
+
+/// Failed runs that a host may collect before its score stops growing.
+constexpr int most_recent_failures = 8;
+
+std::string verdict_text(const ports::runner_answer& answer)
+{
+    return "answer=" + std::string{core::name_of(ports::runner_verdict_names, answer.verdict)};
+}
+
+void note_clock(host_entry& h, const ports::runner_answer& answer, core::mono_time now)
+{
+    if (answer.clock_ms >= 0)
+    {
+        h.clock_ms = answer.clock_ms;
+        h.clock_at = now;
+    }
+}
+
+run_entry* find_run(
+    fleet& f, const workflow::task_name& name, const std::string& host, std::int64_t number)
+{
+    auto* const t = find_task(f, name);
+    if (t == nullptr)
+    {
+        return nullptr;
+    }
+    const auto place = place_of_run(*t, host, number);
+    return place == t->runs.size() ? nullptr : &t->runs[place];
+}
+
+/// The run never began and never will.
+void start_refused(fleet& f,
+    const workflow::task_name& name,
+    const std::string& host,
+    std::int64_t number,
+    const ports::runner_answer& answer,
+    task_events& out)
+{
+    auto* const t = find_task(f, name);
+    const auto place = place_of_run(*t, host, number);
+    note(out, "start_refused", name, number, host, verdict_text(answer));
+    remove_run(f, *find_job(f, name.job), name, place);
+}
+
+// ---- ends ----
+
+void complete_if_done(fleet& f, job_entry& j, core::mono_time now, task_events& out)
+{
+    if (j.done_tasks == j.tasks.size() && !workflow::is_final(j.state))
+    {
+        out.push_back({"job_completed", j.spec.id, 0, "", "all tasks ended done"});
+        finish_job(f, j, workflow::job_state::completed, now);
+    }
+}
+
+void mark_task_done(fleet& f, job_entry& j, const workflow::task_name& name)
+{
+    auto& t = *find_task(f, name);
+    if (t.progress.done)
+    {
+        return;
+    }
+    auto& counts = step_of(j, name.occurrence, name.step);
+    if (t.runs.empty())
+    {
+        --counts.idle;
+    }
+    t.progress.done = true;
+    t.progress.checkpoint.clear();
+    ++counts.done;
+    ++j.done_tasks;
+    mark_dirty(f, j);
+}
+
+/// The other runs of a task that is done are in the way: copies, or members of its gang.
+void stop_runs(task_entry& t, core::mono_time now)
+{
+    for (auto& it : t.runs)
+    {
+        if (it.phase != run_phase::stopping)
+        {
+            it.phase = run_phase::stopping;
+            it.changed_at = now;
+        }
+    }
+}
+
+void end_done(
+    fleet& f, job_entry& j, const workflow::task_name& name, core::mono_time now, task_events& out)
+{
+    const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
+    if (s.long_running)
+    {
+        return; // it is started again
+    }
+    mark_task_done(f, j, name);
+    stop_runs(*find_task(f, name), now);
+    if (s.gang)
+    {
+        // One member's end stands for all; the others end by themselves.
+        for (int i = 0; i < s.tasks; ++i)
+        {
+            mark_task_done(f, j, {name.job, name.occurrence, name.step, i});
+        }
+    }
+    complete_if_done(f, j, now, out);
+}
+
+void end_failed(fleet& f,
+    job_entry& j,
+    const workflow::task_name& name,
+    const ports::reported_end& end,
+    core::mono_time now,
+    task_events& out)
+{
+    auto& t = *find_task(f, name);
+    if (end.run <= t.progress.last_failed)
+    {
+        return; // reported again, to this owner or to the one before
+    }
+    t.progress.last_failed = end.run;
+    ++t.progress.failures;
+    mark_dirty(f, j);
+    const bool bounded = !j.spec.steps[static_cast<std::size_t>(name.step)].long_running;
+    if (bounded && t.progress.failures >= j.spec.most_attempts)
+    {
+        out.push_back({"job_failed",
+            j.spec.id,
+            0,
+            "",
+            "task=" + end.task + " failures=" + std::to_string(t.progress.failures)});
+        finish_job(f, j, workflow::job_state::failed, now);
+    }
+}
+
+void score_host(host_entry& h, ports::run_end how)
+{
+    if (how == ports::run_end::failed)
+    {
+        h.recent_failures = std::min(h.recent_failures + 1, most_recent_failures);
+    }
+    else if (how == ports::run_end::done)
+    {
+        h.recent_failures = std::max(h.recent_failures - 1, 0);
+    }
+}
+
+void take_end(
+    fleet& f, host_entry& h, const ports::reported_end& end, core::mono_time now, task_events& out)
+{
+    const auto read = workflow::read_task_name(end.task);
+    const auto* const name = std::get_if<workflow::task_name>(&read);
+    std::erase_if(f.strays,
+        [&](const stray_run& it)
+        { return it.host == h.ref.id && it.task == end.task && it.number == end.run; });
+    auto* const t = name == nullptr ? nullptr : find_task(f, *name);
+    out.push_back({"run_ended",
+        end.task,
+        end.run,
+        h.ref.id,
+        "how=" + std::string{core::name_of(ports::run_end_names, end.how)} +
+            " end=" + std::to_string(end.number) + (t == nullptr ? " task=unknown" : "")});
+    if (t == nullptr)
+    {
+        return;
+    }
+    auto& j = *find_job(f, name->job);
+    const auto place = place_of_run(*t, h.ref.id, end.run);
+    if (place < t->runs.size())
+    {
+        remove_run(f, j, *name, place);
+    }
+    else if (!t->runs.empty() || end.run < t->last_run)
+    {
+        // This run was given up as lapsed and the task started anew. The newer run counts: taking
+        // the old result in now would let two runs of one task both have an effect.
+        if (!h.prior)
+        {
+            return;
+        }
+    }
+    score_host(h, end.how);
+    if (!end.checkpoint.empty())
+    {
+        t->progress.checkpoint = end.checkpoint;
+    }
+    if (workflow::is_final(j.state))
+    {
+        return;
+    }
+    if (end.how == ports::run_end::done)
+    {
+        end_done(f, j, *name, now, out);
+    }
+    else if (end.how == ports::run_end::failed)
+    {
+        t->failed_on.push_back(h.ref.id);
+        end_failed(f, j, *name, end, now, out);
+    }
+}
+
+// ---- what runs ----
+
+void see_stray(fleet& f, host_entry& h, const ports::reported_run& it, task_events& out)
+{
+    ++h.strays;
+    const auto same = [&](const stray_run& known)
+    {
+        return known.host == h.ref.id && known.task == it.task && known.number == it.run;
+    };
+    if (std::none_of(f.strays.begin(), f.strays.end(), same))
+    {
+        f.strays.push_back({h.ref.id, it.task, it.run});
+        out.push_back({"stray_run", it.task, it.run, h.ref.id, "no such open task"});
+    }
+}
+
+/// A run of a former owner: it is this owner's from now on.
+void adopt(fleet& f,
+    host_entry& h,
+    job_entry& j,
+    const workflow::task_name& name,
+    const ports::reported_run& it,
+    core::mono_time now,
+    task_events& out)
+{
+    auto& t = *find_task(f, name);
+    const bool wanted = !workflow::is_final(j.state) && !t.progress.done && t.runs.empty();
+    run_entry run;
+    run.number = it.run;
+    run.host = h.ref.id;
+    run.phase = wanted ? run_phase::running : run_phase::stopping;
+    run.ordered_at = now;
+    run.changed_at = now;
+    add_run(f, j, name, run);
+    note(out, wanted ? "run_adopted" : "run_unwanted", name, it.run, h.ref.id, "");
+}
+
+void see_running(
+    fleet& f, host_entry& h, const ports::reported_run& it, core::mono_time now, task_events& out)
+{
+    const auto read = workflow::read_task_name(it.task);
+    const auto* const name = std::get_if<workflow::task_name>(&read);
+    auto* const t = name == nullptr ? nullptr : find_task(f, *name);
+    if (t == nullptr)
+    {
+        see_stray(f, h, it, out);
+        return;
+    }
+    auto& j = *find_job(f, name->job);
+    if (place_of_run(*t, h.ref.id, it.run) == t->runs.size())
+    {
+        adopt(f, h, j, *name, it, now, out);
+    }
+    auto& run = t->runs[place_of_run(*t, h.ref.id, it.run)];
+    if (run.phase == run_phase::ordered || run.phase == run_phase::unsettled)
+    {
+        run.phase = run_phase::running;
+        run.changed_at = now;
+    }
+    run.percent = it.percent;
+    run.figure = it.figure;
+    if (!it.checkpoint.empty())
+    {
+        t->progress.checkpoint = it.checkpoint;
+    }
+    if (j.state == workflow::job_state::queued)
+    {
+        j.state = workflow::job_state::running;
+    }
+}
+
+/// A run that the runner does not list: it is over, or the answer is too old to tell.
+void judge_missing(fleet& f,
+    host_entry& h,
+    const workflow::task_name& name,
+    core::mono_time begun,
+    core::mono_time now,
+    task_events& out)
+{
+    auto& j = *find_job(f, name.job);
+    auto& t = *find_task(f, name);
+    for (std::size_t i = t.runs.size(); i-- > 0;)
+    {
+        auto& run = t.runs[i];
+        if (run.host != h.ref.id || run.changed_at >= begun)
+        {
+            continue;
+        }
+        if (run.phase == run_phase::unsettled)
+        {
+            // The order may still be on its way. After a stop the runner refuses it for good, so
+            // only then the task may start elsewhere.
+            note(out, "order_unsettled", name, run.number, h.ref.id, "not listed; stopping it");
+            run.phase = run_phase::stopping;
+            run.changed_at = now;
+        }
+        else if (run.phase == run_phase::running || run.stop_confirmed)
+        {
+            note(out, "run_over", name, run.number, h.ref.id, "not listed by its runner");
+            remove_run(f, j, name, i);
+        }
+    }
+}
+
+} // namespace
+
+bool start_answered(fleet& f,
+    const std::string& host,
+    const workflow::task_name& task,
+    std::int64_t run,
+    const ports::runner_answer& answer,
+    core::mono_time now,
+    task_events& out)
+{
+    if (answer.verdict == runner_verdict::fenced)
+    {
+        return false;
+    }
+    if (answer.verdict == runner_verdict::other_life)
+    {
+        end_host(f, host, "another runner answers at its address", out);
+        return true;
+    }
+    if (auto* const h = find_host(f, host))
+    {
+        note_clock(*h, answer, now);
+    }
+    auto* const it = find_run(f, task, host, run);
+    if (it == nullptr)
+    {
+        return true;
+    }
+    if (answer.verdict == runner_verdict::unknown)
+    {
+        note(out, "start_unknown", task, run, host, verdict_text(answer));
+        if (it->phase == run_phase::ordered)
+        {
+            it->phase = run_phase::unsettled;
+            it->changed_at = now;
+        }
+        return true;
+    }
+    if (answer.verdict != runner_verdict::done)
+    {
+        start_refused(f, task, host, run, answer, out);
+        return true;
+    }
+    if (it->phase == run_phase::ordered || it->phase == run_phase::unsettled)
+    {
+        it->phase = run_phase::running;
+        it->changed_at = now;
+    }
+    auto& j = *find_job(f, task.job);
+    if (j.state == workflow::job_state::queued)
+    {
+        j.state = workflow::job_state::running;
+    }
+    return true;
+}
+
+bool stop_answered(fleet& f,
+    const std::string& host,
+    const workflow::task_name& task,
+    std::int64_t run,
+    const ports::runner_answer& answer,
+    core::mono_time now,
+    task_events& out)
+{
+    if (answer.verdict == runner_verdict::fenced)
+    {
+        return false;
+    }
+    if (answer.verdict == runner_verdict::other_life)
+    {
+        end_host(f, host, "another runner answers at its address", out);
+        return true;
+    }
+    auto* const it = find_run(f, task, host, run);
+    if (it == nullptr)
+    {
+        return true;
+    }
+    it->stop_in_flight = false;
+    const bool confirmed = answer.verdict == runner_verdict::done;
+    note(out,
+        confirmed ? "stop_confirmed" : "stop_unanswered",
+        task,
+        run,
+        host,
+        verdict_text(answer));
+    if (confirmed)
+    {
+        it->stop_confirmed = true;
+        it->changed_at = now;
+    }
+    else
+    {
+        it->stop_again = now + f.settings.stop_repeat;
+    }
+    return true;
+}
+
+bool poll_answered(fleet& f,
+    const std::string& host,
+    core::mono_time begun,
+    const ports::poll_answer& answer,
+    core::mono_time now,
+    task_events& out)
+{
+    auto* const h = find_host(f, host);
+    if (h == nullptr)
+    {
+        return true;
+    }
+    const auto verdict = answer.call.verdict;
+    if (verdict == runner_verdict::fenced)
+    {
+        return false;
+    }
+    if (verdict == runner_verdict::other_life)
+    {
+        end_host(f, host, "another runner answers at its address", out);
+        return true;
+    }
+    if (verdict != runner_verdict::done)
+    {
+        if (h->reachable)
+        {
+            out.push_back({"host_silent", "", 0, host, verdict_text(answer.call)});
+        }
+        h->reachable = false;
+        return true;
+    }
+    if (!h->reachable)
+    {
+        out.push_back({"host_answers", "", 0, host, h->prior ? "first look of this term" : ""});
+    }
+    h->reachable = true;
+    h->last_answer = now;
+    note_clock(*h, answer.call, now);
+    for (const auto& it : answer.ended)
+    {
+        if (it.number > h->seen_end)
+        {
+            take_end(f, *h, it, now, out);
+            h->seen_end = it.number;
+        }
+    }
+    h->strays = 0;
+    std::set<std::string> listed;
+    for (const auto& it : answer.running)
+    {
+        see_running(f, *h, it, now, out);
+        listed.insert(it.task);
+    }
+    const auto runs = h->runs; // judging removes from the host's own table
+    for (const auto& [text, name] : runs)
+    {
+        if (!listed.contains(text))
+        {
+            judge_missing(f, *h, name, begun, now, out);
+        }
+    }
+    if (h->prior)
+    {
+        h->prior = false;
+        // A former owner's lease may reach further than this owner's first.
+        note_lease(*h, h->clock_ms + (f.settings.runner_lease + f.settings.leader_lease).count());
+    }
+    return true;
+}
+
+} // namespace camphorhitch::coordinator
--- /dev/null
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -0,0 +1,177 @@
+#include "bookkeeping.hpp"
+
+#include "core/invariant.hpp"
+#include "workflow/records.hpp"
+
+#include <algorithm>
+
+namespace camphorhitch::coordinator
+{
+
+job_entry* find_job(fleet& f, const std::string& id)
+{
+    const auto it = f.jobs.find(id);
+    return it == f.jobs.end() ? nullptr : it->second.get();
+}
+
+task_entry* find_task(fleet& f, const workflow::task_name& name)
+{
+    auto* const j = find_job(f, name.job);
+    if (j == nullptr || j->tasks.empty() || !workflow::has_task(j->spec, name))
+    {
+        return nullptr;
+    }
+    return &j->tasks[workflow::task_place(j->spec, name.occurrence, name.step, name.index)];
+}
+
+host_entry* find_host(fleet& f, const std::string& id)
+{
+    const auto it = f.hosts.find(id);
+    return it == f.hosts.end() ? nullptr : &it->second;
+}
+
+step_entry& step_of(job_entry& j, int occurrence, int step)
+{
+    return j.steps[static_cast<std::size_t>(occurrence) * j.spec.steps.size() +
+                   static_cast<std::size_t>(step)];
+}
+
+workflow::resources room_of(const workflow::step& s)
+{
+    auto room = s.need;
+    if (s.fills)
+    {
+        room.cpu = 0;
+    }
+    return room;
+}
+
+bool fits(const host_entry& h, const workflow::resources& need)
+{
+    return h.used.cpu + need.cpu <= h.capacity.cpu &&
+           h.used.memory_mb + need.memory_mb <= h.capacity.memory_mb &&
+           h.used.gpus + need.gpus <= h.capacity.gpus;
+}
+
+namespace
+{
+
+const workflow::step& step_spec(const job_entry& j, const workflow::task_name& name)
+{
+    return j.spec.steps[static_cast<std::size_t>(name.step)];
+}
+
+task_entry& task_of(job_entry& j, const workflow::task_name& name)
+{
+    return j.tasks[workflow::task_place(j.spec, name.occurrence, name.step, name.index)];
+}
+
+bool runs_on(const task_entry& t, const std::string& host)
+{
+    return std::any_of(
+        t.runs.begin(), t.runs.end(), [&](const run_entry& it) { return it.host == host; });
+}
+
+} // namespace
+
+run_entry& add_run(fleet& f, job_entry& j, const workflow::task_name& name, run_entry run)
+{
+    auto& t = task_of(j, name);
+    if (t.runs.empty() && !t.progress.done)
+    {
+        --step_of(j, name.occurrence, name.step).idle;
+    }
+    if (auto* const h = find_host(f, run.host))
+    {
+        const auto room = room_of(step_spec(j, name));
+        h->used.cpu += room.cpu;
+        h->used.memory_mb += room.memory_mb;
+        h->used.gpus += room.gpus;
+        h->runs.emplace(workflow::write_task_name(name), name);
+    }
+    t.last_run = std::max(t.last_run, run.number);
+    ++j.live_runs;
+    f.open_jobs.insert(j.spec.id);
+    t.runs.push_back(std::move(run));
+    return t.runs.back();
+}
+
+void remove_run(fleet& f, job_entry& j, const workflow::task_name& name, std::size_t place)
+{
+    auto& t = task_of(j, name);
+    const auto host = t.runs[place].host;
+    t.runs.erase(t.runs.begin() + static_cast<std::ptrdiff_t>(place));
+    if (auto* const h = find_host(f, host))
+    {
+        const auto room = room_of(step_spec(j, name));
+        h->used.cpu -= room.cpu;
+        h->used.memory_mb -= room.memory_mb;
+        h->used.gpus -= room.gpus;
+        core::require(h->used.cpu >= 0 && h->used.memory_mb >= 0, "room in use is never negative");
+        if (!runs_on(t, host))
+        {
+            h->runs.erase(workflow::write_task_name(name));
+        }
+    }
+    --j.live_runs;
+    if (t.runs.empty() && !t.progress.done)
+    {
+        ++step_of(j, name.occurrence, name.step).idle;
+    }
+    if (j.live_runs == 0 && workflow::is_final(j.state))
+    {
+        f.open_jobs.erase(j.spec.id);
+    }
+}
+
+std::size_t place_of_run(const task_entry& t, const std::string& host, std::int64_t number)
+{
+    std::size_t i = 0;
+    while (i < t.runs.size() && (t.runs[i].host != host || t.runs[i].number != number))
+    {
+        ++i;
+    }
+    return i;
+}
+
+void mark_dirty(fleet& f, job_entry& j)
+{
+    if (!j.dirty)
+    {
+        j.dirty = true;
+        f.dirty.push_back(j.spec.id);
+    }
+}
+
+void finish_job(fleet& f, job_entry& j, workflow::job_state state, core::mono_time now)
+{
+    j.state = state;
+    mark_dirty(f, j);
+    for (auto& t : j.tasks)
+    {
+        for (auto& it : t.runs)
+        {
+            if (it.phase != run_phase::stopping)
+            {
+                it.phase = run_phase::stopping;
+                it.changed_at = now;
+            }
+        }
+    }
+    if (j.live_runs == 0)
+    {
+        f.open_jobs.erase(j.spec.id);
+    }
+}
+
+void note(task_events& out,
+    const char* what,
+    const workflow::task_name& task,
+    std::int64_t run,
+    const std::string& host,
+    std::string reason)
+{
+    out.push_back({what, workflow::write_task_name(task), run, host, std::move(reason)});
+}
+
+} // namespace camphorhitch::coordinator
--- /dev/null
+++ b/libs/coordinator/src/intake.cpp
@@ -0,0 +1,276 @@
+#include "coordinator/intake.hpp"
+
+#include "bookkeeping.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+void count_steps(job_entry& j)
+{
+    const auto& steps = j.spec.steps;
+    const auto occurrences = static_cast<std::size_t>(workflow::occurrences_of(j.spec));
+    j.steps.assign(steps.size() * occurrences, {});
+    std::size_t place = 0;
+    for (auto& counts : j.steps)
+    {
+        const auto& s = steps[static_cast<std::size_t>(&counts - j.steps.data()) % steps.size()];
+        for (int i = 0; i < s.tasks; ++i)
+        {
+            const bool done = j.tasks[place++].progress.done;
+            ++(done ? counts.done : counts.idle);
+            j.done_tasks += done ? 1 : 0;
+        }
+    }
+}
+
+/// A former owner may have stored nothing about a task and yet have ordered runs of it. Numbers of
+/// a term start above all numbers of the terms before, so no runner has seen a higher one.
+void raise_run_numbers(const fleet& f, job_entry& j)
+{
+    for (auto& it : j.tasks)
+    {
+        it.last_run = std::max(it.last_run, f.term * f.settings.runs_per_term);
+    }
+}
+
+void drop_runs(fleet& f, host_entry& h, const char* what, const std::string& why, task_events& out)
+{
+    const auto runs = h.runs; // removing a run changes the host's own table
+    for (const auto& [text, name] : runs)
+    {
+        auto* const j = find_job(f, name.job);
+        auto* const t = find_task(f, name);
+        if (j == nullptr || t == nullptr)
+        {
+            continue;
+        }
+        for (std::size_t i = t->runs.size(); i-- > 0;)
+        {
+            if (t->runs[i].host == h.ref.id)
+            {
+                note(out, what, name, t->runs[i].number, h.ref.id, why);
+                remove_run(f, *j, name, i);
+            }
+        }
+    }
+}
+
+void erase_strays(fleet& f, const std::string& host)
+{
+    std::erase_if(f.strays, [&](const stray_run& it) { return it.host == host; });
+}
+
+} // namespace
+
+void add_job(fleet& f,
+    workflow::job spec,
+    ports::revision created,
+    const workflow::job_progress& progress,
+    ports::revision stored)
+{
+    const auto id = spec.id;
+    if (f.jobs.contains(id))
+    {
+        return;
+    }
+    auto made = std::make_unique<job_entry>();
+    auto& j = *made;
+    j.spec = std::move(spec);
+    j.state = progress.state;
+    j.cancelled = progress.state == workflow::job_state::cancelled;
+    j.stored = stored;
+    j.inherited = created < f.term_began;
+    if (!workflow::is_final(j.state) || j.inherited)
+    {
+        const auto occurrences = static_cast<std::size_t>(workflow::occurrences_of(j.spec));
+        j.tasks.resize(workflow::tasks_per_occurrence(j.spec) * occurrences);
+        for (std::size_t i = 0; i < std::min(j.tasks.size(), progress.tasks.size()); ++i)
+        {
+            j.tasks[i].progress = progress.tasks[i];
+        }
+        raise_run_numbers(f, j);
+        count_steps(j);
+    }
+    if (!workflow::is_final(j.state))
+    {
+        f.open_jobs.insert(id);
+    }
+    f.jobs.emplace(id, std::move(made));
+}
+
+void cancel_job(fleet& f, const std::string& id, core::mono_time now, task_events& out)
+{
+    auto* const j = find_job(f, id);
+    if (j == nullptr || workflow::is_final(j->state))
+    {
+        return;
+    }
+    j->cancelled = true;
+    out.push_back({"job_cancelled", id, 0, "", "live_runs=" + std::to_string(j->live_runs)});
+    finish_job(f, *j, workflow::job_state::cancelled, now);
+}
+
+void forget_job(fleet& f, const std::string& id)
+{
+    auto* const j = find_job(f, id);
+    if (j != nullptr && workflow::is_final(j->state) && j->live_runs == 0)
+    {
+        f.open_jobs.erase(id);
+        std::erase(f.dirty, id);
+        f.jobs.erase(id);
+    }
+}
+
+void add_prior_hosts(fleet& f, const std::vector<prior_host>& all, core::mono_time now)
+{
+    const auto& s = f.settings;
+    const double slowest = 1.0 + s.clock_drift;
+    const auto lease = static_cast<double>((s.runner_lease + s.leader_lease).count());
+    const core::millis longest{static_cast<std::int64_t>(std::ceil(lease * slowest))};
+    for (const auto& it : all)
+    {
+        auto& h = f.hosts[it.ref.id];
+        h.ref = it.ref;
+        h.prior = true;
+        h.added_at = now;
+        // The former owner granted its last lease before its own ended, which may be as late as
+        // now and one leader's lease more, when its key was taken away early.
+        h.prior_lapse_at = now + longest + s.lapse_margin;
+    }
+}
+
+void see_hosts(
+    fleet& f, const std::vector<host_listing>& all, core::mono_time now, task_events& out)
+{
+    for (auto& [id, h] : f.hosts)
+    {
+        h.listed = false;
+    }
+    std::map<std::string, std::string> lives; // by address
+    for (const auto& it : all)
+    {
+        lives[it.ref.address] = it.ref.id;
+        auto [place, added] = f.hosts.try_emplace(it.ref.id);
+        auto& h = place->second;
+        if (added)
+        {
+            h.added_at = now;
+            h.prior_lapse_at = now;
+            out.push_back({"host_added", "", 0, it.ref.id, "pool=" + it.pool});
+        }
+        if (h.draining != it.draining)
+        {
+            out.push_back({it.draining ? "host_draining" : "host_ready", "", 0, it.ref.id, ""});
+        }
+        h.ref = it.ref;
+        h.pool = it.pool;
+        h.zone = it.zone;
+        h.rack = it.rack;
+        h.labels = it.labels;
+        h.capacity = it.capacity;
+        h.draining = it.draining;
+        h.listed = true;
+    }
+}
+
+void end_host(fleet& f, const std::string& id, const std::string& proof, task_events& out)
+{
+    auto* const h = find_host(f, id);
+    if (h == nullptr)
+    {
+        return;
+    }
+    drop_runs(f, *h, "run_lost", "host ended: " + proof, out);
+    erase_strays(f, id);
+    out.push_back({"host_ended", "", 0, id, proof});
+    f.hosts.erase(id);
+}
+
+void lapse_hosts(fleet& f, core::mono_time now, task_events& out)
+{
+    std::vector<std::string> gone;
+    for (auto& [id, h] : f.hosts)
+    {
+        if (h.reachable || !has_lapsed(f, h, now))
+        {
+            continue;
+        }
+        drop_runs(f, h, "run_lapsed", "no answer until every lease had ended", out);
+        erase_strays(f, id);
+        h.strays = 0;
+        if (h.prior)
+        {
+            h.prior = false;
+            out.push_back({"host_lapsed", "", 0, id, "leases of the former owner have ended"});
+        }
+        if (!h.listed)
+        {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& it : gone)
+    {
+        out.push_back({"host_forgotten", "", 0, it, "not listed and lapsed"});
+        f.hosts.erase(it);
+    }
+}
+
+std::int64_t least_clock(const fleet& f, const host_entry& h, core::mono_time now)
+{
+    if (h.clock_ms < 0)
+    {
+        return -1;
+    }
+    const auto passed = std::chrono::duration<double, std::milli>(now - h.clock_at).count();
+    return h.clock_ms + static_cast<std::int64_t>(passed * (1.0 - f.settings.clock_drift));
+}
+
+bool has_lapsed(const fleet& f, const host_entry& h, core::mono_time now)
+{
+    if (h.prior && now < h.prior_lapse_at)
+    {
+        return false;
+    }
+    if (h.clock_ms < 0)
+    {
+        return h.lease_until_ms == 0;
+    }
+    return least_clock(f, h, now) > h.lease_until_ms + f.settings.lapse_margin.count();
+}
+
+std::int64_t lease_end_for(const fleet& f, const host_entry& h, core::mono_time now)
+{
+    const auto clock = least_clock(f, h, now);
+    return clock < 0 ? 0 : clock + f.settings.runner_lease.count();
+}
+
+void note_lease(host_entry& h, std::int64_t until_ms)
+{
+    h.lease_until_ms = std::max(h.lease_until_ms, until_ms);
+}
+
+workflow::job_progress progress_of(const job_entry& j)
+{
+    workflow::job_progress out;
+    out.state = j.state;
+    out.tasks.reserve(j.tasks.size());
+    for (const auto& it : j.tasks)
+    {
+        out.tasks.push_back(it.progress);
+    }
+    return out;
+}
+
+bool has_unexamined_hosts(const fleet& f)
+{
+    return std::any_of(
+        f.hosts.begin(), f.hosts.end(), [](const auto& it) { return it.second.prior; });
+}
+
+} // namespace camphorhitch::coordinator
--- /dev/null
+++ b/libs/coordinator/src/placement.cpp
@@ -0,0 +1,425 @@
+#include "coordinator/placement.hpp"
+
+#include "bookkeeping.hpp"
+#include "coordinator/intake.hpp"
+#include "core/invariant.hpp"
+#include "workflow/records.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+/// A host with this many more failed than finished runs gets work only when no other has room.
+constexpr int suspect_failures = 3;
+
+/// A step with tasks that wait, in the order in which they are served.
+struct waiting_step
+{
+    job_entry* job = nullptr;
+    int occurrence = 0;
+    int step = 0;
+    bool lost = false;            ///< too late to be worth anything
+    std::int64_t due_unix_ms = 0; ///< when its objective ends
+};
+
+bool order_of_service(const waiting_step& a, const waiting_step& b)
+{
+    const auto key = [](const waiting_step& it)
+    {
+        return std::tuple(it.lost, it.job->spec.priority, it.due_unix_ms);
+    };
+    return key(a) < key(b);
+}
+
+bool may_host(const fleet& f, const host_entry& h, core::mono_time now)
+{
+    const auto silent_after = f.settings.runner_lease;
+    return h.listed && h.recorded && !h.draining && h.reachable && !h.prior && h.strays == 0 &&
+           h.use == host_use::open && now - h.last_answer < silent_after;
+}
+
+std::vector<host_entry*> hosts_of_pool(fleet& f, const std::string& pool, core::mono_time now)
+{
+    std::vector<host_entry*> out;
+    for (auto& [id, h] : f.hosts)
+    {
+        if (h.pool == pool && may_host(f, h, now))
+        {
+            out.push_back(&h);
+        }
+    }
+    return out;
+}
+
+bool is_ready(job_entry& j, int occurrence, int step)
+{
+    for (const int before : j.spec.steps[static_cast<std::size_t>(step)].after)
+    {
+        const auto& s = j.spec.steps[static_cast<std::size_t>(before)];
+        if (step_of(j, occurrence, before).done < s.tasks)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::int64_t due_at(const workflow::job& j, int occurrence)
+{
+    if (!workflow::is_scheduled(j))
+    {
+        return j.accepted_unix_ms;
+    }
+    return j.timing.first_unix_ms + j.timing.interval_ms * occurrence;
+}
+
+/// Credit ends at this many times the objective.
+constexpr std::int64_t lost_after_objectives = 3;
+
+void add_waiting_steps(job_entry& j, std::int64_t unix_ms, std::vector<waiting_step>& out)
+{
+    const auto chain = static_cast<double>(workflow::longest_chain(j.spec.steps).count());
+    const auto objective = static_cast<std::int64_t>(chain * j.spec.stretch) + j.spec.slack.count();
+    for (int k = 0; k < workflow::occurrences_of(j.spec); ++k)
+    {
+        const auto due = due_at(j.spec, k);
+        if (due > unix_ms && workflow::is_scheduled(j.spec))
+        {
+            break;
+        }
+        for (int s = 0; s < static_cast<int>(j.spec.steps.size()); ++s)
+        {
+            if (step_of(j, k, s).idle > 0 && is_ready(j, k, s))
+            {
+                const bool lasts = j.spec.steps[static_cast<std::size_t>(s)].long_running;
+                const bool lost = !lasts && unix_ms > due + objective * lost_after_objectives;
+                out.push_back({&j, k, s, lost, due + objective});
+            }
+        }
+    }
+}
+
+std::vector<waiting_step> all_waiting_steps(fleet& f, std::int64_t unix_ms)
+{
+    std::vector<waiting_step> out;
+    const bool examined = !has_unexamined_hosts(f);
+    for (const auto& id : f.open_jobs)
+    {
+        auto& j = *f.jobs.at(id);
+        if (!workflow::is_final(j.state) && (examined || !j.inherited))
+        {
+            add_waiting_steps(j, unix_ms, out);
+        }
+    }
+    std::sort(out.begin(), out.end(), order_of_service);
+    return out;
+}
+
+/// \return runs of one step on one host, whatever their phase.
+int runs_on_host(const job_entry& j, int occurrence, int step, const std::string& host)
+{
+    int n = 0;
+    const auto first = workflow::task_place(j.spec, occurrence, step, 0);
+    const auto tasks = static_cast<std::size_t>(j.spec.steps[static_cast<std::size_t>(step)].tasks);
+    for (std::size_t i = first; i < first + tasks; ++i)
+    {
+        for (const auto& it : j.tasks[i].runs)
+        {
+            n += it.host == host ? 1 : 0;
+        }
+    }
+    return n;
+}
+
+bool has_label(const host_entry& h, const std::string& label)
+{
+    return label.empty() || std::find(h.labels.begin(), h.labels.end(), label) != h.labels.end();
+}
+
+bool may_run_there(
+    const host_entry& h, const job_entry& j, int occurrence, int step, const workflow::step& s)
+{
+    return has_label(h, s.required_label) && fits(h, room_of(s)) &&
+           (s.most_per_host == 0 || runs_on_host(j, occurrence, step, h.ref.id) < s.most_per_host);
+}
+
+/// \return the host with the lowest cost, or nullptr when none may run the task.
+host_entry* choose_host(const std::vector<host_entry*>& hosts,
+    const job_entry& j,
+    const workflow::task_name& name,
+    const task_entry& t)
+{
+    const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
+    host_entry* best = nullptr;
+    auto best_cost = std::tuple(true, true, true, std::numeric_limits<std::int64_t>::max());
+    for (auto* const h : hosts)
+    {
+        if (!may_run_there(*h, j, name.occurrence, name.step, s))
+        {
+            continue;
+        }
+        const bool failed_here =
+            std::find(t.failed_on.begin(), t.failed_on.end(), h->ref.id) != t.failed_on.end();
+        const bool suspect = h->recent_failures >= suspect_failures;
+        const bool far = !s.near_rack.empty() && h->rack != s.near_rack;
+        const auto cost = std::tuple(failed_here, suspect, far, h->used.cpu);
+        if (best == nullptr || cost < best_cost)
+        {
+            best = h;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+std::int64_t next_run_number(const task_entry& t)
+{
+    return t.last_run + 1;
+}
+
+void order_start(fleet& f,
+    host_entry& h,
+    job_entry& j,
+    const workflow::task_name& name,
+    std::int64_t number,
+    core::mono_time now,
+    plan& to,
+    task_events& out)
+{
+    auto& t = *find_task(f, name);
+    const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
+    core::require(!t.progress.done, "a task that is done never starts");
+    core::require(t.runs.empty() || s.speculative, "a task has one live run");
+    core::require(s.long_running || t.progress.failures < j.spec.most_attempts,
+        "a task starts within its budget of attempts");
+    core::require(is_ready(j, name.occurrence, name.step), "a step starts after the steps before");
+    core::require(fits(h, room_of(s)), "a host is never over its room");
+    run_entry run;
+    run.number = number;
+    run.host = h.ref.id;
+    run.ordered_at = now;
+    run.changed_at = now;
+    add_run(f, j, name, run);
+    to.starts.push_back({h.ref, name, number, j.spec.payload, t.progress.checkpoint});
+    note(out,
+        "start_ordered",
+        name,
+        number,
+        h.ref.id,
+        "used_cpu=" + std::to_string(h.used.cpu) + " of=" + std::to_string(h.capacity.cpu) +
+            (t.progress.checkpoint.empty() ? "" : " resumes=1"));
+}
+
+/// Starts as many tasks of the step as there is room for.
+void start_tasks(fleet& f,
+    const waiting_step& w,
+    const std::vector<host_entry*>& hosts,
+    core::mono_time now,
+    plan& to,
+    task_events& out)
+{
+    auto& j = *w.job;
+    const int tasks = j.spec.steps[static_cast<std::size_t>(w.step)].tasks;
+    for (int i = 0; i < tasks && step_of(j, w.occurrence, w.step).idle > 0; ++i)
+    {
+        const workflow::task_name name{j.spec.id, w.occurrence, w.step, i};
+        const auto& t = *find_task(f, name);
+        if (t.progress.done || !t.runs.empty())
+        {
+            continue;
+        }
+        auto* const h = choose_host(hosts, j, name, t);
+        if (h == nullptr)
+        {
+            return; // the step's other tasks are alike
+        }
+        order_start(f, *h, j, name, next_run_number(t), now, to, out);
+    }
+}
+
+/// Starts a gang whole or not at all: members that wait for others hold room and do nothing.
+void start_gang(fleet& f,
+    const waiting_step& w,
+    const std::vector<host_entry*>& hosts,
+    core::mono_time now,
+    plan& to,
+    task_events& out)
+{
+    auto& j = *w.job;
+    const auto& s = j.spec.steps[static_cast<std::size_t>(w.step)];
+    if (step_of(j, w.occurrence, w.step).idle < s.tasks)
+    {
+        return; // some member of an earlier run is not certainly over
+    }
+    std::map<std::string, std::vector<host_entry*>> racks;
+    for (auto* const h : hosts)
+    {
+        racks[s.one_rack ? h->rack : std::string{}].push_back(h);
+    }
+    racks[""] =
+        hosts; // several racks are slower, but better than never; the empty name sorts first
+    std::vector<std::pair<host_entry*, int>> chosen;
+    for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack)
+    {
+        int left = s.tasks;
+        chosen.clear();
+        for (auto* const h : rack->second)
+        {
+            int here = 0;
+            auto trial = *h;
+            while (here < left && has_label(trial, s.required_label) && fits(trial, room_of(s)) &&
+                   (s.most_per_host == 0 || here < s.most_per_host))
+            {
+                const auto room = room_of(s);
+                trial.used.cpu += room.cpu;
+                trial.used.memory_mb += room.memory_mb;
+                trial.used.gpus += room.gpus;
+                ++here;
+            }
+            if (here > 0)
+            {
+                chosen.emplace_back(h, here);
+                left -= here;
+            }
+        }
+        if (left == 0)
+        {
+            break;
+        }
+        chosen.clear();
+    }
+    std::int64_t number = 0;
+    for (int i = 0; i < s.tasks; ++i)
+    {
+        number =
+            std::max(number, next_run_number(*find_task(f, {j.spec.id, w.occurrence, w.step, i})));
+    }
+    int index = 0;
+    for (const auto& [h, count] : chosen)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            order_start(f, *h, j, {j.spec.id, w.occurrence, w.step, index++}, number, now, to, out);
+        }
+    }
+}
+
+void order_stops(fleet& f, core::mono_time now, plan& to)
+{
+    for (const auto& id : f.open_jobs)
+    {
+        auto& j = *f.jobs.at(id);
+        if (j.live_runs == 0)
+        {
+            continue;
+        }
+        for (std::size_t i = 0; i < j.tasks.size(); ++i)
+        {
+            for (auto& it : j.tasks[i].runs)
+            {
+                if (it.phase != run_phase::stopping || it.stop_in_flight || it.stop_confirmed ||
+                    now < it.stop_again)
+                {
+                    continue;
+                }
+                const auto* const h = find_host(f, it.host);
+                if (h != nullptr)
+                {
+                    it.stop_in_flight = true;
+                    to.stops.push_back({h->ref, workflow::name_of_task(j.spec, i), it.number});
+                }
+            }
+        }
+    }
+}
+
+} // namespace
+
+plan make_plan(
+    fleet& f, core::mono_time now, std::int64_t unix_ms, bool may_start, task_events& out)
+{
+    plan to;
+    order_stops(f, now, to);
+    if (!may_start)
+    {
+        return to;
+    }
+    std::map<std::string, std::vector<host_entry*>> pools;
+    for (const auto& it : all_waiting_steps(f, unix_ms))
+    {
+        const auto& pool = it.job->spec.pool;
+        auto found = pools.find(pool);
+        if (found == pools.end())
+        {
+            found = pools.emplace(pool, hosts_of_pool(f, pool, now)).first;
+        }
+        const bool gang = it.job->spec.steps[static_cast<std::size_t>(it.step)].gang;
+        (gang ? start_gang : start_tasks)(f, it, found->second, now, to, out);
+    }
+    return to;
+}
+
+void want_stop(fleet& f,
+    const workflow::task_name& task,
+    std::int64_t run,
+    core::mono_time now,
+    const std::string& reason,
+    task_events& out)
+{
+    auto* const t = find_task(f, task);
+    if (t == nullptr)
+    {
+        return;
+    }
+    for (auto& it : t->runs)
+    {
+        if (it.number == run && it.phase != run_phase::stopping)
+        {
+            it.phase = run_phase::stopping;
+            it.changed_at = now;
+            note(out, "stop_wanted", task, run, it.host, reason);
+        }
+    }
+}
+
+int others_away(const job_entry& j, const workflow::task_name& task)
+{
+    constexpr int at_work = 100; // percent
+    int away = 0;
+    const auto first = workflow::task_place(j.spec, task.occurrence, task.step, 0);
+    const int tasks = j.spec.steps[static_cast<std::size_t>(task.step)].tasks;
+    for (int i = 0; i < tasks; ++i)
+    {
+        const auto& t = j.tasks[first + static_cast<std::size_t>(i)];
+        const bool works = std::any_of(t.runs.begin(),
+            t.runs.end(),
+            [](const run_entry& it)
+            { return it.phase == run_phase::running && it.percent >= at_work; });
+        away += i != task.index && !works ? 1 : 0;
+    }
+    return away;
+}
+
+std::map<std::string, int> pending_jobs(const fleet& f)
+{
+    std::map<std::string, int> out;
+    for (const auto& id : f.open_jobs)
+    {
+        const auto& j = *f.jobs.at(id);
+        const bool begun =
+            j.live_runs > 0 || j.done_tasks > 0 || j.state != workflow::job_state::queued;
+        if (!begun && !workflow::is_scheduled(j.spec))
+        {
+            ++out[j.spec.queue];
+        }
+    }
+    return out;
+}
+
+} // namespace camphorhitch::coordinator
--- /dev/null
+++ b/libs/coordinator/src/waves.cpp
@@ -0,0 +1,203 @@
+#include "coordinator/waves.hpp"
+
+#include "bookkeeping.hpp"
+#include "coordinator/intake.hpp"
+#include "coordinator/placement.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+const ports::machine_entry* find_machine(const machine_table& list, const std::string& id)
+{
+    const auto it = list.machines.find(id);
+    return it == list.machines.end() ? nullptr : &it->second;
+}
+
+int long_running_tasks(fleet& f, const host_entry& h)
+{
+    int n = 0;
+    for (const auto& [text, name] : h.runs)
+    {
+        const auto* const j = find_job(f, name.job);
+        n += j->spec.steps[static_cast<std::size_t>(name.step)].long_running ? 1 : 0;
+    }
+    return n;
+}
+
+/// A machine that may come next.
+struct candidate
+{
+    std::string machine;
+    host_entry* host = nullptr; ///< null: nothing of ours can run there
+    int long_running = 0;
+};
+
+bool comes_first(const candidate& a, const candidate& b)
+{
+    const auto key = [](const candidate& it)
+    {
+        const bool closed = it.host == nullptr || it.host->use != host_use::open;
+        const std::int64_t used = it.host == nullptr ? 0 : it.host->used.cpu;
+        return std::tuple(!closed, it.long_running, used);
+    };
+    return key(a) < key(b);
+}
+
+std::vector<candidate> candidates_of(fleet& f, const wave& w, const machine_table& list)
+{
+    std::vector<candidate> out;
+    for (const auto& id : w.machines)
+    {
+        const auto* const m = find_machine(list, id);
+        const bool open = m != nullptr && !w.begun.contains(id) && !w.asked.contains(id);
+        if (!open || m->state != ports::machine_state::up)
+        {
+            continue;
+        }
+        candidate it{id, find_host(f, m->runner), 0};
+        it.long_running = it.host == nullptr ? 0 : long_running_tasks(f, *it.host);
+        out.push_back(it);
+    }
+    std::stable_sort(out.begin(), out.end(), comes_first);
+    return out;
+}
+
+int absent_machines(const wave& w, const machine_table& list)
+{
+    int n = 0;
+    for (const auto& id : w.machines)
+    {
+        const auto* const m = find_machine(list, id);
+        const bool away = m != nullptr && m->state != ports::machine_state::up;
+        n += away || w.asked.contains(id) || w.down_at.contains(id) ? 1 : 0;
+    }
+    return n;
+}
+
+/// \return whether the wave would end late at the pace of one turn a place.
+bool is_pressed(const wave& w, std::size_t left, const wave_settings& s, core::mono_time now)
+{
+    const auto turns =
+        (static_cast<std::int64_t>(left) + w.most_at_once - 1) / std::max(w.most_at_once, 1);
+    return now + turns * s.turn > w.due;
+}
+
+} // namespace
+
+bool see_machines(wave& w, const machine_table& list, const wave_settings& s)
+{
+    std::erase_if(w.down_at,
+        [&](const auto& it)
+        {
+            const auto* const m = find_machine(list, it.first);
+            const bool back = m == nullptr || m->state == ports::machine_state::up;
+            return back && list.read_at > it.second + s.list_lag;
+        });
+    const bool all = std::all_of(w.machines.begin(),
+        w.machines.end(),
+        [&](const std::string& id)
+        { return w.begun.contains(id) || find_machine(list, id) == nullptr; });
+    const bool now_completed = list.known && all && !w.completed;
+    w.completed = w.completed || now_completed;
+    return now_completed;
+}
+
+std::vector<std::string> plan_wave(fleet& f,
+    wave& w,
+    const machine_table& list,
+    const wave_settings& s,
+    core::mono_time now,
+    task_events& out)
+{
+    std::vector<std::string> ready;
+    auto all = candidates_of(f, w, list);
+    int places = w.most_at_once - absent_machines(w, list);
+    const bool pressed = is_pressed(w, all.size(), s, now);
+    int closing = std::max(places, 0) + s.ahead;
+    for (auto& it : all)
+    {
+        if (closing-- <= 0)
+        {
+            break;
+        }
+        if (it.host != nullptr && it.host->use == host_use::open)
+        {
+            it.host->use = host_use::closed_for_maintenance;
+            it.host->closed_at = now;
+            out.push_back({"host_closed",
+                "",
+                0,
+                it.host->ref.id,
+                "wave=" + std::to_string(w.number) + " machine=" + it.machine +
+                    " runs=" + std::to_string(it.host->runs.size())});
+        }
+        if (it.host != nullptr)
+        {
+            const bool waited = now - it.host->closed_at > s.patience;
+            empty_host(f, *it.host, waited || pressed, now, out);
+        }
+        const bool empty = it.host == nullptr || (it.host->runs.empty() && it.host->strays == 0);
+        if (empty && places > 0)
+        {
+            --places;
+            w.asked.insert(it.machine);
+            ready.push_back(it.machine);
+        }
+    }
+    return ready;
+}
+
+void maintenance_began(fleet& f,
+    wave& w,
+    const machine_table& list,
+    const std::string& machine,
+    core::mono_time now,
+    task_events& out)
+{
+    w.asked.erase(machine);
+    w.begun.insert(machine);
+    w.down_at[machine] = now;
+    if (const auto* const m = find_machine(list, machine))
+    {
+        end_host(f, m->runner, "its machine's maintenance began", out);
+    }
+}
+
+void empty_host(fleet& f, host_entry& h, bool batch_too, core::mono_time now, task_events& out)
+{
+    const auto runs = h.runs;
+    for (const auto& [text, name] : runs)
+    {
+        const auto& j = *find_job(f, name.job);
+        const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
+        if (s.long_running)
+        {
+            // A step's users bear so many of its tasks away at once; one more would break that.
+            const bool allowed = s.may_be_away == 0 || others_away(j, name) < s.may_be_away;
+            if (!allowed)
+            {
+                continue;
+            }
+        }
+        else if (!batch_too)
+        {
+            continue;
+        }
+        const auto& t = *find_task(f, name);
+        for (const auto& it : std::vector<run_entry>(t.runs))
+        {
+            if (it.host == h.ref.id)
+            {
+                want_stop(f, name, it.number, now, "its host is emptied", out);
+            }
+        }
+    }
+}
+
+} // namespace camphorhitch::coordinator
--- /dev/null
+++ b/libs/hosted/include/hosted/context.hpp
@@ -0,0 +1,33 @@
+/// \file
+/// What all parts of a node share: the ports and the node's name.
+#pragma once
+
+#include "core/time.hpp"
+#include "ports/machines.hpp"
+#include "ports/metadata_store.hpp"
+#include "ports/runners.hpp"
+#include "ports/scheduler.hpp"
+#include "ports/telemetry.hpp"
+
+#include <functional>
+#include <string>
+
+namespace camphorhitch::hosted
+{
+
+/// The ports must outlive every part that holds the context.
+struct context
+{
+    std::string member; ///< this node's name
+    ports::scheduler time;
+    ports::metadata_store store;
+    ports::runners runners;
+    ports::machines machines;
+    ports::telemetry tel;
+    /// A clock that goes on while the machine is suspended. Leases of this process are judged by
+    /// it: by the monotonic clock, which stands still then, a woken process would still trust a
+    /// lease that lapsed in its sleep.
+    std::function<core::mono_time()> boot_now;
+};
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -0,0 +1,68 @@
+/// \file
+/// Drives the coordinator's decisions while this node owns the fleet's work: reads jobs and hosts,
+/// polls runners, sends orders, stores progress, runs maintenance waves.
+#pragma once
+
+#include "coordinator/fleet.hpp"
+#include "coordinator/waves.hpp"
+#include "hosted/context.hpp"
+#include "hosted/formats.hpp"
+#include "hosted/leadership.hpp"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace camphorhitch::hosted
+{
+
+struct driver_settings
+{
+    coordinator::coordinator_settings rules;
+    coordinator::wave_settings waves;
+    core::millis plan_delay{4};       ///< gathers what arrives together into one plan
+    core::millis plan_every{100};     ///< also without a cause: leases lapse, stops repeat
+    core::millis job_pause{12};       ///< between two watches of new jobs
+    core::millis poll_wait{1000};     ///< longest wait of a poll for an end
+    core::millis poll_gap{30};        ///< after ends came: gathers the next ones
+    core::millis poll_retry{150};     ///< after a poll that failed
+    core::millis hosts_every{450};    ///< reads of the list of runners
+    core::millis machines_every{500}; ///< reads of the list of machines while a wave runs
+    core::millis machines_idle{2000}; ///< otherwise
+    core::millis store_delay{8};      ///< gathers progress into one write
+    core::millis store_retry{100};    ///< after a write that failed
+    core::millis pending_every{500};  ///< counts of waiting jobs
+    std::size_t jobs_per_write = 15;  ///< a transaction takes 32 rows: the owner's, and two a job
+};
+
+struct driver_parts;
+
+class fleet_driver
+{
+public:
+    fleet_driver(context c, const formats& spelling, driver_settings s, leadership& lead);
+    fleet_driver(const fleet_driver&) = delete;
+    fleet_driver& operator=(const fleet_driver&) = delete;
+    ~fleet_driver();
+
+    /// This node owns the work from now on.
+    void begin(std::int64_t term, ports::revision token);
+
+    /// Ownership is lost; nothing is sent any more.
+    void end();
+
+    /// The waves that the operators asked for, all of them.
+    void set_waves(std::vector<wave_request> all);
+
+    bool is_running() const;
+
+private:
+    context ctx_;
+    const formats& spelling_;
+    driver_settings settings_;
+    leadership& lead_;
+    std::vector<wave_request> waves_;
+    std::unique_ptr<driver_parts> parts_;
+};
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -0,0 +1,49 @@
+/// \file
+/// Keys of the system's own records in the metadata store.
+///
+///   job/ID          a job as accepted; written once, by the entry host that took it
+///   job/ID/cancel   its cancel; written once, by the entry host that took the cancel
+///   state/ID        its progress; written by the coordinator only
+///   coord/leader    who coordinates; lives with its lease. Its revision is the fencing token
+///   coord/leader-term  counts coordinators; never removed
+///   coord/runners   runners that the coordinator may have given orders to
+///   coord/pending   jobs that wait, by queue
+///   coord/wave/N    hosts of wave N whose maintenance has begun
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace camphorhitch::hosted
+{
+
+inline const std::string job_prefix = "job/";
+inline const std::string cancel_suffix = "/cancel";
+inline const std::string state_prefix = "state/";
+inline const std::string leader_prefix = "coord/leader";
+inline const std::string leader_key = "coord/leader";
+inline const std::string leader_term_key = "coord/leader-term";
+inline const std::string runners_key = "coord/runners";
+inline const std::string pending_key = "coord/pending";
+
+inline std::string job_key(const std::string& id)
+{
+    return job_prefix + id;
+}
+
+inline std::string cancel_key(const std::string& id)
+{
+    return job_prefix + id + cancel_suffix;
+}
+
+inline std::string state_key(const std::string& id)
+{
+    return state_prefix + id;
+}
+
+inline std::string wave_record_key(std::int64_t wave)
+{
+    return "coord/wave/" + std::to_string(wave);
+}
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -0,0 +1,71 @@
+/// \file
+/// Who coordinates the fleet: the node whose key stands in the metadata store, under a lease.
+///
+/// Safety comes from the key's revision, the fencing token: it rises with each owner, so runners
+/// refuse a former owner's orders, and each write of the coordinator is conditional on it. The
+/// lease only decides how soon a successor may try.
+#pragma once
+
+#include "hosted/context.hpp"
+#include "hosted/prefix_follower.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace camphorhitch::hosted
+{
+
+struct leadership_settings
+{
+    /// A dead coordinator is replaced after at most this long.
+    core::millis lease{1500};
+    core::millis renew_every{450};
+    /// The node stops acting this long before its lease can have ended at the store.
+    core::millis margin{150};
+    /// Candidates try after a pause of up to this long, so that they do not all call at once.
+    core::millis longest_pause{120};
+    core::millis retry{250}; ///< after a call that failed
+};
+
+struct leadership_events
+{
+    std::function<void(std::int64_t term, ports::revision token)> on_gained;
+    std::function<void(const std::string& reason)> on_lost;
+};
+
+struct leadership_state;
+
+class leadership
+{
+public:
+    leadership(context c, leadership_settings s, leadership_events e);
+    leadership(const leadership&) = delete;
+    leadership& operator=(const leadership&) = delete;
+    ~leadership();
+
+    void start();
+
+    /// \return whether this node is the coordinator and its lease has certainly not ended. Ask
+    /// just before each order.
+    bool holds() const;
+
+    /// Revision of the own key; 0 without it.
+    ports::revision token() const;
+
+    /// Lost ownership was seen elsewhere: a runner or a condition refused the token.
+    void step_down(const std::string& reason);
+
+    /// Gives ownership back at once, so that a successor need not wait for the lease; candidates
+    /// no more. \p done is called when the store has answered, or can't be reached.
+    void resign(std::function<void()> done);
+
+    /// \return when the store last answered.
+    core::mono_time last_answer() const;
+
+private:
+    std::shared_ptr<leadership_state> state_;
+};
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -0,0 +1,183 @@
+#include "hosted/fleet_driver.hpp"
+
+#include "coordinator/intake.hpp"
+#include "coordinator/placement.hpp"
+#include "host_reader.hpp"
+#include "hosted/entry_desk.hpp"
+#include "hosted/keys.hpp"
+#include "job_reader.hpp"
+#include "progress_writer.hpp"
+#include "runner_desk.hpp"
+#include "term.hpp"
+#include "wave_runner.hpp"
+
+#include <utility>
+
+namespace camphorhitch::hosted
+{
+
+struct driver_parts
+{
+    std::shared_ptr<term> common;
+    std::unique_ptr<job_reader> jobs;
+    std::unique_ptr<host_reader> hosts;
+    std::unique_ptr<runner_desk> desk;
+    std::unique_ptr<progress_writer> writer;
+    std::unique_ptr<wave_runner> waves;
+    bool plan_is_due = false;
+    bool jobs_are_in = false;
+    bool record_is_in = false;
+    std::string pending_text;
+
+    void plan_soon();
+    void plan();
+    void tick();
+    void store_pending();
+};
+
+void driver_parts::plan_soon()
+{
+    if (!plan_is_due)
+    {
+        plan_is_due = true;
+        common->ctx.time.after(common->settings.plan_delay, common->guarded([this] { plan(); }));
+    }
+}
+
+void driver_parts::plan()
+{
+    plan_is_due = false;
+    auto& t = *common;
+    if (!jobs_are_in || !record_is_in || !t.lead->holds())
+    {
+        return;
+    }
+    const auto begun = t.now();
+    coordinator::task_events out;
+    coordinator::lapse_hosts(t.fleet, begun, out);
+    waves->plan();
+    const auto unix_ms = core::to_unix_ms(t.ctx.time.wall_now());
+    const auto orders = coordinator::make_plan(t.fleet, begun, unix_ms, true, out);
+    t.log(out);
+    desk->send(orders);
+    if (!t.fleet.dirty.empty())
+    {
+        writer->request();
+    }
+    t.ctx.tel.observe("plan_seconds", {}, std::chrono::duration<double>(t.now() - begun).count());
+}
+
+void driver_parts::tick()
+{
+    common->ctx.time.after(common->settings.plan_every, common->guarded([this] { tick(); }));
+    if (!jobs_are_in || !record_is_in)
+    {
+        return;
+    }
+    desk->poll_all();
+    plan_soon();
+    if (!common->fleet.dirty.empty())
+    {
+        writer->request();
+    }
+}
+
+void driver_parts::store_pending()
+{
+    auto& t = *common;
+    t.ctx.time.after(t.settings.pending_every, t.guarded([this] { store_pending(); }));
+    if (!jobs_are_in || !t.lead->holds())
+    {
+        return;
+    }
+    auto text = write_pending(coordinator::pending_jobs(t.fleet));
+    if (text == pending_text)
+    {
+        return;
+    }
+    ports::store_transaction change;
+    change.conditions = {{leader_key, t.token}};
+    change.puts = {{pending_key, text, 0}};
+    t.ctx.store.commit(std::move(change),
+        t.guarded([this, text](const ports::commit_result& result)
+            { pending_text = result.status == ports::kv_status::ok ? text : std::string{}; }));
+}
+
+fleet_driver::fleet_driver(context c, const formats& spelling, driver_settings s, leadership& lead)
+    : ctx_(std::move(c)), spelling_(spelling), settings_(s), lead_(lead)
+{
+}
+
+fleet_driver::~fleet_driver() = default;
+
+void fleet_driver::begin(std::int64_t number, ports::revision token)
+{
+    parts_ = std::make_unique<driver_parts>();
+    auto& p = *parts_;
+    p.common = std::make_shared<term>();
+    auto& t = *p.common;
+    t.ctx = ctx_;
+    t.spelling = &spelling_;
+    t.settings = settings_;
+    t.lead = &lead_;
+    t.token = token;
+    t.fleet.settings = settings_.rules;
+    t.fleet.term = number;
+    t.fleet.term_began = token;
+    t.wake = [&p]
+    {
+        p.plan_soon();
+    };
+    t.store_soon = [&p]
+    {
+        p.writer->request();
+    };
+    p.jobs = std::make_unique<job_reader>(t);
+    p.hosts = std::make_unique<host_reader>(t);
+    p.desk = std::make_unique<runner_desk>(t);
+    p.writer = std::make_unique<progress_writer>(t);
+    p.waves = std::make_unique<wave_runner>(t);
+    p.jobs->start(
+        [&p]
+        {
+            p.jobs_are_in = true;
+            p.common->log(ports::log_level::info,
+                "jobs_read",
+                {{"jobs", std::to_string(p.common->fleet.jobs.size())}});
+            p.desk->poll_all();
+            p.plan_soon();
+        });
+    p.hosts->start(
+        [&p]
+        {
+            p.record_is_in = true;
+            p.common->log(ports::log_level::info,
+                "runners_read",
+                {{"prior", std::to_string(p.common->fleet.hosts.size())}});
+        });
+    p.waves->start();
+    p.waves->set_waves(waves_);
+    p.tick();
+    p.store_pending();
+}
+
+void fleet_driver::end()
+{
+    parts_.reset();
+}
+
+void fleet_driver::set_waves(std::vector<wave_request> all)
+{
+    waves_ = std::move(all);
+    if (parts_ != nullptr)
+    {
+        parts_->waves->set_waves(waves_);
+    }
+}
+
+bool fleet_driver::is_running() const
+{
+    return parts_ != nullptr;
+}
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/src/host_reader.cpp
@@ -0,0 +1,174 @@
+#include "host_reader.hpp"
+
+#include "coordinator/intake.hpp"
+#include "hosted/keys.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace camphorhitch::hosted
+{
+
+using ports::kv_status;
+
+std::string write_runners(const std::map<std::string, std::string>& addresses)
+{
+    return nlohmann::json(addresses).dump();
+}
+
+std::map<std::string, std::string> read_runners(const std::string& text)
+{
+    const auto from = nlohmann::json::parse(text, nullptr, false);
+    std::map<std::string, std::string> out;
+    if (from.is_object())
+    {
+        for (const auto& [id, address] : from.items())
+        {
+            if (address.is_string())
+            {
+                out[id] = address.get<std::string>();
+            }
+        }
+    }
+    return out;
+}
+
+host_reader::host_reader(term& t) : term_(t)
+{
+}
+
+void host_reader::start(std::function<void()> done)
+{
+    done_ = std::move(done);
+    read_record();
+}
+
+void host_reader::read_record()
+{
+    term_.ctx.store.get(runners_key,
+        ports::read_freshness::newest,
+        term_.guarded([this](const ports::item_read& read) { take_record(read); }));
+}
+
+void host_reader::take_record(const ports::item_read& read)
+{
+    if (read.status != kv_status::ok)
+    {
+        term_.ctx.time.after(term_.settings.store_retry, term_.guarded([this] { read_record(); }));
+        return;
+    }
+    if (read.item)
+    {
+        record_revision_ = read.item->modified;
+        recorded_ = read_runners(read.item->value);
+        std::vector<coordinator::prior_host> prior;
+        for (const auto& [id, address] : recorded_)
+        {
+            prior.push_back({{id, address}});
+        }
+        coordinator::add_prior_hosts(term_.fleet, prior, term_.now());
+    }
+    std::exchange(done_, {})();
+    read_list();
+}
+
+void host_reader::read_list()
+{
+    items_.clear();
+    read_page({});
+}
+
+void host_reader::read_page(const std::string& after)
+{
+    term_.ctx.store.range(term_.spelling->runner_prefix,
+        after,
+        term_.guarded([this](ports::page_read page) { take_page(std::move(page)); }));
+}
+
+void host_reader::take_page(ports::page_read page)
+{
+    if (page.status == kv_status::ok)
+    {
+        std::move(page.items.begin(), page.items.end(), std::back_inserter(items_));
+        if (page.more && !items_.empty())
+        {
+            read_page(items_.back().key);
+            return;
+        }
+        take_list();
+    }
+    term_.ctx.time.after(term_.settings.hosts_every, term_.guarded([this] { read_list(); }));
+}
+
+void host_reader::take_list()
+{
+    std::vector<coordinator::host_listing> all;
+    for (const auto& it : items_)
+    {
+        const auto id = it.key.substr(term_.spelling->runner_prefix.size());
+        auto read = term_.spelling->read_runner(id, it.value);
+        if (core::is_ok(read))
+        {
+            all.push_back(std::move(core::value(read)));
+        }
+        else
+        {
+            term_.log(ports::log_level::error,
+                "runner_entry_damaged",
+                {{"host", id}, {"reason", core::failure(read).message}});
+        }
+    }
+    coordinator::task_events out;
+    coordinator::see_hosts(term_.fleet, all, term_.now(), out);
+    coordinator::lapse_hosts(term_.fleet, term_.now(), out);
+    term_.log(out);
+    record();
+    term_.wake();
+}
+
+/// A runner that is in no record gets no work: a successor which does not know of it could not wait
+/// for its runs to end, and would start them a second time.
+void host_reader::record()
+{
+    std::map<std::string, std::string> wanted;
+    bool news = false;
+    for (auto& [id, h] : term_.fleet.hosts)
+    {
+        wanted[id] = h.ref.address;
+        h.recorded = recorded_.contains(id);
+        news = news || !h.recorded;
+    }
+    // Forgotten hosts leave the record with the next addition, or when they are many.
+    constexpr std::size_t most_leftovers = 16;
+    if (recording_ || (!news && recorded_.size() < wanted.size() + most_leftovers))
+    {
+        return;
+    }
+    recording_ = true;
+    ports::store_transaction change;
+    change.conditions = {{leader_key, term_.token}, {runners_key, record_revision_}};
+    change.puts = {{runners_key, write_runners(wanted), 0}};
+    term_.ctx.store.commit(std::move(change),
+        term_.guarded(
+            [this, wanted](const ports::commit_result& result)
+            {
+                recording_ = false;
+                if (result.status == kv_status::ok)
+                {
+                    recorded_ = wanted;
+                    record_revision_ = result.modified;
+                    record();
+                    term_.wake();
+                    return;
+                }
+                for (const auto& it : result.current)
+                {
+                    if (it.key == runners_key)
+                    {
+                        record_revision_ = it.modified; // an unanswered try of this node's own
+                    }
+                }
+            }));
+}
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/src/job_reader.cpp
@@ -0,0 +1,140 @@
+#include "job_reader.hpp"
+
+#include "coordinator/intake.hpp"
+#include "hosted/keys.hpp"
+#include "workflow/records.hpp"
+
+namespace camphorhitch::hosted
+{
+
+job_reader::job_reader(term& t) : term_(t)
+{
+}
+
+void job_reader::start(std::function<void()> done)
+{
+    done_ = std::move(done);
+    read_states({});
+}
+
+void job_reader::read_states(const std::string& after)
+{
+    term_.ctx.store.range(state_prefix,
+        after,
+        term_.guarded([this](ports::page_read page) { take_states(std::move(page)); }));
+}
+
+void job_reader::take_states(ports::page_read page)
+{
+    if (page.status != ports::kv_status::ok)
+    {
+        states_.clear();
+        term_.ctx.time.after(
+            term_.settings.store_retry, term_.guarded([this] { read_states({}); }));
+        return;
+    }
+    for (auto& it : page.items)
+    {
+        const auto id = it.key.substr(state_prefix.size());
+        states_[id] = std::move(it);
+    }
+    if (page.more && !page.items.empty())
+    {
+        read_states(page.items.back().key);
+        return;
+    }
+    follow();
+}
+
+void job_reader::follow()
+{
+    follower_settings s;
+    s.prefix = job_prefix;
+    s.pause = term_.settings.job_pause;
+    follower_events events;
+    events.on_all = [this](const std::vector<ports::stored_item>& all)
+    {
+        take_items(all);
+        states_.clear();
+        if (done_)
+        {
+            std::exchange(done_, {})();
+        }
+    };
+    events.on_changes = [this](const std::vector<ports::stored_change>& changes)
+    {
+        std::vector<ports::stored_item> items;
+        for (const auto& it : changes)
+        {
+            if (!it.removed)
+            {
+                items.push_back(it.item);
+            }
+        }
+        take_items(items);
+    };
+    follower_ = std::make_unique<prefix_follower>(term_.ctx, s, std::move(events));
+    follower_->start();
+}
+
+void job_reader::take_items(const std::vector<ports::stored_item>& items)
+{
+    coordinator::task_events out;
+    for (const auto& it : items)
+    {
+        take_item(it, out);
+    }
+    term_.log(out);
+    term_.store_soon();
+    term_.wake();
+}
+
+void job_reader::take_item(const ports::stored_item& it, coordinator::task_events& out)
+{
+    auto id = it.key.substr(job_prefix.size());
+    if (id.ends_with(cancel_suffix))
+    {
+        id.resize(id.size() - cancel_suffix.size());
+        coordinator::cancel_job(term_.fleet, id, term_.now(), out);
+        return;
+    }
+    if (term_.fleet.jobs.contains(id))
+    {
+        return;
+    }
+    auto read = workflow::read_job(it.value);
+    if (!core::is_ok(read))
+    {
+        term_.log(ports::log_level::error,
+            "record_damaged",
+            {{"id", id}, {"reason", core::failure(read).message}});
+        return;
+    }
+    auto& spec = core::value(read);
+    workflow::job_progress progress;
+    ports::revision stored = 0;
+    if (const auto state = states_.find(id); state != states_.end())
+    {
+        stored = state->second.modified;
+        const auto found = workflow::read_progress(spec, state->second.value);
+        if (core::is_ok(found))
+        {
+            progress = core::value(found);
+        }
+        else
+        {
+            term_.log(ports::log_level::error,
+                "record_damaged",
+                {{"id", id}, {"reason", core::failure(found).message}});
+        }
+    }
+    out.push_back({"job_taken",
+        id,
+        0,
+        "",
+        "queue=" + spec.queue + " revision=" + std::to_string(it.created) +
+            " stored=" + std::to_string(stored)});
+    coordinator::add_job(term_.fleet, std::move(spec), it.created, progress, stored);
+}
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/src/leadership.cpp
@@ -0,0 +1,328 @@
+#include "hosted/leadership.hpp"
+
+#include "core/rendezvous.hpp"
+#include "hosted/keys.hpp"
+
+#include <charconv>
+#include <utility>
+
+namespace camphorhitch::hosted
+{
+
+namespace
+{
+
+std::int64_t read_term(const std::string& text)
+{
+    std::int64_t n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+} // namespace
+
+struct leadership_state : std::enable_shared_from_this<leadership_state>
+{
+    context ctx;
+    leadership_settings settings;
+    leadership_events events;
+    std::unique_ptr<prefix_follower> follower;
+
+    // What the store holds, as last seen.
+    ports::revision leader_revision = 0;
+    ports::revision term_revision = 0;
+    std::int64_t term = -1;
+    std::string leader; ///< its name
+
+    ports::lease_id lease = 0;
+    ports::revision token = 0;   ///< 0: not the leader
+    core::mono_time valid_until; ///< by the boot clock
+    core::mono_time best_until;  ///< of a bid: what valid_until becomes
+    bool bidding = false;
+    bool resigned = false;
+    ports::timer_id timer = 0;
+
+    template <class Fn>
+    auto guarded(Fn fn)
+    {
+        return [weak = weak_from_this(), fn](auto... args)
+        {
+            if (const auto self = weak.lock())
+            {
+                fn(*self, std::move(args)...);
+            }
+        };
+    }
+
+    void see(const ports::stored_change& it);
+    void see_all(const std::vector<ports::stored_item>& items);
+    void judge();
+    void bid();
+    void take_lease(const ports::kv_lease& got);
+    void write_key();
+    void take_key(const ports::commit_result& result);
+    void bid_failed();
+    void renew();
+    void take_renewal(const ports::kv_lease& got, core::mono_time sent);
+    void schedule(core::millis delay, void (leadership_state::*next)());
+    void lose(const std::string& reason);
+};
+
+void leadership_state::schedule(core::millis delay, void (leadership_state::*next)())
+{
+    ctx.time.cancel(timer);
+    timer = ctx.time.after(delay, guarded([next](leadership_state& self) { (self.*next)(); }));
+}
+
+void leadership_state::see(const ports::stored_change& it)
+{
+    const auto revision = it.removed ? 0 : it.item.modified;
+    if (it.item.key == leader_key)
+    {
+        leader_revision = revision;
+        leader = it.removed ? std::string{} : it.item.value;
+    }
+    else if (it.item.key == leader_term_key)
+    {
+        term_revision = revision;
+        term = read_term(it.item.value);
+    }
+}
+
+void leadership_state::see_all(const std::vector<ports::stored_item>& items)
+{
+    leader_revision = 0;
+    leader.clear();
+    term_revision = 0;
+    term = -1;
+    for (const auto& it : items)
+    {
+        see({false, it});
+    }
+}
+
+void leadership_state::judge()
+{
+    if (token != 0)
+    {
+        // The store may take a key away with no sign on any renewal: only this look shows it.
+        if (leader_revision > token || leader_revision == 0)
+        {
+            lose("the key is gone or another's: revision " + std::to_string(leader_revision));
+        }
+        return;
+    }
+    if (leader_revision == 0 && !bidding && !resigned)
+    {
+        bidding = true;
+        const auto range = static_cast<std::uint64_t>(settings.longest_pause.count()) + 1;
+        const auto mix = static_cast<std::uint64_t>(ctx.time.now().time_since_epoch().count());
+        const core::millis pause{
+            static_cast<std::int64_t>(core::stable_hash(ctx.member, mix) % range)};
+        schedule(pause, &leadership_state::bid);
+    }
+}
+
+void leadership_state::bid()
+{
+    if (leader_revision != 0 || resigned)
+    {
+        bidding = false;
+        return;
+    }
+    best_until = ctx.boot_now() + settings.lease - settings.margin;
+    ctx.store.grant_lease(settings.lease,
+        guarded([](leadership_state& self, const ports::kv_lease& got) { self.take_lease(got); }));
+}
+
+void leadership_state::take_lease(const ports::kv_lease& got)
+{
+    if (got.status != ports::kv_status::ok)
+    {
+        bid_failed();
+        return;
+    }
+    lease = got.id;
+    write_key();
+}
+
+void leadership_state::write_key()
+{
+    ports::store_transaction t;
+    t.conditions = {{leader_key, 0}, {leader_term_key, term_revision}};
+    t.puts = {{leader_key, ctx.member, lease}, {leader_term_key, std::to_string(term + 1), 0}};
+    ctx.store.commit(std::move(t),
+        guarded([](leadership_state& self, const ports::commit_result& result)
+            { self.take_key(result); }));
+}
+
+void leadership_state::take_key(const ports::commit_result& result)
+{
+    if (result.status != ports::kv_status::ok)
+    {
+        // An unanswered write may still take the key. Nobody then acts on it: this node does not
+        // believe in it, and its lease, not renewed, ends it.
+        for (const auto& it : result.current)
+        {
+            see({false, it});
+        }
+        bid_failed();
+        return;
+    }
+    bidding = false;
+    leader_revision = result.modified;
+    term_revision = result.modified;
+    ++term;
+    leader = ctx.member;
+    token = result.modified;
+    valid_until = best_until;
+    ctx.tel.log(ports::log_level::info,
+        "leadership_gained",
+        {{"term", std::to_string(term)}, {"token", std::to_string(token)}});
+    schedule(settings.renew_every, &leadership_state::renew);
+    events.on_gained(term, token);
+}
+
+void leadership_state::bid_failed()
+{
+    bidding = false;
+    if (lease != 0)
+    {
+        ctx.store.end_lease(std::exchange(lease, 0), [](ports::kv_status) {});
+    }
+    schedule(settings.retry, &leadership_state::judge);
+}
+
+void leadership_state::renew()
+{
+    if (token == 0)
+    {
+        return;
+    }
+    if (ctx.boot_now() >= valid_until)
+    {
+        lose("the lease was not renewed in time");
+        return;
+    }
+    const auto sent = ctx.boot_now();
+    ctx.store.keep_alive(lease,
+        guarded([sent](leadership_state& self, const ports::kv_lease& got)
+            { self.take_renewal(got, sent); }));
+    schedule(settings.renew_every, &leadership_state::renew);
+}
+
+void leadership_state::take_renewal(const ports::kv_lease& got, core::mono_time sent)
+{
+    if (token == 0)
+    {
+        return;
+    }
+    if (got.status == ports::kv_status::ok && got.ttl.count() > 0)
+    {
+        // The store counts from the call's arrival, which was after its sending.
+        valid_until = std::max(valid_until, sent + settings.lease - settings.margin);
+    }
+    else if (got.status == ports::kv_status::ok || got.status == ports::kv_status::rejected)
+    {
+        if (got.status == ports::kv_status::ok)
+        {
+            lose("the lease has ended at the store");
+        }
+    }
+}
+
+void leadership_state::lose(const std::string& reason)
+{
+    if (token == 0)
+    {
+        return;
+    }
+    ctx.time.cancel(timer);
+    timer = 0;
+    ctx.tel.log(ports::log_level::warning,
+        "leadership_lost",
+        {{"term", std::to_string(term)}, {"token", std::to_string(token)}, {"reason", reason}});
+    token = 0;
+    if (lease != 0)
+    {
+        // So that no key of ours stands in a successor's way.
+        ctx.store.end_lease(std::exchange(lease, 0), [](ports::kv_status) {});
+    }
+    events.on_lost(reason);
+    schedule(settings.retry, &leadership_state::judge);
+}
+
+leadership::leadership(context c, leadership_settings s, leadership_events e)
+    : state_(std::make_shared<leadership_state>())
+{
+    auto& it = *state_;
+    it.ctx = std::move(c);
+    it.settings = s;
+    it.events = std::move(e);
+    follower_settings follow;
+    follow.prefix = leader_prefix;
+    follower_events events;
+    auto* const raw = state_.get();
+    events.on_all = [raw](const std::vector<ports::stored_item>& all)
+    {
+        raw->see_all(all);
+        raw->judge();
+    };
+    events.on_changes = [raw](const std::vector<ports::stored_change>& changes)
+    {
+        for (const auto& c : changes)
+        {
+            raw->see(c);
+        }
+        raw->judge();
+    };
+    it.follower = std::make_unique<prefix_follower>(it.ctx, follow, std::move(events));
+}
+
+leadership::~leadership()
+{
+    state_->ctx.time.cancel(state_->timer);
+    state_->follower.reset();
+}
+
+void leadership::start()
+{
+    state_->follower->start();
+}
+
+bool leadership::holds() const
+{
+    return state_->token != 0 && state_->ctx.boot_now() < state_->valid_until;
+}
+
+ports::revision leadership::token() const
+{
+    return state_->token;
+}
+
+void leadership::step_down(const std::string& reason)
+{
+    state_->lose(reason);
+}
+
+void leadership::resign(std::function<void()> done)
+{
+    auto& it = *state_;
+    it.resigned = true;
+    const auto lease = it.lease;
+    if (it.token == 0 || lease == 0)
+    {
+        it.ctx.time.post(std::move(done));
+        return;
+    }
+    it.lease = 0; // ended here, with an answer to wait for
+    it.lose("this node stops");
+    it.ctx.store.end_lease(lease, [done = std::move(done)](ports::kv_status) { done(); });
+}
+
+core::mono_time leadership::last_answer() const
+{
+    return state_->follower->last_answer();
+}
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/src/progress_writer.cpp
@@ -0,0 +1,185 @@
+#include "progress_writer.hpp"
+
+#include "coordinator/intake.hpp"
+#include "hosted/keys.hpp"
+#include "workflow/records.hpp"
+
+#include <algorithm>
+
+namespace camphorhitch::hosted
+{
+
+using ports::kv_status;
+
+progress_writer::progress_writer(term& t) : term_(t)
+{
+}
+
+void progress_writer::request()
+{
+    if (!requested_ && batches_out_ == 0)
+    {
+        requested_ = true;
+        term_.ctx.time.after(term_.settings.store_delay, term_.guarded([this] { begin(); }));
+    }
+}
+
+void progress_writer::begin()
+{
+    requested_ = false;
+    if (!term_.lead->holds())
+    {
+        return; // what can't be recorded isn't acknowledged either; the successor reads it anew
+    }
+    auto dirty = std::exchange(term_.fleet.dirty, {});
+    ends_.clear();
+    for (const auto& [id, h] : term_.fleet.hosts)
+    {
+        if (h.seen_end > h.stored_end)
+        {
+            ends_[id] = h.seen_end;
+        }
+    }
+    all_stored_ = true;
+    if (dirty.empty())
+    {
+        end();
+        return;
+    }
+    const auto most = term_.settings.jobs_per_write;
+    batches_out_ = (dirty.size() + most - 1) / most;
+    for (std::size_t i = 0; i < dirty.size(); i += most)
+    {
+        const auto last = std::min(dirty.size(), i + most);
+        send({dirty.begin() + static_cast<std::ptrdiff_t>(i),
+            dirty.begin() + static_cast<std::ptrdiff_t>(last)});
+    }
+}
+
+progress_writer::batch progress_writer::make_batch(const std::vector<std::string>& jobs)
+{
+    batch b;
+    b.change.conditions.push_back({leader_key, term_.token});
+    for (const auto& id : jobs)
+    {
+        const auto found = term_.fleet.jobs.find(id);
+        if (found == term_.fleet.jobs.end())
+        {
+            continue;
+        }
+        auto& j = *found->second;
+        j.dirty = false;
+        b.jobs.push_back(id);
+        // Each job's own revision too: a write whose answer was lost may land seconds later, while
+        // this node still leads, and would put an old progress over a newer one.
+        b.change.conditions.push_back({state_key(id), j.stored});
+        b.change.puts.push_back(
+            {state_key(id), workflow::write_progress(j.spec, coordinator::progress_of(j)), 0});
+    }
+    return b;
+}
+
+void progress_writer::send(std::vector<std::string> jobs)
+{
+    auto b = make_batch(jobs);
+    if (b.jobs.empty())
+    {
+        batch_over(true, {});
+        return;
+    }
+    auto change = b.change;
+    term_.ctx.store.commit(std::move(change),
+        term_.guarded(
+            [this, b = std::move(b)](const ports::commit_result& result) { take(b, result); }));
+}
+
+void progress_writer::take(const batch& b, const ports::commit_result& result)
+{
+    if (result.status == kv_status::conflict)
+    {
+        take_conflict(b, result);
+        return;
+    }
+    const bool ok = result.status == kv_status::ok;
+    if (ok)
+    {
+        for (const auto& id : b.jobs)
+        {
+            if (const auto it = term_.fleet.jobs.find(id); it != term_.fleet.jobs.end())
+            {
+                it->second->stored = result.modified;
+            }
+        }
+    }
+    batch_over(ok, b.jobs);
+}
+
+void progress_writer::take_conflict(const batch& b, const ports::commit_result& result)
+{
+    const auto leader = std::find_if(result.current.begin(),
+        result.current.end(),
+        [](const ports::stored_item& it) { return it.key == leader_key; });
+    if (leader == result.current.end() || leader->modified != term_.token)
+    {
+        term_.fenced_by("the store");
+        batch_over(false, b.jobs);
+        return;
+    }
+    // Only this node writes these keys in this term: an earlier try of its own took effect.
+    for (const auto& it : result.current)
+    {
+        if (it.key.starts_with(state_prefix))
+        {
+            const auto found = term_.fleet.jobs.find(it.key.substr(state_prefix.size()));
+            if (found != term_.fleet.jobs.end())
+            {
+                found->second->stored = it.modified;
+            }
+        }
+    }
+    batch_over(false, b.jobs);
+}
+
+void progress_writer::batch_over(bool stored, const std::vector<std::string>& jobs)
+{
+    if (!stored)
+    {
+        all_stored_ = false;
+        for (const auto& id : jobs)
+        {
+            const auto it = term_.fleet.jobs.find(id);
+            if (it != term_.fleet.jobs.end() && !it->second->dirty)
+            {
+                it->second->dirty = true;
+                term_.fleet.dirty.push_back(id);
+            }
+        }
+    }
+    if (--batches_out_ == 0)
+    {
+        end();
+    }
+}
+
+void progress_writer::end()
+{
+    if (all_stored_)
+    {
+        for (const auto& [id, n] : ends_)
+        {
+            if (const auto it = term_.fleet.hosts.find(id); it != term_.fleet.hosts.end())
+            {
+                it->second.stored_end = std::max(it->second.stored_end, n);
+            }
+        }
+        if (!term_.fleet.dirty.empty())
+        {
+            request();
+        }
+        return;
+    }
+    requested_ = true;
+    term_.ctx.time.after(term_.settings.store_retry, term_.guarded([this] { begin(); }));
+}
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/src/runner_desk.cpp
@@ -0,0 +1,179 @@
+#include "runner_desk.hpp"
+
+#include "coordinator/answers.hpp"
+#include "coordinator/intake.hpp"
+#include "workflow/records.hpp"
+
+namespace camphorhitch::hosted
+{
+
+using ports::runner_verdict;
+
+runner_desk::runner_desk(term& t) : term_(t)
+{
+}
+
+void runner_desk::poll_all()
+{
+    for (const auto& [id, h] : term_.fleet.hosts)
+    {
+        if (!polling_.contains(id))
+        {
+            polling_.insert(id);
+            poll(id);
+        }
+    }
+}
+
+void runner_desk::poll_later(const std::string& host, core::millis delay)
+{
+    term_.ctx.time.after(delay, term_.guarded([this, host] { poll(host); }));
+}
+
+void runner_desk::poll(const std::string& host)
+{
+    const auto found = term_.fleet.hosts.find(host);
+    if (found == term_.fleet.hosts.end() || !term_.lead->holds())
+    {
+        polling_.erase(host);
+        return;
+    }
+    auto& h = found->second;
+    ports::poll_order order;
+    order.fencing_token = term_.token;
+    order.acknowledged_through = h.stored_end;
+    order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
+    // The first answer tells the runner's clock, without which no lease can be named.
+    order.wait = h.clock_ms < 0 || !h.reachable ? core::millis{0} : term_.settings.poll_wait;
+    coordinator::note_lease(h, order.lease_until_ms);
+    const auto begun = term_.now();
+    term_.ctx.runners.poll(h.ref,
+        order,
+        term_.guarded(
+            [this, host, begun](const ports::poll_answer& a) { take_poll(host, begun, a); }));
+}
+
+void runner_desk::take_poll(
+    const std::string& host, core::mono_time begun, const ports::poll_answer& a)
+{
+    const bool first =
+        term_.fleet.hosts.contains(host) && term_.fleet.hosts.at(host).lease_until_ms == 0;
+    coordinator::task_events out;
+    take(coordinator::poll_answered(term_.fleet, host, begun, a, term_.now(), out), host, out);
+    if (!term_.fleet.hosts.contains(host))
+    {
+        polling_.erase(host);
+        return;
+    }
+    if (a.call.verdict != runner_verdict::done)
+    {
+        poll_later(host, term_.settings.poll_retry);
+        return;
+    }
+    stop_strays();
+    const bool news = !a.ended.empty();
+    poll_later(host, first || !news ? core::millis{0} : term_.settings.poll_gap);
+    if (news)
+    {
+        term_.store_soon();
+    }
+    term_.wake();
+}
+
+void runner_desk::take(
+    bool still_owner, const std::string& host, const coordinator::task_events& out)
+{
+    term_.log(out);
+    if (!still_owner)
+    {
+        term_.fenced_by("runner " + host);
+    }
+}
+
+void runner_desk::send(const coordinator::plan& p)
+{
+    for (const auto& it : p.stops)
+    {
+        stop(it);
+    }
+    for (const auto& it : p.starts)
+    {
+        start(it);
+    }
+}
+
+void runner_desk::start(const coordinator::start_action& a)
+{
+    auto& h = term_.fleet.hosts.at(a.host.id);
+    ports::start_order order;
+    order.task = workflow::write_task_name(a.task);
+    order.run = a.run;
+    order.payload = a.payload;
+    order.checkpoint = a.checkpoint;
+    order.fencing_token = term_.token;
+    order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
+    coordinator::note_lease(h, order.lease_until_ms);
+    const auto sent = term_.now();
+    term_.ctx.runners.start(a.host,
+        std::move(order),
+        term_.guarded(
+            [this, a, sent](const ports::runner_answer& answer)
+            {
+                coordinator::task_events out;
+                const auto now = term_.now();
+                term_.ctx.tel.observe(
+                    "start_order_seconds", {}, std::chrono::duration<double>(now - sent).count());
+                const bool owner = coordinator::start_answered(
+                    term_.fleet, a.host.id, a.task, a.run, answer, now, out);
+                take(owner, a.host.id, out);
+                if (answer.verdict != runner_verdict::done)
+                {
+                    term_.wake();
+                }
+            }));
+}
+
+void runner_desk::stop(const coordinator::stop_action& a)
+{
+    ports::stop_order order{workflow::write_task_name(a.task), a.run, term_.token};
+    term_.ctx.runners.stop(a.host,
+        std::move(order),
+        term_.guarded(
+            [this, a](const ports::runner_answer& answer)
+            {
+                coordinator::task_events out;
+                const bool owner = coordinator::stop_answered(
+                    term_.fleet, a.host.id, a.task, a.run, answer, term_.now(), out);
+                take(owner, a.host.id, out);
+                term_.wake();
+            }));
+}
+
+void runner_desk::stop_strays()
+{
+    const auto strays = std::exchange(term_.fleet.strays, {});
+    for (const auto& it : strays)
+    {
+        const auto host = term_.fleet.hosts.find(it.host);
+        if (host == term_.fleet.hosts.end())
+        {
+            continue;
+        }
+        const auto name = it.host + '/' + it.task + '/' + std::to_string(it.number);
+        if (!strays_out_.insert(name).second)
+        {
+            continue;
+        }
+        ports::stop_order order{it.task, it.number, term_.token};
+        term_.ctx.runners.stop(host->second.ref,
+            std::move(order),
+            term_.guarded(
+                [this, it, name](const ports::runner_answer& answer)
+                {
+                    strays_out_.erase(name);
+                    take(answer.verdict != runner_verdict::fenced, it.host, {});
+                }));
+    }
+}
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/src/runner_desk.hpp
@@ -0,0 +1,41 @@
+/// \file
+/// Talks to the runners: polls each of them, sends starts and stops, takes the answers in.
+#pragma once
+
+#include "coordinator/placement.hpp"
+#include "term.hpp"
+
+#include <map>
+#include <set>
+
+namespace camphorhitch::hosted
+{
+
+class runner_desk
+{
+public:
+    explicit runner_desk(term& t);
+
+    /// Polls each host that is not being polled.
+    void poll_all();
+
+    /// Sends the plan's orders.
+    void send(const coordinator::plan& p);
+
+    /// Stops runs that belong to no open job.
+    void stop_strays();
+
+private:
+    void poll(const std::string& host);
+    void take_poll(const std::string& host, core::mono_time begun, const ports::poll_answer& a);
+    void poll_later(const std::string& host, core::millis delay);
+    void start(const coordinator::start_action& a);
+    void stop(const coordinator::stop_action& a);
+    void take(bool still_owner, const std::string& host, const coordinator::task_events& out);
+
+    term& term_;
+    std::set<std::string> polling_; ///< a poll is out, or a timer for the next one runs
+    std::set<std::string> strays_out_;
+};
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/src/term.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// One term of coordination: the fleet as this owner sees it, and what its parts share. Parts hold
+/// it weakly in their callbacks, so an answer that comes after the term's end changes nothing.
+#pragma once
+
+#include "coordinator/fleet.hpp"
+#include "coordinator/waves.hpp"
+#include "hosted/context.hpp"
+#include "hosted/fleet_driver.hpp"
+#include "hosted/formats.hpp"
+#include "hosted/leadership.hpp"
+#include "line_budget.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace camphorhitch::hosted
+{
+
+struct term : std::enable_shared_from_this<term>
+{
+    context ctx;
+    const formats* spelling = nullptr;
+    driver_settings settings;
+    leadership* lead = nullptr;
+    ports::revision token = 0;
+    coordinator::fleet fleet;
+    line_budget lines;
+    std::function<void()> wake;                              ///< plan soon
+    std::function<void()> store_soon;                        ///< progress has changed
+    std::function<void(const std::string& host)> order_poll; ///< look at this host soon
+
+    core::mono_time now() const
+    {
+        return ctx.time.now();
+    }
+
+    /// Logs what was decided or learnt, within the budget of lines.
+    void log(const coordinator::task_events& all);
+    void log(ports::log_level level, std::string event, ports::log_fields fields);
+
+    /// Ownership is lost: a runner, the machines' service or a condition said so.
+    void fenced_by(const std::string& who);
+
+    /// \return a callback that does nothing after the term's end.
+    template <class Fn>
+    auto guarded(Fn fn)
+    {
+        return [weak = weak_from_this(), fn](auto... args)
+        {
+            if (const auto self = weak.lock())
+            {
+                fn(std::move(args)...);
+            }
+        };
+    }
+};
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/settings/src/hosted_read.cpp
@@ -0,0 +1,96 @@
+#include "checked_json/record.hpp"
+#include "settings/hosted_settings.hpp"
+
+namespace camphorhitch::settings
+{
+
+namespace
+{
+
+using checked_json::check_address;
+using checked_json::check_address_or_empty;
+using checked_json::check_name;
+using checked_json::millis_range;
+using core::millis;
+
+constexpr checked_json::bounds settings_bounds{1u << 18, 16, 1u << 14};
+constexpr millis_range lease_range{millis{1000}, millis{600000}};
+constexpr checked_json::real_range stop_range{0.1, 600};
+
+} // namespace
+
+template <class Keys>
+void describe(Keys& keys, listen_settings& r)
+{
+    keys.required("callers", r.callers, check_address)
+        .required("health", r.health, check_address)
+        .defaulted("metrics", r.metrics, check_address_or_empty);
+}
+
+template <class Keys>
+void describe(Keys& keys, service_settings& r)
+{
+    keys.required("store", r.store, check_address)
+        .required("machines", r.machines, check_address)
+        .defaulted("advice", r.advice, check_address_or_empty);
+}
+
+template <class Keys>
+void describe(Keys& keys, hosted_timing& r)
+{
+    keys.defaulted("runner_lease_ms", r.runner_lease, lease_range)
+        .defaulted("longest_runner_lease_ms", r.longest_runner_lease, lease_range)
+        .defaulted("leader_lease_ms", r.leader_lease, lease_range)
+        .defaulted("stop_bound_s", r.stop_bound_s, stop_range);
+}
+
+template <class Keys>
+void describe(Keys& keys, hosted_settings& r)
+{
+    keys.required("member", r.member, check_name)
+        .required("zone", r.zone, check_name)
+        .required("listen", r.listen)
+        .required("services", r.services)
+        .defaulted("timing", r.timing)
+        .defaulted("log_level", r.log_level, ports::log_level_names);
+}
+
+namespace
+{
+
+void check_leases(const hosted_settings& s, const std::string& file, core::findings& found)
+{
+    if (s.timing.runner_lease > s.timing.longest_runner_lease)
+    {
+        found.push_back({{file, "/timing/runner_lease_ms", 0, 0},
+            "is longer than longest_runner_lease_ms, which runners accept",
+            {}});
+    }
+    if (s.timing.leader_lease >= s.timing.runner_lease)
+    {
+        found.push_back({{file, "/timing/leader_lease_ms", 0, 0},
+            "must be shorter than runner_lease_ms: a successor could not renew in time what runs",
+            {}});
+    }
+}
+
+} // namespace
+
+std::variant<hosted_settings, core::findings> read_hosted_settings(
+    const std::string& text, const std::string& file_name)
+{
+    auto read = checked_json::decode<hosted_settings>(
+        text, file_name, checked_json::strictness::strict, settings_bounds);
+    if (const auto* const s = std::get_if<hosted_settings>(&read))
+    {
+        core::findings found;
+        check_leases(*s, file_name, found);
+        if (!found.empty())
+        {
+            return found;
+        }
+    }
+    return read;
+}
+
+} // namespace camphorhitch::settings
--- /dev/null
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -0,0 +1,404 @@
+#include "hosted_node.hpp"
+
+#include "company/front.hpp"
+#include "company/machine_client.hpp"
+#include "company/runner_client.hpp"
+#include "company/spelling.hpp"
+#include "company/store_client.hpp"
+#include "hosted/entry_desk.hpp"
+#include "hosted/fleet_driver.hpp"
+#include "hosted/leadership.hpp"
+#include "hosted/prefix_follower.hpp"
+#include "http/client.hpp"
+#include "http/server.hpp"
+#include "reactor/event_loop.hpp"
+#include "telemetry/telemetry.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
+#include <fstream>
+#include <iterator>
+#include <optional>
+
+namespace camphorhitch::daemon
+{
+
+namespace
+{
+
+/// A runner's connections carry one long poll and the orders of a burst; each costs a handshake.
+constexpr std::size_t connections_per_runner = 4;
+constexpr std::size_t connections_to_store = 24;
+/// What lies between may forget an idle connection; an old one is not worth its risk.
+constexpr core::millis longest_idle{8000};
+/// Without an answer of the store for so long, callers are better served by another node.
+constexpr core::millis ready_after_answer{2800};
+/// After the signal the balancer needs two health checks, a second apart, to send nobody more.
+constexpr core::millis lame_duck{2300};
+/// Left of the stop's bound for the last answers to leave.
+constexpr core::millis stop_reserve{400};
+constexpr core::millis stop_check{50};
+
+core::mono_time boot_now()
+{
+    timespec t{};
+    clock_gettime(CLOCK_BOOTTIME, &t);
+    constexpr std::int64_t us_per_s = 1000000;
+    constexpr std::int64_t ns_per_us = 1000;
+    return core::mono_time{core::micros{t.tv_sec * us_per_s + t.tv_nsec / ns_per_us}};
+}
+
+std::string read_file(const std::string& name)
+{
+    std::ifstream in(name);
+    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+} // namespace
+
+struct hosted_node::parts
+{
+    settings::hosted_settings settings;
+    std::string file;
+    reactor::event_loop loop;
+    telemetry::hub tel;
+    ports::telemetry log;
+    std::optional<http::client> store_http;
+    std::optional<http::client> runner_http;
+    ports::http_client store_port;
+    ports::http_client runner_port;
+    hosted::formats formats;
+    hosted::context ctx;
+    std::unique_ptr<hosted::leadership> lead;
+    std::unique_ptr<hosted::fleet_driver> driver;
+    std::unique_ptr<hosted::entry_desk> desk;
+    std::unique_ptr<hosted::prefix_follower> operators;
+    std::unique_ptr<company::front> front;
+    std::optional<http::server> caller_server;
+    std::optional<http::server> health_server;
+    std::optional<http::server> metrics_server;
+    ports::http_server callers;
+    ports::http_server health;
+    ports::http_server metrics;
+    std::optional<hosted::fleet_config> config;
+    std::map<std::int64_t, hosted::wave_request> waves;
+    bool was_ready = false;
+    bool stopping = false;
+    core::mono_time stop_at;
+
+    explicit parts(const settings::hosted_settings& s, std::string from)
+        : settings(s), file(std::move(from)), loop(reactor::event_loop::builder().build()),
+          tel(telemetry::builder().level(s.log_level).field("member", s.member).build()),
+          log(tel.port())
+    {
+    }
+
+    void make_clients();
+    void make_services();
+    core::result<core::done> open_servers();
+    core::result<core::done> open_server(
+        const std::string& address, ports::http_events events, std::optional<http::server>& to);
+    void see_operator_item(const ports::stored_item& it);
+    void see_config(const ports::stored_item& it);
+    bool is_ready();
+    void stop();
+    void watch_stop();
+    void reload();
+};
+
+void hosted_node::parts::make_clients()
+{
+    http::client_limits limits;
+    limits.longest_idle = longest_idle;
+    limits.most_connections_per_host = connections_to_store;
+    store_http = http::client::builder().loop(loop).limits(limits).build();
+    limits.most_connections_per_host = connections_per_runner;
+    runner_http = http::client::builder().loop(loop).limits(limits).build();
+    store_port = store_http->port();
+    runner_port = runner_http->port();
+    ctx.member = settings.member;
+    ctx.time = loop.scheduler();
+    ctx.tel = log;
+    ctx.boot_now = boot_now;
+    company::store_client_settings store;
+    store.address = settings.services.store;
+    ctx.store = company::make_store_client(store_port, log, store);
+    ctx.runners = company::make_runner_client(runner_port, log, {});
+    company::machine_client_settings machines;
+    machines.address = settings.services.machines;
+    machines.holder = settings.member;
+    ctx.machines = company::make_machine_client(store_port, log, machines);
+}
+
+void hosted_node::parts::make_services()
+{
+    formats = company::make_formats();
+    hosted::leadership_settings lease;
+    lease.lease = settings.timing.leader_lease;
+    hosted::leadership_events events;
+    events.on_gained = [this](std::int64_t term, ports::revision token)
+    {
+        driver->begin(term, token);
+    };
+    events.on_lost = [this](const std::string&)
+    {
+        driver->end();
+    };
+    lead = std::make_unique<hosted::leadership>(ctx, lease, events);
+    hosted::driver_settings drive;
+    drive.rules.runner_lease = settings.timing.runner_lease;
+    drive.rules.leader_lease = settings.timing.leader_lease;
+    driver = std::make_unique<hosted::fleet_driver>(ctx, formats, drive, *lead);
+    desk = std::make_unique<hosted::entry_desk>(ctx, hosted::entry_settings{});
+    hosted::follower_settings follow;
+    follow.prefix = formats.operator_prefix;
+    hosted::follower_events seen;
+    seen.on_all = [this](const std::vector<ports::stored_item>& all)
+    {
+        for (const auto& it : all)
+        {
+            see_operator_item(it);
+        }
+    };
+    seen.on_changes = [this](const std::vector<ports::stored_change>& all)
+    {
+        for (const auto& it : all)
+        {
+            if (!it.removed)
+            {
+                see_operator_item(it.item);
+            }
+        }
+    };
+    operators = std::make_unique<hosted::prefix_follower>(ctx, follow, seen);
+    company::front_sources sources;
+    sources.config = [this]() -> const hosted::fleet_config*
+    {
+        return config ? &*config : nullptr;
+    };
+    sources.ready = [this]
+    {
+        return is_ready();
+    };
+    sources.metrics = [this]
+    {
+        return tel.render();
+    };
+    front =
+        std::make_unique<company::front>(company::front_settings{}, sources, *desk, ctx.time, log);
+}
+
+void hosted_node::parts::see_operator_item(const ports::stored_item& it)
+{
+    if (it.key == formats.config_key)
+    {
+        see_config(it);
+        return;
+    }
+    if (!it.key.starts_with(formats.wave_prefix))
+    {
+        return;
+    }
+    const auto read = formats.read_wave(it.value);
+    if (!core::is_ok(read))
+    {
+        log.log(ports::log_level::error,
+            "wave_damaged",
+            {{"key", it.key}, {"reason", core::failure(read).message}});
+        return;
+    }
+    waves[core::value(read).number] = core::value(read);
+    std::vector<hosted::wave_request> all;
+    for (const auto& [number, wave] : waves)
+    {
+        all.push_back(wave);
+    }
+    driver->set_waves(std::move(all));
+}
+
+void hosted_node::parts::see_config(const ports::stored_item& it)
+{
+    auto read = formats.read_config(it.value);
+    if (!core::is_ok(read))
+    {
+        log.log(ports::log_level::error,
+            "config_damaged",
+            {{"revision", std::to_string(it.modified)}, {"reason", core::failure(read).message}});
+        return;
+    }
+    auto& next = core::value(read);
+    // Never back: a read that began before a change may answer after it.
+    if (config && next.version <= config->version)
+    {
+        return;
+    }
+    log.log(ports::log_level::info,
+        "config_in_force",
+        {{"version", std::to_string(next.version)},
+            {"before", config ? std::to_string(config->version) : "none"},
+            {"revision", std::to_string(it.modified)},
+            {"queues", std::to_string(next.queues.size())}});
+    config = std::move(next);
+}
+
+bool hosted_node::parts::is_ready()
+{
+    const bool heard = ctx.time.now() - std::max(operators->last_answer(), lead->last_answer()) <
+                       ready_after_answer;
+    const bool ready = config.has_value() && heard && !stopping;
+    if (ready != was_ready)
+    {
+        was_ready = ready;
+        log.log(ports::log_level::info,
+            ready ? "ready" : "not_ready",
+            {{"config", config ? std::to_string(config->version) : "none"},
+                {"store_heard", heard ? "yes" : "no"},
+                {"stopping", stopping ? "yes" : "no"}});
+    }
+    return ready;
+}
+
+core::result<core::done> hosted_node::parts::open_server(
+    const std::string& address, ports::http_events events, std::optional<http::server>& to)
+{
+    http::server_limits limits;
+    limits.idle_timeout = core::millis{15000};
+    auto made = http::server::builder()
+                    .loop(loop)
+                    .address(address)
+                    .limits(limits)
+                    .events(std::move(events))
+                    .build();
+    if (!core::is_ok(made))
+    {
+        return core::error{core::failure(made).code, address + ": " + core::failure(made).message};
+    }
+    to.emplace(std::move(core::value(made)));
+    return core::done{};
+}
+
+core::result<core::done> hosted_node::parts::open_servers()
+{
+    auto opened = open_server(settings.listen.callers,
+        front->caller_events([this]() -> const ports::http_server& { return callers; }),
+        caller_server);
+    if (core::is_ok(opened))
+    {
+        callers = caller_server->port();
+        opened = open_server(settings.listen.health,
+            front->health_events([this]() -> const ports::http_server& { return health; }),
+            health_server);
+    }
+    if (core::is_ok(opened))
+    {
+        health = health_server->port();
+    }
+    if (core::is_ok(opened) && !settings.listen.metrics.empty())
+    {
+        opened = open_server(settings.listen.metrics,
+            front->metrics_events([this]() -> const ports::http_server& { return metrics; }),
+            metrics_server);
+        if (core::is_ok(opened))
+        {
+            metrics = metrics_server->port();
+        }
+    }
+    return opened;
+}
+
+void hosted_node::parts::stop()
+{
+    if (stopping)
+    {
+        return;
+    }
+    stopping = true;
+    stop_at = ctx.time.now();
+    log.log(ports::log_level::info,
+        "stopping",
+        {{"open_exchanges", std::to_string(callers.open_exchanges())}});
+    lead->resign([this] { log.log(ports::log_level::info, "resigned", {}); });
+    ctx.time.after(lame_duck, [this] { watch_stop(); });
+}
+
+void hosted_node::parts::watch_stop()
+{
+    callers.stop_accepting();
+    const auto bound = core::millis{static_cast<std::int64_t>(settings.timing.stop_bound_s * 1000)};
+    const bool late = ctx.time.now() - stop_at > bound - stop_reserve;
+    if (callers.open_exchanges() == 0 || late)
+    {
+        loop.stop();
+        return;
+    }
+    ctx.time.after(stop_check, [this] { watch_stop(); });
+}
+
+void hosted_node::parts::reload()
+{
+    const auto read = settings::read_hosted_settings(read_file(file), file);
+    if (const auto* const wrong = std::get_if<core::findings>(&read))
+    {
+        log.log(ports::log_level::error,
+            "reload_refused",
+            {{"findings", core::to_text(*wrong)}, {"in_force", "the settings before"}});
+        return;
+    }
+    const auto& next = std::get<settings::hosted_settings>(read);
+    const bool same_place = next.listen.callers == settings.listen.callers &&
+                            next.services.store == settings.services.store;
+    log.log(ports::log_level::info,
+        "reloaded",
+        {{"addresses", same_place ? "unchanged" : "need a restart"}});
+}
+
+hosted_node::hosted_node(std::unique_ptr<parts> p) : parts_(std::move(p))
+{
+}
+
+hosted_node::~hosted_node() = default;
+
+core::result<std::unique_ptr<hosted_node>> hosted_node::open(
+    const settings::hosted_settings& s, const std::string& file)
+{
+    auto p = std::make_unique<parts>(s, file);
+    p->make_clients();
+    p->make_services();
+    const auto opened = p->open_servers();
+    if (!core::is_ok(opened))
+    {
+        return core::failure(opened);
+    }
+    return std::unique_ptr<hosted_node>(new hosted_node(std::move(p)));
+}
+
+int hosted_node::run()
+{
+    auto& p = *parts_;
+    p.log.log(ports::log_level::info,
+        "started",
+        {{"callers", p.settings.listen.callers},
+            {"zone", p.settings.zone},
+            {"store", p.settings.services.store}});
+    p.loop.on_signals({SIGTERM, SIGINT, SIGHUP},
+        [&p](int number)
+        {
+            p.log.log(ports::log_level::info, "signal", {{"number", std::to_string(number)}});
+            if (number == SIGHUP)
+            {
+                p.reload();
+            }
+            else
+            {
+                p.stop();
+            }
+        });
+    p.operators->start();
+    p.lead->start();
+    p.loop.run();
+    p.log.log(ports::log_level::info, "stopped", {});
+    return 0;
+}
+
+} // namespace camphorhitch::daemon
--- a/programs/camphorhitchd/src/main.cpp
+++ b/programs/camphorhitchd/src/main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// camphorhitchd: the daemon of every entry host.
 
+#include "hosted_node.hpp"
 #include "node.hpp"
 
 #include <cxxopts.hpp>
@@ -22,16 +23,14 @@
     exit_cannot_start = 4 ///< an address can't be opened, or a library failed
 };
 
-int check_and_run(const std::string& file, bool only_check)
+/// \param read the settings, or what is wrong with them
+/// \param open makes the node from them
+template <class Settings, class Open>
+int check_and_run(const std::string& file,
+    const std::variant<Settings, core::findings>& read,
+    bool only_check,
+    Open open)
 {
-    std::ifstream in(file);
-    if (!in)
-    {
-        std::cerr << file << ": can't be read\n";
-        return exit_settings;
-    }
-    const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-    const auto read = settings::read_daemon_settings(text, file);
     if (const auto* wrong = std::get_if<core::findings>(&read))
     {
         std::cerr << core::to_text(*wrong);
@@ -42,7 +41,7 @@
         std::cout << file << ": good\n";
         return exit_ok;
     }
-    auto opened = daemon::node::open(std::get<settings::daemon_settings>(read));
+    auto opened = open(std::get<Settings>(read));
     if (!core::is_ok(opened))
     {
         std::cerr << core::failure(opened).message << '\n';
@@ -51,6 +50,28 @@
     return core::value(opened)->run();
 }
 
+int run_node(const std::string& file, bool hosted, bool only_check)
+{
+    std::ifstream in(file);
+    if (!in)
+    {
+        std::cerr << file << ": can't be read\n";
+        return exit_settings;
+    }
+    const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    if (hosted)
+    {
+        return check_and_run(file,
+            settings::read_hosted_settings(text, file),
+            only_check,
+            [&](const settings::hosted_settings& s) { return daemon::hosted_node::open(s, file); });
+    }
+    return check_and_run(file,
+        settings::read_daemon_settings(text, file),
+        only_check,
+        [](const settings::daemon_settings& s) { return daemon::node::open(s); });
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -58,6 +79,7 @@
     cxxopts::Options options("camphorhitchd", "Fleet capacity and maintenance manager.");
     auto add = options.add_options();
     add("settings", "settings file (JSON)", cxxopts::value<std::string>());
+    add("hosted", "run on a hosting platform, which keeps jobs and lists hosts");
     add("check", "check the settings and end");
     add("h,help", "print this text");
     add("version", "print the version");
@@ -79,7 +101,9 @@
             std::cerr << "--settings FILE is missing\n";
             return exit_usage;
         }
-        return check_and_run(given["settings"].as<std::string>(), given.count("check") > 0);
+        return run_node(given["settings"].as<std::string>(),
+            given.count("hosted") > 0,
+            given.count("check") > 0);
     }
     catch (const cxxopts::exceptions::exception& ec)
     {
