http server: no request reaches the owner before build() has returned

Ruled out: a race with the loop, it does not run yet. The test puts a caller there within listen(); it failed before and passes now.

--- a/libs/http/src/server_state.cpp
+++ b/libs/http/src/server_state.cpp
@@ -205,7 +205,9 @@
     daemon_fd_ = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     loop.watch_fd(daemon_fd_, true, false, [this](reactor::fd_events) { work(); });
     loop.watch_fd(closures_, true, false, [this](reactor::fd_events) { watch_closures(); });
-    sweep();
+    // On the loop, not here: a caller's request that lies in the listen queue already would come to
+    // the owner before it has this server, and there would be nothing to answer it with.
+    sweep_timer_ = time.after(core::millis{0}, [this] { sweep(); });
     return {};
 }
 
--- a/libs/http/tests/server_tests.cpp
+++ b/libs/http/tests/server_tests.cpp
@@ -3,8 +3,12 @@
 #include "http_fakes/fakes.hpp"
 
 #include <list>
+#include <netinet/in.h>
 #include <optional>
 #include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -17,6 +21,25 @@
 namespace
 {
 
+/// Called with a socket that has just begun to listen; lets a caller be there before anything else.
+std::function<void(int fd)> after_listen;
+
+} // namespace
+
+/// Stands in for the C library's call in this program.
+extern "C" int listen(int fd, int backlog) noexcept
+{
+    const auto done = static_cast<int>(::syscall(SYS_listen, fd, backlog));
+    if (done == 0 && after_listen)
+    {
+        after_listen(fd);
+    }
+    return done;
+}
+
+namespace
+{
+
 const std::string not_run = "Camphorhitch-Outcome: not-run\r\n";
 const std::string post = "POST /x HTTP/1.1\r\nHost: a\r\n";
 
@@ -89,6 +112,30 @@
     }
 };
 
+// A process starts while its callers already send. The caller's bytes lie in the listen queue
+// before build() returns; were they handled inside it, the owner would be asked for an answer
+// before it has the server to answer with, and the process would abort at every start of a busy
+// day.
+TEST(http_server, no_request_comes_before_build_has_returned)
+{
+    int caller = -1;
+    after_listen = [&caller](int fd)
+    {
+        sockaddr_in at{};
+        socklen_t length = sizeof(at);
+        ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &length);
+        caller = ::socket(AF_INET, SOCK_STREAM, 0);
+        LONGS_EQUAL(0, ::connect(caller, reinterpret_cast<sockaddr*>(&at), length));
+        const std::string bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        LONGS_EQUAL(bytes.size(), ::send(caller, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+    };
+    start();
+    after_listen = {};
+    LONGS_EQUAL(0, requests.size());
+    CHECK(came(1)); // it is served once the loop runs
+    ::close(caller);
+}
+
 TEST(http_server, a_request_comes_whole_and_its_answer_goes_back)
 {
     for (const bool later : {false, true})
