Take-over reads every page of stored progress

Cause: the key after which the next page begins was taken from an item that had been moved away, so with more than 500 jobs the successor read the first page for ever. Ruled out: a store that refuses 'after' (the pages' first and last keys in the log show it).

--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -28,19 +28,21 @@
 {
     if (page.status != ports::kv_status::ok)
     {
+        term_.log(ports::log_level::warning, "progress_unread", {{"retry", "1"}});
         states_.clear();
         term_.ctx.time.after(
             term_.settings.store_retry, term_.guarded([this] { read_states({}); }));
         return;
     }
+    const auto last = page.items.empty() ? std::string{} : page.items.back().key;
     for (auto& it : page.items)
     {
         const auto id = it.key.substr(state_prefix.size());
         states_[id] = std::move(it);
     }
-    if (page.more && !page.items.empty())
+    if (page.more && !last.empty())
     {
-        read_states(page.items.back().key);
+        read_states(last);
         return;
     }
     follow();
