--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -80,6 +80,13 @@
     return n;
 }
 
+/// A host that nobody has looked at in this term may still run what a former owner started: taken
+/// down, it would end several tasks of one step at once.
+bool is_empty(const host_entry& h)
+{
+    return !h.prior && h.runs.empty() && h.strays == 0;
+}
+
 /// \return whether the wave would end late at the pace of one turn a place.
 bool is_pressed(const wave& w, std::size_t left, const wave_settings& s, core::mono_time now)
 {
@@ -142,7 +149,7 @@
             const bool waited = now - it.host->closed_at > s.patience;
             empty_host(f, *it.host, waited || pressed, now, out);
         }
-        const bool empty = it.host == nullptr || (it.host->runs.empty() && it.host->strays == 0);
+        const bool empty = it.host == nullptr || is_empty(*it.host);
         if (empty && places > 0)
         {
             --places;
