--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -43,7 +43,8 @@
 /// \return whether every lease that may have been granted on \p h has certainly ended.
 bool has_lapsed(const fleet& f, const host_entry& h, core::mono_time now);
 
-/// \return the end of a lease granted now, on the runner's clock; 0 when its clock is unknown.
+/// \return the end of a lease granted now, on the runner's clock; 0 when its clock is unknown or it
+/// does not answer: then none is granted.
 std::int64_t lease_end_for(const fleet& f, const host_entry& h, core::mono_time now);
 
 /// Notes that a lease until \p until_ms may be in force on \p h.
--- a/libs/coordinator/include/coordinator/placement.hpp
+++ b/libs/coordinator/include/coordinator/placement.hpp
@@ -45,8 +45,8 @@
     const std::string& reason,
     task_events& out);
 
-/// \return tasks of the same step that are not at work, without \p task itself.
-int others_away(const job_entry& j, const workflow::task_name& task);
+/// \return tasks of the same step that are not at work, or not known to be, without \p task itself.
+int others_away(const fleet& f, const job_entry& j, const workflow::task_name& task);
 
 /// \return the number of accepted jobs by queue of which no task has started, scheduled ones left
 /// out.
--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -64,6 +64,10 @@
     core::mono_time now,
     task_events& out);
 
+/// Moves long-running tasks off hosts that are about to leave, as far as their steps allow; batch
+/// tasks mostly end before.
+void empty_draining_hosts(fleet& f, core::mono_time now, task_events& out);
+
 /// Wants the host's tasks stopped: long-running ones within what their steps may miss, others
 /// when \p batch_too.
 void empty_host(fleet& f, host_entry& h, bool batch_too, core::mono_time now, task_events& out);
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -246,7 +246,9 @@
 
 std::int64_t lease_end_for(const fleet& f, const host_entry& h, core::mono_time now)
 {
-    const auto clock = least_clock(f, h, now);
+    // A silent host gets none: each try might be carried out unheard, so its leases would never
+    // certainly end and its tasks never start elsewhere.
+    const auto clock = h.reachable ? least_clock(f, h, now) : -1;
     return clock < 0 ? 0 : clock + f.settings.runner_lease.count();
 }
 
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -388,19 +388,30 @@
     }
 }
 
-int others_away(const job_entry& j, const workflow::task_name& task)
+namespace
+{
+
+/// A run on a host that does not answer may have ended with it.
+bool is_at_work(const fleet& f, const run_entry& it)
+{
+    constexpr int whole = 100; // percent
+    const auto h = f.hosts.find(it.host);
+    return it.phase == run_phase::running && it.percent >= whole && h != f.hosts.end() &&
+           h->second.reachable;
+}
+
+} // namespace
+
+int others_away(const fleet& f, const job_entry& j, const workflow::task_name& task)
 {
-    constexpr int at_work = 100; // percent
     int away = 0;
     const auto first = workflow::task_place(j.spec, task.occurrence, task.step, 0);
     const int tasks = j.spec.steps[static_cast<std::size_t>(task.step)].tasks;
     for (int i = 0; i < tasks; ++i)
     {
-        const auto& t = j.tasks[first + static_cast<std::size_t>(i)];
-        const bool works = std::any_of(t.runs.begin(),
-            t.runs.end(),
-            [](const run_entry& it)
-            { return it.phase == run_phase::running && it.percent >= at_work; });
+        const auto& runs = j.tasks[first + static_cast<std::size_t>(i)].runs;
+        const bool works = std::any_of(
+            runs.begin(), runs.end(), [&](const run_entry& it) { return is_at_work(f, it); });
         away += i != task.index && !works ? 1 : 0;
     }
     return away;
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -176,6 +176,17 @@
     }
 }
 
+void empty_draining_hosts(fleet& f, core::mono_time now, task_events& out)
+{
+    for (auto& [id, h] : f.hosts)
+    {
+        if (h.draining && h.reachable && !h.runs.empty())
+        {
+            empty_host(f, h, false, now, out);
+        }
+    }
+}
+
 void empty_host(fleet& f, host_entry& h, bool batch_too, core::mono_time now, task_events& out)
 {
     const auto runs = h.runs;
@@ -186,7 +197,7 @@
         if (s.long_running)
         {
             // A step's users bear so many of its tasks away at once; one more would break that.
-            const bool allowed = s.may_be_away == 0 || others_away(j, name) < s.may_be_away;
+            const bool allowed = s.may_be_away == 0 || others_away(f, j, name) < s.may_be_away;
             if (!allowed)
             {
                 continue;
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -55,6 +55,7 @@
     const auto begun = t.now();
     coordinator::task_events out;
     coordinator::lapse_hosts(t.fleet, begun, out);
+    coordinator::empty_draining_hosts(t.fleet, begun, out);
     waves->plan();
     const auto unix_ms = core::to_unix_ms(t.ctx.time.wall_now());
     const auto orders = coordinator::make_plan(t.fleet, begun, unix_ms, true, out);
