Hosts follow demand between pools

Cause: a queue in its turn asks several times what its pool holds while the others rest. Runners that ended are not taken in again from a list that lags.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -2,6 +2,7 @@
 /// What the coordinator believes: jobs, their runs, and the hosts that run them.
 #pragma once
 
+#include "coordinator/learning.hpp"
 #include "core/names.hpp"
 #include "core/time.hpp"
 #include "ports/key_value.hpp"
@@ -41,6 +42,7 @@
     std::string host; ///< id of the runner's life
     run_phase phase = run_phase::ordered;
     core::mono_time ordered_at;
+    bool adopted = false; ///< begun by a former owner: when is not known
     /// A poll that began before this says nothing about the present phase.
     core::mono_time changed_at;
     bool stop_in_flight = false;
@@ -142,6 +144,9 @@
     core::millis lapse_margin{250};
     /// Between repeats of an unanswered stop.
     core::millis stop_repeat{400};
+    /// How long the list of runners may still name one that has ended: three missed reports, and
+    /// as much again while the store is away.
+    core::millis ended_memory{30000};
     /// Runs of one task within one term of ownership.
     std::int64_t runs_per_term = 1000;
 };
@@ -154,8 +159,12 @@
     std::unordered_map<std::string, std::unique_ptr<job_entry>> jobs;
     std::unordered_set<std::string> open_jobs; ///< not final, or with live runs
     std::map<std::string, host_entry> hosts;   ///< by runner id
-    std::vector<stray_run> strays;             ///< to be stopped
-    std::vector<std::string> dirty;            ///< jobs whose progress has to be stored
+    coordinator::learnt learnt;                ///< from runs of this term
+    /// Runners whose life has certainly ended, and when that was learnt; the list of runners may
+    /// name them for a while.
+    std::map<std::string, core::mono_time> ended;
+    std::vector<stray_run> strays;  ///< to be stopped
+    std::vector<std::string> dirty; ///< jobs whose progress has to be stored
 };
 
 /// What happened to a task, for the log.
--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -32,7 +32,11 @@
 
 /// A runner's life has certainly ended: all its runs are over.
 /// \param proof what shows it, for the log
-void end_host(fleet& f, const std::string& id, const std::string& proof, task_events& out);
+void end_host(fleet& f,
+    const std::string& id,
+    const std::string& proof,
+    core::mono_time now,
+    task_events& out);
 
 /// Removes hosts whose leases have certainly lapsed unheard, and frees their tasks.
 void lapse_hosts(fleet& f, core::mono_time now, task_events& out);
--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -14,7 +14,8 @@
 struct machine_table
 {
     std::map<std::string, ports::machine_entry> machines;
-    core::mono_time read_at; ///< when the call for it was sent
+    std::set<std::string> moving; ///< a move between pools is decided
+    core::mono_time read_at;      ///< when the call for it was sent
     bool known = false;
 };
 
@@ -46,6 +47,9 @@
 /// \return whether the wave has become completed.
 bool see_machines(wave& w, const machine_table& list, const wave_settings& s);
 
+/// \return machines that the wave has closed or taken; they are not to be moved.
+std::set<std::string> held_machines(const fleet& f, const wave& w, const machine_table& list);
+
 /// Closes hosts that come next, wants their tasks stopped where that is allowed, and picks those
 /// that are empty.
 /// \return machines whose maintenance may begin now.
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -185,6 +185,12 @@
     const auto place = place_of_run(*t, h.ref.id, end.run);
     if (place < t->runs.size())
     {
+        const auto& run = t->runs[place];
+        if (end.how == ports::run_end::done && !run.adopted)
+        {
+            const auto took = std::chrono::duration_cast<core::millis>(now - run.ordered_at);
+            learn_time(f.learnt, j.spec.steps[static_cast<std::size_t>(name->step)].image, took);
+        }
         remove_run(f, j, *name, place);
     }
     else if (!t->runs.empty() || end.run < t->last_run)
@@ -248,6 +254,7 @@
     run.host = h.ref.id;
     run.phase = wanted ? run_phase::running : run_phase::stopping;
     run.ordered_at = now;
+    run.adopted = true;
     run.changed_at = now;
     add_run(f, j, name, run);
     note(out, wanted ? "run_adopted" : "run_unwanted", name, it.run, h.ref.id, "");
@@ -336,7 +343,7 @@
     }
     if (answer.verdict == runner_verdict::other_life)
     {
-        end_host(f, host, "another runner answers at its address", out);
+        end_host(f, host, "another runner answers at its address", now, out);
         return true;
     }
     if (auto* const h = find_host(f, host))
@@ -390,7 +397,7 @@
     }
     if (answer.verdict == runner_verdict::other_life)
     {
-        end_host(f, host, "another runner answers at its address", out);
+        end_host(f, host, "another runner answers at its address", now, out);
         return true;
     }
     auto* const it = find_run(f, task, host, run);
@@ -437,7 +444,7 @@
     }
     if (verdict == runner_verdict::other_life)
     {
-        end_host(f, host, "another runner answers at its address", out);
+        end_host(f, host, "another runner answers at its address", now, out);
         return true;
     }
     if (verdict != runner_verdict::done)
--- /dev/null
+++ b/libs/coordinator/src/demand.cpp
@@ -0,0 +1,189 @@
+#include "coordinator/demand.hpp"
+
+#include "coordinator/learning.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+constexpr double milli = 1000.0; ///< thousandths in a core, milliseconds in a second
+constexpr std::size_t most_history = 16;
+/// A rate below this is noise: one small task.
+constexpr double least_busy_cores = 16.0;
+/// Distances between busy times that differ by more than this share are no pattern.
+constexpr double pattern_tolerance = 0.35;
+
+double decay(core::micros passed, core::millis memory)
+{
+    const double t = std::chrono::duration<double, std::milli>(passed).count();
+    return std::exp(-t / static_cast<double>(memory.count()));
+}
+
+void let_decay(const demand_settings& s, pool_arrivals& p, core::mono_time now)
+{
+    const auto passed = now - p.updated;
+    p.fast *= decay(passed, s.rate_memory);
+    p.slow *= decay(passed, s.long_memory);
+    p.updated = now;
+}
+
+void judge_busy(demand& d, const std::string& name, pool_arrivals& p, core::mono_time now)
+{
+    const bool high =
+        p.fast > least_busy_cores && p.fast > d.settings.busy_factor * std::max(p.slow, 1.0);
+    if (high && !p.busy)
+    {
+        p.busy = true;
+        p.peak = 0;
+        d.history.push_back({name, now});
+        if (d.history.size() > most_history)
+        {
+            d.history.pop_front();
+        }
+    }
+    else if (p.busy && p.fast < p.slow)
+    {
+        p.busy = false;
+    }
+    p.peak = std::max(p.peak, p.fast);
+}
+
+/// \return the usual distance between the busy times of two pools that follow each other.
+std::optional<core::micros> usual_gap(const std::deque<busy_begin>& h)
+{
+    if (h.size() < 3)
+    {
+        return std::nullopt;
+    }
+    std::vector<core::micros> gaps;
+    for (std::size_t i = 1; i < h.size(); ++i)
+    {
+        gaps.push_back(h[i].at - h[i - 1].at);
+    }
+    auto sorted = gaps;
+    std::sort(sorted.begin(), sorted.end());
+    const auto median = sorted[sorted.size() / 2];
+    const auto off = std::abs(static_cast<double>((gaps.back() - median).count()));
+    if (off > pattern_tolerance * static_cast<double>(median.count()))
+    {
+        return std::nullopt;
+    }
+    return median;
+}
+
+} // namespace
+
+void note_arrival(demand& d, const std::string& pool, double core_seconds, core::mono_time now)
+{
+    auto [it, added] = d.pools.try_emplace(pool);
+    auto& p = it->second;
+    if (added)
+    {
+        p.updated = now;
+    }
+    let_decay(d.settings, p, now);
+    p.fast += core_seconds * milli / static_cast<double>(d.settings.rate_memory.count());
+    p.slow += core_seconds * milli / static_cast<double>(d.settings.long_memory.count());
+    judge_busy(d, pool, p, now);
+}
+
+void update_demand(demand& d, core::mono_time now)
+{
+    for (auto& [name, p] : d.pools)
+    {
+        let_decay(d.settings, p, now);
+        judge_busy(d, name, p, now);
+    }
+}
+
+std::optional<core::mono_time> next_busy(const demand& d, const std::string& pool)
+{
+    const auto& h = d.history;
+    const auto gap = usual_gap(h);
+    if (!gap)
+    {
+        return std::nullopt;
+    }
+    // Who followed whom: the pool comes next when it once came right after the newest one.
+    const auto& newest = h.back();
+    for (std::size_t i = 0; i + 1 < h.size(); ++i)
+    {
+        if (h[i].pool == newest.pool && h[i + 1].pool == pool)
+        {
+            return newest.at + *gap;
+        }
+    }
+    return std::nullopt;
+}
+
+double open_work(const fleet& f, const job_entry& j)
+{
+    double sum = 0;
+    for (std::size_t k = 0; k < j.steps.size(); ++k)
+    {
+        const auto& s = j.spec.steps[k % j.spec.steps.size()];
+        if (!s.long_running)
+        {
+            const double each = static_cast<double>(s.need.cpu) / milli *
+                                static_cast<double>(expected_time(f.learnt, s).count()) / milli;
+            sum += each * (s.tasks - j.steps[k].done);
+        }
+    }
+    return sum;
+}
+
+namespace
+{
+
+void add_lasting(const job_entry& j, pool_need& to)
+{
+    for (const auto& s : j.spec.steps)
+    {
+        if (!s.long_running)
+        {
+            continue;
+        }
+        to.lasting_cores += static_cast<double>(s.need.cpu * s.tasks) / milli;
+        const int each = s.most_per_host == 0 ? s.tasks : s.most_per_host;
+        to.least_hosts = std::max(to.least_hosts, (s.tasks + each - 1) / each);
+    }
+}
+
+} // namespace
+
+std::map<std::string, pool_need> pool_needs(const fleet& f, const demand& d, core::mono_time now)
+{
+    std::map<std::string, pool_need> out;
+    std::map<std::string, double> work;
+    for (const auto& id : f.open_jobs)
+    {
+        const auto& j = *f.jobs.at(id);
+        if (!workflow::is_final(j.state))
+        {
+            add_lasting(j, out[j.spec.pool]);
+            work[j.spec.pool] += workflow::is_scheduled(j.spec) ? 0 : open_work(f, j);
+        }
+    }
+    for (const auto& [name, p] : d.pools)
+    {
+        auto& need = out[name];
+        double batch =
+            std::max(p.fast, work[name] * milli / static_cast<double>(d.settings.horizon.count()));
+        const auto next = next_busy(d, name);
+        if (next && now + d.settings.lead > *next && now < *next + d.settings.lead)
+        {
+            // Its own latest peak; the first time, what others needed tells nothing better.
+            need.expected = p.peak > batch;
+            batch = std::max(batch, p.peak);
+        }
+        need.cores = need.lasting_cores + batch * d.settings.margin;
+    }
+    return out;
+}
+
+} // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -152,10 +152,14 @@
     {
         h.listed = false;
     }
-    std::map<std::string, std::string> lives; // by address
+    std::erase_if(
+        f.ended, [&](const auto& it) { return now - it.second > f.settings.ended_memory; });
     for (const auto& it : all)
     {
-        lives[it.ref.address] = it.ref.id;
+        if (f.ended.contains(it.ref.id))
+        {
+            continue;
+        }
         auto [place, added] = f.hosts.try_emplace(it.ref.id);
         auto& h = place->second;
         if (added)
@@ -179,8 +183,13 @@
     }
 }
 
-void end_host(fleet& f, const std::string& id, const std::string& proof, task_events& out)
+void end_host(fleet& f,
+    const std::string& id,
+    const std::string& proof,
+    core::mono_time now,
+    task_events& out)
 {
+    f.ended[id] = now;
     auto* const h = find_host(f, id);
     if (h == nullptr)
     {
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -82,9 +82,10 @@
 /// Credit ends at this many times the objective.
 constexpr std::int64_t lost_after_objectives = 3;
 
-void add_waiting_steps(job_entry& j, std::int64_t unix_ms, std::vector<waiting_step>& out)
+void add_waiting_steps(
+    const learnt& l, job_entry& j, std::int64_t unix_ms, std::vector<waiting_step>& out)
 {
-    const auto chain = static_cast<double>(workflow::longest_chain(j.spec.steps).count());
+    const auto chain = static_cast<double>(expected_chain(l, j.spec.steps).count());
     const auto objective = static_cast<std::int64_t>(chain * j.spec.stretch) + j.spec.slack.count();
     for (int k = 0; k < workflow::occurrences_of(j.spec); ++k)
     {
@@ -114,7 +115,7 @@
         auto& j = *f.jobs.at(id);
         if (!workflow::is_final(j.state) && (examined || !j.inherited))
         {
-            add_waiting_steps(j, unix_ms, out);
+            add_waiting_steps(f.learnt, j, unix_ms, out);
         }
     }
     std::sort(out.begin(), out.end(), order_of_service);
--- /dev/null
+++ b/libs/coordinator/src/rebalance.cpp
@@ -0,0 +1,286 @@
+#include "coordinator/rebalance.hpp"
+
+#include "bookkeeping.hpp"
+#include "coordinator/intake.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+constexpr double milli = 1000.0;
+/// Hosts are alike on most platforms; the room of one where none is known.
+constexpr double usual_host_cores = 32.0;
+
+/// One pool's hosts against its need.
+struct balance
+{
+    std::string name;
+    bool standby = false;
+    int have = 0; ///< up, or on their way here
+    int wanted = 0;
+    std::vector<const ports::machine_entry*> free; ///< up, and neither held nor moving
+};
+
+double host_cores(const fleet& f, const std::string& pool)
+{
+    for (const auto& [id, h] : f.hosts)
+    {
+        if (h.pool == pool && h.capacity.cpu > 0)
+        {
+            return static_cast<double>(h.capacity.cpu) / milli;
+        }
+    }
+    return usual_host_cores;
+}
+
+std::map<std::string, balance> take_stock(const fleet& f,
+    const rebalancer& r,
+    const demand& d,
+    const machine_table& list,
+    const std::vector<pool_info>& pools,
+    const std::set<std::string>& held,
+    core::mono_time now)
+{
+    std::map<std::string, balance> out;
+    const auto needs = pool_needs(f, d, now);
+    for (const auto& it : pools)
+    {
+        auto& b = out[it.name];
+        b.name = it.name;
+        b.standby = it.standby;
+        const auto need = needs.find(it.name);
+        if (need != needs.end() && !it.standby)
+        {
+            const auto hosts =
+                static_cast<int>(std::ceil(need->second.cores / host_cores(f, it.name)));
+            b.wanted = std::max(hosts, need->second.least_hosts);
+        }
+        b.wanted += it.standby ? 0 : r.settings.spare_hosts;
+    }
+    for (const auto& [id, m] : list.machines)
+    {
+        const auto move = r.moves.find(id);
+        const auto& pool = move == r.moves.end() ? m.pool : move->second.to;
+        const auto b = out.find(pool);
+        if (b == out.end())
+        {
+            continue;
+        }
+        const bool up = m.state == ports::machine_state::up;
+        b->second.have += up || move != r.moves.end() ? 1 : 0;
+        if (up && move == r.moves.end() && !held.contains(id))
+        {
+            b->second.free.push_back(&m);
+        }
+    }
+    return out;
+}
+
+/// What it costs to take this host: the lower the better.
+std::tuple<bool, int, std::int64_t> cost_of(fleet& f, const ports::machine_entry& m)
+{
+    const auto* const h = find_host(f, m.runner);
+    if (h == nullptr)
+    {
+        return {false, 0, 0};
+    }
+    int lasting = 0;
+    for (const auto& [text, name] : h->runs)
+    {
+        const auto* const j = find_job(f, name.job);
+        lasting += j->spec.steps[static_cast<std::size_t>(name.step)].long_running ? 1 : 0;
+    }
+    return {h->prior || h->strays > 0, lasting, h->used.cpu};
+}
+
+/// Takes the cheapest host of a pool for a move.
+void choose(fleet& f,
+    rebalancer& r,
+    balance& from,
+    const std::string& to,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto best = std::min_element(from.free.begin(),
+        from.free.end(),
+        [&](const auto* a, const auto* b) { return cost_of(f, *a) < cost_of(f, *b); });
+    const auto& m = **best;
+    r.moves[m.id] = {to, m.runner, false, now};
+    out.push_back({"move_chosen",
+        "",
+        0,
+        m.runner,
+        "machine=" + m.id + " from=" + from.name + " have=" + std::to_string(from.have) +
+            " wanted=" + std::to_string(from.wanted) + " to=" + to});
+    if (auto* const h = find_host(f, m.runner))
+    {
+        h->use = host_use::closed_for_move;
+        h->closed_at = now;
+    }
+    --from.have;
+    from.free.erase(best);
+}
+
+/// \return whether a host may be taken cheaply: no long-running task has to leave for it.
+bool has_cheap_host(fleet& f, const balance& b)
+{
+    return std::any_of(b.free.begin(),
+        b.free.end(),
+        [&](const auto* m) { return cost_of(f, *m) < std::tuple(false, 1, std::int64_t{0}); });
+}
+
+/// \return the pool to take a host from, or nullptr.
+balance* best_donor(fleet& f, std::map<std::string, balance>& all, const std::string& to)
+{
+    balance* best = nullptr;
+    for (auto& [name, b] : all)
+    {
+        if (name == to || b.have <= b.wanted || b.free.empty() || !has_cheap_host(f, b))
+        {
+            continue;
+        }
+        const auto surplus = [](const balance& it)
+        {
+            return it.have - it.wanted;
+        };
+        const bool better = best == nullptr || (b.standby && !best->standby) ||
+                            (b.standby == best->standby && surplus(b) > surplus(*best));
+        best = better ? &b : best;
+    }
+    return best;
+}
+
+void feed_short_pools(fleet& f,
+    rebalancer& r,
+    std::map<std::string, balance>& all,
+    core::mono_time now,
+    task_events& out)
+{
+    for (auto& [name, b] : all)
+    {
+        while (!b.standby && b.have < b.wanted)
+        {
+            auto* const donor = best_donor(f, all, name);
+            if (donor == nullptr)
+            {
+                return;
+            }
+            choose(f, r, *donor, name, now, out);
+            ++b.have;
+        }
+    }
+}
+
+void rest_surplus(fleet& f,
+    rebalancer& r,
+    std::map<std::string, balance>& all,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto standby =
+        std::find_if(all.begin(), all.end(), [](const auto& it) { return it.second.standby; });
+    if (standby == all.end())
+    {
+        return;
+    }
+    for (auto& [name, b] : all)
+    {
+        if (b.standby || b.have <= b.wanted)
+        {
+            r.surplus_since.erase(name);
+            continue;
+        }
+        const auto since = r.surplus_since.try_emplace(name, now).first->second;
+        while (now - since >= r.settings.rest && b.have > b.wanted && has_cheap_host(f, b))
+        {
+            choose(f, r, b, standby->first, now, out);
+        }
+    }
+}
+
+} // namespace
+
+std::vector<move_action> plan_moves(fleet& f,
+    rebalancer& r,
+    const demand& d,
+    const machine_table& list,
+    const std::vector<pool_info>& pools,
+    const std::set<std::string>& held,
+    core::mono_time now,
+    task_events& out)
+{
+    std::vector<move_action> ready;
+    if (!list.known || has_unexamined_hosts(f))
+    {
+        return ready;
+    }
+    auto all = take_stock(f, r, d, list, pools, held, now);
+    feed_short_pools(f, r, all, now, out);
+    rest_surplus(f, r, all, now, out);
+    for (auto& [machine, move] : r.moves)
+    {
+        const auto* const h = find_host(f, move.runner);
+        const bool empty = h == nullptr || (h->runs.empty() && h->strays == 0);
+        if (!move.ordered && empty && static_cast<int>(ready.size()) < r.settings.most_moves)
+        {
+            move.ordered = true;
+            move.ordered_at = now;
+            ready.push_back({machine, move.to});
+        }
+    }
+    return ready;
+}
+
+void move_answered(fleet& f,
+    rebalancer& r,
+    const std::string& machine,
+    ports::machine_verdict verdict,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto it = r.moves.find(machine);
+    if (it == r.moves.end())
+    {
+        return;
+    }
+    if (verdict == ports::machine_verdict::done)
+    {
+        end_host(f, it->second.runner, "its machine moves to " + it->second.to, now, out);
+        return;
+    }
+    if (verdict == ports::machine_verdict::unknown)
+    {
+        it->second.ordered = false; // ordered again; a repeat does no harm
+        return;
+    }
+    if (auto* const h = find_host(f, it->second.runner))
+    {
+        h->use = host_use::open;
+    }
+    r.moves.erase(it);
+}
+
+void see_moves(rebalancer& r, const machine_table& list, core::millis list_lag)
+{
+    std::erase_if(r.moves,
+        [&](const auto& it)
+        {
+            const auto& move = it.second;
+            const auto m = list.machines.find(it.first);
+            if (m == list.machines.end())
+            {
+                return true; // it has left
+            }
+            const bool there = m->second.state == ports::machine_state::up &&
+                               m->second.pool == move.to && m->second.runner != move.runner;
+            return there && move.ordered && list.read_at > move.ordered_at + list_lag;
+        });
+}
+
+} // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -55,7 +55,8 @@
     for (const auto& id : w.machines)
     {
         const auto* const m = find_machine(list, id);
-        const bool open = m != nullptr && !w.begun.contains(id) && !w.asked.contains(id);
+        const bool open = m != nullptr && !w.begun.contains(id) && !w.asked.contains(id) &&
+                          !list.moving.contains(id);
         if (!open || m->state != ports::machine_state::up)
         {
             continue;
@@ -115,6 +116,22 @@
     return now_completed;
 }
 
+std::set<std::string> held_machines(const fleet& f, const wave& w, const machine_table& list)
+{
+    std::set<std::string> out;
+    for (const auto& id : w.machines)
+    {
+        const auto* const m = find_machine(list, id);
+        const auto h = m == nullptr ? f.hosts.end() : f.hosts.find(m->runner);
+        const bool closed = h != f.hosts.end() && h->second.use == host_use::closed_for_maintenance;
+        if (closed || w.asked.contains(id) || w.down_at.contains(id))
+        {
+            out.insert(id);
+        }
+    }
+    return out;
+}
+
 std::vector<std::string> plan_wave(fleet& f,
     wave& w,
     const machine_table& list,
@@ -172,7 +189,7 @@
     w.down_at[machine] = now;
     if (const auto* const m = find_machine(list, machine))
     {
-        end_host(f, m->runner, "its machine's maintenance began", out);
+        end_host(f, m->runner, "its machine's maintenance began", now, out);
     }
 }
 
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -54,6 +54,9 @@
     /// The waves that the operators asked for, all of them.
     void set_waves(std::vector<wave_request> all);
 
+    /// The pools of the configuration in force.
+    void set_pools(std::vector<pool_settings> all);
+
     bool is_running() const;
 
 private:
@@ -62,6 +65,7 @@
     driver_settings settings_;
     leadership& lead_;
     std::vector<wave_request> waves_;
+    std::vector<pool_settings> pools_;
     std::unique_ptr<driver_parts> parts_;
 };
 
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -6,6 +6,7 @@
 #include "hosted/entry_desk.hpp"
 #include "hosted/keys.hpp"
 #include "job_reader.hpp"
+#include "machine_desk.hpp"
 #include "progress_writer.hpp"
 #include "runner_desk.hpp"
 #include "term.hpp"
@@ -23,6 +24,7 @@
     std::unique_ptr<host_reader> hosts;
     std::unique_ptr<runner_desk> desk;
     std::unique_ptr<progress_writer> writer;
+    std::unique_ptr<machine_desk> machines;
     std::unique_ptr<wave_runner> waves;
     bool plan_is_due = false;
     bool jobs_are_in = false;
@@ -57,6 +59,7 @@
     coordinator::lapse_hosts(t.fleet, begun, out);
     coordinator::empty_draining_hosts(t.fleet, begun, out);
     waves->plan();
+    machines->plan(waves->held());
     const auto unix_ms = core::to_unix_ms(t.ctx.time.wall_now());
     const auto orders = coordinator::make_plan(t.fleet, begun, unix_ms, true, out);
     t.log(out);
@@ -137,7 +140,12 @@
     p.hosts = std::make_unique<host_reader>(t);
     p.desk = std::make_unique<runner_desk>(t);
     p.writer = std::make_unique<progress_writer>(t);
-    p.waves = std::make_unique<wave_runner>(t);
+    p.machines = std::make_unique<machine_desk>(t);
+    p.waves = std::make_unique<wave_runner>(t, p.machines->table());
+    t.on_job = [&p](const workflow::job& j)
+    {
+        p.machines->note_job(j);
+    };
     p.jobs->start(
         [&p]
         {
@@ -156,7 +164,8 @@
                 "runners_read",
                 {{"prior", std::to_string(p.common->fleet.hosts.size())}});
         });
-    p.waves->start();
+    p.machines->set_pools(pools_);
+    p.machines->start([&p] { p.waves->see_machines(); }, [&p] { return p.waves->has_open_wave(); });
     p.waves->set_waves(waves_);
     p.tick();
     p.store_pending();
@@ -176,6 +185,15 @@
     }
 }
 
+void fleet_driver::set_pools(std::vector<pool_settings> all)
+{
+    pools_ = std::move(all);
+    if (parts_ != nullptr)
+    {
+        parts_->machines->set_pools(pools_);
+    }
+}
+
 bool fleet_driver::is_running() const
 {
     return parts_ != nullptr;
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -136,6 +136,10 @@
         "",
         "queue=" + spec.queue + " revision=" + std::to_string(it.created) +
             " stored=" + std::to_string(stored)});
+    if (it.created > term_.token)
+    {
+        term_.on_job(spec);
+    }
     coordinator::add_job(term_.fleet, std::move(spec), it.created, progress, stored);
 }
 
--- /dev/null
+++ b/libs/hosted/src/machine_desk.cpp
@@ -0,0 +1,119 @@
+#include "machine_desk.hpp"
+
+#include <utility>
+
+namespace camphorhitch::hosted
+{
+
+machine_desk::machine_desk(term& t) : term_(t)
+{
+}
+
+void machine_desk::start(std::function<void()> on_list, std::function<bool()> is_pressing)
+{
+    on_list_ = std::move(on_list);
+    is_pressing_ = std::move(is_pressing);
+    read();
+}
+
+void machine_desk::set_pools(const std::vector<pool_settings>& pools)
+{
+    pools_.clear();
+    for (const auto& it : pools)
+    {
+        pools_.push_back({it.name, it.standby});
+    }
+}
+
+void machine_desk::note_job(const workflow::job& j)
+{
+    double work = 0;
+    for (const auto& s : j.steps)
+    {
+        if (!s.long_running)
+        {
+            constexpr double milli = 1000.0;
+            work += static_cast<double>(s.need.cpu * s.tasks) / milli *
+                    static_cast<double>(coordinator::expected_time(term_.fleet.learnt, s).count()) /
+                    milli;
+        }
+    }
+    coordinator::note_arrival(demand_, j.pool, work, term_.now());
+}
+
+void machine_desk::read()
+{
+    const auto asked = term_.now();
+    term_.ctx.machines.list(
+        term_.guarded([this, asked](const ports::machine_list& list) { take(asked, list); }));
+}
+
+void machine_desk::take(core::mono_time asked, const ports::machine_list& list)
+{
+    if (list.known)
+    {
+        table_.known = true;
+        table_.read_at = asked;
+        table_.machines.clear();
+        for (const auto& it : list.machines)
+        {
+            table_.machines[it.id] = it;
+        }
+        coordinator::see_moves(moves_, table_, term_.settings.waves.list_lag);
+        on_list_();
+        term_.wake();
+    }
+    const bool often = is_pressing_() || !moves_.moves.empty();
+    term_.ctx.time.after(often ? term_.settings.machines_every : term_.settings.machines_idle,
+        term_.guarded([this] { read(); }));
+}
+
+void machine_desk::plan(const std::set<std::string>& held)
+{
+    coordinator::task_events out;
+    coordinator::update_demand(demand_, term_.now());
+    const auto orders = coordinator::plan_moves(
+        term_.fleet, moves_, demand_, table_, pools_, held, term_.now(), out);
+    table_.moving.clear();
+    for (const auto& [machine, move] : moves_.moves)
+    {
+        table_.moving.insert(machine);
+    }
+    term_.log(out);
+    for (const auto& it : orders)
+    {
+        order(it);
+    }
+}
+
+void machine_desk::order(const coordinator::move_action& a)
+{
+    if (!term_.lead->holds())
+    {
+        return;
+    }
+    term_.ctx.machines.move(a.machine,
+        a.pool,
+        term_.token,
+        term_.guarded(
+            [this, a](ports::machine_verdict verdict)
+            {
+                term_.log(ports::log_level::info,
+                    "move_ordered",
+                    {{"machine", a.machine},
+                        {"to", a.pool},
+                        {"answer",
+                            std::string{core::name_of(ports::machine_verdict_names, verdict)}}});
+                coordinator::task_events out;
+                coordinator::move_answered(
+                    term_.fleet, moves_, a.machine, verdict, term_.now(), out);
+                term_.log(out);
+                if (verdict == ports::machine_verdict::fenced)
+                {
+                    term_.fenced_by("the machines' service");
+                }
+                term_.wake();
+            }));
+}
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/src/machine_desk.hpp
@@ -0,0 +1,47 @@
+/// \file
+/// Keeps up with the platform's list of machines, and orders the moves between pools.
+#pragma once
+
+#include "coordinator/rebalance.hpp"
+#include "term.hpp"
+
+namespace camphorhitch::hosted
+{
+
+class machine_desk
+{
+public:
+    explicit machine_desk(term& t);
+
+    /// \param on_list called after each reading
+    /// \param is_pressing whether the list is wanted often
+    void start(std::function<void()> on_list, std::function<bool()> is_pressing);
+
+    void set_pools(const std::vector<pool_settings>& pools);
+
+    /// A job came in.
+    void note_job(const workflow::job& j);
+
+    /// Decides and orders moves. \p held: machines that a wave has closed or taken.
+    void plan(const std::set<std::string>& held);
+
+    coordinator::machine_table& table()
+    {
+        return table_;
+    }
+
+private:
+    void read();
+    void take(core::mono_time asked, const ports::machine_list& list);
+    void order(const coordinator::move_action& a);
+
+    term& term_;
+    coordinator::machine_table table_;
+    coordinator::rebalancer moves_;
+    coordinator::demand demand_;
+    std::vector<coordinator::pool_info> pools_;
+    std::function<void()> on_list_;
+    std::function<bool()> is_pressing_;
+};
+
+} // namespace camphorhitch::hosted
--- a/libs/hosted/src/term.hpp
+++ b/libs/hosted/src/term.hpp
@@ -26,9 +26,9 @@
     ports::revision token = 0;
     coordinator::fleet fleet;
     line_budget lines;
-    std::function<void()> wake;                              ///< plan soon
-    std::function<void()> store_soon;                        ///< progress has changed
-    std::function<void(const std::string& host)> order_poll; ///< look at this host soon
+    std::function<void()> wake;                       ///< plan soon
+    std::function<void()> store_soon;                 ///< progress has changed
+    std::function<void(const workflow::job&)> on_job; ///< a job of this term came in
 
     core::mono_time now() const
     {
--- a/libs/hosted/src/wave_runner.cpp
+++ b/libs/hosted/src/wave_runner.cpp
@@ -41,53 +41,37 @@
 
 } // namespace
 
-wave_runner::wave_runner(term& t) : term_(t)
+wave_runner::wave_runner(term& t, const coordinator::machine_table& machines)
+    : term_(t), machines_(machines)
 {
 }
 
-void wave_runner::start()
-{
-    read_machines();
-}
-
 bool wave_runner::has_open_wave() const
 {
     return std::any_of(
         waves_.begin(), waves_.end(), [](const auto& it) { return !it.second.wave.completed; });
 }
 
-void wave_runner::read_machines()
+std::set<std::string> wave_runner::held() const
 {
-    const auto asked = term_.now();
-    term_.ctx.machines.list(term_.guarded(
-        [this, asked](const ports::machine_list& list) { take_machines(asked, list); }));
+    std::set<std::string> out;
+    for (const auto& [number, it] : waves_)
+    {
+        out.merge(coordinator::held_machines(term_.fleet, it.wave, machines_));
+    }
+    return out;
 }
 
-void wave_runner::take_machines(core::mono_time asked, const ports::machine_list& list)
+void wave_runner::see_machines()
 {
-    if (list.known)
+    for (auto& [number, it] : waves_)
     {
-        machines_.known = true;
-        machines_.read_at = asked;
-        machines_.machines.clear();
-        for (const auto& it : list.machines)
-        {
-            machines_.machines[it.id] = it;
-        }
-        for (auto& [number, it] : waves_)
+        if (it.loaded && coordinator::see_machines(it.wave, machines_, term_.settings.waves))
         {
-            if (it.loaded && coordinator::see_machines(it.wave, machines_, term_.settings.waves))
-            {
-                term_.log(
-                    ports::log_level::info, "wave_completed", {{"wave", std::to_string(number)}});
-                store(number);
-            }
+            term_.log(ports::log_level::info, "wave_completed", {{"wave", std::to_string(number)}});
+            store(number);
         }
-        term_.wake();
     }
-    const auto wait =
-        has_open_wave() ? term_.settings.machines_every : term_.settings.machines_idle;
-    term_.ctx.time.after(wait, term_.guarded([this] { read_machines(); }));
 }
 
 void wave_runner::set_waves(const std::vector<wave_request>& all)
--- a/libs/hosted/src/wave_runner.hpp
+++ b/libs/hosted/src/wave_runner.hpp
@@ -14,9 +14,16 @@
 class wave_runner
 {
 public:
-    explicit wave_runner(term& t);
+    /// \param machines must outlive it
+    wave_runner(term& t, const coordinator::machine_table& machines);
 
-    void start();
+    /// The list of machines was read anew.
+    void see_machines();
+
+    bool has_open_wave() const;
+
+    /// \return machines that open waves have closed or taken.
+    std::set<std::string> held() const;
 
     /// The operators' waves; those that are known already go on.
     void set_waves(const std::vector<wave_request>& all);
@@ -38,9 +45,6 @@
         std::size_t recorded = 0; ///< begun machines in the record
     };
 
-    void read_machines();
-    void take_machines(core::mono_time asked, const ports::machine_list& list);
-    bool has_open_wave() const;
     void load(std::int64_t number);
     void load_status(std::int64_t number);
     void maintain(std::int64_t number, const std::string& machine);
@@ -53,7 +57,7 @@
         const ports::commit_result& result);
 
     term& term_;
-    coordinator::machine_table machines_;
+    const coordinator::machine_table& machines_;
     std::map<std::int64_t, entry> waves_;
 };
 
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -239,6 +239,7 @@
             {"before", config ? std::to_string(config->version) : "none"},
             {"revision", std::to_string(it.modified)},
             {"queues", std::to_string(next.queues.size())}});
+    driver->set_pools(next.pools);
     config = std::move(next);
 }
 
