A successor keeps the pattern of demand and proves old runners' ends by their machines

Cause: after each fail-over the owner waited 5 s for the leases of runners that had ended with their machines' moves, and had lost the pattern of busy times. Change: the record of runners names their machines and drops ended ones at once; stored jobs rebuild the rates; leases 2.5 s and 1.2 s (were 3.5 and 1.5); an expected busy time also in the first round.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -96,6 +96,7 @@
     std::string pool;
     std::string zone;
     std::string rack;
+    std::string machine; ///< as the list of machines showed it; empty: not yet
     std::vector<std::string> labels;
     workflow::resources capacity;
     bool listed = false;   ///< in the newest list of runners
@@ -135,9 +136,9 @@
 {
     /// Longest lease granted to a runner. Long enough to bridge a take-over (lease of the leader,
     /// election, first poll), short enough that work on a silent host restarts soon.
-    core::millis runner_lease{3500};
+    core::millis runner_lease{2500};
     /// Lease of the leader itself: how long a former owner may have gone on granting leases.
-    core::millis leader_lease{1500};
+    core::millis leader_lease{1200};
     /// Share by which a runner's clock may be slow.
     double clock_drift = 0.02;
     /// Beyond a lease's computed end, for delays that neither clock shows.
@@ -195,6 +196,7 @@
 struct prior_host
 {
     ports::runner_ref ref;
+    std::string machine; ///< whose life it is; empty: not known
 };
 
 } // namespace camphorhitch::coordinator
--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -19,6 +19,10 @@
     bool known = false;
 };
 
+/// Notes which machine each runner is a life of, and ends the runners whose machine has another
+/// one by now: a machine has one life at a time, so nothing of the old one still runs.
+void match_machines(fleet& f, const machine_table& list, core::mono_time now, task_events& out);
+
 struct wave
 {
     std::int64_t number = 0;
--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -26,10 +26,10 @@
 
 void let_decay(const demand_settings& s, pool_arrivals& p, core::mono_time now)
 {
-    const auto passed = now - p.updated;
+    const auto passed = std::max(now - p.updated, core::micros{0}); // clocks of hosts differ
     p.fast *= decay(passed, s.rate_memory);
     p.slow *= decay(passed, s.long_memory);
-    p.updated = now;
+    p.updated = std::max(p.updated, now);
 }
 
 void judge_busy(demand& d, const std::string& name, pool_arrivals& p, core::mono_time now)
@@ -56,7 +56,7 @@
 /// \return the usual distance between the busy times of two pools that follow each other.
 std::optional<core::micros> usual_gap(const std::deque<busy_begin>& h)
 {
-    if (h.size() < 3)
+    if (h.size() < 2)
     {
         return std::nullopt;
     }
@@ -76,6 +76,40 @@
     return median;
 }
 
+bool was_busy(const demand& d, const std::string& pool)
+{
+    return std::any_of(
+        d.history.begin(), d.history.end(), [&](const busy_begin& it) { return it.pool == pool; });
+}
+
+/// Before the newest pool was ever followed by another, pools are taken to come round in turn.
+/// \return whether \p pool is the only one that was not busy yet or, when all were, the one whose
+/// busy time is the longest ago.
+bool comes_round(const demand& d, const std::string& pool)
+{
+    std::size_t never = 0;
+    for (const auto& [name, p] : d.pools)
+    {
+        never += was_busy(d, name) ? 0 : 1;
+    }
+    if (never > 0)
+    {
+        return never == 1 && !was_busy(d, pool);
+    }
+    return d.history.front().pool == pool && d.history.back().pool != pool;
+}
+
+/// \return the highest peak of any pool: what a pool is expected to ask that was not busy yet.
+double highest_peak(const demand& d)
+{
+    double most = 0;
+    for (const auto& [name, p] : d.pools)
+    {
+        most = std::max(most, p.peak);
+    }
+    return most;
+}
+
 } // namespace
 
 void note_arrival(demand& d, const std::string& pool, double core_seconds, core::mono_time now)
@@ -113,12 +147,12 @@
     const auto& newest = h.back();
     for (std::size_t i = 0; i + 1 < h.size(); ++i)
     {
-        if (h[i].pool == newest.pool && h[i + 1].pool == pool)
+        if (h[i].pool == newest.pool)
         {
-            return newest.at + *gap;
+            return h[i + 1].pool == pool ? std::optional(newest.at + *gap) : std::nullopt;
         }
     }
-    return std::nullopt;
+    return comes_round(d, pool) ? std::optional(newest.at + *gap) : std::nullopt;
 }
 
 double open_work(const fleet& f, const job_entry& j)
@@ -177,9 +211,9 @@
         const auto next = next_busy(d, name);
         if (next && now + d.settings.lead > *next && now < *next + d.settings.lead)
         {
-            // Its own latest peak; the first time, what others needed tells nothing better.
-            need.expected = p.peak > batch;
-            batch = std::max(batch, p.peak);
+            const double peak = p.peak > least_busy_cores ? p.peak : highest_peak(d);
+            need.expected = peak > batch;
+            batch = std::max(batch, peak);
         }
         need.cores = need.lasting_cores + batch * d.settings.margin;
     }
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -137,6 +137,7 @@
     {
         auto& h = f.hosts[it.ref.id];
         h.ref = it.ref;
+        h.machine = it.machine;
         h.prior = true;
         h.added_at = now;
         // The former owner granted its last lease before its own ended, which may be as late as
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -98,6 +98,30 @@
 
 } // namespace
 
+void match_machines(fleet& f, const machine_table& list, core::mono_time now, task_events& out)
+{
+    for (const auto& [id, m] : list.machines)
+    {
+        if (auto* const h = find_host(f, m.runner))
+        {
+            h->machine = id;
+        }
+    }
+    std::vector<std::string> over;
+    for (const auto& [id, h] : f.hosts)
+    {
+        const auto* const m = h.machine.empty() ? nullptr : find_machine(list, h.machine);
+        if (m != nullptr && !m->runner.empty() && m->runner != id)
+        {
+            over.push_back(id);
+        }
+    }
+    for (const auto& id : over)
+    {
+        end_host(f, id, "its machine has another runner", now, out);
+    }
+}
+
 bool see_machines(wave& w, const machine_table& list, const wave_settings& s)
 {
     std::erase_if(w.down_at,
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -23,7 +23,7 @@
     core::millis plan_delay{4};       ///< gathers what arrives together into one plan
     core::millis plan_every{100};     ///< also without a cause: leases lapse, stops repeat
     core::millis job_pause{12};       ///< between two watches of new jobs
-    core::millis poll_wait{1000};     ///< longest wait of a poll for an end
+    core::millis poll_wait{700};      ///< longest wait of a poll for an end
     core::millis poll_gap{30};        ///< after ends came: gathers the next ones
     core::millis poll_retry{150};     ///< after a poll that failed
     core::millis hosts_every{450};    ///< reads of the list of runners
--- a/libs/hosted/include/hosted/leadership.hpp
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -20,8 +20,8 @@
 struct leadership_settings
 {
     /// A dead coordinator is replaced after at most this long.
-    core::millis lease{1500};
-    core::millis renew_every{450};
+    core::millis lease{1200};
+    core::millis renew_every{350};
     /// The node stops acting this long before its lease can have ended at the store.
     core::millis margin{150};
     /// Candidates try after a pause of up to this long, so that they do not all call at once.
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -142,9 +142,9 @@
     p.writer = std::make_unique<progress_writer>(t);
     p.machines = std::make_unique<machine_desk>(t);
     p.waves = std::make_unique<wave_runner>(t, p.machines->table());
-    t.on_job = [&p](const workflow::job& j)
+    t.on_job = [&p](const workflow::job& j, core::mono_time at)
     {
-        p.machines->note_job(j);
+        p.machines->note_job(j, at);
     };
     p.jobs->start(
         [&p]
--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -11,23 +11,29 @@
 
 using ports::kv_status;
 
-std::string write_runners(const std::map<std::string, std::string>& addresses)
+std::string write_runners(const runner_records& all)
 {
-    return nlohmann::json(addresses).dump();
+    auto out = nlohmann::json::object();
+    for (const auto& [id, it] : all)
+    {
+        out[id] = {it.address, it.machine};
+    }
+    return out.dump();
 }
 
-std::map<std::string, std::string> read_runners(const std::string& text)
+runner_records read_runners(const std::string& text)
 {
     const auto from = nlohmann::json::parse(text, nullptr, false);
-    std::map<std::string, std::string> out;
-    if (from.is_object())
+    runner_records out;
+    if (!from.is_object())
     {
-        for (const auto& [id, address] : from.items())
+        return out;
+    }
+    for (const auto& [id, row] : from.items())
+    {
+        if (row.is_array() && row.size() == 2 && row[0].is_string() && row[1].is_string())
         {
-            if (address.is_string())
-            {
-                out[id] = address.get<std::string>();
-            }
+            out[id] = {row[0].get<std::string>(), row[1].get<std::string>()};
         }
     }
     return out;
@@ -62,9 +68,9 @@
         record_revision_ = read.item->modified;
         recorded_ = read_runners(read.item->value);
         std::vector<coordinator::prior_host> prior;
-        for (const auto& [id, address] : recorded_)
+        for (const auto& [id, it] : recorded_)
         {
-            prior.push_back({{id, address}});
+            prior.push_back({{id, it.address}, it.machine});
         }
         coordinator::add_prior_hosts(term_.fleet, prior, term_.now());
     }
@@ -130,17 +136,14 @@
 /// for its runs to end, and would start them a second time.
 void host_reader::record()
 {
-    std::map<std::string, std::string> wanted;
-    bool news = false;
+    runner_records wanted;
     for (auto& [id, h] : term_.fleet.hosts)
     {
-        wanted[id] = h.ref.address;
+        wanted[id] = {h.ref.address, h.machine};
         h.recorded = recorded_.contains(id);
-        news = news || !h.recorded;
     }
-    // Forgotten hosts leave the record with the next addition, or when they are many.
-    constexpr std::size_t most_leftovers = 16;
-    if (recording_ || (!news && recorded_.size() < wanted.size() + most_leftovers))
+    // Runners that have ended leave it soon: a successor would wait for their leases in vain.
+    if (recording_ || wanted == recorded_)
     {
         return;
     }
--- a/libs/hosted/src/host_reader.hpp
+++ b/libs/hosted/src/host_reader.hpp
@@ -9,11 +9,21 @@
 namespace camphorhitch::hosted
 {
 
-/// Runners in use, as a successor finds them: id and address.
-std::string write_runners(const std::map<std::string, std::string>& addresses);
+/// A runner in use, as a successor finds it.
+struct runner_record
+{
+    std::string address;
+    std::string machine; ///< empty: not known yet
+
+    friend bool operator==(const runner_record&, const runner_record&) = default;
+};
+
+using runner_records = std::map<std::string, runner_record>; ///< by runner id
+
+std::string write_runners(const runner_records& all);
 
 /// \return the runners of a record; empty when there is none or it is damaged.
-std::map<std::string, std::string> read_runners(const std::string& text);
+runner_records read_runners(const std::string& text);
 
 class host_reader
 {
@@ -35,7 +45,7 @@
     term& term_;
     std::function<void()> done_;
     std::vector<ports::stored_item> items_;
-    std::map<std::string, std::string> recorded_; ///< what is stored; address by id
+    runner_records recorded_; ///< what is stored
     ports::revision record_revision_ = 0;
     bool recording_ = false;
 };
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -4,6 +4,8 @@
 #include "hosted/keys.hpp"
 #include "workflow/records.hpp"
 
+#include <algorithm>
+
 namespace camphorhitch::hosted
 {
 
@@ -87,10 +89,27 @@
         take_item(it, out);
     }
     term_.log(out);
+    note_arrivals();
     term_.store_soon();
     term_.wake();
 }
 
+/// Also those before this term: the pattern of busy times is in them.
+void job_reader::note_arrivals()
+{
+    std::sort(arrivals_.begin(),
+        arrivals_.end(),
+        [](const auto& a, const auto& b) { return a.accepted_unix_ms < b.accepted_unix_ms; });
+    const auto now = term_.now();
+    const auto wall = core::to_unix_ms(term_.ctx.time.wall_now());
+    for (const auto& it : arrivals_)
+    {
+        const auto age = std::max<std::int64_t>(wall - it.accepted_unix_ms, 0);
+        term_.on_job(it, now - core::millis{age});
+    }
+    arrivals_.clear();
+}
+
 void job_reader::take_item(const ports::stored_item& it, coordinator::task_events& out)
 {
     auto id = it.key.substr(job_prefix.size());
@@ -136,10 +155,7 @@
         "",
         "queue=" + spec.queue + " revision=" + std::to_string(it.created) +
             " stored=" + std::to_string(stored)});
-    if (it.created > term_.token)
-    {
-        term_.on_job(spec);
-    }
+    arrivals_.push_back(spec);
     coordinator::add_job(term_.fleet, std::move(spec), it.created, progress, stored);
 }
 
--- a/libs/hosted/src/job_reader.hpp
+++ b/libs/hosted/src/job_reader.hpp
@@ -23,10 +23,12 @@
     void take_states(ports::page_read page);
     void follow();
     void take_items(const std::vector<ports::stored_item>& items);
+    void note_arrivals();
     void take_item(const ports::stored_item& it, coordinator::task_events& out);
 
     term& term_;
     std::map<std::string, ports::stored_item> states_; ///< by job, until the jobs are read
+    std::vector<workflow::job> arrivals_;              ///< taken in and not noted yet
     std::unique_ptr<prefix_follower> follower_;
     std::function<void()> done_;
 };
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -25,7 +25,7 @@
     }
 }
 
-void machine_desk::note_job(const workflow::job& j)
+void machine_desk::note_job(const workflow::job& j, core::mono_time at)
 {
     double work = 0;
     for (const auto& s : j.steps)
@@ -38,7 +38,7 @@
                     milli;
         }
     }
-    coordinator::note_arrival(demand_, j.pool, work, term_.now());
+    coordinator::note_arrival(demand_, j.pool, work, at);
 }
 
 void machine_desk::read()
@@ -59,6 +59,9 @@
         {
             table_.machines[it.id] = it;
         }
+        coordinator::task_events out;
+        coordinator::match_machines(term_.fleet, table_, term_.now(), out);
+        term_.log(out);
         coordinator::see_moves(moves_, table_, term_.settings.waves.list_lag);
         on_list_();
         term_.wake();
--- a/libs/hosted/src/machine_desk.hpp
+++ b/libs/hosted/src/machine_desk.hpp
@@ -19,8 +19,8 @@
 
     void set_pools(const std::vector<pool_settings>& pools);
 
-    /// A job came in.
-    void note_job(const workflow::job& j);
+    /// A job was accepted \p at; in the order of acceptance.
+    void note_job(const workflow::job& j, core::mono_time at);
 
     /// Decides and orders moves. \p held: machines that a wave has closed or taken.
     void plan(const std::set<std::string>& held);
--- a/libs/hosted/src/term.hpp
+++ b/libs/hosted/src/term.hpp
@@ -26,9 +26,10 @@
     ports::revision token = 0;
     coordinator::fleet fleet;
     line_budget lines;
-    std::function<void()> wake;                       ///< plan soon
-    std::function<void()> store_soon;                 ///< progress has changed
-    std::function<void(const workflow::job&)> on_job; ///< a job of this term came in
+    std::function<void()> wake;       ///< plan soon
+    std::function<void()> store_soon; ///< progress has changed
+    /// A job was accepted \p at, perhaps before this term.
+    std::function<void(const workflow::job&, core::mono_time at)> on_job;
 
     core::mono_time now() const
     {
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -32,9 +32,9 @@
 /// Bounds that the hosting platform sets.
 struct hosted_timing
 {
-    core::millis runner_lease{3500};         ///< granted to runners
+    core::millis runner_lease{2500};         ///< granted to runners
     core::millis longest_runner_lease{6000}; ///< that runners accept
-    core::millis leader_lease{1500};         ///< after which a silent coordinator is replaced
+    core::millis leader_lease{1200};         ///< after which a silent coordinator is replaced
     double stop_bound_s = 6;                 ///< from the signal to the end of the process, seconds
 };
 
