--- /dev/null
+++ b/libs/hosted/tests/cluster.hpp
@@ -0,0 +1,166 @@
+/// \file
+/// Nodes of the system on a hosting platform of virtual time.
+#pragma once
+
+#include "daemon_fakes/recorders.hpp"
+#include "hosted/entry_desk.hpp"
+#include "hosted/fleet_driver.hpp"
+#include "hosted/keys.hpp"
+#include "hosted/leadership.hpp"
+#include "hosted_fakes/hosts.hpp"
+#include "hosted_fakes/store.hpp"
+#include "workflow/records.hpp"
+
+#include <list>
+#include <memory>
+#include <string>
+
+namespace camphorhitch::hosted_tests
+{
+
+using namespace std::chrono_literals;
+
+/// One node: who may coordinate, and who answers callers.
+struct node
+{
+    daemon_fakes::process process;
+    daemon_fakes::log_recorder log;
+    hosted::formats formats;
+    hosted::context ctx;
+    std::unique_ptr<hosted::leadership> lead;
+    std::unique_ptr<hosted::fleet_driver> driver;
+    std::unique_ptr<hosted::entry_desk> desk;
+};
+
+struct cluster
+{
+    daemon_fakes::virtual_time time;
+    hosted_fakes::store store{time};
+    hosted_fakes::hosts hosts;
+    std::list<node> nodes; ///< dead ones too: answers to them are still under way
+    int last_node = 0;
+    std::function<void(node&)> plant; ///< changes a new node's ports: takes a safeguard out
+
+    explicit cluster(std::uint64_t seed = 1) : hosts(time, store, seed)
+    {
+    }
+
+    node& add_node()
+    {
+        auto& n = nodes.emplace_back();
+        n.formats = hosts.formats();
+        n.ctx.member = "n" + std::to_string(++last_node);
+        n.ctx.time = time.port(n.process);
+        n.ctx.store = store.port(n.process);
+        n.ctx.runners = hosts.runner_port(n.process);
+        n.ctx.machines = hosts.machine_port(n.process);
+        n.ctx.tel = n.log.port(time);
+        n.ctx.boot_now = [this]
+        {
+            return time.now();
+        };
+        if (plant)
+        {
+            plant(n);
+        }
+        hosted::leadership_events events;
+        events.on_gained = [&n](std::int64_t term, ports::revision token)
+        {
+            n.driver->begin(term, token);
+        };
+        events.on_lost = [&n](const std::string&)
+        {
+            n.driver->end();
+        };
+        n.lead = std::make_unique<hosted::leadership>(n.ctx, hosted::leadership_settings{}, events);
+        n.driver = std::make_unique<hosted::fleet_driver>(
+            n.ctx, n.formats, hosted::driver_settings{}, *n.lead);
+        n.desk = std::make_unique<hosted::entry_desk>(n.ctx, hosted::entry_settings{});
+        n.lead->start();
+        return n;
+    }
+
+    /// \return the node that coordinates, or nullptr.
+    node* leader()
+    {
+        for (auto& it : nodes)
+        {
+            if (!it.process.dead && !it.process.paused && it.lead->holds())
+            {
+                return &it;
+            }
+        }
+        return nullptr;
+    }
+
+    bool has_leader(core::millis bound = 5s)
+    {
+        return time.run_until([&] { return leader() != nullptr; }, bound);
+    }
+
+    workflow::job make_job(const std::string& id, int tasks, int steps = 1) const
+    {
+        workflow::job j;
+        j.id = id;
+        j.queue = "q";
+        j.pool = "p";
+        j.most_attempts = 3;
+        j.accepted_unix_ms = core::to_unix_ms(time.wall_now());
+        for (int i = 0; i < steps; ++i)
+        {
+            workflow::step s;
+            s.tasks = tasks;
+            s.need.cpu = 1000;
+            s.estimate = 400ms;
+            if (i > 0)
+            {
+                s.after = {i - 1};
+            }
+            j.steps.push_back(s);
+        }
+        return j;
+    }
+
+    /// Puts a job into the store as an entry host would.
+    void put_job(const workflow::job& j)
+    {
+        hosts.expect(j);
+        store.put(hosted::job_key(j.id), workflow::write_job(j));
+    }
+
+    /// \return the stored state; queued when none is stored.
+    workflow::job_state state_of(const std::string& id) const
+    {
+        const auto* const it = store.find(hosted::state_key(id));
+        return it == nullptr ? workflow::job_state::queued
+                             : core::value(workflow::read_progress_state(it->value));
+    }
+
+    bool ends(const std::string& id, workflow::job_state state, core::millis bound)
+    {
+        return time.run_until([&] { return state_of(id) == state; }, bound);
+    }
+
+    /// \return the runs of all runners.
+    std::size_t running() const
+    {
+        std::size_t n = 0;
+        for (const auto& [name, h] : hosts.machines)
+        {
+            n += h.runs.size();
+        }
+        return n;
+    }
+
+    std::string breaches() const
+    {
+        std::string out;
+        for (const auto& it : hosts.broken)
+        {
+            out += it + "\n";
+        }
+        return out;
+    }
+};
+
+} // namespace camphorhitch::hosted_tests
--- /dev/null
+++ b/libs/hosted/tests/take_over_tests.cpp
@@ -0,0 +1,238 @@
+#include "cluster.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::hosted_tests;
+using workflow::job_state;
+
+TEST_GROUP(take_over)
+{
+    cluster c;
+
+    void begin(int nodes, int hosts)
+    {
+        for (int i = 0; i < hosts; ++i)
+        {
+            c.hosts.add("p");
+        }
+        for (int i = 0; i < nodes; ++i)
+        {
+            c.add_node();
+        }
+        CHECK(c.has_leader());
+        c.time.run_for(1s);
+    }
+
+    workflow::job lasting_job(const std::string& id, int tasks)
+    {
+        auto j = c.make_job(id, tasks);
+        j.steps[0].long_running = true;
+        j.steps[0].may_be_away = 1;
+        return j;
+    }
+};
+
+TEST(take_over, a_job_of_two_steps_runs_in_order_and_completes)
+{
+    begin(3, 2);
+    c.put_job(c.make_job("a", 4, 2));
+    CHECK(c.ends("a", job_state::completed, 3s));
+    LONGS_EQUAL(8, c.hosts.starts);
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// The coordinator's process dies amid the work. Callers see their jobs complete all the same: the
+// successor finds what runs on the runners, and starts nothing that runs or has ended.
+TEST(take_over, a_successor_goes_on_without_running_anything_twice)
+{
+    begin(3, 2);
+    for (int i = 0; i < 5; ++i)
+    {
+        c.put_job(c.make_job("a" + std::to_string(i), 3, 2));
+    }
+    c.time.run_for(300ms);
+    c.leader()->process.dead = true;
+    for (int i = 0; i < 5; ++i)
+    {
+        CHECK(c.ends("a" + std::to_string(i), job_state::completed, 10s));
+    }
+    STRCMP_EQUAL("", c.breaches().c_str());
+    LONGS_EQUAL(30, c.hosts.starts);
+}
+
+// More jobs have stored progress than one page of a range holds. A successor that read the first
+// page again and again would never start anything: callers wait for ever.
+TEST(take_over, progress_on_several_pages_is_read_whole)
+{
+    c.store.page_size = 3;
+    begin(2, 2);
+    for (int i = 0; i < 8; ++i)
+    {
+        c.put_job(c.make_job("a" + std::to_string(i), 1));
+    }
+    for (int i = 0; i < 8; ++i)
+    {
+        CHECK(c.ends("a" + std::to_string(i), job_state::completed, 5s));
+    }
+    c.leader()->process.dead = true;
+    c.put_job(c.make_job("b", 2));
+    CHECK(c.ends("b", job_state::completed, 8s));
+    LONGS_EQUAL(10, c.hosts.starts);
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// The coordinator dies while a runner is cut off with a task that its lease still lets run. The
+// task may start elsewhere only once that lease has certainly ended; then it has to.
+TEST(take_over, a_task_on_a_silent_runner_starts_elsewhere_after_its_lease)
+{
+    begin(2, 2);
+    c.hosts.behaviour.run_time = 3s;
+    c.put_job(c.make_job("a", 2));
+    c.time.run_for(500ms);
+    c.hosts.cut("m1", 20s);
+    c.leader()->process.dead = true;
+    CHECK(c.ends("a", job_state::completed, 15s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+    LONGS_EQUAL(3, c.hosts.starts);
+}
+
+// A runner leaves for good while polls to it go on. Were each unanswered poll to grant a lease that
+// may have been taken, its leases would never end and its tasks never run again.
+TEST(take_over, a_task_of_a_runner_that_left_runs_again)
+{
+    begin(1, 2);
+    c.put_job(lasting_job("a", 2));
+    c.time.run_for(1s);
+    LONGS_EQUAL(2, c.running());
+    const auto before = c.hosts.starts;
+    c.hosts.crash("m1", 600s);
+    CHECK(c.time.run_until([&] { return c.hosts.starts > before; }, 6s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// The store takes the coordinator's key away and shows it on no request. The former owner must
+// notice by itself, and the two together must run nothing twice.
+TEST(take_over, a_revoked_key_hands_the_work_over)
+{
+    begin(3, 3);
+    for (int i = 0; i < 6; ++i)
+    {
+        c.put_job(c.make_job("a" + std::to_string(i), 3, 2));
+    }
+    c.time.run_for(200ms);
+    const auto old = c.leader()->lead->token();
+    c.store.revoke(hosted::leader_key);
+    const auto handed_over = [&]
+    {
+        return c.leader() != nullptr && c.leader()->lead->token() != old;
+    };
+    CHECK(c.time.run_until(handed_over, 5s));
+    for (int i = 0; i < 6; ++i)
+    {
+        CHECK(c.ends("a" + std::to_string(i), job_state::completed, 10s));
+    }
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// A paused coordinator wakes beside its successor with orders in mind. Runners refuse its token,
+// and it gives up by its own clock.
+TEST(take_over, a_woken_coordinator_does_no_harm)
+{
+    begin(2, 2);
+    c.put_job(c.make_job("a", 4, 3));
+    c.time.run_for(150ms);
+    auto* const old = c.leader();
+    old->process.paused = true;
+    CHECK(c.time.run_until([&] { return c.leader() != nullptr; }, 5s));
+    c.time.run_for(200ms);
+    c.time.resume(old->process);
+    CHECK(c.ends("a", job_state::completed, 8s));
+    CHECK(!old->lead->holds());
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// The answer to a write of progress is lost, though it took effect. The next write meets a newer
+// revision than it expects; it must go on from there and not take itself for fenced.
+TEST(take_over, a_lost_answer_of_the_store_loses_no_progress)
+{
+    begin(1, 2);
+    c.put_job(c.make_job("a", 4, 2));
+    c.store.answers_to_lose = 3;
+    CHECK(c.ends("a", job_state::completed, 10s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+    LONGS_EQUAL(8, c.hosts.starts);
+}
+
+// A start gets no answer and is carried out seconds later. The task must not run elsewhere before
+// the runner has promised to refuse that order.
+TEST(take_over, late_orders_run_nothing_twice)
+{
+    begin(1, 3);
+    c.hosts.orders_late = 0.3;
+    for (int i = 0; i < 10; ++i)
+    {
+        c.put_job(c.make_job("a" + std::to_string(i), 3));
+    }
+    for (int i = 0; i < 10; ++i)
+    {
+        CHECK(c.ends("a" + std::to_string(i), job_state::completed, 30s));
+    }
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// A task that always fails ends its job after its attempts, also when the coordinator dies between
+// the reading of a failed end and its acknowledgement: no end counts twice.
+TEST(take_over, attempts_are_counted_once_over_terms)
+{
+    begin(2, 2);
+    c.hosts.behaviour.fails = 1;
+    c.put_job(c.make_job("a", 1));
+    c.time.run_until([&] { return c.hosts.starts == 2; }, 5s);
+    c.leader()->process.dead = true;
+    CHECK(c.ends("a", job_state::failed, 10s));
+    LONGS_EQUAL(3, c.hosts.starts);
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// A wave comes to a host just after a take-over, before its runs were looked at. Taken down then,
+// it would end two tasks of one step that may only miss one.
+TEST(take_over, a_host_that_was_not_looked_at_is_not_maintained)
+{
+    begin(2, 1);
+    c.put_job(lasting_job("a", 2));
+    c.time.run_for(1s);
+    LONGS_EQUAL(2, c.running());
+    c.hosts.add("p");
+    c.time.run_for(1s);
+    for (auto& it : c.nodes)
+    {
+        it.driver->set_waves({{1, {"m1"}, 10s, 1}});
+    }
+    c.leader()->process.dead = true;
+    std::size_t least = 2;
+    c.time.run_until(
+        [&]
+        {
+            least = std::min(least, c.running());
+            return c.store.find("wave-status/1") != nullptr &&
+                   c.store.find("wave-status/1")->value == "completed";
+        },
+        15s);
+    LONGS_EQUAL(1, least); // one at a time
+    STRCMP_EQUAL("completed", c.store.find("wave-status/1")->value.c_str());
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// A cancel is stored while the coordinator is dead. The successor stops what runs of the job.
+TEST(take_over, a_cancel_reaches_what_runs)
+{
+    begin(2, 2);
+    c.put_job(lasting_job("a", 3));
+    c.time.run_for(1s);
+    LONGS_EQUAL(3, c.running());
+    c.leader()->process.dead = true;
+    c.store.put(hosted::cancel_key("a"), "1");
+    CHECK(c.time.run_until([&] { return c.running() == 0; }, 4s));
+    CHECK(c.ends("a", job_state::cancelled, 2s));
+}
--- /dev/null
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -0,0 +1,125 @@
+/// \file
+/// Hosts with runners, and the service that moves and maintains them. Checks what the runners do.
+#pragma once
+
+#include "daemon_fakes/virtual_time.hpp"
+#include "hosted/formats.hpp"
+#include "hosted_fakes/store.hpp"
+#include "ports/machines.hpp"
+#include "ports/runners.hpp"
+#include "workflow/model.hpp"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorhitch::hosted_fakes
+{
+
+/// How the tasks of a test behave.
+struct task_behaviour
+{
+    core::millis run_time{400};
+    double fails = 0; ///< share of runs that end failed
+};
+
+/// One run on a runner.
+struct fake_run
+{
+    std::int64_t number = 0;
+    core::mono_time began;
+    bool stopping = false;
+};
+
+/// One life of a runner on a machine.
+struct fake_host
+{
+    std::string machine;
+    std::string pool;
+    std::string runner;
+    std::string address;
+    workflow::resources capacity{8000, 65536, 0};
+    bool up = true;    ///< a process answers
+    bool dark = false; ///< cut off from all, and runs on
+    bool draining = false;
+    std::int64_t fence = 0;
+    std::int64_t lease_until_ms = 0;
+    std::map<std::string, fake_run> runs; ///< by task
+    std::map<std::string, std::int64_t>
+        refused_through; ///< by task: runs that never start any more
+    std::vector<ports::reported_end> ends;
+    std::int64_t last_end = 0;
+    /// Ends up to here were not acknowledged before the lease lapsed: who granted it may take the
+    /// runs for lost and start the tasks anew, so a later acknowledgement takes note of nothing.
+    std::int64_t void_through = 0;
+    std::vector<std::function<void()>> polls; ///< that wait for an end
+};
+
+class hosts
+{
+public:
+    hosts(daemon_fakes::virtual_time& time, store& kv, std::uint64_t seed);
+    hosts(const hosts&) = delete;
+    hosts& operator=(const hosts&) = delete;
+
+    /// Adds a machine with a running runner. \return its name.
+    std::string add(const std::string& pool);
+    /// The runner's process ends and another life begins \p down later.
+    void crash(const std::string& machine, core::millis down);
+    /// The runner is cut off from the system and the store, and runs on.
+    void cut(const std::string& machine, core::millis how_long);
+    void drain(const std::string& machine);
+
+    ports::runners runner_port(daemon_fakes::process& p);
+    ports::machines machine_port(daemon_fakes::process& p);
+
+    /// What the store's texts mean here.
+    hosted::formats formats() const;
+
+    /// Jobs that the checks know; call before their acceptance.
+    void expect(const workflow::job& j);
+
+    task_behaviour behaviour;
+    bool checks_fences = true; ///< false: takes orders of any owner
+    double orders_late =
+        0; ///< share of starts and stops without an answer, carried out seconds later
+    std::vector<std::string> broken; ///< promises, each with time and task
+    std::int64_t starts = 0;
+    std::set<std::string> done;                ///< tasks that ended done, and were taken note of
+    std::map<std::string, fake_host> machines; ///< by name
+
+private:
+    template <class Answer>
+    void call(daemon_fakes::process& p,
+        const ports::runner_ref& to,
+        bool may_be_late,
+        std::function<Answer(fake_host&)> serve,
+        std::function<void(Answer)> done);
+    ports::runner_answer start(fake_host& h, const ports::start_order& o);
+    ports::runner_answer stop(fake_host& h, const ports::stop_order& o);
+    ports::poll_answer poll(fake_host& h, const ports::poll_order& o);
+    ports::poll_answer look(const fake_host& h) const;
+    void grant(fake_host& h, std::int64_t until);
+    void watch_lease(const std::string& machine, const std::string& runner);
+    void finish(const std::string& machine, const std::string& task, std::int64_t run);
+    void end(fake_host& h, const std::string& task, ports::run_end how);
+    void begin_life(fake_host& h);
+    void publish(const fake_host& h);
+    void check_start(const fake_host& h, const ports::start_order& o);
+    void breach(const std::string& what);
+    std::int64_t clock() const;
+    fake_host* at(const ports::runner_ref& r);
+
+    daemon_fakes::virtual_time& time_;
+    store& store_;
+    std::mt19937_64 random_;
+    std::map<std::string, workflow::job> jobs_;
+    std::set<std::string> ended_done_; ///< tasks with an end that was listed
+    std::map<std::string, int> failures_;
+    int last_life_ = 0;
+};
+
+} // namespace camphorhitch::hosted_fakes
