--- a/libs/coordinator/include/coordinator/demand.hpp
+++ b/libs/coordinator/include/coordinator/demand.hpp
@@ -15,26 +15,39 @@
 
 struct demand_settings
 {
-    /// Waiting work should be done within about this long: a chain of two tasks of a second.
-    core::millis horizon{1600};
+    /// Tasks that wait should be done within about this long; longer ones start at once.
+    core::millis horizon{1300};
     /// Time constant of the measured rate of arriving work.
-    core::millis rate_memory{700};
+    core::millis rate_memory{800};
+    /// Time constant of the rate against which its trend is seen.
+    core::millis trend_memory{2400};
+    /// The trend is followed this far ahead: a move, the new runner's first report and its first
+    /// look take about so long.
+    core::millis foresight{2200};
+    /// A trend raises a rate to this many times its present value at most: few large jobs that come
+    /// together look like a steep one.
+    double steepest = 2.0;
     /// A pool is busy while work comes at this many times its long-run rate.
     double busy_factor = 2.0;
+    /// Jobs within the rate's memory that make a busy time; one large job makes none.
+    double busy_jobs = 2.5;
     /// Time constant of the long-run rate; several busy times long.
     core::millis long_memory{20000};
-    /// A busy time is expected this long ahead: a move, the new runner's first report and its first
-    /// look take about so long.
+    /// A busy time is expected this long ahead.
     core::millis lead{2700};
+    /// Share of a busy time's peak that its begin asks for: it rises over seconds.
+    double first_share = 0.3;
     /// Room above the computed need, since work comes in lumps.
-    double margin = 1.15;
+    double margin = 1.2;
 };
 
 /// Work that arrives at one pool, as rates in cores (core-seconds a second).
 struct pool_arrivals
 {
     double fast = 0;
+    double middle = 0;
     double slow = 0;
+    double jobs = 0; ///< within the fast rate's memory
     double peak = 0; ///< highest fast rate of the latest busy time
     core::mono_time updated;
     bool busy = false;
@@ -74,8 +87,9 @@
 /// those before; nothing when no pattern shows.
 std::optional<core::mono_time> next_busy(const demand& d, const std::string& pool);
 
-/// \return core-seconds of all batch tasks of a job that are not done, by learnt run times.
-double open_work(const fleet& f, const job_entry& j);
+/// \return cores that the job's batch tasks take now, and those that its ready ones would take to
+/// be done within the horizon. Tasks of later steps don't count: more hosts would not hasten them.
+double cores_now(const fleet& f, const demand_settings& d, const job_entry& j);
 
 /// \return each pool's need.
 std::map<std::string, pool_need> pool_needs(const fleet& f, const demand& d, core::mono_time now);
--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -16,6 +16,8 @@
     /// A pool's surplus must have stood this long before hosts go to the standby pool: a host pays
     /// for being sent off and fetched back within about 4 s of rest.
     core::millis rest{1500};
+    /// A pool's need is let go at this many hosts a second: needs jump with each job.
+    double release = 5;
     /// Most moves ordered in one plan; the platform bounds its calls a second.
     int most_moves = 12;
 };
@@ -40,6 +42,9 @@
     rebalance_settings settings;
     std::map<std::string, pending_move> moves; ///< by machine, until seen up in its new pool
     std::map<std::string, core::mono_time> surplus_since; ///< by pool
+    std::map<std::string, double> kept; ///< by pool: hosts that it does not give away yet
+    core::mono_time kept_at;
+    std::map<std::string, int> told; ///< by pool: hosts wanted, as last logged
 };
 
 struct move_action
--- a/libs/coordinator/src/bookkeeping.cpp
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -36,6 +36,24 @@
                    static_cast<std::size_t>(step)];
 }
 
+const step_entry& step_of(const job_entry& j, int occurrence, int step)
+{
+    return j.steps[static_cast<std::size_t>(occurrence) * j.spec.steps.size() +
+                   static_cast<std::size_t>(step)];
+}
+
+bool is_step_ready(const job_entry& j, int occurrence, int step)
+{
+    const auto& before = j.spec.steps[static_cast<std::size_t>(step)].after;
+    return std::all_of(before.begin(),
+        before.end(),
+        [&](int it)
+        {
+            const auto& s = j.spec.steps[static_cast<std::size_t>(it)];
+            return step_of(j, occurrence, it).done >= s.tasks;
+        });
+}
+
 workflow::resources room_of(const workflow::step& s)
 {
     auto room = s.need;
--- a/libs/coordinator/src/bookkeeping.hpp
+++ b/libs/coordinator/src/bookkeeping.hpp
@@ -17,6 +17,11 @@
 
 step_entry& step_of(job_entry& j, int occurrence, int step);
 
+const step_entry& step_of(const job_entry& j, int occurrence, int step);
+
+/// \return whether all steps before are done.
+bool is_step_ready(const job_entry& j, int occurrence, int step);
+
 /// \return what one task of \p s takes of a host: filling tasks take no processor time of others.
 workflow::resources room_of(const workflow::step& s);
 
--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -1,5 +1,6 @@
 #include "coordinator/demand.hpp"
 
+#include "bookkeeping.hpp"
 #include "coordinator/learning.hpp"
 
 #include <algorithm>
@@ -28,14 +29,16 @@
 {
     const auto passed = std::max(now - p.updated, core::micros{0}); // clocks of hosts differ
     p.fast *= decay(passed, s.rate_memory);
+    p.jobs *= decay(passed, s.rate_memory);
+    p.middle *= decay(passed, s.trend_memory);
     p.slow *= decay(passed, s.long_memory);
     p.updated = std::max(p.updated, now);
 }
 
 void judge_busy(demand& d, const std::string& name, pool_arrivals& p, core::mono_time now)
 {
-    const bool high =
-        p.fast > least_busy_cores && p.fast > d.settings.busy_factor * std::max(p.slow, 1.0);
+    const bool high = p.jobs > d.settings.busy_jobs && p.fast > least_busy_cores &&
+                      p.fast > d.settings.busy_factor * std::max(p.slow, 1.0);
     if (high && !p.busy)
     {
         p.busy = true;
@@ -82,21 +85,27 @@
         d.history.begin(), d.history.end(), [&](const busy_begin& it) { return it.pool == pool; });
 }
 
-/// Before the newest pool was ever followed by another, pools are taken to come round in turn.
-/// \return whether \p pool is the only one that was not busy yet or, when all were, the one whose
-/// busy time is the longest ago.
-bool comes_round(const demand& d, const std::string& pool)
+/// Before the newest pool was ever followed by another, only the last of a first round is certain.
+/// \return whether \p pool is the only one that was not busy yet.
+bool is_last_of_round(const demand& d, const std::string& pool)
 {
     std::size_t never = 0;
     for (const auto& [name, p] : d.pools)
     {
         never += was_busy(d, name) ? 0 : 1;
     }
-    if (never > 0)
-    {
-        return never == 1 && !was_busy(d, pool);
-    }
-    return d.history.front().pool == pool && d.history.back().pool != pool;
+    return never == 1 && !was_busy(d, pool);
+}
+
+/// \return the rate expected after the foresight, by the present trend.
+double rate_ahead(const demand_settings& s, const pool_arrivals& p)
+{
+    // For a steady rise both rates lag behind it by their memories; so their distance is the rise
+    // within the difference of the memories.
+    const double lag = static_cast<double>((s.trend_memory - s.rate_memory).count());
+    const double ahead = static_cast<double>((s.foresight + s.rate_memory).count());
+    const double risen = p.fast + (p.fast - p.middle) / lag * ahead;
+    return std::clamp(risen, 0.0, p.fast * s.steepest);
 }
 
 /// \return the highest peak of any pool: what a pool is expected to ask that was not busy yet.
@@ -122,6 +131,8 @@
     }
     let_decay(d.settings, p, now);
     p.fast += core_seconds * milli / static_cast<double>(d.settings.rate_memory.count());
+    p.middle += core_seconds * milli / static_cast<double>(d.settings.trend_memory.count());
+    p.jobs += 1;
     p.slow += core_seconds * milli / static_cast<double>(d.settings.long_memory.count());
     judge_busy(d, pool, p, now);
 }
@@ -152,20 +163,28 @@
             return h[i + 1].pool == pool ? std::optional(newest.at + *gap) : std::nullopt;
         }
     }
-    return comes_round(d, pool) ? std::optional(newest.at + *gap) : std::nullopt;
+    return is_last_of_round(d, pool) ? std::optional(newest.at + *gap) : std::nullopt;
 }
 
-double open_work(const fleet& f, const job_entry& j)
+double cores_now(const fleet& f, const demand_settings& d, const job_entry& j)
 {
     double sum = 0;
     for (std::size_t k = 0; k < j.steps.size(); ++k)
     {
         const auto& s = j.spec.steps[k % j.spec.steps.size()];
-        if (!s.long_running)
+        if (s.long_running || s.fills)
+        {
+            continue;
+        }
+        const auto occurrence = static_cast<int>(k / j.spec.steps.size());
+        const auto step = static_cast<int>(k % j.spec.steps.size());
+        const double cores = static_cast<double>(s.need.cpu) / milli;
+        sum += cores * (s.tasks - j.steps[k].done - j.steps[k].idle);
+        if (is_step_ready(j, occurrence, step))
         {
-            const double each = static_cast<double>(s.need.cpu) / milli *
-                                static_cast<double>(expected_time(f.learnt, s).count()) / milli;
-            sum += each * (s.tasks - j.steps[k].done);
+            const auto time = std::min(expected_time(f.learnt, s), d.horizon);
+            sum += cores * j.steps[k].idle * static_cast<double>(time.count()) /
+                   static_cast<double>(d.horizon.count());
         }
     }
     return sum;
@@ -200,18 +219,18 @@
         if (!workflow::is_final(j.state))
         {
             add_lasting(j, out[j.spec.pool]);
-            work[j.spec.pool] += workflow::is_scheduled(j.spec) ? 0 : open_work(f, j);
+            work[j.spec.pool] += cores_now(f, d.settings, j);
         }
     }
     for (const auto& [name, p] : d.pools)
     {
         auto& need = out[name];
-        double batch =
-            std::max(p.fast, work[name] * milli / static_cast<double>(d.settings.horizon.count()));
+        double batch = std::max(rate_ahead(d.settings, p), work[name]);
         const auto next = next_busy(d, name);
         if (next && now + d.settings.lead > *next && now < *next + d.settings.lead)
         {
-            const double peak = p.peak > least_busy_cores ? p.peak : highest_peak(d);
+            const double peak =
+                (p.peak > least_busy_cores ? p.peak : highest_peak(d)) * d.settings.first_share;
             need.expected = peak > batch;
             batch = std::max(batch, peak);
         }
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -57,19 +57,6 @@
     return out;
 }
 
-bool is_ready(job_entry& j, int occurrence, int step)
-{
-    for (const int before : j.spec.steps[static_cast<std::size_t>(step)].after)
-    {
-        const auto& s = j.spec.steps[static_cast<std::size_t>(before)];
-        if (step_of(j, occurrence, before).done < s.tasks)
-        {
-            return false;
-        }
-    }
-    return true;
-}
-
 std::int64_t due_at(const workflow::job& j, int occurrence)
 {
     if (!workflow::is_scheduled(j))
@@ -96,7 +83,7 @@
         }
         for (int s = 0; s < static_cast<int>(j.spec.steps.size()); ++s)
         {
-            if (step_of(j, k, s).idle > 0 && is_ready(j, k, s))
+            if (step_of(j, k, s).idle > 0 && is_step_ready(j, k, s))
             {
                 const bool lasts = j.spec.steps[static_cast<std::size_t>(s)].long_running;
                 const bool lost = !lasts && unix_ms > due + objective * lost_after_objectives;
@@ -199,7 +186,8 @@
     core::require(t.runs.empty() || s.speculative, "a task has one live run");
     core::require(s.long_running || t.progress.failures < j.spec.most_attempts,
         "a task starts within its budget of attempts");
-    core::require(is_ready(j, name.occurrence, name.step), "a step starts after the steps before");
+    core::require(
+        is_step_ready(j, name.occurrence, name.step), "a step starts after the steps before");
     core::require(fits(h, room_of(s)), "a host is never over its room");
     run_entry run;
     run.number = number;
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -24,6 +24,9 @@
     bool standby = false;
     int have = 0; ///< up, or on their way here
     int wanted = 0;
+    int kept = 0;          ///< wanted lately; what is above may be given away
+    double cores = 0;      ///< what the need is
+    bool expected = false; ///< a busy time is about to begin
     std::vector<const ports::machine_entry*> free; ///< up, and neither held nor moving
 };
 
@@ -60,6 +63,8 @@
             const auto hosts =
                 static_cast<int>(std::ceil(need->second.cores / host_cores(f, it.name)));
             b.wanted = std::max(hosts, need->second.least_hosts);
+            b.cores = need->second.cores;
+            b.expected = need->second.expected;
         }
         b.wanted += it.standby ? 0 : r.settings.spare_hosts;
     }
@@ -82,6 +87,39 @@
     return out;
 }
 
+/// Lets the hosts go that a pool has not wanted for a while.
+void keep_recent(rebalancer& r, std::map<std::string, balance>& all, core::mono_time now)
+{
+    const double passed = std::chrono::duration<double>(now - r.kept_at).count();
+    r.kept_at = now;
+    for (auto& [name, b] : all)
+    {
+        auto& kept = r.kept[name];
+        kept = std::max(static_cast<double>(b.wanted), kept - passed * r.settings.release);
+        b.kept = static_cast<int>(std::ceil(kept));
+    }
+}
+
+/// One line each time that a pool's need has changed.
+void tell_needs(rebalancer& r, const std::map<std::string, balance>& all, task_events& out)
+{
+    for (const auto& [name, b] : all)
+    {
+        auto& told = r.told[name];
+        if (!b.standby && told != b.wanted)
+        {
+            told = b.wanted;
+            out.push_back({"pool_need",
+                name,
+                0,
+                "",
+                "wanted=" + std::to_string(b.wanted) + " have=" + std::to_string(b.have) +
+                    " cores=" + std::to_string(static_cast<int>(b.cores)) +
+                    (b.expected ? " expected=1" : "")});
+        }
+    }
+}
+
 /// What it costs to take this host: the lower the better.
 std::tuple<bool, int, std::int64_t> cost_of(fleet& f, const ports::machine_entry& m)
 {
@@ -141,13 +179,13 @@
     balance* best = nullptr;
     for (auto& [name, b] : all)
     {
-        if (name == to || b.have <= b.wanted || b.free.empty() || !has_cheap_host(f, b))
+        if (name == to || b.have <= b.kept || b.free.empty() || !has_cheap_host(f, b))
         {
             continue;
         }
         const auto surplus = [](const balance& it)
         {
-            return it.have - it.wanted;
+            return it.have - it.kept;
         };
         const bool better = best == nullptr || (b.standby && !best->standby) ||
                             (b.standby == best->standby && surplus(b) > surplus(*best));
@@ -191,13 +229,13 @@
     }
     for (auto& [name, b] : all)
     {
-        if (b.standby || b.have <= b.wanted)
+        if (b.standby || b.have <= b.kept)
         {
             r.surplus_since.erase(name);
             continue;
         }
         const auto since = r.surplus_since.try_emplace(name, now).first->second;
-        while (now - since >= r.settings.rest && b.have > b.wanted && has_cheap_host(f, b))
+        while (now - since >= r.settings.rest && b.have > b.kept && has_cheap_host(f, b))
         {
             choose(f, r, b, standby->first, now, out);
         }
@@ -221,6 +259,8 @@
         return ready;
     }
     auto all = take_stock(f, r, d, list, pools, held, now);
+    keep_recent(r, all, now);
+    tell_needs(r, all, out);
     feed_short_pools(f, r, all, now, out);
     rest_surplus(f, r, all, now, out);
     for (auto& [machine, move] : r.moves)
