Needs follow the trend of arrivals; hosts are given away only after a pool has not wanted them for a while

Change: rate ahead by the distance of two averages, what runs and is ready now, kept hosts released at 8 a second and never more than a pool has.

--- a/libs/coordinator/include/coordinator/demand.hpp
+++ b/libs/coordinator/include/coordinator/demand.hpp
@@ -26,7 +26,7 @@
     core::millis foresight{2200};
     /// A trend raises a rate to this many times its present value at most: few large jobs that come
     /// together look like a steep one.
-    double steepest = 2.0;
+    double steepest = 1.5;
     /// A pool is busy while work comes at this many times its long-run rate.
     double busy_factor = 2.0;
     /// Jobs within the rate's memory that make a busy time; one large job makes none.
--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -17,7 +17,7 @@
     /// for being sent off and fetched back within about 4 s of rest.
     core::millis rest{1500};
     /// A pool's need is let go at this many hosts a second: needs jump with each job.
-    double release = 5;
+    double release = 8;
     /// Most moves ordered in one plan; the platform bounds its calls a second.
     int most_moves = 12;
 };
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -96,6 +96,7 @@
     {
         auto& kept = r.kept[name];
         kept = std::max(static_cast<double>(b.wanted), kept - passed * r.settings.release);
+        kept = std::min(kept, static_cast<double>(std::max(b.have, 0)));
         b.kept = static_cast<int>(std::ceil(kept));
     }
 }
