--- /dev/null
+++ b/libs/workflow/tests/records_tests.cpp
@@ -0,0 +1,195 @@
+#include "workflow/checks.hpp"
+#include "workflow/records.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::workflow;
+
+namespace
+{
+
+job whole_job()
+{
+    job j;
+    j.id = "00ff";
+    j.queue = "quotes";
+    j.pool = "p";
+    j.payload = "a \"text\" with \\ and \u00e9";
+    j.accepted_unix_ms = 1700000000123;
+    j.priority = 1;
+    j.most_attempts = 3;
+    j.stretch = 1.6;
+    j.slack = core::millis{600};
+    j.timing = {2, 1700000001000, 500};
+    step s;
+    s.tasks = 3;
+    s.need = {1800, 4096, 1};
+    s.estimate = core::millis{900};
+    s.checkpoints = true;
+    s.required_label = "a";
+    s.near_rack = "r1-3";
+    s.most_per_host = 2;
+    s.image = "img";
+    s.tail_target = core::millis{40};
+    s.may_be_away = 1;
+    j.steps.push_back(s);
+    s.after = {0};
+    s.gang = true;
+    s.one_rack = true;
+    s.speculative = true;
+    s.long_running = true;
+    s.fills = true;
+    j.steps.push_back(s);
+    return j;
+}
+
+job small_job(std::vector<step> steps)
+{
+    job j;
+    j.steps = std::move(steps);
+    return j;
+}
+
+step step_after(std::vector<int> after)
+{
+    step s;
+    s.after = std::move(after);
+    return s;
+}
+
+} // namespace
+
+TEST_GROUP(workflow_records){};
+
+TEST(workflow_records, a_job_comes_back_as_it_was)
+{
+    const auto j = whole_job();
+    const auto text = write_job(j);
+    const auto read = read_job(text);
+    CHECK(core::is_ok(read));
+    STRCMP_EQUAL(text.c_str(), write_job(core::value(read)).c_str());
+    STRCMP_EQUAL(j.payload.c_str(), core::value(read).payload.c_str());
+    CHECK(core::value(read).steps[1].after == std::vector<int>{0});
+    CHECK(core::value(read).steps[0].need == j.steps[0].need);
+}
+
+TEST(workflow_records, progress_comes_back_as_it_was)
+{
+    const auto j = whole_job();
+    job_progress p;
+    p.state = job_state::running;
+    p.tasks.resize(12);
+    p.tasks[1].done = true;
+    p.tasks[5].failures = 2;
+    p.tasks[5].last_failed = 1007;
+    p.tasks[7].checkpoint = "c7";
+    const auto read = read_progress(j, write_progress(j, p));
+    CHECK(core::is_ok(read));
+    const auto& q = core::value(read);
+    CHECK(q.state == job_state::running);
+    LONGS_EQUAL(12, q.tasks.size());
+    CHECK(q.tasks[1].done);
+    CHECK_FALSE(q.tasks[0].done);
+    LONGS_EQUAL(2, q.tasks[5].failures);
+    LONGS_EQUAL(1007, q.tasks[5].last_failed);
+    STRCMP_EQUAL("c7", q.tasks[7].checkpoint.c_str());
+}
+
+TEST(workflow_records, damaged_texts_are_errors)
+{
+    const auto j = whole_job();
+    for (const char* text : {"",
+             "{",
+             "[]",
+             "{}",
+             R"({"state":"odd"})",
+             R"({"steps":3})",
+             R"({"state":"running","tasks":{"99":{"failures":1}}})"})
+    {
+        CHECK_FALSE(core::is_ok(read_progress(j, text)));
+    }
+    for (const char* text : {"", "{}", R"({"steps":[{"tasks":"x"}]})"})
+    {
+        CHECK_FALSE(core::is_ok(read_job(text)));
+    }
+}
+
+TEST(workflow_records, names_of_tasks)
+{
+    const task_name name{"00ff", 2, 1, 17};
+    STRCMP_EQUAL("00ff.2.1.17", write_task_name(name).c_str());
+    CHECK(core::value(read_task_name("00ff.2.1.17")) == name);
+    for (const char* text : {"", "a", "a.1.2", "a.1.2.x", "a.1.2.-3", "a.1..3"})
+    {
+        CHECK_FALSE(core::is_ok(read_task_name(text)));
+    }
+    const auto j = whole_job();
+    for (std::size_t i = 0; i < 12; ++i)
+    {
+        const auto it = name_of_task(j, i);
+        CHECK(has_task(j, it));
+        LONGS_EQUAL(i, task_place(j, it.occurrence, it.step, it.index));
+    }
+    CHECK_FALSE(has_task(j, {"00ff", 2, 0, 0}));
+    CHECK_FALSE(has_task(j, {"00ff", 0, 2, 0}));
+    CHECK_FALSE(has_task(j, {"00ff", 0, 0, 3}));
+}
+
+TEST_GROUP(workflow_checks){};
+
+TEST(workflow_checks, each_fault_is_found_with_its_place)
+{
+    struct row
+    {
+        job j;
+        const char* pointer;
+        const char* text;
+    };
+    step none;
+    none.tasks = 0;
+    step negative;
+    negative.need.cpu = -1;
+    auto large = small_job({step{}});
+    large.payload = std::string(4001, 'x');
+    auto often = small_job({step{}});
+    often.timing.occurrences = 30000;
+    const row rows[] = {
+        {small_job({}), "/steps", "at least 1 step"},
+        {small_job({none}), "/steps/0", "at least 1 task"},
+        {small_job({negative}), "/steps/0", "negative"},
+        {small_job({step{}, step_after({1})}), "/steps/1/after/0", "waits for itself"},
+        {small_job({step{}, step_after({2}), step{}}), "/steps/1/after/0", "not an earlier step"},
+        {small_job({step{}, step_after({0, -1})}), "/steps/1/after/1", "not an earlier step"},
+        {large, "", "longer than"},
+        {often, "/steps", "more than 20000 tasks"},
+    };
+    for (const auto& it : rows)
+    {
+        const auto found = check_job(it.j);
+        LONGS_EQUAL_TEXT(1, found.size(), it.text);
+        STRCMP_EQUAL(it.pointer, found[0].where.pointer.c_str());
+        STRCMP_CONTAINS(it.text, found[0].text.c_str());
+    }
+    CHECK(check_job(whole_job()).empty());
+}
+
+TEST(workflow_checks, all_faults_are_reported_together)
+{
+    step s;
+    s.tasks = 0;
+    s.after = {5};
+    LONGS_EQUAL(4, check_job(small_job({s, s})).size());
+}
+
+TEST(workflow_checks, the_longest_chain_follows_the_graph)
+{
+    auto a = step{};
+    a.estimate = core::millis{100};
+    auto b = step_after({0});
+    b.estimate = core::millis{50};
+    auto c = step_after({0, 1});
+    c.estimate = core::millis{10};
+    LONGS_EQUAL(160, longest_chain({a, b, c}).count());
+    LONGS_EQUAL(150, longest_chain({a, b, a}).count());
+}
