--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -224,7 +224,12 @@
     }
     for (const auto& [name, p] : d.pools)
     {
-        auto& need = out[name];
+        out.try_emplace(name);
+    }
+    for (auto& [name, need] : out)
+    {
+        const auto found = d.pools.find(name);
+        const auto p = found == d.pools.end() ? pool_arrivals{} : found->second;
         double batch = std::max(rate_ahead(d.settings, p), work[name]);
         const auto next = next_busy(d, name);
         if (next && now + d.settings.lead > *next && now < *next + d.settings.lead)
--- a/libs/hosted/src/entry_desk.cpp
+++ b/libs/hosted/src/entry_desk.cpp
@@ -3,6 +3,7 @@
 #include "hosted/keys.hpp"
 #include "workflow/records.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -25,6 +26,21 @@
         return ctx.time.now() + settings.retry_pause + settings.reply_margin < deadline;
     }
 
+    /// Runs \p fn when the caller's answer is due, whatever call is still out.
+    void at_deadline(core::mono_time deadline, std::function<void()> fn)
+    {
+        const auto left = std::chrono::duration_cast<core::millis>(
+            deadline - settings.reply_margin - ctx.time.now());
+        ctx.time.after(std::max(left, core::millis{0}),
+            [weak = weak_from_this(), fn = std::move(fn)]
+            {
+                if (weak.lock() != nullptr)
+                {
+                    fn();
+                }
+            });
+    }
+
     void again(std::function<void()> fn)
     {
         ctx.time.after(settings.retry_pause,
@@ -54,6 +70,8 @@
     ports::store_transaction change;
     core::mono_time deadline;
     bool may_have_effect = false; ///< some try was not answered
+    bool in_flight = false;
+    bool told = false; ///< the caller has its answer
     int refusals = 0;
     /// \p certain false: it may still take effect.
     std::function<void(kv_status how, bool certain)> done;
@@ -66,13 +84,20 @@
 
 /// The change is idempotent (its keys are created once), so repeating it after a lost answer tells
 /// which of the tries took effect: the repeat meets its conflict.
-void try_write(const std::shared_ptr<entry_state>& state, std::shared_ptr<pending_write> w)
+void try_write(const std::shared_ptr<entry_state>& state, const std::shared_ptr<pending_write>& w)
 {
+    w->in_flight = true;
     state->ctx.store.commit(w->change,
         [state, w](const ports::commit_result& result)
         {
+            w->in_flight = false;
+            if (w->told)
+            {
+                return;
+            }
             if (result.status == kv_status::ok || result.status == kv_status::conflict)
             {
+                w->told = true;
                 w->done(result.status, true);
                 return;
             }
@@ -82,13 +107,36 @@
                 !w->may_have_effect && w->refusals >= state->settings.most_refusals;
             if (give_up || !state->has_time(w->deadline))
             {
+                w->told = true;
                 w->done(result.status, !w->may_have_effect);
                 return;
             }
-            state->again([state, w] { try_write(state, w); });
+            state->again(
+                [state, w]
+                {
+                    if (!w->told)
+                    {
+                        try_write(state, w);
+                    }
+                });
         });
 }
 
+/// A call may hang for longer than the caller waits; then the answer is that nothing is certain.
+void begin_write(const std::shared_ptr<entry_state>& state, const std::shared_ptr<pending_write>& w)
+{
+    state->at_deadline(w->deadline,
+        [w]
+        {
+            if (!w->told)
+            {
+                w->told = true;
+                w->done(kv_status::unknown, !w->may_have_effect && !w->in_flight);
+            }
+        });
+    try_write(state, w);
+}
+
 void try_get_state(const std::shared_ptr<entry_state>& state,
     const std::string& id,
     core::mono_time deadline,
@@ -162,6 +210,24 @@
         });
 }
 
+/// Reads a job's state; the answer comes by the deadline, also when a call hangs.
+void read_state(const std::shared_ptr<entry_state>& state,
+    const std::string& id,
+    core::mono_time deadline,
+    std::function<void(state_answer)> done)
+{
+    const auto told = std::make_shared<bool>(false);
+    const auto tell = [told, done = std::move(done)](const state_answer& it)
+    {
+        if (!std::exchange(*told, true))
+        {
+            done(it);
+        }
+    };
+    state->at_deadline(deadline, [tell] { tell({}); });
+    try_get_state(state, id, deadline, tell);
+}
+
 const char* store_answer(kv_status s)
 {
     switch (s)
@@ -213,7 +279,7 @@
             "submit", id, {{"queue", queue}, {"store", store_answer(how)}, {"outcome", text}});
         done(outcome);
     };
-    try_write(state_, std::move(w));
+    begin_write(state_, w);
 }
 
 void entry_desk::cancel(
@@ -252,15 +318,15 @@
                  : certain ? cancel_outcome::not_cancelled
                            : cancel_outcome::unknown);
         };
-        try_write(state, std::move(w));
+        begin_write(state, w);
     };
-    try_get_state(state_, id, deadline, found);
+    read_state(state_, id, deadline, found);
 }
 
 void entry_desk::tell_state(
     const std::string& id, core::mono_time deadline, std::function<void(state_answer)> done)
 {
-    try_get_state(state_, id, deadline, std::move(done));
+    read_state(state_, id, deadline, std::move(done));
 }
 
 void entry_desk::count_pending(
