--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -122,7 +122,7 @@
                 coordinator::task_events out;
                 const auto now = term_.now();
                 term_.ctx.tel.observe(
-                    "start_order_seconds", {}, std::chrono::duration<double>(now - sent).count());
+                    "camphorhitch_start_order_seconds", {}, std::chrono::duration<double>(now - sent).count());
                 const bool owner = coordinator::start_answered(
                     term_.fleet, a.host.id, a.task, a.run, answer, now, out);
                 take(owner, a.host.id, out);
--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -40,7 +40,7 @@
             fields.emplace_back("because", it.reason);
         }
         fields.emplace_back("token", std::to_string(token));
-        ctx.tel.count("fleet_events_total", {{"event", it.what}}, 1);
+        ctx.tel.count("camphorhitch_fleet_events_total", {{"event", it.what}}, 1);
         log(ports::log_level::info, it.what, std::move(fields));
     }
 }
