--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -11,7 +11,7 @@
     {
         return;
     }
-    if (const auto n = std::exchange(lines.left_out, 0); n > 0)
+    if (const auto n = take_left_out(lines, now()); n > 0)
     {
         ctx.tel.log(ports::log_level::warning, "lines_left_out", {{"count", std::to_string(n)}});
     }
