--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -44,6 +44,7 @@
     std::map<std::string, core::mono_time> surplus_since; ///< by pool
     std::map<std::string, double> kept; ///< by pool: hosts that it does not give away yet
     core::mono_time kept_at;
+    std::set<std::string> without_spare;
     std::map<std::string, int> told; ///< by pool: hosts wanted, as last logged
 };
 
@@ -65,6 +66,9 @@
     core::mono_time now,
     task_events& out);
 
+/// \return pools that have no host to give away, as the latest plan saw them.
+std::set<std::string> pools_without_spare(const rebalancer& r);
+
 /// The platform's answer to a move.
 void move_answered(fleet& f,
     rebalancer& r,
--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -14,8 +14,9 @@
 struct machine_table
 {
     std::map<std::string, ports::machine_entry> machines;
-    std::set<std::string> moving; ///< a move between pools is decided
-    core::mono_time read_at;      ///< when the call for it was sent
+    std::set<std::string> moving;      ///< a move between pools is decided
+    std::set<std::string> short_pools; ///< they have no host to spare
+    core::mono_time read_at;           ///< when the call for it was sent
     bool known = false;
 };
 
@@ -45,6 +46,8 @@
     core::millis patience{2500};
     /// A host takes about this long to be emptied and maintained; by it the wave's end is judged.
     core::millis turn{4000};
+    /// Kept free before the wave's end, for turns that take longer.
+    core::millis reserve{3500};
 };
 
 /// Notes what the newest list shows.
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -92,12 +92,17 @@
 {
     const double passed = std::chrono::duration<double>(now - r.kept_at).count();
     r.kept_at = now;
+    r.without_spare.clear();
     for (auto& [name, b] : all)
     {
         auto& kept = r.kept[name];
         kept = std::max(static_cast<double>(b.wanted), kept - passed * r.settings.release);
         kept = std::min(kept, static_cast<double>(std::max(b.have, 0)));
         b.kept = static_cast<int>(std::ceil(kept));
+        if (!b.standby && b.have <= b.kept)
+        {
+            r.without_spare.insert(name);
+        }
     }
 }
 
@@ -278,6 +283,11 @@
     return ready;
 }
 
+std::set<std::string> pools_without_spare(const rebalancer& r)
+{
+    return r.without_spare;
+}
+
 void move_answered(fleet& f,
     rebalancer& r,
     const std::string& machine,
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -88,12 +88,19 @@
     return !h.prior && h.runs.empty() && h.strays == 0;
 }
 
+/// While there is time, only hosts that nobody misses go down: those that are switched off, and
+/// idle ones of pools that have some to spare.
+bool is_missed(const candidate& it, const machine_table& list)
+{
+    return it.host != nullptr && (!is_empty(*it.host) || list.short_pools.contains(it.host->pool));
+}
+
 /// \return whether the wave would end late at the pace of one turn a place.
 bool is_pressed(const wave& w, std::size_t left, const wave_settings& s, core::mono_time now)
 {
     const auto turns =
         (static_cast<std::int64_t>(left) + w.most_at_once - 1) / std::max(w.most_at_once, 1);
-    return now + turns * s.turn > w.due;
+    return now + turns * s.turn + s.reserve > w.due;
 }
 
 } // namespace
@@ -170,6 +177,10 @@
     int closing = std::max(places, 0) + s.ahead;
     for (auto& it : all)
     {
+        if (!pressed && is_missed(it, list) && (it.host->use != host_use::closed_for_maintenance))
+        {
+            continue;
+        }
         if (closing-- <= 0)
         {
             break;
--- a/libs/coordinator/tests/decision_tests.cpp
+++ b/libs/coordinator/tests/decision_tests.cpp
@@ -545,6 +545,26 @@
     LONGS_EQUAL(2, plan_wave(w.f, v, list, {}, w.now, w.events).size());
 }
 
+// There is time: a host that works stays up, one that idles in a pool with some to spare goes. When
+// the end comes near, the one that works is emptied too.
+TEST(waves, while_there_is_time_only_hosts_that_nobody_misses_go)
+{
+    prepare(2, 2);
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto busy = w.next().starts[0].host.id;
+    const auto idle = busy == "h1" ? "m2" : "m1";
+    list.short_pools = {"p"};
+    LONGS_EQUAL(0, plan_wave(w.f, v, list, {}, w.now, w.events).size());
+    list.short_pools.clear();
+    const auto ready = plan_wave(w.f, v, list, {}, w.now, w.events);
+    LONGS_EQUAL(1, ready.size());
+    STRCMP_EQUAL(idle, ready[0].c_str());
+    CHECK(w.f.hosts[busy].use == host_use::open);
+    w.now = v.due - 5s;
+    plan_wave(w.f, v, list, {}, w.now, w.events);
+    CHECK(w.f.hosts[busy].use == host_use::closed_for_maintenance);
+}
+
 TEST(waves, a_wave_ends_when_each_machine_that_stays_has_begun)
 {
     prepare(2, 2);
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -68,7 +68,8 @@
     {
         writer->request();
     }
-    t.ctx.tel.observe("camphorhitch_plan_seconds", {}, std::chrono::duration<double>(t.now() - begun).count());
+    t.ctx.tel.observe(
+        "camphorhitch_plan_seconds", {}, std::chrono::duration<double>(t.now() - begun).count());
 }
 
 void driver_parts::tick()
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -77,6 +77,7 @@
     coordinator::update_demand(demand_, term_.now());
     const auto orders = coordinator::plan_moves(
         term_.fleet, moves_, demand_, table_, pools_, held, term_.now(), out);
+    table_.short_pools = coordinator::pools_without_spare(moves_);
     table_.moving.clear();
     for (const auto& [machine, move] : moves_.moves)
     {
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -121,8 +121,9 @@
             {
                 coordinator::task_events out;
                 const auto now = term_.now();
-                term_.ctx.tel.observe(
-                    "camphorhitch_start_order_seconds", {}, std::chrono::duration<double>(now - sent).count());
+                term_.ctx.tel.observe("camphorhitch_start_order_seconds",
+                    {},
+                    std::chrono::duration<double>(now - sent).count());
                 const bool owner = coordinator::start_answered(
                     term_.fleet, a.host.id, a.task, a.run, answer, now, out);
                 take(owner, a.host.id, out);
