--- a/libs/hosted/src/wave_runner.cpp
+++ b/libs/hosted/src/wave_runner.cpp
@@ -17,23 +17,37 @@
 /// Between repeats of an order whose fate is open, or which the platform can't take now.
 constexpr core::millis order_retry{400};
 
-std::string write_machines(const std::set<std::string>& begun)
+/// What a successor needs of a wave.
+struct wave_record
 {
-    return nlohmann::json(begun).dump();
+    std::int64_t due_unix_ms = 0; ///< 0: not known
+    std::set<std::string> begun;
+};
+
+std::string write_record(const wave_record& r)
+{
+    return nlohmann::json{{"due_unix_ms", r.due_unix_ms}, {"begun", r.begun}}.dump();
 }
 
-std::set<std::string> read_machines_record(const std::string& text)
+/// \return an empty record when the text is damaged: maintenance is ordered anew then, which the
+/// platform takes for done.
+wave_record read_record(const std::string& text)
 {
     const auto from = nlohmann::json::parse(text, nullptr, false);
-    std::set<std::string> out;
-    if (from.is_array())
+    wave_record out;
+    const bool whole = from.is_object() && from.contains("due_unix_ms") &&
+                       from["due_unix_ms"].is_number_integer() && from.contains("begun") &&
+                       from["begun"].is_array();
+    if (!whole)
     {
-        for (const auto& it : from)
+        return out;
+    }
+    out.due_unix_ms = from["due_unix_ms"].get<std::int64_t>();
+    for (const auto& it : from["begun"])
+    {
+        if (it.is_string())
         {
-            if (it.is_string())
-            {
-                out.insert(it.get<std::string>());
-            }
+            out.begun.insert(it.get<std::string>());
         }
     }
     return out;
@@ -88,6 +102,8 @@
         w.machines = it.machines;
         w.most_at_once = it.most_at_once;
         w.due = term_.now() + it.duration;
+        place->second.due_unix_ms =
+            core::to_unix_ms(term_.ctx.time.wall_now()) + it.duration.count();
         term_.log(ports::log_level::info,
             "wave_taken",
             {{"wave", std::to_string(it.number)},
@@ -115,7 +131,15 @@
                 if (read.item)
                 {
                     it.record_revision = read.item->modified;
-                    it.wave.begun = read_machines_record(read.item->value);
+                    const auto record = read_record(read.item->value);
+                    it.wave.begun = record.begun;
+                    if (record.due_unix_ms > 0)
+                    {
+                        // The wave's time runs from its request, not from this term's begin.
+                        it.due_unix_ms = record.due_unix_ms;
+                        const auto wall = core::to_unix_ms(term_.ctx.time.wall_now());
+                        it.wave.due = term_.now() + core::millis{it.due_unix_ms - wall};
+                    }
                     it.recorded = it.wave.begun.size();
                     // When they went down is not known; the platform's list tells who is away.
                 }
@@ -242,7 +266,7 @@
     change.conditions = {{leader_key, term_.token},
         {wave_record_key(number), it.record_revision},
         {status_key, it.status_revision}};
-    change.puts = {{wave_record_key(number), write_machines(it.wave.begun), 0}};
+    change.puts = {{wave_record_key(number), write_record({it.due_unix_ms, it.wave.begun}), 0}};
     if (report)
     {
         change.puts.push_back({status_key, term_.spelling->write_wave_status(state), 0});
--- a/libs/hosted/src/wave_runner.hpp
+++ b/libs/hosted/src/wave_runner.hpp
@@ -36,6 +36,7 @@
     struct entry
     {
         coordinator::wave wave;
+        std::int64_t due_unix_ms = 0;
         bool loaded = false; ///< the record of a former owner is in
         ports::revision record_revision = 0;
         ports::revision status_revision = 0;
--- a/libs/hosted/tests/take_over_tests.cpp
+++ b/libs/hosted/tests/take_over_tests.cpp
@@ -224,6 +224,30 @@
     STRCMP_EQUAL("", c.breaches().c_str());
 }
 
+// The coordinator dies amid a wave that nobody is pressed to end. Its successor counts the wave's
+// time from the request: counted from the take-over, the wave would end late.
+TEST(take_over, a_wave_keeps_its_time)
+{
+    begin(2, 3);
+    c.put_job(lasting_job("a", 2));
+    c.time.run_for(1s);
+    const auto due = c.time.passed_ms() + 16000;
+    for (auto& it : c.nodes)
+    {
+        it.driver->set_waves({{1, {"m1", "m2", "m3"}, 16s, 1}});
+    }
+    c.time.run_for(1s);
+    c.leader()->process.dead = true;
+    const auto completed = [this]
+    {
+        const auto* const it = c.store.find("wave-status/1");
+        return it != nullptr && it->value == "completed";
+    };
+    CHECK(c.time.run_until(completed, 30s));
+    CHECK(c.time.passed_ms() <= due);
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
 // A cancel is stored while the coordinator is dead. The successor stops what runs of the job.
 TEST(take_over, a_cancel_reaches_what_runs)
 {
