--- a/libs/coordinator/include/coordinator/learning.hpp
+++ b/libs/coordinator/include/coordinator/learning.hpp
@@ -30,4 +30,7 @@
 /// \return the longest chain of expected run times through the steps.
 core::millis expected_chain(const learnt& l, const std::vector<workflow::step>& steps);
 
+/// \return the expected time from the start of a step to the end of all that waits for it.
+core::millis time_to_end(const learnt& l, const std::vector<workflow::step>& steps, int from);
+
 } // namespace camphorhitch::coordinator
--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -18,6 +18,8 @@
     core::millis rest{1500};
     /// A pool's need is let go at this many hosts a second: needs jump with each job.
     double release = 8;
+    /// A pool that lacks so many hosts gets them also from pools that wanted theirs just now.
+    int far_short = 4;
     /// Most moves ordered in one plan; the platform bounds its calls a second.
     int most_moves = 12;
 };
--- a/libs/coordinator/src/learning.cpp
+++ b/libs/coordinator/src/learning.cpp
@@ -41,4 +41,26 @@
     return workflow::longest_chain(timed);
 }
 
+core::millis time_to_end(const learnt& l, const std::vector<workflow::step>& steps, int from)
+{
+    const auto first = static_cast<std::size_t>(from);
+    std::vector<core::millis> ends(steps.size(), core::millis{-1}); // -1: does not wait for it
+    core::millis longest{0};
+    for (std::size_t i = first; i < steps.size(); ++i)
+    {
+        core::millis begin{i == first ? 0 : -1};
+        for (const int before : steps[i].after)
+        {
+            const auto it = static_cast<std::size_t>(before);
+            begin = it < first ? begin : std::max(begin, ends[it]);
+        }
+        if (begin.count() >= 0)
+        {
+            ends[i] = begin + expected_time(l, steps[i]);
+            longest = std::max(longest, ends[i]);
+        }
+    }
+    return longest;
+}
+
 } // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -25,6 +25,7 @@
     int occurrence = 0;
     int step = 0;
     bool lost = false;            ///< too late to be worth anything
+    bool late = false;            ///< can't meet its objective any more: worth little
     std::int64_t due_unix_ms = 0; ///< when its objective ends
 };
 
@@ -32,7 +33,9 @@
 {
     const auto key = [](const waiting_step& it)
     {
-        return std::tuple(it.lost, it.job->spec.priority, it.due_unix_ms);
+        // More work than room: served in order of time, all would be late. Those that can still be
+        // in time go first, so that some are.
+        return std::tuple(it.lost, it.late, it.job->spec.priority, it.due_unix_ms);
     };
     return key(a) < key(b);
 }
@@ -66,6 +69,9 @@
     return j.timing.first_unix_ms + j.timing.interval_ms * occurrence;
 }
 
+/// Expected times are means; a job that misses by less than this may well be in time.
+constexpr std::int64_t late_tolerance_ms = 200;
+
 /// Credit ends at this many times the objective.
 constexpr std::int64_t lost_after_objectives = 3;
 
@@ -87,7 +93,9 @@
             {
                 const bool lasts = j.spec.steps[static_cast<std::size_t>(s)].long_running;
                 const bool lost = !lasts && unix_ms > due + objective * lost_after_objectives;
-                out.push_back({&j, k, s, lost, due + objective});
+                const auto rest = time_to_end(l, j.spec.steps, s).count();
+                const bool late = !lasts && unix_ms + rest > due + objective + late_tolerance_ms;
+                out.push_back({&j, k, s, lost, late, due + objective});
             }
         }
     }
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -180,12 +180,16 @@
 }
 
 /// \return the pool to take a host from, or nullptr.
-balance* best_donor(fleet& f, std::map<std::string, balance>& all, const std::string& to)
+balance* best_donor(
+    fleet& f, const rebalancer& r, std::map<std::string, balance>& all, const balance& to)
 {
+    // A pool that is far short can't wait until another's need has been low for a while.
+    const bool far = to.wanted - to.have >= r.settings.far_short;
     balance* best = nullptr;
     for (auto& [name, b] : all)
     {
-        if (name == to || b.have <= b.kept || b.free.empty() || !has_cheap_host(f, b))
+        const int least = far ? b.wanted : b.kept;
+        if (name == to.name || b.have <= least || b.free.empty() || !has_cheap_host(f, b))
         {
             continue;
         }
@@ -210,7 +214,7 @@
     {
         while (!b.standby && b.have < b.wanted)
         {
-            auto* const donor = best_donor(f, all, name);
+            auto* const donor = best_donor(f, r, all, b);
             if (donor == nullptr)
             {
                 return;
--- a/libs/coordinator/tests/decision_tests.cpp
+++ b/libs/coordinator/tests/decision_tests.cpp
@@ -217,6 +217,36 @@
     STRCMP_EQUAL("urgent", p.starts[0].task.job.c_str());
 }
 
+TEST(placement, jobs_that_can_be_in_time_go_before_late_ones)
+{
+    w.add_host("h1");
+    auto late = make_job("late", {make_step(1, host_cpu)});
+    late.accepted_unix_ms = wall - 900;
+    late.slack = 600ms;
+    auto timely = make_job("timely", {make_step(1, host_cpu)});
+    timely.slack = 600ms;
+    w.add(late);
+    w.add(timely);
+    const auto p = w.next();
+    LONGS_EQUAL(1, p.starts.size());
+    STRCMP_EQUAL("timely", p.starts[0].task.job.c_str());
+}
+
+TEST(placement, the_rest_of_a_job_is_what_waits_for_the_step)
+{
+    learnt l;
+    auto b = make_step(1, 1);
+    b.after = {0};
+    auto c = make_step(1, 1);
+    auto d = make_step(1, 1);
+    d.after = {1, 2};
+    const std::vector<workflow::step> steps{make_step(1, 1), b, c, d};
+    LONGS_EQUAL(3000, time_to_end(l, steps, 0).count());
+    LONGS_EQUAL(2000, time_to_end(l, steps, 1).count());
+    LONGS_EQUAL(2000, time_to_end(l, steps, 2).count());
+    LONGS_EQUAL(1000, time_to_end(l, steps, 3).count());
+}
+
 TEST(placement, an_occurrence_waits_for_its_time)
 {
     w.add_host("h1");
