--- a/libs/coordinator/include/coordinator/placement.hpp
+++ b/libs/coordinator/include/coordinator/placement.hpp
@@ -48,6 +48,13 @@
 /// \return tasks of the same step that are not at work, or not known to be, without \p task itself.
 int others_away(const fleet& f, const job_entry& j, const workflow::task_name& task);
 
+/// \return whether another host than \p but may run the task now.
+bool has_place_elsewhere(const fleet& f,
+    const job_entry& j,
+    const workflow::task_name& task,
+    const std::string& but,
+    core::mono_time now);
+
 /// \return the number of accepted jobs by queue of which no task has started, scheduled ones left
 /// out.
 std::map<std::string, int> pending_jobs(const fleet& f);
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -414,6 +414,23 @@
     return away;
 }
 
+bool has_place_elsewhere(const fleet& f,
+    const job_entry& j,
+    const workflow::task_name& task,
+    const std::string& but,
+    core::mono_time now)
+{
+    const auto& s = j.spec.steps[static_cast<std::size_t>(task.step)];
+    return std::any_of(f.hosts.begin(),
+        f.hosts.end(),
+        [&](const auto& it)
+        {
+            const auto& h = it.second;
+            return h.ref.id != but && h.pool == j.spec.pool && may_host(f, h, now) &&
+                   may_run_there(h, j, task.occurrence, task.step, s);
+        });
+}
+
 std::map<std::string, int> pending_jobs(const fleet& f)
 {
     std::map<std::string, int> out;
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -77,9 +77,10 @@
         {
             continue;
         }
-        const bool up = m.state == ports::machine_state::up;
+        // A host that a wave has closed runs nothing new: the pool needs another for it.
+        const bool up = m.state == ports::machine_state::up && !held.contains(id);
         b->second.have += up || move != r.moves.end() ? 1 : 0;
-        if (up && move == r.moves.end() && !held.contains(id))
+        if (up && move == r.moves.end())
         {
             b->second.free.push_back(&m);
         }
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -249,8 +249,11 @@
         if (s.long_running)
         {
             // A step's users bear so many of its tasks away at once; one more would break that.
+            // And a task that is stopped with no host to go to would wait until a host is back,
+            // which in turn may wait for others of the step: a wave over a whole pool would never
+            // end.
             const bool allowed = s.may_be_away == 0 || others_away(f, j, name) < s.may_be_away;
-            if (!allowed)
+            if (!allowed || !has_place_elsewhere(f, j, name, h.ref.id, now))
             {
                 continue;
             }
--- a/libs/coordinator/tests/decision_tests.cpp
+++ b/libs/coordinator/tests/decision_tests.cpp
@@ -575,6 +575,29 @@
     LONGS_EQUAL(2, plan_wave(w.f, v, list, {}, w.now, w.events).size());
 }
 
+// A wave closes all hosts of a pool. Were a long-running task stopped with no host to go to, it
+// would wait for the wave, and the wave for the other tasks of its step.
+TEST(waves, a_task_with_nowhere_to_go_stays)
+{
+    prepare(2, 2);
+    auto s = make_step(2, 1000);
+    s.long_running = true;
+    s.may_be_away = 1;
+    s.most_per_host = 1;
+    w.add(make_job("a", {s}));
+    for (const auto& it : w.next().starts)
+    {
+        w.started(it);
+        w.f.jobs.at("a")->tasks[static_cast<std::size_t>(it.task.index)].runs[0].percent = 100;
+    }
+    v.due = w.now;
+    plan_wave(w.f, v, list, {}, w.now, w.events);
+    LONGS_EQUAL(0, w.next().stops.size());
+    w.add_host("h3");
+    plan_wave(w.f, v, list, {}, w.now, w.events);
+    LONGS_EQUAL(1, w.next().stops.size());
+}
+
 // There is time: a host that works stays up, one that idles in a pool with some to spare goes. When
 // the end comes near, the one that works is emptied too.
 TEST(waves, while_there_is_time_only_hosts_that_nobody_misses_go)
