--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -22,6 +22,7 @@
     coordinator::wave_settings waves;
     core::millis plan_delay{4};       ///< gathers what arrives together into one plan
     core::millis plan_every{100};     ///< also without a cause: leases lapse, stops repeat
+    core::millis hosts_plan_every{40}; ///< waves and moves: they look at every job and host
     core::millis job_pause{12};       ///< between two watches of new jobs
     core::millis poll_wait{700};      ///< longest wait of a poll for an end
     core::millis poll_gap{30};        ///< after ends came: gathers the next ones
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -30,6 +30,7 @@
     bool jobs_are_in = false;
     bool record_is_in = false;
     std::string pending_text;
+    core::mono_time hosts_planned_at; ///< latest look at waves and moves
 
     void plan_soon();
     void plan();
@@ -57,9 +58,13 @@
     const auto begun = t.now();
     coordinator::task_events out;
     coordinator::lapse_hosts(t.fleet, begun, out);
-    coordinator::empty_draining_hosts(t.fleet, begun, out);
-    waves->plan();
-    machines->plan(waves->held());
+    if (begun >= hosts_planned_at + t.settings.hosts_plan_every)
+    {
+        hosts_planned_at = begun;
+        coordinator::empty_draining_hosts(t.fleet, begun, out);
+        waves->plan();
+        machines->plan(waves->held());
+    }
     const auto unix_ms = core::to_unix_ms(t.ctx.time.wall_now());
     const auto orders = coordinator::make_plan(t.fleet, begun, unix_ms, true, out);
     t.log(out);
