Hosts go down only when their ends are stored; finished jobs leave the list of open ones; larger nodes bid first

Change: a move or an upkeep waits for the host's ends to be stored; job/ID goes with its final state; a node's share of a core delays its bid.

--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -19,8 +19,9 @@
 /// Ends a job at its caller's wish: nothing of it starts any more, and what runs is stopped.
 void cancel_job(fleet& f, const std::string& id, core::mono_time now, task_events& out);
 
-/// Forgets a job that is final and has no runs.
-void forget_job(fleet& f, const std::string& id);
+/// Gives up the tasks of a job that is final, stored and without runs. Its entry stays: the job may
+/// come into view again by a reading that began before its removal, and must not start anew.
+void shrink_job(fleet& f, job_entry& j);
 
 /// Runners that a former owner used: each has to be examined, or its leases to have lapsed, before
 /// an inherited task starts anywhere.
--- a/libs/coordinator/src/bookkeeping.cpp
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -71,6 +71,11 @@
            h.used.gpus + need.gpus <= h.capacity.gpus;
 }
 
+bool is_empty(const host_entry& h)
+{
+    return !h.prior && h.runs.empty() && h.strays == 0 && h.stored_end >= h.seen_end;
+}
+
 namespace
 {
 
--- a/libs/coordinator/src/bookkeeping.hpp
+++ b/libs/coordinator/src/bookkeeping.hpp
@@ -27,6 +27,11 @@
 
 bool fits(const host_entry& h, const workflow::resources& need);
 
+/// \return whether the host's life may be ended: nothing of it is lost then. A host that nobody has
+/// looked at in this term may still run what a former owner started. An end that is not stored yet
+/// is known to this process only: were both to go, its task would run a second time.
+bool is_empty(const host_entry& h);
+
 /// Adds a run and takes its room.
 run_entry& add_run(fleet& f, job_entry& j, const workflow::task_name& name, run_entry run);
 
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -116,15 +116,17 @@
     finish_job(f, *j, workflow::job_state::cancelled, now);
 }
 
-void forget_job(fleet& f, const std::string& id)
+void shrink_job(fleet& f, job_entry& j)
 {
-    auto* const j = find_job(f, id);
-    if (j != nullptr && workflow::is_final(j->state) && j->live_runs == 0)
+    if (!workflow::is_final(j.state) || j.live_runs > 0 || j.dirty)
     {
-        f.open_jobs.erase(id);
-        std::erase(f.dirty, id);
-        f.jobs.erase(id);
+        return;
     }
+    f.open_jobs.erase(j.spec.id);
+    j.tasks = {};
+    j.steps = {};
+    j.spec.steps = {};
+    j.spec.payload = {};
 }
 
 void add_prior_hosts(fleet& f, const std::vector<prior_host>& all, core::mono_time now)
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -277,7 +277,7 @@
     for (auto& [machine, move] : r.moves)
     {
         const auto* const h = find_host(f, move.runner);
-        const bool empty = h == nullptr || (!h->prior && h->runs.empty() && h->strays == 0);
+        const bool empty = h == nullptr || is_empty(*h);
         if (!move.ordered && empty && static_cast<int>(ready.size()) < r.settings.most_moves)
         {
             move.ordered = true;
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -81,13 +81,6 @@
     return n;
 }
 
-/// A host that nobody has looked at in this term may still run what a former owner started: taken
-/// down, it would end several tasks of one step at once.
-bool is_empty(const host_entry& h)
-{
-    return !h.prior && h.runs.empty() && h.strays == 0;
-}
-
 /// While there is time, only hosts that nobody misses go down: those that are switched off, and
 /// idle ones of pools that have some to spare.
 bool is_missed(const candidate& it, const machine_table& list)
--- a/libs/coordinator/tests/decision_tests.cpp
+++ b/libs/coordinator/tests/decision_tests.cpp
@@ -575,6 +575,21 @@
     LONGS_EQUAL(2, plan_wave(w.f, v, list, {}, w.now, w.events).size());
 }
 
+// A task ended on a host, and the end is not stored yet. Were the host maintained or moved now and
+// this process to die, nobody would know of the end, and the task would run again.
+TEST(waves, a_host_stays_until_its_ends_are_stored)
+{
+    prepare(1, 1);
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    w.started(a);
+    w.ended(a, ports::run_end::done, 1);
+    v.due = w.now;
+    LONGS_EQUAL(0, plan_wave(w.f, v, list, {}, w.now, w.events).size());
+    w.f.hosts["h1"].stored_end = 1;
+    LONGS_EQUAL(1, plan_wave(w.f, v, list, {}, w.now, w.events).size());
+}
+
 // A wave closes all hosts of a pool. Were a long-running task stopped with no host to go to, it
 // would wait for the wave, and the wave for the other tasks of its step.
 TEST(waves, a_task_with_nowhere_to_go_stays)
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -20,20 +20,19 @@
 {
     coordinator::coordinator_settings rules;
     coordinator::wave_settings waves;
-    core::millis plan_delay{4};       ///< gathers what arrives together into one plan
-    core::millis plan_every{100};     ///< also without a cause: leases lapse, stops repeat
+    core::millis plan_delay{4};        ///< gathers what arrives together into one plan
+    core::millis plan_every{100};      ///< also without a cause: leases lapse, stops repeat
     core::millis hosts_plan_every{40}; ///< waves and moves: they look at every job and host
-    core::millis job_pause{12};       ///< between two watches of new jobs
-    core::millis poll_wait{700};      ///< longest wait of a poll for an end
-    core::millis poll_gap{30};        ///< after ends came: gathers the next ones
-    core::millis poll_retry{150};     ///< after a poll that failed
-    core::millis hosts_every{450};    ///< reads of the list of runners
-    core::millis machines_every{500}; ///< reads of the list of machines while a wave runs
-    core::millis machines_idle{2000}; ///< otherwise
-    core::millis store_delay{8};      ///< gathers progress into one write
-    core::millis store_retry{100};    ///< after a write that failed
-    core::millis pending_every{500};  ///< counts of waiting jobs
-    std::size_t jobs_per_write = 15;  ///< a transaction takes 32 rows: the owner's, and two a job
+    core::millis job_pause{12};        ///< between two watches of new jobs
+    core::millis poll_wait{700};       ///< longest wait of a poll for an end
+    core::millis poll_gap{30};         ///< after ends came: gathers the next ones
+    core::millis poll_retry{150};      ///< after a poll that failed
+    core::millis hosts_every{450};     ///< reads of the list of runners
+    core::millis machines_every{500};  ///< reads of the list of machines while a wave runs
+    core::millis machines_idle{2000};  ///< otherwise
+    core::millis store_delay{8};       ///< gathers progress into one write
+    core::millis store_retry{100};     ///< after a write that failed
+    core::millis pending_every{500};   ///< counts of waiting jobs
 };
 
 struct driver_parts;
--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -1,9 +1,10 @@
 /// \file
 /// Keys of the system's own records in the metadata store.
 ///
-///   job/ID          a job as accepted; written once, by the entry host that took it
-///   job/ID/cancel   its cancel; written once, by the entry host that took the cancel
-///   state/ID        its progress; written by the coordinator only
+///   job/ID          a job as accepted; written once, by the entry host that took it, and removed
+///                   with the write of its final state, so that a successor reads open jobs only
+///   job/ID/cancel   its cancel; as job/ID
+///   state/ID        its progress; written by the coordinator only. Stays when the job is final
 ///   coord/leader    who coordinates; lives with its lease. Its revision is the fencing token
 ///   coord/leader-term  counts coordinators; never removed
 ///   coord/runners   runners that the coordinator may have given orders to
--- a/libs/hosted/include/hosted/leadership.hpp
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -26,6 +26,9 @@
     core::millis margin{150};
     /// Candidates try after a pause of up to this long, so that they do not all call at once.
     core::millis longest_pause{120};
+    /// A node waits longer before it bids, the smaller its share of a core: the coordinator's load
+    /// falls on one node, and a small one would fall behind and lose its lease.
+    core::millis handicap{0};
     core::millis retry{250}; ///< after a call that failed
 };
 
--- a/libs/hosted/src/entry_desk.cpp
+++ b/libs/hosted/src/entry_desk.cpp
@@ -262,7 +262,8 @@
     auto w = std::make_shared<pending_write>();
     w->id = spec.id;
     w->deadline = deadline;
-    w->change.conditions = {{job_key(spec.id), 0}};
+    // A job that has ended leaves its state behind, so a repeat does not make it a new one.
+    w->change.conditions = {{job_key(spec.id), 0}, {state_key(spec.id), 0}};
     w->change.puts = {{job_key(spec.id), workflow::write_job(spec), 0}};
     w->done = [state = state_, id = spec.id, queue = spec.queue, done = std::move(done)](
                   kv_status how, bool certain)
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -119,7 +119,7 @@
         const auto mix = static_cast<std::uint64_t>(ctx.time.now().time_since_epoch().count());
         const core::millis pause{
             static_cast<std::int64_t>(core::stable_hash(ctx.member, mix) % range)};
-        schedule(pause, &leadership_state::bid);
+        schedule(pause + settings.handicap, &leadership_state::bid);
     }
 }
 
--- a/libs/hosted/src/progress_writer.cpp
+++ b/libs/hosted/src/progress_writer.cpp
@@ -11,6 +11,16 @@
 
 using ports::kv_status;
 
+namespace
+{
+
+/// What a transaction takes: conditions, puts and removals together.
+constexpr std::size_t most_rows = 32;
+/// A condition, a put, and for a final job two removals.
+constexpr std::size_t most_rows_per_job = 4;
+
+} // namespace
+
 progress_writer::progress_writer(term& t) : term_(t)
 {
 }
@@ -46,42 +56,46 @@
         end();
         return;
     }
-    const auto most = term_.settings.jobs_per_write;
-    batches_out_ = (dirty.size() + most - 1) / most;
-    for (std::size_t i = 0; i < dirty.size(); i += most)
+    std::vector<batch> batches;
+    for (const auto& id : dirty)
+    {
+        if (batches.empty() || batches.back().rows() + most_rows_per_job > most_rows)
+        {
+            batches.emplace_back().change.conditions.push_back({leader_key, term_.token});
+        }
+        add_job(id, batches.back());
+    }
+    batches_out_ = batches.size();
+    for (auto& it : batches)
     {
-        const auto last = std::min(dirty.size(), i + most);
-        send({dirty.begin() + static_cast<std::ptrdiff_t>(i),
-            dirty.begin() + static_cast<std::ptrdiff_t>(last)});
+        send(std::move(it));
     }
 }
 
-progress_writer::batch progress_writer::make_batch(const std::vector<std::string>& jobs)
+void progress_writer::add_job(const std::string& id, batch& to)
 {
-    batch b;
-    b.change.conditions.push_back({leader_key, term_.token});
-    for (const auto& id : jobs)
+    const auto found = term_.fleet.jobs.find(id);
+    if (found == term_.fleet.jobs.end())
     {
-        const auto found = term_.fleet.jobs.find(id);
-        if (found == term_.fleet.jobs.end())
-        {
-            continue;
-        }
-        auto& j = *found->second;
-        j.dirty = false;
-        b.jobs.push_back(id);
-        // Each job's own revision too: a write whose answer was lost may land seconds later, while
-        // this node still leads, and would put an old progress over a newer one.
-        b.change.conditions.push_back({state_key(id), j.stored});
-        b.change.puts.push_back(
-            {state_key(id), workflow::write_progress(j.spec, coordinator::progress_of(j)), 0});
-    }
-    return b;
+        return;
+    }
+    auto& j = *found->second;
+    j.dirty = false;
+    to.jobs.push_back(id);
+    // Each job's own revision too: a write whose answer was lost may land seconds later, while
+    // this node still leads, and would put an old progress over a newer one.
+    to.change.conditions.push_back({state_key(id), j.stored});
+    to.change.puts.push_back(
+        {state_key(id), workflow::write_progress(j.spec, coordinator::progress_of(j)), 0});
+    if (workflow::is_final(j.state))
+    {
+        to.change.removals.push_back(job_key(id));
+        to.change.removals.push_back(cancel_key(id));
+    }
 }
 
-void progress_writer::send(std::vector<std::string> jobs)
+void progress_writer::send(batch b)
 {
-    auto b = make_batch(jobs);
     if (b.jobs.empty())
     {
         batch_over(true, {});
@@ -108,6 +122,7 @@
             if (const auto it = term_.fleet.jobs.find(id); it != term_.fleet.jobs.end())
             {
                 it->second->stored = result.modified;
+                coordinator::shrink_job(term_.fleet, *it->second);
             }
         }
     }
--- a/libs/hosted/src/progress_writer.hpp
+++ b/libs/hosted/src/progress_writer.hpp
@@ -24,11 +24,16 @@
     {
         std::vector<std::string> jobs;
         ports::store_transaction change;
+
+        std::size_t rows() const
+        {
+            return change.conditions.size() + change.puts.size() + change.removals.size();
+        }
     };
 
     void begin();
-    batch make_batch(const std::vector<std::string>& jobs);
-    void send(std::vector<std::string> jobs);
+    void add_job(const std::string& id, batch& to);
+    void send(batch b);
     void take(const batch& b, const ports::commit_result& result);
     void take_conflict(const batch& b, const ports::commit_result& result);
     void batch_over(bool stored, const std::vector<std::string>& jobs);
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -45,6 +45,7 @@
     listen_settings listen;
     service_settings services;
     hosted_timing timing;
+    double processor_share = 1; ///< of a core, that this node may use
     ports::log_level log_level = ports::log_level::info;
 };
 
--- a/libs/settings/src/hosted_read.cpp
+++ b/libs/settings/src/hosted_read.cpp
@@ -16,6 +16,7 @@
 constexpr checked_json::bounds settings_bounds{1u << 18, 16, 1u << 14};
 constexpr millis_range lease_range{millis{1000}, millis{600000}};
 constexpr checked_json::real_range stop_range{0.1, 600};
+constexpr checked_json::real_range share_range{0.001, 1024};
 
 } // namespace
 
@@ -52,6 +53,7 @@
         .required("listen", r.listen)
         .required("services", r.services)
         .defaulted("timing", r.timing)
+        .defaulted("processor_share", r.processor_share, share_range)
         .defaulted("log_level", r.log_level, ports::log_level_names);
 }
 
