A job that ends between two readings is known; ends that change no job count as stored at once

Cause (LOST, 410 on an accepted job, on both sites): the state was read before, and the job after, the one write that stores its final state and removes it. The test failed before. Also: a stopped run's end waited for the next progress before its host could be taken down.

--- a/libs/hosted/src/entry_desk.cpp
+++ b/libs/hosted/src/entry_desk.cpp
@@ -142,6 +142,39 @@
     core::mono_time deadline,
     std::function<void(state_answer)> done);
 
+/// Neither progress nor job: it does not exist, or it ended between the two readings, which removed
+/// the job and stored its state in one write. Only the state tells, read once more.
+void look_again(const std::shared_ptr<entry_state>& state,
+    const std::string& id,
+    core::mono_time deadline,
+    std::function<void(state_answer)> done)
+{
+    state->ctx.store.get(state_key(id),
+        ports::read_freshness::newest,
+        [state, id, deadline, done = std::move(done)](const ports::item_read& read)
+        {
+            if (read.status != kv_status::ok)
+            {
+                if (!state->has_time(deadline))
+                {
+                    done({});
+                    return;
+                }
+                state->again([=] { look_again(state, id, deadline, done); });
+                return;
+            }
+            state_answer out{true, false, workflow::job_state::queued};
+            if (read.item)
+            {
+                const auto found = workflow::read_progress_state(read.item->value);
+                out.known = core::is_ok(found);
+                out.exists = true;
+                out.state = out.known ? core::value(found) : out.state;
+            }
+            done(out);
+        });
+}
+
 /// No progress is stored: the job waits, was cancelled just now, or does not exist.
 void look_for_job(const std::shared_ptr<entry_state>& state,
     const std::string& id,
@@ -162,6 +195,11 @@
                 state->again([=] { look_for_job(state, id, deadline, done); });
                 return;
             }
+            if (page.items.empty())
+            {
+                look_again(state, id, deadline, done);
+                return;
+            }
             state_answer out{true, false, workflow::job_state::queued};
             for (const auto& it : page.items)
             {
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -86,10 +86,7 @@
     }
     desk->poll_all();
     plan_soon();
-    if (!common->fleet.dirty.empty())
-    {
-        writer->request();
-    }
+    writer->request_if_due();
 }
 
 void driver_parts::store_pending()
--- a/libs/hosted/src/progress_writer.cpp
+++ b/libs/hosted/src/progress_writer.cpp
@@ -34,6 +34,18 @@
     }
 }
 
+void progress_writer::request_if_due()
+{
+    // Also ends that changed no job: until they count as stored their hosts can't be taken down.
+    const bool ends = std::any_of(term_.fleet.hosts.begin(),
+        term_.fleet.hosts.end(),
+        [](const auto& it) { return it.second.seen_end > it.second.stored_end; });
+    if (ends || !term_.fleet.dirty.empty())
+    {
+        request();
+    }
+}
+
 void progress_writer::begin()
 {
     requested_ = false;
@@ -187,10 +199,7 @@
                 it->second.stored_end = std::max(it->second.stored_end, n);
             }
         }
-        if (!term_.fleet.dirty.empty())
-        {
-            request();
-        }
+        request_if_due();
         return;
     }
     requested_ = true;
--- a/libs/hosted/src/progress_writer.hpp
+++ b/libs/hosted/src/progress_writer.hpp
@@ -19,6 +19,9 @@
     /// Writes soon what has changed.
     void request();
 
+    /// As request(), when there is anything to store or any end to be counted as stored.
+    void request_if_due();
+
 private:
     struct batch
     {
--- a/libs/hosted/tests/entry_desk_tests.cpp
+++ b/libs/hosted/tests/entry_desk_tests.cpp
@@ -121,6 +121,25 @@
     CHECK_FALSE(state->known);
 }
 
+// A caller asks just as its job ends. Its progress was not stored at the first reading, and at the
+// second the job is gone with the write of its final state. It must not hear that there is none.
+TEST(entry_desk, a_job_that_ends_between_two_readings_is_known)
+{
+    c.put_job(c.make_job("a", 1));
+    const auto range = n->ctx.store.range;
+    auto ctx = n->ctx;
+    ctx.store.range = [this, range](const std::string& prefix, const std::string& after, auto done)
+    {
+        c.store.put(hosted::state_key("a"), R"({"state":"completed"})");
+        c.store.remove(hosted::job_key("a"));
+        range(prefix, after, done);
+    };
+    n->desk = std::make_unique<hosted::entry_desk>(ctx, hosted::entry_settings{});
+    ask("a");
+    CHECK(state->known && state->exists);
+    CHECK(state->state == job_state::completed);
+}
+
 TEST(entry_desk, a_cancel_is_told_once_it_is_stored)
 {
     cancel("a");
