A machine that moves or is maintained proves its runner's end

Cause: after a loss of power of all nodes the successor waited 4 s for the leases of runners whose machines were just moving.

--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -21,7 +21,8 @@
 };
 
 /// Notes which machine each runner is a life of, and ends the runners whose machine has another
-/// one by now: a machine has one life at a time, so nothing of the old one still runs.
+/// one by now, or none while it moves or is maintained: a machine has one life at a time, so
+/// nothing of the old one still runs. Saves a successor the wait for their leases.
 void match_machines(fleet& f, const machine_table& list, core::mono_time now, task_events& out);
 
 struct wave
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -111,14 +111,18 @@
     for (const auto& [id, h] : f.hosts)
     {
         const auto* const m = h.machine.empty() ? nullptr : find_machine(list, h.machine);
-        if (m != nullptr && !m->runner.empty() && m->runner != id)
+        const bool other_life = m != nullptr && !m->runner.empty() && m->runner != id;
+        // A machine that moves or is maintained runs nothing; its next life has another id.
+        const bool no_life = m != nullptr && (m->state == ports::machine_state::moving ||
+                                                 m->state == ports::machine_state::in_maintenance);
+        if (other_life || no_life)
         {
             over.push_back(id);
         }
     }
     for (const auto& id : over)
     {
-        end_host(f, id, "its machine has another runner", now, out);
+        end_host(f, id, "its machine has another life, or none", now, out);
     }
 }
 
--- a/libs/coordinator/tests/decision_tests.cpp
+++ b/libs/coordinator/tests/decision_tests.cpp
@@ -633,6 +633,38 @@
     CHECK(w.f.hosts[busy].use == host_use::closed_for_maintenance);
 }
 
+// A successor finds a runner in the record whose machine was moved since. It need not wait for the
+// runner's leases: the list shows that the machine runs nothing, or another life.
+TEST(waves, a_machines_other_life_or_none_ends_a_runner)
+{
+    struct row
+    {
+        const char* runner;
+        ports::machine_state state;
+        bool ends;
+    };
+    const row rows[] = {
+        {"h1", ports::machine_state::up, false},
+        {"h9", ports::machine_state::up, true},
+        {"", ports::machine_state::moving, true},
+        {"h1", ports::machine_state::in_maintenance, true},
+        {"", ports::machine_state::down, false},
+        {"h1", ports::machine_state::down, false},
+    };
+    for (const auto& it : rows)
+    {
+        world each;
+        each.add_host("h1");
+        each.f.hosts["h1"].machine = "m1";
+        each.f.hosts["h1"].prior = true;
+        machine_table table;
+        table.known = true;
+        table.machines["m1"] = {"m1", "p", "z", it.runner, it.state};
+        match_machines(each.f, table, each.now, each.events);
+        LONGS_EQUAL(it.ends ? 0 : 1, each.f.hosts.count("h1"));
+    }
+}
+
 TEST(waves, a_wave_ends_when_each_machine_that_stays_has_begun)
 {
     prepare(2, 2);
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -1,5 +1,7 @@
 #include "machine_desk.hpp"
 
+#include "coordinator/intake.hpp"
+
 #include <utility>
 
 namespace camphorhitch::hosted
@@ -66,7 +68,8 @@
         on_list_();
         term_.wake();
     }
-    const bool often = is_pressing_() || !moves_.moves.empty();
+    const bool often =
+        is_pressing_() || !moves_.moves.empty() || coordinator::has_unexamined_hosts(term_.fleet);
     term_.ctx.time.after(often ? term_.settings.machines_every : term_.settings.machines_idle,
         term_.guarded([this] { read(); }));
 }
