--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -59,6 +60,23 @@
     std::int64_t last_run = 0; ///< highest number that any runner may have seen
     std::vector<run_entry> runs;
     std::vector<std::string> failed_on; ///< hosts; avoided while there are others
+    core::mono_time not_before;         ///< a start was refused; it is ordered again after this
+};
+
+/// Leave to run a step's tasks on one host.
+struct host_ticket
+{
+    std::string text;
+    core::mono_time until;
+};
+
+/// What the platform's advice has said of one step.
+struct step_advice
+{
+    std::map<std::string, host_ticket> good; ///< by runner id
+    std::set<std::string> bad;               ///< runners that never may run it
+    bool asking = false;
+    core::mono_time not_before; ///< of the next call
 };
 
 /// Counts over the tasks of one step of one occurrence.
@@ -76,8 +94,9 @@
     bool inherited = false;     ///< accepted before this term: a former owner may have started it
     bool dirty = false;         ///< the stored progress is older than this entry
     ports::revision stored = 0; ///< revision of the stored progress; 0: none
-    std::vector<task_entry> tasks; ///< by workflow::task_place; empty once final
-    std::vector<step_entry> steps; ///< by occurrence and step
+    std::vector<task_entry> tasks;             ///< by workflow::task_place; empty once final
+    std::vector<step_entry> steps;             ///< by occurrence and step
+    std::map<std::size_t, step_advice> advice; ///< by place in steps; jobs under advice only
     std::size_t live_runs = 0;
     std::size_t done_tasks = 0;
 };
@@ -118,6 +137,8 @@
     std::size_t strays = 0;      ///< runs of jobs that are not known; they take unknown room
     std::int64_t seen_end = 0;   ///< highest end that was taken in
     std::int64_t stored_end = 0; ///< ends up to here are stored and may be acknowledged
+    int fillers = 0;             ///< runs of steps that fill
+    core::mono_time paced_at;    ///< latest look at their pace
     int recent_failures = 0;     ///< failed runs less finished ones, not below 0
     /// Tasks with a run here; key: workflow::write_task_name.
     std::map<std::string, workflow::task_name> runs;
@@ -143,6 +164,18 @@
     double clock_drift = 0.02;
     /// Beyond a lease's computed end, for delays that neither clock shows.
     core::millis lapse_margin{250};
+    /// Calls to the advice service at once; it handles one at a time for each node.
+    int most_asks = 4;
+    /// Runners named in one call, at most: each takes the service's time.
+    std::size_t most_asked = 12;
+    /// Runners asked about beyond the tasks that wait.
+    int more_asked = 2;
+    /// After a call without an answer.
+    core::millis ask_pause{300};
+    /// A ticket is not used so shortly before its end: the order takes its time.
+    core::millis ticket_margin{150};
+    /// Between a refused start and the next of the same task.
+    core::millis refusal_pause{150};
     /// Between repeats of an unanswered stop.
     core::millis stop_repeat{400};
     /// How long the list of runners may still name one that has ended: three missed reports, and
@@ -164,6 +197,7 @@
     /// Runners whose life has certainly ended, and when that was learnt; the list of runners may
     /// name them for a while.
     std::map<std::string, core::mono_time> ended;
+    int asks_out = 0;               ///< calls to the advice service
     std::vector<stray_run> strays;  ///< to be stopped
     std::vector<std::string> dirty; ///< jobs whose progress has to be stored
 };
--- a/libs/coordinator/include/coordinator/placement.hpp
+++ b/libs/coordinator/include/coordinator/placement.hpp
@@ -2,6 +2,7 @@
 /// Which task starts where, and which run has to be stopped.
 #pragma once
 
+#include "coordinator/advice.hpp"
 #include "coordinator/fleet.hpp"
 
 #include <functional>
@@ -16,6 +17,7 @@
     std::int64_t run = 0;
     std::string payload;
     std::string checkpoint;
+    std::string ticket; ///< of the platform's advice, or empty
 };
 
 struct stop_action
@@ -29,6 +31,7 @@
 {
     std::vector<start_action> starts;
     std::vector<stop_action> stops;
+    std::vector<ask_action> asks;
 };
 
 /// Decides all orders that are due, and notes them in \p f as sent.
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -2,10 +2,11 @@
 
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
-#include "core/invariant.hpp"
+#include "ends.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace camphorhitch::coordinator
@@ -16,9 +17,6 @@
 
 using ports::runner_verdict;
 
-/// Failed runs that a host may collect before its score stops growing.
-constexpr int most_recent_failures = 8;
-
 std::string verdict_text(const ports::runner_answer& answer)
 {
     return "answer=" + std::string{core::name_of(ports::runner_verdict_names, answer.verdict)};
@@ -33,6 +31,27 @@
     }
 }
 
+/// What an answer says of the two that talk, before what it says of the order.
+/// \return false when the runner knows a newer owner, true when the runner's life is over, nothing
+/// when both stand.
+std::optional<bool> judge_standing(fleet& f,
+    const std::string& host,
+    const ports::runner_answer& answer,
+    core::mono_time now,
+    task_events& out)
+{
+    if (answer.verdict == runner_verdict::fenced)
+    {
+        return false;
+    }
+    if (answer.verdict == runner_verdict::other_life)
+    {
+        end_host(f, host, "another runner answers at its address", now, out);
+        return true;
+    }
+    return std::nullopt;
+}
+
 run_entry* find_run(
     fleet& f, const workflow::task_name& name, const std::string& host, std::int64_t number)
 {
@@ -51,179 +70,18 @@
     const std::string& host,
     std::int64_t number,
     const ports::runner_answer& answer,
+    core::mono_time now,
     task_events& out)
 {
     auto* const t = find_task(f, name);
     const auto place = place_of_run(*t, host, number);
+    // Ordered again at once, a start that is refused each time would keep the process busy.
+    t->not_before = now + f.settings.refusal_pause;
+    t->failed_on.push_back(host);
     note(out, "start_refused", name, number, host, verdict_text(answer));
     remove_run(f, *find_job(f, name.job), name, place);
 }
 
-// ---- ends ----
-
-void complete_if_done(fleet& f, job_entry& j, core::mono_time now, task_events& out)
-{
-    if (j.done_tasks == j.tasks.size() && !workflow::is_final(j.state))
-    {
-        out.push_back({"job_completed", j.spec.id, 0, "", "all tasks ended done"});
-        finish_job(f, j, workflow::job_state::completed, now);
-    }
-}
-
-void mark_task_done(fleet& f, job_entry& j, const workflow::task_name& name)
-{
-    auto& t = *find_task(f, name);
-    if (t.progress.done)
-    {
-        return;
-    }
-    auto& counts = step_of(j, name.occurrence, name.step);
-    if (t.runs.empty())
-    {
-        --counts.idle;
-    }
-    t.progress.done = true;
-    t.progress.checkpoint.clear();
-    ++counts.done;
-    ++j.done_tasks;
-    mark_dirty(f, j);
-}
-
-/// The other runs of a task that is done are in the way: copies, or members of its gang.
-void stop_runs(task_entry& t, core::mono_time now)
-{
-    for (auto& it : t.runs)
-    {
-        if (it.phase != run_phase::stopping)
-        {
-            it.phase = run_phase::stopping;
-            it.changed_at = now;
-        }
-    }
-}
-
-void end_done(
-    fleet& f, job_entry& j, const workflow::task_name& name, core::mono_time now, task_events& out)
-{
-    const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
-    if (s.long_running)
-    {
-        return; // it is started again
-    }
-    mark_task_done(f, j, name);
-    stop_runs(*find_task(f, name), now);
-    if (s.gang)
-    {
-        // One member's end stands for all; the others end by themselves.
-        for (int i = 0; i < s.tasks; ++i)
-        {
-            mark_task_done(f, j, {name.job, name.occurrence, name.step, i});
-        }
-    }
-    complete_if_done(f, j, now, out);
-}
-
-void end_failed(fleet& f,
-    job_entry& j,
-    const workflow::task_name& name,
-    const ports::reported_end& end,
-    core::mono_time now,
-    task_events& out)
-{
-    auto& t = *find_task(f, name);
-    if (end.run <= t.progress.last_failed)
-    {
-        return; // reported again, to this owner or to the one before
-    }
-    t.progress.last_failed = end.run;
-    ++t.progress.failures;
-    mark_dirty(f, j);
-    const bool bounded = !j.spec.steps[static_cast<std::size_t>(name.step)].long_running;
-    if (bounded && t.progress.failures >= j.spec.most_attempts)
-    {
-        out.push_back({"job_failed",
-            j.spec.id,
-            0,
-            "",
-            "task=" + end.task + " failures=" + std::to_string(t.progress.failures)});
-        finish_job(f, j, workflow::job_state::failed, now);
-    }
-}
-
-void score_host(host_entry& h, ports::run_end how)
-{
-    if (how == ports::run_end::failed)
-    {
-        h.recent_failures = std::min(h.recent_failures + 1, most_recent_failures);
-    }
-    else if (how == ports::run_end::done)
-    {
-        h.recent_failures = std::max(h.recent_failures - 1, 0);
-    }
-}
-
-void take_end(
-    fleet& f, host_entry& h, const ports::reported_end& end, core::mono_time now, task_events& out)
-{
-    const auto read = workflow::read_task_name(end.task);
-    const auto* const name = std::get_if<workflow::task_name>(&read);
-    std::erase_if(f.strays,
-        [&](const stray_run& it)
-        { return it.host == h.ref.id && it.task == end.task && it.number == end.run; });
-    auto* const t = name == nullptr ? nullptr : find_task(f, *name);
-    out.push_back({"run_ended",
-        end.task,
-        end.run,
-        h.ref.id,
-        "how=" + std::string{core::name_of(ports::run_end_names, end.how)} +
-            " end=" + std::to_string(end.number) + (t == nullptr ? " task=unknown" : "")});
-    if (t == nullptr)
-    {
-        return;
-    }
-    auto& j = *find_job(f, name->job);
-    const auto place = place_of_run(*t, h.ref.id, end.run);
-    if (place < t->runs.size())
-    {
-        const auto& run = t->runs[place];
-        if (end.how == ports::run_end::done && !run.adopted)
-        {
-            const auto took = std::chrono::duration_cast<core::millis>(now - run.ordered_at);
-            learn_time(f.learnt, j.spec.steps[static_cast<std::size_t>(name->step)].image, took);
-        }
-        remove_run(f, j, *name, place);
-    }
-    else if (!t->runs.empty() || end.run < t->last_run)
-    {
-        // This run was given up as lapsed and the task started anew. The newer run counts: taking
-        // the old result in now would let two runs of one task both have an effect.
-        if (!h.prior)
-        {
-            return;
-        }
-    }
-    score_host(h, end.how);
-    if (!end.checkpoint.empty())
-    {
-        t->progress.checkpoint = end.checkpoint;
-    }
-    if (workflow::is_final(j.state))
-    {
-        return;
-    }
-    if (end.how == ports::run_end::done)
-    {
-        end_done(f, j, *name, now, out);
-    }
-    else if (end.how == ports::run_end::failed)
-    {
-        t->failed_on.push_back(h.ref.id);
-        end_failed(f, j, *name, end, now, out);
-    }
-}
-
-// ---- what runs ----
-
 void see_stray(fleet& f, host_entry& h, const ports::reported_run& it, task_events& out)
 {
     ++h.strays;
@@ -337,14 +195,9 @@
     core::mono_time now,
     task_events& out)
 {
-    if (answer.verdict == runner_verdict::fenced)
-    {
-        return false;
-    }
-    if (answer.verdict == runner_verdict::other_life)
+    if (const auto over = judge_standing(f, host, answer, now, out))
     {
-        end_host(f, host, "another runner answers at its address", now, out);
-        return true;
+        return *over;
     }
     if (auto* const h = find_host(f, host))
     {
@@ -367,7 +220,7 @@
     }
     if (answer.verdict != runner_verdict::done)
     {
-        start_refused(f, task, host, run, answer, out);
+        start_refused(f, task, host, run, answer, now, out);
         return true;
     }
     if (it->phase == run_phase::ordered || it->phase == run_phase::unsettled)
@@ -391,14 +244,9 @@
     core::mono_time now,
     task_events& out)
 {
-    if (answer.verdict == runner_verdict::fenced)
-    {
-        return false;
-    }
-    if (answer.verdict == runner_verdict::other_life)
+    if (const auto over = judge_standing(f, host, answer, now, out))
     {
-        end_host(f, host, "another runner answers at its address", now, out);
-        return true;
+        return *over;
     }
     auto* const it = find_run(f, task, host, run);
     if (it == nullptr)
@@ -437,17 +285,11 @@
     {
         return true;
     }
-    const auto verdict = answer.call.verdict;
-    if (verdict == runner_verdict::fenced)
+    if (const auto over = judge_standing(f, host, answer.call, now, out))
     {
-        return false;
-    }
-    if (verdict == runner_verdict::other_life)
-    {
-        end_host(f, host, "another runner answers at its address", now, out);
-        return true;
+        return *over;
     }
-    if (verdict != runner_verdict::done)
+    if (answer.call.verdict != runner_verdict::done)
     {
         if (h->reachable)
         {
--- a/libs/coordinator/src/bookkeeping.cpp
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -110,6 +110,7 @@
         h->used.cpu += room.cpu;
         h->used.memory_mb += room.memory_mb;
         h->used.gpus += room.gpus;
+        h->fillers += step_spec(j, name).fills ? 1 : 0;
         h->runs.emplace(workflow::write_task_name(name), name);
     }
     t.last_run = std::max(t.last_run, run.number);
@@ -130,6 +131,7 @@
         h->used.cpu -= room.cpu;
         h->used.memory_mb -= room.memory_mb;
         h->used.gpus -= room.gpus;
+        h->fillers -= step_spec(j, name).fills ? 1 : 0;
         core::require(h->used.cpu >= 0 && h->used.memory_mb >= 0, "room in use is never negative");
         if (!runs_on(t, host))
         {
--- /dev/null
+++ b/libs/coordinator/src/ends.cpp
@@ -0,0 +1,180 @@
+#include "ends.hpp"
+
+#include "bookkeeping.hpp"
+#include "workflow/records.hpp"
+
+#include <algorithm>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+/// Failed runs that a host may collect before its score stops growing.
+constexpr int most_recent_failures = 8;
+
+void complete_if_done(fleet& f, job_entry& j, core::mono_time now, task_events& out)
+{
+    if (j.done_tasks == j.tasks.size() && !workflow::is_final(j.state))
+    {
+        out.push_back({"job_completed", j.spec.id, 0, "", "all tasks ended done"});
+        finish_job(f, j, workflow::job_state::completed, now);
+    }
+}
+
+void mark_task_done(fleet& f, job_entry& j, const workflow::task_name& name)
+{
+    auto& t = *find_task(f, name);
+    if (t.progress.done)
+    {
+        return;
+    }
+    auto& counts = step_of(j, name.occurrence, name.step);
+    if (t.runs.empty())
+    {
+        --counts.idle;
+    }
+    t.progress.done = true;
+    t.progress.checkpoint.clear();
+    ++counts.done;
+    ++j.done_tasks;
+    mark_dirty(f, j);
+}
+
+/// The other runs of a task that is done are in the way: copies, or members of its gang.
+void stop_runs(task_entry& t, core::mono_time now)
+{
+    for (auto& it : t.runs)
+    {
+        if (it.phase != run_phase::stopping)
+        {
+            it.phase = run_phase::stopping;
+            it.changed_at = now;
+        }
+    }
+}
+
+void end_done(
+    fleet& f, job_entry& j, const workflow::task_name& name, core::mono_time now, task_events& out)
+{
+    const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
+    if (s.long_running)
+    {
+        return; // it is started again
+    }
+    mark_task_done(f, j, name);
+    stop_runs(*find_task(f, name), now);
+    if (s.gang)
+    {
+        // One member's end stands for all; the others end by themselves.
+        for (int i = 0; i < s.tasks; ++i)
+        {
+            mark_task_done(f, j, {name.job, name.occurrence, name.step, i});
+        }
+    }
+    complete_if_done(f, j, now, out);
+}
+
+void end_failed(fleet& f,
+    job_entry& j,
+    const workflow::task_name& name,
+    const ports::reported_end& end,
+    core::mono_time now,
+    task_events& out)
+{
+    auto& t = *find_task(f, name);
+    if (end.run <= t.progress.last_failed)
+    {
+        return; // reported again, to this owner or to the one before
+    }
+    t.progress.last_failed = end.run;
+    ++t.progress.failures;
+    mark_dirty(f, j);
+    const bool bounded = !j.spec.steps[static_cast<std::size_t>(name.step)].long_running;
+    if (bounded && t.progress.failures >= j.spec.most_attempts)
+    {
+        out.push_back({"job_failed",
+            j.spec.id,
+            0,
+            "",
+            "task=" + end.task + " failures=" + std::to_string(t.progress.failures)});
+        finish_job(f, j, workflow::job_state::failed, now);
+    }
+}
+
+void score_host(host_entry& h, ports::run_end how)
+{
+    if (how == ports::run_end::failed)
+    {
+        h.recent_failures = std::min(h.recent_failures + 1, most_recent_failures);
+    }
+    else if (how == ports::run_end::done)
+    {
+        h.recent_failures = std::max(h.recent_failures - 1, 0);
+    }
+}
+
+} // namespace
+
+void take_end(
+    fleet& f, host_entry& h, const ports::reported_end& end, core::mono_time now, task_events& out)
+{
+    const auto read = workflow::read_task_name(end.task);
+    const auto* const name = std::get_if<workflow::task_name>(&read);
+    std::erase_if(f.strays,
+        [&](const stray_run& it)
+        { return it.host == h.ref.id && it.task == end.task && it.number == end.run; });
+    auto* const t = name == nullptr ? nullptr : find_task(f, *name);
+    out.push_back({"run_ended",
+        end.task,
+        end.run,
+        h.ref.id,
+        "how=" + std::string{core::name_of(ports::run_end_names, end.how)} +
+            " end=" + std::to_string(end.number) + (t == nullptr ? " task=unknown" : "")});
+    if (t == nullptr)
+    {
+        return;
+    }
+    auto& j = *find_job(f, name->job);
+    const auto place = place_of_run(*t, h.ref.id, end.run);
+    if (place < t->runs.size())
+    {
+        const auto& run = t->runs[place];
+        if (end.how == ports::run_end::done && !run.adopted)
+        {
+            const auto took = std::chrono::duration_cast<core::millis>(now - run.ordered_at);
+            learn_time(f.learnt, j.spec.steps[static_cast<std::size_t>(name->step)].image, took);
+        }
+        remove_run(f, j, *name, place);
+    }
+    else if (!t->runs.empty() || end.run < t->last_run)
+    {
+        // This run was given up as lapsed and the task started anew. The newer run counts: taking
+        // the old result in now would let two runs of one task both have an effect.
+        if (!h.prior)
+        {
+            return;
+        }
+    }
+    score_host(h, end.how);
+    if (!end.checkpoint.empty())
+    {
+        t->progress.checkpoint = end.checkpoint;
+    }
+    if (workflow::is_final(j.state))
+    {
+        return;
+    }
+    if (end.how == ports::run_end::done)
+    {
+        end_done(f, j, *name, now, out);
+    }
+    else if (end.how == ports::run_end::failed)
+    {
+        t->failed_on.push_back(h.ref.id);
+        end_failed(f, j, *name, end, now, out);
+    }
+}
+
+} // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -2,8 +2,8 @@
 
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
-#include "core/invariant.hpp"
-#include "workflow/records.hpp"
+#include "coordinator/pacing.hpp"
+#include "starts.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -18,17 +18,6 @@
 /// A host with this many more failed than finished runs gets work only when no other has room.
 constexpr int suspect_failures = 3;
 
-/// A step with tasks that wait, in the order in which they are served.
-struct waiting_step
-{
-    job_entry* job = nullptr;
-    int occurrence = 0;
-    int step = 0;
-    bool lost = false;            ///< too late to be worth anything
-    bool late = false;            ///< can't meet its objective any more: worth little
-    std::int64_t due_unix_ms = 0; ///< when its objective ends
-};
-
 bool order_of_service(const waiting_step& a, const waiting_step& b)
 {
     const auto key = [](const waiting_step& it)
@@ -117,46 +106,21 @@
     return out;
 }
 
-/// \return runs of one step on one host, whatever their phase.
-int runs_on_host(const job_entry& j, int occurrence, int step, const std::string& host)
-{
-    int n = 0;
-    const auto first = workflow::task_place(j.spec, occurrence, step, 0);
-    const auto tasks = static_cast<std::size_t>(j.spec.steps[static_cast<std::size_t>(step)].tasks);
-    for (std::size_t i = first; i < first + tasks; ++i)
-    {
-        for (const auto& it : j.tasks[i].runs)
-        {
-            n += it.host == host ? 1 : 0;
-        }
-    }
-    return n;
-}
-
-bool has_label(const host_entry& h, const std::string& label)
-{
-    return label.empty() || std::find(h.labels.begin(), h.labels.end(), label) != h.labels.end();
-}
-
-bool may_run_there(
-    const host_entry& h, const job_entry& j, int occurrence, int step, const workflow::step& s)
-{
-    return has_label(h, s.required_label) && fits(h, room_of(s)) &&
-           (s.most_per_host == 0 || runs_on_host(j, occurrence, step, h.ref.id) < s.most_per_host);
-}
-
 /// \return the host with the lowest cost, or nullptr when none may run the task.
-host_entry* choose_host(const std::vector<host_entry*>& hosts,
+host_entry* choose_host(const fleet& f,
+    const std::vector<host_entry*>& hosts,
     const job_entry& j,
     const workflow::task_name& name,
-    const task_entry& t)
+    const task_entry& t,
+    core::mono_time now)
 {
     const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
     host_entry* best = nullptr;
-    auto best_cost = std::tuple(true, true, true, std::numeric_limits<std::int64_t>::max());
+    auto best_cost = std::tuple(true, true, true, 0, std::numeric_limits<std::int64_t>::max());
     for (auto* const h : hosts)
     {
-        if (!may_run_there(*h, j, name.occurrence, name.step, s))
+        if (!is_advised(*h, j, name.occurrence, name.step, now) ||
+            !may_run_there(*h, j, name.occurrence, name.step, s))
         {
             continue;
         }
@@ -164,7 +128,8 @@
             std::find(t.failed_on.begin(), t.failed_on.end(), h->ref.id) != t.failed_on.end();
         const bool suspect = h->recent_failures >= suspect_failures;
         const bool far = !s.near_rack.empty() && h->rack != s.near_rack;
-        const auto cost = std::tuple(failed_here, suspect, far, h->used.cpu);
+        const int disturbed = disturbing_runs(f, *h, s);
+        const auto cost = std::tuple(failed_here, suspect, far, disturbed, h->used.cpu);
         if (best == nullptr || cost < best_cost)
         {
             best = h;
@@ -174,45 +139,6 @@
     return best;
 }
 
-std::int64_t next_run_number(const task_entry& t)
-{
-    return t.last_run + 1;
-}
-
-void order_start(fleet& f,
-    host_entry& h,
-    job_entry& j,
-    const workflow::task_name& name,
-    std::int64_t number,
-    core::mono_time now,
-    plan& to,
-    task_events& out)
-{
-    auto& t = *find_task(f, name);
-    const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
-    core::require(!t.progress.done, "a task that is done never starts");
-    core::require(t.runs.empty() || s.speculative, "a task has one live run");
-    core::require(s.long_running || t.progress.failures < j.spec.most_attempts,
-        "a task starts within its budget of attempts");
-    core::require(
-        is_step_ready(j, name.occurrence, name.step), "a step starts after the steps before");
-    core::require(fits(h, room_of(s)), "a host is never over its room");
-    run_entry run;
-    run.number = number;
-    run.host = h.ref.id;
-    run.ordered_at = now;
-    run.changed_at = now;
-    add_run(f, j, name, run);
-    to.starts.push_back({h.ref, name, number, j.spec.payload, t.progress.checkpoint});
-    note(out,
-        "start_ordered",
-        name,
-        number,
-        h.ref.id,
-        "used_cpu=" + std::to_string(h.used.cpu) + " of=" + std::to_string(h.capacity.cpu) +
-            (t.progress.checkpoint.empty() ? "" : " resumes=1"));
-}
-
 /// Starts as many tasks of the step as there is room for.
 void start_tasks(fleet& f,
     const waiting_step& w,
@@ -227,11 +153,11 @@
     {
         const workflow::task_name name{j.spec.id, w.occurrence, w.step, i};
         const auto& t = *find_task(f, name);
-        if (t.progress.done || !t.runs.empty())
+        if (t.progress.done || !t.runs.empty() || now < t.not_before)
         {
             continue;
         }
-        auto* const h = choose_host(hosts, j, name, t);
+        auto* const h = choose_host(f, hosts, j, name, t, now);
         if (h == nullptr)
         {
             return; // the step's other tasks are alike
@@ -240,73 +166,6 @@
     }
 }
 
-/// Starts a gang whole or not at all: members that wait for others hold room and do nothing.
-void start_gang(fleet& f,
-    const waiting_step& w,
-    const std::vector<host_entry*>& hosts,
-    core::mono_time now,
-    plan& to,
-    task_events& out)
-{
-    auto& j = *w.job;
-    const auto& s = j.spec.steps[static_cast<std::size_t>(w.step)];
-    if (step_of(j, w.occurrence, w.step).idle < s.tasks)
-    {
-        return; // some member of an earlier run is not certainly over
-    }
-    std::map<std::string, std::vector<host_entry*>> racks;
-    for (auto* const h : hosts)
-    {
-        racks[s.one_rack ? h->rack : std::string{}].push_back(h);
-    }
-    racks[""] =
-        hosts; // several racks are slower, but better than never; the empty name sorts first
-    std::vector<std::pair<host_entry*, int>> chosen;
-    for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack)
-    {
-        int left = s.tasks;
-        chosen.clear();
-        for (auto* const h : rack->second)
-        {
-            int here = 0;
-            auto trial = *h;
-            while (here < left && has_label(trial, s.required_label) && fits(trial, room_of(s)) &&
-                   (s.most_per_host == 0 || here < s.most_per_host))
-            {
-                const auto room = room_of(s);
-                trial.used.cpu += room.cpu;
-                trial.used.memory_mb += room.memory_mb;
-                trial.used.gpus += room.gpus;
-                ++here;
-            }
-            if (here > 0)
-            {
-                chosen.emplace_back(h, here);
-                left -= here;
-            }
-        }
-        if (left == 0)
-        {
-            break;
-        }
-        chosen.clear();
-    }
-    std::int64_t number = 0;
-    for (int i = 0; i < s.tasks; ++i)
-    {
-        number =
-            std::max(number, next_run_number(*find_task(f, {j.spec.id, w.occurrence, w.step, i})));
-    }
-    int index = 0;
-    for (const auto& [h, count] : chosen)
-    {
-        for (int i = 0; i < count; ++i)
-        {
-            order_start(f, *h, j, {j.spec.id, w.occurrence, w.step, index++}, number, now, to, out);
-        }
-    }
-}
-
 void order_stops(fleet& f, core::mono_time now, plan& to)
 {
     for (const auto& id : f.open_jobs)
@@ -356,6 +215,14 @@
         {
             found = pools.emplace(pool, hosts_of_pool(f, pool, now)).first;
         }
+        if (it.job->spec.advised)
+        {
+            auto ask = plan_ask(f, *it.job, it.occurrence, it.step, found->second, now);
+            if (!ask.runners.empty())
+            {
+                to.asks.push_back(std::move(ask));
+            }
+        }
         const bool gang = it.job->spec.steps[static_cast<std::size_t>(it.step)].gang;
         (gang ? start_gang : start_tasks)(f, it, found->second, now, to, out);
     }
--- /dev/null
+++ b/libs/coordinator/src/starts.cpp
@@ -0,0 +1,96 @@
+#include "starts.hpp"
+
+#include "bookkeeping.hpp"
+#include "core/invariant.hpp"
+
+#include <algorithm>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+/// \return runs of one step on one host, whatever their phase.
+int runs_on_host(const job_entry& j, int occurrence, int step, const std::string& host)
+{
+    int n = 0;
+    const auto first = workflow::task_place(j.spec, occurrence, step, 0);
+    const auto tasks = static_cast<std::size_t>(j.spec.steps[static_cast<std::size_t>(step)].tasks);
+    for (std::size_t i = first; i < first + tasks; ++i)
+    {
+        for (const auto& it : j.tasks[i].runs)
+        {
+            n += it.host == host ? 1 : 0;
+        }
+    }
+    return n;
+}
+
+} // namespace
+
+bool has_label(const host_entry& h, const std::string& label)
+{
+    return label.empty() || std::find(h.labels.begin(), h.labels.end(), label) != h.labels.end();
+}
+
+bool may_run_there(
+    const host_entry& h, const job_entry& j, int occurrence, int step, const workflow::step& s)
+{
+    return has_label(h, s.required_label) && fits(h, room_of(s)) &&
+           (s.most_per_host == 0 || runs_on_host(j, occurrence, step, h.ref.id) < s.most_per_host);
+}
+
+bool is_advised(
+    const host_entry& h, const job_entry& j, int occurrence, int step, core::mono_time now)
+{
+    return !j.spec.advised || find_ticket(j, occurrence, step, h.ref.id, now) != nullptr;
+}
+
+std::int64_t next_run_number(const task_entry& t)
+{
+    return t.last_run + 1;
+}
+
+void order_start(fleet& f,
+    host_entry& h,
+    job_entry& j,
+    const workflow::task_name& name,
+    std::int64_t number,
+    core::mono_time now,
+    plan& to,
+    task_events& out)
+{
+    auto& t = *find_task(f, name);
+    const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
+    core::require(!t.progress.done, "a task that is done never starts");
+    core::require(t.runs.empty() || s.speculative, "a task has one live run");
+    core::require(s.long_running || t.progress.failures < j.spec.most_attempts,
+        "a task starts within its budget of attempts");
+    core::require(
+        is_step_ready(j, name.occurrence, name.step), "a step starts after the steps before");
+    core::require(fits(h, room_of(s)), "a host is never over its room");
+    run_entry run;
+    run.number = number;
+    run.host = h.ref.id;
+    run.ordered_at = now;
+    run.changed_at = now;
+    add_run(f, j, name, run);
+    const auto* const ticket =
+        j.spec.advised ? find_ticket(j, name.occurrence, name.step, h.ref.id, now) : nullptr;
+    to.starts.push_back({h.ref,
+        name,
+        number,
+        j.spec.payload,
+        t.progress.checkpoint,
+        ticket == nullptr ? std::string{} : *ticket});
+    note(out,
+        "start_ordered",
+        name,
+        number,
+        h.ref.id,
+        "used_cpu=" + std::to_string(h.used.cpu) + " of=" + std::to_string(h.capacity.cpu) +
+            (t.progress.checkpoint.empty() ? "" : " resumes=1"));
+}
+
+} // namespace camphorhitch::coordinator
--- a/libs/coordinator/tests/decision_tests.cpp
+++ b/libs/coordinator/tests/decision_tests.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/answers.hpp"
 #include "coordinator/demand.hpp"
 #include "coordinator/intake.hpp"
+#include "coordinator/pacing.hpp"
 #include "coordinator/placement.hpp"
 #include "coordinator/rebalance.hpp"
 #include "coordinator/waves.hpp"
@@ -279,6 +280,117 @@
     }
 }
 
+// Only the platform's advice knows who may run the step. Nothing starts without a ticket, nobody is
+// asked about twice, and a ticket that has ended is asked for again.
+TEST(placement, a_step_under_advice_starts_with_tickets)
+{
+    w.add_host("h1");
+    w.add_host("h2");
+    auto j = make_job("a", {make_step(3, 1000)});
+    j.advised = true;
+    w.add(j);
+    auto p = w.next();
+    LONGS_EQUAL(0, p.starts.size());
+    LONGS_EQUAL(1, p.asks.size());
+    LONGS_EQUAL(2, p.asks[0].runners.size());
+    STRCMP_EQUAL("a.0.0", write_step_name(p.asks[0].step).c_str());
+    LONGS_EQUAL(0, w.next().asks.size()); // it is out
+    advice_answered(w.f, p.asks[0], {true, {{"h2", "t2"}}, 3000ms}, w.now, w.events);
+    p = w.next();
+    LONGS_EQUAL(0, p.asks.size());
+    LONGS_EQUAL(3, p.starts.size());
+    STRCMP_EQUAL("h2", p.starts[0].host.id.c_str());
+    STRCMP_EQUAL("t2", p.starts[0].ticket.c_str());
+    w.started(p.starts[0], ports::runner_verdict::bad_ticket);
+    w.now += 3000ms;
+    w.f.hosts["h2"].last_answer = w.now;
+    p = w.next();
+    LONGS_EQUAL(0, p.starts.size());
+    LONGS_EQUAL(1, p.asks.size());
+    STRCMP_EQUAL("h2", p.asks[0].runners[0].c_str());
+}
+
+TEST_GROUP(pacing)
+{
+    world w;
+
+    /// A serving task and a filler on one host, both running.
+    void prepare()
+    {
+        w.add_host("h1");
+        auto serving = make_step(1, 1000);
+        serving.tail_target = 40ms;
+        serving.long_running = true;
+        auto filler = make_step(1, 2000);
+        filler.fills = true;
+        w.add(make_job("a", {serving, filler}));
+        for (const auto& it : w.next().starts)
+        {
+            w.started(it);
+        }
+    }
+
+    run_entry& run(std::size_t step)
+    {
+        return w.f.jobs.at("a")->tasks[step].runs[0];
+    }
+
+    /// One half second with this tail latency. \return the filler's pace after it.
+    int after(std::int64_t tail)
+    {
+        run(0).figure = tail;
+        w.now += 500ms;
+        plan_paces(w.f, {}, w.now, w.events);
+        return run(1).pace;
+    }
+};
+
+// A filler disturbs a serving task. Within four half-second figures it is as good as stopped, so
+// the task is never over its target for seconds; once all is calm it comes back.
+TEST(pacing, a_filler_yields_and_comes_back)
+{
+    prepare();
+    LONGS_EQUAL(100, after(20));
+    LONGS_EQUAL(50, after(60));
+    LONGS_EQUAL(25, after(60));
+    LONGS_EQUAL(12, after(60));
+    LONGS_EQUAL(6, after(50));
+    LONGS_EQUAL(0, after(50));
+    LONGS_EQUAL(0, after(30)); // between the marks
+    LONGS_EQUAL(15, after(10));
+}
+
+// A model in which the filler adds to the tail latency in proportion, by a factor that changes
+// within seconds: the serving task is never over its target for as long as its users would mind.
+TEST(pacing, a_changing_disturbance_is_followed)
+{
+    prepare();
+    core::millis over{0};
+    core::millis longest{0};
+    for (int i = 0; i < 120; ++i)
+    {
+        const double factor = (i / 12) % 2 == 0 ? 0.2 : 1.0;
+        const auto tail = static_cast<std::int64_t>(15 + run(1).pace * factor);
+        after(tail);
+        over = tail > 40 ? over + 500ms : 0ms;
+        longest = std::max(longest, over);
+    }
+    CHECK(longest <= 2000ms);
+}
+
+TEST(pacing, a_filler_goes_where_it_disturbs_nobody)
+{
+    prepare();
+    w.add_host("h2");
+    auto filler = make_step(1, 2000);
+    filler.fills = true;
+    w.f.hosts["h2"].used.cpu = 3000; // busier, but serves nobody
+    w.add(make_job("b", {filler}));
+    const auto p = w.next();
+    LONGS_EQUAL(1, p.starts.size());
+    STRCMP_EQUAL("h2", p.starts[0].host.id.c_str());
+}
+
 TEST_GROUP(settling)
 {
     world w;
@@ -335,6 +447,22 @@
     LONGS_EQUAL(0, w.f.jobs.at("a")->live_runs);
 }
 
+// A runner refuses a start each time. Ordered again at once, the task would keep the process and
+// the runner busy with nothing else.
+TEST(settling, a_refused_start_is_not_ordered_again_at_once)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    w.started(a, ports::runner_verdict::malformed);
+    LONGS_EQUAL(0, w.f.hosts["h1"].used.cpu);
+    LONGS_EQUAL(0, w.next().starts.size());
+    w.now += w.f.settings.refusal_pause;
+    const auto again = w.next().starts;
+    LONGS_EQUAL(1, again.size());
+    CHECK(again[0].run > a.run);
+}
+
 TEST(settling, another_life_ends_all_runs_at_once)
 {
     w.add_host("h1");
--- a/libs/hosted/include/hosted/context.hpp
+++ b/libs/hosted/include/hosted/context.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/time.hpp"
+#include "ports/advice.hpp"
 #include "ports/machines.hpp"
 #include "ports/metadata_store.hpp"
 #include "ports/runners.hpp"
@@ -23,6 +24,7 @@
     ports::metadata_store store;
     ports::runners runners;
     ports::machines machines;
+    ports::advice advice; ///< without a function: there is none
     ports::telemetry tel;
     /// A clock that goes on while the machine is suspended. Leases of this process are judged by
     /// it: by the monotonic clock, which stands still then, a woken process would still trust a
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "coordinator/fleet.hpp"
+#include "coordinator/pacing.hpp"
 #include "coordinator/waves.hpp"
 #include "hosted/context.hpp"
 #include "hosted/formats.hpp"
@@ -20,6 +21,7 @@
 {
     coordinator::coordinator_settings rules;
     coordinator::wave_settings waves;
+    coordinator::pacing_settings paces;
     core::millis plan_delay{4};        ///< gathers what arrives together into one plan
     core::millis plan_every{100};      ///< also without a cause: leases lapse, stops repeat
     core::millis hosts_plan_every{40}; ///< waves and moves: they look at every job and host
--- a/libs/hosted/include/hosted/formats.hpp
+++ b/libs/hosted/include/hosted/formats.hpp
@@ -25,6 +25,7 @@
     int most_attempts = 1;
     double stretch = 1;
     core::millis slack{0};
+    bool advised = false; ///< only the platform's advice knows which hosts may run its jobs
 };
 
 struct pool_settings
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -64,6 +64,7 @@
         coordinator::empty_draining_hosts(t.fleet, begun, out);
         waves->plan();
         machines->plan(waves->held());
+        desk->send_paces(coordinator::plan_paces(t.fleet, t.settings.paces, begun, out));
     }
     const auto unix_ms = core::to_unix_ms(t.ctx.time.wall_now());
     const auto orders = coordinator::make_plan(t.fleet, begun, unix_ms, true, out);
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -100,6 +100,10 @@
     {
         start(it);
     }
+    for (const auto& it : p.asks)
+    {
+        ask(it);
+    }
 }
 
 void runner_desk::start(const coordinator::start_action& a)
@@ -110,6 +114,7 @@
     order.run = a.run;
     order.payload = a.payload;
     order.checkpoint = a.checkpoint;
+    order.ticket = a.ticket;
     order.fencing_token = term_.token;
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
     coordinator::note_lease(h, order.lease_until_ms);
@@ -134,6 +139,40 @@
             }));
 }
 
+void runner_desk::send_paces(const std::vector<coordinator::pace_action>& all)
+{
+    for (const auto& it : all)
+    {
+        ports::pace_order order{
+            workflow::write_task_name(it.task), it.run, it.percent, term_.token};
+        term_.ctx.runners.pace(it.host,
+            std::move(order),
+            term_.guarded(
+                [this, it](const ports::runner_answer& answer)
+                {
+                    // A lost pace is mended by the next figures; only a newer owner matters.
+                    take(answer.verdict != runner_verdict::fenced, it.host.id, {});
+                }));
+    }
+}
+
+void runner_desk::ask(const coordinator::ask_action& a)
+{
+    const auto answered = [this, a](const ports::advice_answer& answer)
+    {
+        coordinator::task_events out;
+        coordinator::advice_answered(term_.fleet, a, answer, term_.now(), out);
+        term_.log(out);
+        term_.wake();
+    };
+    if (!term_.ctx.advice.ask)
+    {
+        answered({});
+        return;
+    }
+    term_.ctx.advice.ask(coordinator::write_step_name(a.step), a.runners, term_.guarded(answered));
+}
+
 void runner_desk::stop(const coordinator::stop_action& a)
 {
     ports::stop_order order{workflow::write_task_name(a.task), a.run, term_.token};
--- a/libs/hosted/src/runner_desk.hpp
+++ b/libs/hosted/src/runner_desk.hpp
@@ -2,6 +2,7 @@
 /// Talks to the runners: polls each of them, sends starts and stops, takes the answers in.
 #pragma once
 
+#include "coordinator/pacing.hpp"
 #include "coordinator/placement.hpp"
 #include "term.hpp"
 
@@ -22,6 +23,8 @@
     /// Sends the plan's orders.
     void send(const coordinator::plan& p);
 
+    void send_paces(const std::vector<coordinator::pace_action>& all);
+
     /// Stops runs that belong to no open job.
     void stop_strays();
 
@@ -31,6 +34,7 @@
     void poll_later(const std::string& host, core::millis delay);
     void start(const coordinator::start_action& a);
     void stop(const coordinator::stop_action& a);
+    void ask(const coordinator::ask_action& a);
     void take(bool still_owner, const std::string& host, const coordinator::task_events& out);
 
     term& term_;
--- /dev/null
+++ b/libs/settings/tests/hosted_settings_tests.cpp
@@ -0,0 +1,62 @@
+#include "settings/hosted_settings.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+
+namespace
+{
+
+const std::string good = R"({"member":"n1","zone":"z","listen":{"callers":"10.0.0.1:1",
+"health":"10.0.0.1:2"},"services":{"store":"10.0.0.2:1","machines":"10.0.0.3:1"}})";
+
+std::string with(const std::string& from, const std::string& to)
+{
+    auto text = good;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(hosted_settings){};
+
+TEST(hosted_settings, defaults_and_what_is_given)
+{
+    const auto read = settings::read_hosted_settings(good, "f");
+    const auto& s = std::get<settings::hosted_settings>(read);
+    STRCMP_EQUAL("n1", s.member.c_str());
+    CHECK(s.listen.metrics.empty());
+    LONGS_EQUAL(2500, s.timing.runner_lease.count());
+    DOUBLES_EQUAL(1, s.processor_share, 0.001);
+}
+
+TEST(hosted_settings, all_that_is_wrong_is_told_with_its_place)
+{
+    struct row
+    {
+        std::string text;
+        const char* finding;
+    };
+    const row rows[] = {
+        {"{", "f:1:"},
+        {with("10.0.0.1:1", "store"), "/listen/callers"},
+        {with(R"("zone":"z",)", ""), "zone"},
+        {with(R"("zone":"z")", R"("zone":"z","colour":1)"), "colour"},
+        {with(R"("zone":"z")", R"("zone":"z","timing":{"leader_lease_ms":3000})"),
+            "/timing/leader_lease_ms"},
+        {with(R"("zone":"z")", R"("zone":"z","timing":{"runner_lease_ms":7000})"),
+            "/timing/runner_lease_ms"},
+        {with(R"("zone":"z")", R"("zone":"z","log_level":"loud")"), "/log_level"},
+    };
+    for (const auto& it : rows)
+    {
+        const auto read = settings::read_hosted_settings(it.text, "f");
+        const auto* const found = std::get_if<core::findings>(&read);
+        CHECK_TEXT(found != nullptr, it.finding);
+        STRCMP_CONTAINS(it.finding, core::to_text(*found).c_str());
+    }
+    const auto both = settings::read_hosted_settings(
+        with(R"("zone":"z")", R"("zone":7,"log_level":"loud")"), "f");
+    LONGS_EQUAL(2, std::get<core::findings>(both).size());
+}
--- a/libs/workflow/include/workflow/model.hpp
+++ b/libs/workflow/include/workflow/model.hpp
@@ -66,6 +66,7 @@
     int most_attempts = 1; ///< failed runs of a task after which the job fails
     double stretch = 1;    ///< objective: this many times its longest chain of work
     core::millis slack{0}; ///< added to the objective
+    bool advised = false;  ///< only the platform's advice knows which hosts may run it
 };
 
 inline bool is_scheduled(const job& j)
--- a/libs/workflow/src/records.cpp
+++ b/libs/workflow/src/records.cpp
@@ -126,6 +126,7 @@
     put(out, "most_attempts", j.most_attempts);
     put(out, "stretch", j.stretch);
     put(out, "slack_ms", j.slack);
+    put(out, "advised", j.advised);
     auto& steps = out["steps"] = json::array();
     for (const auto& it : j.steps)
     {
@@ -152,6 +153,7 @@
         get(from, "most_attempts", j.most_attempts);
         get(from, "stretch", j.stretch);
         get(from, "slack_ms", j.slack);
+        get(from, "advised", j.advised);
         for (const auto& it : from.at("steps"))
         {
             j.steps.push_back(step_from_json(it));
--- a/libs/workflow/tests/records_tests.cpp
+++ b/libs/workflow/tests/records_tests.cpp
@@ -21,6 +21,7 @@
     j.most_attempts = 3;
     j.stretch = 1.6;
     j.slack = core::millis{600};
+    j.advised = true;
     j.timing = {2, 1700000001000, 500};
     step s;
     s.tasks = 3;
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -1,5 +1,6 @@
 #include "hosted_node.hpp"
 
+#include "company/advice_client.hpp"
 #include "company/front.hpp"
 #include "company/machine_client.hpp"
 #include "company/runner_client.hpp"
@@ -135,6 +136,12 @@
     store.address = settings.services.store;
     ctx.store = company::make_store_client(store_port, log, store);
     ctx.runners = company::make_runner_client(runner_port, log, {});
+    if (!settings.services.advice.empty())
+    {
+        company::advice_client_settings advice;
+        advice.address = settings.services.advice;
+        ctx.advice = company::make_advice_client(store_port, log, advice);
+    }
     company::machine_client_settings machines;
     machines.address = settings.services.machines;
     machines.holder = settings.member;
