Failed runs are kept by number: their ends may come again, and in any order

The log showed it: run_ended run=3, then run=2, then start_ordered run=1001. The test fails with the old rule.

--- a/libs/coordinator/src/ends.cpp
+++ b/libs/coordinator/src/ends.cpp
@@ -84,21 +84,24 @@
     task_events& out)
 {
     auto& t = *find_task(f, name);
-    if (end.run <= t.progress.last_failed)
+    if (j.spec.steps[static_cast<std::size_t>(name.step)].long_running)
+    {
+        return; // it is started again, however often
+    }
+    auto& failed = t.progress.failed_runs;
+    if (std::find(failed.begin(), failed.end(), end.run) != failed.end())
     {
         return; // reported again, to this owner or to the one before
     }
-    t.progress.last_failed = end.run;
-    ++t.progress.failures;
+    failed.push_back(end.run);
     mark_dirty(f, j);
-    const bool bounded = !j.spec.steps[static_cast<std::size_t>(name.step)].long_running;
-    if (bounded && t.progress.failures >= j.spec.most_attempts)
+    if (static_cast<int>(failed.size()) >= j.spec.most_attempts)
     {
         out.push_back({"job_failed",
             j.spec.id,
             0,
             "",
-            "task=" + end.task + " failures=" + std::to_string(t.progress.failures)});
+            "task=" + end.task + " failures=" + std::to_string(failed.size())});
         finish_job(f, j, workflow::job_state::failed, now);
     }
 }
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -65,7 +65,8 @@
     const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
     core::require(!t.progress.done, "a task that is done never starts");
     core::require(t.runs.empty() || s.speculative, "a task has one live run");
-    core::require(s.long_running || t.progress.failures < j.spec.most_attempts,
+    core::require(
+        s.long_running || static_cast<int>(t.progress.failed_runs.size()) < j.spec.most_attempts,
         "a task starts within its budget of attempts");
     core::require(
         is_step_ready(j, name.occurrence, name.step), "a step starts after the steps before");
--- a/libs/hosted/tests/take_over_tests.cpp
+++ b/libs/hosted/tests/take_over_tests.cpp
@@ -195,6 +195,34 @@
     STRCMP_EQUAL("", c.breaches().c_str());
 }
 
+// A task fails on one host after the other while nothing can be stored, then its owner loses its
+// lease. The successor reads the ends from the runners in no order of time; were one of them taken
+// for a repeat, the task would start once more than it may.
+TEST(take_over, failed_ends_count_in_any_order)
+{
+    begin(2, 4);
+    c.hosts.behaviour = {100ms, 1};
+    c.leader()->process.store_cut = true;
+    c.put_job(c.make_job("a", 3)); // read by the successor only
+    c.time.run_for(4s);
+    for (int i = 0; i < 6; ++i)
+    {
+        const auto id = "b" + std::to_string(i);
+        c.put_job(c.make_job(id, 4));
+        c.time.run_for(40ms);
+        c.store.busy = true;
+        c.time.run_for(900ms);
+        c.store.busy = false;
+        if (auto* const n = c.leader())
+        {
+            n->process.dead = true;
+        }
+        c.add_node();
+        CHECK(c.ends(id, job_state::failed, 10s));
+    }
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
 // A wave comes to a host just after a take-over, before its runs were looked at. Taken down then,
 // it would end two tasks of one step that may only miss one.
 TEST(take_over, a_host_that_was_not_looked_at_is_not_maintained)
--- a/libs/workflow/include/workflow/model.hpp
+++ b/libs/workflow/include/workflow/model.hpp
@@ -116,9 +116,10 @@
 struct task_progress
 {
     bool done = false;
-    int failures = 0;             ///< runs that ended failed
-    std::int64_t last_failed = 0; ///< highest run among them; a repeated report counts once
-    std::string checkpoint;       ///< newest known, or empty
+    /// Runs that ended failed, each once. Their reports may come again, to another owner too, and
+    /// in any order, since they lie on several runners: a highest number would not tell.
+    std::vector<std::int64_t> failed_runs;
+    std::string checkpoint; ///< newest known, or empty
 };
 
 /// What must outlive the process about a job. Shown to callers only once it is stored.
--- a/libs/workflow/src/records.cpp
+++ b/libs/workflow/src/records.cpp
@@ -104,8 +104,7 @@
 void set_task(job_progress& p, std::size_t place, const json& entry)
 {
     auto& t = p.tasks.at(place);
-    get(entry, "failures", t.failures);
-    get(entry, "last_failed", t.last_failed);
+    get(entry, "failed_runs", t.failed_runs);
     get(entry, "checkpoint", t.checkpoint);
 }
 
@@ -180,8 +179,7 @@
             const auto& t = p.tasks[i];
             done[i] = t.done ? '1' : '0';
             json entry = json::object();
-            put(entry, "failures", t.failures);
-            put(entry, "last_failed", t.last_failed);
+            put(entry, "failed_runs", t.failed_runs);
             put(entry, "checkpoint", t.done ? std::string{} : t.checkpoint);
             if (!entry.empty())
             {
--- a/libs/workflow/tests/records_tests.cpp
+++ b/libs/workflow/tests/records_tests.cpp
@@ -82,8 +82,7 @@
     p.state = job_state::running;
     p.tasks.resize(12);
     p.tasks[1].done = true;
-    p.tasks[5].failures = 2;
-    p.tasks[5].last_failed = 1007;
+    p.tasks[5].failed_runs = {3, 1007};
     p.tasks[7].checkpoint = "c7";
     const auto read = read_progress(j, write_progress(j, p));
     CHECK(core::is_ok(read));
@@ -92,8 +91,7 @@
     LONGS_EQUAL(12, q.tasks.size());
     CHECK(q.tasks[1].done);
     CHECK_FALSE(q.tasks[0].done);
-    LONGS_EQUAL(2, q.tasks[5].failures);
-    LONGS_EQUAL(1007, q.tasks[5].last_failed);
+    CHECK(q.tasks[5].failed_runs == (std::vector<std::int64_t>{3, 1007}));
     STRCMP_EQUAL("c7", q.tasks[7].checkpoint.c_str());
 }
 
@@ -106,7 +104,7 @@
              "{}",
              R"({"state":"odd"})",
              R"({"steps":3})",
-             R"({"state":"running","tasks":{"99":{"failures":1}}})"})
+             R"({"state":"running","tasks":{"99":{"failed_runs":[1]}}})"})
     {
         CHECK_FALSE(core::is_ok(read_progress(j, text)));
     }
