--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -169,7 +169,7 @@
     /// Runners named in one call, at most: each takes the service's time.
     std::size_t most_asked = 12;
     /// Runners asked about beyond the tasks that wait.
-    int more_asked = 2;
+    std::size_t more_asked = 2;
     /// After a call without an answer.
     core::millis ask_pause{300};
     /// A ticket is not used so shortly before its end: the order takes its time.
--- a/libs/coordinator/src/advice.cpp
+++ b/libs/coordinator/src/advice.cpp
@@ -58,7 +58,8 @@
     }
     // Each runner that is named costs time: no more of them than the step has tasks waiting, and a
     // few for those that may not.
-    const auto wanted = static_cast<std::size_t>(step_of(j, occurrence, step).idle + s.more_asked);
+    const int waiting = step_of(j, occurrence, step).idle;
+    const auto wanted = static_cast<std::size_t>(waiting) + s.more_asked;
     for (const auto* const h : hosts)
     {
         const bool settled = a.bad.contains(h->ref.id) ||
--- a/libs/coordinator/src/gangs.cpp
+++ b/libs/coordinator/src/gangs.cpp
@@ -60,7 +60,7 @@
     }
     for (const auto& [rack, its] : racks)
     {
-        const auto out = s.one_rack ? divide(its, s) : std::vector<share>{};
+        auto out = s.one_rack ? divide(its, s) : std::vector<share>{};
         if (!out.empty())
         {
             return out;
--- a/libs/hosted/include/hosted/entry_desk.hpp
+++ b/libs/hosted/include/hosted/entry_desk.hpp
@@ -64,8 +64,9 @@
     ~entry_desk();
 
     /// \param deadline when the caller stops waiting
-    void submit(
-        workflow::job spec, core::mono_time deadline, std::function<void(submit_outcome)> done);
+    void submit(const workflow::job& spec,
+        core::mono_time deadline,
+        std::function<void(submit_outcome)> done);
 
     void cancel(
         const std::string& id, core::mono_time deadline, std::function<void(cancel_outcome)> done);
--- a/libs/hosted/src/entry_desk.cpp
+++ b/libs/hosted/src/entry_desk.cpp
@@ -295,7 +295,7 @@
 entry_desk::~entry_desk() = default;
 
 void entry_desk::submit(
-    workflow::job spec, core::mono_time deadline, std::function<void(submit_outcome)> done)
+    const workflow::job& spec, core::mono_time deadline, std::function<void(submit_outcome)> done)
 {
     auto w = std::make_shared<pending_write>();
     w->id = spec.id;
--- a/testing/hosted_fakes/include/hosted_fakes/store.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/store.hpp
@@ -65,7 +65,7 @@
     ports::commit_result commit(const ports::store_transaction& t);
     void commit_call(daemon_fakes::process& p,
         const ports::store_transaction& t,
-        std::function<void(ports::commit_result)> done);
+        const std::function<void(ports::commit_result)>& done);
     ports::page_read range(const std::string& prefix, const std::string& after);
     bool answer_watch(const waiter& w);
     void watch(daemon_fakes::process& p, waiter w, core::millis wait);
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -69,7 +69,7 @@
 
 std::string hosts::add(const std::string& pool)
 {
-    const auto name = "m" + std::to_string(machines.size() + 1);
+    auto name = "m" + std::to_string(machines.size() + 1);
     auto& h = machines[name];
     h.machine = name;
     h.pool = pool;
@@ -400,27 +400,27 @@
     ports::runners out;
     out.start = [this, &p](const ports::runner_ref& to,
                     const ports::start_order& o,
-                    std::function<void(ports::runner_answer)> done)
+                    const std::function<void(ports::runner_answer)>& done)
     {
         call<ports::runner_answer>(
             p, to, true, [this, o](fake_host& h) { return start(h, o); }, std::move(done));
     };
     out.stop = [this, &p](const ports::runner_ref& to,
                    const ports::stop_order& o,
-                   std::function<void(ports::runner_answer)> done)
+                   const std::function<void(ports::runner_answer)>& done)
     {
         call<ports::runner_answer>(
             p, to, true, [this, o](fake_host& h) { return stop(h, o); }, std::move(done));
     };
     out.pace = [](const ports::runner_ref&,
                    const ports::pace_order&,
-                   std::function<void(ports::runner_answer)> done)
+                   const std::function<void(ports::runner_answer)>& done)
     {
         done({runner_verdict::done, -1});
     };
     out.poll = [this, &p](const ports::runner_ref& to,
                    const ports::poll_order& o,
-                   std::function<void(ports::poll_answer)> done)
+                   const std::function<void(ports::poll_answer)>& done)
     {
         // A wait for an end is played as a look after the wait, or at the next end.
         const auto tell = [this, &p, to, o, done](ports::poll_answer first)
@@ -456,7 +456,7 @@
 ports::machines hosts::machine_port(process& p)
 {
     ports::machines out;
-    out.list = [this, &p](std::function<void(ports::machine_list)> done)
+    out.list = [this, &p](const std::function<void(ports::machine_list)>& done)
     {
         time_.after(2 * wire_delay,
             [this, &p, done]
--- a/testing/hosted_fakes/src/store.cpp
+++ b/testing/hosted_fakes/src/store.cpp
@@ -167,8 +167,9 @@
     return out;
 }
 
-void store::commit_call(
-    process& p, const ports::store_transaction& t, std::function<void(ports::commit_result)> done)
+void store::commit_call(process& p,
+    const ports::store_transaction& t,
+    const std::function<void(ports::commit_result)>& done)
 {
     const auto unknown = with_status<ports::commit_result>(kv_status::unknown);
     if (writes_to_delay > 0 && !down && !busy && !p.store_cut)
@@ -345,7 +346,7 @@
     out.watch = [this, &p](const std::string& prefix,
                     ports::revision after,
                     core::millis wait,
-                    std::function<void(ports::changes_read)> done)
+                    const std::function<void(ports::changes_read)>& done)
     {
         const auto answer = [this, &p, done](const ports::changes_read& read)
         {
