--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -403,14 +403,14 @@
                     const std::function<void(ports::runner_answer)>& done)
     {
         call<ports::runner_answer>(
-            p, to, true, [this, o](fake_host& h) { return start(h, o); }, std::move(done));
+            p, to, true, [this, o](fake_host& h) { return start(h, o); }, done);
     };
     out.stop = [this, &p](const ports::runner_ref& to,
                    const ports::stop_order& o,
                    const std::function<void(ports::runner_answer)>& done)
     {
         call<ports::runner_answer>(
-            p, to, true, [this, o](fake_host& h) { return stop(h, o); }, std::move(done));
+            p, to, true, [this, o](fake_host& h) { return stop(h, o); }, done);
     };
     out.pace = [](const ports::runner_ref&,
                    const ports::pace_order&,
--- a/testing/hosted_fakes/src/store.cpp
+++ b/testing/hosted_fakes/src/store.cpp
@@ -356,9 +356,9 @@
             wire_delay, [this, &p, w = waiter{prefix, after, answer}, wait] { watch(p, w, wait); });
     };
     out.commit = [this, &p](const ports::store_transaction& t,
-                     std::function<void(ports::commit_result)> done)
+                     const std::function<void(ports::commit_result)>& done)
     {
-        commit_call(p, t, std::move(done));
+        commit_call(p, t, done);
     };
     out.grant_lease = [this, &p](core::millis ttl, std::function<void(ports::kv_lease)> done)
     {
