--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -8,6 +8,7 @@
 ///   coord/leader    who coordinates; lives with its lease. Its revision is the fencing token
 ///   coord/leader-term  counts coordinators; never removed
 ///   coord/runners   runners that the coordinator may have given orders to
+///   coord/demand    what the coordinator has learnt of the demand and of run times
 ///   coord/pending   jobs that wait, by queue
 ///   coord/wave/N    hosts of wave N whose maintenance has begun
 #pragma once
@@ -25,6 +26,7 @@
 inline const std::string leader_key = "coord/leader";
 inline const std::string leader_term_key = "coord/leader-term";
 inline const std::string runners_key = "coord/runners";
+inline const std::string demand_key = "coord/demand";
 inline const std::string pending_key = "coord/pending";
 
 inline std::string job_key(const std::string& id)
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -36,6 +36,7 @@
     void plan();
     void tick();
     void store_pending();
+    void read_demand(const std::function<void()>& then);
 };
 
 void driver_parts::plan_soon()
@@ -90,6 +91,29 @@
     writer->request_if_due();
 }
 
+/// Before the jobs: their arrivals add to it.
+void driver_parts::read_demand(const std::function<void()>& then)
+{
+    auto& t = *common;
+    t.ctx.store.get(demand_key,
+        ports::read_freshness::newest,
+        t.guarded(
+            [this, then](const ports::item_read& read)
+            {
+                if (read.status != ports::kv_status::ok)
+                {
+                    common->ctx.time.after(common->settings.store_retry,
+                        common->guarded([this, then] { read_demand(then); }));
+                    return;
+                }
+                if (read.item)
+                {
+                    machines->set_demand(read.item->value);
+                }
+                then();
+            }));
+}
+
 void driver_parts::store_pending()
 {
     auto& t = *common;
@@ -99,13 +123,13 @@
         return;
     }
     auto text = write_pending(coordinator::pending_jobs(t.fleet));
-    if (text == pending_text)
+    if (text == pending_text && t.fleet.open_jobs.empty())
     {
-        return;
+        return; // nothing waits and nothing is learnt
     }
     ports::store_transaction change;
     change.conditions = {{leader_key, t.token}};
-    change.puts = {{pending_key, text, 0}};
+    change.puts = {{pending_key, text, 0}, {demand_key, machines->demand_record(), 0}};
     t.ctx.store.commit(std::move(change),
         t.guarded([this, text](const ports::commit_result& result)
             { pending_text = result.status == ports::kv_status::ok ? text : std::string{}; }));
@@ -150,16 +174,20 @@
     {
         p.machines->note_job(j, at);
     };
-    p.jobs->start(
-        [&p]
-        {
-            p.jobs_are_in = true;
-            p.common->log(ports::log_level::info,
-                "jobs_read",
-                {{"jobs", std::to_string(p.common->fleet.jobs.size())}});
-            p.desk->poll_all();
-            p.plan_soon();
-        });
+    const auto read_jobs = [&p]
+    {
+        p.jobs->start(
+            [&p]
+            {
+                p.jobs_are_in = true;
+                p.common->log(ports::log_level::info,
+                    "jobs_read",
+                    {{"jobs", std::to_string(p.common->fleet.jobs.size())}});
+                p.desk->poll_all();
+                p.plan_soon();
+            });
+    };
+    p.read_demand(read_jobs);
     p.hosts->start(
         [&p]
         {
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -1,6 +1,7 @@
 #include "machine_desk.hpp"
 
 #include "coordinator/intake.hpp"
+#include "demand_record.hpp"
 
 #include <utility>
 
@@ -29,6 +30,10 @@
 
 void machine_desk::note_job(const workflow::job& j, core::mono_time at)
 {
+    if (j.accepted_unix_ms <= known_until_ms_)
+    {
+        return; // the owner before has counted it
+    }
     double work = 0;
     for (const auto& s : j.steps)
     {
@@ -43,6 +48,25 @@
     coordinator::note_arrival(demand_, j.pool, work, at);
 }
 
+std::string machine_desk::demand_record() const
+{
+    return write_demand(
+        demand_, term_.fleet.learnt, term_.now(), core::to_unix_ms(term_.ctx.time.wall_now()));
+}
+
+void machine_desk::set_demand(const std::string& record)
+{
+    known_until_ms_ = read_demand(record,
+        demand_,
+        term_.fleet.learnt,
+        term_.now(),
+        core::to_unix_ms(term_.ctx.time.wall_now()));
+    term_.log(ports::log_level::info,
+        "demand_read",
+        {{"pools", std::to_string(demand_.pools.size())},
+            {"images", std::to_string(term_.fleet.learnt.images.size())}});
+}
+
 void machine_desk::read()
 {
     const auto asked = term_.now();
--- a/libs/hosted/src/machine_desk.hpp
+++ b/libs/hosted/src/machine_desk.hpp
@@ -22,6 +22,12 @@
     /// A job was accepted \p at; in the order of acceptance.
     void note_job(const workflow::job& j, core::mono_time at);
 
+    /// What a successor is to know of the demand.
+    std::string demand_record() const;
+
+    /// Takes in what the owner before has learnt; a damaged record changes nothing.
+    void set_demand(const std::string& record);
+
     /// Decides and orders moves. \p held: machines that a wave has closed or taken.
     void plan(const std::set<std::string>& held);
 
@@ -39,6 +45,7 @@
     coordinator::machine_table table_;
     coordinator::rebalancer moves_;
     coordinator::demand demand_;
+    std::int64_t known_until_ms_ = 0; ///< wall time: arrivals up to here are in the record
     std::vector<coordinator::pool_info> pools_;
     std::function<void()> on_list_;
     std::function<bool()> is_pressing_;
--- /dev/null
+++ b/libs/hosted/tests/demand_record_tests.cpp
@@ -0,0 +1,44 @@
+#include "demand_record.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace std::chrono_literals;
+
+TEST_GROUP(demand_record){};
+
+// A successor has another monotonic clock; what it reads lies as long ago as it was.
+TEST(demand_record, it_comes_back_on_another_clock)
+{
+    coordinator::demand d;
+    coordinator::learnt l;
+    const core::mono_time now{1000s};
+    coordinator::note_arrival(d, "p", 300, now);
+    d.history.push_back({"p", now - 4s});
+    coordinator::learn_time(l, "i", 700ms);
+    const auto text = hosted::write_demand(d, l, now, 500000);
+    coordinator::demand e;
+    coordinator::learnt m;
+    const core::mono_time later{7s};
+    LONGS_EQUAL(500000, hosted::read_demand(text, e, m, later, 502000));
+    DOUBLES_EQUAL(d.pools["p"].fast, e.pools["p"].fast, 0.001);
+    CHECK(e.pools["p"].updated == later - 2s);
+    CHECK(e.history.front().at == later - 6s);
+    DOUBLES_EQUAL(700, m.images["i"].mean_ms, 0.001);
+}
+
+TEST(demand_record, a_damaged_one_changes_nothing)
+{
+    for (const char* text : {"",
+             "{",
+             "[]",
+             R"({"at_unix_ms":1})",
+             R"({"at_unix_ms":1,"pools":{"p":{}},"busy":[],"times":{}})"})
+    {
+        coordinator::demand d;
+        coordinator::learnt l;
+        coordinator::note_arrival(d, "q", 10, core::mono_time{1s});
+        LONGS_EQUAL(0, hosted::read_demand(text, d, l, core::mono_time{2s}, 5));
+        CHECK(d.pools.contains("q"));
+    }
+}
