--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -222,13 +222,11 @@
         // The store counts from the call's arrival, which was after its sending.
         valid_until = std::max(valid_until, sent + settings.lease - settings.margin);
     }
-    else if (got.status == ports::kv_status::ok || got.status == ports::kv_status::rejected)
+    else if (got.status == ports::kv_status::ok)
     {
-        if (got.status == ports::kv_status::ok)
-        {
-            lose("the lease has ended at the store");
-        }
+        lose("the lease has ended at the store");
     }
+    // Any other end proves nothing; the next renewal is on its way, and valid_until stands.
 }
 
 void leadership_state::lose(const std::string& reason)
