coordinator: one piece of code each for a confirmed run and for counting long-running tasks

The same two steps stood in the answer to a start and in the look at a runner, the same count in waves and in moves.

--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -64,6 +64,20 @@
     return place == t->runs.size() ? nullptr : &t->runs[place];
 }
 
+/// The runner says that the run is there. One that is being stopped stays so.
+void confirm_running(job_entry& j, run_entry& run, core::mono_time now)
+{
+    if (run.phase == run_phase::ordered || run.phase == run_phase::unsettled)
+    {
+        run.phase = run_phase::running;
+        run.changed_at = now;
+    }
+    if (j.state == workflow::job_state::queued)
+    {
+        j.state = workflow::job_state::running;
+    }
+}
+
 /// The run never began and never will.
 void start_refused(fleet& f,
     const workflow::task_name& name,
@@ -135,21 +149,13 @@
         adopt(f, h, j, *name, it, now, out);
     }
     auto& run = t->runs[place_of_run(*t, h.ref.id, it.run)];
-    if (run.phase == run_phase::ordered || run.phase == run_phase::unsettled)
-    {
-        run.phase = run_phase::running;
-        run.changed_at = now;
-    }
+    confirm_running(j, run, now);
     run.percent = it.percent;
     run.figure = it.figure;
     if (!it.checkpoint.empty())
     {
         t->progress.checkpoint = it.checkpoint;
     }
-    if (j.state == workflow::job_state::queued)
-    {
-        j.state = workflow::job_state::running;
-    }
 }
 
 /// A run that the runner does not list: it is over, or the answer is too old to tell.
@@ -223,16 +229,7 @@
         start_refused(f, task, host, run, answer, now, out);
         return true;
     }
-    if (it->phase == run_phase::ordered || it->phase == run_phase::unsettled)
-    {
-        it->phase = run_phase::running;
-        it->changed_at = now;
-    }
-    auto& j = *find_job(f, task.job);
-    if (j.state == workflow::job_state::queued)
-    {
-        j.state = workflow::job_state::running;
-    }
+    confirm_running(*find_job(f, task.job), *it, now);
     return true;
 }
 
--- a/libs/coordinator/src/bookkeeping.hpp
+++ b/libs/coordinator/src/bookkeeping.hpp
@@ -27,6 +27,10 @@
 
 bool fits(const host_entry& h, const workflow::resources& need);
 
+/// \return runs of long-running steps on the host: each has to be moved before it can be taken
+/// away.
+int long_running_tasks(fleet& f, const host_entry& h);
+
 /// \return whether the host's life may be ended: nothing of it is lost then. A host that nobody has
 /// looked at in this term may still run what a former owner started. An end that is not stored yet
 /// is known to this process only: were both to go, its task would run a second time.
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -135,13 +135,7 @@
     {
         return {false, 0, 0};
     }
-    int lasting = 0;
-    for (const auto& [text, name] : h->runs)
-    {
-        const auto* const j = find_job(f, name.job);
-        lasting += j->spec.steps[static_cast<std::size_t>(name.step)].long_running ? 1 : 0;
-    }
-    return {h->prior || h->strays > 0, lasting, h->used.cpu};
+    return {h->prior || h->strays > 0, long_running_tasks(f, *h), h->used.cpu};
 }
 
 /// Takes the cheapest host of a pool for a move.
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -19,17 +19,6 @@
     return it == list.machines.end() ? nullptr : &it->second;
 }
 
-int long_running_tasks(fleet& f, const host_entry& h)
-{
-    int n = 0;
-    for (const auto& [text, name] : h.runs)
-    {
-        const auto* const j = find_job(f, name.job);
-        n += j->spec.steps[static_cast<std::size_t>(name.step)].long_running ? 1 : 0;
-    }
-    return n;
-}
-
 /// A machine that may come next.
 struct candidate
 {
