Random fleet: a call of a paused process times out; seeds that failed once stay

Cause (seed 706, jobs left open for ever): the stand-in dropped a call that a paused process had just made, with no time-out, so three runners were never polled again. A real call ends by its own time-out once the process goes on; the stand-in does so now. Ruled out: the writer and the plan (the log goes on, polls of those runners alone stop). No check is narrowed.

--- a/libs/hosted/tests/random_fleet_tests.cpp
+++ b/libs/hosted/tests/random_fleet_tests.cpp
@@ -201,6 +201,19 @@
     }
 };
 
+/// Plays one seed's faults, heals, and expects every promise kept and every job ended.
+void play_seed(std::uint64_t seed, int default_steps)
+{
+    random_world w(seed);
+    w.play(static_cast<int>(
+        number_from("CAMPHORHITCH_STEPS", static_cast<std::uint64_t>(default_steps))));
+    w.heal();
+    w.c.time.run_until([&] { return w.unfinished() == 0; }, 60s);
+    const auto about = "seed " + std::to_string(seed) + w.last_lines();
+    STRCMP_EQUAL_TEXT("", w.c.breaches().c_str(), about.c_str());
+    LONGS_EQUAL_TEXT(0, w.unfinished(), about.c_str());
+}
+
 } // namespace
 
 TEST_GROUP(random_fleet){};
@@ -215,13 +228,19 @@
     const auto count = number_from("CAMPHORHITCH_SEEDS", seeds);
     for (auto seed = first; seed < first + count; ++seed)
     {
-        random_world w(seed);
-        w.play(static_cast<int>(number_from("CAMPHORHITCH_STEPS", steps)));
-        w.heal();
-        w.c.time.run_until([&] { return w.unfinished() == 0; }, 60s);
-        const auto about = "seed " + std::to_string(seed) + w.last_lines();
-        STRCMP_EQUAL_TEXT("", w.c.breaches().c_str(), about.c_str());
-        LONGS_EQUAL_TEXT(0, w.unfinished(), about.c_str());
+        play_seed(seed, steps);
+    }
+}
+
+// Each of these failed once: ends acknowledged after their lease had lapsed counted as taken note
+// of (100), a cut watch was never answered (204), a call of a paused process never timed out (706).
+// All three were faults of the stand-ins; the seeds stay, since they reach far.
+TEST(random_fleet, seeds_that_failed_once)
+{
+    constexpr int steps = 120;
+    for (const std::uint64_t seed : {100, 204, 706})
+    {
+        play_seed(seed, steps);
     }
 }
 
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -368,7 +368,7 @@
     time_.after(wire_delay,
         [this, &p, may_be_late, carry_out, answer_of, done = std::move(done)]
         {
-            if (p.dead || p.paused)
+            if (p.dead)
             {
                 return;
             }
@@ -376,6 +376,12 @@
             {
                 p.enter([=] { done(answer_of(runner_verdict::unknown)); });
             };
+            if (p.paused)
+            {
+                // The call never left; its own time-out tells so once the process goes on.
+                time_.after(call_timeout, give_up);
+                return;
+            }
             if (may_be_late && std::uniform_real_distribution<>(0, 1)(random_) < orders_late)
             {
                 const core::millis late{std::uniform_int_distribution<std::int64_t>(
