Take-overs: wait only for runners that answered, in their own pool, for what is left of their leases

Cause: after each take-over every inherited task waited up to 3.9 s for every runner of the record that did not answer. Ruled out: the elections themselves (230 ms from a resignation to the next term). Change: a runner enters coord/runners once it has answered; rows name its pool; of a runner silent for 300 ms the row says within what time its leases end, and no lease is granted before the row is stored without that. A damaged record holds inherited jobs (it was read as empty before); a row whose removal was never answered counts as doubtful. Each new test fails with its part of the change taken out (tried: rests not told, rests not read).

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -122,10 +123,13 @@
     bool draining = false; ///< about to leave
     host_use use = host_use::open;
     core::mono_time closed_at; ///< when use left open
-    bool recorded = false;     ///< a successor will find it among the runners in use
+    /// A successor will find it among the runners in use, with nothing said of the end of its
+    /// leases. Others are granted no lease and no start.
+    bool recorded = false;
 
     bool prior = false; ///< a former owner may have ordered runs here that we have not seen
     bool reachable = false;
+    core::mono_time silent_since; ///< when it left reachable
     core::mono_time added_at;
     core::mono_time last_answer;
     std::int64_t clock_ms = -1;      ///< the runner's clock in its newest answer; -1: none yet
@@ -181,6 +185,9 @@
     /// How long the list of runners may still name one that has ended: three missed reports, and
     /// as much again while the store is away.
     core::millis ended_memory{30000};
+    /// A runner silent for so long has the end of its leases stored for a successor. Moves and
+    /// maintenance end a runner within less, and prove it.
+    core::millis silence_told{300};
     /// Runs of one task within one term of ownership.
     std::int64_t runs_per_term = 1000;
 };
@@ -190,6 +197,8 @@
     coordinator_settings settings;
     std::int64_t term = 0;          ///< counts owners; 0 is the first
     ports::revision term_began = 0; ///< store revision of this term's begin; the fencing token
+    /// Until then no inherited task starts: the record of former owners' runners is damaged.
+    core::mono_time inherited_not_before;
     std::unordered_map<std::string, std::unique_ptr<job_entry>> jobs;
     std::unordered_set<std::string> open_jobs; ///< not final, or with live runs
     std::map<std::string, host_entry> hosts;   ///< by runner id
@@ -231,6 +240,10 @@
 {
     ports::runner_ref ref;
     std::string machine; ///< whose life it is; empty: not known
+    std::string pool;    ///< that its runs are of; empty: not known
+    /// All leases that were ever granted end within this time after the record was read, by the
+    /// clock of the one who stored it; nothing: leases may still be granted by a former owner.
+    std::optional<core::millis> rest;
 };
 
 } // namespace camphorhitch::coordinator
--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -24,9 +24,13 @@
 void shrink_job(fleet& f, job_entry& j);
 
 /// Runners that a former owner used: each has to be examined, or its leases to have lapsed, before
-/// an inherited task starts anywhere.
+/// an inherited task of its pool starts anywhere.
 void add_prior_hosts(fleet& f, const std::vector<prior_host>& all, core::mono_time now);
 
+/// As add_prior_hosts when it can't be read which runners those were: all inherited tasks wait
+/// until every lease has lapsed.
+void hold_inherited(fleet& f, core::mono_time now);
+
 /// The newest list of runners.
 void see_hosts(
     fleet& f, const std::vector<host_listing>& all, core::mono_time now, task_events& out);
@@ -48,8 +52,16 @@
 /// \return whether every lease that may have been granted on \p h has certainly ended.
 bool has_lapsed(const fleet& f, const host_entry& h, core::mono_time now);
 
-/// \return the end of a lease granted now, on the runner's clock; 0 when its clock is unknown or it
-/// does not answer: then none is granted.
+/// \return how long from now until every lease that may have been granted on \p h has certainly
+/// ended, if none is granted any more; 0: it has.
+core::millis time_to_lapse(const fleet& f, const host_entry& h, core::mono_time now);
+
+/// \return whether \p h may hold runs that a successor has to know of. A runner that never answered
+/// was given no lease, so it runs nothing.
+bool may_hold_runs(const fleet& f, const host_entry& h, core::mono_time now);
+
+/// \return the end of a lease granted now, on the runner's clock; 0 when its clock is unknown, it
+/// does not answer, or a successor would not wait for it: then none is granted.
 std::int64_t lease_end_for(const fleet& f, const host_entry& h, core::mono_time now);
 
 /// Notes that a lease until \p until_ms may be in force on \p h.
@@ -58,7 +70,16 @@
 /// \return the progress to store.
 workflow::job_progress progress_of(const job_entry& j);
 
-/// \return whether some runner may hold runs of a former owner that nobody has looked at.
-bool has_unexamined_hosts(const fleet& f);
+/// Where runs of a former owner may be that nobody has looked at.
+struct unexamined
+{
+    bool anywhere = false; ///< the pool is not known
+    std::set<std::string> pools;
+};
+
+unexamined find_unexamined(const fleet& f, core::mono_time now);
+
+/// \return whether a task of this pool may run unseen.
+bool covers(const unexamined& u, const std::string& pool);
 
 } // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -291,6 +291,7 @@
         if (h->reachable)
         {
             out.push_back({"host_silent", "", 0, host, verdict_text(answer.call)});
+            h->silent_since = now;
         }
         h->reachable = false;
         return true;
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -61,6 +61,23 @@
     }
 }
 
+/// \return a time that certainly passes on this clock while \p told passes on another.
+core::millis by_slow_clock(const fleet& f, core::millis told)
+{
+    const auto slowest = 1.0 + f.settings.clock_drift;
+    return core::millis{
+        static_cast<std::int64_t>(std::ceil(static_cast<double>(told.count()) * slowest))};
+}
+
+/// \return within what time after a take-over all leases of former owners have ended. The last may
+/// have been granted just before the former owner's own lease ended, which may be as late as now and
+/// one leader's lease more, when its key was taken away early.
+core::millis longest_prior_lease(const fleet& f)
+{
+    const auto& s = f.settings;
+    return by_slow_clock(f, s.runner_lease + s.leader_lease) + s.lapse_margin;
+}
+
 void erase_strays(fleet& f, const std::string& host)
 {
     std::erase_if(f.strays, [&](const stray_run& it) { return it.host == host; });
@@ -131,23 +148,26 @@
 
 void add_prior_hosts(fleet& f, const std::vector<prior_host>& all, core::mono_time now)
 {
-    const auto& s = f.settings;
-    const double slowest = 1.0 + s.clock_drift;
-    const auto lease = static_cast<double>((s.runner_lease + s.leader_lease).count());
-    const core::millis longest{static_cast<std::int64_t>(std::ceil(lease * slowest))};
     for (const auto& it : all)
     {
         auto& h = f.hosts[it.ref.id];
         h.ref = it.ref;
         h.machine = it.machine;
+        h.pool = it.pool;
         h.prior = true;
         h.added_at = now;
-        // The former owner granted its last lease before its own ended, which may be as late as
-        // now and one leader's lease more, when its key was taken away early.
-        h.prior_lapse_at = now + longest + s.lapse_margin;
+        h.silent_since = now;
+        h.recorded = !it.rest.has_value();
+        // With a rest told, no owner has granted anything since.
+        h.prior_lapse_at = now + (it.rest ? by_slow_clock(f, *it.rest) : longest_prior_lease(f));
     }
 }
 
+void hold_inherited(fleet& f, core::mono_time now)
+{
+    f.inherited_not_before = now + longest_prior_lease(f);
+}
+
 void see_hosts(
     fleet& f, const std::vector<host_listing>& all, core::mono_time now, task_events& out)
 {
@@ -256,11 +276,34 @@
     return least_clock(f, h, now) > h.lease_until_ms + f.settings.lapse_margin.count();
 }
 
+core::millis time_to_lapse(const fleet& f, const host_entry& h, core::mono_time now)
+{
+    core::millis rest{0};
+    if (h.prior && now < h.prior_lapse_at)
+    {
+        rest = std::chrono::ceil<core::millis>(h.prior_lapse_at - now);
+    }
+    if (h.clock_ms >= 0)
+    {
+        const auto margin = f.settings.lapse_margin.count();
+        const auto left = h.lease_until_ms + margin + 1 - least_clock(f, h, now);
+        const auto slowest = 1.0 - f.settings.clock_drift;
+        const auto worst = std::ceil(static_cast<double>(left) / slowest);
+        rest = std::max(rest, core::millis{static_cast<std::int64_t>(worst)});
+    }
+    return rest;
+}
+
+bool may_hold_runs(const fleet& f, const host_entry& h, core::mono_time now)
+{
+    return h.prior || h.reachable || !h.runs.empty() || !has_lapsed(f, h, now);
+}
+
 std::int64_t lease_end_for(const fleet& f, const host_entry& h, core::mono_time now)
 {
     // A silent host gets none: each try might be carried out unheard, so its leases would never
     // certainly end and its tasks never start elsewhere.
-    const auto clock = h.reachable ? least_clock(f, h, now) : -1;
+    const auto clock = h.reachable && h.recorded ? least_clock(f, h, now) : -1;
     return clock < 0 ? 0 : clock + f.settings.runner_lease.count();
 }
 
@@ -281,10 +324,24 @@
     return out;
 }
 
-bool has_unexamined_hosts(const fleet& f)
+unexamined find_unexamined(const fleet& f, core::mono_time now)
+{
+    unexamined out;
+    out.anywhere = now < f.inherited_not_before;
+    for (const auto& [id, h] : f.hosts)
+    {
+        if (h.prior)
+        {
+            out.anywhere = out.anywhere || h.pool.empty();
+            out.pools.insert(h.pool);
+        }
+    }
+    return out;
+}
+
+bool covers(const unexamined& u, const std::string& pool)
 {
-    return std::any_of(
-        f.hosts.begin(), f.hosts.end(), [](const auto& it) { return it.second.prior; });
+    return u.anywhere || u.pools.contains(pool);
 }
 
 } // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -90,14 +90,15 @@
     }
 }
 
-std::vector<waiting_step> all_waiting_steps(fleet& f, std::int64_t unix_ms)
+std::vector<waiting_step> all_waiting_steps(
+    fleet& f, core::mono_time now, std::int64_t unix_ms)
 {
     std::vector<waiting_step> out;
-    const bool examined = !has_unexamined_hosts(f);
+    const auto unseen = find_unexamined(f, now);
     for (const auto& id : f.open_jobs)
     {
         auto& j = *f.jobs.at(id);
-        if (!workflow::is_final(j.state) && (examined || !j.inherited))
+        if (!workflow::is_final(j.state) && !(j.inherited && covers(unseen, j.spec.pool)))
         {
             add_waiting_steps(f.learnt, j, unix_ms, out);
         }
@@ -207,7 +208,7 @@
         return to;
     }
     std::map<std::string, std::vector<host_entry*>> pools;
-    for (const auto& it : all_waiting_steps(f, unix_ms))
+    for (const auto& it : all_waiting_steps(f, now, unix_ms))
     {
         const auto& pool = it.job->spec.pool;
         auto found = pools.find(pool);
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -164,6 +164,10 @@
     {
         p.writer->request();
     };
+    t.record_hosts = [&p]
+    {
+        p.hosts->record();
+    };
     p.jobs = std::make_unique<job_reader>(t);
     p.hosts = std::make_unique<host_reader>(t);
     p.desk = std::make_unique<runner_desk>(t);
--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -11,30 +11,77 @@
 
 using ports::kv_status;
 
+namespace
+{
+
+using nlohmann::json;
+
+json write_row(const runner_record& it)
+{
+    auto row = json::array({it.address, it.machine, it.pool});
+    if (it.rest)
+    {
+        row.push_back(it.rest->count());
+    }
+    return row;
+}
+
+std::optional<runner_record> read_row(const json& row)
+{
+    constexpr std::size_t plain = 3;
+    constexpr std::size_t with_rest = 4;
+    const bool sized = row.is_array() && (row.size() == plain || row.size() == with_rest);
+    if (!sized || !row[0].is_string() || !row[1].is_string() || !row[2].is_string())
+    {
+        return {};
+    }
+    runner_record out{row[0].get<std::string>(), row[1].get<std::string>(), row[2].get<std::string>(), {}};
+    if (row.size() == with_rest)
+    {
+        if (!row[plain].is_number_unsigned())
+        {
+            return {};
+        }
+        out.rest = core::millis{row[plain].get<std::int64_t>()};
+    }
+    return out;
+}
+
+/// \return whether both tell a successor to wait for the runner until it is heard.
+bool is_plain_in(const runner_records& all, const std::string& id, const std::string& pool)
+{
+    const auto found = all.find(id);
+    return found != all.end() && !found->second.rest && found->second.pool == pool;
+}
+
+} // namespace
+
 std::string write_runners(const runner_records& all)
 {
-    auto out = nlohmann::json::object();
+    auto out = json::object();
     for (const auto& [id, it] : all)
     {
-        out[id] = {it.address, it.machine};
+        out[id] = write_row(it);
     }
     return out.dump();
 }
 
-runner_records read_runners(const std::string& text)
+std::optional<runner_records> read_runners(const std::string& text)
 {
-    const auto from = nlohmann::json::parse(text, nullptr, false);
-    runner_records out;
+    const auto from = json::parse(text, nullptr, false);
     if (!from.is_object())
     {
-        return out;
+        return {};
     }
+    runner_records out;
     for (const auto& [id, row] : from.items())
     {
-        if (row.is_array() && row.size() == 2 && row[0].is_string() && row[1].is_string())
+        auto read = read_row(row);
+        if (!read)
         {
-            out[id] = {row[0].get<std::string>(), row[1].get<std::string>()};
+            return {};
         }
+        out.emplace(id, std::move(*read));
     }
     return out;
 }
@@ -65,19 +112,33 @@
     }
     if (read.item)
     {
-        record_revision_ = read.item->modified;
-        recorded_ = read_runners(read.item->value);
-        std::vector<coordinator::prior_host> prior;
-        for (const auto& [id, it] : recorded_)
-        {
-            prior.push_back({{id, it.address}, it.machine});
-        }
-        coordinator::add_prior_hosts(term_.fleet, prior, term_.now());
+        take_former(*read.item);
     }
     std::exchange(done_, {})();
     read_list();
 }
 
+void host_reader::take_former(const ports::stored_item& item)
+{
+    record_revision_ = item.modified;
+    const auto found = read_runners(item.value);
+    if (!found)
+    {
+        term_.log(ports::log_level::error,
+            "record_damaged",
+            {{"key", runners_key}, {"revision", std::to_string(item.modified)}});
+        coordinator::hold_inherited(term_.fleet, term_.now());
+        return;
+    }
+    recorded_ = *found;
+    std::vector<coordinator::prior_host> prior;
+    for (const auto& [id, it] : recorded_)
+    {
+        prior.push_back({{id, it.address}, it.machine, it.pool, it.rest});
+    }
+    coordinator::add_prior_hosts(term_.fleet, prior, term_.now());
+}
+
 void host_reader::read_list()
 {
     items_.clear();
@@ -132,46 +193,119 @@
     term_.wake();
 }
 
+/// Runners that have ended, or never answered, are left out: a successor would wait for their leases
+/// in vain. Of a silent one it is told when its leases end, so that owners that follow each other
+/// quickly don't each wait for a whole lease anew.
+runner_records host_reader::wanted_records() const
+{
+    const auto& f = term_.fleet;
+    const auto now = term_.now();
+    runner_records out;
+    for (const auto& [id, h] : f.hosts)
+    {
+        if (!coordinator::may_hold_runs(f, h, now))
+        {
+            continue;
+        }
+        runner_record row{h.ref.address, h.machine, h.pool, {}};
+        if (!h.reachable && now - h.silent_since >= f.settings.silence_told)
+        {
+            const auto told = told_.find(id);
+            row.rest = told != told_.end() ? told->second : coordinator::time_to_lapse(f, h, now);
+        }
+        out.emplace(id, std::move(row));
+    }
+    return out;
+}
+
 /// A runner that is in no record gets no work: a successor which does not know of it could not wait
 /// for its runs to end, and would start them a second time.
-void host_reader::record()
+void host_reader::mark_recorded()
 {
-    runner_records wanted;
     for (auto& [id, h] : term_.fleet.hosts)
     {
-        wanted[id] = {h.ref.address, h.machine};
-        h.recorded = recorded_.contains(id);
+        h.recorded = is_plain_in(recorded_, id, h.pool) && !doubted_.contains(id);
     }
-    // Runners that have ended leave it soon: a successor would wait for their leases in vain.
-    if (recording_ || wanted == recorded_)
+}
+
+void host_reader::record()
+{
+    if (recording_)
     {
         return;
     }
+    auto wanted = wanted_records();
+    if (wanted != recorded_ || unsure_)
+    {
+        send_record(std::move(wanted));
+    }
+    mark_recorded();
+}
+
+void host_reader::doubt_all_but(const runner_records& wanted)
+{
+    const auto judge = [&](const std::string& id, const std::string& pool)
+    {
+        if (!is_plain_in(wanted, id, pool))
+        {
+            doubted_.insert(id);
+        }
+    };
+    for (const auto& [id, h] : term_.fleet.hosts)
+    {
+        judge(id, h.pool);
+    }
+    for (const auto& [id, it] : recorded_)
+    {
+        judge(id, it.pool); // also one that is left out now may be listed again
+    }
+}
+
+void host_reader::send_record(runner_records wanted)
+{
     recording_ = true;
+    std::erase_if(told_, [&](const auto& it) { return !wanted.contains(it.first); });
+    for (const auto& [id, it] : wanted)
+    {
+        if (it.rest)
+        {
+            told_.emplace(id, *it.rest);
+        }
+        else
+        {
+            told_.erase(id);
+        }
+    }
+    unsure_ = true;
+    doubt_all_but(wanted);
     ports::store_transaction change;
     change.conditions = {{leader_key, term_.token}, {runners_key, record_revision_}};
     change.puts = {{runners_key, write_runners(wanted), 0}};
     term_.ctx.store.commit(std::move(change),
-        term_.guarded(
-            [this, wanted](const ports::commit_result& result)
-            {
-                recording_ = false;
-                if (result.status == kv_status::ok)
-                {
-                    recorded_ = wanted;
-                    record_revision_ = result.modified;
-                    record();
-                    term_.wake();
-                    return;
-                }
-                for (const auto& it : result.current)
-                {
-                    if (it.key == runners_key)
-                    {
-                        record_revision_ = it.modified; // an unanswered try of this node's own
-                    }
-                }
-            }));
+        term_.guarded([this, wanted = std::move(wanted)](const ports::commit_result& result)
+            { take_write(wanted, result); }));
+}
+
+void host_reader::take_write(const runner_records& wanted, const ports::commit_result& result)
+{
+    recording_ = false;
+    if (result.status == kv_status::ok)
+    {
+        recorded_ = wanted;
+        unsure_ = false;
+        doubted_.clear();
+        record_revision_ = result.modified;
+        record();
+        term_.wake();
+        return;
+    }
+    for (const auto& it : result.current)
+    {
+        if (it.key == runners_key)
+        {
+            record_revision_ = it.modified; // an unanswered try of this node's own
+        }
+    }
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/host_reader.hpp
+++ b/libs/hosted/src/host_reader.hpp
@@ -5,6 +5,8 @@
 #include "term.hpp"
 
 #include <map>
+#include <optional>
+#include <set>
 
 namespace camphorhitch::hosted
 {
@@ -14,6 +16,10 @@
 {
     std::string address;
     std::string machine; ///< empty: not known yet
+    std::string pool;    ///< empty: not known
+    /// Told of a silent runner: all its leases end within this time after the record was stored, and
+    /// none is granted before it is stored without. Else nothing.
+    std::optional<core::millis> rest;
 
     friend bool operator==(const runner_record&, const runner_record&) = default;
 };
@@ -22,8 +28,8 @@
 
 std::string write_runners(const runner_records& all);
 
-/// \return the runners of a record; empty when there is none or it is damaged.
-runner_records read_runners(const std::string& text);
+/// \return the runners of a record; nothing when it is damaged.
+std::optional<runner_records> read_runners(const std::string& text);
 
 class host_reader
 {
@@ -33,6 +39,9 @@
     /// Reads the former owner's record, then keeps reading the list. \p done: the record is in.
     void start(std::function<void()> done);
 
+    /// Brings the record up to date; call it when a runner answers for the first time.
+    void record();
+
 private:
     void read_record();
     void take_record(const ports::item_read& read);
@@ -40,12 +49,22 @@
     void read_page(const std::string& after);
     void take_page(ports::page_read page);
     void take_list();
-    void record();
+    void take_former(const ports::stored_item& item);
+    runner_records wanted_records() const;
+    void mark_recorded();
+    void send_record(runner_records wanted);
+    void doubt_all_but(const runner_records& wanted);
+    void take_write(const runner_records& wanted, const ports::commit_result& result);
 
     term& term_;
     std::function<void()> done_;
     std::vector<ports::stored_item> items_;
-    runner_records recorded_; ///< what is stored
+    runner_records recorded_; ///< as the last answered write left it
+    /// Runners for which a successor may not wait as for others, if a write that is out, or was
+    /// never answered, is in the store by now.
+    std::set<std::string> doubted_;
+    bool unsure_ = false; ///< the last write was not answered
+    std::map<std::string, core::millis> told_; ///< rests written in this term, by runner id
     ports::revision record_revision_ = 0;
     bool recording_ = false;
 };
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -92,8 +92,8 @@
         on_list_();
         term_.wake();
     }
-    const bool often =
-        is_pressing_() || !moves_.moves.empty() || coordinator::has_unexamined_hosts(term_.fleet);
+    const auto unseen = coordinator::find_unexamined(term_.fleet, term_.now());
+    const bool often = is_pressing_() || !moves_.moves.empty() || !unseen.pools.empty();
     term_.ctx.time.after(often ? term_.settings.machines_every : term_.settings.machines_idle,
         term_.guarded([this] { read(); }));
 }
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -56,8 +56,9 @@
 void runner_desk::take_poll(
     const std::string& host, core::mono_time begun, const ports::poll_answer& a)
 {
-    const bool first =
-        term_.fleet.hosts.contains(host) && term_.fleet.hosts.at(host).lease_until_ms == 0;
+    const auto found = term_.fleet.hosts.find(host);
+    const bool first = found != term_.fleet.hosts.end() && found->second.lease_until_ms == 0;
+    const bool silent = found != term_.fleet.hosts.end() && !found->second.reachable;
     coordinator::task_events out;
     take(coordinator::poll_answered(term_.fleet, host, begun, a, term_.now(), out), host, out);
     if (!term_.fleet.hosts.contains(host))
@@ -70,6 +71,10 @@
         poll_later(host, term_.settings.poll_retry);
         return;
     }
+    if (silent)
+    {
+        term_.record_hosts();
+    }
     stop_strays();
     const bool news = !a.ended.empty();
     poll_later(host, first || !news ? core::millis{0} : term_.settings.poll_gap);
--- a/libs/hosted/tests/random_fleet_tests.cpp
+++ b/libs/hosted/tests/random_fleet_tests.cpp
@@ -1,4 +1,5 @@
 #include "cluster.hpp"
+#include "host_reader.hpp"
 
 #include <cstdlib>
 #include <random>
@@ -300,6 +301,35 @@
     };
 }
 
+/// A successor is told that no runner holds a lease any more.
+void deny_leases(cluster& c)
+{
+    c.plant = [](node& n)
+    {
+        const auto get = n.ctx.store.get;
+        n.ctx.store.get = [get](const std::string& key,
+                              ports::read_freshness fresh,
+                              const std::function<void(ports::item_read)>& done)
+        {
+            get(key,
+                fresh,
+                [key, done](ports::item_read it)
+                {
+                    if (key == hosted::runners_key && it.item)
+                    {
+                        auto all = hosted::read_runners(it.item->value).value();
+                        for (auto& [id, row] : all)
+                        {
+                            row.rest = core::millis{0};
+                        }
+                        it.item->value = hosted::write_runners(all);
+                    }
+                    done(it);
+                });
+        };
+    };
+}
+
 /// A node trusts its lease for ever, and runners take orders of any owner.
 void ignore_time_and_tokens(cluster& c)
 {
@@ -333,6 +363,7 @@
 constexpr planted_fault planted_faults[] = {
     {"silence is trusted", trust_silence},
     {"runners are hidden", hide_runners},
+    {"leases are denied", deny_leases},
     {"time and tokens are ignored", ignore_time_and_tokens},
     {"ends are acknowledged early", acknowledge_early},
 };
--- /dev/null
+++ b/libs/hosted/tests/runner_record_tests.cpp
@@ -0,0 +1,160 @@
+#include "cluster.hpp"
+#include "host_reader.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::hosted_tests;
+using workflow::job_state;
+
+TEST_GROUP(runner_record)
+{
+    cluster c;
+
+    hosted::runner_records stored() const
+    {
+        const auto* const it = c.store.find(hosted::runners_key);
+        return it == nullptr ? hosted::runner_records{}
+                             : hosted::read_runners(it->value).value_or(hosted::runner_records{});
+    }
+
+    std::string runner_of(const std::string& machine) const
+    {
+        return c.hosts.machines.at(machine).runner;
+    }
+
+    /// \return whether the record says when the machine's runner has no lease any more.
+    bool is_told(const std::string& machine) const
+    {
+        return stored().at(runner_of(machine)).rest.has_value();
+    }
+
+    /// Kills the coordinator and waits for the next one.
+    void hand_over()
+    {
+        c.leader()->process.dead = true;
+        c.add_node();
+        CHECK(c.has_leader());
+    }
+
+    void begin(int nodes)
+    {
+        for (int i = 0; i < nodes; ++i)
+        {
+            c.add_node();
+        }
+        CHECK(c.has_leader());
+        c.time.run_for(1s);
+    }
+};
+
+TEST(runner_record, what_is_written_is_read)
+{
+    const hosted::runner_records all{{"i-1", {"10.0.0.1:1", "m1", "p", {}}},
+        {"i-2", {"10.0.0.2:1", "", "", core::millis{1700}}}};
+    CHECK(hosted::read_runners(hosted::write_runners(all)) == all);
+}
+
+TEST(runner_record, damage_is_told)
+{
+    for (const auto* const it : {"",
+             "[]",
+             R"({"i-1":["a","m"]})",
+             R"({"i-1":["a","m",3]})",
+             R"({"i-1":["a","m","p",-4]})",
+             R"({"i-1":["a","m","p","soon"]})",
+             R"({"i-1":["a","m","p",4,5]})"})
+    {
+        CHECK_TEXT(!hosted::read_runners(it), it);
+    }
+}
+
+// Coordinators follow each other every two seconds while a runner is cut off with a task. Each of
+// them waiting for a whole lease anew, the caller's job would stand still until the last one.
+TEST(runner_record, quick_take_overs_wait_for_a_silent_runner_once)
+{
+    c.hosts.behaviour.run_time = 2s;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    begin(3);
+    c.put_job(c.make_job("a", 2));
+    c.time.run_for(400ms);
+    c.hosts.cut("m1", 60s);
+    CHECK(c.time.run_until([this] { return is_told("m1"); }, 2s));
+    for (int i = 0; i < 3; ++i)
+    {
+        hand_over();
+        c.time.run_for(1s);
+    }
+    LONGS_EQUAL(3, c.hosts.starts); // the cut-off task has begun again by now
+    CHECK(c.ends("a", job_state::completed, 3s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// A runner is cut off, told in the record, and comes back with its task. The next coordinator, too,
+// must wait for it as for any other: a lease was granted anew meanwhile.
+TEST(runner_record, a_runner_that_came_back_is_waited_for_again)
+{
+    c.hosts.behaviour.run_time = 8s;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    begin(2);
+    c.put_job(c.make_job("a", 2));
+    c.time.run_for(400ms);
+    c.hosts.cut("m1", 2s);
+    CHECK(c.time.run_until([this] { return is_told("m1"); }, 2s));
+    CHECK(c.time.run_until([this] { return !is_told("m1"); }, 2s));
+    c.hosts.cut("m1", 60s);
+    hand_over();
+    CHECK(c.ends("a", job_state::completed, 20s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// A runner of one pool is cut off when the coordinator dies. Jobs of another pool run on runners
+// that all answer: they go on at once.
+TEST(runner_record, a_silent_runner_holds_up_its_own_pool_only)
+{
+    c.hosts.add("p");
+    c.hosts.add("q");
+    begin(2);
+    c.hosts.cut("m2", 60s);
+    auto j = c.make_job("a", 2, 2);
+    c.put_job(j);
+    c.time.run_for(100ms);
+    hand_over();
+    CHECK(c.ends("a", job_state::completed, 1500ms));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// The list of runners goes on naming one that ended long ago. It never answered this coordinator,
+// so it runs nothing; a successor that found it in the record would keep all jobs waiting for it.
+TEST(runner_record, a_listed_runner_that_never_answered_is_not_recorded)
+{
+    c.hosts.add("p");
+    c.hosts.add("p");
+    c.hosts.cut("m2", 60s);
+    begin(1);
+    CHECK(stored().contains(runner_of("m1")));
+    CHECK(!stored().contains(runner_of("m2")));
+}
+
+// The record is damaged when the coordinator dies: which runners hold tasks is not known. Inherited
+// tasks wait until every lease has ended, new jobs don't.
+TEST(runner_record, a_damaged_record_holds_inherited_jobs_until_all_leases_end)
+{
+    c.hosts.behaviour.run_time = 5s;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    begin(2);
+    c.put_job(c.make_job("a", 2));
+    c.time.run_for(400ms);
+    c.hosts.cut("m1", 60s);
+    c.leader()->process.dead = true;
+    c.store.put(hosted::runners_key, "{");
+    CHECK(c.has_leader());
+    c.put_job(c.make_job("b", 1));
+    c.time.run_for(500ms);
+    LONGS_EQUAL(3, c.hosts.starts);
+    CHECK(c.ends("a", job_state::completed, 20s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
