Operators' interface in hosted mode: camphorhitch submits, lists and explains jobs of many steps

Cause: the new job model could be used through the platform's callers only; the product's own client had no way to it. Change: listen.operators with operators_token serves the operators' language on any node: show jobs, hosts, pools, config; why job; submit job; cancel job. The rest is refused with the reason. workflow/documents reads a job as operators write it, strictly, with places; the store's records share the same description of keys, which replaces their two hand-written twins. coordinator/explain tells of each step where its tasks run and why others wait. hosted/job_catalog reads what the store knows. The calls and answers of operators' clients moved from operator_service into operator_wire, used by both modes. pool_settings::runners_check_room was read by nobody and is gone. Not run: the client as a process against a node (needs a store).

--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -29,13 +29,6 @@
     return key(a) < key(b);
 }
 
-bool may_host(const fleet& f, const host_entry& h, core::mono_time now)
-{
-    const auto silent_after = f.settings.runner_lease;
-    return h.listed && h.recorded && !h.draining && h.reachable && !h.prior && h.strays == 0 &&
-           h.use == host_use::open && now - h.last_answer < silent_after;
-}
-
 std::vector<host_entry*> hosts_of_pool(fleet& f, const std::string& pool, core::mono_time now)
 {
     std::vector<host_entry*> out;
@@ -90,8 +83,7 @@
     }
 }
 
-std::vector<waiting_step> all_waiting_steps(
-    fleet& f, core::mono_time now, std::int64_t unix_ms)
+std::vector<waiting_step> all_waiting_steps(fleet& f, core::mono_time now, std::int64_t unix_ms)
 {
     std::vector<waiting_step> out;
     const auto unseen = find_unexamined(f, now);
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -29,6 +29,13 @@
 
 } // namespace
 
+bool may_host(const fleet& f, const host_entry& h, core::mono_time now)
+{
+    const auto silent_after = f.settings.runner_lease;
+    return h.listed && h.recorded && !h.draining && h.reachable && !h.prior && h.strays == 0 &&
+           h.use == host_use::open && now - h.last_answer < silent_after;
+}
+
 bool has_label(const host_entry& h, const std::string& label)
 {
     return label.empty() || std::find(h.labels.begin(), h.labels.end(), label) != h.labels.end();
--- a/libs/coordinator/src/starts.hpp
+++ b/libs/coordinator/src/starts.hpp
@@ -18,6 +18,9 @@
     std::int64_t due_unix_ms = 0; ///< when its objective ends
 };
 
+/// \return whether the host answers, is known to successors, and is not about to leave.
+bool may_host(const fleet& f, const host_entry& h, core::mono_time now);
+
 bool has_label(const host_entry& h, const std::string& label);
 
 /// \return whether labels, room, the step's bound and the platform's advice allow one more task.
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -61,6 +61,9 @@
 
     bool is_running() const;
 
+    /// \return why a job is where it is, as coordinator::explain_job; empty while not running.
+    std::vector<std::string> explain_job(const std::string& id) const;
+
 private:
     context ctx_;
     const formats& spelling_;
--- a/libs/hosted/include/hosted/formats.hpp
+++ b/libs/hosted/include/hosted/formats.hpp
@@ -31,8 +31,7 @@
 struct pool_settings
 {
     std::string name;
-    bool runners_check_room = false; ///< they refuse what does not fit
-    bool standby = false;            ///< its hosts are off until they are moved elsewhere
+    bool standby = false; ///< its hosts are off until they are moved elsewhere
 };
 
 /// The operators' configuration of a fleet.
@@ -72,10 +71,18 @@
         const std::string& id, const std::string& text)>
         read_runner;
     std::function<std::string(wave_state)> write_wave_status;
+    /// \return what is wrong with a job's id, or nothing.
+    std::function<std::string(const std::string& id)> check_job_id;
 };
 
 /// \return the queue of a request, or nullptr.
 const queue* find_queue(
     const fleet_config& config, const std::string& host, const std::string& path);
 
+/// \return the queue of that name, or nullptr.
+const queue* find_queue_named(const fleet_config& config, const std::string& name);
+
+/// Fills in what a job gets from its queue.
+void put_into_queue(workflow::job& j, const queue& q, std::int64_t accepted_unix_ms);
+
 } // namespace camphorhitch::hosted
--- a/libs/hosted/include/hosted/leadership.hpp
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -57,6 +57,9 @@
     /// Revision of the own key; 0 without it.
     ports::revision token() const;
 
+    /// \return the node that coordinates, as far as is known; empty: none.
+    const std::string& leader() const;
+
     /// Lost ownership was seen elsewhere: a runner or a condition refused the token.
     void step_down(const std::string& reason);
 
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -1,5 +1,6 @@
 #include "hosted/fleet_driver.hpp"
 
+#include "coordinator/explain.hpp"
 #include "coordinator/intake.hpp"
 #include "coordinator/placement.hpp"
 #include "host_reader.hpp"
@@ -230,6 +231,16 @@
     }
 }
 
+std::vector<std::string> fleet_driver::explain_job(const std::string& id) const
+{
+    if (parts_ == nullptr)
+    {
+        return {};
+    }
+    const auto unix_ms = core::to_unix_ms(ctx_.time.wall_now());
+    return coordinator::explain_job(parts_->common->fleet, id, ctx_.time.now(), unix_ms);
+}
+
 bool fleet_driver::is_running() const
 {
     return parts_ != nullptr;
--- a/libs/hosted/src/formats.cpp
+++ b/libs/hosted/src/formats.cpp
@@ -36,4 +36,23 @@
     return best;
 }
 
+const queue* find_queue_named(const fleet_config& config, const std::string& name)
+{
+    const auto it = std::find_if(
+        config.queues.begin(), config.queues.end(), [&](const queue& q) { return q.name == name; });
+    return it == config.queues.end() ? nullptr : &*it;
+}
+
+void put_into_queue(workflow::job& j, const queue& q, std::int64_t accepted_unix_ms)
+{
+    j.queue = q.name;
+    j.pool = q.pool;
+    j.priority = q.priority;
+    j.most_attempts = std::max(q.most_attempts, 1);
+    j.stretch = q.stretch;
+    j.slack = q.slack;
+    j.advised = q.advised;
+    j.accepted_unix_ms = accepted_unix_ms;
+}
+
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -298,6 +298,11 @@
     return state_->token;
 }
 
+const std::string& leadership::leader() const
+{
+    return state_->leader;
+}
+
 void leadership::step_down(const std::string& reason)
 {
     state_->lose(reason);
--- a/libs/hosted/tests/entry_desk_tests.cpp
+++ b/libs/hosted/tests/entry_desk_tests.cpp
@@ -1,11 +1,11 @@
-#include "cluster.hpp"
+#include "hosted_fakes/cluster.hpp"
 
 #include <optional>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace camphorhitch;
-using namespace camphorhitch::hosted_tests;
+using namespace camphorhitch::hosted_fakes;
 using hosted::cancel_outcome;
 using hosted::submit_outcome;
 using workflow::job_state;
--- a/libs/hosted/tests/random_fleet_tests.cpp
+++ b/libs/hosted/tests/random_fleet_tests.cpp
@@ -1,5 +1,5 @@
-#include "cluster.hpp"
 #include "host_reader.hpp"
+#include "hosted_fakes/cluster.hpp"
 
 #include <cstdlib>
 #include <random>
@@ -7,7 +7,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace camphorhitch;
-using namespace camphorhitch::hosted_tests;
+using namespace camphorhitch::hosted_fakes;
 using workflow::job_state;
 
 namespace
--- a/libs/hosted/tests/runner_record_tests.cpp
+++ b/libs/hosted/tests/runner_record_tests.cpp
@@ -1,10 +1,10 @@
-#include "cluster.hpp"
 #include "host_reader.hpp"
+#include "hosted_fakes/cluster.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace camphorhitch;
-using namespace camphorhitch::hosted_tests;
+using namespace camphorhitch::hosted_fakes;
 using workflow::job_state;
 
 TEST_GROUP(runner_record)
--- a/libs/hosted/tests/take_over_tests.cpp
+++ b/libs/hosted/tests/take_over_tests.cpp
@@ -1,9 +1,9 @@
-#include "cluster.hpp"
+#include "hosted_fakes/cluster.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace camphorhitch;
-using namespace camphorhitch::hosted_tests;
+using namespace camphorhitch::hosted_fakes;
 using workflow::job_state;
 
 TEST_GROUP(take_over)
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -18,7 +18,8 @@
 {
     std::string callers;
     std::string health;
-    std::string metrics; ///< empty: not served
+    std::string metrics;   ///< empty: not served
+    std::string operators; ///< for statements of the operators' language; empty: not served
 };
 
 /// Where the hosting platform's services are, each "ip:port".
@@ -45,7 +46,8 @@
     listen_settings listen;
     service_settings services;
     hosted_timing timing;
-    double processor_share = 1; ///< of a core, that this node may use
+    std::string operators_token; ///< that operators' clients must send
+    double processor_share = 1;  ///< of a core, that this node may use
     ports::log_level log_level = ports::log_level::info;
 };
 
--- a/libs/settings/src/hosted_read.cpp
+++ b/libs/settings/src/hosted_read.cpp
@@ -25,7 +25,8 @@
 {
     keys.required("callers", r.callers, check_address)
         .required("health", r.health, check_address)
-        .defaulted("metrics", r.metrics, check_address_or_empty);
+        .defaulted("metrics", r.metrics, check_address_or_empty)
+        .defaulted("operators", r.operators, check_address_or_empty);
 }
 
 template <class Keys>
@@ -53,6 +54,7 @@
         .required("listen", r.listen)
         .required("services", r.services)
         .defaulted("timing", r.timing)
+        .defaulted("operators_token", r.operators_token)
         .defaulted("processor_share", r.processor_share, share_range)
         .defaulted("log_level", r.log_level, ports::log_level_names);
 }
@@ -76,6 +78,16 @@
     }
 }
 
+void check_operators(const hosted_settings& s, const std::string& file, core::findings& found)
+{
+    if (!s.listen.operators.empty() && s.operators_token.empty())
+    {
+        found.push_back({{file, "/operators_token", 0, 0},
+            "is missing: listen.operators is not served without a token",
+            {}});
+    }
+}
+
 } // namespace
 
 std::variant<hosted_settings, core::findings> read_hosted_settings(
@@ -87,6 +99,7 @@
     {
         core::findings found;
         check_leases(*s, file_name, found);
+        check_operators(*s, file_name, found);
         if (!found.empty())
         {
             return found;
--- a/libs/settings/tests/hosted_settings_tests.cpp
+++ b/libs/settings/tests/hosted_settings_tests.cpp
@@ -48,6 +48,7 @@
         {with(R"("zone":"z")", R"("zone":"z","timing":{"runner_lease_ms":7000})"),
             "/timing/runner_lease_ms"},
         {with(R"("zone":"z")", R"("zone":"z","log_level":"loud")"), "/log_level"},
+        {with(R"("health")", R"("operators":"10.0.0.1:4","health")"), "/operators_token"},
     };
     for (const auto& it : rows)
     {
--- a/libs/workflow/src/records.cpp
+++ b/libs/workflow/src/records.cpp
@@ -1,5 +1,7 @@
 #include "workflow/records.hpp"
 
+#include "describe.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -21,11 +23,6 @@
     }
 }
 
-void put(json& to, const char* key, core::millis v)
-{
-    put(to, key, v.count());
-}
-
 template <class T>
 void get(const json& from, const char* key, T& out)
 {
@@ -35,61 +32,6 @@
     }
 }
 
-void get(const json& from, const char* key, core::millis& out)
-{
-    std::int64_t n = out.count();
-    get(from, key, n);
-    out = core::millis{n};
-}
-
-json step_to_json(const step& s)
-{
-    json out = json::object();
-    put(out, "tasks", s.tasks);
-    put(out, "cpu", s.need.cpu);
-    put(out, "memory_mb", s.need.memory_mb);
-    put(out, "gpus", s.need.gpus);
-    put(out, "estimate_ms", s.estimate);
-    put(out, "after", s.after);
-    put(out, "gang", s.gang);
-    put(out, "one_rack", s.one_rack);
-    put(out, "checkpoints", s.checkpoints);
-    put(out, "speculative", s.speculative);
-    put(out, "long_running", s.long_running);
-    put(out, "fills", s.fills);
-    put(out, "label", s.required_label);
-    put(out, "near_rack", s.near_rack);
-    put(out, "most_per_host", s.most_per_host);
-    put(out, "image", s.image);
-    put(out, "tail_target_ms", s.tail_target);
-    put(out, "may_be_away", s.may_be_away);
-    return out;
-}
-
-step step_from_json(const json& from)
-{
-    step s;
-    get(from, "tasks", s.tasks);
-    get(from, "cpu", s.need.cpu);
-    get(from, "memory_mb", s.need.memory_mb);
-    get(from, "gpus", s.need.gpus);
-    get(from, "estimate_ms", s.estimate);
-    get(from, "after", s.after);
-    get(from, "gang", s.gang);
-    get(from, "one_rack", s.one_rack);
-    get(from, "checkpoints", s.checkpoints);
-    get(from, "speculative", s.speculative);
-    get(from, "long_running", s.long_running);
-    get(from, "fills", s.fills);
-    get(from, "label", s.required_label);
-    get(from, "near_rack", s.near_rack);
-    get(from, "most_per_host", s.most_per_host);
-    get(from, "image", s.image);
-    get(from, "tail_target_ms", s.tail_target);
-    get(from, "may_be_away", s.may_be_away);
-    return s;
-}
-
 core::error damaged(const std::string& what, const std::string& why)
 {
     return {core::error_code::invalid, "damaged " + what + ": " + why};
@@ -112,57 +54,17 @@
 
 std::string write_job(const job& j)
 {
-    json out = json::object();
-    put(out, "id", j.id);
-    put(out, "queue", j.queue);
-    put(out, "pool", j.pool);
-    put(out, "payload", j.payload);
-    put(out, "occurrences", j.timing.occurrences);
-    put(out, "first_unix_ms", j.timing.first_unix_ms);
-    put(out, "interval_ms", j.timing.interval_ms);
-    put(out, "accepted_unix_ms", j.accepted_unix_ms);
-    put(out, "priority", j.priority);
-    put(out, "most_attempts", j.most_attempts);
-    put(out, "stretch", j.stretch);
-    put(out, "slack_ms", j.slack);
-    put(out, "advised", j.advised);
-    auto& steps = out["steps"] = json::array();
-    for (const auto& it : j.steps)
-    {
-        steps.push_back(step_to_json(it));
-    }
-    return to_text(out);
+    return checked_json::encode(j);
 }
 
 core::result<job> read_job(const std::string& text)
 {
-    try
-    {
-        const auto from = json::parse(text);
-        job j;
-        get(from, "id", j.id);
-        get(from, "queue", j.queue);
-        get(from, "pool", j.pool);
-        get(from, "payload", j.payload);
-        get(from, "occurrences", j.timing.occurrences);
-        get(from, "first_unix_ms", j.timing.first_unix_ms);
-        get(from, "interval_ms", j.timing.interval_ms);
-        get(from, "accepted_unix_ms", j.accepted_unix_ms);
-        get(from, "priority", j.priority);
-        get(from, "most_attempts", j.most_attempts);
-        get(from, "stretch", j.stretch);
-        get(from, "slack_ms", j.slack);
-        get(from, "advised", j.advised);
-        for (const auto& it : from.at("steps"))
-        {
-            j.steps.push_back(step_from_json(it));
-        }
-        return j;
-    }
-    catch (const json::exception& ec)
+    auto read = checked_json::decode<job>(text, "job", checked_json::strictness::lenient);
+    if (const auto* const found = std::get_if<core::findings>(&read))
     {
-        return damaged("job", ec.what());
+        return damaged("job", core::to_text(*found));
     }
+    return std::get<job>(std::move(read));
 }
 
 std::string write_progress(const job& j, const job_progress& p)
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -10,6 +10,7 @@
 #include "hosted/fleet_driver.hpp"
 #include "hosted/leadership.hpp"
 #include "hosted/prefix_follower.hpp"
+#include "hosted_operators.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "reactor/event_loop.hpp"
@@ -86,12 +87,15 @@
     std::unique_ptr<hosted::entry_desk> desk;
     std::unique_ptr<hosted::prefix_follower> operators;
     std::unique_ptr<company::front> front;
+    std::unique_ptr<hosted_operators> people;
     std::optional<http::server> caller_server;
     std::optional<http::server> health_server;
     std::optional<http::server> metrics_server;
+    std::optional<http::server> people_server;
     ports::http_server callers;
     ports::http_server health;
     ports::http_server metrics;
+    ports::http_server people_port;
     std::optional<hosted::fleet_config> config;
     std::map<std::int64_t, hosted::wave_request> waves;
     bool was_ready = false;
@@ -205,6 +209,9 @@
     };
     front =
         std::make_unique<company::front>(company::front_settings{}, sources, *desk, ctx.time, log);
+    people = std::make_unique<hosted_operators>(
+        hosted_sources{ctx, formats, *desk, *lead, *driver, sources.config},
+        settings.operators_token);
 }
 
 void hosted_node::parts::see_operator_item(const ports::stored_item& it)
@@ -323,6 +330,16 @@
             metrics = metrics_server->port();
         }
     }
+    if (core::is_ok(opened) && !settings.listen.operators.empty())
+    {
+        opened = open_server(settings.listen.operators,
+            people->events([this]() -> const ports::http_server& { return people_port; }),
+            people_server);
+        if (core::is_ok(opened))
+        {
+            people_port = people_server->port();
+        }
+    }
     return opened;
 }
 
--- a/programs/camphorhitchd/src/operator_service.cpp
+++ b/programs/camphorhitchd/src/operator_service.cpp
@@ -21,37 +21,11 @@
 constexpr const char* text_type = "text/plain; version=0.0.4";
 const std::string jobs_path = "/v1/jobs";
 
-constexpr core::name_table<core::error_code, 5> code_names{{
-    {core::error_code::invalid, "refused"},
-    {core::error_code::not_found, "refused"},
-    {core::error_code::conflict, "conflict"},
-    {core::error_code::unavailable, "unavailable"},
-    {core::error_code::unknown_effect, "unknown_effect"},
-}};
-
 std::string dump(const json& it)
 {
     return it.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-/// Takes as long whatever the difference, so that answers' times tell nothing of the token.
-bool same_secret(const std::string& a, const std::string& b)
-{
-    unsigned char difference = a.size() == b.size() ? 0 : 1;
-    for (std::size_t i = 0; i < a.size(); ++i)
-    {
-        const char other = b.empty() ? '\0' : b[i % b.size()];
-        difference |= static_cast<unsigned char>(a[i] ^ other);
-    }
-    return difference == 0;
-}
-
-std::string text_of(const json& object, const char* name)
-{
-    const auto it = object.find(name);
-    return it != object.end() && it->is_string() ? it->get<std::string>() : std::string{};
-}
-
 } // namespace
 
 operator_service::operator_service(
@@ -71,28 +45,27 @@
     open_.erase(exchange);
 }
 
-bool operator_service::authorized(const ports::http_request& request) const
+void operator_service::answer(
+    ports::exchange_id exchange, int status, std::string body, const char* type)
 {
-    const auto* field = ports::find_field(request.fields, "Authorization");
-    return field != nullptr && same_secret(*field, "Bearer " + token_);
+    answer(exchange, {status, {{"Content-Type", type}}, std::move(body)});
 }
 
-void operator_service::answer(
-    ports::exchange_id exchange, int status, std::string body, const char* type)
+void operator_service::answer(ports::exchange_id exchange, ports::http_response it)
 {
     if (open_.erase(exchange) > 0)
     {
-        server_.respond(exchange, {status, {{"Content-Type", type}}, std::move(body)});
+        server_.respond(exchange, std::move(it));
     }
 }
 
 void operator_service::on_request(ports::exchange_id exchange, ports::http_request request)
 {
     open_.insert(exchange);
-    if (!authorized(request))
+    if (!is_authorized(request, token_))
     {
         context_.log(ports::log_level::warning, "operator_refused", {{"path", request.path}});
-        answer(exchange, status_unauthorized, dump({{"text", "a token is needed"}}), json_type);
+        answer(exchange, answer_text(status_unauthorized, "a token is needed"));
     }
     else if (request.path == "/metrics")
     {
@@ -120,7 +93,7 @@
     }
     else
     {
-        answer(exchange, status_not_found, dump({{"text", "no such path"}}), json_type);
+        answer(exchange, answer_text(status_not_found, "no such path"));
     }
 }
 
@@ -145,42 +118,29 @@
 void operator_service::answer_results(
     ports::exchange_id exchange, const std::vector<statement_result>& all, bool settled)
 {
-    json results = json::array();
-    for (const auto& it : all)
-    {
-        results.push_back({{"code", it.ok ? "ok" : core::name_of(code_names, it.code)},
-            {"text", it.text},
-            {"data", json::parse(it.json, nullptr, false)}});
-    }
-    const json body = {{"member", context_.self.id},
-        {"fresh", parts_.members.fresh()},
-        {"store_reachable", parts_.members.store_reachable()},
-        {"settled", settled},
-        {"results", std::move(results)}};
-    answer(exchange, status_ok, dump(body), json_type);
+    const answer_heading heading{
+        context_.self.id, parts_.members.fresh(), parts_.members.store_reachable(), settled};
+    answer(exchange, daemon::answer_results(heading, all));
 }
 
 void operator_service::execute(ports::exchange_id exchange, const ports::http_request& request)
 {
-    const auto body = json::parse(request.body, nullptr, false);
-    if (!body.is_object() || text_of(body, "text").empty() || text_of(body, "command").empty())
+    const auto batch = read_batch(request.body);
+    if (!batch)
     {
         answer(exchange,
-            status_bad_request,
-            dump({{"text", "the body must be an object with the texts 'text' and 'command'"}}),
-            json_type);
+            answer_text(status_bad_request,
+                "the body must be an object with the texts 'text' and 'command'"));
         return;
     }
-    const auto check_only = body.find("check_only");
-    statement_batch batch{text_of(body, "text"), text_of(body, "name"), text_of(body, "command")};
-    if (check_only != body.end() && check_only->is_boolean() && check_only->get<bool>())
+    if (batch->check_only)
     {
-        answer_results(exchange, {}, runner_.settled(batch));
+        answer_results(exchange, {}, runner_.settled(*batch));
         return;
     }
-    runner_.run(batch,
+    runner_.run(*batch,
         [this, exchange, batch](const std::vector<statement_result>& all)
-        { answer_results(exchange, all, runner_.settled(batch)); });
+        { answer_results(exchange, all, runner_.settled(*batch)); });
 }
 
 void operator_service::apply(ports::exchange_id exchange, const ports::http_request& request)
@@ -189,9 +149,8 @@
     if (id == nullptr || id->empty())
     {
         answer(exchange,
-            status_bad_request,
-            dump({{"text", "the field Camphorhitch-Command must name the command"}}),
-            json_type);
+            answer_text(
+                status_bad_request, "the field Camphorhitch-Command must name the command"));
         return;
     }
     setup_.apply(request.body,
@@ -240,7 +199,7 @@
     const auto* job = parts_.jobs.find(id, pool);
     if (job == nullptr)
     {
-        answer(exchange, status_not_found, dump({{"text", "no such job"}}), json_type);
+        answer(exchange, answer_text(status_not_found, "no such job"));
         return;
     }
     auto data = json::parse(jobs::encode(*job), nullptr, false);
--- a/programs/camphorhitchd/src/operator_service.hpp
+++ b/programs/camphorhitchd/src/operator_service.hpp
@@ -27,8 +27,8 @@
     void on_gone(ports::exchange_id exchange);
 
 private:
-    bool authorized(const ports::http_request& request) const;
     void answer(ports::exchange_id exchange, int status, std::string body, const char* type);
+    void answer(ports::exchange_id exchange, ports::http_response it);
     void answer_results(
         ports::exchange_id exchange, const std::vector<statement_result>& all, bool settled);
     void execute(ports::exchange_id exchange, const ports::http_request& request);
--- a/programs/camphorhitchd/src/statement_runner.hpp
+++ b/programs/camphorhitchd/src/statement_runner.hpp
@@ -8,6 +8,7 @@
 #include "job_statements.hpp"
 #include "language/parse.hpp"
 #include "operator_parts.hpp"
+#include "operator_wire.hpp"
 
 #include <functional>
 #include <memory>
@@ -17,14 +18,6 @@
 namespace camphorhitch::daemon
 {
 
-/// The statements of one call.
-struct statement_batch
-{
-    std::string text;
-    std::string name;    ///< where the text came from, for findings
-    std::string command; ///< its id; a repeat has its effect once
-};
-
 class statement_runner
 {
 public:
--- a/libs/hosted/tests/cluster.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
@@ -15,7 +15,7 @@
 #include <memory>
 #include <string>
 
-namespace camphorhitch::hosted_tests
+namespace camphorhitch::hosted_fakes
 {
 
 using namespace std::chrono_literals;
@@ -163,4 +163,4 @@
     }
 };
 
-} // namespace camphorhitch::hosted_tests
+} // namespace camphorhitch::hosted_fakes
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -550,6 +550,10 @@
         h.capacity = fake_host{}.capacity;
         return h;
     };
+    out.check_job_id = [](const std::string& id)
+    {
+        return id.find('.') == std::string::npos ? "" : "a job's id has no dot";
+    };
     return out;
 }
 
