Hosts on their way to a busy pool are looked for every 150 ms

Cause: a moved host was seen by the list of runners up to 450 ms after its first report; a busy time of a pool lasts 8 s and its hosts came 2 s after they were ordered.

--- a/libs/coordinator/tests/decision_tests.cpp
+++ b/libs/coordinator/tests/decision_tests.cpp
@@ -7,6 +7,7 @@
 #include "coordinator/waves.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 
 using namespace camphorhitch;
 using namespace camphorhitch::coordinator;
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -30,6 +30,7 @@
     core::millis poll_gap{30};         ///< after ends came: gathers the next ones
     core::millis poll_retry{150};      ///< after a poll that failed
     core::millis hosts_every{450};     ///< reads of the list of runners
+    core::millis hosts_often{150};     ///< while some are about to join a pool that needs them
     core::millis machines_every{500};  ///< reads of the list of machines while a wave runs
     core::millis machines_idle{2000};  ///< otherwise
     core::millis store_delay{8};       ///< gathers progress into one write
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -165,6 +165,10 @@
     {
         p.writer->request();
     };
+    t.awaits_hosts = [&p]
+    {
+        return p.machines->awaits_hosts();
+    };
     t.record_hosts = [&p]
     {
         p.hosts->record();
--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -35,7 +35,8 @@
     {
         return {};
     }
-    runner_record out{row[0].get<std::string>(), row[1].get<std::string>(), row[2].get<std::string>(), {}};
+    runner_record out{
+        row[0].get<std::string>(), row[1].get<std::string>(), row[2].get<std::string>(), {}};
     if (row.size() == with_rest)
     {
         if (!row[plain].is_number_unsigned())
@@ -164,7 +165,9 @@
         }
         take_list();
     }
-    term_.ctx.time.after(term_.settings.hosts_every, term_.guarded([this] { read_list(); }));
+    const auto pause =
+        term_.awaits_hosts() ? term_.settings.hosts_often : term_.settings.hosts_every;
+    term_.ctx.time.after(pause, term_.guarded([this] { read_list(); }));
 }
 
 void host_reader::take_list()
@@ -193,9 +196,9 @@
     term_.wake();
 }
 
-/// Runners that have ended, or never answered, are left out: a successor would wait for their leases
-/// in vain. Of a silent one it is told when its leases end, so that owners that follow each other
-/// quickly don't each wait for a whole lease anew.
+/// Runners that have ended, or never answered, are left out: a successor would wait for their
+/// leases in vain. Of a silent one it is told when its leases end, so that owners that follow each
+/// other quickly don't each wait for a whole lease anew.
 runner_records host_reader::wanted_records() const
 {
     const auto& f = term_.fleet;
--- a/libs/hosted/src/host_reader.hpp
+++ b/libs/hosted/src/host_reader.hpp
@@ -17,8 +17,8 @@
     std::string address;
     std::string machine; ///< empty: not known yet
     std::string pool;    ///< empty: not known
-    /// Told of a silent runner: all its leases end within this time after the record was stored, and
-    /// none is granted before it is stored without. Else nothing.
+    /// Told of a silent runner: all its leases end within this time after the record was stored,
+    /// and none is granted before it is stored without. Else nothing.
     std::optional<core::millis> rest;
 
     friend bool operator==(const runner_record&, const runner_record&) = default;
@@ -63,7 +63,7 @@
     /// Runners for which a successor may not wait as for others, if a write that is out, or was
     /// never answered, is in the store by now.
     std::set<std::string> doubted_;
-    bool unsure_ = false; ///< the last write was not answered
+    bool unsure_ = false;                      ///< the last write was not answered
     std::map<std::string, core::millis> told_; ///< rests written in this term, by runner id
     ports::revision record_revision_ = 0;
     bool recording_ = false;
--- a/libs/hosted/src/term.hpp
+++ b/libs/hosted/src/term.hpp
@@ -26,8 +26,9 @@
     ports::revision token = 0;
     coordinator::fleet fleet;
     line_budget lines;
-    std::function<void()> wake;       ///< plan soon
-    std::function<void()> store_soon; ///< progress has changed
+    std::function<void()> wake;         ///< plan soon
+    std::function<void()> store_soon;   ///< progress has changed
+    std::function<bool()> awaits_hosts; ///< whether moved hosts are about to join a busy pool
     std::function<void()> record_hosts; ///< a runner has answered after a silence
     /// A job was accepted \p at, perhaps before this term.
     std::function<void(const workflow::job&, core::mono_time at)> on_job;
