Demand: a young busy time asks for half of the highest peak of any pool

Cause: a pool's need was followed by its trend; hosts came 2 s to 3 s after the begin of a busy time that lasts 8 s. Pools' peaks are much alike, so the peak of those before tells what comes.

--- a/libs/coordinator/include/coordinator/demand.hpp
+++ b/libs/coordinator/include/coordinator/demand.hpp
@@ -37,6 +37,10 @@
     core::millis lead{2700};
     /// Share of a busy time's peak that its begin asks for: it rises over seconds.
     double first_share = 0.3;
+    /// A busy time is young for so long: hosts that are asked for then come in time for its peak.
+    core::millis young{2500};
+    /// Share of the highest peak of any pool that a young busy time asks for at least.
+    double young_share = 0.5;
     /// Room above the computed need, since work comes in lumps.
     double margin = 1.2;
 };
--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -108,6 +108,14 @@
     return std::clamp(risen, 0.0, p.fast * s.steepest);
 }
 
+/// \return when the pool's latest busy time began.
+std::optional<core::mono_time> latest_begin(const demand& d, const std::string& pool)
+{
+    const auto it = std::find_if(
+        d.history.rbegin(), d.history.rend(), [&](const busy_begin& b) { return b.pool == pool; });
+    return it == d.history.rend() ? std::nullopt : std::optional(it->at);
+}
+
 /// \return the highest peak of any pool: what a pool is expected to ask that was not busy yet.
 double highest_peak(const demand& d)
 {
@@ -239,6 +247,11 @@
             need.expected = peak > batch;
             batch = std::max(batch, peak);
         }
+        const auto began = latest_begin(d, name);
+        if (p.busy && began && now - *began < d.settings.young)
+        {
+            batch = std::max(batch, highest_peak(d) * d.settings.young_share);
+        }
         need.cores = need.lasting_cores + batch * d.settings.margin;
     }
     return out;
