--- a/libs/hosted/tests/random_fleet_tests.cpp
+++ b/libs/hosted/tests/random_fleet_tests.cpp
@@ -1,5 +1,5 @@
-#include "host_reader.hpp"
 #include "hosted_fakes/cluster.hpp"
+#include "planted_faults.hpp"
 
 #include <cstdlib>
 #include <random>
@@ -8,6 +8,7 @@
 
 using namespace camphorhitch;
 using namespace camphorhitch::hosted_fakes;
+using namespace camphorhitch::hosted_tests;
 using workflow::job_state;
 
 namespace
@@ -245,131 +246,6 @@
     }
 }
 
-namespace
-{
-
-/// Takes a safeguard out, so that a test can show that the checks see it gone.
-struct planted_fault
-{
-    const char* name;
-    void (*prepare)(cluster& c);
-};
-
-/// An order without an answer is taken for refused.
-void trust_silence(cluster& c)
-{
-    c.plant = [](node& n)
-    {
-        const auto start = n.ctx.runners.start;
-        n.ctx.runners.start = [start](const ports::runner_ref& to,
-                                  const ports::start_order& o,
-                                  const std::function<void(ports::runner_answer)>& done)
-        {
-            start(to,
-                o,
-                [done](ports::runner_answer it)
-                {
-                    const bool silent = it.verdict == ports::runner_verdict::unknown;
-                    it.verdict = silent ? ports::runner_verdict::no_room : it.verdict;
-                    done(it);
-                });
-        };
-    };
-}
-
-/// A successor does not learn which runners the former owner used.
-void hide_runners(cluster& c)
-{
-    c.plant = [](node& n)
-    {
-        const auto get = n.ctx.store.get;
-        n.ctx.store.get = [get](const std::string& key,
-                              ports::read_freshness fresh,
-                              const std::function<void(ports::item_read)>& done)
-        {
-            get(key,
-                fresh,
-                [key, done](ports::item_read it)
-                {
-                    if (key == hosted::runners_key)
-                    {
-                        it.item.reset();
-                    }
-                    done(it);
-                });
-        };
-    };
-}
-
-/// A successor is told that no runner holds a lease any more.
-void deny_leases(cluster& c)
-{
-    c.plant = [](node& n)
-    {
-        const auto get = n.ctx.store.get;
-        n.ctx.store.get = [get](const std::string& key,
-                              ports::read_freshness fresh,
-                              const std::function<void(ports::item_read)>& done)
-        {
-            get(key,
-                fresh,
-                [key, done](ports::item_read it)
-                {
-                    if (key == hosted::runners_key && it.item)
-                    {
-                        auto all = hosted::read_runners(it.item->value).value();
-                        for (auto& [id, row] : all)
-                        {
-                            row.rest = core::millis{0};
-                        }
-                        it.item->value = hosted::write_runners(all);
-                    }
-                    done(it);
-                });
-        };
-    };
-}
-
-/// A node trusts its lease for ever, and runners take orders of any owner.
-void ignore_time_and_tokens(cluster& c)
-{
-    c.hosts.checks_fences = false;
-    c.plant = [](node& n)
-    {
-        n.ctx.boot_now = []
-        {
-            return core::mono_time{};
-        };
-    };
-}
-
-/// Ends are acknowledged at once, whether they are stored or not.
-void acknowledge_early(cluster& c)
-{
-    c.plant = [](node& n)
-    {
-        const auto poll = n.ctx.runners.poll;
-        n.ctx.runners.poll = [poll](const ports::runner_ref& to,
-                                 ports::poll_order o,
-                                 const std::function<void(ports::poll_answer)>& done)
-        {
-            constexpr std::int64_t every = 1 << 20;
-            o.acknowledged_through = every;
-            poll(to, o, done);
-        };
-    };
-}
-
-constexpr planted_fault planted_faults[] = {
-    {"silence is trusted", trust_silence},
-    {"runners are hidden", hide_runners},
-    {"leases are denied", deny_leases},
-    {"time and tokens are ignored", ignore_time_and_tokens},
-    {"ends are acknowledged early", acknowledge_early},
-};
-
-} // namespace
-
 // Each safeguard that is taken out breaks a promise within some seeds: the checks can fail.
 TEST(random_fleet, a_safeguard_taken_out_is_seen)
 {
