States of finished jobs are removed 150 s after their end, and cancels that came too late

Cause: stored states stayed for ever: a store that fills up, and take-overs that read every job there ever was; a cancel that was stored just after its job's end stayed as well. Ruled out: removal by the entry hosts, which would need a second owner of these keys.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -95,8 +95,9 @@
     bool inherited = false;     ///< accepted before this term: a former owner may have started it
     bool dirty = false;         ///< the stored progress is older than this entry
     ports::revision stored = 0; ///< revision of the stored progress; 0: none
-    std::vector<task_entry> tasks;             ///< by workflow::task_place; empty once final
-    std::vector<step_entry> steps;             ///< by occurrence and step
+    std::int64_t ended_unix_ms = 0; ///< wall time at which its end was first written; 0: not yet
+    std::vector<task_entry> tasks;  ///< by workflow::task_place; empty once final
+    std::vector<step_entry> steps;  ///< by occurrence and step
     std::map<std::size_t, step_advice> advice; ///< by place in steps; jobs under advice only
     std::size_t live_runs = 0;
     std::size_t done_tasks = 0;
@@ -192,6 +193,13 @@
     std::int64_t runs_per_term = 1000;
 };
 
+/// A job whose final state is stored.
+struct finished_job
+{
+    std::string id;
+    ports::revision stored = 0; ///< of its state
+};
+
 struct fleet
 {
     coordinator_settings settings;
@@ -209,6 +217,9 @@
     int asks_out = 0;               ///< calls to the advice service
     std::vector<stray_run> strays;  ///< to be stopped
     std::vector<std::string> dirty; ///< jobs whose progress has to be stored
+    /// Jobs whose final state is stored, by the wall time of their end in milliseconds.
+    std::multimap<std::int64_t, finished_job> finished;
+    std::set<std::string> stray_cancels; ///< of jobs that were final before their cancel came
 };
 
 /// What happened to a task, for the log.
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -124,8 +124,13 @@
 void cancel_job(fleet& f, const std::string& id, core::mono_time now, task_events& out)
 {
     auto* const j = find_job(f, id);
-    if (j == nullptr || workflow::is_final(j->state))
+    if (j == nullptr)
     {
+        return; // the cancel comes again with what changed since: after its job
+    }
+    if (workflow::is_final(j->state))
+    {
+        f.stray_cancels.insert(id);
         return;
     }
     j->cancelled = true;
@@ -316,6 +321,7 @@
 {
     workflow::job_progress out;
     out.state = j.state;
+    out.ended_unix_ms = j.ended_unix_ms;
     out.tasks.reserve(j.tasks.size());
     for (const auto& it : j.tasks)
     {
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -36,6 +36,9 @@
     core::millis store_delay{8};       ///< gathers progress into one write
     core::millis store_retry{100};     ///< after a write that failed
     core::millis pending_every{500};   ///< counts of waiting jobs
+    core::millis tidy_every{5000};     ///< removals of states that nobody can ask for
+    /// After its end a job's state is told for so long, and a repeat of its acceptance meets it.
+    core::millis keep_finished{150000};
 };
 
 struct driver_parts;
--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -4,7 +4,8 @@
 ///   job/ID          a job as accepted; written once, by the entry host that took it, and removed
 ///                   with the write of its final state, so that a successor reads open jobs only
 ///   job/ID/cancel   its cancel; as job/ID
-///   state/ID        its progress; written by the coordinator only. Stays when the job is final
+///   state/ID        its progress; written by the coordinator only. Stays for a while
+///                   when the job is final
 ///   coord/leader    who coordinates; lives with its lease. Its revision is the fencing token
 ///   coord/leader-term  counts coordinators; never removed
 ///   coord/runners   runners that the coordinator may have given orders to
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -11,6 +11,7 @@
 #include "progress_writer.hpp"
 #include "runner_desk.hpp"
 #include "term.hpp"
+#include "tidier.hpp"
 #include "wave_runner.hpp"
 
 #include <utility>
@@ -27,6 +28,7 @@
     std::unique_ptr<progress_writer> writer;
     std::unique_ptr<machine_desk> machines;
     std::unique_ptr<wave_runner> waves;
+    std::unique_ptr<tidier> tidy;
     bool plan_is_due = false;
     bool jobs_are_in = false;
     bool record_is_in = false;
@@ -179,6 +181,7 @@
     p.writer = std::make_unique<progress_writer>(t);
     p.machines = std::make_unique<machine_desk>(t);
     p.waves = std::make_unique<wave_runner>(t, p.machines->table());
+    p.tidy = std::make_unique<tidier>(t);
     t.on_job = [&p](const workflow::job& j, core::mono_time at)
     {
         p.machines->note_job(j, at);
@@ -210,6 +213,7 @@
     p.waves->set_waves(waves_);
     p.tick();
     p.store_pending();
+    p.tidy->start();
 }
 
 void fleet_driver::end()
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -1,6 +1,7 @@
 #include "job_reader.hpp"
 
 #include "coordinator/intake.hpp"
+#include "coordinator/retention.hpp"
 #include "hosted/keys.hpp"
 #include "workflow/records.hpp"
 
@@ -59,6 +60,7 @@
     events.on_all = [this](const std::vector<ports::stored_item>& all)
     {
         take_items(all);
+        note_finished();
         states_.clear();
         if (done_)
         {
@@ -81,6 +83,20 @@
     follower_->start();
 }
 
+/// States that no job stands beside are of jobs that ended before this term.
+void job_reader::note_finished()
+{
+    const auto now = core::to_unix_ms(term_.ctx.time.wall_now());
+    for (const auto& [id, it] : states_)
+    {
+        const auto end = workflow::read_progress_end(it.value);
+        if (core::is_ok(end) && workflow::is_final(core::value(end).state))
+        {
+            coordinator::note_finished(term_.fleet, id, core::value(end).unix_ms, it.modified, now);
+        }
+    }
+}
+
 void job_reader::take_items(const std::vector<ports::stored_item>& items)
 {
     coordinator::task_events out;
--- a/libs/hosted/src/job_reader.hpp
+++ b/libs/hosted/src/job_reader.hpp
@@ -24,6 +24,7 @@
     void follow();
     void take_items(const std::vector<ports::stored_item>& items);
     void note_arrivals();
+    void note_finished();
     void take_item(const ports::stored_item& it, coordinator::task_events& out);
 
     term& term_;
--- a/libs/hosted/src/progress_writer.cpp
+++ b/libs/hosted/src/progress_writer.cpp
@@ -1,6 +1,7 @@
 #include "progress_writer.hpp"
 
 #include "coordinator/intake.hpp"
+#include "coordinator/retention.hpp"
 #include "hosted/keys.hpp"
 #include "workflow/records.hpp"
 
@@ -93,6 +94,10 @@
     }
     auto& j = *found->second;
     j.dirty = false;
+    if (workflow::is_final(j.state) && j.ended_unix_ms == 0)
+    {
+        j.ended_unix_ms = core::to_unix_ms(term_.ctx.time.wall_now());
+    }
     to.jobs.push_back(id);
     // Each job's own revision too: a write whose answer was lost may land seconds later, while
     // this node still leads, and would put an old progress over a newer one.
@@ -133,14 +138,24 @@
         {
             if (const auto it = term_.fleet.jobs.find(id); it != term_.fleet.jobs.end())
             {
-                it->second->stored = result.modified;
-                coordinator::shrink_job(term_.fleet, *it->second);
+                take_stored(*it->second, result.modified);
             }
         }
     }
     batch_over(ok, b.jobs);
 }
 
+void progress_writer::take_stored(coordinator::job_entry& j, ports::revision at)
+{
+    j.stored = at;
+    if (workflow::is_final(j.state) && !j.dirty)
+    {
+        const auto unix_ms = core::to_unix_ms(term_.ctx.time.wall_now());
+        coordinator::note_finished(term_.fleet, j.spec.id, j.ended_unix_ms, at, unix_ms);
+    }
+    coordinator::shrink_job(term_.fleet, j);
+}
+
 void progress_writer::take_conflict(const batch& b, const ports::commit_result& result)
 {
     const auto leader = std::find_if(result.current.begin(),
--- a/libs/hosted/src/progress_writer.hpp
+++ b/libs/hosted/src/progress_writer.hpp
@@ -38,6 +38,7 @@
     void add_job(const std::string& id, batch& to);
     void send(batch b);
     void take(const batch& b, const ports::commit_result& result);
+    void take_stored(coordinator::job_entry& j, ports::revision at);
     void take_conflict(const batch& b, const ports::commit_result& result);
     void batch_over(bool stored, const std::vector<std::string>& jobs);
     void end();
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -36,6 +36,7 @@
     core::millis runner_lease{2500};         ///< granted to runners
     core::millis longest_runner_lease{6000}; ///< that runners accept
     core::millis leader_lease{1200};         ///< after which a silent coordinator is replaced
+    core::millis keep_finished{150000};      ///< a job's state is told so long after its end
     double stop_bound_s = 6;                 ///< from the signal to the end of the process, seconds
 };
 
--- a/libs/settings/src/hosted_read.cpp
+++ b/libs/settings/src/hosted_read.cpp
@@ -15,6 +15,7 @@
 
 constexpr checked_json::bounds settings_bounds{1u << 18, 16, 1u << 14};
 constexpr millis_range lease_range{millis{1000}, millis{600000}};
+constexpr millis_range keep_range{millis{10000}, millis{86400000}};
 constexpr checked_json::real_range stop_range{0.1, 600};
 constexpr checked_json::real_range share_range{0.001, 1024};
 
@@ -43,6 +44,7 @@
     keys.defaulted("runner_lease_ms", r.runner_lease, lease_range)
         .defaulted("longest_runner_lease_ms", r.longest_runner_lease, lease_range)
         .defaulted("leader_lease_ms", r.leader_lease, lease_range)
+        .defaulted("keep_finished_ms", r.keep_finished, keep_range)
         .defaulted("stop_bound_s", r.stop_bound_s, stop_range);
 }
 
--- a/libs/workflow/include/workflow/model.hpp
+++ b/libs/workflow/include/workflow/model.hpp
@@ -126,6 +126,7 @@
 struct job_progress
 {
     job_state state = job_state::queued;
+    std::int64_t ended_unix_ms = 0; ///< when it became final; 0: it is not, or nobody knows
     /// By occurrence, step and index, in this order; empty while nothing is known.
     std::vector<task_progress> tasks;
 };
--- a/libs/workflow/include/workflow/records.hpp
+++ b/libs/workflow/include/workflow/records.hpp
@@ -23,6 +23,16 @@
 /// \return the progress, or an error when the text is none of this job's.
 core::result<job_progress> read_progress(const job& j, const std::string& text);
 
+/// What a progress text tells without its job.
+struct job_end
+{
+    job_state state = job_state::queued;
+    std::int64_t unix_ms = 0; ///< when it became final; 0: it is not, or nobody knows
+};
+
+/// \return state and end of a progress text, or an error.
+core::result<job_end> read_progress_end(const std::string& text);
+
 /// \return only the state of a progress text, or an error.
 core::result<job_state> read_progress_state(const std::string& text);
 
--- a/libs/workflow/src/records.cpp
+++ b/libs/workflow/src/records.cpp
@@ -71,6 +71,7 @@
 {
     json out = json::object();
     out["state"] = std::string{core::name_of(job_state_names, p.state)};
+    put(out, "ended_unix_ms", p.ended_unix_ms);
     if (!is_final(p.state) &&
         p.tasks.size() == tasks_per_occurrence(j) * static_cast<std::size_t>(occurrences_of(j)))
     {
@@ -106,6 +107,7 @@
         }
         job_progress p;
         p.state = *state;
+        get(from, "ended_unix_ms", p.ended_unix_ms);
         p.tasks.resize(tasks_per_occurrence(j) * static_cast<std::size_t>(occurrences_of(j)));
         std::string done;
         get(from, "done", done);
@@ -128,16 +130,19 @@
     }
 }
 
-core::result<job_state> read_progress_state(const std::string& text)
+core::result<job_end> read_progress_end(const std::string& text)
 {
     try
     {
         const auto from = json::parse(text);
-        if (const auto s = core::value_of(job_state_names, from.at("state").get<std::string>()))
+        const auto state = core::value_of(job_state_names, from.at("state").get<std::string>());
+        if (!state)
         {
-            return *s;
+            return damaged("progress", "no such state");
         }
-        return damaged("progress", "no such state");
+        job_end out{*state, 0};
+        get(from, "ended_unix_ms", out.unix_ms);
+        return out;
     }
     catch (const json::exception& ec)
     {
@@ -145,6 +150,16 @@
     }
 }
 
+core::result<job_state> read_progress_state(const std::string& text)
+{
+    const auto end = read_progress_end(text);
+    if (!core::is_ok(end))
+    {
+        return core::failure(end);
+    }
+    return core::value(end).state;
+}
+
 std::string write_task_name(const task_name& name)
 {
     return name.job + '.' + std::to_string(name.occurrence) + '.' + std::to_string(name.step) +
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -171,6 +171,7 @@
     hosted::driver_settings drive;
     drive.rules.runner_lease = settings.timing.runner_lease;
     drive.rules.leader_lease = settings.timing.leader_lease;
+    drive.keep_finished = settings.timing.keep_finished;
     driver = std::make_unique<hosted::fleet_driver>(ctx, formats, drive, *lead);
     desk = std::make_unique<hosted::entry_desk>(ctx, hosted::entry_settings{});
     hosted::follower_settings follow;
--- a/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
@@ -39,6 +39,7 @@
     hosted_fakes::hosts hosts;
     std::list<node> nodes; ///< dead ones too: answers to them are still under way
     int last_node = 0;
+    hosted::driver_settings settings;
     std::function<void(node&)> plant; ///< changes a new node's ports: takes a safeguard out
 
     explicit cluster(std::uint64_t seed = 1) : hosts(time, store, seed)
@@ -74,7 +75,7 @@
         };
         n.lead = std::make_unique<hosted::leadership>(n.ctx, hosted::leadership_settings{}, events);
         n.driver = std::make_unique<hosted::fleet_driver>(
-            n.ctx, n.formats, hosted::driver_settings{}, *n.lead);
+            n.ctx, n.formats, settings, *n.lead);
         n.desk = std::make_unique<hosted::entry_desk>(n.ctx, hosted::entry_settings{});
         n.lead->start();
         return n;
