--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -153,6 +153,18 @@
         term_.guarded([this](ports::page_read page) { take_page(std::move(page)); }));
 }
 
+core::millis host_reader::pause() const
+{
+    const auto& s = term_.settings;
+    if (!term_.awaits_hosts())
+    {
+        return s.hosts_every;
+    }
+    const auto for_size = s.hosts_often_each * static_cast<std::int64_t>(items_.size());
+    const auto often = std::max(s.hosts_often, std::chrono::ceil<core::millis>(for_size));
+    return std::min(often, s.hosts_every);
+}
+
 void host_reader::take_page(ports::page_read page)
 {
     if (page.status == kv_status::ok)
@@ -165,9 +177,7 @@
         }
         take_list();
     }
-    const auto pause =
-        term_.awaits_hosts() ? term_.settings.hosts_often : term_.settings.hosts_every;
-    term_.ctx.time.after(pause, term_.guarded([this] { read_list(); }));
+    term_.ctx.time.after(pause(), term_.guarded([this] { read_list(); }));
 }
 
 void host_reader::take_list()
--- a/libs/hosted/src/host_reader.hpp
+++ b/libs/hosted/src/host_reader.hpp
@@ -47,6 +47,7 @@
     void take_record(const ports::item_read& read);
     void read_list();
     void read_page(const std::string& after);
+    core::millis pause() const;
     void take_page(ports::page_read page);
     void take_list();
     void take_former(const ports::stored_item& item);
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -53,6 +53,14 @@
             [this, host, begun](const ports::poll_answer& a) { take_poll(host, begun, a); }));
 }
 
+core::millis runner_desk::poll_gap() const
+{
+    constexpr double ms_per_second = 1000;
+    const auto hosts = static_cast<double>(term_.fleet.hosts.size());
+    const auto fair = ms_per_second * hosts / term_.settings.most_polls_per_second;
+    return std::max(term_.settings.poll_gap, core::millis{static_cast<std::int64_t>(fair)});
+}
+
 void runner_desk::take_poll(
     const std::string& host, core::mono_time begun, const ports::poll_answer& a)
 {
@@ -77,7 +85,7 @@
     }
     stop_strays();
     const bool news = !a.ended.empty();
-    poll_later(host, first || !news ? core::millis{0} : term_.settings.poll_gap);
+    poll_later(host, first || !news ? core::millis{0} : poll_gap());
     if (news)
     {
         term_.store_soon();
--- a/libs/hosted/src/runner_desk.hpp
+++ b/libs/hosted/src/runner_desk.hpp
@@ -30,6 +30,8 @@
 
 private:
     void poll(const std::string& host);
+    /// \return the pause after a poll that brought ends.
+    core::millis poll_gap() const;
     void take_poll(const std::string& host, core::mono_time begun, const ports::poll_answer& a);
     void poll_later(const std::string& host, core::millis delay);
     void start(const coordinator::start_action& a);
