--- /dev/null
+++ b/libs/coordinator/tests/demand_tests.cpp
@@ -0,0 +1,103 @@
+#include "coordinator/demand.hpp"
+#include "world.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::coordinator;
+
+TEST_GROUP(demand)
+{
+    coordinator::demand d;
+    core::mono_time now{1000s};
+
+    /// \param cores of work that arrive a second, as jobs of \p each core-seconds
+    void feed(const std::string& pool, double cores, double each, core::millis how_long)
+    {
+        const core::micros gap{static_cast<std::int64_t>(1e6 * each / cores)};
+        for (const auto end = now + how_long; now < end; now += gap)
+        {
+            note_arrival(d, pool, each, now);
+        }
+        update_demand(d, now);
+    }
+};
+
+TEST(demand, a_steady_rate_is_measured_and_forgotten)
+{
+    feed("p", 100, 5, 6s);
+    CHECK(d.pools["p"].fast > 85 && d.pools["p"].fast < 115);
+    now += 4s;
+    update_demand(d, now);
+    CHECK(d.pools["p"].fast < 5);
+}
+
+TEST(demand, one_large_job_is_no_busy_time)
+{
+    note_arrival(d, "p", 200, now);
+    update_demand(d, now);
+    CHECK_FALSE(d.pools["p"].busy);
+    feed("p", 300, 10, 1s);
+    CHECK(d.pools["p"].busy);
+}
+
+TEST(demand, a_rise_is_followed_ahead)
+{
+    fleet f;
+    feed("p", 60, 3, 12s);
+    const auto steady = pool_needs(f, d, now).at("p").cores;
+    CHECK(steady < 60 * 1.6);
+    for (double cores = 60; cores < 360; cores += 60)
+    {
+        feed("p", cores, 3, 500ms);
+    }
+    const auto& p = d.pools["p"];
+    CHECK(pool_needs(f, d, now).at("p").cores > p.fast * d.settings.margin * 1.2);
+}
+
+// A pool turns busy for a few seconds. Hosts that are asked for only as its rate rises come when it
+// is over; another pool's peak tells at its begin what is coming.
+TEST(demand, a_young_busy_time_asks_for_a_share_of_the_highest_peak)
+{
+    feed("p", 300, 10, 1s);
+    const double peak = d.pools.at("p").peak;
+    now += 20s;
+    update_demand(d, now);
+    fleet f;
+    for (int i = 0; i < 4; ++i)
+    {
+        note_arrival(d, "q", 8, now);
+    }
+    const auto least = peak * d.settings.young_share * d.settings.margin;
+    CHECK(pool_needs(f, d, now).at("q").cores >= least);
+    now += d.settings.young;
+    CHECK(pool_needs(f, d, now).at("q").cores < least);
+}
+
+TEST(demand, an_order_that_came_round_tells_the_next)
+{
+    const std::vector<std::string> pools{"a", "b", "c"};
+    for (int round = 0; round < 2; ++round)
+    {
+        for (const auto& it : pools)
+        {
+            d.history.push_back({it, now});
+            now += 5s;
+        }
+    }
+    const auto newest = d.history.back().at;
+    CHECK(next_busy(d, "a").has_value());
+    CHECK(*next_busy(d, "a") == newest + 5s);
+    CHECK_FALSE(next_busy(d, "b").has_value());
+}
+
+TEST(demand, learnt_times_replace_declared_ones)
+{
+    learnt l;
+    auto s = make_step(1, 1000);
+    s.image = "i";
+    LONGS_EQUAL(1000, expected_time(l, s).count());
+    learn_time(l, "i", 200ms);
+    learn_time(l, "i", 400ms);
+    LONGS_EQUAL(300, expected_time(l, s).count());
+}
--- /dev/null
+++ b/libs/coordinator/tests/settling_tests.cpp
@@ -0,0 +1,118 @@
+#include "world.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::coordinator;
+
+TEST_GROUP(settling)
+{
+    world w;
+};
+
+// A start gets no answer. Until the runner has confirmed a stop and no longer lists the run, the
+// task keeps its room and starts nowhere else.
+TEST(settling, an_unanswered_start_is_settled_by_a_stop)
+{
+    w.add_host("h1");
+    w.add_host("h2");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    w.started(a, ports::runner_verdict::unknown);
+    LONGS_EQUAL(0, w.next().starts.size());
+    ports::poll_answer nothing;
+    nothing.call = {ports::runner_verdict::done, 1000};
+    w.now += 10ms;
+    poll_answered(w.f, a.host.id, w.now, nothing, w.now, w.events);
+    const auto p = w.next();
+    LONGS_EQUAL(0, p.starts.size());
+    LONGS_EQUAL(1, p.stops.size());
+    w.now += 10ms;
+    stop_answered(
+        w.f, a.host.id, a.task, a.run, {ports::runner_verdict::done, 1000}, w.now, w.events);
+    poll_answered(w.f, a.host.id, w.now - 5ms, nothing, w.now, w.events);
+    LONGS_EQUAL(0, w.next().starts.size()); // that look began before the stop was confirmed
+    w.now += 10ms;
+    poll_answered(w.f, a.host.id, w.now, nothing, w.now, w.events);
+    const auto again = w.next().starts;
+    LONGS_EQUAL(1, again.size());
+    CHECK(again[0].run > a.run);
+}
+
+// A runner goes silent. Its tasks may start elsewhere only when its own clock, which may be slow,
+// has certainly passed every lease that was granted.
+TEST(settling, a_silent_runner_lapses_by_its_own_clock)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    auto& h = w.f.hosts["h1"];
+    note_lease(h, lease_end_for(w.f, h, w.now));
+    w.started(a);
+    ports::poll_answer silent;
+    silent.call = {ports::runner_verdict::unknown, -1};
+    poll_answered(w.f, "h1", w.now, silent, w.now, w.events);
+    LONGS_EQUAL(0, lease_end_for(w.f, h, w.now)); // nothing more is granted
+    w.now += w.f.settings.runner_lease + 100ms;
+    lapse_hosts(w.f, w.now, w.events);
+    LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
+    w.now += 300ms + w.f.settings.runner_lease / 40;
+    lapse_hosts(w.f, w.now, w.events);
+    LONGS_EQUAL(0, w.f.jobs.at("a")->live_runs);
+}
+
+// A runner refuses a start each time. Ordered again at once, the task would keep the process and
+// the runner busy with nothing else.
+TEST(settling, a_refused_start_is_not_ordered_again_at_once)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    w.started(a, ports::runner_verdict::malformed);
+    LONGS_EQUAL(0, w.f.hosts["h1"].used.cpu);
+    LONGS_EQUAL(0, w.next().starts.size());
+    w.now += w.f.settings.refusal_pause;
+    const auto again = w.next().starts;
+    LONGS_EQUAL(1, again.size());
+    CHECK(again[0].run > a.run);
+}
+
+TEST(settling, another_life_ends_all_runs_at_once)
+{
+    w.add_host("h1");
+    w.add_host("h2");
+    auto s = make_step(6, 1000);
+    s.most_per_host = 3;
+    w.add(make_job("a", {s}));
+    const auto p = w.next();
+    for (const auto& it : p.starts)
+    {
+        w.started(it);
+    }
+    ports::poll_answer other;
+    other.call = {ports::runner_verdict::other_life, -1};
+    poll_answered(w.f, "h1", w.now, other, w.now, w.events);
+    LONGS_EQUAL(3, w.f.jobs.at("a")->live_runs);
+    CHECK_FALSE(w.f.hosts.contains("h1"));
+}
+
+TEST(settling, a_run_that_nobody_knows_is_stopped)
+{
+    w.add_host("h1");
+    ports::poll_answer p;
+    p.call = {ports::runner_verdict::done, 1000};
+    p.running = {{"gone.0.0.0", 3, {}, 10, 0}};
+    poll_answered(w.f, "h1", w.now, p, w.now, w.events);
+    LONGS_EQUAL(1, w.f.strays.size());
+    w.add(make_job("a", {make_step(1, 1000)}));
+    LONGS_EQUAL(0, w.next().starts.size()); // its room is not known
+}
+
+TEST(settling, a_newer_token_ends_the_ownership)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    CHECK_FALSE(start_answered(
+        w.f, "h1", a.task, a.run, {ports::runner_verdict::fenced, 1}, w.now, w.events));
+}
--- /dev/null
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -0,0 +1,169 @@
+#include "coordinator/waves.hpp"
+#include "world.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::coordinator;
+
+TEST_GROUP(waves)
+{
+    world w;
+    machine_table list;
+    wave v;
+
+    void prepare(int machines, int at_once)
+    {
+        list.known = true;
+        list.read_at = w.now;
+        v.number = 1;
+        v.most_at_once = at_once;
+        v.due = w.now + 60s;
+        for (int i = 1; i <= machines; ++i)
+        {
+            const auto n = std::to_string(i);
+            list.machines["m" + n] = {"m" + n, "p", "z", "h" + n, ports::machine_state::up};
+            v.machines.push_back("m" + n);
+            w.add_host("h" + n);
+        }
+    }
+};
+
+TEST(waves, no_more_hosts_are_down_than_allowed)
+{
+    prepare(5, 2);
+    auto ready = plan_wave(w.f, v, list, {}, w.now, w.events);
+    LONGS_EQUAL(2, ready.size());
+    for (const auto& it : ready)
+    {
+        maintenance_began(w.f, v, list, it, w.now, w.events);
+    }
+    LONGS_EQUAL(0, plan_wave(w.f, v, list, {}, w.now, w.events).size());
+    w.now += 1s;
+    list.read_at = w.now;
+    list.machines[ready[0]].runner = "new";
+    see_machines(v, list, {});
+    LONGS_EQUAL(2, plan_wave(w.f, v, list, {}, w.now, w.events).size());
+}
+
+// A task ended on a host, and the end is not stored yet. Were the host maintained or moved now and
+// this process to die, nobody would know of the end, and the task would run again.
+TEST(waves, a_host_stays_until_its_ends_are_stored)
+{
+    prepare(1, 1);
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    w.started(a);
+    w.ended(a, ports::run_end::done, 1);
+    v.due = w.now;
+    LONGS_EQUAL(0, plan_wave(w.f, v, list, {}, w.now, w.events).size());
+    w.f.hosts["h1"].stored_end = 1;
+    LONGS_EQUAL(1, plan_wave(w.f, v, list, {}, w.now, w.events).size());
+}
+
+// A wave closes all hosts of a pool. Were a long-running task stopped with no host to go to, it
+// would wait for the wave, and the wave for the other tasks of its step.
+TEST(waves, a_task_with_nowhere_to_go_stays)
+{
+    prepare(2, 2);
+    auto s = make_step(2, 1000);
+    s.long_running = true;
+    s.may_be_away = 1;
+    s.most_per_host = 1;
+    w.add(make_job("a", {s}));
+    for (const auto& it : w.next().starts)
+    {
+        w.started(it);
+        w.f.jobs.at("a")->tasks[static_cast<std::size_t>(it.task.index)].runs[0].percent = 100;
+    }
+    v.due = w.now;
+    plan_wave(w.f, v, list, {}, w.now, w.events);
+    LONGS_EQUAL(0, w.next().stops.size());
+    w.add_host("h3");
+    plan_wave(w.f, v, list, {}, w.now, w.events);
+    LONGS_EQUAL(1, w.next().stops.size());
+}
+
+// There is time: a host that works stays up, one that idles in a pool with some to spare goes. When
+// the end comes near, the one that works is emptied too.
+TEST(waves, while_there_is_time_only_hosts_that_nobody_misses_go)
+{
+    prepare(2, 2);
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto busy = w.next().starts[0].host.id;
+    const auto idle = busy == "h1" ? "m2" : "m1";
+    list.short_pools = {"p"};
+    LONGS_EQUAL(0, plan_wave(w.f, v, list, {}, w.now, w.events).size());
+    list.short_pools.clear();
+    const auto ready = plan_wave(w.f, v, list, {}, w.now, w.events);
+    LONGS_EQUAL(1, ready.size());
+    STRCMP_EQUAL(idle, ready[0].c_str());
+    CHECK(w.f.hosts[busy].use == host_use::open);
+    w.now = v.due - 5s;
+    plan_wave(w.f, v, list, {}, w.now, w.events);
+    CHECK(w.f.hosts[busy].use == host_use::closed_for_maintenance);
+}
+
+// A successor finds a runner in the record whose machine was moved since. It need not wait for the
+// runner's leases: the list shows that the machine runs nothing, or another life.
+TEST(waves, a_machines_other_life_or_none_ends_a_runner)
+{
+    struct row
+    {
+        const char* runner;
+        ports::machine_state state;
+        bool ends;
+    };
+    const row rows[] = {
+        {"h1", ports::machine_state::up, false},
+        {"h9", ports::machine_state::up, true},
+        {"", ports::machine_state::moving, true},
+        {"h1", ports::machine_state::in_maintenance, true},
+        {"", ports::machine_state::down, false},
+        {"h1", ports::machine_state::down, false},
+    };
+    for (const auto& it : rows)
+    {
+        world each;
+        each.add_host("h1");
+        each.f.hosts["h1"].machine = "m1";
+        each.f.hosts["h1"].prior = true;
+        machine_table table;
+        table.known = true;
+        table.machines["m1"] = {"m1", "p", "z", it.runner, it.state};
+        match_machines(each.f, table, each.now, each.events);
+        LONGS_EQUAL(it.ends ? 0 : 1, each.f.hosts.count("h1"));
+    }
+}
+
+TEST(waves, a_wave_ends_when_each_machine_that_stays_has_begun)
+{
+    prepare(2, 2);
+    CHECK_FALSE(see_machines(v, list, {}));
+    v.begun = {"m1"};
+    CHECK_FALSE(see_machines(v, list, {}));
+    list.machines.erase("m2"); // it has left for good
+    CHECK(see_machines(v, list, {}));
+    CHECK(v.completed);
+}
+
+// A task on a host that does not answer may be gone. While it counts as away, no other task of
+// its step is taken away for a wave.
+TEST(waves, a_silent_host_counts_against_what_a_step_may_miss)
+{
+    prepare(2, 2);
+    w.add_host("h3");
+    auto s = make_step(2, host_cpu);
+    s.long_running = true;
+    s.may_be_away = 1;
+    w.add(make_job("a", {s}));
+    for (const auto& it : w.next().starts)
+    {
+        w.started(it);
+        w.f.jobs.at("a")->tasks[static_cast<std::size_t>(it.task.index)].runs[0].percent = 100;
+    }
+    const auto& j = *w.f.jobs.at("a");
+    LONGS_EQUAL(0, others_away(w.f, j, {"a", 0, 0, 0}));
+    w.f.hosts[j.tasks[1].runs[0].host].reachable = false;
+    LONGS_EQUAL(1, others_away(w.f, j, {"a", 0, 0, 0}));
+}
--- /dev/null
+++ b/libs/coordinator/tests/world.hpp
@@ -0,0 +1,95 @@
+/// \file
+/// A fleet of hosts that answer, on which tests try single decisions.
+#pragma once
+
+#include "coordinator/answers.hpp"
+#include "coordinator/intake.hpp"
+#include "coordinator/placement.hpp"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace camphorhitch::coordinator
+{
+
+using namespace std::chrono_literals;
+
+inline constexpr std::int64_t wall = 1'700'000'000'000;
+inline constexpr std::int64_t host_cpu = 4000;
+
+inline workflow::step make_step(int tasks, std::int64_t cpu)
+{
+    workflow::step s;
+    s.tasks = tasks;
+    s.need.cpu = cpu;
+    s.estimate = 1000ms;
+    return s;
+}
+
+inline workflow::job make_job(const std::string& id, std::vector<workflow::step> steps)
+{
+    workflow::job j;
+    j.id = id;
+    j.queue = "q";
+    j.pool = "p";
+    j.most_attempts = 2;
+    j.accepted_unix_ms = wall;
+    j.steps = std::move(steps);
+    return j;
+}
+
+/// A fleet whose hosts answer everything that a test does not take over.
+struct world
+{
+    fleet f;
+    core::mono_time now{1000s};
+    task_events events;
+
+    void add_host(const std::string& id, const std::string& rack = "r1")
+    {
+        host_entry h;
+        h.ref = {id, id + ":1"};
+        h.pool = "p";
+        h.rack = rack;
+        h.labels = {"a", rack};
+        h.capacity = {host_cpu, 65536, 0};
+        h.listed = true;
+        h.recorded = true;
+        h.reachable = true;
+        h.last_answer = now;
+        h.clock_ms = 1000;
+        h.clock_at = now;
+        f.hosts[id] = h;
+    }
+
+    void add(workflow::job j)
+    {
+        add_job(f, std::move(j), 1, {}, 0);
+    }
+
+    plan next(std::int64_t unix_ms = wall)
+    {
+        return make_plan(f, now, unix_ms, true, events);
+    }
+
+    void started(const start_action& a, ports::runner_verdict v = ports::runner_verdict::done)
+    {
+        start_answered(f, a.host.id, a.task, a.run, {v, 1000}, now, events);
+    }
+
+    void ended(const start_action& a, ports::run_end how, std::int64_t number)
+    {
+        ports::poll_answer p;
+        p.call = {ports::runner_verdict::done, 1000};
+        p.ended = {{number,
+            workflow::task_name(a.task).job + "." + std::to_string(a.task.occurrence) + "." +
+                std::to_string(a.task.step) + "." + std::to_string(a.task.index),
+            a.run,
+            how,
+            {}}};
+        poll_answered(f, a.host.id, now, p, now, events);
+    }
+};
+
+} // namespace camphorhitch::coordinator
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -31,17 +31,17 @@
     /// Polls a second over all runners, at most; with many runners the gap grows instead. A poll
     /// costs 0.15 ms of processor time, and the coordinator's host may have a quarter of a core.
     double most_polls_per_second = 4000;
-    core::millis poll_retry{150};      ///< after a poll that failed
-    core::millis hosts_every{450};     ///< reads of the list of runners
-    core::millis hosts_often{150};     ///< while some are about to join a pool that needs them
+    core::millis poll_retry{150};  ///< after a poll that failed
+    core::millis hosts_every{450}; ///< reads of the list of runners
+    core::millis hosts_often{150}; ///< while some are about to join a pool that needs them
     /// Pause between such readings for each runner in the list: each reading parses all of it.
     core::micros hosts_often_each{1000};
-    core::millis machines_every{500};  ///< reads of the list of machines while a wave runs
-    core::millis machines_idle{2000};  ///< otherwise
-    core::millis store_delay{8};       ///< gathers progress into one write
-    core::millis store_retry{100};     ///< after a write that failed
-    core::millis pending_every{500};   ///< counts of waiting jobs
-    core::millis tidy_every{5000};     ///< removals of states that nobody can ask for
+    core::millis machines_every{500}; ///< reads of the list of machines while a wave runs
+    core::millis machines_idle{2000}; ///< otherwise
+    core::millis store_delay{8};      ///< gathers progress into one write
+    core::millis store_retry{100};    ///< after a write that failed
+    core::millis pending_every{500};  ///< counts of waiting jobs
+    core::millis tidy_every{5000};    ///< removals of states that nobody can ask for
     /// After its end a job's state is told for so long, and a repeat of its acceptance meets it.
     core::millis keep_finished{150000};
 };
--- a/libs/hosted/src/entry_desk.cpp
+++ b/libs/hosted/src/entry_desk.cpp
@@ -1,9 +1,9 @@
 #include "hosted/entry_desk.hpp"
 
+#include "entry_state.hpp"
 #include "hosted/keys.hpp"
 #include "workflow/records.hpp"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -12,258 +12,13 @@
 
 using ports::kv_status;
 
-struct entry_state : std::enable_shared_from_this<entry_state>
-{
-    context ctx;
-    entry_settings settings;
-    std::map<std::string, int> pending;
-    core::mono_time pending_at;
-    bool pending_known = false;
-
-    /// \return whether a further try can still be answered in time.
-    bool has_time(core::mono_time deadline) const
-    {
-        return ctx.time.now() + settings.retry_pause + settings.reply_margin < deadline;
-    }
-
-    /// Runs \p fn when the caller's answer is due, whatever call is still out.
-    void at_deadline(core::mono_time deadline, std::function<void()> fn)
-    {
-        const auto left = std::chrono::duration_cast<core::millis>(
-            deadline - settings.reply_margin - ctx.time.now());
-        ctx.time.after(std::max(left, core::millis{0}),
-            [weak = weak_from_this(), fn = std::move(fn)]
-            {
-                if (weak.lock() != nullptr)
-                {
-                    fn();
-                }
-            });
-    }
-
-    void again(std::function<void()> fn)
-    {
-        ctx.time.after(settings.retry_pause,
-            [weak = weak_from_this(), fn = std::move(fn)]
-            {
-                if (weak.lock() != nullptr)
-                {
-                    fn();
-                }
-            });
-    }
-
-    void log(const char* event, const std::string& id, ports::log_fields more)
-    {
-        more.insert(more.begin(), {"id", id});
-        ctx.tel.log(ports::log_level::info, event, std::move(more));
-    }
-};
-
 namespace
 {
 
-/// One write that is repeated until its effect is certain, or the caller's time is up.
-struct pending_write
-{
-    std::string id;
-    ports::store_transaction change;
-    core::mono_time deadline;
-    bool may_have_effect = false; ///< some try was not answered
-    bool in_flight = false;
-    bool told = false; ///< the caller has its answer
-    int refusals = 0;
-    /// \p certain false: it may still take effect.
-    std::function<void(kv_status how, bool certain)> done;
-};
-
-bool is_refusal(kv_status s)
-{
-    return s == kv_status::unavailable || s == kv_status::rejected;
-}
-
-/// The change is idempotent (its keys are created once), so repeating it after a lost answer tells
-/// which of the tries took effect: the repeat meets its conflict.
-void try_write(const std::shared_ptr<entry_state>& state, const std::shared_ptr<pending_write>& w)
-{
-    w->in_flight = true;
-    state->ctx.store.commit(w->change,
-        [state, w](const ports::commit_result& result)
-        {
-            w->in_flight = false;
-            if (w->told)
-            {
-                return;
-            }
-            if (result.status == kv_status::ok || result.status == kv_status::conflict)
-            {
-                w->told = true;
-                w->done(result.status, true);
-                return;
-            }
-            w->may_have_effect = w->may_have_effect || result.status == kv_status::unknown;
-            w->refusals += is_refusal(result.status) ? 1 : 0;
-            const bool give_up =
-                !w->may_have_effect && w->refusals >= state->settings.most_refusals;
-            if (give_up || !state->has_time(w->deadline))
-            {
-                w->told = true;
-                w->done(result.status, !w->may_have_effect);
-                return;
-            }
-            state->again(
-                [state, w]
-                {
-                    if (!w->told)
-                    {
-                        try_write(state, w);
-                    }
-                });
-        });
-}
-
-/// A call may hang for longer than the caller waits; then the answer is that nothing is certain.
-void begin_write(const std::shared_ptr<entry_state>& state, const std::shared_ptr<pending_write>& w)
-{
-    state->at_deadline(w->deadline,
-        [w]
-        {
-            if (!w->told)
-            {
-                w->told = true;
-                w->done(kv_status::unknown, !w->may_have_effect && !w->in_flight);
-            }
-        });
-    try_write(state, w);
-}
-
-void try_get_state(const std::shared_ptr<entry_state>& state,
-    const std::string& id,
-    core::mono_time deadline,
-    std::function<void(state_answer)> done);
-
-/// Neither progress nor job: it does not exist, or it ended between the two readings, which removed
-/// the job and stored its state in one write. Only the state tells, read once more.
-void look_again(const std::shared_ptr<entry_state>& state,
-    const std::string& id,
-    core::mono_time deadline,
-    std::function<void(state_answer)> done)
-{
-    state->ctx.store.get(state_key(id),
-        ports::read_freshness::newest,
-        [state, id, deadline, done = std::move(done)](const ports::item_read& read)
-        {
-            if (read.status != kv_status::ok)
-            {
-                if (!state->has_time(deadline))
-                {
-                    done({});
-                    return;
-                }
-                state->again([=] { look_again(state, id, deadline, done); });
-                return;
-            }
-            state_answer out{true, false, workflow::job_state::queued};
-            if (read.item)
-            {
-                const auto found = workflow::read_progress_state(read.item->value);
-                out.known = core::is_ok(found);
-                out.exists = true;
-                out.state = out.known ? core::value(found) : out.state;
-            }
-            done(out);
-        });
-}
-
-/// No progress is stored: the job waits, was cancelled just now, or does not exist.
-void look_for_job(const std::shared_ptr<entry_state>& state,
-    const std::string& id,
-    core::mono_time deadline,
-    std::function<void(state_answer)> done)
+int jobs_of(const entry_state& state, const std::string& queue)
 {
-    state->ctx.store.range(job_key(id),
-        {},
-        [state, id, deadline, done = std::move(done)](const ports::page_read& page)
-        {
-            if (page.status != kv_status::ok)
-            {
-                if (!state->has_time(deadline))
-                {
-                    done({});
-                    return;
-                }
-                state->again([=] { look_for_job(state, id, deadline, done); });
-                return;
-            }
-            if (page.items.empty())
-            {
-                look_again(state, id, deadline, done);
-                return;
-            }
-            state_answer out{true, false, workflow::job_state::queued};
-            for (const auto& it : page.items)
-            {
-                out.exists = out.exists || it.key == job_key(id);
-                if (it.key == cancel_key(id))
-                {
-                    out.state = workflow::job_state::cancelled;
-                }
-            }
-            done(out);
-        });
-}
-
-void try_get_state(const std::shared_ptr<entry_state>& state,
-    const std::string& id,
-    core::mono_time deadline,
-    std::function<void(state_answer)> done)
-{
-    state->ctx.store.get(state_key(id),
-        ports::read_freshness::newest,
-        [state, id, deadline, done = std::move(done)](const ports::item_read& read)
-        {
-            if (read.status == kv_status::ok && read.item)
-            {
-                const auto found = workflow::read_progress_state(read.item->value);
-                if (core::is_ok(found))
-                {
-                    done({true, true, core::value(found)});
-                    return;
-                }
-                state->log("record_damaged", id, {{"reason", core::failure(found).message}});
-                done({});
-                return;
-            }
-            if (read.status == kv_status::ok)
-            {
-                look_for_job(state, id, deadline, done);
-                return;
-            }
-            if (!state->has_time(deadline))
-            {
-                done({});
-                return;
-            }
-            state->again([=] { try_get_state(state, id, deadline, done); });
-        });
-}
-
-/// Reads a job's state; the answer comes by the deadline, also when a call hangs.
-void read_state(const std::shared_ptr<entry_state>& state,
-    const std::string& id,
-    core::mono_time deadline,
-    std::function<void(state_answer)> done)
-{
-    const auto told = std::make_shared<bool>(false);
-    const auto tell = [told, done = std::move(done)](const state_answer& it)
-    {
-        if (!std::exchange(*told, true))
-        {
-            done(it);
-        }
-    };
-    state->at_deadline(deadline, [tell] { tell({}); });
-    try_get_state(state, id, deadline, tell);
+    const auto found = state.pending.find(queue);
+    return found == state.pending.end() ? 0 : found->second;
 }
 
 const char* store_answer(kv_status s)
@@ -371,39 +126,29 @@
 void entry_desk::count_pending(
     const std::string& queue, core::mono_time deadline, std::function<void(pending_answer)> done)
 {
-    auto& it = *state_;
+    const auto& it = *state_;
     if (it.pending_known && it.ctx.time.now() - it.pending_at < it.settings.pending_age)
     {
-        const auto found = it.pending.find(queue);
-        done({true, found == it.pending.end() ? 0 : found->second});
+        done({true, jobs_of(it, queue)});
         return;
     }
-    it.ctx.store.get(pending_key,
-        ports::read_freshness::newest,
-        [this_desk = this, weak = std::weak_ptr(state_), queue, deadline, done = std::move(done)](
-            const ports::item_read& read)
+    read_until<ports::item_read>(
+        state_,
+        deadline,
+        [state = state_](std::function<void(ports::item_read)> got)
+        { state->ctx.store.get(pending_key, ports::read_freshness::newest, std::move(got)); },
+        [state = state_, queue, done = std::move(done)](const std::optional<ports::item_read>& read)
         {
-            const auto state = weak.lock();
-            if (state == nullptr)
+            if (!read)
             {
-                return;
-            }
-            if (read.status != kv_status::ok)
-            {
-                if (!state->has_time(deadline))
-                {
-                    done({});
-                    return;
-                }
-                state->again([=] { this_desk->count_pending(queue, deadline, done); });
+                done({});
                 return;
             }
             state->pending =
-                read.item ? read_pending(read.item->value) : std::map<std::string, int>{};
+                read->item ? read_pending(read->item->value) : std::map<std::string, int>{};
             state->pending_at = state->ctx.time.now();
             state->pending_known = true;
-            const auto found = state->pending.find(queue);
-            done({true, found == state->pending.end() ? 0 : found->second});
+            done({true, jobs_of(*state, queue)});
         });
 }
 
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -6,10 +6,10 @@
 #include "company/runner_client.hpp"
 #include "company/spelling.hpp"
 #include "company/store_client.hpp"
+#include "hosted/config_follower.hpp"
 #include "hosted/entry_desk.hpp"
 #include "hosted/fleet_driver.hpp"
 #include "hosted/leadership.hpp"
-#include "hosted/prefix_follower.hpp"
 #include "hosted_operators.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
@@ -85,7 +85,7 @@
     std::unique_ptr<hosted::leadership> lead;
     std::unique_ptr<hosted::fleet_driver> driver;
     std::unique_ptr<hosted::entry_desk> desk;
-    std::unique_ptr<hosted::prefix_follower> operators;
+    std::unique_ptr<hosted::config_follower> config;
     std::unique_ptr<company::front> front;
     std::unique_ptr<hosted_operators> people;
     std::optional<http::server> caller_server;
@@ -96,8 +96,6 @@
     ports::http_server health;
     ports::http_server metrics;
     ports::http_server people_port;
-    std::optional<hosted::fleet_config> config;
-    std::map<std::int64_t, hosted::wave_request> waves;
     bool was_ready = false;
     bool stopping = false;
     core::mono_time stop_at;
@@ -114,8 +112,7 @@
     core::result<core::done> open_servers();
     core::result<core::done> open_server(
         const std::string& address, ports::http_events events, std::optional<http::server>& to);
-    void see_operator_item(const ports::stored_item& it);
-    void see_config(const ports::stored_item& it);
+    void follow_config();
     bool is_ready();
     void stop();
     void watch_stop();
@@ -174,31 +171,11 @@
     drive.keep_finished = settings.timing.keep_finished;
     driver = std::make_unique<hosted::fleet_driver>(ctx, formats, drive, *lead);
     desk = std::make_unique<hosted::entry_desk>(ctx, hosted::entry_settings{});
-    hosted::follower_settings follow;
-    follow.prefix = formats.operator_prefix;
-    hosted::follower_events seen;
-    seen.on_all = [this](const std::vector<ports::stored_item>& all)
-    {
-        for (const auto& it : all)
-        {
-            see_operator_item(it);
-        }
-    };
-    seen.on_changes = [this](const std::vector<ports::stored_change>& all)
-    {
-        for (const auto& it : all)
-        {
-            if (!it.removed)
-            {
-                see_operator_item(it.item);
-            }
-        }
-    };
-    operators = std::make_unique<hosted::prefix_follower>(ctx, follow, seen);
+    follow_config();
     company::front_sources sources;
-    sources.config = [this]() -> const hosted::fleet_config*
+    sources.config = [this]
     {
-        return config ? &*config : nullptr;
+        return config->config();
     };
     sources.ready = [this]
     {
@@ -215,71 +192,33 @@
         settings.operators_token);
 }
 
-void hosted_node::parts::see_operator_item(const ports::stored_item& it)
-{
-    if (it.key == formats.config_key)
-    {
-        see_config(it);
-        return;
-    }
-    if (!it.key.starts_with(formats.wave_prefix))
-    {
-        return;
-    }
-    const auto read = formats.read_wave(it.value);
-    if (!core::is_ok(read))
-    {
-        log.log(ports::log_level::error,
-            "wave_damaged",
-            {{"key", it.key}, {"reason", core::failure(read).message}});
-        return;
-    }
-    waves[core::value(read).number] = core::value(read);
-    std::vector<hosted::wave_request> all;
-    for (const auto& [number, wave] : waves)
-    {
-        all.push_back(wave);
-    }
-    driver->set_waves(std::move(all));
-}
-
-void hosted_node::parts::see_config(const ports::stored_item& it)
+void hosted_node::parts::follow_config()
 {
-    auto read = formats.read_config(it.value);
-    if (!core::is_ok(read))
+    hosted::config_events events;
+    events.on_config = [this](const hosted::fleet_config& it)
     {
-        log.log(ports::log_level::error,
-            "config_damaged",
-            {{"revision", std::to_string(it.modified)}, {"reason", core::failure(read).message}});
-        return;
-    }
-    auto& next = core::value(read);
-    // Never back: a read that began before a change may answer after it.
-    if (config && next.version <= config->version)
+        driver->set_pools(it.pools);
+        is_ready(); // logs the change when it happens, not when the next health check asks
+    };
+    events.on_waves = [this](std::vector<hosted::wave_request> all)
     {
-        return;
-    }
-    log.log(ports::log_level::info,
-        "config_in_force",
-        {{"version", std::to_string(next.version)},
-            {"before", config ? std::to_string(config->version) : "none"},
-            {"revision", std::to_string(it.modified)},
-            {"queues", std::to_string(next.queues.size())}});
-    driver->set_pools(next.pools);
-    config = std::move(next);
+        driver->set_waves(std::move(all));
+    };
+    config = std::make_unique<hosted::config_follower>(ctx, formats, events);
 }
 
 bool hosted_node::parts::is_ready()
 {
-    const bool heard = ctx.time.now() - std::max(operators->last_answer(), lead->last_answer()) <
-                       ready_after_answer;
-    const bool ready = config.has_value() && heard && !stopping;
+    const bool heard =
+        ctx.time.now() - std::max(config->last_answer(), lead->last_answer()) < ready_after_answer;
+    const auto* const in_force = config->config();
+    const bool ready = in_force != nullptr && heard && !stopping;
     if (ready != was_ready)
     {
         was_ready = ready;
         log.log(ports::log_level::info,
             ready ? "ready" : "not_ready",
-            {{"config", config ? std::to_string(config->version) : "none"},
+            {{"config", in_force != nullptr ? std::to_string(in_force->version) : "none"},
                 {"store_heard", heard ? "yes" : "no"},
                 {"stopping", stopping ? "yes" : "no"}});
     }
@@ -307,41 +246,41 @@
 
 core::result<core::done> hosted_node::parts::open_servers()
 {
-    auto opened = open_server(settings.listen.callers,
-        front->caller_events([this]() -> const ports::http_server& { return callers; }),
-        caller_server);
-    if (core::is_ok(opened))
+    const auto port_of = [](ports::http_server& it)
     {
-        callers = caller_server->port();
-        opened = open_server(settings.listen.health,
-            front->health_events([this]() -> const ports::http_server& { return health; }),
-            health_server);
-    }
-    if (core::is_ok(opened))
+        return [&it]() -> const ports::http_server&
+        {
+            return it;
+        };
+    };
+    struct row
     {
-        health = health_server->port();
-    }
-    if (core::is_ok(opened) && !settings.listen.metrics.empty())
+        const std::string& address; ///< empty: not served
+        ports::http_events events;
+        std::optional<http::server>& server;
+        ports::http_server& port;
+    };
+    const auto& at = settings.listen;
+    row rows[] = {
+        {at.callers, front->caller_events(port_of(callers)), caller_server, callers},
+        {at.health, front->health_events(port_of(health)), health_server, health},
+        {at.metrics, front->metrics_events(port_of(metrics)), metrics_server, metrics},
+        {at.operators, people->events(port_of(people_port)), people_server, people_port},
+    };
+    for (auto& it : rows)
     {
-        opened = open_server(settings.listen.metrics,
-            front->metrics_events([this]() -> const ports::http_server& { return metrics; }),
-            metrics_server);
-        if (core::is_ok(opened))
+        if (it.address.empty())
         {
-            metrics = metrics_server->port();
+            continue;
         }
-    }
-    if (core::is_ok(opened) && !settings.listen.operators.empty())
-    {
-        opened = open_server(settings.listen.operators,
-            people->events([this]() -> const ports::http_server& { return people_port; }),
-            people_server);
-        if (core::is_ok(opened))
+        auto opened = open_server(it.address, std::move(it.events), it.server);
+        if (!core::is_ok(opened))
         {
-            people_port = people_server->port();
+            return opened;
         }
+        it.port = it.server->port();
     }
-    return opened;
+    return core::done{};
 }
 
 void hosted_node::parts::stop()
@@ -431,7 +370,7 @@
                 p.stop();
             }
         });
-    p.operators->start();
+    p.config->start();
     p.lead->start();
     p.loop.run();
     p.log.log(ports::log_level::info, "stopped", {});
