--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -157,9 +157,42 @@
     std::int64_t number = 0;
 };
 
+/// Which host with room a short task takes.
+enum class host_choice
+{
+    fullest,   ///< others stay empty and can move to another pool at once
+    least_used ///< few tasks are lost with a host
+};
+
+inline constexpr core::name_table<host_choice, 2> host_choice_names{{
+    {host_choice::fullest, "fullest"},
+    {host_choice::least_used, "least_used"},
+}};
+
+/// Which job is served first when there is no room for all.
+enum class job_order
+{
+    in_time_first, ///< those that can still meet their objective
+    first_come     ///< in the order of acceptance
+};
+
+inline constexpr core::name_table<job_order, 2> job_order_names{{
+    {job_order::in_time_first, "in_time_first"},
+    {job_order::first_come, "first_come"},
+}};
+
+/// How tasks are placed; bench/placement_days compares.
+struct placement_policy
+{
+    host_choice hosts = host_choice::fullest;
+    job_order jobs = job_order::in_time_first;
+    bool learns_times = true; ///< false: declared run times are believed
+};
+
 /// Times and bounds of the coordinator.
 struct coordinator_settings
 {
+    placement_policy placement;
     /// Longest lease granted to a runner. Long enough to bridge a take-over (lease of the leader,
     /// election, first poll), short enough that work on a silent host restarts soon.
     core::millis runner_lease{2500};
--- a/libs/coordinator/src/ends.cpp
+++ b/libs/coordinator/src/ends.cpp
@@ -144,7 +144,8 @@
     if (place < t->runs.size())
     {
         const auto& run = t->runs[place];
-        if (end.how == ports::run_end::done && !run.adopted)
+        const bool learns = f.settings.placement.learns_times;
+        if (learns && end.how == ports::run_end::done && !run.adopted)
         {
             const auto took = std::chrono::duration_cast<core::millis>(now - run.ordered_at);
             learn_time(f.learnt, j.spec.steps[static_cast<std::size_t>(name->step)].image, took);
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -70,8 +70,8 @@
 }
 
 /// \return within what time after a take-over all leases of former owners have ended. The last may
-/// have been granted just before the former owner's own lease ended, which may be as late as now and
-/// one leader's lease more, when its key was taken away early.
+/// have been granted just before the former owner's own lease ended, which may be as late as now
+/// and one leader's lease more, when its key was taken away early.
 core::millis longest_prior_lease(const fleet& f)
 {
     const auto& s = f.settings;
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -18,10 +18,14 @@
 /// A host with this many more failed than finished runs gets work only when no other has room.
 constexpr int suspect_failures = 3;
 
-bool order_of_service(const waiting_step& a, const waiting_step& b)
+bool order_of_service(job_order order, const waiting_step& a, const waiting_step& b)
 {
-    const auto key = [](const waiting_step& it)
+    const auto key = [order](const waiting_step& it)
     {
+        if (order == job_order::first_come)
+        {
+            return std::tuple(false, false, 0, it.job->spec.accepted_unix_ms);
+        }
         // More work than room: served in order of time, all would be late. Those that can still be
         // in time go first, so that some are.
         return std::tuple(it.lost, it.late, it.job->spec.priority, it.due_unix_ms);
@@ -95,7 +99,10 @@
             add_waiting_steps(f.learnt, j, unix_ms, out);
         }
     }
-    std::sort(out.begin(), out.end(), order_of_service);
+    const auto order = f.settings.placement.jobs;
+    std::sort(out.begin(),
+        out.end(),
+        [order](const auto& a, const auto& b) { return order_of_service(order, a, b); });
     return out;
 }
 
@@ -125,7 +132,8 @@
         // Short tasks fill one host after the other, so that some stay empty and can move to
         // another pool, or rest, at once; those that stay are spread, so that few are lost or moved
         // together.
-        const auto fill = s.long_running ? h->used.cpu : -h->used.cpu;
+        const bool fills_up = !s.long_running && f.settings.placement.hosts == host_choice::fullest;
+        const auto fill = fills_up ? -h->used.cpu : h->used.cpu;
         const auto cost = std::tuple(failed_here, suspect, far, disturbed, fill);
         if (best == nullptr || cost < best_cost)
         {
