--- a/libs/http/src/transfer.cpp
+++ b/libs/http/src/transfer.cpp
@@ -129,8 +129,8 @@
     curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    // Addresses are numbers, there is nothing to remember; and the library looks through all that it
-    // remembers after each call, a seventh of the processor time with 350 targets.
+    // Addresses are numbers, there is nothing to remember; and the library looks through all that
+    // it remembers after each call, a seventh of the processor time with 350 targets.
     curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, 0L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
--- a/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
@@ -74,8 +74,7 @@
             n.driver->end();
         };
         n.lead = std::make_unique<hosted::leadership>(n.ctx, hosted::leadership_settings{}, events);
-        n.driver = std::make_unique<hosted::fleet_driver>(
-            n.ctx, n.formats, settings, *n.lead);
+        n.driver = std::make_unique<hosted::fleet_driver>(n.ctx, n.formats, settings, *n.lead);
         n.desk = std::make_unique<hosted::entry_desk>(n.ctx, hosted::entry_settings{});
         n.lead->start();
         return n;
