--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -48,7 +48,7 @@
     return out;
 }
 
-/// \return whether both tell a successor to wait for the runner until it is heard.
+/// \return whether the record tells a successor to wait for the runner until it is heard.
 bool is_plain_in(const runner_records& all, const std::string& id, const std::string& pool)
 {
     const auto found = all.find(id);
