--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -79,10 +79,12 @@
     return median;
 }
 
-bool was_busy(const demand& d, const std::string& pool)
+/// \return when the pool's latest busy time began.
+std::optional<core::mono_time> latest_begin(const demand& d, const std::string& pool)
 {
-    return std::any_of(
-        d.history.begin(), d.history.end(), [&](const busy_begin& it) { return it.pool == pool; });
+    const auto it = std::find_if(
+        d.history.rbegin(), d.history.rend(), [&](const busy_begin& b) { return b.pool == pool; });
+    return it == d.history.rend() ? std::nullopt : std::optional(it->at);
 }
 
 /// Before the newest pool was ever followed by another, only the last of a first round is certain.
@@ -92,9 +94,9 @@
     std::size_t never = 0;
     for (const auto& [name, p] : d.pools)
     {
-        never += was_busy(d, name) ? 0 : 1;
+        never += latest_begin(d, name) ? 0 : 1;
     }
-    return never == 1 && !was_busy(d, pool);
+    return never == 1 && !latest_begin(d, pool);
 }
 
 /// \return the rate expected after the foresight, by the present trend.
@@ -108,14 +110,6 @@
     return std::clamp(risen, 0.0, p.fast * s.steepest);
 }
 
-/// \return when the pool's latest busy time began.
-std::optional<core::mono_time> latest_begin(const demand& d, const std::string& pool)
-{
-    const auto it = std::find_if(
-        d.history.rbegin(), d.history.rend(), [&](const busy_begin& b) { return b.pool == pool; });
-    return it == d.history.rend() ? std::nullopt : std::optional(it->at);
-}
-
 /// \return the highest peak of any pool: what a pool is expected to ask that was not busy yet.
 double highest_peak(const demand& d)
 {
--- a/libs/coordinator/src/explain.cpp
+++ b/libs/coordinator/src/explain.cpp
@@ -111,13 +111,10 @@
     core::mono_time now,
     std::int64_t unix_ms)
 {
-    if (workflow::is_scheduled(j.spec))
+    const auto due = due_at(j.spec, occurrence);
+    if (due > unix_ms && workflow::is_scheduled(j.spec))
     {
-        const auto due = j.spec.timing.first_unix_ms + j.spec.timing.interval_ms * occurrence;
-        if (due > unix_ms)
-        {
-            return "due in " + std::to_string(due - unix_ms) + " ms";
-        }
+        return "due in " + std::to_string(due - unix_ms) + " ms";
     }
     if (const auto before = steps_before(j, occurrence, step); !before.empty())
     {
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -46,15 +46,6 @@
     return out;
 }
 
-std::int64_t due_at(const workflow::job& j, int occurrence)
-{
-    if (!workflow::is_scheduled(j))
-    {
-        return j.accepted_unix_ms;
-    }
-    return j.timing.first_unix_ms + j.timing.interval_ms * occurrence;
-}
-
 /// Expected times are means; a job that misses by less than this may well be in time.
 constexpr std::int64_t late_tolerance_ms = 200;
 
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -36,6 +36,15 @@
            h.use == host_use::open && now - h.last_answer < silent_after;
 }
 
+std::int64_t due_at(const workflow::job& j, int occurrence)
+{
+    if (!workflow::is_scheduled(j))
+    {
+        return j.accepted_unix_ms;
+    }
+    return j.timing.first_unix_ms + j.timing.interval_ms * occurrence;
+}
+
 bool has_label(const host_entry& h, const std::string& label)
 {
     return label.empty() || std::find(h.labels.begin(), h.labels.end(), label) != h.labels.end();
--- a/libs/coordinator/src/starts.hpp
+++ b/libs/coordinator/src/starts.hpp
@@ -21,6 +21,9 @@
 /// \return whether the host answers, is known to successors, and is not about to leave.
 bool may_host(const fleet& f, const host_entry& h, core::mono_time now);
 
+/// \return wall time in milliseconds from which on the occurrence may start.
+std::int64_t due_at(const workflow::job& j, int occurrence);
+
 bool has_label(const host_entry& h, const std::string& label);
 
 /// \return whether labels, room, the step's bound and the platform's advice allow one more task.
--- a/libs/hosted/src/job_catalog.cpp
+++ b/libs/hosted/src/job_catalog.cpp
@@ -1,6 +1,7 @@
 #include "hosted/job_catalog.hpp"
 
 #include "hosted/keys.hpp"
+#include "hosted/range_reader.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
@@ -102,35 +103,6 @@
     std::string problem_; ///< the latest damaged entry
 };
 
-/// Reads all pages of a prefix. \p end is called with false when the store did not answer.
-void read_all(const context& c,
-    const std::string& prefix,
-    const std::string& after,
-    const std::function<void(const ports::stored_item&)>& take,
-    const std::function<void(bool whole)>& end)
-{
-    c.store.range(prefix,
-        after,
-        [c, prefix, take, end](const ports::page_read& page)
-        {
-            if (page.status != kv_status::ok)
-            {
-                end(false);
-                return;
-            }
-            for (const auto& it : page.items)
-            {
-                take(it);
-            }
-            if (page.more && !page.items.empty())
-            {
-                read_all(c, prefix, page.items.back().key, take, end);
-                return;
-            }
-            end(true);
-        });
-}
-
 } // namespace
 
 workflow::job_state shown_state(const stored_job& j)
@@ -152,10 +124,9 @@
         done(whole ? all->finish() : core::result<std::vector<stored_job>>{store_unread});
     };
     // Jobs first: one that ends meanwhile then still has its state, which is read later.
-    read_all(
+    read_range(
         c,
         job_prefix,
-        {},
         [all](const ports::stored_item& it) { all->take_job(it); },
         [c, take_state, end](bool whole)
         {
@@ -164,7 +135,7 @@
                 end(false);
                 return;
             }
-            read_all(c, state_prefix, {}, take_state, end);
+            read_range(c, state_prefix, take_state, end);
         });
 }
 
@@ -198,10 +169,9 @@
         }
         done(std::move(jobs.front()));
     };
-    read_all(
+    read_range(
         c,
         job_key(id),
-        {},
         [all, id](const ports::stored_item& it)
         {
             if (it.key == job_key(id) || it.key == cancel_key(id))
--- a/libs/hosted/tests/planted_faults.hpp
+++ b/libs/hosted/tests/planted_faults.hpp
@@ -37,23 +37,24 @@
     };
 }
 
-/// A successor does not learn which runners the former owner used.
-inline void hide_runners(hosted_fakes::cluster& c)
+/// Nodes read the record of runners as \p change leaves it.
+inline void change_runners_read(
+    hosted_fakes::cluster& c, const std::function<void(std::optional<ports::stored_item>&)>& change)
 {
-    c.plant = [](hosted_fakes::node& n)
+    c.plant = [change](hosted_fakes::node& n)
     {
         const auto get = n.ctx.store.get;
-        n.ctx.store.get = [get](const std::string& key,
+        n.ctx.store.get = [get, change](const std::string& key,
                               ports::read_freshness fresh,
                               const std::function<void(ports::item_read)>& done)
         {
             get(key,
                 fresh,
-                [key, done](ports::item_read it)
+                [key, change, done](ports::item_read it)
                 {
                     if (key == hosted::runners_key)
                     {
-                        it.item.reset();
+                        change(it.item);
                     }
                     done(it);
                 });
@@ -61,33 +62,29 @@
     };
 }
 
+/// A successor does not learn which runners the former owner used.
+inline void hide_runners(hosted_fakes::cluster& c)
+{
+    change_runners_read(c, [](std::optional<ports::stored_item>& it) { it.reset(); });
+}
+
 /// A successor is told that no runner holds a lease any more.
 inline void deny_leases(hosted_fakes::cluster& c)
 {
-    c.plant = [](hosted_fakes::node& n)
-    {
-        const auto get = n.ctx.store.get;
-        n.ctx.store.get = [get](const std::string& key,
-                              ports::read_freshness fresh,
-                              const std::function<void(ports::item_read)>& done)
+    change_runners_read(c,
+        [](std::optional<ports::stored_item>& it)
         {
-            get(key,
-                fresh,
-                [key, done](ports::item_read it)
-                {
-                    if (key == hosted::runners_key && it.item)
-                    {
-                        auto all = hosted::read_runners(it.item->value).value();
-                        for (auto& [id, row] : all)
-                        {
-                            row.rest = core::millis{0};
-                        }
-                        it.item->value = hosted::write_runners(all);
-                    }
-                    done(it);
-                });
-        };
-    };
+            if (!it)
+            {
+                return;
+            }
+            auto all = hosted::read_runners(it->value).value();
+            for (auto& [id, row] : all)
+            {
+                row.rest = core::millis{0};
+            }
+            it->value = hosted::write_runners(all);
+        });
 }
 
 /// A node trusts its lease for ever, and runners take orders of any owner.
--- a/programs/camphorhitchd/src/hosted_operators.cpp
+++ b/programs/camphorhitchd/src/hosted_operators.cpp
@@ -1,5 +1,6 @@
 #include "hosted_operators.hpp"
 
+#include "hosted/range_reader.hpp"
 #include "hosted_tables.hpp"
 #include "statement_results.hpp"
 #include "workflow/documents.hpp"
@@ -117,9 +118,7 @@
     void show_hosts(const language::show_statement& s,
         const std::string& document,
         const result_callback& done);
-    void read_hosts(const std::string& after,
-        const std::shared_ptr<std::vector<coordinator::host_listing>>& all,
-        const std::function<void(bool whole)>& end);
+    void take_host(const ports::stored_item& it, std::vector<coordinator::host_listing>& all) const;
     void handle(
         const ports::http_request& r, const std::function<void(ports::http_response)>& answer);
 };
@@ -199,39 +198,30 @@
         });
 }
 
-void hosted_operators_state::read_hosts(const std::string& after,
-    const std::shared_ptr<std::vector<coordinator::host_listing>>& all,
-    const std::function<void(bool whole)>& end)
+void hosted_operators_state::take_host(
+    const ports::stored_item& it, std::vector<coordinator::host_listing>& all) const
 {
-    from.ctx.store.range(from.formats.runner_prefix,
-        after,
-        [self = shared_from_this(), all, end](const ports::page_read& page)
-        {
-            for (const auto& it : page.items)
-            {
-                const auto id = it.key.substr(self->from.formats.runner_prefix.size());
-                const auto read = self->from.formats.read_runner(id, it.value);
-                if (core::is_ok(read))
-                {
-                    all->push_back(core::value(read));
-                }
-            }
-            const bool ok = page.status == ports::kv_status::ok;
-            if (ok && page.more && !page.items.empty())
-            {
-                self->read_hosts(page.items.back().key, all, end);
-                return;
-            }
-            end(ok);
-        });
+    const auto id = it.key.substr(from.formats.runner_prefix.size());
+    const auto read = from.formats.read_runner(id, it.value);
+    if (core::is_ok(read))
+    {
+        all.push_back(core::value(read));
+        return;
+    }
+    from.ctx.tel.log(ports::log_level::error,
+        "runner_entry_damaged",
+        {{"host", id}, {"reason", core::failure(read).message}});
 }
 
 void hosted_operators_state::show_hosts(
     const language::show_statement& s, const std::string& document, const result_callback& done)
 {
     const auto all = std::make_shared<std::vector<coordinator::host_listing>>();
-    read_hosts({},
-        all,
+    hosted::read_range(
+        from.ctx,
+        from.formats.runner_prefix,
+        [self = shared_from_this(), all](const ports::stored_item& it)
+        { self->take_host(it, *all); },
         [s, document, done, all](bool whole)
         {
             done(whole ? shown(s, host_table(*all), document)
--- a/testing/day_sim/src/day.cpp
+++ b/testing/day_sim/src/day.cpp
@@ -95,6 +95,12 @@
         return day_begins + std::chrono::duration_cast<core::millis>(now_ - begin_).count();
     }
 
+    /// Of all runners.
+    std::int64_t clock_ms() const
+    {
+        return std::chrono::duration_cast<core::millis>(now_.time_since_epoch()).count();
+    }
+
     void make_pools()
     {
         for (int i = 0; i < shape_.pools; ++i)
@@ -290,8 +296,7 @@
     {
         m.polled_at = now_;
         ports::poll_answer a;
-        a.call = {ports::runner_verdict::done,
-            std::chrono::duration_cast<core::millis>(now_.time_since_epoch()).count()};
+        a.call = {ports::runner_verdict::done, clock_ms()};
         for (auto it = m.runs.begin(); it != m.runs.end();)
         {
             if (it->second.second <= now_)
@@ -395,8 +400,7 @@
             a.host.id,
             a.task,
             a.run,
-            {ports::runner_verdict::done,
-                std::chrono::duration_cast<core::millis>(now_.time_since_epoch()).count()},
+            {ports::runner_verdict::done, clock_ms()},
             now_,
             events_);
         const auto& s =
