Failing test: an answer that came in time is taken for none by a process that is late

The test shows one way to it: the answer lies in the socket, the process is busy until after the timeout, timers run before sockets, and the call ends as unanswered.

--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -4,6 +4,7 @@
 
 #include <netinet/tcp.h>
 #include <optional>
+#include <thread>
 #include <tuple>
 
 #include <CppUTest/TestHarness.h>
@@ -318,6 +319,42 @@
     CHECK(call(it).end == call_end::answered);
 }
 
+// The target answers at once, and its answer lies in the socket while this process is busy with
+// other work until after the timeout. Timers run before sockets are read, so the call would end as
+// unanswered: the process would take its own delay for the target's silence, end leases of targets
+// that are well, and start their work again. What came in time must be read first.
+TEST(http_client, an_answer_that_came_in_time_is_read_by_a_process_that_is_late)
+{
+    target.on_request = [&](int id, int)
+    {
+        target.say(id, good);
+        std::this_thread::sleep_for(150ms);
+    };
+    auto it = make_call(target.port());
+    it.total_timeout = 100ms;
+    const auto out = call(it);
+    CHECK(out.end == call_end::answered);
+    STRCMP_EQUAL("ok", out.response.body.c_str());
+}
+
+// The same before the request: the connection stood within a millisecond, and the process was busy
+// until after the timeout of connecting.
+TEST(http_client, a_connection_that_stood_in_time_is_used_by_a_process_that_is_late)
+{
+    target.on_request = [&](int id, int)
+    {
+        target.say(id, good);
+    };
+    auto it = make_call(target.port());
+    it.connect_timeout = 100ms;
+    std::optional<ports::http_outcome> out;
+    port.send(std::move(it), [&](ports::http_outcome o) { out = std::move(o); });
+    loop.run_once(0ms); // begins to connect
+    std::this_thread::sleep_for(150ms);
+    CHECK(run_until(loop, [&] { return out.has_value(); }));
+    CHECK(out->end == call_end::answered);
+}
+
 TEST(http_client, an_answer_that_stalls_halfway_is_interrupted)
 {
     target.on_request = [&](int id, int)
