A call is timed out only after its socket was read; leases and runners have connections enough

Cause: curl gives a call up at its timeout without looking whether the answer has come, and the loop runs timers before sockets. A process that is late by more than a timeout so took its own delay for the other's silence: runners that were well got no further lease and lapsed, the owner's own renewal counted as unanswered. Ruled out: that the reading turn comes first by itself (the test shows the opposite). Change: timeouts of connecting, of the whole call and of a silent stream are the client's own; each is judged after what lies in the socket has been read. The renewal of the node's lease has connections of its own (24 were shared with all writes and watches). 3,000 idle connections instead of 1,024: 349 runners times 4 did not fit, so each one that came back closed another, and all were searched for it.

--- a/libs/http/src/client_state.cpp
+++ b/libs/http/src/client_state.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <mutex>
+#include <poll.h>
 #include <utility>
 
 namespace camphorhitch::http
@@ -20,6 +21,37 @@
     std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
 }
 
+/// \param fd CURL_SOCKET_BAD: the transfer waits for none any more
+void note_socket(CURL* easy, curl_socket_t fd, core::mono_time now)
+{
+    transfer* it = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &it);
+    if (it != nullptr && it->socket != fd)
+    {
+        it->socket = fd;
+        it->socket_since = now;
+    }
+}
+
+/// \return curl's mask of what the transfer's socket is ready for now; 0: nothing.
+int readiness(const transfer& it)
+{
+    if (it.socket == CURL_SOCKET_BAD)
+    {
+        return 0;
+    }
+    const short wanted = it.began ? POLLIN : POLLIN | POLLOUT;
+    pollfd fd{it.socket, wanted, 0};
+    if (::poll(&fd, 1, 0) <= 0)
+    {
+        return 0;
+    }
+    int mask = (fd.revents & POLLIN) != 0 ? CURL_CSELECT_IN : 0;
+    mask |= (fd.revents & POLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+    mask |= (fd.revents & (POLLERR | POLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
+    return mask;
+}
+
 } // namespace
 
 client_state::client_state(reactor::event_loop& on, client_limits bounds)
@@ -53,9 +85,10 @@
     time.cancel(timer_);
 }
 
-int client_state::on_socket(CURL*, curl_socket_t fd, int what, void* cls, void*)
+int client_state::on_socket(CURL* easy, curl_socket_t fd, int what, void* cls, void*)
 {
     auto& self = *static_cast<client_state*>(cls);
+    note_socket(easy, what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : fd, self.time.now());
     const bool read = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
     const bool write = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
     self.loop.watch_fd(fd,
@@ -124,7 +157,7 @@
     auto outcome = judge(*it, code, time.now());
     curl_multi_remove_handle(multi_, it->easy);
     put_handle(it->easy);
-    time.cancel(it->silence_timer);
+    cancel_timers(*it);
     it->on_end(std::move(outcome));
 }
 
@@ -166,16 +199,85 @@
 
 void client_state::check_silence(ports::call_id id)
 {
-    auto& it = *transfers_.at(id);
-    if (time.now() - it.last_byte < it.longest_silence)
+    auto* const it = read_what_came(id);
+    if (it == nullptr)
     {
-        watch_silence(it);
         return;
     }
-    it.silent = true;
+    if (time.now() - it->last_byte < it->longest_silence)
+    {
+        watch_silence(*it);
+        return;
+    }
+    it->silent = true;
     end(id, CURLE_OPERATION_TIMEDOUT);
 }
 
+/// Timeouts are kept here and not by curl, which gives a call up at its timeout without looking
+/// whether the answer has come: a process that is late itself would take its own delay for the
+/// other's silence. Each is judged only after the socket was read, which is enough, as what came in
+/// time lies there.
+void client_state::watch_deadlines(transfer& it)
+{
+    it.connect_timer =
+        time.after(it.call.connect_timeout, [this, id = it.id] { check_connect(id); });
+    if (!it.streams)
+    {
+        it.total_timer = time.after(it.call.total_timeout, [this, id = it.id] { check_total(id); });
+    }
+}
+
+void client_state::check_connect(ports::call_id id)
+{
+    auto& it = *transfers_.at(id);
+    it.connect_timer = 0;
+    if (it.began)
+    {
+        return;
+    }
+    // Without a socket it still waits for a connection of the pool, which is not connecting.
+    const auto since = it.socket == CURL_SOCKET_BAD ? time.now() : it.socket_since;
+    const auto left =
+        it.call.connect_timeout - std::chrono::duration_cast<core::millis>(time.now() - since);
+    if (left.count() > 0)
+    {
+        it.connect_timer = time.after(left, [this, id] { check_connect(id); });
+        return;
+    }
+    if (const auto* const still = read_what_came(id); still != nullptr && !still->began)
+    {
+        end(id, CURLE_OPERATION_TIMEDOUT);
+    }
+}
+
+void client_state::check_total(ports::call_id id)
+{
+    transfers_.at(id)->total_timer = 0;
+    if (read_what_came(id) != nullptr)
+    {
+        end(id, CURLE_OPERATION_TIMEDOUT);
+    }
+}
+
+transfer* client_state::read_what_came(ports::call_id id)
+{
+    const auto& it = *transfers_.at(id);
+    if (const int ready = readiness(it); ready != 0)
+    {
+        act(it.socket, ready);
+    }
+    const auto found = transfers_.find(id);
+    return found == transfers_.end() ? nullptr : found->second.get();
+}
+
+void client_state::cancel_timers(const transfer& it)
+{
+    for (const auto id : {it.silence_timer, it.total_timer, it.connect_timer})
+    {
+        time.cancel(id);
+    }
+}
+
 ports::call_id client_state::start(std::unique_ptr<transfer> made)
 {
     auto& it = *made;
@@ -199,6 +301,7 @@
         streams_.push_back(it.id);
         watch_silence(it);
     }
+    watch_deadlines(it);
     curl_multi_add_handle(multi_, it.easy);
     return it.id;
 }
@@ -227,7 +330,7 @@
     }
     const auto it = std::move(found->second);
     transfers_.erase(found);
-    time.cancel(it->silence_timer);
+    cancel_timers(*it);
     // Taking a handle out amid its transfer closes the connection. That is the safeguard: were it
     // kept, the late answer would be read as the answer to the next call.
     curl_multi_remove_handle(multi_, it->easy);
--- a/libs/http/src/client_state.hpp
+++ b/libs/http/src/client_state.hpp
@@ -37,6 +37,12 @@
     void give_chunk(transfer& it);
     void watch_silence(transfer& it);
     void check_silence(ports::call_id id);
+    void watch_deadlines(transfer& it);
+    void check_connect(ports::call_id id);
+    void check_total(ports::call_id id);
+    /// \return the transfer, or nullptr when what came has ended it.
+    transfer* read_what_came(ports::call_id id);
+    void cancel_timers(const transfer& it);
     CURL* take_handle();
     void put_handle(CURL* easy);
 
--- a/libs/http/src/transfer.cpp
+++ b/libs/http/src/transfer.cpp
@@ -13,8 +13,6 @@
 namespace
 {
 
-constexpr core::millis shortest_timeout{1}; // curl takes 0 for "none"
-
 /// Called by curl when a connection stands, just before it writes the request.
 ///
 /// When a pooled connection turns out to have been closed by the other end, curl writes the
@@ -136,14 +134,6 @@
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
 }
 
-void set_timeouts(CURL* easy, const transfer& it)
-{
-    const auto connect = std::max(it.call.connect_timeout, shortest_timeout);
-    const auto total = std::max(it.call.total_timeout, shortest_timeout);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connect.count()));
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, it.streams ? 0L : static_cast<long>(total.count()));
-}
-
 } // namespace
 
 std::string request_fault(const ports::http_call& call)
@@ -176,7 +166,6 @@
     add_lines(it);
     set_wire(easy, it.call);
     set_method(easy, it.call.request);
-    set_timeouts(easy, it);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, it.lines.get());
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &it);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -32,6 +32,13 @@
 /// A runner's connections carry one long poll and the orders of a burst; each costs a handshake.
 constexpr std::size_t connections_per_runner = 4;
 constexpr std::size_t connections_to_store = 24;
+/// The lease that lets this node coordinate is renewed over connections of its own: behind a burst
+/// of writes that hold all of the others, a renewal would wait until the lease has ended.
+constexpr std::size_t connections_for_lease = 2;
+/// Kept open in all. With fewer than runners times connections_per_runner, an idle one is closed
+/// for each that comes back, and all are searched for it; below the 4,100 descriptors of the
+/// smallest hosts, with room for callers.
+constexpr std::size_t most_idle_to_runners = 3000;
 /// What lies between may forget an idle connection; an old one is not worth its risk.
 constexpr core::millis longest_idle{8000};
 /// Without an answer of the store for so long, callers are better served by another node.
@@ -77,8 +84,10 @@
     telemetry::hub tel;
     ports::telemetry log;
     std::optional<http::client> store_http;
+    std::optional<http::client> lease_http;
     std::optional<http::client> runner_http;
     ports::http_client store_port;
+    ports::http_client lease_port;
     ports::http_client runner_port;
     hosted::formats formats;
     hosted::context ctx;
@@ -125,9 +134,13 @@
     limits.longest_idle = longest_idle;
     limits.most_connections_per_host = connections_to_store;
     store_http = http::client::builder().loop(loop).limits(limits).build();
+    limits.most_connections_per_host = connections_for_lease;
+    lease_http = http::client::builder().loop(loop).limits(limits).build();
     limits.most_connections_per_host = connections_per_runner;
+    limits.most_idle_connections = most_idle_to_runners;
     runner_http = http::client::builder().loop(loop).limits(limits).build();
     store_port = store_http->port();
+    lease_port = lease_http->port();
     runner_port = runner_http->port();
     ctx.member = settings.member;
     ctx.time = loop.scheduler();
@@ -136,6 +149,10 @@
     company::store_client_settings store;
     store.address = settings.services.store;
     ctx.store = company::make_store_client(store_port, log, store);
+    const auto leases = company::make_store_client(lease_port, log, store);
+    ctx.store.grant_lease = leases.grant_lease;
+    ctx.store.keep_alive = leases.keep_alive;
+    ctx.store.end_lease = leases.end_lease;
     ctx.runners = company::make_runner_client(runner_port, log, {});
     if (!settings.services.advice.empty())
     {
