The store's and the lease's sockets are served in each turn of the loop, whatever crowd is ready beside them

Ruled out: the store (its watch answered at once on other nodes). Change: descriptors have an urgency, each in an epoll set of its own; a turn serves at most 32 usual ones and all urgent ones. The test fails with one urgency for all.

--- a/libs/http/include/http/client.hpp
+++ b/libs/http/include/http/client.hpp
@@ -23,6 +23,7 @@
     core::millis longest_idle{10000};
     /// A connection whose bytes stay without acknowledgement for longer is given up.
     core::millis longest_unacknowledged{3000};
+    reactor::urgency urgency = reactor::urgency::usual; ///< of what comes in
 };
 
 /// A call whose answer comes in parts, for as long as it takes.
--- a/libs/http/src/client_state.cpp
+++ b/libs/http/src/client_state.cpp
@@ -91,7 +91,8 @@
     note_socket(easy, what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : fd, self.time.now());
     const bool read = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
     const bool write = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
-    self.loop.watch_fd(fd,
+    self.loop.watch_fd(
+        fd,
         read,
         write,
         [&self, fd](reactor::fd_events it)
@@ -100,7 +101,8 @@
             mask |= it.writable ? CURL_CSELECT_OUT : 0;
             mask |= it.failed ? CURL_CSELECT_ERR : 0;
             self.act(fd, mask);
-        });
+        },
+        self.limits.urgency);
     return 0;
 }
 
--- a/libs/reactor/include/reactor/event_loop.hpp
+++ b/libs/reactor/include/reactor/event_loop.hpp
@@ -22,6 +22,15 @@
 
 using fd_callback = std::function<void(fd_events)>;
 
+/// Which descriptors a loop that has more to do than time serves first.
+enum class urgency
+{
+    usual,
+    /// Others wait for it, or the process acts on what it says: leases, the store. Each turn serves
+    /// all that are ready, however many usual ones are.
+    urgent
+};
+
 class event_loop_builder;
 struct loop_state;
 
@@ -49,7 +58,9 @@
     /// Calls \p callback whenever \p fd is ready, level-triggered. A second call for the same
     /// descriptor replaces the first; without \p read and \p write it is watched no more. Call
     /// so before closing the descriptor.
-    void watch_fd(int fd, bool read, bool write, fd_callback callback);
+    /// \param how the same in all calls for one descriptor
+    void watch_fd(
+        int fd, bool read, bool write, fd_callback callback, urgency how = urgency::usual);
 
     /// Calls \p callback on the loop, outside of any signal context, when a signal comes.
     void on_signals(const std::vector<int>& numbers, std::function<void(int number)> callback);
--- a/libs/reactor/src/event_loop.cpp
+++ b/libs/reactor/src/event_loop.cpp
@@ -18,6 +18,13 @@
 namespace
 {
 
+/// Usual descriptors served in one turn. Each may take half a millisecond of a small host's
+/// processor, so that a turn takes tens of milliseconds at most, whatever crowd is ready; the
+/// kernel hands the others out next. What is urgent waited seconds behind such crowds.
+constexpr int usual_at_once = 32;
+/// More than a process has of them.
+constexpr int urgent_at_once = 64;
+
 /// ACE's default queue follows the wall clock: a step of it would fire or starve every timer.
 using monotonic_timers = ACE_Timer_Heap_T<ACE_Event_Handler*,
     ACE_Event_Handler_Handle_Timeout_Upcall,
@@ -86,7 +93,7 @@
     std::unique_ptr<ACE_Timer_Queue> queue, std::unique_ptr<ACE_Reactor_Impl> implementation)
     : timer_queue(std::move(queue)),
       ace(std::make_unique<ACE_Reactor>(implementation.release(), true)), timers(*ace), posts(*ace),
-      watches(*ace)
+      watches(*ace, usual_at_once), urgent_watches(*ace, urgent_at_once)
 {
 }
 
@@ -149,15 +156,16 @@
     state_->posts.post([] {}); // wakes a loop that waits
 }
 
-void event_loop::watch_fd(int fd, bool read, bool write, fd_callback callback)
+void event_loop::watch_fd(int fd, bool read, bool write, fd_callback callback, urgency how)
 {
+    auto& watches = how == urgency::urgent ? state_->urgent_watches : state_->watches;
     if (read || write)
     {
-        state_->watches.watch(fd, read, write, std::move(callback));
+        watches.watch(fd, read, write, std::move(callback));
     }
     else
     {
-        state_->watches.forget(fd);
+        watches.forget(fd);
     }
 }
 
--- a/libs/reactor/src/loop_state.hpp
+++ b/libs/reactor/src/loop_state.hpp
@@ -20,7 +20,8 @@
 namespace camphorhitch::reactor
 {
 
-/// All watched descriptors, in an epoll set of their own that ACE sees as one readable descriptor.
+/// Watched descriptors of one urgency, in an epoll set of their own that ACE sees as one readable
+/// descriptor.
 ///
 /// Not one ACE handler each: curl 7.88 closes a socket that has not connected before it says so,
 /// and ACE can't forget a closed descriptor: it would call a freed handler when the number comes
@@ -28,7 +29,8 @@
 class watch_handler : public ACE_Event_Handler
 {
 public:
-    explicit watch_handler(ACE_Reactor& reactor);
+    /// \param most events handled in one turn
+    watch_handler(ACE_Reactor& reactor, int most);
     ~watch_handler() override;
     watch_handler(const watch_handler&) = delete;
     watch_handler& operator=(const watch_handler&) = delete;
@@ -50,6 +52,7 @@
 
     ACE_Reactor& ace_;
     int epoll_;
+    int most_;
     std::uint32_t last_generation_ = 0;
     std::unordered_map<int, watched> watched_;
 };
@@ -125,6 +128,7 @@
     timer_handler timers;
     post_handler posts;
     watch_handler watches;
+    watch_handler urgent_watches;
     signal_handler signals;
     std::atomic<bool> stopping{false};
 };
--- a/libs/reactor/src/watch_handler.cpp
+++ b/libs/reactor/src/watch_handler.cpp
@@ -1,10 +1,10 @@
 #include "core/invariant.hpp"
 #include "loop_state.hpp"
 
-#include <array>
 #include <cerrno>
 #include <sys/epoll.h>
 #include <unistd.h>
+#include <vector>
 
 namespace camphorhitch::reactor
 {
@@ -12,7 +12,6 @@
 namespace
 {
 
-constexpr int events_at_once = 64;
 constexpr unsigned generation_shift = 32;
 
 std::uint32_t to_wanted(bool read, bool write)
@@ -33,8 +32,8 @@
 
 } // namespace
 
-watch_handler::watch_handler(ACE_Reactor& reactor)
-    : ace_(reactor), epoll_(::epoll_create1(EPOLL_CLOEXEC))
+watch_handler::watch_handler(ACE_Reactor& reactor, int most)
+    : ace_(reactor), epoll_(::epoll_create1(EPOLL_CLOEXEC)), most_(most)
 {
     core::require(epoll_ >= 0, "an epoll set can be opened");
     const int rc = ace_.register_handler(epoll_, this, ACE_Event_Handler::READ_MASK);
@@ -85,8 +84,8 @@
 
 int watch_handler::handle_input(ACE_HANDLE)
 {
-    std::array<epoll_event, events_at_once> buf{};
-    const int n = ::epoll_wait(epoll_, buf.data(), events_at_once, 0);
+    std::vector<epoll_event> buf(static_cast<std::size_t>(most_));
+    const int n = ::epoll_wait(epoll_, buf.data(), most_, 0);
     for (int i = 0; i < n; ++i)
     {
         const auto& it = buf[static_cast<std::size_t>(i)];
--- a/libs/reactor/tests/event_loop_tests.cpp
+++ b/libs/reactor/tests/event_loop_tests.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <sys/socket.h>
 #include <thread>
+#include <tuple>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -215,3 +216,41 @@
         CHECK(seen == std::vector<int>({SIGTERM, SIGINT}));
     }
 }
+
+// A crowd of descriptors is ready in each turn, more than a turn can serve, as when a coordinator
+// has hundreds of runners. A lease's renewal or a caller's cancel comes in beside them. The process
+// must see it in the next turn: behind the crowd it waited for seconds, and was too late.
+TEST(event_loop, an_urgent_descriptor_does_not_wait_behind_a_crowd)
+{
+    constexpr int crowd = 200;
+    constexpr int few = crowd / 2;
+    for (const bool select : both_kinds)
+    {
+        auto loop = reactor::event_loop::builder().use_select(select).build();
+        std::array<socket_pair, crowd> pairs;
+        int served = 0;
+        for (auto& it : pairs)
+        {
+            std::ignore = ::write(it.ends[1], "x", 1); // nobody reads it: ready in each turn
+            loop.watch_fd(it.ends[0], true, false, [&](reactor::fd_events) { ++served; });
+        }
+        socket_pair lease;
+        int served_before = -1;
+        loop.watch_fd(
+            lease.ends[0],
+            true,
+            false,
+            [&](reactor::fd_events) { served_before = served; },
+            reactor::urgency::urgent);
+        loop.run_once(10ms);
+        const int served_until_sent = served;
+        std::ignore = ::write(lease.ends[1], "x", 1);
+        CHECK(run_until(loop, [&] { return served_before >= 0; }));
+        CHECK(served_before - served_until_sent < few);
+        loop.watch_fd(lease.ends[0], false, false, {}, reactor::urgency::urgent);
+        for (auto& it : pairs)
+        {
+            loop.watch_fd(it.ends[0], false, false, {});
+        }
+    }
+}
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -133,11 +133,14 @@
     http::client_limits limits;
     limits.longest_idle = longest_idle;
     limits.most_connections_per_host = connections_to_store;
+    // A cancelled job, a successor's key: they must not wait behind a crowd of runners' answers.
+    limits.urgency = reactor::urgency::urgent;
     store_http = http::client::builder().loop(loop).limits(limits).build();
     limits.most_connections_per_host = connections_for_lease;
     lease_http = http::client::builder().loop(loop).limits(limits).build();
     limits.most_connections_per_host = connections_per_runner;
     limits.most_idle_connections = most_idle_to_runners;
+    limits.urgency = reactor::urgency::usual;
     runner_http = http::client::builder().loop(loop).limits(limits).build();
     store_port = store_http->port();
     lease_port = lease_http->port();
