A run is not missing while its runner leaves ends out of an answer; ends count in any order

Cause: a runner lists at most 500 ends in one answer. A run whose end was beyond them was in neither list, counted as missing and started again; its end was taken note of later: the task ran twice. It needs ends that stay unacknowledged: progress that can't be stored for long, or an owner that has fallen far behind. Ruled out: the other ways from 'not listed' to a new start (a poll begun before the start was answered, a stop not yet confirmed) were guarded already. Change: an answer says when it may leave ends out; then no run is judged missing.

--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -16,6 +16,7 @@
 {
 
 using ports::runner_verdict;
+using host_runs = decltype(host_entry::runs);
 
 std::string verdict_text(const ports::runner_answer& answer)
 {
@@ -158,6 +159,24 @@
     }
 }
 
+/// Takes in the ends that are new, in whatever order the runner lists them.
+void take_ends(fleet& f,
+    host_entry& h,
+    const std::vector<ports::reported_end>& ended,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto seen = h.seen_end;
+    for (const auto& it : ended)
+    {
+        if (it.number > seen)
+        {
+            take_end(f, h, it, now, out);
+            h.seen_end = std::max(h.seen_end, it.number);
+        }
+    }
+}
+
 /// A run that the runner does not list: it is over, or the answer is too old to tell.
 void judge_missing(fleet& f,
     host_entry& h,
@@ -303,14 +322,7 @@
     h->reachable = true;
     h->last_answer = now;
     note_clock(*h, answer.call, now);
-    for (const auto& it : answer.ended)
-    {
-        if (it.number > h->seen_end)
-        {
-            take_end(f, *h, it, now, out);
-            h->seen_end = it.number;
-        }
-    }
+    take_ends(f, *h, answer.ended, now, out);
     h->strays = 0;
     std::set<std::string> listed;
     for (const auto& it : answer.running)
@@ -318,7 +330,9 @@
         see_running(f, *h, it, now, out);
         listed.insert(it.task);
     }
-    const auto runs = h->runs; // judging removes from the host's own table
+    // With ends left out a run that is not listed may have ended, and be told of in a later answer:
+    // started again now, its task would have run twice by then.
+    const auto runs = answer.ends_left_out ? host_runs{} : h->runs; // judging changes the table
     for (const auto& [text, name] : runs)
     {
         if (!listed.contains(text))
--- a/libs/coordinator/tests/settling_tests.cpp
+++ b/libs/coordinator/tests/settling_tests.cpp
@@ -116,3 +116,47 @@
     CHECK_FALSE(start_answered(
         w.f, "h1", a.task, a.run, {ports::runner_verdict::fenced, 1}, w.now, w.events));
 }
+
+// A runner lists its ends in another order than they came. Were only those above the newest one
+// taken in, the others' runs would count as missing, and tasks that are done would start again.
+TEST(settling, ends_are_taken_in_whatever_their_order)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(3, 1000)}));
+    const auto p = w.next();
+    LONGS_EQUAL(3, p.starts.size());
+    for (const auto& it : p.starts)
+    {
+        w.started(it);
+    }
+    ports::poll_answer all;
+    all.call = {ports::runner_verdict::done, 1000};
+    constexpr auto done = ports::run_end::done;
+    all.ended = {{3, "a.0.0.2", p.starts[2].run, done, {}},
+        {1, "a.0.0.0", p.starts[0].run, done, {}},
+        {2, "a.0.0.1", p.starts[1].run, done, {}}};
+    w.now += 10ms;
+    poll_answered(w.f, "h1", w.now, all, w.now, w.events);
+    LONGS_EQUAL(3, w.f.hosts["h1"].seen_end);
+    CHECK(w.f.jobs.at("a")->state == workflow::job_state::completed);
+    LONGS_EQUAL(0, w.next().starts.size());
+}
+
+// More ends wait at the runner than an answer lists. A run in neither list may be one of them: it
+// is neither over nor lost until an answer that leaves nothing out.
+TEST(settling, a_run_is_not_missing_while_ends_are_left_out)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    w.started(a);
+    ports::poll_answer part;
+    part.call = {ports::runner_verdict::done, 1000};
+    part.ends_left_out = true;
+    w.now += 10ms;
+    poll_answered(w.f, "h1", w.now, part, w.now, w.events);
+    LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
+    part.ends_left_out = false;
+    poll_answered(w.f, "h1", w.now, part, w.now, w.events);
+    LONGS_EQUAL(0, w.f.jobs.at("a")->live_runs);
+}
--- a/libs/ports/include/ports/runners.hpp
+++ b/libs/ports/include/ports/runners.hpp
@@ -134,6 +134,8 @@
     runner_answer call;
     std::vector<reported_run> running;
     std::vector<reported_end> ended; ///< not acknowledged yet
+    /// More ends may wait than are listed: a run that is in neither list may have ended.
+    bool ends_left_out = false;
 };
 
 struct runners
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -321,6 +321,7 @@
         out.running.push_back({task, run.number, {}, whole, 0});
     }
     const auto listed = std::min(h.ends.size(), most_ends_listed);
+    out.ends_left_out = listed == most_ends_listed;
     out.ended.assign(h.ends.begin(), h.ends.begin() + static_cast<std::ptrdiff_t>(listed));
     for (const auto& it : out.ended)
     {
