Failing test: work accepted after a change of owner is started by the former owner too

Seen in the test: the store takes the owner's key away, the owner hears of it 0.9 s late and still renews its lease; a job is handed in, both owners read it at once, a runner that has not heard the successor takes the task from the former owner: it runs twice.

--- a/libs/hosted/tests/take_over_tests.cpp
+++ b/libs/hosted/tests/take_over_tests.cpp
@@ -1,5 +1,7 @@
 #include "hosted_fakes/cluster.hpp"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace camphorhitch;
@@ -135,6 +137,50 @@
     STRCMP_EQUAL("", c.breaches().c_str());
 }
 
+// The store takes the owner's key away, and the owner is slow to hear of it: it still renews its
+// lease. A successor takes the key, and a caller hands in a job, which both hear of at once. The
+// successor may start it, since no former owner can have; a runner that has not heard the
+// successor yet takes the same task from the former owner, and the caller's work is done twice.
+TEST(take_over, work_accepted_after_the_change_is_not_the_former_owners)
+{
+    node* deaf = nullptr;
+    core::millis first_runner_late{0};
+    c.plant = [&](node& n)
+    {
+        const auto watch = n.ctx.store.watch;
+        n.ctx.store.watch = [&, watch](const std::string& prefix, auto after, auto wait, auto done)
+        {
+            const auto late = [&, prefix, done](const ports::changes_read& read)
+            {
+                const bool slow = &n == deaf && prefix == hosted::leader_prefix;
+                n.ctx.time.after(slow ? 900ms : 0ms, [done, read] { done(read); });
+            };
+            watch(prefix, after, wait, late);
+        };
+        const auto poll = n.ctx.runners.poll;
+        n.ctx.runners.poll = [&, poll](const auto& to, const auto& order, const auto& done)
+        {
+            const bool slow = &n != deaf && to.address == "10.0.0.1:80";
+            n.ctx.time.after(slow ? first_runner_late : 0ms, [=] { poll(to, order, done); });
+        };
+    };
+    begin(2, 2);
+    deaf = c.leader();
+    first_runner_late = 300ms;
+    c.store.revoke(hosted::leader_key);
+    const auto has_successor = [&]
+    {
+        return std::any_of(c.nodes.begin(),
+            c.nodes.end(),
+            [&](const node& n) { return &n != deaf && n.lead->holds(); });
+    };
+    CHECK(c.time.run_until(has_successor, 2s));
+    c.put_job(c.make_job("a", 1));
+    CHECK(c.ends("a", job_state::completed, 5s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+    LONGS_EQUAL(1, c.hosts.starts);
+}
+
 // A paused coordinator wakes beside its successor with orders in mind. Runners refuse its token,
 // and it gives up by its own clock.
 TEST(take_over, a_woken_coordinator_does_no_harm)
