A change of owner stands among the jobs, before all work accepted under the new one

Cause: who owns the work and what is handed in came by two streams of the store, so a former owner that heard late of its successor could start a job that had been accepted under the successor; the successor starts such jobs without waiting for the runners of owners before. Class: acting on a belief that is older than the work. Ruled out: fencing alone (a runner that has not heard the successor yet takes the order) and the own lease (still renewed when only the key is taken away). Change: the write that takes the key also writes job/~handover. Changes come in the order of the store's revisions, and the key sorts after all ids, so an owner meets the mark before any job accepted under its successor, and ends its term without taking these in.

--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -4,6 +4,9 @@
 ///   job/ID          a job as accepted; written once, by the entry host that took it, and removed
 ///                   with the write of its final state, so that a successor reads open jobs only
 ///   job/ID/cancel   its cancel; as job/ID
+///   job/~handover   written with each change of the coordinator; stands after all ids, so that
+///                   whoever follows or reads the jobs meets it before, or after, every job that
+///                   was accepted under that coordinator
 ///   state/ID        its progress; written by the coordinator only. Stays for a while
 ///                   when the job is final
 ///   coord/leader    who coordinates; lives with its lease. Its revision is the fencing token
@@ -22,6 +25,7 @@
 
 inline const std::string job_prefix = "job/";
 inline const std::string cancel_suffix = "/cancel";
+inline const std::string handover_key = "job/~handover";
 inline const std::string state_prefix = "state/";
 inline const std::string leader_prefix = "coord/leader";
 inline const std::string leader_key = "coord/leader";
--- a/libs/hosted/src/job_catalog.cpp
+++ b/libs/hosted/src/job_catalog.cpp
@@ -25,6 +25,10 @@
     /// job/ID, or job/ID/cancel.
     void take_job(const ports::stored_item& it)
     {
+        if (it.key == handover_key)
+        {
+            return;
+        }
         auto id = it.key.substr(job_prefix.size());
         if (id.ends_with(cancel_suffix))
         {
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -59,6 +59,10 @@
     follower_events events;
     events.on_all = [this](const std::vector<ports::stored_item>& all)
     {
+        if (ends_term(all))
+        {
+            return;
+        }
         take_items(all);
         note_finished();
         states_.clear();
@@ -77,7 +81,10 @@
                 items.push_back(it.item);
             }
         }
-        take_items(items);
+        if (!ends_term(items))
+        {
+            take_items(items);
+        }
     };
     follower_ = std::make_unique<prefix_follower>(term_.ctx, s, std::move(events));
     follower_->start();
@@ -97,6 +104,24 @@
     }
 }
 
+/// A former owner may hear late of its successor, by its own key or lease, and meanwhile start what
+/// was accepted under the successor, which starts it too. The jobs come in the order in which they
+/// were stored, pages in the order of keys: the successor's mark comes before each such job, or in
+/// a page read after it. So none of these is ever taken in.
+/// \return whether another node has taken over.
+bool job_reader::ends_term(const std::vector<ports::stored_item>& items)
+{
+    const bool over = std::any_of(items.begin(),
+        items.end(),
+        [this](const ports::stored_item& it)
+        { return it.key == handover_key && it.modified > term_.token; });
+    if (over)
+    {
+        term_.fenced_by("a successor's mark among the jobs");
+    }
+    return over;
+}
+
 void job_reader::take_items(const std::vector<ports::stored_item>& items)
 {
     coordinator::task_events out;
@@ -128,6 +153,10 @@
 
 void job_reader::take_item(const ports::stored_item& it, coordinator::task_events& out)
 {
+    if (it.key == handover_key)
+    {
+        return;
+    }
     auto id = it.key.substr(job_prefix.size());
     if (id.ends_with(cancel_suffix))
     {
--- a/libs/hosted/src/job_reader.hpp
+++ b/libs/hosted/src/job_reader.hpp
@@ -22,6 +22,7 @@
     void read_states(const std::string& after);
     void take_states(ports::page_read page);
     void follow();
+    bool ends_term(const std::vector<ports::stored_item>& items);
     void take_items(const std::vector<ports::stored_item>& items);
     void note_arrivals();
     void note_finished();
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -150,7 +150,9 @@
 {
     ports::store_transaction t;
     t.conditions = {{leader_key, 0}, {leader_term_key, term_revision}};
-    t.puts = {{leader_key, ctx.member, lease}, {leader_term_key, std::to_string(term + 1), 0}};
+    t.puts = {{leader_key, ctx.member, lease},
+        {leader_term_key, std::to_string(term + 1), 0},
+        {handover_key, ctx.member, 0}};
     ctx.store.commit(std::move(t),
         guarded([](leadership_state& self, const ports::commit_result& result)
             { self.take_key(result); }));
