A new coordinator renews the leases of runners before it has read the jobs

Cause: polls, which renew leases, began only when all jobs were read: 0.3 to 0.9 s at 1,000 to 2,800 open jobs, on top of up to 1.2 s without an owner, while the last grants end within 2.5 s. Class: own delay (reading) ends what others hold. Change: as soon as the record of runners is read, each is called to renew its lease; what runs and what has ended there is left to the polls, which see it all, since nothing is acknowledged.

--- a/libs/coordinator/include/coordinator/answers.hpp
+++ b/libs/coordinator/include/coordinator/answers.hpp
@@ -25,6 +25,15 @@
     core::mono_time now,
     task_events& out);
 
+/// Takes the answer to a call that only renews a lease: whether the host answers, and its clock.
+/// What it runs and what has ended there is left to a poll.
+/// \return false when the runner knows a newer owner: this one must give up
+bool contact_answered(fleet& f,
+    const std::string& host,
+    const ports::runner_answer& answer,
+    core::mono_time now,
+    task_events& out);
+
 /// Takes in what a runner reports: ends first, then what runs, then what is missing.
 /// \param begun when the poll was sent; later changes are not in its answer
 /// \return as start_answered
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -210,8 +210,51 @@
     }
 }
 
+/// What any answer, or none, says of the host itself.
+/// \return as judge_standing; true too when there was no answer
+std::optional<bool> take_contact(fleet& f,
+    host_entry& h,
+    const ports::runner_answer& answer,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto id = h.ref.id; // the host may be removed with it
+    if (const auto over = judge_standing(f, id, answer, now, out))
+    {
+        return over;
+    }
+    if (answer.verdict != runner_verdict::done)
+    {
+        if (h.reachable)
+        {
+            out.push_back({"host_silent", "", 0, id, verdict_text(answer)});
+            h.silent_since = now;
+        }
+        h.reachable = false;
+        return true;
+    }
+    if (!h.reachable)
+    {
+        out.push_back({"host_answers", "", 0, id, h.prior ? "first look of this term" : ""});
+    }
+    h.reachable = true;
+    h.last_answer = now;
+    note_clock(h, answer, now);
+    return std::nullopt;
+}
+
 } // namespace
 
+bool contact_answered(fleet& f,
+    const std::string& host,
+    const ports::runner_answer& answer,
+    core::mono_time now,
+    task_events& out)
+{
+    auto* const h = find_host(f, host);
+    return h == nullptr || take_contact(f, *h, answer, now, out).value_or(true);
+}
+
 bool start_answered(fleet& f,
     const std::string& host,
     const workflow::task_name& task,
@@ -301,27 +344,10 @@
     {
         return true;
     }
-    if (const auto over = judge_standing(f, host, answer.call, now, out))
+    if (const auto over = take_contact(f, *h, answer.call, now, out))
     {
         return *over;
     }
-    if (answer.call.verdict != runner_verdict::done)
-    {
-        if (h->reachable)
-        {
-            out.push_back({"host_silent", "", 0, host, verdict_text(answer.call)});
-            h->silent_since = now;
-        }
-        h->reachable = false;
-        return true;
-    }
-    if (!h->reachable)
-    {
-        out.push_back({"host_answers", "", 0, host, h->prior ? "first look of this term" : ""});
-    }
-    h->reachable = true;
-    h->last_answer = now;
-    note_clock(*h, answer.call, now);
     take_ends(f, *h, answer.ended, now, out);
     h->strays = 0;
     std::set<std::string> listed;
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -31,6 +31,8 @@
     /// Polls a second over all runners, at most; with many runners the gap grows instead. A poll
     /// costs 0.15 ms of processor time, and the coordinator's host may have a quarter of a core.
     double most_polls_per_second = 4000;
+    /// Renewals of a former owner's leases while the jobs are read: several within one lease.
+    core::millis bridge_every{500};
     core::millis poll_retry{150};  ///< after a poll that failed
     core::millis hosts_every{450}; ///< reads of the list of runners
     core::millis hosts_often{150}; ///< while some are about to join a pool that needs them
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -7,6 +7,7 @@
 #include "hosted/entry_desk.hpp"
 #include "hosted/keys.hpp"
 #include "job_reader.hpp"
+#include "lease_bridge.hpp"
 #include "machine_desk.hpp"
 #include "progress_writer.hpp"
 #include "runner_desk.hpp"
@@ -24,6 +25,7 @@
     std::shared_ptr<term> common;
     std::unique_ptr<job_reader> jobs;
     std::unique_ptr<host_reader> hosts;
+    std::unique_ptr<lease_bridge> bridge;
     std::unique_ptr<runner_desk> desk;
     std::unique_ptr<progress_writer> writer;
     std::unique_ptr<machine_desk> machines;
@@ -177,6 +179,7 @@
     };
     p.jobs = std::make_unique<job_reader>(t);
     p.hosts = std::make_unique<host_reader>(t);
+    p.bridge = std::make_unique<lease_bridge>(t);
     p.desk = std::make_unique<runner_desk>(t);
     p.writer = std::make_unique<progress_writer>(t);
     p.machines = std::make_unique<machine_desk>(t);
@@ -192,6 +195,7 @@
             [&p]
             {
                 p.jobs_are_in = true;
+                p.bridge->stop();
                 p.common->log(ports::log_level::info,
                     "jobs_read",
                     {{"jobs", std::to_string(p.common->fleet.jobs.size())}});
@@ -207,6 +211,10 @@
             p.common->log(ports::log_level::info,
                 "runners_read",
                 {{"prior", std::to_string(p.common->fleet.hosts.size())}});
+            if (!p.jobs_are_in)
+            {
+                p.bridge->start();
+            }
         });
     p.machines->set_pools(pools_);
     p.machines->start([&p] { p.waves->see_machines(); }, [&p] { return p.waves->has_open_wave(); });
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -43,8 +43,10 @@
     order.fencing_token = term_.token;
     order.acknowledged_through = h.stored_end;
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
-    // The first answer tells the runner's clock, without which no lease can be named.
-    order.wait = h.clock_ms < 0 || !h.reachable ? core::millis{0} : term_.settings.poll_wait;
+    // The first answer tells the runner's clock, without which no lease can be named, and what a
+    // former owner's runner holds, for which others wait.
+    order.wait =
+        h.clock_ms < 0 || !h.reachable || h.prior ? core::millis{0} : term_.settings.poll_wait;
     coordinator::note_lease(h, order.lease_until_ms);
     const auto begun = term_.now();
     term_.ctx.runners.poll(h.ref,
--- a/libs/hosted/tests/take_over_tests.cpp
+++ b/libs/hosted/tests/take_over_tests.cpp
@@ -181,6 +181,35 @@
     LONGS_EQUAL(1, c.hosts.starts);
 }
 
+// The coordinator dies with many jobs open, and its successor needs 1.5 s to read them. Leases that
+// were granted last end within 2.5 s of the grant. Were they renewed only once all jobs are read,
+// tasks on runners that are well would end, more at once than their users bear.
+TEST(take_over, leases_outlive_a_long_reading_of_jobs)
+{
+    core::millis reading{0};
+    c.plant = [&](node& n)
+    {
+        const auto range = n.ctx.store.range;
+        n.ctx.store.range = [&, range](const std::string& prefix, const auto& after, auto done)
+        {
+            const auto wait = prefix == hosted::job_prefix ? reading : 0ms;
+            n.ctx.time.after(wait, [=] { range(prefix, after, done); });
+        };
+    };
+    begin(2, 4);
+    c.put_job(lasting_job("a", 4));
+    c.time.run_for(1s);
+    LONGS_EQUAL(4, c.running());
+    reading = 1500ms;
+    c.leader()->process.dead = true;
+    CHECK(c.has_leader());
+    c.time.run_for(5s);
+    LONGS_EQUAL(0, c.hosts.lapsed);
+    LONGS_EQUAL(4, c.running());
+    LONGS_EQUAL(4, c.hosts.starts);
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
 // A paused coordinator wakes beside its successor with orders in mind. Runners refuse its token,
 // and it gives up by its own clock.
 TEST(take_over, a_woken_coordinator_does_no_harm)
