--- a/libs/coordinator/tests/settling_tests.cpp
+++ b/libs/coordinator/tests/settling_tests.cpp
@@ -160,3 +160,33 @@
     poll_answered(w.f, "h1", w.now, part, w.now, w.events);
     LONGS_EQUAL(0, w.f.jobs.at("a")->live_runs);
 }
+
+/// A job that a former owner took in and began, and a runner that may hold its task.
+void inherit(world& w, const std::string& host)
+{
+    w.f.term = 1;
+    w.f.term_began = 100;
+    prior_host p;
+    p.ref = {host, host + ":1"};
+    p.pool = "p";
+    add_prior_hosts(w.f, {p}, w.now);
+    auto& h = w.f.hosts.at(host);
+    h.capacity = {host_cpu, 65536, 0};
+    h.listed = true;
+    w.add(make_job("a", {make_step(1, 1000)}));
+}
+
+// A new owner is slow: its first poll of a runner is answered, and the answer lies unread until the
+// former owner's leases have ended. Were the runner taken for silent, the task would start on
+// another one, and the end that the answer tells of would come too late.
+TEST(settling, a_former_owners_runner_does_not_lapse_before_it_was_asked)
+{
+    inherit(w, "h1");
+    w.now += 10s;
+    w.add_host("h2");
+    lapse_hosts(w.f, w.now, w.events);
+    LONGS_EQUAL(0, w.next().starts.size());
+    contact_answered(w.f, "h1", {ports::runner_verdict::unknown, -1}, w.now, w.events);
+    lapse_hosts(w.f, w.now, w.events);
+    LONGS_EQUAL(1, w.next().starts.size());
+}
