A former owner's runner lapses only after a call to it has gone unanswered

Cause: the end of the former owner's leases was reckoned by time from the reading of the record, whether the runner had been asked by then or not. The new owner's own delay (reading jobs, answers unread) counted as the runner's silence. Change: silence counts once a call of this term has ended without an answer; until then the runner's tasks wait.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -129,6 +129,7 @@
     bool recorded = false;
 
     bool prior = false; ///< a former owner may have ordered runs here that we have not seen
+    bool tried = false; ///< a call of this term was answered, or given up as unanswered
     bool reachable = false;
     core::mono_time silent_since; ///< when it left reachable
     core::mono_time added_at;
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -218,6 +218,7 @@
     core::mono_time now,
     task_events& out)
 {
+    h.tried = true;
     const auto id = h.ref.id; // the host may be removed with it
     if (const auto over = judge_standing(f, id, answer, now, out))
     {
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -234,7 +234,11 @@
     std::vector<std::string> gone;
     for (auto& [id, h] : f.hosts)
     {
-        if (h.reachable || !has_lapsed(f, h, now))
+        // Silence is proof only of one that was asked. An owner that is late itself, with thousands
+        // of jobs to read, would else take runners for lapsed whose answers it has not read, and
+        // start what ended there in time a second time.
+        const bool unasked = h.prior && !h.tried;
+        if (h.reachable || unasked || !has_lapsed(f, h, now))
         {
             continue;
         }
--- a/libs/coordinator/tests/settling_tests.cpp
+++ b/libs/coordinator/tests/settling_tests.cpp
@@ -190,3 +190,22 @@
     lapse_hosts(w.f, w.now, w.events);
     LONGS_EQUAL(1, w.next().starts.size());
 }
+
+// A runner's leases have ended unheard, and the task waits. Before it is started anew the runner
+// answers after all: the task had ended done in time. That end counts, as this owner has ordered
+// no run of the task; starting it would run it twice.
+TEST(settling, an_end_heard_late_counts_while_no_newer_run_was_ordered)
+{
+    inherit(w, "h1");
+    w.now += 10s;
+    contact_answered(w.f, "h1", {ports::runner_verdict::unknown, -1}, w.now, w.events);
+    lapse_hosts(w.f, w.now, w.events);
+    CHECK_FALSE(w.f.hosts.at("h1").prior);
+    ports::poll_answer late;
+    late.call = {ports::runner_verdict::done, 1000};
+    late.ended = {{1, "a.0.0.0", 2, ports::run_end::done, {}}};
+    poll_answered(w.f, "h1", w.now, late, w.now, w.events);
+    w.add_host("h2");
+    LONGS_EQUAL(0, w.next().starts.size());
+    CHECK(w.f.jobs.at("a")->state == workflow::job_state::completed);
+}
