An end that is heard late counts while this owner has ordered no newer run of the task

Cause: at a take-over the numbers of a task's runs are raised above all that a former owner may have used, and a lower number at an end was then read as 'started anew since'. An end done of the former owner's run, heard after its runner had counted as lapsed, was dropped, its acknowledgement sent, and the task ran a second time. Change: an end is outdated only when this owner itself has ordered a run since. Ruled out: taking it beside a newer live run, whose effect would be doubled.

--- a/libs/coordinator/src/ends.cpp
+++ b/libs/coordinator/src/ends.cpp
@@ -106,6 +106,14 @@
     }
 }
 
+/// Numbers of a term start above all before it, so last_run alone doesn't tell that a run was
+/// ordered: an end of a former owner's run would seem outdated, and its task would run again.
+/// \return whether this owner has ordered a run of the task with a higher number.
+bool was_ordered_since(const fleet& f, const task_entry& t, std::int64_t run)
+{
+    return run < t.last_run && t.last_run > f.term * f.settings.runs_per_term;
+}
+
 void score_host(host_entry& h, ports::run_end how)
 {
     if (how == ports::run_end::failed)
@@ -152,7 +160,7 @@
         }
         remove_run(f, j, *name, place);
     }
-    else if (!t->runs.empty() || end.run < t->last_run)
+    else if (!t->runs.empty() || was_ordered_since(f, *t, end.run))
     {
         // This run was given up as lapsed and the task started anew. The newer run counts: taking
         // the old result in now would let two runs of one task both have an effect.
