Once a second the coordinator tells its load, its lateness and where a job's time goes

Change: one line a second, coordinator_load, past the budget of lines, and the same figures as metrics; renewal_late when more than half of the own lease passes between answered renewals, with the ages also on leadership_lost; and leases_lapsed for each host whose runs are given up. No decision reads any of it. Spreads, delays and the ledger of ends are plain structs of bounded size with tests of their own.

What the lines cost is not measured yet.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -85,6 +85,8 @@
 {
     int done = 0;
     int idle = 0; ///< neither done nor with a run
+    /// The last of the steps before was done then, in this term; zero: none was.
+    core::mono_time ready_at;
 };
 
 struct job_entry
@@ -95,6 +97,7 @@
     bool inherited = false;     ///< accepted before this term: a former owner may have started it
     bool dirty = false;         ///< the stored progress is older than this entry
     ports::revision stored = 0; ///< revision of the stored progress; 0: none
+    core::mono_time taken_at;   ///< when it came into view; zero: not told
     std::int64_t ended_unix_ms = 0; ///< wall time at which its end was first written; 0: not yet
     std::vector<task_entry> tasks;  ///< by workflow::task_place; empty once final
     std::vector<step_entry> steps;  ///< by occurrence and step
@@ -132,7 +135,8 @@
     bool reachable = false;
     core::mono_time silent_since; ///< when it left reachable
     core::mono_time added_at;
-    core::mono_time last_answer;
+    core::mono_time last_answer;     ///< to a poll; zero: none in this term
+    core::mono_time polled_at;       ///< when the latest poll was sent; zero: none in this term
     std::int64_t clock_ms = -1;      ///< the runner's clock in its newest answer; -1: none yet
     core::mono_time clock_at;        ///< when that answer arrived
     std::int64_t lease_until_ms = 0; ///< latest end of a lease that anyone may have granted
--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -43,8 +43,18 @@
     core::mono_time now,
     task_events& out);
 
+/// A host whose runs were given up because its leases had ended.
+struct host_lapse
+{
+    std::string host;
+    std::size_t runs = 0;
+    core::mono_time answered; ///< when it last answered a poll; zero: never in this term
+    core::mono_time polled;   ///< when its latest poll was sent; zero: none in this term
+};
+
 /// Removes hosts whose leases have certainly lapsed unheard, and frees their tasks.
-void lapse_hosts(fleet& f, core::mono_time now, task_events& out);
+/// \return those that had runs.
+std::vector<host_lapse> lapse_hosts(fleet& f, core::mono_time now, task_events& out);
 
 /// \return the runner's clock now, at least; -1 when it never told.
 std::int64_t least_clock(const fleet& f, const host_entry& h, core::mono_time now);
--- a/libs/coordinator/src/ends.cpp
+++ b/libs/coordinator/src/ends.cpp
@@ -23,7 +23,22 @@
     }
 }
 
-void mark_task_done(fleet& f, job_entry& j, const workflow::task_name& name)
+/// Of the steps that waited for \p done alone, notes since when they could start.
+void note_ready_steps(job_entry& j, int occurrence, int done, core::mono_time now)
+{
+    for (std::size_t i = 0; i < j.spec.steps.size(); ++i)
+    {
+        const auto& before = j.spec.steps[i].after;
+        const auto step = static_cast<int>(i);
+        if (std::find(before.begin(), before.end(), done) != before.end() &&
+            is_step_ready(j, occurrence, step))
+        {
+            step_of(j, occurrence, step).ready_at = now;
+        }
+    }
+}
+
+void mark_task_done(fleet& f, job_entry& j, const workflow::task_name& name, core::mono_time now)
 {
     auto& t = *find_task(f, name);
     if (t.progress.done)
@@ -40,6 +55,10 @@
     ++counts.done;
     ++j.done_tasks;
     mark_dirty(f, j);
+    if (counts.done == j.spec.steps[static_cast<std::size_t>(name.step)].tasks)
+    {
+        note_ready_steps(j, name.occurrence, name.step, now);
+    }
 }
 
 /// The other runs of a task that is done are in the way: copies, or members of its gang.
@@ -63,14 +82,14 @@
     {
         return; // it is started again
     }
-    mark_task_done(f, j, name);
+    mark_task_done(f, j, name, now);
     stop_runs(*find_task(f, name), now);
     if (s.gang)
     {
         // One member's end stands for all; the others end by themselves.
         for (int i = 0; i < s.tasks; ++i)
         {
-            mark_task_done(f, j, {name.job, name.occurrence, name.step, i});
+            mark_task_done(f, j, {name.job, name.occurrence, name.step, i}, now);
         }
     }
     complete_if_done(f, j, now, out);
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -229,8 +229,9 @@
     f.hosts.erase(id);
 }
 
-void lapse_hosts(fleet& f, core::mono_time now, task_events& out)
+std::vector<host_lapse> lapse_hosts(fleet& f, core::mono_time now, task_events& out)
 {
+    std::vector<host_lapse> lapsed;
     std::vector<std::string> gone;
     for (auto& [id, h] : f.hosts)
     {
@@ -238,6 +239,10 @@
         {
             continue;
         }
+        if (!h.runs.empty())
+        {
+            lapsed.push_back({id, h.runs.size(), h.last_answer, h.polled_at});
+        }
         drop_runs(f, h, "run_lapsed", "no answer until every lease had ended", out);
         erase_strays(f, id);
         h.strays = 0;
@@ -256,6 +261,7 @@
         out.push_back({"host_forgotten", "", 0, it, "not listed and lapsed"});
         f.hosts.erase(it);
     }
+    return lapsed;
 }
 
 std::int64_t least_clock(const fleet& f, const host_entry& h, core::mono_time now)
--- a/libs/hosted/include/hosted/leadership.hpp
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -67,6 +67,10 @@
     /// no more. \p done is called when the store has answered, or can't be reached.
     void resign(std::function<void()> done);
 
+    /// \return how long before a renewal the one that was last granted had been sent, the longest
+    /// since the latest call; 0: none was sent.
+    core::millis take_lease_age();
+
     /// \return when the store last answered.
     core::mono_time last_answer() const;
 
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -7,6 +7,7 @@
 #include "hosted/entry_desk.hpp"
 #include "hosted/keys.hpp"
 #include "job_reader.hpp"
+#include "load_watch.hpp"
 #include "machine_desk.hpp"
 #include "progress_writer.hpp"
 #include "runner_desk.hpp"
@@ -29,6 +30,7 @@
     std::unique_ptr<machine_desk> machines;
     std::unique_ptr<wave_runner> waves;
     std::unique_ptr<tidier> tidy;
+    std::unique_ptr<load_watch> watch;
     bool plan_is_due = false;
     bool jobs_are_in = false;
     bool record_is_in = false;
@@ -60,8 +62,9 @@
         return;
     }
     const auto begun = t.now();
+    ++t.load.counts.plans;
     coordinator::task_events out;
-    coordinator::lapse_hosts(t.fleet, begun, out);
+    t.lapse_hosts(out);
     if (begun >= hosts_planned_at + t.settings.hosts_plan_every)
     {
         hosts_planned_at = begun;
@@ -182,6 +185,7 @@
     p.machines = std::make_unique<machine_desk>(t);
     p.waves = std::make_unique<wave_runner>(t, p.machines->table());
     p.tidy = std::make_unique<tidier>(t);
+    p.watch = std::make_unique<load_watch>(t);
     t.on_job = [&p](const workflow::job& j, core::mono_time at)
     {
         p.machines->note_job(j, at);
@@ -214,6 +218,7 @@
     p.tick();
     p.store_pending();
     p.tidy->start();
+    p.watch->start();
 }
 
 void fleet_driver::end()
--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -200,7 +200,7 @@
     }
     coordinator::task_events out;
     coordinator::see_hosts(term_.fleet, all, term_.now(), out);
-    coordinator::lapse_hosts(term_.fleet, term_.now(), out);
+    term_.lapse_hosts(out);
     term_.log(out);
     record();
     term_.wake();
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -126,6 +126,18 @@
     arrivals_.clear();
 }
 
+/// Inherited jobs are left out: the owner before may have read them in time.
+void job_reader::note_read(const std::string& id, std::int64_t accepted_unix_ms)
+{
+    auto& j = *term_.fleet.jobs.at(id);
+    j.taken_at = term_.now();
+    if (!j.inherited)
+    {
+        const auto wall = core::to_unix_ms(term_.ctx.time.wall_now());
+        term_.note_read(core::millis{std::max<std::int64_t>(wall - accepted_unix_ms, 0)});
+    }
+}
+
 void job_reader::take_item(const ports::stored_item& it, coordinator::task_events& out)
 {
     auto id = it.key.substr(job_prefix.size());
@@ -172,7 +184,9 @@
         "queue=" + spec.queue + " revision=" + std::to_string(it.created) +
             " stored=" + std::to_string(stored)});
     arrivals_.push_back(spec);
+    const auto accepted = spec.accepted_unix_ms;
     coordinator::add_job(term_.fleet, std::move(spec), it.created, progress, stored);
+    note_read(id, accepted);
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/job_reader.hpp
+++ b/libs/hosted/src/job_reader.hpp
@@ -25,6 +25,7 @@
     void take_items(const std::vector<ports::stored_item>& items);
     void note_arrivals();
     void note_finished();
+    void note_read(const std::string& id, std::int64_t accepted_unix_ms);
     void take_item(const ports::stored_item& it, coordinator::task_events& out);
 
     term& term_;
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -38,6 +38,12 @@
     ports::revision token = 0;   ///< 0: not the leader
     core::mono_time valid_until; ///< by the boot clock
     core::mono_time best_until;  ///< of a bid: what valid_until becomes
+    // How well the renewals keep up, for the log; by the boot clock.
+    core::mono_time sent_at;         ///< latest bid or renewal
+    core::mono_time answered_at;     ///< latest answer that renewed the lease
+    core::mono_time due_at;          ///< of the timer that is set
+    core::micros timer_late{0};      ///< of the timer that fired last
+    core::micros oldest_at_renew{0}; ///< age of the lease at a renewal, since it was last asked
     bool bidding = false;
     bool resigned = false;
     ports::timer_id timer = 0;
@@ -66,12 +72,44 @@
     void take_renewal(const ports::kv_lease& got, core::mono_time sent);
     void schedule(core::millis delay, void (leadership_state::*next)());
     void lose(const std::string& reason);
+    void judge_pace(const char* step, core::mono_time now);
+    ports::log_fields pace_fields(core::mono_time now) const;
 };
 
 void leadership_state::schedule(core::millis delay, void (leadership_state::*next)())
 {
     ctx.time.cancel(timer);
-    timer = ctx.time.after(delay, guarded([next](leadership_state& self) { (self.*next)(); }));
+    due_at = ctx.boot_now() + delay;
+    timer = ctx.time.after(delay,
+        guarded(
+            [next](leadership_state& self)
+            {
+                self.timer_late = self.ctx.boot_now() - self.due_at;
+                (self.*next)();
+            }));
+}
+
+ports::log_fields leadership_state::pace_fields(core::mono_time now) const
+{
+    const auto text = [](core::micros age)
+    {
+        return std::to_string(std::chrono::duration_cast<core::millis>(age).count());
+    };
+    return {{"since_sent_ms", text(now - sent_at)},
+        {"since_answered_ms", text(now - answered_at)},
+        {"timer_late_ms", text(timer_late)}};
+}
+
+/// Tells of a renewal that is sent or answered so late that one more such delay ends the lease.
+void leadership_state::judge_pace(const char* step, core::mono_time now)
+{
+    if (now - answered_at <= settings.lease / 2)
+    {
+        return;
+    }
+    auto fields = pace_fields(now);
+    fields.insert(fields.begin(), {"step", step});
+    ctx.tel.log(ports::log_level::warning, "renewal_late", std::move(fields));
 }
 
 void leadership_state::see(const ports::stored_change& it)
@@ -130,7 +168,8 @@
         bidding = false;
         return;
     }
-    best_until = ctx.boot_now() + settings.lease - settings.margin;
+    sent_at = ctx.boot_now();
+    best_until = sent_at + settings.lease - settings.margin;
     ctx.store.grant_lease(settings.lease,
         guarded([](leadership_state& self, const ports::kv_lease& got) { self.take_lease(got); }));
 }
@@ -176,6 +215,8 @@
     leader = ctx.member;
     token = result.modified;
     valid_until = best_until;
+    answered_at = ctx.boot_now();
+    oldest_at_renew = core::micros{0};
     ctx.tel.log(ports::log_level::info,
         "leadership_gained",
         {{"term", std::to_string(term)}, {"token", std::to_string(token)}});
@@ -205,6 +246,10 @@
         return;
     }
     const auto sent = ctx.boot_now();
+    judge_pace("sent", sent);
+    oldest_at_renew =
+        std::max(oldest_at_renew, sent - valid_until + settings.lease - settings.margin);
+    sent_at = sent;
     ctx.store.keep_alive(lease,
         guarded([sent](leadership_state& self, const ports::kv_lease& got)
             { self.take_renewal(got, sent); }));
@@ -219,6 +264,8 @@
     }
     if (got.status == ports::kv_status::ok && got.ttl.count() > 0)
     {
+        judge_pace("answered", ctx.boot_now());
+        answered_at = ctx.boot_now();
         // The store counts from the call's arrival, which was after its sending.
         valid_until = std::max(valid_until, sent + settings.lease - settings.margin);
     }
@@ -237,9 +284,13 @@
     }
     ctx.time.cancel(timer);
     timer = 0;
-    ctx.tel.log(ports::log_level::warning,
-        "leadership_lost",
-        {{"term", std::to_string(term)}, {"token", std::to_string(token)}, {"reason", reason}});
+    ports::log_fields fields{
+        {"term", std::to_string(term)}, {"token", std::to_string(token)}, {"reason", reason}};
+    for (auto& it : pace_fields(ctx.boot_now()))
+    {
+        fields.push_back(std::move(it));
+    }
+    ctx.tel.log(ports::log_level::warning, "leadership_lost", std::move(fields));
     token = 0;
     if (lease != 0)
     {
@@ -323,6 +374,12 @@
     it.ctx.store.end_lease(lease, [done = std::move(done)](ports::kv_status) { done(); });
 }
 
+core::millis leadership::take_lease_age()
+{
+    const auto age = std::exchange(state_->oldest_at_renew, core::micros{0});
+    return std::chrono::duration_cast<core::millis>(age);
+}
+
 core::mono_time leadership::last_answer() const
 {
     return state_->follower->last_answer();
--- /dev/null
+++ b/libs/hosted/src/load_watch.cpp
@@ -0,0 +1,108 @@
+#include "load_watch.hpp"
+
+#include "hosted/leadership.hpp"
+
+namespace camphorhitch::hosted
+{
+
+namespace
+{
+
+constexpr core::millis report_every{1000};
+/// A delay that is shorter than this may be missed; twice as many timers would show 10 ms more.
+constexpr core::millis probe_every{20};
+
+core::micros processor_time(const context& c)
+{
+    return c.processor_time ? c.processor_time() : core::micros{0};
+}
+
+void tell(const ports::telemetry& tel, const load_row& row)
+{
+    const auto value = static_cast<double>(row.value);
+    if (row.kind == load_kind::count)
+    {
+        tel.count("camphorhitch_coordinator_done_total", {{"what", row.name}}, value);
+    }
+    else
+    {
+        tel.gauge("camphorhitch_coordinator_level", {{"what", row.name}}, value);
+    }
+}
+
+} // namespace
+
+load_watch::load_watch(term& t) : term_(t)
+{
+}
+
+load_watch::~load_watch()
+{
+    for (const auto& it : load_rows({}, {}))
+    {
+        tell(term_.ctx.tel, it);
+    }
+}
+
+void load_watch::start()
+{
+    reported_ = term_.now();
+    processor_ = processor_time(term_.ctx);
+    wait();
+}
+
+void load_watch::wait()
+{
+    due_ = term_.now() + probe_every;
+    term_.ctx.time.after(probe_every, term_.guarded([this] { probe(); }));
+}
+
+void load_watch::probe()
+{
+    const auto now = term_.now();
+    term_.load.delays.add(now, now - due_);
+    if (now - reported_ >= report_every)
+    {
+        report(now);
+    }
+    wait();
+}
+
+load_moment load_watch::measure(core::mono_time now)
+{
+    load_moment m;
+    m.fleet = coordinator::measure_load(
+        term_.fleet, now, core::to_unix_ms(term_.ctx.time.wall_now()));
+    m.span = std::chrono::duration_cast<core::millis>(now - reported_);
+    m.loop_late = std::chrono::ceil<core::millis>(term_.load.delays.largest_since(reported_));
+    m.lease_age = term_.lead->take_lease_age();
+    if (term_.ctx.processor_time)
+    {
+        const auto used = processor_time(term_.ctx);
+        m.processor = std::chrono::round<core::millis>(used - processor_);
+        processor_ = used;
+    }
+    return m;
+}
+
+/// Past the budget of lines: in a storm of events these figures are what is left to judge by.
+void load_watch::report(core::mono_time now)
+{
+    const auto rows = load_rows(term_.load, measure(now));
+    ports::log_fields fields{{"token", std::to_string(term_.token)}};
+    for (const auto& it : rows)
+    {
+        fields.emplace_back(it.name, std::to_string(it.value));
+        tell(term_.ctx.tel, it);
+    }
+    for (auto& it : time_fields(term_.load.times))
+    {
+        fields.push_back(std::move(it));
+    }
+    term_.ctx.tel.log(ports::log_level::info, "coordinator_load", std::move(fields));
+    term_.load.counts = {};
+    term_.load.times = {};
+    reported_ = now;
+}
+
+} // namespace camphorhitch::hosted
--- /dev/null
+++ b/libs/hosted/src/load_watch.hpp
@@ -0,0 +1,34 @@
+/// \file
+/// Measures how late the loop is while this node coordinates, and reports its load once a second.
+#pragma once
+
+#include "term.hpp"
+
+namespace camphorhitch::hosted
+{
+
+class load_watch
+{
+public:
+    explicit load_watch(term& t);
+    load_watch(const load_watch&) = delete;
+    load_watch& operator=(const load_watch&) = delete;
+
+    /// Sets the levels of the metrics to 0: another node coordinates.
+    ~load_watch();
+
+    void start();
+
+private:
+    void wait();
+    void probe();
+    void report(core::mono_time now);
+    load_moment measure(core::mono_time now);
+
+    term& term_;
+    core::mono_time due_;
+    core::mono_time reported_;
+    core::micros processor_{0}; ///< used until the latest report
+};
+
+} // namespace camphorhitch::hosted
--- a/libs/hosted/src/progress_writer.cpp
+++ b/libs/hosted/src/progress_writer.cpp
@@ -56,6 +56,7 @@
     }
     auto dirty = std::exchange(term_.fleet.dirty, {});
     ends_.clear();
+    term_.load.ends.begin_store();
     for (const auto& [id, h] : term_.fleet.hosts)
     {
         if (h.seen_end > h.stored_end)
@@ -118,6 +119,7 @@
         batch_over(true, {});
         return;
     }
+    ++term_.load.counts.store_batches;
     auto change = b.change;
     term_.ctx.store.commit(std::move(change),
         term_.guarded(
@@ -207,6 +209,7 @@
 {
     if (all_stored_)
     {
+        term_.note_stored();
         for (const auto& [id, n] : ends_)
         {
             if (const auto it = term_.fleet.hosts.find(id); it != term_.fleet.hosts.end())
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -47,6 +47,7 @@
     order.wait = h.clock_ms < 0 || !h.reachable ? core::millis{0} : term_.settings.poll_wait;
     coordinator::note_lease(h, order.lease_until_ms);
     const auto begun = term_.now();
+    h.polled_at = begun;
     term_.ctx.runners.poll(h.ref,
         order,
         term_.guarded(
@@ -67,6 +68,8 @@
     const auto found = term_.fleet.hosts.find(host);
     const bool first = found != term_.fleet.hosts.end() && found->second.lease_until_ms == 0;
     const bool silent = found != term_.fleet.hosts.end() && !found->second.reachable;
+    const auto seen = found == term_.fleet.hosts.end() ? 0 : found->second.seen_end;
+    term_.load.note_poll(a, seen, term_.now());
     coordinator::task_events out;
     take(coordinator::poll_answered(term_.fleet, host, begun, a, term_.now(), out), host, out);
     if (!term_.fleet.hosts.contains(host))
@@ -132,6 +135,7 @@
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
     coordinator::note_lease(h, order.lease_until_ms);
     const auto sent = term_.now();
+    term_.note_start(a.task, a.run, sent);
     term_.ctx.runners.start(a.host,
         std::move(order),
         term_.guarded(
@@ -139,6 +143,7 @@
             {
                 coordinator::task_events out;
                 const auto now = term_.now();
+                term_.load.note_start_answer(answer, now - sent);
                 term_.ctx.tel.observe("camphorhitch_start_order_seconds",
                     {},
                     std::chrono::duration<double>(now - sent).count());
@@ -189,11 +194,13 @@
 void runner_desk::stop(const coordinator::stop_action& a)
 {
     ports::stop_order order{workflow::write_task_name(a.task), a.run, term_.token};
+    ++term_.load.orders_out;
     term_.ctx.runners.stop(a.host,
         std::move(order),
         term_.guarded(
             [this, a](const ports::runner_answer& answer)
             {
+                --term_.load.orders_out;
                 coordinator::task_events out;
                 const bool owner = coordinator::stop_answered(
                     term_.fleet, a.host.id, a.task, a.run, answer, term_.now(), out);
--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -1,10 +1,22 @@
 #include "term.hpp"
 
+#include "coordinator/intake.hpp"
+
 #include <utility>
 
 namespace camphorhitch::hosted
 {
 
+namespace
+{
+
+void observe(const ports::telemetry& tel, const char* name, core::micros took)
+{
+    tel.observe(name, {}, std::chrono::duration<double>(took).count());
+}
+
+} // namespace
+
 void term::log(ports::log_level level, std::string event, ports::log_fields fields)
 {
     if (!take_line(lines, now()))
@@ -18,6 +30,42 @@
     ctx.tel.log(level, std::move(event), std::move(fields));
 }
 
+void term::note_start(const workflow::task_name& task, std::int64_t run, core::mono_time at)
+{
+    load.note_start();
+    const auto unix_ms = core::to_unix_ms(ctx.time.wall_now());
+    if (const auto ready = coordinator::ready_since(fleet, task, run, at, unix_ms))
+    {
+        load.times.wait.add(at - *ready);
+        observe(ctx.tel, "camphorhitch_start_wait_seconds", at - *ready);
+    }
+}
+
+void term::note_read(core::micros took)
+{
+    load.times.read.add(took);
+    observe(ctx.tel, "camphorhitch_job_read_seconds", took);
+}
+
+void term::note_stored()
+{
+    const auto at = now();
+    for (const auto& [taken, ends] : load.ends.stored())
+    {
+        load.times.store.add(at - taken, ends);
+        observe(ctx.tel, "camphorhitch_end_store_seconds", at - taken);
+    }
+}
+
+void term::lapse_hosts(coordinator::task_events& out)
+{
+    const auto at = now();
+    for (const auto& it : coordinator::lapse_hosts(fleet, at, out))
+    {
+        ctx.tel.log(ports::log_level::warning, "leases_lapsed", lapse_fields(it, load.delays, at));
+    }
+}
+
 void term::log(const coordinator::task_events& all)
 {
     for (const auto& it : all)
--- a/libs/hosted/src/term.hpp
+++ b/libs/hosted/src/term.hpp
@@ -10,6 +10,7 @@
 #include "hosted/formats.hpp"
 #include "hosted/leadership.hpp"
 #include "line_budget.hpp"
+#include "load_report.hpp"
 
 #include <functional>
 #include <memory>
@@ -26,6 +27,7 @@
     ports::revision token = 0;
     coordinator::fleet fleet;
     line_budget lines;
+    load_report load;
     std::function<void()> wake;         ///< plan soon
     std::function<void()> store_soon;   ///< progress has changed
     std::function<bool()> awaits_hosts; ///< whether moved hosts are about to join a busy pool
@@ -42,6 +44,19 @@
     void log(const coordinator::task_events& all);
     void log(ports::log_level level, std::string event, ports::log_fields fields);
 
+    /// Counts a start that is sent, and how long its task could have been started before.
+    void note_start(const workflow::task_name& task, std::int64_t run, core::mono_time at);
+
+    /// A job was read here, so long after its acceptance.
+    void note_read(core::micros took);
+
+    /// All ends that the writing just done was to cover are stored.
+    void note_stored();
+
+    /// Takes the leases that have ended from the fleet. Each host with runs has a line of its own,
+    /// whatever else is logged: it tells whether the host was silent or this node late.
+    void lapse_hosts(coordinator::task_events& out);
+
     /// Ownership is lost: a runner, the machines' service or a condition said so.
     void fenced_by(const std::string& who);
 
--- /dev/null
+++ b/libs/hosted/tests/load_report_tests.cpp
@@ -0,0 +1,190 @@
+#include "load_report.hpp"
+
+#include "hosted_fakes/cluster.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// \return the value of a key in a line; empty without the key.
+std::string value_in(const std::string& line, const std::string& key)
+{
+    const auto at = line.find(" " + key + "=");
+    if (at == std::string::npos)
+    {
+        return {};
+    }
+    const auto from = at + key.size() + 2;
+    return line.substr(from, line.find(' ', from) - from);
+}
+
+std::vector<std::string> lines_of(const hosted_fakes::node& n, const std::string& event)
+{
+    std::vector<std::string> out;
+    for (const auto& it : n.log.lines)
+    {
+        if (it.find(" " + event + " ") != std::string::npos)
+        {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(load_report){};
+
+TEST(load_report, a_spread_is_at_most_a_quarter_too_long)
+{
+    for (const auto t : {1ms, 2ms, 3ms, 7ms, 10ms, 99ms, 350ms, 1001ms, 7777ms, 60000ms})
+    {
+        hosted::time_spread s;
+        s.add(t, 9);
+        s.add(64s);
+        CHECK(s.within(0.5) >= t);
+        CHECK(s.within(0.5) <= std::max<core::millis>(t + t / 4 + 1ms, 2ms));
+        CHECK(s.largest() == 64s);
+    }
+}
+
+TEST(load_report, a_spread_takes_any_time)
+{
+    hosted::time_spread s;
+    s.add(-5ms);
+    s.add(0ms);
+    CHECK(s.within(0.95) <= 1ms);
+    s.add(10min);
+    CHECK(s.largest() == 10min);
+    CHECK(s.within(1.0) == 10min);
+    LONGS_EQUAL(3, s.count());
+}
+
+TEST(load_report, delays_are_told_since_a_time)
+{
+    hosted::loop_delays d;
+    const core::mono_time begin{1000s};
+    d.add(begin, 900ms);
+    d.add(begin + 1s, 40ms);
+    d.add(begin + 1s + 10ms, 30ms);
+    CHECK(d.largest_since(begin) == 900ms);
+    CHECK(d.largest_since(begin + 500ms) == 40ms);
+    CHECK(d.largest_since(begin + 2s) == 0ms);
+    for (int i = 2; i < 40; ++i)
+    {
+        d.add(begin + std::chrono::seconds{i}, 5ms);
+    }
+    CHECK(d.largest_since(begin) == 5ms); // what is older than the ring is forgotten
+}
+
+// An end that is taken in while a writing is out is not part of it.
+TEST(load_report, ends_are_stored_by_the_writing_that_began_after_them)
+{
+    hosted::end_ledger l;
+    const core::mono_time begin{1000s};
+    l.take(2, begin);
+    l.take(1, begin + 3ms);
+    l.take(4, begin + 20ms);
+    l.begin_store();
+    l.take(5, begin + 21ms);
+    LONGS_EQUAL(12, l.not_stored());
+    const auto first = l.stored();
+    LONGS_EQUAL(2, first.size());
+    CHECK(first[0] == std::make_pair(begin, std::int64_t{3}));
+    LONGS_EQUAL(5, l.not_stored());
+    l.begin_store();
+    l.begin_store(); // the writing failed and began anew
+    LONGS_EQUAL(1, l.stored().size());
+    LONGS_EQUAL(0, l.not_stored());
+    LONGS_EQUAL(0, l.stored().size());
+}
+
+TEST(load_report, a_lapse_tells_silence_from_lateness)
+{
+    hosted::loop_delays d;
+    const core::mono_time now{1000s};
+    d.add(now - 5s, 3s);
+    d.add(now - 1s, 20ms);
+    const auto f = hosted::lapse_fields({"h1", 2, now - 3s, now - 2s}, d, now);
+    STRCMP_EQUAL("3000", f[2].second.c_str());
+    STRCMP_EQUAL("2000", f[3].second.c_str());
+    STRCMP_EQUAL("20", f[4].second.c_str());
+    const auto never = hosted::lapse_fields({"h1", 2, {}, {}}, d, now);
+    STRCMP_EQUAL("never", never[2].second.c_str());
+}
+
+// A coordinator works a second's jobs off: its line counts what was done, and nothing is left over.
+TEST(load_report, a_line_a_second_counts_the_work)
+{
+    hosted_fakes::cluster c;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    auto& n = c.add_node();
+    auto& other = c.add_node();
+    CHECK(c.has_leader());
+    auto& lead = *c.leader();
+    c.put_job(c.make_job("a", 4, 2));
+    CHECK(c.ends("a", workflow::job_state::completed, 5s));
+    c.time.run_for(2s);
+    const auto lines = lines_of(lead, "coordinator_load");
+    CHECK(lines.size() >= 3);
+    std::int64_t starts = 0;
+    std::int64_t ends = 0;
+    for (const auto& it : lines)
+    {
+        starts += std::stol(value_in(it, "starts_answered"));
+        ends += std::stol(value_in(it, "ends_taken"));
+    }
+    LONGS_EQUAL(8, starts);
+    LONGS_EQUAL(8, ends);
+    for (const char* const level :
+        {"tasks_waiting", "orders_unanswered", "jobs_dirty", "ends_not_stored", "hosts_silent"})
+    {
+        STRCMP_EQUAL("0", value_in(lines.back(), level).c_str());
+    }
+    STRCMP_EQUAL("2", value_in(lines.back(), "hosts").c_str());
+    const auto& follower = &lead == &n ? other : n;
+    LONGS_EQUAL(0, lines_of(follower, "coordinator_load").size());
+}
+
+// A runner is cut off: its runs are given up, and the line shows that this node was not late.
+TEST(load_report, a_lapsed_host_has_a_line)
+{
+    hosted_fakes::cluster c;
+    const auto machine = c.hosts.add("p");
+    c.hosts.behaviour.run_time = 20s;
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    c.put_job(c.make_job("a", 1));
+    c.time.run_for(1s);
+    c.hosts.cut(machine, 20s);
+    c.time.run_for(8s);
+    const auto lines = lines_of(*c.leader(), "leases_lapsed");
+    LONGS_EQUAL(1, lines.size());
+    STRCMP_EQUAL("1", value_in(lines[0], "runs").c_str());
+    CHECK(std::stol(value_in(lines[0], "since_answer_ms")) >= 2500);
+    STRCMP_EQUAL("0", value_in(lines[0], "loop_late_ms").c_str());
+}
+
+// The store stops answering: the line of the lost leadership tells that renewals went out in time.
+TEST(load_report, a_lost_lease_tells_the_ages_of_its_renewals)
+{
+    hosted_fakes::cluster c;
+    c.add_node();
+    CHECK(c.has_leader());
+    auto& lead = *c.leader();
+    c.time.run_for(1s);
+    c.store.down = true;
+    c.time.run_for(2s);
+    CHECK(!lines_of(lead, "renewal_late").empty());
+    const auto lost = lines_of(lead, "leadership_lost");
+    LONGS_EQUAL(1, lost.size());
+    CHECK(std::stol(value_in(lost[0], "since_sent_ms")) <= 400);
+    CHECK(std::stol(value_in(lost[0], "since_answered_ms")) >= 800);
+    STRCMP_EQUAL("0", value_in(lost[0], "timer_late_ms").c_str());
+}
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -61,6 +61,14 @@
     return core::mono_time{core::micros{t.tv_sec * us_per_s + t.tv_nsec / ns_per_us}};
 }
 
+core::micros processor_time()
+{
+    timespec t{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+    return std::chrono::duration_cast<core::micros>(
+        std::chrono::seconds{t.tv_sec} + std::chrono::nanoseconds{t.tv_nsec});
+}
+
 std::string read_file(const std::string& name)
 {
     std::ifstream in(name);
@@ -133,6 +141,7 @@
     ctx.time = loop.scheduler();
     ctx.tel = log;
     ctx.boot_now = boot_now;
+    ctx.processor_time = processor_time;
     company::store_client_settings store;
     store.address = settings.services.store;
     ctx.store = company::make_store_client(store_port, log, store);
