Texts of other writers: what is broken names nothing to use, and the rest holds

Cause: readers took missing, mistyped and out-of-range fields for defaults. Doubles beyond 64 bits were converted. A job record with a waiting step that does not exist, or billions of tasks, ended the coordinator; a job with damaged progress began anew, so its done tasks ran twice. A damaged count of terms began at 0. Damage was logged at each reading, several times a second.

Ruled out: dropping a known runner whose entry turns unreadable (its runs end only by its answers or the lapse of its leases; it is unlisted, so it gets no new work), and following a changed address of a runner that has answered (the refusal at the other address would pass for proof of its end). Duplicate addresses need nothing: the runner that is not meant refuses the call.

Bounds keep times inside the clocks' nanoseconds.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -120,8 +120,9 @@
     std::string machine; ///< as the list of machines showed it; empty: not yet
     std::vector<std::string> labels;
     workflow::resources capacity;
-    bool listed = false;   ///< in the newest list of runners
-    bool draining = false; ///< about to leave
+    bool listed = false;    ///< in the newest list of runners
+    bool entry_odd = false; ///< it is listed at another address, or in another pool
+    bool draining = false;  ///< about to leave
     host_use use = host_use::open;
     core::mono_time closed_at; ///< when use left open
     /// A successor will find it among the runners in use, with nothing said of the end of its
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -78,6 +78,15 @@
     return by_slow_clock(f, s.runner_lease + s.leader_lease) + s.lapse_margin;
 }
 
+/// One life has one address and one pool. An entry that says otherwise of a runner that has
+/// answered there is not its own: followed, the answer of whoever lives at the other address would
+/// pass for proof that this runner has ended, and its tasks would run a second time.
+bool contradicts(const host_entry& h, const host_listing& it)
+{
+    const bool heard = h.prior || h.clock_ms >= 0;
+    return heard && (h.ref.address != it.ref.address || (!h.pool.empty() && h.pool != it.pool));
+}
+
 void erase_strays(fleet& f, const std::string& host)
 {
     std::erase_if(f.strays, [&](const stray_run& it) { return it.host == host; });
@@ -190,6 +199,20 @@
         }
         auto [place, added] = f.hosts.try_emplace(it.ref.id);
         auto& h = place->second;
+        const bool odd = !added && contradicts(h, it);
+        if (odd && !h.entry_odd)
+        {
+            out.push_back({"host_entry_odd",
+                "",
+                0,
+                it.ref.id,
+                "address=" + it.ref.address + " pool=" + it.pool});
+        }
+        h.entry_odd = odd;
+        if (odd)
+        {
+            continue;
+        }
         if (added)
         {
             h.added_at = now;
--- a/libs/hosted/include/hosted/config_follower.hpp
+++ b/libs/hosted/include/hosted/config_follower.hpp
@@ -23,11 +23,16 @@
     std::function<void(std::vector<wave_request>)> on_waves;
 };
 
+struct damage_notes;
+
 class config_follower
 {
 public:
     /// \param f outlives the follower
     config_follower(context c, const formats& f, config_events e);
+    config_follower(const config_follower&) = delete;
+    config_follower& operator=(const config_follower&) = delete;
+    ~config_follower();
 
     void start();
 
@@ -41,12 +46,14 @@
     void see(const ports::stored_item& it);
     void see_config(const ports::stored_item& it);
     void see_wave(const ports::stored_item& it);
+    void tell_damage(const char* event, const ports::stored_item& it, const std::string& reason);
 
     context ctx_;
     const formats& formats_;
     config_events events_;
     std::optional<fleet_config> config_;
     std::map<std::int64_t, wave_request> waves_;
+    std::unique_ptr<damage_notes> damaged_;
     std::unique_ptr<prefix_follower> follower_;
 };
 
--- a/libs/hosted/include/hosted/formats.hpp
+++ b/libs/hosted/include/hosted/formats.hpp
@@ -41,6 +41,7 @@
     std::vector<queue> queues;
     std::vector<pool_settings> pools;
     std::size_t largest_body = std::size_t{1} << 18; ///< bytes of a caller's request
+    int left_out = 0; ///< queues and pools that could not be read; the others hold
 };
 
 /// Hosts that are due for maintenance.
--- a/libs/hosted/src/config_follower.cpp
+++ b/libs/hosted/src/config_follower.cpp
@@ -1,12 +1,15 @@
 #include "hosted/config_follower.hpp"
 
+#include "damage_notes.hpp"
+
 #include <utility>
 
 namespace camphorhitch::hosted
 {
 
 config_follower::config_follower(context c, const formats& f, config_events e)
-    : ctx_(std::move(c)), formats_(f), events_(std::move(e))
+    : ctx_(std::move(c)), formats_(f), events_(std::move(e)),
+      damaged_(std::make_unique<damage_notes>())
 {
     follower_settings settings;
     settings.prefix = formats_.operator_prefix;
@@ -31,6 +34,8 @@
     follower_ = std::make_unique<prefix_follower>(ctx_, settings, seen);
 }
 
+config_follower::~config_follower() = default;
+
 void config_follower::start()
 {
     follower_->start();
@@ -58,14 +63,24 @@
     }
 }
 
+void config_follower::tell_damage(
+    const char* event, const ports::stored_item& it, const std::string& reason)
+{
+    if (is_news(*damaged_, it))
+    {
+        ctx_.tel.log(ports::log_level::error,
+            event,
+            {{"key", it.key}, {"revision", std::to_string(it.modified)}, {"reason", reason}});
+    }
+}
+
+/// One that can't be read leaves the one in force, with which callers go on being served.
 void config_follower::see_config(const ports::stored_item& it)
 {
     auto read = formats_.read_config(it.value);
     if (!core::is_ok(read))
     {
-        ctx_.tel.log(ports::log_level::error,
-            "config_damaged",
-            {{"revision", std::to_string(it.modified)}, {"reason", core::failure(read).message}});
+        tell_damage("config_damaged", it, core::failure(read).message);
         return;
     }
     auto& next = core::value(read);
@@ -79,7 +94,8 @@
         {{"version", std::to_string(next.version)},
             {"before", config_ ? std::to_string(config_->version) : "none"},
             {"revision", std::to_string(it.modified)},
-            {"queues", std::to_string(next.queues.size())}});
+            {"queues", std::to_string(next.queues.size())},
+            {"left_out", std::to_string(next.left_out)}});
     config_ = std::move(next);
     events_.on_config(*config_);
 }
@@ -89,9 +105,13 @@
     const auto read = formats_.read_wave(it.value);
     if (!core::is_ok(read))
     {
-        ctx_.tel.log(ports::log_level::error,
-            "wave_damaged",
-            {{"key", it.key}, {"reason", core::failure(read).message}});
+        tell_damage("wave_damaged", it, core::failure(read).message);
+        return;
+    }
+    // Under another key it would stand in for the wave of that number.
+    if (it.key != formats_.wave_prefix + std::to_string(core::value(read).number))
+    {
+        tell_damage("wave_damaged", it, "its number is not the key's");
         return;
     }
     waves_[core::value(read).number] = core::value(read);
--- a/libs/hosted/src/demand_record.cpp
+++ b/libs/hosted/src/demand_record.cpp
@@ -1,5 +1,8 @@
 #include "demand_record.hpp"
 
+#include <algorithm>
+#include <exception>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace camphorhitch::hosted
@@ -20,14 +23,37 @@
         {"busy", p.busy}};
 }
 
+/// Of rates in cores, run times in milliseconds and times of day: far above any real one, and far
+/// below what the clocks' nanoseconds hold.
+constexpr double most_value = 4e12;
+
+struct damaged_record : std::exception
+{
+};
+
+double real_from(const json& from)
+{
+    const auto n = from.get<double>();
+    if (!(n >= 0 && n <= most_value))
+    {
+        throw damaged_record{};
+    }
+    return n;
+}
+
+std::int64_t whole_from(const json& from)
+{
+    return static_cast<std::int64_t>(real_from(from));
+}
+
 coordinator::pool_arrivals rates_from_json(const json& from, core::mono_time at)
 {
     coordinator::pool_arrivals p;
-    from.at("fast").get_to(p.fast);
-    from.at("middle").get_to(p.middle);
-    from.at("slow").get_to(p.slow);
-    from.at("jobs").get_to(p.jobs);
-    from.at("peak").get_to(p.peak);
+    p.fast = real_from(from.at("fast"));
+    p.middle = real_from(from.at("middle"));
+    p.slow = real_from(from.at("slow"));
+    p.jobs = real_from(from.at("jobs"));
+    p.peak = real_from(from.at("peak"));
     from.at("busy").get_to(p.busy);
     p.updated = at;
     return p;
@@ -75,7 +101,7 @@
     {
         coordinator::demand next;
         coordinator::learnt times;
-        const auto at = from.at("at_unix_ms").get<std::int64_t>();
+        const auto at = whole_from(from.at("at_unix_ms"));
         const auto written = now - core::millis{std::max<std::int64_t>(unix_ms - at, 0)};
         for (const auto& [name, it] : from.at("pools").items())
         {
@@ -83,12 +109,14 @@
         }
         for (const auto& it : from.at("busy"))
         {
-            const auto ago = unix_ms - it.at(1).get<std::int64_t>();
+            const auto ago = unix_ms - whole_from(it.at(1));
             next.history.push_back({it.at(0).get<std::string>(), now - core::millis{ago}});
         }
         for (const auto& [image, it] : from.at("times").items())
         {
-            times.images[image] = {it.at(0).get<double>(), it.at(1).get<int>()};
+            constexpr std::int64_t most_runs = std::numeric_limits<int>::max();
+            const auto runs = static_cast<int>(std::min(whole_from(it.at(1)), most_runs));
+            times.images[image] = {real_from(it.at(0)), runs};
         }
         next.settings = d.settings;
         d = std::move(next);
@@ -99,6 +127,10 @@
     {
         return 0;
     }
+    catch (const damaged_record&)
+    {
+        return 0;
+    }
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/entry_desk.cpp
+++ b/libs/hosted/src/entry_desk.cpp
@@ -4,6 +4,7 @@
 #include "hosted/keys.hpp"
 #include "workflow/records.hpp"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -165,7 +166,9 @@
     {
         for (const auto& [name, n] : from.items())
         {
-            out[name] = n.is_number_integer() ? n.get<int>() : 0;
+            const bool fits =
+                n.is_number_unsigned() && n.get<std::uint64_t>() <= std::numeric_limits<int>::max();
+            out[name] = fits ? n.get<int>() : 0;
         }
     }
     return out;
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -209,6 +209,7 @@
                 {{"prior", std::to_string(p.common->fleet.hosts.size())}});
         });
     p.machines->set_pools(pools_);
+    p.hosts->set_pools(pools_);
     p.machines->start([&p] { p.waves->see_machines(); }, [&p] { return p.waves->has_open_wave(); });
     p.waves->set_waves(waves_);
     p.tick();
@@ -236,6 +237,7 @@
     if (parts_ != nullptr)
     {
         parts_->machines->set_pools(pools_);
+        parts_->hosts->set_pools(pools_);
     }
 }
 
--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -16,6 +16,9 @@
 
 using nlohmann::json;
 
+/// No lease is nearly as long; a longer time would overflow the clocks when it is added to now.
+constexpr std::uint64_t longest_rest_ms = std::uint64_t{24} * 3600 * 1000;
+
 json write_row(const runner_record& it)
 {
     auto row = json::array({it.address, it.machine, it.pool});
@@ -39,7 +42,7 @@
         row[0].get<std::string>(), row[1].get<std::string>(), row[2].get<std::string>(), {}};
     if (row.size() == with_rest)
     {
-        if (!row[plain].is_number_unsigned())
+        if (!row[plain].is_number_unsigned() || row[plain].get<std::uint64_t>() > longest_rest_ms)
         {
             return {};
         }
@@ -180,24 +183,51 @@
     term_.ctx.time.after(pause(), term_.guarded([this] { read_list(); }));
 }
 
+void host_reader::set_pools(const std::vector<pool_settings>& pools)
+{
+    pools_.clear();
+    for (const auto& it : pools)
+    {
+        pools_.insert(it.name);
+    }
+}
+
+/// What is left out here is not listed: a runner that is known keeps its runs and its leases, which
+/// only its own answers or their lapse end, and gets no new work.
+core::result<coordinator::host_listing> host_reader::read_entry(const ports::stored_item& it) const
+{
+    auto read =
+        term_.spelling->read_runner(it.key.substr(term_.spelling->runner_prefix.size()), it.value);
+    if (core::is_ok(read) && !pools_.empty() && !pools_.contains(core::value(read).pool))
+    {
+        return core::error{
+            core::error_code::invalid, "no pool " + core::value(read).pool + " in force"};
+    }
+    return read;
+}
+
 void host_reader::take_list()
 {
     std::vector<coordinator::host_listing> all;
     for (const auto& it : items_)
     {
-        const auto id = it.key.substr(term_.spelling->runner_prefix.size());
-        auto read = term_.spelling->read_runner(id, it.value);
+        auto read = read_entry(it);
         if (core::is_ok(read))
         {
             all.push_back(std::move(core::value(read)));
         }
-        else
+        else if (is_news(damaged_, it))
         {
             term_.log(ports::log_level::error,
                 "runner_entry_damaged",
-                {{"host", id}, {"reason", core::failure(read).message}});
+                {{"key", it.key},
+                    {"revision", std::to_string(it.modified)},
+                    {"reason", core::failure(read).message}});
         }
     }
+    term_.ctx.tel.gauge("camphorhitch_runner_entries_unusable",
+        {},
+        static_cast<double>(items_.size() - all.size()));
     coordinator::task_events out;
     coordinator::see_hosts(term_.fleet, all, term_.now(), out);
     coordinator::lapse_hosts(term_.fleet, term_.now(), out);
--- a/libs/hosted/src/host_reader.hpp
+++ b/libs/hosted/src/host_reader.hpp
@@ -2,6 +2,7 @@
 /// Reads which runners there are, and records which of them this owner may give orders to.
 #pragma once
 
+#include "damage_notes.hpp"
 #include "term.hpp"
 
 #include <map>
@@ -39,6 +40,10 @@
     /// Reads the former owner's record, then keeps reading the list. \p done: the record is in.
     void start(std::function<void()> done);
 
+    /// The pools of the configuration in force; an entry of another names no runner to use. None:
+    /// not known yet, all are taken.
+    void set_pools(const std::vector<pool_settings>& pools);
+
     /// Brings the record up to date; call it when a runner answers for the first time.
     void record();
 
@@ -50,6 +55,7 @@
     core::millis pause() const;
     void take_page(ports::page_read page);
     void take_list();
+    core::result<coordinator::host_listing> read_entry(const ports::stored_item& it) const;
     void take_former(const ports::stored_item& item);
     runner_records wanted_records() const;
     void mark_recorded();
@@ -60,6 +66,8 @@
     term& term_;
     std::function<void()> done_;
     std::vector<ports::stored_item> items_;
+    std::set<std::string> pools_;
+    damage_notes damaged_;
     runner_records recorded_; ///< as the last answered write left it
     /// Runners for which a successor may not wait as for others, if a write that is out, or was
     /// never answered, is in the store by now.
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -126,6 +126,34 @@
     arrivals_.clear();
 }
 
+void job_reader::tell_damage(const ports::stored_item& it, const std::string& reason)
+{
+    if (is_news(damaged_, it))
+    {
+        term_.log(ports::log_level::error,
+            "record_damaged",
+            {{"key", it.key}, {"revision", std::to_string(it.modified)}, {"reason", reason}});
+    }
+}
+
+/// A record that can't be read leaves its job alone; the others go on.
+std::optional<workflow::job> job_reader::read_spec(
+    const ports::stored_item& it, const std::string& id)
+{
+    auto read = workflow::read_job(it.value);
+    if (!core::is_ok(read))
+    {
+        tell_damage(it, core::failure(read).message);
+        return {};
+    }
+    if (core::value(read).id != id)
+    {
+        tell_damage(it, "it is of another job: " + core::value(read).id);
+        return {};
+    }
+    return std::move(core::value(read));
+}
+
 void job_reader::take_item(const ports::stored_item& it, coordinator::task_events& out)
 {
     auto id = it.key.substr(job_prefix.size());
@@ -139,40 +167,33 @@
     {
         return;
     }
-    auto read = workflow::read_job(it.value);
-    if (!core::is_ok(read))
+    auto spec = read_spec(it, id);
+    if (!spec)
     {
-        term_.log(ports::log_level::error,
-            "record_damaged",
-            {{"id", id}, {"reason", core::failure(read).message}});
         return;
     }
-    auto& spec = core::value(read);
     workflow::job_progress progress;
     ports::revision stored = 0;
     if (const auto state = states_.find(id); state != states_.end())
     {
         stored = state->second.modified;
-        const auto found = workflow::read_progress(spec, state->second.value);
-        if (core::is_ok(found))
-        {
-            progress = core::value(found);
-        }
-        else
+        auto found = workflow::read_progress(*spec, state->second.value);
+        if (!core::is_ok(found))
         {
-            term_.log(ports::log_level::error,
-                "record_damaged",
-                {{"id", id}, {"reason", core::failure(found).message}});
+            // Which of its tasks are done can't be read. Taken for new, it would run them twice.
+            tell_damage(state->second, core::failure(found).message);
+            return;
         }
+        progress = std::move(core::value(found));
     }
     out.push_back({"job_taken",
         id,
         0,
         "",
-        "queue=" + spec.queue + " revision=" + std::to_string(it.created) +
+        "queue=" + spec->queue + " revision=" + std::to_string(it.created) +
             " stored=" + std::to_string(stored)});
-    arrivals_.push_back(spec);
-    coordinator::add_job(term_.fleet, std::move(spec), it.created, progress, stored);
+    arrivals_.push_back(*spec);
+    coordinator::add_job(term_.fleet, std::move(*spec), it.created, progress, stored);
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/job_reader.hpp
+++ b/libs/hosted/src/job_reader.hpp
@@ -2,6 +2,7 @@
 /// Brings accepted jobs and cancels from the metadata store into the fleet.
 #pragma once
 
+#include "damage_notes.hpp"
 #include "hosted/prefix_follower.hpp"
 #include "term.hpp"
 
@@ -26,10 +27,13 @@
     void note_arrivals();
     void note_finished();
     void take_item(const ports::stored_item& it, coordinator::task_events& out);
+    std::optional<workflow::job> read_spec(const ports::stored_item& it, const std::string& id);
+    void tell_damage(const ports::stored_item& it, const std::string& reason);
 
     term& term_;
     std::map<std::string, ports::stored_item> states_; ///< by job, until the jobs are read
-    std::vector<workflow::job> arrivals_;              ///< taken in and not noted yet
+    damage_notes damaged_;
+    std::vector<workflow::job> arrivals_; ///< taken in and not noted yet
     std::unique_ptr<prefix_follower> follower_;
     std::function<void()> done_;
 };
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -12,11 +12,16 @@
 namespace
 {
 
-std::int64_t read_term(const std::string& text)
+/// \return the count of terms. Where it can't be read, or is none that was ever written, the key's
+/// revision stands in: each term took a write, so no term before had a higher number. With a lower
+/// one, runners would refuse this term's runs as older than those they have seen.
+std::int64_t read_term(const ports::stored_item& it)
 {
-    std::int64_t n = 0;
-    std::from_chars(text.data(), text.data() + text.size(), n);
-    return n;
+    const auto* const end = it.value.data() + it.value.size();
+    std::int64_t n = -1;
+    const auto [stop, ec] = std::from_chars(it.value.data(), end, n);
+    const bool whole = ec == std::errc{} && stop == end && n >= 0 && n <= it.modified;
+    return whole ? n : it.modified;
 }
 
 } // namespace
@@ -85,7 +90,7 @@
     else if (it.item.key == leader_term_key)
     {
         term_revision = revision;
-        term = read_term(it.item.value);
+        term = it.removed ? -1 : read_term(it.item);
     }
 }
 
--- a/libs/hosted/src/wave_runner.cpp
+++ b/libs/hosted/src/wave_runner.cpp
@@ -42,7 +42,10 @@
     {
         return out;
     }
-    out.due_unix_ms = from["due_unix_ms"].get<std::int64_t>();
+    // A century: a later time would overflow the clocks when it is reckoned from now.
+    constexpr std::int64_t latest_unix_ms = std::int64_t{100} * 365 * 24 * 3600 * 1000;
+    const auto due = from["due_unix_ms"].get<std::int64_t>();
+    out.due_unix_ms = due > 0 && due <= latest_unix_ms ? due : 0;
     for (const auto& it : from["begun"])
     {
         if (it.is_string())
--- a/libs/hosted/tests/config_follower_tests.cpp
+++ b/libs/hosted/tests/config_follower_tests.cpp
@@ -74,6 +74,47 @@
         [](const auto& it) { return it.find("config_damaged") != std::string::npos; }));
 }
 
+// The text stays damaged while the store forgets its history and all is read anew. It is told once;
+// written anew and damaged again, once more.
+TEST(config_follower, damage_is_told_once_for_each_writing)
+{
+    begin();
+    const auto told = [this]
+    {
+        const auto& lines = c.nodes.front().log.lines;
+        return std::count_if(lines.begin(),
+            lines.end(),
+            [](const auto& it) { return it.find("config_damaged") != std::string::npos; });
+    };
+    put("operator/config", "{");
+    for (int i = 0; i < 3; ++i)
+    {
+        c.nodes.front().process.store_cut = true;
+        c.time.run_for(2s);
+        c.store.put("operator/wave/1", "1");
+        c.store.compact();
+        c.nodes.front().process.store_cut = false;
+        c.time.run_for(15s);
+    }
+    CHECK(c.nodes.front().log.has("history_lost"));
+    LONGS_EQUAL(1, told());
+    put("operator/config", "{");
+    LONGS_EQUAL(2, told());
+}
+
+// Another writer's key holds a text with the number of a wave that is under way. It must not stand
+// in for that wave.
+TEST(config_follower, a_wave_under_another_key_is_none)
+{
+    begin();
+    put("operator/wave/12", "1");
+    put("operator/wave/x", "1");
+    put("operator/wave/", "1");
+    LONGS_EQUAL(0, waves);
+    put("operator/wave/1", "1");
+    LONGS_EQUAL(1, waves);
+}
+
 // The store forgets its history while the follower waits. It reads all anew and misses nothing.
 TEST(config_follower, a_lost_history_loses_no_change)
 {
--- a/libs/workflow/src/checks.cpp
+++ b/libs/workflow/src/checks.cpp
@@ -1,5 +1,7 @@
 #include "workflow/checks.hpp"
 
+#include <algorithm>
+
 namespace camphorhitch::workflow
 {
 
@@ -60,6 +62,14 @@
     {
         add(all, "", "the time between occurrences can't be negative");
     }
+    // In whole milliseconds; the time of the last occurrence must fit 64 bits with room for sums.
+    constexpr std::int64_t latest = std::int64_t{1} << 53;
+    const std::int64_t times = std::max(j.timing.occurrences, 1);
+    if (j.timing.first_unix_ms < 0 || j.timing.first_unix_ms > latest ||
+        j.timing.interval_ms > latest / times)
+    {
+        add(all, "", "the last occurrence is too far in the future");
+    }
 }
 
 } // namespace
--- a/libs/workflow/src/records.cpp
+++ b/libs/workflow/src/records.cpp
@@ -1,10 +1,12 @@
 #include "workflow/records.hpp"
 
 #include "describe.hpp"
+#include "workflow/checks.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace camphorhitch::workflow
 {
@@ -43,10 +45,40 @@
     return from.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+/// Times of day in milliseconds; far below what the clocks' nanoseconds hold.
+constexpr std::int64_t latest_unix_ms = std::int64_t{100} * 365 * 24 * 3600 * 1000;
+
+/// \return a whole number from 0 to \p most. Throws else: converted, a number that does not fit
+/// would become any other.
+std::int64_t whole(const json& it, std::int64_t most)
+{
+    if (!it.is_number_unsigned() || it.get<std::uint64_t>() > static_cast<std::uint64_t>(most))
+    {
+        throw std::out_of_range{"no such number"};
+    }
+    return it.get<std::int64_t>();
+}
+
+/// \return when the job became final; 0 when that is left out.
+std::int64_t end_of(const json& from)
+{
+    const auto it = from.find("ended_unix_ms");
+    return it == from.end() ? 0 : whole(*it, latest_unix_ms);
+}
+
+/// Numbers of runs begin anew above those of former terms; a term has a thousand.
+constexpr std::int64_t most_run = std::int64_t{1} << 53;
+
 void set_task(job_progress& p, std::size_t place, const json& entry)
 {
     auto& t = p.tasks.at(place);
-    get(entry, "failed_runs", t.failed_runs);
+    if (const auto runs = entry.find("failed_runs"); runs != entry.end())
+    {
+        for (const auto& it : runs->get_ref<const json::array_t&>())
+        {
+            t.failed_runs.push_back(whole(it, most_run));
+        }
+    }
     get(entry, "checkpoint", t.checkpoint);
 }
 
@@ -64,7 +96,14 @@
     {
         return damaged("job", core::to_text(*found));
     }
-    return std::get<job>(std::move(read));
+    // What callers send is checked as well; a record that others wrote may name steps and tasks
+    // that there are not.
+    auto& j = std::get<job>(read);
+    if (const auto wrong = check_job(j); !wrong.empty())
+    {
+        return damaged("job", core::to_text(wrong));
+    }
+    return std::move(j);
 }
 
 std::string write_progress(const job& j, const job_progress& p)
@@ -107,10 +146,17 @@
         }
         job_progress p;
         p.state = *state;
-        get(from, "ended_unix_ms", p.ended_unix_ms);
+        p.ended_unix_ms = end_of(from);
         p.tasks.resize(tasks_per_occurrence(j) * static_cast<std::size_t>(occurrences_of(j)));
         std::string done;
         get(from, "done", done);
+        // Of an open job each task is told of: one that is done must not run again.
+        const bool whole_text =
+            done.size() == p.tasks.size() && done.find_first_not_of("01") == std::string::npos;
+        if (!is_final(p.state) && !whole_text)
+        {
+            return damaged("progress", "not a digit for each task");
+        }
         for (std::size_t i = 0; i < std::min(done.size(), p.tasks.size()); ++i)
         {
             p.tasks[i].done = done[i] == '1';
@@ -141,10 +187,10 @@
             return damaged("progress", "no such state");
         }
         job_end out{*state, 0};
-        get(from, "ended_unix_ms", out.unix_ms);
+        out.unix_ms = end_of(from);
         return out;
     }
-    catch (const json::exception& ec)
+    catch (const std::exception& ec)
     {
         return damaged("progress", ec.what());
     }
--- a/libs/workflow/tests/records_tests.cpp
+++ b/libs/workflow/tests/records_tests.cpp
@@ -108,7 +108,18 @@
     {
         CHECK_FALSE(core::is_ok(read_progress(j, text)));
     }
-    for (const char* text : {"", "{}", R"({"steps":[{"tasks":"x"}]})"})
+    for (const char* text :
+        {"",
+            "{}",
+            R"({"steps":[{"tasks":"x"}]})",
+            R"({"steps":[]})",
+            R"({"steps":[{"tasks":0}]})",
+            R"({"steps":[{"tasks":2000000000}]})",
+            R"({"steps":[{"after":[3]}]})",
+            R"({"steps":[{}],"stretch":1e300})",
+            R"({"steps":[{}],"slack_ms":9223372036854775807})",
+            R"({"steps":[{}],"accepted_unix_ms":9223372036854775807})",
+            R"({"steps":[{}],"occurrences":9000,"first_unix_ms":1,"interval_ms":9000000000000000})"})
     {
         CHECK_FALSE(core::is_ok(read_job(text)));
     }
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -543,10 +543,15 @@
     {
         const auto first = text.find(' ');
         const auto second = text.find(' ', first + 1);
+        const auto state = second == std::string::npos ? "" : text.substr(second + 1);
+        if (first == 0 || (state != "ready" && state != "draining"))
+        {
+            return core::error{core::error_code::invalid, "damaged runner entry"};
+        }
         coordinator::host_listing h;
         h.pool = text.substr(0, first);
         h.ref = {id, text.substr(first + 1, second - first - 1)};
-        h.draining = text.substr(second + 1) == "draining";
+        h.draining = state == "draining";
         h.capacity = fake_host{}.capacity;
         return h;
     };
