A full list of ends proves nothing about the runs that it doesn't name

Cause: an answer lists 500 ends at most. While progress can't be stored, ends pile up unacknowledged; a run whose end is beyond the list is neither running nor ended there, so it was taken for one that never was. Its task started again, and its end was taken note of later: it ran twice. A successor that looks at such a runner for the first time took it for wholly examined.

Change: such an answer judges no missing runs, and the runner stays unexamined until the list is whole.

--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -191,6 +191,23 @@
     }
 }
 
+void judge_all_missing(fleet& f,
+    host_entry& h,
+    const std::set<std::string>& listed,
+    core::mono_time begun,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto runs = h.runs; // judging removes from the host's own table
+    for (const auto& [text, name] : runs)
+    {
+        if (!listed.contains(text))
+        {
+            judge_missing(f, h, name, begun, now, out);
+        }
+    }
+}
+
 } // namespace
 
 bool start_answered(fleet& f,
@@ -318,20 +335,18 @@
         see_running(f, *h, it, now, out);
         listed.insert(it.task);
     }
-    const auto runs = h->runs; // judging removes from the host's own table
-    for (const auto& [text, name] : runs)
-    {
-        if (!listed.contains(text))
-        {
-            judge_missing(f, *h, name, begun, now, out);
-        }
-    }
     if (h->prior)
     {
-        h->prior = false;
         // A former owner's lease may reach further than this owner's first.
         note_lease(*h, h->clock_ms + (f.settings.runner_lease + f.settings.leader_lease).count());
     }
+    // A full list may leave out the end of a run that is not listed: taken for one that never was,
+    // its task would start again, and its end count later.
+    if (answer.ended.size() < ports::most_ends_listed)
+    {
+        judge_all_missing(f, *h, listed, begun, now, out);
+        h->prior = false;
+    }
     return true;
 }
 
--- a/libs/hosted/tests/lagging_owner_tests.cpp
+++ b/libs/hosted/tests/lagging_owner_tests.cpp
@@ -115,3 +115,45 @@
     STRCMP_EQUAL("", c.breaches().substr(0, 300).c_str());
     LONGS_EQUAL(4000, c.hosts.starts);
 }
+
+// As before, and nothing is stored when the owner dies. Its successor sees at its first look at a
+// runner only the first of the ends; what it doesn't see there must not start again.
+TEST(lagging_owner, a_successor_waits_for_the_whole_list_of_ends)
+{
+    cluster c;
+    bool lost = false;
+    c.plant = [&](node& n)
+    {
+        n.ctx.store.commit = [&, real = n.ctx.store.commit](const auto& t, const auto& done)
+        {
+            const bool progress = t.puts[0].key.starts_with(hosted::state_prefix);
+            if (lost && progress)
+            {
+                done({ports::kv_status::unknown, 0, {}, false});
+                return;
+            }
+            real(t, done);
+        };
+    };
+    c.hosts.behaviour.run_time = 20ms;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    c.add_node();
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    lost = true;
+    for (int i = 0; i < 40; ++i)
+    {
+        c.put_job(c.make_job("a" + std::to_string(i), 100));
+    }
+    c.time.run_for(3s);
+    c.leader()->process.dead = true;
+    c.time.run_for(3s);
+    lost = false;
+    for (int i = 0; i < 40; ++i)
+    {
+        CHECK(c.ends("a" + std::to_string(i), job_state::completed, 20s));
+    }
+    STRCMP_EQUAL("", c.breaches().substr(0, 300).c_str());
+}
--- a/libs/ports/include/ports/runners.hpp
+++ b/libs/ports/include/ports/runners.hpp
@@ -129,6 +129,9 @@
     std::string checkpoint;
 };
 
+/// A poll's answer lists no more ends; the others follow once these are acknowledged.
+inline constexpr std::size_t most_ends_listed = 500;
+
 struct poll_answer
 {
     runner_answer call;
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -22,8 +22,6 @@
 constexpr core::millis entry_expires{4500};
 constexpr core::millis move_time{1500};
 constexpr int whole = 100;
-/// An answer lists no more; the others come once these are acknowledged.
-constexpr std::size_t most_ends_listed = 500;
 
 /// "pool address state"
 std::string write_entry(const fake_host& h)
@@ -320,7 +318,7 @@
     {
         out.running.push_back({task, run.number, {}, whole, 0});
     }
-    const auto listed = std::min(h.ends.size(), most_ends_listed);
+    const auto listed = std::min(h.ends.size(), ports::most_ends_listed);
     out.ended.assign(h.ends.begin(), h.ends.begin() + static_cast<std::ptrdiff_t>(listed));
     for (const auto& it : out.ended)
     {
