A renewal that is late ends a term only by its answer, or by a lease's time without one

Cause: past its own bound a node gave ownership up before it read the answer that might lie in its socket. A node without processor time for a second lost a lease that stood at the store, and its successor had every runner to look at anew.

Change: past the bound nothing is ordered, as before; the node asks on, and an answer that the lease stands lets it go on. An answer that it has ended, or a lease's time beyond the bound, ends the term.

--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -199,12 +199,15 @@
     {
         return;
     }
-    if (ctx.boot_now() >= valid_until)
+    const auto sent = ctx.boot_now();
+    if (sent >= valid_until + settings.lease)
     {
         lose("the lease was not renewed in time");
         return;
     }
-    const auto sent = ctx.boot_now();
+    // Past valid_until nothing is ordered, but the lease may well stand: the answer that says so
+    // may lie unread on a node that got no processor time. An answer, or a lease's time without
+    // one, ends the term.
     ctx.store.keep_alive(lease,
         guarded([sent](leadership_state& self, const ports::kv_lease& got)
             { self.take_renewal(got, sent); }));
