Orders leave in slices, as many as the owner's loop keeps up with

Cause: a plan sent all its starts at once, and polls of all runners with news went out at a fixed rate, however late the loop was. Renewals, polls and answers waited behind them for seconds: ownership changed again and again and leases of sound runners lapsed.

What has no room isn't ordered: it waits in its order of service. The own lease is read before each start and stop.

--- a/libs/coordinator/include/coordinator/placement.hpp
+++ b/libs/coordinator/include/coordinator/placement.hpp
@@ -6,6 +6,7 @@
 #include "coordinator/fleet.hpp"
 
 #include <functional>
+#include <limits>
 
 namespace camphorhitch::coordinator
 {
@@ -32,13 +33,21 @@
     std::vector<start_action> starts;
     std::vector<stop_action> stops;
     std::vector<ask_action> asks;
+    int room = 0;     ///< orders that may still join
+    bool cut = false; ///< more was due than there was room for
 };
 
 /// Decides all orders that are due, and notes them in \p f as sent.
 /// \param unix_ms wall time, for scheduled jobs and the age of jobs
 /// \param may_start false: only stops (nothing that starts could be recorded)
-plan make_plan(
-    fleet& f, core::mono_time now, std::int64_t unix_ms, bool may_start, task_events& out);
+/// \param most_orders that are decided; the rest waits as before, for a later plan. A gang is not
+/// divided.
+plan make_plan(fleet& f,
+    core::mono_time now,
+    std::int64_t unix_ms,
+    bool may_start,
+    task_events& out,
+    int most_orders = std::numeric_limits<int>::max());
 
 /// Wants a run stopped; the next plan orders it. The task may start again once its end is certain.
 void want_stop(fleet& f,
--- a/libs/coordinator/src/gangs.cpp
+++ b/libs/coordinator/src/gangs.cpp
@@ -96,6 +96,11 @@
     {
         return; // some member of an earlier run is not certainly over
     }
+    if (to.room <= 0)
+    {
+        to.cut = true;
+        return;
+    }
     auto allowed = hosts;
     std::erase_if(
         allowed, [&](const auto* h) { return !is_advised(*h, j, w.occurrence, w.step, now); });
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -158,6 +158,11 @@
         {
             return; // the step's other tasks are alike
         }
+        if (to.room <= 0)
+        {
+            to.cut = true;
+            return;
+        }
         order_start(f, *h, j, name, next_run_number(t), now, to, out);
     }
 }
@@ -181,8 +186,14 @@
                     continue;
                 }
                 const auto* const h = find_host(f, it.host);
+                if (h != nullptr && to.room <= 0)
+                {
+                    to.cut = true;
+                    return;
+                }
                 if (h != nullptr)
                 {
+                    --to.room;
                     it.stop_in_flight = true;
                     to.stops.push_back({h->ref, workflow::name_of_task(j.spec, i), it.number});
                 }
@@ -193,10 +204,15 @@
 
 } // namespace
 
-plan make_plan(
-    fleet& f, core::mono_time now, std::int64_t unix_ms, bool may_start, task_events& out)
+plan make_plan(fleet& f,
+    core::mono_time now,
+    std::int64_t unix_ms,
+    bool may_start,
+    task_events& out,
+    int most_orders)
 {
     plan to;
+    to.room = most_orders;
     order_stops(f, now, to);
     if (!may_start)
     {
@@ -205,6 +221,10 @@
     std::map<std::string, std::vector<host_entry*>> pools;
     for (const auto& it : all_waiting_steps(f, now, unix_ms))
     {
+        if (to.cut)
+        {
+            break; // what comes later in the order of service would overtake
+        }
         const auto& pool = it.job->spec.pool;
         auto found = pools.find(pool);
         if (found == pools.end())
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -93,6 +93,7 @@
     run.ordered_at = now;
     run.changed_at = now;
     add_run(f, j, name, run);
+    --to.room;
     const auto* const ticket =
         j.spec.advised ? find_ticket(j, name.occurrence, name.step, h.ref.id, now) : nullptr;
     to.starts.push_back({h.ref,
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -71,7 +71,7 @@
         desk->send_paces(coordinator::plan_paces(t.fleet, t.settings.paces, begun, out));
     }
     const auto unix_ms = core::to_unix_ms(t.ctx.time.wall_now());
-    const auto orders = coordinator::make_plan(t.fleet, begun, unix_ms, true, out);
+    const auto orders = coordinator::make_plan(t.fleet, begun, unix_ms, true, out, desk->room());
     t.log(out);
     desk->send(orders);
     if (!t.fleet.dirty.empty())
@@ -178,6 +178,7 @@
     p.jobs = std::make_unique<job_reader>(t);
     p.hosts = std::make_unique<host_reader>(t);
     p.desk = std::make_unique<runner_desk>(t);
+    p.desk->start_watch();
     p.writer = std::make_unique<progress_writer>(t);
     p.machines = std::make_unique<machine_desk>(t);
     p.waves = std::make_unique<wave_runner>(t, p.machines->table());
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -9,10 +9,32 @@
 
 using ports::runner_verdict;
 
-runner_desk::runner_desk(term& t) : term_(t)
+runner_desk::runner_desk(term& t)
+    : term_(t), watch_(t,
+                    [this](core::micros late_by)
+                    { coordinator::see_delay(window_, window_settings_, late_by); })
 {
 }
 
+void runner_desk::start_watch()
+{
+    watch_.start();
+}
+
+int runner_desk::room() const
+{
+    return coordinator::room_for_orders(window_, window_settings_);
+}
+
+void runner_desk::order_is_back()
+{
+    --window_.out;
+    if (std::exchange(more_waits_, false))
+    {
+        term_.wake();
+    }
+}
+
 void runner_desk::poll_all()
 {
     for (const auto& [id, h] : term_.fleet.hosts)
@@ -58,7 +80,7 @@
     constexpr double ms_per_second = 1000;
     const auto hosts = static_cast<double>(term_.fleet.hosts.size());
     const auto fair = ms_per_second * hosts / term_.settings.most_polls_per_second;
-    return std::max(term_.settings.poll_gap, core::millis{static_cast<std::int64_t>(fair)});
+    return std::max(window_.gap, core::millis{static_cast<std::int64_t>(fair)});
 }
 
 void runner_desk::take_poll(
@@ -117,10 +139,35 @@
     {
         ask(it);
     }
+    more_waits_ = p.cut;
+    if (p.cut && room() > 0)
+    {
+        // The next slice in a turn of its own: renewals and polls come first.
+        term_.wake();
+    }
+    window_.was_in_the_way = window_.was_in_the_way || (p.cut && window_.out >= window_.size);
+}
+
+void runner_desk::take_start(const coordinator::start_action& a, const ports::runner_answer& answer)
+{
+    coordinator::task_events out;
+    const bool owner = coordinator::start_answered(
+        term_.fleet, a.host.id, a.task, a.run, answer, term_.now(), out);
+    take(owner, a.host.id, out);
+    if (answer.verdict != runner_verdict::done)
+    {
+        term_.wake();
+    }
 }
 
 void runner_desk::start(const coordinator::start_action& a)
 {
+    if (!term_.lead->holds())
+    {
+        // Asked for each order: the ones before it may have taken longer than the lease had left.
+        take_start(a, {runner_verdict::not_sent, -1});
+        return;
+    }
     auto& h = term_.fleet.hosts.at(a.host.id);
     ports::start_order order;
     order.task = workflow::write_task_name(a.task);
@@ -132,23 +179,17 @@
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
     coordinator::note_lease(h, order.lease_until_ms);
     const auto sent = term_.now();
+    ++window_.out;
     term_.ctx.runners.start(a.host,
         std::move(order),
         term_.guarded(
             [this, a, sent](const ports::runner_answer& answer)
             {
-                coordinator::task_events out;
-                const auto now = term_.now();
                 term_.ctx.tel.observe("camphorhitch_start_order_seconds",
                     {},
-                    std::chrono::duration<double>(now - sent).count());
-                const bool owner = coordinator::start_answered(
-                    term_.fleet, a.host.id, a.task, a.run, answer, now, out);
-                take(owner, a.host.id, out);
-                if (answer.verdict != runner_verdict::done)
-                {
-                    term_.wake();
-                }
+                    std::chrono::duration<double>(term_.now() - sent).count());
+                order_is_back();
+                take_start(a, answer);
             }));
 }
 
@@ -186,19 +227,31 @@
     term_.ctx.advice.ask(coordinator::write_step_name(a.step), a.runners, term_.guarded(answered));
 }
 
+void runner_desk::take_stop(const coordinator::stop_action& a, const ports::runner_answer& answer)
+{
+    coordinator::task_events out;
+    const bool owner =
+        coordinator::stop_answered(term_.fleet, a.host.id, a.task, a.run, answer, term_.now(), out);
+    take(owner, a.host.id, out);
+    term_.wake();
+}
+
 void runner_desk::stop(const coordinator::stop_action& a)
 {
+    if (!term_.lead->holds())
+    {
+        take_stop(a, {runner_verdict::not_sent, -1});
+        return;
+    }
+    ++window_.out;
     ports::stop_order order{workflow::write_task_name(a.task), a.run, term_.token};
     term_.ctx.runners.stop(a.host,
         std::move(order),
         term_.guarded(
             [this, a](const ports::runner_answer& answer)
             {
-                coordinator::task_events out;
-                const bool owner = coordinator::stop_answered(
-                    term_.fleet, a.host.id, a.task, a.run, answer, term_.now(), out);
-                take(owner, a.host.id, out);
-                term_.wake();
+                order_is_back();
+                take_stop(a, answer);
             }));
 }
 
--- a/libs/hosted/src/runner_desk.hpp
+++ b/libs/hosted/src/runner_desk.hpp
@@ -2,8 +2,10 @@
 /// Talks to the runners: polls each of them, sends starts and stops, takes the answers in.
 #pragma once
 
+#include "coordinator/order_window.hpp"
 #include "coordinator/pacing.hpp"
 #include "coordinator/placement.hpp"
+#include "loop_watch.hpp"
 #include "term.hpp"
 
 #include <map>
@@ -17,9 +19,14 @@
 public:
     explicit runner_desk(term& t);
 
+    void start_watch();
+
     /// Polls each host that is not being polled.
     void poll_all();
 
+    /// \return the orders that may be planned now.
+    int room() const;
+
     /// Sends the plan's orders.
     void send(const coordinator::plan& p);
 
@@ -36,10 +43,17 @@
     void poll_later(const std::string& host, core::millis delay);
     void start(const coordinator::start_action& a);
     void stop(const coordinator::stop_action& a);
+    void take_start(const coordinator::start_action& a, const ports::runner_answer& answer);
+    void take_stop(const coordinator::stop_action& a, const ports::runner_answer& answer);
+    void order_is_back();
     void ask(const coordinator::ask_action& a);
     void take(bool still_owner, const std::string& host, const coordinator::task_events& out);
 
     term& term_;
+    loop_watch watch_;
+    coordinator::window_settings window_settings_;
+    coordinator::order_window window_;
+    bool more_waits_ = false;       ///< the latest plan was cut
     std::set<std::string> polling_; ///< a poll is out, or a timer for the next one runs
     std::set<std::string> strays_out_;
 };
