--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -16,7 +16,6 @@
 {
 
 using ports::runner_verdict;
-using host_runs = decltype(host_entry::runs);
 
 std::string verdict_text(const ports::runner_answer& answer)
 {
@@ -244,6 +243,23 @@
     return std::nullopt;
 }
 
+void judge_all_missing(fleet& f,
+    host_entry& h,
+    const std::set<std::string>& listed,
+    core::mono_time begun,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto runs = h.runs; // judging removes from the host's own table
+    for (const auto& [text, name] : runs)
+    {
+        if (!listed.contains(text))
+        {
+            judge_missing(f, h, name, begun, now, out);
+        }
+    }
+}
+
 } // namespace
 
 bool contact_answered(fleet& f,
@@ -357,22 +373,18 @@
         see_running(f, *h, it, now, out);
         listed.insert(it.task);
     }
-    // With ends left out a run that is not listed may have ended, and be told of in a later answer:
-    // started again now, its task would have run twice by then.
-    const auto runs = answer.ends_left_out ? host_runs{} : h->runs; // judging changes the table
-    for (const auto& [text, name] : runs)
-    {
-        if (!listed.contains(text))
-        {
-            judge_missing(f, *h, name, begun, now, out);
-        }
-    }
     if (h->prior)
     {
-        h->prior = false;
         // A former owner's lease may reach further than this owner's first.
         note_lease(*h, h->clock_ms + (f.settings.runner_lease + f.settings.leader_lease).count());
     }
+    // With ends left out a run that is not listed may have ended, and be told of in a later answer:
+    // started again now, its task would have run twice by then.
+    if (!answer.ends_left_out)
+    {
+        judge_all_missing(f, *h, listed, begun, now, out);
+        h->prior = false;
+    }
     return true;
 }
 
