How long answers lie unread, and the processor time that the coordinator uses

Cause: in a trial the coordinator's timers were 30 to 90 ms late at most while starts waited 450 to 690 ms for their answers and ends as long for their storing: a turn of the loop takes all timers and 64 descriptors, so a backlog of descriptors shows in no timer. The clock of the process's processor time told the span itself.

Change: a probe that takes its turn among the descriptors ten times a second (socket_late_ms beside timer_late_ms, also for lapsed hosts), and the processor time by getrusage.

--- a/libs/hosted/include/hosted/context.hpp
+++ b/libs/hosted/include/hosted/context.hpp
@@ -30,6 +30,8 @@
     /// it: by the monotonic clock, which stands still then, a woken process would still trust a
     /// lease that lapsed in its sleep.
     std::function<core::mono_time()> boot_now;
+    /// Runs \p fn behind the descriptors that are ready now; without a function: there are none.
+    std::function<void(std::function<void()> fn)> post_behind_descriptors;
     /// Processor time that this process has used; without a function: not known.
     std::function<core::micros()> processor_time;
 };
--- a/libs/hosted/src/load_report.cpp
+++ b/libs/hosted/src/load_report.cpp
@@ -215,7 +215,8 @@
         {"hosts", load_kind::level, m.fleet.hosts},
         {"hosts_silent", load_kind::level, m.fleet.hosts_silent},
         {"hosts_lease_low", load_kind::level, m.fleet.hosts_lease_low},
-        {"loop_late_ms", load_kind::level, m.loop_late.count()},
+        {"timer_late_ms", load_kind::level, m.timer_late.count()},
+        {"socket_late_ms", load_kind::level, m.socket_late.count()},
         {"lease_age_ms", load_kind::level, m.lease_age.count()},
     };
     if (m.processor)
@@ -234,14 +235,19 @@
 }
 
 ports::log_fields lapse_fields(
-    const coordinator::host_lapse& it, const loop_delays& delays, core::mono_time now)
+    const coordinator::host_lapse& it, const load_report& r, core::mono_time now)
 {
-    const auto late = std::chrono::ceil<core::millis>(delays.largest_since(it.answered));
+    const auto largest = [&](const loop_delays& of)
+    {
+        return std::to_string(
+            std::chrono::ceil<core::millis>(of.largest_since(it.answered)).count());
+    };
     return {{"host", it.host},
         {"runs", std::to_string(it.runs)},
         {"since_answer_ms", age_text(it.answered, now)},
         {"since_poll_ms", age_text(it.polled, now)},
-        {"loop_late_ms", std::to_string(late.count())}};
+        {"timer_late_ms", largest(r.timer_delays)},
+        {"socket_late_ms", largest(r.socket_delays)}};
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/load_report.hpp
+++ b/libs/hosted/src/load_report.hpp
@@ -41,7 +41,7 @@
     core::micros largest_{0};
 };
 
-/// By how much timers were late, for the last 16 s.
+/// By how much the loop was late, for the last 16 s.
 class loop_delays
 {
 public:
@@ -114,7 +114,8 @@
 {
     load_counts counts;
     load_times times;
-    loop_delays delays;
+    loop_delays timer_delays;
+    loop_delays socket_delays; ///< from a descriptor's becoming ready to its being read
     end_ledger ends;
     std::int64_t orders_out = 0; ///< starts and stops that are not answered
 
@@ -129,9 +130,10 @@
 struct load_moment
 {
     coordinator::fleet_load fleet;
-    core::millis span{0};      ///< since the latest report
-    core::millis lease_age{0}; ///< of the own lease, the largest at a renewal in that time
-    core::millis loop_late{0}; ///< the largest delay of a timer in that time
+    core::millis span{0};        ///< since the latest report
+    core::millis lease_age{0};   ///< of the own lease, the largest at a renewal in that time
+    core::millis timer_late{0};  ///< the largest delay of a timer in that time
+    core::millis socket_late{0}; ///< the largest until a ready descriptor was read
     std::optional<core::millis> processor; ///< used in that time; nothing: not known
 };
 
@@ -156,6 +158,6 @@
 
 /// \return what tells whether a lapsed host was silent or this node late, ages in milliseconds.
 ports::log_fields lapse_fields(
-    const coordinator::host_lapse& it, const loop_delays& delays, core::mono_time now);
+    const coordinator::host_lapse& it, const load_report& r, core::mono_time now);
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/load_watch.cpp
+++ b/libs/hosted/src/load_watch.cpp
@@ -2,6 +2,8 @@
 
 #include "hosted/leadership.hpp"
 
+#include <utility>
+
 namespace camphorhitch::hosted
 {
 
@@ -11,6 +13,8 @@
 constexpr core::millis report_every{1000};
 /// A delay that is shorter than this may be missed; twice as many timers would show 10 ms more.
 constexpr core::millis probe_every{20};
+/// Each costs two calls of the system and a turn of the loop.
+constexpr core::millis socket_probe_every{100};
 
 core::micros processor_time(const context& c)
 {
@@ -60,7 +64,8 @@
 void load_watch::probe()
 {
     const auto now = term_.now();
-    term_.load.delays.add(now, now - due_);
+    term_.load.timer_delays.add(now, now - due_);
+    probe_sockets(now);
     if (now - reported_ >= report_every)
     {
         report(now);
@@ -68,13 +73,40 @@
     wait();
 }
 
+/// One at a time; while it waits, the delay so far counts.
+void load_watch::probe_sockets(core::mono_time now)
+{
+    if (sent_)
+    {
+        term_.load.socket_delays.add(now, now - *sent_);
+        return;
+    }
+    if (!term_.ctx.post_behind_descriptors || now - sockets_probed_ < socket_probe_every)
+    {
+        return;
+    }
+    sent_ = now;
+    sockets_probed_ = now;
+    term_.ctx.post_behind_descriptors(term_.guarded(
+        [this]
+        {
+            const auto at = term_.now();
+            term_.load.socket_delays.add(at, at - *std::exchange(sent_, std::nullopt));
+        }));
+}
+
 load_moment load_watch::measure(core::mono_time now)
 {
     load_moment m;
-    m.fleet = coordinator::measure_load(
-        term_.fleet, now, core::to_unix_ms(term_.ctx.time.wall_now()));
+    m.fleet =
+        coordinator::measure_load(term_.fleet, now, core::to_unix_ms(term_.ctx.time.wall_now()));
     m.span = std::chrono::duration_cast<core::millis>(now - reported_);
-    m.loop_late = std::chrono::ceil<core::millis>(term_.load.delays.largest_since(reported_));
+    const auto largest = [this](const loop_delays& of)
+    {
+        return std::chrono::ceil<core::millis>(of.largest_since(reported_));
+    };
+    m.timer_late = largest(term_.load.timer_delays);
+    m.socket_late = largest(term_.load.socket_delays);
     m.lease_age = term_.lead->take_lease_age();
     if (term_.ctx.processor_time)
     {
--- a/libs/hosted/src/load_watch.hpp
+++ b/libs/hosted/src/load_watch.hpp
@@ -4,6 +4,8 @@
 
 #include "term.hpp"
 
+#include <optional>
+
 namespace camphorhitch::hosted
 {
 
@@ -22,11 +24,14 @@
 private:
     void wait();
     void probe();
+    void probe_sockets(core::mono_time now);
     void report(core::mono_time now);
     load_moment measure(core::mono_time now);
 
     term& term_;
     core::mono_time due_;
+    std::optional<core::mono_time> sent_; ///< a probe among the descriptors waits for its turn
+    core::mono_time sockets_probed_;
     core::mono_time reported_;
     core::micros processor_{0}; ///< used until the latest report
 };
--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -62,7 +62,7 @@
     const auto at = now();
     for (const auto& it : coordinator::lapse_hosts(fleet, at, out))
     {
-        ctx.tel.log(ports::log_level::warning, "leases_lapsed", lapse_fields(it, load.delays, at));
+        ctx.tel.log(ports::log_level::warning, "leases_lapsed", lapse_fields(it, load, at));
     }
 }
 
--- a/libs/hosted/tests/load_report_tests.cpp
+++ b/libs/hosted/tests/load_report_tests.cpp
@@ -3,6 +3,7 @@
 #include "hosted_fakes/cluster.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <utility>
 
 using namespace camphorhitch;
 using namespace std::chrono_literals;
@@ -105,15 +106,17 @@
 
 TEST(load_report, a_lapse_tells_silence_from_lateness)
 {
-    hosted::loop_delays d;
+    hosted::load_report r;
     const core::mono_time now{1000s};
-    d.add(now - 5s, 3s);
-    d.add(now - 1s, 20ms);
-    const auto f = hosted::lapse_fields({"h1", 2, now - 3s, now - 2s}, d, now);
+    r.timer_delays.add(now - 5s, 3s);
+    r.timer_delays.add(now - 1s, 20ms);
+    r.socket_delays.add(now - 2s, 900ms);
+    const auto f = hosted::lapse_fields({"h1", 2, now - 3s, now - 2s}, r, now);
     STRCMP_EQUAL("3000", f[2].second.c_str());
     STRCMP_EQUAL("2000", f[3].second.c_str());
     STRCMP_EQUAL("20", f[4].second.c_str());
-    const auto never = hosted::lapse_fields({"h1", 2, {}, {}}, d, now);
+    STRCMP_EQUAL("900", f[5].second.c_str());
+    const auto never = hosted::lapse_fields({"h1", 2, {}, {}}, r, now);
     STRCMP_EQUAL("never", never[2].second.c_str());
 }
 
@@ -168,7 +171,39 @@
     LONGS_EQUAL(1, lines.size());
     STRCMP_EQUAL("1", value_in(lines[0], "runs").c_str());
     CHECK(std::stol(value_in(lines[0], "since_answer_ms")) >= 2500);
-    STRCMP_EQUAL("0", value_in(lines[0], "loop_late_ms").c_str());
+    STRCMP_EQUAL("0", value_in(lines[0], "timer_late_ms").c_str());
+}
+
+// Answers lie unread while timers fire in time: only the probe among the descriptors shows it, also
+// before its turn has come.
+TEST(load_report, a_backlog_of_descriptors_shows_where_timers_are_in_time)
+{
+    hosted_fakes::cluster c;
+    std::vector<std::function<void()>> behind;
+    c.plant = [&](hosted_fakes::node& n)
+    {
+        n.ctx.post_behind_descriptors = [&](std::function<void()> fn)
+        {
+            behind.push_back(std::move(fn));
+        };
+    };
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(2500ms);
+    LONGS_EQUAL(1, behind.size()); // one at a time
+    auto line = lines_of(*c.leader(), "coordinator_load").back();
+    STRCMP_EQUAL("0", value_in(line, "timer_late_ms").c_str());
+    CHECK(std::stol(value_in(line, "socket_late_ms")) >= 1500);
+    for (int i = 0; i < 30; ++i)
+    {
+        for (const auto& it : std::exchange(behind, {}))
+        {
+            it();
+        }
+        c.time.run_for(100ms);
+    }
+    line = lines_of(*c.leader(), "coordinator_load").back();
+    CHECK(std::stol(value_in(line, "socket_late_ms")) <= 100);
 }
 
 // The store stops answering: the line of the lost leadership tells that renewals went out in time.
--- a/libs/reactor/include/reactor/event_loop.hpp
+++ b/libs/reactor/include/reactor/event_loop.hpp
@@ -51,6 +51,10 @@
     /// so before closing the descriptor.
     void watch_fd(int fd, bool read, bool write, fd_callback callback);
 
+    /// Runs \p fn when the loop comes to a descriptor that becomes ready now: behind those that are
+    /// ready already. How late that is tells how long answers lie unread; no timer shows it.
+    void post_behind_descriptors(std::function<void()> fn);
+
     /// Calls \p callback on the loop, outside of any signal context, when a signal comes.
     void on_signals(const std::vector<int>& numbers, std::function<void(int number)> callback);
 
--- a/libs/reactor/src/event_loop.cpp
+++ b/libs/reactor/src/event_loop.cpp
@@ -86,7 +86,7 @@
     std::unique_ptr<ACE_Timer_Queue> queue, std::unique_ptr<ACE_Reactor_Impl> implementation)
     : timer_queue(std::move(queue)),
       ace(std::make_unique<ACE_Reactor>(implementation.release(), true)), timers(*ace), posts(*ace),
-      watches(*ace)
+      watches(*ace), turns(watches)
 {
 }
 
@@ -161,6 +161,11 @@
     }
 }
 
+void event_loop::post_behind_descriptors(std::function<void()> fn)
+{
+    state_->turns.post(std::move(fn));
+}
+
 void event_loop::on_signals(
     const std::vector<int>& numbers, std::function<void(int number)> callback)
 {
--- a/libs/reactor/src/loop_state.hpp
+++ b/libs/reactor/src/loop_state.hpp
@@ -112,6 +112,25 @@
     int pipe_[2] = {-1, -1};
 };
 
+/// Functions that wait for their turn among the descriptors: a byte in a pipe stands for them.
+class turn_pipe
+{
+public:
+    explicit turn_pipe(watch_handler& watches);
+    ~turn_pipe();
+    turn_pipe(const turn_pipe&) = delete;
+    turn_pipe& operator=(const turn_pipe&) = delete;
+
+    void post(std::function<void()> fn);
+
+private:
+    void run();
+
+    watch_handler& watches_;
+    int pipe_[2] = {-1, -1};
+    std::vector<std::function<void()>> waiting_;
+};
+
 struct loop_state
 {
     loop_state(
@@ -125,6 +144,7 @@
     timer_handler timers;
     post_handler posts;
     watch_handler watches;
+    turn_pipe turns;
     signal_handler signals;
     std::atomic<bool> stopping{false};
 };
--- a/libs/reactor/tests/event_loop_tests.cpp
+++ b/libs/reactor/tests/event_loop_tests.cpp
@@ -215,3 +215,43 @@
         CHECK(seen == std::vector<int>({SIGTERM, SIGINT}));
     }
 }
+
+// More descriptors are ready than the loop takes at once: who asks for a turn behind them gets it
+// after the last of them, and a second one in the same turn.
+TEST(event_loop, a_turn_behind_descriptors_comes_after_those_that_are_ready)
+{
+    constexpr std::size_t many = 150;
+    for (const bool select : both_kinds)
+    {
+        auto loop = reactor::event_loop::builder().use_select(select).build();
+        std::array<socket_pair, many> pairs;
+        std::size_t read = 0;
+        for (auto& it : pairs)
+        {
+            loop.watch_fd(it.ends[0],
+                true,
+                false,
+                [&read, fd = it.ends[0]](reactor::fd_events)
+                {
+                    char byte = 0;
+                    read += ::read(fd, &byte, 1) == 1 ? 1 : 0;
+                });
+            LONGS_EQUAL(1, ::write(it.ends[1], "x", 1));
+        }
+        int turns = 0;
+        loop.post_behind_descriptors(
+            [&]
+            {
+                LONGS_EQUAL(many, read);
+                ++turns;
+            });
+        loop.post_behind_descriptors([&] { ++turns; });
+        CHECK(run_until(loop, [&] { return turns == 2; }));
+        loop.post_behind_descriptors([&] { ++turns; });
+        CHECK(run_until(loop, [&] { return turns == 3; }));
+        for (auto& it : pairs)
+        {
+            loop.watch_fd(it.ends[0], false, false, {});
+        }
+    }
+}
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -22,6 +22,7 @@
 #include <fstream>
 #include <iterator>
 #include <optional>
+#include <sys/resource.h>
 
 namespace camphorhitch::daemon
 {
@@ -63,10 +64,10 @@
 
 core::micros processor_time()
 {
-    timespec t{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-    return std::chrono::duration_cast<core::micros>(
-        std::chrono::seconds{t.tv_sec} + std::chrono::nanoseconds{t.tv_nsec});
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    const auto whole = std::chrono::seconds{used.ru_utime.tv_sec + used.ru_stime.tv_sec};
+    return whole + core::micros{used.ru_utime.tv_usec + used.ru_stime.tv_usec};
 }
 
 std::string read_file(const std::string& name)
@@ -142,6 +143,10 @@
     ctx.tel = log;
     ctx.boot_now = boot_now;
     ctx.processor_time = processor_time;
+    ctx.post_behind_descriptors = [this](std::function<void()> fn)
+    {
+        loop.post_behind_descriptors(std::move(fn));
+    };
     company::store_client_settings store;
     store.address = settings.services.store;
     ctx.store = company::make_store_client(store_port, log, store);
