--- a/libs/reactor/src/event_loop.cpp
+++ b/libs/reactor/src/event_loop.cpp
@@ -93,7 +93,7 @@
     std::unique_ptr<ACE_Timer_Queue> queue, std::unique_ptr<ACE_Reactor_Impl> implementation)
     : timer_queue(std::move(queue)),
       ace(std::make_unique<ACE_Reactor>(implementation.release(), true)), timers(*ace), posts(*ace),
-      watches(*ace, usual_at_once), urgent_watches(*ace, urgent_at_once)
+      watches(*ace, usual_at_once), urgent_watches(*ace, urgent_at_once), turns(watches)
 {
 }
 
@@ -169,6 +169,11 @@
     }
 }
 
+void event_loop::post_behind_descriptors(std::function<void()> fn)
+{
+    state_->turns.post(std::move(fn));
+}
+
 void event_loop::on_signals(
     const std::vector<int>& numbers, std::function<void(int number)> callback)
 {
