Relays: the coordinator's calls to runners are made by all nodes

Cause: one node decides for the fleet and makes every call to a runner as well; the calls (HTTP, JSON) take more of its processor time than the decisions, and 40 other nodes stand idle. Change: relay::pool hands each order to a relay (weighted rendezvous hashing, the runner's zone first) over one connection a relay, relay::server carries it out with the node's own calls; hosted::relay_registry lists the relays under leases of the store. Below 120 runners calls stay local. A lost relay's orders end as unknown or not sent, its runners go to others; silence is judged by the time the own loop ran. Figures at size: not yet measured.

--- a/libs/coordinator/tests/world.hpp
+++ b/libs/coordinator/tests/world.hpp
@@ -49,7 +49,7 @@
     void add_host(const std::string& id, const std::string& rack = "r1")
     {
         host_entry h;
-        h.ref = {id, id + ":1"};
+        h.ref = {id, id + ":1", {}};
         h.pool = "p";
         h.rack = rack;
         h.labels = {"a", rack};
--- a/libs/core/include/core/rendezvous.hpp
+++ b/libs/core/include/core/rendezvous.hpp
@@ -17,4 +17,9 @@
 std::vector<std::size_t> rendezvous_order(
     std::string_view key, const std::vector<std::string_view>& members);
 
+/// Of members scored for the same key, the one with the highest score takes the key, and each gets
+/// keys in proportion to its weight. A member that comes or goes moves only its own keys.
+/// \param weight above 0
+double weighted_score(std::string_view key, std::string_view member, double weight);
+
 } // namespace camphorhitch::core
--- a/libs/core/src/rendezvous.cpp
+++ b/libs/core/src/rendezvous.cpp
@@ -1,6 +1,7 @@
 #include "core/rendezvous.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <xxhash.h>
 
@@ -37,4 +38,13 @@
     return order;
 }
 
+double weighted_score(std::string_view key, std::string_view member, double weight)
+{
+    constexpr int mantissa_bits = 53;
+    constexpr int dropped_bits = 64 - mantissa_bits;
+    const auto hash = stable_hash(member, stable_hash(key)) >> dropped_bits;
+    const double uniform = (static_cast<double>(hash) + 0.5) / std::exp2(mantissa_bits);
+    return -weight / std::log(uniform);
+}
+
 } // namespace camphorhitch::core
--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -12,6 +12,7 @@
 ///   coord/demand    what the coordinator has learnt of the demand and of run times
 ///   coord/pending   jobs that wait, by queue
 ///   coord/wave/N    hosts of wave N whose maintenance has begun
+///   relay/MEMBER    a node that carries orders to runners out; lives with its lease
 #pragma once
 
 #include <cstdint>
@@ -29,6 +30,7 @@
 inline const std::string runners_key = "coord/runners";
 inline const std::string demand_key = "coord/demand";
 inline const std::string pending_key = "coord/pending";
+inline const std::string relay_prefix = "relay/";
 
 inline std::string job_key(const std::string& id)
 {
@@ -45,6 +47,11 @@
     return state_prefix + id;
 }
 
+inline std::string relay_key(const std::string& member)
+{
+    return relay_prefix + member;
+}
+
 inline std::string wave_record_key(std::int64_t wave)
 {
     return "coord/wave/" + std::to_string(wave);
--- /dev/null
+++ b/libs/hosted/src/relay_registry.cpp
@@ -0,0 +1,236 @@
+#include "hosted/relay_registry.hpp"
+
+#include "hosted/keys.hpp"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace camphorhitch::hosted
+{
+
+using nlohmann::json;
+using ports::kv_status;
+
+std::string write_relay(const ports::relay_place& it)
+{
+    return json{{"address", it.address}, {"zone", it.zone}, {"share", it.share}}.dump();
+}
+
+core::result<ports::relay_place> read_relay(const std::string& member, const std::string& text)
+{
+    const auto from = json::parse(text, nullptr, false);
+    try
+    {
+        ports::relay_place out;
+        out.member = member;
+        from.at("address").get_to(out.address);
+        from.at("zone").get_to(out.zone);
+        from.at("share").get_to(out.share);
+        if (out.address.empty() || !(out.share > 0))
+        {
+            return core::error{core::error_code::invalid, "no address or no share"};
+        }
+        return out;
+    }
+    catch (const json::exception& e)
+    {
+        return core::error{core::error_code::invalid, e.what()};
+    }
+}
+
+struct registry_state : std::enable_shared_from_this<registry_state>
+{
+    context ctx;
+    registry_settings settings;
+    relay_registry::listener on_change;
+    ports::relay_place own;
+    bool offered = false;
+    ports::lease_id lease = 0;
+    ports::timer_id timer = 0;
+    std::unique_ptr<prefix_follower> follower;
+    std::map<std::string, ports::relay_place> seen; ///< by key
+
+    void schedule(core::millis delay, void (registry_state::*next)());
+    void register_own();
+    void take_lease(const ports::kv_lease& got);
+    void take_write(const ports::commit_result& result);
+    void renew();
+    void take_renewal(const ports::kv_lease& got);
+    void see(const ports::stored_item& it);
+    void tell();
+    void follow();
+
+    /// \return \p fn as a callback that outlives this state.
+    template <class Fn>
+    auto guarded(Fn fn)
+    {
+        return [weak = weak_from_this(), fn](const auto&... args)
+        {
+            if (const auto self = weak.lock())
+            {
+                fn(*self, args...);
+            }
+        };
+    }
+};
+
+void registry_state::schedule(core::millis delay, void (registry_state::*next)())
+{
+    ctx.time.cancel(timer);
+    timer = ctx.time.after(delay, guarded([next](registry_state& self) { (self.*next)(); }));
+}
+
+void registry_state::register_own()
+{
+    if (!offered)
+    {
+        return;
+    }
+    lease = 0;
+    ctx.store.grant_lease(settings.lease,
+        guarded([](registry_state& self, const ports::kv_lease& got) { self.take_lease(got); }));
+}
+
+void registry_state::take_lease(const ports::kv_lease& got)
+{
+    if (!offered || got.status != kv_status::ok)
+    {
+        schedule(settings.retry, &registry_state::register_own);
+        return;
+    }
+    lease = got.id;
+    ports::store_transaction t;
+    t.puts = {{relay_key(own.member), write_relay(own), lease}};
+    ctx.store.commit(std::move(t),
+        guarded([](registry_state& self, const ports::commit_result& result)
+            { self.take_write(result); }));
+}
+
+void registry_state::take_write(const ports::commit_result& result)
+{
+    const bool ok = result.status == kv_status::ok;
+    schedule(ok ? settings.renew_every : settings.retry,
+        ok ? &registry_state::renew : &registry_state::register_own);
+}
+
+void registry_state::renew()
+{
+    if (!offered)
+    {
+        return;
+    }
+    ctx.store.keep_alive(lease,
+        guarded([](registry_state& self, const ports::kv_lease& got) { self.take_renewal(got); }));
+}
+
+void registry_state::take_renewal(const ports::kv_lease& got)
+{
+    if (got.status == kv_status::ok && got.ttl.count() == 0)
+    {
+        register_own(); // the lease has lapsed, and the key with it
+        return;
+    }
+    const bool ok = got.status == kv_status::ok;
+    schedule(ok ? settings.renew_every : settings.retry, &registry_state::renew);
+}
+
+void registry_state::see(const ports::stored_item& it)
+{
+    const auto read = read_relay(it.key.substr(relay_prefix.size()), it.value);
+    if (!core::is_ok(read))
+    {
+        ctx.tel.log(ports::log_level::warning,
+            "relay_entry_damaged",
+            {{"key", it.key}, {"reason", core::failure(read).message}});
+        return;
+    }
+    seen[it.key] = core::value(read);
+}
+
+void registry_state::tell()
+{
+    std::vector<ports::relay_place> all;
+    all.reserve(seen.size());
+    for (const auto& [key, it] : seen)
+    {
+        all.push_back(it);
+    }
+    on_change(std::move(all));
+}
+
+void registry_state::follow()
+{
+    follower_settings s;
+    s.prefix = relay_prefix;
+    s.pause = settings.follow_pause;
+    follower_events events;
+    events.on_all = [this](const std::vector<ports::stored_item>& all)
+    {
+        seen.clear();
+        for (const auto& it : all)
+        {
+            see(it);
+        }
+        tell();
+    };
+    events.on_changes = [this](const std::vector<ports::stored_change>& all)
+    {
+        for (const auto& it : all)
+        {
+            seen.erase(it.item.key);
+            if (!it.removed)
+            {
+                see(it.item);
+            }
+        }
+        tell();
+    };
+    follower = std::make_unique<prefix_follower>(ctx, s, std::move(events));
+    follower->start();
+}
+
+relay_registry::relay_registry(context c, registry_settings s, listener on_change)
+    : state_(std::make_shared<registry_state>())
+{
+    state_->ctx = std::move(c);
+    state_->settings = s;
+    state_->on_change = std::move(on_change);
+}
+
+relay_registry::~relay_registry()
+{
+    state_->ctx.time.cancel(state_->timer);
+    state_->follower.reset();
+}
+
+void relay_registry::offer(ports::relay_place own)
+{
+    state_->own = std::move(own);
+    state_->offered = true;
+    state_->register_own();
+}
+
+void relay_registry::withdraw()
+{
+    auto& it = *state_;
+    it.offered = false;
+    it.ctx.time.cancel(it.timer);
+    if (it.lease != 0)
+    {
+        it.ctx.store.end_lease(std::exchange(it.lease, 0), [](kv_status) {});
+    }
+}
+
+void relay_registry::follow()
+{
+    state_->follow();
+}
+
+void relay_registry::unfollow()
+{
+    state_->follower.reset();
+    state_->seen.clear();
+}
+
+} // namespace camphorhitch::hosted
--- a/libs/ports/include/ports/runners.hpp
+++ b/libs/ports/include/ports/runners.hpp
@@ -19,6 +19,7 @@
 {
     std::string id;
     std::string address; ///< "ip:port"; another runner may have it after this one
+    std::string zone;    ///< its availability zone; empty: not known
 };
 
 /// How a call to a runner ended.
--- /dev/null
+++ b/libs/relay/src/pool.cpp
@@ -0,0 +1,362 @@
+#include "relay/pool.hpp"
+
+#include "codec.hpp"
+#include "core/rendezvous.hpp"
+#include "pool_state.hpp"
+
+#include <utility>
+
+namespace camphorhitch::relay
+{
+
+using ports::runner_verdict;
+
+namespace
+{
+
+void add(verdict_counts& counts, runner_verdict how)
+{
+    ++counts.at(static_cast<std::size_t>(how));
+}
+
+} // namespace
+
+void pool_state::report_counts(const char* way, verdict_counts& counts) const
+{
+    for (std::size_t i = 0; i < counts.size(); ++i)
+    {
+        if (counts.at(i) > 0)
+        {
+            const auto name = ports::runner_verdict_names.at(i).name;
+            parts.tel.count("camphorhitch_runner_orders_total",
+                {{"way", way}, {"verdict", std::string(name)}},
+                counts.at(i));
+        }
+    }
+    counts = {};
+}
+
+void pool_state::submit(waiting_order o)
+{
+    if (std::holds_alternative<ports::poll_order>(o.body))
+    {
+        count_runner(o.to.id);
+    }
+    waiting.push_back(std::move(o));
+    gather();
+}
+
+/// All orders of one turn of the loop go out together.
+void pool_state::gather()
+{
+    if (flushing)
+    {
+        return;
+    }
+    flushing = true;
+    time.post(
+        [weak = weak_from_this()]
+        {
+            if (const auto self = weak.lock())
+            {
+                self->flushing = false;
+                self->flush();
+            }
+        });
+}
+
+void pool_state::count_runner(const std::string& id)
+{
+    polled[id] = clock.elapsed;
+    if (!needed && polled.size() >= settings.fewest_runners)
+    {
+        needed = true;
+        settle_until = clock.elapsed + settings.settle;
+        connect_due();
+    }
+}
+
+bool pool_state::settling() const
+{
+    if (!active || !needed || clock.elapsed >= settle_until)
+    {
+        return false;
+    }
+    if (!listed)
+    {
+        return true;
+    }
+    for (const auto& [member, r] : relays)
+    {
+        if (!r.tried || r.state == relay_state::connecting)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void pool_state::flush()
+{
+    if (settling())
+    {
+        return; // a tick or the end of the last connect() comes back to it
+    }
+    for (auto& it : std::exchange(waiting, {}))
+    {
+        give(std::move(it));
+    }
+    for (auto& [member, r] : relays)
+    {
+        send_orders(r);
+    }
+}
+
+relay_entry* pool_state::route(const ports::runner_ref& to)
+{
+    if (!active || !needed)
+    {
+        return nullptr;
+    }
+    const auto known = routes.find(to.id);
+    if (known != routes.end())
+    {
+        return known->second;
+    }
+    auto* best = best_of(to, true);
+    best = best != nullptr ? best : best_of(to, false);
+    routes.emplace(to.id, best);
+    return best;
+}
+
+relay_entry* pool_state::best_of(const ports::runner_ref& to, bool same_zone)
+{
+    relay_entry* best = nullptr;
+    double best_score = 0;
+    for (auto& [member, r] : relays)
+    {
+        const bool fits = !same_zone || r.place.zone == to.zone;
+        if (r.state != relay_state::well || r.leaving || !fits)
+        {
+            continue;
+        }
+        const double score = core::weighted_score(to.id, member, r.place.share);
+        if (best == nullptr || score > best_score)
+        {
+            best = &r;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void pool_state::give(waiting_order o)
+{
+    auto* const r = route(o.to);
+    if (r == nullptr)
+    {
+        make_locally(std::move(o));
+        return;
+    }
+    const auto number = ++last_number;
+    const auto* const poll = std::get_if<ports::poll_order>(&o.body);
+    const auto rest = poll != nullptr ? poll->wait + settings.poll_slack : settings.order_timeout;
+    order_under_way it;
+    it.member = r->place.member;
+    it.done = std::move(o.done);
+    it.deadline = clock.elapsed + rest;
+    under_way.emplace(number, std::move(it));
+    r->orders.push_back({number, std::move(o.to), std::move(o.body)});
+}
+
+void pool_state::make_locally(waiting_order o)
+{
+    const auto counted = [weak = weak_from_this()](auto done)
+    {
+        return [weak, done = std::move(done)](const auto& a)
+        {
+            if (const auto self = weak.lock())
+            {
+                answer it;
+                it.body = a;
+                add(self->made_locally, call_of(it).verdict);
+            }
+            done(a);
+        };
+    };
+    using plain = std::function<void(ports::runner_answer)>;
+    if (auto* const poll = std::get_if<ports::poll_order>(&o.body))
+    {
+        auto done = std::get<std::function<void(ports::poll_answer)>>(std::move(o.done));
+        parts.local.poll(o.to, *poll, counted(std::move(done)));
+        return;
+    }
+    auto done = counted(std::get<plain>(std::move(o.done)));
+    if (auto* const start = std::get_if<ports::start_order>(&o.body))
+    {
+        parts.local.start(o.to, std::move(*start), std::move(done));
+    }
+    else if (auto* const stop = std::get_if<ports::stop_order>(&o.body))
+    {
+        parts.local.stop(o.to, std::move(*stop), std::move(done));
+    }
+    else
+    {
+        parts.local.pace(o.to, std::get<ports::pace_order>(std::move(o.body)), std::move(done));
+    }
+}
+
+void pool_state::send_orders(relay_entry& r)
+{
+    auto orders = std::exchange(r.orders, {});
+    order_batch part;
+    std::size_t bytes = 0;
+    for (auto& it : orders)
+    {
+        const auto more = size_bound(it);
+        if (bytes + more > batch_bytes && !part.orders.empty())
+        {
+            send_part(r, part);
+            part.orders.clear();
+            bytes = 0;
+        }
+        bytes += more;
+        part.orders.push_back(std::move(it));
+    }
+    if (!part.orders.empty())
+    {
+        send_part(r, part);
+    }
+}
+
+void pool_state::send_part(relay_entry& r, const order_batch& part)
+{
+    const auto wire = r.wire;
+    if (!wire)
+    {
+        // Lost since the orders were gathered for it; losing it has ended them.
+        return;
+    }
+    for (const auto& it : part.orders)
+    {
+        const auto found = under_way.find(it.number);
+        if (found != under_way.end())
+        {
+            found->second.framed = true;
+            found->second.bytes_before = wire->queued_bytes();
+        }
+    }
+    r.sent_at = clock.elapsed;
+    wire->send(encode(part));
+}
+
+void pool_state::take(const std::string& member, std::string_view frame)
+{
+    if (const auto r = relays.find(member); r != relays.end())
+    {
+        note_heard(r->second);
+    }
+    if (frame.empty())
+    {
+        return;
+    }
+    const auto read = decode_answers(frame);
+    if (!core::is_ok(read))
+    {
+        lose(member, "bad frame: " + core::failure(read).message);
+        return;
+    }
+    const auto& batch = core::value(read);
+    const auto r = relays.find(member);
+    if (batch.leaving && r != relays.end() && !r->second.leaving)
+    {
+        r->second.leaving = true;
+        routes.clear();
+        parts.tel.log(ports::log_level::info, "relay_leaving", {{"relay", member}});
+    }
+    for (const auto& it : batch.answers)
+    {
+        answer_order(it, member);
+    }
+}
+
+void pool_state::answer_order(const answer& a, const std::string& member)
+{
+    const auto found = under_way.find(a.number);
+    if (found == under_way.end() || found->second.member != member)
+    {
+        return; // timed out; its end has been told
+    }
+    const auto done = std::move(found->second.done);
+    under_way.erase(found);
+    add(relayed, call_of(a).verdict);
+    if (const auto* const plain = std::get_if<std::function<void(ports::runner_answer)>>(&done))
+    {
+        (*plain)(call_of(a));
+        return;
+    }
+    ports::poll_answer whole;
+    whole.call = call_of(a);
+    if (const auto* const rows = std::get_if<ports::poll_answer>(&a.body))
+    {
+        whole = *rows;
+    }
+    else if (whole.call.verdict == runner_verdict::done)
+    {
+        // An answer without rows would make all runs look missing.
+        whole.call.verdict = runner_verdict::unknown;
+    }
+    std::get<std::function<void(ports::poll_answer)>>(done)(whole);
+}
+
+void pool_state::finish(std::uint64_t number, runner_verdict how)
+{
+    const auto found = under_way.find(number);
+    if (found != under_way.end())
+    {
+        answer_order({number, ports::runner_answer{how, -1}}, std::string(found->second.member));
+    }
+}
+
+pool::pool(pool_parts parts, pool_settings s) : state_(std::make_shared<pool_state>())
+{
+    state_->parts = std::move(parts);
+    state_->settings = s;
+    state_->time = state_->parts.loop->scheduler();
+}
+
+pool::~pool()
+{
+    state_->end();
+    state_->close_all();
+}
+
+ports::runners pool::port()
+{
+    const auto submit = [weak = std::weak_ptr(state_)](
+                            const ports::runner_ref& to, auto order, auto done)
+    {
+        if (const auto self = weak.lock())
+        {
+            self->submit({to, std::move(order), std::move(done)});
+        }
+    };
+    return {submit, submit, submit, submit};
+}
+
+void pool::begin()
+{
+    state_->begin();
+}
+
+void pool::end()
+{
+    state_->end();
+}
+
+void pool::set_relays(std::vector<ports::relay_place> all)
+{
+    state_->set_relays(std::move(all));
+}
+
+} // namespace camphorhitch::relay
--- /dev/null
+++ b/libs/relay/tests/fixture.hpp
@@ -0,0 +1,249 @@
+/// \file
+/// A pool and relays on loopback, each with an event loop of its own, so that one can stand still.
+#pragma once
+
+#include "http_fakes/fakes.hpp"
+#include "relay/pool.hpp"
+#include "relay/server.hpp"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace camphorhitch::relay::testing
+{
+
+/// Collects log lines as "event key=value".
+struct log_lines
+{
+    std::vector<std::string> lines;
+
+    ports::telemetry port()
+    {
+        ports::telemetry out;
+        out.log = [this](ports::log_level, const std::string& event, const ports::log_fields& all)
+        {
+            auto line = event;
+            for (const auto& [key, text] : all)
+            {
+                line += ' ';
+                line += key;
+                line += '=';
+                line += text;
+            }
+            lines.push_back(line);
+        };
+        out.count = [](const std::string&, const ports::metric_labels&, double) {};
+        out.gauge = [](const std::string&, const ports::metric_labels&, double) {};
+        return out;
+    }
+
+    bool has(const std::string& part) const
+    {
+        for (const auto& it : lines)
+        {
+            if (it.find(part) != std::string::npos)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+};
+
+/// Runners that answer at once, or when told to.
+struct fake_runners
+{
+    std::vector<std::string> seen; ///< kind, runner and task of each order
+    bool answers = true;
+    std::vector<std::function<void()>> kept; ///< answers that are held back
+
+    /// \return the running row that each poll of the runner brings.
+    static ports::poll_answer poll_of(const std::string& runner)
+    {
+        ports::poll_answer out;
+        out.call = {ports::runner_verdict::done, 482113};
+        out.running.push_back({"job.0.1.2 of " + runner, 7, "saved", 41, 12});
+        out.ended.push_back({58, "job.0.0.1", 3, ports::run_end::failed, ""});
+        return out;
+    }
+
+    void answer(std::function<void()> say)
+    {
+        if (answers)
+        {
+            say();
+        }
+        else
+        {
+            kept.push_back(std::move(say));
+        }
+    }
+
+    ports::runners port()
+    {
+        const auto order = [this](const char* kind)
+        {
+            return [this, kind](const ports::runner_ref& to, const auto& o, auto done)
+            {
+                seen.push_back(std::string(kind) + ' ' + to.id + ' ' + o.task);
+                answer([done] { done({ports::runner_verdict::done, 5}); });
+            };
+        };
+        ports::runners out;
+        out.start = order("start");
+        out.stop = order("stop");
+        out.pace = order("pace");
+        out.poll = [this](const ports::runner_ref& to, const ports::poll_order&, auto done)
+        {
+            seen.push_back("poll " + to.id);
+            answer([done, id = to.id] { done(poll_of(id)); });
+        };
+        return out;
+    }
+};
+
+/// A node that relays.
+struct relay_node
+{
+    std::string member;
+    std::string zone;
+    reactor::event_loop loop = reactor::event_loop::builder().build();
+    fake_runners runners;
+    log_lines log;
+    core::millis asleep{0}; ///< the machine was suspended for so long
+    bool frozen = false;
+    std::unique_ptr<server> made;
+    std::uint16_t port = 0;
+
+    explicit relay_node(std::string name, std::string in = "z")
+        : member(std::move(name)), zone(std::move(in))
+    {
+        open("127.0.0.1:0");
+    }
+
+    void open(const std::string& address)
+    {
+        const auto boot_now = [this]
+        {
+            return loop.scheduler().now() + asleep;
+        };
+        auto opened = server::open(address, {&loop, runners.port(), log.port(), boot_now}, {});
+        made = std::move(core::value(opened));
+        port = made->port();
+    }
+
+    ports::relay_place place(double share = 1) const
+    {
+        return {member, http_fakes::loopback(port), zone, share};
+    }
+};
+
+/// The coordinator's side, and what runs beside it.
+struct bench
+{
+    reactor::event_loop loop = reactor::event_loop::builder().build();
+    fake_runners local;
+    log_lines log;
+    std::list<relay_node> relays;
+    std::unique_ptr<pool> made;
+    ports::runners port;
+
+    explicit bench(pool_settings s = few_needed())
+    {
+        made = std::make_unique<pool>(pool_parts{&loop, "own", local.port(), log.port()}, s);
+        port = made->port();
+    }
+
+    static pool_settings few_needed()
+    {
+        pool_settings s;
+        s.fewest_runners = 1;
+        return s;
+    }
+
+    relay_node& add(const std::string& member, const std::string& zone = "z")
+    {
+        return relays.emplace_back(member, zone);
+    }
+
+    std::vector<ports::relay_place> places() const
+    {
+        std::vector<ports::relay_place> out;
+        for (const auto& it : relays)
+        {
+            out.push_back(it.place());
+        }
+        return out;
+    }
+
+    /// One turn of each loop that does not stand still.
+    void turn()
+    {
+        loop.run_once(core::millis{2});
+        for (auto& it : relays)
+        {
+            if (!it.frozen)
+            {
+                it.loop.run_once(core::millis{1});
+            }
+        }
+    }
+
+    bool until(const std::function<bool()>& holds)
+    {
+        const auto end = loop.scheduler().now() + http_fakes::give_up;
+        while (!holds() && loop.scheduler().now() < end)
+        {
+            turn();
+        }
+        return holds();
+    }
+
+    void run_for(core::millis wait)
+    {
+        const auto end = loop.scheduler().now() + wait;
+        until([&] { return loop.scheduler().now() >= end; });
+    }
+
+    /// Begins a term and connects to all relays.
+    bool connect()
+    {
+        made->begin();
+        made->set_relays(places());
+        bool polled = false;
+        poll("first", [&](const ports::poll_answer&) { polled = true; });
+        return until([&] { return polled && connected() == relays.size(); });
+    }
+
+    std::size_t connected() const
+    {
+        std::size_t n = 0;
+        for (const auto& it : log.lines)
+        {
+            n += it.starts_with("relay_connected") || it.starts_with("relay_back") ? 1U : 0U;
+        }
+        return n;
+    }
+
+    void poll(const std::string& runner,
+        std::function<void(ports::poll_answer)> done,
+        const std::string& zone = "z") const
+    {
+        port.poll({runner, "10.0.0.1:80", zone}, {1000, 1, 0, core::millis{0}}, std::move(done));
+    }
+
+    void start(const std::string& runner,
+        const std::string& task,
+        std::function<void(ports::runner_answer)> done,
+        std::int64_t token = 1) const
+    {
+        port.start({runner, "10.0.0.1:80", "z"},
+            {task, 1, "payload", 1000, token, "", ""},
+            std::move(done));
+    }
+};
+
+} // namespace camphorhitch::relay::testing
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -18,7 +18,8 @@
 {
     std::string callers;
     std::string health;
-    std::string metrics;   ///< empty: not served
+    std::string metrics; ///< empty: not served
+    std::string relay; ///< for the coordinator's orders to runners; empty: no relay, and none used
     std::string operators; ///< for statements of the operators' language; empty: not served
 };
 
--- a/libs/settings/src/hosted_read.cpp
+++ b/libs/settings/src/hosted_read.cpp
@@ -27,6 +27,7 @@
     keys.required("callers", r.callers, check_address)
         .required("health", r.health, check_address)
         .defaulted("metrics", r.metrics, check_address_or_empty)
+        .defaulted("relay", r.relay, check_address_or_empty)
         .defaulted("operators", r.operators, check_address_or_empty);
 }
 
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -10,10 +10,13 @@
 #include "hosted/entry_desk.hpp"
 #include "hosted/fleet_driver.hpp"
 #include "hosted/leadership.hpp"
+#include "hosted/relay_registry.hpp"
 #include "hosted_operators.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "reactor/event_loop.hpp"
+#include "relay/pool.hpp"
+#include "relay/server.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <algorithm>
@@ -82,6 +85,10 @@
     ports::http_client runner_port;
     hosted::formats formats;
     hosted::context ctx;
+    ports::runners runners; ///< this node's own calls to runners
+    std::unique_ptr<relay::pool> relays;
+    std::unique_ptr<relay::server> relay_server;
+    std::unique_ptr<hosted::relay_registry> registry;
     std::unique_ptr<hosted::leadership> lead;
     std::unique_ptr<hosted::fleet_driver> driver;
     std::unique_ptr<hosted::entry_desk> desk;
@@ -108,7 +115,9 @@
     }
 
     void make_clients();
+    void make_relays();
     void make_services();
+    core::result<core::done> open_relay();
     core::result<core::done> open_servers();
     core::result<core::done> open_server(
         const std::string& address, ports::http_events events, std::optional<http::server>& to);
@@ -136,7 +145,8 @@
     company::store_client_settings store;
     store.address = settings.services.store;
     ctx.store = company::make_store_client(store_port, log, store);
-    ctx.runners = company::make_runner_client(runner_port, log, {});
+    runners = company::make_runner_client(runner_port, log, {});
+    ctx.runners = runners;
     if (!settings.services.advice.empty())
     {
         company::advice_client_settings advice;
@@ -149,6 +159,36 @@
     ctx.machines = company::make_machine_client(store_port, log, machines);
 }
 
+void hosted_node::parts::make_relays()
+{
+    if (settings.listen.relay.empty())
+    {
+        return;
+    }
+    relays = std::make_unique<relay::pool>(
+        relay::pool_parts{&loop, settings.member, runners, log}, relay::pool_settings{});
+    ctx.runners = relays->port();
+    registry = std::make_unique<hosted::relay_registry>(ctx,
+        hosted::registry_settings{},
+        [this](std::vector<ports::relay_place> all) { relays->set_relays(std::move(all)); });
+}
+
+core::result<core::done> hosted_node::parts::open_relay()
+{
+    if (settings.listen.relay.empty())
+    {
+        return core::done{};
+    }
+    auto opened = relay::server::open(
+        settings.listen.relay, {&loop, runners, log, boot_now}, relay::server_limits{});
+    if (!core::is_ok(opened))
+    {
+        return core::failure(opened);
+    }
+    relay_server = std::move(core::value(opened));
+    return core::done{};
+}
+
 void hosted_node::parts::make_services()
 {
     formats = company::make_formats();
@@ -158,11 +198,21 @@
     hosted::leadership_events events;
     events.on_gained = [this](std::int64_t term, ports::revision token)
     {
+        if (relays)
+        {
+            relays->begin();
+            registry->follow();
+        }
         driver->begin(term, token);
     };
     events.on_lost = [this](const std::string&)
     {
         driver->end();
+        if (relays)
+        {
+            relays->end();
+            registry->unfollow();
+        }
     };
     lead = std::make_unique<hosted::leadership>(ctx, lease, events);
     hosted::driver_settings drive;
@@ -294,6 +344,11 @@
     log.log(ports::log_level::info,
         "stopping",
         {{"open_exchanges", std::to_string(callers.open_exchanges())}});
+    if (relay_server)
+    {
+        registry->withdraw();
+        relay_server->leave();
+    }
     lead->resign([this] { log.log(ports::log_level::info, "resigned", {}); });
     ctx.time.after(lame_duck, [this] { watch_stop(); });
 }
@@ -340,12 +395,18 @@
 {
     auto p = std::make_unique<parts>(s, file);
     p->make_clients();
+    p->make_relays();
     p->make_services();
     const auto opened = p->open_servers();
     if (!core::is_ok(opened))
     {
         return core::failure(opened);
     }
+    const auto relaying = p->open_relay();
+    if (!core::is_ok(relaying))
+    {
+        return core::failure(relaying);
+    }
     return std::unique_ptr<hosted_node>(new hosted_node(std::move(p)));
 }
 
@@ -372,6 +433,13 @@
         });
     p.config->start();
     p.lead->start();
+    if (p.registry)
+    {
+        p.registry->offer({p.settings.member,
+            p.settings.listen.relay,
+            p.settings.zone,
+            p.settings.processor_share});
+    }
     p.loop.run();
     p.log.log(ports::log_level::info, "stopped", {});
     return 0;
--- a/testing/day_sim/src/day.cpp
+++ b/testing/day_sim/src/day.cpp
@@ -265,7 +265,7 @@
                 continue;
             }
             coordinator::host_listing h;
-            h.ref = {m.runner, m.id};
+            h.ref = {m.runner, m.id, {}};
             h.pool = m.pool;
             h.capacity = {host_cpu, host_memory, 0};
             all.push_back(std::move(h));
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -545,7 +545,7 @@
         const auto second = text.find(' ', first + 1);
         coordinator::host_listing h;
         h.pool = text.substr(0, first);
-        h.ref = {id, text.substr(first + 1, second - first - 1)};
+        h.ref = {id, text.substr(first + 1, second - first - 1), {}};
         h.draining = text.substr(second + 1) == "draining";
         h.capacity = fake_host{}.capacity;
         return h;
