--- a/libs/hosted/include/hosted/relay_registry.hpp
+++ b/libs/hosted/include/hosted/relay_registry.hpp
@@ -23,6 +23,9 @@
     core::millis lease{9000};
     core::millis renew_every{3000}; ///< a third of the lease: two renewals may be lost
     core::millis retry{1000};       ///< after a call that failed
+    /// The key is written again with every so many renewals: the store may take it away with no
+    /// sign on them, and a new coordinator would not find this node. One write a node in 30 s.
+    int renewals_a_write = 10;
     /// Least time between two looks at the list; gathers the entries of nodes that start together.
     core::millis follow_pause{250};
 };
--- a/libs/hosted/src/relay_registry.cpp
+++ b/libs/hosted/src/relay_registry.cpp
@@ -47,6 +47,7 @@
     ports::relay_place own;
     bool offered = false;
     ports::lease_id lease = 0;
+    int renewals = 0; ///< since the key was written
     ports::timer_id timer = 0;
     std::unique_ptr<prefix_follower> follower;
     std::map<std::string, ports::relay_place> seen; ///< by key
@@ -54,6 +55,7 @@
     void schedule(core::millis delay, void (registry_state::*next)());
     void register_own();
     void take_lease(const ports::kv_lease& got);
+    void write_own();
     void take_write(const ports::commit_result& result);
     void renew();
     void take_renewal(const ports::kv_lease& got);
@@ -100,6 +102,12 @@
         return;
     }
     lease = got.id;
+    write_own();
+}
+
+void registry_state::write_own()
+{
+    renewals = 0;
     ports::store_transaction t;
     t.puts = {{relay_key(own.member), write_relay(own), lease}};
     ctx.store.commit(std::move(t),
@@ -131,6 +139,11 @@
         register_own(); // the lease has lapsed, and the key with it
         return;
     }
+    if (++renewals >= settings.renewals_a_write && offered)
+    {
+        write_own();
+        return;
+    }
     const bool ok = got.status == kv_status::ok;
     schedule(ok ? settings.renew_every : settings.retry, &registry_state::renew);
 }
--- a/libs/hosted/tests/random_fleet_tests.cpp
+++ b/libs/hosted/tests/random_fleet_tests.cpp
@@ -1,4 +1,5 @@
 #include "hosted_fakes/cluster.hpp"
+#include "hosted_fakes/relays.hpp"
 #include "planted_faults.hpp"
 
 #include <cstdlib>
@@ -204,9 +205,10 @@
 };
 
 /// Plays one seed's faults, heals, and expects every promise kept and every job ended.
-void play_seed(std::uint64_t seed, int default_steps)
+void play_seed(
+    std::uint64_t seed, int default_steps, const std::function<void(cluster&)>& prepare = {})
 {
-    random_world w(seed);
+    random_world w(seed, prepare);
     w.play(static_cast<int>(
         number_from("CAMPHORHITCH_STEPS", static_cast<std::uint64_t>(default_steps))));
     w.heal();
@@ -234,6 +236,29 @@
     }
 }
 
+// The coordinator's orders go through the other nodes, which die, stand still, and wake with orders
+// that are seconds old: carried out then, they break no promise either.
+TEST(random_fleet, no_promise_is_broken_with_relays)
+{
+    constexpr std::uint64_t seeds = 12;
+    constexpr int steps = 120;
+    const auto first = number_from("CAMPHORHITCH_SEED", 1);
+    const auto count = number_from("CAMPHORHITCH_SEEDS", seeds);
+    for (auto seed = first; seed < first + count; ++seed)
+    {
+        std::list<relayed_runners> relays;
+        play_seed(seed,
+            steps,
+            [&](cluster& c)
+            {
+                c.plant = [&](node& n)
+                {
+                    n.ctx.runners = relays.emplace_back(c, n).port();
+                };
+            });
+    }
+}
+
 // Each of these failed once: ends acknowledged after their lease had lapsed counted as taken note
 // of (100), a cut watch was never answered (204), a call of a paused process never timed out (706).
 // All three were faults of the stand-ins; the seeds stay, since they reach far.
--- a/libs/relay/src/codec.cpp
+++ b/libs/relay/src/codec.cpp
@@ -220,8 +220,8 @@
 std::string encode(const order_batch& it)
 {
     capnp::MallocMessageBuilder message;
-    auto out = message.initRoot<schema::OrderBatch>().initOrders(
-        static_cast<unsigned>(it.orders.size()));
+    auto out =
+        message.initRoot<schema::OrderBatch>().initOrders(static_cast<unsigned>(it.orders.size()));
     for (unsigned i = 0; i < out.size(); ++i)
     {
         const auto& from = it.orders[i];
--- a/libs/relay/src/messages.hpp
+++ b/libs/relay/src/messages.hpp
@@ -11,8 +11,8 @@
 namespace camphorhitch::relay
 {
 
-using order_body = std::
-    variant<ports::start_order, ports::stop_order, ports::pace_order, ports::poll_order>;
+using order_body =
+    std::variant<ports::start_order, ports::stop_order, ports::pace_order, ports::poll_order>;
 
 struct order
 {
--- a/libs/relay/src/pool_relays.cpp
+++ b/libs/relay/src/pool_relays.cpp
@@ -106,8 +106,7 @@
         r.place = std::move(it);
     }
     std::erase_if(relays,
-        [](const auto& it)
-        { return !it.second.listed && it.second.state == relay_state::idle; });
+        [](const auto& it) { return !it.second.listed && it.second.state == relay_state::idle; });
     routes.clear();
     connect_due();
     gather();
@@ -302,8 +301,8 @@
 
 void pool_state::forget_runners()
 {
-    std::erase_if(polled,
-        [&](const auto& it) { return clock.elapsed - it.second > settings.runner_memory; });
+    std::erase_if(
+        polled, [&](const auto& it) { return clock.elapsed - it.second > settings.runner_memory; });
 }
 
 void pool_state::lose(const std::string& member, const std::string& why)
--- a/libs/relay/tests/codec_tests.cpp
+++ b/libs/relay/tests/codec_tests.cpp
@@ -20,9 +20,8 @@
         ports::start_order{"j.0.1.2", 7, binary, 486000, 99, "saved", "ticket"}});
     out.orders.push_back({2, {"i-2", "10.0.0.2:80", {}}, ports::stop_order{"j.0.1.3", 8, 99}});
     out.orders.push_back({3, {"i-3", "10.0.0.3:80", {}}, ports::pace_order{"j.0.1.4", 9, 40, 99}});
-    out.orders.push_back({4,
-        {"i-4", "10.0.0.4:80", {}},
-        ports::poll_order{486000, 99, 57, core::millis{1000}}});
+    out.orders.push_back(
+        {4, {"i-4", "10.0.0.4:80", {}}, ports::poll_order{486000, 99, 57, core::millis{1000}}});
     return out;
 }
 
@@ -41,9 +40,7 @@
 
 } // namespace
 
-TEST_GROUP(relay_codec)
-{
-};
+TEST_GROUP(relay_codec){};
 
 TEST(relay_codec, orders_come_back_as_they_were)
 {
--- a/libs/relay/tests/fixture.hpp
+++ b/libs/relay/tests/fixture.hpp
@@ -35,8 +35,10 @@
             }
             lines.push_back(line);
         };
-        out.count = [](const std::string&, const ports::metric_labels&, double) {};
-        out.gauge = [](const std::string&, const ports::metric_labels&, double) {};
+        out.count = [](const std::string&, const ports::metric_labels&, double) {
+        };
+        out.gauge = [](const std::string&, const ports::metric_labels&, double) {
+        };
         return out;
     }
 
--- a/libs/relay/tests/pool_tests.cpp
+++ b/libs/relay/tests/pool_tests.cpp
@@ -18,7 +18,8 @@
     ports::runner_answer start(const std::string& runner, std::int64_t token = 1)
     {
         std::optional<ports::runner_answer> out;
-        b.start(runner, "t", [&](const ports::runner_answer& it) { out = it; }, token);
+        b.start(
+            runner, "t", [&](const ports::runner_answer& it) { out = it; }, token);
         CHECK(b.until([&] { return out.has_value(); }));
         return out.value_or(ports::runner_answer{});
     }
--- a/libs/relay/tests/server_tests.cpp
+++ b/libs/relay/tests/server_tests.cpp
@@ -37,8 +37,7 @@
     {
         http_fakes::raw_caller caller(node.port);
         caller.write(node.loop, row.bytes);
-        CHECK_TEXT(
-            http_fakes::run_until(node.loop, [&] { return caller.closed(); }), row.name);
+        CHECK_TEXT(http_fakes::run_until(node.loop, [&] { return caller.closed(); }), row.name);
         CHECK_TEXT(node.log.has(row.logged), row.name);
     }
     CHECK(!sound.closed());
@@ -70,7 +69,10 @@
         {&node.loop,
             node.runners.port(),
             node.log.port(),
-            [this] { return node.loop.scheduler().now(); }},
+            [this]
+            {
+                return node.loop.scheduler().now();
+            }},
         {});
     CHECK(!core::is_ok(again));
 }
