--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -587,7 +587,7 @@
         }
         coordinator::host_listing h;
         h.pool = text.substr(0, first);
-        h.ref = {id, text.substr(first + 1, second - first - 1)};
+        h.ref = {id, text.substr(first + 1, second - first - 1), {}};
         h.draining = state == "draining";
         h.capacity = fake_host{}.capacity;
         return h;
