--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -76,7 +76,7 @@
         desk->send_paces(coordinator::plan_paces(t.fleet, t.settings.paces, begun, out));
     }
     const auto unix_ms = core::to_unix_ms(t.ctx.time.wall_now());
-    const auto orders = coordinator::make_plan(t.fleet, begun, unix_ms, true, out);
+    const auto orders = coordinator::make_plan(t.fleet, begun, unix_ms, true, out, desk->room());
     t.log(out);
     desk->send(orders);
     if (!t.fleet.dirty.empty())
@@ -184,6 +184,7 @@
     p.hosts = std::make_unique<host_reader>(t);
     p.bridge = std::make_unique<lease_bridge>(t);
     p.desk = std::make_unique<runner_desk>(t);
+    p.desk->start_watch();
     p.writer = std::make_unique<progress_writer>(t);
     p.machines = std::make_unique<machine_desk>(t);
     p.waves = std::make_unique<wave_runner>(t, p.machines->table());
@@ -221,6 +222,7 @@
             }
         });
     p.machines->set_pools(pools_);
+    p.hosts->set_pools(pools_);
     p.machines->start([&p] { p.waves->see_machines(); }, [&p] { return p.waves->has_open_wave(); });
     p.waves->set_waves(waves_);
     p.tick();
@@ -249,6 +251,7 @@
     if (parts_ != nullptr)
     {
         parts_->machines->set_pools(pools_);
+        parts_->hosts->set_pools(pools_);
     }
 }
 
