Relays: orders are not sent once the own lease has ended; one log line for a term's relays

Cause: orders wait for the end of the turn, and for connections at a term's begin; a machine suspended meanwhile would send them as a former owner. The runners' tokens refuse them, and now they don't leave.

--- a/libs/relay/include/relay/pool.hpp
+++ b/libs/relay/include/relay/pool.hpp
@@ -12,6 +12,7 @@
 #include "ports/telemetry.hpp"
 #include "reactor/event_loop.hpp"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -49,6 +50,9 @@
     std::string member; ///< this node; it is not its own relay
     ports::runners local;
     ports::telemetry tel;
+    /// Whether orders may still go out: asked just before, since they have waited for their turn
+    /// and the machine may have been suspended meanwhile.
+    std::function<bool()> may_send;
 };
 
 struct pool_state;
--- a/libs/relay/schema/relay.capnp
+++ b/libs/relay/schema/relay.capnp
@@ -46,7 +46,7 @@
 struct Poll {
   leaseUntilMs @0 :Int64;     # on the runner's clock; 0: does not extend
   acknowledgedThrough @1 :Int64;
-  waitMs @2 :Int64;
+  longestWaitMs @2 :Int64;
 }
 
 struct AnswerBatch {
--- a/libs/relay/src/channel.cpp
+++ b/libs/relay/src/channel.cpp
@@ -52,7 +52,7 @@
 }
 
 channel::channel(
-    reactor::event_loop& loop, ACE_SOCK_Stream socket, bool connected, channel_events e)
+    reactor::event_loop& loop, const ACE_SOCK_Stream& socket, bool connected, channel_events e)
     : loop_(loop), socket_(socket), events_(std::move(e)), connected_(connected)
 {
 }
--- a/libs/relay/src/channel.hpp
+++ b/libs/relay/src/channel.hpp
@@ -37,7 +37,8 @@
 {
 public:
     /// \param socket non-blocking and connected, or being connected
-    channel(reactor::event_loop& loop, ACE_SOCK_Stream socket, bool connected, channel_events e);
+    channel(
+        reactor::event_loop& loop, const ACE_SOCK_Stream& socket, bool connected, channel_events e);
     channel(const channel&) = delete;
     channel& operator=(const channel&) = delete;
     ~channel();
--- a/libs/relay/src/codec.cpp
+++ b/libs/relay/src/codec.cpp
@@ -14,8 +14,6 @@
 {
 
 using ports::poll_answer;
-using ports::run_end;
-using ports::runner_verdict;
 
 /// Fixed part and pointers of any item on the wire, in bytes.
 constexpr std::size_t fixed_bytes = 128;
@@ -79,7 +77,7 @@
     auto it = out.initPoll();
     it.setLeaseUntilMs(o.lease_until_ms);
     it.setAcknowledgedThrough(o.acknowledged_through);
-    it.setWaitMs(o.wait.count());
+    it.setLongestWaitMs(o.wait.count());
 }
 
 ports::start_order read_start(schema::Start::Reader it, std::int64_t token)
@@ -101,7 +99,7 @@
     out.lease_until_ms = it.getLeaseUntilMs();
     out.fencing_token = token;
     out.acknowledged_through = it.getAcknowledgedThrough();
-    out.wait = core::millis{it.getWaitMs()};
+    out.wait = core::millis{it.getLongestWaitMs()};
     return out;
 }
 
--- a/libs/relay/src/pool.cpp
+++ b/libs/relay/src/pool.cpp
@@ -102,6 +102,11 @@
     {
         return; // a tick or the end of the last connect() comes back to it
     }
+    if (!parts.may_send())
+    {
+        refuse_waiting();
+        return;
+    }
     for (auto& it : std::exchange(waiting, {}))
     {
         give(std::move(it));
@@ -112,6 +117,23 @@
     }
 }
 
+/// A former owner's orders would only be refused by their token; not sending them spares the calls.
+void pool_state::refuse_waiting()
+{
+    const ports::runner_answer refused{runner_verdict::not_sent, -1};
+    for (const auto& it : std::exchange(waiting, {}))
+    {
+        if (const auto* const poll = std::get_if<std::function<void(ports::poll_answer)>>(&it.done))
+        {
+            (*poll)({refused, {}, {}});
+        }
+        else
+        {
+            std::get<std::function<void(ports::runner_answer)>>(it.done)(refused);
+        }
+    }
+}
+
 relay_entry* pool_state::route(const ports::runner_ref& to)
 {
     if (!active || !needed)
--- a/libs/relay/src/pool_relays.cpp
+++ b/libs/relay/src/pool_relays.cpp
@@ -60,14 +60,22 @@
 
 void pool_state::close_all()
 {
-    std::vector<std::string> members;
-    for (const auto& [member, r] : relays)
+    lost_orders sum;
+    std::size_t closed = 0;
+    for (auto& [member, r] : relays)
     {
-        members.push_back(member);
+        closed += r.state != relay_state::idle ? 1U : 0U;
+        const auto lost = disconnect(r);
+        sum.unknown += lost.unknown;
+        sum.not_sent += lost.not_sent;
     }
-    for (const auto& it : members)
+    if (closed > 0)
     {
-        lose(it, "the term ended");
+        parts.tel.log(log_level::info,
+            "relays_released",
+            {{"relays", std::to_string(closed)},
+                {"orders_unknown", std::to_string(sum.unknown)},
+                {"orders_not_sent", std::to_string(sum.not_sent)}});
     }
     relays.clear();
     routes.clear();
@@ -313,11 +321,23 @@
         return;
     }
     auto& r = found->second;
+    r.pause = std::clamp(2 * r.pause, settings.first_retry, settings.longest_retry);
+    r.retry_at = clock.elapsed + r.pause;
+    const auto lost = disconnect(r);
+    parts.tel.log(log_level::info,
+        "relay_lost",
+        {{"relay", member},
+            {"reason", why},
+            {"orders_unknown", std::to_string(lost.unknown)},
+            {"orders_not_sent", std::to_string(lost.not_sent)}});
+}
+
+/// Closes the relay's connection and ends its orders.
+lost_orders pool_state::disconnect(relay_entry& r)
+{
     const auto wire = std::exchange(r.wire, nullptr);
     r.state = relay_state::idle;
     r.orders.clear();
-    r.pause = std::clamp(2 * r.pause, settings.first_retry, settings.longest_retry);
-    r.retry_at = clock.elapsed + r.pause;
     routes.clear();
     const auto written = wire ? wire->written_bytes() : 0;
     if (wire)
@@ -325,26 +345,21 @@
         wire->close();
     }
     std::vector<std::pair<std::uint64_t, runner_verdict>> ended;
-    std::size_t unknown = 0;
+    lost_orders out;
     for (const auto& [number, it] : under_way)
     {
-        if (it.member == member)
+        if (it.member == r.place.member)
         {
             const bool sent = it.framed && written > it.bytes_before;
             ended.emplace_back(number, sent ? runner_verdict::unknown : runner_verdict::not_sent);
-            unknown += sent ? 1U : 0U;
+            ++(sent ? out.unknown : out.not_sent);
         }
     }
-    parts.tel.log(log_level::info,
-        "relay_lost",
-        {{"relay", member},
-            {"reason", why},
-            {"orders_unknown", std::to_string(unknown)},
-            {"orders_not_sent", std::to_string(ended.size() - unknown)}});
     for (const auto& [number, how] : ended)
     {
         finish(number, how);
     }
+    return out;
 }
 
 } // namespace camphorhitch::relay
--- a/libs/relay/src/pool_state.hpp
+++ b/libs/relay/src/pool_state.hpp
@@ -70,6 +70,13 @@
 /// How many orders ended with each verdict.
 using verdict_counts = std::array<std::uint32_t, ports::runner_verdict_names.size()>;
 
+/// Orders of a relay that was lost.
+struct lost_orders
+{
+    std::size_t unknown = 0;
+    std::size_t not_sent = 0;
+};
+
 struct pool_state : std::enable_shared_from_this<pool_state>
 {
     pool_parts parts;
@@ -101,6 +108,7 @@
     relay_entry* best_of(const ports::runner_ref& to, bool same_zone);
     void give(waiting_order o);
     void make_locally(waiting_order o);
+    void refuse_waiting();
     void send_orders(relay_entry& r);
     void send_part(relay_entry& r, const order_batch& part);
     void take(const std::string& member, std::string_view frame);
@@ -118,6 +126,7 @@
     void send_heartbeats();
     void time_out_orders();
     void lose(const std::string& member, const std::string& why);
+    lost_orders disconnect(relay_entry& r);
     void forget_runners();
     void begin();
     void end();
--- a/libs/relay/tests/fixture.hpp
+++ b/libs/relay/tests/fixture.hpp
@@ -150,12 +150,21 @@
     fake_runners local;
     log_lines log;
     std::list<relay_node> relays;
+    bool owns = true; ///< the lease of coordination holds
     std::unique_ptr<pool> made;
     ports::runners port;
 
     explicit bench(pool_settings s = few_needed())
     {
-        made = std::make_unique<pool>(pool_parts{&loop, "own", local.port(), log.port()}, s);
+        made = std::make_unique<pool>(pool_parts{&loop,
+                                          "own",
+                                          local.port(),
+                                          log.port(),
+                                          [this]
+                                          {
+                                              return owns;
+                                          }},
+            s);
         port = made->port();
     }
 
--- a/libs/relay/tests/pool_tests.cpp
+++ b/libs/relay/tests/pool_tests.cpp
@@ -333,6 +333,18 @@
     CHECK(a.log.has("a former owner's token 8"));
 }
 
+// The coordinator's lease ends between a decision and the end of the turn: the order stays here.
+TEST(relay_pool, nothing_is_sent_without_the_own_lease)
+{
+    auto& a = b.add("a");
+    CHECK(b.connect());
+    const auto seen = a.runners.seen.size();
+    b.owns = false;
+    CHECK(start("i-1").verdict == runner_verdict::not_sent);
+    CHECK_EQUAL(seen, a.runners.seen.size());
+    CHECK(b.local.seen.empty());
+}
+
 TEST(relay_pool, the_end_of_a_term_ends_its_orders)
 {
     auto& a = b.add("a");
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -165,8 +165,15 @@
     {
         return;
     }
-    relays = std::make_unique<relay::pool>(
-        relay::pool_parts{&loop, settings.member, runners, log}, relay::pool_settings{});
+    relays = std::make_unique<relay::pool>(relay::pool_parts{&loop,
+                                               settings.member,
+                                               runners,
+                                               log,
+                                               [this]
+                                               {
+                                                   return lead->holds();
+                                               }},
+        relay::pool_settings{});
     ctx.runners = relays->port();
     registry = std::make_unique<hosted::relay_registry>(ctx,
         hosted::registry_settings{},
--- a/testing/hosted_fakes/include/hosted_fakes/relays.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/relays.hpp
@@ -58,9 +58,9 @@
     template <class Answer, class Member>
     auto order(Member member)
     {
-        return [this, member](const ports::runner_ref& to,
-                   const auto& o,
-                   const std::function<void(Answer)>& done)
+        return
+            [this, member](
+                const ports::runner_ref& to, const auto& o, const std::function<void(Answer)>& done)
         {
             auto* const relay = relay_of(to);
             if (relay == nullptr)
