--- a/libs/settings/tests/hosted_settings_tests.cpp
+++ b/libs/settings/tests/hosted_settings_tests.cpp
@@ -27,6 +27,7 @@
     const auto& s = std::get<settings::hosted_settings>(read);
     STRCMP_EQUAL("n1", s.member.c_str());
     CHECK(s.listen.metrics.empty());
+    CHECK(s.listen.relay.empty());
     LONGS_EQUAL(2500, s.timing.runner_lease.count());
     DOUBLES_EQUAL(1, s.processor_share, 0.001);
 }
@@ -49,6 +50,7 @@
             "/timing/runner_lease_ms"},
         {with(R"("zone":"z")", R"("zone":"z","log_level":"loud")"), "/log_level"},
         {with(R"("health")", R"("operators":"10.0.0.1:4","health")"), "/operators_token"},
+        {with(R"("health")", R"("relay":"here","health")"), "/listen/relay"},
     };
     for (const auto& it : rows)
     {
