--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -16,6 +16,7 @@
 {
 
 using ports::runner_verdict;
+using host_runs = decltype(host_entry::runs);
 
 std::string verdict_text(const ports::runner_answer& answer)
 {
@@ -158,6 +159,24 @@
     }
 }
 
+/// Takes in the ends that are new, in whatever order the runner lists them.
+void take_ends(fleet& f,
+    host_entry& h,
+    const std::vector<ports::reported_end>& ended,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto seen = h.seen_end;
+    for (const auto& it : ended)
+    {
+        if (it.number > seen)
+        {
+            take_end(f, h, it, now, out);
+            h.seen_end = std::max(h.seen_end, it.number);
+        }
+    }
+}
+
 /// A run that the runner does not list: it is over, or the answer is too old to tell.
 void judge_missing(fleet& f,
     host_entry& h,
@@ -191,25 +210,52 @@
     }
 }
 
-void judge_all_missing(fleet& f,
+/// What any answer, or none, says of the host itself.
+/// \return as judge_standing; true too when there was no answer
+std::optional<bool> take_contact(fleet& f,
     host_entry& h,
-    const std::set<std::string>& listed,
-    core::mono_time begun,
+    const ports::runner_answer& answer,
     core::mono_time now,
     task_events& out)
 {
-    const auto runs = h.runs; // judging removes from the host's own table
-    for (const auto& [text, name] : runs)
+    h.tried = true;
+    const auto id = h.ref.id; // the host may be removed with it
+    if (const auto over = judge_standing(f, id, answer, now, out))
     {
-        if (!listed.contains(text))
+        return over;
+    }
+    if (answer.verdict != runner_verdict::done)
+    {
+        if (h.reachable)
         {
-            judge_missing(f, h, name, begun, now, out);
+            out.push_back({"host_silent", "", 0, id, verdict_text(answer)});
+            h.silent_since = now;
         }
+        h.reachable = false;
+        return true;
     }
+    if (!h.reachable)
+    {
+        out.push_back({"host_answers", "", 0, id, h.prior ? "first look of this term" : ""});
+    }
+    h.reachable = true;
+    h.last_answer = now;
+    note_clock(h, answer, now);
+    return std::nullopt;
 }
 
 } // namespace
 
+bool contact_answered(fleet& f,
+    const std::string& host,
+    const ports::runner_answer& answer,
+    core::mono_time now,
+    task_events& out)
+{
+    auto* const h = find_host(f, host);
+    return h == nullptr || take_contact(f, *h, answer, now, out).value_or(true);
+}
+
 bool start_answered(fleet& f,
     const std::string& host,
     const workflow::task_name& task,
@@ -299,35 +345,11 @@
     {
         return true;
     }
-    if (const auto over = judge_standing(f, host, answer.call, now, out))
+    if (const auto over = take_contact(f, *h, answer.call, now, out))
     {
         return *over;
     }
-    if (answer.call.verdict != runner_verdict::done)
-    {
-        if (h->reachable)
-        {
-            out.push_back({"host_silent", "", 0, host, verdict_text(answer.call)});
-            h->silent_since = now;
-        }
-        h->reachable = false;
-        return true;
-    }
-    if (!h->reachable)
-    {
-        out.push_back({"host_answers", "", 0, host, h->prior ? "first look of this term" : ""});
-    }
-    h->reachable = true;
-    h->last_answer = now;
-    note_clock(*h, answer.call, now);
-    for (const auto& it : answer.ended)
-    {
-        if (it.number > h->seen_end)
-        {
-            take_end(f, *h, it, now, out);
-            h->seen_end = it.number;
-        }
-    }
+    take_ends(f, *h, answer.ended, now, out);
     h->strays = 0;
     std::set<std::string> listed;
     for (const auto& it : answer.running)
@@ -335,18 +357,22 @@
         see_running(f, *h, it, now, out);
         listed.insert(it.task);
     }
+    // With ends left out a run that is not listed may have ended, and be told of in a later answer:
+    // started again now, its task would have run twice by then.
+    const auto runs = answer.ends_left_out ? host_runs{} : h->runs; // judging changes the table
+    for (const auto& [text, name] : runs)
+    {
+        if (!listed.contains(text))
+        {
+            judge_missing(f, *h, name, begun, now, out);
+        }
+    }
     if (h->prior)
     {
+        h->prior = answer.ends_left_out; // a first look is over once it has seen all
         // A former owner's lease may reach further than this owner's first.
         note_lease(*h, h->clock_ms + (f.settings.runner_lease + f.settings.leader_lease).count());
     }
-    // A full list may leave out the end of a run that is not listed: taken for one that never was,
-    // its task would start again, and its end count later.
-    if (answer.ended.size() < ports::most_ends_listed)
-    {
-        judge_all_missing(f, *h, listed, begun, now, out);
-        h->prior = false;
-    }
     return true;
 }
 
--- a/libs/coordinator/src/order_window.cpp
+++ b/libs/coordinator/src/order_window.cpp
@@ -37,9 +37,10 @@
     w.was_in_the_way = false;
 }
 
-int room_for_orders(const order_window& w, const window_settings& s)
+int room_for_orders(const order_window& w, const window_settings& s, std::int64_t out)
 {
-    return std::clamp(w.size - w.out, 0, s.most_at_once);
+    const auto left = std::clamp<std::int64_t>(w.size - out, 0, s.most_at_once);
+    return static_cast<int>(left);
 }
 
 } // namespace camphorhitch::coordinator
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -7,6 +7,8 @@
 #include "hosted/entry_desk.hpp"
 #include "hosted/keys.hpp"
 #include "job_reader.hpp"
+#include "lease_bridge.hpp"
+#include "load_watch.hpp"
 #include "machine_desk.hpp"
 #include "progress_writer.hpp"
 #include "runner_desk.hpp"
@@ -24,11 +26,13 @@
     std::shared_ptr<term> common;
     std::unique_ptr<job_reader> jobs;
     std::unique_ptr<host_reader> hosts;
+    std::unique_ptr<lease_bridge> bridge;
     std::unique_ptr<runner_desk> desk;
     std::unique_ptr<progress_writer> writer;
     std::unique_ptr<machine_desk> machines;
     std::unique_ptr<wave_runner> waves;
     std::unique_ptr<tidier> tidy;
+    std::unique_ptr<load_watch> watch;
     bool plan_is_due = false;
     bool jobs_are_in = false;
     bool record_is_in = false;
@@ -60,8 +64,9 @@
         return;
     }
     const auto begun = t.now();
+    ++t.load.counts.plans;
     coordinator::task_events out;
-    coordinator::lapse_hosts(t.fleet, begun, out);
+    t.lapse_hosts(out);
     if (begun >= hosts_planned_at + t.settings.hosts_plan_every)
     {
         hosts_planned_at = begun;
@@ -177,12 +182,14 @@
     };
     p.jobs = std::make_unique<job_reader>(t);
     p.hosts = std::make_unique<host_reader>(t);
+    p.bridge = std::make_unique<lease_bridge>(t);
     p.desk = std::make_unique<runner_desk>(t);
-    p.desk->start_watch();
     p.writer = std::make_unique<progress_writer>(t);
     p.machines = std::make_unique<machine_desk>(t);
     p.waves = std::make_unique<wave_runner>(t, p.machines->table());
     p.tidy = std::make_unique<tidier>(t);
+    p.watch =
+        std::make_unique<load_watch>(t, [&p](core::micros late_by) { p.desk->see_delay(late_by); });
     t.on_job = [&p](const workflow::job& j, core::mono_time at)
     {
         p.machines->note_job(j, at);
@@ -193,6 +200,7 @@
             [&p]
             {
                 p.jobs_are_in = true;
+                p.bridge->stop();
                 p.common->log(ports::log_level::info,
                     "jobs_read",
                     {{"jobs", std::to_string(p.common->fleet.jobs.size())}});
@@ -208,6 +216,10 @@
             p.common->log(ports::log_level::info,
                 "runners_read",
                 {{"prior", std::to_string(p.common->fleet.hosts.size())}});
+            if (!p.jobs_are_in)
+            {
+                p.bridge->start();
+            }
         });
     p.machines->set_pools(pools_);
     p.machines->start([&p] { p.waves->see_machines(); }, [&p] { return p.waves->has_open_wave(); });
@@ -215,6 +227,7 @@
     p.tick();
     p.store_pending();
     p.tidy->start();
+    p.watch->start();
 }
 
 void fleet_driver::end()
--- a/libs/hosted/src/job_reader.hpp
+++ b/libs/hosted/src/job_reader.hpp
@@ -22,9 +22,11 @@
     void read_states(const std::string& after);
     void take_states(ports::page_read page);
     void follow();
+    bool ends_term(const std::vector<ports::stored_item>& items);
     void take_items(const std::vector<ports::stored_item>& items);
     void note_arrivals();
     void note_finished();
+    void note_read(const std::string& id, std::int64_t accepted_unix_ms);
     void take_item(const ports::stored_item& it, coordinator::task_events& out);
 
     term& term_;
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -9,26 +9,22 @@
 
 using ports::runner_verdict;
 
-runner_desk::runner_desk(term& t)
-    : term_(t), watch_(t,
-                    [this](core::micros late_by)
-                    { coordinator::see_delay(window_, window_settings_, late_by); })
+runner_desk::runner_desk(term& t) : term_(t)
 {
 }
 
-void runner_desk::start_watch()
+void runner_desk::see_delay(core::micros late_by)
 {
-    watch_.start();
+    coordinator::see_delay(window_, window_settings_, late_by);
 }
 
 int runner_desk::room() const
 {
-    return coordinator::room_for_orders(window_, window_settings_);
+    return coordinator::room_for_orders(window_, window_settings_, term_.load.orders_out);
 }
 
 void runner_desk::order_is_back()
 {
-    --window_.out;
     if (std::exchange(more_waits_, false))
     {
         term_.wake();
@@ -65,10 +61,13 @@
     order.fencing_token = term_.token;
     order.acknowledged_through = h.stored_end;
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
-    // The first answer tells the runner's clock, without which no lease can be named.
-    order.wait = h.clock_ms < 0 || !h.reachable ? core::millis{0} : term_.settings.poll_wait;
+    // The first answer tells the runner's clock, without which no lease can be named, and what a
+    // former owner's runner holds, for which others wait.
+    order.wait =
+        h.clock_ms < 0 || !h.reachable || h.prior ? core::millis{0} : term_.settings.poll_wait;
     coordinator::note_lease(h, order.lease_until_ms);
     const auto begun = term_.now();
+    h.polled_at = begun;
     term_.ctx.runners.poll(h.ref,
         order,
         term_.guarded(
@@ -89,6 +88,8 @@
     const auto found = term_.fleet.hosts.find(host);
     const bool first = found != term_.fleet.hosts.end() && found->second.lease_until_ms == 0;
     const bool silent = found != term_.fleet.hosts.end() && !found->second.reachable;
+    const auto seen = found == term_.fleet.hosts.end() ? 0 : found->second.seen_end;
+    term_.load.note_poll(a, seen, term_.now());
     coordinator::task_events out;
     take(coordinator::poll_answered(term_.fleet, host, begun, a, term_.now(), out), host, out);
     if (!term_.fleet.hosts.contains(host))
@@ -145,7 +146,8 @@
         // The next slice in a turn of its own: renewals and polls come first.
         term_.wake();
     }
-    window_.was_in_the_way = window_.was_in_the_way || (p.cut && window_.out >= window_.size);
+    window_.was_in_the_way =
+        window_.was_in_the_way || (p.cut && term_.load.orders_out >= window_.size);
 }
 
 void runner_desk::take_start(const coordinator::start_action& a, const ports::runner_answer& answer)
@@ -179,12 +181,13 @@
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
     coordinator::note_lease(h, order.lease_until_ms);
     const auto sent = term_.now();
-    ++window_.out;
+    term_.note_start(a.task, a.run, sent);
     term_.ctx.runners.start(a.host,
         std::move(order),
         term_.guarded(
             [this, a, sent](const ports::runner_answer& answer)
             {
+                term_.load.note_start_answer(answer, term_.now() - sent);
                 term_.ctx.tel.observe("camphorhitch_start_order_seconds",
                     {},
                     std::chrono::duration<double>(term_.now() - sent).count());
@@ -243,13 +246,14 @@
         take_stop(a, {runner_verdict::not_sent, -1});
         return;
     }
-    ++window_.out;
     ports::stop_order order{workflow::write_task_name(a.task), a.run, term_.token};
+    ++term_.load.orders_out;
     term_.ctx.runners.stop(a.host,
         std::move(order),
         term_.guarded(
             [this, a](const ports::runner_answer& answer)
             {
+                --term_.load.orders_out;
                 order_is_back();
                 take_stop(a, answer);
             }));
--- a/libs/hosted/src/runner_desk.hpp
+++ b/libs/hosted/src/runner_desk.hpp
@@ -5,7 +5,6 @@
 #include "coordinator/order_window.hpp"
 #include "coordinator/pacing.hpp"
 #include "coordinator/placement.hpp"
-#include "loop_watch.hpp"
 #include "term.hpp"
 
 #include <map>
@@ -19,7 +18,8 @@
 public:
     explicit runner_desk(term& t);
 
-    void start_watch();
+    /// Takes in by how much the loop was late.
+    void see_delay(core::micros late_by);
 
     /// Polls each host that is not being polled.
     void poll_all();
@@ -50,7 +50,6 @@
     void take(bool still_owner, const std::string& host, const coordinator::task_events& out);
 
     term& term_;
-    loop_watch watch_;
     coordinator::window_settings window_settings_;
     coordinator::order_window window_;
     bool more_waits_ = false;       ///< the latest plan was cut
--- a/libs/hosted/tests/lagging_owner_tests.cpp
+++ b/libs/hosted/tests/lagging_owner_tests.cpp
@@ -157,3 +157,54 @@
     }
     STRCMP_EQUAL("", c.breaches().substr(0, 300).c_str());
 }
+
+// The owner gets no processor time just after a renewal has left, for longer than it may trust its
+// lease, and shorter than the lease lasts at the store. The answer lies unread when it goes on:
+// read, it says that the lease stands. Given up unread, all runners would be looked at anew.
+TEST(lagging_owner, an_unread_answer_to_a_renewal_keeps_the_lease)
+{
+    cluster c;
+    c.share = 1;
+    bool stall = false;
+    c.plant = [&](node& n)
+    {
+        n.ctx.store.keep_alive = [&, real = n.ctx.store.keep_alive](auto id, const auto& done)
+        {
+            real(id, done);
+            if (std::exchange(stall, false))
+            {
+                c.time.after(1ms, [&n] { n.cpu->stand_still(1080ms); });
+            }
+        };
+    };
+    c.add_node();
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    auto& owner = *c.leader();
+    const auto token = owner.lead->token();
+    stall = true;
+    c.time.run_for(5s);
+    CHECK(!stall);
+    CHECK(owner.lead->holds());
+    CHECK(token == owner.lead->token());
+}
+
+// As before, for longer than the lease lasts at the store: the answer to the next renewal ends the
+// term, and nothing was ordered beside the successor.
+TEST(lagging_owner, an_answer_that_the_lease_has_ended_ends_the_term)
+{
+    cluster c;
+    c.share = 1;
+    c.add_node();
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    auto& owner = *c.leader();
+    const auto token = owner.lead->token();
+    owner.cpu->stand_still(1500ms);
+    c.time.run_for(1600ms);
+    CHECK(!owner.lead->holds());
+    CHECK(c.has_leader());
+    CHECK(token != c.leader()->lead->token());
+}
--- a/libs/ports/include/ports/runners.hpp
+++ b/libs/ports/include/ports/runners.hpp
@@ -129,14 +129,13 @@
     std::string checkpoint;
 };
 
-/// A poll's answer lists no more ends; the others follow once these are acknowledged.
-inline constexpr std::size_t most_ends_listed = 500;
-
 struct poll_answer
 {
     runner_answer call;
     std::vector<reported_run> running;
     std::vector<reported_end> ended; ///< not acknowledged yet
+    /// More ends may wait than are listed: a run that is in neither list may have ended.
+    bool ends_left_out = false;
 };
 
 struct runners
