An owner that was late itself asks a runner once more; orders to silent runners hold nothing up

Cause: a poll's answer that lies unread until its time-out was taken for silence, so a runner that was well was granted no lease and its runs ended. And orders to runners that don't answer would fill the window until their time-outs.

Change: when the loop was late by over 200 ms since the poll left, a reachable runner is polled once more, at once and with a lease, before it counts as silent. A lease's end is proved by time as before. Orders older than 250 ms take no room in the window.

--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -4,11 +4,24 @@
 #include "coordinator/intake.hpp"
 #include "workflow/records.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 namespace camphorhitch::hosted
 {
 
 using ports::runner_verdict;
 
+namespace
+{
+
+/// A runner that is well answers an order within some 10 ms, a slow one within this.
+constexpr core::millis answer_is_near{250};
+/// A loop that was less late than this can't have let a call run into its time-out (700 ms) alone.
+constexpr core::millis own_delay{200};
+
+} // namespace
+
 runner_desk::runner_desk(term& t) : term_(t)
 {
 }
@@ -20,17 +33,34 @@
 
 int runner_desk::room() const
 {
-    return coordinator::room_for_orders(window_, window_settings_, term_.load.orders_out);
+    return coordinator::room_for_orders(window_, window_settings_, orders_awaited());
 }
 
-void runner_desk::order_is_back()
+std::uint64_t runner_desk::note_sent()
 {
+    out_.emplace(++last_order_, term_.now());
+    return last_order_;
+}
+
+void runner_desk::note_back(std::uint64_t order)
+{
+    out_.erase(order);
     if (std::exchange(more_waits_, false))
     {
         term_.wake();
     }
 }
 
+/// Were orders to silent runners counted until their time-out, a few of these would hold up all
+/// work.
+std::int64_t runner_desk::orders_awaited() const
+{
+    const auto since = term_.now() - answer_is_near;
+    const auto end =
+        std::find_if(out_.rbegin(), out_.rend(), [&](const auto& it) { return it.second < since; });
+    return std::distance(out_.rbegin(), end);
+}
+
 void runner_desk::poll_all()
 {
     for (const auto& [id, h] : term_.fleet.hosts)
@@ -63,8 +93,8 @@
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
     // The first answer tells the runner's clock, without which no lease can be named, and what a
     // former owner's runner holds, for which others wait.
-    order.wait =
-        h.clock_ms < 0 || !h.reachable || h.prior ? core::millis{0} : term_.settings.poll_wait;
+    const bool at_once = h.clock_ms < 0 || !h.reachable || h.prior || asked_again_.contains(host);
+    order.wait = at_once ? core::millis{0} : term_.settings.poll_wait;
     coordinator::note_lease(h, order.lease_until_ms);
     const auto begun = term_.now();
     h.polled_at = begun;
@@ -82,10 +112,33 @@
     return std::max(window_.gap, core::millis{static_cast<std::int64_t>(fair)});
 }
 
+/// An answer may have lain unread here until the call's time-out. Taken for silence, the runner
+/// would be granted no lease, and its runs would end though it is well. So an owner that was late
+/// itself asks once more; what proves that a lease has ended stays the time alone.
+bool runner_desk::asks_again(const std::string& host, core::mono_time begun, runner_verdict v)
+{
+    const auto found = term_.fleet.hosts.find(host);
+    const bool may = found != term_.fleet.hosts.end() && found->second.reachable &&
+                     v == runner_verdict::unknown &&
+                     term_.load.delays.largest_since(begun) > own_delay;
+    if (!may || !asked_again_.insert(host).second)
+    {
+        asked_again_.erase(host);
+        return false;
+    }
+    term_.log(ports::log_level::info, "asked_again", {{"host", host}});
+    return true;
+}
+
 void runner_desk::take_poll(
     const std::string& host, core::mono_time begun, const ports::poll_answer& a)
 {
     const auto found = term_.fleet.hosts.find(host);
+    if (asks_again(host, begun, a.call.verdict))
+    {
+        poll(host);
+        return;
+    }
     const bool first = found != term_.fleet.hosts.end() && found->second.lease_until_ms == 0;
     const bool silent = found != term_.fleet.hosts.end() && !found->second.reachable;
     const auto seen = found == term_.fleet.hosts.end() ? 0 : found->second.seen_end;
@@ -146,8 +199,7 @@
         // The next slice in a turn of its own: renewals and polls come first.
         term_.wake();
     }
-    window_.was_in_the_way =
-        window_.was_in_the_way || (p.cut && term_.load.orders_out >= window_.size);
+    window_.was_in_the_way = window_.was_in_the_way || (p.cut && orders_awaited() >= window_.size);
 }
 
 void runner_desk::take_start(const coordinator::start_action& a, const ports::runner_answer& answer)
@@ -181,17 +233,18 @@
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
     coordinator::note_lease(h, order.lease_until_ms);
     const auto sent = term_.now();
+    const auto order_id = note_sent();
     term_.note_start(a.task, a.run, sent);
     term_.ctx.runners.start(a.host,
         std::move(order),
         term_.guarded(
-            [this, a, sent](const ports::runner_answer& answer)
+            [this, a, sent, order_id](const ports::runner_answer& answer)
             {
                 term_.load.note_start_answer(answer, term_.now() - sent);
                 term_.ctx.tel.observe("camphorhitch_start_order_seconds",
                     {},
                     std::chrono::duration<double>(term_.now() - sent).count());
-                order_is_back();
+                note_back(order_id);
                 take_start(a, answer);
             }));
 }
@@ -248,13 +301,14 @@
     }
     ports::stop_order order{workflow::write_task_name(a.task), a.run, term_.token};
     ++term_.load.orders_out;
+    const auto order_id = note_sent();
     term_.ctx.runners.stop(a.host,
         std::move(order),
         term_.guarded(
-            [this, a](const ports::runner_answer& answer)
+            [this, a, order_id](const ports::runner_answer& answer)
             {
                 --term_.load.orders_out;
-                order_is_back();
+                note_back(order_id);
                 take_stop(a, answer);
             }));
 }
--- a/libs/hosted/src/runner_desk.hpp
+++ b/libs/hosted/src/runner_desk.hpp
@@ -45,15 +45,22 @@
     void stop(const coordinator::stop_action& a);
     void take_start(const coordinator::start_action& a, const ports::runner_answer& answer);
     void take_stop(const coordinator::stop_action& a, const ports::runner_answer& answer);
-    void order_is_back();
+    std::uint64_t note_sent();
+    void note_back(std::uint64_t order);
+    /// \return orders that are out and may still be answered soon.
+    std::int64_t orders_awaited() const;
+    bool asks_again(const std::string& host, core::mono_time begun, ports::runner_verdict v);
     void ask(const coordinator::ask_action& a);
     void take(bool still_owner, const std::string& host, const coordinator::task_events& out);
 
     term& term_;
     coordinator::window_settings window_settings_;
     coordinator::order_window window_;
-    bool more_waits_ = false;       ///< the latest plan was cut
-    std::set<std::string> polling_; ///< a poll is out, or a timer for the next one runs
+    bool more_waits_ = false;                      ///< the latest plan was cut
+    std::map<std::uint64_t, core::mono_time> out_; ///< when unanswered orders were sent
+    std::uint64_t last_order_ = 0;
+    std::set<std::string> asked_again_; ///< hosts whose silence may be this node's own delay
+    std::set<std::string> polling_;     ///< a poll is out, or a timer for the next one runs
     std::set<std::string> strays_out_;
 };
 
--- a/libs/hosted/tests/lagging_owner_tests.cpp
+++ b/libs/hosted/tests/lagging_owner_tests.cpp
@@ -208,3 +208,79 @@
     CHECK(c.has_leader());
     CHECK(token != c.leader()->lead->token());
 }
+
+// The owner is late by half a second just when a poll of a sound runner has run into its time-out:
+// the answer may have lain unread. Taken for silence at once, the runner would be granted no lease.
+// A second poll that fails, or one that fails while the owner is in time, is silence.
+TEST(lagging_owner, its_own_delay_is_not_taken_for_silence)
+{
+    cluster c;
+    c.share = 1;
+    int to_lose = 0;
+    c.plant = [&](node& n)
+    {
+        n.ctx.runners.poll = [&, real = n.ctx.runners.poll](
+                                 const auto& to, const auto& o, const auto& done)
+        {
+            if (to_lose > 0)
+            {
+                --to_lose;
+                n.ctx.time.after(300ms, [done] { done(ports::poll_answer{}); });
+                return;
+            }
+            real(to, o, done);
+        };
+    };
+    c.hosts.add("p");
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    auto& n = *c.leader();
+    struct row
+    {
+        core::millis late;
+        int lost;
+        int silent; ///< times that the runner is taken for silent
+    };
+    for (const auto& it : {row{500ms, 1, 0}, row{500ms, 2, 1}, row{0ms, 1, 1}})
+    {
+        n.log.lines.clear();
+        to_lose = it.lost;
+        CHECK(c.time.run_until([&] { return to_lose < it.lost; }, 2s));
+        n.cpu->stand_still(it.late);
+        c.time.run_for(2s);
+        int silent = 0;
+        for (const auto& line : n.log.lines)
+        {
+            silent += line.find("host_silent") != std::string::npos ? 1 : 0;
+        }
+        LONGS_EQUAL(it.silent, silent);
+        c.time.run_for(2s);
+    }
+}
+
+// Runners that are cut off hold more orders than the window lets out. Were they counted until their
+// time-outs, work for runners that are well would wait behind them.
+TEST(lagging_owner, orders_to_silent_runners_hold_nothing_up)
+{
+    cluster c;
+    for (int i = 0; i < 20; ++i)
+    {
+        c.hosts.add("p");
+    }
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    for (const int i : {1, 10, 11, 12, 13, 14, 15, 16, 17, 18})
+    {
+        c.hosts.cut("m" + std::to_string(i), 20s); // these come first in the order of ids
+    }
+    for (int i = 0; i < 20; ++i)
+    {
+        c.put_job(c.make_job("a" + std::to_string(i), 8));
+    }
+    const auto begun = c.hosts.starts;
+    c.time.run_for(600ms);
+    CHECK(c.hosts.starts - begun >= 80); // all that the sound half has room for
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
