--- a/libs/hosted/src/load_watch.hpp
+++ b/libs/hosted/src/load_watch.hpp
@@ -4,13 +4,15 @@
 
 #include "term.hpp"
 
+#include <optional>
+
 namespace camphorhitch::hosted
 {
 
 class load_watch
 {
 public:
-    /// \param on_delay is told by how much each look was late.
+    /// \param on_delay is told how late timers ran and how long answers lay unread.
     load_watch(term& t, std::function<void(core::micros)> on_delay);
     load_watch(const load_watch&) = delete;
     load_watch& operator=(const load_watch&) = delete;
@@ -23,12 +25,15 @@
 private:
     void wait();
     void probe();
+    void probe_sockets(core::mono_time now);
     void report(core::mono_time now);
     load_moment measure(core::mono_time now);
 
     term& term_;
     std::function<void(core::micros)> on_delay_;
     core::mono_time due_;
+    std::optional<core::mono_time> sent_; ///< a probe among the descriptors waits for its turn
+    core::mono_time sockets_probed_;
     core::mono_time reported_;
     core::micros processor_{0}; ///< used until the latest report
 };
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -118,9 +118,10 @@
 bool runner_desk::asks_again(const std::string& host, core::mono_time begun, runner_verdict v)
 {
     const auto found = term_.fleet.hosts.find(host);
+    const auto late_by = std::max(term_.load.timer_delays.largest_since(begun),
+        term_.load.socket_delays.largest_since(begun));
     const bool may = found != term_.fleet.hosts.end() && found->second.reachable &&
-                     v == runner_verdict::unknown &&
-                     term_.load.delays.largest_since(begun) > own_delay;
+                     v == runner_verdict::unknown && late_by > own_delay;
     if (!may || !asked_again_.insert(host).second)
     {
         asked_again_.erase(host);
