--- a/libs/hosted/src/load_watch.hpp
+++ b/libs/hosted/src/load_watch.hpp
@@ -12,7 +12,8 @@
 class load_watch
 {
 public:
-    explicit load_watch(term& t);
+    /// \param on_delay is told how late timers ran and how long answers lay unread.
+    load_watch(term& t, std::function<void(core::micros)> on_delay);
     load_watch(const load_watch&) = delete;
     load_watch& operator=(const load_watch&) = delete;
 
@@ -29,6 +30,7 @@
     load_moment measure(core::mono_time now);
 
     term& term_;
+    std::function<void(core::micros)> on_delay_;
     core::mono_time due_;
     std::optional<core::mono_time> sent_; ///< a probe among the descriptors waits for its turn
     core::mono_time sockets_probed_;
