Polls have connections of their own

Change: three connections a runner for orders, two for polls. hosted_tests 82 ran, 0 failed; company_tests 34 of 34.

--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -33,16 +33,20 @@
 namespace
 {
 
-/// A runner's connections carry one long poll and the orders of a burst; each costs a handshake.
-constexpr std::size_t connections_per_runner = 4;
+/// For the orders of a burst; each costs a handshake.
+constexpr std::size_t connections_per_runner = 3;
+/// For the long poll, and a renewal beside it. With orders on the same connections a poll was not
+/// sent in a burst, its runner counted as silent, and its leases ended.
+constexpr std::size_t poll_connections_per_runner = 2;
 constexpr std::size_t connections_to_store = 24;
 /// The lease that lets this node coordinate is renewed over connections of its own: behind a burst
 /// of writes that hold all of the others, a renewal would wait until the lease has ended.
 constexpr std::size_t connections_for_lease = 2;
-/// Kept open in all. With fewer than runners times connections_per_runner, an idle one is closed
-/// for each that comes back, and all are searched for it; below the 4,100 descriptors of the
-/// smallest hosts, with room for callers.
-constexpr std::size_t most_idle_to_runners = 3000;
+/// Kept open in all. With fewer than runners times the connections to each, an idle one is closed
+/// for each that comes back, and all are searched for it. Both together stay below the 4,100
+/// descriptors of the smallest hosts, with room for callers.
+constexpr std::size_t most_idle_to_runners = 2000;
+constexpr std::size_t most_idle_polls = 1200;
 /// What lies between may forget an idle connection; an old one is not worth its risk.
 constexpr core::millis longest_idle{8000};
 /// Without an answer of the store for so long, callers are better served by another node.
@@ -98,9 +102,11 @@
     std::optional<http::client> store_http;
     std::optional<http::client> lease_http;
     std::optional<http::client> runner_http;
+    std::optional<http::client> poll_http;
     ports::http_client store_port;
     ports::http_client lease_port;
     ports::http_client runner_port;
+    ports::http_client poll_port;
     hosted::formats formats;
     hosted::context ctx;
     ports::runners runners; ///< this node's own calls to runners
@@ -160,9 +166,13 @@
     limits.most_idle_connections = most_idle_to_runners;
     limits.urgency = reactor::urgency::usual;
     runner_http = http::client::builder().loop(loop).limits(limits).build();
+    limits.most_connections_per_host = poll_connections_per_runner;
+    limits.most_idle_connections = most_idle_polls;
+    poll_http = http::client::builder().loop(loop).limits(limits).build();
     store_port = store_http->port();
     lease_port = lease_http->port();
     runner_port = runner_http->port();
+    poll_port = poll_http->port();
     ctx.member = settings.member;
     ctx.time = loop.scheduler();
     ctx.tel = log;
@@ -179,7 +189,7 @@
     ctx.store.grant_lease = leases.grant_lease;
     ctx.store.keep_alive = leases.keep_alive;
     ctx.store.end_lease = leases.end_lease;
-    runners = company::make_runner_client(runner_port, log, {});
+    runners = company::make_runner_client(runner_port, poll_port, log, {});
     ctx.runners = runners;
     if (!settings.services.advice.empty())
     {
