What a lease doesn't cover for a moment is ordered later, not dropped

Cause: a term may now go on after its own bound was passed. An order of maintenance that fell into such a moment was dropped and kept its place in the wave; a move was dropped and counted as ordered.

Change: maintenance is tried again after its pause; a move counts as not answered and is ordered again. Runs that belong to no job are stopped under a lease that holds, like all else.

Looked through with it, every place that asks for the lease: polls, plans, writes of progress, counts of waiting jobs and removals come again by their own timers.

Shown: without the repeat the test of the wave never ends; with it the wave completes.

--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -135,6 +135,11 @@
 {
     if (!term_.lead->holds())
     {
+        // Not sent: it is ordered again once a renewal is answered.
+        coordinator::task_events out;
+        coordinator::move_answered(
+            term_.fleet, moves_, a.machine, ports::machine_verdict::unknown, term_.now(), out);
+        term_.log(out);
         return;
     }
     term_.ctx.machines.move(a.machine,
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -316,6 +316,10 @@
 
 void runner_desk::stop_strays()
 {
+    if (!term_.lead->holds())
+    {
+        return; // they stay listed
+    }
     const auto strays = std::exchange(term_.fleet.strays, {});
     for (const auto& it : strays)
     {
--- a/libs/hosted/src/wave_runner.cpp
+++ b/libs/hosted/src/wave_runner.cpp
@@ -205,6 +205,9 @@
 {
     if (!term_.lead->holds())
     {
+        // The term may go on once a renewal is answered; dropped, the machine's turn would never
+        // come again.
+        maintain_later(number, machine);
         return;
     }
     term_.ctx.machines.maintain(machine,
@@ -214,6 +217,12 @@
             [this, number, machine](machine_verdict v) { take_verdict(number, machine, v); }));
 }
 
+void wave_runner::maintain_later(std::int64_t number, const std::string& machine)
+{
+    term_.ctx.time.after(
+        order_retry, term_.guarded([this, number, machine] { maintain(number, machine); }));
+}
+
 void wave_runner::take_verdict(
     std::int64_t number, const std::string& machine, machine_verdict verdict)
 {
@@ -246,8 +255,7 @@
         break;
     case machine_verdict::unknown:
         // It may go down any moment, so it keeps its place in the wave; a repeat does no harm.
-        term_.ctx.time.after(
-            order_retry, term_.guarded([this, number, machine] { maintain(number, machine); }));
+        maintain_later(number, machine);
         break;
     }
     term_.log(out);
--- a/libs/hosted/src/wave_runner.hpp
+++ b/libs/hosted/src/wave_runner.hpp
@@ -49,6 +49,7 @@
     void load(std::int64_t number);
     void load_status(std::int64_t number);
     void maintain(std::int64_t number, const std::string& machine);
+    void maintain_later(std::int64_t number, const std::string& machine);
     void take_verdict(
         std::int64_t number, const std::string& machine, ports::machine_verdict verdict);
     void store(std::int64_t number);
--- a/libs/hosted/tests/lagging_owner_tests.cpp
+++ b/libs/hosted/tests/lagging_owner_tests.cpp
@@ -284,3 +284,45 @@
     CHECK(c.hosts.starts - begun >= 80); // all that the sound half has room for
     STRCMP_EQUAL("", c.breaches().c_str());
 }
+
+// A maintenance order is due again just when the owner may not trust its lease; a moment later the
+// answer to a renewal lets the term go on. Were the order dropped, the machine would keep its place
+// in the wave for good, and the wave would never end.
+TEST(lagging_owner, an_order_that_the_lease_does_not_cover_is_made_later)
+{
+    cluster c;
+    core::millis ahead{0}; // the owner's boot clock jumps: its own bound has passed
+    int asked = 0;
+    c.plant = [&](node& n)
+    {
+        n.ctx.boot_now = [&]
+        {
+            return c.time.now() + ahead;
+        };
+        n.ctx.machines.maintain = [&, real = n.ctx.machines.maintain](
+                                      const auto& m, auto wave, auto token, const auto& done)
+        {
+            if (++asked > 1)
+            {
+                real(m, wave, token, done);
+                return;
+            }
+            c.time.after(1ms, [done] { done(ports::machine_verdict::unknown); });
+            c.time.after(400ms, [&ahead] { ahead = 1200ms; });
+        };
+    };
+    c.hosts.add("p");
+    c.hosts.add("p");
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    c.leader()->driver->set_waves({{1, {"m1"}, 10s, 1}});
+    const auto completed = [&]
+    {
+        const auto* const it = c.store.find("wave-status/1");
+        return it != nullptr && it->value == "completed";
+    };
+    CHECK(c.time.run_until(completed, 15s));
+    LONGS_EQUAL(1200, ahead.count());
+    LONGS_EQUAL(2, asked);
+}
