Relays: a runner that its relay does not reach is called by another

Cause: a cut between one relay and one runner looked like a silent runner; its lease would lapse though all other relays reach it. Change: an order that ends as unknown keeps the runner off that relay for ten seconds. The test failed before it and passes with it.

--- a/libs/relay/include/relay/pool.hpp
+++ b/libs/relay/include/relay/pool.hpp
@@ -38,6 +38,10 @@
     core::millis settle{300};
     core::millis first_retry{500}; ///< after a relay was lost; doubled each time
     core::millis longest_retry{8000};
+    /// A runner that did not answer through its relay is called by another for so long: the link
+    /// between the two may be cut, and its lease would lapse. Some polls' time; then its own relay
+    /// is tried again.
+    core::millis avoid{10000};
     /// An order without an answer for so long is unknown: the calls of the relay end after 0.9 s,
     /// those of polls 0.7 s after their wait, and the rest is for the way.
     core::millis order_timeout{1300};
--- a/libs/relay/src/pool.cpp
+++ b/libs/relay/src/pool.cpp
@@ -153,12 +153,14 @@
 
 relay_entry* pool_state::best_of(const ports::runner_ref& to, bool same_zone)
 {
+    const auto avoids = avoided.find(to.id);
     relay_entry* best = nullptr;
     double best_score = 0;
     for (auto& [member, r] : relays)
     {
         const bool fits = !same_zone || r.place.zone == to.zone;
-        if (r.state != relay_state::well || r.leaving || !fits)
+        const bool silent = avoids != avoided.end() && avoids->second.member == member;
+        if (r.state != relay_state::well || r.leaving || !fits || silent)
         {
             continue;
         }
@@ -172,6 +174,17 @@
     return best;
 }
 
+/// The orders of a relay that was lost say nothing of its links.
+void pool_state::avoid(const order_under_way& it)
+{
+    const auto r = relays.find(it.member);
+    if (r != relays.end() && r->second.state == relay_state::well)
+    {
+        avoided[it.runner] = {it.member, clock.elapsed + settings.avoid};
+        routes.erase(it.runner);
+    }
+}
+
 void pool_state::give(waiting_order o)
 {
     auto* const r = route(o.to);
@@ -185,6 +198,7 @@
     const auto rest = poll != nullptr ? poll->wait + settings.poll_slack : settings.order_timeout;
     order_under_way it;
     it.member = r->place.member;
+    it.runner = o.to.id;
     it.done = std::move(o.done);
     it.deadline = clock.elapsed + rest;
     under_way.emplace(number, std::move(it));
@@ -309,6 +323,10 @@
     {
         return; // timed out; its end has been told
     }
+    if (call_of(a).verdict == runner_verdict::unknown)
+    {
+        avoid(found->second);
+    }
     const auto done = std::move(found->second.done);
     under_way.erase(found);
     add(relayed, call_of(a).verdict);
--- a/libs/relay/src/pool_relays.cpp
+++ b/libs/relay/src/pool_relays.cpp
@@ -213,6 +213,7 @@
     time_out_orders();
     send_heartbeats();
     forget_runners();
+    forget_avoided();
     connect_due();
     if (!waiting.empty())
     {
@@ -313,6 +314,20 @@
         polled, [&](const auto& it) { return clock.elapsed - it.second > settings.runner_memory; });
 }
 
+void pool_state::forget_avoided()
+{
+    for (auto it = avoided.begin(); it != avoided.end();)
+    {
+        if (clock.elapsed < it->second.until)
+        {
+            ++it;
+            continue;
+        }
+        routes.erase(it->first);
+        it = avoided.erase(it);
+    }
+}
+
 void pool_state::lose(const std::string& member, const std::string& why)
 {
     const auto found = relays.find(member);
--- a/libs/relay/src/pool_state.hpp
+++ b/libs/relay/src/pool_state.hpp
@@ -53,12 +53,20 @@
 struct order_under_way
 {
     std::string member;
+    std::string runner;
     order_callback done;
     std::uint64_t bytes_before = 0; ///< of its connection, queued before its frame
     bool framed = false;            ///< bytes_before is known
     core::millis deadline{0};       ///< loop_clock
 };
 
+/// The relay through which a runner did not answer lately.
+struct avoided_relay
+{
+    std::string member;
+    core::millis until{0}; ///< loop_clock
+};
+
 /// An order that has not been given to anybody yet.
 struct waiting_order
 {
@@ -93,9 +101,10 @@
     std::map<std::string, relay_entry> relays; ///< by member
     std::unordered_map<std::uint64_t, order_under_way> under_way;
     std::vector<waiting_order> waiting;
-    std::unordered_map<std::string, core::millis> polled; ///< runners, when
-    std::unordered_map<std::string, relay_entry*> routes; ///< by runner
-    verdict_counts relayed{};                             ///< since the last tick
+    std::unordered_map<std::string, core::millis> polled;   ///< runners, when
+    std::unordered_map<std::string, relay_entry*> routes;   ///< by runner
+    std::unordered_map<std::string, avoided_relay> avoided; ///< by runner
+    verdict_counts relayed{};                               ///< since the last tick
     verdict_counts made_locally{};
 
     // pool.cpp
@@ -106,6 +115,7 @@
     void count_runner(const std::string& id);
     relay_entry* route(const ports::runner_ref& to);
     relay_entry* best_of(const ports::runner_ref& to, bool same_zone);
+    void avoid(const order_under_way& it);
     void give(waiting_order o);
     void make_locally(waiting_order o);
     void refuse_waiting();
@@ -128,6 +138,7 @@
     void lose(const std::string& member, const std::string& why);
     lost_orders disconnect(relay_entry& r);
     void forget_runners();
+    void forget_avoided();
     void begin();
     void end();
     void close_all();
--- a/libs/relay/tests/fixture.hpp
+++ b/libs/relay/tests/fixture.hpp
@@ -60,6 +60,7 @@
 {
     std::vector<std::string> seen; ///< kind, runner and task of each order
     bool answers = true;
+    bool unreachable = false;                ///< orders end as unknown
     std::vector<std::function<void()>> kept; ///< answers that are held back
 
     /// \return the running row that each poll of the runner brings.
@@ -91,7 +92,8 @@
             return [this, kind](const ports::runner_ref& to, const auto& o, auto done)
             {
                 seen.push_back(std::string(kind) + ' ' + to.id + ' ' + o.task);
-                answer([done] { done({ports::runner_verdict::done, 5}); });
+                const ports::runner_answer good{ports::runner_verdict::done, 5};
+                answer([done, good, this] { done(unreachable ? ports::runner_answer{} : good); });
             };
         };
         ports::runners out;
--- a/libs/relay/tests/pool_tests.cpp
+++ b/libs/relay/tests/pool_tests.cpp
@@ -206,6 +206,39 @@
     b.run_for(100ms);
 }
 
+// A relay hears the coordinator and not one runner: their link is cut. The runner's next order goes
+// through another relay, so that its lease is renewed in time; other runners stay where they are.
+TEST(relay_pool, a_runner_that_its_relay_does_not_reach_is_called_by_another)
+{
+    constexpr int runners = 20;
+    b.add("a");
+    b.add("b");
+    CHECK(b.connect());
+    auto& cut = b.relays.front();
+    cut.runners.unreachable = true;
+    int unknown = 0;
+    int done = 0;
+    const auto start_all = [&]
+    {
+        for (int i = 0; i < runners; ++i)
+        {
+            b.start("i-" + std::to_string(i),
+                "t",
+                [&](const ports::runner_answer& it)
+                { ++(it.verdict == runner_verdict::done ? done : unknown); });
+        }
+    };
+    start_all();
+    CHECK(b.until([&] { return done + unknown == runners; }));
+    CHECK(unknown > 0);
+    CHECK(done > 0);
+    unknown = 0;
+    done = 0;
+    start_all();
+    CHECK(b.until([&] { return done == runners; }));
+    CHECK_EQUAL(0, unknown);
+}
+
 // A relay that was lost is tried again and takes its runners back; others keep theirs.
 TEST(relay_pool, a_lost_relay_comes_back_and_only_its_runners_move)
 {
