--- a/libs/hosted/tests/lagging_owner_tests.cpp
+++ b/libs/hosted/tests/lagging_owner_tests.cpp
@@ -65,6 +65,45 @@
     }
 };
 
+// One poll gets no answer; all else is well. A runner's lease has to outlast that: the wait of the
+// poll before, the pause after its news, the poll that fails, the pause after it, and the two polls
+// that grant again (the first after a silence carries no lease).
+void lose_one_poll(core::millis unanswered_for)
+{
+    cluster c;
+    bool lose = false;
+    int lost = 0;
+    c.plant = [&](node& n)
+    {
+        const auto time = n.ctx.time;
+        n.ctx.runners.poll = [&, time, real = n.ctx.runners.poll](
+                                 const auto& to, const ports::poll_order& o, const auto& done)
+        {
+            const bool last_waited = o.wait.count() > 0;
+            if (lose && last_waited)
+            {
+                lose = false;
+                ++lost;
+                time.after(unanswered_for, [done] { done({}); });
+                return;
+            }
+            real(to, o, done);
+        };
+    };
+    c.hosts.behaviour.run_time = 20s;
+    c.hosts.add("p");
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    c.put_job(c.make_job("a", 1));
+    c.time.run_for(5s);
+    lose = true;
+    c.time.run_for(8s);
+    LONGS_EQUAL(1, lost);
+    LONGS_EQUAL(0, c.hosts.lapsed);
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
 } // namespace
 
 TEST_GROUP(lagging_owner){};
@@ -157,3 +196,44 @@
     }
     STRCMP_EQUAL("", c.breaches().substr(0, 300).c_str());
 }
+
+// As the client of this node gives the call up.
+TEST(lagging_owner, one_lost_poll_lapses_no_lease)
+{
+    lose_one_poll(700ms + 700ms);
+}
+
+// As the pool of relays gives it up, when the relay lives and says nothing of it: the poll's wait,
+// 1.1 s more, and a tick.
+TEST(lagging_owner, one_poll_lost_at_a_relay_lapses_no_lease)
+{
+    lose_one_poll(700ms + 1100ms + 100ms);
+}
+
+// Half of the runners go dark, and work comes before their polls have told so. Orders to them stay
+// unanswered for the length of a call. That is no delay of the owner's loop: what goes to the other
+// half, starts as well as stops, must not wait for it.
+TEST(lagging_owner, orders_to_dark_runners_hold_up_no_others)
+{
+    constexpr int each_half = 20;
+    constexpr int tasks = 300; // of 320 that the runners take; half of them go to sound ones
+    constexpr int nearly_half = 140;
+    cluster c;
+    c.hosts.behaviour.run_time = 20s;
+    std::vector<std::string> dark;
+    for (int i = 0; i < each_half; ++i)
+    {
+        c.hosts.add("p");
+        dark.push_back(c.hosts.add("p"));
+    }
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(2s);
+    for (const auto& it : dark)
+    {
+        c.hosts.cut(it, 10s);
+    }
+    c.put_job(c.make_job("a", tasks));
+    c.time.run_for(500ms);
+    CHECK(c.hosts.starts >= nearly_half);
+}
--- a/libs/http/tests/client_tests.cpp
+++ b/libs/http/tests/client_tests.cpp
@@ -337,6 +337,25 @@
     STRCMP_EQUAL("ok", out.response.body.c_str());
 }
 
+// As above with an answer of more bytes than curl takes at one reading: a poll of a runner with
+// hundreds of ends, a page of jobs. All of it lies in the socket in time, so all of it must be read
+// before the call is judged.
+TEST(http_client, a_long_answer_that_came_in_time_is_read_by_a_process_that_is_late)
+{
+    const std::string body(50000, 'x');
+    const auto length = std::to_string(body.size());
+    target.on_request = [&](int id, int)
+    {
+        target.say(id, "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + body);
+        std::this_thread::sleep_for(150ms);
+    };
+    auto it = make_call(target.port());
+    it.total_timeout = 100ms;
+    const auto out = call(it);
+    CHECK(out.end == call_end::answered);
+    CHECK(out.response.body == body);
+}
+
 // The same before the request: the connection stood within a millisecond, and the process was busy
 // until after the timeout of connecting.
 TEST(http_client, a_connection_that_stood_in_time_is_used_by_a_process_that_is_late)
--- a/libs/relay/tests/pool_tests.cpp
+++ b/libs/relay/tests/pool_tests.cpp
@@ -1,5 +1,6 @@
 #include "fixture.hpp"
 
+#include <algorithm>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -393,3 +394,31 @@
     CHECK(unknown > 0);
     CHECK(not_sent > 0);
 }
+
+// A term ends while its first orders wait for relays to be connected. The next term of the same
+// node begins seconds later: what the former term wanted must not leave then.
+TEST(relay_pool, orders_that_waited_for_relays_end_with_their_term)
+{
+    auto& a = b.add("a");
+    b.made->begin();
+    b.made->set_relays(b.places());
+    std::optional<ports::runner_answer> got;
+    b.poll("first", [](const ports::poll_answer&) {});
+    b.start(
+        "i-1", "t", [&](const ports::runner_answer& it) { got = it; }, 1);
+    b.loop.run_once(0ms);
+    b.made->end();
+    b.run_for(500ms);
+    b.made->begin();
+    bool polled = false;
+    b.poll("second", [&](const ports::poll_answer&) { polled = true; });
+    CHECK(b.until([&] { return polled; }));
+    b.run_for(500ms);
+    const auto is_start = [](const std::string& it)
+    {
+        return it.starts_with("start");
+    };
+    CHECK_EQUAL(0, std::count_if(b.local.seen.begin(), b.local.seen.end(), is_start));
+    CHECK_EQUAL(0, std::count_if(a.runners.seen.begin(), a.runners.seen.end(), is_start));
+    CHECK(got.has_value() && got->verdict == runner_verdict::not_sent);
+}
