--- a/libs/coordinator/include/coordinator/order_window.hpp
+++ b/libs/coordinator/include/coordinator/order_window.hpp
@@ -5,6 +5,8 @@
 
 #include "core/time.hpp"
 
+#include <cstdint>
+
 namespace camphorhitch::coordinator
 {
 
@@ -16,7 +18,7 @@
     int first = 32;
     int least = 8; ///< so that work goes on; 8 calls take 5 ms of half a core
     int most = 512;
-    int step = 4;              ///< that it grows by when it was in the way and the loop was in time
+    int step = 2;              ///< that it grows by when it was in the way and the loop was in time
     double deepest_cut = 0.25; ///< at one look, however late
     /// Orders of one turn, stops and starts together: at 0.15 ms each 20 ms of a quarter of a core.
     int most_at_once = 32;
@@ -24,13 +26,12 @@
     /// A lease of 2,500 ms outlasts a poll's wait of 700 ms, this gap, and one poll that fails.
     core::millis longest_gap{400};
     double gap_growth = 1.5; ///< at a look that finds the loop late
-    double gap_decay = 0.9;  ///< at any other
+    double gap_decay = 0.95; ///< at any other
 };
 
 struct order_window
 {
     int size = window_settings{}.first;
-    int out = 0;                 ///< sent and not answered
     bool was_in_the_way = false; ///< since the latest look
     core::millis gap{window_settings{}.shortest_gap};
 };
@@ -38,7 +39,8 @@
 /// Takes in by how much the loop was late at a look.
 void see_delay(order_window& w, const window_settings& s, core::micros late_by);
 
+/// \param out orders that were sent and not answered
 /// \return the orders that may leave in this turn.
-int room_for_orders(const order_window& w, const window_settings& s);
+int room_for_orders(const order_window& w, const window_settings& s, std::int64_t out);
 
 } // namespace camphorhitch::coordinator
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -184,12 +184,12 @@
     p.hosts = std::make_unique<host_reader>(t);
     p.bridge = std::make_unique<lease_bridge>(t);
     p.desk = std::make_unique<runner_desk>(t);
-    p.desk->start_watch();
     p.writer = std::make_unique<progress_writer>(t);
     p.machines = std::make_unique<machine_desk>(t);
     p.waves = std::make_unique<wave_runner>(t, p.machines->table());
     p.tidy = std::make_unique<tidier>(t);
-    p.watch = std::make_unique<load_watch>(t);
+    p.watch =
+        std::make_unique<load_watch>(t, [&p](core::micros late_by) { p.desk->see_delay(late_by); });
     t.on_job = [&p](const workflow::job& j, core::mono_time at)
     {
         p.machines->note_job(j, at);
--- a/libs/hosted/src/load_watch.cpp
+++ b/libs/hosted/src/load_watch.cpp
@@ -2,6 +2,8 @@
 
 #include "hosted/leadership.hpp"
 
+#include <algorithm>
+
 #include <utility>
 
 namespace camphorhitch::hosted
@@ -36,7 +38,8 @@
 
 } // namespace
 
-load_watch::load_watch(term& t) : term_(t)
+load_watch::load_watch(term& t, std::function<void(core::micros)> on_delay)
+    : term_(t), on_delay_(std::move(on_delay))
 {
 }
 
@@ -66,6 +69,7 @@
     const auto now = term_.now();
     term_.load.timer_delays.add(now, now - due_);
     probe_sockets(now);
+    on_delay_(std::max(now - due_, sent_ ? now - *sent_ : core::micros{0}));
     if (now - reported_ >= report_every)
     {
         report(now);
@@ -91,7 +95,9 @@
         [this]
         {
             const auto at = term_.now();
-            term_.load.socket_delays.add(at, at - *std::exchange(sent_, std::nullopt));
+            const auto late_by = at - *std::exchange(sent_, std::nullopt);
+            term_.load.socket_delays.add(at, late_by);
+            on_delay_(late_by);
         }));
 }
 
