--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -19,6 +19,10 @@
 constexpr core::millis answer_is_near{250};
 /// A loop that was less late than this can't have let a call run into its time-out (700 ms) alone.
 constexpr core::millis own_delay{200};
+/// Between renewals beside a poll that is overdue: four within what is left of a lease then.
+constexpr core::millis renew_again{250};
+/// A timer that fires so late shows that this node is behind.
+constexpr core::millis renewal_late{50};
 
 } // namespace
 
@@ -98,12 +102,63 @@
     coordinator::note_lease(h, order.lease_until_ms);
     const auto begun = term_.now();
     h.polled_at = begun;
+    polls_out_[host] = begun;
+    renew_later(host, begun, order.wait + answer_is_near);
     term_.ctx.runners.poll(h.ref,
         order,
         term_.guarded(
             [this, host, begun](const ports::poll_answer& a) { take_poll(host, begun, a); }));
 }
 
+void runner_desk::renew_later(const std::string& host, core::mono_time begun, core::millis delay)
+{
+    const auto due = term_.now() + delay;
+    term_.ctx.time.after(
+        delay, term_.guarded([this, host, begun, due] { renew(host, begun, due); }));
+}
+
+/// A poll without an answer until its time-out would take most of a lease with it: one lost answer,
+/// or one relay that stands still, ended the leases of runners that are well. So once the answer is
+/// overdue the lease is renewed beside it, again and again. A node that is late itself waits: the
+/// answer may lie unread here, and more calls would make it later.
+void runner_desk::renew(const std::string& host, core::mono_time begun, core::mono_time due)
+{
+    const auto out = polls_out_.find(host);
+    const auto found = term_.fleet.hosts.find(host);
+    if (out == polls_out_.end() || out->second != begun || found == term_.fleet.hosts.end() ||
+        !term_.lead->holds())
+    {
+        return;
+    }
+    renew_later(host, begun, renew_again);
+    auto& h = found->second;
+    const auto lease = coordinator::lease_end_for(term_.fleet, h, term_.now());
+    if (lease == 0 || term_.now() - due > renewal_late)
+    {
+        return;
+    }
+    ports::poll_order order;
+    order.fencing_token = term_.token;
+    order.acknowledged_through = h.stored_end;
+    order.lease_until_ms = lease;
+    coordinator::note_lease(h, lease);
+    term_.ctx.runners.poll(h.ref,
+        order,
+        term_.guarded(
+            [this, host](const ports::poll_answer& a)
+            {
+                if (a.call.verdict == runner_verdict::unknown ||
+                    a.call.verdict == runner_verdict::not_sent)
+                {
+                    return; // whether the runner is silent is judged by the poll
+                }
+                coordinator::task_events out;
+                take(coordinator::contact_answered(term_.fleet, host, a.call, term_.now(), out),
+                    host,
+                    out);
+            }));
+}
+
 core::millis runner_desk::poll_gap() const
 {
     constexpr double ms_per_second = 1000;
@@ -135,7 +190,11 @@
     const std::string& host, core::mono_time begun, const ports::poll_answer& a)
 {
     const auto found = term_.fleet.hosts.find(host);
-    if (asks_again(host, begun, a.call.verdict))
+    polls_out_.erase(host);
+    const bool heard_since =
+        found != term_.fleet.hosts.end() && found->second.last_answer > begun &&
+        (a.call.verdict == runner_verdict::unknown || a.call.verdict == runner_verdict::not_sent);
+    if (heard_since || asks_again(host, begun, a.call.verdict))
     {
         poll(host);
         return;
--- a/libs/hosted/src/runner_desk.hpp
+++ b/libs/hosted/src/runner_desk.hpp
@@ -41,6 +41,8 @@
     core::millis poll_gap() const;
     void take_poll(const std::string& host, core::mono_time begun, const ports::poll_answer& a);
     void poll_later(const std::string& host, core::millis delay);
+    void renew_later(const std::string& host, core::mono_time begun, core::millis delay);
+    void renew(const std::string& host, core::mono_time begun, core::mono_time due);
     void start(const coordinator::start_action& a);
     void stop(const coordinator::stop_action& a);
     void take_start(const coordinator::start_action& a, const ports::runner_answer& answer);
@@ -60,7 +62,8 @@
     std::map<std::uint64_t, core::mono_time> out_; ///< when unanswered orders were sent
     std::uint64_t last_order_ = 0;
     std::set<std::string> asked_again_; ///< hosts whose silence may be this node's own delay
-    std::set<std::string> polling_;     ///< a poll is out, or a timer for the next one runs
+    std::map<std::string, core::mono_time> polls_out_; ///< when each poll under way was sent
+    std::set<std::string> polling_; ///< a poll is out, or a timer for the next one runs
     std::set<std::string> strays_out_;
 };
 
--- a/libs/relay/src/pool_relays.cpp
+++ b/libs/relay/src/pool_relays.cpp
@@ -47,6 +47,7 @@
     time.cancel(timer);
     timer = 0;
     routes.clear();
+    refuse_waiting(); // what this term wanted must not leave in a later one
     time.post(
         [weak = weak_from_this()]
         {
