--- a/libs/coordinator/tests/settling_tests.cpp
+++ b/libs/coordinator/tests/settling_tests.cpp
@@ -116,3 +116,96 @@
     CHECK_FALSE(start_answered(
         w.f, "h1", a.task, a.run, {ports::runner_verdict::fenced, 1}, w.now, w.events));
 }
+
+// A runner lists its ends in another order than they came. Were only those above the newest one
+// taken in, the others' runs would count as missing, and tasks that are done would start again.
+TEST(settling, ends_are_taken_in_whatever_their_order)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(3, 1000)}));
+    const auto p = w.next();
+    LONGS_EQUAL(3, p.starts.size());
+    for (const auto& it : p.starts)
+    {
+        w.started(it);
+    }
+    ports::poll_answer all;
+    all.call = {ports::runner_verdict::done, 1000};
+    constexpr auto done = ports::run_end::done;
+    all.ended = {{3, "a.0.0.2", p.starts[2].run, done, {}},
+        {1, "a.0.0.0", p.starts[0].run, done, {}},
+        {2, "a.0.0.1", p.starts[1].run, done, {}}};
+    w.now += 10ms;
+    poll_answered(w.f, "h1", w.now, all, w.now, w.events);
+    LONGS_EQUAL(3, w.f.hosts["h1"].seen_end);
+    CHECK(w.f.jobs.at("a")->state == workflow::job_state::completed);
+    LONGS_EQUAL(0, w.next().starts.size());
+}
+
+// More ends wait at the runner than an answer lists. A run in neither list may be one of them: it
+// is neither over nor lost until an answer that leaves nothing out.
+TEST(settling, a_run_is_not_missing_while_ends_are_left_out)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    w.started(a);
+    ports::poll_answer part;
+    part.call = {ports::runner_verdict::done, 1000};
+    part.ends_left_out = true;
+    w.now += 10ms;
+    poll_answered(w.f, "h1", w.now, part, w.now, w.events);
+    LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
+    part.ends_left_out = false;
+    poll_answered(w.f, "h1", w.now, part, w.now, w.events);
+    LONGS_EQUAL(0, w.f.jobs.at("a")->live_runs);
+}
+
+/// A job that a former owner took in and began, and a runner that may hold its task.
+void inherit(world& w, const std::string& host)
+{
+    w.f.term = 1;
+    w.f.term_began = 100;
+    prior_host p;
+    p.ref = {host, host + ":1"};
+    p.pool = "p";
+    add_prior_hosts(w.f, {p}, w.now);
+    auto& h = w.f.hosts.at(host);
+    h.capacity = {host_cpu, 65536, 0};
+    h.listed = true;
+    w.add(make_job("a", {make_step(1, 1000)}));
+}
+
+// A new owner is slow: its first poll of a runner is answered, and the answer lies unread until the
+// former owner's leases have ended. Were the runner taken for silent, the task would start on
+// another one, and the end that the answer tells of would come too late.
+TEST(settling, a_former_owners_runner_does_not_lapse_before_it_was_asked)
+{
+    inherit(w, "h1");
+    w.now += 10s;
+    w.add_host("h2");
+    lapse_hosts(w.f, w.now, w.events);
+    LONGS_EQUAL(0, w.next().starts.size());
+    contact_answered(w.f, "h1", {ports::runner_verdict::unknown, -1}, w.now, w.events);
+    lapse_hosts(w.f, w.now, w.events);
+    LONGS_EQUAL(1, w.next().starts.size());
+}
+
+// A runner's leases have ended unheard, and the task waits. Before it is started anew the runner
+// answers after all: the task had ended done in time. That end counts, as this owner has ordered
+// no run of the task; starting it would run it twice.
+TEST(settling, an_end_heard_late_counts_while_no_newer_run_was_ordered)
+{
+    inherit(w, "h1");
+    w.now += 10s;
+    contact_answered(w.f, "h1", {ports::runner_verdict::unknown, -1}, w.now, w.events);
+    lapse_hosts(w.f, w.now, w.events);
+    CHECK_FALSE(w.f.hosts.at("h1").prior);
+    ports::poll_answer late;
+    late.call = {ports::runner_verdict::done, 1000};
+    late.ended = {{1, "a.0.0.0", 2, ports::run_end::done, {}}};
+    poll_answered(w.f, "h1", w.now, late, w.now, w.events);
+    w.add_host("h2");
+    LONGS_EQUAL(0, w.next().starts.size());
+    CHECK(w.f.jobs.at("a")->state == workflow::job_state::completed);
+}
