--- a/testing/hosted_fakes/src/processor.cpp
+++ b/testing/hosted_fakes/src/processor.cpp
@@ -188,8 +188,10 @@
     };
     out.commit = [=, this](const auto& t, const auto& done)
     {
-        call<ports::commit_result>(
-            [=](const auto& d) { real.commit(t, d); }, store_timeout, {unknown, 0, {}, false}, done);
+        call<ports::commit_result>([=](const auto& d) { real.commit(t, d); },
+            store_timeout,
+            {unknown, 0, {}, false},
+            done);
     };
     ports::kv_lease silence;
     silence.status = unknown;
