--- a/libs/hosted/src/lease_bridge.cpp
+++ b/libs/hosted/src/lease_bridge.cpp
@@ -48,6 +48,7 @@
     order.fencing_token = term_.token;
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
     coordinator::note_lease(h, order.lease_until_ms);
+    h.polled_at = term_.now();
     under_way_.insert(host);
     term_.ctx.runners.poll(
         h.ref, order, term_.guarded([this, host](const ports::poll_answer& a) { take(host, a); }));
