--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -383,7 +383,7 @@
     if (!answer.ends_left_out)
     {
         judge_all_missing(f, *h, listed, begun, now, out);
-        h->prior = false;
+        h->prior = false; // a first look is over once it has seen all
     }
     return true;
 }
--- a/libs/hosted/include/hosted/leadership.hpp
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -24,6 +24,9 @@
     core::millis renew_every{350};
     /// The node stops acting this long before its lease can have ended at the store.
     core::millis margin{150};
+    /// Past that bound the node orders nothing, and waits so long for an answer that the lease
+    /// stands: nearly two renewals more.
+    core::millis patience{600};
     /// Candidates try after a pause of up to this long, so that they do not all call at once.
     core::millis longest_pause{120};
     /// A node waits longer before it bids, the smaller its share of a core: the coordinator's load
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -248,18 +248,18 @@
         return;
     }
     const auto sent = ctx.boot_now();
-    if (sent >= valid_until + settings.lease)
+    if (sent >= valid_until + settings.patience)
     {
         lose("the lease was not renewed in time");
         return;
     }
-    // Past valid_until nothing is ordered, but the lease may well stand: the answer that says so
-    // may lie unread on a node that got no processor time. An answer, or a lease's time without
-    // one, ends the term.
     judge_pace("sent", sent);
     oldest_at_renew =
         std::max(oldest_at_renew, sent - valid_until + settings.lease - settings.margin);
     sent_at = sent;
+    // Past valid_until nothing is ordered, but the lease may well stand: the answer that says so
+    // may lie unread on a node that got no processor time. An answer, or none for
+    // as long as two renewals take, ends the term.
     ctx.store.keep_alive(lease,
         guarded([sent](leadership_state& self, const ports::kv_lease& got)
             { self.take_renewal(got, sent); }));
--- a/libs/http/src/client_state.cpp
+++ b/libs/http/src/client_state.cpp
@@ -14,6 +14,8 @@
 {
 
 constexpr std::size_t most_spare_handles = 128;
+/// Of one answer at its timeout, 16 KB each at least: 1 MB, the most that a service sends.
+constexpr int most_readings = 64;
 
 void start_curl_once()
 {
@@ -263,10 +265,16 @@
 
 transfer* client_state::read_what_came(ports::call_id id)
 {
-    const auto& it = *transfers_.at(id);
-    if (const int ready = readiness(it); ready != 0)
+    // curl takes a part at a time; a long answer lies there in several.
+    for (int i = 0; i < most_readings; ++i)
     {
-        act(it.socket, ready);
+        const auto found = transfers_.find(id);
+        const int ready = found == transfers_.end() ? 0 : readiness(*found->second);
+        if (ready == 0)
+        {
+            break;
+        }
+        act(found->second->socket, ready);
     }
     const auto found = transfers_.find(id);
     return found == transfers_.end() ? nullptr : found->second.get();
--- a/libs/relay/src/pool_state.hpp
+++ b/libs/relay/src/pool_state.hpp
@@ -53,12 +53,20 @@
 struct order_under_way
 {
     std::string member;
+    std::string runner;
     order_callback done;
     std::uint64_t bytes_before = 0; ///< of its connection, queued before its frame
     bool framed = false;            ///< bytes_before is known
     core::millis deadline{0};       ///< loop_clock
 };
 
+/// The relay through which a runner did not answer lately.
+struct avoided_relay
+{
+    std::string member;
+    core::millis until{0}; ///< loop_clock
+};
+
 /// An order that has not been given to anybody yet.
 struct waiting_order
 {
@@ -70,6 +78,13 @@
 /// How many orders ended with each verdict.
 using verdict_counts = std::array<std::uint32_t, ports::runner_verdict_names.size()>;
 
+/// Orders of a relay that was lost.
+struct lost_orders
+{
+    std::size_t unknown = 0;
+    std::size_t not_sent = 0;
+};
+
 struct pool_state : std::enable_shared_from_this<pool_state>
 {
     pool_parts parts;
@@ -86,9 +101,10 @@
     std::map<std::string, relay_entry> relays; ///< by member
     std::unordered_map<std::uint64_t, order_under_way> under_way;
     std::vector<waiting_order> waiting;
-    std::unordered_map<std::string, core::millis> polled; ///< runners, when
-    std::unordered_map<std::string, relay_entry*> routes; ///< by runner
-    verdict_counts relayed{};                             ///< since the last tick
+    std::unordered_map<std::string, core::millis> polled;   ///< runners, when
+    std::unordered_map<std::string, relay_entry*> routes;   ///< by runner
+    std::unordered_map<std::string, avoided_relay> avoided; ///< by runner
+    verdict_counts relayed{};                               ///< since the last tick
     verdict_counts made_locally{};
 
     // pool.cpp
@@ -99,8 +115,10 @@
     void count_runner(const std::string& id);
     relay_entry* route(const ports::runner_ref& to);
     relay_entry* best_of(const ports::runner_ref& to, bool same_zone);
+    void avoid(const order_under_way& it);
     void give(waiting_order o);
     void make_locally(waiting_order o);
+    void refuse_waiting();
     void send_orders(relay_entry& r);
     void send_part(relay_entry& r, const order_batch& part);
     void take(const std::string& member, std::string_view frame);
@@ -118,7 +136,9 @@
     void send_heartbeats();
     void time_out_orders();
     void lose(const std::string& member, const std::string& why);
+    lost_orders disconnect(relay_entry& r);
     void forget_runners();
+    void forget_avoided();
     void begin();
     void end();
     void close_all();
--- a/libs/relay/tests/pool_tests.cpp
+++ b/libs/relay/tests/pool_tests.cpp
@@ -1,5 +1,6 @@
 #include "fixture.hpp"
 
+#include <algorithm>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -206,6 +207,39 @@
     b.run_for(100ms);
 }
 
+// A relay hears the coordinator and not one runner: their link is cut. The runner's next order goes
+// through another relay, so that its lease is renewed in time; other runners stay where they are.
+TEST(relay_pool, a_runner_that_its_relay_does_not_reach_is_called_by_another)
+{
+    constexpr int runners = 20;
+    b.add("a");
+    b.add("b");
+    CHECK(b.connect());
+    auto& cut = b.relays.front();
+    cut.runners.unreachable = true;
+    int unknown = 0;
+    int done = 0;
+    const auto start_all = [&]
+    {
+        for (int i = 0; i < runners; ++i)
+        {
+            b.start("i-" + std::to_string(i),
+                "t",
+                [&](const ports::runner_answer& it)
+                { ++(it.verdict == runner_verdict::done ? done : unknown); });
+        }
+    };
+    start_all();
+    CHECK(b.until([&] { return done + unknown == runners; }));
+    CHECK(unknown > 0);
+    CHECK(done > 0);
+    unknown = 0;
+    done = 0;
+    start_all();
+    CHECK(b.until([&] { return done == runners; }));
+    CHECK_EQUAL(0, unknown);
+}
+
 // A relay that was lost is tried again and takes its runners back; others keep theirs.
 TEST(relay_pool, a_lost_relay_comes_back_and_only_its_runners_move)
 {
@@ -333,6 +367,18 @@
     CHECK(a.log.has("a former owner's token 8"));
 }
 
+// The coordinator's lease ends between a decision and the end of the turn: the order stays here.
+TEST(relay_pool, nothing_is_sent_without_the_own_lease)
+{
+    auto& a = b.add("a");
+    CHECK(b.connect());
+    const auto seen = a.runners.seen.size();
+    b.owns = false;
+    CHECK(start("i-1").verdict == runner_verdict::not_sent);
+    CHECK_EQUAL(seen, a.runners.seen.size());
+    CHECK(b.local.seen.empty());
+}
+
 TEST(relay_pool, the_end_of_a_term_ends_its_orders)
 {
     auto& a = b.add("a");
@@ -393,3 +439,31 @@
     CHECK(unknown > 0);
     CHECK(not_sent > 0);
 }
+
+// A term ends while its first orders wait for relays to be connected. The next term of the same
+// node begins seconds later: what the former term wanted must not leave then.
+TEST(relay_pool, orders_that_waited_for_relays_end_with_their_term)
+{
+    auto& a = b.add("a");
+    b.made->begin();
+    b.made->set_relays(b.places());
+    std::optional<ports::runner_answer> got;
+    b.poll("first", [](const ports::poll_answer&) {});
+    b.start(
+        "i-1", "t", [&](const ports::runner_answer& it) { got = it; }, 1);
+    b.loop.run_once(0ms);
+    b.made->end();
+    b.run_for(500ms);
+    b.made->begin();
+    bool polled = false;
+    b.poll("second", [&](const ports::poll_answer&) { polled = true; });
+    CHECK(b.until([&] { return polled; }));
+    b.run_for(500ms);
+    const auto is_start = [](const std::string& it)
+    {
+        return it.starts_with("start");
+    };
+    CHECK_EQUAL(0, std::count_if(b.local.seen.begin(), b.local.seen.end(), is_start));
+    CHECK_EQUAL(0, std::count_if(a.runners.seen.begin(), a.runners.seen.end(), is_start));
+    CHECK(got.has_value() && got->verdict == runner_verdict::not_sent);
+}
