Renewals and first looks wait for no relay; a call that did not leave is half a proof of silence

From the review: the first renewals of a term waited 300 ms and more for relays to be connected; a relay that is late itself held a renewal up as it held the poll; a call that ended unsent on the way to a relay counted as a runner's silence.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -114,6 +114,9 @@
     closed_for_move
 };
 
+/// host_entry::asked from which silence counts as the host's own.
+inline constexpr int surely_asked = 2;
+
 struct host_entry
 {
     ports::runner_ref ref;
@@ -133,7 +136,9 @@
     bool recorded = false;
 
     bool prior = false; ///< a former owner may have ordered runs here that we have not seen
-    bool tried = false; ///< a call of this term was answered, or given up as unanswered
+    /// How surely it was asked in this term: an answer, or none to a call that left, counts 2; a
+    /// call that did not leave counts 1, for the fault may be on this side, or on a node between.
+    int asked = 0;
     bool reachable = false;
     core::mono_time silent_since; ///< when it left reachable
     core::mono_time added_at;
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -217,7 +217,7 @@
     core::mono_time now,
     task_events& out)
 {
-    h.tried = true;
+    h.asked += answer.verdict == runner_verdict::not_sent ? 1 : surely_asked;
     const auto id = h.ref.id; // the host may be removed with it
     if (const auto over = judge_standing(f, id, answer, now, out))
     {
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -261,7 +261,7 @@
         // Silence is proof only of one that was asked. An owner that is late itself, with thousands
         // of jobs to read, would else take runners for lapsed whose answers it has not read, and
         // start what ended there in time a second time.
-        const bool unasked = h.prior && !h.tried;
+        const bool unasked = h.prior && h.asked < surely_asked;
         if (h.reachable || unasked || !has_lapsed(f, h, now))
         {
             continue;
--- a/libs/coordinator/tests/settling_tests.cpp
+++ b/libs/coordinator/tests/settling_tests.cpp
@@ -186,6 +186,9 @@
     w.add_host("h2");
     lapse_hosts(w.f, w.now, w.events);
     LONGS_EQUAL(0, w.next().starts.size());
+    contact_answered(w.f, "h1", {ports::runner_verdict::not_sent, -1}, w.now, w.events);
+    lapse_hosts(w.f, w.now, w.events); // the call did not leave: the fault may be on this side
+    LONGS_EQUAL(0, w.next().starts.size());
     contact_answered(w.f, "h1", {ports::runner_verdict::unknown, -1}, w.now, w.events);
     lapse_hosts(w.f, w.now, w.events);
     LONGS_EQUAL(1, w.next().starts.size());
--- a/libs/relay/src/pool.cpp
+++ b/libs/relay/src/pool.cpp
@@ -38,9 +38,16 @@
 
 void pool_state::submit(waiting_order o)
 {
-    if (std::holds_alternative<ports::poll_order>(o.body))
+    if (const auto* const poll = std::get_if<ports::poll_order>(&o.body))
     {
         count_runner(o.to.id);
+        if (poll->wait.count() == 0)
+        {
+            // A first look of a term, or a renewal beside a poll that is overdue: it neither waits
+            // for relays to be connected nor takes the way that may be what is late.
+            make_locally(std::move(o));
+            return;
+        }
     }
     waiting.push_back(std::move(o));
     gather();
--- a/libs/relay/tests/pool_tests.cpp
+++ b/libs/relay/tests/pool_tests.cpp
@@ -467,3 +467,22 @@
     CHECK_EQUAL(0, std::count_if(a.runners.seen.begin(), a.runners.seen.end(), is_start));
     CHECK(got.has_value() && got->verdict == runner_verdict::not_sent);
 }
+
+// A new coordinator renews leases that end soon, and its relays are not connected yet; or a relay
+// is late and the lease is renewed beside its poll. Either call waits for no relay.
+TEST(relay_pool, a_poll_that_does_not_wait_is_made_locally_at_once)
+{
+    auto& a = b.add("a");
+    b.made->begin();
+    b.made->set_relays(b.places());
+    bool answered = false;
+    b.port.poll({"first", "10.0.0.1:80", ""},
+        {1000, 1, 0, core::millis{0}},
+        [&](const ports::poll_answer&) { answered = true; });
+    b.port.poll({"second", "10.0.0.1:80", ""},
+        {1000, 1, 0, core::millis{0}},
+        [](const ports::poll_answer&) {});
+    CHECK_EQUAL(2, b.local.seen.size());
+    CHECK(b.until([&] { return answered; }));
+    CHECK_EQUAL(0, a.runners.seen.size());
+}
