--- a/libs/relay/src/server.cpp
+++ b/libs/relay/src/server.cpp
@@ -49,6 +49,7 @@
     void send(client& c);
     void tick();
     bool woke();
+    std::string standstill();
     void drop(std::uint64_t id, const std::string& why);
     void drop_all(const std::string& why);
 };
@@ -97,7 +98,7 @@
     // a poll names the lease's absolute end. Dropping them only spares the calls.
     if (woke())
     {
-        drop_all("standstill");
+        drop_all(standstill());
         return;
     }
     if (frame.empty())
@@ -243,11 +244,18 @@
     return parts.boot_now() - ticked_at > limits.longest_standstill + limits.heartbeat;
 }
 
+/// \return the reason for the log.
+std::string server_state::standstill()
+{
+    const auto gap = std::chrono::duration_cast<core::millis>(parts.boot_now() - ticked_at);
+    return "standstill of " + std::to_string(gap.count()) + " ms";
+}
+
 void server_state::tick()
 {
     if (woke())
     {
-        drop_all("standstill");
+        drop_all(standstill());
     }
     ticked_at = parts.boot_now();
     const auto now = time.now();
--- a/libs/relay/tests/fixture.hpp
+++ b/libs/relay/tests/fixture.hpp
@@ -42,6 +42,17 @@
         return out;
     }
 
+    /// \return all lines, for the report of a failure.
+    std::string text() const
+    {
+        std::string out;
+        for (const auto& it : lines)
+        {
+            out += it + '\n';
+        }
+        return out;
+    }
+
     bool has(const std::string& part) const
     {
         for (const auto& it : lines)
@@ -152,7 +163,8 @@
     fake_runners local;
     log_lines log;
     std::list<relay_node> relays;
-    bool owns = true; ///< the lease of coordination holds
+    core::micros longest_turn{0}; ///< of all loops; long when the machine is busy
+    bool owns = true;             ///< the lease of coordination holds
     std::unique_ptr<pool> made;
     ports::runners port;
 
@@ -195,6 +207,7 @@
     /// One turn of each loop that does not stand still.
     void turn()
     {
+        const auto begun = loop.scheduler().now();
         loop.run_once(core::millis{2});
         for (auto& it : relays)
         {
@@ -203,6 +216,7 @@
                 it.loop.run_once(core::millis{1});
             }
         }
+        longest_turn = std::max(longest_turn, loop.scheduler().now() - begun);
     }
 
     bool until(const std::function<bool()>& holds)
--- a/libs/relay/tests/pool_tests.cpp
+++ b/libs/relay/tests/pool_tests.cpp
@@ -189,7 +189,8 @@
     CHECK(b.until([&] { return got.has_value(); }));
     CHECK(got->verdict == runner_verdict::done);
     b.run_for(300ms);
-    CHECK(!b.log.has("relay_lost"));
+    const auto turn = "longest turn " + std::to_string(b.longest_turn.count()) + " us\n";
+    CHECK_TEXT(!b.log.has("relay_lost"), (turn + b.log.text() + a.log.text()).c_str());
 }
 
 // The runner never answers, and the relay lives: the order ends as unknown by its own time-out, and
