--- a/libs/coordinator/include/coordinator/order_window.hpp
+++ b/libs/coordinator/include/coordinator/order_window.hpp
@@ -23,7 +23,8 @@
     /// Orders of one turn, stops and starts together: at 0.15 ms each 20 ms of a quarter of a core.
     int most_at_once = 32;
     core::millis shortest_gap{30}; ///< between polls of a runner with news
-    /// A lease of 2,500 ms outlasts a poll's wait of 700 ms, this gap, and one poll that fails.
+    /// A lease of 2,500 ms outlasts a poll's wait of 700 ms, this gap, and the time until a next
+    /// poll is overdue (950 ms): then 450 ms are left, and the lease is renewed beside that poll.
     core::millis longest_gap{400};
     double gap_growth = 1.5; ///< at a look that finds the loop late
     double gap_decay = 0.95; ///< at any other
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -17,7 +17,8 @@
 
 /// A runner that is well answers an order within some 10 ms, a slow one within this.
 constexpr core::millis answer_is_near{250};
-/// A loop that was less late than this can't have let a call run into its time-out (700 ms) alone.
+/// Most of what a call has beyond its wait (700 ms) before it is given up; a loop that was less
+/// late can't have let it run out alone.
 constexpr core::millis own_delay{200};
 /// Between renewals beside a poll that is overdue: four within what is left of a lease then.
 constexpr core::millis renew_again{250};
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -1,18 +1,14 @@
 #include "hosted_node.hpp"
 
-#include "company/advice_client.hpp"
 #include "company/front.hpp"
-#include "company/machine_client.hpp"
-#include "company/runner_client.hpp"
 #include "company/spelling.hpp"
-#include "company/store_client.hpp"
 #include "hosted/config_follower.hpp"
 #include "hosted/entry_desk.hpp"
 #include "hosted/fleet_driver.hpp"
 #include "hosted/leadership.hpp"
 #include "hosted/relay_registry.hpp"
+#include "hosted_clients.hpp"
 #include "hosted_operators.hpp"
-#include "http/client.hpp"
 #include "http/server.hpp"
 #include "reactor/event_loop.hpp"
 #include "relay/pool.hpp"
@@ -21,11 +17,9 @@
 
 #include <algorithm>
 #include <csignal>
-#include <ctime>
 #include <fstream>
 #include <iterator>
 #include <optional>
-#include <sys/resource.h>
 
 namespace camphorhitch::daemon
 {
@@ -33,22 +27,6 @@
 namespace
 {
 
-/// For the orders of a burst; each costs a handshake.
-constexpr std::size_t connections_per_runner = 3;
-/// For the long poll, and a renewal beside it. With orders on the same connections a poll was not
-/// sent in a burst, its runner counted as silent, and its leases ended.
-constexpr std::size_t poll_connections_per_runner = 2;
-constexpr std::size_t connections_to_store = 24;
-/// The lease that lets this node coordinate is renewed over connections of its own: behind a burst
-/// of writes that hold all of the others, a renewal would wait until the lease has ended.
-constexpr std::size_t connections_for_lease = 2;
-/// Kept open in all. With fewer than runners times the connections to each, an idle one is closed
-/// for each that comes back, and all are searched for it. Both together stay below the 4,100
-/// descriptors of the smallest hosts, with room for callers.
-constexpr std::size_t most_idle_to_runners = 2000;
-constexpr std::size_t most_idle_polls = 1200;
-/// What lies between may forget an idle connection; an old one is not worth its risk.
-constexpr core::millis longest_idle{8000};
 /// Without an answer of the store for so long, callers are better served by another node.
 constexpr core::millis ready_after_answer{2800};
 /// After the signal the balancer needs two health checks, a second apart, to send nobody more.
@@ -67,23 +45,6 @@
     return core::millis{static_cast<std::int64_t>(longest_ms * lacks)};
 }
 
-core::mono_time boot_now()
-{
-    timespec t{};
-    clock_gettime(CLOCK_BOOTTIME, &t);
-    constexpr std::int64_t us_per_s = 1000000;
-    constexpr std::int64_t ns_per_us = 1000;
-    return core::mono_time{core::micros{t.tv_sec * us_per_s + t.tv_nsec / ns_per_us}};
-}
-
-core::micros processor_time()
-{
-    rusage used{};
-    getrusage(RUSAGE_SELF, &used);
-    const auto whole = std::chrono::seconds{used.ru_utime.tv_sec + used.ru_stime.tv_sec};
-    return whole + core::micros{used.ru_utime.tv_usec + used.ru_stime.tv_usec};
-}
-
 std::string read_file(const std::string& name)
 {
     std::ifstream in(name);
@@ -99,17 +60,9 @@
     reactor::event_loop loop;
     telemetry::hub tel;
     ports::telemetry log;
-    std::optional<http::client> store_http;
-    std::optional<http::client> lease_http;
-    std::optional<http::client> runner_http;
-    std::optional<http::client> poll_http;
-    ports::http_client store_port;
-    ports::http_client lease_port;
-    ports::http_client runner_port;
-    ports::http_client poll_port;
+    std::unique_ptr<hosted_clients> clients;
     hosted::formats formats;
     hosted::context ctx;
-    ports::runners runners; ///< this node's own calls to runners
     std::unique_ptr<relay::pool> relays;
     std::unique_ptr<relay::server> relay_server;
     std::unique_ptr<hosted::relay_registry> registry;
@@ -154,53 +107,8 @@
 
 void hosted_node::parts::make_clients()
 {
-    http::client_limits limits;
-    limits.longest_idle = longest_idle;
-    limits.most_connections_per_host = connections_to_store;
-    // A cancelled job, a successor's key: they must not wait behind a crowd of runners' answers.
-    limits.urgency = reactor::urgency::urgent;
-    store_http = http::client::builder().loop(loop).limits(limits).build();
-    limits.most_connections_per_host = connections_for_lease;
-    lease_http = http::client::builder().loop(loop).limits(limits).build();
-    limits.most_connections_per_host = connections_per_runner;
-    limits.most_idle_connections = most_idle_to_runners;
-    limits.urgency = reactor::urgency::usual;
-    runner_http = http::client::builder().loop(loop).limits(limits).build();
-    limits.most_connections_per_host = poll_connections_per_runner;
-    limits.most_idle_connections = most_idle_polls;
-    poll_http = http::client::builder().loop(loop).limits(limits).build();
-    store_port = store_http->port();
-    lease_port = lease_http->port();
-    runner_port = runner_http->port();
-    poll_port = poll_http->port();
-    ctx.member = settings.member;
-    ctx.time = loop.scheduler();
-    ctx.tel = log;
-    ctx.boot_now = boot_now;
-    ctx.processor_time = processor_time;
-    ctx.post_behind_descriptors = [this](std::function<void()> fn)
-    {
-        loop.post_behind_descriptors(std::move(fn));
-    };
-    company::store_client_settings store;
-    store.address = settings.services.store;
-    ctx.store = company::make_store_client(store_port, log, store);
-    const auto leases = company::make_store_client(lease_port, log, store);
-    ctx.store.grant_lease = leases.grant_lease;
-    ctx.store.keep_alive = leases.keep_alive;
-    ctx.store.end_lease = leases.end_lease;
-    runners = company::make_runner_client(runner_port, poll_port, log, {});
-    ctx.runners = runners;
-    if (!settings.services.advice.empty())
-    {
-        company::advice_client_settings advice;
-        advice.address = settings.services.advice;
-        ctx.advice = company::make_advice_client(store_port, log, advice);
-    }
-    company::machine_client_settings machines;
-    machines.address = settings.services.machines;
-    machines.holder = settings.member;
-    ctx.machines = company::make_machine_client(store_port, log, machines);
+    clients = std::make_unique<hosted_clients>(loop);
+    ctx = make_context(*clients, settings, loop, log);
 }
 
 void hosted_node::parts::make_relays()
@@ -211,7 +119,7 @@
     }
     relays = std::make_unique<relay::pool>(relay::pool_parts{&loop,
                                                settings.member,
-                                               runners,
+                                               clients->runners,
                                                log,
                                                [this]
                                                {
@@ -231,7 +139,7 @@
         return core::done{};
     }
     auto opened = relay::server::open(
-        settings.listen.relay, {&loop, runners, log, boot_now}, relay::server_limits{});
+        settings.listen.relay, {&loop, clients->runners, log, boot_now}, relay::server_limits{});
     if (!core::is_ok(opened))
     {
         return core::failure(opened);
