One timer a call for its timeouts, and no allocation in a turn of the loop

Read over: each call set two timers, of which the second almost never mattered; the turn's buffer of events was allocated anew each time.

--- a/libs/http/src/client_state.cpp
+++ b/libs/http/src/client_state.cpp
@@ -221,46 +221,51 @@
 /// whether the answer has come: a process that is late itself would take its own delay for the
 /// other's silence. Each is judged only after the socket was read, which is enough, as what came in
 /// time lies there.
-void client_state::watch_deadlines(transfer& it)
+/// One timer serves both, as nearly every call has ended before the first of them.
+void client_state::watch_deadline(transfer& it)
 {
-    it.connect_timer =
-        time.after(it.call.connect_timeout, [this, id = it.id] { check_connect(id); });
-    if (!it.streams)
+    if (it.streams && it.began)
     {
-        it.total_timer = time.after(it.call.total_timeout, [this, id = it.id] { check_total(id); });
+        return;
+    }
+    auto wait = it.streams ? core::micros::max() : total_left(it);
+    if (!it.began)
+    {
+        wait = std::min(wait, connect_left(it));
     }
+    it.deadline_timer = time.after(
+        std::chrono::ceil<core::millis>(wait), [this, id = it.id] { check_deadline(id); });
 }
 
-void client_state::check_connect(ports::call_id id)
+core::micros client_state::total_left(const transfer& it) const
+{
+    return it.call.total_timeout - (time.now() - it.started);
+}
+
+/// Without a socket it still waits for a connection of the pool, which is not connecting.
+core::micros client_state::connect_left(const transfer& it) const
 {
-    auto& it = *transfers_.at(id);
-    it.connect_timer = 0;
-    if (it.began)
-    {
-        return;
-    }
-    // Without a socket it still waits for a connection of the pool, which is not connecting.
     const auto since = it.socket == CURL_SOCKET_BAD ? time.now() : it.socket_since;
-    const auto left =
-        it.call.connect_timeout - std::chrono::duration_cast<core::millis>(time.now() - since);
-    if (left.count() > 0)
-    {
-        it.connect_timer = time.after(left, [this, id] { check_connect(id); });
-        return;
-    }
-    if (const auto* const still = read_what_came(id); still != nullptr && !still->began)
-    {
-        end(id, CURLE_OPERATION_TIMEDOUT);
-    }
+    return it.call.connect_timeout - (time.now() - since);
 }
 
-void client_state::check_total(ports::call_id id)
+void client_state::check_deadline(ports::call_id id)
 {
-    transfers_.at(id)->total_timer = 0;
-    if (read_what_came(id) != nullptr)
+    auto& it = *transfers_.at(id);
+    it.deadline_timer = 0;
+    const bool call_over = !it.streams && total_left(it).count() <= 0;
+    const bool connect_over = !it.began && connect_left(it).count() <= 0;
+    auto* const still = call_over || connect_over ? read_what_came(id) : &it;
+    if (still == nullptr)
+    {
+        return;
+    }
+    if (call_over || (connect_over && !still->began))
     {
         end(id, CURLE_OPERATION_TIMEDOUT);
+        return;
     }
+    watch_deadline(*still);
 }
 
 transfer* client_state::read_what_came(ports::call_id id)
@@ -282,7 +287,7 @@
 
 void client_state::cancel_timers(const transfer& it)
 {
-    for (const auto id : {it.silence_timer, it.total_timer, it.connect_timer})
+    for (const auto id : {it.silence_timer, it.deadline_timer})
     {
         time.cancel(id);
     }
@@ -311,7 +316,7 @@
         streams_.push_back(it.id);
         watch_silence(it);
     }
-    watch_deadlines(it);
+    watch_deadline(it);
     curl_multi_add_handle(multi_, it.easy);
     return it.id;
 }
--- a/libs/http/src/client_state.hpp
+++ b/libs/http/src/client_state.hpp
@@ -37,9 +37,10 @@
     void give_chunk(transfer& it);
     void watch_silence(transfer& it);
     void check_silence(ports::call_id id);
-    void watch_deadlines(transfer& it);
-    void check_connect(ports::call_id id);
-    void check_total(ports::call_id id);
+    void watch_deadline(transfer& it);
+    core::micros total_left(const transfer& it) const;
+    core::micros connect_left(const transfer& it) const;
+    void check_deadline(ports::call_id id);
     /// \return the transfer, or nullptr when what came has ended it.
     transfer* read_what_came(ports::call_id id);
     void cancel_timers(const transfer& it);
--- a/libs/http/src/transfer.hpp
+++ b/libs/http/src/transfer.hpp
@@ -34,8 +34,7 @@
     core::mono_time started;
     core::mono_time last_byte;
     ports::timer_id silence_timer = 0;
-    ports::timer_id total_timer = 0;
-    ports::timer_id connect_timer = 0;
+    ports::timer_id deadline_timer = 0;     ///< of connecting, or of the whole call
     curl_socket_t socket = CURL_SOCKET_BAD; ///< that curl has it wait for
     core::mono_time socket_since;
 
--- a/libs/reactor/src/event_loop.cpp
+++ b/libs/reactor/src/event_loop.cpp
@@ -23,7 +23,7 @@
 /// kernel hands the others out next. What is urgent waited seconds behind such crowds.
 constexpr int usual_at_once = 32;
 /// More than a process has of them.
-constexpr int urgent_at_once = 64;
+constexpr int urgent_at_once = watch_handler::most_at_once;
 
 /// ACE's default queue follows the wall clock: a step of it would fire or starve every timer.
 using monotonic_timers = ACE_Timer_Heap_T<ACE_Event_Handler*,
--- a/libs/reactor/src/loop_state.hpp
+++ b/libs/reactor/src/loop_state.hpp
@@ -29,7 +29,9 @@
 class watch_handler : public ACE_Event_Handler
 {
 public:
-    /// \param most events handled in one turn
+    static constexpr int most_at_once = 64;
+
+    /// \param most events handled in one turn; at most most_at_once
     watch_handler(ACE_Reactor& reactor, int most);
     ~watch_handler() override;
     watch_handler(const watch_handler&) = delete;
--- a/libs/reactor/src/watch_handler.cpp
+++ b/libs/reactor/src/watch_handler.cpp
@@ -1,10 +1,10 @@
 #include "core/invariant.hpp"
 #include "loop_state.hpp"
 
+#include <array>
 #include <cerrno>
 #include <sys/epoll.h>
 #include <unistd.h>
-#include <vector>
 
 namespace camphorhitch::reactor
 {
@@ -35,6 +35,7 @@
 watch_handler::watch_handler(ACE_Reactor& reactor, int most)
     : ace_(reactor), epoll_(::epoll_create1(EPOLL_CLOEXEC)), most_(most)
 {
+    core::require(most_ <= most_at_once, "a turn's events fit into its buffer");
     core::require(epoll_ >= 0, "an epoll set can be opened");
     const int rc = ace_.register_handler(epoll_, this, ACE_Event_Handler::READ_MASK);
     core::require(rc == 0, "ACE can watch the epoll set");
@@ -84,7 +85,7 @@
 
 int watch_handler::handle_input(ACE_HANDLE)
 {
-    std::vector<epoll_event> buf(static_cast<std::size_t>(most_));
+    std::array<epoll_event, most_at_once> buf{};
     const int n = ::epoll_wait(epoll_, buf.data(), most_, 0);
     for (int i = 0; i < n; ++i)
     {
