One piece of code grants a lease by a poll, and one count of unanswered orders

Three places named a lease in a poll and noted it, which must go together; term::grant_lease does both. The report's count of unanswered orders was kept beside the table of them, at four places; it is the table's size now.

--- a/libs/hosted/src/lease_bridge.cpp
+++ b/libs/hosted/src/lease_bridge.cpp
@@ -44,10 +44,8 @@
         return;
     }
     auto& h = found->second;
-    ports::poll_order order;
-    order.fencing_token = term_.token;
-    order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
-    coordinator::note_lease(h, order.lease_until_ms);
+    const auto order =
+        term_.grant_lease(h, coordinator::lease_end_for(term_.fleet, h, term_.now()));
     h.polled_at = term_.now();
     under_way_.insert(host);
     term_.ctx.runners.poll(
--- a/libs/hosted/src/load_report.cpp
+++ b/libs/hosted/src/load_report.cpp
@@ -181,15 +181,8 @@
     }
 }
 
-void load_report::note_start()
-{
-    ++counts.starts_ordered;
-    ++orders_out;
-}
-
 void load_report::note_start_answer(const ports::runner_answer& a, core::micros took)
 {
-    --orders_out;
     ++counts.starts_answered;
     counts.starts_unknown += a.verdict == ports::runner_verdict::unknown ? 1 : 0;
     times.start.add(took);
--- a/libs/hosted/src/load_report.hpp
+++ b/libs/hosted/src/load_report.hpp
@@ -122,7 +122,6 @@
     /// \param seen the runner's highest end that was taken in before this answer
     void note_poll(const ports::poll_answer& a, std::int64_t seen, core::mono_time now);
 
-    void note_start();
     void note_start_answer(const ports::runner_answer& a, core::micros took);
 };
 
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -47,12 +47,14 @@
 std::uint64_t runner_desk::note_sent()
 {
     out_.emplace(++last_order_, term_.now());
+    term_.load.orders_out = static_cast<std::int64_t>(out_.size());
     return last_order_;
 }
 
 void runner_desk::note_back(std::uint64_t order)
 {
     out_.erase(order);
+    term_.load.orders_out = static_cast<std::int64_t>(out_.size());
     if (std::exchange(more_waits_, false))
     {
         term_.wake();
@@ -95,15 +97,11 @@
         return;
     }
     auto& h = found->second;
-    ports::poll_order order;
-    order.fencing_token = term_.token;
-    order.acknowledged_through = h.stored_end;
-    order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
+    auto order = term_.grant_lease(h, coordinator::lease_end_for(term_.fleet, h, term_.now()));
     // The first answer tells the runner's clock, without which no lease can be named, and what a
     // former owner's runner holds, for which others wait.
     const bool at_once = h.clock_ms < 0 || !h.reachable || h.prior || asked_again_.contains(host);
     order.wait = at_once ? core::millis{0} : term_.settings.poll_wait;
-    coordinator::note_lease(h, order.lease_until_ms);
     const auto begun = term_.now();
     h.polled_at = begun;
     polls_out_[host] = begun;
@@ -142,13 +140,8 @@
         return;
     }
     const auto lease = whole - (term_.fleet.settings.runner_lease - renewal_lease).count();
-    ports::poll_order order;
-    order.fencing_token = term_.token;
-    order.acknowledged_through = h.stored_end;
-    order.lease_until_ms = lease;
-    coordinator::note_lease(h, lease);
     term_.ctx.runners.poll(h.ref,
-        order,
+        term_.grant_lease(h, lease),
         term_.guarded(
             [this, host](const ports::poll_answer& a)
             {
@@ -365,14 +358,12 @@
         return;
     }
     ports::stop_order order{workflow::write_task_name(a.task), a.run, term_.token};
-    ++term_.load.orders_out;
     const auto order_id = note_sent();
     term_.ctx.runners.stop(a.host,
         std::move(order),
         term_.guarded(
             [this, a, order_id](const ports::runner_answer& answer)
             {
-                --term_.load.orders_out;
                 note_back(order_id);
                 take_stop(a, answer);
             }));
--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -32,7 +32,7 @@
 
 void term::note_start(const workflow::task_name& task, std::int64_t run, core::mono_time at)
 {
-    load.note_start();
+    ++load.counts.starts_ordered;
     const auto unix_ms = core::to_unix_ms(ctx.time.wall_now());
     if (const auto ready = coordinator::ready_since(fleet, task, run, at, unix_ms))
     {
@@ -57,6 +57,16 @@
     }
 }
 
+ports::poll_order term::grant_lease(coordinator::host_entry& h, std::int64_t until_ms) const
+{
+    ports::poll_order out;
+    out.fencing_token = token;
+    out.acknowledged_through = h.stored_end;
+    out.lease_until_ms = until_ms;
+    coordinator::note_lease(h, until_ms);
+    return out;
+}
+
 void term::lapse_hosts(coordinator::task_events& out)
 {
     const auto at = now();
--- a/libs/hosted/src/term.hpp
+++ b/libs/hosted/src/term.hpp
@@ -53,6 +53,10 @@
     /// All ends that the writing just done was to cover are stored.
     void note_stored();
 
+    /// \return a poll of the host that grants a lease until then and acknowledges what is stored;
+    /// the lease counts as granted from now on, also when the poll is never answered.
+    ports::poll_order grant_lease(coordinator::host_entry& h, std::int64_t until_ms) const;
+
     /// Takes the leases that have ended from the fleet. Each host with runs has a line of its own,
     /// whatever else is logged: it tells whether the host was silent or this node late.
     void lapse_hosts(coordinator::task_events& out);
