--- a/libs/coordinator/tests/settling_tests.cpp
+++ b/libs/coordinator/tests/settling_tests.cpp
@@ -167,7 +167,7 @@
     w.f.term = 1;
     w.f.term_began = 100;
     prior_host p;
-    p.ref = {host, host + ":1"};
+    p.ref = {host, host + ":1", {}};
     p.pool = "p";
     add_prior_hosts(w.f, {p}, w.now);
     auto& h = w.f.hosts.at(host);
--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -138,7 +138,7 @@
     std::vector<coordinator::prior_host> prior;
     for (const auto& [id, it] : recorded_)
     {
-        prior.push_back({{id, it.address}, it.machine, it.pool, it.rest});
+        prior.push_back({{id, it.address, {}}, it.machine, it.pool, it.rest});
     }
     coordinator::add_prior_hosts(term_.fleet, prior, term_.now());
 }
