Which relay calls a runner stands in a file of its own

Cause: pool.cpp held the taking of orders, the choice of a relay and the frames, 409 lines. Conclusion: no change of behaviour.

--- a/libs/relay/src/pool.cpp
+++ b/libs/relay/src/pool.cpp
@@ -1,7 +1,6 @@
 #include "relay/pool.hpp"
 
 #include "codec.hpp"
-#include "core/rendezvous.hpp"
 #include "pool_state.hpp"
 
 #include <utility>
@@ -141,57 +140,6 @@
     }
 }
 
-relay_entry* pool_state::route(const ports::runner_ref& to)
-{
-    if (!active || !needed)
-    {
-        return nullptr;
-    }
-    const auto known = routes.find(to.id);
-    if (known != routes.end())
-    {
-        return known->second;
-    }
-    auto* best = best_of(to, true);
-    best = best != nullptr ? best : best_of(to, false);
-    routes.emplace(to.id, best);
-    return best;
-}
-
-relay_entry* pool_state::best_of(const ports::runner_ref& to, bool same_zone)
-{
-    const auto avoids = avoided.find(to.id);
-    relay_entry* best = nullptr;
-    double best_score = 0;
-    for (auto& [member, r] : relays)
-    {
-        const bool fits = !same_zone || r.place.zone == to.zone;
-        const bool silent = avoids != avoided.end() && avoids->second.member == member;
-        if (r.state != relay_state::well || r.leaving || !fits || silent)
-        {
-            continue;
-        }
-        const double score = core::weighted_score(to.id, member, r.place.share);
-        if (best == nullptr || score > best_score)
-        {
-            best = &r;
-            best_score = score;
-        }
-    }
-    return best;
-}
-
-/// The orders of a relay that was lost say nothing of its links.
-void pool_state::avoid(const order_under_way& it)
-{
-    const auto r = relays.find(it.member);
-    if (r != relays.end() && r->second.state == relay_state::well)
-    {
-        avoided[it.runner] = {it.member, clock.elapsed + settings.avoid};
-        routes.erase(it.runner);
-    }
-}
-
 void pool_state::give(waiting_order o)
 {
     auto* const r = route(o.to);
