Tests of how many jobs are said to wait, which fail on the code as it is

Seen: callers hear of fewer waiting jobs than half of those accepted over 5 s before, 0 too. And the other way about: a run whose end is reported before any look at it leaves its job counted as waiting.

--- a/libs/coordinator/tests/placement_tests.cpp
+++ b/libs/coordinator/tests/placement_tests.cpp
@@ -237,3 +237,30 @@
     LONGS_EQUAL(1, p.asks.size());
     STRCMP_EQUAL("h2", p.asks[0].runners[0].c_str());
 }
+
+// A start lies unanswered: at a relay, in the window of orders, or at a runner that is dark.
+// Counted as begun, its job would wait unseen: callers would hear of fewer jobs than wait.
+TEST(placement, an_ordered_start_without_an_answer_leaves_its_job_waiting)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto p = w.next();
+    LONGS_EQUAL(1, p.starts.size());
+    LONGS_EQUAL(1, pending_jobs(w.f)["q"]);
+    w.started(p.starts[0], ports::runner_verdict::unknown);
+    LONGS_EQUAL(1, pending_jobs(w.f)["q"]);
+    w.started(p.starts[0]);
+    LONGS_EQUAL(0, pending_jobs(w.f)["q"]);
+}
+
+// The answer to a start is lost, and the run fails before a look at its runner shows it. Its end
+// proves that the job has begun: it waits for another run, not for its first.
+TEST(placement, a_reported_end_shows_that_a_job_has_begun)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto p = w.next();
+    w.started(p.starts[0], ports::runner_verdict::unknown);
+    w.ended(p.starts[0], ports::run_end::failed, 1);
+    LONGS_EQUAL(0, pending_jobs(w.f)["q"]);
+}
