Lines that tell how old a count of waiting jobs is

Cause: a node tells how many jobs of a queue wait from a record that the coordinating node writes, and no line said when that was written, up to where its writer had read, or which jobs it left out. A wrong count could not be traced: a record that nobody rewrote, a writer that is behind, and a start that is ordered and not answered all look the same. Change: pending_told on the node that answers (revision of the record, of the reading, age of the own copy) and a counter of answers by outcome; pending_stored on the node that coordinates (revision, sum, jobs that are left out only for an unanswered start, store revision read through, age of the intake, duration of the writing), at most two a second and with the same counts one; pending_not_stored when the writing fails, which was silent; coordinator_load has intake_age_ms and jobs_only_ordered. No count is made in another way. The names of the store's answers have one table. Conclusion: joined by revision, the lines tell the three apart.

--- a/libs/coordinator/include/coordinator/load.hpp
+++ b/libs/coordinator/include/coordinator/load.hpp
@@ -13,13 +13,18 @@
 /// Levels at one moment.
 struct fleet_load
 {
-    std::int64_t tasks_waiting = 0; ///< could start now and have no run
-    std::int64_t jobs_dirty = 0;    ///< their progress has to be stored
+    std::int64_t tasks_waiting = 0;     ///< could start now and have no run
+    std::int64_t jobs_only_ordered = 0; ///< as the function
+    std::int64_t jobs_dirty = 0;        ///< their progress has to be stored
     std::int64_t hosts = 0;
     std::int64_t hosts_silent = 0;    ///< listed, and the latest poll was not answered
     std::int64_t hosts_lease_low = 0; ///< under a third of the runner's lease is left, not lapsed
 };
 
+/// \return jobs that are not counted as waiting only because starts are ordered, of which no runner
+/// has answered one: if none of these arrives, such a job still waits.
+std::int64_t jobs_only_ordered(const fleet& f);
+
 /// \param unix_ms wall time; tasks that are due later don't wait yet
 fleet_load measure_load(const fleet& f, core::mono_time now, std::int64_t unix_ms);
 
--- a/libs/coordinator/src/load.cpp
+++ b/libs/coordinator/src/load.cpp
@@ -35,6 +35,20 @@
     return n;
 }
 
+bool is_only_ordered(const job_entry& j)
+{
+    const auto unanswered = [](const run_entry& it)
+    {
+        return it.phase == run_phase::ordered || it.phase == run_phase::unsettled;
+    };
+    return j.live_runs > 0 && j.done_tasks == 0 && j.state == workflow::job_state::queued &&
+           !workflow::is_scheduled(j.spec) &&
+           std::all_of(j.tasks.begin(),
+               j.tasks.end(),
+               [&](const task_entry& it)
+               { return std::all_of(it.runs.begin(), it.runs.end(), unanswered); });
+}
+
 bool is_lease_low(const fleet& f, const host_entry& h, core::mono_time now)
 {
     if (h.lease_until_ms == 0 || h.clock_ms < 0 || has_lapsed(f, h, now))
@@ -47,6 +61,13 @@
 
 } // namespace
 
+std::int64_t jobs_only_ordered(const fleet& f)
+{
+    return std::count_if(f.open_jobs.begin(),
+        f.open_jobs.end(),
+        [&](const std::string& id) { return is_only_ordered(*f.jobs.at(id)); });
+}
+
 fleet_load measure_load(const fleet& f, core::mono_time now, std::int64_t unix_ms)
 {
     fleet_load out;
@@ -58,6 +79,7 @@
             out.tasks_waiting += waiting_in(*found->second, unix_ms);
         }
     }
+    out.jobs_only_ordered = jobs_only_ordered(f);
     out.jobs_dirty = static_cast<std::int64_t>(f.dirty.size());
     out.hosts = static_cast<std::int64_t>(f.hosts.size());
     for (const auto& [id, h] : f.hosts)
--- a/libs/coordinator/tests/load_tests.cpp
+++ b/libs/coordinator/tests/load_tests.cpp
@@ -43,6 +43,21 @@
     LONGS_EQUAL(4, measure_load(w.f, w.now, wall + 6000).tasks_waiting);
 }
 
+// A start is ordered: the job counts as begun before any runner has said so.
+TEST(load, a_job_is_only_ordered_until_a_start_is_answered)
+{
+    w.add(make_job("a", {make_step(2, 1000)}));
+    LONGS_EQUAL(0, jobs_only_ordered(w.f));
+    w.add_host("h1");
+    const auto starts = w.next().starts;
+    LONGS_EQUAL(1, jobs_only_ordered(w.f));
+    LONGS_EQUAL(0, pending_jobs(w.f).size());
+    w.started(starts[0], ports::runner_verdict::unknown);
+    LONGS_EQUAL(1, measure_load(w.f, w.now, wall).jobs_only_ordered);
+    w.started(starts[1]);
+    LONGS_EQUAL(0, jobs_only_ordered(w.f));
+}
+
 TEST(load, hosts_are_silent_or_near_their_lapse)
 {
     w.add_host("h1");
--- a/libs/hosted/include/hosted/prefix_follower.hpp
+++ b/libs/hosted/include/hosted/prefix_follower.hpp
@@ -46,6 +46,9 @@
     /// \return when the store last answered; the clock's start when it never did.
     core::mono_time last_answer() const;
 
+    /// \return the store revision up to which every change was handed to the events; 0: none yet.
+    ports::revision through() const;
+
 private:
     std::shared_ptr<follower_state> state_;
 };
--- a/libs/hosted/src/entry_desk.cpp
+++ b/libs/hosted/src/entry_desk.cpp
@@ -2,6 +2,7 @@
 
 #include "entry_state.hpp"
 #include "hosted/keys.hpp"
+#include "store_answer.hpp"
 #include "workflow/records.hpp"
 
 #include <limits>
@@ -16,28 +17,43 @@
 namespace
 {
 
-int jobs_of(const entry_state& state, const std::string& queue)
+void note_count(
+    const entry_state& state, const std::string& queue, const char* outcome, ports::log_fields more)
 {
-    const auto found = state.pending.find(queue);
-    return found == state.pending.end() ? 0 : found->second;
+    state.ctx.tel.count("camphorhitch_pending_answers_total", {{"outcome", outcome}}, 1);
+    more.insert(more.begin(), {{"queue", queue}, {"outcome", outcome}});
+    state.ctx.tel.log(ports::log_level::info, "pending_told", std::move(more));
 }
 
-const char* store_answer(kv_status s)
+/// \return the own copy's count. The line tells what it rests on: joined with the lines of the
+/// record's writer, it shows how old a wrong count was.
+pending_answer tell_copy(const entry_state& state, const std::string& queue)
 {
-    switch (s)
+    const auto& copy = *state.pending;
+    const auto found = copy.by_queue.find(queue);
+    const auto n = found == copy.by_queue.end() ? 0 : found->second;
+    const auto age = std::chrono::duration_cast<core::millis>(state.ctx.time.now() - copy.read_at);
+    note_count(state,
+        queue,
+        "told",
+        {{"jobs", std::to_string(n)},
+            {"record_revision", std::to_string(copy.record)},
+            {"store_revision", std::to_string(copy.store)},
+            {"cached_ms", std::to_string(age.count())}});
+    return {true, n};
+}
+
+pending_copy copy_of(const ports::item_read& read, core::mono_time now)
+{
+    pending_copy out;
+    if (read.item)
     {
-    case kv_status::ok:
-        return "ok";
-    case kv_status::conflict:
-        return "exists";
-    case kv_status::unavailable:
-        return "unreachable";
-    case kv_status::unknown:
-        return "unknown";
-    case kv_status::rejected:
-        return "rejected";
+        out.by_queue = read_pending(read.item->value);
+        out.record = read.item->modified;
     }
-    return "?";
+    out.store = read.store_revision;
+    out.read_at = now;
+    return out;
 }
 
 } // namespace
@@ -128,9 +144,9 @@
     const std::string& queue, core::mono_time deadline, std::function<void(pending_answer)> done)
 {
     const auto& it = *state_;
-    if (it.pending_known && it.ctx.time.now() - it.pending_at < it.settings.pending_age)
+    if (it.pending && it.ctx.time.now() - it.pending->read_at < it.settings.pending_age)
     {
-        done({true, jobs_of(it, queue)});
+        done(tell_copy(it, queue));
         return;
     }
     read_until<ports::item_read>(
@@ -142,14 +158,12 @@
         {
             if (!read)
             {
+                note_count(*state, queue, "unknown", {});
                 done({});
                 return;
             }
-            state->pending =
-                read->item ? read_pending(read->item->value) : std::map<std::string, int>{};
-            state->pending_at = state->ctx.time.now();
-            state->pending_known = true;
-            done({true, jobs_of(*state, queue)});
+            state->pending = copy_of(*read, state->ctx.time.now());
+            done(tell_copy(*state, queue));
         });
 }
 
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -10,6 +10,7 @@
 #include "lease_bridge.hpp"
 #include "load_watch.hpp"
 #include "machine_desk.hpp"
+#include "pending_watch.hpp"
 #include "progress_writer.hpp"
 #include "runner_desk.hpp"
 #include "term.hpp"
@@ -33,6 +34,7 @@
     std::unique_ptr<wave_runner> waves;
     std::unique_ptr<tidier> tidy;
     std::unique_ptr<load_watch> watch;
+    std::unique_ptr<pending_watch> pending;
     bool plan_is_due = false;
     bool jobs_are_in = false;
     bool record_is_in = false;
@@ -130,7 +132,8 @@
     {
         return;
     }
-    auto text = write_pending(coordinator::pending_jobs(t.fleet));
+    auto counts = coordinator::pending_jobs(t.fleet);
+    auto text = write_pending(counts);
     if (text == pending_text && t.fleet.open_jobs.empty())
     {
         return; // nothing waits and nothing is learnt
@@ -139,8 +142,13 @@
     change.conditions = {{leader_key, t.token}};
     change.puts = {{pending_key, text, 0}, {demand_key, machines->demand_record(), 0}};
     t.ctx.store.commit(std::move(change),
-        t.guarded([this, text](const ports::commit_result& result)
-            { pending_text = result.status == ports::kv_status::ok ? text : std::string{}; }));
+        t.guarded(
+            [this, text, basis = pending->basis_of(std::move(counts))](
+                const ports::commit_result& result)
+            {
+                pending_text = result.status == ports::kv_status::ok ? text : std::string{};
+                pending->see_answer(basis, result);
+            }));
 }
 
 fleet_driver::fleet_driver(context c, const formats& spelling, driver_settings s, leadership& lead)
@@ -176,11 +184,16 @@
     {
         return p.machines->awaits_hosts();
     };
+    t.jobs_heard = [&p]
+    {
+        return p.jobs->last_heard();
+    };
     t.record_hosts = [&p]
     {
         p.hosts->record();
     };
     p.jobs = std::make_unique<job_reader>(t);
+    p.pending = std::make_unique<pending_watch>(t, *p.jobs);
     p.hosts = std::make_unique<host_reader>(t);
     p.bridge = std::make_unique<lease_bridge>(t);
     p.desk = std::make_unique<runner_desk>(t);
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -10,7 +10,7 @@
 namespace camphorhitch::hosted
 {
 
-job_reader::job_reader(term& t) : term_(t)
+job_reader::job_reader(term& t) : term_(t), began_(t.now())
 {
 }
 
@@ -20,6 +20,16 @@
     read_states({});
 }
 
+ports::revision job_reader::read_through() const
+{
+    return follower_ == nullptr ? 0 : follower_->through();
+}
+
+core::mono_time job_reader::last_heard() const
+{
+    return follower_ == nullptr ? began_ : std::max(began_, follower_->last_answer());
+}
+
 void job_reader::read_states(const std::string& after)
 {
     term_.ctx.store.range(state_prefix,
--- a/libs/hosted/src/job_reader.hpp
+++ b/libs/hosted/src/job_reader.hpp
@@ -19,6 +19,12 @@
     /// Reads the stored progress, then all jobs, then follows. \p done is called once all are in.
     void start(std::function<void()> done);
 
+    /// \return the store revision up to which accepted jobs were taken in; 0: not read yet.
+    ports::revision read_through() const;
+
+    /// \return when the store last answered about accepted jobs; the term's begin before it did.
+    core::mono_time last_heard() const;
+
 private:
     void read_states(const std::string& after);
     void take_states(ports::page_read page);
@@ -33,6 +39,7 @@
     void tell_damage(const ports::stored_item& it, const std::string& reason);
 
     term& term_;
+    core::mono_time began_;
     std::map<std::string, ports::stored_item> states_; ///< by job, until the jobs are read
     damage_notes damaged_;
     std::vector<workflow::job> arrivals_; ///< taken in and not noted yet
--- a/libs/hosted/src/load_report.cpp
+++ b/libs/hosted/src/load_report.cpp
@@ -202,6 +202,7 @@
         {"plans", load_kind::count, n.plans},
         {"store_batches", load_kind::count, n.store_batches},
         {"tasks_waiting", load_kind::level, m.fleet.tasks_waiting},
+        {"jobs_only_ordered", load_kind::level, m.fleet.jobs_only_ordered},
         {"orders_unanswered", load_kind::level, r.orders_out},
         {"jobs_dirty", load_kind::level, m.fleet.jobs_dirty},
         {"ends_not_stored", load_kind::level, r.ends.not_stored()},
@@ -211,6 +212,7 @@
         {"timer_late_ms", load_kind::level, m.timer_late.count()},
         {"socket_late_ms", load_kind::level, m.socket_late.count()},
         {"lease_age_ms", load_kind::level, m.lease_age.count()},
+        {"intake_age_ms", load_kind::level, m.intake_age.count()},
     };
     if (m.processor)
     {
--- a/libs/hosted/src/load_watch.cpp
+++ b/libs/hosted/src/load_watch.cpp
@@ -114,6 +114,7 @@
     m.timer_late = largest(term_.load.timer_delays);
     m.socket_late = largest(term_.load.socket_delays);
     m.lease_age = term_.lead->take_lease_age();
+    m.intake_age = std::chrono::duration_cast<core::millis>(now - term_.jobs_heard());
     if (term_.ctx.processor_time)
     {
         const auto used = processor_time(term_.ctx);
--- a/libs/hosted/src/prefix_follower.cpp
+++ b/libs/hosted/src/prefix_follower.cpp
@@ -13,6 +13,7 @@
     follower_events events;
     core::mono_time last_answer;
     ports::revision revision = 0;
+    ports::revision through = 0;
     std::vector<ports::stored_item> pages;
     ports::timer_id timer = 0;
     bool answering = true;
@@ -96,6 +97,7 @@
         return;
     }
     events.on_all(std::exchange(pages, {}));
+    through = std::max(through, revision);
     watch();
 }
 
@@ -136,6 +138,7 @@
     {
         events.on_changes(std::move(read.changes));
     }
+    through = revision;
     later(settings.pause, &follower_state::watch);
 }
 
@@ -162,4 +165,9 @@
     return state_->last_answer;
 }
 
+ports::revision prefix_follower::through() const
+{
+    return state_->through;
+}
+
 } // namespace camphorhitch::hosted
--- a/libs/hosted/tests/entry_desk_tests.cpp
+++ b/libs/hosted/tests/entry_desk_tests.cpp
@@ -1,4 +1,4 @@
-#include "hosted_fakes/cluster.hpp"
+#include "log_lines.hpp"
 
 #include <optional>
 
@@ -17,6 +17,7 @@
     std::optional<submit_outcome> told;
     std::optional<cancel_outcome> cancelled;
     std::optional<hosted::state_answer> state;
+    std::optional<hosted::pending_answer> counted;
 
     /// \return how long the answer took.
     std::int64_t submit(const std::string& id, core::millis patience = 2500ms)
@@ -45,6 +46,21 @@
         c.time.run_until([this] { return state.has_value(); }, 20s);
     }
 
+    void count()
+    {
+        counted.reset();
+        n->desk->count_pending(
+            "q", c.time.now() + 1s, [this](hosted::pending_answer it) { counted = it; });
+        c.time.run_until([this] { return counted.has_value(); }, 5s);
+    }
+
+    /// Asks for the count. \return the line of the answer.
+    std::string line_of_count()
+    {
+        count();
+        return lines_of(*n, "pending_told").back();
+    }
+
     bool is_stored(const std::string& id) const
     {
         return c.store.find(hosted::job_key(id)) != nullptr;
@@ -158,14 +174,6 @@
 
 TEST(entry_desk, counts_of_waiting_jobs)
 {
-    std::optional<hosted::pending_answer> counted;
-    const auto count = [&]
-    {
-        counted.reset();
-        n->desk->count_pending(
-            "q", c.time.now() + 1s, [&](hosted::pending_answer it) { counted = it; });
-        c.time.run_until([&] { return counted.has_value(); }, 5s);
-    };
     CHECK(c.has_leader());
     c.time.run_for(1s);
     count();
@@ -180,3 +188,48 @@
     count();
     LONGS_EQUAL(0, counted->jobs);
 }
+
+// A caller doubts the count. The answer's line names the record it was told from, how new the
+// store was at the reading, and how old the own copy of it was.
+TEST(entry_desk, a_told_count_names_its_record)
+{
+    CHECK(c.has_leader());
+    c.put_job(c.make_job("a", 1));
+    c.time.run_for(2s);
+    auto line = line_of_count();
+    const auto told = c.store.find(hosted::pending_key)->modified;
+    STRCMP_EQUAL("q", value_in(line, "queue").c_str());
+    STRCMP_EQUAL("told", value_in(line, "outcome").c_str());
+    STRCMP_EQUAL("1", value_in(line, "jobs").c_str());
+    STRCMP_EQUAL("0", value_in(line, "cached_ms").c_str());
+    LONGS_EQUAL(told, number_in(line, "record_revision"));
+    CHECK(number_in(line, "store_revision") >= told);
+    c.time.run_for(400ms);
+    line = line_of_count();
+    STRCMP_EQUAL("400", value_in(line, "cached_ms").c_str());
+    LONGS_EQUAL(told, number_in(line, "record_revision"));
+}
+
+// Nobody coordinates any more and jobs are accepted: the record stays as it was. The line shows
+// that the store has gone on since the record was written.
+TEST(entry_desk, a_told_count_shows_that_its_record_was_left)
+{
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    const auto written = c.store.find(hosted::pending_key)->modified;
+    n->driver->end();
+    c.put_job(c.make_job("a", 1));
+    c.time.run_for(5s);
+    const auto line = line_of_count();
+    LONGS_EQUAL(written, number_in(line, "record_revision"));
+    CHECK(number_in(line, "store_revision") >= c.store.find(hosted::job_key("a"))->created);
+}
+
+TEST(entry_desk, a_count_that_is_not_known_has_a_line)
+{
+    c.store.down = true;
+    const auto line = line_of_count();
+    CHECK_FALSE(counted->known);
+    STRCMP_EQUAL("unknown", value_in(line, "outcome").c_str());
+    STRCMP_EQUAL("", value_in(line, "jobs").c_str());
+}
--- a/libs/hosted/tests/load_report_tests.cpp
+++ b/libs/hosted/tests/load_report_tests.cpp
@@ -1,43 +1,16 @@
 #include "load_report.hpp"
 
-#include "hosted_fakes/cluster.hpp"
+#include "log_lines.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <utility>
 
 using namespace camphorhitch;
+using hosted_fakes::lines_of;
+using hosted_fakes::number_in;
+using hosted_fakes::value_in;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-/// \return the value of a key in a line; empty without the key.
-std::string value_in(const std::string& line, const std::string& key)
-{
-    const auto at = line.find(" " + key + "=");
-    if (at == std::string::npos)
-    {
-        return {};
-    }
-    const auto from = at + key.size() + 2;
-    return line.substr(from, line.find(' ', from) - from);
-}
-
-std::vector<std::string> lines_of(const hosted_fakes::node& n, const std::string& event)
-{
-    std::vector<std::string> out;
-    for (const auto& it : n.log.lines)
-    {
-        if (it.find(" " + event + " ") != std::string::npos)
-        {
-            out.push_back(it);
-        }
-    }
-    return out;
-}
-
-} // namespace
-
 TEST_GROUP(load_report){};
 
 TEST(load_report, a_spread_is_at_most_a_quarter_too_long)
@@ -223,3 +196,128 @@
     CHECK(std::stol(value_in(lost[0], "since_answered_ms")) >= 800);
     STRCMP_EQUAL("0", value_in(lost[0], "timer_late_ms").c_str());
 }
+
+// The record of waiting jobs names neither its time nor what its writer had read: the line does.
+TEST(load_report, a_record_of_waiting_jobs_tells_what_it_rests_on)
+{
+    hosted_fakes::cluster c;
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    c.put_job(c.make_job("a", 1)); // there is no host to run it
+    c.put_job(c.make_job("b", 1));
+    CHECK(c.time.run_until(
+        [&]
+        {
+            return c.leader()->log.has("pending_stored") &&
+                   value_in(lines_of(*c.leader(), "pending_stored").back(), "jobs") == "2";
+        },
+        2s));
+    const auto line = lines_of(*c.leader(), "pending_stored").back();
+    LONGS_EQUAL(c.store.find(hosted::pending_key)->modified, number_in(line, "revision"));
+    CHECK(number_in(line, "read_through") >= c.store.find(hosted::job_key("b"))->created);
+    CHECK(number_in(line, "read_through") < number_in(line, "revision"));
+    CHECK(number_in(line, "intake_age_ms") <= 1000);
+    STRCMP_EQUAL("0", value_in(line, "ordered_only").c_str());
+    const auto before = lines_of(*c.leader(), "pending_stored").size();
+    c.time.run_for(5s); // the same counts, written twice a second
+    const auto more = lines_of(*c.leader(), "pending_stored").size() - before;
+    CHECK(more >= 3 && more <= 5);
+}
+
+// Callers are told too few jobs while one node coordinates all the time. Its watch of accepted jobs
+// gets no answer, what it writes goes through: the record is new, and what it says is old. Only the
+// age of the intake and the revision it was read through show it.
+TEST(load_report, a_deaf_intake_shows_in_the_lines_of_the_record)
+{
+    hosted_fakes::cluster c;
+    bool deaf = false;
+    c.plant = [&](hosted_fakes::node& n)
+    {
+        n.ctx.store.watch = [&deaf, real = n.ctx.store.watch](const std::string& prefix,
+                                ports::revision after,
+                                core::millis wait,
+                                const auto& done)
+        {
+            real(prefix,
+                after,
+                wait,
+                [&deaf, prefix, done](const ports::changes_read& it)
+                {
+                    if (!deaf || prefix != hosted::job_prefix)
+                    {
+                        done(it);
+                    }
+                });
+        };
+    };
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    c.put_job(c.make_job("a", 1));
+    c.time.run_for(1s);
+    deaf = true;
+    c.put_job(c.make_job("b", 1));
+    c.time.run_for(4s);
+    const auto record = lines_of(*c.leader(), "pending_stored").back();
+    STRCMP_EQUAL("1", value_in(record, "jobs").c_str());
+    CHECK(number_in(record, "revision") > c.store.find(hosted::job_key("b"))->created);
+    CHECK(number_in(record, "read_through") < c.store.find(hosted::job_key("b"))->created);
+    CHECK(number_in(record, "intake_age_ms") >= 2500);
+    const auto load = lines_of(*c.leader(), "coordinator_load").back();
+    CHECK(number_in(load, "intake_age_ms") >= 2500);
+}
+
+// A start is on its way and no runner has answered: the job counts as begun all the same. The lines
+// tell how many jobs are left out for no other reason.
+TEST(load_report, jobs_that_are_only_ordered_show_in_the_lines)
+{
+    hosted_fakes::cluster c;
+    c.plant = [](hosted_fakes::node& n)
+    {
+        n.ctx.runners.start = [](const auto&, const auto&, const auto&) {
+        };
+    };
+    c.hosts.add("p");
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    c.put_job(c.make_job("a", 1));
+    c.time.run_for(2500ms);
+    const auto record = lines_of(*c.leader(), "pending_stored").back();
+    STRCMP_EQUAL("0", value_in(record, "jobs").c_str());
+    STRCMP_EQUAL("1", value_in(record, "ordered_only").c_str());
+    const auto load = lines_of(*c.leader(), "coordinator_load").back();
+    STRCMP_EQUAL("1", value_in(load, "jobs_only_ordered").c_str());
+}
+
+// The store refuses the record's writing and goes on telling the one before.
+TEST(load_report, a_record_that_is_not_stored_has_a_line)
+{
+    hosted_fakes::cluster c;
+    c.plant = [&c](hosted_fakes::node& n)
+    {
+        n.ctx.store.commit = [&c, real = n.ctx.store.commit](
+                                 const ports::store_transaction& it, const auto& done)
+        {
+            const bool is_record = !it.puts.empty() && it.puts[0].key == hosted::pending_key;
+            if (is_record && c.store.find(hosted::job_key("a")) != nullptr)
+            {
+                done({ports::kv_status::rejected, 0, {}, false});
+                return;
+            }
+            real(it, done);
+        };
+    };
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    const auto stored = lines_of(*c.leader(), "pending_stored").size();
+    c.put_job(c.make_job("a", 1));
+    c.time.run_for(2s);
+    const auto lines = lines_of(*c.leader(), "pending_not_stored");
+    CHECK(lines.size() >= 3);
+    STRCMP_EQUAL("rejected", value_in(lines.back(), "store").c_str());
+    STRCMP_EQUAL("1", value_in(lines.back(), "jobs").c_str());
+    LONGS_EQUAL(stored, lines_of(*c.leader(), "pending_stored").size());
+}
