A request that comes as the server ends is refused, and the process does not abort

Cause: the server's destructor resumes all suspended exchanges and lets the library run once more before it is stopped. That round also reads requests that have just come on other connections; each was handed over and suspended, and the library aborts a process that stops it with a suspended connection. Ruled out: exchanges that were open before: they are resumed, and destroying_it_with_open_exchanges_is_quiet covers them. Change: a server that ends refuses what it reads then: 503, not run, with Retry-After. Conclusion: a stop under load ends in order, and its last callers learn that nothing was run.

--- a/libs/http/src/server_exchange.cpp
+++ b/libs/http/src/server_exchange.cpp
@@ -237,6 +237,14 @@
         it.at = phase::over;
         return MHD_NO;
     }
+    if (ending_)
+    {
+        it.at = phase::over;
+        refuse_on_socket(it.on->fd,
+            make_overload_refusal("this entry host stops", limits.retry_after),
+            extra_fields);
+        return MHD_NO;
+    }
     it.at = phase::with_owner;
     ++with_owner;
     const bool head = it.request.method == "HEAD";
--- a/libs/http/src/server_state.cpp
+++ b/libs/http/src/server_state.cpp
@@ -143,7 +143,9 @@
 
 void server_state::drop_exchanges()
 {
-    // The library aborts the process when it is stopped with suspended connections.
+    // The library aborts the process when it is stopped with suspended connections. Its last round
+    // may also read requests that have just come: hand_over() refuses those, so none suspends anew.
+    ending_ = true;
     for (auto& [id, it] : exchanges_)
     {
         it->at = phase::over;
--- a/libs/http/src/server_state.hpp
+++ b/libs/http/src/server_state.hpp
@@ -105,6 +105,7 @@
     int daemon_fd_ = -1;
     int closures_ = -1; ///< epoll of all connections, for callers that close
     bool quiesced_ = false;
+    bool ending_ = false; ///< the owner is gone
     ports::timer_id work_timer_ = 0;
     ports::timer_id sweep_timer_ = 0;
     ports::exchange_id last_exchange_ = 0;
--- a/libs/http/tests/server_tests.cpp
+++ b/libs/http/tests/server_tests.cpp
@@ -418,6 +418,25 @@
     CHECK(run_until(loop, [&] { return caller.closed(); }));
 }
 
+// A process ends while a caller's next request lies unread on an open connection. Reading it now
+// and waiting for an owner that is gone would make the library abort the process, and the caller
+// see a broken call that may have run. It is told that nothing was run, and to come back.
+TEST(http_server, a_request_that_comes_as_the_server_ends_is_refused)
+{
+    start();
+    raw_caller with_owner(port.port);
+    with_owner.write(loop, post + "Content-Length: 0\r\n\r\n");
+    CHECK(came(1));
+    raw_caller late(port.port);
+    run_for(loop, 10ms);
+    late.send_now("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    made.reset();
+    LONGS_EQUAL(1, requests.size());
+    CHECK(saw(late, "HTTP/1.1 503"));
+    CHECK(late.saw(not_run));
+    CHECK(late.saw("Retry-After: "));
+}
+
 TEST(http_server, a_bad_or_taken_address_is_an_error)
 {
     start();
