A machine has left a wave only by a list newer than the wave's request

Cause: see_machines took each machine that the list doesn't show for one that has left, also by a list from before the request. Ruled out: a list in parts (one page that fails makes the whole reading unknown), and a former owner's list (each term reads its own). Change: absence counts only in a list asked for list_lag (300 ms) after this owner read the request; what has begun counts as before. Figures: aged_state.a_machine_is_not_gone_by_a_list_older_than_its_wave "completed" before, passes now. Conclusion: a wave whose machine has really left is told completed one reading later, at most 0.5 s. A listed machine without a name is still dropped by the client and would pass for one that left: not seen, left open.

--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -31,6 +31,7 @@
     std::vector<std::string> machines;
     int most_at_once = 1;
     core::mono_time due;
+    core::mono_time taken_at;                       ///< when this owner read the request
     std::set<std::string> begun;                    ///< their maintenance has begun, or is over
     std::set<std::string> asked;                    ///< an order is out
     std::map<std::string, core::mono_time> down_at; ///< begun and not seen up again
@@ -41,7 +42,8 @@
 {
     /// Hosts that are emptied ahead of a free place, so that one is ready when it comes.
     int ahead = 2;
-    /// A list that was asked for sooner after an order may not show its effect yet.
+    /// A list that was asked for sooner after an order, or after the wave's request, may not show
+    /// its effect, or all machines of the wave, yet.
     core::millis list_lag{300};
     /// A closed host's batch tasks get this long to end by themselves, then they are stopped.
     core::millis patience{2500};
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -115,6 +115,9 @@
     }
 }
 
+/// A machine that the list doesn't show has left. Of a list from before the request this proves
+/// nothing: one that was new then would be taken for gone, and the operators told that the wave is
+/// completed. A list that was asked for after it shows each machine that stays.
 bool see_machines(wave& w, const machine_table& list, const wave_settings& s)
 {
     std::erase_if(w.down_at,
@@ -124,10 +127,11 @@
             const bool back = m == nullptr || m->state == ports::machine_state::up;
             return back && list.read_at > it.second + s.list_lag;
         });
+    const bool knows_all = list.known && list.read_at > w.taken_at + s.list_lag;
     const bool all = std::all_of(w.machines.begin(),
         w.machines.end(),
         [&](const std::string& id)
-        { return w.begun.contains(id) || find_machine(list, id) == nullptr; });
+        { return w.begun.contains(id) || (knows_all && find_machine(list, id) == nullptr); });
     const bool now_completed = list.known && all && !w.completed;
     w.completed = w.completed || now_completed;
     return now_completed;
--- a/libs/hosted/src/wave_runner.cpp
+++ b/libs/hosted/src/wave_runner.cpp
@@ -104,7 +104,8 @@
         w.number = it.number;
         w.machines = it.machines;
         w.most_at_once = it.most_at_once;
-        w.due = term_.now() + it.duration;
+        w.taken_at = term_.now();
+        w.due = w.taken_at + it.duration;
         place->second.due_unix_ms =
             core::to_unix_ms(term_.ctx.time.wall_now()) + it.duration.count();
         term_.log(ports::log_level::info,
