--- a/libs/hosted/tests/aged_state_tests.cpp
+++ b/libs/hosted/tests/aged_state_tests.cpp
@@ -16,6 +16,23 @@
         const auto* const it = c.store.find("wave-status/1");
         return it == nullptr ? "" : it->value;
     }
+
+    /// \return a rate of pool p in the coordinator's record of the demand.
+    double recorded(const char* rate) const
+    {
+        const auto* const it = c.store.find(hosted::demand_key);
+        return it == nullptr
+                   ? 0
+                   : nlohmann::json::parse(it->value).at("pools").at("p").at(rate).get<double>();
+    }
+
+    void put_jobs(const std::string& name, int n)
+    {
+        for (int i = 0; i < n; ++i)
+        {
+            c.put_job(c.make_job(name + std::to_string(i), 1));
+        }
+    }
 };
 
 // Operators ask for a wave over two machines, one of which is new. The service that lists machines
@@ -49,3 +66,74 @@
     const auto& m2 = c.hosts.machines.at("m2");
     CHECK(!m2.up || m2.runner != life); // its maintenance has begun
 }
+
+// The coordinator's time of day is seconds ahead, and it dies amid a busy time. Its record of the
+// demand so tells of arrivals until a time that is yet to come: its successor takes each job that
+// is accepted until then for counted, sees no demand, and lets the pool's hosts go to rest.
+TEST(aged_state, jobs_after_a_record_from_the_future_count_as_demand)
+{
+    const node* ahead = nullptr;
+    c.plant = [&](node& n)
+    {
+        n.ctx.time.wall_now = [&, real = n.ctx.time.wall_now]
+        {
+            return real() + (ahead == &n ? 20s : 0s);
+        };
+    };
+    c.hosts.behaviour.run_time = 3s;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    c.add_node();
+    c.add_node();
+    CHECK(c.has_leader());
+    auto* const old = c.leader();
+    ahead = old;
+    put_jobs("a", 4);
+    c.time.run_for(2s);
+    old->process.dead = true;
+    CHECK(c.time.run_until([&] { return c.leader() != nullptr && c.leader() != old; }, 8s));
+    c.time.run_for(3s);
+    put_jobs("b", 8);
+    c.time.run_for(700ms);
+    // 8 jobs, and the time constant of the rate is 800 ms.
+    CHECK(recorded("jobs") > 3);
+}
+
+// The coordinator's view of the jobs lags, as in a long burst; its records stay fresh, and name
+// the time of their writing. It dies. To its successor the jobs that it had not seen would pass for
+// counted, since they were accepted before the record: most of the burst's demand is lost.
+TEST(aged_state, jobs_that_the_coordinator_before_had_not_seen_count_as_demand)
+{
+    const node* blind = nullptr;
+    c.plant = [&](node& n)
+    {
+        n.ctx.store.watch = [&, real = n.ctx.store.watch](
+                                const std::string& prefix, auto after, auto wait, const auto& done)
+        {
+            if (blind != &n || prefix != hosted::job_prefix)
+            {
+                real(prefix, after, wait, done);
+            }
+        };
+    };
+    c.hosts.behaviour.run_time = 20s;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    c.add_node();
+    c.add_node();
+    CHECK(c.has_leader());
+    put_jobs("a", 1);
+    c.time.run_for(2s);
+    auto* const old = c.leader();
+    blind = old;
+    put_jobs("b", 1); // ends the watch that waits
+    c.time.run_for(1200ms);
+    const auto before = recorded("slow");
+    put_jobs("c", 8);
+    c.time.run_for(3s);
+    CHECK(recorded("slow") < before);
+    old->process.dead = true;
+    CHECK(c.time.run_until([&] { return c.leader() != nullptr && c.leader() != old; }, 8s));
+    c.time.run_for(1s);
+    CHECK(recorded("slow") > 3 * before);
+}
--- a/libs/hosted/tests/demand_record_tests.cpp
+++ b/libs/hosted/tests/demand_record_tests.cpp
@@ -42,3 +42,20 @@
         CHECK(d.pools.contains("q"));
     }
 }
+
+// The owner before had a time of day seconds ahead. Its busy times lay in the past all the same:
+// one that is yet to come would count as just begun until then, and hold hosts for it.
+TEST(demand_record, no_busy_time_begins_in_the_future)
+{
+    coordinator::demand d;
+    coordinator::learnt l;
+    const core::mono_time now{1000s};
+    coordinator::note_arrival(d, "p", 300, now);
+    d.history.push_back({"p", now - 4s});
+    const auto text = hosted::write_demand(d, l, now, 500000);
+    coordinator::demand e;
+    const core::mono_time later{700s};
+    hosted::read_demand(text, e, l, later, 490000);
+    CHECK(e.pools["p"].updated == later);
+    CHECK(e.history.front().at == later - 4s);
+}
