A test that a coordinator that slept explains no job from what it knew before

Cause: 'why job' is answered from the driver's own fleet while the driver stands, also when the lease, by the clock that goes on in a suspension, has ended.

--- a/programs/camphorhitchd/tests/hosted_operators_tests.cpp
+++ b/programs/camphorhitchd/tests/hosted_operators_tests.cpp
@@ -145,6 +145,29 @@
     expect("why job a", "ok", "4 wait: none of the 2 hosts of pool p may take one");
 }
 
+// The coordinator's machine is suspended for a minute. Just awake, it has not heard yet that
+// another node has taken over. An operator asks it why a job waits: what it knew a minute ago is
+// told as if it were so now, tasks that run on runners which may be gone, and that it coordinates.
+TEST(hosted_operators, a_coordinator_that_slept_explains_only_what_is_stored)
+{
+    core::millis asleep{0};
+    c.plant = [&](node& n)
+    {
+        n.ctx.boot_now = [&]
+        {
+            return c.time.now() + asleep;
+        };
+    };
+    begin();
+    c.hosts.behaviour.run_time = 5s;
+    c.put_job(c.make_job("a", 2));
+    c.time.run_for(300ms);
+    expect("why job a", "ok", "2 on r");
+    asleep = 60s;
+    expect("why job a", "ok", "step 0: 0 of 2 tasks stored as done");
+    expect("why job a", "ok", "no node is known here to coordinate");
+}
+
 TEST(hosted_operators, a_cancel_stops_a_job)
 {
     begin();
