A node that doesn't hold the lease explains jobs from the store only, and doesn't name itself as the one to ask

Cause: fleet_driver::explain_job answered from the fleet as long as the driver stood. Past the lease (suspended, or standing still) that is the fleet of seconds or minutes ago, told as the present. leader() told the name in the store's key as seen last, also this node's own. Ruled out: the store's part of the answer, which is read anew each time. Change: explain_job is empty, and leader() isn't this node, while the lease doesn't hold by the boot clock; what the store shows is told. Conclusion: another node's name in leader() may still be as old as this node's watch (1.5 s, 2.2 s with a silent connection); that one answers for itself.

--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -72,7 +72,8 @@
 
     bool is_running() const;
 
-    /// \return why a job is where it is, as coordinator::explain_job; empty while not running.
+    /// \return why a job is where it is, as coordinator::explain_job; empty while this node doesn't
+    /// hold the lease to decide.
     std::vector<std::string> explain_job(const std::string& id) const;
 
 private:
--- a/libs/hosted/include/hosted/leadership.hpp
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -60,8 +60,9 @@
     /// Revision of the own key; 0 without it.
     ports::revision token() const;
 
-    /// \return the node that coordinates, as far as is known; empty: none.
-    const std::string& leader() const;
+    /// \return the node that coordinates, as the store told last; empty: none, or this one without
+    /// holding the lease any more.
+    std::string leader() const;
 
     /// Lost ownership was seen elsewhere: a runner or a condition refused the token.
     void step_down(const std::string& reason);
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -255,9 +255,11 @@
     }
 }
 
+/// Past its lease, a node that stood still or was suspended has its fleet as it was, while a
+/// successor may have moved all of it: told as the present, it would mislead. The store tells then.
 std::vector<std::string> fleet_driver::explain_job(const std::string& id) const
 {
-    if (parts_ == nullptr)
+    if (parts_ == nullptr || !lead_.holds())
     {
         return {};
     }
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -359,9 +359,10 @@
     return state_->token;
 }
 
-const std::string& leadership::leader() const
+std::string leadership::leader() const
 {
-    return state_->leader;
+    const bool own = state_->leader == state_->ctx.member;
+    return own && !holds() ? std::string{} : state_->leader;
 }
 
 void leadership::step_down(const std::string& reason)
--- a/programs/camphorhitchd/src/hosted_tables.cpp
+++ b/programs/camphorhitchd/src/hosted_tables.cpp
@@ -174,8 +174,9 @@
     if (steps.empty())
     {
         return out + stored_steps(j) +
-               (leader.empty() ? "no node coordinates now: nothing starts until one does\n"
-                               : leader + " coordinates and knows what runs where: ask it\n");
+               (leader.empty()
+                       ? "no node is known here to coordinate: nothing starts until one does\n"
+                       : leader + " coordinates and knows what runs where: ask it\n");
     }
     for (const auto& it : steps)
     {
