Tests that a node that coordinates no more tells no level of its former term

Cause: camphorhitch_runner_entries_unusable and camphorhitch_relayed_orders keep their last value after the term's end; the levels of coordinator_load are set back, these are not.

--- a/libs/hosted/tests/aged_state_tests.cpp
+++ b/libs/hosted/tests/aged_state_tests.cpp
@@ -9,6 +9,7 @@
 /// What a node decides from another's state that is older than it looks.
 TEST_GROUP(aged_state)
 {
+    std::map<std::string, double> told; ///< by node; the nodes tell at their end, too
     cluster c;
 
     std::string wave_status() const
@@ -138,3 +139,40 @@
     CHECK(recorded("slow") > 3 * before);
     CHECK(recorded("slow") < 5 * before); // none twice
 }
+
+// One entry in the list of runners is damaged, and the coordinator's measure of such entries says
+// so. It loses the lease, and the entry is mended. The measure of the node that coordinates no more
+// would stand at the old number for ever, and the alert on it with it.
+TEST(aged_state, a_former_coordinator_tells_of_no_damaged_entries)
+{
+    c.plant = [&](node& n)
+    {
+        n.ctx.tel.gauge = [&](const std::string& name, const ports::metric_labels&, double v)
+        {
+            if (name == "camphorhitch_runner_entries_unusable")
+            {
+                told[n.ctx.member] = v;
+            }
+        };
+    };
+    c.hosts.add("p");
+    c.add_node();
+    c.add_node();
+    c.store.put("runner/broken", "{");
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    auto* const old = c.leader();
+    DOUBLES_EQUAL(1, told[old->ctx.member], 0);
+    for (int i = 0; i < 20 && c.leader() == old; ++i)
+    {
+        c.store.revoke(hosted::leader_key); // either node may win then
+        c.time.run_for(3s);
+    }
+    CHECK(c.leader() != nullptr && c.leader() != old);
+    c.store.remove("runner/broken");
+    c.time.run_for(1s);
+    for (const auto& [member, n] : told)
+    {
+        DOUBLES_EQUAL_TEXT(0, n, 0, member.c_str());
+    }
+}
--- a/libs/relay/tests/fixture.hpp
+++ b/libs/relay/tests/fixture.hpp
@@ -15,10 +15,11 @@
 namespace camphorhitch::relay::testing
 {
 
-/// Collects log lines as "event key=value".
+/// Collects log lines as "event key=value", and the newest value of each gauge.
 struct log_lines
 {
     std::vector<std::string> lines;
+    std::map<std::string, double> levels;
 
     ports::telemetry port()
     {
@@ -37,7 +38,9 @@
         };
         out.count = [](const std::string&, const ports::metric_labels&, double) {
         };
-        out.gauge = [](const std::string&, const ports::metric_labels&, double) {
+        out.gauge = [this](const std::string& name, const ports::metric_labels&, double v)
+        {
+            levels[name] = v;
         };
         return out;
     }
--- a/libs/relay/tests/pool_tests.cpp
+++ b/libs/relay/tests/pool_tests.cpp
@@ -398,6 +398,22 @@
     CHECK_EQUAL(1U, b.local.seen.size());
 }
 
+// A term ends while a relay has an order. The measure of such orders would stand at one for as long
+// as this node coordinates no more.
+TEST(relay_pool, after_a_term_no_order_is_told_to_be_under_way)
+{
+    auto& a = b.add("a");
+    CHECK(b.connect());
+    a.runners.answers = false;
+    std::optional<ports::runner_answer> got;
+    b.start("i-1", "t", [&](const ports::runner_answer& it) { got = it; });
+    CHECK(b.until([&] { return b.log.levels["camphorhitch_relayed_orders"] > 0; }));
+    b.made->end();
+    CHECK(b.until([&] { return got.has_value(); }));
+    b.run_for(100ms);
+    DOUBLES_EQUAL(0, b.log.levels["camphorhitch_relayed_orders"], 0);
+}
+
 // More than a frame holds goes out in several.
 TEST(relay_pool, a_large_plan_is_split_into_frames)
 {
