A term's end sets back the levels of unusable entries and of relayed orders

Cause: both gauges are set while a node coordinates and by nothing afterwards; a former coordinator's last value stands, and operators are told to alert on one of them. Ruled out: the levels of coordinator_load, which are set back since they exist. Change: the reader of the list of runners tells 0 at its end; the pool of relays tells what is under way once all is closed.

--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -94,6 +94,17 @@
 {
 }
 
+/// Left standing, the measure would hold an alert for a list that this node reads no more.
+host_reader::~host_reader()
+{
+    tell_unusable(0);
+}
+
+void host_reader::tell_unusable(std::size_t entries) const
+{
+    term_.ctx.tel.gauge("camphorhitch_runner_entries_unusable", {}, static_cast<double>(entries));
+}
+
 void host_reader::start(std::function<void()> done)
 {
     done_ = std::move(done);
@@ -225,9 +236,7 @@
                     {"reason", core::failure(read).message}});
         }
     }
-    term_.ctx.tel.gauge("camphorhitch_runner_entries_unusable",
-        {},
-        static_cast<double>(items_.size() - all.size()));
+    tell_unusable(items_.size() - all.size());
     coordinator::task_events out;
     coordinator::see_hosts(term_.fleet, all, term_.now(), out);
     term_.lapse_hosts(out);
--- a/libs/hosted/src/host_reader.hpp
+++ b/libs/hosted/src/host_reader.hpp
@@ -36,6 +36,9 @@
 {
 public:
     explicit host_reader(term& t);
+    host_reader(const host_reader&) = delete;
+    host_reader& operator=(const host_reader&) = delete;
+    ~host_reader();
 
     /// Reads the former owner's record, then keeps reading the list. \p done: the record is in.
     void start(std::function<void()> done);
@@ -59,6 +62,7 @@
     void take_former(const ports::stored_item& item);
     runner_records wanted_records() const;
     void mark_recorded();
+    void tell_unusable(std::size_t entries) const;
     void send_record(runner_records wanted);
     void doubt_all_but(const runner_records& wanted);
     void take_write(const runner_records& wanted, const ports::commit_result& result);
--- a/libs/relay/src/pool_relays.cpp
+++ b/libs/relay/src/pool_relays.cpp
@@ -80,6 +80,12 @@
     }
     relays.clear();
     routes.clear();
+    tell_under_way(); // no tick does it any more
+}
+
+void pool_state::tell_under_way() const
+{
+    parts.tel.gauge("camphorhitch_relayed_orders", {}, static_cast<double>(under_way.size()));
 }
 
 void pool_state::set_relays(std::vector<ports::relay_place> all)
@@ -222,7 +228,7 @@
     }
     report_counts("relay", relayed);
     report_counts("local", made_locally);
-    parts.tel.gauge("camphorhitch_relayed_orders", {}, static_cast<double>(under_way.size()));
+    tell_under_way();
     if (active)
     {
         timer = time.after(settings.tick, [this] { tick(); });
--- a/libs/relay/src/pool_state.hpp
+++ b/libs/relay/src/pool_state.hpp
@@ -142,6 +142,7 @@
     void begin();
     void end();
     void close_all();
+    void tell_under_way() const;
 };
 
 } // namespace camphorhitch::relay
