A test that a coordinator says of a job that it has not read that it hasn't

Cause: an empty explanation means another node's job to explain, also on the coordinator itself when it reads jobs late. Seen here: "n1 coordinates and knows what runs where: ask it", told by n1.

--- a/programs/camphorhitchd/tests/hosted_operators_tests.cpp
+++ b/programs/camphorhitchd/tests/hosted_operators_tests.cpp
@@ -168,6 +168,31 @@
     expect("why job a", "ok", "no node is known here to coordinate");
 }
 
+// The coordinator reads new jobs late. Asked why one waits, it has nothing to tell of it: an answer
+// that names it as the node which knows, and is to be asked, sends operators in a circle.
+TEST(hosted_operators, a_coordinator_that_has_not_read_a_job_says_so)
+{
+    bool blind = false;
+    c.plant = [&](node& n)
+    {
+        n.ctx.store.watch = [&, real = n.ctx.store.watch](
+                                const std::string& prefix, auto after, auto wait, const auto& done)
+        {
+            if (!blind || prefix != hosted::job_prefix)
+            {
+                real(prefix, after, wait, done);
+            }
+        };
+    };
+    begin();
+    blind = true;
+    c.put_job(c.make_job("a", 1)); // ends the watch that waits
+    c.time.run_for(1s);
+    c.put_job(c.make_job("b", 1));
+    c.time.run_for(1s);
+    expect("why job b", "ok", "this node coordinates and has not read the job yet");
+}
+
 TEST(hosted_operators, a_cancel_stops_a_job)
 {
     begin();
