A coordinator that has not read a job yet says so, rather than to ask itself

Cause: no explanation of the steps was taken for "another node coordinates"; the name told was this node's. Change: the line depends on who coordinates: nobody known, this node, another.

--- a/programs/camphorhitchd/src/hosted_operators.cpp
+++ b/programs/camphorhitchd/src/hosted_operators.cpp
@@ -248,7 +248,8 @@
             }
             const auto& j = core::value(found);
             const auto steps = self->from.driver.explain_job(j.id);
-            done(good(explain(j, steps, self->from.lead.leader(), self->unix_ms())));
+            const auto leader = self->from.lead.leader();
+            done(good(explain(j, steps, leader, self->from.ctx.member, self->unix_ms())));
         });
 }
 
--- a/programs/camphorhitchd/src/hosted_tables.cpp
+++ b/programs/camphorhitchd/src/hosted_tables.cpp
@@ -74,6 +74,19 @@
     return out;
 }
 
+std::string who_knows(const std::string& leader, const std::string& own)
+{
+    if (leader.empty())
+    {
+        return "no node is known here to coordinate: nothing starts until one does\n";
+    }
+    if (leader == own)
+    {
+        return "this node coordinates and has not read the job yet\n";
+    }
+    return leader + " coordinates and knows what runs where: ask it\n";
+}
+
 } // namespace
 
 language::table job_table(const std::vector<hosted::stored_job>& all, std::int64_t unix_ms)
@@ -151,6 +164,7 @@
 std::string explain(const hosted::stored_job& j,
     const std::vector<std::string>& steps,
     const std::string& leader,
+    const std::string& own,
     std::int64_t unix_ms)
 {
     const auto state = hosted::shown_state(j);
@@ -173,10 +187,7 @@
     }
     if (steps.empty())
     {
-        return out + stored_steps(j) +
-               (leader.empty()
-                       ? "no node is known here to coordinate: nothing starts until one does\n"
-                       : leader + " coordinates and knows what runs where: ask it\n");
+        return out + stored_steps(j) + who_knows(leader, own);
     }
     for (const auto& it : steps)
     {
--- a/programs/camphorhitchd/src/hosted_tables.hpp
+++ b/programs/camphorhitchd/src/hosted_tables.hpp
@@ -21,12 +21,14 @@
 
 language::table config_table(const hosted::fleet_config& config);
 
-/// \param steps what the coordinator says of the steps; empty when another node coordinates
-/// \param leader the node that coordinates; empty: none is known
+/// \param steps what the coordinator says of the steps; empty when another node coordinates, or
+/// this one has not read the job yet \param leader the node that coordinates; empty: none is known
+/// \param own this node
 /// \return why the job is where it is, a line each.
 std::string explain(const hosted::stored_job& j,
     const std::vector<std::string>& steps,
     const std::string& leader,
+    const std::string& own,
     std::int64_t unix_ms);
 
 } // namespace camphorhitch::daemon
