A test that operators are told how old a node's configuration may be

Cause: 'show config' tells the configuration in force at this node, which is as old as its last answer from the store; nothing says so.

--- a/programs/camphorhitchd/tests/hosted_operators_tests.cpp
+++ b/programs/camphorhitchd/tests/hosted_operators_tests.cpp
@@ -132,6 +132,15 @@
     expect("show config where setting = version", "ok", "3");
 }
 
+// The store has not answered this node for some time. The configuration that it shows may be an old
+// one, and nothing in it would say so.
+TEST(hosted_operators, the_configuration_is_shown_with_its_age)
+{
+    begin();
+    c.time.run_for(4s);
+    expect("show config where setting = store_answered", "ok", "ms ago");
+}
+
 // No host has room for the rest of a step. The explanation says so, and the store need not be
 // asked.
 TEST(hosted_operators, waiting_for_room_is_explained)
