The configuration shown to operators tells how long ago the store last answered about it

Cause: a node that the store does not answer goes on with the configuration in force, which is right, and showed it as the newest, which it may not be. Change: a row store_answered in 'show config'. By the steady clock: a suspension of the machine is not counted.

--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -196,8 +196,16 @@
     };
     front =
         std::make_unique<company::front>(company::front_settings{}, sources, *desk, ctx.time, log);
-    people = std::make_unique<hosted_operators>(
-        hosted_sources{ctx, formats, *desk, *lead, *driver, sources.config},
+    people = std::make_unique<hosted_operators>(hosted_sources{ctx,
+                                                    formats,
+                                                    *desk,
+                                                    *lead,
+                                                    *driver,
+                                                    sources.config,
+                                                    [this]
+                                                    {
+                                                        return config->last_answer();
+                                                    }},
         settings.operators_token);
 }
 
--- a/programs/camphorhitchd/src/hosted_operators.cpp
+++ b/programs/camphorhitchd/src/hosted_operators.cpp
@@ -179,7 +179,8 @@
         return;
     }
     const bool pools = s.what == language::table_kind::pools;
-    done(shown(s, pools ? pool_table(*config) : config_table(*config), document));
+    const auto age = from.ctx.time.now() - from.config_heard();
+    done(shown(s, pools ? pool_table(*config) : config_table(*config, age), document));
 }
 
 void hosted_operators_state::show_jobs(
--- a/programs/camphorhitchd/src/hosted_operators.hpp
+++ b/programs/camphorhitchd/src/hosted_operators.hpp
@@ -29,6 +29,7 @@
     const hosted::leadership& lead;
     const hosted::fleet_driver& driver;
     std::function<const hosted::fleet_config*()> config; ///< nullptr: none is known yet
+    std::function<core::mono_time()> config_heard;       ///< when the store last answered about it
 };
 
 struct hosted_operators_state;
--- a/programs/camphorhitchd/src/hosted_tables.cpp
+++ b/programs/camphorhitchd/src/hosted_tables.cpp
@@ -150,14 +150,16 @@
     return t;
 }
 
-language::table config_table(const hosted::fleet_config& config)
+language::table config_table(const hosted::fleet_config& config, core::micros age)
 {
+    const auto age_ms = std::chrono::duration_cast<core::millis>(age).count();
     language::table t;
     t.columns = {{"setting", value_kind::text}, {"value", value_kind::text}};
     t.rows = {{std::string{"version"}, std::to_string(config.version)},
         {std::string{"queues"}, std::to_string(config.queues.size())},
         {std::string{"pools"}, std::to_string(config.pools.size())},
-        {std::string{"largest_body"}, std::to_string(config.largest_body)}};
+        {std::string{"largest_body"}, std::to_string(config.largest_body)},
+        {std::string{"store_answered"}, std::to_string(age_ms) + " ms ago"}};
     return t;
 }
 
--- a/programs/camphorhitchd/src/hosted_tables.hpp
+++ b/programs/camphorhitchd/src/hosted_tables.hpp
@@ -19,7 +19,9 @@
 
 language::table pool_table(const hosted::fleet_config& config);
 
-language::table config_table(const hosted::fleet_config& config);
+/// \param age since the store last answered this node about the configuration: one that came later
+/// is not known here
+language::table config_table(const hosted::fleet_config& config, core::micros age);
 
 /// \param steps what the coordinator says of the steps; empty when another node coordinates, or
 /// this one has not read the job yet \param leader the node that coordinates; empty: none is known
--- a/programs/camphorhitchd/tests/hosted_operators_tests.cpp
+++ b/programs/camphorhitchd/tests/hosted_operators_tests.cpp
@@ -13,6 +13,7 @@
 {
     cluster c;
     hosted::fleet_config config;
+    core::mono_time heard; ///< when the store answered last
     ports::http_server server;
     std::optional<ports::http_response> answer;
     std::unique_ptr<hosted_operators> people;
@@ -35,9 +36,10 @@
                                                         *n.desk,
                                                         *n.lead,
                                                         *n.driver,
+                                                        [this] { return &config; },
                                                         [this]
                                                         {
-                                                            return &config;
+                                                            return heard;
                                                         }},
             "secret");
         events = people->events([this]() -> const ports::http_server& { return server; });
@@ -137,8 +139,9 @@
 TEST(hosted_operators, the_configuration_is_shown_with_its_age)
 {
     begin();
+    heard = c.time.now();
     c.time.run_for(4s);
-    expect("show config where setting = store_answered", "ok", "ms ago");
+    expect("show config where setting = store_answered", "ok", "4000 ms ago");
 }
 
 // No host has room for the rest of a step. The explanation says so, and the store need not be
