A test that a refused ticket is not used again

Cause: a ticket's end is reckoned from when its answer is taken in, on this node's clock. An answer that lay unread, or a suspension, makes it look younger than it is; the runner refuses the start, and the next one carries the same ticket.

--- a/libs/coordinator/tests/placement_tests.cpp
+++ b/libs/coordinator/tests/placement_tests.cpp
@@ -237,3 +237,27 @@
     LONGS_EQUAL(1, p.asks.size());
     STRCMP_EQUAL("h2", p.asks[0].runners[0].c_str());
 }
+
+// The service's answer has lain unread here, so the ticket is older than it looks, and the runner
+// refuses the start. Believed until its reckoned end, it would be sent again and again, each time
+// in vain: the runner knows better, and the service is asked anew.
+TEST(placement, a_ticket_that_a_runner_refused_is_not_used_again)
+{
+    w.add_host("h1");
+    auto j = make_job("a", {make_step(1, 1000)});
+    j.advised = true;
+    w.add(j);
+    auto p = w.next();
+    advice_answered(w.f, p.asks[0], {true, {{"h1", "t1"}}, 60s}, w.now, w.events);
+    p = w.next();
+    STRCMP_EQUAL("t1", p.starts[0].ticket.c_str());
+    w.started(p.starts[0], ports::runner_verdict::bad_ticket);
+    w.now += 200ms;
+    w.f.hosts["h1"].last_answer = w.now;
+    p = w.next();
+    LONGS_EQUAL(0, p.starts.size());
+    LONGS_EQUAL(1, p.asks.size());
+    STRCMP_EQUAL("h1", p.asks[0].runners[0].c_str());
+    advice_answered(w.f, p.asks[0], {true, {{"h1", "t2"}}, 60s}, w.now, w.events);
+    STRCMP_EQUAL("t2", w.next().starts[0].ticket.c_str());
+}
