A ticket that a runner refused is asked for anew

Ruled out: reckoning from the call. The service takes its time for each runner named and handles calls in turn; a ticket could then end before it comes, and nothing would ever start. Change: the refusal drops the step's ticket for that runner, so the next plan asks.

--- a/libs/coordinator/include/coordinator/advice.hpp
+++ b/libs/coordinator/include/coordinator/advice.hpp
@@ -39,4 +39,7 @@
     core::mono_time now,
     task_events& out);
 
+/// A runner has refused the step's ticket for it: the service is asked about it anew.
+void ticket_refused(fleet& f, const workflow::task_name& step, const std::string& host);
+
 } // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/advice.cpp
+++ b/libs/coordinator/src/advice.cpp
@@ -110,4 +110,16 @@
     }
 }
 
+/// A ticket's end is reckoned from when the answer is taken in. Where that lay unread, or the
+/// machine was suspended, the ticket ends sooner, and each start with it would be refused until the
+/// reckoned end. The runner's refusal is the proof; reckoned from the call, tickets of a slow
+/// service would end before they came.
+void ticket_refused(fleet& f, const workflow::task_name& step, const std::string& host)
+{
+    if (auto* const j = find_job(f, step.job))
+    {
+        advice_of(*j, step.occurrence, step.step).good.erase(host);
+    }
+}
+
 } // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/answers.hpp"
 
 #include "bookkeeping.hpp"
+#include "coordinator/advice.hpp"
 #include "coordinator/intake.hpp"
 #include "ends.hpp"
 #include "workflow/records.hpp"
@@ -93,6 +94,10 @@
     t->not_before = now + f.settings.refusal_pause;
     t->failed_on.push_back(host);
     note(out, "start_refused", name, number, host, verdict_text(answer));
+    if (answer.verdict == runner_verdict::bad_ticket)
+    {
+        ticket_refused(f, name, host);
+    }
     remove_run(f, *find_job(f, name.job), name, place);
 }
 
