--- a/programs/camphorhitchd/src/hosted_operators.cpp
+++ b/programs/camphorhitchd/src/hosted_operators.cpp
@@ -179,7 +179,8 @@
         return;
     }
     const bool pools = s.what == language::table_kind::pools;
-    done(shown(s, pools ? pool_table(*config) : config_table(*config), document));
+    const auto age = from.ctx.time.now() - from.config_heard();
+    done(shown(s, pools ? pool_table(*config) : config_table(*config, age), document));
 }
 
 void hosted_operators_state::show_jobs(
@@ -248,7 +249,8 @@
             }
             const auto& j = core::value(found);
             const auto steps = self->from.driver.explain_job(j.id);
-            done(good(explain(j, steps, self->from.lead.leader(), self->unix_ms())));
+            const auto leader = self->from.lead.leader();
+            done(good(explain(j, steps, leader, self->from.ctx.member, self->unix_ms())));
         });
 }
 
--- a/programs/camphorhitchd/src/hosted_tables.cpp
+++ b/programs/camphorhitchd/src/hosted_tables.cpp
@@ -74,6 +74,19 @@
     return out;
 }
 
+std::string who_knows(const std::string& leader, const std::string& own)
+{
+    if (leader.empty())
+    {
+        return "no node is known here to coordinate: nothing starts until one does\n";
+    }
+    if (leader == own)
+    {
+        return "this node coordinates and has not read the job yet\n";
+    }
+    return leader + " coordinates and knows what runs where: ask it\n";
+}
+
 } // namespace
 
 language::table job_table(const std::vector<hosted::stored_job>& all, std::int64_t unix_ms)
@@ -137,20 +150,23 @@
     return t;
 }
 
-language::table config_table(const hosted::fleet_config& config)
+language::table config_table(const hosted::fleet_config& config, core::micros age)
 {
+    const auto age_ms = std::chrono::duration_cast<core::millis>(age).count();
     language::table t;
     t.columns = {{"setting", value_kind::text}, {"value", value_kind::text}};
     t.rows = {{std::string{"version"}, std::to_string(config.version)},
         {std::string{"queues"}, std::to_string(config.queues.size())},
         {std::string{"pools"}, std::to_string(config.pools.size())},
-        {std::string{"largest_body"}, std::to_string(config.largest_body)}};
+        {std::string{"largest_body"}, std::to_string(config.largest_body)},
+        {std::string{"store_answered"}, std::to_string(age_ms) + " ms ago"}};
     return t;
 }
 
 std::string explain(const hosted::stored_job& j,
     const std::vector<std::string>& steps,
     const std::string& leader,
+    const std::string& own,
     std::int64_t unix_ms)
 {
     const auto state = hosted::shown_state(j);
@@ -173,10 +189,7 @@
     }
     if (steps.empty())
     {
-        return out + stored_steps(j) +
-               (leader.empty()
-                       ? "no node is known here to coordinate: nothing starts until one does\n"
-                       : leader + " coordinates and knows what runs where: ask it\n");
+        return out + stored_steps(j) + who_knows(leader, own);
     }
     for (const auto& it : steps)
     {
