A job waits until a runner has told of a run of it

Cause: pending_jobs took a job for begun while it had any run, also one that was only ordered. Its order may lie in the window, at a relay or at a dark runner, and then nothing has started. On the other side a run whose end was reported before any look at it left its job queued, so counted as waiting for good. Change: begun is what a runner has confirmed (state past queued) or a task that is done; a reported end of a run sets the state as a look at the run does. The test of lines for jobs that are only ordered said that such jobs don't count as waiting, which was the fault; it now expects that they do.

--- a/libs/coordinator/include/coordinator/load.hpp
+++ b/libs/coordinator/include/coordinator/load.hpp
@@ -21,8 +21,7 @@
     std::int64_t hosts_lease_low = 0; ///< under a third of the runner's lease is left, not lapsed
 };
 
-/// \return jobs that are not counted as waiting only because starts are ordered, of which no runner
-/// has answered one: if none of these arrives, such a job still waits.
+/// \return jobs that wait and have starts ordered, of which no runner has answered one.
 std::int64_t jobs_only_ordered(const fleet& f);
 
 /// \param unix_ms wall time; tasks that are due later don't wait yet
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -72,10 +72,7 @@
         run.phase = run_phase::running;
         run.changed_at = now;
     }
-    if (j.state == workflow::job_state::queued)
-    {
-        j.state = workflow::job_state::running;
-    }
+    note_begun(j);
 }
 
 /// The run never began and never will.
--- a/libs/coordinator/src/bookkeeping.cpp
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -179,6 +179,14 @@
     }
 }
 
+void note_begun(job_entry& j)
+{
+    if (j.state == workflow::job_state::queued)
+    {
+        j.state = workflow::job_state::running;
+    }
+}
+
 void finish_job(fleet& f, job_entry& j, workflow::job_state state, core::mono_time now)
 {
     j.state = state;
--- a/libs/coordinator/src/bookkeeping.hpp
+++ b/libs/coordinator/src/bookkeeping.hpp
@@ -47,6 +47,9 @@
 
 void mark_dirty(fleet& f, job_entry& j);
 
+/// A runner has told of a run of the job, or of its end.
+void note_begun(job_entry& j);
+
 /// Sets a final state, and wants all runs stopped.
 void finish_job(fleet& f, job_entry& j, workflow::job_state state, core::mono_time now);
 
--- a/libs/coordinator/src/ends.cpp
+++ b/libs/coordinator/src/ends.cpp
@@ -167,6 +167,7 @@
         return;
     }
     auto& j = *find_job(f, name->job);
+    note_begun(j);
     const auto place = place_of_run(*t, h.ref.id, end.run);
     if (place < t->runs.size())
     {
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -320,8 +320,8 @@
     for (const auto& id : f.open_jobs)
     {
         const auto& j = *f.jobs.at(id);
-        const bool begun =
-            j.live_runs > 0 || j.done_tasks > 0 || j.state != workflow::job_state::queued;
+        // A run that is only ordered proves nothing: its order may lie unread, or be lost.
+        const bool begun = j.done_tasks > 0 || j.state != workflow::job_state::queued;
         if (!begun && !workflow::is_scheduled(j.spec))
         {
             ++out[j.spec.queue];
--- a/libs/coordinator/tests/load_tests.cpp
+++ b/libs/coordinator/tests/load_tests.cpp
@@ -43,7 +43,7 @@
     LONGS_EQUAL(4, measure_load(w.f, w.now, wall + 6000).tasks_waiting);
 }
 
-// A start is ordered: the job counts as begun before any runner has said so.
+// A start is ordered: the job waits until a runner has said that it runs.
 TEST(load, a_job_is_only_ordered_until_a_start_is_answered)
 {
     w.add(make_job("a", {make_step(2, 1000)}));
@@ -51,11 +51,13 @@
     w.add_host("h1");
     const auto starts = w.next().starts;
     LONGS_EQUAL(1, jobs_only_ordered(w.f));
-    LONGS_EQUAL(0, pending_jobs(w.f).size());
+    LONGS_EQUAL(1, pending_jobs(w.f).at("q"));
     w.started(starts[0], ports::runner_verdict::unknown);
     LONGS_EQUAL(1, measure_load(w.f, w.now, wall).jobs_only_ordered);
+    LONGS_EQUAL(1, pending_jobs(w.f).at("q"));
     w.started(starts[1]);
     LONGS_EQUAL(0, jobs_only_ordered(w.f));
+    LONGS_EQUAL(0, pending_jobs(w.f).size());
 }
 
 TEST(load, hosts_are_silent_or_near_their_lapse)
--- a/libs/hosted/tests/load_report_tests.cpp
+++ b/libs/hosted/tests/load_report_tests.cpp
@@ -197,7 +197,7 @@
     STRCMP_EQUAL("0", value_in(lost[0], "timer_late_ms").c_str());
 }
 
-// The record of waiting jobs names neither its time nor what its writer had read: the line does.
+// The record of waiting jobs doesn't tell how late its writer heard of jobs: the line does.
 TEST(load_report, a_record_of_waiting_jobs_tells_what_it_rests_on)
 {
     hosted_fakes::cluster c;
@@ -225,9 +225,9 @@
     CHECK(more >= 3 && more <= 5);
 }
 
-// Callers are told too few jobs while one node coordinates all the time. Its watch of accepted jobs
-// gets no answer, what it writes goes through: the record is new, and what it says is old. Only the
-// age of the intake and the revision it was read through show it.
+// One node coordinates all the time. Its watch of accepted jobs gets no answer, what it writes goes
+// through: the record is new, and what it says is old. The age of the intake and the revision it
+// was read through show it.
 TEST(load_report, a_deaf_intake_shows_in_the_lines_of_the_record)
 {
     hosted_fakes::cluster c;
@@ -268,8 +268,8 @@
     CHECK(number_in(load, "intake_age_ms") >= 2500);
 }
 
-// A start is on its way and no runner has answered: the job counts as begun all the same. The lines
-// tell how many jobs are left out for no other reason.
+// A start is on its way and no runner has answered: the job waits. The lines tell how many of the
+// jobs that wait are ordered.
 TEST(load_report, jobs_that_are_only_ordered_show_in_the_lines)
 {
     hosted_fakes::cluster c;
@@ -285,7 +285,7 @@
     c.put_job(c.make_job("a", 1));
     c.time.run_for(2500ms);
     const auto record = lines_of(*c.leader(), "pending_stored").back();
-    STRCMP_EQUAL("0", value_in(record, "jobs").c_str());
+    STRCMP_EQUAL("1", value_in(record, "jobs").c_str());
     STRCMP_EQUAL("1", value_in(record, "ordered_only").c_str());
     const auto load = lines_of(*c.leader(), "coordinator_load").back();
     STRCMP_EQUAL("1", value_in(load, "jobs_only_ordered").c_str());
