A count of waiting jobs is at most 2 s old, or not told

Cause: any node told what the coordinating node's record held, however old the record or the view behind it. With nobody leading, a successor that still reads, or a watch lost, the last figure stood without bound; a damaged or missing record read as no job; a suspended node judged its own copy by a clock that had stood still. Ruled out: a time of day in the record (clocks differ, and a new record of an old view would pass); a scan of all jobs and states at each question (thousands of items for one number). Change: the record names the store's revision up to which jobs were in view when they were counted. A node notes when its own calls were sent and which revision their answers told, so it knows the age of any record by its own clock, one that goes on through a sleep. An older record is extended by what the store's history says was accepted since; without history, record or an answer in time the caller gets 503. The record is written as soon as a new coordinator has read the jobs, and every 5 s while nothing waits; a watch of new jobs waits 0.7 s, so that the revision goes on. Texts of the record that are out of range are damage now, no zeros.

--- a/libs/hosted/include/hosted/entry_desk.hpp
+++ b/libs/hosted/include/hosted/entry_desk.hpp
@@ -8,7 +8,6 @@
 #include "workflow/model.hpp"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 
@@ -40,7 +39,7 @@
 
 struct pending_answer
 {
-    bool known = false;
+    bool known = false; ///< false: nothing was at hand in time that is at most 2 s old
     int jobs = 0;
 };
 
@@ -50,7 +49,8 @@
     int most_refusals = 3;        ///< certain refusals of the store before the caller gets its own
     /// The answer to a caller is given up this long before the caller's own patience ends.
     core::millis reply_margin{150};
-    core::millis pending_age{500}; ///< a count that is younger is told again without a call
+    /// A count that was read so lately is told again without a call, while it is new enough.
+    core::millis pending_age{500};
 };
 
 struct entry_state;
@@ -74,7 +74,7 @@
     void tell_state(
         const std::string& id, core::mono_time deadline, std::function<void(state_answer)> done);
 
-    /// Counts jobs of a queue of which no task has started.
+    /// Counts jobs of a queue of which no task has started, as of at most 2 s ago.
     void count_pending(const std::string& queue,
         core::mono_time deadline,
         std::function<void(pending_answer)> done);
@@ -83,10 +83,4 @@
     std::shared_ptr<entry_state> state_;
 };
 
-/// \return the text of the record under pending_key.
-std::string write_pending(const std::map<std::string, int>& by_queue);
-
-/// \return the counts; empty when the text is damaged.
-std::map<std::string, int> read_pending(const std::string& text);
-
 } // namespace camphorhitch::hosted
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -26,8 +26,11 @@
     core::millis plan_every{100};      ///< also without a cause: leases lapse, stops repeat
     core::millis hosts_plan_every{40}; ///< waves and moves: they look at every job and host
     core::millis job_pause{12};        ///< between two watches of new jobs
-    core::millis poll_wait{700};       ///< longest wait of a poll for an end
-    core::millis poll_gap{30};         ///< after ends came: gathers the next ones
+    /// Longest wait of such a watch. While no job comes, what a record of waiting jobs is good for
+    /// stands still for so long: with pending_every well below the 2 s that a count may be old.
+    core::millis job_wait{700};
+    core::millis poll_wait{700}; ///< longest wait of a poll for an end
+    core::millis poll_gap{30};   ///< after ends came: gathers the next ones
     /// Polls a second over all runners, at most; with many runners the gap grows instead. A poll
     /// costs 0.15 ms of processor time, and the coordinator's host may have a quarter of a core.
     double most_polls_per_second = 4000;
@@ -43,7 +46,10 @@
     core::millis store_delay{8};      ///< gathers progress into one write
     core::millis store_retry{100};    ///< after a write that failed
     core::millis pending_every{500};  ///< counts of waiting jobs
-    core::millis tidy_every{5000};    ///< removals of states that nobody can ask for
+    /// The same while nothing waits and nothing changes. What was accepted since an old record is
+    /// read from the store's history, which reaches some 20 s back.
+    core::millis pending_idle{5000};
+    core::millis tidy_every{5000}; ///< removals of states that nobody can ask for
     /// After its end a job's state is told for so long, and a repeat of its acceptance meets it.
     core::millis keep_finished{150000};
 };
--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -13,7 +13,9 @@
 ///   coord/leader-term  counts coordinators; never removed
 ///   coord/runners   runners that the coordinator may have given orders to
 ///   coord/demand    what the coordinator has learnt of the demand and of run times
-///   coord/pending   jobs that wait, by queue
+///   coord/pending   jobs that wait, by queue, and the store revision up to which accepted jobs
+///   were
+///                   known when they were counted; written by the coordinator only
 ///   coord/wave/N    hosts of wave N whose maintenance has begun
 ///   relay/MEMBER    a node that carries orders to runners out; lives with its lease
 #pragma once
--- a/libs/hosted/include/hosted/prefix_follower.hpp
+++ b/libs/hosted/include/hosted/prefix_follower.hpp
@@ -47,6 +47,7 @@
     core::mono_time last_answer() const;
 
     /// \return the store revision up to which every change was handed to the events; 0: none yet.
+    /// It stands still while all is read anew.
     ports::revision through() const;
 
 private:
--- a/libs/hosted/src/entry_desk.cpp
+++ b/libs/hosted/src/entry_desk.cpp
@@ -5,8 +5,6 @@
 #include "store_answer.hpp"
 #include "workflow/records.hpp"
 
-#include <limits>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace camphorhitch::hosted
@@ -14,54 +12,12 @@
 
 using ports::kv_status;
 
-namespace
-{
-
-void note_count(
-    const entry_state& state, const std::string& queue, const char* outcome, ports::log_fields more)
-{
-    state.ctx.tel.count("camphorhitch_pending_answers_total", {{"outcome", outcome}}, 1);
-    more.insert(more.begin(), {{"queue", queue}, {"outcome", outcome}});
-    state.ctx.tel.log(ports::log_level::info, "pending_told", std::move(more));
-}
-
-/// \return the own copy's count. The line tells what it rests on: joined with the lines of the
-/// record's writer, it shows how old a wrong count was.
-pending_answer tell_copy(const entry_state& state, const std::string& queue)
-{
-    const auto& copy = *state.pending;
-    const auto found = copy.by_queue.find(queue);
-    const auto n = found == copy.by_queue.end() ? 0 : found->second;
-    const auto age = std::chrono::duration_cast<core::millis>(state.ctx.time.now() - copy.read_at);
-    note_count(state,
-        queue,
-        "told",
-        {{"jobs", std::to_string(n)},
-            {"record_revision", std::to_string(copy.record)},
-            {"store_revision", std::to_string(copy.store)},
-            {"cached_ms", std::to_string(age.count())}});
-    return {true, n};
-}
-
-pending_copy copy_of(const ports::item_read& read, core::mono_time now)
-{
-    pending_copy out;
-    if (read.item)
-    {
-        out.by_queue = read_pending(read.item->value);
-        out.record = read.item->modified;
-    }
-    out.store = read.store_revision;
-    out.read_at = now;
-    return out;
-}
-
-} // namespace
-
 entry_desk::entry_desk(context c, entry_settings s) : state_(std::make_shared<entry_state>())
 {
     state_->ctx = std::move(c);
     state_->settings = s;
+    auto& store = state_->ctx.store;
+    store = with_revisions_noted(store, state_->ctx.boot_now, state_->pending.revisions);
 }
 
 entry_desk::~entry_desk() = default;
@@ -143,49 +99,7 @@
 void entry_desk::count_pending(
     const std::string& queue, core::mono_time deadline, std::function<void(pending_answer)> done)
 {
-    const auto& it = *state_;
-    if (it.pending && it.ctx.time.now() - it.pending->read_at < it.settings.pending_age)
-    {
-        done(tell_copy(it, queue));
-        return;
-    }
-    read_until<ports::item_read>(
-        state_,
-        deadline,
-        [state = state_](std::function<void(ports::item_read)> got)
-        { state->ctx.store.get(pending_key, ports::read_freshness::newest, std::move(got)); },
-        [state = state_, queue, done = std::move(done)](const std::optional<ports::item_read>& read)
-        {
-            if (!read)
-            {
-                note_count(*state, queue, "unknown", {});
-                done({});
-                return;
-            }
-            state->pending = copy_of(*read, state->ctx.time.now());
-            done(tell_copy(*state, queue));
-        });
-}
-
-std::string write_pending(const std::map<std::string, int>& by_queue)
-{
-    return nlohmann::json(by_queue).dump();
-}
-
-std::map<std::string, int> read_pending(const std::string& text)
-{
-    const auto from = nlohmann::json::parse(text, nullptr, false);
-    std::map<std::string, int> out;
-    if (from.is_object())
-    {
-        for (const auto& [name, n] : from.items())
-        {
-            const bool fits =
-                n.is_number_unsigned() && n.get<std::uint64_t>() <= std::numeric_limits<int>::max();
-            out[name] = fits ? n.get<int>() : 0;
-        }
-    }
-    return out;
+    hosted::count_pending(state_, queue, deadline, std::move(done));
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/entry_state.hpp
+++ b/libs/hosted/src/entry_state.hpp
@@ -4,9 +4,9 @@
 #pragma once
 
 #include "hosted/entry_desk.hpp"
+#include "pending_count.hpp"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,20 +14,11 @@
 namespace camphorhitch::hosted
 {
 
-/// The own copy of the record of waiting jobs.
-struct pending_copy
-{
-    std::map<std::string, int> by_queue;
-    ports::revision record = 0; ///< the record's last write; 0: it does not exist
-    ports::revision store = 0;  ///< of the reading
-    core::mono_time read_at;
-};
-
 struct entry_state : std::enable_shared_from_this<entry_state>
 {
     context ctx;
     entry_settings settings;
-    std::optional<pending_copy> pending; ///< nothing: not read yet
+    pending_view pending;
 
     /// \return whether a further try can still be answered in time.
     bool has_time(core::mono_time deadline) const
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -4,12 +4,12 @@
 #include "coordinator/intake.hpp"
 #include "coordinator/placement.hpp"
 #include "host_reader.hpp"
-#include "hosted/entry_desk.hpp"
 #include "hosted/keys.hpp"
 #include "job_reader.hpp"
 #include "lease_bridge.hpp"
 #include "load_watch.hpp"
 #include "machine_desk.hpp"
+#include "pending_record.hpp"
 #include "pending_watch.hpp"
 #include "progress_writer.hpp"
 #include "runner_desk.hpp"
@@ -17,6 +17,8 @@
 #include "tidier.hpp"
 #include "wave_runner.hpp"
 
+#include <map>
+#include <optional>
 #include <utility>
 
 namespace camphorhitch::hosted
@@ -38,12 +40,14 @@
     bool plan_is_due = false;
     bool jobs_are_in = false;
     bool record_is_in = false;
-    std::string pending_text;
-    core::mono_time hosts_planned_at; ///< latest look at waves and moves
+    std::optional<std::map<std::string, int>> pending_stored; ///< of the newest record, if it is
+    core::mono_time pending_at;                               ///< when that record was made
+    core::mono_time hosts_planned_at;                         ///< latest look at waves and moves
 
     void plan_soon();
     void plan();
     void tick();
+    void tick_pending();
     void store_pending();
     void read_demand(const std::function<void()>& then);
 };
@@ -124,29 +128,40 @@
             }));
 }
 
+void driver_parts::tick_pending()
+{
+    common->ctx.time.after(
+        common->settings.pending_every, common->guarded([this] { tick_pending(); }));
+    if (jobs_are_in)
+    {
+        store_pending();
+    }
+}
+
 void driver_parts::store_pending()
 {
     auto& t = *common;
-    t.ctx.time.after(t.settings.pending_every, t.guarded([this] { store_pending(); }));
-    if (!jobs_are_in || !t.lead->holds())
+    if (!t.lead->holds())
     {
         return;
     }
-    auto counts = coordinator::pending_jobs(t.fleet);
-    auto text = write_pending(counts);
-    if (text == pending_text && t.fleet.open_jobs.empty())
+    auto basis = pending->basis_of(coordinator::pending_jobs(t.fleet));
+    const bool idle = t.fleet.open_jobs.empty() && basis.by_queue == pending_stored;
+    if (idle && t.now() < pending_at + t.settings.pending_idle)
     {
         return; // nothing waits and nothing is learnt
     }
     ports::store_transaction change;
     change.conditions = {{leader_key, t.token}};
-    change.puts = {{pending_key, text, 0}, {demand_key, machines->demand_record(), 0}};
+    change.puts = {{pending_key, write_pending({basis.read_through, basis.by_queue}), 0},
+        {demand_key, machines->demand_record(), 0}};
     t.ctx.store.commit(std::move(change),
         t.guarded(
-            [this, text, basis = pending->basis_of(std::move(counts))](
-                const ports::commit_result& result)
+            [this, basis = std::move(basis)](const ports::commit_result& result)
             {
-                pending_text = result.status == ports::kv_status::ok ? text : std::string{};
+                const bool ok = result.status == ports::kv_status::ok;
+                pending_stored = ok ? std::optional{basis.by_queue} : std::nullopt;
+                pending_at = basis.made_at;
                 pending->see_answer(basis, result);
             }));
 }
@@ -219,6 +234,8 @@
                     {{"jobs", std::to_string(p.common->fleet.jobs.size())}});
                 p.desk->poll_all();
                 p.plan_soon();
+                // At once: leaders that follow each other fast would else leave none behind.
+                p.store_pending();
             });
     };
     p.read_demand(read_jobs);
@@ -239,7 +256,7 @@
     p.machines->start([&p] { p.waves->see_machines(); }, [&p] { return p.waves->has_open_wave(); });
     p.waves->set_waves(waves_);
     p.tick();
-    p.store_pending();
+    p.tick_pending();
     p.tidy->start();
     p.watch->start();
 }
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -66,6 +66,7 @@
     follower_settings s;
     s.prefix = job_prefix;
     s.pause = term_.settings.job_pause;
+    s.wait = term_.settings.job_wait;
     follower_events events;
     events.on_all = [this](const std::vector<ports::stored_item>& all)
     {
--- a/libs/hosted/src/pending_watch.hpp
+++ b/libs/hosted/src/pending_watch.hpp
@@ -1,6 +1,5 @@
 /// \file
-/// Tells what a written record of waiting jobs rests on. The record itself doesn't say how far its
-/// writer had read, so a wrong count can be traced by these lines only.
+/// Tells what a written record of waiting jobs rests on, so that a wrong count can be traced.
 #pragma once
 
 #include "job_reader.hpp"
--- a/libs/hosted/src/prefix_follower.cpp
+++ b/libs/hosted/src/prefix_follower.cpp
@@ -96,8 +96,8 @@
         read_page(pages.back().key);
         return;
     }
+    through = std::max(through, revision); // the events may ask for it
     events.on_all(std::exchange(pages, {}));
-    through = std::max(through, revision);
     watch();
 }
 
@@ -134,11 +134,11 @@
         return;
     }
     revision = std::max(revision, read.store_revision);
+    through = std::max(through, revision);
     if (!read.changes.empty())
     {
         events.on_changes(std::move(read.changes));
     }
-    through = revision;
     later(settings.pause, &follower_state::watch);
 }
 
--- a/libs/hosted/tests/broken_records_tests.cpp
+++ b/libs/hosted/tests/broken_records_tests.cpp
@@ -5,6 +5,7 @@
 #include "hosted/config_follower.hpp"
 #include "hosted_fakes/cluster.hpp"
 #include "hosted_fakes/mutations.hpp"
+#include "pending_record.hpp"
 #include "workflow/checks.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -215,8 +216,21 @@
     {
         CHECK_TEXT(!hosted::read_runners(it).has_value(), it);
     }
-    LONGS_EQUAL(0, hosted::read_pending(R"({"q":18446744073709551615})").at("q"));
-    LONGS_EQUAL(0, hosted::read_pending(R"({"q":-3})").at("q"));
+    for (const auto* const it : {R"({"through":7,"waiting":{"q":18446744073709551615}})",
+             R"({"through":7,"waiting":{"q":2147483648}})",
+             R"({"through":7,"waiting":{"q":-3}})",
+             R"({"through":7,"waiting":{"q":1.5}})",
+             R"({"through":7,"waiting":{"q":null}})",
+             R"({"through":7,"waiting":[]})",
+             R"({"through":7})",
+             R"({"through":0,"waiting":{}})",
+             R"({"through":-1,"waiting":{}})",
+             R"({"through":9223372036854775808,"waiting":{}})",
+             R"({"waiting":{"q":3}})",
+             R"({"q":3})"})
+    {
+        CHECK_TEXT(!core::is_ok(hosted::read_pending(it)), it);
+    }
     for (const auto* const it : {R"({"at_unix_ms":1e300,"pools":{},"busy":[],"times":{}})",
              R"({"at_unix_ms":1,"pools":{},"busy":[["p",-9223372036854775808]],"times":{}})",
              R"({"at_unix_ms":1,"pools":{},"busy":[],"times":{"i":[1e300,1]}})",
@@ -249,7 +263,7 @@
     const auto runners = hosted::write_runners(
         {{"i-1", {"10.0.0.1:1", "m1", "p", {}}}, {"i-2", {"10.0.0.2:1", "", "p", 1700ms}}});
     const auto demand = hosted::write_demand(d, l, core::mono_time{2s}, 1700000000000);
-    const auto pending = hosted::write_pending({{"q", 3}});
+    const auto pending = hosted::write_pending({12, {{"q", 3}}});
     mutator m{7};
     for (int i = 0; i < 20000; ++i)
     {
@@ -278,9 +292,14 @@
         {
             CHECK(it.mean_ms >= 0 && it.runs >= 0);
         }
-        for (const auto& [queue, n] : hosted::read_pending(m.mutate(pending)))
+        const auto counts = hosted::read_pending(m.mutate(pending));
+        if (core::is_ok(counts))
         {
-            CHECK(n >= 0);
+            CHECK(core::value(counts).through > 0);
+            for (const auto& [queue, n] : core::value(counts).waiting)
+            {
+                CHECK(n >= 0);
+            }
         }
     }
 }
--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -93,6 +93,7 @@
     /// Stricter than the promise, for tests in which nothing but a node's own delay goes wrong: an
     /// end that its owner was told of this long ago counts. 0: only an acknowledged one does.
     core::millis told_counts_after{0};
+    std::set<std::string> begun;               ///< jobs of which a task has started
     std::set<std::string> done;                ///< tasks that ended done, and were taken note of
     std::map<std::string, fake_host> machines; ///< by name
 
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -246,6 +246,7 @@
     grant(h, o.lease_until_ms);
     h.runs[o.task] = {o.run, time_.now(), false};
     const auto name = core::value(workflow::read_task_name(o.task));
+    begun.insert(name.job);
     const auto& s = jobs_.at(name.job).steps[static_cast<std::size_t>(name.step)];
     if (!s.long_running)
     {
--- a/testing/hosted_fakes/src/store.cpp
+++ b/testing/hosted_fakes/src/store.cpp
@@ -1,5 +1,6 @@
 #include "hosted_fakes/store.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorhitch::hosted_fakes
@@ -256,7 +257,9 @@
     if (down || p.store_cut || busy)
     {
         const auto s = busy && !down ? kv_status::rejected : kv_status::unknown;
-        time_.after(wait, [w, s] { w.answer(with_status<ports::changes_read>(s)); });
+        // Not answered at once, however short the wait: that is found out by a time-out.
+        time_.after(std::max(wait, call_timeout),
+            [w, s] { w.answer(with_status<ports::changes_read>(s)); });
         return;
     }
     if (answer_watch(w))
