The end of a term by its own will, or by a fence, answers no part that is gone

Cause: term::fenced_by and the hand-over held the term while they ended it. The end makes the pool of relays answer all calls under way, inside it; the guards of those callbacks found the term alive and called parts just destroyed. Change: term::leave ends it without holding it. The test crashed before and passes now.

--- a/libs/hosted/src/load_watch.cpp
+++ b/libs/hosted/src/load_watch.cpp
@@ -173,8 +173,7 @@
             {"slowed_spans", std::to_string(slowed_spans_)},
             {"term_ms", std::to_string(term.count())},
             {"hand_overs", std::to_string(lately)}});
-    // Not from inside a callback of a part: losing the term destroys the parts.
-    term_.ctx.time.post(term_.guarded([this] { term_.lead->hand_over(); }));
+    term_.leave([](leadership& it) { it.hand_over(); });
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -105,8 +105,19 @@
 
 void term::fenced_by(const std::string& who)
 {
-    // Not from inside a callback of a part: losing the term destroys the parts.
-    ctx.time.post(guarded([this, who] { lead->step_down("fenced by " + who); }));
+    leave([who](leadership& it) { it.step_down("fenced by " + who); });
+}
+
+void term::leave(std::function<void(leadership&)> how)
+{
+    ctx.time.post(
+        [weak = weak_from_this(), lead = lead, how = std::move(how)]
+        {
+            if (!weak.expired())
+            {
+                how(*lead);
+            }
+        });
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/term.hpp
+++ b/libs/hosted/src/term.hpp
@@ -64,6 +64,11 @@
     /// Ownership is lost: a runner, the machines' service or a condition said so.
     void fenced_by(const std::string& who);
 
+    /// Ends the term from outside of its parts' callbacks, unless it has ended before. The term is
+    /// not held meanwhile: with the end, calls under way are answered, and guarded callbacks would
+    /// run on parts that are gone.
+    void leave(std::function<void(leadership&)> how);
+
     /// \return a callback that does nothing after the term's end.
     template <class Fn>
     auto guarded(Fn fn)
--- a/libs/hosted/tests/slowed_owner_tests.cpp
+++ b/libs/hosted/tests/slowed_owner_tests.cpp
@@ -190,6 +190,64 @@
     STRCMP_EQUAL("", w.c.breaches().c_str());
 }
 
+// The owner leaves of itself, or is fenced, while calls to runners are under way. The pool of
+// relays hears of the term's end and answers them all as unknown, inside that end: the parts that
+// asked are gone by then, and an answer that reached them would end the process.
+TEST(slowed_owner, answers_that_come_within_the_end_of_a_term_reach_nobody)
+{
+    constexpr std::size_t most_kept = 5;
+    for (const bool fenced : {false, true})
+    {
+        slowed_world w(1);
+        bool keep = false;
+        std::vector<std::function<void(ports::poll_answer)>> kept;
+        int answered = 0;
+        w.c.plant = [&](node& n)
+        {
+            n.ctx.runners.poll = [&, real = n.ctx.runners.poll](
+                                     const auto& to, const auto& o, const auto& done)
+            {
+                if (keep && kept.size() < most_kept && o.wait.count() > 0)
+                {
+                    kept.push_back(done);
+                    return;
+                }
+                real(to, o, done);
+            };
+        };
+        auto& owner = w.c.add_node();
+        w.c.nodes.front().process.dead = true;
+        CHECK(w.c.time.run_until([&] { return w.c.leader() == &owner; }, 5s));
+        w.c.time.run_for(1s);
+        w.c.on_lost = [&](node& n)
+        {
+            const auto before = n.log.lines.size();
+            for (const auto& it : kept)
+            {
+                it({});
+                ++answered;
+            }
+            LONGS_EQUAL(before, n.log.lines.size());
+        };
+        keep = true;
+        w.c.time.run_for(900ms);
+        if (fenced)
+        {
+            for (auto& [name, it] : w.c.hosts.machines)
+            {
+                it.fence = owner.lead->token() + 1;
+            }
+        }
+        else
+        {
+            w.slow(owner);
+        }
+        w.serve(4s);
+        CHECK(answered > 0);
+        CHECK(w.said(fenced ? "fenced by" : "handed over") > 0);
+    }
+}
+
 TEST(slowed_owner, being_late_counts_only_without_the_processor)
 {
     struct row
--- a/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
@@ -44,7 +44,8 @@
     hosted::driver_settings settings;
     hosted::leadership_settings leadership;
     double share = 0; ///< of a core, of each new node; 0: what it does takes no time
-    std::function<void(node&)> plant; ///< changes a new node's ports: takes a safeguard out
+    std::function<void(node&)> on_lost; ///< after a term's end, as a pool of relays hears of it
+    std::function<void(node&)> plant;   ///< changes a new node's ports: takes a safeguard out
 
     explicit cluster(std::uint64_t seed = 1) : hosts(time, store, seed)
     {
@@ -78,9 +79,13 @@
         {
             n.driver->begin(term, token);
         };
-        events.on_lost = [&n](const std::string&)
+        events.on_lost = [this, &n](const std::string&)
         {
             n.driver->end();
+            if (on_lost)
+            {
+                on_lost(n);
+            }
         };
         n.lead = std::make_unique<hosted::leadership>(n.ctx, leadership, events);
         settings.processor_share = share;
