--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -122,7 +122,7 @@
                 }
                 if (read.item)
                 {
-                    machines->set_demand(read.item->value);
+                    machines->set_demand(*read.item);
                 }
                 then();
             }));
@@ -285,9 +285,11 @@
     }
 }
 
+/// Past its lease, a node that stood still or was suspended has its fleet as it was, while a
+/// successor may have moved all of it: told as the present, it would mislead. The store tells then.
 std::vector<std::string> fleet_driver::explain_job(const std::string& id) const
 {
-    if (parts_ == nullptr)
+    if (parts_ == nullptr || !lead_.holds())
     {
         return {};
     }
--- a/programs/camphorhitchd/tests/hosted_operators_tests.cpp
+++ b/programs/camphorhitchd/tests/hosted_operators_tests.cpp
@@ -13,6 +13,7 @@
 {
     cluster c;
     hosted::fleet_config config;
+    core::mono_time heard; ///< when the store answered last
     ports::http_server server;
     std::optional<ports::http_response> answer;
     std::unique_ptr<hosted_operators> people;
@@ -35,9 +36,10 @@
                                                         *n.desk,
                                                         *n.lead,
                                                         *n.driver,
+                                                        [this] { return &config; },
                                                         [this]
                                                         {
-                                                            return &config;
+                                                            return heard;
                                                         }},
             "secret");
         events = people->events([this]() -> const ports::http_server& { return server; });
@@ -132,6 +134,16 @@
     expect("show config where setting = version", "ok", "3");
 }
 
+// The store has not answered this node for some time. The configuration that it shows may be an old
+// one, and nothing in it would say so.
+TEST(hosted_operators, the_configuration_is_shown_with_its_age)
+{
+    begin();
+    heard = c.time.now();
+    c.time.run_for(4s);
+    expect("show config where setting = store_answered", "ok", "4000 ms ago");
+}
+
 // No host has room for the rest of a step. The explanation says so, and the store need not be
 // asked.
 TEST(hosted_operators, waiting_for_room_is_explained)
@@ -145,6 +157,54 @@
     expect("why job a", "ok", "4 wait: none of the 2 hosts of pool p may take one");
 }
 
+// The coordinator's machine is suspended for a minute. Just awake, it has not heard yet that
+// another node has taken over. An operator asks it why a job waits: what it knew a minute ago is
+// told as if it were so now, tasks that run on runners which may be gone, and that it coordinates.
+TEST(hosted_operators, a_coordinator_that_slept_explains_only_what_is_stored)
+{
+    core::millis asleep{0};
+    c.plant = [&](node& n)
+    {
+        n.ctx.boot_now = [&]
+        {
+            return c.time.now() + asleep;
+        };
+    };
+    begin();
+    c.hosts.behaviour.run_time = 5s;
+    c.put_job(c.make_job("a", 2));
+    c.time.run_for(300ms);
+    expect("why job a", "ok", "2 on r");
+    asleep = 60s;
+    expect("why job a", "ok", "step 0: 0 of 2 tasks stored as done");
+    expect("why job a", "ok", "no node is known here to coordinate");
+}
+
+// The coordinator reads new jobs late. Asked why one waits, it has nothing to tell of it: an answer
+// that names it as the node which knows, and is to be asked, sends operators in a circle.
+TEST(hosted_operators, a_coordinator_that_has_not_read_a_job_says_so)
+{
+    bool blind = false;
+    c.plant = [&](node& n)
+    {
+        n.ctx.store.watch = [&, real = n.ctx.store.watch](
+                                const std::string& prefix, auto after, auto wait, const auto& done)
+        {
+            if (!blind || prefix != hosted::job_prefix)
+            {
+                real(prefix, after, wait, done);
+            }
+        };
+    };
+    begin();
+    blind = true;
+    c.put_job(c.make_job("a", 1)); // ends the watch that waits
+    c.time.run_for(1s);
+    c.put_job(c.make_job("b", 1));
+    c.time.run_for(1s);
+    expect("why job b", "ok", "this node coordinates and has not read the job yet");
+}
+
 TEST(hosted_operators, a_cancel_stops_a_job)
 {
     begin();
