An owner that can't read the open jobs within 4 s hands the lead over

Cause: while all large nodes restart, a small one takes the lead. Ruled out: its share of the processor (50 to 90 of 120 ms a second used, timers overdue for less than half). Change: should_hand_over also asks whether the jobs are read, with the same growing least term. The page's time-out and the retry from the first page stay as they are: they are the deeper cause. Tests: red with the bound taken away (leader() != &stuck, and the table), green with it.

--- a/libs/hosted/src/load_watch.cpp
+++ b/libs/hosted/src/load_watch.cpp
@@ -159,7 +159,7 @@
     slowed_spans_ = is_slowed(pace) ? slowed_spans_ + 1 : 0;
     const auto term = std::chrono::duration_cast<core::millis>(now - began_);
     const auto lately = term_.lead->hand_overs();
-    if (!should_hand_over({slowed_spans_, term, lately}))
+    if (!should_hand_over({slowed_spans_, term, lately, term_.jobs_read}))
     {
         return;
     }
@@ -172,7 +172,8 @@
             {"processor_ms", std::to_string(pace.processor.count())},
             {"slowed_spans", std::to_string(slowed_spans_)},
             {"term_ms", std::to_string(term.count())},
-            {"hand_overs", std::to_string(lately)}});
+            {"hand_overs", std::to_string(lately)},
+            {"jobs_read", term_.jobs_read ? "yes" : "no"}});
     term_.leave([](leadership& it) { it.hand_over(); });
 }
 
--- a/libs/hosted/src/owner_pace.cpp
+++ b/libs/hosted/src/owner_pace.cpp
@@ -19,6 +19,9 @@
 constexpr int least_spans = 2;
 /// A successor reads all open jobs in 0.3 to 0.7 s, five times slower in 3.5 s.
 constexpr core::millis shortest_term{1500};
+/// Without the jobs an owner starts nothing. A page of them is up to a megabyte: over a link of 10
+/// Mbit/s, beside the polls, it can run into the call's time-out each time it is tried.
+constexpr core::millis longest_reading{4000};
 /// Doubled so often: two minutes and a half, longer than hand-overs are remembered.
 constexpr int most_doublings = 6;
 
@@ -43,7 +46,8 @@
 
 bool should_hand_over(const pace_history& h)
 {
-    return h.slowed_spans >= least_spans && h.term >= least_term(h.hand_overs);
+    const bool stuck = !h.jobs_read && h.term >= longest_reading;
+    return (stuck || h.slowed_spans >= least_spans) && h.term >= least_term(h.hand_overs);
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/owner_pace.hpp
+++ b/libs/hosted/src/owner_pace.hpp
@@ -24,9 +24,10 @@
 /// What led to the judgement, over a term.
 struct pace_history
 {
-    int slowed_spans = 0; ///< in a row, up to now
-    core::millis term{0}; ///< age of the term
-    int hand_overs = 0;   ///< by any node, lately
+    int slowed_spans = 0;  ///< in a row, up to now
+    core::millis term{0};  ///< age of the term
+    int hand_overs = 0;    ///< by any node, lately
+    bool jobs_read = true; ///< those that were open when the term began
 };
 
 /// \return whether the node was behind for most of the span, and got far less than its share
@@ -36,6 +37,8 @@
 /// \return how old a term has to be before its owner hands over.
 core::millis least_term(int hand_overs);
 
+/// \return whether the owner is slowed, or can't even read the open jobs, and its term is old
+/// enough.
 bool should_hand_over(const pace_history& h);
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/term.hpp
+++ b/libs/hosted/src/term.hpp
@@ -28,6 +28,7 @@
     coordinator::fleet fleet;
     line_budget lines;
     load_report load;
+    bool jobs_read = false;             ///< all that were open when the term began
     std::function<void()> wake;         ///< plan soon
     std::function<void()> store_soon;   ///< progress has changed
     std::function<bool()> awaits_hosts; ///< whether moved hosts are about to join a busy pool
--- a/libs/hosted/tests/slowed_owner_tests.cpp
+++ b/libs/hosted/tests/slowed_owner_tests.cpp
@@ -190,6 +190,42 @@
     STRCMP_EQUAL("", w.c.breaches().c_str());
 }
 
+// A node whose link is too slow for a page of jobs has taken the lead while all others were away.
+// It tries the page again and again, starts nothing, and renews its lease: callers wait for ever
+// beside nodes that could read the jobs.
+TEST(slowed_owner, a_node_that_can_not_read_the_jobs_lets_another_try)
+{
+    slowed_world w(1);
+    w.c.plant = [&](node& n)
+    {
+        n.ctx.store.range = [&n, real = n.ctx.store.range](
+                                const auto& prefix, const auto& after, const auto& done)
+        {
+            if (prefix == hosted::job_prefix)
+            {
+                n.ctx.time.after(1200ms,
+                    [done] {
+                        done({ports::kv_status::unknown, {}, false, 0});
+                    });
+                return;
+            }
+            real(prefix, after, done);
+        };
+    };
+    auto& stuck = w.c.add_node();
+    w.c.nodes.front().process.dead = true;
+    CHECK(w.c.time.run_until([&] { return w.c.leader() == &stuck; }, 5s));
+    w.c.plant = nullptr;
+    w.c.add_node();
+    w.serve(6s);
+    CHECK(w.c.leader() != &stuck);
+    w.count_anew();
+    w.serve(5s);
+    CHECK(w.longest < 1s);
+    LONGS_EQUAL(1, w.said("leadership_handed_over"));
+    STRCMP_EQUAL("", w.c.breaches().c_str());
+}
+
 // The owner leaves of itself, or is fenced, while calls to runners are under way. The pool of
 // relays hears of the term's end and answers them all as unknown, inside that end: the parts that
 // asked are gone by then, and an answer that reached them would end the process.
@@ -280,8 +316,13 @@
         core::millis term;
         int hand_overs;
         bool hands_over;
+        bool jobs_read = true;
     };
-    for (const auto& it : {row{1, 60s, 0, false},
+    for (const auto& it : {row{0, 3s, 0, false, false},
+             row{0, 4s, 0, true, false},
+             row{0, 4s, 2, false, false},
+             row{0, 60s, 0, false},
+             row{1, 60s, 0, false},
              row{2, 1s, 0, false},
              row{2, 2s, 0, true},
              row{2, 2s, 1, false},
@@ -291,7 +332,7 @@
              row{50, 95s, 40, false},
              row{50, 96s, 40, true}})
     {
-        CHECK_EQUAL(
-            it.hands_over, hosted::should_hand_over({it.slowed_spans, it.term, it.hand_overs}));
+        CHECK_EQUAL(it.hands_over,
+            hosted::should_hand_over({it.slowed_spans, it.term, it.hand_overs, it.jobs_read}));
     }
 }
