--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -362,7 +362,7 @@
     t.conditions = {{leader_key, token}};
     t.removals = {leader_key};
     const auto ended = std::exchange(lease, 0);
-    lose("handed over: this node is slowed");
+    lose("handed over");
     ctx.store.commit(std::move(note), [](const ports::commit_result&) {});
     ctx.store.commit(std::move(t),
         [store = ctx.store, ended](const ports::commit_result&)
