--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -50,6 +50,7 @@
     /// read from the store's history, which reaches some 20 s back.
     core::millis pending_idle{5000};
     core::millis tidy_every{5000}; ///< removals of states that nobody can ask for
+    double processor_share = 0;    ///< of a core that this node may use; 0: not known
     /// After its end a job's state is told for so long, and a repeat of its acceptance meets it.
     core::millis keep_finished{150000};
 };
