An owner that can't read its jobs hands the lead over, and pages that came stay read

Cause: a page of jobs may be 1 MB, a call was given up after 1.2 s, and both readers began anew with the first page after each failure. A small node could lead without one job read, its lease renewed by small calls all the while, and nobody began a job.

Ruled out: a change of the stand-in store in this commit. It tells a transaction's changes to watches one by one, so all but the first may be missed; the hand-over is two writes and doesn't need that mended. Left as it was.

Change: reading goes on from the page reached. A page may take 3 s. An owner that has not read jobs and runners after 4 s notes a hand-over, ends its lease and bids 0.7 s later than others for 30 s; each hand-over of the last minute doubles the next owner's time, up to 16 s. The term is the one that was bid.

--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -43,7 +43,12 @@
     core::millis store_delay{8};      ///< gathers progress into one write
     core::millis store_retry{100};    ///< after a write that failed
     core::millis pending_every{500};  ///< counts of waiting jobs
-    core::millis tidy_every{5000};    ///< removals of states that nobody can ask for
+    /// An owner that hasn't read the jobs by then hands the lead over: ten times what 2,400 jobs
+    /// take a node with half a core, and one page that is given up and another. Twice as long after
+    /// each hand-over of late, up to longest_reading: a fleet of small nodes gets them read too.
+    core::millis read_within{4000};
+    core::millis longest_reading{16000};
+    core::millis tidy_every{5000}; ///< removals of states that nobody can ask for
     /// After its end a job's state is told for so long, and a repeat of its acceptance meets it.
     core::millis keep_finished{150000};
 };
--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -11,6 +11,7 @@
 ///                   when the job is final
 ///   coord/leader    who coordinates; lives with its lease. Its revision is the fencing token
 ///   coord/leader-term  counts coordinators; never removed
+///   coord/leader-slowed  the node that handed the lead over last, since another serves better
 ///   coord/runners   runners that the coordinator may have given orders to
 ///   coord/demand    what the coordinator has learnt of the demand and of run times
 ///   coord/pending   jobs that wait, by queue
@@ -31,6 +32,7 @@
 inline const std::string leader_prefix = "coord/leader";
 inline const std::string leader_key = "coord/leader";
 inline const std::string leader_term_key = "coord/leader-term";
+inline const std::string leader_slowed_key = "coord/leader-slowed";
 inline const std::string runners_key = "coord/runners";
 inline const std::string demand_key = "coord/demand";
 inline const std::string pending_key = "coord/pending";
--- a/libs/hosted/include/hosted/leadership.hpp
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -33,6 +33,14 @@
     /// falls on one node, and a small one would fall behind and lose its lease.
     core::millis handicap{0};
     core::millis retry{250}; ///< after a call that failed
+    /// A node that handed the lead over bids so much later, for as long as the next one says: later
+    /// than the pause and the handicap of any other (520 ms). Without another it leads again before
+    /// the runners' leases end (2.5 s after the latest renewal).
+    core::millis slowed_handicap{700};
+    /// Three owners in a row may need that long to find that they can't read the jobs.
+    core::millis slowed_for{30000};
+    /// Hand-overs of any node are counted for so long.
+    core::millis hand_overs_count_for{60000};
 };
 
 struct leadership_events
@@ -70,6 +78,13 @@
     /// no more. \p done is called when the store has answered, or can't be reached.
     void resign(std::function<void()> done);
 
+    /// Gives ownership back at once, since another node would serve callers better; bids later than
+    /// the others for a while.
+    void hand_over(const std::string& reason);
+
+    /// \return how often any node has handed the lead over lately, as far as this one has seen.
+    int hand_overs();
+
     /// \return how long before a renewal the one that was last granted had been sent, the longest
     /// since the latest call; 0: none was sent.
     core::millis take_lease_age();
--- a/libs/hosted/include/hosted/prefix_follower.hpp
+++ b/libs/hosted/include/hosted/prefix_follower.hpp
@@ -49,6 +49,9 @@
     /// \return the store revision up to which every change was handed to the events; 0: none yet.
     ports::revision through() const;
 
+    /// \return the pages that the reading under way, or else the latest one, has brought.
+    int pages_read() const;
+
 private:
     std::shared_ptr<follower_state> state_;
 };
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -17,6 +17,7 @@
 #include "tidier.hpp"
 #include "wave_runner.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorhitch::hosted
@@ -45,6 +46,8 @@
     void plan();
     void tick();
     void store_pending();
+    core::millis time_to_read() const;
+    void judge_reading(core::mono_time began);
     void read_demand(const std::function<void()>& then);
 };
 
@@ -124,6 +127,40 @@
             }));
 }
 
+core::millis driver_parts::time_to_read() const
+{
+    auto out = common->settings.read_within;
+    for (int i = common->lead->hand_overs(); i > 0 && out < common->settings.longest_reading; --i)
+    {
+        out *= 2;
+    }
+    return std::min(out, common->settings.longest_reading);
+}
+
+/// An owner that can't read what it needs starts nothing, while its lease, renewed by small calls,
+/// keeps others out: accepted jobs of all queues wait for ever. One that hands over costs a
+/// successor's reading; if it is the only node, it leads again, with more time.
+void driver_parts::judge_reading(core::mono_time began)
+{
+    if (jobs_are_in && record_is_in)
+    {
+        return;
+    }
+    auto& t = *common;
+    const auto unread = std::chrono::duration_cast<core::millis>(t.now() - began);
+    t.ctx.tel.log(ports::log_level::warning,
+        "leadership_handed_over",
+        {{"reason", "jobs_unread"},
+            {"unread_ms", std::to_string(unread.count())},
+            {"pages", std::to_string(jobs->pages_read())},
+            {"runners_read", record_is_in ? "1" : "0"},
+            {"hand_overs", std::to_string(t.lead->hand_overs())},
+            {"token", std::to_string(t.token)}});
+    // Not from inside a callback of a part: losing the term destroys the parts.
+    t.ctx.time.post(
+        t.guarded([lead = t.lead] { lead->hand_over("the jobs could not be read in time"); }));
+}
+
 void driver_parts::store_pending()
 {
     auto& t = *common;
@@ -238,6 +275,8 @@
     p.hosts->set_pools(pools_);
     p.machines->start([&p] { p.waves->see_machines(); }, [&p] { return p.waves->has_open_wave(); });
     p.waves->set_waves(waves_);
+    t.ctx.time.after(
+        p.time_to_read(), t.guarded([&p, began = t.now()] { p.judge_reading(began); }));
     p.tick();
     p.store_pending();
     p.tidy->start();
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -17,7 +17,7 @@
 void job_reader::start(std::function<void()> done)
 {
     done_ = std::move(done);
-    read_states({});
+    read_states();
 }
 
 ports::revision job_reader::read_through() const
@@ -30,10 +30,15 @@
     return follower_ == nullptr ? began_ : std::max(began_, follower_->last_answer());
 }
 
-void job_reader::read_states(const std::string& after)
+int job_reader::pages_read() const
+{
+    return state_pages_ + (follower_ == nullptr ? 0 : follower_->pages_read());
+}
+
+void job_reader::read_states()
 {
     term_.ctx.store.range(state_prefix,
-        after,
+        states_after_,
         term_.guarded([this](ports::page_read page) { take_states(std::move(page)); }));
 }
 
@@ -41,21 +46,24 @@
 {
     if (page.status != ports::kv_status::ok)
     {
-        term_.log(ports::log_level::warning, "progress_unread", {{"retry", "1"}});
-        states_.clear();
-        term_.ctx.time.after(
-            term_.settings.store_retry, term_.guarded([this] { read_states({}); }));
+        term_.log(ports::log_level::warning,
+            "progress_unread",
+            {{"pages", std::to_string(state_pages_)}});
+        // The pages before stay good: in this term only this owner writes progress, and later.
+        term_.ctx.time.after(term_.settings.store_retry, term_.guarded([this] { read_states(); }));
         return;
     }
-    const auto last = page.items.empty() ? std::string{} : page.items.back().key;
+    ++state_pages_;
+    const bool more = page.more && !page.items.empty();
+    states_after_ = more ? page.items.back().key : std::string{};
     for (auto& it : page.items)
     {
         const auto id = it.key.substr(state_prefix.size());
         states_[id] = std::move(it);
     }
-    if (page.more && !last.empty())
+    if (more)
     {
-        read_states(last);
+        read_states();
         return;
     }
     follow();
--- a/libs/hosted/src/job_reader.hpp
+++ b/libs/hosted/src/job_reader.hpp
@@ -25,8 +25,11 @@
     /// \return when the store last answered about accepted jobs; the term's begin before it did.
     core::mono_time last_heard() const;
 
+    /// \return the pages of progress and of jobs that were read.
+    int pages_read() const;
+
 private:
-    void read_states(const std::string& after);
+    void read_states();
     void take_states(ports::page_read page);
     void follow();
     bool ends_term(const std::vector<ports::stored_item>& items);
@@ -41,6 +44,8 @@
     term& term_;
     core::mono_time began_;
     std::map<std::string, ports::stored_item> states_; ///< by job, until the jobs are read
+    std::string states_after_; ///< last key of the pages of progress that were read
+    int state_pages_ = 0;
     damage_notes damaged_;
     std::vector<workflow::job> arrivals_; ///< taken in and not noted yet
     std::unique_ptr<prefix_follower> follower_;
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -4,6 +4,7 @@
 #include "hosted/keys.hpp"
 
 #include <charconv>
+#include <deque>
 #include <utility>
 
 namespace camphorhitch::hosted
@@ -37,7 +38,8 @@
     ports::revision leader_revision = 0;
     ports::revision term_revision = 0;
     std::int64_t term = -1;
-    std::string leader; ///< its name
+    std::int64_t term_bid = 0; ///< of the latest bid
+    std::string leader;        ///< its name
 
     ports::lease_id lease = 0;
     ports::revision token = 0;   ///< 0: not the leader
@@ -51,6 +53,10 @@
     core::micros oldest_at_renew{0}; ///< age of the lease at a renewal, since it was last asked
     bool bidding = false;
     bool resigned = false;
+    core::mono_time slowed_until;           ///< this node handed the lead over
+    bool looked = false;                    ///< all keys were read once
+    ports::revision slowed_revision = 0;    ///< of the latest hand-over that was seen
+    std::deque<core::mono_time> hand_overs; ///< when they were seen; by the boot clock
     ports::timer_id timer = 0;
 
     template <class Fn>
@@ -77,6 +83,8 @@
     void take_renewal(const ports::kv_lease& got, core::mono_time sent);
     void schedule(core::millis delay, void (leadership_state::*next)());
     void lose(const std::string& reason);
+    void hand_over(const std::string& reason);
+    int count_hand_overs();
     void judge_pace(const char* step, core::mono_time now);
     ports::log_fields pace_fields(core::mono_time now) const;
 };
@@ -130,6 +138,14 @@
         term_revision = revision;
         term = it.removed ? -1 : read_term(it.item);
     }
+    else if (it.item.key == leader_slowed_key && revision > slowed_revision)
+    {
+        slowed_revision = revision;
+        if (looked) // the first look may find one of long ago
+        {
+            hand_overs.push_back(ctx.boot_now());
+        }
+    }
 }
 
 void leadership_state::see_all(const std::vector<ports::stored_item>& items)
@@ -142,6 +158,7 @@
     {
         see({false, it});
     }
+    looked = true;
 }
 
 void leadership_state::judge()
@@ -162,7 +179,9 @@
         const auto mix = static_cast<std::uint64_t>(ctx.time.now().time_since_epoch().count());
         const core::millis pause{
             static_cast<std::int64_t>(core::stable_hash(ctx.member, mix) % range)};
-        schedule(pause + settings.handicap, &leadership_state::bid);
+        const bool slowed = ctx.boot_now() < slowed_until;
+        const auto more = slowed ? settings.slowed_handicap : core::millis{0};
+        schedule(pause + settings.handicap + more, &leadership_state::bid);
     }
 }
 
@@ -192,10 +211,11 @@
 
 void leadership_state::write_key()
 {
+    term_bid = term + 1;
     ports::store_transaction t;
     t.conditions = {{leader_key, 0}, {leader_term_key, term_revision}};
     t.puts = {{leader_key, ctx.member, lease},
-        {leader_term_key, std::to_string(term + 1), 0},
+        {leader_term_key, std::to_string(term_bid), 0},
         {handover_key, ctx.member, 0}};
     ctx.store.commit(std::move(t),
         guarded([](leadership_state& self, const ports::commit_result& result)
@@ -218,7 +238,7 @@
     bidding = false;
     leader_revision = result.modified;
     term_revision = result.modified;
-    ++term;
+    term = term_bid; // which the watch may have told already
     leader = ctx.member;
     token = result.modified;
     valid_until = best_until;
@@ -311,6 +331,35 @@
     schedule(settings.retry, &leadership_state::judge);
 }
 
+/// The note comes before the key goes: a successor knows of the hand-over. Without an answer the
+/// lease, not renewed, ends by itself.
+void leadership_state::hand_over(const std::string& reason)
+{
+    if (token == 0)
+    {
+        return;
+    }
+    slowed_until = ctx.boot_now() + settings.slowed_for;
+    ports::store_transaction t;
+    t.conditions = {{leader_key, token}};
+    t.puts = {{leader_slowed_key, ctx.member, 0}};
+    const auto ended = std::exchange(lease, 0);
+    lose("handed over: " + reason);
+    ctx.store.commit(std::move(t),
+        [store = ctx.store, ended](const ports::commit_result&)
+        { store.end_lease(ended, [](ports::kv_status) {}); });
+}
+
+int leadership_state::count_hand_overs()
+{
+    const auto now = ctx.boot_now();
+    while (!hand_overs.empty() && now - hand_overs.front() > settings.hand_overs_count_for)
+    {
+        hand_overs.pop_front();
+    }
+    return static_cast<int>(hand_overs.size());
+}
+
 leadership::leadership(context c, leadership_settings s, leadership_events e)
     : state_(std::make_shared<leadership_state>())
 {
@@ -384,6 +433,16 @@
     it.ctx.store.end_lease(lease, [done = std::move(done)](ports::kv_status) { done(); });
 }
 
+void leadership::hand_over(const std::string& reason)
+{
+    state_->hand_over(reason);
+}
+
+int leadership::hand_overs()
+{
+    return state_->count_hand_overs();
+}
+
 core::millis leadership::take_lease_age()
 {
     const auto age = std::exchange(state_->oldest_at_renew, core::micros{0});
--- a/libs/hosted/src/prefix_follower.cpp
+++ b/libs/hosted/src/prefix_follower.cpp
@@ -15,13 +15,14 @@
     ports::revision revision = 0;
     ports::revision through = 0;
     std::vector<ports::stored_item> pages;
+    int pages_read = 0;
     ports::timer_id timer = 0;
     bool answering = true;
 
     void note_answer(bool ok, const char* call);
     void later(core::millis delay, void (follower_state::*next)());
     void read_all();
-    void read_page(const std::string& after);
+    void read_page();
     void take_page(ports::page_read page);
     void watch();
     void take_changes(ports::changes_read read);
@@ -58,12 +59,14 @@
 void follower_state::read_all()
 {
     pages.clear();
+    pages_read = 0;
     revision = 0;
-    read_page({});
+    read_page();
 }
 
-void follower_state::read_page(const std::string& after)
+void follower_state::read_page()
 {
+    const auto after = pages.empty() ? std::string{} : pages.back().key;
     ctx.store.range(settings.prefix,
         after,
         [weak = weak_from_this()](ports::page_read page)
@@ -81,19 +84,23 @@
     note_answer(ok, "range");
     if (!ok)
     {
-        later(settings.retry, &follower_state::read_all);
+        // Begun anew, a reading of many pages would never end where one call in a few fails. The
+        // pages before stay good, however old: the watch tells what has changed since the first.
+        later(settings.retry, &follower_state::read_page);
         return;
     }
     if (revision == 0)
     {
-        // Pages are read one after the other. Watching from the first one's revision brings every
-        // change made meanwhile once more, which does no harm; the last one's could miss some.
+        // Pages are read one after the other, and are no snapshot. Watching from the first one's
+        // revision brings every change made meanwhile once more, which does no harm; the last one's
+        // could miss some. If that history is gone by then, the watch says so: all is read anew.
         revision = page.store_revision;
     }
+    ++pages_read;
     std::move(page.items.begin(), page.items.end(), std::back_inserter(pages));
     if (page.more && !pages.empty())
     {
-        read_page(pages.back().key);
+        read_page();
         return;
     }
     events.on_all(std::exchange(pages, {}));
@@ -170,4 +177,9 @@
     return state_->through;
 }
 
+int prefix_follower::pages_read() const
+{
+    return state_->pages_read;
+}
+
 } // namespace camphorhitch::hosted
--- a/libs/hosted/tests/take_over_tests.cpp
+++ b/libs/hosted/tests/take_over_tests.cpp
@@ -1,4 +1,5 @@
 #include "hosted_fakes/cluster.hpp"
+#include "log_lines.hpp"
 
 #include <algorithm>
 
@@ -363,3 +364,38 @@
     CHECK(c.time.run_until([&] { return c.running() == 0; }, 4s));
     CHECK(c.ends("a", job_state::cancelled, 2s));
 }
+
+// A new owner reads its own key and term before the answer to the write of them comes. Were the
+// term then counted twice, the next owner would have the same one, and runners would take its runs
+// for those they have seen: callers' tasks would not start.
+TEST(take_over, each_owner_has_a_term_of_its_own)
+{
+    c.plant = [this](node& n)
+    {
+        n.ctx.store.commit = [this, real = n.ctx.store.commit](const auto& t, const auto& done)
+        {
+            const bool bids = !t.puts.empty() && t.puts[0].key == hosted::leader_key;
+            const auto read_first = [this, bids, done](const ports::commit_result& it)
+            {
+                if (!bids)
+                {
+                    done(it);
+                    return;
+                }
+                c.store.put("x", "1");
+                c.store.compact(); // what is watched is read anew
+                c.time.after(100ms, [done, it] { done(it); });
+            };
+            real(t, read_first);
+        };
+    };
+    begin(4, 1);
+    for (int i = 0; i < 3; ++i)
+    {
+        c.leader()->process.dead = true;
+        CHECK(c.has_leader());
+        const auto told = lines_of(*c.leader(), "leadership_gained").back();
+        STRCMP_EQUAL(
+            c.store.find(hosted::leader_term_key)->value.c_str(), value_in(told, "term").c_str());
+    }
+}
--- a/testing/hosted_fakes/src/processor.cpp
+++ b/testing/hosted_fakes/src/processor.cpp
@@ -15,6 +15,7 @@
 // As the clients of the platform have them.
 constexpr core::millis order_timeout{900};
 constexpr core::millis store_timeout{1200};
+constexpr core::millis page_timeout{3000};
 constexpr core::millis lease_timeout{900};
 constexpr core::millis wait_slack{700}; ///< on top of a call's own wait
 /// Virtual time passes in these steps.
@@ -175,7 +176,7 @@
     out.range = [=, this](const auto& prefix, const auto& after, const auto& done)
     {
         call<ports::page_read>([=](const auto& d) { real.range(prefix, after, d); },
-            store_timeout,
+            page_timeout,
             {unknown, {}, false, 0},
             done);
     };
