--- a/libs/hosted/include/hosted/leadership.hpp
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -32,10 +32,12 @@
     /// Of a core, that this node may use. See handicap_of.
     double processor_share = 1;
     core::millis retry{250}; ///< after a call that failed
-    /// A node that handed the lead over bids so much later, as long as this: all others come first,
-    /// and without another it leads again soon.
-    core::millis slowed_handicap{1000};
-    core::millis slowed_for{10000};
+    /// A node that handed the lead over bids so much later, for as long as the next one says: later
+    /// than the pause and the handicap of any other (520 ms). Without another it leads again before
+    /// the runners' leases end (2.5 s after the latest renewal).
+    core::millis slowed_handicap{700};
+    /// Three owners in a row may need that long to find that they can't read the jobs.
+    core::millis slowed_for{30000};
     /// Hand-overs of any node are counted for so long.
     core::millis hand_overs_count_for{60000};
 };
@@ -87,9 +89,9 @@
 
     /// Gives ownership back at once, since another node would serve callers better; bids later than
     /// the others for a while.
-    void hand_over();
+    void hand_over(const std::string& reason);
 
-    /// \return how many nodes have handed the lead over lately, as far as this one has seen.
+    /// \return how often any node has handed the lead over lately, as far as this one has seen.
     int hand_overs();
 
     /// \return how long before a renewal the one that was last granted had been sent, the longest
--- a/libs/hosted/include/hosted/prefix_follower.hpp
+++ b/libs/hosted/include/hosted/prefix_follower.hpp
@@ -50,6 +50,9 @@
     /// It stands still while all is read anew.
     ports::revision through() const;
 
+    /// \return the pages that the reading under way, or else the latest one, has brought.
+    int pages_read() const;
+
 private:
     std::shared_ptr<follower_state> state_;
 };
--- a/libs/hosted/src/owner_pace.hpp
+++ b/libs/hosted/src/owner_pace.hpp
@@ -24,10 +24,9 @@
 /// What led to the judgement, over a term.
 struct pace_history
 {
-    int slowed_spans = 0;  ///< in a row, up to now
-    core::millis term{0};  ///< age of the term
-    int hand_overs = 0;    ///< by any node, lately
-    bool jobs_read = true; ///< those that were open when the term began
+    int slowed_spans = 0; ///< in a row, up to now
+    core::millis term{0}; ///< age of the term
+    int hand_overs = 0;   ///< by any node, lately
 };
 
 /// \return whether the node was behind for most of the span, and got far less than its share
@@ -37,8 +36,11 @@
 /// \return how old a term has to be before its owner hands over.
 core::millis least_term(int hand_overs);
 
-/// \return whether the owner is slowed, or can't even read the open jobs, and its term is old
-/// enough.
+/// \return whether the owner is slowed, and its term is old enough.
 bool should_hand_over(const pace_history& h);
 
+/// \return within what time of its term an owner has to have read the open jobs.
+/// \param hand_overs as pace_history::hand_overs
+core::millis time_to_read(int hand_overs);
+
 } // namespace camphorhitch::hosted
