--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -9,6 +9,7 @@
 #include "lease_bridge.hpp"
 #include "load_watch.hpp"
 #include "machine_desk.hpp"
+#include "owner_pace.hpp"
 #include "pending_record.hpp"
 #include "pending_watch.hpp"
 #include "progress_writer.hpp"
@@ -49,6 +50,7 @@
     void tick();
     void tick_pending();
     void store_pending();
+    void judge_reading(core::mono_time began);
     void read_demand(const std::function<void()>& then);
 };
 
@@ -138,6 +140,28 @@
     }
 }
 
+/// An owner that can't read what it needs starts nothing, while its lease, renewed by small calls,
+/// keeps others out: accepted jobs of all queues wait for ever. One that hands over costs a
+/// successor's reading; if it is the only node, it leads again, with more time.
+void driver_parts::judge_reading(core::mono_time began)
+{
+    if (jobs_are_in && record_is_in)
+    {
+        return;
+    }
+    auto& t = *common;
+    const auto unread = std::chrono::duration_cast<core::millis>(t.now() - began);
+    t.ctx.tel.log(ports::log_level::warning,
+        "leadership_handed_over",
+        {{"reason", "jobs_unread"},
+            {"unread_ms", std::to_string(unread.count())},
+            {"pages", std::to_string(jobs->pages_read())},
+            {"runners_read", record_is_in ? "1" : "0"},
+            {"hand_overs", std::to_string(t.lead->hand_overs())},
+            {"token", std::to_string(t.token)}});
+    t.leave([](leadership& it) { it.hand_over("the jobs could not be read in time"); });
+}
+
 void driver_parts::store_pending()
 {
     auto& t = *common;
@@ -228,7 +252,6 @@
             [&p]
             {
                 p.jobs_are_in = true;
-                p.common->jobs_read = true;
                 p.bridge->stop();
                 p.common->log(ports::log_level::info,
                     "jobs_read",
@@ -256,6 +279,8 @@
     p.hosts->set_pools(pools_);
     p.machines->start([&p] { p.waves->see_machines(); }, [&p] { return p.waves->has_open_wave(); });
     p.waves->set_waves(waves_);
+    t.ctx.time.after(time_to_read(lead_.hand_overs()),
+        t.guarded([&p, began = t.now()] { p.judge_reading(began); }));
     p.tick();
     p.tick_pending();
     p.tidy->start();
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -55,7 +55,8 @@
     ports::revision leader_revision = 0;
     ports::revision term_revision = 0;
     std::int64_t term = -1;
-    std::string leader; ///< its name
+    std::int64_t term_bid = 0; ///< of the latest bid
+    std::string leader;        ///< its name
 
     ports::lease_id lease = 0;
     ports::revision token = 0;   ///< 0: not the leader
@@ -71,6 +72,7 @@
     bool resigned = false;
     double tried_share = 0;                 ///< of a core, by the trial before the latest bid
     core::mono_time slowed_until;           ///< this node handed the lead over
+    bool looked = false;                    ///< all keys were read once
     ports::revision slowed_revision = 0;    ///< of the latest hand-over that was seen
     std::deque<core::mono_time> hand_overs; ///< when they were seen; by the boot clock
     ports::timer_id timer = 0;
@@ -99,7 +101,7 @@
     void take_renewal(const ports::kv_lease& got, core::mono_time sent);
     void schedule(core::millis delay, void (leadership_state::*next)());
     void lose(const std::string& reason);
-    void hand_over();
+    void hand_over(const std::string& reason);
     int count_hand_overs();
     void judge_pace(const char* step, core::mono_time now);
     ports::log_fields pace_fields(core::mono_time now) const;
@@ -157,7 +159,10 @@
     else if (it.item.key == leader_slowed_key && revision > slowed_revision)
     {
         slowed_revision = revision;
-        hand_overs.push_back(ctx.boot_now());
+        if (looked) // the first look may find one of long ago
+        {
+            hand_overs.push_back(ctx.boot_now());
+        }
     }
 }
 
@@ -171,6 +176,7 @@
     {
         see({false, it});
     }
+    looked = true;
 }
 
 void leadership_state::judge()
@@ -225,10 +231,11 @@
 
 void leadership_state::write_key()
 {
+    term_bid = term + 1;
     ports::store_transaction t;
     t.conditions = {{leader_key, 0}, {leader_term_key, term_revision}};
     t.puts = {{leader_key, ctx.member, lease},
-        {leader_term_key, std::to_string(term + 1), 0},
+        {leader_term_key, std::to_string(term_bid), 0},
         {handover_key, ctx.member, 0}};
     ctx.store.commit(std::move(t),
         guarded([](leadership_state& self, const ports::commit_result& result)
@@ -251,7 +258,7 @@
     bidding = false;
     leader_revision = result.modified;
     term_revision = result.modified;
-    ++term;
+    term = term_bid; // which the watch may have told already
     leader = ctx.member;
     token = result.modified;
     valid_until = best_until;
@@ -349,7 +356,7 @@
 /// The key goes with a write and not with its lease, whose end would wait for the note. Without an
 /// answer the lease, not renewed, ends by itself. A note that is lost is one hand-over less that
 /// others count.
-void leadership_state::hand_over()
+void leadership_state::hand_over(const std::string& reason)
 {
     if (token == 0)
     {
@@ -362,7 +369,7 @@
     t.conditions = {{leader_key, token}};
     t.removals = {leader_key};
     const auto ended = std::exchange(lease, 0);
-    lose("handed over");
+    lose("handed over: " + reason);
     ctx.store.commit(std::move(note), [](const ports::commit_result&) {});
     ctx.store.commit(std::move(t),
         [store = ctx.store, ended](const ports::commit_result&)
@@ -453,9 +460,9 @@
     it.ctx.store.end_lease(lease, [done = std::move(done)](ports::kv_status) { done(); });
 }
 
-void leadership::hand_over()
+void leadership::hand_over(const std::string& reason)
 {
-    state_->hand_over();
+    state_->hand_over(reason);
 }
 
 int leadership::hand_overs()
--- a/libs/hosted/src/load_watch.cpp
+++ b/libs/hosted/src/load_watch.cpp
@@ -160,22 +160,22 @@
     slowed_spans_ = is_slowed(pace) ? slowed_spans_ + 1 : 0;
     const auto term = std::chrono::duration_cast<core::millis>(now - began_);
     const auto lately = term_.lead->hand_overs();
-    if (!should_hand_over({slowed_spans_, term, lately, term_.jobs_read}))
+    if (!should_hand_over({slowed_spans_, term, lately}))
     {
         return;
     }
     term_.ctx.tel.log(ports::log_level::warning,
         "leadership_handed_over",
-        {{"token", std::to_string(term_.token)},
+        {{"reason", "slowed"},
+            {"token", std::to_string(term_.token)},
             {"share", std::to_string(pace.share)},
             {"span_ms", std::to_string(pace.span.count())},
             {"overdue_ms", std::to_string(pace.overdue.count())},
             {"processor_ms", std::to_string(pace.processor.count())},
             {"slowed_spans", std::to_string(slowed_spans_)},
             {"term_ms", std::to_string(term.count())},
-            {"hand_overs", std::to_string(lately)},
-            {"jobs_read", term_.jobs_read ? "yes" : "no"}});
-    term_.leave([](leadership& it) { it.hand_over(); });
+            {"hand_overs", std::to_string(lately)}});
+    term_.leave([](leadership& it) { it.hand_over("this node is slowed"); });
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/owner_pace.cpp
+++ b/libs/hosted/src/owner_pace.cpp
@@ -19,9 +19,11 @@
 constexpr int least_spans = 2;
 /// A successor reads all open jobs in 0.3 to 0.7 s, five times slower in 3.5 s.
 constexpr core::millis shortest_term{1500};
-/// Without the jobs an owner starts nothing. A page of them is up to a megabyte: over a link of 10
-/// Mbit/s, beside the polls, it can run into the call's time-out each time it is tried.
-constexpr core::millis longest_reading{4000};
+/// Ten times what 2,400 jobs take a node with half a core, and one page that is given up and
+/// another.
+constexpr core::millis enough_to_read{4000};
+/// Twice as long after each hand-over, up to this: a fleet of small nodes gets its jobs read too.
+constexpr int most_doublings_to_read = 2;
 /// Doubled so often: two minutes and a half, longer than hand-overs are remembered.
 constexpr int most_doublings = 6;
 
@@ -46,8 +48,12 @@
 
 bool should_hand_over(const pace_history& h)
 {
-    const bool stuck = !h.jobs_read && h.term >= longest_reading;
-    return (stuck || h.slowed_spans >= least_spans) && h.term >= least_term(h.hand_overs);
+    return h.slowed_spans >= least_spans && h.term >= least_term(h.hand_overs);
+}
+
+core::millis time_to_read(int hand_overs)
+{
+    return enough_to_read * (1 << std::clamp(hand_overs, 0, most_doublings_to_read));
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/tests/slowed_owner_tests.cpp
+++ b/libs/hosted/tests/slowed_owner_tests.cpp
@@ -316,12 +316,8 @@
         core::millis term;
         int hand_overs;
         bool hands_over;
-        bool jobs_read = true;
     };
-    for (const auto& it : {row{0, 3s, 0, false, false},
-             row{0, 4s, 0, true, false},
-             row{0, 4s, 2, false, false},
-             row{0, 60s, 0, false},
+    for (const auto& it : {row{0, 60s, 0, false},
              row{1, 60s, 0, false},
              row{2, 1s, 0, false},
              row{2, 2s, 0, true},
@@ -332,7 +328,21 @@
              row{50, 95s, 40, false},
              row{50, 96s, 40, true}})
     {
-        CHECK_EQUAL(it.hands_over,
-            hosted::should_hand_over({it.slowed_spans, it.term, it.hand_overs, it.jobs_read}));
+        CHECK_EQUAL(
+            it.hands_over, hosted::should_hand_over({it.slowed_spans, it.term, it.hand_overs}));
+    }
+}
+
+TEST(slowed_owner, each_hand_over_gives_the_next_owner_more_time_to_read)
+{
+    struct row
+    {
+        int hand_overs;
+        core::millis within;
+    };
+    for (const auto& it :
+        {row{-1, 4s}, row{0, 4s}, row{1, 8s}, row{2, 16s}, row{3, 16s}, row{60, 16s}})
+    {
+        CHECK(it.within == hosted::time_to_read(it.hand_overs));
     }
 }
