--- a/libs/hosted/src/pending_count.cpp
+++ b/libs/hosted/src/pending_count.cpp
@@ -225,6 +225,7 @@
         {
             view.tally = {};
             view.record = 0;
+            view.next_reading = state->ctx.boot_now() + longest_pause; // it would end so again
             lost = "too_many_jobs";
         }
     }
