--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -26,8 +26,8 @@
     core::millis plan_every{100};      ///< also without a cause: leases lapse, stops repeat
     core::millis hosts_plan_every{40}; ///< waves and moves: they look at every job and host
     core::millis job_pause{12};        ///< between two watches of new jobs
-    /// Longest wait of such a watch. While no job comes, what a record of waiting jobs is good for
-    /// stands still for so long: with pending_every well below the 2 s that a count may be old.
+    /// Longest wait of such a watch. Its answer tells up to which store revision jobs are known,
+    /// and with that how old a count is. With pending_every this stays well below the 2 s allowed.
     core::millis job_wait{700};
     core::millis poll_wait{700}; ///< longest wait of a poll for an end
     core::millis poll_gap{30};   ///< after ends came: gathers the next ones
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -176,6 +176,9 @@
         return; // nothing waits and nothing is learnt
     }
     ports::store_transaction change;
+    // A successor's mark among the jobs ends this term only after the turn in which it was read: a
+    // record made in between would count as known the jobs that came with it and were dropped. The
+    // mark and the key changed in one write, so with this condition such a record is never stored.
     change.conditions = {{leader_key, t.token}};
     change.puts = {{pending_key, write_pending({basis.read_through, basis.by_queue}), 0},
         {demand_key, machines->demand_record(), 0}};
--- a/libs/hosted/src/load_watch.cpp
+++ b/libs/hosted/src/load_watch.cpp
@@ -4,7 +4,6 @@
 #include "owner_pace.hpp"
 
 #include <algorithm>
-
 #include <utility>
 
 namespace camphorhitch::hosted
--- a/libs/hosted/src/owner_pace.cpp
+++ b/libs/hosted/src/owner_pace.cpp
@@ -24,7 +24,7 @@
 constexpr core::millis enough_to_read{4000};
 /// Twice as long after each hand-over, up to this: a fleet of small nodes gets its jobs read too.
 constexpr int most_doublings_to_read = 2;
-/// Doubled so often: two minutes and a half, longer than hand-overs are remembered.
+/// Doubled so often: 96 s, longer than hand-overs are remembered.
 constexpr int most_doublings = 6;
 
 } // namespace
--- a/libs/hosted/src/revision_log.hpp
+++ b/libs/hosted/src/revision_log.hpp
@@ -16,7 +16,8 @@
 
 /// A call that sees every acknowledged write was sent, and its answer told the store's revision:
 /// every write acknowledged before the sending is within that revision. So the age of what was made
-/// from the store up to a revision is told by this node's clock alone.
+/// from the store up to a revision is told by this node's clock alone. Answers that may be older
+/// than their call, as those of a cheap reading, must not be noted: they prove nothing.
 class revision_log
 {
 public:
