A silent store is noticed within half a second: submissions are refused unsent, open reads repeated

Change: store_pulse watches all calls of a node to the store, probes after 250 ms without an answer, calls the store silent after 500 ms, and repeats open reads at its first answer. While it is silent the entry desk sends no new write: the refusal is true, and comes at once. The rest of the silence's loss is refused callers whose own patience is 3 s, and a lead that is free only when the former owner's lease has lapsed after the return (1.2 s).

--- a/libs/hosted/src/entry_write.cpp
+++ b/libs/hosted/src/entry_write.cpp
@@ -13,10 +13,29 @@
     return s == kv_status::unavailable || s == kv_status::rejected;
 }
 
+/// Sent to a store that answers nothing, a write may take effect seconds later or never, and its
+/// caller learns neither: it must not hand the request in anew. Not sent, it certainly has no
+/// effect, and the caller may come back.
+/// \return whether the caller was told so.
+bool refuse_unsent(const std::shared_ptr<entry_state>& state, pending_write& w)
+{
+    if (w.may_have_effect || !state->is_store_silent())
+    {
+        return false;
+    }
+    w.told = true;
+    w.done(kv_status::unavailable, true);
+    return true;
+}
+
 /// The change is idempotent (its keys are created once), so repeating it after a lost answer tells
 /// which of the tries took effect: the repeat meets its conflict.
 void try_write(const std::shared_ptr<entry_state>& state, const std::shared_ptr<pending_write>& w)
 {
+    if (refuse_unsent(state, *w))
+    {
+        return;
+    }
     w->in_flight = true;
     state->ctx.store.commit(w->change,
         [state, w](const ports::commit_result& result)
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -7,6 +7,7 @@
 #include "hosted/fleet_driver.hpp"
 #include "hosted/leadership.hpp"
 #include "hosted/relay_registry.hpp"
+#include "hosted/store_pulse.hpp"
 #include "hosted_clients.hpp"
 #include "hosted_operators.hpp"
 #include "http/server.hpp"
@@ -53,6 +54,7 @@
     std::unique_ptr<hosted_clients> clients;
     hosted::formats formats;
     hosted::context ctx;
+    std::unique_ptr<hosted::store_pulse> pulse;
     std::unique_ptr<relay::pool> relays;
     std::unique_ptr<relay::server> relay_server;
     std::unique_ptr<hosted::relay_registry> registry;
@@ -99,6 +101,13 @@
 {
     clients = std::make_unique<hosted_clients>(loop);
     ctx = make_context(*clients, settings, loop, log);
+    pulse =
+        std::make_unique<hosted::store_pulse>(ctx.store, ctx.time, log, hosted::pulse_settings{});
+    ctx.store = pulse->port();
+    ctx.store_silent_for = [this]
+    {
+        return pulse->silent_for();
+    };
 }
 
 void hosted_node::parts::make_relays()
--- a/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
@@ -7,6 +7,7 @@
 #include "hosted/fleet_driver.hpp"
 #include "hosted/keys.hpp"
 #include "hosted/leadership.hpp"
+#include "hosted/store_pulse.hpp"
 #include "hosted_fakes/hosts.hpp"
 #include "hosted_fakes/processor.hpp"
 #include "hosted_fakes/store.hpp"
@@ -29,6 +30,7 @@
     hosted::formats formats;
     hosted::context ctx;
     std::unique_ptr<processor> cpu; ///< none: what the node does takes no time
+    std::unique_ptr<hosted::store_pulse> pulse;
     std::unique_ptr<hosted::leadership> lead;
     std::unique_ptr<hosted::fleet_driver> driver;
     std::unique_ptr<hosted::entry_desk> desk;
@@ -70,6 +72,13 @@
             n.cpu = std::make_unique<processor>(time, n.process, share);
             n.ctx = n.cpu->wrap(n.ctx);
         }
+        n.pulse = std::make_unique<hosted::store_pulse>(
+            n.ctx.store, n.ctx.time, n.ctx.tel, hosted::pulse_settings{});
+        n.ctx.store = n.pulse->port();
+        n.ctx.store_silent_for = [&n]
+        {
+            return n.pulse->silent_for();
+        };
         if (plant)
         {
             plant(n);
--- a/testing/hosted_fakes/include/hosted_fakes/store.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/store.hpp
@@ -33,6 +33,7 @@
     void compact();
 
     bool down = false;          ///< nothing answers
+    core::millis timeout{1000}; ///< after so long without an answer a call counts as unanswered
     bool busy = false;          ///< every call is refused
     int answers_to_lose = 0;    ///< of the next writes, which take effect
     int writes_to_delay = 0;    ///< the next writes get no answer and take effect seconds later
--- a/testing/hosted_fakes/src/store.cpp
+++ b/testing/hosted_fakes/src/store.cpp
@@ -13,9 +13,6 @@
 namespace
 {
 
-/// After this long without an answer a call counts as unanswered.
-constexpr core::millis call_timeout{1000};
-
 ports::kv_lease lease_answer(kv_status s, ports::lease_id id, core::millis ttl)
 {
     ports::kv_lease out;
@@ -55,7 +52,7 @@
             }
             if (down || p.store_cut)
             {
-                time_.after(call_timeout, [&p, lost, done] { p.enter([=] { done(lost); }); });
+                time_.after(timeout, [&p, lost, done] { p.enter([=] { done(lost); }); });
                 return;
             }
             const auto answer = busy ? refused : serve();
@@ -177,7 +174,7 @@
     {
         --writes_to_delay;
         time_.after(late_by, [this, t] { commit(t); });
-        time_.after(call_timeout, [&p, unknown, done] { p.enter([=] { done(unknown); }); });
+        time_.after(timeout, [&p, unknown, done] { p.enter([=] { done(unknown); }); });
         return;
     }
     const bool lose = answers_to_lose > 0;
@@ -192,7 +189,7 @@
     {
         tell = [this, &p, unknown, done](const ports::commit_result&)
         {
-            time_.after(call_timeout, [&p, unknown, done] { p.enter([=] { done(unknown); }); });
+            time_.after(timeout, [&p, unknown, done] { p.enter([=] { done(unknown); }); });
         };
     }
     call<ports::commit_result>(
@@ -258,8 +255,8 @@
     {
         const auto s = busy && !down ? kv_status::rejected : kv_status::unknown;
         // Not answered at once, however short the wait: that is found out by a time-out.
-        time_.after(std::max(wait, call_timeout),
-            [w, s] { w.answer(with_status<ports::changes_read>(s)); });
+        time_.after(
+            std::max(wait, timeout), [w, s] { w.answer(with_status<ports::changes_read>(s)); });
         return;
     }
     if (answer_watch(w))
