An overloaded owner hands over to a node with a clearly larger share; policy as checked settings; hosts that are wanted are freed of long tasks

Cause (lead): beside a store whose writes are done seconds late, whoever's write is done first takes the lead. Change: two spans late in a row beside a node with 1.5 times the share hand over, with the same doubling of the least term. The owner knows others' shares by the relays' keys. Virtual time: a_backlog_on_the_smallest_node_goes_to_a_larger_one fails with the rule taken out.

Long tasks: a host chosen for a short pool is freed of runs that keep their progress, would hold it for more than 0.8 s, and whose job can bear the pause. Runs that resumed no longer count in learnt times.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -45,6 +45,7 @@
     run_phase phase = run_phase::ordered;
     core::mono_time ordered_at;
     bool adopted = false; ///< begun by a former owner: when is not known
+    bool resumed = false; ///< from a checkpoint: it takes less than a whole run
     /// A poll that began before this says nothing about the present phase.
     core::mono_time changed_at;
     bool stop_in_flight = false;
--- a/libs/coordinator/include/coordinator/learning.hpp
+++ b/libs/coordinator/include/coordinator/learning.hpp
@@ -30,6 +30,9 @@
 /// \return the longest chain of expected run times through the steps.
 core::millis expected_chain(const learnt& l, const std::vector<workflow::step>& steps);
 
+/// \return within what time of its acceptance, or of an occurrence's due time, the job should end.
+core::millis objective_of(const learnt& l, const workflow::job& j);
+
 /// \return the expected time from the start of a step to the end of all that waits for it.
 core::millis time_to_end(const learnt& l, const std::vector<workflow::step>& steps, int from);
 
--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -22,6 +22,9 @@
     int far_short = 4;
     /// Most moves ordered in one plan; the platform bounds its calls a second.
     int most_moves = 12;
+    /// A host that another pool lacks is freed of tasks that keep their progress, when they would
+    /// hold it for longer than this. 0: never.
+    core::millis stops_tasks_above{800};
 };
 
 /// A pool as the operators configured it.
--- a/libs/coordinator/src/ends.cpp
+++ b/libs/coordinator/src/ends.cpp
@@ -173,7 +173,7 @@
     {
         const auto& run = t->runs[place];
         const bool learns = f.settings.placement.learns_times;
-        if (learns && end.how == ports::run_end::done && !run.adopted)
+        if (learns && end.how == ports::run_end::done && !run.adopted && !run.resumed)
         {
             const auto took = std::chrono::duration_cast<core::millis>(now - run.ordered_at);
             learn_time(f.learnt, j.spec.steps[static_cast<std::size_t>(name->step)].image, took);
--- a/libs/coordinator/src/learning.cpp
+++ b/libs/coordinator/src/learning.cpp
@@ -41,6 +41,12 @@
     return workflow::longest_chain(timed);
 }
 
+core::millis objective_of(const learnt& l, const workflow::job& j)
+{
+    const auto chain = static_cast<double>(expected_chain(l, j.steps).count());
+    return core::millis{static_cast<std::int64_t>(chain * j.stretch)} + j.slack;
+}
+
 core::millis time_to_end(const learnt& l, const std::vector<workflow::step>& steps, int from)
 {
     const auto first = static_cast<std::size_t>(from);
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -55,8 +55,7 @@
 void add_waiting_steps(
     const learnt& l, job_entry& j, std::int64_t unix_ms, std::vector<waiting_step>& out)
 {
-    const auto chain = static_cast<double>(expected_chain(l, j.spec.steps).count());
-    const auto objective = static_cast<std::int64_t>(chain * j.spec.stretch) + j.spec.slack.count();
+    const auto objective = objective_of(l, j.spec).count();
     for (int k = 0; k < workflow::occurrences_of(j.spec); ++k)
     {
         const auto due = due_at(j.spec, k);
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -2,6 +2,7 @@
 
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
+#include "host_release.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -139,10 +140,12 @@
 }
 
 /// Takes the cheapest host of a pool for a move.
+/// \param is_wanted the other pool is short: its callers wait for the host
 void choose(fleet& f,
     rebalancer& r,
     balance& from,
     const std::string& to,
+    bool is_wanted,
     core::mono_time now,
     task_events& out)
 {
@@ -161,6 +164,10 @@
     {
         h->use = host_use::closed_for_move;
         h->closed_at = now;
+        if (is_wanted && r.settings.stops_tasks_above.count() > 0)
+        {
+            stop_resumable_tasks(f, *h, r.settings.stops_tasks_above, now, out);
+        }
     }
     --from.have;
     from.free.erase(best);
@@ -214,7 +221,7 @@
             {
                 return;
             }
-            choose(f, r, *donor, name, now, out);
+            choose(f, r, *donor, name, true, now, out);
             ++b.have;
         }
     }
@@ -242,7 +249,7 @@
         const auto since = r.surplus_since.try_emplace(name, now).first->second;
         while (now - since >= r.settings.rest && b.have > b.kept && has_cheap_host(f, b))
         {
-            choose(f, r, b, standby->first, now, out);
+            choose(f, r, b, standby->first, false, now, out);
         }
     }
 }
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -92,6 +92,7 @@
     run.host = h.ref.id;
     run.ordered_at = now;
     run.changed_at = now;
+    run.resumed = !t.progress.checkpoint.empty();
     add_run(f, j, name, run);
     --to.room;
     const auto* const ticket =
--- a/libs/hosted/include/hosted/context.hpp
+++ b/libs/hosted/include/hosted/context.hpp
@@ -40,6 +40,9 @@
     /// Share of a core that this process gets just now, by a short trial; without a function: not
     /// known.
     std::function<double()> processor_trial;
+    /// Largest share of a core of another node that may coordinate, 0 when none is known; without a
+    /// function: not known.
+    std::function<double()> best_other_share;
 };
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -3,8 +3,10 @@
 /// polls runners, sends orders, stores progress, runs maintenance waves.
 #pragma once
 
+#include "coordinator/demand.hpp"
 #include "coordinator/fleet.hpp"
 #include "coordinator/pacing.hpp"
+#include "coordinator/rebalance.hpp"
 #include "coordinator/waves.hpp"
 #include "hosted/context.hpp"
 #include "hosted/formats.hpp"
@@ -22,6 +24,10 @@
     coordinator::coordinator_settings rules;
     coordinator::wave_settings waves;
     coordinator::pacing_settings paces;
+    coordinator::demand_settings demand;
+    coordinator::rebalance_settings rebalance;
+    bool moves = true;                 ///< false: hosts stay in their pools
+    bool hands_over = true;            ///< when slowed or overloaded
     core::millis plan_delay{4};        ///< gathers what arrives together into one plan
     core::millis plan_every{100};      ///< also without a cause: leases lapse, stops repeat
     core::millis hosts_plan_every{40}; ///< waves and moves: they look at every job and host
--- a/libs/hosted/include/hosted/relay_registry.hpp
+++ b/libs/hosted/include/hosted/relay_registry.hpp
@@ -36,6 +36,9 @@
 /// \param text as write_relay() made it; may be anything
 core::result<ports::relay_place> read_relay(const std::string& member, const std::string& text);
 
+/// \return the largest share of a core among the nodes other than \p member; 0: there is none.
+double best_share_but(const std::vector<ports::relay_place>& all, const std::string& member);
+
 struct registry_state;
 
 /// Must not be destroyed inside its own events.
--- a/libs/hosted/src/load_watch.cpp
+++ b/libs/hosted/src/load_watch.cpp
@@ -151,30 +151,34 @@
 
 void load_watch::judge(const load_moment& m, core::mono_time now)
 {
-    if (!m.processor)
+    if (!m.processor || !term_.settings.hands_over)
     {
         return;
     }
-    const owner_pace pace{term_.settings.processor_share, m.span, m.overdue, *m.processor};
-    slowed_spans_ = is_slowed(pace) ? slowed_spans_ + 1 : 0;
+    const auto& other = term_.ctx.best_other_share;
+    const owner_pace pace{
+        term_.settings.processor_share, m.span, m.overdue, *m.processor, other ? other() : 0};
+    const auto cause = cause_of(pace);
+    late_spans_ = cause != hand_over_cause::none ? late_spans_ + 1 : 0;
     const auto term = std::chrono::duration_cast<core::millis>(now - began_);
     const auto lately = term_.lead->hand_overs();
-    if (!should_hand_over({slowed_spans_, term, lately}))
+    if (!should_hand_over({late_spans_, term, lately}))
     {
         return;
     }
     term_.ctx.tel.log(ports::log_level::warning,
         "leadership_handed_over",
-        {{"reason", "slowed"},
+        {{"reason", std::string{core::name_of(hand_over_cause_names, cause)}},
             {"token", std::to_string(term_.token)},
             {"share", std::to_string(pace.share)},
+            {"best_other_share", std::to_string(pace.best_other)},
             {"span_ms", std::to_string(pace.span.count())},
             {"overdue_ms", std::to_string(pace.overdue.count())},
             {"processor_ms", std::to_string(pace.processor.count())},
-            {"slowed_spans", std::to_string(slowed_spans_)},
+            {"late_spans", std::to_string(late_spans_)},
             {"term_ms", std::to_string(term.count())},
             {"hand_overs", std::to_string(lately)}});
-    term_.leave([](leadership& it) { it.hand_over("this node is slowed"); });
+    term_.leave([](leadership& it) { it.hand_over("another node decides faster"); });
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/load_watch.hpp
+++ b/libs/hosted/src/load_watch.hpp
@@ -39,7 +39,7 @@
     core::micros processor_{0}; ///< used until the latest report
     core::micros overdue_{0};   ///< since then
     core::mono_time began_;     ///< the term
-    int slowed_spans_ = 0;      ///< in a row
+    int late_spans_ = 0;        ///< in a row
 };
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -11,6 +11,8 @@
 
 machine_desk::machine_desk(term& t) : term_(t)
 {
+    moves_.settings = t.settings.rebalance;
+    demand_.settings = t.settings.demand;
 }
 
 void machine_desk::start(std::function<void()> on_list, std::function<bool()> is_pressing)
@@ -48,7 +50,9 @@
                     milli;
         }
     }
-    coordinator::note_arrival(demand_, j.pool, work, at);
+    const auto slack = coordinator::objective_of(term_.fleet.learnt, j) -
+                       coordinator::expected_chain(term_.fleet.learnt, j.steps);
+    coordinator::note_arrival(demand_, j.pool, work, at, slack);
 }
 
 std::string machine_desk::demand_record() const
@@ -112,6 +116,10 @@
 {
     coordinator::task_events out;
     coordinator::update_demand(demand_, term_.now());
+    if (!term_.settings.moves)
+    {
+        return;
+    }
     const auto orders = coordinator::plan_moves(
         term_.fleet, moves_, demand_, table_, pools_, held, term_.now(), out);
     table_.short_pools = coordinator::pools_without_spare(moves_);
--- a/libs/hosted/src/owner_pace.cpp
+++ b/libs/hosted/src/owner_pace.cpp
@@ -14,6 +14,8 @@
 /// while it is in time comes on top. Measured, late owners on sound machines used 1.3 of it and
 /// more, and on machines five times slower 0.13 to 0.2.
 constexpr double least_used = 0.5;
+/// Shares that differ by less are not worth the reading of all jobs.
+constexpr double clearly_larger = 1.5;
 /// A machine that is suspended or frozen once shows one such span, or two where it lies across
 /// their border.
 constexpr int least_spans = 2;
@@ -29,16 +31,21 @@
 
 } // namespace
 
-bool is_slowed(const owner_pace& p)
+hand_over_cause cause_of(const owner_pace& p)
 {
-    if (p.share <= 0 || p.span.count() <= 0)
+    const auto overdue = static_cast<double>(p.overdue.count());
+    const bool late = overdue >= least_overdue * static_cast<double>(p.span.count());
+    if (p.share <= 0 || p.span.count() <= 0 || !late)
     {
-        return false;
+        return hand_over_cause::none;
     }
-    const auto overdue = static_cast<double>(p.overdue.count());
     const auto used = static_cast<double>(p.processor.count());
-    return overdue >= least_overdue * static_cast<double>(p.span.count()) &&
-           used < least_used * p.share * overdue;
+    if (used < least_used * p.share * overdue)
+    {
+        return hand_over_cause::slowed;
+    }
+    return p.best_other >= clearly_larger * p.share ? hand_over_cause::overloaded
+                                                    : hand_over_cause::none;
 }
 
 core::millis least_term(int hand_overs)
@@ -48,7 +55,7 @@
 
 bool should_hand_over(const pace_history& h)
 {
-    return h.slowed_spans >= least_spans && h.term >= least_term(h.hand_overs);
+    return h.late_spans >= least_spans && h.term >= least_term(h.hand_overs);
 }
 
 core::millis time_to_read(int hand_overs)
--- a/libs/hosted/src/owner_pace.hpp
+++ b/libs/hosted/src/owner_pace.hpp
@@ -1,12 +1,15 @@
 /// \file
-/// Whether the node that coordinates gets less of the processor than its share, and when it should
-/// hand the lead to another for that.
+/// Whether the node that coordinates decides slower than another would, and when it should hand the
+/// lead over for that.
 ///
-/// Work that comes faster than a node with its whole share decides it would overload the next one
-/// as well, and each change of owner costs the reading of all open jobs. So being late is no cause:
-/// only being late without having had the processor is.
+/// Each change of owner costs the reading of all open jobs, and work that comes faster than a node
+/// with its whole share decides it would overload the next one of that share as well. So being late
+/// alone is no cause. It is one without having had the processor, and beside a node with a clearly
+/// larger share: there the waiting work would grow for as long as this one leads, since what waits
+/// makes each plan dearer.
 #pragma once
 
+#include "core/names.hpp"
 #include "core/time.hpp"
 
 namespace camphorhitch::hosted
@@ -19,24 +22,37 @@
     core::millis span{0};
     core::millis overdue{0};   ///< time of it in which a timer that was due had not run yet
     core::millis processor{0}; ///< that the process used
+    double best_other = 0;     ///< largest share of another node that is known; 0: none is
 };
 
+enum class hand_over_cause
+{
+    none,
+    slowed,    ///< the node gets far less than its share
+    overloaded ///< it uses its share up, and another node has a clearly larger one
+};
+
+inline constexpr core::name_table<hand_over_cause, 3> hand_over_cause_names{{
+    {hand_over_cause::none, "none"},
+    {hand_over_cause::slowed, "slowed"},
+    {hand_over_cause::overloaded, "overloaded"},
+}};
+
 /// What led to the judgement, over a term.
 struct pace_history
 {
-    int slowed_spans = 0; ///< in a row, up to now
+    int late_spans = 0;   ///< in a row, up to now, with a cause each
     core::millis term{0}; ///< age of the term
     int hand_overs = 0;   ///< by any node, lately
 };
 
-/// \return whether the node was behind for most of the span, and got far less than its share
-/// meanwhile.
-bool is_slowed(const owner_pace& p);
+/// \return what speaks for another owner; none unless the node was behind for most of the span.
+hand_over_cause cause_of(const owner_pace& p);
 
 /// \return how old a term has to be before its owner hands over.
 core::millis least_term(int hand_overs);
 
-/// \return whether the owner is slowed, and its term is old enough.
+/// \return whether the cause has lasted, and the term is old enough.
 bool should_hand_over(const pace_history& h);
 
 /// \return within what time of its term an owner has to have read the open jobs.
--- a/libs/hosted/src/relay_registry.cpp
+++ b/libs/hosted/src/relay_registry.cpp
@@ -2,6 +2,7 @@
 
 #include "hosted/keys.hpp"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -39,6 +40,16 @@
     }
 }
 
+double best_share_but(const std::vector<ports::relay_place>& all, const std::string& member)
+{
+    double best = 0;
+    for (const auto& it : all)
+    {
+        best = it.member == member ? best : std::max(best, it.share);
+    }
+    return best;
+}
+
 struct registry_state : std::enable_shared_from_this<registry_state>
 {
     context ctx;
--- a/libs/hosted/tests/slowed_owner_tests.cpp
+++ b/libs/hosted/tests/slowed_owner_tests.cpp
@@ -163,6 +163,46 @@
     STRCMP_EQUAL("", w.c.breaches().c_str());
 }
 
+// Shares of a processor differ, and the store's trouble has let the smallest node take the lead
+// amid a wave of submissions. Its lease is renewed before all else, so without a hand-over it would
+// lead on: it starts a fraction of what comes, what waits makes each plan dearer, and callers wait
+// for the rest of the day beside nodes that have the processor for all of it.
+TEST(slowed_owner, a_backlog_on_the_smallest_node_goes_to_a_larger_one)
+{
+    slowed_world w(1);
+    w.c.nodes.front().process.dead = true;
+    w.c.share = 0.06;
+    auto& small = w.c.add_node();
+    CHECK(w.c.time.run_until([&] { return w.c.leader() == &small; }, 5s));
+    w.c.share = 0.5;
+    auto& large = w.c.add_node();
+    w.c.add_node();
+    w.serve(6s);
+    CHECK(w.c.leader() != &small);
+    CHECK(w.c.leader()->cpu->share == large.cpu->share);
+    w.count_anew();
+    w.serve(6s);
+    CHECK(w.longest < 1s);
+    LONGS_EQUAL(1, w.said("leadership_handed_over"));
+    LONGS_EQUAL(0, w.c.hosts.lapsed);
+    STRCMP_EQUAL("", w.c.breaches().c_str());
+}
+
+// The smallest node is overloaded, and all others are as small: no hand-over helps.
+TEST(slowed_owner, an_overloaded_node_among_equals_leads_on)
+{
+    slowed_world w(1);
+    w.c.nodes.front().process.dead = true;
+    w.c.share = 0.06;
+    for (int i = 0; i < 3; ++i)
+    {
+        w.c.add_node();
+    }
+    w.c.has_leader();
+    w.serve(10s);
+    LONGS_EQUAL(0, w.said("leadership_handed_over"));
+}
+
 // There is no other node. The only one must not leave the work alone for long, or again and again.
 TEST(slowed_owner, the_only_node_soon_leads_again)
 {
@@ -284,27 +324,32 @@
     }
 }
 
-TEST(slowed_owner, being_late_counts_only_without_the_processor)
+TEST(slowed_owner, being_late_counts_without_the_processor_or_beside_a_larger_share)
 {
+    using enum hosted::hand_over_cause;
     struct row
     {
         const char* what;
         hosted::owner_pace pace;
-        bool slowed;
+        hosted::hand_over_cause cause;
     };
     for (const auto& it : {
-             row{"share not known", {0, 1000ms, 900ms, 10ms}, false},
-             row{"in time", {0.25, 1000ms, 50ms, 10ms}, false},
-             row{"late for a third", {0.25, 1000ms, 330ms, 10ms}, false},
-             row{"overloaded", {0.25, 1000ms, 900ms, 240ms}, false},
-             row{"overloaded, of a small share", {0.05, 1200ms, 1100ms, 55ms}, false},
-             row{"overloaded under a quota", {0.25, 1000ms, 800ms, 250ms}, false},
-             row{"five times slower", {0.25, 1000ms, 900ms, 48ms}, true},
-             row{"five times slower, late for half", {0.5, 1000ms, 500ms, 60ms}, true},
-             row{"no time has passed", {0.25, 0ms, 0ms, 0ms}, false},
+             row{"share not known", {0, 1000ms, 900ms, 10ms}, none},
+             row{"in time", {0.25, 1000ms, 50ms, 10ms}, none},
+             row{"late for a third", {0.25, 1000ms, 330ms, 10ms}, none},
+             row{"overloaded", {0.25, 1000ms, 900ms, 240ms}, none},
+             row{"overloaded, of a small share", {0.05, 1200ms, 1100ms, 55ms}, none},
+             row{"overloaded under a quota", {0.25, 1000ms, 800ms, 250ms}, none},
+             row{"five times slower", {0.25, 1000ms, 900ms, 48ms}, slowed},
+             row{"five times slower, late for half", {0.5, 1000ms, 500ms, 60ms}, slowed},
+             row{"overloaded beside a larger share", {0.12, 1000ms, 900ms, 120ms, 0.5}, overloaded},
+             row{"overloaded beside a like share", {0.12, 1000ms, 900ms, 120ms, 0.15}, none},
+             row{"in time beside a larger share", {0.12, 1000ms, 300ms, 120ms, 0.5}, none},
+             row{"slowed beside a larger share", {0.25, 1000ms, 900ms, 48ms, 0.5}, slowed},
+             row{"no time has passed", {0.25, 0ms, 0ms, 0ms}, none},
          })
     {
-        CHECK_EQUAL_TEXT(it.slowed, hosted::is_slowed(it.pace), it.what);
+        CHECK_TEXT(it.cause == hosted::cause_of(it.pace), it.what);
     }
 }
 
@@ -312,7 +357,7 @@
 {
     struct row
     {
-        int slowed_spans;
+        int late_spans;
         core::millis term;
         int hand_overs;
         bool hands_over;
@@ -329,7 +374,7 @@
              row{50, 96s, 40, true}})
     {
         CHECK_EQUAL(
-            it.hands_over, hosted::should_hand_over({it.slowed_spans, it.term, it.hand_overs}));
+            it.hands_over, hosted::should_hand_over({it.late_spans, it.term, it.hand_overs}));
     }
 }
 
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -41,6 +41,31 @@
     double stop_bound_s = 6;                 ///< from the signal to the end of the process, seconds
 };
 
+/// How hosts follow demand and tasks are placed, for operators who compare policies. Each default
+/// is what serves callers best in the measurements of docs/further-customer.md.
+struct hosted_policy
+{
+    bool moves = true;         ///< hosts go to other pools, or to the standby pool
+    bool in_time_first = true; ///< jobs that can still meet their objective go first
+    bool fullest_first = true; ///< short tasks fill one host after the other
+    bool learns_times = true;  ///< run times that were seen replace declared ones
+    bool hands_over = true;    ///< a coordinator that is slowed or overloaded hands over
+    int spare_hosts = 1;       ///< that each pool keeps beyond its need
+    int far_short = 4;       ///< a pool that lacks so many takes hosts that others let go just now
+    core::millis rest{1500}; ///< a surplus is switched off after so long
+    double release = 8;      ///< hosts a second that a pool's need is let go at
+    core::millis stops_tasks_above{800}; ///< as coordinator::rebalance_settings; 0: never
+    double margin = 1.2;                 ///< room above the computed need
+    double spread = 0;            ///< share of a job's slack that its work may be spread over
+    core::millis horizon{1300};   ///< in which waiting tasks should be done
+    core::millis foresight{2200}; ///< that the trend of arrivals is followed ahead
+    double steepest = 1.5;        ///< most that a trend raises a rate; 1: no trend
+    core::millis lead{2700};      ///< a busy time is expected so long ahead; 0: none is
+    double first_share = 0.3;     ///< of a busy time's peak, that its begin asks for
+    core::millis young{2500};     ///< for so long a busy time asks for young_share; 0: never
+    double young_share = 0.5;     ///< of the highest peak of any pool
+};
+
 struct hosted_settings
 {
     std::string member;
@@ -48,6 +73,7 @@
     listen_settings listen;
     service_settings services;
     hosted_timing timing;
+    hosted_policy policy;
     std::string operators_token; ///< that operators' clients must send
     double processor_share = 1;  ///< of a core, that this node may use
     ports::log_level log_level = ports::log_level::info;
--- a/libs/settings/src/hosted_read.cpp
+++ b/libs/settings/src/hosted_read.cpp
@@ -18,6 +18,12 @@
 constexpr millis_range keep_range{millis{10000}, millis{86400000}};
 constexpr checked_json::real_range stop_range{0.1, 600};
 constexpr checked_json::real_range share_range{0.001, 1024};
+constexpr checked_json::int_range hosts_range{0, 10000};
+constexpr checked_json::real_range hosts_a_second_range{0.01, 10000};
+constexpr checked_json::real_range part_range{0, 1};
+constexpr checked_json::real_range factor_range{1, 10};
+constexpr millis_range pause_range{millis{0}, millis{600000}};
+constexpr millis_range horizon_range{millis{1}, millis{600000}};
 
 } // namespace
 
@@ -49,6 +55,30 @@
         .defaulted("stop_bound_s", r.stop_bound_s, stop_range);
 }
 
+template <class Keys>
+void describe(Keys& keys, hosted_policy& r)
+{
+    keys.defaulted("moves", r.moves)
+        .defaulted("in_time_first", r.in_time_first)
+        .defaulted("fullest_first", r.fullest_first)
+        .defaulted("learns_times", r.learns_times)
+        .defaulted("hands_over", r.hands_over)
+        .defaulted("spare_hosts", r.spare_hosts, hosts_range)
+        .defaulted("far_short", r.far_short, hosts_range)
+        .defaulted("rest_ms", r.rest, pause_range)
+        .defaulted("release", r.release, hosts_a_second_range)
+        .defaulted("stops_tasks_above_ms", r.stops_tasks_above, pause_range)
+        .defaulted("margin", r.margin, factor_range)
+        .defaulted("spread", r.spread, part_range)
+        .defaulted("horizon_ms", r.horizon, horizon_range)
+        .defaulted("foresight_ms", r.foresight, pause_range)
+        .defaulted("steepest", r.steepest, factor_range)
+        .defaulted("lead_ms", r.lead, pause_range)
+        .defaulted("first_share", r.first_share, part_range)
+        .defaulted("young_ms", r.young, pause_range)
+        .defaulted("young_share", r.young_share, part_range);
+}
+
 template <class Keys>
 void describe(Keys& keys, hosted_settings& r)
 {
@@ -57,6 +87,7 @@
         .required("listen", r.listen)
         .required("services", r.services)
         .defaulted("timing", r.timing)
+        .defaulted("policy", r.policy)
         .defaulted("operators_token", r.operators_token)
         .defaulted("processor_share", r.processor_share, share_range)
         .defaulted("log_level", r.log_level, ports::log_level_names);
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -10,6 +10,7 @@
 #include "hosted/store_pulse.hpp"
 #include "hosted_clients.hpp"
 #include "hosted_operators.hpp"
+#include "hosted_policy.hpp"
 #include "http/server.hpp"
 #include "reactor/event_loop.hpp"
 #include "relay/pool.hpp"
@@ -58,6 +59,7 @@
     std::unique_ptr<relay::pool> relays;
     std::unique_ptr<relay::server> relay_server;
     std::unique_ptr<hosted::relay_registry> registry;
+    double best_other_share = 0; ///< as the registry showed last
     std::unique_ptr<hosted::leadership> lead;
     std::unique_ptr<hosted::fleet_driver> driver;
     std::unique_ptr<hosted::entry_desk> desk;
@@ -104,6 +106,10 @@
     pulse =
         std::make_unique<hosted::store_pulse>(ctx.store, ctx.time, log, hosted::pulse_settings{});
     ctx.store = pulse->port();
+    ctx.best_other_share = [this]
+    {
+        return best_other_share;
+    };
     ctx.store_silent_for = [this]
     {
         return pulse->silent_for();
@@ -128,7 +134,11 @@
     ctx.runners = relays->port();
     registry = std::make_unique<hosted::relay_registry>(ctx,
         hosted::registry_settings{},
-        [this](std::vector<ports::relay_place> all) { relays->set_relays(std::move(all)); });
+        [this](std::vector<ports::relay_place> all)
+        {
+            best_other_share = hosted::best_share_but(all, settings.member);
+            relays->set_relays(std::move(all));
+        });
 }
 
 core::result<core::done> hosted_node::parts::open_relay()
@@ -177,6 +187,7 @@
     drive.rules.runner_lease = settings.timing.runner_lease;
     drive.rules.leader_lease = settings.timing.leader_lease;
     drive.processor_share = settings.processor_share;
+    apply_policy(settings.policy, drive);
     drive.keep_finished = settings.timing.keep_finished;
     driver = std::make_unique<hosted::fleet_driver>(ctx, formats, drive, *lead);
     desk = std::make_unique<hosted::entry_desk>(ctx, hosted::entry_settings{});
--- a/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
@@ -79,6 +79,10 @@
         {
             return n.pulse->silent_for();
         };
+        n.ctx.best_other_share = [this, &n]
+        {
+            return best_share_but(n);
+        };
         if (plant)
         {
             plant(n);
@@ -117,6 +121,18 @@
         return nullptr;
     }
 
+    /// \return the largest share of a node but \p n.
+    double best_share_but(const node& n) const
+    {
+        double best = 0;
+        for (const auto& it : nodes)
+        {
+            const bool other = &it != &n && !it.process.dead;
+            best = other && it.cpu != nullptr ? std::max(best, it.cpu->share) : best;
+        }
+        return best;
+    }
+
     bool has_leader(core::millis bound = 5s)
     {
         return time.run_until([&] { return leader() != nullptr; }, bound);
