Orders and polls whose answers are overdue are repeated beside the first; the first answer counts

Cause: a start whose answer was lost was waited for 0.9 s, its runner polled, the run stopped (again unanswered three or four times in ten) and only then started elsewhere; a lost answer of a poll hid the ends of its runner for 1.4 s. Change: starts and stops are sent again after 250 ms, three tries at most, with the same run number; the renewal beside an overdue poll is taken for the poll's answer; first looks of a term are repeated too; three connections a runner for polls. A refusal counts only when no try is left unanswered.

--- a/libs/coordinator/tests/rebalance_tests.cpp
+++ b/libs/coordinator/tests/rebalance_tests.cpp
@@ -6,6 +6,18 @@
 using namespace camphorhitch;
 using namespace camphorhitch::coordinator;
 
+namespace
+{
+
+run_phase phase_of(const fleet& f, const workflow::task_name& name)
+{
+    const auto& j = *f.jobs.at(name.job);
+    const auto place = workflow::task_place(j.spec, name.occurrence, name.step, name.index);
+    return j.tasks[place].runs.front().phase;
+}
+
+} // namespace
+
 TEST_GROUP(rebalance)
 {
     world w;
@@ -90,3 +102,65 @@
     CHECK(w.f.hosts[host].use == host_use::open);
     CHECK(r.moves.empty());
 }
+
+// A queue of long tasks has filled the hosts when another queue's busy time begins. Waited for to
+// their end, the tasks hold the hosts for seconds, and the short jobs of the other queue are late.
+// Tasks that keep their progress are stopped, unless they end soon, keep none, or their own job
+// would be late for the pause.
+TEST(rebalance, a_host_that_is_wanted_is_freed_of_long_tasks_that_can_go_on_elsewhere)
+{
+    struct row
+    {
+        const char* what;
+        bool checkpoints;
+        core::millis task_time;
+        core::millis slack;
+        core::millis passed; ///< since the task's start
+        bool stops;
+    };
+    for (const auto& it : {row{"long, keeps its progress", true, 4s, 6s, 500ms, true},
+             row{"keeps no progress", false, 4s, 6s, 500ms, false},
+             row{"ends soon", true, 4s, 6s, 3500ms, false},
+             row{"its job can't bear the pause", true, 4s, 500ms, 500ms, false}})
+    {
+        world here;
+        rebalancer moves;
+        moves.settings.spare_hosts = 0;
+        machine_table machines;
+        machines.known = true;
+        for (const std::string id : {"1", "2"})
+        {
+            machines.machines[id] = {id, "p", "z", "h" + id, ports::machine_state::up};
+            here.add_host("h" + id);
+        }
+        auto job = make_job("a", {make_step(2, 1000)}); // the need of one host, on two
+        job.steps[0].most_per_host = 1;
+        job.steps[0].checkpoints = it.checkpoints;
+        job.steps[0].estimate = it.task_time;
+        job.slack = it.slack;
+        here.add(job);
+        here.f.jobs.at("a")->taken_at = here.now;
+        const auto started = here.next().starts;
+        LONGS_EQUAL(2, started.size());
+        for (const auto& start : started)
+        {
+            here.started(start);
+        }
+        here.now += it.passed;
+        auto wanting = make_job("b", {make_step(8, 1000)});
+        wanting.pool = "q";
+        here.add(wanting);
+        plan_moves(
+            here.f, moves, d, machines, {{"p", false}, {"q", false}}, {}, here.now, here.events);
+        int stopping = 0;
+        for (const auto& start : started)
+        {
+            const bool closed = here.f.hosts[start.host.id].use == host_use::closed_for_move;
+            const bool stops = phase_of(here.f, start.task) == run_phase::stopping;
+            CHECK_TEXT(closed || !stops, it.what);
+            stopping += stops ? 1 : 0;
+        }
+        LONGS_EQUAL_TEXT(it.stops ? 1 : 0, stopping, it.what);
+        LONGS_EQUAL_TEXT(1, moves.moves.size(), it.what);
+    }
+}
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -2,6 +2,7 @@
 
 #include "coordinator/answers.hpp"
 #include "coordinator/intake.hpp"
+#include "repeated_order.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
@@ -109,7 +110,15 @@
     term_.ctx.runners.poll(h.ref,
         order,
         term_.guarded(
-            [this, host, begun](const ports::poll_answer& a) { take_poll(host, begun, a); }));
+            [this, host, begun](const ports::poll_answer& a)
+            {
+                const auto open = polls_out_.find(host);
+                if (open != polls_out_.end() && open->second == begun)
+                {
+                    take_poll(host, begun, a);
+                }
+                // Else the answer to a renewal beside it was taken for it.
+            }));
 }
 
 void runner_desk::renew_later(const std::string& host, core::mono_time begun, core::millis delay)
@@ -120,8 +129,9 @@
 }
 
 /// A poll without an answer until its time-out would take most of a lease with it: one lost answer,
-/// or one relay that stands still, ended the leases of runners that are well. So once the answer is
-/// overdue the lease is renewed beside it, again and again. A node that is late itself waits: the
+/// or one relay that stands still, ended the leases of runners that are well, and the ends that it
+/// would have told were learnt a second late. So once the answer is overdue the runner is asked
+/// beside it, again and again, and the first answer counts. A node that is late itself waits: the
 /// answer may lie unread here, and more calls would make it later.
 void runner_desk::renew(const std::string& host, core::mono_time begun, core::mono_time due)
 {
@@ -135,25 +145,26 @@
     renew_later(host, begun, renew_again);
     auto& h = found->second;
     const auto whole = coordinator::lease_end_for(term_.fleet, h, term_.now());
-    if (whole == 0 || term_.now() - due > renewal_late)
+    if ((whole == 0 && !h.prior) || term_.now() - due > renewal_late)
     {
         return;
     }
-    const auto lease = whole - (term_.fleet.settings.runner_lease - renewal_lease).count();
+    const auto shorter = (term_.fleet.settings.runner_lease - renewal_lease).count();
+    const auto asked = term_.now();
     term_.ctx.runners.poll(h.ref,
-        term_.grant_lease(h, lease),
+        term_.grant_lease(h, whole == 0 ? 0 : whole - shorter),
         term_.guarded(
-            [this, host](const ports::poll_answer& a)
+            [this, host, begun, asked](const ports::poll_answer& a)
             {
-                if (a.call.verdict == runner_verdict::unknown ||
-                    a.call.verdict == runner_verdict::not_sent)
+                const auto open = polls_out_.find(host);
+                const bool overtakes = open != polls_out_.end() && open->second == begun;
+                const bool unanswered = a.call.verdict == runner_verdict::unknown ||
+                                        a.call.verdict == runner_verdict::not_sent;
+                if (overtakes && !unanswered)
                 {
-                    return; // whether the runner is silent is judged by the poll
+                    take_poll(host, asked, a);
                 }
-                coordinator::task_events out;
-                take(coordinator::contact_answered(term_.fleet, host, a.call, term_.now(), out),
-                    host,
-                    out);
+                // Whether the runner is silent is judged by the poll.
             }));
 }
 
@@ -293,8 +304,10 @@
     const auto sent = term_.now();
     const auto order_id = note_sent();
     term_.note_start(a.task, a.run, sent);
-    term_.ctx.runners.start(a.host,
-        std::move(order),
+    send_repeated(
+        term_.shared_from_this(),
+        [this, to = a.host, order](auto take)
+        { term_.ctx.runners.start(to, order, std::move(take)); },
         term_.guarded(
             [this, a, sent, order_id](const ports::runner_answer& answer)
             {
@@ -359,8 +372,10 @@
     }
     ports::stop_order order{workflow::write_task_name(a.task), a.run, term_.token};
     const auto order_id = note_sent();
-    term_.ctx.runners.stop(a.host,
-        std::move(order),
+    send_repeated(
+        term_.shared_from_this(),
+        [this, to = a.host, order](auto take)
+        { term_.ctx.runners.stop(to, order, std::move(take)); },
         term_.guarded(
             [this, a, order_id](const ports::runner_answer& answer)
             {
--- a/libs/hosted/tests/planted_faults.hpp
+++ b/libs/hosted/tests/planted_faults.hpp
@@ -5,6 +5,12 @@
 #include "host_reader.hpp"
 #include "hosted_fakes/cluster.hpp"
 
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace camphorhitch::hosted_tests
 {
 
@@ -15,11 +21,63 @@
     void (*prepare)(hosted_fakes::cluster& c);
 };
 
+/// Calls that are under way, with all who wait for their answers.
+template <class Answer>
+using calls_under_way = std::map<std::string, std::vector<std::function<void(Answer)>>>;
+
+/// Sends a call, or lets it wait for the answer of the same one that is under way.
+template <class Answer>
+void send_or_join(const std::shared_ptr<calls_under_way<Answer>>& all,
+    const std::string& key,
+    const std::function<void(Answer)>& done,
+    const std::function<void(std::function<void(Answer)>)>& send)
+{
+    auto& waiting = (*all)[key];
+    waiting.push_back(done);
+    if (waiting.size() > 1)
+    {
+        return;
+    }
+    send(
+        [all, key](const Answer& it)
+        {
+            const auto told = std::exchange((*all)[key], {});
+            for (const auto& tell : told)
+            {
+                tell(it);
+            }
+        });
+}
+
+/// Nothing is asked or ordered again before its call has ended: a repeat in time would cover for
+/// the safeguard that is missing.
+inline void take_repeats_out(hosted_fakes::node& n)
+{
+    const auto starts = std::make_shared<calls_under_way<ports::runner_answer>>();
+    n.ctx.runners.start = [starts, real = n.ctx.runners.start](const ports::runner_ref& to,
+                              const ports::start_order& o,
+                              const std::function<void(ports::runner_answer)>& done)
+    {
+        send_or_join<ports::runner_answer>(starts,
+            to.id + o.task + ' ' + std::to_string(o.run),
+            done,
+            [&](auto take) { real(to, o, take); });
+    };
+    const auto polls = std::make_shared<calls_under_way<ports::poll_answer>>();
+    n.ctx.runners.poll = [polls, real = n.ctx.runners.poll](const ports::runner_ref& to,
+                             const ports::poll_order& o,
+                             const std::function<void(ports::poll_answer)>& done)
+    {
+        send_or_join<ports::poll_answer>(polls, to.id, done, [&](auto take) { real(to, o, take); });
+    };
+}
+
 /// An order without an answer is taken for refused.
 inline void trust_silence(hosted_fakes::cluster& c)
 {
     c.plant = [](hosted_fakes::node& n)
     {
+        take_repeats_out(n);
         const auto start = n.ctx.runners.start;
         n.ctx.runners.start = [start](const ports::runner_ref& to,
                                   const ports::start_order& o,
@@ -85,6 +143,11 @@
             }
             it->value = hosted::write_runners(all);
         });
+    c.plant = [hide = c.plant](hosted_fakes::node& n)
+    {
+        hide(n);
+        take_repeats_out(n);
+    };
 }
 
 /// A node trusts its lease for ever, and runners take orders of any owner.
--- a/programs/camphorhitchd/src/hosted_clients.cpp
+++ b/programs/camphorhitchd/src/hosted_clients.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t connections_per_runner = 3;
 /// For the long poll, and a renewal beside it. With orders on the same connections a poll was not
 /// sent in a burst, its runner counted as silent, and its leases ended.
-constexpr std::size_t poll_connections_per_runner = 2;
+constexpr std::size_t poll_connections_per_runner = 3;
 constexpr std::size_t connections_to_store = 24;
 /// The lease that lets this node coordinate is renewed over connections of its own: behind a burst
 /// of writes that hold all of the others, a renewal would wait until the lease has ended.
