--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -115,6 +115,23 @@
     return never == 1 && !latest_begin(d, pool);
 }
 
+/// All pools were busy once, and the newest was followed by none yet: the round begins anew with the
+/// one whose busy time lies longest back.
+bool begins_next_round(const demand& d, const std::string& pool)
+{
+    std::optional<core::mono_time> oldest;
+    for (const auto& [name, p] : d.pools)
+    {
+        const auto at = latest_begin(d, name);
+        if (!at)
+        {
+            return false;
+        }
+        oldest = oldest ? std::min(*oldest, *at) : *at;
+    }
+    return oldest && latest_begin(d, pool) == oldest;
+}
+
 /// \return the rate expected after the foresight, by the present trend.
 double rate_ahead(const demand_settings& s, const pool_arrivals& p)
 {
@@ -188,7 +205,8 @@
             return h[i + 1].pool == pool ? std::optional(newest.at + *gap) : std::nullopt;
         }
     }
-    return is_last_of_round(d, pool) ? std::optional(newest.at + *gap) : std::nullopt;
+    const bool next = is_last_of_round(d, pool) || begins_next_round(d, pool);
+    return next ? std::optional(newest.at + *gap) : std::nullopt;
 }
 
 namespace
--- a/libs/coordinator/tests/demand_tests.cpp
+++ b/libs/coordinator/tests/demand_tests.cpp
@@ -91,6 +91,27 @@
     CHECK_FALSE(next_busy(d, "b").has_value());
 }
 
+// Queues are busy in turn, and the first round is over. No pool has ever followed the newest one, so
+// the order seen so far names nobody; hosts that are asked for only when the next pool's rate rises
+// come 1.5 s late. In a round the pool whose busy time lies longest back is next.
+TEST(demand, after_the_first_round_the_pool_that_was_first_is_next)
+{
+    const std::vector<std::string> pools{"a", "b", "c"};
+    for (const auto& it : pools)
+    {
+        d.pools[it].updated = now;
+        d.history.push_back({it, now});
+        now += 5s;
+    }
+    const auto newest = d.history.back().at;
+    CHECK(next_busy(d, "a") == std::optional(newest + 5s));
+    CHECK_FALSE(next_busy(d, "b").has_value());
+    CHECK_FALSE(next_busy(d, "c").has_value());
+    d.pools["d"].updated = now; // and one that was not busy yet comes before it
+    CHECK_FALSE(next_busy(d, "a").has_value());
+    CHECK(next_busy(d, "d") == std::optional(newest + 5s));
+}
+
 TEST(demand, learnt_times_replace_declared_ones)
 {
     learnt l;
