An owner waits for a silent store and goes on at its first answer; demand stands still meanwhile

Cause: an owner gave up 1.74 s into a store's silence. At the store's return its key stood until its lease had lapsed (1.2 s), then another node read every job: 1.5 s in which nothing started. Change: while the store answers nothing at all, the term stands for up to 15 s; past its lease the owner orders nothing, as before. Renewals that are open are repeated at the first answer. Rates of demand and surplus are taken as they were before a gap in planning, and by a new owner once it knows the jobs. Runners not heard for a lease's time are looked at without waiting. The share of slack over which demand may be spread, measured as worth nothing, is out again. A pool whose hosts are unknown takes their size from another's. Ruled out: longer leases of runners (each dead one would hold its tasks longer). Why it is safe: every order asks holds(), which is false past the lease; the key's revision is the token, and a renewal of a lapsed lease, or the watch of the key, ends the term at once.

--- a/libs/coordinator/include/coordinator/demand.hpp
+++ b/libs/coordinator/include/coordinator/demand.hpp
@@ -43,9 +43,6 @@
     double young_share = 0.5;
     /// Room above the computed need, since work comes in lumps.
     double margin = 1.2;
-    /// Share of its slack that a job's work may be spread over: what may wait needs fewer hosts at
-    /// once. 0: none.
-    double spread = 0;
 };
 
 /// Work that arrives at one pool, as rates in cores (core-seconds a second).
@@ -54,9 +51,8 @@
     double fast = 0;
     double middle = 0;
     double slow = 0;
-    double jobs = 0;       ///< within the fast rate's memory
-    double peak = 0;       ///< highest fast rate of the latest busy time
-    core::millis slack{0}; ///< of its jobs: their objective less their own time, on average
+    double jobs = 0; ///< within the fast rate's memory
+    double peak = 0; ///< highest fast rate of the latest busy time
     core::mono_time updated;
     bool busy = false;
 };
@@ -86,12 +82,11 @@
 
 /// Work comes in: call once a job.
 /// \param core_seconds of all its tasks
-/// \param slack its objective less the time that it takes with hosts at once
-void note_arrival(demand& d,
-    const std::string& pool,
-    double core_seconds,
-    core::mono_time now,
-    core::millis slack = core::millis{0});
+void note_arrival(demand& d, const std::string& pool, double core_seconds, core::mono_time now);
+
+/// Work could not come in, or nobody could decide on it, until now: rates are as when that began.
+/// Taken for quiet, the time without would send the hosts away that callers are about to need.
+void resume_demand(demand& d, core::mono_time now);
 
 /// Lets rates decay, and notes where busy times begin and end.
 void update_demand(demand& d, core::mono_time now);
@@ -102,7 +97,7 @@
 
 /// \return cores that the job's batch tasks take now, and those that its ready ones would take to
 /// be done within the horizon. Tasks of later steps don't count: more hosts would not hasten them.
-double cores_now(const fleet& f, const demand_settings& d, const job_entry& j, core::mono_time now);
+double cores_now(const fleet& f, const demand_settings& d, const job_entry& j);
 
 /// \return each pool's need.
 std::map<std::string, pool_need> pool_needs(const fleet& f, const demand& d, core::mono_time now);
--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -71,6 +71,9 @@
     core::mono_time now,
     task_events& out);
 
+/// Nothing was planned until now: surplus is judged anew.
+void resume_moves(rebalancer& r, core::mono_time now);
+
 /// \return pools that have no host to give away, as the latest plan saw them.
 std::set<std::string> pools_without_spare(const rebalancer& r);
 
--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t most_history = 16;
 /// A rate below this is noise: one small task.
 constexpr double least_busy_cores = 16.0;
-/// The newest job counts for one in so many in the average slack of its pool.
-constexpr int slack_weight = 10;
 /// Distances between busy times that differ by more than this share are no pattern.
 constexpr double pattern_tolerance = 0.35;
 
@@ -27,26 +25,12 @@
     return std::exp(-t / static_cast<double>(memory.count()));
 }
 
-/// Over what time arrivals of the pool are averaged, as a multiple of the settings' times. Work
-/// that may wait is served as well by the average over its slack as by hosts for each lump.
-double stretch_of(const demand_settings& s, const pool_arrivals& p)
-{
-    const double spread = s.spread * static_cast<double>(p.slack.count());
-    return std::max(1.0, spread / static_cast<double>(s.rate_memory.count()));
-}
-
-core::millis stretched(core::millis t, double by)
-{
-    return core::millis{static_cast<std::int64_t>(static_cast<double>(t.count()) * by)};
-}
-
 void let_decay(const demand_settings& s, pool_arrivals& p, core::mono_time now)
 {
     const auto passed = std::max(now - p.updated, core::micros{0}); // clocks of hosts differ
-    const double by = stretch_of(s, p);
-    p.fast *= decay(passed, stretched(s.rate_memory, by));
+    p.fast *= decay(passed, s.rate_memory);
     p.jobs *= decay(passed, s.rate_memory);
-    p.middle *= decay(passed, stretched(s.trend_memory, by));
+    p.middle *= decay(passed, s.trend_memory);
     p.slow *= decay(passed, s.long_memory);
     p.updated = std::max(p.updated, now);
 }
@@ -115,8 +99,8 @@
     return never == 1 && !latest_begin(d, pool);
 }
 
-/// All pools were busy once, and the newest was followed by none yet: the round begins anew with the
-/// one whose busy time lies longest back.
+/// All pools were busy once, and the newest was followed by none yet: the round begins anew with
+/// the one whose busy time lies longest back.
 bool begins_next_round(const demand& d, const std::string& pool)
 {
     std::optional<core::mono_time> oldest;
@@ -137,8 +121,7 @@
 {
     // For a steady rise both rates lag behind it by their memories; so their distance is the rise
     // within the difference of the memories.
-    const double lag =
-        static_cast<double>((s.trend_memory - s.rate_memory).count()) * stretch_of(s, p);
+    const double lag = static_cast<double>((s.trend_memory - s.rate_memory).count());
     const double ahead = static_cast<double>((s.foresight + s.rate_memory).count());
     const double risen = p.fast + (p.fast - p.middle) / lag * ahead;
     return std::clamp(risen, 0.0, p.fast * s.steepest);
@@ -157,11 +140,7 @@
 
 } // namespace
 
-void note_arrival(demand& d,
-    const std::string& pool,
-    double core_seconds,
-    core::mono_time now,
-    core::millis slack)
+void note_arrival(demand& d, const std::string& pool, double core_seconds, core::mono_time now)
 {
     auto [it, added] = d.pools.try_emplace(pool);
     auto& p = it->second;
@@ -170,15 +149,23 @@
         p.updated = now;
     }
     let_decay(d.settings, p, now);
-    p.slack += (slack - p.slack) / (added ? 1 : slack_weight);
-    const double by = stretch_of(d.settings, p);
-    p.fast += core_seconds * milli / static_cast<double>(d.settings.rate_memory.count()) / by;
-    p.middle += core_seconds * milli / static_cast<double>(d.settings.trend_memory.count()) / by;
+    p.fast += core_seconds * milli / static_cast<double>(d.settings.rate_memory.count());
+    p.middle += core_seconds * milli / static_cast<double>(d.settings.trend_memory.count());
     p.jobs += 1;
     p.slow += core_seconds * milli / static_cast<double>(d.settings.long_memory.count());
     judge_busy(d, pool, p, now);
 }
 
+void resume_demand(demand& d, core::mono_time now)
+{
+    for (auto& [name, p] : d.pools)
+    {
+        const auto passed = std::max(now - p.updated, core::micros{0});
+        p.slow *= decay(passed, d.settings.long_memory);
+        p.updated = std::max(p.updated, now);
+    }
+}
+
 void update_demand(demand& d, core::mono_time now)
 {
     for (auto& [name, p] : d.pools)
@@ -209,22 +196,7 @@
     return next ? std::optional(newest.at + *gap) : std::nullopt;
 }
 
-namespace
-{
-
-/// \return the share of the job's remaining slack over which its ready tasks may be spread.
-core::millis spread_of(
-    const fleet& f, const demand_settings& d, const job_entry& j, int step, core::mono_time now)
-{
-    const auto due = j.taken_at + objective_of(f.learnt, j.spec);
-    const auto rest = time_to_end(f.learnt, j.spec.steps, step);
-    const auto left = std::chrono::duration_cast<core::millis>(due - now - rest);
-    return stretched(std::max(left, core::millis{0}), d.spread);
-}
-
-} // namespace
-
-double cores_now(const fleet& f, const demand_settings& d, const job_entry& j, core::mono_time now)
+double cores_now(const fleet& f, const demand_settings& d, const job_entry& j)
 {
     double sum = 0;
     for (std::size_t k = 0; k < j.steps.size(); ++k)
@@ -240,10 +212,9 @@
         sum += cores * (s.tasks - j.steps[k].done - j.steps[k].idle);
         if (is_step_ready(j, occurrence, step))
         {
-            const auto horizon = d.horizon + spread_of(f, d, j, step, now);
-            const auto time = std::min(expected_time(f.learnt, s), horizon);
+            const auto time = std::min(expected_time(f.learnt, s), d.horizon);
             sum += cores * j.steps[k].idle * static_cast<double>(time.count()) /
-                   static_cast<double>(horizon.count());
+                   static_cast<double>(d.horizon.count());
         }
     }
     return sum;
@@ -278,7 +249,7 @@
         if (!workflow::is_final(j.state))
         {
             add_lasting(j, out[j.spec.pool]);
-            work[j.spec.pool] += cores_now(f, d.settings, j, now);
+            work[j.spec.pool] += cores_now(f, d.settings, j);
         }
     }
     for (const auto& [name, p] : d.pools)
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -15,7 +15,7 @@
 {
 
 constexpr double milli = 1000.0;
-/// Hosts are alike on most platforms; the room of one where none is known.
+/// The room of a host where none of the fleet has told its own yet.
 constexpr double usual_host_cores = 32.0;
 
 /// One pool's hosts against its need.
@@ -31,16 +31,20 @@
     std::vector<const ports::machine_entry*> free; ///< up, and neither held nor moving
 };
 
+/// \return the room of the pool's hosts. Hosts are alike on most platforms: where none of the pool
+/// is known, one of another tells it.
 double host_cores(const fleet& f, const std::string& pool)
 {
+    std::int64_t other = 0;
     for (const auto& [id, h] : f.hosts)
     {
         if (h.pool == pool && h.capacity.cpu > 0)
         {
             return static_cast<double>(h.capacity.cpu) / milli;
         }
+        other = std::max(other, h.capacity.cpu);
     }
-    return usual_host_cores;
+    return other > 0 ? static_cast<double>(other) / milli : usual_host_cores;
 }
 
 std::map<std::string, balance> take_stock(const fleet& f,
@@ -289,6 +293,12 @@
     return ready;
 }
 
+void resume_moves(rebalancer& r, core::mono_time now)
+{
+    r.surplus_since.clear();
+    r.kept_at = now;
+}
+
 std::set<std::string> pools_without_spare(const rebalancer& r)
 {
     return r.without_spare;
--- a/libs/coordinator/tests/demand_tests.cpp
+++ b/libs/coordinator/tests/demand_tests.cpp
@@ -91,9 +91,9 @@
     CHECK_FALSE(next_busy(d, "b").has_value());
 }
 
-// Queues are busy in turn, and the first round is over. No pool has ever followed the newest one, so
-// the order seen so far names nobody; hosts that are asked for only when the next pool's rate rises
-// come 1.5 s late. In a round the pool whose busy time lies longest back is next.
+// Queues are busy in turn, and the first round is over. No pool has ever followed the newest one,
+// so the order seen so far names nobody; hosts that are asked for only when the next pool's rate
+// rises come 1.5 s late. In a round the pool whose busy time lies longest back is next.
 TEST(demand, after_the_first_round_the_pool_that_was_first_is_next)
 {
     const std::vector<std::string> pools{"a", "b", "c"};
--- a/libs/hosted/include/hosted/leadership.hpp
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -27,6 +27,10 @@
     /// Past that bound the node orders nothing, and waits so long for an answer that the lease
     /// stands: nearly two renewals more.
     core::millis patience{600};
+    /// The same while the store answers nothing at all: nobody else can take the lead then, and an
+    /// owner that waits goes on with all it knows at the store's first answer. Others would wait
+    /// for its key to lapse and read every job first. Below the history that the store keeps.
+    core::millis silent_patience{15000};
     /// Candidates try after a pause of up to this long, so that they do not all call at once.
     core::millis longest_pause{120};
     /// Of a core, that this node may use. See handicap_of.
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -255,6 +255,7 @@
             [&p]
             {
                 p.jobs_are_in = true;
+                p.machines->resume();
                 p.bridge->stop();
                 p.common->log(ports::log_level::info,
                     "jobs_read",
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -50,7 +50,8 @@
         return;
     }
     const auto sent = ctx.boot_now();
-    if (sent >= valid_until + settings.patience)
+    const bool silent = ctx.store_silent_for && ctx.store_silent_for().count() > 0;
+    if (sent >= valid_until + (silent ? settings.silent_patience : settings.patience))
     {
         lose("the lease was not renewed in time");
         return;
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -9,7 +9,15 @@
 namespace camphorhitch::hosted
 {
 
-machine_desk::machine_desk(term& t) : term_(t)
+namespace
+{
+
+/// Plans follow each other within a tenth of a second, also on a node that is behind within this.
+constexpr core::millis longest_planning_gap{1000};
+
+} // namespace
+
+machine_desk::machine_desk(term& t) : term_(t), planned_at_(t.now())
 {
     moves_.settings = t.settings.rebalance;
     demand_.settings = t.settings.demand;
@@ -50,9 +58,7 @@
                     milli;
         }
     }
-    const auto slack = coordinator::objective_of(term_.fleet.learnt, j) -
-                       coordinator::expected_chain(term_.fleet.learnt, j.steps);
-    coordinator::note_arrival(demand_, j.pool, work, at, slack);
+    coordinator::note_arrival(demand_, j.pool, work, at);
 }
 
 std::string machine_desk::demand_record() const
@@ -112,8 +118,26 @@
         term_.guarded([this] { read(); }));
 }
 
+void machine_desk::resume()
+{
+    coordinator::resume_demand(demand_, term_.now());
+    coordinator::resume_moves(moves_, term_.now());
+}
+
+/// An owner without the store plans nothing, however long; its first plan then comes late.
+void machine_desk::note_plan()
+{
+    const auto now = term_.now();
+    if (now - planned_at_ > longest_planning_gap)
+    {
+        resume();
+    }
+    planned_at_ = now;
+}
+
 void machine_desk::plan(const std::set<std::string>& held)
 {
+    note_plan();
     coordinator::task_events out;
     coordinator::update_demand(demand_, term_.now());
     if (!term_.settings.moves)
--- a/libs/hosted/src/machine_desk.hpp
+++ b/libs/hosted/src/machine_desk.hpp
@@ -22,6 +22,10 @@
     /// A job was accepted \p at; in the order of acceptance.
     void note_job(const workflow::job& j, core::mono_time at);
 
+    /// Nobody decided on hosts until now, and callers may have been kept out: demand is taken as it
+    /// was then. A new owner calls it once it knows the jobs that came meanwhile.
+    void resume();
+
     /// What a successor is to know of the demand.
     std::string demand_record() const;
 
@@ -42,12 +46,14 @@
 private:
     void read();
     void take(core::mono_time asked, const ports::machine_list& list);
+    void note_plan();
     void order(const coordinator::move_action& a);
 
     term& term_;
     coordinator::machine_table table_;
     coordinator::rebalancer moves_;
     coordinator::demand demand_;
+    core::mono_time planned_at_;          ///< when hosts were last planned
     ports::revision known_through_ = 0;   ///< jobs up to here were in the record taken over
     ports::revision counted_through_ = 0; ///< the newest job whose arrival is counted
     std::vector<coordinator::pool_info> pools_;
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -101,7 +101,10 @@
     auto order = term_.grant_lease(h, coordinator::lease_end_for(term_.fleet, h, term_.now()));
     // The first answer tells the runner's clock, without which no lease can be named, and what a
     // former owner's runner holds, for which others wait.
-    const bool at_once = h.clock_ms < 0 || !h.reachable || h.prior || asked_again_.contains(host);
+    // One that this owner has not heard for a lease's time gets no task before it answers.
+    const bool unheard = term_.now() - h.last_answer >= term_.fleet.settings.runner_lease;
+    const bool at_once =
+        h.clock_ms < 0 || !h.reachable || h.prior || unheard || asked_again_.contains(host);
     order.wait = at_once ? core::millis{0} : term_.settings.poll_wait;
     const auto begun = term_.now();
     h.polled_at = begun;
--- a/libs/hosted/src/store_pulse.cpp
+++ b/libs/hosted/src/store_pulse.cpp
@@ -281,7 +281,11 @@
     };
     out.keep_alive = [s](ports::lease_id id, auto done)
     {
-        s->real.keep_alive(id, watched<ports::kv_lease>(s, std::move(done)));
+        const auto send = [id](const auto& real, auto take)
+        {
+            real.keep_alive(id, std::move(take));
+        };
+        s->read<ports::kv_lease>(send, std::move(done), false);
     };
     return out;
 }
--- a/libs/hosted/tests/store_silence_tests.cpp
+++ b/libs/hosted/tests/store_silence_tests.cpp
@@ -1,5 +1,6 @@
 #include "log_lines.hpp"
 
+#include <algorithm>
 #include <optional>
 
 #include <CppUTest/TestHarness.h>
@@ -138,3 +139,82 @@
     }
     LONGS_EQUAL(0, lines_of(slow, "store_silent").size());
 }
+
+// The owner can't renew its lease while the store is silent, so nothing starts. Nobody else can
+// take the lead meanwhile either. At the store's first answer the owner goes on with all it knows:
+// what was accepted before starts within half a second, not after its key has lapsed and another
+// node has read every job. Past its own lease it orders nothing, whatever comes.
+TEST(store_silence, an_owner_goes_on_when_the_store_is_back)
+{
+    c.store.leases_pause = true;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    CHECK(c.has_leader());
+    c.add_node();
+    c.time.run_for(2s);
+    const auto token = n->lead->token();
+    c.store.down = true;
+    c.time.run_for(2s);
+    CHECK_FALSE(n->lead->holds());
+    const auto starts = c.hosts.starts;
+    c.time.run_for(3s);
+    LONGS_EQUAL(starts, c.hosts.starts);
+    c.store.down = false;
+    CHECK(c.time.run_until([&] { return n->lead->holds(); }, 500ms));
+    LONGS_EQUAL(token, n->lead->token());
+    c.put_job(c.make_job("a", 2));
+    CHECK(c.ends("a", workflow::job_state::completed, 500ms + c.hosts.behaviour.run_time));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// As before, and the owner's lease ran on at the store: it has lapsed there, and the store's first
+// answer to a renewal says so. The owner gives up at once, whoever leads next.
+TEST(store_silence, an_owner_whose_lease_ran_on_in_the_silence_gives_up_at_the_first_answer)
+{
+    c.hosts.add("p");
+    CHECK(c.has_leader());
+    auto& other = c.add_node();
+    c.time.run_for(2s);
+    const auto token = n->lead->token();
+    c.store.down = true;
+    c.time.run_for(5s);
+    c.store.down = false;
+    CHECK(c.time.run_until([&] { return lines_of(*n, "leadership_lost").size() == 1; }, 500ms));
+    CHECK(c.time.run_until([&] { return n->lead->holds() || other.lead->holds(); }, 1s));
+    CHECK(std::max(n->lead->token(), other.lead->token()) > token);
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// Work has come in steadily when the store falls silent. Nothing is decided for five seconds; taken
+// for quiet, that time would send the hosts off that callers need as soon as the store is back.
+TEST(store_silence, hosts_stay_through_a_silence)
+{
+    c.store.leases_pause = true;
+    for (int i = 0; i < 6; ++i)
+    {
+        c.hosts.add("p");
+    }
+    CHECK(c.has_leader());
+    n->driver->set_pools({{"p", false}, {"off", true}});
+    for (int i = 0; i < 40; ++i)
+    {
+        auto j = c.make_job("a" + std::to_string(i), 8);
+        j.steps[0].estimate = 1s;
+        c.put_job(j);
+        c.time.run_for(100ms);
+    }
+    const auto serving = [this]
+    {
+        return std::count_if(c.hosts.machines.begin(),
+            c.hosts.machines.end(),
+            [](const auto& it) { return it.second.pool == "p"; });
+    };
+    const auto before = serving();
+    CHECK(before >= 5);
+    c.store.down = true;
+    c.time.run_for(5s);
+    c.store.down = false;
+    c.time.run_for(1s);
+    CHECK(n->lead->holds());
+    LONGS_EQUAL(before, serving());
+}
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -56,14 +56,13 @@
     double release = 8;      ///< hosts a second that a pool's need is let go at
     core::millis stops_tasks_above{800}; ///< as coordinator::rebalance_settings; 0: never
     double margin = 1.2;                 ///< room above the computed need
-    double spread = 0;            ///< share of a job's slack that its work may be spread over
-    core::millis horizon{1300};   ///< in which waiting tasks should be done
-    core::millis foresight{2200}; ///< that the trend of arrivals is followed ahead
-    double steepest = 1.5;        ///< most that a trend raises a rate; 1: no trend
-    core::millis lead{2700};      ///< a busy time is expected so long ahead; 0: none is
-    double first_share = 0.3;     ///< of a busy time's peak, that its begin asks for
-    core::millis young{2500};     ///< for so long a busy time asks for young_share; 0: never
-    double young_share = 0.5;     ///< of the highest peak of any pool
+    core::millis horizon{1300};          ///< in which waiting tasks should be done
+    core::millis foresight{2200};        ///< that the trend of arrivals is followed ahead
+    double steepest = 1.5;               ///< most that a trend raises a rate; 1: no trend
+    core::millis lead{2700};             ///< a busy time is expected so long ahead; 0: none is
+    double first_share = 0.3;            ///< of a busy time's peak, that its begin asks for
+    core::millis young{2500};            ///< for so long a busy time asks for young_share; 0: never
+    double young_share = 0.5;            ///< of the highest peak of any pool
 };
 
 struct hosted_settings
--- a/programs/camphorhitchd/src/hosted_clients.cpp
+++ b/programs/camphorhitchd/src/hosted_clients.cpp
@@ -22,7 +22,7 @@
 constexpr std::size_t connections_to_store = 24;
 /// The lease that lets this node coordinate is renewed over connections of its own: behind a burst
 /// of writes that hold all of the others, a renewal would wait until the lease has ended.
-constexpr std::size_t connections_for_lease = 2;
+constexpr std::size_t connections_for_lease = 4;
 /// Kept open in all. With fewer than runners times the connections to each, an idle one is closed
 /// for each that comes back, and all are searched for it. Both together stay below the 4,100
 /// descriptors of the smallest hosts, with room for callers.
--- a/programs/camphorhitchd/src/hosted_policy.cpp
+++ b/programs/camphorhitchd/src/hosted_policy.cpp
@@ -20,7 +20,6 @@
 void take_demand(const settings::hosted_policy& p, coordinator::demand_settings& to)
 {
     to.margin = p.margin;
-    to.spread = p.spread;
     to.horizon = p.horizon;
     to.foresight = p.foresight;
     to.steepest = p.steepest;
--- a/testing/hosted_fakes/include/hosted_fakes/store.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/store.hpp
@@ -34,6 +34,7 @@
 
     bool down = false;          ///< nothing answers
     core::millis timeout{1000}; ///< after so long without an answer a call counts as unanswered
+    bool leases_pause = false;  ///< while it is down, leases pause; else they run on
     bool busy = false;          ///< every call is refused
     int answers_to_lose = 0;    ///< of the next writes, which take effect
     int writes_to_delay = 0;    ///< the next writes get no answer and take effect seconds later
--- a/testing/hosted_fakes/src/store.cpp
+++ b/testing/hosted_fakes/src/store.cpp
@@ -286,6 +286,11 @@
     const auto it = leases_.find(id);
     if (it != leases_.end() && it->second.renewals == renewals)
     {
+        if (down && leases_pause)
+        {
+            time_.after(it->second.ttl, [this, id, renewals] { expire(id, renewals); });
+            return;
+        }
         end_lease(id);
     }
 }
