--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -41,8 +41,7 @@
     double stop_bound_s = 6;                 ///< from the signal to the end of the process, seconds
 };
 
-/// How hosts follow demand and tasks are placed, for operators who compare policies. Each default
-/// is what serves callers best in the measurements of docs/further-customer.md.
+/// How hosts follow demand and tasks are placed, for operators who compare policies.
 struct hosted_policy
 {
     bool moves = true;         ///< hosts go to other pools, or to the standby pool
