--- a/libs/coordinator/src/host_release.cpp
+++ b/libs/coordinator/src/host_release.cpp
@@ -4,8 +4,6 @@
 #include "coordinator/learning.hpp"
 #include "coordinator/placement.hpp"
 
-#include <vector>
-
 namespace camphorhitch::coordinator
 {
 
@@ -40,8 +38,7 @@
 void stop_resumable_tasks(
     fleet& f, const host_entry& h, core::millis longest, core::mono_time now, task_events& out)
 {
-    const auto runs = h.runs;
-    for (const auto& [text, name] : runs)
+    for (const auto& [text, name] : h.runs)
     {
         const auto& j = *find_job(f, name.job);
         const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
@@ -54,7 +51,7 @@
         {
             continue; // the job is final: its runs are being stopped
         }
-        for (const auto& it : std::vector<run_entry>(t->runs))
+        for (const auto& it : t->runs)
         {
             const bool here = it.host == h.ref.id && it.phase == run_phase::running;
             if (here && rest_of(f, s, it, now) > longest &&
--- a/libs/hosted/include/hosted/context.hpp
+++ b/libs/hosted/include/hosted/context.hpp
@@ -30,9 +30,9 @@
     /// it: by the monotonic clock, which stands still then, a woken process would still trust a
     /// lease that lapsed in its sleep.
     std::function<core::mono_time()> boot_now;
-    /// How long the store has answered nothing, 0 when it answers; without a function: not known.
-    /// What is sent to a silent store has an effect that its caller can't learn.
-    std::function<core::millis()> store_silent_for;
+    /// Whether the store answers nothing at all; without a function: not known. What is sent to a
+    /// silent store has an effect that its caller can't learn.
+    std::function<bool()> store_silent;
     /// Runs \p fn behind the descriptors that are ready now; without a function: there are none.
     std::function<void(std::function<void()> fn)> post_behind_descriptors;
     /// Processor time that this process has used; without a function: not known.
@@ -45,4 +45,10 @@
     std::function<double()> best_other_share;
 };
 
+/// \return whether the store is known to be silent.
+inline bool is_store_silent(const context& c)
+{
+    return c.store_silent && c.store_silent();
+}
+
 } // namespace camphorhitch::hosted
--- a/libs/hosted/include/hosted/store_pulse.hpp
+++ b/libs/hosted/include/hosted/store_pulse.hpp
@@ -49,9 +49,8 @@
     /// store answers again are sent once more, and the first answer counts.
     ports::metadata_store port() const;
 
-    /// \return since when the store has answered nothing, as a span; 0: it answers, or nothing
-    /// shows yet that it doesn't.
-    core::millis silent_for() const;
+    /// \return false while the store answers, or nothing shows yet that it doesn't.
+    bool is_silent() const;
 
 private:
     std::shared_ptr<pulse_state> state_;
--- a/libs/hosted/src/entry_state.hpp
+++ b/libs/hosted/src/entry_state.hpp
@@ -26,12 +26,6 @@
         return ctx.time.now() + settings.retry_pause + settings.reply_margin < deadline;
     }
 
-    /// \return whether a call sent now would probably get no answer.
-    bool is_store_silent() const
-    {
-        return ctx.store_silent_for && ctx.store_silent_for().count() > 0;
-    }
-
     /// Runs \p fn when the caller's answer is due, whatever call is still out.
     void at_deadline(core::mono_time deadline, std::function<void()> fn)
     {
--- a/libs/hosted/src/entry_write.cpp
+++ b/libs/hosted/src/entry_write.cpp
@@ -19,7 +19,7 @@
 /// \return whether the caller was told so.
 bool refuse_unsent(const std::shared_ptr<entry_state>& state, pending_write& w)
 {
-    if (w.may_have_effect || !state->is_store_silent())
+    if (w.may_have_effect || !is_store_silent(state->ctx))
     {
         return false;
     }
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -50,8 +50,8 @@
         return;
     }
     const auto sent = ctx.boot_now();
-    const bool silent = ctx.store_silent_for && ctx.store_silent_for().count() > 0;
-    if (sent >= valid_until + (silent ? settings.silent_patience : settings.patience))
+    const auto patience = is_store_silent(ctx) ? settings.silent_patience : settings.patience;
+    if (sent >= valid_until + patience)
     {
         lose("the lease was not renewed in time");
         return;
--- a/libs/hosted/src/repeated_order.cpp
+++ b/libs/hosted/src/repeated_order.cpp
@@ -2,7 +2,6 @@
 
 #include "hosted/leadership.hpp"
 
-#include <optional>
 #include <utility>
 
 namespace camphorhitch::hosted
@@ -13,11 +12,7 @@
 
 using ports::runner_verdict;
 
-/// A runner that is well answers within some 10 ms, a slow one within this.
-constexpr core::millis overdue{250};
 constexpr int most_tries = 3;
-/// A timer that fires so late shows that this node is behind: the answer may lie unread here.
-constexpr core::millis own_delay{50};
 
 struct repeated_order : std::enable_shared_from_this<repeated_order>
 {
@@ -60,8 +55,8 @@
     {
         return;
     }
-    const auto due = t->now() + overdue;
-    t->ctx.time.after(overdue,
+    const auto due = t->now() + answer_is_near;
+    t->ctx.time.after(answer_is_near,
         t->guarded(
             [self = shared_from_this(), &t = *t, due]
             {
@@ -69,7 +64,7 @@
                 {
                     return;
                 }
-                if (t.now() - due > own_delay)
+                if (t.now() - due > timer_is_late)
                 {
                     self->repeat_later();
                     return;
--- a/libs/hosted/src/repeated_order.hpp
+++ b/libs/hosted/src/repeated_order.hpp
@@ -15,6 +15,11 @@
 namespace camphorhitch::hosted
 {
 
+/// A runner that is well answers an order within some 10 ms, a slow one within this.
+inline constexpr core::millis answer_is_near{250};
+/// A timer that fires so late shows that this node is behind: the answer may lie unread here.
+inline constexpr core::millis timer_is_late{50};
+
 /// Sends one order once, and hands its answer over.
 using order_sender = std::function<void(std::function<void(ports::runner_answer)>)>;
 
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -16,8 +16,6 @@
 namespace
 {
 
-/// A runner that is well answers an order within some 10 ms, a slow one within this.
-constexpr core::millis answer_is_near{250};
 /// Most of what a call has beyond its wait (700 ms) before it is given up; a loop that was less
 /// late can't have let it run out alone.
 constexpr core::millis own_delay{200};
@@ -26,8 +24,6 @@
 /// That such a renewal grants: several of them. A whole lease would keep the tasks of a runner that
 /// is gone waiting for 1.4 s more, until the poll has timed out and a lease has passed since.
 constexpr core::millis renewal_lease{1200};
-/// A timer that fires so late shows that this node is behind.
-constexpr core::millis renewal_late{50};
 
 } // namespace
 
@@ -115,8 +111,7 @@
         term_.guarded(
             [this, host, begun](const ports::poll_answer& a)
             {
-                const auto open = polls_out_.find(host);
-                if (open != polls_out_.end() && open->second == begun)
+                if (is_open(host, begun))
                 {
                     take_poll(host, begun, a);
                 }
@@ -124,6 +119,12 @@
             }));
 }
 
+bool runner_desk::is_open(const std::string& host, core::mono_time begun) const
+{
+    const auto out = polls_out_.find(host);
+    return out != polls_out_.end() && out->second == begun;
+}
+
 void runner_desk::renew_later(const std::string& host, core::mono_time begun, core::millis delay)
 {
     const auto due = term_.now() + delay;
@@ -138,17 +139,15 @@
 /// answer may lie unread here, and more calls would make it later.
 void runner_desk::renew(const std::string& host, core::mono_time begun, core::mono_time due)
 {
-    const auto out = polls_out_.find(host);
     const auto found = term_.fleet.hosts.find(host);
-    if (out == polls_out_.end() || out->second != begun || found == term_.fleet.hosts.end() ||
-        !term_.lead->holds())
+    if (!is_open(host, begun) || found == term_.fleet.hosts.end() || !term_.lead->holds())
     {
         return;
     }
     renew_later(host, begun, renew_again);
     auto& h = found->second;
     const auto whole = coordinator::lease_end_for(term_.fleet, h, term_.now());
-    if ((whole == 0 && !h.prior) || term_.now() - due > renewal_late)
+    if ((whole == 0 && !h.prior) || term_.now() - due > timer_is_late)
     {
         return;
     }
@@ -159,11 +158,9 @@
         term_.guarded(
             [this, host, begun, asked](const ports::poll_answer& a)
             {
-                const auto open = polls_out_.find(host);
-                const bool overtakes = open != polls_out_.end() && open->second == begun;
                 const bool unanswered = a.call.verdict == runner_verdict::unknown ||
                                         a.call.verdict == runner_verdict::not_sent;
-                if (overtakes && !unanswered)
+                if (is_open(host, begun) && !unanswered)
                 {
                     take_poll(host, asked, a);
                 }
--- a/libs/hosted/src/runner_desk.hpp
+++ b/libs/hosted/src/runner_desk.hpp
@@ -41,6 +41,8 @@
     core::millis poll_gap() const;
     void take_poll(const std::string& host, core::mono_time begun, const ports::poll_answer& a);
     void poll_later(const std::string& host, core::millis delay);
+    /// \return whether the poll that was sent then is the host's, and unanswered.
+    bool is_open(const std::string& host, core::mono_time begun) const;
     void renew_later(const std::string& host, core::mono_time begun, core::millis delay);
     void renew(const std::string& host, core::mono_time begun, core::mono_time due);
     void start(const coordinator::start_action& a);
--- a/libs/hosted/src/store_pulse.cpp
+++ b/libs/hosted/src/store_pulse.cpp
@@ -207,13 +207,9 @@
     state_->time.cancel(state_->timer);
 }
 
-core::millis store_pulse::silent_for() const
+bool store_pulse::is_silent() const
 {
-    if (!state_->silent)
-    {
-        return core::millis{0};
-    }
-    return std::chrono::duration_cast<core::millis>(state_->time.now() - *state_->unanswered_since);
+    return state_->silent;
 }
 
 namespace
--- a/libs/hosted/tests/slowed_owner_tests.cpp
+++ b/libs/hosted/tests/slowed_owner_tests.cpp
@@ -30,9 +30,9 @@
     core::mono_time since;
     core::millis leaderless{0}; ///< in serve()
 
-    explicit slowed_world(int nodes)
+    explicit slowed_world(int nodes, double share = share_of_a_node)
     {
-        c.share = share_of_a_node;
+        c.share = share;
         c.hosts.behaviour.run_time = 300ms;
         for (int i = 0; i < 80; ++i)
         {
@@ -169,11 +169,9 @@
 // for the rest of the day beside nodes that have the processor for all of it.
 TEST(slowed_owner, a_backlog_on_the_smallest_node_goes_to_a_larger_one)
 {
-    slowed_world w(1);
-    w.c.nodes.front().process.dead = true;
-    w.c.share = 0.06;
-    auto& small = w.c.add_node();
-    CHECK(w.c.time.run_until([&] { return w.c.leader() == &small; }, 5s));
+    slowed_world w(1, 0.06);
+    auto& small = w.c.nodes.front();
+    CHECK(w.c.leader() == &small);
     w.c.share = 0.5;
     auto& large = w.c.add_node();
     w.c.add_node();
@@ -191,14 +189,8 @@
 // The smallest node is overloaded, and all others are as small: no hand-over helps.
 TEST(slowed_owner, an_overloaded_node_among_equals_leads_on)
 {
-    slowed_world w(1);
-    w.c.nodes.front().process.dead = true;
-    w.c.share = 0.06;
-    for (int i = 0; i < 3; ++i)
-    {
-        w.c.add_node();
-    }
-    w.c.has_leader();
+    slowed_world w(3, 0.06);
+    CHECK(w.c.leader() != nullptr);
     w.serve(10s);
     LONGS_EQUAL(0, w.said("leadership_handed_over"));
 }
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -110,9 +110,9 @@
     {
         return best_other_share;
     };
-    ctx.store_silent_for = [this]
+    ctx.store_silent = [this]
     {
-        return pulse->silent_for();
+        return pulse->is_silent();
     };
 }
 
--- a/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
@@ -75,9 +75,9 @@
         n.pulse = std::make_unique<hosted::store_pulse>(
             n.ctx.store, n.ctx.time, n.ctx.tel, hosted::pulse_settings{});
         n.ctx.store = n.pulse->port();
-        n.ctx.store_silent_for = [&n]
+        n.ctx.store_silent = [&n]
         {
-            return n.pulse->silent_for();
+            return n.pulse->is_silent();
         };
         n.ctx.best_other_share = [this, &n]
         {
