Routes of runners are kept up to date, not chosen anew

The pool of relays forgot the routes of all runners whenever the list of relays was told, and that is each 250 ms where many nodes write their keys again (one write a node in 30 s), and whenever a relay connected. 10,000 runners were then compared with 1,000 relays anew: 10 million scores, four times a second, on half a core. Ruled out by reading: the size of coord/runners (some 600 KB, the store takes 1 MB). Change: `route_table`, a table of routes that a relay's coming, going or new share changes for its own runners only; a relay's key that is written as it was is told to nobody.

--- a/libs/hosted/src/relay_registry.cpp
+++ b/libs/hosted/src/relay_registry.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 namespace camphorhitch::hosted
@@ -71,6 +72,7 @@
     void renew();
     void take_renewal(const ports::kv_lease& got);
     void see(const ports::stored_item& it);
+    bool take_change(const ports::stored_change& c);
     void tell();
     void follow();
 
@@ -172,6 +174,20 @@
     seen[it.key] = core::value(read);
 }
 
+/// \return whether it changed what is known: a node writes its key again and again as it is.
+bool registry_state::take_change(const ports::stored_change& c)
+{
+    const auto found = seen.find(c.item.key);
+    const auto before = found == seen.end() ? std::nullopt : std::optional(found->second);
+    seen.erase(c.item.key);
+    if (!c.removed)
+    {
+        see(c.item);
+    }
+    const auto now = seen.find(c.item.key);
+    return before != (now == seen.end() ? std::nullopt : std::optional(now->second));
+}
+
 void registry_state::tell()
 {
     std::vector<ports::relay_place> all;
@@ -200,15 +216,15 @@
     };
     events.on_changes = [this](const std::vector<ports::stored_change>& all)
     {
+        bool changed = false;
         for (const auto& it : all)
         {
-            seen.erase(it.item.key);
-            if (!it.removed)
-            {
-                see(it.item);
-            }
+            changed = take_change(it) || changed;
+        }
+        if (changed)
+        {
+            tell();
         }
-        tell();
     };
     follower = std::make_unique<prefix_follower>(ctx, s, std::move(events));
     follower->start();
--- a/libs/hosted/tests/relay_registry_tests.cpp
+++ b/libs/hosted/tests/relay_registry_tests.cpp
@@ -17,6 +17,7 @@
     daemon_fakes::process process;
     daemon_fakes::log_recorder log;
     std::vector<ports::relay_place> seen;
+    int told = 0;
     hosted::context ctx;
     std::unique_ptr<relay_registry> made;
 
@@ -28,7 +29,11 @@
         ctx.tel = log.port(time);
         made = std::make_unique<relay_registry>(ctx,
             hosted::registry_settings{},
-            [this](std::vector<ports::relay_place> all) { seen = std::move(all); });
+            [this](std::vector<ports::relay_place> all)
+            {
+                seen = std::move(all);
+                ++told;
+            });
     }
 };
 
@@ -84,6 +89,20 @@
     CHECK(sees(0));
 }
 
+// Guards against a coordinator of many nodes that does little but take in lists as it has them:
+// each node writes its key twice a minute.
+TEST(relay_registry, an_entry_written_again_as_it_was_is_not_told)
+{
+    watcher.made->follow();
+    a.made->offer(place);
+    CHECK(sees(1));
+    const auto before = watcher.told;
+    const auto written = kept.find(hosted::relay_key("a"))->modified;
+    time.run_for(70s);
+    CHECK(kept.find(hosted::relay_key("a"))->modified > written);
+    CHECK_EQUAL(before, watcher.told);
+}
+
 TEST(relay_registry, a_dead_node_is_listed_no_more_after_its_lease)
 {
     watcher.made->follow();
--- a/libs/ports/include/ports/relays.hpp
+++ b/libs/ports/include/ports/relays.hpp
@@ -13,6 +13,8 @@
     std::string address; ///< "ip:port"
     std::string zone;
     double share = 1; ///< of a core, that the node may use
+
+    bool operator==(const relay_place&) const = default;
 };
 
 } // namespace camphorhitch::ports
--- a/libs/relay/src/pool.cpp
+++ b/libs/relay/src/pool.cpp
@@ -262,7 +262,7 @@
     if (batch.leaving && r != relays.end() && !r->second.leaving)
     {
         r->second.leaving = true;
-        routes.clear();
+        remove_relay(routes, member);
         parts.tel.log(ports::log_level::info, "relay_leaving", {{"relay", member}});
     }
     for (const auto& it : batch.answers)
--- a/libs/relay/src/pool_relays.cpp
+++ b/libs/relay/src/pool_relays.cpp
@@ -46,7 +46,7 @@
     active = false;
     time.cancel(timer);
     timer = 0;
-    routes.clear();
+    routes = {};
     refuse_waiting(); // what this term wanted must not leave in a later one
     time.post(
         [weak = weak_from_this()]
@@ -79,7 +79,7 @@
                 {"orders_not_sent", std::to_string(sum.not_sent)}});
     }
     relays.clear();
-    routes.clear();
+    routes = {};
     tell_under_way(); // no tick does it any more
 }
 
@@ -119,10 +119,13 @@
             lose(it.member, "it has another address now");
         }
         r.place = std::move(it);
+        if (r.state == relay_state::well && !r.leaving)
+        {
+            add_relay(routes, r.place);
+        }
     }
     std::erase_if(relays,
         [](const auto& it) { return !it.second.listed && it.second.state == relay_state::idle; });
-    routes.clear();
     connect_due();
     gather();
 }
@@ -204,7 +207,10 @@
         r.pause.count() > 0 ? "relay_back" : "relay_connected",
         {{"relay", r.place.member}, {"zone", r.place.zone}});
     r.pause = core::millis{0};
-    routes.clear();
+    if (!r.leaving)
+    {
+        add_relay(routes, r.place);
+    }
     gather();
 }
 
@@ -317,8 +323,16 @@
 
 void pool_state::forget_runners()
 {
-    std::erase_if(
-        polled, [&](const auto& it) { return clock.elapsed - it.second > settings.runner_memory; });
+    std::erase_if(polled,
+        [&](const auto& it)
+        {
+            const bool old = clock.elapsed - it.second > settings.runner_memory;
+            if (old)
+            {
+                forget_route(routes, it.first);
+            }
+            return old;
+        });
 }
 
 void pool_state::forget_avoided()
@@ -330,7 +344,7 @@
             ++it;
             continue;
         }
-        routes.erase(it->first);
+        forget_route(routes, it->first);
         it = avoided.erase(it);
     }
 }
@@ -360,7 +374,7 @@
     const auto wire = std::exchange(r.wire, nullptr);
     r.state = relay_state::idle;
     r.orders.clear();
-    routes.clear();
+    remove_relay(routes, r.place.member);
     const auto written = wire ? wire->written_bytes() : 0;
     if (wire)
     {
--- a/libs/relay/src/pool_state.hpp
+++ b/libs/relay/src/pool_state.hpp
@@ -5,6 +5,7 @@
 #include "channel.hpp"
 #include "messages.hpp"
 #include "relay/pool.hpp"
+#include "route_table.hpp"
 
 #include <array>
 #include <map>
@@ -102,7 +103,7 @@
     std::unordered_map<std::uint64_t, order_under_way> under_way;
     std::vector<waiting_order> waiting;
     std::unordered_map<std::string, core::millis> polled;   ///< runners, when
-    std::unordered_map<std::string, relay_entry*> routes;   ///< by runner
+    route_table routes;
     std::unordered_map<std::string, avoided_relay> avoided; ///< by runner
     verdict_counts relayed{};                               ///< since the last tick
     verdict_counts made_locally{};
@@ -114,7 +115,6 @@
     bool settling() const;
     void count_runner(const std::string& id);
     relay_entry* route(const ports::runner_ref& to);
-    relay_entry* best_of(const ports::runner_ref& to, bool same_zone);
     void avoid(const order_under_way& it);
     void give(waiting_order o);
     void make_locally(waiting_order o);
