A slowed owner is told within two short spans, and ends its lease before all else

Change: the pace is judged over spans of 150 ms by a part of its own (pace_watch); two late spans in a row count, and a span ends with a timer that runs, so one standstill is one span. Overload is judged over a second as before. A hand-over ends the lease at once by the urgent calls, in the same turn of the loop, and the term's parts end after. Tests: the first slow moment to a successor's first start within 1 s for 5 and 8 times slower; two owners slow in turn; a hand-over lost on the way. Whole fleets that are slow keep their bounds of before (at most 5 hand-overs in 60 s). The fake processor now charges the end of a lease, too.

--- a/libs/hosted/include/hosted/leadership.hpp
+++ b/libs/hosted/include/hosted/leadership.hpp
@@ -92,7 +92,7 @@
     void resign(std::function<void()> done);
 
     /// Gives ownership back at once, since another node would serve callers better; bids later than
-    /// the others for a while.
+    /// the others for a while. The event of the loss comes in a later turn of the loop.
     void hand_over(const std::string& reason);
 
     /// \return how often any node has handed the lead over lately, as far as this one has seen.
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -89,11 +89,13 @@
     // Any other end proves nothing; the next renewal is on its way, and valid_until stands.
 }
 
-void leadership_state::lose(const std::string& reason)
+/// \return whether the key was held until now. What the term's parts would still do, they ask
+/// holds() for.
+bool leadership_state::let_go(const std::string& reason)
 {
     if (token == 0)
     {
-        return;
+        return false;
     }
     ctx.time.cancel(timer);
     timer = 0;
@@ -110,31 +112,35 @@
         // So that no key of ours stands in a successor's way.
         ctx.store.end_lease(std::exchange(lease, 0), [](ports::kv_status) {});
     }
-    events.on_lost(reason);
     schedule(settings.retry, &leadership_state::judge);
+    return true;
 }
 
-/// The key goes with a write and not with its lease, whose end would wait for the note. Without an
-/// answer the lease, not renewed, ends by itself. A note that is lost is one hand-over less that
-/// others count.
+void leadership_state::lose(const std::string& reason)
+{
+    if (let_go(reason))
+    {
+        events.on_lost(reason);
+    }
+}
+
+/// The lease is ended before the term's parts are, which on a slowed node with thousands of jobs
+/// takes as long as a successor's first second of work. Its call goes before all others, and the
+/// key goes with it; without an answer it ends by itself, since it is not renewed. A note that is
+/// lost is one hand-over less that others count.
 void leadership_state::hand_over(const std::string& reason)
 {
-    if (token == 0)
+    if (!let_go("handed over: " + reason))
     {
         return;
     }
     slowed_until = ctx.boot_now() + settings.slowed_for;
     ports::store_transaction note;
     note.puts = {{leader_slowed_key, ctx.member, 0}};
-    ports::store_transaction t;
-    t.conditions = {{leader_key, token}};
-    t.removals = {leader_key};
-    const auto ended = std::exchange(lease, 0);
-    lose("handed over: " + reason);
     ctx.store.commit(std::move(note), [](const ports::commit_result&) {});
-    ctx.store.commit(std::move(t),
-        [store = ctx.store, ended](const ports::commit_result&)
-        { store.end_lease(ended, [](ports::kv_status) {}); });
+    constexpr core::millis calls_leave{1}; // in the turn of the loop between
+    ctx.time.after(calls_leave,
+        guarded([reason](leadership_state& self) { self.events.on_lost(reason); }));
 }
 
 int leadership_state::count_hand_overs()
--- a/libs/hosted/src/leadership_state.hpp
+++ b/libs/hosted/src/leadership_state.hpp
@@ -71,6 +71,7 @@
     void renew();
     void take_renewal(const ports::kv_lease& got, core::mono_time sent);
     void schedule(core::millis delay, void (leadership_state::*next)());
+    bool let_go(const std::string& reason);
     void lose(const std::string& reason);
     void hand_over(const std::string& reason);
     int count_hand_overs();
--- a/libs/hosted/src/load_watch.cpp
+++ b/libs/hosted/src/load_watch.cpp
@@ -1,7 +1,6 @@
 #include "load_watch.hpp"
 
 #include "hosted/leadership.hpp"
-#include "owner_pace.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -39,7 +38,7 @@
 } // namespace
 
 load_watch::load_watch(term& t, std::function<void(core::micros)> on_delay)
-    : term_(t), on_delay_(std::move(on_delay))
+    : term_(t), on_delay_(std::move(on_delay)), pace_(t)
 {
 }
 
@@ -53,8 +52,8 @@
 
 void load_watch::start()
 {
-    began_ = term_.now();
-    reported_ = began_;
+    reported_ = term_.now();
+    pace_.start();
     processor_ = processor_time(term_.ctx);
     wait();
 }
@@ -70,6 +69,7 @@
     const auto now = term_.now();
     term_.load.timer_delays.add(now, now - due_);
     overdue_ += now - due_;
+    pace_.see_timer(now, now - due_);
     probe_sockets(now);
     on_delay_(std::max(now - due_, sent_ ? now - *sent_ : core::micros{0}));
     if (now - reported_ >= report_every)
@@ -146,39 +146,6 @@
     term_.load.counts = {};
     term_.load.times = {};
     reported_ = now;
-    judge(moment, now);
-}
-
-void load_watch::judge(const load_moment& m, core::mono_time now)
-{
-    if (!m.processor || !term_.settings.hands_over)
-    {
-        return;
-    }
-    const auto& other = term_.ctx.best_other_share;
-    const owner_pace pace{
-        term_.settings.processor_share, m.span, m.overdue, *m.processor, other ? other() : 0};
-    const auto cause = cause_of(pace);
-    late_spans_ = cause != hand_over_cause::none ? late_spans_ + 1 : 0;
-    const auto term = std::chrono::duration_cast<core::millis>(now - began_);
-    const auto lately = term_.lead->hand_overs();
-    if (!should_hand_over({late_spans_, term, lately}))
-    {
-        return;
-    }
-    term_.ctx.tel.log(ports::log_level::warning,
-        "leadership_handed_over",
-        {{"reason", std::string{core::name_of(hand_over_cause_names, cause)}},
-            {"token", std::to_string(term_.token)},
-            {"share", std::to_string(pace.share)},
-            {"best_other_share", std::to_string(pace.best_other)},
-            {"span_ms", std::to_string(pace.span.count())},
-            {"overdue_ms", std::to_string(pace.overdue.count())},
-            {"processor_ms", std::to_string(pace.processor.count())},
-            {"late_spans", std::to_string(late_spans_)},
-            {"term_ms", std::to_string(term.count())},
-            {"hand_overs", std::to_string(lately)}});
-    term_.leave([](leadership& it) { it.hand_over("another node decides faster"); });
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/load_watch.hpp
+++ b/libs/hosted/src/load_watch.hpp
@@ -2,6 +2,7 @@
 /// Measures how late the loop is while this node coordinates, and reports its load once a second.
 #pragma once
 
+#include "pace_watch.hpp"
 #include "term.hpp"
 
 #include <optional>
@@ -28,7 +29,6 @@
     void probe_sockets(core::mono_time now);
     void report(core::mono_time now);
     load_moment measure(core::mono_time now);
-    void judge(const load_moment& m, core::mono_time now);
 
     term& term_;
     std::function<void(core::micros)> on_delay_;
@@ -38,8 +38,7 @@
     core::mono_time reported_;
     core::micros processor_{0}; ///< used until the latest report
     core::micros overdue_{0};   ///< since then
-    core::mono_time began_;     ///< the term
-    int late_spans_ = 0;        ///< in a row
+    pace_watch pace_;
 };
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/owner_pace.cpp
+++ b/libs/hosted/src/owner_pace.cpp
@@ -16,9 +16,13 @@
 constexpr double least_used = 0.5;
 /// Shares that differ by less are not worth the reading of all jobs.
 constexpr double clearly_larger = 1.5;
-/// A machine that is suspended or frozen once shows one such span, or two where it lies across
-/// their border.
+/// A span ends with a timer that runs, so a machine that is suspended or frozen once shows one such
+/// span, however long it stood still.
 constexpr int least_spans = 2;
+/// Of 20 ms between two timers seven are in a sound span; in a slowed one a single turn may fill
+/// it.
+constexpr core::millis brief_span{150};
+constexpr core::millis lasting_span{1000};
 /// A successor reads all open jobs in 0.3 to 0.7 s, five times slower in 3.5 s.
 constexpr core::millis shortest_term{1500};
 /// Ten times what 2,400 jobs take a node with half a core, and one page that is given up and
@@ -48,6 +52,17 @@
                                                     : hand_over_cause::none;
 }
 
+core::millis length_of(pace_span_kind kind)
+{
+    return kind == pace_span_kind::brief ? brief_span : lasting_span;
+}
+
+bool speaks_for_another(hand_over_cause cause, pace_span_kind kind)
+{
+    return cause == hand_over_cause::slowed ||
+           (cause == hand_over_cause::overloaded && kind == pace_span_kind::lasting);
+}
+
 core::millis least_term(int hand_overs)
 {
     return shortest_term * (1 << std::clamp(hand_overs, 0, most_doublings));
--- a/libs/hosted/src/owner_pace.hpp
+++ b/libs/hosted/src/owner_pace.hpp
@@ -19,9 +19,9 @@
 struct owner_pace
 {
     double share = 0; ///< of a core that this node may use; 0: not known
-    core::millis span{0};
-    core::millis overdue{0};   ///< time of it in which a timer that was due had not run yet
-    core::millis processor{0}; ///< that the process used
+    core::micros span{0};
+    core::micros overdue{0};   ///< time of it in which a timer that was due had not run yet
+    core::micros processor{0}; ///< that the process used
     double best_other = 0;     ///< largest share of another node that is known; 0: none is
 };
 
@@ -38,6 +38,20 @@
     {hand_over_cause::overloaded, "overloaded"},
 }};
 
+/// Over which time an owner's pace is judged.
+enum class pace_span_kind
+{
+    brief,  ///< some turns of the loop: tells a slowed node, whose work waits from its first turn
+    lasting ///< a second: an overload that passes sooner is worth no change of owner
+};
+
+inline constexpr core::name_table<pace_span_kind, 2> pace_span_kind_names{{
+    {pace_span_kind::brief, "brief"},
+    {pace_span_kind::lasting, "lasting"},
+}};
+
+core::millis length_of(pace_span_kind kind);
+
 /// What led to the judgement, over a term.
 struct pace_history
 {
@@ -49,6 +63,9 @@
 /// \return what speaks for another owner; none unless the node was behind for most of the span.
 hand_over_cause cause_of(const owner_pace& p);
 
+/// \return whether the cause counts when it is seen in one such span.
+bool speaks_for_another(hand_over_cause cause, pace_span_kind kind);
+
 /// \return how old a term has to be before its owner hands over.
 core::millis least_term(int hand_overs);
 
--- a/libs/hosted/tests/slowed_owner_tests.cpp
+++ b/libs/hosted/tests/slowed_owner_tests.cpp
@@ -125,6 +125,88 @@
     STRCMP_EQUAL("", w.c.breaches().c_str());
 }
 
+// The owner's machine turns slow while work comes in; nothing else is wrong. All queues wait for
+// the one node, so each second until another decides costs every caller that second.
+TEST(slowed_owner, a_sound_successor_starts_work_within_a_second_of_the_first_slow_moment)
+{
+    for (const double times : {5.0, 8.0})
+    {
+        slowed_world w(5);
+        w.serve(3s);
+        auto& owner = *w.c.leader();
+        owner.cpu->share = share_of_a_node / times;
+        const auto slow_since = w.c.time.now();
+        const auto decides = [&]
+        {
+            const auto* const it = w.c.leader();
+            return it != nullptr && it != &owner && it->log.has("start_ordered");
+        };
+        while (!decides() && w.c.time.now() < slow_since + 5s)
+        {
+            w.serve(100ms);
+        }
+        CHECK(w.c.time.now() - slow_since <= 1s);
+        LONGS_EQUAL(1, w.said("leadership_handed_over"));
+        w.serve(1s);
+        w.count_anew();
+        w.serve(5s);
+        CHECK(w.longest < 1s);
+        LONGS_EQUAL(0, w.c.hosts.lapsed);
+        STRCMP_EQUAL("", w.c.breaches().c_str());
+    }
+}
+
+// Two nodes turn slow in turn, each while it leads: the lead must end at a sound one, and no later
+// than each successor's shortest term allows.
+TEST(slowed_owner, the_lead_leaves_two_owners_that_turn_slow_in_turn)
+{
+    slowed_world w(5);
+    w.serve(3s);
+    auto& first = *w.c.leader();
+    w.slow(first);
+    w.serve(3s);
+    auto& second = *w.c.leader();
+    CHECK(&second != &first);
+    w.slow(second);
+    w.serve(5s);
+    CHECK(w.c.leader() != &first);
+    CHECK(w.c.leader() != &second);
+    w.count_anew();
+    w.serve(5s);
+    CHECK(w.longest < 1s);
+    LONGS_EQUAL(2, w.said("leadership_handed_over"));
+    STRCMP_EQUAL("", w.c.breaches().c_str());
+}
+
+// The calls that end the lease and tell of the hand-over are lost on the way: the lease, renewed no
+// more, ends by itself, and nobody else may lead before.
+TEST(slowed_owner, a_hand_over_that_is_lost_on_the_way_costs_the_lease)
+{
+    slowed_world w(1);
+    w.c.plant = [&](node& n)
+    {
+        n.ctx.store.end_lease = [](ports::lease_id, const auto& done)
+        {
+            done(ports::kv_status::unknown);
+        };
+    };
+    auto& owner = w.c.add_node();
+    w.c.nodes.front().process.dead = true;
+    CHECK(w.c.time.run_until([&] { return w.c.leader() == &owner; }, 5s));
+    w.c.plant = nullptr;
+    w.c.add_node();
+    w.serve(3s);
+    w.slow(owner);
+    w.serve(4s);
+    CHECK(w.c.leader() != nullptr);
+    CHECK(w.c.leader() != &owner);
+    w.count_anew();
+    w.serve(5s);
+    CHECK(w.longest < 1s);
+    LONGS_EQUAL(0, w.c.hosts.lapsed);
+    STRCMP_EQUAL("", w.c.breaches().c_str());
+}
+
 // As before, and all other nodes but one are slowed too. The lead must not go from one slowed node
 // to the next, each of which reads all jobs for seconds first.
 TEST(slowed_owner, a_sound_node_comes_before_slowed_ones)
--- a/testing/hosted_fakes/src/processor.cpp
+++ b/testing/hosted_fakes/src/processor.cpp
@@ -207,6 +207,11 @@
         call<ports::kv_lease>(
             [=](const auto& d) { real.keep_alive(id, d); }, lease_timeout, silence, done);
     };
+    out.end_lease = [=, this](ports::lease_id id, const auto& done)
+    {
+        call<ports::kv_status>(
+            [=](const auto& d) { real.end_lease(id, d); }, lease_timeout, unknown, done);
+    };
     return out;
 }
 
