--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -28,6 +28,8 @@
     coordinator::rebalance_settings rebalance;
     bool moves = true;                 ///< false: hosts stay in their pools
     bool hands_over = true;            ///< when slowed or overloaded
+    bool repeats_calls = true;         ///< to runners, while the answer is overdue
+    bool sends_paces = true;           ///< to runners, for tasks that fill
     core::millis plan_delay{4};        ///< gathers what arrives together into one plan
     core::millis plan_every{100};      ///< also without a cause: leases lapse, stops repeat
     core::millis hosts_plan_every{40}; ///< waves and moves: they look at every job and host
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -81,7 +81,10 @@
         coordinator::empty_draining_hosts(t.fleet, begun, out);
         waves->plan();
         machines->plan(waves->held());
-        desk->send_paces(coordinator::plan_paces(t.fleet, t.settings.paces, begun, out));
+        if (t.settings.sends_paces)
+        {
+            desk->send_paces(coordinator::plan_paces(t.fleet, t.settings.paces, begun, out));
+        }
     }
     const auto unix_ms = core::to_unix_ms(t.ctx.time.wall_now());
     const auto orders = coordinator::make_plan(t.fleet, begun, unix_ms, true, out, desk->room());
@@ -159,7 +162,7 @@
             {"runners_read", record_is_in ? "1" : "0"},
             {"hand_overs", std::to_string(t.lead->hand_overs())},
             {"token", std::to_string(t.token)}});
-    t.leave([](leadership& it) { it.hand_over("the jobs could not be read in time"); });
+    t.lead->hand_over("the jobs could not be read in time");
 }
 
 void driver_parts::store_pending()
--- a/libs/hosted/src/repeated_order.cpp
+++ b/libs/hosted/src/repeated_order.cpp
@@ -51,7 +51,7 @@
 void repeated_order::repeat_later()
 {
     const auto t = owner.lock();
-    if (t == nullptr)
+    if (t == nullptr || !t->settings.repeats_calls)
     {
         return;
     }
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -127,6 +127,10 @@
 
 void runner_desk::renew_later(const std::string& host, core::mono_time begun, core::millis delay)
 {
+    if (!term_.settings.repeats_calls)
+    {
+        return;
+    }
     const auto due = term_.now() + delay;
     term_.ctx.time.after(
         delay, term_.guarded([this, host, begun, due] { renew(host, begun, due); }));
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -49,6 +49,9 @@
     bool fullest_first = true; ///< short tasks fill one host after the other
     bool learns_times = true;  ///< run times that were seen replace declared ones
     bool hands_over = true;    ///< a coordinator that is slowed or overloaded hands over
+    bool repeats_calls = true; ///< orders and polls whose answers are overdue are sent again
+    bool watches_store = true; ///< a silent store is noticed, and nothing more is sent to it
+    bool paces = true;         ///< tasks that fill are slowed where others are disturbed
     int spare_hosts = 1;       ///< that each pool keeps beyond its need
     int far_short = 4;       ///< a pool that lacks so many takes hosts that others let go just now
     core::millis rest{1500}; ///< a surplus is switched off after so long
--- a/libs/settings/tests/hosted_settings_tests.cpp
+++ b/libs/settings/tests/hosted_settings_tests.cpp
@@ -32,6 +32,19 @@
     DOUBLES_EQUAL(1, s.processor_share, 0.001);
 }
 
+TEST(hosted_settings, each_mechanism_can_be_switched_off)
+{
+    const auto read =
+        settings::read_hosted_settings(with(R"("zone":"z")",
+                                           R"("zone":"z","policy":{"moves":false,
+"hands_over":false,"repeats_calls":false,"watches_store":false,"paces":false})"),
+            "f");
+    const auto& p = std::get<settings::hosted_settings>(read).policy;
+    CHECK(!p.moves && !p.hands_over && !p.repeats_calls && !p.watches_store && !p.paces);
+    const auto defaults = settings::hosted_policy{};
+    CHECK(defaults.repeats_calls && defaults.watches_store && defaults.paces);
+}
+
 TEST(hosted_settings, all_that_is_wrong_is_told_with_its_place)
 {
     struct row
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -103,17 +103,20 @@
 {
     clients = std::make_unique<hosted_clients>(loop);
     ctx = make_context(*clients, settings, loop, log);
-    pulse =
-        std::make_unique<hosted::store_pulse>(ctx.store, ctx.time, log, hosted::pulse_settings{});
-    ctx.store = pulse->port();
     ctx.best_other_share = [this]
     {
         return best_other_share;
     };
-    ctx.store_silent = [this]
+    if (settings.policy.watches_store)
     {
-        return pulse->is_silent();
-    };
+        pulse = std::make_unique<hosted::store_pulse>(
+            ctx.store, ctx.time, log, hosted::pulse_settings{});
+        ctx.store = pulse->port();
+        ctx.store_silent = [this]
+        {
+            return pulse->is_silent();
+        };
+    }
 }
 
 void hosted_node::parts::make_relays()
--- a/programs/camphorhitchd/src/hosted_policy.cpp
+++ b/programs/camphorhitchd/src/hosted_policy.cpp
@@ -44,6 +44,8 @@
 {
     to.moves = from.moves;
     to.hands_over = from.hands_over;
+    to.repeats_calls = from.repeats_calls;
+    to.sends_paces = from.paces;
     to.rules.placement = placement_of(from);
     take_demand(from, to.demand);
     take_moves(from, to.rebalance);
