A new owner's first looks are bounded, and go through relays once these are connected

Change: polls that do not wait go to relays, unless none are connected yet and this node has few calls of its own under way; such calls are bounded by the node's share of a core, and one that is not answered soon counts no more. A renewal beside an overdue poll still passes relays by (poll_order::direct). Tests: a flood of 4,000 looks, a dark rack, the term's end, a renewal that passes relays by.

--- a/libs/ports/include/ports/runners.hpp
+++ b/libs/ports/include/ports/runners.hpp
@@ -20,6 +20,8 @@
     std::string id;
     std::string address; ///< "ip:port"; another runner may have it after this one
     std::string zone;    ///< its availability zone; empty: not known
+
+    bool operator==(const runner_ref&) const = default;
 };
 
 /// How a call to a runner ended.
@@ -91,6 +93,8 @@
     std::int64_t fencing_token = 0;
     std::int64_t acknowledged_through = 0;
     core::millis wait{0}; ///< for an end, when none is there
+    /// This node makes the call itself: a relay may be what is late.
+    bool direct = false;
 };
 
 enum class run_end
--- a/libs/relay/src/pool.cpp
+++ b/libs/relay/src/pool.cpp
@@ -3,6 +3,8 @@
 #include "codec.hpp"
 #include "pool_state.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace camphorhitch::relay
@@ -40,10 +42,9 @@
     if (const auto* const poll = std::get_if<ports::poll_order>(&o.body))
     {
         count_runner(o.to.id);
-        if (poll->wait.count() == 0)
+        const bool waits = poll->wait.count() > 0;
+        if (poll->direct || (!waits && goes_at_once()))
         {
-            // A first look of a term, or a renewal beside a poll that is overdue: it neither waits
-            // for relays to be connected nor takes the way that may be what is late.
             make_locally(std::move(o));
             return;
         }
@@ -52,6 +53,13 @@
     gather();
 }
 
+/// The first looks of a term renew leases that end soon. While no relays are connected this node
+/// makes as many as it can bear; the others wait for the relays.
+bool pool_state::goes_at_once() const
+{
+    return (!needed || settling()) && local_calls_awaited() < settings.most_local_calls;
+}
+
 /// All orders of one turn of the loop go out together.
 void pool_state::gather()
 {
@@ -92,14 +100,15 @@
     {
         return true;
     }
+    std::size_t well = 0;
+    bool connecting = false;
     for (const auto& [member, r] : relays)
     {
-        if (!r.tried || r.state == relay_state::connecting)
-        {
-            return true;
-        }
+        well += r.state == relay_state::well ? 1U : 0U;
+        connecting = connecting || !r.tried || r.state == relay_state::connecting;
     }
-    return false;
+    const auto enough = settings.settled_part * static_cast<double>(relays.size());
+    return connecting && static_cast<double>(well) < enough;
 }
 
 void pool_state::flush()
@@ -126,18 +135,25 @@
 /// A former owner's orders would only be refused by their token; not sending them spares the calls.
 void pool_state::refuse_waiting()
 {
-    const ports::runner_answer refused{runner_verdict::not_sent, -1};
     for (const auto& it : std::exchange(waiting, {}))
     {
-        if (const auto* const poll = std::get_if<std::function<void(ports::poll_answer)>>(&it.done))
-        {
-            (*poll)({refused, {}, {}});
-        }
-        else
-        {
-            std::get<std::function<void(ports::runner_answer)>>(it.done)(refused);
-        }
+        refuse(it);
     }
+    for (const auto& it : std::exchange(waiting_locally, {}))
+    {
+        refuse(it);
+    }
+}
+
+void pool_state::refuse(const waiting_order& o)
+{
+    const ports::runner_answer refused{runner_verdict::not_sent, -1};
+    if (const auto* const poll = std::get_if<std::function<void(ports::poll_answer)>>(&o.done))
+    {
+        (*poll)({refused, {}, {}});
+        return;
+    }
+    std::get<std::function<void(ports::runner_answer)>>(o.done)(refused);
 }
 
 void pool_state::give(waiting_order o)
@@ -162,17 +178,63 @@
 
 void pool_state::make_locally(waiting_order o)
 {
-    const auto counted = [weak = weak_from_this()](auto done)
+    waiting_locally.push_back(std::move(o));
+    make_local_calls();
+}
+
+std::size_t pool_state::local_calls_awaited() const
+{
+    const auto since = time.now() - settings.answer_is_near;
+    const auto end = std::find_if(local_calls.rbegin(),
+        local_calls.rend(),
+        [&](const auto& it) { return it.second < since; });
+    return static_cast<std::size_t>(std::distance(local_calls.rbegin(), end));
+}
+
+void pool_state::make_local_calls()
+{
+    if (calling_locally)
     {
-        return [weak, done = std::move(done)](const auto& a)
+        return; // an answer came within its call
+    }
+    calling_locally = true;
+    while (!waiting_locally.empty() && local_calls_awaited() < settings.most_local_calls)
+    {
+        auto it = std::move(waiting_locally.front());
+        waiting_locally.pop_front();
+        if (parts.may_send())
         {
-            if (const auto self = weak.lock())
+            call_locally(std::move(it));
+        }
+        else
+        {
+            refuse(it);
+        }
+    }
+    calling_locally = false;
+}
+
+void pool_state::call_locally(waiting_order o)
+{
+    const auto number = ++last_local_call;
+    local_calls.emplace(number, time.now());
+    const auto counted = [weak = weak_from_this(), number](auto done)
+    {
+        return [weak, number, done = std::move(done)](const auto& a)
+        {
+            const auto self = weak.lock();
+            if (self)
             {
                 answer it;
                 it.body = a;
                 add(self->made_locally, call_of(it).verdict);
+                self->local_calls.erase(number);
             }
             done(a);
+            if (self)
+            {
+                self->make_local_calls();
+            }
         };
     };
     using plain = std::function<void(ports::runner_answer)>;
--- a/libs/relay/src/pool_relays.cpp
+++ b/libs/relay/src/pool_relays.cpp
@@ -232,6 +232,7 @@
     {
         gather();
     }
+    make_local_calls();
     report_counts("relay", relayed);
     report_counts("local", made_locally);
     tell_under_way();
--- a/libs/relay/src/pool_state.hpp
+++ b/libs/relay/src/pool_state.hpp
@@ -8,6 +8,7 @@
 #include "route_table.hpp"
 
 #include <array>
+#include <deque>
 #include <map>
 #include <unordered_map>
 
@@ -102,6 +103,10 @@
     std::map<std::string, relay_entry> relays; ///< by member
     std::unordered_map<std::uint64_t, order_under_way> under_way;
     std::vector<waiting_order> waiting;
+    std::deque<waiting_order> waiting_locally;            ///< for this node's own calls
+    std::map<std::uint64_t, core::mono_time> local_calls; ///< under way, when they were sent
+    std::uint64_t last_local_call = 0;
+    bool calling_locally = false;
     std::unordered_map<std::string, core::millis> polled;   ///< runners, when
     route_table routes;
     std::unordered_map<std::string, avoided_relay> avoided; ///< by runner
@@ -110,6 +115,7 @@
 
     // pool.cpp
     void submit(waiting_order o);
+    bool goes_at_once() const;
     void gather();
     void flush();
     bool settling() const;
@@ -118,7 +124,11 @@
     void avoid(const order_under_way& it);
     void give(waiting_order o);
     void make_locally(waiting_order o);
+    void make_local_calls();
+    std::size_t local_calls_awaited() const;
+    void call_locally(waiting_order o);
     void refuse_waiting();
+    static void refuse(const waiting_order& o);
     void send_orders(relay_entry& r);
     void send_part(relay_entry& r, const order_batch& part);
     void take(const std::string& member, std::string_view frame);
--- a/libs/relay/tests/pool_tests.cpp
+++ b/libs/relay/tests/pool_tests.cpp
@@ -506,3 +506,90 @@
     CHECK(b.until([&] { return answered; }));
     CHECK_EQUAL(0, a.runners.seen.size());
 }
+
+// An owner's relay is late, and the lease of its runner is renewed beside the poll that it has.
+// Guards against a renewal that takes the same late way.
+TEST(relay_pool, a_renewal_beside_an_overdue_poll_passes_relays_by)
+{
+    auto& a = b.add("a");
+    CHECK(b.connect());
+    a.runners.seen.clear();
+    b.local.seen.clear();
+    ports::poll_order order{1000, 1, 0, core::millis{0}};
+    order.direct = true;
+    bool answered = false;
+    b.port.poll(
+        {"i-1", "10.0.0.1:80", "z"}, order, [&](const ports::poll_answer&) { answered = true; });
+    CHECK(b.until([&] { return answered; }));
+    CHECK_EQUAL(1U, b.local.seen.size());
+    CHECK(a.runners.seen.empty());
+}
+
+// A new owner of thousands of runners asks them all for the first time. Guards against an owner
+// that makes all calls itself: no answer is read before its time-out, all runners pass for silent,
+// the own lease is renewed too late, and the next owner does the same.
+TEST(relay_pool, first_looks_at_thousands_of_runners_do_not_flood_their_owner)
+{
+    constexpr std::size_t runners = 4000;
+    pool_settings s;
+    s.most_local_calls = 100;
+    bench large(s);
+    auto& a = large.add("a");
+    auto& c = large.add("c");
+    large.local.answers = false;
+    large.made->begin();
+    large.made->set_relays(large.places());
+    std::size_t answered = 0;
+    for (std::size_t i = 0; i < runners; ++i)
+    {
+        large.port.poll({"i-" + std::to_string(i), "10.0.0.1:80", "z"},
+            {1000, 1, 0, core::millis{0}},
+            [&](const ports::poll_answer&) { ++answered; });
+    }
+    CHECK(large.local.seen.size() <= s.most_local_calls + s.fewest_runners);
+    CHECK(large.until([&] { return answered >= runners - s.most_local_calls - s.fewest_runners; }));
+    CHECK(a.runners.seen.size() > runners / 4);
+    CHECK(c.runners.seen.size() > runners / 4);
+}
+
+// A rack is dark when a term begins: the calls to it hang until their time-out. Guards against
+// runners that are well and wait behind them.
+TEST(relay_pool, runners_that_are_gone_do_not_hold_up_local_calls)
+{
+    pool_settings s;
+    s.most_local_calls = 10;
+    bench dark(s);
+    dark.local.answers = false;
+    dark.made->begin();
+    dark.made->set_relays({});
+    for (int i = 0; i < 10; ++i)
+    {
+        dark.poll("gone-" + std::to_string(i), [](const ports::poll_answer&) {});
+    }
+    dark.turn();
+    dark.local.answers = true;
+    bool answered = false;
+    dark.poll("well", [&](const ports::poll_answer&) { answered = true; });
+    const auto begun = dark.loop.scheduler().now();
+    CHECK(dark.until([&] { return answered; }));
+    CHECK(dark.loop.scheduler().now() - begun < 2 * s.answer_is_near + dark.longest_turn);
+}
+
+// One of the calls that waited is for a term that has ended meanwhile.
+TEST(relay_pool, local_calls_that_waited_end_with_their_term)
+{
+    pool_settings s;
+    s.most_local_calls = 1;
+    bench one(s);
+    one.local.answers = false;
+    one.made->begin();
+    one.made->set_relays({});
+    std::optional<runner_verdict> got;
+    one.poll("i-1", [](const ports::poll_answer&) {});
+    one.poll("i-2", [&](const ports::poll_answer& it) { got = it.call.verdict; });
+    one.turn();
+    CHECK(!got.has_value());
+    one.made->end();
+    CHECK(got == runner_verdict::not_sent);
+    CHECK_EQUAL(1U, one.local.seen.size());
+}
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -37,6 +37,17 @@
 constexpr core::millis stop_reserve{400};
 constexpr core::millis stop_check{50};
 
+/// A small node is late sooner: what it calls itself at once is cut by its share of a core.
+relay::pool_settings relay_settings(double processor_share)
+{
+    constexpr double whole_core_calls = 500;
+    constexpr std::size_t least = 32;
+    relay::pool_settings out;
+    const auto by_share = static_cast<std::size_t>(whole_core_calls * processor_share);
+    out.most_local_calls = std::max(least, by_share);
+    return out;
+}
+
 std::string read_file(const std::string& name)
 {
     std::ifstream in(name);
@@ -133,7 +144,7 @@
                                                {
                                                    return lead->holds();
                                                }},
-        relay::pool_settings{});
+        relay_settings(settings.processor_share));
     ctx.runners = relays->port();
     registry = std::make_unique<hosted::relay_registry>(ctx,
         hosted::registry_settings{},
