After its busy time a pool lets its hosts go by share, not eight a second

Change: once a pool's busy time is over and none is expected, policy.release_share (0.5) of what it keeps goes a second on top. Tests: pools of 5, 50 and 400 hosts after a busy time, 50 and 400 in a lull.

--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -18,6 +18,10 @@
     core::millis rest{1500};
     /// A pool's need is let go at this many hosts a second: needs jump with each job.
     double release = 8;
+    /// Share of the hosts kept that is let go a second on top, once the pool's busy time is over:
+    /// what it keeps then is no reserve for the next jobs, and in a large pool would stand for
+    /// longer than the busy time lasted.
+    double release_share = 0.5;
     /// A pool that lacks so many hosts gets them also from pools that wanted theirs just now.
     int far_short = 4;
     /// Most moves ordered in one plan; the platform bounds its calls a second.
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -28,6 +28,7 @@
     int kept = 0;          ///< wanted lately; what is above may be given away
     double cores = 0;      ///< what the need is
     bool expected = false; ///< a busy time is about to begin
+    bool busy = false;     ///< a busy time is on
     std::vector<const ports::machine_entry*> free; ///< up, and neither held nor moving
 };
 
@@ -72,6 +73,8 @@
             b.expected = need->second.expected;
         }
         b.wanted += it.standby ? 0 : r.settings.spare_hosts;
+        const auto arrivals = d.pools.find(it.name);
+        b.busy = arrivals != d.pools.end() && arrivals->second.busy;
     }
     for (const auto& [id, m] : list.machines)
     {
@@ -102,7 +105,9 @@
     for (auto& [name, b] : all)
     {
         auto& kept = r.kept[name];
-        kept = std::max(static_cast<double>(b.wanted), kept - passed * r.settings.release);
+        const double share = b.busy || b.expected ? 0 : r.settings.release_share;
+        const double released = passed * (r.settings.release + share * kept);
+        kept = std::max(static_cast<double>(b.wanted), kept - released);
         kept = std::min(kept, static_cast<double>(std::max(b.have, 0)));
         b.kept = static_cast<int>(std::ceil(kept));
         if (!b.standby && b.have <= b.kept)
--- a/libs/coordinator/tests/rebalance_tests.cpp
+++ b/libs/coordinator/tests/rebalance_tests.cpp
@@ -2,6 +2,8 @@
 #include "world.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <cmath>
 
 using namespace camphorhitch;
 using namespace camphorhitch::coordinator;
@@ -164,3 +166,67 @@
         LONGS_EQUAL_TEXT(1, moves.moves.size(), it.what);
     }
 }
+
+namespace
+{
+
+/// A pool whose busy time asked for most of its hosts and is over.
+struct after_a_busy_time
+{
+    world w;
+    coordinator::demand d;
+    rebalancer r;
+    machine_table list;
+    int hosts = 0;
+
+    explicit after_a_busy_time(int n) : hosts(n)
+    {
+        list.known = true;
+        for (int i = 0; i < hosts; ++i)
+        {
+            const auto id = std::to_string(i);
+            list.machines[id] = {id, "p", "z", "h" + id, ports::machine_state::up};
+            w.add_host("h" + id);
+        }
+        r.kept["p"] = hosts;
+        r.kept_at = w.now;
+    }
+
+    /// \return the hosts that are still kept after so long.
+    int kept_after(core::millis how_long, bool busy)
+    {
+        constexpr core::millis step{40};
+        for (auto passed = step; passed <= how_long; passed += step)
+        {
+            w.now += step;
+            d.pools["p"].busy = busy;
+            plan_moves(w.f, r, d, list, {{"p", false}, {"off", true}}, {}, w.now, w.events);
+        }
+        return static_cast<int>(std::ceil(r.kept["p"]));
+    }
+};
+
+} // namespace
+
+// Queues take turns, each with a busy time of some seconds. Guards against a large pool whose hosts
+// stand idle after its turn for longer than the turn lasted, while the next pool's callers wait.
+TEST(rebalance, after_a_busy_time_most_hosts_are_let_go_within_seconds_in_pools_of_any_size)
+{
+    for (const int hosts : {5, 50, 400})
+    {
+        after_a_busy_time over(hosts);
+        CHECK(over.kept_after(3s, false) <= std::max(1, hosts / 4));
+    }
+}
+
+// Needs jump with each job. Guards against hosts that are sent off in a lull of the busy time and
+// missed at the next job.
+TEST(rebalance, in_a_lull_of_a_busy_time_hosts_are_kept)
+{
+    for (const int hosts : {50, 400})
+    {
+        after_a_busy_time lull(hosts);
+        const auto released = static_cast<int>(lull.r.settings.release);
+        CHECK(lull.kept_after(1s, true) >= hosts - released - 1);
+    }
+}
--- a/programs/camphorhitchd/src/hosted_policy.cpp
+++ b/programs/camphorhitchd/src/hosted_policy.cpp
@@ -35,6 +35,7 @@
     to.far_short = p.far_short;
     to.rest = p.rest;
     to.release = p.release;
+    to.release_share = p.release_share;
     to.stops_tasks_above = p.stops_tasks_above;
 }
 
