A wave begins to move long-running tasks early enough to move them one by one

Hosts with long-running tasks were left alone until 7.5 s before the end; of 24 tasks a step bears 3 away at once, so 11 on the wave's hosts take four rounds. From 22 to 29.6 s 27 machines went one after the other. Ruled out: places (63 at once, never used up), the platform's answers (all done). Change: the rounds that the fullest step needs, 1.2 s each, are kept before the turns; in that time hosts are closed for their long-running tasks only, so many at once as one round moves. Short tasks aren't stopped for it. Test: eight hosts of a step that bears one, eight or any number away.

--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -51,6 +51,9 @@
     core::millis turn{4000};
     /// Kept free before the wave's end, for turns that take longer.
     core::millis reserve{3500};
+    /// From the stop of a long-running task to its being at work elsewhere: so long the next one of
+    /// its step may have to wait.
+    core::millis evacuation{1200};
 };
 
 /// Notes what the newest list shows.
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -5,7 +5,9 @@
 #include "coordinator/placement.hpp"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
+#include <utility>
 
 namespace camphorhitch::coordinator
 {
@@ -77,12 +79,63 @@
     return it.host != nullptr && (!is_empty(*it.host) || list.short_pools.contains(it.host->pool));
 }
 
-/// \return whether the wave would end late at the pace of one turn a place.
-bool is_pressed(const wave& w, std::size_t left, const wave_settings& s, core::mono_time now)
+/// \return how often long-running tasks have to leave one after the other, since a step bears only
+/// so many away at once, until the candidates run none.
+int evacuation_rounds(const fleet& f, const std::vector<candidate>& all)
+{
+    std::map<std::pair<std::string, int>, int> tasks; ///< by job and step
+    int rounds = 0;
+    for (const auto& it : all)
+    {
+        if (it.host == nullptr)
+        {
+            continue;
+        }
+        for (const auto& [text, name] : it.host->runs)
+        {
+            const auto& j = *f.jobs.at(name.job);
+            const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
+            if (s.long_running && s.may_be_away > 0)
+            {
+                const int n = ++tasks[{name.job, name.step}];
+                rounds = std::max(rounds, (n + s.may_be_away - 1) / s.may_be_away);
+            }
+        }
+    }
+    return rounds;
+}
+
+/// \return the time that the rest of the wave takes at the pace of one turn a place.
+core::millis time_of_turns(const wave& w, std::size_t left, const wave_settings& s)
 {
     const auto turns =
         (static_cast<std::int64_t>(left) + w.most_at_once - 1) / std::max(w.most_at_once, 1);
-    return now + turns * s.turn + s.reserve > w.due;
+    return turns * s.turn + s.reserve;
+}
+
+/// What may be closed at one look.
+struct wave_pace
+{
+    bool pressed = false;    ///< the wave would end late: all that is left may be closed
+    bool evacuates = false;  ///< hosts are closed for their long-running tasks' sake
+    int closed_for_tasks = 0; ///< of these, at once
+};
+
+wave_pace pace_of(const fleet& f,
+    const wave& w,
+    const std::vector<candidate>& all,
+    const wave_settings& s,
+    core::mono_time now)
+{
+    wave_pace out;
+    const auto ends = now + time_of_turns(w, all.size(), s);
+    const int rounds = evacuation_rounds(f, all);
+    out.pressed = ends > w.due;
+    out.evacuates = ends + rounds * s.evacuation > w.due;
+    const auto with_tasks = std::count_if(
+        all.begin(), all.end(), [](const candidate& it) { return it.long_running > 0; });
+    out.closed_for_tasks = (static_cast<int>(with_tasks) + rounds - 1) / std::max(rounds, 1);
+    return out;
 }
 
 } // namespace
@@ -163,14 +216,19 @@
     std::vector<std::string> ready;
     auto all = candidates_of(f, w, list);
     int places = w.most_at_once - absent_machines(w, list);
-    const bool pressed = is_pressed(w, all.size(), s, now);
+    const auto pace = pace_of(f, w, all, s, now);
     int closing = std::max(places, 0) + s.ahead;
+    int evacuating = pace.closed_for_tasks;
     for (auto& it : all)
     {
-        if (!pressed && is_missed(it, list) && (it.host->use != host_use::closed_for_maintenance))
+        const bool closed =
+            it.host != nullptr && it.host->use == host_use::closed_for_maintenance;
+        const bool leaves = pace.evacuates && it.long_running > 0 && evacuating > 0;
+        if (!pace.pressed && !closed && is_missed(it, list) && !leaves)
         {
             continue;
         }
+        evacuating -= it.long_running > 0 ? 1 : 0;
         if (closing-- <= 0)
         {
             break;
@@ -189,7 +247,7 @@
         if (it.host != nullptr)
         {
             const bool waited = now - it.host->closed_at > s.patience;
-            empty_host(f, *it.host, waited || pressed, now, out);
+            empty_host(f, *it.host, waited || pace.pressed, now, out);
         }
         const bool empty = it.host == nullptr || is_empty(*it.host);
         if (empty && places > 0)
--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -84,6 +84,51 @@
     LONGS_EQUAL(1, w.next().stops.size());
 }
 
+// A wave takes in most hosts of a step that lasts and bears one task away at a time. Guards against
+// a wave that leaves its hosts alone until its end is near, when their tasks can't all leave in
+// time one after the other.
+TEST(waves, long_running_tasks_leave_early_enough_to_leave_one_by_one)
+{
+    struct row
+    {
+        const char* what;
+        int may_be_away;
+        core::millis left;
+        bool leaves;
+    };
+    for (const auto& it : {row{"one at a time, little time", 1, 14s, true},
+             row{"one at a time, time enough", 1, 30s, false},
+             row{"all at once, the same time", 8, 14s, false},
+             row{"as many as one likes", 0, 14s, false}})
+    {
+        world here;
+        std::swap(w, here);
+        v = {};
+        list = {};
+        prepare(8, 8);
+        auto s = make_step(8, 1000);
+        s.long_running = true;
+        s.may_be_away = it.may_be_away;
+        s.most_per_host = 1;
+        w.add(make_job("a", {s}));
+        for (const auto& start : w.next().starts)
+        {
+            w.started(start);
+            w.f.jobs.at("a")->tasks[static_cast<std::size_t>(start.task.index)].runs[0].percent =
+                100;
+        }
+        for (int i = 9; i <= 16; ++i)
+        {
+            w.add_host("h" + std::to_string(i));
+        }
+        v.due = w.now + it.left;
+        plan_wave(w.f, v, list, {}, w.now, w.events);
+        const auto stops = w.next().stops.size();
+        CHECK_TEXT(stops <= static_cast<std::size_t>(it.may_be_away), it.what);
+        CHECK_TEXT((stops > 0) == it.leaves, it.what);
+    }
+}
+
 // There is time: a host that works stays up, one that idles in a pool with some to spare goes. When
 // the end comes near, the one that works is emptied too.
 TEST(waves, while_there_is_time_only_hosts_that_nobody_misses_go)
