--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -53,7 +53,7 @@
     core::millis reserve{3500};
     /// From the stop of a long-running task to its being at work elsewhere: so long the next one of
     /// its step may have to wait.
-    core::millis evacuation{1200};
+    core::millis evacuation{2000};
 };
 
 /// Notes what the newest list shows.
