--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -116,8 +116,8 @@
 /// What may be closed at one look.
 struct wave_pace
 {
-    bool pressed = false;    ///< the wave would end late: all that is left may be closed
-    bool evacuates = false;  ///< hosts are closed for their long-running tasks' sake
+    bool pressed = false;     ///< the wave would end late: all that is left may be closed
+    bool evacuates = false;   ///< hosts are closed for their long-running tasks' sake
     int closed_for_tasks = 0; ///< of these, at once
 };
 
@@ -221,8 +221,7 @@
     int evacuating = pace.closed_for_tasks;
     for (auto& it : all)
     {
-        const bool closed =
-            it.host != nullptr && it.host->use == host_use::closed_for_maintenance;
+        const bool closed = it.host != nullptr && it.host->use == host_use::closed_for_maintenance;
         const bool leaves = pace.evacuates && it.long_running > 0 && evacuating > 0;
         if (!pace.pressed && !closed && is_missed(it, list) && !leaves)
         {
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -35,13 +35,13 @@
     core::millis hosts_plan_every{40}; ///< waves and moves: they look at every job and host
     /// Least pause between two looks at all hosts, for each of them.
     core::micros look_pause_each{20};
-    core::millis job_pause{12};        ///< between two watches of new jobs
+    core::millis job_pause{12}; ///< between two watches of new jobs
     /// Longest wait of such a watch. Its answer tells up to which store revision jobs are known,
     /// and with that how old a count is. With pending_every this stays well below the 2 s allowed.
     core::millis job_wait{700};
-    core::millis poll_wait{700}; ///< longest wait of a poll for an end
+    core::millis poll_wait{700};          ///< longest wait of a poll for an end
     core::millis longest_poll_wait{1400}; ///< the same in a fleet of many hosts
-    core::millis poll_gap{30};   ///< after ends came: gathers the next ones
+    core::millis poll_gap{30};            ///< after ends came: gathers the next ones
     /// Polls a second over all runners, at most; with many runners the gap grows instead. A poll
     /// costs 0.15 ms of processor time, and the coordinator's host may have a quarter of a core.
     double most_polls_per_second = 4000;
@@ -53,17 +53,17 @@
     core::millis longest_idle_gap{800};
     /// Renewals of a former owner's leases while the jobs are read: several within one lease.
     core::millis bridge_every{500};
-    core::millis poll_retry{150};  ///< after a poll that failed
+    core::millis poll_retry{150}; ///< after a poll that failed
     /// Longest wait of a watch of the list of runners; bounds how long a watch that went silent
     /// stays unnoticed, well below the time in which a runner that drains may be given work.
     core::millis hosts_wait{1000};
-    core::millis hosts_pause{60}; ///< between two such watches: gathers what runners write
+    core::millis hosts_pause{60};         ///< between two such watches: gathers what runners write
     core::millis hosts_judged_every{450}; ///< looks at which are silent or have lapsed
-    core::millis machines_every{500}; ///< reads of the list of machines while a wave runs
-    core::millis machines_idle{2000}; ///< otherwise
-    core::millis store_delay{8};      ///< gathers progress into one write
-    core::millis store_retry{100};    ///< after a write that failed
-    core::millis pending_every{500};  ///< counts of waiting jobs
+    core::millis machines_every{500};     ///< reads of the list of machines while a wave runs
+    core::millis machines_idle{2000};     ///< otherwise
+    core::millis store_delay{8};          ///< gathers progress into one write
+    core::millis store_retry{100};        ///< after a write that failed
+    core::millis pending_every{500};      ///< counts of waiting jobs
     /// The same while nothing waits and nothing changes. What was accepted since an old record is
     /// read from the store's history, which reaches some 20 s back.
     core::millis pending_idle{5000};
--- a/libs/hosted/src/leadership.cpp
+++ b/libs/hosted/src/leadership.cpp
@@ -139,8 +139,8 @@
     note.puts = {{leader_slowed_key, ctx.member, 0}};
     ctx.store.commit(std::move(note), [](const ports::commit_result&) {});
     constexpr core::millis calls_leave{1}; // in the turn of the loop between
-    ctx.time.after(calls_leave,
-        guarded([reason](leadership_state& self) { self.events.on_lost(reason); }));
+    ctx.time.after(
+        calls_leave, guarded([reason](leadership_state& self) { self.events.on_lost(reason); }));
 }
 
 int leadership_state::count_hand_overs()
--- a/libs/hosted/src/runner_desk.cpp
+++ b/libs/hosted/src/runner_desk.cpp
@@ -144,8 +144,8 @@
     const bool unheard = term_.now() - h.last_answer >= term_.fleet.settings.runner_lease;
     const bool at_once =
         h.clock_ms < 0 || !h.reachable || h.prior || unheard || asked_again_.contains(host);
-    order.wait = at_once ? core::millis{0}
-                         : poll_wait_for(term_.settings, term_.fleet.hosts.size());
+    order.wait =
+        at_once ? core::millis{0} : poll_wait_for(term_.settings, term_.fleet.hosts.size());
     const auto begun = term_.now();
     h.polled_at = begun;
     polls_out_[host] = begun;
--- a/libs/hosted/src/runner_desk.hpp
+++ b/libs/hosted/src/runner_desk.hpp
@@ -72,8 +72,8 @@
     std::uint64_t last_order_ = 0;
     std::set<std::string> asked_again_; ///< hosts whose silence may be this node's own delay
     std::map<std::string, core::mono_time> polls_out_; ///< when each poll under way was sent
-    std::set<std::string> polling_; ///< a poll is out, or a timer for the next one runs
-    std::set<std::string> resting_; ///< of these: no poll is out, nothing runs there
+    std::set<std::string> polling_;         ///< a poll is out, or a timer for the next one runs
+    std::set<std::string> resting_;         ///< of these: no poll is out, nothing runs there
     std::set<std::string> pools_with_jobs_; ///< with open ones
     std::set<std::string> strays_out_;
 };
--- a/libs/hosted/tests/idle_hosts_tests.cpp
+++ b/libs/hosted/tests/idle_hosts_tests.cpp
@@ -29,8 +29,8 @@
         }
         c.plant = [this](node& n)
         {
-            n.ctx.runners.poll =
-                [this, real = n.ctx.runners.poll](const auto& to, const auto& o, const auto& done)
+            n.ctx.runners.poll = [this, real = n.ctx.runners.poll](
+                                     const auto& to, const auto& o, const auto& done)
             {
                 ++polls;
                 real(to, o, done);
@@ -64,7 +64,8 @@
     }
 }
 
-// In a small fleet polls of idle hosts cost little, and what falls silent is known before work comes.
+// In a small fleet polls of idle hosts cost little, and what falls silent is known before work
+// comes.
 TEST(idle_hosts, in_a_small_fleet_all_are_polled)
 {
     idle_fleet w(50, false);
--- a/libs/hosted/tests/random_fleet_tests.cpp
+++ b/libs/hosted/tests/random_fleet_tests.cpp
@@ -68,10 +68,7 @@
     constexpr int steps = 120;
     for_each_seed(seeds,
         [](std::uint64_t seed)
-        {
-            play_seed(
-                seed, steps, [](cluster& c) { c.settings.most_idle_polls_per_second = 1; });
-        });
+        { play_seed(seed, steps, [](cluster& c) { c.settings.most_idle_polls_per_second = 1; }); });
 }
 
 // Each of these failed once: ends acknowledged after their lease had lapsed counted as taken note
--- a/libs/relay/include/relay/pool.hpp
+++ b/libs/relay/include/relay/pool.hpp
@@ -36,10 +36,12 @@
     /// After the first need for relays orders wait so long for connections, so that each runner is
     /// called by its own relay from the start.
     core::millis settle{300};
-    /// They wait no longer once so large a part of the relays is connected: the rest is likely gone.
+    /// They wait no longer once so large a part of the relays is connected: the rest is likely
+    /// gone.
     double settled_part = 0.75;
     /// Calls of this node's own that may be under way; the others wait. A call takes 0.3 ms of a
-    /// core: of an owner that makes a thousand at once, all answers lie unread until their time-out.
+    /// core: of an owner that makes a thousand at once, all answers lie unread until their
+    /// time-out.
     std::size_t most_local_calls = 250;
     /// A local call without an answer for so long counts no more: runners that are gone must not
     /// hold up the calls to others.
--- a/libs/relay/src/pool_routes.cpp
+++ b/libs/relay/src/pool_routes.cpp
@@ -13,8 +13,8 @@
         return nullptr;
     }
     const auto avoids = avoided.find(to.id);
-    const auto& member =
-        find_route(routes, to, avoids == avoided.end() ? std::string_view{} : avoids->second.member);
+    const auto& member = find_route(
+        routes, to, avoids == avoided.end() ? std::string_view{} : avoids->second.member);
     const auto found = relays.find(member);
     return found == relays.end() ? nullptr : &found->second;
 }
--- a/libs/relay/src/pool_state.hpp
+++ b/libs/relay/src/pool_state.hpp
@@ -107,7 +107,7 @@
     std::map<std::uint64_t, core::mono_time> local_calls; ///< under way, when they were sent
     std::uint64_t last_local_call = 0;
     bool calling_locally = false;
-    std::unordered_map<std::string, core::millis> polled;   ///< runners, when
+    std::unordered_map<std::string, core::millis> polled; ///< runners, when
     route_table routes;
     std::unordered_map<std::string, avoided_relay> avoided; ///< by runner
     verdict_counts relayed{};                               ///< since the last tick
--- a/libs/relay/src/route_table.hpp
+++ b/libs/relay/src/route_table.hpp
@@ -47,8 +47,7 @@
 /// \param avoids a relay that may not be chosen for this runner; empty: none. Looked at when the
 /// runner has no route: forget_route() makes a change count.
 /// \return the relay that calls the runner; empty: none is well.
-const std::string& find_route(
-    route_table& t, const ports::runner_ref& to, std::string_view avoids);
+const std::string& find_route(route_table& t, const ports::runner_ref& to, std::string_view avoids);
 
 void forget_route(route_table& t, const std::string& runner);
 
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -56,7 +56,7 @@
     int far_short = 4;       ///< a pool that lacks so many takes hosts that others let go just now
     core::millis rest{1500}; ///< a surplus is switched off after so long
     double release = 8;      ///< hosts a second that a pool's need is let go at
-    double release_share = 0.5; ///< of a pool's hosts a second on top, after its busy time
+    double release_share = 0.5;          ///< of a pool's hosts a second on top, after its busy time
     core::millis stops_tasks_above{800}; ///< as coordinator::rebalance_settings; 0: never
     double margin = 1.2;                 ///< room above the computed need
     core::millis horizon{1300};          ///< in which waiting tasks should be done
--- a/libs/settings/tests/hosted_settings_tests.cpp
+++ b/libs/settings/tests/hosted_settings_tests.cpp
@@ -34,11 +34,10 @@
 
 TEST(hosted_settings, each_mechanism_can_be_switched_off)
 {
-    const auto read =
-        settings::read_hosted_settings(with(R"("zone":"z")",
-                                           R"("zone":"z","policy":{"moves":false,
+    const auto read = settings::read_hosted_settings(with(R"("zone":"z")",
+                                                         R"("zone":"z","policy":{"moves":false,
 "hands_over":false,"repeats_calls":false,"watches_store":false,"paces":false})"),
-            "f");
+        "f");
     const auto& p = std::get<settings::hosted_settings>(read).policy;
     CHECK(!p.moves && !p.hands_over && !p.repeats_calls && !p.watches_store && !p.paces);
     const auto defaults = settings::hosted_policy{};
