A rise that many jobs show is followed further

Change: the raise may be up to three times as much, in proportion to the jobs that show the trend (20 or more: all of it). Test: the same work in 2, 40 and 400 jobs.

--- a/libs/coordinator/include/coordinator/demand.hpp
+++ b/libs/coordinator/include/coordinator/demand.hpp
@@ -27,6 +27,10 @@
     /// A trend raises a rate to this many times its present value at most: few large jobs that come
     /// together look like a steep one.
     double steepest = 1.5;
+    /// The more jobs show a trend, the less it is their chance: with so many within the rate's
+    /// memory or more it may raise the rate by trusted_factor times as much.
+    double trusted_jobs = 20;
+    double trusted_factor = 3;
     /// A pool is busy while work comes at this many times its long-run rate.
     double busy_factor = 2.0;
     /// Jobs within the rate's memory that make a busy time; one large job makes none.
--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -116,6 +116,13 @@
     return oldest && latest_begin(d, pool) == oldest;
 }
 
+/// \return how many times its present value a trend may raise the pool's rate to.
+double steepest_of(const demand_settings& s, const pool_arrivals& p)
+{
+    return 1 +
+           (s.steepest - 1) * (1 + std::min(1.0, p.jobs / s.trusted_jobs) * (s.trusted_factor - 1));
+}
+
 /// \return the rate expected after the foresight, by the present trend.
 double rate_ahead(const demand_settings& s, const pool_arrivals& p)
 {
@@ -124,7 +131,7 @@
     const double lag = static_cast<double>((s.trend_memory - s.rate_memory).count());
     const double ahead = static_cast<double>((s.foresight + s.rate_memory).count());
     const double risen = p.fast + (p.fast - p.middle) / lag * ahead;
-    return std::clamp(risen, 0.0, p.fast * s.steepest);
+    return std::clamp(risen, 0.0, p.fast * steepest_of(s, p));
 }
 
 /// \return the highest peak of any pool: what a pool is expected to ask that was not busy yet.
--- a/libs/coordinator/tests/demand_tests.cpp
+++ b/libs/coordinator/tests/demand_tests.cpp
@@ -57,6 +57,30 @@
 
 // A pool turns busy for a few seconds. Hosts that are asked for only as its rate rises come when it
 // is over; another pool's peak tells at its begin what is coming.
+// A large fleet's busy time begins: work rises as steeply as can be, shown by many jobs or by few.
+// Guards against a large pool that asks for its hosts seconds late, out of a caution that only few
+// large jobs call for.
+TEST(demand, a_rise_that_many_jobs_show_is_followed_further)
+{
+    const auto asked = [](int jobs, double work)
+    {
+        demand rising;
+        const core::mono_time begun{100s};
+        for (int i = 0; i < jobs; ++i)
+        {
+            note_arrival(rising, "p", work / jobs, begun + 400ms * i / jobs);
+        }
+        // For each core of the present rate.
+        return pool_needs({}, rising, begun + 400ms).at("p").cores / rising.pools.at("p").fast;
+    };
+    constexpr double work = 1000;
+    const double few = asked(2, work);
+    const double many = asked(40, work);
+    CHECK(many > 1.25 * few);
+    CHECK(many < 2 * few);
+    CHECK(asked(400, work) < 1.1 * many); // there is a bound
+}
+
 TEST(demand, a_young_busy_time_asks_for_a_share_of_the_highest_peak)
 {
     feed("p", 300, 10, 1s);
