--- a/libs/hosted/src/pace_watch.hpp
+++ b/libs/hosted/src/pace_watch.hpp
@@ -7,7 +7,6 @@
 #include "term.hpp"
 
 #include <array>
-#include <optional>
 
 namespace camphorhitch::hosted
 {
@@ -20,7 +19,7 @@
     void start();
 
     /// Takes in a timer that ran \p late_by after it was due. To be called more often than every
-    /// short span.
+    /// brief span.
     void see_timer(core::mono_time now, core::micros late_by);
 
 private:
