Failing tests: a repeated maintenance order ends the runner that came after it

What callers see: a task of theirs runs on two hosts at once. Interleaving: a maintenance call is carried out and its answer lost; the order is repeated after 400 ms, again without an answer; meanwhile the host is back with a new runner, which gets work; the next repeat is answered 200, since the maintenance is done already. The runner that the newest list names for the host, the new one, is taken for ended and its tasks start elsewhere.

Seen on the code as it is: '4943 runs twice: a.0.0.2 on m1 and m4'. The stand-in of the machines' service loses answers on demand and, as the platform does, answers a repeat of a maintenance that is done without doing it again; before, each repeat took the host down anew.

--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -212,3 +212,23 @@
     w.f.hosts[j.tasks[1].runs[0].host].reachable = false;
     LONGS_EQUAL(1, others_away(w.f, j, {"a", 0, 0, 0}));
 }
+
+// Guards against ending the runner that came after a maintenance when a repeat of the order for it
+// is answered: its tasks would start elsewhere while they run.
+TEST(waves, a_repeated_order_that_is_answered_late_ends_no_runner_at_work)
+{
+    prepare(1, 1);
+    const auto ready = plan_wave(w.f, v, list, {}, w.now, w.events);
+    LONGS_EQUAL(1, ready.size());
+    w.now += 4s; // maintained without an answer, and back as another life
+    w.f.hosts.erase("h1");
+    w.add_host("h2");
+    list.read_at = w.now;
+    list.machines["m1"].runner = "h2";
+    match_machines(w.f, list, w.now, w.events);
+    w.add(make_job("a", {make_step(1, 1000)}));
+    w.started(w.next().starts[0]);
+    maintenance_began(w.f, v, list, "m1", w.now, w.events);
+    LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
+    CHECK(w.f.hosts.contains("h2"));
+}
--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -87,6 +87,7 @@
     bool checks_fences = true; ///< false: takes orders of any owner
     double orders_late =
         0; ///< share of starts and stops without an answer, carried out seconds later
+    int machine_answers_to_lose = 0; ///< of the next orders for machines, which are carried out
     std::vector<std::string> broken; ///< promises, each with time and task
     std::int64_t starts = 0;
     std::int64_t lapsed = 0; ///< runs that ended since their lease had, on runners that were well
@@ -117,6 +118,10 @@
     void take_note(const fake_host& h, const ports::reported_end& it);
     void check_told(const std::string& task);
     void check_start(const fake_host& h, const ports::start_order& o);
+    ports::machine_verdict take_down(const std::string& machine, const std::string& pool);
+    void order_machine(daemon_fakes::process& p,
+        std::function<ports::machine_verdict()> carry_out,
+        std::function<void(ports::machine_verdict)> done);
     void breach(const std::string& what);
     std::int64_t clock() const;
     fake_host* at(const ports::runner_ref& r);
@@ -129,6 +134,7 @@
     std::map<std::string, core::mono_time> started_; ///< newest start of each task
     std::map<std::string, core::mono_time> told_;    ///< tasks whose end done was in an answer
     std::map<std::string, int> failures_;
+    std::set<std::pair<std::int64_t, std::string>> maintained_; ///< wave and machine
     int last_life_ = 0;
 };
 
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -21,6 +21,7 @@
 constexpr core::millis longest_late{6000};
 constexpr core::millis entry_expires{4500};
 constexpr core::millis move_time{1500};
+constexpr core::millis machine_call_timeout{1500};
 constexpr int whole = 100;
 /// An answer lists no more; the others come once these are acknowledged.
 constexpr std::size_t most_ends_listed = 500;
@@ -515,52 +516,76 @@
                 p.enter([done, list] { done(list); });
             });
     };
-    const auto take_down = [this](const std::string& machine, const std::string& pool)
-    {
-        auto& h = machines.at(machine);
-        if (!h.up)
-        {
-            return ports::machine_verdict::busy;
-        }
-        h.up = false;
-        h.runs.clear();
-        store_.remove("runner/" + h.runner);
-        h.pool = pool;
-        time_.after(move_time, [this, machine] { begin_life(machines.at(machine)); });
-        return ports::machine_verdict::done;
-    };
-    const auto order = [this, &p, take_down](const std::string& machine,
-                           const std::string& pool,
-                           const std::function<void(ports::machine_verdict)>& done)
-    {
-        time_.after(wire_delay,
-            [this, &p, take_down, machine, pool, done]
-            {
-                if (p.dead || p.paused)
-                {
-                    return;
-                }
-                const auto verdict = take_down(machine, pool);
-                time_.after(wire_delay, [&p, done, verdict] { p.enter([=] { done(verdict); }); });
-            });
-    };
-    out.move = [order](const std::string& machine,
+    out.move = [this, &p](const std::string& machine,
                    const std::string& pool,
                    std::int64_t,
                    const std::function<void(ports::machine_verdict)>& done)
     {
-        order(machine, pool, done);
+        order_machine(
+            p, [this, machine, pool] { return take_down(machine, pool); }, done);
     };
-    out.maintain = [this, order](const std::string& machine,
-                       std::int64_t,
+    out.maintain = [this, &p](const std::string& machine,
+                       std::int64_t wave,
                        std::int64_t,
                        const std::function<void(ports::machine_verdict)>& done)
     {
-        order(machine, machines.at(machine).pool, done);
+        const auto once = [this, machine, wave]
+        {
+            if (maintained_.contains({wave, machine}))
+            {
+                return ports::machine_verdict::done;
+            }
+            const auto verdict = take_down(machine, machines.at(machine).pool);
+            if (verdict == ports::machine_verdict::done)
+            {
+                maintained_.insert({wave, machine});
+            }
+            return verdict;
+        };
+        order_machine(p, once, done);
     };
     return out;
 }
 
+ports::machine_verdict hosts::take_down(const std::string& machine, const std::string& pool)
+{
+    auto& h = machines.at(machine);
+    if (!h.up)
+    {
+        return ports::machine_verdict::busy;
+    }
+    h.up = false;
+    h.runs.clear();
+    store_.remove("runner/" + h.runner);
+    h.pool = pool;
+    time_.after(move_time, [this, machine] { begin_life(machines.at(machine)); });
+    return ports::machine_verdict::done;
+}
+
+/// Orders of a dead or paused process are never carried out.
+void hosts::order_machine(process& p,
+    std::function<ports::machine_verdict()> carry_out,
+    std::function<void(ports::machine_verdict)> done)
+{
+    time_.after(wire_delay,
+        [this, &p, carry_out = std::move(carry_out), done = std::move(done)]
+        {
+            if (p.dead || p.paused)
+            {
+                return;
+            }
+            const auto verdict = carry_out();
+            if (machine_answers_to_lose > 0)
+            {
+                --machine_answers_to_lose;
+                time_.after(machine_call_timeout,
+                    [&p, done] { p.enter([=] { done(ports::machine_verdict::unknown); }); });
+                return;
+            }
+            time_.after(wire_delay, [&p, done, verdict] { p.enter([=] { done(verdict); }); });
+        });
+}
+
 hosted::formats hosts::formats() const
 {
     hosted::formats out;
