Log: the end of a runner's life tells its proof, its age and the runs that go with it

The proofs of a life's end (another life of the host, maintenance, a move, another life at the address) were free text; now they are an enum with a table of names. The line host_ended tells besides the machine, how many runs are given up with it, and how long ago the runner answered or since when it is silent: a runner that answered a moment ago and is ended with runs is what a doubled run would look like.

--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -35,13 +35,27 @@
 void see_hosts(
     fleet& f, const std::vector<host_listing>& all, core::mono_time now, task_events& out);
 
+/// What shows that a runner's life has ended.
+enum class life_proof
+{
+    host_has_another_life, ///< or none: the list of machines says so
+    host_maintained,       ///< by an order of this owner
+    host_moved,            ///< by an order of this owner
+    address_has_another_life,
+    crashed ///< its simulation says so
+};
+
+inline constexpr core::name_table<life_proof, 5> life_proof_names{{
+    {life_proof::host_has_another_life, "host_has_another_life"},
+    {life_proof::host_maintained, "host_maintained"},
+    {life_proof::host_moved, "host_moved"},
+    {life_proof::address_has_another_life, "address_has_another_life"},
+    {life_proof::crashed, "crashed"},
+}};
+
 /// A runner's life has certainly ended: all its runs are over.
-/// \param proof what shows it, for the log
-void end_host(fleet& f,
-    const std::string& id,
-    const std::string& proof,
-    core::mono_time now,
-    task_events& out);
+void end_host(
+    fleet& f, const std::string& id, life_proof proof, core::mono_time now, task_events& out);
 
 /// A host whose runs were given up because its leases had ended.
 struct host_lapse
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -87,6 +87,11 @@
     return heard && (h.ref.address != it.ref.address || (!h.pool.empty() && h.pool != it.pool));
 }
 
+std::int64_t ms_since(core::mono_time then, core::mono_time now)
+{
+    return std::chrono::duration_cast<core::millis>(now - then).count();
+}
+
 void erase_strays(fleet& f, const std::string& host)
 {
     std::erase_if(f.strays, [&](const stray_run& it) { return it.host == host; });
@@ -235,11 +240,8 @@
     }
 }
 
-void end_host(fleet& f,
-    const std::string& id,
-    const std::string& proof,
-    core::mono_time now,
-    task_events& out)
+void end_host(
+    fleet& f, const std::string& id, life_proof proof, core::mono_time now, task_events& out)
 {
     f.ended[id] = now;
     auto* const h = find_host(f, id);
@@ -247,9 +249,16 @@
     {
         return;
     }
-    drop_runs(f, *h, "run_lost", "host ended: " + proof, out);
+    const std::string because{core::name_of(life_proof_names, proof)};
+    out.push_back({"host_ended",
+        "",
+        0,
+        id,
+        because + " machine=" + h->machine + " runs=" + std::to_string(h->runs.size()) +
+            (h->reachable ? " since_answer_ms=" + std::to_string(ms_since(h->last_answer, now))
+                          : " silent_ms=" + std::to_string(ms_since(h->silent_since, now)))});
+    drop_runs(f, *h, "run_lost", "host ended: " + because, out);
     erase_strays(f, id);
-    out.push_back({"host_ended", "", 0, id, proof});
     f.hosts.erase(id);
 }
 
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -164,7 +164,7 @@
     }
     for (const auto& id : over)
     {
-        end_host(f, id, "its machine has another life, or none", now, out);
+        end_host(f, id, life_proof::host_has_another_life, now, out);
     }
 }
 
@@ -271,7 +271,7 @@
     w.down_at[machine] = now;
     if (const auto* const m = find_machine(list, machine))
     {
-        end_host(f, m->runner, "its machine's maintenance began", now, out);
+        end_host(f, m->runner, life_proof::host_maintained, now, out);
     }
 }
 
