The answer to a maintenance order ends only the runner that was emptied for it

What callers saw: a task of theirs ran on two hosts at once. Cause: 'done' is also the platform's answer when the maintenance was done before. An order without an answer is repeated until it is answered; by then the host may be back, with another runner at work, and maintenance_began ended the runner that the newest list names for the host. Class: an answer about a host is taken for proof about the life of its runner. Ruled out: that the repeat itself does harm there (the platform does it once); that a lapse excuses the second run (the new runner answers all the while). Evidence: machine_orders.a_lost_answer_of_a_maintenance_ends_no_runner_at_work and waves.a_repeated_order_that_is_answered_late_ends_no_runner_at_work failed before ('4943 runs twice: a.0.0.2 on m1 and m4') and pass now. Change: an order remembers the runner that it was first sent for. Its answer ends that runner alone, and only if it is closed and holds nothing; a runner that came since works on. Before a repeat, a host that came since is closed and emptied: had the first order been lost, the repeat would take its work with it.

--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -31,9 +31,10 @@
     std::vector<std::string> machines;
     int most_at_once = 1;
     core::mono_time due;
-    core::mono_time taken_at;                       ///< when this owner read the request
-    std::set<std::string> begun;                    ///< their maintenance has begun, or is over
-    std::set<std::string> asked;                    ///< an order is out
+    core::mono_time taken_at;    ///< when this owner read the request
+    std::set<std::string> begun; ///< their maintenance has begun, or is over
+    /// An order is out, by machine: the runner that the list named when it was first sent.
+    std::map<std::string, std::string> asked;
     std::map<std::string, core::mono_time> down_at; ///< begun and not seen up again
     bool completed = false;
 };
@@ -73,7 +74,18 @@
     core::mono_time now,
     task_events& out);
 
-/// The platform says that the maintenance of \p machine has begun.
+/// Before an order that may have been carried out is repeated: closes and empties the host that has
+/// come since.
+/// \return whether the order may be sent.
+bool may_repeat(fleet& f,
+    const wave& w,
+    const machine_table& list,
+    const std::string& machine,
+    const wave_settings& s,
+    core::mono_time now,
+    task_events& out);
+
+/// The platform says that the maintenance of \p machine has begun, now or for an earlier order.
 void maintenance_began(fleet& f,
     wave& w,
     const machine_table& list,
@@ -81,6 +93,9 @@
     core::mono_time now,
     task_events& out);
 
+/// The platform says that \p machine is not part of the wave: nothing is left to be done for it.
+void not_in_wave(fleet& f, wave& w, const machine_table& list, const std::string& machine);
+
 /// Moves long-running tasks off hosts that are about to leave, as far as their steps allow; batch
 /// tasks mostly end before.
 void empty_draining_hosts(fleet& f, core::mono_time now, task_events& out);
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -138,6 +138,37 @@
     return out;
 }
 
+void close_host(
+    const wave& w, host_entry& h, const std::string& machine, core::mono_time now, task_events& out)
+{
+    if (h.use != host_use::open)
+    {
+        return;
+    }
+    h.use = host_use::closed_for_maintenance;
+    h.closed_at = now;
+    out.push_back({"host_closed",
+        "",
+        0,
+        h.ref.id,
+        "wave=" + std::to_string(w.number) + " machine=" + machine +
+            " runs=" + std::to_string(h.runs.size())});
+}
+
+host_entry* host_of_machine(fleet& f, const machine_table& list, const std::string& machine)
+{
+    const auto* const m = find_machine(list, machine);
+    return m == nullptr ? nullptr : find_host(f, m->runner);
+}
+
+void reopen_host(host_entry* h)
+{
+    if (h != nullptr && h->use == host_use::closed_for_maintenance)
+    {
+        h->use = host_use::open;
+    }
+}
+
 } // namespace
 
 void match_machines(fleet& f, const machine_table& list, core::mono_time now, task_events& out)
@@ -232,19 +263,9 @@
         {
             break;
         }
-        if (it.host != nullptr && it.host->use == host_use::open)
-        {
-            it.host->use = host_use::closed_for_maintenance;
-            it.host->closed_at = now;
-            out.push_back({"host_closed",
-                "",
-                0,
-                it.host->ref.id,
-                "wave=" + std::to_string(w.number) + " machine=" + it.machine +
-                    " runs=" + std::to_string(it.host->runs.size())});
-        }
         if (it.host != nullptr)
         {
+            close_host(w, *it.host, it.machine, now, out);
             const bool waited = now - it.host->closed_at > s.patience;
             empty_host(f, *it.host, waited || pace.pressed, now, out);
         }
@@ -252,13 +273,31 @@
         if (empty && places > 0)
         {
             --places;
-            w.asked.insert(it.machine);
+            w.asked[it.machine] = list.machines.at(it.machine).runner;
             ready.push_back(it.machine);
         }
     }
     return ready;
 }
 
+bool may_repeat(fleet& f,
+    const wave& w,
+    const machine_table& list,
+    const std::string& machine,
+    const wave_settings& s,
+    core::mono_time now,
+    task_events& out)
+{
+    auto* const h = host_of_machine(f, list, machine);
+    if (h == nullptr)
+    {
+        return true;
+    }
+    close_host(w, *h, machine, now, out);
+    empty_host(f, *h, now - h->closed_at > s.patience, now, out);
+    return is_empty(*h);
+}
+
 void maintenance_began(fleet& f,
     wave& w,
     const machine_table& list,
@@ -266,13 +305,30 @@
     core::mono_time now,
     task_events& out)
 {
+    auto* const h = host_of_machine(f, list, machine);
+    const auto asked = w.asked.find(machine);
+    // The answer is the same when the maintenance was done before: the host may be back with
+    // another runner, which has work.
+    const bool is_its = h != nullptr && asked != w.asked.end() && asked->second == h->ref.id &&
+                        h->use == host_use::closed_for_maintenance && is_empty(*h);
+    if (is_its)
+    {
+        end_host(f, asked->second, life_proof::host_maintained, now, out);
+    }
+    else
+    {
+        reopen_host(h);
+    }
     w.asked.erase(machine);
     w.begun.insert(machine);
     w.down_at[machine] = now;
-    if (const auto* const m = find_machine(list, machine))
-    {
-        end_host(f, m->runner, life_proof::host_maintained, now, out);
-    }
+}
+
+void not_in_wave(fleet& f, wave& w, const machine_table& list, const std::string& machine)
+{
+    w.asked.erase(machine);
+    w.begun.insert(machine);
+    reopen_host(host_of_machine(f, list, machine));
 }
 
 void empty_draining_hosts(fleet& f, core::mono_time now, task_events& out)
--- a/libs/hosted/src/wave_runner.cpp
+++ b/libs/hosted/src/wave_runner.cpp
@@ -211,6 +211,20 @@
         maintain_later(number, machine);
         return;
     }
+    coordinator::task_events out;
+    const bool may = coordinator::may_repeat(term_.fleet,
+        waves_.at(number).wave,
+        machines_,
+        machine,
+        term_.settings.waves,
+        term_.now(),
+        out);
+    term_.log(out);
+    if (!may)
+    {
+        maintain_later(number, machine);
+        return;
+    }
     term_.ctx.machines.maintain(machine,
         number,
         term_.token,
@@ -245,8 +259,7 @@
         term_.fenced_by("the machines' service");
         break;
     case machine_verdict::other_wave:
-        it.wave.asked.erase(machine);
-        it.wave.begun.insert(machine); // nothing to be done for this wave
+        coordinator::not_in_wave(term_.fleet, it.wave, machines_, machine);
         break;
     case machine_verdict::busy:
     case machine_verdict::refused:
