The answer to a move ends no runner with work, and a repeat waits for the runner that came since

Two tests failed before: rebalance.an_answer_to_a_move_ends_no_runner_at_work (the run was dropped from the books, and its task would have started elsewhere) and rebalance.a_move_is_not_repeated_under_a_runner_with_work (the move was ordered at once; carried out, it ends work that nobody asked to end). Change: before it is ordered, a move follows the life that the machine has now, closes it and waits until it is empty; the answer ends a runner only if it holds nothing.

--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -263,6 +263,32 @@
     }
 }
 
+/// A move that was ordered without an answer, or before the runner was listed, may meet another
+/// runner on the machine: that one gets no new work either.
+void follow_life(fleet& f,
+    const machine_table& list,
+    const std::string& machine,
+    pending_move& move,
+    core::mono_time now)
+{
+    const auto m = list.machines.find(machine);
+    if (m == list.machines.end() || m->second.pool == move.to)
+    {
+        return; // it has left, or has moved: its runner works there
+    }
+    auto* const h = find_host(f, m->second.runner);
+    if (h == nullptr)
+    {
+        return;
+    }
+    move.runner = h->ref.id;
+    if (h->use == host_use::open)
+    {
+        h->use = host_use::closed_for_move;
+        h->closed_at = now;
+    }
+}
+
 } // namespace
 
 std::vector<move_action> plan_moves(fleet& f,
@@ -286,9 +312,14 @@
     rest_surplus(f, r, all, now, out);
     for (auto& [machine, move] : r.moves)
     {
+        if (move.ordered)
+        {
+            continue;
+        }
+        follow_life(f, list, machine, move, now);
         const auto* const h = find_host(f, move.runner);
         const bool empty = h == nullptr || is_empty(*h);
-        if (!move.ordered && empty && static_cast<int>(ready.size()) < r.settings.most_moves)
+        if (empty && static_cast<int>(ready.size()) < r.settings.most_moves)
         {
             move.ordered = true;
             move.ordered_at = now;
@@ -323,12 +354,17 @@
     }
     if (verdict == ports::machine_verdict::done)
     {
-        end_host(f, it->second.runner, life_proof::host_moved, now, out);
+        // The answer is the same when the move was done before. A runner with work came since.
+        const auto* const h = find_host(f, it->second.runner);
+        if (h == nullptr || is_empty(*h))
+        {
+            end_host(f, it->second.runner, life_proof::host_moved, now, out);
+        }
         return;
     }
     if (verdict == ports::machine_verdict::unknown)
     {
-        it->second.ordered = false; // ordered again; a repeat does no harm
+        it->second.ordered = false; // ordered again once the machine holds no work
         return;
     }
     if (auto* const h = find_host(f, it->second.runner))
--- a/libs/coordinator/tests/rebalance_tests.cpp
+++ b/libs/coordinator/tests/rebalance_tests.cpp
@@ -105,6 +105,36 @@
     CHECK(r.moves.empty());
 }
 
+// Guards against ending a runner with work for an answer that may be older than its work: the tasks
+// would start elsewhere while they run.
+TEST(rebalance, an_answer_to_a_move_ends_no_runner_at_work)
+{
+    add_machine("1", "p");
+    r.moves["1"] = {"off", "h1", true, w.now};
+    w.add(make_job("a", {make_step(1, 1000)}));
+    w.started(w.next().starts[0]);
+    move_answered(w.f, r, "1", ports::machine_verdict::done, w.now, w.events);
+    LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
+    CHECK(w.f.hosts.contains("h1"));
+}
+
+// Guards against repeating a move under a runner that came since it was first ordered.
+TEST(rebalance, a_move_is_not_repeated_under_a_runner_with_work)
+{
+    add_machine("1", "p");
+    pools = {{"p", false}, {"q", false}};
+    r.moves["1"] = {"q", "gone", true, w.now};
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto run = w.next().starts[0];
+    w.started(run);
+    move_answered(w.f, r, "1", ports::machine_verdict::unknown, w.now, w.events);
+    LONGS_EQUAL(0, next().size());
+    CHECK(w.f.hosts["h1"].use == host_use::closed_for_move);
+    w.ended(run, ports::run_end::done, 1);
+    w.f.hosts["h1"].stored_end = 1;
+    LONGS_EQUAL(1, next().size());
+}
+
 // A queue of long tasks has filled the hosts when another queue's busy time begins. Waited for to
 // their end, the tasks hold the hosts for seconds, and the short jobs of the other queue are late.
 // Tasks that keep their progress are stopped, unless they end soon, keep none, or their own job
