Failing tests: an address that is handed on ends a runner that still works

What callers see: a task of theirs runs on two hosts at once. Interleaving: a runner is cut off and works on until its lease ends, up to 2.5 s; its address goes to another one; the owner's next call is answered by that one, is taken for proof that the runner has ended, and the tasks start elsewhere. Seen on the code as it is: '2155 runs twice: a.0.0.0 on m1 and m4'.

settling.another_life_ends_all_runs_at_once said that such an answer ends all runs at once. That is what is wrong: the platform's pages promise an address to nobody, and hand it on within two seconds, less than a lease. It is replaced by a test as strict: nothing is granted to the runner any more, its runs stay in the books until its leases have certainly ended, and then it is ended. A second test, green today, holds that a crashed runner whose machine is back isn't waited for. The stand-in can hand an address on; a call there reaches the runner that isn't dark.

--- a/libs/coordinator/tests/settling_tests.cpp
+++ b/libs/coordinator/tests/settling_tests.cpp
@@ -77,7 +77,9 @@
     CHECK(again[0].run > a.run);
 }
 
-TEST(settling, another_life_ends_all_runs_at_once)
+// Guards against starting tasks a second time while their runner, cut off, still works: an address
+// may be handed on before the leases of the runner that had it have ended.
+TEST(settling, another_life_at_an_address_ends_the_runner_there_once_its_leases_have)
 {
     w.add_host("h1");
     w.add_host("h2");
@@ -91,7 +93,13 @@
     }
     ports::poll_answer other;
     other.call = {ports::runner_verdict::other_life, -1};
+    note_lease(w.f.hosts["h1"], lease_end_for(w.f, w.f.hosts["h1"], w.now));
     poll_answered(w.f, "h1", w.now, other, w.now, w.events);
+    LONGS_EQUAL(0, lease_end_for(w.f, w.f.hosts["h1"], w.now));
+    lapse_hosts(w.f, w.now, w.events);
+    LONGS_EQUAL(6, w.f.jobs.at("a")->live_runs);
+    w.now += w.f.settings.runner_lease * 2;
+    lapse_hosts(w.f, w.now, w.events);
     LONGS_EQUAL(3, w.f.jobs.at("a")->live_runs);
     CHECK_FALSE(w.f.hosts.contains("h1"));
 }
--- /dev/null
+++ b/libs/hosted/tests/life_proofs_tests.cpp
@@ -0,0 +1,54 @@
+#include "hosted_fakes/cluster.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::hosted_fakes;
+
+TEST_GROUP(life_proofs)
+{
+    cluster c;
+
+    void begin(int hosts)
+    {
+        for (int i = 0; i < hosts; ++i)
+        {
+            c.hosts.add("p");
+        }
+        c.add_node();
+        CHECK(c.has_leader());
+        c.time.run_for(1s);
+    }
+};
+
+// Guards against taking the answer from an address that was handed on for the end of the runner
+// that had it: cut off, it works until its lease ends, and its task would run twice.
+TEST(life_proofs, another_runner_at_the_address_of_a_dark_one_ends_no_run)
+{
+    begin(3);
+    auto j = c.make_job_on_each("a", 3);
+    j.steps[0].long_running = true;
+    c.put_job(j);
+    c.time.run_for(1s);
+    LONGS_EQUAL(3, c.running());
+    c.hosts.cut("m1", 20s);
+    c.hosts.hand_on_address("m1");
+    c.time.run_for(1s);
+    STRCMP_EQUAL("", c.breaches().c_str());
+    CHECK(c.time.run_until([&] { return c.hosts.starts == 4; }, 4s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// Guards against waiting for leases where the list of machines shows that the runner has ended.
+TEST(life_proofs, a_crashed_runner_whose_machine_is_back_is_not_waited_for)
+{
+    begin(2);
+    auto j = c.make_job("a", 2);
+    j.steps[0].long_running = true;
+    c.put_job(j);
+    c.time.run_for(1s);
+    LONGS_EQUAL(2, c.running());
+    c.hosts.crash("m1", 300ms);
+    CHECK(c.time.run_until([&] { return c.running() == 2; }, 1500ms));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -73,6 +73,9 @@
     /// The runner is cut off from the system and the store, and runs on.
     void cut(const std::string& machine, core::millis how_long);
     void drain(const std::string& machine);
+    /// Another machine comes up at the address of one that is dark, as addresses are handed on.
+    /// \return its name.
+    std::string hand_on_address(const std::string& machine);
 
     ports::runners runner_port(daemon_fakes::process& p);
     ports::machines machine_port(daemon_fakes::process& p);
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -82,6 +82,15 @@
     return name;
 }
 
+std::string hosts::hand_on_address(const std::string& machine)
+{
+    const auto name = add(machines.at(machine).pool);
+    auto& h = machines.at(name);
+    h.address = machines.at(machine).address;
+    publish(h);
+    return name;
+}
+
 void hosts::crash(const std::string& machine, core::millis down)
 {
     auto& h = machines.at(machine);
@@ -116,14 +125,15 @@
 
 fake_host* hosts::at(const ports::runner_ref& r)
 {
+    fake_host* found = nullptr;
     for (auto& [name, h] : machines)
     {
-        if (h.address == r.address)
+        if (h.address == r.address && (found == nullptr || found->dark))
         {
-            return &h;
+            found = &h;
         }
     }
-    return nullptr;
+    return found;
 }
 
 void hosts::check_told(const std::string& task)
