Another runner at an address proves nothing of the one that had it

Cause: an answer of another life was taken for the end of the runner that was called. An address is handed on within two seconds, a lease lasts two and a half, and a runner that is cut off works until its lease ends. Class, as with the machine orders: an answer about something that outlives a runner (its host, its address) is taken for proof about its life. Ruled out: that the host's own next life needs this proof. The list of machines names it, and that one is sound. Change: such an answer counts as silence: nothing is granted any more, orders without another answer stay unsettled. The runner ends when the list of machines names another life of its host, which is read again within half a second then, or once its leases have certainly ended. The line host_address_lost tells of it. Evidence: life_proofs.another_runner_at_the_address_of_a_dark_one_ends_no_run and settling.another_life_at_an_address_ends_the_runner_there_once_its_leases_have failed before ('2155 runs twice: a.0.0.0 on m1 and m4'). hosted_tests: 179 passed; coordinator_tests: 69 passed.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -142,6 +142,7 @@
     /// call that did not leave counts 1, for the fault may be on this side, or on a node between.
     int asked = 0;
     bool reachable = false;
+    bool address_lost = false;    ///< another runner answered there last
     core::mono_time silent_since; ///< when it left reachable
     core::mono_time added_at;
     core::mono_time last_answer;     ///< to a poll; zero: none in this term
--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -38,11 +38,11 @@
 /// What shows that a runner's life has ended.
 enum class life_proof
 {
-    host_has_another_life, ///< or none: the list of machines says so
-    host_maintained,       ///< by an order of this owner
-    host_moved,            ///< by an order of this owner
-    address_has_another_life,
-    crashed ///< its simulation says so
+    host_has_another_life,    ///< or none: the list of machines says so
+    host_maintained,          ///< by an order of this owner
+    host_moved,               ///< by an order of this owner
+    address_has_another_life, ///< and all its leases have ended
+    crashed                   ///< its simulation says so
 };
 
 inline constexpr core::name_table<life_proof, 5> life_proof_names{{
--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -25,6 +25,9 @@
 /// nothing of the old one still runs. Saves a successor the wait for their leases.
 void match_machines(fleet& f, const machine_table& list, core::mono_time now, task_events& out);
 
+/// \return whether the list of machines may spare tasks the wait for their runner's leases.
+bool awaits_list(const fleet& f);
+
 struct wave
 {
     std::int64_t number = 0;
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -32,27 +32,6 @@
     }
 }
 
-/// What an answer says of the two that talk, before what it says of the order.
-/// \return false when the runner knows a newer owner, true when the runner's life is over, nothing
-/// when both stand.
-std::optional<bool> judge_standing(fleet& f,
-    const std::string& host,
-    const ports::runner_answer& answer,
-    core::mono_time now,
-    task_events& out)
-{
-    if (answer.verdict == runner_verdict::fenced)
-    {
-        return false;
-    }
-    if (answer.verdict == runner_verdict::other_life)
-    {
-        end_host(f, host, life_proof::address_has_another_life, now, out);
-        return true;
-    }
-    return std::nullopt;
-}
-
 run_entry* find_run(
     fleet& f, const workflow::task_name& name, const std::string& host, std::int64_t number)
 {
@@ -211,25 +190,37 @@
     }
 }
 
+/// Another runner answers at the host's address. An address may be handed on while the one that had
+/// it is cut off and works, so this ends nothing before its leases have ended.
+void lose_address(host_entry& h, task_events& out)
+{
+    if (!h.address_lost)
+    {
+        out.push_back({"host_address_lost", "", 0, h.ref.id, "address=" + h.ref.address});
+    }
+    h.address_lost = true;
+}
+
 /// What any answer, or none, says of the host itself.
-/// \return as judge_standing; true too when there was no answer
-std::optional<bool> take_contact(fleet& f,
-    host_entry& h,
-    const ports::runner_answer& answer,
-    core::mono_time now,
-    task_events& out)
+/// \return false when the runner knows a newer owner, true when there was no answer of the runner,
+/// nothing when it answered.
+std::optional<bool> take_contact(
+    host_entry& h, const ports::runner_answer& answer, core::mono_time now, task_events& out)
 {
     h.asked += answer.verdict == runner_verdict::not_sent ? 1 : surely_asked;
-    const auto id = h.ref.id; // the host may be removed with it
-    if (const auto over = judge_standing(f, id, answer, now, out))
+    if (answer.verdict == runner_verdict::fenced)
+    {
+        return false;
+    }
+    if (answer.verdict == runner_verdict::other_life)
     {
-        return over;
+        lose_address(h, out);
     }
     if (answer.verdict != runner_verdict::done)
     {
         if (h.reachable)
         {
-            out.push_back({"host_silent", "", 0, id, verdict_text(answer)});
+            out.push_back({"host_silent", "", 0, h.ref.id, verdict_text(answer)});
             h.silent_since = now;
         }
         h.reachable = false;
@@ -237,9 +228,11 @@
     }
     if (!h.reachable)
     {
-        out.push_back({"host_answers", "", 0, id, h.prior ? "first look of this term" : ""});
+        const auto* const why = h.prior ? "first look of this term" : "";
+        out.push_back({"host_answers", "", 0, h.ref.id, why});
     }
     h.reachable = true;
+    h.address_lost = false;
     h.last_answer = now;
     note_clock(h, answer, now);
     return std::nullopt;
@@ -271,7 +264,7 @@
     task_events& out)
 {
     auto* const h = find_host(f, host);
-    return h == nullptr || take_contact(f, *h, answer, now, out).value_or(true);
+    return h == nullptr || take_contact(*h, answer, now, out).value_or(true);
 }
 
 bool start_answered(fleet& f,
@@ -282,11 +275,14 @@
     core::mono_time now,
     task_events& out)
 {
-    if (const auto over = judge_standing(f, host, answer, now, out))
+    if (answer.verdict == runner_verdict::fenced)
     {
-        return *over;
+        return false;
     }
-    if (auto* const h = find_host(f, host))
+    const bool unheard =
+        answer.verdict == runner_verdict::unknown || answer.verdict == runner_verdict::other_life;
+    auto* const h = find_host(f, host);
+    if (h != nullptr && !unheard)
     {
         note_clock(*h, answer, now);
     }
@@ -295,7 +291,7 @@
     {
         return true;
     }
-    if (answer.verdict == runner_verdict::unknown)
+    if (unheard)
     {
         note(out, "start_unknown", task, run, host, verdict_text(answer));
         if (it->phase == run_phase::ordered)
@@ -322,9 +318,9 @@
     core::mono_time now,
     task_events& out)
 {
-    if (const auto over = judge_standing(f, host, answer, now, out))
+    if (answer.verdict == runner_verdict::fenced)
     {
-        return *over;
+        return false;
     }
     auto* const it = find_run(f, task, host, run);
     if (it == nullptr)
@@ -363,7 +359,7 @@
     {
         return true;
     }
-    if (const auto over = take_contact(f, *h, answer.call, now, out))
+    if (const auto over = take_contact(*h, answer.call, now, out))
     {
         return *over;
     }
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -266,6 +266,7 @@
 {
     std::vector<host_lapse> lapsed;
     std::vector<std::string> gone;
+    std::vector<std::string> ended;
     for (auto& [id, h] : f.hosts)
     {
         // Silence is proof only of one that was asked. An owner that is late itself, with thousands
@@ -288,11 +289,19 @@
             h.prior = false;
             out.push_back({"host_lapsed", "", 0, id, "leases of the former owner have ended"});
         }
-        if (!h.listed)
+        if (h.address_lost)
+        {
+            ended.push_back(id);
+        }
+        else if (!h.listed)
         {
             gone.push_back(id);
         }
     }
+    for (const auto& it : ended)
+    {
+        end_host(f, it, life_proof::address_has_another_life, now, out);
+    }
     for (const auto& it : gone)
     {
         out.push_back({"host_forgotten", "", 0, it, "not listed and lapsed"});
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -199,6 +199,13 @@
     }
 }
 
+bool awaits_list(const fleet& f)
+{
+    return std::any_of(f.hosts.begin(),
+        f.hosts.end(),
+        [](const auto& it) { return it.second.address_lost && !it.second.runs.empty(); });
+}
+
 /// A machine that the list doesn't show has left. Of a list from before the request this proves
 /// nothing: one that was new then would be taken for gone, and the operators told that the wave is
 /// completed. A list that was asked for after it shows each machine that stays.
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -112,10 +112,32 @@
         on_list_();
         term_.wake();
     }
-    const auto unseen = coordinator::find_unexamined(term_.fleet, term_.now());
-    const bool often = is_pressing_() || !moves_.moves.empty() || !unseen.pools.empty();
-    term_.ctx.time.after(often ? term_.settings.machines_every : term_.settings.machines_idle,
-        term_.guarded([this] { read(); }));
+    read_later(asked);
+}
+
+/// Whether the list is wanted often may change at any time.
+void machine_desk::read_later(core::mono_time last)
+{
+    term_.ctx.time.after(term_.settings.machines_every,
+        term_.guarded(
+            [this, last]
+            {
+                const bool due = term_.now() - last >= term_.settings.machines_idle;
+                if (due || is_wanted_often())
+                {
+                    read();
+                }
+                else
+                {
+                    read_later(last);
+                }
+            }));
+}
+
+bool machine_desk::is_wanted_often() const
+{
+    return is_pressing_() || !moves_.moves.empty() || coordinator::awaits_list(term_.fleet) ||
+           !coordinator::find_unexamined(term_.fleet, term_.now()).pools.empty();
 }
 
 void machine_desk::resume()
--- a/libs/hosted/src/machine_desk.hpp
+++ b/libs/hosted/src/machine_desk.hpp
@@ -42,6 +42,8 @@
 
 private:
     void read();
+    void read_later(core::mono_time last);
+    bool is_wanted_often() const;
     void take(core::mono_time asked, const ports::machine_list& list);
     void note_plan();
     void order(const coordinator::move_action& a);
