Failing test: a list of machines that is older than the record ends a sound runner

What callers would see: a task that runs on a runner which came just before a change of owner starts a second time. The successor takes the runner's machine from the record; a list that was asked for before names the runner before it, or shows the machine as moving, and match_machines ends the sound one whatever the list's age. waves.a_machines_other_life_or_none_ends_a_runner names the time of its list now; its table of rows is as it was.

--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -23,7 +23,12 @@
 /// Notes which machine each runner is a life of, and ends the runners whose machine has another
 /// one by now, or none while it moves or is maintained: a machine has one life at a time, so
 /// nothing of the old one still runs. Saves a successor the wait for their leases.
-void match_machines(fleet& f, const machine_table& list, core::mono_time now, task_events& out);
+/// \param list_lag a list may be so much older than the call for it
+void match_machines(fleet& f,
+    const machine_table& list,
+    core::millis list_lag,
+    core::mono_time now,
+    task_events& out);
 
 /// \return whether the list of machines may spare tasks the wait for their runner's leases.
 bool awaits_list(const fleet& f);
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -171,7 +171,11 @@
 
 } // namespace
 
-void match_machines(fleet& f, const machine_table& list, core::mono_time now, task_events& out)
+void match_machines(fleet& f,
+    const machine_table& list,
+    core::millis list_lag,
+    core::mono_time now,
+    task_events& out)
 {
     for (const auto& [id, m] : list.machines)
     {
--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -175,12 +175,54 @@
         each.f.hosts["h1"].prior = true;
         machine_table table;
         table.known = true;
+        table.read_at = each.now;
         table.machines["m1"] = {"m1", "p", "z", it.runner, it.state};
-        match_machines(each.f, table, each.now, each.events);
+        match_machines(each.f, table, {}, each.now, each.events);
         LONGS_EQUAL(it.ends ? 0 : 1, each.f.hosts.count("h1"));
     }
 }
 
+// Guards against ending a sound runner by a list that is older than what is known of it: such a
+// list names the runner before it, or says that the machine still moves.
+TEST(waves, a_list_from_before_a_runner_was_seen_does_not_end_it)
+{
+    const wave_settings s;
+    struct row
+    {
+        const char* what;
+        core::millis asked_after; ///< the record was read
+        bool ends;
+    };
+    const row rows[] = {{"asked before", -10ms, false},
+        {"asked at once", 0ms, false},
+        {"within the list's lag", s.list_lag, false},
+        {"later", s.list_lag + 1ms, true}};
+    for (const auto& it : rows)
+    {
+        for (const bool in_record : {true, false})
+        {
+            world each;
+            if (in_record)
+            {
+                add_prior_hosts(each.f, {{{"h1", "a:1", {}}, "m1", "p", {}}}, each.now);
+            }
+            else
+            {
+                each.add_host("h1");
+                machine_table seen;
+                seen.read_at = each.now;
+                seen.machines["m1"] = {"m1", "p", "z", "h1", ports::machine_state::up};
+                match_machines(each.f, seen, s.list_lag, each.now, each.events);
+            }
+            machine_table table;
+            table.read_at = each.now + it.asked_after;
+            table.machines["m1"] = {"m1", "p", "z", "h0", ports::machine_state::up};
+            match_machines(each.f, table, s.list_lag, each.now, each.events);
+            LONGS_EQUAL_TEXT(it.ends ? 0 : 1, each.f.hosts.count("h1"), it.what);
+        }
+    }
+}
+
 TEST(waves, a_wave_ends_when_each_machine_that_stays_has_begun)
 {
     prepare(2, 2);
@@ -225,7 +267,7 @@
     w.add_host("h2");
     list.read_at = w.now;
     list.machines["m1"].runner = "h2";
-    match_machines(w.f, list, w.now, w.events);
+    match_machines(w.f, list, {}, w.now, w.events);
     w.add(make_job("a", {make_step(1, 1000)}));
     w.started(w.next().starts[0]);
     maintenance_began(w.f, v, list, "m1", w.now, w.events);
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -106,7 +106,8 @@
             table_.machines[it.id] = it;
         }
         coordinator::task_events out;
-        coordinator::match_machines(term_.fleet, table_, term_.now(), out);
+        coordinator::match_machines(
+            term_.fleet, table_, term_.settings.waves.list_lag, term_.now(), out);
         term_.log(out);
         coordinator::see_moves(moves_, table_, term_.settings.waves.list_lag);
         on_list_();
