A list of machines ends only runners that were known before it was asked for

What callers would have seen: a task started a second time after a change of owner, while it ran on a runner that had come just before. Cause: the successor knows a runner's machine from the record; its first list may have been asked for before the record was read, and names the runner before it. Class: a belief that is older than the work, as with the wave told 'completed'; see_machines and see_moves allowed for the list's lag, this place didn't. Change: a host remembers when its machine became known (the record read, or the list asked for); a list counts as proof if it was asked for more than the lag later.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -125,7 +125,8 @@
     std::string pool;
     std::string zone;
     std::string rack;
-    std::string machine; ///< as the list of machines showed it; empty: not yet
+    std::string machine;              ///< as the list of machines showed it; empty: not yet
+    core::mono_time machine_known_at; ///< when that list was asked for, or the record read
     std::vector<std::string> labels;
     workflow::resources capacity;
     bool listed = false;    ///< in the newest list of runners
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -173,6 +173,7 @@
         auto& h = f.hosts[it.ref.id];
         h.ref = it.ref;
         h.machine = it.machine;
+        h.machine_known_at = now;
         h.pool = it.pool;
         h.prior = true;
         h.added_at = now;
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -179,15 +179,19 @@
 {
     for (const auto& [id, m] : list.machines)
     {
-        if (auto* const h = find_host(f, m.runner))
+        auto* const h = find_host(f, m.runner);
+        if (h != nullptr && h->machine != id)
         {
             h->machine = id;
+            h->machine_known_at = list.read_at;
         }
     }
     std::vector<std::string> over;
     for (const auto& [id, h] : f.hosts)
     {
-        const auto* const m = h.machine.empty() ? nullptr : find_machine(list, h.machine);
+        const bool is_news = list.read_at > h.machine_known_at + list_lag;
+        const auto* const m =
+            h.machine.empty() || !is_news ? nullptr : find_machine(list, h.machine);
         const bool other_life = m != nullptr && !m->runner.empty() && m->runner != id;
         // A machine that moves or is maintained runs nothing; its next life has another id.
         const bool no_life = m != nullptr && (m->state == ports::machine_state::moving ||
