Stand-ins: runners' clocks differ, polls come late, starts are taken under another lease

A runner's steady clock has a rate (leases were counted by the world's own clock), polls may be carried out seconds late as orders are, and by a switch a runner judges a start by the larger of the order's own lease end and the one that it has.

--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -45,6 +45,7 @@
     bool up = true;    ///< a process answers
     bool dark = false; ///< cut off from all, and runs on
     bool draining = false;
+    double clock_rate = 1; ///< of its steady clock; leases are counted by it
     std::int64_t fence = 0;
     std::int64_t lease_until_ms = 0;
     std::map<std::string, fake_run> runs; ///< by task
@@ -85,8 +86,11 @@
 
     task_behaviour behaviour;
     bool checks_fences = true; ///< false: takes orders of any owner
+    /// A start whose own lease has ended is taken while another lease of its runner lasts.
+    bool takes_starts_by_any_lease = false;
     double orders_late =
         0; ///< share of starts and stops without an answer, carried out seconds later
+    double polls_late = 0; ///< the same of polls: leases granted and ends acknowledged late
     std::vector<std::string> broken; ///< promises, each with time and task
     std::int64_t starts = 0;
     std::int64_t lapsed = 0; ///< runs that ended since their lease had, on runners that were well
@@ -101,7 +105,7 @@
     template <class Answer>
     void call(daemon_fakes::process& p,
         const ports::runner_ref& to,
-        bool may_be_late,
+        bool order,
         std::function<Answer(fake_host&)> serve,
         std::function<void(Answer)> done);
     ports::runner_answer start(fake_host& h, const ports::start_order& o);
@@ -119,6 +123,8 @@
     void check_start(const fake_host& h, const ports::start_order& o);
     void breach(const std::string& what);
     std::int64_t clock() const;
+    std::int64_t clock_of(const fake_host& h) const;
+    bool is_late(bool order);
     fake_host* at(const ports::runner_ref& r);
 
     daemon_fakes::virtual_time& time_;
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -3,6 +3,7 @@
 #include "workflow/records.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace camphorhitch::hosted_fakes
 {
@@ -43,6 +44,11 @@
     return time_.passed_ms();
 }
 
+std::int64_t hosts::clock_of(const fake_host& h) const
+{
+    return static_cast<std::int64_t>(static_cast<double>(clock()) * h.clock_rate);
+}
+
 void hosts::breach(const std::string& what)
 {
     broken.push_back(std::to_string(clock()) + " " + what);
@@ -200,12 +206,14 @@
 
 void hosts::watch_lease(const std::string& machine, const std::string& runner)
 {
-    const auto left = machines.at(machine).lease_until_ms - clock();
-    time_.after(core::millis{std::max<std::int64_t>(left, 0) + 1},
+    const auto& of = machines.at(machine);
+    const auto left = std::max<std::int64_t>(of.lease_until_ms - clock_of(of), 0) + 1;
+    time_.after(core::millis{static_cast<std::int64_t>(
+                    std::ceil(static_cast<double>(left) / of.clock_rate))},
         [this, machine, runner]
         {
             auto& h = machines.at(machine);
-            if (h.runner != runner || clock() <= h.lease_until_ms)
+            if (h.runner != runner || clock_of(h) <= h.lease_until_ms)
             {
                 return;
             }
@@ -223,22 +231,24 @@
 {
     if (checks_fences && o.fencing_token < h.fence)
     {
-        return {runner_verdict::fenced, clock()};
+        return {runner_verdict::fenced, clock_of(h)};
     }
     h.fence = o.fencing_token;
     const auto here = h.runs.find(o.task);
     if (here != h.runs.end() && here->second.number == o.run)
     {
-        return {runner_verdict::done, clock()};
+        return {runner_verdict::done, clock_of(h)};
     }
     if (o.run <= h.refused_through[o.task])
     {
         grant(h, o.lease_until_ms);
-        return {runner_verdict::superseded, clock()};
+        return {runner_verdict::superseded, clock_of(h)};
     }
-    if (o.lease_until_ms <= clock())
+    const auto lease_end =
+        takes_starts_by_any_lease ? std::max(o.lease_until_ms, h.lease_until_ms) : o.lease_until_ms;
+    if (lease_end <= clock_of(h))
     {
-        return {runner_verdict::lease_over, clock()};
+        return {runner_verdict::lease_over, clock_of(h)};
     }
     check_start(h, o);
     ++starts;
@@ -255,7 +265,7 @@
             [this, machine = h.machine, task = o.task, run = o.run]
             { finish(machine, task, run); });
     }
-    return {runner_verdict::done, clock()};
+    return {runner_verdict::done, clock_of(h)};
 }
 
 void hosts::finish(const std::string& machine, const std::string& task, std::int64_t run)
@@ -292,7 +302,7 @@
 {
     if (checks_fences && o.fencing_token < h.fence)
     {
-        return {runner_verdict::fenced, clock()};
+        return {runner_verdict::fenced, clock_of(h)};
     }
     h.fence = o.fencing_token;
     h.refused_through[o.task] = std::max(h.refused_through[o.task], o.run);
@@ -310,13 +320,13 @@
                 }
             });
     }
-    return {runner_verdict::done, clock()};
+    return {runner_verdict::done, clock_of(h)};
 }
 
 ports::poll_answer hosts::look(const fake_host& h)
 {
     ports::poll_answer out;
-    out.call = {runner_verdict::done, clock()};
+    out.call = {runner_verdict::done, clock_of(h)};
     for (const auto& [task, run] : h.runs)
     {
         out.running.push_back({task, run.number, {}, whole, 0});
@@ -350,7 +360,7 @@
     if (checks_fences && o.fencing_token < h.fence)
     {
         ports::poll_answer out;
-        out.call = {runner_verdict::fenced, clock()};
+        out.call = {runner_verdict::fenced, clock_of(h)};
         return out;
     }
     h.fence = o.fencing_token;
@@ -374,10 +384,17 @@
     return look(h);
 }
 
+bool hosts::is_late(bool order)
+{
+    const auto share = order ? orders_late : polls_late;
+    // Without late polls they draw nothing: what a seed plays stays the same.
+    return (order || share > 0) && std::uniform_real_distribution<>(0, 1)(random_) < share;
+}
+
 template <class Answer>
 void hosts::call(process& p,
     const ports::runner_ref& to,
-    bool may_be_late,
+    bool order,
     std::function<Answer(fake_host&)> serve,
     std::function<void(Answer)> done)
 {
@@ -404,7 +421,7 @@
         return {true, h->runner == to.id ? serve(*h) : answer_of(runner_verdict::other_life)};
     };
     time_.after(wire_delay,
-        [this, &p, may_be_late, carry_out, answer_of, done = std::move(done)]
+        [this, &p, order, carry_out, answer_of, done = std::move(done)]
         {
             if (p.dead)
             {
@@ -420,7 +437,7 @@
                 time_.after(call_timeout, give_up);
                 return;
             }
-            if (may_be_late && std::uniform_real_distribution<>(0, 1)(random_) < orders_late)
+            if (is_late(order))
             {
                 const core::millis late{std::uniform_int_distribution<std::int64_t>(
                     shortest_late.count(), longest_late.count())(random_)};
