A repeated maintenance order waits until the service of machines answers again

Before a repeat the host that came since is closed and emptied. Change: after a try without an answer the next one waits for a list of machines that was asked for after it. The host works until then, and is closed for a moment only. Test: waves.a_repeated_order_waits_for_the_service_and_for_an_empty_host. coordinator_tests 72 passed.

--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -33,16 +33,22 @@
 /// \return whether the list of machines may spare tasks the wait for their runner's leases.
 bool awaits_list(const fleet& f);
 
+/// An order to maintain a machine that has no answer yet.
+struct order_out
+{
+    std::string runner;      ///< that the list named when the order was decided
+    core::mono_time sent_at; ///< last; zero: not yet
+};
+
 struct wave
 {
     std::int64_t number = 0;
     std::vector<std::string> machines;
     int most_at_once = 1;
     core::mono_time due;
-    core::mono_time taken_at;    ///< when this owner read the request
-    std::set<std::string> begun; ///< their maintenance has begun, or is over
-    /// An order is out, by machine: the runner that the list named when it was first sent.
-    std::map<std::string, std::string> asked;
+    core::mono_time taken_at;                       ///< when this owner read the request
+    std::set<std::string> begun;                    ///< their maintenance has begun, or is over
+    std::map<std::string, order_out> asked;         ///< by machine
     std::map<std::string, core::mono_time> down_at; ///< begun and not seen up again
     bool completed = false;
 };
@@ -82,11 +88,11 @@
     core::mono_time now,
     task_events& out);
 
-/// Before an order that may have been carried out is repeated: closes and empties the host that has
-/// come since.
-/// \return whether the order may be sent.
-bool may_repeat(fleet& f,
-    const wave& w,
+/// An order may have been carried out unheard, and the host be back with work. Before a repeat the
+/// host is closed and emptied, once the service of machines answers.
+/// \return whether the order may be sent now; it counts as sent then.
+bool may_send_order(fleet& f,
+    wave& w,
     const machine_table& list,
     const std::string& machine,
     const wave_settings& s,
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -288,29 +288,38 @@
         if (empty && places > 0)
         {
             --places;
-            w.asked[it.machine] = list.machines.at(it.machine).runner;
+            w.asked[it.machine] = {list.machines.at(it.machine).runner, {}};
             ready.push_back(it.machine);
         }
     }
     return ready;
 }
 
-bool may_repeat(fleet& f,
-    const wave& w,
+bool may_send_order(fleet& f,
+    wave& w,
     const machine_table& list,
     const std::string& machine,
     const wave_settings& s,
     core::mono_time now,
     task_events& out)
 {
-    auto* const h = host_of_machine(f, list, machine);
-    if (h == nullptr)
+    auto& order = w.asked[machine];
+    const bool sent = order.sent_at != core::mono_time{};
+    if (sent && list.read_at <= order.sent_at)
     {
-        return true;
+        return false;
+    }
+    if (auto* const h = host_of_machine(f, list, machine))
+    {
+        close_host(w, *h, machine, now, out);
+        empty_host(f, *h, now - h->closed_at > s.patience, now, out);
+        if (!is_empty(*h))
+        {
+            return false;
+        }
     }
-    close_host(w, *h, machine, now, out);
-    empty_host(f, *h, now - h->closed_at > s.patience, now, out);
-    return is_empty(*h);
+    order.sent_at = now;
+    return true;
 }
 
 void maintenance_began(fleet& f,
@@ -324,11 +333,12 @@
     const auto asked = w.asked.find(machine);
     // The answer is the same when the maintenance was done before: the host may be back with
     // another runner, which has work.
-    const bool is_its = h != nullptr && asked != w.asked.end() && asked->second == h->ref.id &&
+    const bool is_its = h != nullptr && asked != w.asked.end() &&
+                        asked->second.runner == h->ref.id &&
                         h->use == host_use::closed_for_maintenance && is_empty(*h);
     if (is_its)
     {
-        end_host(f, asked->second, life_proof::host_maintained, now, out);
+        end_host(f, asked->second.runner, life_proof::host_maintained, now, out);
     }
     else
     {
--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -274,3 +274,29 @@
     LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
     CHECK(w.f.hosts.contains("h2"));
 }
+
+// Guards against taking work down with the repeat of a maintenance order, and against keeping a
+// host from work while the service of machines doesn't answer anyway.
+TEST(waves, a_repeated_order_waits_for_the_service_and_for_an_empty_host)
+{
+    prepare(1, 1);
+    LONGS_EQUAL(1, plan_wave(w.f, v, list, {}, w.now, w.events).size());
+    CHECK(may_send_order(w.f, v, list, "m1", {}, w.now, w.events));
+    w.f.hosts.erase("h1");
+    w.add_host("h2");
+    list.machines["m1"].runner = "h2";
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto run = w.next().starts[0];
+    w.started(run);
+    w.now += 1s; // the list is from before the order
+    CHECK_FALSE(may_send_order(w.f, v, list, "m1", {}, w.now, w.events));
+    CHECK(w.f.hosts["h2"].use == host_use::open);
+    list.read_at = w.now;
+    CHECK_FALSE(may_send_order(w.f, v, list, "m1", {}, w.now, w.events));
+    CHECK(w.f.hosts["h2"].use == host_use::closed_for_maintenance);
+    w.ended(run, ports::run_end::done, 1);
+    w.f.hosts["h2"].stored_end = 1;
+    CHECK(may_send_order(w.f, v, list, "m1", {}, w.now, w.events));
+    maintenance_began(w.f, v, list, "m1", w.now, w.events);
+    CHECK(w.f.hosts["h2"].use == host_use::open); // it came after the maintenance
+}
--- a/libs/hosted/src/wave_runner.cpp
+++ b/libs/hosted/src/wave_runner.cpp
@@ -212,7 +212,7 @@
         return;
     }
     coordinator::task_events out;
-    const bool may = coordinator::may_repeat(term_.fleet,
+    const bool may = coordinator::may_send_order(term_.fleet,
         waves_.at(number).wave,
         machines_,
         machine,
