Failing tests: orders for machines that wait for ever, and answers that say too much

- A repeated maintenance order waits until its host is empty and keeps its place in the wave meanwhile.
With the pool's other hosts closed ahead, tasks that last have nowhere to go: the wave and the pool stand still (61 s played).
- A successor that repeats a maintenance of its former owner closes and empties the runner that came since, and ends it for the answer 'done'.
It isn't believed to be listed for 30 s, and then until the list changes.
- A repeat that is refused (the platform's bound of calls, a connection that failed) gives the machine's place away though the order before it has no answer: two are down where one may be.
- A move follows the life that came since and closes it.
If that one got a task that lasts, nobody stops the task and nobody gives the move up.

--- a/libs/coordinator/tests/rebalance_tests.cpp
+++ b/libs/coordinator/tests/rebalance_tests.cpp
@@ -135,6 +135,36 @@
     LONGS_EQUAL(1, next().size());
 }
 
+// Guards against a move that hangs for ever: the machine is back with a runner that has got a task
+// that lasts, which closed waits for its end, and both pools are a host short.
+TEST(rebalance, a_move_does_not_wait_for_a_task_that_lasts)
+{
+    add_machine("1", "p");
+    add_machine("2", "p");
+    w.f.hosts["h2"].use = host_use::closed_for_maintenance; // the task is to go to the other one
+    pools = {{"p", false}, {"q", false}};
+    r.settings.spare_hosts = 0;
+    r.moves["1"] = {"q", "gone", true, w.now};
+    auto s = make_step(1, 1000);
+    s.long_running = true;
+    w.add(make_job("a", {s}));
+    w.started(w.next().starts[0]);
+    w.f.hosts["h2"].use = host_use::open;
+    move_answered(w.f, r, "1", ports::machine_verdict::unknown, w.now, w.events);
+    bool stopped = false;
+    for (int i = 0; i < 300 && !stopped; ++i)
+    {
+        w.now += 200ms;
+        w.f.hosts["h1"].last_answer = w.now;
+        w.f.hosts["h2"].last_answer = w.now;
+        list.read_at = w.now;
+        next();
+        stopped = !w.next().stops.empty();
+    }
+    const bool given_up = r.moves.empty() && w.f.hosts["h1"].use == host_use::open;
+    CHECK(given_up || stopped);
+}
+
 // A queue of long tasks has filled the hosts when another queue's busy time begins. Waited for to
 // their end, the tasks hold the hosts for seconds, and the short jobs of the other queue are late.
 // Tasks that keep their progress are stopped, unless they end soon, keep none, or their own job
--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -300,3 +300,58 @@
     maintenance_began(w.f, v, list, "m1", w.now, w.events);
     CHECK(w.f.hosts["h2"].use == host_use::open); // it came after the maintenance
 }
+
+// Guards against a wave that hangs, with all hosts of its pool closed: the host that came after a
+// maintenance without an answer has got the tasks that last of those that are closed ahead, and the
+// repeat waits until they leave, which they can't.
+TEST(waves, a_repeated_order_does_not_wait_for_tasks_that_have_nowhere_to_go)
+{
+    prepare(3, 1);
+    v.due = w.now; // all hosts may be closed
+    w.f.hosts["h1"].use = host_use::closed_for_maintenance;
+    auto s = make_step(2, 1000);
+    s.long_running = true;
+    w.add(make_job("a", {s}));
+    std::int64_t end = 0;
+    const auto play = [&]
+    {
+        const auto p = w.next();
+        for (const auto& it : p.stops)
+        {
+            w.ended({it.host, it.task, it.run, {}, {}, {}}, ports::run_end::stopped, ++end);
+        }
+        for (const auto& it : p.starts)
+        {
+            w.started(it);
+        }
+        for (auto& [id, h] : w.f.hosts)
+        {
+            h.stored_end = h.seen_end;
+            h.last_answer = w.now;
+        }
+    };
+    play();
+    const auto ready = plan_wave(w.f, v, list, {}, w.now, w.events);
+    LONGS_EQUAL(1, ready.size());
+    STRCMP_EQUAL("m1", ready[0].c_str());
+    CHECK(may_send_order(w.f, v, list, "m1", {}, w.now, w.events));
+    w.f.hosts.erase("h1"); // maintained without an answer, and back as another life
+    w.add_host("h4");
+    list.machines["m1"].runner = "h4";
+    for (int i = 0; i < 10; ++i)
+    {
+        w.now += 100ms;
+        plan_wave(w.f, v, list, {}, w.now, w.events);
+        play();
+    }
+    bool sent = false;
+    for (int i = 0; i < 100 && !sent; ++i)
+    {
+        w.now += 200ms;
+        list.read_at = w.now;
+        plan_wave(w.f, v, list, {}, w.now, w.events);
+        sent = may_send_order(w.f, v, list, "m1", {}, w.now, w.events);
+        play();
+    }
+    CHECK(sent);
+}
--- a/libs/hosted/tests/machine_orders_tests.cpp
+++ b/libs/hosted/tests/machine_orders_tests.cpp
@@ -8,14 +8,18 @@
 TEST_GROUP(machine_orders)
 {
     cluster c;
+    daemon_fakes::process ghost; ///< sends what outlives its caller
 
-    void begin(int hosts)
+    void begin(int hosts, int nodes = 1)
     {
         for (int i = 0; i < hosts; ++i)
         {
             c.hosts.add("p");
         }
-        c.add_node();
+        for (int i = 0; i < nodes; ++i)
+        {
+            c.add_node();
+        }
         CHECK(c.has_leader());
         c.time.run_for(1s);
     }
@@ -40,3 +44,87 @@
     LONGS_EQUAL(3, c.running());
     STRCMP_EQUAL("completed", c.store.find("wave-status/1")->value.c_str());
 }
+
+// Guards against a wave that never ends, and closed hosts with it: the repeat of an order waits for
+// a host whose tasks have nowhere to go, since the wave holds all others closed.
+TEST(machine_orders, a_lost_answer_does_not_hang_a_wave_over_a_whole_pool)
+{
+    begin(3);
+    auto j = c.make_job("a", 2);
+    j.steps[0].long_running = true;
+    c.put_job(j);
+    c.time.run_for(1s);
+    c.hosts.machine_answers_to_lose = 2;
+    c.nodes.front().driver->set_waves({{1, {"m1", "m2", "m3"}, 10s, 1}});
+    c.time.run_for(60s);
+    STRCMP_EQUAL("completed", c.store.find("wave-status/1")->value.c_str());
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// Guards against ending the sound runner that came after a maintenance of a former owner: for half
+// a minute the list of runners would be disbelieved, and its host do nothing.
+TEST(machine_orders, a_successors_repeat_leaves_the_runner_that_came_since)
+{
+    begin(3, 2);
+    c.hosts.machine_answers_to_lose = 1;
+    for (auto& it : c.nodes)
+    {
+        it.driver->set_waves({{1, {"m1"}, 10s, 1}});
+    }
+    CHECK(c.time.run_until([&] { return !c.hosts.machines.at("m1").up; }, 2s));
+    c.leader()->process.dead = true;
+    CHECK(c.time.run_until([&] { return c.hosts.machines.at("m1").up; }, 2s));
+    const auto came = c.hosts.machines.at("m1").runner;
+    c.time.run_for(8s);
+    STRCMP_EQUAL("completed", c.store.find("wave-status/1")->value.c_str());
+    STRCMP_EQUAL(came.c_str(), c.hosts.machines.at("m1").runner.c_str());
+    auto j = c.make_job_on_each("a", 3);
+    j.steps[0].long_running = true;
+    c.put_job(j);
+    CHECK(c.time.run_until([&] { return c.running() == 3; }, 5s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// Guards against giving a machine's place in a wave to another while an order for it that got no
+// answer may still be carried out: that a repeat was refused says nothing of the order before.
+TEST(machine_orders, a_refused_repeat_keeps_the_place_of_an_order_without_an_answer)
+{
+    const auto late = c.hosts.machine_port(ghost);
+    int orders = 0;
+    c.plant = [&](node& n)
+    {
+        n.ctx.machines.maintain =
+            [&, real = n.ctx.machines.maintain](
+                const auto& machine, std::int64_t wave, std::int64_t token, const auto& done)
+        {
+            ++orders;
+            if (orders == 1)
+            {
+                const auto unheard = [](ports::machine_verdict) {
+                };
+                c.time.after(3s, [=] { late.maintain(machine, wave, token, unheard); });
+                n.ctx.time.after(1s, [done] { done(ports::machine_verdict::unknown); });
+            }
+            else if (orders == 2)
+            {
+                n.ctx.time.after(1ms, [done] { done(ports::machine_verdict::refused); });
+            }
+            else
+            {
+                real(machine, wave, token, done);
+            }
+        };
+    };
+    c.hosts.behaviour.run_time = 1500ms;
+    begin(2);
+    c.put_job(c.make_job("a", 1));
+    CHECK(c.time.run_until([&] { return c.running() == 1; }, 1s));
+    const std::string busy = c.hosts.machines.at("m1").runs.empty() ? "m2" : "m1";
+    const std::string idle = busy == "m1" ? "m2" : "m1";
+    c.nodes.front().driver->set_waves({{1, {busy, idle}, 60s, 1}});
+    const auto both_down = [&]
+    {
+        return !c.hosts.machines.at("m1").up && !c.hosts.machines.at("m2").up;
+    };
+    CHECK_FALSE(c.time.run_until(both_down, 12s));
+}
