--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -90,7 +90,8 @@
     bool takes_starts_by_any_lease = false;
     double orders_late =
         0; ///< share of starts and stops without an answer, carried out seconds later
-    double polls_late = 0; ///< the same of polls: leases granted and ends acknowledged late
+    double polls_late = 0;   ///< the same of polls: leases granted and ends acknowledged late
+    double answers_slow = 0; ///< share of answers that others overtake
     std::vector<std::string> broken; ///< promises, each with time and task
     std::int64_t starts = 0;
     std::int64_t lapsed = 0; ///< runs that ended since their lease had, on runners that were well
@@ -125,6 +126,7 @@
     std::int64_t clock() const;
     std::int64_t clock_of(const fake_host& h) const;
     bool is_late(bool order);
+    core::millis way_back();
     fake_host* at(const ports::runner_ref& r);
 
     daemon_fakes::virtual_time& time_;
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -20,6 +20,7 @@
 constexpr core::millis stop_time{100};
 constexpr core::millis shortest_late{2000};
 constexpr core::millis longest_late{6000};
+constexpr core::millis longest_way_back{650}; // within a call's time-out
 constexpr core::millis entry_expires{4500};
 constexpr core::millis move_time{1500};
 constexpr int whole = 100;
@@ -391,6 +392,15 @@
     return (order || share > 0) && std::uniform_real_distribution<>(0, 1)(random_) < share;
 }
 
+core::millis hosts::way_back()
+{
+    const bool slow =
+        answers_slow > 0 && std::uniform_real_distribution<>(0, 1)(random_) < answers_slow;
+    return slow ? core::millis{std::uniform_int_distribution<std::int64_t>(
+                      wire_delay.count(), longest_way_back.count())(random_)}
+                : wire_delay;
+}
+
 template <class Answer>
 void hosts::call(process& p,
     const ports::runner_ref& to,
@@ -452,7 +462,7 @@
                 return;
             }
             time_.after(
-                wire_delay, [&p, done, answer = answer] { p.enter([=] { done(answer); }); });
+                way_back(), [&p, done, answer = answer] { p.enter([=] { done(answer); }); });
         });
 }
 
