--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -263,30 +263,39 @@
     }
 }
 
-/// A move that was ordered without an answer, or before the runner was listed, may meet another
-/// runner on the machine: that one gets no new work either.
-void follow_life(fleet& f,
-    const machine_table& list,
-    const std::string& machine,
-    pending_move& move,
-    core::mono_time now)
+/// A move that was decided before its runner was listed, or ordered without an answer, may meet a
+/// runner on the machine that has got work since.
+/// \return whether the machine may still be moved.
+bool is_still_free(
+    fleet& f, const machine_table& list, const std::string& machine, const pending_move& move)
 {
     const auto m = list.machines.find(machine);
     if (m == list.machines.end() || m->second.pool == move.to)
     {
-        return; // it has left, or has moved: its runner works there
-    }
-    auto* const h = find_host(f, m->second.runner);
-    if (h == nullptr)
-    {
-        return;
-    }
-    move.runner = h->ref.id;
-    if (h->use == host_use::open)
-    {
-        h->use = host_use::closed_for_move;
-        h->closed_at = now;
+        return true; // it has left, or has moved: its runner works there
     }
+    const auto* const h = find_host(f, m->second.runner);
+    return h == nullptr || (h->ref.id == move.runner && h->use == host_use::closed_for_move);
+}
+
+/// Whoever was not closed for the move is judged anew.
+void give_up_taken(fleet& f, rebalancer& r, const machine_table& list, task_events& out)
+{
+    std::erase_if(r.moves,
+        [&](const auto& it)
+        {
+            const auto& [machine, move] = it;
+            if (move.ordered || is_still_free(f, list, machine, move))
+            {
+                return false;
+            }
+            out.push_back({"move_given_up",
+                "",
+                0,
+                list.machines.at(machine).runner,
+                "machine=" + machine + " to=" + move.to + " chosen=" + move.runner});
+            return true;
+        });
 }
 
 } // namespace
@@ -310,16 +319,12 @@
     tell_needs(r, all, out);
     feed_short_pools(f, r, all, now, out);
     rest_surplus(f, r, all, now, out);
+    give_up_taken(f, r, list, out);
     for (auto& [machine, move] : r.moves)
     {
-        if (move.ordered)
-        {
-            continue;
-        }
-        follow_life(f, list, machine, move, now);
         const auto* const h = find_host(f, move.runner);
         const bool empty = h == nullptr || is_empty(*h);
-        if (empty && static_cast<int>(ready.size()) < r.settings.most_moves)
+        if (!move.ordered && empty && static_cast<int>(ready.size()) < r.settings.most_moves)
         {
             move.ordered = true;
             move.ordered_at = now;
--- a/libs/coordinator/tests/rebalance_tests.cpp
+++ b/libs/coordinator/tests/rebalance_tests.cpp
@@ -118,21 +118,29 @@
     CHECK(w.f.hosts.contains("h1"));
 }
 
-// Guards against repeating a move under a runner that came since it was first ordered.
-TEST(rebalance, a_move_is_not_repeated_under_a_runner_with_work)
+// Guards against repeating a move under a runner that came since it was first ordered, or was
+// listed since it was decided: it would end the work there.
+TEST(rebalance, a_move_is_not_ordered_under_a_runner_that_was_not_closed_for_it)
 {
-    add_machine("1", "p");
-    pools = {{"p", false}, {"q", false}};
-    r.moves["1"] = {"q", "gone", true, w.now};
-    w.add(make_job("a", {make_step(1, 1000)}));
-    const auto run = w.next().starts[0];
-    w.started(run);
-    move_answered(w.f, r, "1", ports::machine_verdict::unknown, w.now, w.events);
-    LONGS_EQUAL(0, next().size());
-    CHECK(w.f.hosts["h1"].use == host_use::closed_for_move);
-    w.ended(run, ports::run_end::done, 1);
-    w.f.hosts["h1"].stored_end = 1;
-    LONGS_EQUAL(1, next().size());
+    for (const auto* const chosen : {"gone", "h1"})
+    {
+        for (const bool ordered_before : {true, false})
+        {
+            world here;
+            std::swap(w, here);
+            r = {};
+            list = {};
+            add_machine("1", "p");
+            pools = {{"p", false}, {"q", false}};
+            r.moves["1"] = {"q", chosen, ordered_before, w.now};
+            w.add(make_job("a", {make_step(1, 1000)}));
+            w.started(w.next().starts[0]);
+            move_answered(w.f, r, "1", ports::machine_verdict::unknown, w.now, w.events);
+            LONGS_EQUAL(0, next().size());
+            CHECK(w.f.hosts["h1"].use == host_use::open);
+            LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
+        }
+    }
 }
 
 // Guards against a move that hangs for ever: the machine is back with a runner that has got a task
