The answer to a maintenance order ends no runner; a repeat neither hangs nor gives its place away

Change: 'done' ends no runner at all any more. A repeat waits as long as a closed host's batch tasks may, then it is sent: the host has had another life since the order, so most likely the maintenance is over.

--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -38,6 +38,7 @@
 {
     std::string runner;      ///< that the list named when the order was decided
     core::mono_time sent_at; ///< last; zero: not yet
+    bool unheard = false;    ///< a try had no answer: it may be carried out any time
 };
 
 struct wave
@@ -75,6 +76,10 @@
 /// \return whether the wave has become completed.
 bool see_machines(wave& w, const machine_table& list, const wave_settings& s);
 
+/// Opens hosts that the wave has closed and needs no more: their maintenance was done before the
+/// order that this owner sent.
+void reopen_maintained(fleet& f, const wave& w, const machine_table& list);
+
 /// \return machines that the wave has closed or taken; they are not to be moved.
 std::set<std::string> held_machines(const fleet& f, const wave& w, const machine_table& list);
 
@@ -89,7 +94,8 @@
     task_events& out);
 
 /// An order may have been carried out unheard, and the host be back with work. Before a repeat the
-/// host is closed and emptied, once the service of machines answers.
+/// host is closed and emptied, once the service of machines answers. Tasks that have nowhere to go
+/// hold the repeat up for a while only.
 /// \return whether the order may be sent now; it counts as sent then.
 bool may_send_order(fleet& f,
     wave& w,
@@ -99,13 +105,17 @@
     core::mono_time now,
     task_events& out);
 
-/// The platform says that the maintenance of \p machine has begun, now or for an earlier order.
-void maintenance_began(fleet& f,
-    wave& w,
-    const machine_table& list,
-    const std::string& machine,
-    core::mono_time now,
-    task_events& out);
+/// The platform says that the maintenance of \p machine has begun, now or for an earlier order, of
+/// this owner or another. So it proves nothing of the runner that is there: the list tells.
+void maintenance_began(
+    fleet& f, wave& w, const machine_table& list, const std::string& machine, core::mono_time now);
+
+/// The platform gave no answer to the order.
+void order_unheard(wave& w, const std::string& machine);
+
+/// The platform refused to maintain \p machine now.
+/// \return whether the order is out all the same, since a try before it had no answer.
+bool order_refused(wave& w, const std::string& machine);
 
 /// The platform says that \p machine is not part of the wave: nothing is left to be done for it.
 void not_in_wave(fleet& f, wave& w, const machine_table& list, const std::string& machine);
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -236,6 +236,19 @@
     return now_completed;
 }
 
+void reopen_maintained(fleet& f, const wave& w, const machine_table& list)
+{
+    for (const auto& id : w.begun)
+    {
+        const auto* const m = find_machine(list, id);
+        const bool back = m != nullptr && m->state == ports::machine_state::up;
+        if (back && !w.asked.contains(id) && !w.down_at.contains(id))
+        {
+            reopen_host(find_host(f, m->runner));
+        }
+    }
+}
+
 std::set<std::string> held_machines(const fleet& f, const wave& w, const machine_table& list)
 {
     std::set<std::string> out;
@@ -313,7 +326,8 @@
     {
         close_host(w, *h, machine, now, out);
         empty_host(f, *h, now - h->closed_at > s.patience, now, out);
-        if (!is_empty(*h))
+        const bool waited = sent && now - h->closed_at > s.patience;
+        if (!is_empty(*h) && !waited)
         {
             return false;
         }
@@ -322,25 +336,25 @@
     return true;
 }
 
-void maintenance_began(fleet& f,
-    wave& w,
-    const machine_table& list,
-    const std::string& machine,
-    core::mono_time now,
-    task_events& out)
+void order_unheard(wave& w, const std::string& machine)
+{
+    w.asked[machine].unheard = true;
+}
+
+bool order_refused(wave& w, const std::string& machine)
+{
+    const auto it = w.asked.find(machine);
+    return it != w.asked.end() && it->second.unheard;
+}
+
+void maintenance_began(
+    fleet& f, wave& w, const machine_table& list, const std::string& machine, core::mono_time now)
 {
-    auto* const h = host_of_machine(f, list, machine);
     const auto asked = w.asked.find(machine);
-    // The answer is the same when the maintenance was done before: the host may be back with
-    // another runner, which has work.
-    const bool is_its = h != nullptr && asked != w.asked.end() &&
-                        asked->second.runner == h->ref.id &&
-                        h->use == host_use::closed_for_maintenance && is_empty(*h);
-    if (is_its)
-    {
-        end_host(f, asked->second.runner, life_proof::host_maintained, now, out);
-    }
-    else
+    auto* const h = host_of_machine(f, list, machine);
+    const bool came_after =
+        asked == w.asked.end() || h == nullptr || asked->second.runner != h->ref.id;
+    if (came_after)
     {
         reopen_host(h);
     }
--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -36,7 +36,7 @@
     LONGS_EQUAL(2, ready.size());
     for (const auto& it : ready)
     {
-        maintenance_began(w.f, v, list, it, w.now, w.events);
+        maintenance_began(w.f, v, list, it, w.now);
     }
     LONGS_EQUAL(0, plan_wave(w.f, v, list, {}, w.now, w.events).size());
     w.now += 1s;
@@ -270,7 +270,7 @@
     match_machines(w.f, list, {}, w.now, w.events);
     w.add(make_job("a", {make_step(1, 1000)}));
     w.started(w.next().starts[0]);
-    maintenance_began(w.f, v, list, "m1", w.now, w.events);
+    maintenance_began(w.f, v, list, "m1", w.now);
     LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
     CHECK(w.f.hosts.contains("h2"));
 }
@@ -297,7 +297,7 @@
     w.ended(run, ports::run_end::done, 1);
     w.f.hosts["h2"].stored_end = 1;
     CHECK(may_send_order(w.f, v, list, "m1", {}, w.now, w.events));
-    maintenance_began(w.f, v, list, "m1", w.now, w.events);
+    maintenance_began(w.f, v, list, "m1", w.now);
     CHECK(w.f.hosts["h2"].use == host_use::open); // it came after the maintenance
 }
 
--- a/libs/hosted/src/wave_runner.cpp
+++ b/libs/hosted/src/wave_runner.cpp
@@ -83,6 +83,7 @@
 {
     for (auto& [number, it] : waves_)
     {
+        coordinator::reopen_maintained(term_.fleet, it.wave, machines_);
         if (it.loaded && coordinator::see_machines(it.wave, machines_, term_.settings.waves))
         {
             term_.log(ports::log_level::info, "wave_completed", {{"wave", std::to_string(number)}});
@@ -247,11 +248,10 @@
         {{"wave", std::to_string(number)},
             {"machine", machine},
             {"answer", std::string{core::name_of(ports::machine_verdict_names, verdict)}}});
-    coordinator::task_events out;
     switch (verdict)
     {
     case machine_verdict::done:
-        coordinator::maintenance_began(term_.fleet, it.wave, machines_, machine, term_.now(), out);
+        coordinator::maintenance_began(term_.fleet, it.wave, machines_, machine, term_.now());
         coordinator::see_machines(it.wave, machines_, term_.settings.waves);
         store(number);
         break;
@@ -263,16 +263,21 @@
         break;
     case machine_verdict::busy:
     case machine_verdict::refused:
+        if (coordinator::order_refused(it.wave, machine))
+        {
+            maintain_later(number, machine);
+            break;
+        }
         term_.ctx.time.after(order_retry,
             term_.guarded(
                 [this, number, machine] { waves_.at(number).wave.asked.erase(machine); }));
         break;
     case machine_verdict::unknown:
-        // It may go down any moment, so it keeps its place in the wave; a repeat does no harm.
+        // It may go down any moment, so it keeps its place in the wave.
+        coordinator::order_unheard(it.wave, machine);
         maintain_later(number, machine);
         break;
     }
-    term_.log(out);
     term_.wake();
 }
 
