--- a/libs/coordinator/tests/settling_tests.cpp
+++ b/libs/coordinator/tests/settling_tests.cpp
@@ -138,6 +138,67 @@
     CHECK_FALSE(w.f.hosts.contains("h1"));
 }
 
+// Guards against starting a task elsewhere when a copy of its start meets another runner at the
+// address: another copy may have reached the one that had it.
+TEST(settling, a_start_that_another_life_answers_is_not_over)
+{
+    w.add_host("h1");
+    w.add_host("h2");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    w.started(a, ports::runner_verdict::other_life);
+    w.now += 2 * w.f.settings.refusal_pause;
+    LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
+    LONGS_EQUAL(0, w.next().starts.size());
+}
+
+// Guards against ending a runner that answers again for what another one at its address said
+// before.
+TEST(settling, a_runner_that_answers_again_has_its_address_back)
+{
+    w.add_host("h1");
+    auto& h = w.f.hosts["h1"];
+    note_lease(h, lease_end_for(w.f, h, w.now));
+    for (const auto it : {ports::runner_verdict::other_life,
+             ports::runner_verdict::done,
+             ports::runner_verdict::unknown})
+    {
+        ports::poll_answer p;
+        p.call = {it, it == ports::runner_verdict::done ? 1000 : -1};
+        poll_answered(w.f, "h1", w.now, p, w.now, w.events);
+    }
+    w.now += w.f.settings.runner_lease * 2;
+    lapse_hosts(w.f, w.now, w.events);
+    CHECK(w.f.hosts.contains("h1"));
+}
+
+// Guards against a lease for a runner on which a start that was being stopped may still begin: the
+// stop had no answer either when the runner's leases ended.
+TEST(settling, a_start_with_an_unanswered_stop_is_given_up_as_one_without)
+{
+    w.add_host("h1");
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.next().starts[0];
+    auto& h = w.f.hosts["h1"];
+    note_lease(h, lease_end_for(w.f, h, w.now));
+    w.started(a, ports::runner_verdict::unknown);
+    w.now += 10ms;
+    ports::poll_answer p;
+    p.call = {ports::runner_verdict::done, 1010};
+    poll_answered(w.f, "h1", w.now, p, w.now, w.events);
+    LONGS_EQUAL(1, w.next().stops.size());
+    stop_answered(w.f, "h1", a.task, a.run, {ports::runner_verdict::unknown, -1}, w.now, w.events);
+    p.call = {ports::runner_verdict::unknown, -1};
+    poll_answered(w.f, "h1", w.now, p, w.now, w.events);
+    w.now += w.f.settings.runner_lease * 2;
+    lapse_hosts(w.f, w.now, w.events);
+    LONGS_EQUAL(0, w.f.jobs.at("a")->live_runs);
+    p.call = {ports::runner_verdict::done, 6000};
+    poll_answered(w.f, "h1", w.now, p, w.now, w.events);
+    LONGS_EQUAL(0, lease_end_for(w.f, h, w.now));
+    LONGS_EQUAL(1, w.next().stops.size());
+}
+
 TEST(settling, a_run_that_nobody_knows_is_stopped)
 {
     w.add_host("h1");
--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -355,3 +355,14 @@
     }
     CHECK(sent);
 }
+
+// Guards against a host that stays closed for ever since it turned out to be of another wave.
+TEST(waves, a_host_that_is_not_of_the_wave_is_opened_again)
+{
+    prepare(1, 1);
+    LONGS_EQUAL(1, plan_wave(w.f, v, list, {}, w.now, w.events).size());
+    CHECK(w.f.hosts["h1"].use == host_use::closed_for_maintenance);
+    not_in_wave(w.f, v, list, "m1");
+    CHECK(w.f.hosts["h1"].use == host_use::open);
+    CHECK(plan_wave(w.f, v, list, {}, w.now, w.events).empty());
+}
