Stand-in runners that a task crashes, and failing tests of it

Tasks of a stand-in may take their runner's process down some milliseconds after the start; the machine's next life comes seconds later. Two checks: a task that crashed three runners starts twice more at most; a job is stored as failed only with a task that failed as often as it may, or that crashed two runners.

--- a/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
@@ -207,6 +207,10 @@
         {
             out += it + "\n";
         }
+        for (const auto& it : hosts.failed_without_cause())
+        {
+            out += it + "\n";
+        }
         return out;
     }
 };
--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -10,6 +10,7 @@
 #include "workflow/model.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -26,6 +27,14 @@
     double fails = 0; ///< share of runs that end failed
 };
 
+/// Tasks that take their runner's process down.
+struct task_crashes
+{
+    std::function<bool(const workflow::task_name&)> task; ///< whether it is one; null: none is
+    core::millis after{10};                               ///< from its start
+    core::millis down{3500};                              ///< until the machine's next life
+};
+
 /// One run on a runner.
 struct fake_run
 {
@@ -83,7 +92,15 @@
     /// Jobs that the checks know; call before their acceptance.
     void expect(const workflow::job& j);
 
+    /// \return the broken promises of jobs that are stored as failed: none has a task that failed
+    /// as often as it may, or that crashed two runners.
+    std::vector<std::string> failed_without_cause() const;
+
+    /// \return how many runners the task has crashed.
+    int crashes_of(const std::string& task) const;
+
     task_behaviour behaviour;
+    task_crashes crashes;
     bool checks_fences = true; ///< false: takes orders of any owner
     double orders_late =
         0; ///< share of starts and stops without an answer, carried out seconds later
@@ -117,6 +134,8 @@
     void take_note(const fake_host& h, const ports::reported_end& it);
     void check_told(const std::string& task);
     void check_start(const fake_host& h, const ports::start_order& o);
+    void check_crashes(const std::string& task);
+    void crash_later(const fake_host& h, const ports::start_order& o);
     void breach(const std::string& what);
     std::int64_t clock() const;
     fake_host* at(const ports::runner_ref& r);
@@ -129,6 +148,9 @@
     std::map<std::string, core::mono_time> started_; ///< newest start of each task
     std::map<std::string, core::mono_time> told_;    ///< tasks whose end done was in an answer
     std::map<std::string, int> failures_;
+    std::map<std::string, int> ended_failed_;        ///< runs, acknowledged or not
+    std::map<std::string, int> crashed_;             ///< runners, by the task that crashed them
+    std::map<std::string, int> starts_past_crashes_; ///< of a task that had crashed its most
     int last_life_ = 0;
 };
 
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -183,6 +183,7 @@
     {
         breach("over its budget of attempts: " + o.task);
     }
+    check_crashes(o.task);
     if (h.pool != job->second.pool)
     {
         breach("on a host of another pool: " + o.task);
@@ -247,6 +248,7 @@
     h.runs[o.task] = {o.run, time_.now(), false};
     const auto name = core::value(workflow::read_task_name(o.task));
     begun.insert(name.job);
+    crash_later(h, o);
     const auto& s = jobs_.at(name.job).steps[static_cast<std::size_t>(name.step)];
     if (!s.long_running)
     {
@@ -281,6 +283,7 @@
     {
         ended_done_.insert(task);
     }
+    ended_failed_[task] += how == run_end::failed ? 1 : 0;
     const auto polls = std::exchange(h.polls, {});
     for (const auto& it : polls)
     {
