Progress records keep the runs that were lost with their runners

Cause of what follows: nothing of a run that went with its runner's life outlived the next start, let alone the process. task_progress gets lost_runs: number, runner, machine, whether the runner had confirmed the run, whether the loss is certain, whether another task may have caused it; eight at most. Left out when empty, and with tasks that are done; texts without it read as none; a damaged one makes the whole text damaged, like its neighbours.

--- a/libs/workflow/include/workflow/model.hpp
+++ b/libs/workflow/include/workflow/model.hpp
@@ -112,6 +112,22 @@
     friend bool operator==(const task_name&, const task_name&) = default;
 };
 
+/// A run that went with its runner's life, or may have.
+struct lost_run
+{
+    std::int64_t run = 0;
+    std::string host;     ///< id of the runner's life; empty: it may have started, or never did
+    std::string machine;  ///< whose life it was, until certain; empty: not known
+    bool ran = false;     ///< the runner had confirmed the run
+    bool certain = false; ///< the runner's life has ended by itself, with the run on it
+    bool sole = false;    ///< no other task that is suspected ran there
+
+    friend bool operator==(const lost_run&, const lost_run&) = default;
+};
+
+/// task_progress::lost_runs has no more; long before that the task starts no more.
+inline constexpr std::size_t most_lost_runs = 8;
+
 /// What must outlive the process about one task.
 struct task_progress
 {
@@ -119,7 +135,8 @@
     /// Runs that ended failed, each once. Their reports may come again, to another owner too, and
     /// in any order, since they lie on several runners: a highest number would not tell.
     std::vector<std::int64_t> failed_runs;
-    std::string checkpoint; ///< newest known, or empty
+    std::string checkpoint;          ///< newest known, or empty
+    std::vector<lost_run> lost_runs; ///< by the order in which they were noted
 };
 
 /// What must outlive the process about a job. Shown to callers only once it is stored.
--- a/libs/workflow/src/records.cpp
+++ b/libs/workflow/src/records.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -69,6 +70,40 @@
 /// Numbers of runs begin anew above those of former terms; a term has a thousand.
 constexpr std::int64_t most_run = std::int64_t{1} << 53;
 
+json write_lost(const lost_run& it)
+{
+    json out = json::object();
+    put(out, "run", it.run);
+    put(out, "host", it.host);
+    put(out, "machine", it.machine);
+    put(out, "ran", it.ran);
+    put(out, "certain", it.certain);
+    put(out, "sole", it.sole);
+    return out;
+}
+
+lost_run read_lost(const json& from)
+{
+    lost_run out;
+    out.run = whole(from.at("run"), most_run);
+    get(from, "host", out.host);
+    get(from, "machine", out.machine);
+    get(from, "ran", out.ran);
+    get(from, "certain", out.certain);
+    get(from, "sole", out.sole);
+    return out;
+}
+
+void read_all_lost(const json& from, std::vector<lost_run>& out)
+{
+    const auto& all = from.get_ref<const json::array_t&>();
+    if (all.size() > most_lost_runs)
+    {
+        throw std::out_of_range{"too many lost runs"};
+    }
+    std::transform(all.begin(), all.end(), std::back_inserter(out), read_lost);
+}
+
 void set_task(job_progress& p, std::size_t place, const json& entry)
 {
     auto& t = p.tasks.at(place);
@@ -80,6 +115,10 @@
         }
     }
     get(entry, "checkpoint", t.checkpoint);
+    if (const auto lost = entry.find("lost_runs"); lost != entry.end())
+    {
+        read_all_lost(*lost, t.lost_runs);
+    }
 }
 
 } // namespace
@@ -123,6 +162,12 @@
             json entry = json::object();
             put(entry, "failed_runs", t.failed_runs);
             put(entry, "checkpoint", t.done ? std::string{} : t.checkpoint);
+            if (!t.done && !t.lost_runs.empty())
+            {
+                auto& lost = entry["lost_runs"] = json::array();
+                std::transform(
+                    t.lost_runs.begin(), t.lost_runs.end(), std::back_inserter(lost), write_lost);
+            }
             if (!entry.empty())
             {
                 more[std::to_string(i)] = std::move(entry);
--- a/libs/workflow/tests/records_tests.cpp
+++ b/libs/workflow/tests/records_tests.cpp
@@ -83,6 +83,7 @@
     p.tasks.resize(12);
     p.tasks[1].done = true;
     p.tasks[5].failed_runs = {3, 1007};
+    p.tasks[5].lost_runs = {{1008, "i-1", "m-1", true, false, true}, {1009, "i-2", {}, true, true}};
     p.tasks[7].checkpoint = "c7";
     const auto read = read_progress(j, write_progress(j, p));
     CHECK(core::is_ok(read));
@@ -92,19 +93,25 @@
     CHECK(q.tasks[1].done);
     CHECK_FALSE(q.tasks[0].done);
     CHECK(q.tasks[5].failed_runs == (std::vector<std::int64_t>{3, 1007}));
+    CHECK(q.tasks[5].lost_runs == p.tasks[5].lost_runs);
     STRCMP_EQUAL("c7", q.tasks[7].checkpoint.c_str());
 }
 
 TEST(workflow_records, damaged_texts_are_errors)
 {
     const auto j = whole_job();
-    for (const char* text : {"",
-             "{",
-             "[]",
-             "{}",
-             R"({"state":"odd"})",
-             R"({"steps":3})",
-             R"({"state":"running","tasks":{"99":{"failed_runs":[1]}}})"})
+    for (const char* text :
+        {"",
+            "{",
+            "[]",
+            "{}",
+            R"({"state":"odd"})",
+            R"({"steps":3})",
+            R"({"state":"running","tasks":{"99":{"failed_runs":[1]}}})",
+            R"({"state":"running","done":"000000000000","tasks":{"5":{"lost_runs":3}}})",
+            R"({"state":"running","done":"000000000000","tasks":{"5":{"lost_runs":[{}]}}})",
+            R"({"state":"running","done":"000000000000","tasks":{"5":{"lost_runs":[{"run":-1}]}}})",
+            R"({"state":"running","done":"000000000000","tasks":{"5":{"lost_runs":[{"run":1,"host":7}]}}})"})
     {
         CHECK_FALSE(core::is_ok(read_progress(j, text)));
     }
