What ends a runner's life is told by an enum in place of a text

end_host takes life_proof, so that the proofs of a life that ended by itself can be told from the own moves and maintenance. host_ended and run_lost read as before, but for two: a move doesn't name the pool any more (move_ordered does), and "another life, or none" is now one or the other.

--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -35,13 +35,28 @@
 void see_hosts(
     fleet& f, const std::vector<host_listing>& all, core::mono_time now, task_events& out);
 
-/// A runner's life has certainly ended: all its runs are over.
-/// \param proof what shows it, for the log
-void end_host(fleet& f,
-    const std::string& id,
-    const std::string& proof,
-    core::mono_time now,
-    task_events& out);
+/// What shows that a runner's life has certainly ended.
+enum class life_proof
+{
+    address_taken, ///< its machine's next life answers
+    other_life,    ///< the list of machines names the next one
+    no_life,       ///< its machine moves or is maintained
+    moved,         ///< the own order to move its machine was carried out
+    maintained     ///< the own order to maintain it was
+};
+
+inline constexpr core::name_table<life_proof, 5> life_proof_names{{
+    {life_proof::address_taken, "another runner answers at its address"},
+    {life_proof::other_life, "its machine has another life"},
+    {life_proof::no_life, "its machine moves or is maintained"},
+    {life_proof::moved, "its machine was moved"},
+    {life_proof::maintained, "its machine's maintenance began"},
+}};
+
+/// A runner's life has certainly ended: all its runs are over. One that ended by itself may have
+/// been crashed by a task.
+void end_host(
+    fleet& f, const std::string& id, life_proof proof, core::mono_time now, task_events& out);
 
 /// A host whose runs were given up because its leases had ended.
 struct host_lapse
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -47,7 +47,7 @@
     }
     if (answer.verdict == runner_verdict::other_life)
     {
-        end_host(f, host, "another runner answers at its address", now, out);
+        end_host(f, host, life_proof::address_taken, now, out);
         return true;
     }
     return std::nullopt;
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -235,21 +235,19 @@
     }
 }
 
-void end_host(fleet& f,
-    const std::string& id,
-    const std::string& proof,
-    core::mono_time now,
-    task_events& out)
+void end_host(
+    fleet& f, const std::string& id, life_proof proof, core::mono_time now, task_events& out)
 {
+    const std::string text{core::name_of(life_proof_names, proof)};
     f.ended[id] = now;
     auto* const h = find_host(f, id);
     if (h == nullptr)
     {
         return;
     }
-    drop_runs(f, *h, "run_lost", "host ended: " + proof, out);
+    drop_runs(f, *h, "run_lost", "host ended: " + text, out);
     erase_strays(f, id);
-    out.push_back({"host_ended", "", 0, id, proof});
+    out.push_back({"host_ended", "", 0, id, text});
     f.hosts.erase(id);
 }
 
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -323,7 +323,7 @@
     }
     if (verdict == ports::machine_verdict::done)
     {
-        end_host(f, it->second.runner, "its machine moves to " + it->second.to, now, out);
+        end_host(f, it->second.runner, life_proof::moved, now, out);
         return;
     }
     if (verdict == ports::machine_verdict::unknown)
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -149,7 +149,7 @@
             h->machine = id;
         }
     }
-    std::vector<std::string> over;
+    std::vector<std::pair<std::string, life_proof>> over;
     for (const auto& [id, h] : f.hosts)
     {
         const auto* const m = h.machine.empty() ? nullptr : find_machine(list, h.machine);
@@ -159,12 +159,12 @@
                                                  m->state == ports::machine_state::in_maintenance);
         if (other_life || no_life)
         {
-            over.push_back(id);
+            over.emplace_back(id, no_life ? life_proof::no_life : life_proof::other_life);
         }
     }
-    for (const auto& id : over)
+    for (const auto& [id, proof] : over)
     {
-        end_host(f, id, "its machine has another life, or none", now, out);
+        end_host(f, id, proof, now, out);
     }
 }
 
@@ -271,7 +271,7 @@
     w.down_at[machine] = now;
     if (const auto* const m = find_machine(list, machine))
     {
-        end_host(f, m->runner, "its machine's maintenance began", now, out);
+        end_host(f, m->runner, life_proof::maintained, now, out);
     }
 }
 
--- a/testing/day_sim/src/day.cpp
+++ b/testing/day_sim/src/day.cpp
@@ -224,7 +224,8 @@
         {
             crashes_.erase(crashes_.begin());
             auto& m = machines_[random_() % machines_.size()];
-            coordinator::end_host(fleet_, m.runner, "crashed", now_, events_);
+            coordinator::end_host(
+                fleet_, m.runner, coordinator::life_proof::other_life, now_, events_);
             begin_life(m, now_ + 2s);
         }
     }
