--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -135,6 +135,8 @@
     void check_told(const std::string& task);
     void check_start(const fake_host& h, const ports::start_order& o);
     void check_crashes(const std::string& task);
+    /// The other members of the task's gang end.
+    void break_gang(const std::string& task);
     void crash_later(const fake_host& h, const ports::start_order& o);
     void breach(const std::string& what);
     std::int64_t clock() const;
--- a/testing/hosted_fakes/src/host_crashes.cpp
+++ b/testing/hosted_fakes/src/host_crashes.cpp
@@ -53,10 +53,32 @@
             {
                 ++crashed_[task];
                 crash(machine, crashes.down);
+                break_gang(task);
             }
         });
 }
 
+void hosts::break_gang(const std::string& task)
+{
+    const auto name = core::value(workflow::read_task_name(task));
+    const auto& s = jobs_.at(name.job).steps[static_cast<std::size_t>(name.step)];
+    if (!s.gang)
+    {
+        return;
+    }
+    for (auto& [machine, h] : machines)
+    {
+        for (int i = 0; i < s.tasks; ++i)
+        {
+            const auto other = workflow::write_task_name({name.job, name.occurrence, name.step, i});
+            if (h.up && h.runs.contains(other))
+            {
+                end(h, other, ports::run_end::member_ended);
+            }
+        }
+    }
+}
+
 std::vector<std::string> hosts::failed_without_cause() const
 {
     std::vector<std::string> out;
