A task that crashes its hosts is tried alone and given up

Cause: drop_runs freed a run that went with its host like one that never was. Nothing counted it, nothing of it was stored, and the next plan started the task in the same millisecond on the fullest host. Ruled out: ends reported as failed and lost on the way (each next life has another id and lists nothing); a count lost with its owner (there was none, and single owners made five starts).

Change: a loss is stored with the job before the task starts again; a task with two is tried apart from all others, few at a time; with three of which two can be nobody else's work, or four, its job is failed. A loss counts as certain only when the runner had confirmed the run and its machine has another life; silence is possible and withdrawn when the runner answers. Moves, maintenance, drains, stops and runs that worked for 5 s count nothing. With five lost runs a task starts no more.

Why it works: five starts are the bound by the invariant in order_start, on what is stored.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -17,6 +17,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace camphorhitch::coordinator
@@ -44,8 +45,12 @@
     std::string host; ///< id of the runner's life
     run_phase phase = run_phase::ordered;
     core::mono_time ordered_at;
-    bool adopted = false; ///< begun by a former owner: when is not known
-    bool resumed = false; ///< from a checkpoint: it takes less than a whole run
+    bool adopted = false;   ///< begun by a former owner: when is not known
+    bool resumed = false;   ///< from a checkpoint: it takes less than a whole run
+    bool confirmed = false; ///< the runner has said that it runs
+    bool watched = false;   ///< earlier runs were lost with their hosts
+    bool trial = false;     ///< of a suspect: nothing else is placed on its host
+    bool sole = false;      ///< no other task on its host is suspected
     /// A poll that began before this says nothing about the present phase.
     core::mono_time changed_at;
     bool stop_in_flight = false;
@@ -63,6 +68,21 @@
     std::vector<run_entry> runs;
     std::vector<std::string> failed_on; ///< hosts; avoided while there are others
     core::mono_time not_before;         ///< a start was refused; it is ordered again after this
+    core::mono_time lost_at; ///< when this owner noted the newest lost run; zero: it noted none
+    /// A former owner has stored lost runs and may have ordered one more, which nobody has seen.
+    bool unseen_start = false;
+    /// Number of the trial that is entered among the lost runs before it starts, so that a
+    /// successor knows of it; 0: none.
+    std::int64_t reserved = 0;
+    bool told_withheld = false; ///< since the newest lost run
+};
+
+/// Runs that were lost if the life of a silent runner has ended.
+struct loss_doubt
+{
+    std::string machine;   ///< whose life it was; empty: not known
+    core::mono_time since; ///< when its runs were given up; zero: in a former term
+    std::vector<std::pair<workflow::task_name, std::int64_t>> runs;
 };
 
 /// Leave to run a step's tasks on one host.
@@ -106,6 +126,12 @@
     std::map<std::size_t, step_advice> advice; ///< by place in steps; jobs under advice only
     std::size_t live_runs = 0;
     std::size_t done_tasks = 0;
+    int losses = 0; ///< lost runs of all tasks
+    /// Losses noted by this owner; those in the newest write of the progress; those that are
+    /// stored.
+    std::int64_t losses_noted = 0;
+    std::int64_t losses_written = 0;
+    std::int64_t losses_stored = 0;
 };
 
 /// Why no new task may start on a host, beside its own state.
@@ -156,6 +182,8 @@
     std::int64_t seen_end = 0;   ///< highest end that was taken in
     std::int64_t stored_end = 0; ///< ends up to here are stored and may be acknowledged
     int fillers = 0;             ///< runs of steps that fill
+    int watched = 0;             ///< runs of tasks of which earlier runs were lost
+    int trials = 0;              ///< runs of suspects; with any, the host takes no other task
     core::mono_time paced_at;    ///< latest look at their pace
     int recent_failures = 0;     ///< failed runs less finished ones, not below 0
     /// Tasks with a run here; key: workflow::write_task_name.
@@ -235,6 +263,14 @@
     /// A runner silent for so long has the end of its leases stored for a successor. Moves and
     /// maintenance end a runner within less, and prove it.
     core::millis silence_told{300};
+    /// Lost runs of a task after which it starts no more.
+    int most_losses = 5;
+    /// With several lost runs that are not certain, the next start waits so long for certainty.
+    core::millis doubt_wait{10000};
+    /// A run that has worked for so long shows that its task isn't what crashes hosts.
+    core::millis trial_time{5000};
+    /// A suspect waits so long for an empty host before it is tried on the least used one.
+    core::millis trial_patience{1500};
     /// Runs of one task within one term of ownership.
     std::int64_t runs_per_term = 1000;
 };
@@ -260,8 +296,11 @@
     /// Runners whose life has certainly ended, and when that was learnt; the list of runners may
     /// name them for a while.
     std::map<std::string, core::mono_time> ended;
-    int asks_out = 0;               ///< calls to the advice service
-    std::vector<stray_run> strays;  ///< to be stopped
+    int asks_out = 0;                         ///< calls to the advice service
+    std::vector<stray_run> strays;            ///< to be stopped
+    std::map<std::string, loss_doubt> doubts; ///< by id of the silent runner
+    /// Since when suspects of a pool have waited for an empty host.
+    std::map<std::string, core::mono_time> trials_wait;
     std::vector<std::string> dirty; ///< jobs whose progress has to be stored
     /// Jobs whose final state is stored, by the wall time of their end in milliseconds.
     std::multimap<std::int64_t, finished_job> finished;
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -4,6 +4,7 @@
 #include "coordinator/advice.hpp"
 #include "coordinator/intake.hpp"
 #include "ends.hpp"
+#include "losses.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
@@ -73,6 +74,7 @@
         run.phase = run_phase::running;
         run.changed_at = now;
     }
+    run.confirmed = true;
     note_begun(j);
 }
 
@@ -131,6 +133,8 @@
     run.adopted = true;
     run.changed_at = now;
     add_run(f, j, name, run);
+    see_later_run(t, it.run);
+    adopt_trial(t, it.run);
     note(out, wanted ? "run_adopted" : "run_unwanted", name, it.run, h.ref.id, "");
 }
 
@@ -154,6 +158,7 @@
     confirm_running(j, run, now);
     run.percent = it.percent;
     run.figure = it.figure;
+    clear_if_proven(f, h, j, *name, run, out);
     if (!it.checkpoint.empty())
     {
         t->progress.checkpoint = it.checkpoint;
@@ -242,6 +247,10 @@
     h.reachable = true;
     h.last_answer = now;
     note_clock(h, answer, now);
+    if (!f.doubts.empty())
+    {
+        withdraw_losses(f, id, out);
+    }
     return std::nullopt;
 }
 
--- a/libs/coordinator/src/bookkeeping.cpp
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -1,6 +1,7 @@
 #include "bookkeeping.hpp"
 
 #include "core/invariant.hpp"
+#include "losses.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
@@ -122,6 +123,8 @@
         h->used.memory_mb += room.memory_mb;
         h->used.gpus += room.gpus;
         h->fillers += step_spec(j, name).fills ? 1 : 0;
+        h->watched += run.watched ? 1 : 0;
+        h->trials += run.trial ? 1 : 0;
         h->runs.emplace(workflow::write_task_name(name), name);
     }
     t.last_run = std::max(t.last_run, run.number);
@@ -135,7 +138,16 @@
 {
     auto& t = task_of(j, name);
     const auto host = t.runs[place].host;
+    if (auto* const h = find_host(f, host))
+    {
+        unwatch_run(*h, t.runs[place]);
+    }
+    const auto number = t.runs[place].number;
     t.runs.erase(t.runs.begin() + static_cast<std::ptrdiff_t>(place));
+    if (t.reserved != 0 && t.reserved == number)
+    {
+        release_trial(f, j, t, number);
+    }
     if (auto* const h = find_host(f, host))
     {
         const auto room = room_of(step_spec(j, name));
@@ -160,6 +172,27 @@
     }
 }
 
+bool runs_only(const host_entry& h, const job_entry& j, const workflow::task_name& name)
+{
+    const bool gang = step_spec(j, name).gang;
+    const auto own = [&](const auto& it)
+    {
+        const auto& other = it.second;
+        return other == name || (gang && other.job == name.job &&
+                                    other.occurrence == name.occurrence && other.step == name.step);
+    };
+    return std::all_of(h.runs.begin(), h.runs.end(), own);
+}
+
+void unwatch_run(host_entry& h, run_entry& run)
+{
+    h.watched -= run.watched ? 1 : 0;
+    h.trials -= run.trial ? 1 : 0;
+    core::require(h.watched >= 0 && h.trials >= 0, "watched runs are never negative");
+    run.watched = false;
+    run.trial = false;
+}
+
 std::size_t place_of_run(const task_entry& t, const std::string& host, std::int64_t number)
 {
     std::size_t i = 0;
--- a/libs/coordinator/src/bookkeeping.hpp
+++ b/libs/coordinator/src/bookkeeping.hpp
@@ -42,6 +42,12 @@
 /// Removes a run and gives its room back.
 void remove_run(fleet& f, job_entry& j, const workflow::task_name& name, std::size_t place);
 
+/// \return whether nothing runs on the host but the task and members of its own gang.
+bool runs_only(const host_entry& h, const job_entry& j, const workflow::task_name& name);
+
+/// The run is no trial any more; its host is open to others again.
+void unwatch_run(host_entry& h, run_entry& run);
+
 /// \return the place of the run in task_entry::runs, or its size.
 std::size_t place_of_run(const task_entry& t, const std::string& host, std::int64_t number);
 
--- a/libs/coordinator/src/ends.cpp
+++ b/libs/coordinator/src/ends.cpp
@@ -1,6 +1,7 @@
 #include "ends.hpp"
 
 #include "bookkeeping.hpp"
+#include "losses.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
@@ -189,6 +190,8 @@
             return;
         }
     }
+    see_later_run(*t, end.run);
+    release_trial(f, j, *t, end.run);
     score_host(h, end.how);
     if (!end.checkpoint.empty())
     {
--- a/libs/coordinator/src/explain.cpp
+++ b/libs/coordinator/src/explain.cpp
@@ -2,6 +2,7 @@
 
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
+#include "losses.hpp"
 #include "starts.hpp"
 
 #include <algorithm>
@@ -149,6 +150,8 @@
     {
         out += ", " + std::to_string(counts.idle) +
                " wait: " + why_waiting(f, j, occurrence, step, now, unix_ms);
+        const auto lost = describe_losses(f, j, occurrence, step, now);
+        out += lost.empty() ? "" : "; of these " + lost;
     }
     return out;
 }
--- a/libs/coordinator/src/gangs.cpp
+++ b/libs/coordinator/src/gangs.cpp
@@ -69,7 +69,8 @@
     return divide(hosts, s);
 }
 
-/// \return a number above those of all members: they must share one.
+} // namespace
+
 std::int64_t gang_number(fleet& f, const waiting_step& w, int tasks)
 {
     std::int64_t number = 0;
@@ -81,8 +82,6 @@
     return number;
 }
 
-} // namespace
-
 void start_gang(fleet& f,
     const waiting_step& w,
     const std::vector<host_entry*>& hosts,
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/intake.hpp"
 
 #include "bookkeeping.hpp"
+#include "losses.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -39,14 +40,47 @@
     }
 }
 
-void drop_runs(fleet& f, host_entry& h, const char* what, const std::string& why, task_events& out)
+/// How the runs of a host came to be dropped.
+struct drop_cause
+{
+    const char* event;
+    std::string why;
+    bool by_itself;      ///< the host was not taken down: a task may have crashed it
+    bool certain;        ///< its life has ended
+    bool single = false; ///< no other task ran there
+};
+
+void drop_run(fleet& f,
+    const host_entry& h,
+    const workflow::task_name& name,
+    std::size_t place,
+    const drop_cause& cause,
+    core::mono_time now,
+    task_events& out)
+{
+    auto& j = *find_job(f, name.job);
+    auto run = find_task(f, name)->runs[place];
+    run.sole = run.sole || cause.single;
+    note(out, cause.event, name, run.number, h.ref.id, cause.why);
+    remove_run(f, j, name, place);
+    if (cause.by_itself)
+    {
+        lose_run(f, j, name, run, h, cause.certain ? cause.why : "", now, out);
+    }
+}
+
+void drop_runs(fleet& f, host_entry& h, drop_cause cause, core::mono_time now, task_events& out)
 {
     const auto runs = h.runs; // removing a run changes the host's own table
+    if (!runs.empty())
+    {
+        const auto& name = runs.begin()->second;
+        cause.single = runs_only(h, *find_job(f, name.job), name);
+    }
     for (const auto& [text, name] : runs)
     {
-        auto* const j = find_job(f, name.job);
-        auto* const t = find_task(f, name);
-        if (j == nullptr || t == nullptr)
+        const auto* const t = find_task(f, name);
+        if (t == nullptr)
         {
             continue;
         }
@@ -54,8 +88,7 @@
         {
             if (t->runs[i].host == h.ref.id)
             {
-                note(out, what, name, t->runs[i].number, h.ref.id, why);
-                remove_run(f, *j, name, i);
+                drop_run(f, h, name, i, cause, now, out);
             }
         }
     }
@@ -123,6 +156,7 @@
         }
         raise_run_numbers(f, j);
         count_steps(j);
+        inherit_losses(f, j);
     }
     if (!workflow::is_final(j.state))
     {
@@ -238,14 +272,23 @@
 void end_host(
     fleet& f, const std::string& id, life_proof proof, core::mono_time now, task_events& out)
 {
-    const std::string text{core::name_of(life_proof_names, proof)};
     f.ended[id] = now;
+    const bool by_itself = proof == life_proof::address_taken || proof == life_proof::other_life;
+    const std::string text{core::name_of(life_proof_names, proof)};
+    if (by_itself)
+    {
+        confirm_losses(f, id, text, now, out);
+    }
+    else
+    {
+        f.doubts.erase(id); // it may have been alive until then
+    }
     auto* const h = find_host(f, id);
     if (h == nullptr)
     {
         return;
     }
-    drop_runs(f, *h, "run_lost", "host ended: " + text, out);
+    drop_runs(f, *h, {"run_lost", "host ended: " + text, by_itself, true}, now, out);
     erase_strays(f, id);
     out.push_back({"host_ended", "", 0, id, text});
     f.hosts.erase(id);
@@ -269,7 +312,8 @@
         {
             lapsed.push_back({id, h.runs.size(), h.last_answer, h.polled_at});
         }
-        drop_runs(f, h, "run_lapsed", "no answer until every lease had ended", out);
+        const drop_cause cause{"run_lapsed", "no answer until every lease had ended", true, false};
+        drop_runs(f, h, cause, now, out);
         erase_strays(f, id);
         h.strays = 0;
         if (h.prior)
--- /dev/null
+++ b/libs/coordinator/src/losses.cpp
@@ -0,0 +1,432 @@
+#include "losses.hpp"
+
+#include "bookkeeping.hpp"
+#include "workflow/records.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+using workflow::lost_run;
+
+/// Lost runs from which a task starts only alone, and from which it is held back until the doubt
+/// about them is over.
+constexpr int suspect_losses = 2;
+constexpr int doubtful_losses = 3;
+/// Certain ones after which the job is given up, when so many of them can't be another task's work.
+constexpr int hopeless_losses = 3;
+constexpr int hopeless_sole = 2;
+/// Certain ones after which it is in any case.
+constexpr int hopeless_anyhow = 4;
+
+const workflow::step& step_of_task(const job_entry& j, const workflow::task_name& name)
+{
+    return j.spec.steps[static_cast<std::size_t>(name.step)];
+}
+
+const task_entry& task_of(const job_entry& j, const workflow::task_name& name)
+{
+    return j.tasks[workflow::task_place(j.spec, name.occurrence, name.step, name.index)];
+}
+
+/// What counts against a task, or against all members of a gang together.
+struct tally
+{
+    int losses = 0;
+    int certain = 0;
+    core::mono_time newest; ///< when this owner noted the latest; zero: a former owner did
+};
+
+int losses_of(const task_entry& t)
+{
+    const int trial = t.reserved != 0 ? 1 : 0;
+    return static_cast<int>(t.progress.lost_runs.size()) + (t.unseen_start ? 1 : 0) - trial;
+}
+
+int certain_losses(const std::vector<lost_run>& all)
+{
+    return static_cast<int>(
+        std::count_if(all.begin(), all.end(), [](const lost_run& it) { return it.certain; }));
+}
+
+/// Members share the number of their run, so a run that took several of them counts once.
+tally tally_of_gang(const job_entry& j, const workflow::task_name& name)
+{
+    tally out;
+    std::set<std::int64_t> runs;
+    std::set<std::int64_t> certain;
+    bool unseen = false;
+    for (int i = 0; i < step_of_task(j, name).tasks; ++i)
+    {
+        const auto& t = task_of(j, {name.job, name.occurrence, name.step, i});
+        for (const auto& it : t.progress.lost_runs)
+        {
+            if (it.run != t.reserved)
+            {
+                runs.insert(it.run);
+            }
+            if (it.certain)
+            {
+                certain.insert(it.run);
+            }
+        }
+        unseen = unseen || t.unseen_start;
+        out.newest = std::max(out.newest, t.lost_at);
+    }
+    out.losses = static_cast<int>(runs.size()) + (unseen ? 1 : 0);
+    out.certain = static_cast<int>(certain.size());
+    return out;
+}
+
+tally tally_of(const job_entry& j, const workflow::task_name& name)
+{
+    if (step_of_task(j, name).gang)
+    {
+        return tally_of_gang(j, name);
+    }
+    const auto& t = task_of(j, name);
+    return {losses_of(t), certain_losses(t.progress.lost_runs), t.lost_at};
+}
+
+/// An innocent may lose its hosts more than once, to a rack's power or beside a task that crashes
+/// them; tried apart from other suspects it works.
+bool is_hopeless(const std::vector<lost_run>& all)
+{
+    const auto sole = std::count_if(
+        all.begin(), all.end(), [](const lost_run& it) { return it.certain && it.sole; });
+    const int certain = certain_losses(all);
+    return certain >= hopeless_anyhow || (certain >= hopeless_losses && sole >= hopeless_sole);
+}
+
+std::string loss_text(const task_entry& t, const lost_run& it, const std::string& proof)
+{
+    return "losses=" + std::to_string(losses_of(t)) +
+           " certain=" + std::to_string(certain_losses(t.progress.lost_runs)) +
+           " sole=" + (it.sole ? "1" : "0") +
+           (it.certain ? " proof=" + proof : std::string{it.ran ? " possible" : " unconfirmed"});
+}
+
+void give_up_if_hopeless(
+    fleet& f, job_entry& j, const workflow::task_name& name, core::mono_time now, task_events& out)
+{
+    const auto& lost = task_of(j, name).progress.lost_runs;
+    if (workflow::is_final(j.state) || !is_hopeless(lost))
+    {
+        return;
+    }
+    out.push_back({"job_failed",
+        j.spec.id,
+        0,
+        "",
+        "task=" + workflow::write_task_name(name) +
+            " crashed_hosts=" + std::to_string(certain_losses(lost))});
+    finish_job(f, j, workflow::job_state::failed, now);
+}
+
+bool counts(const fleet& f,
+    const job_entry& j,
+    const task_entry& t,
+    const run_entry& run,
+    const host_entry& h)
+{
+    const bool stopped = run.phase == run_phase::stopping && (run.confirmed || run.stop_confirmed);
+    const bool worked = run.confirmed && h.last_answer - run.ordered_at >= f.settings.trial_time;
+    const bool leaves = h.draining || h.use != host_use::open;
+    return !workflow::is_final(j.state) && !t.progress.done && !stopped && !worked && !leaves;
+}
+
+void add_loss(job_entry& j, task_entry& t, lost_run it)
+{
+    if (t.progress.lost_runs.size() < workflow::most_lost_runs)
+    {
+        t.progress.lost_runs.push_back(std::move(it));
+        ++j.losses;
+    }
+}
+
+/// What was only supposed is stored with what is known from now on.
+void enter_unseen(const fleet& f, job_entry& j, task_entry& t)
+{
+    if (t.unseen_start)
+    {
+        t.unseen_start = false;
+        add_loss(j, t, {f.term * f.settings.runs_per_term, {}, {}, false, false, false});
+    }
+}
+
+void add_doubt(fleet& f,
+    const std::string& host,
+    const std::string& machine,
+    const workflow::task_name& name,
+    std::int64_t run,
+    core::mono_time now)
+{
+    auto& it = f.doubts[host];
+    it.machine = machine;
+    it.since = now;
+    it.runs.emplace_back(name, run);
+}
+
+/// \return the lost run, or nullptr when it counts no more.
+lost_run* find_lost(
+    fleet& f, const std::string& host, const workflow::task_name& name, std::int64_t run)
+{
+    auto* const t = find_task(f, name);
+    if (t == nullptr || t->progress.done || workflow::is_final(find_job(f, name.job)->state))
+    {
+        return nullptr;
+    }
+    auto& all = t->progress.lost_runs;
+    const auto it = std::find_if(all.begin(),
+        all.end(),
+        [&](const lost_run& each) { return each.host == host && each.run == run; });
+    return it == all.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+start_rule rule_of(
+    const fleet& f, const job_entry& j, const workflow::task_name& name, core::mono_time now)
+{
+    if (j.losses == 0)
+    {
+        return start_rule::open;
+    }
+    const auto all = tally_of(j, name);
+    if (all.losses == 0)
+    {
+        return start_rule::open;
+    }
+    // A successor that doesn't know of the loss would count from what was stored.
+    const bool stored = j.losses_stored == j.losses_noted;
+    if (!stored || all.losses >= f.settings.most_losses)
+    {
+        return start_rule::withheld;
+    }
+    if (all.losses >= doubtful_losses && all.losses > all.certain)
+    {
+        const bool waited = now - all.newest >= f.settings.doubt_wait;
+        return waited ? start_rule::alone : start_rule::withheld;
+    }
+    return all.losses >= suspect_losses ? start_rule::alone : start_rule::watched;
+}
+
+void lose_run(fleet& f,
+    job_entry& j,
+    const workflow::task_name& name,
+    const run_entry& run,
+    const host_entry& h,
+    const std::string& proof,
+    core::mono_time now,
+    task_events& out)
+{
+    auto& t = *find_task(f, name);
+    if (!counts(f, j, t, run, h))
+    {
+        return;
+    }
+    enter_unseen(f, j, t);
+    const bool certain = !proof.empty() && run.confirmed;
+    const lost_run lost{
+        run.number, h.ref.id, certain ? "" : h.machine, run.confirmed, certain, run.sole};
+    add_loss(j, t, lost);
+    ++j.losses_noted;
+    t.lost_at = now;
+    t.told_withheld = false;
+    mark_dirty(f, j);
+    note(out, "run_lost_with_host", name, run.number, h.ref.id, loss_text(t, lost, proof));
+    if (proof.empty())
+    {
+        add_doubt(f, h.ref.id, h.machine, name, run.number, now);
+    }
+    give_up_if_hopeless(f, j, name, now, out);
+}
+
+void confirm_losses(fleet& f,
+    const std::string& host,
+    const std::string& proof,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto found = f.doubts.extract(host);
+    if (found.empty())
+    {
+        return;
+    }
+    for (const auto& [name, run] : found.mapped().runs)
+    {
+        auto* const it = find_lost(f, host, name, run);
+        if (it == nullptr || !it->ran)
+        {
+            continue; // a start without an answer may never have reached the runner
+        }
+        it->certain = true;
+        it->machine.clear();
+        auto& j = *find_job(f, name.job);
+        mark_dirty(f, j);
+        note(
+            out, "run_lost_with_host", name, run, host, loss_text(*find_task(f, name), *it, proof));
+        give_up_if_hopeless(f, j, name, now, out);
+    }
+}
+
+void withdraw_losses(fleet& f, const std::string& host, task_events& out)
+{
+    const auto found = f.doubts.extract(host);
+    if (found.empty())
+    {
+        return;
+    }
+    for (const auto& [name, run] : found.mapped().runs)
+    {
+        const auto* const it = find_lost(f, host, name, run);
+        if (it == nullptr)
+        {
+            continue;
+        }
+        auto& j = *find_job(f, name.job);
+        auto& t = *find_task(f, name);
+        t.progress.lost_runs.erase(
+            t.progress.lost_runs.begin() + (it - t.progress.lost_runs.data()));
+        --j.losses;
+        mark_dirty(f, j);
+        note(out, "loss_withdrawn", name, run, host, "the runner answers");
+    }
+}
+
+void clear_if_proven(fleet& f,
+    host_entry& h,
+    job_entry& j,
+    const workflow::task_name& name,
+    run_entry& run,
+    task_events& out)
+{
+    auto& t = *find_task(f, name);
+    const bool known = !t.progress.lost_runs.empty() || run.watched;
+    if (!known || h.last_answer - run.ordered_at < f.settings.trial_time)
+    {
+        return;
+    }
+    if (!t.progress.lost_runs.empty())
+    {
+        note(out,
+            "losses_cleared",
+            name,
+            run.number,
+            h.ref.id,
+            "losses=" + std::to_string(t.progress.lost_runs.size()));
+        j.losses -= static_cast<int>(t.progress.lost_runs.size());
+        t.progress.lost_runs.clear();
+        mark_dirty(f, j);
+    }
+    t.unseen_start = false;
+    t.reserved = 0;
+    unwatch_run(h, run);
+}
+
+void inherit_losses(fleet& f, job_entry& j)
+{
+    for (std::size_t i = 0; i < j.tasks.size(); ++i)
+    {
+        auto& t = j.tasks[i];
+        j.losses += static_cast<int>(t.progress.lost_runs.size());
+        // With more than one, each further start is entered before it is made.
+        t.unseen_start = t.progress.lost_runs.size() == 1 && !t.progress.done;
+        for (const auto& it : t.progress.lost_runs)
+        {
+            if (!it.certain && it.ran && !t.progress.done)
+            {
+                add_doubt(f, it.host, it.machine, workflow::name_of_task(j.spec, i), it.run, {});
+            }
+        }
+    }
+}
+
+void see_later_run(task_entry& t, std::int64_t run)
+{
+    const auto& lost = t.progress.lost_runs;
+    if (t.unseen_start && (lost.empty() || run > lost.back().run))
+    {
+        t.unseen_start = false;
+    }
+}
+
+void reserve_trial(fleet& f, job_entry& j, task_entry& t, std::int64_t number)
+{
+    enter_unseen(f, j, t);
+    add_loss(j, t, {number, {}, {}, false, false, false});
+    t.reserved = number;
+    ++j.losses_noted;
+    mark_dirty(f, j);
+}
+
+void adopt_trial(task_entry& t, std::int64_t run)
+{
+    const auto& all = t.progress.lost_runs;
+    const bool entered = std::any_of(all.begin(),
+        all.end(),
+        [run](const lost_run& it) { return it.host.empty() && it.run == run; });
+    t.reserved = entered ? run : t.reserved;
+}
+
+void release_trial(fleet& f, job_entry& j, task_entry& t, std::int64_t run)
+{
+    const auto released = std::erase_if(t.progress.lost_runs,
+        [run](const lost_run& it) { return it.host.empty() && it.run == run; });
+    t.reserved = t.reserved == run ? 0 : t.reserved;
+    j.losses -= static_cast<int>(released);
+    if (released > 0 && !workflow::is_final(j.state))
+    {
+        mark_dirty(f, j);
+    }
+}
+
+void sweep_doubts(fleet& f)
+{
+    std::erase_if(f.doubts,
+        [&](const auto& it)
+        {
+            return std::none_of(it.second.runs.begin(),
+                it.second.runs.end(),
+                [&](const auto& each)
+                { return find_lost(f, it.first, each.first, each.second) != nullptr; });
+        });
+}
+
+std::string describe_losses(
+    const fleet& f, const job_entry& j, int occurrence, int step, core::mono_time now)
+{
+    if (j.losses == 0)
+    {
+        return {};
+    }
+    int withheld = 0;
+    int alone = 0;
+    int most = 0;
+    for (int i = 0; i < j.spec.steps[static_cast<std::size_t>(step)].tasks; ++i)
+    {
+        const workflow::task_name name{j.spec.id, occurrence, step, i};
+        const auto& t = task_of(j, name);
+        if (t.progress.done || !t.runs.empty())
+        {
+            continue;
+        }
+        const auto rule = rule_of(f, j, name, now);
+        withheld += rule == start_rule::withheld ? 1 : 0;
+        alone += rule == start_rule::alone ? 1 : 0;
+        most = std::max(most, losses_of(t));
+    }
+    if (withheld + alone == 0)
+    {
+        return {};
+    }
+    return std::to_string(alone) + " to be tried alone on a host and " + std::to_string(withheld) +
+           " held back, for hosts were lost with them (up to " + std::to_string(most) + " times)";
+}
+
+} // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -3,7 +3,9 @@
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
 #include "coordinator/pacing.hpp"
+#include "losses.hpp"
 #include "starts.hpp"
+#include "trials.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -33,19 +35,6 @@
     return key(a) < key(b);
 }
 
-std::vector<host_entry*> hosts_of_pool(fleet& f, const std::string& pool, core::mono_time now)
-{
-    std::vector<host_entry*> out;
-    for (auto& [id, h] : f.hosts)
-    {
-        if (h.pool == pool && may_host(f, h, now))
-        {
-            out.push_back(&h);
-        }
-    }
-    return out;
-}
-
 /// Expected times are means; a job that misses by less than this may well be in time.
 constexpr std::int64_t late_tolerance_ms = 200;
 
@@ -96,6 +85,18 @@
     return out;
 }
 
+/// A task whose run was lost with its host may have crashed it. Those that were lost with it are
+/// suspects when it happens again, so they count for more.
+/// \return a measure of what is lost if this task, or one on the host, does so.
+std::int64_t runs_at_risk(const host_entry& h, const task_entry& t)
+{
+    if (t.progress.lost_runs.empty())
+    {
+        return h.watched > 0 ? 1 : 0;
+    }
+    return static_cast<std::int64_t>(h.runs.size()) + 2 * std::int64_t{h.watched};
+}
+
 /// \return the host with the lowest cost, or nullptr when none may run the task.
 host_entry* choose_host(const fleet& f,
     const std::vector<host_entry*>& hosts,
@@ -106,7 +107,8 @@
 {
     const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
     host_entry* best = nullptr;
-    auto best_cost = std::tuple(true, true, true, 0, std::numeric_limits<std::int64_t>::max());
+    auto best_cost =
+        std::tuple(true, true, true, std::int64_t{0}, 0, std::numeric_limits<std::int64_t>::max());
     for (auto* const h : hosts)
     {
         if (!is_advised(*h, j, name.occurrence, name.step, now) ||
@@ -118,13 +120,14 @@
             std::find(t.failed_on.begin(), t.failed_on.end(), h->ref.id) != t.failed_on.end();
         const bool suspect = h->recent_failures >= suspect_failures;
         const bool far = !s.near_rack.empty() && h->rack != s.near_rack;
+        const auto near = runs_at_risk(*h, t);
         const int disturbed = disturbing_runs(f, *h, s);
         // Short tasks fill one host after the other, so that some stay empty and can move to
         // another pool, or rest, at once; those that stay are spread, so that few are lost or moved
         // together.
         const bool fills_up = !s.long_running && f.settings.placement.hosts == host_choice::fullest;
         const auto fill = fills_up ? -h->used.cpu : h->used.cpu;
-        const auto cost = std::tuple(failed_here, suspect, far, disturbed, fill);
+        const auto cost = std::tuple(failed_here, suspect, far, near, disturbed, fill);
         if (best == nullptr || cost < best_cost)
         {
             best = h;
@@ -134,6 +137,13 @@
     return best;
 }
 
+bool may_start_beside_others(
+    const fleet& f, const job_entry& j, const workflow::task_name& name, core::mono_time now)
+{
+    const auto rule = rule_of(f, j, name, now);
+    return rule == start_rule::open || rule == start_rule::watched;
+}
+
 /// Starts as many tasks of the step as there is room for.
 void start_tasks(fleet& f,
     const waiting_step& w,
@@ -148,7 +158,8 @@
     {
         const workflow::task_name name{j.spec.id, w.occurrence, w.step, i};
         const auto& t = *find_task(f, name);
-        if (t.progress.done || !t.runs.empty() || now < t.not_before)
+        if (t.progress.done || !t.runs.empty() || now < t.not_before ||
+            !may_start_beside_others(f, j, name, now))
         {
             continue;
         }
@@ -166,6 +177,64 @@
     }
 }
 
+void start_step(fleet& f,
+    const waiting_step& w,
+    const std::vector<host_entry*>& hosts,
+    core::mono_time now,
+    plan& to,
+    task_events& out)
+{
+    const bool gang = w.job->spec.steps[static_cast<std::size_t>(w.step)].gang;
+    if (!gang)
+    {
+        start_tasks(f, w, hosts, now, to, out);
+    }
+    else if (may_start_beside_others(f, *w.job, {w.job->spec.id, w.occurrence, w.step, 0}, now))
+    {
+        start_gang(f, w, hosts, now, to, out);
+    }
+}
+
+pool_hosts& hosts_in(std::map<std::string, pool_hosts>& pools,
+    fleet& f,
+    const std::string& pool,
+    core::mono_time now)
+{
+    const auto found = pools.find(pool);
+    return found != pools.end() ? found->second
+                                : pools.emplace(pool, hosts_of_pool(f, pool, now)).first->second;
+}
+
+/// Before all others, while there are empty hosts.
+void start_suspects(fleet& f,
+    const std::vector<waiting_step>& waiting,
+    core::mono_time now,
+    std::map<std::string, pool_hosts>& pools,
+    plan& to,
+    task_events& out)
+{
+    for (const auto& it : waiting)
+    {
+        if (it.job->losses > 0 && !to.cut)
+        {
+            start_trials(f, it, hosts_in(pools, f, it.job->spec.pool, now), now, to, out);
+        }
+    }
+    for (auto& [pool, hosts] : pools)
+    {
+        if (hosts.open.size() > 1)
+        {
+            std::erase(hosts.open, hosts.set_aside);
+        }
+    }
+    std::erase_if(f.trials_wait,
+        [&](const auto& it)
+        {
+            const auto found = pools.find(it.first);
+            return found == pools.end() || !found->second.waits;
+        });
+}
+
 void order_stops(fleet& f, core::mono_time now, plan& to)
 {
     for (const auto& id : f.open_jobs)
@@ -217,29 +286,25 @@
     {
         return to;
     }
-    std::map<std::string, std::vector<host_entry*>> pools;
-    for (const auto& it : all_waiting_steps(f, now, unix_ms))
+    const auto waiting = all_waiting_steps(f, now, unix_ms);
+    std::map<std::string, pool_hosts> pools;
+    start_suspects(f, waiting, now, pools, to, out);
+    for (const auto& it : waiting)
     {
         if (to.cut)
         {
             break; // what comes later in the order of service would overtake
         }
-        const auto& pool = it.job->spec.pool;
-        auto found = pools.find(pool);
-        if (found == pools.end())
-        {
-            found = pools.emplace(pool, hosts_of_pool(f, pool, now)).first;
-        }
+        const auto& hosts = hosts_in(pools, f, it.job->spec.pool, now).open;
         if (it.job->spec.advised)
         {
-            auto ask = plan_ask(f, *it.job, it.occurrence, it.step, found->second, now);
+            auto ask = plan_ask(f, *it.job, it.occurrence, it.step, hosts, now);
             if (!ask.runners.empty())
             {
                 to.asks.push_back(std::move(ask));
             }
         }
-        const bool gang = it.job->spec.steps[static_cast<std::size_t>(it.step)].gang;
-        (gang ? start_gang : start_tasks)(f, it, found->second, now, to, out);
+        start_step(f, it, hosts, now, to, out);
     }
     return to;
 }
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -2,6 +2,7 @@
 
 #include "bookkeeping.hpp"
 #include "core/invariant.hpp"
+#include "losses.hpp"
 
 #include <algorithm>
 
@@ -33,7 +34,7 @@
 {
     const auto silent_after = f.settings.runner_lease;
     return h.listed && h.recorded && !h.draining && h.reachable && !h.prior && h.strays == 0 &&
-           h.use == host_use::open && now - h.last_answer < silent_after;
+           h.trials == 0 && h.use == host_use::open && now - h.last_answer < silent_after;
 }
 
 std::int64_t due_at(const workflow::job& j, int occurrence)
@@ -87,7 +88,12 @@
     core::require(
         is_step_ready(j, name.occurrence, name.step), "a step starts after the steps before");
     core::require(fits(h, room_of(s)), "a host is never over its room");
+    const auto rule = rule_of(f, j, name, now);
+    core::require(rule != start_rule::withheld, "a task that crashes its hosts starts so often");
     run_entry run;
+    run.watched = rule != start_rule::open;
+    run.trial = rule == start_rule::alone;
+    run.sole = run.trial && (h.watched == 0 || runs_only(h, j, name));
     run.number = number;
     run.host = h.ref.id;
     run.ordered_at = now;
@@ -109,7 +115,7 @@
         number,
         h.ref.id,
         "used_cpu=" + std::to_string(h.used.cpu) + " of=" + std::to_string(h.capacity.cpu) +
-            (t.progress.checkpoint.empty() ? "" : " resumes=1"));
+            (t.progress.checkpoint.empty() ? "" : " resumes=1") + (run.trial ? " trial=1" : ""));
 }
 
 } // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/starts.hpp
+++ b/libs/coordinator/src/starts.hpp
@@ -46,6 +46,9 @@
     plan& to,
     task_events& out);
 
+/// \return a number above those of all members: they must share one.
+std::int64_t gang_number(fleet& f, const waiting_step& w, int tasks);
+
 /// Starts a gang whole or not at all: members that wait for others hold room and do nothing.
 void start_gang(fleet& f,
     const waiting_step& w,
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -3,6 +3,7 @@
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
 #include "coordinator/placement.hpp"
+#include "losses.hpp"
 
 #include <algorithm>
 #include <map>
@@ -138,6 +139,33 @@
     return out;
 }
 
+/// Of runners that are hosts no more, too: the next lives of their machines show that theirs ended.
+void settle_doubts(fleet& f, const machine_table& list, core::mono_time now, task_events& out)
+{
+    sweep_doubts(f);
+    std::vector<std::string> over;
+    for (auto& [id, it] : f.doubts)
+    {
+        const auto* const h = find_host(f, id);
+        if (it.machine.empty() && h != nullptr)
+        {
+            it.machine = h->machine;
+        }
+        const auto* const m = it.machine.empty() ? nullptr : find_machine(list, it.machine);
+        const bool other_life = m != nullptr && m->state == ports::machine_state::up &&
+                                !m->runner.empty() && m->runner != id;
+        if (other_life && list.read_at > it.since)
+        {
+            over.push_back(id);
+        }
+    }
+    for (const auto& id : over)
+    {
+        const std::string proof{core::name_of(life_proof_names, life_proof::other_life)};
+        confirm_losses(f, id, proof, now, out);
+    }
+}
+
 } // namespace
 
 void match_machines(fleet& f, const machine_table& list, core::mono_time now, task_events& out)
@@ -166,6 +194,7 @@
     {
         end_host(f, id, proof, now, out);
     }
+    settle_doubts(f, list, now, out);
 }
 
 /// A machine that the list doesn't show has left. Of a list from before the request this proves
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -113,7 +113,8 @@
         term_.wake();
     }
     const auto unseen = coordinator::find_unexamined(term_.fleet, term_.now());
-    const bool often = is_pressing_() || !moves_.moves.empty() || !unseen.pools.empty();
+    const bool often = is_pressing_() || !moves_.moves.empty() || !unseen.pools.empty() ||
+                       !term_.fleet.doubts.empty();
     term_.ctx.time.after(often ? term_.settings.machines_every : term_.settings.machines_idle,
         term_.guarded([this] { read(); }));
 }
--- a/libs/hosted/src/progress_writer.cpp
+++ b/libs/hosted/src/progress_writer.cpp
@@ -95,6 +95,7 @@
     }
     auto& j = *found->second;
     j.dirty = false;
+    j.losses_written = j.losses_noted;
     if (workflow::is_final(j.state) && j.ended_unix_ms == 0)
     {
         j.ended_unix_ms = core::to_unix_ms(term_.ctx.time.wall_now());
@@ -150,6 +151,11 @@
 void progress_writer::take_stored(coordinator::job_entry& j, ports::revision at)
 {
     j.stored = at;
+    if (j.losses_stored != j.losses_written)
+    {
+        j.losses_stored = j.losses_written;
+        term_.wake(); // tasks waited for it
+    }
     if (workflow::is_final(j.state) && !j.dirty)
     {
         const auto unix_ms = core::to_unix_ms(term_.ctx.time.wall_now());
--- a/libs/hosted/tests/crashing_tasks_tests.cpp
+++ b/libs/hosted/tests/crashing_tasks_tests.cpp
@@ -47,7 +47,7 @@
         c.time.run_for(1s);
     }
 
-    void put_crasher(workflow::job j)
+    void put_crasher(const workflow::job& j)
     {
         crashers.insert(j.id);
         c.put_job(j);
--- a/testing/day_sim/src/day.cpp
+++ b/testing/day_sim/src/day.cpp
@@ -323,6 +323,7 @@
         {
             auto& j = *fleet_.jobs.at(id);
             j.dirty = false;
+            j.losses_stored = j.losses_noted;
             if (j.state == workflow::job_state::completed)
             {
                 ++(now_ <= due_.at(id) ? result_.in_time : result_.late);
