A crash that a former owner never stored counts with the next

Change: when a runner that a former owner used is gone before this owner's first look, a task of its pool that this owner has taken over and not seen since counts as lost once more, with the first run of it that is lost. Only then: innocents that lose nothing are not touched, nor all tasks at each change of owner.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -69,7 +69,8 @@
     std::vector<std::string> failed_on; ///< hosts; avoided while there are others
     core::mono_time not_before;         ///< a start was refused; it is ordered again after this
     core::mono_time lost_at; ///< when this owner noted the newest lost run; zero: it noted none
-    /// A former owner has stored lost runs and may have ordered one more, which nobody has seen.
+    /// A former owner may have ordered a run that nobody has seen, and that was lost. It counts
+    /// once one is known to be lost.
     bool unseen_start = false;
     /// Number of the trial that is entered among the lost runs before it starts, so that a
     /// successor knows of it; 0: none.
@@ -299,6 +300,7 @@
     int asks_out = 0;                         ///< calls to the advice service
     std::vector<stray_run> strays;            ///< to be stopped
     std::map<std::string, loss_doubt> doubts; ///< by id of the silent runner
+    std::set<std::string> lost_prior_hosts;   ///< pools with hosts that ended before the first look
     /// Since when suspects of a pool have waited for an empty host.
     std::map<std::string, core::mono_time> trials_wait;
     std::vector<std::string> dirty; ///< jobs whose progress has to be stored
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -120,6 +120,15 @@
     return heard && (h.ref.address != it.ref.address || (!h.pool.empty() && h.pool != it.pool));
 }
 
+/// What a former owner ordered there may have been lost with it.
+void note_lost_prior(fleet& f, const host_entry& h)
+{
+    if (h.prior)
+    {
+        f.lost_prior_hosts.insert(h.pool);
+    }
+}
+
 void erase_strays(fleet& f, const std::string& host)
 {
     std::erase_if(f.strays, [&](const stray_run& it) { return it.host == host; });
@@ -288,6 +297,7 @@
     {
         return;
     }
+    note_lost_prior(f, *h);
     drop_runs(f, *h, {"run_lost", "host ended: " + text, by_itself, true}, now, out);
     erase_strays(f, id);
     out.push_back({"host_ended", "", 0, id, text});
@@ -318,6 +328,7 @@
         h.strays = 0;
         if (h.prior)
         {
+            note_lost_prior(f, h);
             h.prior = false;
             out.push_back({"host_lapsed", "", 0, id, "leases of the former owner have ended"});
         }
--- a/libs/coordinator/src/losses.cpp
+++ b/libs/coordinator/src/losses.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace camphorhitch::coordinator
 {
@@ -45,7 +46,8 @@
 int losses_of(const task_entry& t)
 {
     const int trial = t.reserved != 0 ? 1 : 0;
-    return static_cast<int>(t.progress.lost_runs.size()) + (t.unseen_start ? 1 : 0) - trial;
+    const int unseen = t.unseen_start && !t.progress.lost_runs.empty() ? 1 : 0;
+    return static_cast<int>(t.progress.lost_runs.size()) + unseen - trial;
 }
 
 int certain_losses(const std::vector<lost_run>& all)
@@ -75,7 +77,7 @@
                 certain.insert(it.run);
             }
         }
-        unseen = unseen || t.unseen_start;
+        unseen = unseen || (t.unseen_start && !t.progress.lost_runs.empty());
         out.newest = std::max(out.newest, t.lost_at);
     }
     out.losses = static_cast<int>(runs.size()) + (unseen ? 1 : 0);
@@ -152,9 +154,9 @@
 /// What was only supposed is stored with what is known from now on.
 void enter_unseen(const fleet& f, job_entry& j, task_entry& t)
 {
-    if (t.unseen_start)
+    const bool lost = !t.progress.lost_runs.empty() || f.lost_prior_hosts.contains(j.spec.pool);
+    if (std::exchange(t.unseen_start, false) && lost)
     {
-        t.unseen_start = false;
         add_loss(j, t, {f.term * f.settings.runs_per_term, {}, {}, false, false, false});
     }
 }
@@ -336,7 +338,7 @@
         auto& t = j.tasks[i];
         j.losses += static_cast<int>(t.progress.lost_runs.size());
         // With more than one, each further start is entered before it is made.
-        t.unseen_start = t.progress.lost_runs.size() == 1 && !t.progress.done;
+        t.unseen_start = j.inherited && t.progress.lost_runs.size() <= 1 && !t.progress.done;
         for (const auto& it : t.progress.lost_runs)
         {
             if (!it.certain && it.ran && !t.progress.done)
--- a/libs/coordinator/tests/losses_tests.cpp
+++ b/libs/coordinator/tests/losses_tests.cpp
@@ -445,7 +445,31 @@
     CHECK(next.state("a") == job_state::failed);
 }
 
-// As before, and the run still works: it is the trial that was entered, and no loss.
+// An owner dies with a crash that it hasn't stored: its successor finds the host gone.
+TEST(losses, a_crash_that_nobody_stored_counts_with_the_next)
+{
+    for (const bool gone : {false, true})
+    {
+        losing_world each;
+        for (int i = 0; i < 6; ++i)
+        {
+            each.add_host("h" + std::to_string(i));
+        }
+        each.f.term = 1;
+        each.f.term_began = 5;
+        each.add(make_job("a", {make_step(1, 1000)}));
+        if (gone)
+        {
+            add_prior_hosts(each.f, {{{"p1", "p1:1", {}}, "m1", "p", 2500ms}}, each.now);
+            end_host(each.f, "p1", life_proof::other_life, each.now, each.events);
+        }
+        LONGS_EQUAL(1, each.crash_all(1));
+        LONGS_EQUAL(gone ? 2 : 1, each.losses("a"));
+    }
+}
+
+// An owner dies with a trial under way that still works: it is the trial that was entered, and no
+// loss.
 TEST(losses, a_successor_adopts_the_trial)
 {
     w.add(make_job("a", {make_step(1, 1000)}));
--- a/libs/hosted/tests/crashing_tasks_tests.cpp
+++ b/libs/hosted/tests/crashing_tasks_tests.cpp
@@ -1,6 +1,7 @@
 #include "hosted_fakes/cluster.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <random>
 
 using namespace camphorhitch;
 using namespace camphorhitch::hosted_fakes;
@@ -16,7 +17,7 @@
     std::set<std::string> crashers; ///< jobs
     bool progress_lost = false;     ///< writes of progress get no answer, and take no effect
 
-    explicit crashing_world(int hosts, int nodes = 1)
+    explicit crashing_world(int hosts, int nodes = 1, std::uint64_t seed = 1) : c(seed)
     {
         c.hosts.crashes.task = [this](const workflow::task_name& it)
         {
@@ -252,3 +253,58 @@
     CHECK(w.c.ends("b", job_state::completed, 120s));
     STRCMP_EQUAL("", w.c.breaches().c_str());
 }
+
+// Owners die, runners are cut off or lose their power, and writes lose their answers while tasks of
+// all kinds crash their runners: none of it may add starts, or fail a job that is not at fault.
+TEST(crashing_tasks, the_bound_holds_amid_other_faults)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        crashing_world w(12, 2, seed);
+        std::mt19937_64 random(seed);
+        const auto below = [&random](int n)
+        {
+            return std::uniform_int_distribution<int>(0, n - 1)(random);
+        };
+        const auto any_host = [&]
+        {
+            return "m" + std::to_string(1 + below(12));
+        };
+        for (int i = 0; i < 6; ++i)
+        {
+            auto j = w.c.make_job("a" + std::to_string(i), 2);
+            j.steps[0].long_running = i % 3 == 1;
+            j.steps[0].gang = i % 3 == 2;
+            w.put_crasher(j);
+            w.c.put_job(w.c.make_job("b" + std::to_string(i), 3, 2));
+        }
+        int kills = 2;
+        for (int i = 0; i < 15; ++i)
+        {
+            w.c.time.run_for(core::millis{500 + below(1500)});
+            const int what = below(5);
+            if (what == 0 && kills-- > 0)
+            {
+                w.kill_leader();
+            }
+            else if (what == 1)
+            {
+                w.c.hosts.cut(any_host(), core::millis{500 + below(6000)});
+            }
+            else if (what == 2)
+            {
+                w.c.hosts.crash(any_host(), 2s);
+            }
+            else if (what == 3)
+            {
+                w.c.store.answers_to_lose = below(3);
+            }
+        }
+        w.c.time.run_for(120s);
+        for (int i = 0; i < 6; ++i)
+        {
+            CHECK(w.c.state_of("b" + std::to_string(i)) == job_state::completed);
+        }
+        STRCMP_EQUAL("", w.c.breaches().c_str());
+    }
+}
