--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -35,25 +35,24 @@
 void see_hosts(
     fleet& f, const std::vector<host_listing>& all, core::mono_time now, task_events& out);
 
-/// What shows that a runner's life has ended.
+/// What shows that a runner's life has certainly ended.
 enum class life_proof
 {
-    host_has_another_life,    ///< or none: the list of machines says so
-    host_maintained,          ///< by an order of this owner
-    host_moved,               ///< by an order of this owner
-    address_has_another_life, ///< and all its leases have ended
-    crashed                   ///< its simulation says so
+    other_life,   ///< the list of machines names the next one
+    no_life,      ///< the list says that its machine moves or is maintained
+    moved,        ///< the own order to move its machine was carried out
+    address_taken ///< another runner answers at its address, and all its leases have ended
 };
 
-inline constexpr core::name_table<life_proof, 5> life_proof_names{{
-    {life_proof::host_has_another_life, "host_has_another_life"},
-    {life_proof::host_maintained, "host_maintained"},
-    {life_proof::host_moved, "host_moved"},
-    {life_proof::address_has_another_life, "address_has_another_life"},
-    {life_proof::crashed, "crashed"},
+inline constexpr core::name_table<life_proof, 4> life_proof_names{{
+    {life_proof::other_life, "other_life"},
+    {life_proof::no_life, "no_life"},
+    {life_proof::moved, "moved"},
+    {life_proof::address_taken, "address_taken"},
 }};
 
-/// A runner's life has certainly ended: all its runs are over.
+/// A runner's life has certainly ended: all its runs are over. One that ended by itself may have
+/// been crashed by a task.
 void end_host(
     fleet& f, const std::string& id, life_proof proof, core::mono_time now, task_events& out);
 
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -5,6 +5,7 @@
 #include "coordinator/intake.hpp"
 #include "ends.hpp"
 #include "given_up.hpp"
+#include "losses.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
@@ -53,6 +54,7 @@
         run.phase = run_phase::running;
         run.changed_at = now;
     }
+    run.confirmed = true;
     note_begun(j);
 }
 
@@ -111,6 +113,8 @@
     run.adopted = true;
     run.changed_at = now;
     add_run(f, j, name, run);
+    see_later_run(t, it.run);
+    adopt_trial(t, it.run);
     note(out, wanted ? "run_adopted" : "run_unwanted", name, it.run, h.ref.id, "");
 }
 
@@ -134,6 +138,7 @@
     confirm_running(j, run, now);
     run.percent = it.percent;
     run.figure = it.figure;
+    clear_if_proven(f, h, j, *name, run, out);
     if (!it.checkpoint.empty())
     {
         t->progress.checkpoint = it.checkpoint;
@@ -205,8 +210,11 @@
 /// What any answer, or none, says of the host itself.
 /// \return false when the runner knows a newer owner, true when there was no answer of the runner,
 /// nothing when it answered.
-std::optional<bool> take_contact(
-    host_entry& h, const ports::runner_answer& answer, core::mono_time now, task_events& out)
+std::optional<bool> take_contact(fleet& f,
+    host_entry& h,
+    const ports::runner_answer& answer,
+    core::mono_time now,
+    task_events& out)
 {
     h.asked += answer.verdict == runner_verdict::not_sent ? 1 : surely_asked;
     if (answer.verdict == runner_verdict::fenced)
@@ -236,6 +244,10 @@
     h.address_lost = false;
     h.last_answer = now;
     note_clock(h, answer, now);
+    if (!f.doubts.empty())
+    {
+        withdraw_losses(f, h.ref.id, out);
+    }
     return std::nullopt;
 }
 
@@ -265,7 +277,7 @@
     task_events& out)
 {
     auto* const h = find_host(f, host);
-    return h == nullptr || take_contact(*h, answer, now, out).value_or(true);
+    return h == nullptr || take_contact(f, *h, answer, now, out).value_or(true);
 }
 
 bool start_answered(fleet& f,
@@ -361,7 +373,7 @@
     {
         return true;
     }
-    if (const auto over = take_contact(*h, answer.call, now, out))
+    if (const auto over = take_contact(f, *h, answer.call, now, out))
     {
         return *over;
     }
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -363,7 +363,7 @@
         const auto* const h = find_host(f, it->second.runner);
         if (h == nullptr || is_empty(*h))
         {
-            end_host(f, it->second.runner, life_proof::host_moved, now, out);
+            end_host(f, it->second.runner, life_proof::moved, now, out);
         }
         return;
     }
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -3,6 +3,7 @@
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
 #include "coordinator/placement.hpp"
+#include "losses.hpp"
 
 #include <algorithm>
 #include <map>
@@ -169,6 +170,37 @@
     }
 }
 
+/// Of runners that are hosts no more, too: the next lives of their machines show that theirs ended.
+void settle_doubts(fleet& f,
+    const machine_table& list,
+    core::millis list_lag,
+    core::mono_time now,
+    task_events& out)
+{
+    sweep_doubts(f);
+    std::vector<std::string> over;
+    for (auto& [id, it] : f.doubts)
+    {
+        const auto* const h = find_host(f, id);
+        if (it.machine.empty() && h != nullptr)
+        {
+            it.machine = h->machine;
+        }
+        const auto* const m = it.machine.empty() ? nullptr : find_machine(list, it.machine);
+        const bool other_life = m != nullptr && m->state == ports::machine_state::up &&
+                                !m->runner.empty() && m->runner != id;
+        if (other_life && list.read_at > it.since + list_lag)
+        {
+            over.push_back(id);
+        }
+    }
+    for (const auto& id : over)
+    {
+        const std::string proof{core::name_of(life_proof_names, life_proof::other_life)};
+        confirm_losses(f, id, proof, now, out);
+    }
+}
+
 } // namespace
 
 void match_machines(fleet& f,
@@ -186,7 +218,7 @@
             h->machine_known_at = list.read_at;
         }
     }
-    std::vector<std::string> over;
+    std::vector<std::pair<std::string, life_proof>> over;
     for (const auto& [id, h] : f.hosts)
     {
         const bool is_news = list.read_at > h.machine_known_at + list_lag;
@@ -198,13 +230,14 @@
                                                  m->state == ports::machine_state::in_maintenance);
         if (other_life || no_life)
         {
-            over.push_back(id);
+            over.emplace_back(id, no_life ? life_proof::no_life : life_proof::other_life);
         }
     }
-    for (const auto& id : over)
+    for (const auto& [id, proof] : over)
     {
-        end_host(f, id, life_proof::host_has_another_life, now, out);
+        end_host(f, id, proof, now, out);
     }
+    settle_doubts(f, list, list_lag, now, out);
 }
 
 bool awaits_list(const fleet& f)
--- a/libs/hosted/src/machine_desk.cpp
+++ b/libs/hosted/src/machine_desk.cpp
@@ -138,6 +138,7 @@
 bool machine_desk::is_wanted_often() const
 {
     return is_pressing_() || !moves_.moves.empty() || coordinator::awaits_list(term_.fleet) ||
+           !term_.fleet.doubts.empty() ||
            !coordinator::find_unexamined(term_.fleet, term_.now()).pools.empty();
 }
 
--- a/testing/day_sim/src/day.cpp
+++ b/testing/day_sim/src/day.cpp
@@ -225,7 +225,7 @@
             crashes_.erase(crashes_.begin());
             auto& m = machines_[random_() % machines_.size()];
             coordinator::end_host(
-                fleet_, m.runner, coordinator::life_proof::crashed, now_, events_);
+                fleet_, m.runner, coordinator::life_proof::other_life, now_, events_);
             begin_life(m, now_ + 2s);
         }
     }
@@ -323,6 +323,7 @@
         {
             auto& j = *fleet_.jobs.at(id);
             j.dirty = false;
+            j.losses_stored = j.losses_noted;
             if (j.state == workflow::job_state::completed)
             {
                 ++(now_ <= due_.at(id) ? result_.in_time : result_.late);
--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -10,6 +10,7 @@
 #include "workflow/model.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -26,6 +27,14 @@
     double fails = 0; ///< share of runs that end failed
 };
 
+/// Tasks that take their runner's process down.
+struct task_crashes
+{
+    std::function<bool(const workflow::task_name&)> task; ///< whether it is one; null: none is
+    core::millis after{10};                               ///< from its start
+    core::millis down{3500};                              ///< until the machine's next life
+};
+
 /// One run on a runner.
 struct fake_run
 {
@@ -87,7 +96,15 @@
     /// Jobs that the checks know; call before their acceptance.
     void expect(const workflow::job& j);
 
+    /// \return the broken promises of jobs that are stored as failed: none has a task that failed
+    /// as often as it may, or that crashed two runners.
+    std::vector<std::string> failed_without_cause() const;
+
+    /// \return how many runners the task has crashed.
+    int crashes_of(const std::string& task) const;
+
     task_behaviour behaviour;
+    task_crashes crashes;
     bool checks_fences = true; ///< false: takes orders of any owner
     /// A start whose own lease has ended is taken while another lease of its runner lasts.
     bool takes_starts_by_any_lease = false;
@@ -130,6 +147,10 @@
     void order_machine(daemon_fakes::process& p,
         std::function<ports::machine_verdict()> carry_out,
         std::function<void(ports::machine_verdict)> done);
+    void check_crashes(const std::string& task);
+    /// The other members of the task's gang end.
+    void break_gang(const std::string& task);
+    void crash_later(const fake_host& h, const ports::start_order& o);
     void breach(const std::string& what);
     std::int64_t clock() const;
     std::int64_t clock_of(const fake_host& h) const;
@@ -146,6 +167,9 @@
     std::map<std::string, core::mono_time> told_;    ///< tasks whose end done was in an answer
     std::map<std::string, int> failures_;
     std::set<std::pair<std::int64_t, std::string>> maintained_; ///< wave and machine
+    std::map<std::string, int> ended_failed_;                   ///< runs, acknowledged or not
+    std::map<std::string, int> crashed_;             ///< runners, by the task that crashed them
+    std::map<std::string, int> starts_past_crashes_; ///< of a task that had crashed its most
     int last_life_ = 0;
 };
 
