Failing test: a runner taken for ended is never used again in a calm list

A runner that is taken for ended is left out of the list for 30 s; after that it is looked at only when an entry of the list changes.

--- a/libs/hosted/tests/life_proofs_tests.cpp
+++ b/libs/hosted/tests/life_proofs_tests.cpp
@@ -52,3 +52,35 @@
     CHECK(c.time.run_until([&] { return c.running() == 2; }, 1500ms));
     STRCMP_EQUAL("", c.breaches().c_str());
 }
+
+// Guards against leaving a sound runner idle for good: once it was taken for ended, it was looked
+// at again only when some entry of the list of runners changed.
+TEST(life_proofs, a_runner_taken_for_ended_is_used_again)
+{
+    bool other_answers = false;
+    c.plant = [&](node& n)
+    {
+        n.ctx.runners.poll = [&, real = n.ctx.runners.poll](
+                                 const auto& to, const auto& order, const auto& done)
+        {
+            if (!other_answers || to.address != c.hosts.machines.at("m1").address)
+            {
+                real(to, order, done);
+                return;
+            }
+            ports::poll_answer other;
+            other.call = {ports::runner_verdict::other_life, -1};
+            n.ctx.time.after(2ms, [done, other] { done(other); });
+        };
+    };
+    begin(2);
+    other_answers = true;
+    c.time.run_for(5s);
+    other_answers = false;
+    c.time.run_for(c.settings.rules.ended_memory);
+    auto j = c.make_job_on_each("a", 2);
+    j.steps[0].long_running = true;
+    c.put_job(j);
+    CHECK(c.time.run_until([&] { return c.running() == 2; }, 3s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
