The list of runners is looked at again once a runner that was taken for ended may be believed

Cause: what the memory of ended runners leaves out was weighed again only when some entry changed; in a calm fleet a runner that was taken for ended wrongly was out of use for good, and the moves counted its host as there.

--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -157,10 +157,21 @@
     judge_hosts();
 }
 
-/// Silence shows by time alone.
+/// Silence shows by time alone, and so does that the list of runners may be believed again.
 void host_reader::watch_silence()
 {
-    judge_hosts();
+    const auto believed_from = term_.now() - term_.fleet.settings.ended_memory;
+    const auto& ended = term_.fleet.ended;
+    const bool again = std::any_of(
+        ended.begin(), ended.end(), [&](const auto& it) { return it.second < believed_from; });
+    if (again && list_.has_entries())
+    {
+        take_list();
+    }
+    else
+    {
+        judge_hosts();
+    }
     term_.ctx.time.after(
         term_.settings.hosts_judged_every, term_.guarded([this] { watch_silence(); }));
 }
--- a/libs/hosted/src/runner_list.hpp
+++ b/libs/hosted/src/runner_list.hpp
@@ -39,6 +39,11 @@
     /// not known yet, all are taken.
     void set_pools(const std::vector<pool_settings>& pools);
 
+    bool has_entries() const
+    {
+        return !entries_.empty();
+    }
+
     /// \return the runners that entries name which can be read.
     std::vector<coordinator::host_listing> usable() const;
 
