Two crashes that are a task's own do when another may have gone unseen

With a former owner's crash counted as possible the task waited 10 s for a certainty that can't come, and started once more than it had to. Two certain crashes with nothing else suspected on the host are enough then: the job may be given up after two.

--- a/libs/coordinator/src/losses.cpp
+++ b/libs/coordinator/src/losses.cpp
@@ -102,7 +102,14 @@
     const auto sole = std::count_if(
         all.begin(), all.end(), [](const lost_run& it) { return it.certain && it.sole; });
     const int certain = certain_losses(all);
-    return certain >= hopeless_anyhow || (certain >= hopeless_losses && sole >= hopeless_sole);
+    if (certain >= hopeless_anyhow || (certain >= hopeless_losses && sole >= hopeless_sole))
+    {
+        return true;
+    }
+    // Crashes under former owners may have been more than one: no further start is to spare.
+    const bool unseen =
+        std::any_of(all.begin(), all.end(), [](const lost_run& it) { return it.host.empty(); });
+    return unseen && sole >= hopeless_sole;
 }
 
 std::string loss_text(const task_entry& t, const lost_run& it, const std::string& proof)
--- a/libs/coordinator/tests/losses_tests.cpp
+++ b/libs/coordinator/tests/losses_tests.cpp
@@ -465,6 +465,8 @@
         }
         LONGS_EQUAL(1, each.crash_all(1));
         LONGS_EQUAL(gone ? 2 : 1, each.losses("a"));
+        LONGS_EQUAL(gone ? 1 : 2, each.crash_all(9)); // until its job is given up
+        CHECK(each.state("a") == job_state::failed);
     }
 }
 
