--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -74,6 +74,9 @@
     /// The runner is cut off from the system and the store, and runs on.
     void cut(const std::string& machine, core::millis how_long);
     void drain(const std::string& machine);
+    /// \p from is cut off and runs on, and its address goes to a new life on \p to. After \p dark
+    /// \p from begins a life at another address.
+    void hand_on_address(const std::string& from, const std::string& to, core::millis dark);
 
     ports::runners runner_port(daemon_fakes::process& p);
     ports::machines machine_port(daemon_fakes::process& p);
@@ -138,6 +141,7 @@
     std::map<std::string, core::mono_time> told_;    ///< tasks whose end done was in an answer
     std::map<std::string, int> failures_;
     int last_life_ = 0;
+    int last_address_ = 0; ///< of those that were handed on
 };
 
 } // namespace camphorhitch::hosted_fakes
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -115,6 +115,32 @@
     publish(h);
 }
 
+void hosts::hand_on_address(const std::string& from, const std::string& to, core::millis dark)
+{
+    auto& old = machines.at(from);
+    auto& next = machines.at(to);
+    if (from == to || !old.up || !next.up || old.dark || next.dark)
+    {
+        return;
+    }
+    cut(from, dark);
+    next.up = false;
+    next.runs.clear();
+    store_.remove("runner/" + next.runner);
+    next.address = std::exchange(old.address, "10.0.1." + std::to_string(++last_address_) + ":80");
+    begin_life(next);
+    time_.after(dark,
+        [this, from, runner = old.runner]
+        {
+            auto& h = machines.at(from);
+            if (h.up && h.runner == runner)
+            {
+                store_.remove("runner/" + runner);
+                begin_life(h);
+            }
+        });
+}
+
 void hosts::expect(const workflow::job& j)
 {
     jobs_[j.id] = j;
