--- a/libs/hosted/tests/owner_changes_tests.cpp
+++ b/libs/hosted/tests/owner_changes_tests.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-/// How an owner's term ends.
+/// How an owner's term ends, or what befalls its orders.
 enum class change
 {
     none,
@@ -20,16 +20,18 @@
     key_revoked,  ///< it goes on until it hears of it
     stands_still, ///< it wakes beside its successor
     store_cut,
-    hands_over
+    hands_over,
+    relay_stands_still ///< another node does, with what it was to carry out
 };
 
-constexpr core::name_table<change, 6> change_names{{
+constexpr core::name_table<change, 7> change_names{{
     {change::none, "none"},
     {change::dies, "dies"},
     {change::key_revoked, "key revoked"},
     {change::stands_still, "stands still"},
     {change::store_cut, "store cut"},
     {change::hands_over, "hands over"},
+    {change::relay_stands_still, "relay stands still"},
 }};
 
 struct change_plan
@@ -84,6 +86,12 @@
         return "m1";
     }
 
+    void pause(node& n)
+    {
+        n.process.paused = true;
+        c.time.after(off_time, [this, &n] { c.time.resume(n.process); });
+    }
+
     void end_term(change how)
     {
         auto* const n = c.leader();
@@ -102,8 +110,7 @@
             c.store.revoke(hosted::leader_key);
             break;
         case change::stands_still:
-            n->process.paused = true;
-            c.time.after(off_time, [this, n] { c.time.resume(n->process); });
+            pause(*n);
             break;
         case change::store_cut:
             n->process.store_cut = true;
@@ -112,6 +119,16 @@
         case change::hands_over:
             n->lead->hand_over("test");
             break;
+        case change::relay_stands_still:
+            for (auto& it : c.nodes)
+            {
+                if (&it != n && !it.process.dead && !it.process.paused)
+                {
+                    pause(it);
+                    break;
+                }
+            }
+            break;
         }
     }
 
--- a/libs/hosted/tests/wide_fleet_tests.cpp
+++ b/libs/hosted/tests/wide_fleet_tests.cpp
@@ -124,6 +124,16 @@
         });
 }
 
+// The same with nodes whose work takes time, and which lag, are slowed and hand over: orders leave
+// late, and answers lie unread.
+TEST(wide_fleet, no_promise_is_broken_by_owners_that_lag)
+{
+    constexpr double small_share = 0.25;
+    for_each_seed(seeds_played,
+        [](std::uint64_t seed)
+        { play_seed(seed, steps_played, [](cluster& c) { c.share = small_share; }); });
+}
+
 // The same with machines that move and are maintained, by orders whose answers are lost or that
 // take effect late, and with lists that are told late.
 TEST(wide_fleet, no_promise_is_broken_by_machines_that_move)
--- a/libs/hosted/tests/wide_world.hpp
+++ b/libs/hosted/tests/wide_world.hpp
@@ -73,6 +73,26 @@
             });
     }
 
+    /// The coordinator gets no processor time, or little: its calls leave late, and it may hand
+    /// over.
+    void lag()
+    {
+        auto* const n = c.leader();
+        if (n == nullptr || n->cpu == nullptr)
+        {
+            return;
+        }
+        if (below(2) == 0)
+        {
+            n->cpu->stand_still(core::millis{200 + below(3500)});
+            return;
+        }
+        constexpr double slowed = 0.02;
+        const auto usual = n->cpu->share;
+        n->cpu->share = slowed;
+        c.time.after(core::millis{500 + below(4000)}, [n, usual] { n->cpu->share = usual; });
+    }
+
     void more_faults()
     {
         switch (below(8))
@@ -121,6 +141,10 @@
             {
                 more_faults();
             }
+            if (c.share > 0 && below(4) == 0)
+            {
+                lag();
+            }
             c.time.run_for(core::millis{50 + below(400)});
             if (on_step)
             {
