--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -86,6 +86,9 @@
     /// Another machine comes up at the address of one that is dark, as addresses are handed on.
     /// \return its name.
     std::string hand_on_address(const std::string& machine);
+    /// \p from is cut off and runs on, and its address goes to a new life on \p to. After \p dark
+    /// \p from begins a life at another address.
+    void hand_on_address(const std::string& from, const std::string& to, core::millis dark);
 
     ports::runners runner_port(daemon_fakes::process& p);
     ports::machines machine_port(daemon_fakes::process& p);
@@ -171,6 +174,7 @@
     std::map<std::string, int> crashed_;             ///< runners, by the task that crashed them
     std::map<std::string, int> starts_past_crashes_; ///< of a task that had crashed its most
     int last_life_ = 0;
+    int last_address_ = 0; ///< of those that were handed on
 };
 
 } // namespace camphorhitch::hosted_fakes
