--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -275,8 +275,11 @@
     /// A runner silent for so long has the end of its leases stored for a successor. Moves and
     /// maintenance end a runner within less, and prove it.
     core::millis silence_told{300};
-    /// Lost runs of a task after which it starts no more.
+    /// Lost runs of a task after which it starts only once in a while, and not at all when they are
+    /// certain.
     int most_losses = 5;
+    /// That while: an innocent task must not be held back for ever for what can't be cleared up.
+    core::millis last_resort_wait{15000};
     /// With several lost runs that are not certain, the next start waits so long for certainty.
     core::millis doubt_wait{10000};
     /// A run that has worked for so long shows that its task isn't what crashes hosts.
--- a/libs/coordinator/src/losses.cpp
+++ b/libs/coordinator/src/losses.cpp
@@ -213,14 +213,17 @@
     }
     // A successor that doesn't know of the loss would count from what was stored.
     const bool stored = j.losses_stored == j.losses_noted;
-    if (!stored || all.losses >= f.settings.most_losses)
+    const bool doubtful = all.losses > all.certain;
+    const bool many = all.losses >= f.settings.most_losses;
+    if (!stored || (many && !doubtful))
     {
         return start_rule::withheld;
     }
-    if (all.losses >= doubtful_losses && all.losses > all.certain)
+    if (doubtful && all.losses >= doubtful_losses)
     {
-        const bool waited = now - all.newest >= f.settings.doubt_wait;
-        return waited ? start_rule::alone : start_rule::withheld;
+        const auto wait = many ? f.settings.last_resort_wait : f.settings.doubt_wait;
+        const auto since = many ? std::max(all.newest, j.taken_at) : all.newest;
+        return now - since >= wait ? start_rule::alone : start_rule::withheld;
     }
     return all.losses >= suspect_losses ? start_rule::alone : start_rule::watched;
 }
