Proofs of a life's end and orders of maintenance are logged beyond the budget of lines

These come once a life and once a try, so they stay bounded without the budget; so do host_lapsed and job_failed.

--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -17,6 +17,13 @@
     tel.observe(name, {}, std::chrono::duration<double>(took).count());
 }
 
+/// One line a life and order at most, and what a doubled or lost run is traced by: not subject to
+/// the budget of lines.
+bool is_proof(const coordinator::task_event& it)
+{
+    return it.what == "host_ended" || it.what == "host_lapsed" || it.what == "job_failed";
+}
+
 } // namespace
 
 void term::log(ports::log_level level, std::string event, ports::log_fields fields)
@@ -101,7 +108,14 @@
         }
         fields.emplace_back("token", std::to_string(token));
         ctx.tel.count("camphorhitch_fleet_events_total", {{"event", it.what}}, 1);
-        log(ports::log_level::info, it.what, std::move(fields));
+        if (is_proof(it))
+        {
+            ctx.tel.log(ports::log_level::info, it.what, std::move(fields));
+        }
+        else
+        {
+            log(ports::log_level::info, it.what, std::move(fields));
+        }
     }
 }
 
--- a/libs/hosted/src/wave_runner.cpp
+++ b/libs/hosted/src/wave_runner.cpp
@@ -243,7 +243,7 @@
     std::int64_t number, const std::string& machine, machine_verdict verdict)
 {
     auto& it = waves_.at(number);
-    term_.log(ports::log_level::info,
+    term_.ctx.tel.log(ports::log_level::info,
         "maintenance_ordered",
         {{"wave", std::to_string(number)},
             {"machine", machine},
