--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -91,7 +91,7 @@
 
 std::string hosts::hand_on_address(const std::string& machine)
 {
-    const auto name = add(machines.at(machine).pool);
+    auto name = add(machines.at(machine).pool);
     auto& h = machines.at(name);
     h.address = machines.at(machine).address;
     publish(h);
