A crash is told to be certain also of a host that was lost before the list of machines had named it

Two causes were found by reading, this is one (suspected to be what was met, not shown): a runner that has just come back is empty and so the first choice for a trial; when it is crashed before a list of machines has named it, nothing ever shows that its life ended, and the loss stays uncertain. Change: a trial goes to a host whose machine is known; a list that names a lost host late still tells whose life it was. Tests that failed before: trials.a_host_whose_machine_is_not_known_gets_no_trial, losses.a_host_that_was_lost_before_it_was_listed_is_known_by_a_later_list.

--- a/libs/coordinator/src/trials.cpp
+++ b/libs/coordinator/src/trials.cpp
@@ -48,7 +48,9 @@
     auto best_cost = std::tuple(true, true, std::int64_t{0});
     for (auto* const h : hosts.open)
     {
-        if (!is_advised(*h, j, name.occurrence, name.step, now) ||
+        // Only of a known machine the list shows that it has another life, so that a crash is
+        // certain.
+        if (h->machine.empty() || !is_advised(*h, j, name.occurrence, name.step, now) ||
             !may_run_there(*h, j, name.occurrence, name.step, s))
         {
             continue;
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -178,6 +178,13 @@
     task_events& out)
 {
     sweep_doubts(f);
+    for (const auto& [id, m] : list.machines)
+    {
+        if (const auto it = f.doubts.find(m.runner); it != f.doubts.end())
+        {
+            it->second.machine = id;
+        }
+    }
     std::vector<std::string> over;
     for (auto& [id, it] : f.doubts)
     {
--- a/libs/coordinator/tests/losses_tests.cpp
+++ b/libs/coordinator/tests/losses_tests.cpp
@@ -111,6 +111,46 @@
     }
 }
 
+// Guards against a crash that isn't counted, since the silent host was chosen for a move before its
+// leases had ended.
+TEST(losses, a_host_that_is_closed_after_its_last_answer_counts)
+{
+    for (const bool closed_before : {true, false})
+    {
+        losing_world each;
+        each.add_host("h1");
+        each.add(make_job("a", {make_step(1, 1000)}));
+        const auto a = each.starts().at(0);
+        each.started(a);
+        auto& h = each.f.hosts.at("h1");
+        h.use = host_use::closed_for_move;
+        h.closed_at = h.last_answer + (closed_before ? -1ms : 1ms);
+        each.lapse_host("h1");
+        LONGS_EQUAL(closed_before ? 0 : 1, each.losses("a"));
+    }
+}
+
+// Guards against a crash that stays uncertain for ever, since the host was lost before any list of
+// machines had named its own: a list that names it late still tells whose life it was.
+TEST(losses, a_host_that_was_lost_before_it_was_listed_is_known_by_a_later_list)
+{
+    w.add(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.starts().at(0);
+    w.started(a);
+    w.f.hosts.at(a.host.id).listed = false; // it is forgotten
+    w.lapse_host(a.host.id);
+    w.f.doubts.at(a.host.id).machine.clear();
+    machine_table list;
+    list.known = true;
+    list.machines["m"] = {"m", "p", "z", a.host.id, ports::machine_state::up};
+    list.read_at = w.now;
+    match_machines(w.f, list, {}, w.now, w.events);
+    list.machines["m"].runner = "another";
+    list.read_at = w.now + 10ms;
+    match_machines(w.f, list, {}, w.now, w.events);
+    CHECK(w.f.jobs.at("a")->tasks[0].progress.lost_runs.at(0).certain);
+}
+
 // A start without an answer may never have reached the runner that ended. Guards against giving its
 // job up, against starts without end, and against a task that is held back for ever.
 TEST(losses, an_unconfirmed_start_is_never_certain)
--- a/libs/coordinator/tests/trials_tests.cpp
+++ b/libs/coordinator/tests/trials_tests.cpp
@@ -36,6 +36,22 @@
     LONGS_EQUAL(1, w.f.hosts.at(host).runs.size());
 }
 
+// Guards against trials whose crash can't be certain: nothing tells of the next life of a machine
+// that isn't known.
+TEST(trials, a_host_whose_machine_is_not_known_gets_no_trial)
+{
+    losing_world each;
+    each.add_host("h1");
+    each.add(make_job("a", {make_step(1, 1000)}));
+    LONGS_EQUAL(2, each.crash_all(2));
+    each.f.hosts.clear();
+    each.add_host("h9");
+    each.f.hosts.at("h9").machine.clear();
+    LONGS_EQUAL(0, each.starts().size());
+    each.f.hosts.at("h9").machine = "m9";
+    LONGS_EQUAL(1, each.starts().size());
+}
+
 // Many suspects at a time would take the whole pool down.
 TEST(trials, few_suspects_are_tried_at_a_time)
 {
--- a/libs/coordinator/tests/world.hpp
+++ b/libs/coordinator/tests/world.hpp
@@ -50,6 +50,7 @@
     {
         host_entry h;
         h.ref = {id, id + ":1", {}};
+        h.machine = "of-" + id;
         h.pool = "p";
         h.rack = rack;
         h.labels = {"a", rack};
