A crash counts also when its silent host is chosen for a move meanwhile

The other cause found by reading: whether a host is about to leave was judged when its leases had ended, 2.8 s after its last answer. A silent host looks idle and is a cheap choice for a move, so its crash counted for nothing, and the task had one start more. Change: a host counts as leaving only if it was closed by its last answer. Test: losses.a_host_that_is_closed_after_its_last_answer_counts failed in its second row before. coordinator_tests 98 passed.

--- a/libs/coordinator/src/losses.cpp
+++ b/libs/coordinator/src/losses.cpp
@@ -145,7 +145,8 @@
 {
     const bool stopped = run.phase == run_phase::stopping && (run.confirmed || run.stop_confirmed);
     const bool worked = run.confirmed && h.last_answer - run.ordered_at >= f.settings.trial_time;
-    const bool leaves = h.draining || h.use != host_use::open;
+    const bool closed = h.use != host_use::open && h.closed_at <= h.last_answer;
+    const bool leaves = h.draining || closed;
     return !workflow::is_final(j.state) && !t.progress.done && !stopped && !worked && !leaves;
 }
 
