A test of rooms that shrink and grow under what runs there

What is there holds it: each entry's room is taken in, and what runs, is being stopped or has no answer counts against it. The stand-in tells its room in its entry when it has changed, and checks a start against the smaller one from 4.5 s after it shrank.

--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -51,8 +51,10 @@
     std::string runner;
     std::string address;
     workflow::resources capacity{8000, 65536, 0};
-    bool up = true;    ///< a process answers
-    bool dark = false; ///< cut off from all, and runs on
+    core::mono_time shrunk_at;   ///< when the room last became smaller
+    std::int64_t cpu_before = 0; ///< its processor share before that
+    bool up = true;              ///< a process answers
+    bool dark = false;           ///< cut off from all, and runs on
     bool draining = false;
     double clock_rate = 1; ///< of its steady clock; leases are counted by it
     std::int64_t fence = 0;
@@ -83,6 +85,8 @@
     /// The runner is cut off from the system and the store, and runs on.
     void cut(const std::string& machine, core::millis how_long);
     void drain(const std::string& machine);
+    /// The room shrinks or grows while the runner runs, whatever runs there.
+    void resize(const std::string& machine, std::int64_t cpu);
     /// Another machine comes up at the address of one that is dark, as addresses are handed on.
     /// \return its name.
     std::string hand_on_address(const std::string& machine);
