--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -20,6 +20,9 @@
     bool known = false;
 };
 
+/// \return the machine's entry, or nullptr when the list doesn't show it.
+const ports::machine_entry* find_machine(const machine_table& list, const std::string& id);
+
 /// Notes which machine each runner is a life of, and ends the runners whose machine has another
 /// one by now, or none while it moves or is maintained: a machine has one life at a time, so
 /// nothing of the old one still runs. Saves a successor the wait for their leases.
