--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -281,7 +281,7 @@
     /// That while: an innocent task must not be held back for ever for what can't be cleared up.
     core::millis last_resort_wait{15000};
     /// With several lost runs that are not certain, the next start waits so long for certainty.
-    core::millis doubt_wait{10000};
+    core::millis doubt_wait{6000};
     /// A run that has worked for so long shows that its task isn't what crashes hosts.
     core::millis trial_time{5000};
     /// A suspect waits so long for an empty host before it is tried on the least used one.
