A machine that has left keeps no place in its wave

Found in the read-through (the review had warned of it): since a refused repeat keeps the place of an order without an answer, a machine that has left is refused each time and kept its place for ever, and the wave's other machines waited.

--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -292,10 +292,14 @@
     w.asked[machine].unheard = true;
 }
 
-bool order_refused(wave& w, const std::string& machine)
+bool keeps_place(const wave& w, const machine_table& list, const std::string& machine)
 {
     const auto it = w.asked.find(machine);
-    return it != w.asked.end() && it->second.unheard;
+    if (it == w.asked.end() || !it->second.unheard)
+    {
+        return false;
+    }
+    return find_machine(list, machine) != nullptr || list.read_at <= it->second.sent_at;
 }
 
 void maintenance_began(
--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -356,6 +356,22 @@
     CHECK(sent);
 }
 
+// Guards against a wave that hangs: a machine that has left after an order without an answer is
+// refused each time, and would keep its place for ever.
+TEST(waves, a_machine_that_has_left_keeps_no_place)
+{
+    prepare(2, 1);
+    const auto ready = plan_wave(w.f, v, list, {}, w.now, w.events);
+    LONGS_EQUAL(1, ready.size());
+    CHECK(may_send_order(w.f, v, list, ready[0], {}, w.now, w.events));
+    order_unheard(v, ready[0]);
+    CHECK(keeps_place(v, list, ready[0]));
+    list.machines.erase(ready[0]);
+    CHECK(keeps_place(v, list, ready[0])); // the list is from before the order
+    list.read_at = w.now + 1ms;
+    CHECK_FALSE(keeps_place(v, list, ready[0]));
+}
+
 // Guards against a host that stays closed for ever since it turned out to be of another wave.
 TEST(waves, a_host_that_is_not_of_the_wave_is_opened_again)
 {
--- a/libs/hosted/src/wave_runner.cpp
+++ b/libs/hosted/src/wave_runner.cpp
@@ -263,7 +263,7 @@
         break;
     case machine_verdict::busy:
     case machine_verdict::refused:
-        if (coordinator::order_refused(it.wave, machine))
+        if (coordinator::keeps_place(it.wave, machines_, machine))
         {
             maintain_later(number, machine);
             break;
