--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -117,8 +117,8 @@
 void order_unheard(wave& w, const std::string& machine);
 
 /// The platform refused to maintain \p machine now.
-/// \return whether the order is out all the same: a try before had no answer, and the machine hasn't
-/// left since.
+/// \return whether the order is out all the same: a try before had no answer, and the machine
+/// hasn't left since.
 bool keeps_place(const wave& w, const machine_table& list, const std::string& machine);
 
 /// The platform says that \p machine is not part of the wave: nothing is left to be done for it.
