Log ends that count as applied before, and what inherited jobs wait for

Two of the incident's hypotheses could not be told from others by the logs: an end that is skipped left no line, and nothing said which jobs wait for a runner of an earlier coordinator, or for how long.

end_skipped names the end, its number and the highest applied one, if its run still counts as active. coordinator_load has jobs_held_back, hosts_unseen and longest_lease_ms.

--- a/libs/coordinator/include/coordinator/load.hpp
+++ b/libs/coordinator/include/coordinator/load.hpp
@@ -20,6 +20,11 @@
     std::int64_t hosts_unresponsive = 0; ///< listed hosts whose latest poll was not answered
     /// Hosts with less than a third of a lease left that has not expired.
     std::int64_t hosts_near_lease_expiry = 0;
+    /// Inherited jobs with waiting tasks that wait for the runs of a host to become known.
+    std::int64_t jobs_held_back = 0;
+    std::int64_t hosts_unseen = 0; ///< inherited hosts that were not polled completely yet
+    /// Longest time to the expiry of the leases of a host that does not answer, in milliseconds.
+    std::int64_t longest_lease_ms = 0;
 };
 
 /// \return number of waiting jobs that have ordered starts, none of which was answered by a runner.
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -147,6 +147,21 @@
     }
 }
 
+/// \return the numbers, if the end counts as applied before although its run is still recorded here;
+/// else nothing.
+std::string describe_skipped_end(
+    fleet& f, const host_entry& h, const ports::reported_end& it, std::int64_t applied)
+{
+    const auto read = workflow::read_task_name(it.task);
+    const auto* const name = std::get_if<workflow::task_name>(&read);
+    if (name == nullptr || find_run(f, *name, h.ref.id, it.run) == nullptr)
+    {
+        return {};
+    }
+    return "how=" + std::string{core::name_of(ports::run_end_names, it.outcome)} +
+           " end=" + std::to_string(it.number) + " applied=" + std::to_string(applied);
+}
+
 /// Applies the ends that are new, in any order in which the runner lists them.
 void apply_run_ends(fleet& f,
     host_entry& h,
@@ -162,6 +177,11 @@
             apply_run_end(f, h, it, now, out);
             h.last_applied_end = std::max(h.last_applied_end, it.number);
         }
+        else if (const auto text = describe_skipped_end(f, h, it, previously_applied);
+                 !text.empty())
+        {
+            out.push_back({"end_skipped", it.task, it.run, h.ref.id, text});
+        }
     }
 }
 
--- a/libs/coordinator/src/load.cpp
+++ b/libs/coordinator/src/load.cpp
@@ -72,12 +72,18 @@
 fleet_load measure_load(const fleet& f, core::mono_time now, std::int64_t unix_ms)
 {
     fleet_load out;
+    const auto unseen = find_unseen_run_pools(f, now);
     for (const auto& id : f.open_jobs)
     {
         const auto found = f.jobs.find(id);
         if (found != f.jobs.end() && !workflow::is_final(found->second->state))
         {
-            out.tasks_waiting += count_waiting_tasks(*found->second, unix_ms);
+            const auto& j = *found->second;
+            const auto waiting = count_waiting_tasks(j, unix_ms);
+            out.tasks_waiting += waiting;
+            const bool held =
+                waiting > 0 && j.inherited && may_have_unseen_runs(unseen, j.spec.pool);
+            out.jobs_held_back += held ? 1 : 0;
         }
     }
     out.jobs_without_start_answer = jobs_without_start_answer(f);
@@ -87,6 +93,12 @@
     {
         out.hosts_unresponsive += h.listed && !h.reachable ? 1 : 0;
         out.hosts_near_lease_expiry += is_lease_low(f, h, now) ? 1 : 0;
+        out.hosts_unseen += h.inherited ? 1 : 0;
+        if (!h.reachable)
+        {
+            const std::int64_t left = time_to_lease_expiry(f, h, now).count();
+            out.longest_lease_ms = std::max(out.longest_lease_ms, left);
+        }
     }
     return out;
 }
--- a/libs/coordinator/tests/load_tests.cpp
+++ b/libs/coordinator/tests/load_tests.cpp
@@ -77,6 +77,20 @@
         0, measure_load(w.f, w.now, wall_ms).hosts_near_lease_expiry); // the lease has expired
 }
 
+// Guards against jobs that wait for an earlier coordinator's runner without a line that says so.
+TEST(load, held_back_jobs_and_the_host_they_wait_for_are_counted)
+{
+    w.f.term_start_revision = 5;
+    w.add_host("h1");
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    LONGS_EQUAL(0, measure_load(w.f, w.now, wall_ms).jobs_held_back);
+    add_inherited_hosts(w.f, {{{"h2", "h2:1", {}}, {}, "p", core::millis{60000}}}, w.now);
+    const auto load = measure_load(w.f, w.now, wall_ms);
+    LONGS_EQUAL(1, load.jobs_held_back);
+    LONGS_EQUAL(1, load.hosts_unseen);
+    CHECK(load.longest_lease_ms >= 60000);
+}
+
 // The wait of a task starts when its job is read, or when the last step it depends on ends.
 TEST(load, a_wait_starts_when_the_task_could_start)
 {
--- a/libs/coordinator/tests/runner_answers_tests.cpp
+++ b/libs/coordinator/tests/runner_answers_tests.cpp
@@ -1,5 +1,7 @@
 #include "fleet_fixture.hpp"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace camphorhitch;
@@ -39,6 +41,22 @@
     CHECK(again[0].run > a.run);
 }
 
+// Guards against an end that is dropped without a line in the log while its run counts as active.
+TEST(runner_answers, a_skipped_end_of_an_active_run_is_logged)
+{
+    w.add_host("h1");
+    w.f.hosts["h1"].last_applied_end = 7;
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.plan_next().starts[0];
+    w.answer_start(a);
+    w.report_end(a, ports::run_end::done, 3);
+    const auto skipped = [](const task_event& it)
+    {
+        return it.event == "end_skipped" && it.reason == "how=done end=3 applied=7";
+    };
+    LONGS_EQUAL(1, std::count_if(w.events.begin(), w.events.end(), skipped));
+}
+
 // Failure: a runner stops answering. Its tasks may start on another host only when the runner's own
 // clock, which may be slow, has certainly passed the end of every granted lease.
 TEST(runner_answers, an_unresponsive_runner_expires_by_its_own_clock)
