--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -147,8 +147,8 @@
     }
 }
 
-/// \return the numbers, if the end counts as applied before although its run is still recorded here;
-/// else nothing.
+/// \return the numbers, if the end counts as applied before although its run is still recorded
+/// here; else nothing.
 std::string describe_skipped_end(
     fleet& f, const host_entry& h, const ports::reported_end& it, std::int64_t applied)
 {
--- a/libs/ports/include/ports/runners.hpp
+++ b/libs/ports/include/ports/runners.hpp
@@ -5,6 +5,7 @@
 
 #include "core/names.hpp"
 #include "core/time.hpp"
+#include "ports/incarnation.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -143,6 +144,8 @@
 struct poll_answer
 {
     runner_answer call; ///< how the call ended; the other fields are valid only when it is done
+    /// incarnation::born_ms of the runner that answered; 0: not stated.
+    std::int64_t born_ms = 0;
     std::vector<reported_run> running;
     std::vector<reported_end> ended; ///< ends that are not acknowledged yet
     /// The runner may have more ends than it lists: a run that is in neither list may have ended.
--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -51,6 +51,8 @@
     std::string machine;
     std::string pool;
     std::string runner;
+    std::int64_t born_ms = 0; ///< start of the incarnation, in milliseconds since 1970
+    core::mono_time born_at;  ///< the same on the virtual clock; the runner's own clock starts then
     std::string address;
     workflow::resources capacity{8000, 65536, 0};
     core::mono_time capacity_reduced_at;   ///< when the capacity was last reduced
@@ -83,6 +85,8 @@
 
     /// Adds a machine with a running runner. \return its name.
     std::string add(const std::string& pool);
+    /// \return the present incarnation of the machine's runner, as the nodes name it.
+    std::string incarnation_of(const std::string& machine) const;
     /// Ends the runner's process; its next incarnation begins after \p down.
     void crash(const std::string& machine, core::millis down);
     /// Cuts the runner off from the nodes and the store for a time; its process continues.
@@ -120,6 +124,9 @@
     bool checks_fencing_tokens = true; ///< false: runners accept orders of any coordinator
     /// Runners accept a start whose own lease has ended while another lease of theirs lasts.
     bool accepts_starts_under_any_lease = false;
+    /// Share of restarts in which a runner keeps its id; the others give it a new one.
+    double kept_id_share = 0;
+    bool states_start_times = true; ///< false: neither entries nor answers state the start time
     /// Share of starts and stops that get no answer and are carried out seconds later.
     double late_order_share = 0;
     int machine_answers_to_lose = 0; ///< number of next machine orders, carried out unanswered
@@ -150,11 +157,17 @@
     ports::poll_answer poll(fake_host& h, const ports::poll_order& o);
     ports::poll_answer list_runs(const fake_host& h);
     void grant(fake_host& h, std::int64_t until);
-    void schedule_lease_end(const std::string& machine, const std::string& runner);
+    void schedule_lease_end(const fake_host& h);
     void finish_run(const std::string& machine, const std::string& task, std::int64_t run);
+    /// Calls \p then after the time if the host's incarnation is still there.
+    void after_in_life(
+        const fake_host& h, core::millis delay, std::function<void(fake_host&)> then);
     void end_run(fake_host& h, const std::string& task, ports::run_end outcome);
     void begin_incarnation(fake_host& h);
+    bool keeps_id(const fake_host& h);
     void publish(const fake_host& h);
+    /// Removes the entry of an incarnation, unless a later one has replaced it.
+    void remove_entry(const std::string& runner, std::int64_t born_ms);
     void acknowledge_end(const fake_host& h, const ports::reported_end& it);
     void check_reported_end(const std::string& task);
     void check_start(const fake_host& h, const ports::start_order& o);
--- a/testing/hosted_fakes/src/host_crashes.cpp
+++ b/testing/hosted_fakes/src/host_crashes.cpp
@@ -44,16 +44,15 @@
     {
         return;
     }
-    time_.after(crashes.after,
-        [this, machine = h.machine, runner = h.runner, task = o.task, run = o.run]
+    after_in_life(h,
+        crashes.after,
+        [this, task = o.task, run = o.run](fake_host& at)
         {
-            const auto& at = machines.at(machine);
             const auto it = at.runs.find(task);
-            const bool there = it != at.runs.end() && it->second.number == run;
-            if (at.runner == runner && at.up && there)
+            if (it != at.runs.end() && it->second.number == run)
             {
                 ++crashed_[task];
-                crash(machine, crashes.down);
+                crash(at.machine, crashes.down);
                 end_gang(task);
             }
         });
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -24,6 +24,7 @@
 constexpr core::millis max_late_delay{6000};
 constexpr core::millis max_answer_delay{650}; // within call_timeout
 constexpr core::millis entry_lifetime{4500};
+constexpr core::millis max_lease{10000}; // a longer lease is shortened to this
 constexpr core::millis move_time{1500};
 /// Time for which a start beyond a reduced capacity is no violation.
 constexpr core::millis capacity_change_delay{4500};
@@ -32,12 +33,25 @@
 /// Maximum number of ends in one answer; the others follow once these are acknowledged.
 constexpr std::size_t max_listed_ends = 500;
 
-/// \return "pool address state", followed by the capacity in milli-cores where it has changed.
-std::string write_entry(const fake_host& h)
+/// \return "pool address state", followed by the capacity in milli-cores where it has changed, and
+/// by
+/// '@' and the start time if it is stated.
+std::string write_entry(const fake_host& h, bool states_start_time)
 {
     const auto usual = fake_host{}.capacity.cpu;
     return h.pool + ' ' + h.address + ' ' + (h.draining ? "draining" : "ready") +
-           (h.capacity.cpu == usual ? std::string{} : ' ' + std::to_string(h.capacity.cpu));
+           (h.capacity.cpu == usual ? std::string{} : ' ' + std::to_string(h.capacity.cpu)) +
+           (states_start_time ? '@' + std::to_string(h.born_ms) : std::string{});
+}
+
+/// \return the start time behind the '@'; 0 without one, and nothing if it is not a number.
+std::optional<std::int64_t> read_born(const std::string& text)
+{
+    std::int64_t born = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data(), end, born);
+    const bool is_valid = text.empty() || (ec == std::errc{} && stop == end && born > 0);
+    return is_valid ? std::optional{born} : std::nullopt;
 }
 
 /// \return the capacity in an entry's fourth word, the default without that word, and nothing if
@@ -65,7 +79,8 @@
 
 std::int64_t hosts::clock_of(const fake_host& h) const
 {
-    return static_cast<std::int64_t>(static_cast<double>(clock()) * h.clock_rate);
+    const auto lived = std::chrono::duration_cast<core::millis>(time_.now() - h.born_at);
+    return static_cast<std::int64_t>(static_cast<double>(lived.count()) * h.clock_rate);
 }
 
 void hosts::record_violation(const std::string& what)
@@ -75,12 +90,55 @@
 
 void hosts::publish(const fake_host& h)
 {
-    store_.put("runner/" + h.runner, write_entry(h));
+    store_.put("runner/" + h.runner, write_entry(h, states_start_times));
+}
+
+void hosts::remove_entry(const std::string& runner, std::int64_t born_ms)
+{
+    const auto replaced = [&](const auto& it)
+    {
+        return it.second.up && it.second.runner == runner && it.second.born_ms != born_ms;
+    };
+    if (std::none_of(machines.begin(), machines.end(), replaced))
+    {
+        store_.remove("runner/" + runner);
+    }
+}
+
+std::string hosts::incarnation_of(const std::string& machine) const
+{
+    const auto& h = machines.at(machine);
+    return ports::write_incarnation({h.runner, states_start_times ? h.born_ms : 0});
+}
+
+void hosts::after_in_life(
+    const fake_host& h, core::millis delay, std::function<void(fake_host&)> then)
+{
+    time_.after(delay,
+        [this, machine = h.machine, runner = h.runner, born = h.born_ms, then = std::move(then)]
+        {
+            auto& at = machines.at(machine);
+            if (at.up && at.runner == runner && at.born_ms == born)
+            {
+                then(at);
+            }
+        });
+}
+
+bool hosts::keeps_id(const fake_host& h)
+{
+    return kept_id_share > 0 && !h.runner.empty() &&
+           std::uniform_real_distribution<>(0, 1)(random_) < kept_id_share;
 }
 
 void hosts::begin_incarnation(fake_host& h)
 {
-    h.runner = "r" + std::to_string(++last_incarnation_);
+    if (!keeps_id(h))
+    {
+        h.runner = "r" + std::to_string(++last_incarnation_);
+    }
+    h.born_ms = core::to_unix_ms(time_.wall_now());
+    h.born_at = time_.now();
     h.up = true;
     h.draining = false;
     h.fence = 0;
@@ -124,8 +182,8 @@
     }
     h.up = false;
     h.runs.clear();
-    const auto old = h.runner;
-    time_.after(entry_lifetime, [this, old] { store_.remove("runner/" + old); });
+    time_.after(entry_lifetime,
+        [this, runner = h.runner, born = h.born_ms] { remove_entry(runner, born); });
     time_.after(down, [this, machine] { begin_incarnation(machines.at(machine)); });
 }
 
@@ -158,10 +216,10 @@
     next.address = std::exchange(old.address, "10.0.1." + std::to_string(++last_address_) + ":80");
     begin_incarnation(next);
     time_.after(cut_off_time,
-        [this, from, runner = old.runner]
+        [this, from, runner = old.runner, born = old.born_ms]
         {
             auto& h = machines.at(from);
-            if (h.up && h.runner == runner)
+            if (h.up && h.runner == runner && h.born_ms == born)
             {
                 store_.remove("runner/" + runner);
                 begin_incarnation(h);
@@ -268,23 +326,23 @@
 
 void hosts::grant(fake_host& h, std::int64_t until)
 {
+    until = std::min(until, clock_of(h) + max_lease.count());
     if (until > h.lease_until_ms)
     {
         h.lease_until_ms = until;
-        schedule_lease_end(h.machine, h.runner);
+        schedule_lease_end(h);
     }
 }
 
-void hosts::schedule_lease_end(const std::string& machine, const std::string& runner)
+void hosts::schedule_lease_end(const fake_host& of)
 {
-    const auto& of = machines.at(machine);
     const auto left = std::max<std::int64_t>(of.lease_until_ms - clock_of(of), 0) + 1;
-    time_.after(core::millis{static_cast<std::int64_t>(
-                    std::ceil(static_cast<double>(left) / of.clock_rate))},
-        [this, machine, runner]
+    after_in_life(of,
+        core::millis{
+            static_cast<std::int64_t>(std::ceil(static_cast<double>(left) / of.clock_rate))},
+        [this](fake_host& h)
         {
-            auto& h = machines.at(machine);
-            if (h.runner != runner || clock_of(h) <= h.lease_until_ms)
+            if (clock_of(h) <= h.lease_until_ms)
             {
                 return;
             }
@@ -334,9 +392,10 @@
     if (!s.long_running)
     {
         const auto percent_of_run_time = std::uniform_int_distribution<int>(50, 150)(random_);
-        time_.after(behaviour.run_time * percent_of_run_time / percent_of_whole,
-            [this, machine = h.machine, task = o.task, run = o.run]
-            { finish_run(machine, task, run); });
+        after_in_life(h,
+            behaviour.run_time * percent_of_run_time / percent_of_whole,
+            [this, task = o.task, run = o.run](fake_host& at)
+            { finish_run(at.machine, task, run); });
     }
     return {runner_verdict::done, clock_of(h)};
 }
@@ -384,11 +443,11 @@
     if (it != h.runs.end() && it->second.number <= o.run && !it->second.stopping)
     {
         it->second.stopping = true;
-        time_.after(stop_time,
-            [this, machine = h.machine, runner = h.runner, task = o.task]
+        after_in_life(h,
+            stop_time,
+            [this, task = o.task](fake_host& at)
             {
-                auto& at = machines.at(machine);
-                if (at.runner == runner && at.up && at.runs.contains(task))
+                if (at.runs.contains(task))
                 {
                     end_run(at, task, run_end::stopped);
                 }
@@ -401,6 +460,7 @@
 {
     ports::poll_answer out;
     out.call = {runner_verdict::done, clock_of(h)};
+    out.born_ms = states_start_times ? h.born_ms : 0;
     for (const auto& [task, run] : h.runs)
     {
         out.running.push_back({task, run.number, {}, percent_of_whole, 0});
@@ -501,10 +561,11 @@
         {
             return {false, answer_of(runner_verdict::unknown)};
         }
-        return {true, h->runner == to.id ? serve(*h) : answer_of(runner_verdict::other_life)};
+        const bool meant = h->runner == ports::read_incarnation(to.id).runner;
+        return {true, meant ? serve(*h) : answer_of(runner_verdict::other_life)};
     };
     time_.after(wire_delay,
-        [this, &p, order, carry_out, answer_of, done = std::move(done)]
+        [this, &p, to, order, carry_out, answer_of, done = std::move(done)]
         {
             if (p.dead)
             {
@@ -524,7 +585,11 @@
             {
                 const core::millis late{std::uniform_int_distribution<std::int64_t>(
                     min_late_delay.count(), max_late_delay.count())(random_)};
-                time_.after(late, [carry_out] { carry_out(); });
+                // The runner holds the call back, and loses it when its process ends.
+                if (const auto* const h = find_host(to); h != nullptr && h->up)
+                {
+                    after_in_life(*h, late, [carry_out](fake_host&) { carry_out(); });
+                }
                 time_.after(call_timeout, give_up);
                 return;
             }
@@ -586,7 +651,8 @@
                 call<ports::poll_answer>(
                     p, to, false, [this](fake_host& h) { return list_runs(h); }, done);
             };
-            if (auto* const h = find_host(to); h != nullptr && h->runner == to.id)
+            if (auto* const h = find_host(to);
+                h != nullptr && h->runner == ports::read_incarnation(to.id).runner)
             {
                 h->polls.push_back(again);
             }
@@ -702,8 +768,11 @@
         return s == hosted::wave_state::completed ? "completed" : "running";
     };
     out.read_runner = [](const std::string& id,
-                          const std::string& text) -> core::result<coordinator::host_listing>
+                          const std::string& whole) -> core::result<coordinator::host_listing>
     {
+        const auto at = std::min(whole.find('@'), whole.size());
+        const auto text = whole.substr(0, at);
+        const auto born = read_born(at < whole.size() ? whole.substr(at + 1) : std::string{});
         const auto first = text.find(' ');
         const auto second = text.find(' ', first + 1);
         const auto rest = second == std::string::npos ? "" : text.substr(second + 1);
@@ -711,7 +780,7 @@
         const auto state = rest.substr(0, third);
         const auto capacity_cpu =
             read_capacity(third == std::string::npos ? "" : rest.substr(third + 1));
-        if (first == 0 || (state != "ready" && state != "draining") || !capacity_cpu)
+        if (first == 0 || (state != "ready" && state != "draining") || !capacity_cpu || !born)
         {
             return core::error{core::error_code::invalid, "damaged runner entry"};
         }
