A runner's incarnation is its id together with its start

What callers saw: tasks that had ended ran a second time after their runner had started again under the id that it had (TWICE).

Cause: the code took the id alone for the incarnation. The next incarnation numbers its ends from 1 again. Numbers up to the highest one that was applied before were skipped and acknowledged, so that the runner forgot them. The runs were then listed nowhere, counted as over, and started again.

Change: ports::incarnation is the id and the start time that a runner states as "born"; its text is the id of a host. The list of machines and the advice service know ids only; they are matched to the present incarnation. A differing start in an answer, or a later one in the list, replaces the host. Orders name a runner by its id, so runs that the old incarnation has not confirmed pass to the next one, and are stopped or listed there before their task starts again. A clock that is lower than before the start was sent shows that another incarnation answered. Ends are acknowledged only in polls that follow an answer of the same incarnation. A start time that is absent leaves the id as before; one that can't be read discards the entry or the answer.

--- a/libs/coordinator/include/coordinator/answers.hpp
+++ b/libs/coordinator/include/coordinator/answers.hpp
@@ -29,7 +29,8 @@
     task_events& out);
 
 /// Applies the answer to a call that only renews a lease: whether the host answers, and its clock.
-/// Its active and ended runs are learned from polls.
+/// Its active and ended runs are learned from polls. The answer of a later incarnation counts as
+/// none.
 /// \return as handle_start_answer
 bool handle_renewal_answer(fleet& f,
     const std::string& host,
@@ -38,6 +39,7 @@
     task_events& out);
 
 /// Applies a poll answer: first the ended runs, then the active runs, then runs that are missing.
+/// If the runner has started again, the host is replaced by one for its new incarnation first.
 /// \param sent_at when the poll was sent; the answer doesn't show later changes
 /// \return as handle_start_answer
 bool handle_poll_answer(fleet& f,
--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -2,8 +2,9 @@
 /// State that the coordinator keeps: the jobs, their runs, and the runners that execute them.
 ///
 /// In this library a host_entry stands for one runner process; a machine is the server of the
-/// platform on which that process lives. The runner id identifies one incarnation of a runner:
-/// after a restart the runner has another id. A term is the time during which one coordinator
+/// platform on which that process lives. A host id is the text of an incarnation
+/// (ports::write_incarnation): after a restart the runner has another host id, also when it keeps
+/// the id that the platform gave it. A term is the time during which one coordinator
 /// leads; the coordinators of earlier terms are called previous coordinators. All core::mono_time
 /// values are read from the clock of this process.
 #pragma once
@@ -52,12 +53,17 @@
     std::string host;        ///< id of the runner
     run_phase phase = run_phase::ordered;
     core::mono_time ordered_at; ///< when the start was ordered; for an adopted run, when found
-    bool adopted = false;       ///< a previous coordinator started it: its start time is unknown
-    bool resumed = false;       ///< started from a checkpoint, so shorter than a complete run
-    bool confirmed = false;     ///< the runner has reported this run as active
-    bool after_loss = false;    ///< earlier runs of the task were lost together with their runners
-    bool isolated = false;      ///< run of a suspect: its host receives no other task meanwhile
-    bool only_suspect = false;  ///< no other task on its host is suspected of crashing hosts
+    /// Lower bound of the runner's clock when the start was ordered, in milliseconds. A lower clock
+    /// in the answer is that of a later incarnation. -1: unknown.
+    std::int64_t min_clock_ms = -1;
+    bool adopted = false;   ///< a previous coordinator started it: its start time is unknown
+    bool resumed = false;   ///< started from a checkpoint, so shorter than a complete run
+    bool confirmed = false; ///< this incarnation has reported the run as active
+    /// The start was sent to an earlier incarnation, which may have ended because of it.
+    bool sent_to_earlier = false;
+    bool after_loss = false;   ///< earlier runs of the task were lost together with their runners
+    bool isolated = false;     ///< run of a suspect: its host receives no other task meanwhile
+    bool only_suspect = false; ///< no other task on its host is suspected of crashing hosts
     /// When the phase last changed. A poll that was sent before this time does not show whether the
     /// run has ended.
     core::mono_time phase_changed_at;
@@ -221,8 +227,9 @@
     std::int64_t number = 0;
 };
 
-/// A start that was abandoned when all leases of its runner had ended, without an answer to the
-/// order. The runner could still carry the order out under a new lease, so it is stopped first.
+/// A start that was abandoned when all leases of its runner had ended, or the runner itself,
+/// without an answer to the order. The runner, in this or its next incarnation, could still carry
+/// the order out under a new lease, so it is stopped first.
 struct abandoned_start
 {
     workflow::task_name task;
--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -40,21 +40,25 @@
 /// Evidence that an incarnation of a runner has certainly ended.
 enum class termination_evidence
 {
-    other_life,   ///< the machine list names another incarnation on its machine
-    no_life,      ///< the machine list shows its machine as moving or in maintenance
-    moved,        ///< the order of this coordinator to move its machine was carried out
-    address_taken ///< another runner answers at its address, and all of its own leases have expired
+    other_life,    ///< the machine list names another incarnation on its machine
+    no_life,       ///< the machine list shows its machine as moving or in maintenance
+    moved,         ///< the order of this coordinator to move its machine was carried out
+    address_taken, ///< another runner answers at its address, and all of its own leases have
+                   ///< expired
+    restarted      ///< its runner has started again under the same id
 };
 
-inline constexpr core::name_table<termination_evidence, 4> termination_evidence_names{{
+inline constexpr core::name_table<termination_evidence, 5> termination_evidence_names{{
     {termination_evidence::other_life, "other_life"},
     {termination_evidence::no_life, "no_life"},
     {termination_evidence::moved, "moved"},
     {termination_evidence::address_taken, "address_taken"},
+    {termination_evidence::restarted, "restarted"},
 }};
 
 /// Removes a host whose runner has certainly ended, with all its runs. When the runner ended
-/// without an order (other_life), a task may have crashed it, and its runs count as lost.
+/// without an order (other_life, restarted), a task may have crashed it, and its runs count as
+/// lost.
 void end_host(fleet& f,
     const std::string& id,
     termination_evidence proof,
@@ -76,6 +80,9 @@
 /// \return the hosts that had runs
 std::vector<expired_host> expire_hosts(fleet& f, core::mono_time now, task_events& out);
 
+/// Removes the runs of the host from those that no open task has an entry for.
+void erase_orphaned_runs(fleet& f, const std::string& host);
+
 /// \return lower bound of the runner's clock at \p now, in milliseconds; -1: its clock is unknown
 std::int64_t min_runner_clock(const fleet& f, const host_entry& h, core::mono_time now);
 
--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -45,7 +45,9 @@
 struct pending_move
 {
     std::string to_pool;
-    std::string runner; ///< id of the runner that ends with the move
+    /// Incarnation that ends with the move; the id that the list named if the incarnation was not
+    /// known.
+    std::string runner;
     /// The order was sent to the platform.
     bool ordered = false;
     core::mono_time ordered_at;
--- a/libs/coordinator/include/coordinator/waves.hpp
+++ b/libs/coordinator/include/coordinator/waves.hpp
@@ -43,7 +43,9 @@
 /// An order to maintain a machine that has no final answer yet.
 struct pending_maintenance_order
 {
-    std::string runner;      ///< id of the runner that the list named when the order was decided
+    /// Incarnation that was on the machine when the order was decided; the id that the list named
+    /// if the incarnation was not known.
+    std::string runner;
     core::mono_time sent_at; ///< when the order was last sent; zero: not yet
     /// An attempt had no answer: the platform may still carry it out at any time.
     bool unanswered = false;
--- a/libs/coordinator/src/abandoned_starts.cpp
+++ b/libs/coordinator/src/abandoned_starts.cpp
@@ -10,11 +10,11 @@
 namespace
 {
 
-/// Returns false for confirmed runs: they ended when their leases expired, and the runner refuses
-/// to start them again.
+/// Returns false for confirmed runs: they ended with their leases or their runner. The runner
+/// refuses to start them again, and no other incarnation received their orders.
 bool may_still_start(const run_entry& it)
 {
-    return it.phase != run_phase::running && !it.stop_confirmed;
+    return !it.confirmed && !it.stop_confirmed;
 }
 
 } // namespace
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -5,6 +5,7 @@
 #include "coordinator/advice.hpp"
 #include "coordinator/intake.hpp"
 #include "lost_runs.hpp"
+#include "restarts.hpp"
 #include "run_ends.hpp"
 #include "workflow/records.hpp"
 
@@ -56,6 +57,7 @@
         run.phase_changed_at = now;
     }
     run.confirmed = true;
+    run.sent_to_earlier = false;
     mark_job_started(j);
 }
 
@@ -219,7 +221,22 @@
         else if (run.phase == run_phase::running || run.stop_confirmed)
         {
             record_event(out, "run_over", name, run.number, h.ref.id, "not listed by its runner");
+            auto sent = run;
             remove_run(f, j, name, i);
+            if (sent.sent_to_earlier)
+            {
+                sent.phase = run_phase::unsettled;
+                sent.stop_confirmed = false;
+                const auto proof = termination_evidence::restarted;
+                record_lost_run(f,
+                    j,
+                    name,
+                    sent,
+                    h,
+                    std::string{core::name_of(termination_evidence_names, proof)},
+                    now,
+                    out);
+            }
         }
     }
 }
@@ -236,6 +253,16 @@
     h.address_lost = true;
 }
 
+void mark_unresponsive(host_entry& h, std::string reason, core::mono_time now, task_events& out)
+{
+    if (h.reachable)
+    {
+        out.push_back({"host_silent", "", 0, h.ref.id, std::move(reason)});
+        h.unresponsive_since = now;
+    }
+    h.reachable = false;
+}
+
 /// Applies an answer, or its absence, to the host itself.
 /// \return false when the runner has accepted orders of a newer coordinator; true when the runner
 /// gave no answer; nothing when it answered.
@@ -256,12 +283,7 @@
     }
     if (answer.verdict != runner_verdict::done)
     {
-        if (h.reachable)
-        {
-            out.push_back({"host_silent", "", 0, h.ref.id, verdict_text(answer)});
-            h.unresponsive_since = now;
-        }
-        h.reachable = false;
+        mark_unresponsive(h, verdict_text(answer), now, out);
         return true;
     }
     if (!h.reachable)
@@ -280,6 +302,13 @@
     return std::nullopt;
 }
 
+/// \return whether the answer to a call for \p host is that of a later incarnation of its runner.
+bool is_of_next_incarnation(const std::string& host, const ports::runner_answer& answer)
+{
+    const auto born = ports::read_incarnation(host).born_ms;
+    return born != 0 && answer.born_ms != 0 && answer.born_ms != born;
+}
+
 void evaluate_missing_runs(fleet& f,
     host_entry& h,
     const std::set<std::string>& listed,
@@ -306,7 +335,13 @@
     task_events& out)
 {
     auto* const h = find_host(f, host);
-    return h == nullptr || record_contact(f, *h, answer, now, out).value_or(true);
+    if (h == nullptr)
+    {
+        return true;
+    }
+    const ports::runner_answer unanswered;
+    const bool restarted = is_of_next_incarnation(host, answer);
+    return record_contact(f, *h, restarted ? unanswered : answer, now, out).value_or(true);
 }
 
 bool handle_start_answer(fleet& f,
@@ -321,14 +356,22 @@
     {
         return false;
     }
-    const bool unanswered =
-        answer.verdict == runner_verdict::unknown || answer.verdict == runner_verdict::other_life;
     auto* const h = find_host(f, host);
+    auto* const it = find_run(f, task, host, run);
+    const bool clock_went_back =
+        it != nullptr && answer.clock_ms >= 0 && answer.clock_ms < it->min_clock_ms;
+    const bool restarted = clock_went_back || is_of_next_incarnation(host, answer);
+    const bool unanswered = restarted || answer.verdict == runner_verdict::unknown ||
+                            answer.verdict == runner_verdict::other_life;
+    if (restarted && h != nullptr)
+    {
+        const auto reason = "another incarnation answers, clock_ms=";
+        mark_unresponsive(*h, reason + std::to_string(answer.clock_ms), now, out);
+    }
     if (h != nullptr && !unanswered)
     {
         record_clock(*h, answer, now);
     }
-    auto* const it = find_run(f, task, host, run);
     if (it == nullptr)
     {
         return true;
@@ -397,11 +440,17 @@
     core::mono_time now,
     task_events& out)
 {
-    auto* const h = find_host(f, host);
+    auto* h = find_host(f, host);
     if (h == nullptr)
     {
         return true;
     }
+    const auto born = answer.call.born_ms;
+    if (answer.call.verdict == runner_verdict::done && born != 0 &&
+        born != ports::read_incarnation(host).born_ms)
+    {
+        h = &replace_incarnation(f, host, born, now, out);
+    }
     if (const auto over = record_contact(f, *h, answer.call, now, out))
     {
         return *over;
--- a/libs/coordinator/src/bookkeeping.cpp
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -102,6 +102,22 @@
     return j.tasks[workflow::task_index(j.spec, name.occurrence, name.step, name.index)];
 }
 
+/// Adds the run to the counts and the used capacity of the host, or removes it from them.
+/// \param sign 1 to add, -1 to remove
+void count_run(host_entry& h, const workflow::step& s, const run_entry& run, int sign)
+{
+    const auto need = required_resources(s);
+    h.used.cpu += sign * need.cpu;
+    h.used.memory_mb += sign * need.memory_mb;
+    h.used.gpus += sign * need.gpus;
+    h.best_effort_runs += s.best_effort ? sign : 0;
+    h.runs_after_loss += run.after_loss ? sign : 0;
+    h.isolated_runs += run.isolated ? sign : 0;
+    core::require(h.used.cpu >= 0 && h.used.memory_mb >= 0, "used capacity is never negative");
+    core::require(h.runs_after_loss >= 0 && h.isolated_runs >= 0,
+        "counts of isolated runs and of runs after a loss are never negative");
+}
+
 bool runs_on(const task_entry& t, const std::string& host)
 {
     return std::any_of(
@@ -119,13 +135,7 @@
     }
     if (auto* const h = find_host(f, run.host))
     {
-        const auto need = required_resources(step_spec(j, name));
-        h->used.cpu += need.cpu;
-        h->used.memory_mb += need.memory_mb;
-        h->used.gpus += need.gpus;
-        h->best_effort_runs += step_spec(j, name).best_effort ? 1 : 0;
-        h->runs_after_loss += run.after_loss ? 1 : 0;
-        h->isolated_runs += run.isolated ? 1 : 0;
+        count_run(*h, step_spec(j, name), run, 1);
         h->runs.emplace(workflow::write_task_name(name), name);
     }
     t.highest_run_number = std::max(t.highest_run_number, run.number);
@@ -138,27 +148,16 @@
 void remove_run(fleet& f, job_entry& j, const workflow::task_name& name, std::size_t index)
 {
     auto& t = task_of(j, name);
-    const auto host = t.runs[index].host;
-    if (auto* const h = find_host(f, host))
-    {
-        clear_loss_flags(*h, t.runs[index]);
-    }
-    const auto number = t.runs[index].number;
+    const auto run = t.runs[index];
     t.runs.erase(t.runs.begin() + static_cast<std::ptrdiff_t>(index));
-    if (t.reserved_run_number != 0 && t.reserved_run_number == number)
+    if (t.reserved_run_number != 0 && t.reserved_run_number == run.number)
     {
-        release_isolated_run(f, j, t, number);
+        release_isolated_run(f, j, t, run.number);
     }
-    if (auto* const h = find_host(f, host))
+    if (auto* const h = find_host(f, run.host))
     {
-        const auto need = required_resources(step_spec(j, name));
-        h->used.cpu -= need.cpu;
-        h->used.memory_mb -= need.memory_mb;
-        h->used.gpus -= need.gpus;
-        h->best_effort_runs -= step_spec(j, name).best_effort ? 1 : 0;
-        core::require(
-            h->used.cpu >= 0 && h->used.memory_mb >= 0, "used capacity is never negative");
-        if (!runs_on(t, host))
+        count_run(*h, step_spec(j, name), run, -1);
+        if (!runs_on(t, run.host))
         {
             h->runs.erase(workflow::write_task_name(name));
         }
@@ -174,6 +173,24 @@
     }
 }
 
+void move_run(const job_entry& j,
+    const workflow::task_name& name,
+    run_entry& run,
+    host_entry& from,
+    host_entry& to)
+{
+    const auto text = workflow::write_task_name(name);
+    count_run(from, step_spec(j, name), run, -1);
+    run.host = to.ref.id;
+    const auto& t = j.tasks[workflow::task_index(j.spec, name.occurrence, name.step, name.index)];
+    if (!runs_on(t, from.ref.id))
+    {
+        from.runs.erase(text);
+    }
+    to.runs.emplace(text, name);
+    count_run(to, step_spec(j, name), run, 1);
+}
+
 bool runs_nothing_else(const host_entry& h, const job_entry& j, const workflow::task_name& name)
 {
     const bool gang = step_spec(j, name).gang;
--- a/libs/coordinator/src/bookkeeping.hpp
+++ b/libs/coordinator/src/bookkeeping.hpp
@@ -48,6 +48,13 @@
 /// Removes the run at \p index of task_entry::runs and frees its capacity.
 void remove_run(fleet& f, job_entry& j, const workflow::task_name& name, std::size_t index);
 
+/// Moves a run to another host, with the capacity that it occupies.
+void move_run(const job_entry& j,
+    const workflow::task_name& name,
+    run_entry& run,
+    host_entry& from,
+    host_entry& to);
+
 /// \return whether the host runs nothing except the task and members of its gang.
 bool runs_nothing_else(const host_entry& h, const job_entry& j, const workflow::task_name& name);
 
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -3,6 +3,7 @@
 #include "abandoned_starts.hpp"
 #include "bookkeeping.hpp"
 #include "lost_runs.hpp"
+#include "restarts.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -126,6 +127,55 @@
            (h.ref.address != it.ref.address || (!h.pool.empty() && h.pool != it.pool));
 }
 
+/// The list may still name an ended incarnation after its runner has started again: while a later
+/// one is known, the ended one stays known too.
+void forget_ended_runners(fleet& f, core::mono_time now)
+{
+    std::erase_if(f.ended_runners,
+        [&](const auto& it)
+        {
+            const bool old = now - it.second > f.settings.ended_runner_retention;
+            const bool forgotten =
+                old && find_runner(f, ports::read_incarnation(it.first).runner) == nullptr;
+            if (forgotten)
+            {
+                f.abandoned_starts.erase(it.first);
+            }
+            return forgotten;
+        });
+}
+
+/// Replaces the known incarnation of the runner if the entry describes a later one. An entry
+/// without a start time describes the known incarnation. One with an earlier start time is older
+/// than an answer of the runner itself. \return the id of the host that the entry describes; empty:
+/// none
+std::string find_listed_incarnation(
+    fleet& f, const host_listing& it, core::mono_time now, task_events& out)
+{
+    const auto listed = ports::read_incarnation(it.ref.id);
+    const auto* const h = find_runner(f, listed.runner);
+    if (h == nullptr || h->ref.id == it.ref.id)
+    {
+        return it.ref.id;
+    }
+    if (listed.born_ms == 0)
+    {
+        return h->ref.id;
+    }
+    const auto known = ports::read_incarnation(h->ref.id);
+    if (listed.born_ms < known.born_ms)
+    {
+        return {};
+    }
+    auto& next = replace_incarnation(f, h->ref.id, listed.born_ms, now, out);
+    if (known.born_ms != 0)
+    {
+        next.ref = it.ref;
+        next.pool = it.pool;
+    }
+    return it.ref.id;
+}
+
 std::int64_t ms_since(core::mono_time then, core::mono_time now)
 {
     return std::chrono::duration_cast<core::millis>(now - then).count();
@@ -140,13 +190,13 @@
     }
 }
 
+} // namespace
+
 void erase_orphaned_runs(fleet& f, const std::string& host)
 {
     std::erase_if(f.orphaned_runs, [&](const orphaned_run& it) { return it.host == host; });
 }
 
-} // namespace
-
 void add_job(fleet& f,
     workflow::job spec,
     ports::revision created,
@@ -246,24 +296,23 @@
     {
         h.listed = false;
     }
-    std::erase_if(f.ended_runners,
-        [&](const auto& it) { return now - it.second > f.settings.ended_runner_retention; });
+    forget_ended_runners(f, now);
     for (const auto& it : all)
     {
-        if (f.ended_runners.contains(it.ref.id))
+        const auto id = f.ended_runners.contains(it.ref.id)
+                            ? std::string{}
+                            : find_listed_incarnation(f, it, now, out);
+        if (id.empty())
         {
             continue;
         }
-        auto [entry, added] = f.hosts.try_emplace(it.ref.id);
+        auto [entry, added] = f.hosts.try_emplace(id);
         auto& h = entry->second;
         const bool conflicts = !added && conflicts_with(h, it);
         if (conflicts && !h.entry_conflicts)
         {
-            out.push_back({"host_entry_odd",
-                "",
-                0,
-                it.ref.id,
-                "address=" + it.ref.address + " pool=" + it.pool});
+            out.push_back(
+                {"host_entry_odd", "", 0, id, "address=" + it.ref.address + " pool=" + it.pool});
         }
         h.entry_conflicts = conflicts;
         if (conflicts)
@@ -274,13 +323,14 @@
         {
             h.added_at = now;
             h.inherited_leases_end_at = now;
-            out.push_back({"host_added", "", 0, it.ref.id, "pool=" + it.pool});
+            out.push_back({"host_added", "", 0, id, "pool=" + it.pool});
+            inherit_from_earlier_incarnations(f, id, now, out);
         }
         if (h.draining != it.draining)
         {
-            out.push_back({it.draining ? "host_draining" : "host_ready", "", 0, it.ref.id, ""});
+            out.push_back({it.draining ? "host_draining" : "host_ready", "", 0, id, ""});
         }
-        h.ref = it.ref;
+        h.ref = {id, it.ref.address, it.ref.zone};
         h.pool = it.pool;
         h.zone = it.zone;
         h.rack = it.rack;
@@ -298,8 +348,8 @@
     task_events& out)
 {
     f.ended_runners[id] = now;
-    f.abandoned_starts.erase(id);
-    const bool by_itself = proof == termination_evidence::other_life;
+    const bool by_itself =
+        proof == termination_evidence::other_life || proof == termination_evidence::restarted;
     const std::string text{core::name_of(termination_evidence_names, proof)};
     if (by_itself)
     {
@@ -322,6 +372,7 @@
             (h->reachable ? " since_answer_ms=" + std::to_string(ms_since(h->last_answer_at, now))
                           : " silent_ms=" + std::to_string(ms_since(h->unresponsive_since, now)))});
     record_lost_inherited_host(f, *h);
+    abandon_starts(f, *h, out);
     remove_ended_runs(f, *h, {"run_lost", "host ended: " + text, by_itself, true}, now, out);
     erase_orphaned_runs(f, id);
     f.hosts.erase(id);
--- a/libs/coordinator/src/machine_list_evidence.cpp
+++ b/libs/coordinator/src/machine_list_evidence.cpp
@@ -4,6 +4,7 @@
 #include "coordinator/intake.hpp"
 #include "coordinator/waves.hpp"
 #include "lost_runs.hpp"
+#include "restarts.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -25,9 +26,9 @@
     remove_irrelevant_losses(f);
     for (const auto& [id, m] : list.machines)
     {
-        if (const auto it = f.uncertain_losses.find(m.runner); it != f.uncertain_losses.end())
+        for (auto& [host, it] : f.uncertain_losses)
         {
-            it->second.machine = id;
+            it.machine = ports::is_same_runner(host, m.runner) ? id : it.machine;
         }
     }
     std::vector<std::string> over;
@@ -40,7 +41,7 @@
         }
         const auto* const m = it.machine.empty() ? nullptr : find_machine(list, it.machine);
         const bool other_life = m != nullptr && m->state == ports::machine_state::up &&
-                                !m->runner.empty() && m->runner != id;
+                                !m->runner.empty() && !ports::is_same_runner(m->runner, id);
         if (other_life && list.requested_at > it.since + list_lag)
         {
             over.push_back(id);
@@ -70,7 +71,7 @@
 {
     for (const auto& [id, m] : list.machines)
     {
-        auto* const h = find_host(f, m.runner);
+        auto* const h = find_runner(f, m.runner);
         if (h != nullptr && h->machine != id)
         {
             h->machine = id;
@@ -83,8 +84,10 @@
         const bool is_newer = list.requested_at > h.machine_known_at + list_lag;
         const auto* const m =
             h.machine.empty() || !is_newer ? nullptr : find_machine(list, h.machine);
-        const bool other_life = m != nullptr && !m->runner.empty() && m->runner != id;
-        // A machine that moves or is in maintenance runs nothing; its next runner has another id.
+        const bool other_life =
+            m != nullptr && !m->runner.empty() && !ports::is_same_runner(m->runner, id);
+        // A machine that moves or is in maintenance runs nothing; its next runner is another
+        // incarnation.
         const bool no_life = m != nullptr && (m->state == ports::machine_state::moving ||
                                                  m->state == ports::machine_state::in_maintenance);
         if (other_life || no_life)
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -3,6 +3,7 @@
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
 #include "host_release.hpp"
+#include "restarts.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -142,7 +143,7 @@
 /// \return the cost of taking this host from its pool; lower is better.
 std::tuple<bool, int, std::int64_t> cost_of(fleet& f, const ports::machine_entry& m)
 {
-    const auto* const h = find_host(f, m.runner);
+    const auto* const h = find_runner(f, m.runner);
     if (h == nullptr)
     {
         return {false, 0, 0};
@@ -164,14 +165,15 @@
         from.free.end(),
         [&](const auto* a, const auto* b) { return cost_of(f, *a) < cost_of(f, *b); });
     const auto& m = **best;
-    r.moves[m.id] = {to, m.runner, false, now};
+    auto* const h = find_runner(f, m.runner);
+    r.moves[m.id] = {to, h == nullptr ? m.runner : h->ref.id, false, now};
     out.push_back({"move_chosen",
         "",
         0,
         m.runner,
         "machine=" + m.id + " from=" + from.name + " have=" + std::to_string(from.have) +
             " wanted=" + std::to_string(from.wanted) + " to=" + to});
-    if (auto* const h = find_host(f, m.runner))
+    if (h != nullptr)
     {
         h->availability = host_availability::closed_for_move;
         h->closed_at = now;
@@ -278,7 +280,7 @@
     {
         return true; // the machine has left, or has moved: its runner belongs to the new pool
     }
-    const auto* const h = find_host(f, m->second.runner);
+    const auto* const h = find_runner(f, m->second.runner);
     return h == nullptr ||
            (h->ref.id == move.runner && h->availability == host_availability::closed_for_move);
 }
@@ -398,8 +400,8 @@
             {
                 return true; // the machine has left
             }
-            const bool there = m->second.state == ports::machine_state::up &&
-                               m->second.pool == move.to_pool && m->second.runner != move.runner;
+            const bool there =
+                m->second.state == ports::machine_state::up && m->second.pool == move.to_pool;
             return there && move.ordered && list.requested_at > move.ordered_at + list_lag;
         });
 }
--- /dev/null
+++ b/libs/coordinator/src/restarts.cpp
@@ -0,0 +1,169 @@
+#include "restarts.hpp"
+
+#include "bookkeeping.hpp"
+#include "lost_runs.hpp"
+
+#include <iterator>
+#include <utility>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+using ports::read_incarnation;
+
+/// \return whether the run may be active on the next incarnation.
+bool may_be_passed_on(const run_entry& run, bool has_ended)
+{
+    return !has_ended || !run.confirmed;
+}
+
+/// Passes the runs of \p from on to \p to.
+/// \param has_ended \p from has certainly ended
+/// \return number of runs passed on
+int pass_on_runs(fleet& f,
+    host_entry& from,
+    host_entry& to,
+    bool has_ended,
+    core::mono_time now,
+    task_events& out)
+{
+    int n = 0;
+    const auto runs = from.runs; // moving a run changes from.runs
+    for (const auto& [text, name] : runs)
+    {
+        auto* const t = find_task(f, name);
+        if (t == nullptr)
+        {
+            continue;
+        }
+        for (auto& run : t->runs)
+        {
+            if (run.host != from.ref.id || !may_be_passed_on(run, has_ended))
+            {
+                continue;
+            }
+            move_run(*find_job(f, name.job), name, run, from, to);
+            run.sent_to_earlier = has_ended && run.phase != run_phase::stopping;
+            run.phase =
+                run.phase == run_phase::stopping ? run_phase::stopping : run_phase::unsettled;
+            run.phase_changed_at = now;
+            run.confirmed = false;
+            run.stop_in_flight = false;
+            run.stop_confirmed = false;
+            run.stop_retry_at = {};
+            record_event(out, "run_unsettled", name, run.number, to.ref.id, "its runner restarted");
+            ++n;
+        }
+    }
+    return n;
+}
+
+/// \return the earlier incarnations of the runner of \p id that are keys of \p all.
+template <class Value>
+std::vector<std::string> earlier_incarnations(
+    const std::map<std::string, Value>& all, const std::string& id)
+{
+    std::vector<std::string> out;
+    for (const auto& [key, value] : all)
+    {
+        if (key != id && ports::is_same_runner(key, id))
+        {
+            out.push_back(key);
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+const host_entry* find_runner(const fleet& f, const std::string& runner)
+{
+    // The texts of a runner's incarnations are adjacent, except the one with an unknown start.
+    auto it = f.hosts.find(runner);
+    it = it != f.hosts.end() ? it : f.hosts.lower_bound(runner + '/');
+    const bool found = it != f.hosts.end() && ports::is_same_runner(it->first, runner);
+    return found ? &it->second : nullptr;
+}
+
+host_entry* find_runner(fleet& f, const std::string& runner)
+{
+    const auto* const found = find_runner(std::as_const(f), runner);
+    return found == nullptr ? nullptr : &f.hosts.at(found->ref.id);
+}
+
+void inherit_from_earlier_incarnations(
+    fleet& f, const std::string& id, core::mono_time now, task_events& out)
+{
+    for (const auto& it : earlier_incarnations(f.abandoned_starts, id))
+    {
+        auto starts = f.abandoned_starts.extract(it).mapped();
+        for (auto& start : starts)
+        {
+            start.stop_in_flight = false;
+            start.stop_retry_at = {};
+        }
+        auto& all = f.abandoned_starts[id];
+        all.insert(all.end(),
+            std::make_move_iterator(starts.begin()),
+            std::make_move_iterator(starts.end()));
+    }
+    if (read_incarnation(id).born_ms == 0)
+    {
+        return;
+    }
+    for (const auto& it : earlier_incarnations(f.uncertain_losses, id))
+    {
+        // An incarnation with an unknown start may be the present one.
+        if (read_incarnation(it).born_ms != 0)
+        {
+            confirm_losses(f,
+                it,
+                std::string{
+                    core::name_of(termination_evidence_names, termination_evidence::restarted)},
+                now,
+                out);
+        }
+    }
+}
+
+host_entry& replace_incarnation(
+    fleet& f, std::string old, std::int64_t born_ms, core::mono_time now, task_events& out)
+{
+    const auto was = read_incarnation(old);
+    const bool has_ended = was.born_ms != 0;
+    auto& from = f.hosts.at(old);
+    const auto id = ports::write_incarnation({was.runner, born_ms});
+    auto& to = f.hosts[id];
+    to.ref = {id, from.ref.address, from.ref.zone};
+    to.pool = has_ended ? std::string{} : from.pool;
+    to.zone = from.zone;
+    to.machine = from.machine;
+    to.machine_known_at = now;
+    to.inherited = true;
+    to.added_at = now;
+    to.unresponsive_since = now;
+    to.lease_until_ms = from.lease_until_ms;
+    to.inherited_leases_end_at = now + time_to_lease_expiry(f, from, now);
+    const int kept = pass_on_runs(f, from, to, has_ended, now, out);
+    out.push_back({"host_restarted",
+        "",
+        0,
+        id,
+        "was=" + old + " machine=" + to.machine + " unsettled_runs=" + std::to_string(kept)});
+    inherit_from_earlier_incarnations(f, id, now, out);
+    if (has_ended)
+    {
+        end_host(f, old, termination_evidence::restarted, now, out);
+    }
+    else
+    {
+        erase_orphaned_runs(f, old);
+        f.hosts.erase(old);
+    }
+    return to;
+}
+
+} // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -1,6 +1,7 @@
 #include "starts.hpp"
 
 #include "bookkeeping.hpp"
+#include "coordinator/intake.hpp"
 #include "core/invariant.hpp"
 #include "lost_runs.hpp"
 
@@ -100,6 +101,7 @@
     run.host = h.ref.id;
     run.ordered_at = now;
     run.phase_changed_at = now;
+    run.min_clock_ms = min_runner_clock(f, h, now);
     run.resumed = !t.progress.checkpoint.empty();
     add_run(f, j, name, run);
     --to.remaining_orders;
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -3,6 +3,7 @@
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
 #include "coordinator/placement.hpp"
+#include "restarts.hpp"
 
 #include <algorithm>
 #include <map>
@@ -46,7 +47,7 @@
         {
             continue;
         }
-        candidate it{id, find_host(f, m->runner), 0};
+        candidate it{id, find_runner(f, m->runner), 0};
         it.long_running = it.host == nullptr ? 0 : long_running_tasks(f, *it.host);
         out.push_back(it);
     }
@@ -155,7 +156,14 @@
 host_entry* host_of_machine(fleet& f, const machine_table& list, const std::string& machine)
 {
     const auto* const m = find_machine(list, machine);
-    return m == nullptr ? nullptr : find_host(f, m->runner);
+    return m == nullptr ? nullptr : find_runner(f, m->runner);
+}
+
+/// \param chosen incarnation, or a runner's id if its incarnation was unknown
+bool may_be_incarnation(const std::string& chosen, const std::string& host)
+{
+    return ports::read_incarnation(chosen).born_ms == 0 ? ports::is_same_runner(chosen, host)
+                                                        : chosen == host;
 }
 
 void reopen_host(host_entry* h)
@@ -201,7 +209,7 @@
         const bool back = m != nullptr && m->state == ports::machine_state::up;
         if (back && !w.pending_orders.contains(id) && !w.down_since.contains(id))
         {
-            reopen_host(find_host(f, m->runner));
+            reopen_host(find_runner(f, m->runner));
         }
     }
 }
@@ -212,9 +220,9 @@
     for (const auto& id : w.machines)
     {
         const auto* const m = find_machine(list, id);
-        const auto h = m == nullptr ? f.hosts.end() : f.hosts.find(m->runner);
-        const bool closed = h != f.hosts.end() &&
-                            h->second.availability == host_availability::closed_for_maintenance;
+        const auto* const h = m == nullptr ? nullptr : find_runner(f, m->runner);
+        const bool closed =
+            h != nullptr && h->availability == host_availability::closed_for_maintenance;
         if (closed || w.pending_orders.contains(id) || w.down_since.contains(id))
         {
             out.insert(id);
@@ -260,7 +268,8 @@
         if (empty && places > 0)
         {
             --places;
-            w.pending_orders[it.machine] = {list.machines.at(it.machine).runner, {}};
+            const auto& runner = list.machines.at(it.machine).runner;
+            w.pending_orders[it.machine] = {it.host == nullptr ? runner : it.host->ref.id, {}};
             ready.push_back(it.machine);
         }
     }
@@ -315,8 +324,8 @@
 {
     const auto order = w.pending_orders.find(machine);
     auto* const h = host_of_machine(f, list, machine);
-    const bool came_after =
-        order == w.pending_orders.end() || h == nullptr || order->second.runner != h->ref.id;
+    const bool came_after = order == w.pending_orders.end() || h == nullptr ||
+                            !may_be_incarnation(order->second.runner, h->ref.id);
     if (came_after)
     {
         reopen_host(h);
--- /dev/null
+++ b/libs/coordinator/tests/restarts_tests.cpp
@@ -0,0 +1,210 @@
+#include "fleet_fixture.hpp"
+#include "restarts.hpp"
+#include "workflow/records.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace camphorhitch;
+using namespace camphorhitch::coordinator;
+
+namespace
+{
+
+constexpr std::int64_t first_start = 1'700'000'000'000;
+constexpr std::int64_t second_start = first_start + 60'000;
+const std::string before = "h1/1700000000000";
+const std::string after = "h1/1700000060000";
+
+ports::poll_answer answer_of_next()
+{
+    ports::poll_answer out;
+    out.call = {ports::runner_verdict::done, 50, second_start};
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(restarts)
+{
+    fleet_fixture w;
+
+    void poll(const std::string& host, const ports::poll_answer& answer)
+    {
+        w.now += 10ms;
+        handle_poll_answer(w.f, host, w.now, answer, w.now, w.events);
+    }
+
+    void list(const std::string& id)
+    {
+        host_listing it;
+        it.ref = {id, "10.0.0.1:80", {}};
+        it.pool = "p";
+        it.capacity = {host_cpu, 65536, 0};
+        apply_host_list(w.f, {it}, w.now, w.events);
+    }
+
+    std::string only_host() const
+    {
+        return w.f.hosts.size() == 1 ? w.f.hosts.begin()->first : "not one host";
+    }
+};
+
+// Guards against judging the next incarnation by the ends or the clock of the one before.
+TEST(restarts, the_next_incarnation_starts_with_nothing)
+{
+    w.add_host(before);
+    auto& h = w.f.hosts.at(before);
+    h.last_applied_end = 57;
+    h.last_stored_end = 57;
+    poll(before, answer_of_next());
+    STRCMP_EQUAL(after.c_str(), only_host().c_str());
+    const auto& next = w.f.hosts.at(after);
+    LONGS_EQUAL(0, next.last_applied_end);
+    LONGS_EQUAL(0, next.last_stored_end);
+    LONGS_EQUAL(50, next.clock_ms);
+}
+
+// Guards against a second run of a task whose order reached the next incarnation, and against a
+// task that stays with an incarnation that has ended.
+TEST(restarts, a_run_ends_or_passes_on_as_its_order_proves)
+{
+    struct row
+    {
+        const char* text;
+        ports::runner_answer answer; ///< to the start; not_sent: none yet
+        bool passes_on;
+    };
+    const row rows[] = {
+        {"confirmed by the old clock", {ports::runner_verdict::done, 1000}, false},
+        {"answered with a lower clock", {ports::runner_verdict::done, 20}, true},
+        {"answered by the next one", {ports::runner_verdict::done, 2000, second_start}, true},
+        {"unanswered", {ports::runner_verdict::unknown, -1}, true},
+        {"answered by another runner", {ports::runner_verdict::other_life, -1}, true},
+    };
+    for (const auto& it : rows)
+    {
+        fleet_fixture fresh;
+        fresh.add_host(before);
+        fresh.accept_job(make_job("a", {make_step(1, 1000)}));
+        const auto a = fresh.plan_next().starts.at(0);
+        handle_start_answer(fresh.f, before, a.task, a.run, it.answer, fresh.now, fresh.events);
+        fresh.now += 10ms;
+        handle_poll_answer(fresh.f, before, fresh.now, answer_of_next(), fresh.now, fresh.events);
+        CHECK_EQUAL_TEXT(it.passes_on ? 1U : 0U, fresh.f.hosts.at(after).runs.size(), it.text);
+        CHECK_EQUAL_TEXT(it.passes_on ? 1U : 0U, fresh.f.jobs.at("a")->live_runs, it.text);
+        LONGS_EQUAL_TEXT(it.passes_on ? 1000 : 0, fresh.f.hosts.at(after).used.cpu, it.text);
+    }
+}
+
+// Guards against a second start while the next incarnation may still carry the first one out: it
+// has to confirm a stop first.
+TEST(restarts, a_run_that_passed_on_is_stopped_before_its_task_starts_again)
+{
+    w.add_host(before);
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.plan_next().starts.at(0);
+    w.answer_start(a, ports::runner_verdict::unknown);
+    poll(before, answer_of_next());
+    poll(after, answer_of_next());
+    const auto p = w.plan_next();
+    LONGS_EQUAL(0, p.starts.size());
+    CHECK_EQUAL(1U, p.stops.size());
+    STRCMP_EQUAL(after.c_str(), p.stops[0].host.id.c_str());
+    handle_stop_answer(
+        w.f, after, a.task, a.run, {ports::runner_verdict::done, 60}, w.now, w.events);
+    poll(after, answer_of_next());
+    LONGS_EQUAL(0, w.f.jobs.at("a")->live_runs);
+}
+
+// Guards against losing a run that the next incarnation executes.
+TEST(restarts, a_run_that_the_next_incarnation_lists_goes_on)
+{
+    w.add_host(before);
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.plan_next().starts.at(0);
+    w.answer_start(a, ports::runner_verdict::unknown);
+    auto answer = answer_of_next();
+    answer.running.push_back({workflow::write_task_name(a.task), a.run, {}, 0, 0});
+    poll(before, answer);
+    CHECK(w.f.jobs.at("a")->tasks[0].runs.at(0).phase == run_phase::running);
+    answer.running.clear();
+    answer.ended.push_back({1, workflow::write_task_name(a.task), a.run, ports::run_end::done, {}});
+    poll(after, answer);
+    CHECK(w.f.jobs.at("a")->state == workflow::job_state::completed);
+}
+
+// Guards against list entries that are older than an answer of the runner, that state no start
+// time, or that describe the same incarnation: none of them ends the known one.
+TEST(restarts, only_a_later_entry_replaces_an_incarnation)
+{
+    struct row
+    {
+        const char* known;
+        const char* listed;
+        const char* present;
+    };
+    const row rows[] = {
+        {"h1/5", "h1/5", "h1/5"},
+        {"h1/5", "h1/4", "h1/5"},
+        {"h1/5", "h1/6", "h1/6"},
+        {"h1/5", "h1", "h1/5"},
+        {"h1", "h1", "h1"},
+        {"h1", "h1/6", "h1/6"},
+    };
+    for (const auto& it : rows)
+    {
+        fleet_fixture fresh;
+        fresh.add_host(it.known);
+        host_listing entry;
+        entry.ref = {it.listed, std::string{it.known} + ":1", {}};
+        entry.pool = "p";
+        apply_host_list(fresh.f, {entry}, fresh.now, fresh.events);
+        CHECK_EQUAL_TEXT(1U, fresh.f.hosts.size(), it.listed);
+        STRCMP_EQUAL_TEXT(it.present, fresh.f.hosts.begin()->first.c_str(), it.listed);
+    }
+}
+
+// Guards against ending runs that may be active: without a start time before, the incarnation may
+// be the same.
+TEST(restarts, a_start_time_that_becomes_known_ends_no_run)
+{
+    w.add_host("h1");
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.plan_next().starts.at(0);
+    w.answer_start(a);
+    auto answer = answer_of_next();
+    answer.call.clock_ms = 2000;
+    answer.running.push_back({workflow::write_task_name(a.task), a.run, {}, 0, 0});
+    poll("h1", answer);
+    STRCMP_EQUAL(after.c_str(), only_host().c_str());
+    LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
+    CHECK(w.f.jobs.at("a")->tasks[0].runs.at(0).phase == run_phase::running);
+}
+
+// Guards against a start that begins on the next incarnation after its task was started elsewhere:
+// the start was abandoned when the old incarnation's leases had expired.
+TEST(restarts, an_abandoned_start_is_stopped_at_the_next_incarnation)
+{
+    w.add_host(before);
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.plan_next().starts.at(0);
+    w.answer_start(a, ports::runner_verdict::unknown);
+    w.f.hosts.at(before).reachable = false;
+    w.f.hosts.at(before).listed = false;
+    w.now += 3s;
+    expire_hosts(w.f, w.now, w.events);
+    LONGS_EQUAL(0, w.f.hosts.size());
+    list(after);
+    w.f.hosts.at(after).recorded = true;
+    poll(after, answer_of_next());
+    const auto p = w.plan_next();
+    LONGS_EQUAL(0, p.starts.size());
+    CHECK_EQUAL(1U, p.stops.size());
+    LONGS_EQUAL(a.run, p.stops[0].run);
+    LONGS_EQUAL(0, lease_end_for(w.f, w.f.hosts.at(after), w.now));
+    handle_stop_answer(
+        w.f, after, a.task, a.run, {ports::runner_verdict::done, 60}, w.now, w.events);
+    auto& j = *w.f.jobs.at("a");
+    j.losses_stored = j.losses_recorded;
+    LONGS_EQUAL(1, w.plan_next().starts.size());
+}
--- a/libs/hosted/src/runner_controller_polls.cpp
+++ b/libs/hosted/src/runner_controller_polls.cpp
@@ -114,6 +114,12 @@
         term_.now() - h.last_answer_at >= term_.fleet.settings.runner_lease;
     const bool at_once = h.clock_ms < 0 || !h.reachable || h.inherited || not_heard_recently ||
                          polled_again_.contains(host);
+    if (!h.reachable || not_heard_recently || polled_again_.contains(host))
+    {
+        // Another incarnation may answer. Its ends have low numbers again, and it would forget
+        // those that are acknowledged here.
+        order.acknowledged_through = 0;
+    }
     order.wait =
         at_once ? core::millis{0} : scaled_poll_wait(term_.settings, term_.fleet.hosts.size());
     const auto sent_at = term_.now();
@@ -175,6 +181,7 @@
     const auto asked = term_.now();
     auto order = term_.grant_lease(h, whole == 0 ? 0 : whole - shorter);
     order.direct = true;
+    order.acknowledged_through = 0; // as in poll(): another incarnation may answer
     term_.ctx.runners.poll(h.ref,
         order,
         term_.guarded(
@@ -242,6 +249,7 @@
     if (!term_.fleet.hosts.contains(host))
     {
         polling_.erase(host);
+        poll_all(); // a later incarnation of the runner may have answered
         return;
     }
     if (a.call.verdict != runner_verdict::done)
--- a/libs/hosted/tests/revoked_key_tests.cpp
+++ b/libs/hosted/tests/revoked_key_tests.cpp
@@ -47,7 +47,7 @@
             const ports::runner_answer no_answer{ports::runner_verdict::unknown, -1};
             cut(n, n.ctx.runners.start, no_answer);
             cut(n, n.ctx.runners.stop, no_answer);
-            cut(n, n.ctx.runners.poll, ports::poll_answer{no_answer, 0, {}, {}});
+            cut(n, n.ctx.runners.poll, ports::poll_answer{no_answer, {}, {}});
             n.ctx.store.watch = [this, &n, real = n.ctx.store.watch](const std::string& prefix,
                                     auto after,
                                     auto wait,
--- a/libs/hosted/tests/runner_record_tests.cpp
+++ b/libs/hosted/tests/runner_record_tests.cpp
@@ -20,7 +20,7 @@
 
     std::string runner_of(const std::string& machine) const
     {
-        return c.hosts.machines.at(machine).runner;
+        return c.hosts.incarnation_of(machine);
     }
 
     /// \return whether the record states when the leases of the machine's runner end.
@@ -141,6 +141,31 @@
     CHECK(!stored().contains(runner_of("m2")));
 }
 
+// Guards against taking the runners of a record without start times, as earlier versions wrote it,
+// for others than the listed ones: their tasks would run twice, or wait for leases that are
+// renewed.
+TEST(runner_record, a_record_without_start_times_is_read)
+{
+    c.hosts.behaviour.run_time = 3s;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    begin(2);
+    c.put_job(c.make_job_on_each("a", 2));
+    CHECK(c.time.run_until([this] { return c.running() == 2; }, 2s));
+    hosted::runner_records earlier;
+    for (const auto& [id, it] : stored())
+    {
+        earlier.emplace(ports::read_incarnation(id).runner, it);
+    }
+    c.leader()->process.dead = true;
+    c.store.put(hosted::runners_key, hosted::write_runners(earlier));
+    CHECK(c.has_leader());
+    CHECK(c.ends("a", job_state::completed, 8s));
+    LONGS_EQUAL(2, c.hosts.starts);
+    CHECK_EQUAL(2U, stored().size());
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
 // The record is damaged when the coordinator dies, so it is not known which runners hold tasks.
 // Inherited tasks wait until every lease has ended; new jobs do not wait.
 TEST(runner_record, a_damaged_record_holds_inherited_jobs_until_all_leases_end)
--- a/libs/ports/include/ports/runners.hpp
+++ b/libs/ports/include/ports/runners.hpp
@@ -15,10 +15,10 @@
 namespace camphorhitch::ports
 {
 
-/// One incarnation of a runner and its address. After a restart the runner has another id.
+/// One incarnation of a runner and its address.
 struct runner_ref
 {
-    std::string id;
+    std::string id;      ///< text of the incarnation, as write_incarnation() returns it
     std::string address; ///< "ip:port"; another runner may have it later
     std::string zone;    ///< availability zone; empty: unknown
 
@@ -59,6 +59,7 @@
 {
     runner_verdict verdict = runner_verdict::unknown;
     std::int64_t clock_ms = -1; ///< the runner's clock in milliseconds; -1: not in the answer
+    std::int64_t born_ms = 0;   ///< incarnation::born_ms of the runner; 0: not in the answer
 };
 
 /// Starts a run of a task.
@@ -144,8 +145,6 @@
 struct poll_answer
 {
     runner_answer call; ///< how the call ended; the other fields are valid only when it is done
-    /// incarnation::born_ms of the runner that answered; 0: not stated.
-    std::int64_t born_ms = 0;
     std::vector<reported_run> running;
     std::vector<reported_end> ended; ///< ends that are not acknowledged yet
     /// The runner may have more ends than it lists: a run that is in neither list may have ended.
--- a/libs/relay/schema/relay.capnp
+++ b/libs/relay/schema/relay.capnp
@@ -22,6 +22,7 @@
     pace @6 :Pace;
     poll @7 :Poll;
   }
+  runnerBornMs @8 :Int64;     # with runnerId, the incarnation that is addressed; 0: start unknown
 }
 
 struct Start {
@@ -61,6 +62,7 @@
   verdict @1 :UInt16;         # value of ports::runner_verdict
   clockMs @2 :Int64;
   poll @3 :PollRows;          # null unless the answered order is a poll
+  bornMs @4 :Int64;           # start of the runner that answered; 0: not in its answer
 }
 
 struct PollRows {
--- a/libs/relay/src/codec.cpp
+++ b/libs/relay/src/codec.cpp
@@ -2,6 +2,7 @@
 
 #include "relay.capnp.h"
 
+#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <cstring>
@@ -176,8 +177,9 @@
 {
     answer out;
     out.number = it.getNumber();
-    const ports::runner_answer call{
-        to_enum(it.getVerdict(), ports::runner_verdict_names), it.getClockMs()};
+    const ports::runner_answer call{to_enum(it.getVerdict(), ports::runner_verdict_names),
+        it.getClockMs(),
+        std::max<std::int64_t>(it.getBornMs(), 0)};
     if (it.hasPoll())
     {
         out.body = read_rows(it.getPoll(), call);
@@ -227,7 +229,9 @@
         const auto& from = it.orders[i];
         auto row = out[i];
         row.setNumber(from.number);
-        row.setRunnerId(to_data(from.to.id));
+        const auto to = ports::read_incarnation(from.to.id);
+        row.setRunnerId(to_data(to.runner));
+        row.setRunnerBornMs(to.born_ms);
         row.setRunnerAddress(to_data(from.to.address));
         row.setFencingToken(fencing_token_of(from.body));
         std::visit([&](const auto& o) { write_body(row, o); }, from.body);
@@ -248,6 +252,7 @@
         row.setNumber(from.number);
         row.setVerdict(static_cast<std::uint16_t>(runner_answer_of(from).verdict));
         row.setClockMs(runner_answer_of(from).clock_ms);
+        row.setBornMs(runner_answer_of(from).born_ms);
         if (const auto* const poll = std::get_if<poll_answer>(&from.body))
         {
             write_rows(row.initPoll(), *poll);
@@ -263,8 +268,10 @@
         {
             for (const auto it : message.getRoot<schema::OrderBatch>().getOrders())
             {
+                const ports::incarnation to{
+                    to_text(it.getRunnerId()), std::max<std::int64_t>(it.getRunnerBornMs(), 0)};
                 out.orders.push_back({it.getNumber(),
-                    {to_text(it.getRunnerId()), to_text(it.getRunnerAddress()), {}},
+                    {ports::write_incarnation(to), to_text(it.getRunnerAddress()), {}},
                     read_body(it)});
             }
         });
--- a/libs/relay/src/pool.cpp
+++ b/libs/relay/src/pool.cpp
@@ -153,9 +153,7 @@
     const ports::runner_answer refused{runner_verdict::not_sent, -1};
     if (const auto* const poll = std::get_if<std::function<void(ports::poll_answer)>>(&o.done))
     {
-        ports::poll_answer out;
-        out.call = refused;
-        (*poll)(out);
+        (*poll)({refused, {}, {}});
         return;
     }
     std::get<std::function<void(ports::runner_answer)>>(o.done)(refused);
--- a/libs/relay/tests/codec_tests.cpp
+++ b/libs/relay/tests/codec_tests.cpp
@@ -16,7 +16,7 @@
 {
     order_batch out;
     out.orders.push_back({1,
-        {"i-1", "10.0.0.1:80", {}},
+        {"i-1/1764800000123", "10.0.0.1:80", {}},
         ports::start_order{"j.0.1.2", 7, binary, 486000, 99, "saved", "ticket"}});
     out.orders.push_back({2, {"i-2", "10.0.0.2:80", {}}, ports::stop_order{"j.0.1.3", 8, 99}});
     out.orders.push_back(
@@ -32,7 +32,7 @@
     out.leaving = true;
     out.answers.push_back({1, ports::runner_answer{ports::runner_verdict::no_room, 482113}});
     ports::poll_answer poll;
-    poll.call = {ports::runner_verdict::done, 482114};
+    poll.call = {ports::runner_verdict::done, 482114, 1764800000123};
     poll.running.push_back({"j.0.1.2", 7, binary, 41, -3});
     poll.ended.push_back({58, "j.0.1.9", 2, ports::run_end::members_absent, "saved"});
     out.answers.push_back({4, poll});
@@ -49,7 +49,7 @@
     CHECK(core::is_ok(read));
     const auto& got = core::value(read).orders;
     CHECK_EQUAL(4U, got.size());
-    STRCMP_EQUAL("i-1", got[0].to.id.c_str());
+    STRCMP_EQUAL("i-1/1764800000123", got[0].to.id.c_str());
     STRCMP_EQUAL("10.0.0.1:80", got[0].to.address.c_str());
     const auto& start = std::get<ports::start_order>(got[0].body);
     STRCMP_EQUAL("j.0.1.2", start.task.c_str());
@@ -80,6 +80,7 @@
     const auto& poll = std::get<ports::poll_answer>(got.answers[1].body);
     CHECK(poll.call.verdict == ports::runner_verdict::done);
     CHECK_EQUAL(482114, poll.call.clock_ms);
+    CHECK_EQUAL(1764800000123, poll.call.born_ms);
     CHECK(poll.running[0].checkpoint == binary);
     CHECK_EQUAL(41, poll.running[0].progress_percent);
     CHECK_EQUAL(-3, poll.running[0].load_metric);
--- a/programs/camphorhitchd/src/hosted_tables.cpp
+++ b/programs/camphorhitchd/src/hosted_tables.cpp
@@ -122,7 +122,7 @@
     constexpr double thousandths = 1000;
     for (const auto& it : all)
     {
-        t.rows.push_back({it.ref.id,
+        t.rows.push_back({ports::read_incarnation(it.ref.id).runner,
             it.pool,
             it.zone,
             it.rack,
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -459,8 +459,7 @@
 ports::poll_answer hosts::list_runs(const fake_host& h)
 {
     ports::poll_answer out;
-    out.call = {runner_verdict::done, clock_of(h)};
-    out.born_ms = states_start_times ? h.born_ms : 0;
+    out.call = {runner_verdict::done, clock_of(h), states_start_times ? h.born_ms : 0};
     for (const auto& [task, run] : h.runs)
     {
         out.running.push_back({task, run.number, {}, percent_of_whole, 0});
@@ -786,7 +785,8 @@
         }
         coordinator::host_listing h;
         h.pool = text.substr(0, first);
-        h.ref = {id, text.substr(first + 1, second - first - 1), {}};
+        h.ref = {
+            ports::write_incarnation({id, *born}), text.substr(first + 1, second - first - 1), {}};
         h.draining = state == "draining";
         h.capacity = fake_host{}.capacity;
         h.capacity.cpu = *capacity_cpu;
