A failing test of leases measured by the clock of the next incarnation

What callers saw: accepted work that never starts (LOST).

restarted_runners.their_leases_end_by_their_own_clock shows one way to it: a runner lives for 60 s, starts again under its id, and is lost. The coordinator compares the end of the old incarnation's lease with the new clock, records that the leases last for another minute, and the successor waits for them with all jobs of the pool. It fails: the job is not done within 10 s.

--- a/libs/hosted/tests/restarted_runners_tests.cpp
+++ b/libs/hosted/tests/restarted_runners_tests.cpp
@@ -41,3 +41,20 @@
     STRCMP_EQUAL("", c.breaches().c_str());
     LONGS_EQUAL(9, c.hosts.starts);
 }
+
+// Guards against measuring leases that were granted to an earlier incarnation on the clock of the
+// next one: accepted jobs would wait for as long as the earlier one had lived.
+TEST(restarted_runners, their_leases_end_by_their_own_clock)
+{
+    begin(2, 2);
+    c.time.run_for(60s);
+    c.hosts.crash("m1", 300ms);
+    c.time.run_for(2s);
+    c.hosts.cut("m1", 600s);
+    c.time.run_for(5s);
+    c.put_job(c.make_job("a", 2));
+    c.leader()->process.dead = true;
+    CHECK(c.has_leader());
+    CHECK(c.ends("a", job_state::completed, 10s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
