Leases of an earlier incarnation are not measured by the next one's clock

What callers saw: accepted work that never started (LOST).

Cause: the end of a lease is kept in the runner's own clock, which starts anew with each incarnation. A host that was replaced kept the old end, so its leases seemed to last for as long as the old incarnation had lived. If the runner was then lost, it stayed as a host without an answer; the record told the next coordinator to wait as long, and that one held back all inherited jobs of the pool.

Change: a replaced host keeps no lease. A call for the old incarnation may have granted one to the new one, cut to the longest lease that runners accept; the first poll accounts for that, and so does the wait while there is none. A remaining time that is read from the record is bounded by the longest lease too, since earlier versions may have stored a wrong one.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -203,8 +203,11 @@
     std::int64_t clock_ms = -1;     ///< the runner's clock in its newest answer; -1: none yet
     core::mono_time clock_read_at;  ///< when that answer arrived
     std::int64_t lease_until_ms = 0; ///< latest possible end of its leases, on the runner's clock
-    /// By this time all leases granted by previous coordinators have certainly ended.
+    /// By this time all leases granted by previous coordinators, or for an earlier incarnation,
+    /// have certainly ended.
     core::mono_time inherited_leases_end_at;
+    /// Longest lease that calls for an earlier incarnation may have granted here; 0: none was.
+    core::millis foreign_lease{0};
 
     workflow::resources used;          ///< by all runs, including stopping and unsettled ones
     std::size_t orphaned_runs = 0;     ///< reported runs without an open task; resources unknown
@@ -278,6 +281,8 @@
     /// lease, the election, the first poll), short enough that the work of an unresponsive host
     /// restarts soon.
     core::millis runner_lease{2500};
+    /// Longest lease that a runner accepts: it shortens longer ones.
+    core::millis max_runner_lease{10000};
     /// Duration of the leader's own lease: for so long a previous coordinator may have continued to
     /// grant leases.
     core::millis leader_lease{1200};
--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -83,6 +83,10 @@
 /// Removes the runs of the host from those that no open task has an entry for.
 void erase_orphaned_runs(fleet& f, const std::string& host);
 
+/// \return the time within which any lease of a runner has certainly expired, whichever clock its
+/// end was computed for.
+core::millis max_lease_time(const fleet& f);
+
 /// \return lower bound of the runner's clock at \p now, in milliseconds; -1: its clock is unknown
 std::int64_t min_runner_clock(const fleet& f, const host_entry& h, core::mono_time now);
 
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -465,8 +465,11 @@
     }
     if (h->inherited)
     {
-        // A lease of a previous coordinator may end later than the first lease of this one.
-        record_lease(*h, h->clock_ms + (f.settings.runner_lease + f.settings.leader_lease).count());
+        // A lease of a previous coordinator, or for an earlier incarnation, may end later than the
+        // first lease of this one.
+        const auto longest =
+            std::max(f.settings.runner_lease + f.settings.leader_lease, h->foreign_lease);
+        record_lease(*h, h->clock_ms + longest.count());
     }
     // When the list of ends is truncated, a run that is not listed may have ended and be reported
     // by a later answer. If its task started again now, it would have run twice by then.
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -192,6 +192,11 @@
 
 } // namespace
 
+core::millis max_lease_time(const fleet& f)
+{
+    return slow_clock_bound(f, f.settings.max_runner_lease) + f.settings.lease_expiry_margin;
+}
+
 void erase_orphaned_runs(fleet& f, const std::string& host)
 {
     std::erase_if(f.orphaned_runs, [&](const orphaned_run& it) { return it.host == host; });
@@ -278,9 +283,10 @@
         h.added_at = now;
         h.unresponsive_since = now;
         h.recorded = !it.remaining.has_value();
-        // With a stored remaining time, no coordinator has granted a lease since.
-        h.inherited_leases_end_at =
-            now + (it.remaining ? slow_clock_bound(f, *it.remaining) : max_inherited_lease(f));
+        // With a stored remaining time, no coordinator has granted a lease since. A record may have
+        // been computed from the clocks of two incarnations; no lease outlasts the longest one.
+        const auto end = it.remaining ? slow_clock_bound(f, *it.remaining) : max_inherited_lease(f);
+        h.inherited_leases_end_at = now + std::min(end, max_lease_time(f));
     }
 }
 
--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -145,8 +145,11 @@
     to.inherited = true;
     to.added_at = now;
     to.unresponsive_since = now;
-    to.lease_until_ms = from.lease_until_ms;
-    to.inherited_leases_end_at = now + time_to_lease_expiry(f, from, now);
+    // A lease for the old incarnation ends by the old clock: on the new one it lasts for as long as
+    // a lease can.
+    to.foreign_lease = has_ended ? f.settings.max_runner_lease : core::millis{0};
+    to.inherited_leases_end_at =
+        now + (has_ended ? max_lease_time(f) : time_to_lease_expiry(f, from, now));
     const int kept = pass_on_runs(f, from, to, has_ended, now, out);
     out.push_back({"host_restarted",
         "",
--- a/libs/coordinator/tests/restarts_tests.cpp
+++ b/libs/coordinator/tests/restarts_tests.cpp
@@ -49,19 +49,32 @@
     }
 };
 
-// Guards against judging the next incarnation by the ends or the clock of the one before.
+// Guards against judging the next incarnation by the ends, the clock or the leases of the one
+// before.
 TEST(restarts, the_next_incarnation_starts_with_nothing)
 {
     w.add_host(before);
     auto& h = w.f.hosts.at(before);
     h.last_applied_end = 57;
     h.last_stored_end = 57;
+    record_lease(h, 100000);
     poll(before, answer_of_next());
     STRCMP_EQUAL(after.c_str(), only_host().c_str());
     const auto& next = w.f.hosts.at(after);
     LONGS_EQUAL(0, next.last_applied_end);
     LONGS_EQUAL(0, next.last_stored_end);
     LONGS_EQUAL(50, next.clock_ms);
+    LONGS_EQUAL(50 + w.f.settings.max_runner_lease.count(), next.lease_until_ms);
+}
+
+// Guards against a wait for a lease that no runner has: the record of an earlier version may hold
+// the difference of two incarnations' clocks.
+TEST(restarts, a_recorded_lease_lasts_no_longer_than_a_lease_can)
+{
+    add_inherited_hosts(w.f, {{{"h1", "h1:1", {}}, {}, "p", 60s}}, w.now);
+    const auto& h = w.f.hosts.at("h1");
+    CHECK(h.inherited_leases_end_at - w.now <= w.f.settings.max_runner_lease + 500ms);
+    CHECK(h.inherited_leases_end_at - w.now >= w.f.settings.max_runner_lease);
 }
 
 // Guards against a second run of a task whose order reached the next incarnation, and against a
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -202,6 +202,7 @@
     leadership = std::make_unique<hosted::leadership>(ctx, lease, events);
     hosted::driver_settings drive;
     drive.rules.runner_lease = settings.timing.runner_lease;
+    drive.rules.max_runner_lease = settings.timing.max_runner_lease;
     drive.rules.leader_lease = settings.timing.leader_lease;
     drive.processor_share = settings.processor_share;
     apply_policy(settings.policy, drive);
