Runners of a record without start times keep their leases

What callers would see: after the upgrade from a version that stores runners by id, tasks on sound runners end and start again. A host whose start time becomes known has another id than its row. Until the new record was written it counted as not recorded, so no lease was granted; a store that is slow for longer than a lease would end all leases.

Change: a row without a start time stands for any incarnation of its runner, as a successor of either version waits for it. The answer of a later incarnation to a stop does not confirm it for the earlier one. Matching ids of the list of machines allocates nothing and is done once per list. Operators' explanations name runners by the platform's ids.

--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -414,7 +414,8 @@
         return true;
     }
     it->stop_in_flight = false;
-    const bool confirmed = answer.verdict == runner_verdict::done;
+    const bool confirmed =
+        answer.verdict == runner_verdict::done && !is_of_next_incarnation(host, answer);
     record_event(out,
         confirmed ? "stop_confirmed" : "stop_unanswered",
         task,
--- a/libs/coordinator/src/explain.cpp
+++ b/libs/coordinator/src/explain.cpp
@@ -25,7 +25,7 @@
     {
         for (const auto& it : j.tasks[i].runs)
         {
-            ++by_host[it.host];
+            ++by_host[std::string(ports::runner_of(it.host))];
         }
     }
     std::string out;
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -127,16 +127,12 @@
            (h.ref.address != it.ref.address || (!h.pool.empty() && h.pool != it.pool));
 }
 
-/// The list may still name an ended incarnation after its runner has started again: while a later
-/// one is known, the ended one stays known too.
 void forget_ended_runners(fleet& f, core::mono_time now)
 {
     std::erase_if(f.ended_runners,
         [&](const auto& it)
         {
-            const bool old = now - it.second > f.settings.ended_runner_retention;
-            const bool forgotten =
-                old && find_runner(f, ports::read_incarnation(it.first).runner) == nullptr;
+            const bool forgotten = now - it.second > f.settings.ended_runner_retention;
             if (forgotten)
             {
                 f.abandoned_starts.erase(it.first);
@@ -152,9 +148,13 @@
 std::string find_listed_incarnation(
     fleet& f, const host_listing& it, core::mono_time now, task_events& out)
 {
+    if (f.hosts.contains(it.ref.id))
+    {
+        return it.ref.id;
+    }
     const auto listed = ports::read_incarnation(it.ref.id);
     const auto* const h = find_runner(f, listed.runner);
-    if (h == nullptr || h->ref.id == it.ref.id)
+    if (h == nullptr)
     {
         return it.ref.id;
     }
--- a/libs/coordinator/src/machine_list_evidence.cpp
+++ b/libs/coordinator/src/machine_list_evidence.cpp
@@ -7,6 +7,8 @@
 #include "restarts.hpp"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 #include <utility>
 
 namespace camphorhitch::coordinator
@@ -15,6 +17,25 @@
 namespace
 {
 
+/// Records the machines that the list names for the runners of uncertain losses.
+void identify_lost_machines(fleet& f, const machine_table& list)
+{
+    if (f.uncertain_losses.empty())
+    {
+        return;
+    }
+    std::map<std::string_view, const std::string*> machines; // by runner
+    for (const auto& [id, m] : list.machines)
+    {
+        machines.emplace(m.runner, &id);
+    }
+    for (auto& [host, it] : f.uncertain_losses)
+    {
+        const auto found = machines.find(ports::runner_of(host));
+        it.machine = found == machines.end() ? it.machine : *found->second;
+    }
+}
+
 /// Confirms uncertain losses of runners whose machine has another runner now, including runners
 /// that are no longer among the hosts.
 void confirm_listed_losses(fleet& f,
@@ -24,13 +45,7 @@
     task_events& out)
 {
     remove_irrelevant_losses(f);
-    for (const auto& [id, m] : list.machines)
-    {
-        for (auto& [host, it] : f.uncertain_losses)
-        {
-            it.machine = ports::is_same_runner(host, m.runner) ? id : it.machine;
-        }
-    }
+    identify_lost_machines(f, list);
     std::vector<std::string> over;
     for (auto& [id, it] : f.uncertain_losses)
     {
--- a/libs/hosted/src/host_reader.cpp
+++ b/libs/hosted/src/host_reader.cpp
@@ -55,11 +55,13 @@
 }
 
 /// \return whether the record names the runner in this pool without an end of its leases: a
-/// successor then waits until the runner answers or a whole lease has passed.
+/// successor then waits until the runner answers or a whole lease has passed. A row without a start
+/// time stands for any incarnation.
 bool is_recorded_without_end(
     const runner_records& all, const std::string& id, const std::string& pool)
 {
-    const auto found = all.find(id);
+    auto found = all.find(id);
+    found = found != all.end() ? found : all.find(std::string(ports::runner_of(id)));
     return found != all.end() && !found->second.remaining_lease && found->second.pool == pool;
 }
 
--- a/libs/hosted/tests/runner_record_tests.cpp
+++ b/libs/hosted/tests/runner_record_tests.cpp
@@ -37,6 +37,17 @@
         CHECK(c.has_leader());
     }
 
+    /// Replaces the record by that of a version that does not know start times.
+    void forget_start_times()
+    {
+        hosted::runner_records earlier;
+        for (const auto& [id, it] : stored())
+        {
+            earlier.emplace(ports::runner_of(id), it);
+        }
+        c.store.put(hosted::runners_key, hosted::write_runners(earlier));
+    }
+
     void begin(int nodes)
     {
         for (int i = 0; i < nodes; ++i)
@@ -141,6 +152,35 @@
     CHECK(!stored().contains(runner_of("m2")));
 }
 
+// Guards against leases that end while the coordinator replaces a record without start times: the
+// store answers that write late, and the runners must not wait for it.
+TEST(runner_record, leases_are_renewed_while_a_record_without_start_times_is_replaced)
+{
+    bool is_slow = false;
+    c.customize_node = [&](node& n)
+    {
+        n.ctx.store.commit = [&, real = n.ctx.store.commit](
+                                 ports::store_transaction change, const auto& done)
+        {
+            const bool late =
+                is_slow && !change.puts.empty() && change.puts.front().key == hosted::runners_key;
+            c.time.after(late ? 4s : 0s, [=] { real(change, done); });
+        };
+    };
+    c.hosts.behaviour.run_time = 8s;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    begin(2);
+    c.put_job(c.make_job_on_each("a", 2));
+    CHECK(c.time.run_until([this] { return c.running() == 2; }, 2s));
+    forget_start_times();
+    c.leader()->process.dead = true;
+    is_slow = true;
+    CHECK(c.ends("a", job_state::completed, 16s));
+    LONGS_EQUAL(2, c.hosts.starts);
+    LONGS_EQUAL(0, c.hosts.expired_runs);
+}
+
 // Guards against taking the runners of a record without start times, as earlier versions wrote it,
 // for others than the listed ones: their tasks would run twice, or wait for leases that are
 // renewed.
@@ -152,13 +192,8 @@
     begin(2);
     c.put_job(c.make_job_on_each("a", 2));
     CHECK(c.time.run_until([this] { return c.running() == 2; }, 2s));
-    hosted::runner_records earlier;
-    for (const auto& [id, it] : stored())
-    {
-        earlier.emplace(ports::read_incarnation(id).runner, it);
-    }
     c.leader()->process.dead = true;
-    c.store.put(hosted::runners_key, hosted::write_runners(earlier));
+    forget_start_times();
     CHECK(c.has_leader());
     CHECK(c.ends("a", job_state::completed, 8s));
     LONGS_EQUAL(2, c.hosts.starts);
--- a/libs/ports/include/ports/incarnation.hpp
+++ b/libs/ports/include/ports/incarnation.hpp
@@ -25,6 +25,9 @@
 /// Reads any text. A text that does not end in a valid start time is an id with an unknown start.
 incarnation read_incarnation(std::string_view text);
 
+/// \return the runner's id in the text of an incarnation.
+std::string_view runner_of(std::string_view text);
+
 /// \return whether both texts name the same runner, in any incarnation.
 bool is_same_runner(std::string_view a, std::string_view b);
 
--- a/libs/ports/src/incarnation.cpp
+++ b/libs/ports/src/incarnation.cpp
@@ -27,15 +27,22 @@
 }
 
 incarnation read_incarnation(std::string_view text)
+{
+    const auto runner = runner_of(text);
+    const bool has_start = runner.size() < text.size();
+    return {std::string(runner), has_start ? read_born(text.substr(runner.size() + 1)) : 0};
+}
+
+std::string_view runner_of(std::string_view text)
 {
     const auto at = text.rfind(separator);
-    const auto born = at == std::string_view::npos ? 0 : read_born(text.substr(at + 1));
-    return {std::string(born == 0 ? text : text.substr(0, at)), born};
+    const bool has_start = at != std::string_view::npos && read_born(text.substr(at + 1)) != 0;
+    return has_start ? text.substr(0, at) : text;
 }
 
 bool is_same_runner(std::string_view a, std::string_view b)
 {
-    return read_incarnation(a).runner == read_incarnation(b).runner;
+    return runner_of(a) == runner_of(b);
 }
 
 } // namespace camphorhitch::ports
