Random worlds restart half of the runners under their ids

Runners of the random worlds keep their id in half of their restarts, and one world begins to state start times while it runs. The old fault, a platform whose start times are ignored, is one more disabled safeguard that random_fleet has to detect.

--- a/libs/hosted/tests/disabled_safeguards.hpp
+++ b/libs/hosted/tests/disabled_safeguards.hpp
@@ -186,12 +186,19 @@
     };
 }
 
+/// Identifies a runner by its id alone, so that a restarted one counts as the same.
+inline void ignore_start_times(hosted_fakes::cluster& c)
+{
+    c.hosts.state_start_times(false);
+}
+
 inline constexpr disabled_safeguard disabled_safeguards[] = {
     {"unanswered starts count as refused", treat_unanswered_as_refused},
     {"the record of runners is hidden", hide_runner_record},
     {"leases are reported as ended", report_leases_as_ended},
     {"lease time and fencing tokens are ignored", ignore_lease_and_tokens},
     {"ends are acknowledged before they are stored", acknowledge_before_storing},
+    {"restarted runners count as the same", ignore_start_times},
 };
 
 } // namespace camphorhitch::hosted_tests
--- a/libs/hosted/tests/every_fault_tests.cpp
+++ b/libs/hosted/tests/every_fault_tests.cpp
@@ -414,13 +414,14 @@
 }
 
 // With any one safeguard disabled, some pair of faults breaks a promise, which shows that the
-// checks can fail. Only treating an unanswered start as refused takes three faults, which
-// random_fleet detects: the next start goes to the same runner, which then refuses the older one.
+// checks can fail. Treating an unanswered start as refused takes three faults, which random_fleet
+// detects: the next start goes to the same runner, which then refuses the older one. No runner
+// restarts here, so that ignoring start times is detected by random_fleet only.
 TEST(every_fault, a_disabled_safeguard_is_detected)
 {
     for (const auto& it : disabled_safeguards)
     {
-        if (it.prepare == treat_unanswered_as_refused)
+        if (it.prepare == treat_unanswered_as_refused || it.prepare == ignore_start_times)
         {
             continue;
         }
--- a/libs/hosted/tests/random_fleet_tests.cpp
+++ b/libs/hosted/tests/random_fleet_tests.cpp
@@ -73,6 +73,26 @@
         { play_seed(seed, steps, [](cluster& c) { c.settings.max_idle_polls_per_second = 1; }); });
 }
 
+// The platform begins to state when its runners started while they run, and none of them has kept
+// its id. Tasks must neither run twice nor be lost when the start times become known.
+TEST(random_fleet, no_promise_is_broken_when_start_times_appear)
+{
+    constexpr std::uint64_t seeds = 12;
+    constexpr int steps = 120;
+    for_each_seed(seeds,
+        [](std::uint64_t seed)
+        {
+            play_seed(seed,
+                steps,
+                [](cluster& c)
+                {
+                    c.hosts.kept_id_share = 0;
+                    c.hosts.state_start_times(false);
+                    c.time.after(15s, [&c] { c.hosts.state_start_times(true); });
+                });
+        });
+}
+
 // Each of these seeds once revealed a fault of the fakes: ends acknowledged after their lease had
 // expired counted as acknowledged (100), a broken watch was never answered (204), a call of a
 // paused process never timed out (706). The seeds are kept since they reach rare states.
--- a/libs/hosted/tests/random_simulation.hpp
+++ b/libs/hosted/tests/random_simulation.hpp
@@ -46,6 +46,7 @@
         std::uint64_t seed, const std::function<void(cluster&)>& prepare = {})
         : c(seed), random(seed)
     {
+        c.hosts.kept_id_share = 0.5;
         if (prepare)
         {
             prepare(c);
--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -95,6 +95,8 @@
     /// Changes the capacity while the runner runs, regardless of its runs.
     /// \param cpu milli-cores
     void resize(const std::string& machine, std::int64_t cpu);
+    /// \param stated whether entries and answers state the start time from now on
+    void state_start_times(bool stated);
     /// Adds a machine at the address of one that is cut off, as a platform reuses addresses.
     /// \return the new machine's name.
     std::string transfer_address(const std::string& machine);
@@ -126,7 +128,6 @@
     bool accepts_starts_under_any_lease = false;
     /// Share of restarts in which a runner keeps its id; the others give it a new one.
     double kept_id_share = 0;
-    bool states_start_times = true; ///< false: neither entries nor answers state the start time
     /// Share of starts and stops that get no answer and are carried out seconds later.
     double late_order_share = 0;
     int machine_answers_to_lose = 0; ///< number of next machine orders, carried out unanswered
@@ -198,6 +199,7 @@
     std::map<std::string, int> ended_failed_;        ///< by task: failed runs, acknowledged or not
     std::map<std::string, int> crashed_;             ///< by task: runners that it crashed
     std::map<std::string, int> starts_past_crashes_; ///< by task: starts after max_crashes crashes
+    bool states_start_times_ = true;
     int last_incarnation_ = 0;
     int last_address_ = 0; ///< number of addresses given out after a transfer
 };
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -90,7 +90,7 @@
 
 void hosts::publish(const fake_host& h)
 {
-    store_.put("runner/" + h.runner, write_entry(h, states_start_times));
+    store_.put("runner/" + h.runner, write_entry(h, states_start_times_));
 }
 
 void hosts::remove_entry(const std::string& runner, std::int64_t born_ms)
@@ -108,7 +108,7 @@
 std::string hosts::incarnation_of(const std::string& machine) const
 {
     const auto& h = machines.at(machine);
-    return ports::write_incarnation({h.runner, states_start_times ? h.born_ms : 0});
+    return ports::write_incarnation({h.runner, states_start_times_ ? h.born_ms : 0});
 }
 
 void hosts::after_in_life(
@@ -227,6 +227,18 @@
         });
 }
 
+void hosts::state_start_times(bool stated)
+{
+    states_start_times_ = stated;
+    for (const auto& [name, h] : machines)
+    {
+        if (h.up)
+        {
+            publish(h);
+        }
+    }
+}
+
 void hosts::resize(const std::string& machine, std::int64_t cpu)
 {
     auto& h = machines.at(machine);
@@ -459,7 +471,7 @@
 ports::poll_answer hosts::list_runs(const fake_host& h)
 {
     ports::poll_answer out;
-    out.call = {runner_verdict::done, clock_of(h), states_start_times ? h.born_ms : 0};
+    out.call = {runner_verdict::done, clock_of(h), states_start_times_ ? h.born_ms : 0};
     for (const auto& [task, run] : h.runs)
     {
         out.running.push_back({task, run.number, {}, percent_of_whole, 0});
