An answer to a start does not show which incarnation gave it

What callers would see: a task runs on two runners at once, or is ended there and started elsewhere, if its start reached the next incarnation of a runner before the coordinator knew of it.

Change: only a poll that lists a run binds it to the incarnation; all others pass on at a restart. A clock more than 3 s off the expected one counts as that of another incarnation: the start is unanswered, and the clock is not taken over. A lost run whose start was answered still counts as a certain loss once the next incarnation has refused it. Fake runners' clocks start anywhere too.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -53,14 +53,15 @@
     std::string host;        ///< id of the runner
     run_phase phase = run_phase::ordered;
     core::mono_time ordered_at; ///< when the start was ordered; for an adopted run, when found
-    /// Lower bound of the runner's clock when the start was ordered, in milliseconds. A lower clock
-    /// in the answer is that of a later incarnation. -1: unknown.
-    std::int64_t min_clock_ms = -1;
-    bool adopted = false;   ///< a previous coordinator started it: its start time is unknown
-    bool resumed = false;   ///< started from a checkpoint, so shorter than a complete run
-    bool confirmed = false; ///< this incarnation has reported the run as active
+    bool adopted = false;       ///< a previous coordinator started it: its start time is unknown
+    bool resumed = false;       ///< started from a checkpoint, so shorter than a complete run
+    bool confirmed = false;     ///< the runner has reported this run as active
+    /// A poll of this incarnation has listed the run. The answer to a start does not name the
+    /// incarnation, so that alone a run may be active on the next one.
+    bool listed = false;
     /// The start was sent to an earlier incarnation, which may have ended because of it.
     bool sent_to_earlier = false;
+    bool confirmed_earlier = false; ///< that start was answered as done
     bool after_loss = false;   ///< earlier runs of the task were lost together with their runners
     bool isolated = false;     ///< run of a suspect: its host receives no other task meanwhile
     bool only_suspect = false; ///< no other task on its host is suspected of crashing hosts
--- a/libs/coordinator/src/abandoned_starts.cpp
+++ b/libs/coordinator/src/abandoned_starts.cpp
@@ -10,11 +10,11 @@
 namespace
 {
 
-/// Returns false for confirmed runs: they ended with their leases or their runner. The runner
-/// refuses to start them again, and no other incarnation received their orders.
+/// Returns false for runs that this incarnation has listed: they ended with their leases or their
+/// runner, which refuses to start them again.
 bool may_still_start(const run_entry& it)
 {
-    return !it.confirmed && !it.stop_confirmed;
+    return !it.listed && !it.stop_confirmed;
 }
 
 } // namespace
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -10,6 +10,7 @@
 #include "workflow/records.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <optional>
 #include <set>
 
@@ -57,7 +58,6 @@
         run.phase_changed_at = now;
     }
     run.confirmed = true;
-    run.sent_to_earlier = false;
     mark_job_started(j);
 }
 
@@ -140,6 +140,8 @@
     }
     auto& run = t->runs[run_index(*t, h.ref.id, it.run)];
     confirm_running(j, run, now);
+    run.listed = true;
+    run.sent_to_earlier = false;
     run.progress_percent = it.progress_percent;
     run.load_metric = it.load_metric;
     clear_losses_if_proven(f, h, j, *name, run, out);
@@ -227,6 +229,7 @@
             {
                 sent.phase = run_phase::unsettled;
                 sent.stop_confirmed = false;
+                sent.confirmed = sent.confirmed_earlier;
                 const auto proof = termination_evidence::restarted;
                 record_lost_run(f,
                     j,
@@ -283,7 +286,11 @@
     }
     if (answer.verdict != runner_verdict::done)
     {
-        mark_unresponsive(h, verdict_text(answer), now, out);
+        mark_unresponsive(h,
+            verdict_text(answer) + " clock_ms=" + std::to_string(h.clock_ms) +
+                " lease_left_ms=" + std::to_string(time_to_lease_expiry(f, h, now).count()),
+            now,
+            out);
         return true;
     }
     if (!h.reachable)
@@ -302,6 +309,20 @@
     return std::nullopt;
 }
 
+/// \return whether \p clock_ms may be read from the clock of the host's incarnation: the clock of
+/// another one starts anywhere. An unknown clock may be.
+bool is_clock_of(const host_entry& h, std::int64_t clock_ms, core::mono_time now)
+{
+    constexpr core::millis max_delay{3000}; // of either answer, in the network and unread
+    if (clock_ms < 0 || h.clock_ms < 0)
+    {
+        return true;
+    }
+    const auto passed = std::chrono::duration_cast<core::millis>(now - h.clock_read_at);
+    const auto expected = h.clock_ms + passed.count();
+    return std::abs(clock_ms - expected) <= max_delay.count();
+}
+
 /// \return whether the answer to a call for \p host is that of a later incarnation of its runner.
 bool is_of_next_incarnation(const std::string& host, const ports::runner_answer& answer)
 {
@@ -358,9 +379,8 @@
     }
     auto* const h = find_host(f, host);
     auto* const it = find_run(f, task, host, run);
-    const bool clock_went_back =
-        it != nullptr && answer.clock_ms >= 0 && answer.clock_ms < it->min_clock_ms;
-    const bool restarted = clock_went_back || is_of_next_incarnation(host, answer);
+    const bool restarted = is_of_next_incarnation(host, answer) ||
+                           (h != nullptr && !is_clock_of(*h, answer.clock_ms, now));
     const bool unanswered = restarted || answer.verdict == runner_verdict::unknown ||
                             answer.verdict == runner_verdict::other_life;
     if (restarted && h != nullptr)
--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -17,7 +17,7 @@
 /// \return whether the run may be active on the next incarnation.
 bool may_be_passed_on(const run_entry& run, bool has_ended)
 {
-    return !has_ended || !run.confirmed;
+    return !has_ended || !run.listed;
 }
 
 /// Passes the runs of \p from on to \p to.
@@ -50,7 +50,9 @@
             run.phase =
                 run.phase == run_phase::stopping ? run_phase::stopping : run_phase::unsettled;
             run.phase_changed_at = now;
+            run.confirmed_earlier = run.confirmed;
             run.confirmed = false;
+            run.listed = false;
             run.stop_in_flight = false;
             run.stop_confirmed = false;
             run.stop_retry_at = {};
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -1,7 +1,6 @@
 #include "starts.hpp"
 
 #include "bookkeeping.hpp"
-#include "coordinator/intake.hpp"
 #include "core/invariant.hpp"
 #include "lost_runs.hpp"
 
@@ -101,7 +100,6 @@
     run.host = h.ref.id;
     run.ordered_at = now;
     run.phase_changed_at = now;
-    run.min_clock_ms = min_runner_clock(f, h, now);
     run.resumed = !t.progress.checkpoint.empty();
     add_run(f, j, name, run);
     --to.remaining_orders;
--- a/libs/coordinator/tests/fleet_fixture.hpp
+++ b/libs/coordinator/tests/fleet_fixture.hpp
@@ -61,7 +61,7 @@
         h.recorded = true;
         h.reachable = true;
         h.last_answer_at = now;
-        h.clock_ms = 1000;
+        h.clock_ms = clock_ms();
         h.clock_read_at = now;
         f.hosts[id] = h;
     }
@@ -71,6 +71,13 @@
         add_job(f, std::move(j), 1, {}, 0);
     }
 
+    /// \return the clock of all runners, in milliseconds.
+    std::int64_t clock_ms() const
+    {
+        return 1000 +
+               std::chrono::duration_cast<core::millis>(now - core::mono_time{1000s}).count();
+    }
+
     plan plan_next(std::int64_t unix_ms = wall_ms)
     {
         return make_plan(f, now, unix_ms, true, events);
@@ -79,14 +86,14 @@
     /// Applies the answer of the runner to a start order.
     void answer_start(const start_action& a, ports::runner_verdict v = ports::runner_verdict::done)
     {
-        handle_start_answer(f, a.host.id, a.task, a.run, {v, 1000}, now, events);
+        handle_start_answer(f, a.host.id, a.task, a.run, {v, clock_ms()}, now, events);
     }
 
     /// Applies a poll answer that reports the end of the run.
     void report_end(const start_action& a, ports::run_end how, std::int64_t number)
     {
         ports::poll_answer p;
-        p.call = {ports::runner_verdict::done, 1000};
+        p.call = {ports::runner_verdict::done, clock_ms()};
         p.ended = {{number,
             workflow::task_name(a.task).job + "." + std::to_string(a.task.occurrence) + "." +
                 std::to_string(a.task.step) + "." + std::to_string(a.task.index),
--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -51,8 +51,9 @@
     std::string machine;
     std::string pool;
     std::string runner;
-    std::int64_t born_ms = 0; ///< start of the incarnation, in milliseconds since 1970
-    core::mono_time born_at;  ///< the same on the virtual clock; the runner's own clock starts then
+    std::int64_t born_ms = 0;           ///< start of the incarnation, in milliseconds since 1970
+    core::mono_time born_at;            ///< the same on the virtual clock
+    std::int64_t clock_at_birth_ms = 0; ///< the runner's own clock at its start
     std::string address;
     workflow::resources capacity{8000, 65536, 0};
     core::mono_time capacity_reduced_at;   ///< when the capacity was last reduced
@@ -201,7 +202,8 @@
     std::map<std::string, int> starts_past_crashes_; ///< by task: starts after max_crashes crashes
     bool states_start_times_ = true;
     int last_incarnation_ = 0;
-    int last_address_ = 0; ///< number of addresses given out after a transfer
+    std::int64_t lives_ = 0; ///< number of incarnations of all runners
+    int last_address_ = 0;   ///< number of addresses given out after a transfer
 };
 
 } // namespace camphorhitch::hosted_fakes
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -80,7 +80,8 @@
 std::int64_t hosts::clock_of(const fake_host& h) const
 {
     const auto lived = std::chrono::duration_cast<core::millis>(time_.now() - h.born_at);
-    return static_cast<std::int64_t>(static_cast<double>(lived.count()) * h.clock_rate);
+    return h.clock_at_birth_ms +
+           static_cast<std::int64_t>(static_cast<double>(lived.count()) * h.clock_rate);
 }
 
 void hosts::record_violation(const std::string& what)
@@ -139,6 +140,10 @@
     }
     h.born_ms = core::to_unix_ms(time_.wall_now());
     h.born_at = time_.now();
+    // The clocks of two incarnations are unrelated, and either may be ahead.
+    constexpr std::int64_t clock_step_ms = 5'000'011;
+    constexpr std::int64_t max_clock_at_birth_ms = 9'000'000;
+    h.clock_at_birth_ms = ++lives_ * clock_step_ms % max_clock_at_birth_ms;
     h.up = true;
     h.draining = false;
     h.fence = 0;
