A restarted runner is no lost host of a previous coordinator

What callers would see: in the first term, a job whose runner started again and was lost never ends, as no coordinator can read its progress; later, innocent tasks start in isolation.

Cause: the host of the next incarnation counts as inherited until it was polled. If it was lost first, that was taken for the loss of a host that a previous coordinator had used, and one unseen start counted with each later loss. The first term has no number for such a start, and a row without one is refused.

Change: only hosts that come from the record count.

--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -181,10 +181,12 @@
     return std::chrono::duration_cast<core::millis>(now - then).count();
 }
 
-/// Runs that a previous coordinator ordered on the host may have been lost with it.
+/// Runs that a previous coordinator ordered on the host may have been lost with it. The next
+/// incarnation of a host has none: if the host itself was inherited, it was recorded.
 void record_lost_inherited_host(fleet& f, const host_entry& h)
 {
-    if (h.inherited)
+    const bool has_restarted = h.foreign_lease.count() > 0;
+    if (h.inherited && !has_restarted)
     {
         f.pools_with_lost_hosts.insert(h.pool);
     }
--- a/libs/coordinator/tests/restarts_tests.cpp
+++ b/libs/coordinator/tests/restarts_tests.cpp
@@ -87,10 +87,12 @@
         const char* text;
         ports::runner_answer answer; ///< to the start; not_sent: none yet
         bool passes_on;
+        bool listed = false; ///< by a poll of the old incarnation, after the answer
     };
     const row rows[] = {
-        {"confirmed by the old clock", {ports::runner_verdict::done, 1000}, false},
-        {"answered with a lower clock", {ports::runner_verdict::done, 20}, true},
+        {"answered and listed", {ports::runner_verdict::done, 1000}, false, true},
+        {"answered and not listed", {ports::runner_verdict::done, 1000}, true},
+        {"answered with a higher clock", {ports::runner_verdict::done, 9'000'000}, true},
         {"answered by the next one", {ports::runner_verdict::done, 2000, second_start}, true},
         {"unanswered", {ports::runner_verdict::unknown, -1}, true},
         {"answered by another runner", {ports::runner_verdict::other_life, -1}, true},
@@ -102,6 +104,13 @@
         fresh.accept_job(make_job("a", {make_step(1, 1000)}));
         const auto a = fresh.plan_next().starts.at(0);
         handle_start_answer(fresh.f, before, a.task, a.run, it.answer, fresh.now, fresh.events);
+        if (it.listed)
+        {
+            ports::poll_answer listing;
+            listing.call = {ports::runner_verdict::done, fresh.clock_ms(), first_start};
+            listing.running.push_back({workflow::write_task_name(a.task), a.run, {}, 0, 0});
+            handle_poll_answer(fresh.f, before, fresh.now, listing, fresh.now, fresh.events);
+        }
         fresh.now += 10ms;
         handle_poll_answer(fresh.f, before, fresh.now, answer_of_next(), fresh.now, fresh.events);
         CHECK_EQUAL_TEXT(it.passes_on ? 1U : 0U, fresh.f.hosts.at(after).runs.size(), it.text);
@@ -178,6 +187,20 @@
     }
 }
 
+// Guards against counting a start by a previous coordinator with each runner that is lost after a
+// restart: innocent tasks would start in isolation, and in the first term their progress could not
+// be read any more.
+TEST(restarts, the_loss_of_the_next_incarnation_is_none_of_a_previous_coordinator)
+{
+    w.add_host(before);
+    list(after);
+    w.f.hosts.at(after).contact_score = min_contact_score;
+    w.now += 2 * w.f.settings.max_runner_lease;
+    expire_hosts(w.f, w.now, w.events);
+    CHECK_FALSE(w.f.hosts.at(after).inherited);
+    CHECK(w.f.pools_with_lost_hosts.empty());
+}
+
 // Guards against a machine that stays in its move for ever: its runner has kept its id, and the
 // list of machines knows no other name.
 TEST(restarts, a_move_completes_when_the_runner_keeps_its_id)
