--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -167,7 +167,7 @@
     {
         return {};
     }
-    auto& next = replace_incarnation(f, h->ref.id, listed.born_ms, now, out);
+    auto& next = replace_incarnation(f, std::string(h->ref.id), listed.born_ms, now, out);
     if (known.born_ms != 0)
     {
         next.ref = it.ref;
--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -132,7 +132,7 @@
 }
 
 host_entry& replace_incarnation(
-    fleet& f, std::string old, std::int64_t born_ms, core::mono_time now, task_events& out)
+    fleet& f, const std::string& old, std::int64_t born_ms, core::mono_time now, task_events& out)
 {
     const auto was = read_incarnation(old);
     const bool has_ended = was.born_ms != 0;
--- a/libs/coordinator/src/restarts.hpp
+++ b/libs/coordinator/src/restarts.hpp
@@ -20,11 +20,12 @@
 
 /// Replaces host \p old by the incarnation of its runner that began at \p born_ms. Orders name a
 /// runner by its id only, so one that was sent to the old incarnation may have been carried out by
-/// the new one. Runs that the old incarnation did not confirm are therefore passed on as unsettled,
-/// and the new host counts as inherited until it was polled. All other runs have ended. If the
-/// start time of \p old is unknown, both may be the same incarnation, and all runs are passed on.
-/// \return the new host; its labels and capacity are unknown until the list of runners shows it
+/// the new one. Runs that no poll of the old incarnation listed are therefore passed on as
+/// unsettled, and the new host counts as inherited until it was polled. All other runs have ended.
+/// If the start time of \p old is unknown, both may be the same incarnation, and all runs are
+/// passed on. \param old not a reference into the host, which is removed \return the new host; its
+/// labels and capacity are unknown until the list of runners shows it
 host_entry& replace_incarnation(
-    fleet& f, std::string old, std::int64_t born_ms, core::mono_time now, task_events& out);
+    fleet& f, const std::string& old, std::int64_t born_ms, core::mono_time now, task_events& out);
 
 } // namespace camphorhitch::coordinator
