Skipped ends and failed polls cost no more than before they were logged

Each end that a runner lists once more, up to 500 in an answer, parsed its task's name and looked the task up; the host knows its runs by that name, so an end without a run is passed over by one look-up. The text for host_silent, with the rest of the leases, was built for each failed poll of a runner that was silent already, and thrown away. Two comments have their \return on lines of their own. No behaviour changes.

--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -156,9 +156,8 @@
 std::string describe_skipped_end(
     fleet& f, const host_entry& h, const ports::reported_end& it, std::int64_t applied)
 {
-    const auto read = workflow::read_task_name(it.task);
-    const auto* const name = std::get_if<workflow::task_name>(&read);
-    if (name == nullptr || find_run(f, *name, h.ref.id, it.run) == nullptr)
+    const auto found = h.runs.find(it.task);
+    if (found == h.runs.end() || find_run(f, found->second, h.ref.id, it.run) == nullptr)
     {
         return {};
     }
@@ -286,11 +285,14 @@
     }
     if (answer.verdict != runner_verdict::done)
     {
-        mark_unresponsive(h,
-            verdict_text(answer) + " clock_ms=" + std::to_string(h.clock_ms) +
-                " lease_left_ms=" + std::to_string(time_to_lease_expiry(f, h, now).count()),
-            now,
-            out);
+        if (h.reachable)
+        {
+            mark_unresponsive(h,
+                verdict_text(answer) + " clock_ms=" + std::to_string(h.clock_ms) +
+                    " lease_left_ms=" + std::to_string(time_to_lease_expiry(f, h, now).count()),
+                now,
+                out);
+        }
         return true;
     }
     if (!h.reachable)
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -143,8 +143,9 @@
 
 /// Replaces the known incarnation of the runner if the entry describes a later one. An entry
 /// without a start time describes the known incarnation. One with an earlier start time is older
-/// than an answer of the runner itself. \return the id of the host that the entry describes; empty:
-/// none
+/// than an answer of the runner itself.
+///
+/// \return the id of the host that the entry describes; empty: none
 std::string find_listed_incarnation(
     fleet& f, const host_listing& it, core::mono_time now, task_events& out)
 {
--- a/libs/coordinator/src/restarts.hpp
+++ b/libs/coordinator/src/restarts.hpp
@@ -23,8 +23,10 @@
 /// the new one. Runs that no poll of the old incarnation listed are therefore passed on as
 /// unsettled, and the new host counts as inherited until it was polled. All other runs have ended.
 /// If the start time of \p old is unknown, both may be the same incarnation, and all runs are
-/// passed on. \param old not a reference into the host, which is removed \return the new host; its
-/// labels and capacity are unknown until the list of runners shows it
+/// passed on.
+///
+/// \param old not a reference into the host, which is removed
+/// \return the new host; its labels and capacity are unknown until the list of runners shows it
 host_entry& replace_incarnation(
     fleet& f, const std::string& old, std::int64_t born_ms, core::mono_time now, task_events& out);
 
