--- a/libs/coordinator/tests/restarts_tests.cpp
+++ b/libs/coordinator/tests/restarts_tests.cpp
@@ -218,37 +218,6 @@
     LONGS_EQUAL(0, r.moves.size());
 }
 
-// Guards against taking the list of machines, which knows ids only, for evidence that an
-// incarnation has ended or goes on.
-TEST(restarts, the_list_of_machines_ends_an_incarnation_by_its_id_and_state)
-{
-    struct row
-    {
-        const char* runner;
-        ports::machine_state state;
-        bool ends;
-    };
-    const row rows[] = {
-        {"h1", ports::machine_state::up, false},
-        {"h2", ports::machine_state::up, true},
-        {"h1", ports::machine_state::moving, true},
-        {"h1", ports::machine_state::in_maintenance, true},
-        {"", ports::machine_state::down, false},
-    };
-    for (const auto& it : rows)
-    {
-        fleet_fixture fresh;
-        fresh.add_host(before);
-        fresh.f.hosts.at(before).machine = "m1";
-        machine_table list;
-        list.known = true;
-        list.requested_at = fresh.now;
-        list.machines["m1"] = {"m1", "p", "z", it.runner, it.state};
-        apply_machine_list(fresh.f, list, 300ms, fresh.now, fresh.events);
-        CHECK_EQUAL_TEXT(it.ends, fresh.f.hosts.empty(), it.runner);
-    }
-}
-
 // Guards against ending runs that may be active: without a start time before, the incarnation may
 // be the same.
 TEST(restarts, a_start_time_that_becomes_known_ends_no_run)
--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -154,7 +154,7 @@
 
 // The record of runners contains one whose machine has moved since. The next coordinator need not
 // wait for the leases of that runner: the machine list shows that the machine runs nothing, or
-// another runner.
+// another runner. The list knows ids only, and is no evidence of an incarnation under the same id.
 TEST(waves, another_or_no_runner_on_its_machine_ends_a_runner)
 {
     struct row
@@ -166,23 +166,34 @@
     const row rows[] = {
         {"h1", ports::machine_state::up, false},
         {"h9", ports::machine_state::up, true},
+        {"h1", ports::machine_state::moving, true},
         {"", ports::machine_state::moving, true},
         {"h1", ports::machine_state::in_maintenance, true},
         {"", ports::machine_state::down, false},
         {"h1", ports::machine_state::down, false},
     };
+    struct variant
+    {
+        const char* host;
+        bool inherited;
+        core::millis list_lag;
+    };
+    const variant variants[] = {{"h1", true, 0ms}, {"h1/1700000000000", false, 300ms}};
     for (const auto& it : rows)
     {
-        fleet_fixture each;
-        each.add_host("h1");
-        each.f.hosts["h1"].machine = "m1";
-        each.f.hosts["h1"].inherited = true;
-        machine_table table;
-        table.known = true;
-        table.requested_at = each.now;
-        table.machines["m1"] = {"m1", "p", "z", it.runner, it.state};
-        apply_machine_list(each.f, table, {}, each.now, each.events);
-        LONGS_EQUAL(it.ends ? 0 : 1, each.f.hosts.count("h1"));
+        for (const auto& v : variants)
+        {
+            fleet_fixture each;
+            each.add_host(v.host);
+            each.f.hosts[v.host].machine = "m1";
+            each.f.hosts[v.host].inherited = v.inherited;
+            machine_table table;
+            table.known = true;
+            table.requested_at = each.now;
+            table.machines["m1"] = {"m1", "p", "z", it.runner, it.state};
+            apply_machine_list(each.f, table, v.list_lag, each.now, each.events);
+            LONGS_EQUAL(it.ends ? 0 : 1, each.f.hosts.count(v.host));
+        }
     }
 }
 
