Machines that leave are neither moved nor counted; refused orders are delayed

Change: a draining host is not chosen for a move or an upkeep, doesn't count, and a move that was chosen before is given up. A machine that refuses without that sign is left out, closed and asked again ever more rarely until the list shows another runner. A refusal for want of capacity pauses all orders; moves that a short pool waits for go first.

--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -32,6 +32,14 @@
     /// A host that another pool lacks is freed of tasks with checkpoints that would occupy it for
     /// longer than this. 0: tasks are never stopped for a move.
     core::millis task_stop_threshold{800};
+    /// After an order that the service refused for want of capacity, no order is sent for this
+    /// long; twice as long after each further refusal in a row, up to the maximum.
+    core::millis refused_order_pause{200};
+    core::millis max_refused_order_pause{1600};
+    /// A machine that refused an order, without any sign that it leaves, is not chosen again for
+    /// this long; twice as long after each further refusal, up to the maximum.
+    core::millis busy_machine_delay{1500};
+    core::millis max_busy_machine_delay{12000};
 };
 
 /// A pool as the operators configured it.
@@ -51,6 +59,15 @@
     /// The order was sent to the platform.
     bool ordered = false;
     core::mono_time ordered_at;
+    bool is_wanted = false; ///< the other pool lacks hosts, so callers wait for the host
+};
+
+/// A machine that has refused an order because it was not up, or about to leave.
+struct busy_machine
+{
+    std::string runner; ///< runner's id that the list named then; empty: none
+    int refusals = 0;
+    core::mono_time not_before; ///< the machine is not chosen before this time
 };
 
 /// State of the moves between pools.
@@ -59,6 +76,10 @@
     rebalance_settings settings;
     /// By machine; until the machine list shows the machine up in its new pool.
     std::map<std::string, pending_move> moves;
+    /// By machine; until it accepts an order, has another runner, or leaves the list.
+    std::map<std::string, busy_machine> busy_machines;
+    int refusals_in_row = 0;           ///< orders refused for want of the service's capacity
+    core::mono_time orders_not_before; ///< no order is sent before this time
     std::map<std::string, core::mono_time> surplus_since; ///< by pool
     /// By pool: number of hosts that it does not give away yet.
     std::map<std::string, double> retained;
@@ -96,14 +117,19 @@
 /// \return the pools that have no host to give away, according to the latest plan.
 std::set<std::string> pools_without_spare(const rebalancer& r);
 
-/// Applies the platform's answer to a move order.
+/// Applies the platform's answer to a move order. A refusal determines whether the order is
+/// repeated and when.
 void handle_move_answer(fleet& f,
     rebalancer& r,
+    const machine_table& list,
     const std::string& machine,
     ports::machine_verdict verdict,
     core::mono_time now,
     task_events& out);
 
+/// Removes the refusals of machines that have another runner now or have left.
+void forget_busy_machines(rebalancer& r, const machine_table& list);
+
 /// Removes the moves that the newest machine list shows as completed.
 /// \param list_lag a list may be this much older than the request for it
 void remove_completed_moves(rebalancer& r, const machine_table& list, core::millis list_lag);
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -50,6 +50,20 @@
     return other > 0 ? static_cast<double>(other) / milli : default_host_cores;
 }
 
+/// A host that is about to leave serves no pool, and refuses to move.
+bool is_leaving(const fleet& f, const ports::machine_entry& m)
+{
+    const auto* const h = find_runner(f, m.runner);
+    return h != nullptr && h->draining;
+}
+
+/// \return whether the machine has refused an order and is not chosen again yet.
+bool is_busy(const rebalancer& r, const ports::machine_entry& m, core::mono_time now)
+{
+    const auto it = r.busy_machines.find(m.id);
+    return it != r.busy_machines.end() && now < it->second.not_before;
+}
+
 std::map<std::string, balance> compute_balances(const fleet& f,
     const rebalancer& r,
     const demand& d,
@@ -89,7 +103,8 @@
         }
         // A host that a wave has closed accepts no tasks, so the pool needs another host in its
         // place.
-        const bool up = m.state == ports::machine_state::up && !held.contains(id);
+        const bool up = m.state == ports::machine_state::up && !held.contains(id) &&
+                        !is_leaving(f, m) && !is_busy(r, m, now);
         b->second.have += up || move != r.moves.end() ? 1 : 0;
         if (up && move == r.moves.end())
         {
@@ -166,7 +181,7 @@
         [&](const auto* a, const auto* b) { return cost_of(f, *a) < cost_of(f, *b); });
     const auto& m = **best;
     auto* const h = find_runner(f, m.runner);
-    r.moves[m.id] = {to, h == nullptr ? m.runner : h->ref.id, false, now};
+    r.moves[m.id] = {to, h == nullptr ? m.runner : h->ref.id, false, now, is_wanted};
     out.push_back({"move_chosen",
         "",
         0,
@@ -285,18 +300,24 @@
            (h->ref.id == move.runner && h->availability == host_availability::closed_for_move);
 }
 
-/// Abandons moves whose machine has a runner that was not closed for the move; the machine may be
-/// chosen again.
-void abandon_occupied_moves(fleet& f, rebalancer& r, const machine_table& list, task_events& out)
+/// Abandons moves of machines that leave, and those whose machine has a runner that was not closed
+/// for the move; such a machine may be chosen again.
+void abandon_futile_moves(fleet& f, rebalancer& r, const machine_table& list, task_events& out)
 {
     std::erase_if(r.moves,
         [&](const auto& it)
         {
             const auto& [machine, move] = it;
-            if (move.ordered || may_still_move(f, list, machine, move))
+            const auto m = list.machines.find(machine);
+            const bool leaves = m != list.machines.end() && is_leaving(f, m->second);
+            if (move.ordered || (!leaves && may_still_move(f, list, machine, move)))
             {
                 return false;
             }
+            if (auto* const h = leaves ? find_host(f, move.runner) : nullptr)
+            {
+                h->availability = host_availability::open;
+            }
             out.push_back({"move_given_up",
                 "",
                 0,
@@ -306,6 +327,93 @@
         });
 }
 
+/// Selects the moves to order now: those of empty hosts, the ones that callers wait for first.
+std::vector<move_action> order_moves(const fleet& f, rebalancer& r, core::mono_time now)
+{
+    std::vector<move_action> ready;
+    if (now < r.orders_not_before)
+    {
+        return ready;
+    }
+    for (const bool wanted : {true, false})
+    {
+        for (auto& [machine, move] : r.moves)
+        {
+            const auto h = f.hosts.find(move.runner);
+            const bool empty = h == f.hosts.end() || is_empty(h->second);
+            if (move.is_wanted == wanted && !move.ordered && empty &&
+                static_cast<int>(ready.size()) < r.settings.max_moves_per_plan)
+            {
+                move.ordered = true;
+                move.ordered_at = now;
+                ready.push_back({machine, move.to_pool});
+            }
+        }
+    }
+    return ready;
+}
+
+/// \return \p first, doubled for each refusal after the first one, up to \p most.
+core::millis backoff(core::millis first, core::millis most, int refusals)
+{
+    auto out = first;
+    for (int i = 1; i < refusals && out < most; ++i)
+    {
+        out *= 2;
+    }
+    return std::min(out, most);
+}
+
+/// The machine keeps its move: the service had no capacity for the order, and the next ones would
+/// be refused too.
+void delay_orders(rebalancer& r, pending_move& move, core::mono_time now)
+{
+    move.ordered = false;
+    const auto& s = r.settings;
+    r.orders_not_before =
+        now + backoff(s.refused_order_pause, s.max_refused_order_pause, ++r.refusals_in_row);
+}
+
+/// Records that the machine refused an order. Until it may have changed it is not chosen, not
+/// counted as a host of its pool, and gets no tasks.
+void record_busy_machine(fleet& f,
+    rebalancer& r,
+    const machine_table& list,
+    const std::string& machine,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto m = list.machines.find(machine);
+    auto& busy = r.busy_machines[machine];
+    busy.runner = m == list.machines.end() ? std::string{} : m->second.runner;
+    const auto delay =
+        backoff(r.settings.busy_machine_delay, r.settings.max_busy_machine_delay, ++busy.refusals);
+    busy.not_before = now + delay;
+    if (auto* const h = find_runner(f, busy.runner))
+    {
+        h->availability = host_availability::closed_as_busy;
+        h->closed_at = now;
+    }
+    out.push_back({"machine_busy",
+        "",
+        0,
+        busy.runner,
+        "machine=" + machine + " refusals=" + std::to_string(busy.refusals) +
+            " delay_ms=" + std::to_string(delay.count())});
+}
+
+void reopen_busy_hosts(fleet& f, const rebalancer& r, core::mono_time now)
+{
+    for (const auto& [machine, it] : r.busy_machines)
+    {
+        auto* const h = now < it.not_before ? nullptr : find_runner(f, it.runner);
+        if (h != nullptr && h->availability == host_availability::closed_as_busy)
+        {
+            h->availability = host_availability::open;
+        }
+    }
+}
+
 } // namespace
 
 std::vector<move_action> plan_moves(fleet& f,
@@ -317,30 +425,18 @@
     core::mono_time now,
     task_events& out)
 {
-    std::vector<move_action> ready;
     if (!list.known)
     {
-        return ready;
+        return {};
     }
+    reopen_busy_hosts(f, r, now);
     auto all = compute_balances(f, r, d, list, pools, held, now);
     release_retained_hosts(r, all, now);
     log_needs(r, all, out);
     fill_short_pools(f, r, all, now, out);
     move_surplus_to_standby(f, r, all, now, out);
-    abandon_occupied_moves(f, r, list, out);
-    for (auto& [machine, move] : r.moves)
-    {
-        const auto* const h = find_host(f, move.runner);
-        const bool empty = h == nullptr || is_empty(*h);
-        if (!move.ordered && empty &&
-            static_cast<int>(ready.size()) < r.settings.max_moves_per_plan)
-        {
-            move.ordered = true;
-            move.ordered_at = now;
-            ready.push_back({machine, move.to_pool});
-        }
-    }
-    return ready;
+    abandon_futile_moves(f, r, list, out);
+    return order_moves(f, r, now);
 }
 
 void reset_surplus_timers(rebalancer& r, core::mono_time now)
@@ -356,6 +452,7 @@
 
 void handle_move_answer(fleet& f,
     rebalancer& r,
+    const machine_table& list,
     const std::string& machine,
     ports::machine_verdict verdict,
     core::mono_time now,
@@ -368,6 +465,8 @@
     }
     if (verdict == ports::machine_verdict::done)
     {
+        r.refusals_in_row = 0;
+        r.busy_machines.erase(machine);
         // The answer is the same when the move was done earlier. A runner that has tasks was
         // started after that move.
         const auto* const h = find_host(f, it->second.runner);
@@ -382,11 +481,30 @@
         it->second.ordered = false; // the move is ordered again once the machine runs no tasks
         return;
     }
+    if (verdict == ports::machine_verdict::refused)
+    {
+        delay_orders(r, it->second, now);
+        return;
+    }
     if (auto* const h = find_host(f, it->second.runner))
     {
         h->availability = host_availability::open;
     }
     r.moves.erase(it);
+    if (verdict == ports::machine_verdict::busy)
+    {
+        record_busy_machine(f, r, list, machine, now, out);
+    }
+}
+
+void forget_busy_machines(rebalancer& r, const machine_table& list)
+{
+    std::erase_if(r.busy_machines,
+        [&](const auto& it)
+        {
+            const auto m = list.machines.find(it.first);
+            return m == list.machines.end() || m->second.runner != it.second.runner;
+        });
 }
 
 void remove_completed_moves(rebalancer& r, const machine_table& list, core::millis list_lag)
--- a/libs/coordinator/src/waves.cpp
+++ b/libs/coordinator/src/waves.cpp
@@ -48,6 +48,10 @@
             continue;
         }
         candidate it{id, find_runner(f, m->runner), 0};
+        if (it.host != nullptr && it.host->draining)
+        {
+            continue; // it refuses the order, and leaves the wave with its machine
+        }
         it.long_running = it.host == nullptr ? 0 : long_running_tasks(f, *it.host);
         out.push_back(it);
     }
--- a/libs/hosted/src/machine_controller.cpp
+++ b/libs/hosted/src/machine_controller.cpp
@@ -111,6 +111,7 @@
         coordinator::apply_machine_list(
             term_.fleet, table_, term_.settings.waves.list_lag, term_.now(), out);
         term_.log(out);
+        coordinator::forget_busy_machines(moves_, table_);
         coordinator::remove_completed_moves(moves_, table_, term_.settings.waves.list_lag);
         on_list_();
         term_.request_plan();
@@ -193,8 +194,13 @@
     {
         // The order is not sent; the move is ordered again once a renewal of the lease is answered.
         coordinator::task_events out;
-        coordinator::handle_move_answer(
-            term_.fleet, moves_, a.machine, ports::machine_verdict::unknown, term_.now(), out);
+        coordinator::handle_move_answer(term_.fleet,
+            moves_,
+            table_,
+            a.machine,
+            ports::machine_verdict::unknown,
+            term_.now(),
+            out);
         term_.log(out);
         return;
     }
@@ -212,7 +218,7 @@
                             std::string{core::name_of(ports::machine_verdict_names, verdict)}}});
                 coordinator::task_events out;
                 coordinator::handle_move_answer(
-                    term_.fleet, moves_, a.machine, verdict, term_.now(), out);
+                    term_.fleet, moves_, table_, a.machine, verdict, term_.now(), out);
                 term_.log(out);
                 if (verdict == ports::machine_verdict::fenced)
                 {
--- a/testing/day_sim/src/day.cpp
+++ b/testing/day_sim/src/day.cpp
@@ -375,7 +375,7 @@
         const auto m = std::find_if(
             machines_.begin(), machines_.end(), [&](const auto& it) { return it.id == a.machine; });
         coordinator::handle_move_answer(
-            fleet_, moves_, a.machine, ports::machine_verdict::done, now_, events_);
+            fleet_, moves_, table_, a.machine, ports::machine_verdict::done, now_, events_);
         m->pool = a.pool;
         start_incarnation(*m, now_ + shape_.move_time);
     }
