Reads in place of watches that report nothing

Cause: before the store drops its history, its watches report nothing for a second while it serves all other calls, and are then cut.

--- a/libs/hosted/src/prefix_follower.cpp
+++ b/libs/hosted/src/prefix_follower.cpp
@@ -18,6 +18,8 @@
     std::vector<ports::stored_item> pages;
     int pages_read = 0;
     ports::timer_id timer = 0;
+    ports::timer_id overdue_timer = 0;
+    std::int64_t open_watch = 0; ///< number of the watch whose answer counts
     bool store_reachable = true;
 
     void record_answer(bool ok, const char* call);
@@ -26,6 +28,7 @@
     void read_page();
     void apply_page(ports::page_read page);
     void watch();
+    void replace_overdue_watch();
     void apply_changes(ports::changes_read read);
 };
 
@@ -114,16 +117,41 @@
 
 void follower_state::watch()
 {
+    const auto number = ++open_watch;
     ctx.store.watch(settings.prefix,
         revision,
         settings.max_wait,
-        [weak = weak_from_this()](ports::changes_read read)
+        [weak = weak_from_this(), number](ports::changes_read read)
         {
-            if (const auto self = weak.lock())
+            const auto self = weak.lock();
+            if (self != nullptr && self->open_watch == number)
             {
+                self->ctx.time.cancel(self->overdue_timer);
                 self->apply_changes(std::move(read));
             }
         });
+    overdue_timer = ctx.time.after(settings.max_wait + settings.overdue_after,
+        [weak = weak_from_this(), number]
+        {
+            const auto self = weak.lock();
+            if (self != nullptr && self->open_watch == number)
+            {
+                self->replace_overdue_watch();
+            }
+        });
+}
+
+/// Reads all keys in place of the watch. Not while the store answers nothing: the reads would not
+/// be answered either, and the watch ends with its timeout.
+void follower_state::replace_overdue_watch()
+{
+    if (is_store_unresponsive(ctx))
+    {
+        return;
+    }
+    ++open_watch; // a late answer of the watch is ignored
+    ctx.tel.count("camphorhitch_overdue_watches_total", {{"prefix", settings.prefix}}, 1);
+    read_all();
 }
 
 void follower_state::apply_changes(ports::changes_read read)
@@ -164,6 +192,7 @@
 prefix_follower::~prefix_follower()
 {
     state_->ctx.time.cancel(state_->timer);
+    state_->ctx.time.cancel(state_->overdue_timer);
 }
 
 void prefix_follower::start()
