Work above a cap asks for no hosts; operators' pages of workspaces

Cause: tasks that wait for the cap of their workspace counted as need of their pool, so hosts were kept for work that may not start.

Change: the need counts a workspace's waiting work up to the room below its cap, over all pools.

--- a/libs/coordinator/include/coordinator/workspaces.hpp
+++ b/libs/coordinator/include/coordinator/workspaces.hpp
@@ -76,8 +76,7 @@
 void rate_job(fleet& f, job_entry& j);
 
 /// Counts resources of runs that a previous coordinator ordered for a job that has ended.
-void add_held_resources(
-    fleet& f, const std::string& workspace, const workflow::resources& held);
+void add_held_resources(fleet& f, const std::string& workspace, const workflow::resources& held);
 
 /// Determines for each workspace what may be running unseen.
 void update_unseen_use(fleet& f, core::mono_time now);
@@ -88,11 +87,8 @@
 bool fits_cap(
     const fleet& f, const job_entry& j, const workflow::resources& each, std::int64_t tasks = 1);
 
-/// \return the room below the cap in tasks that require \p each; \p most if there is no cap.
-std::int64_t tasks_below_cap(const fleet& f,
-    const job_entry& j,
-    const workflow::resources& each,
-    std::int64_t most);
+/// \return the processor capacity below the workspace's cap, in cores; infinite without a cap.
+double cores_below_cap(const fleet& f, const std::string& workspace);
 
 /// Counts a step whose tasks wait for the cap of their workspace.
 void record_capped_step(fleet& f, const job_entry& j);
--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -210,9 +210,19 @@
     return next ? std::optional(newest.at + *interval) : std::nullopt;
 }
 
-double demanded_cores(const fleet& f, const demand_settings& d, const job_entry& j)
+namespace
+{
+
+/// Cores for the batch tasks of a job.
+struct job_cores
+{
+    double running = 0;
+    double waiting = 0; ///< for its ready tasks to be done within the horizon
+};
+
+job_cores cores_for(const fleet& f, const demand_settings& d, const job_entry& j)
 {
-    double sum = 0;
+    job_cores out;
     for (std::size_t k = 0; k < j.steps.size(); ++k)
     {
         const auto& s = j.spec.steps[k % j.spec.steps.size()];
@@ -223,15 +233,44 @@
         const auto occurrence = static_cast<int>(k / j.spec.steps.size());
         const auto step = static_cast<int>(k % j.spec.steps.size());
         const double cores = static_cast<double>(s.need.cpu) / milli;
-        sum += cores * (s.tasks - j.steps[k].done - j.steps[k].idle);
+        out.running += cores * (s.tasks - j.steps[k].done - j.steps[k].idle);
         if (is_step_ready(j, occurrence, step))
         {
             const auto time = std::min(expected_run_time(f.run_time_estimates, s), d.horizon);
-            sum += cores * j.steps[k].idle * static_cast<double>(time.count()) /
-                   static_cast<double>(d.horizon.count());
+            out.waiting += cores * j.steps[k].idle * static_cast<double>(time.count()) /
+                           static_cast<double>(d.horizon.count());
         }
     }
-    return sum;
+    return out;
+}
+
+/// Hosts for tasks that wait for the cap of their workspace would stay empty.
+/// \return the part of the waiting work that its workspace's cap allows
+double within_cap(const fleet& f,
+    const std::string& workspace,
+    double waiting,
+    std::map<std::string, double>& room)
+{
+    if (workspace.empty())
+    {
+        return waiting;
+    }
+    auto found = room.find(workspace);
+    if (found == room.end())
+    {
+        found = room.emplace(workspace, cores_below_cap(f, workspace)).first;
+    }
+    const auto allowed = std::min(waiting, found->second);
+    found->second -= allowed;
+    return allowed;
+}
+
+} // namespace
+
+double demanded_cores(const fleet& f, const demand_settings& d, const job_entry& j)
+{
+    const auto all = cores_for(f, d, j);
+    return all.running + all.waiting;
 }
 
 namespace
@@ -257,13 +296,16 @@
 {
     std::map<std::string, pool_need> out;
     std::map<std::string, double> work;
+    std::map<std::string, double> room; // below the cap, by workspace
     for (const auto& id : f.open_jobs)
     {
         const auto& j = *f.jobs.at(id);
         if (!workflow::is_final(j.state))
         {
             add_long_running(j, out[j.spec.pool]);
-            work[j.spec.pool] += demanded_cores(f, d.settings, j);
+            const auto cores = cores_for(f, d.settings, j);
+            work[j.spec.pool] +=
+                cores.running + within_cap(f, j.spec.workspace, cores.waiting, room);
         }
     }
     for (const auto& [name, p] : d.pools)
--- a/libs/coordinator/src/workspaces.cpp
+++ b/libs/coordinator/src/workspaces.cpp
@@ -4,6 +4,7 @@
 #include "coordinator/intake.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace camphorhitch::coordinator
@@ -30,16 +31,6 @@
            (cap.gpus == 0 || used.gpus <= cap.gpus);
 }
 
-/// \return how many times \p each fits between \p used and \p cap.
-std::int64_t times_below(std::int64_t used, std::int64_t cap, std::int64_t each, std::int64_t most)
-{
-    if (cap == 0 || each == 0)
-    {
-        return most;
-    }
-    return std::clamp((cap - used) / each, std::int64_t{0}, most);
-}
-
 std::string amounts(const workflow::resources& r)
 {
     return std::to_string(r.cpu) + " milli-cores, " + std::to_string(r.memory_mb) + " MB, " +
@@ -134,8 +125,8 @@
     for (const auto& id : f.open_jobs)
     {
         const auto& j = *f.jobs.at(id);
-        const bool possible = !j.spec.workspace.empty() && j.inherited &&
-                              may_have_unseen_runs(unseen, j.spec.pool);
+        const bool possible =
+            !j.spec.workspace.empty() && j.inherited && may_have_unseen_runs(unseen, j.spec.pool);
         if (possible)
         {
             f.workspaces.entries[j.spec.workspace].unseen += idle_resources(j);
@@ -170,19 +161,16 @@
     return is_within(sum, w.settings.cap) || (tasks == 1 && used == workflow::resources{});
 }
 
-std::int64_t tasks_below_cap(
-    const fleet& f, const job_entry& j, const workflow::resources& each, std::int64_t most)
+double cores_below_cap(const fleet& f, const std::string& workspace)
 {
-    const auto it = f.workspaces.entries.find(j.spec.workspace);
-    if (j.spec.workspace.empty() || it == f.workspaces.entries.end())
+    constexpr double milli = 1000.0;
+    const auto it = f.workspaces.entries.find(workspace);
+    if (it == f.workspaces.entries.end() || it->second.settings.cap.cpu == 0)
     {
-        return most;
+        return std::numeric_limits<double>::infinity();
     }
-    const auto used = all_used(it->second);
-    const auto& cap = it->second.settings.cap;
-    return std::min({times_below(used.cpu, cap.cpu, each.cpu, most),
-        times_below(used.memory_mb, cap.memory_mb, each.memory_mb, most),
-        times_below(used.gpus, cap.gpus, each.gpus, most)});
+    const auto left = it->second.settings.cap.cpu - all_used(it->second).cpu;
+    return static_cast<double>(std::max(left, std::int64_t{0})) / milli;
 }
 
 void record_capped_step(fleet& f, const job_entry& j)
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -49,6 +49,7 @@
 
     void schedule_plan();
     void plan();
+    void report_capped_steps() const;
     void tick();
     void tick_pending();
     void store_pending();
@@ -96,6 +97,7 @@
     const auto orders =
         coordinator::make_plan(t.fleet, started, unix_ms, true, out, runners->available_orders());
     t.log(out);
+    report_capped_steps();
     runners->send(orders);
     if (!t.fleet.dirty_jobs.empty())
     {
@@ -105,6 +107,21 @@
         "camphorhitch_plan_seconds", {}, std::chrono::duration<double>(t.now() - started).count());
 }
 
+/// Counts the plans in which tasks waited for a cap. The series are bounded by the operators' list
+/// of workspaces.
+void driver_parts::report_capped_steps() const
+{
+    const auto& t = *active_term;
+    for (const auto& [name, w] : t.fleet.workspaces.entries)
+    {
+        if (w.capped_steps > 0 && !w.settings.name.empty())
+        {
+            t.ctx.tel.count(
+                "camphorhitch_capped_steps_total", {{"workspace", name}}, w.capped_steps);
+        }
+    }
+}
+
 void driver_parts::tick()
 {
     active_term->ctx.time.after(
--- a/programs/camphorhitchd/src/hosted_tables.cpp
+++ b/programs/camphorhitchd/src/hosted_tables.cpp
@@ -159,6 +159,8 @@
     t.rows = {{std::string{"version"}, std::to_string(config.version)},
         {std::string{"queues"}, std::to_string(config.queues.size())},
         {std::string{"pools"}, std::to_string(config.pools.size())},
+        {std::string{"workspaces"},
+            config.requires_keys ? std::to_string(config.workspaces.size()) : "none: no keys"},
         {std::string{"largest_body"}, std::to_string(config.max_body_bytes)},
         {std::string{"store_answered"}, std::to_string(age_ms) + " ms ago"}};
     return t;
@@ -178,7 +180,8 @@
         return out + '\n';
     }
     out += ", accepted " + std::to_string(unix_ms - j.spec->accepted_unix_ms) +
-           " ms ago by queue " + j.spec->queue + " for pool " + j.spec->pool + '\n';
+           " ms ago by queue " + j.spec->queue + " for pool " + j.spec->pool +
+           (j.spec->workspace.empty() ? "" : " and workspace " + j.spec->workspace) + '\n';
     if (const auto n = failed_runs(j.progress); n > 0)
     {
         out += std::to_string(n) + " runs failed; a task may fail " +
