Hosts stay in their pools until some demand was seen

Change: while no pool has been busy, no host goes to the standby pool for 20 s from the first plan (policy.settling_ms; 0: as before).

--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -6,6 +6,8 @@
 #include "coordinator/demand.hpp"
 #include "coordinator/waves.hpp"
 
+#include <optional>
+
 namespace camphorhitch::coordinator
 {
 
@@ -17,6 +19,10 @@
     /// A pool must have had a surplus for this long before hosts go to the standby pool: moving a
     /// host there and back pays only when it stays for at least about 4 s.
     core::millis standby_delay{1500};
+    /// While no pool has been busy yet, no host goes to the standby pool for this long after the
+    /// first plan: nothing is known of the demand but what the operators' distribution of hosts
+    /// says. 0: surplus hosts go at once.
+    core::millis settling_time{20000};
     /// Hosts per second by which the number of retained hosts falls towards the need, because the
     /// need changes abruptly with each job.
     double release_rate = 8;
@@ -40,6 +46,7 @@
     /// this long; twice as long after each further refusal, up to the maximum.
     core::millis busy_machine_delay{1500};
     core::millis max_busy_machine_delay{12000};
+    core::millis need_log_interval{500}; ///< between two logs of the pools' needs and hosts
 };
 
 /// A pool as the operators configured it.
@@ -83,12 +90,14 @@
     std::map<std::string, core::mono_time> surplus_since; ///< by pool
     /// By pool: number of hosts that it does not give away yet.
     std::map<std::string, double> retained;
+    std::optional<core::mono_time> first_planned_at;
     /// When `retained` was last updated.
     core::mono_time retained_at;
     /// Pools that have no host to give away, according to the latest plan.
     std::set<std::string> pools_without_spare;
-    /// By pool: number of wanted hosts that was logged last.
-    std::map<std::string, int> logged_needs;
+    /// By pool: numbers of wanted and present hosts that were logged last.
+    std::map<std::string, std::pair<int, int>> logged_needs;
+    core::mono_time needs_logged_at;
 };
 
 /// A move order for the platform.
--- a/libs/coordinator/tests/rebalance_tests.cpp
+++ b/libs/coordinator/tests/rebalance_tests.cpp
@@ -29,6 +29,11 @@
     machine_table list;
     std::vector<pool_info> pools{{"p", false}, {"q", false}, {"off", true}};
 
+    void setup() override
+    {
+        r.settings.settling_time = 0ms;
+    }
+
     void add_machine(const std::string& id, const std::string& pool)
     {
         list.known = true;
@@ -110,6 +115,26 @@
     CHECK(w.f.hosts[host].availability != host_availability::closed_as_busy);
 }
 
+// Guards against a busy period that begins with few hosts because all others were sent away before
+// anything was known of the demand.
+TEST(rebalance, hosts_stay_until_the_demand_was_seen)
+{
+    add_machine("1", "p");
+    add_machine("2", "p");
+    add_machine("3", "off");
+    pools = {{"p", false}, {"off", true}};
+    r.settings.settling_time = 20000ms;
+    LONGS_EQUAL(0, next().size());
+    w.now += 10s;
+    LONGS_EQUAL(0, next().size());
+    w.now += r.settings.standby_delay;
+    d.history.push_back({"p", w.now}); // a pool was busy
+    LONGS_EQUAL(0, next().size());
+    w.now += r.settings.standby_delay;
+    LONGS_EQUAL(1, next().size());
+    d.history.clear();
+}
+
 // Guards against a storm of orders for machines that leave: they refuse every one, and use up the
 // calls that sound moves need.
 TEST(rebalance, a_machine_whose_runner_drains_is_neither_moved_nor_counted)
--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -18,10 +18,12 @@
 }
 
 /// \return whether the event is exempt from the log rate limit. A run that was doubled or lost is
-/// traced by these lines, and there is at most one per incarnation of a runner and per order.
+/// traced by these lines, and there is at most one per incarnation of a runner and per order. The
+/// needs of the pools are logged at intervals.
 bool is_always_logged(const coordinator::task_event& it)
 {
-    return it.event == "host_ended" || it.event == "host_lapsed" || it.event == "job_failed";
+    return it.event == "pool_need" || it.event == "host_ended" || it.event == "host_lapsed" ||
+           it.event == "job_failed";
 }
 
 } // namespace
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/findings.hpp"
+#include "core/names.hpp"
 #include "core/time.hpp"
 #include "ports/telemetry.hpp"
 
@@ -47,6 +48,20 @@
     double stop_bound_s = 6;
 };
 
+/// How workspaces share a pool without capacity for all their jobs.
+enum class share_policy
+{
+    none,    ///< workspaces are not distinguished
+    rate,    ///< jobs that a workspace sends beyond its weight per second come last
+    dominant ///< the workspace with the smallest dominant share per weight comes first
+};
+
+inline constexpr core::name_table<share_policy, 3> share_policy_names{{
+    {share_policy::none, "none"},
+    {share_policy::rate, "rate"},
+    {share_policy::dominant, "dominant"},
+}};
+
 /// Policies for the distribution of hosts and the placement of tasks. Operators change them to
 /// compare policies.
 struct hosted_policy
@@ -54,6 +69,7 @@
     bool moves = true;         ///< hosts are moved to other pools and to the standby pool
     bool in_time_first = true; ///< jobs that can still meet their objective are placed first
     bool fullest_first = true; ///< short tasks are placed on the fullest host that has capacity
+    share_policy shares = share_policy::rate;
     bool learns_times = true;  ///< measured run times replace declared run times
     bool hands_over = true;    ///< a slowed or overloaded coordinator hands over to another node
     bool repeats_calls = true; ///< orders and polls are sent again when their answers are overdue
@@ -68,6 +84,9 @@
     int far_short = 4;
     /// A surplus must last this long before its hosts go to the standby pool.
     core::millis rest{1500};
+    /// No host goes to the standby pool for this long after the start, unless a pool was busy. 0:
+    /// surplus hosts go at once.
+    core::millis settling{20000};
     double release = 8; ///< rate at which the recorded need of a pool declines, hosts per second
     /// Share of the retained hosts of a pool that is released per second in addition, after the
     /// busy period of the pool.
--- a/programs/camphorhitchd/src/hosted_policy.cpp
+++ b/programs/camphorhitchd/src/hosted_policy.cpp
@@ -6,6 +6,21 @@
 namespace
 {
 
+coordinator::share_rule make_share_rule(settings::share_policy p)
+{
+    using coordinator::share_rule;
+    switch (p)
+    {
+    case settings::share_policy::none:
+        return share_rule::none;
+    case settings::share_policy::dominant:
+        return share_rule::dominant;
+    case settings::share_policy::rate:
+        break;
+    }
+    return share_rule::rate;
+}
+
 coordinator::placement_policy make_placement_policy(const settings::hosted_policy& p)
 {
     using coordinator::host_choice;
@@ -13,6 +28,7 @@
     coordinator::placement_policy out;
     out.hosts = p.fullest_first ? host_choice::fullest : host_choice::least_used;
     out.jobs = p.in_time_first ? job_order::in_time_first : job_order::first_come;
+    out.shares = make_share_rule(p.shares);
     out.uses_measured_run_times = p.learns_times;
     return out;
 }
@@ -34,6 +50,7 @@
     to.spare_hosts = p.spare_hosts;
     to.urgent_shortage = p.far_short;
     to.standby_delay = p.rest;
+    to.settling_time = p.settling;
     to.release_rate = p.release;
     to.release_share = p.release_share;
     to.task_stop_threshold = p.stops_tasks_above;
