A node that the store turns away refuses at once and says where to go

Change: the monitor of the store tells that it serves nothing to this node: no success for 0.4 s while calls fail. The node then reports not ready, refuses submissions without sending them and gives up reads. Its refusals carry Retry-After 0 while orders of a coordinator arrive, whom the store serves.

--- a/libs/coordinator/tests/workspaces_tests.cpp
+++ b/libs/coordinator/tests/workspaces_tests.cpp
@@ -258,8 +258,13 @@
         std::int64_t at_ms;
         bool beyond;
     };
-    const row rows[] = {{0, false}, {400, false}, {999, true}, {1000, false}, {1300, true},
-        {1400, false}, {5000, false}};
+    const row rows[] = {{0, false},
+        {400, false},
+        {999, true},
+        {1000, false},
+        {1300, true},
+        {1400, false},
+        {5000, false}};
     int n = 0;
     for (const auto& it : rows)
     {
--- a/libs/hosted/include/hosted/context.hpp
+++ b/libs/hosted/include/hosted/context.hpp
@@ -34,6 +34,9 @@
     /// is not known. The effect of a call sent to an unresponsive store stays unknown to its
     /// caller.
     std::function<bool()> store_unresponsive;
+    /// Returns whether the metadata store serves nothing to this node at the moment; empty when
+    /// this is not known.
+    std::function<bool()> store_failing;
     /// Runs \p fn after the handlers of all descriptors that are ready now; empty when the node has
     /// no descriptors.
     std::function<void(std::function<void()> fn)> post_behind_descriptors;
@@ -53,4 +56,10 @@
     return c.store_unresponsive && c.store_unresponsive();
 }
 
+/// \return whether the metadata store is known to serve nothing to this node.
+inline bool is_store_failing(const context& c)
+{
+    return is_store_unresponsive(c) || (c.store_failing && c.store_failing());
+}
+
 } // namespace camphorhitch::hosted
--- a/libs/hosted/include/hosted/store_health_monitor.hpp
+++ b/libs/hosted/include/hosted/store_health_monitor.hpp
@@ -29,6 +29,9 @@
     /// The store counts as unresponsive after this time without any answer since a call.
     core::millis unresponsive_after{500};
     core::millis probe_interval{250}; ///< between two probes
+    /// The store counts as failing after this time in which calls failed or were refused and none
+    /// succeeded.
+    core::millis failing_after{400};
     /// A health check that runs later than this after it was due proves nothing: answers may lie
     /// unread on this node.
     core::millis max_check_delay{100};
@@ -57,6 +60,10 @@
     /// store_health_settings::unresponsive_after; false as long as nothing shows that.
     bool is_unresponsive() const;
 
+    /// \return true if the store serves nothing to this node: it is unresponsive, or has refused or
+    /// broken off all calls for store_health_settings::failing_after. It may serve other nodes.
+    bool is_failing() const;
+
 private:
     std::shared_ptr<store_health_state> state_;
 };
--- a/libs/hosted/src/job_request_state.hpp
+++ b/libs/hosted/src/job_request_state.hpp
@@ -60,7 +60,8 @@
     }
 };
 
-/// Repeats a read until the store answers it or the caller's deadline is reached.
+/// Repeats a read until the store answers it or the caller's deadline is reached. A read that fails
+/// while the store serves nothing to this node is given up: another node may answer the caller.
 /// \param call sends the read once
 /// \param done receives the answer, or nullopt if there was none in time
 template <class Read>
@@ -77,7 +78,7 @@
                 done(read);
                 return;
             }
-            if (!state->has_time(deadline))
+            if (!state->has_time(deadline) || is_store_failing(state->ctx))
             {
                 done(std::nullopt);
                 return;
--- a/libs/hosted/src/job_request_write.cpp
+++ b/libs/hosted/src/job_request_write.cpp
@@ -13,14 +13,13 @@
     return s == kv_status::unavailable || s == kv_status::rejected;
 }
 
-/// Refuses a write without sending it while the store is unresponsive. A write that is sent to such
-/// a store may take effect seconds later or never, and its caller learns neither, so the caller
-/// must not submit the request again. A write that was not sent certainly has no effect, and the
-/// caller may try again.
-/// \return whether the write was refused
+/// Refuses a write without sending it while the store serves nothing to this node. A write that is
+/// sent to such a store may take effect seconds later or never, and its caller learns neither, so
+/// the caller must not submit the request again. A write that was not sent certainly has no effect,
+/// and the caller may try again. \return whether the write was refused
 bool refuse_without_sending(const std::shared_ptr<job_request_state>& state, pending_write& w)
 {
-    if (w.may_have_effect || !is_store_unresponsive(state->ctx))
+    if (w.may_have_effect || !is_store_failing(state->ctx))
     {
         return false;
     }
--- a/libs/hosted/src/store_health_monitor.cpp
+++ b/libs/hosted/src/store_health_monitor.cpp
@@ -22,6 +22,8 @@
     store_health_settings settings;
     /// Time of the earliest call since the latest answer.
     std::optional<core::mono_time> unanswered_since;
+    /// Time of the first call since the latest success that failed.
+    std::optional<core::mono_time> failing_since;
     bool unresponsive = false;
     /// Open reads by id; each function sends its read once more.
     std::map<std::uint64_t, std::function<void()>> open_reads;
@@ -71,6 +73,14 @@
 
 void store_health_state::record_result(ports::kv_status status)
 {
+    if (status == ports::kv_status::ok || status == ports::kv_status::conflict)
+    {
+        failing_since.reset();
+    }
+    else if (!failing_since)
+    {
+        failing_since = time.now();
+    }
     if (!is_answer(status))
     {
         return;
@@ -221,6 +231,13 @@
     return state_->unresponsive;
 }
 
+bool store_health_monitor::is_failing() const
+{
+    const auto& s = *state_;
+    return s.unresponsive ||
+           (s.failing_since && s.time.now() - *s.failing_since >= s.settings.failing_after);
+}
+
 namespace
 {
 
--- a/libs/hosted/tests/unresponsive_store_tests.cpp
+++ b/libs/hosted/tests/unresponsive_store_tests.cpp
@@ -223,3 +223,45 @@
     CHECK(n->lead->holds_lease());
     LONGS_EQUAL(before, serving());
 }
+
+// The store refuses all calls of one node and serves the others. Guards against that node holding
+// its callers for several attempts, or for their whole time, while another node would serve them.
+TEST(unresponsive_store, a_node_that_is_turned_away_refuses_at_once)
+{
+    c.add_node();
+    CHECK(c.has_leader());
+    c.time.run_for(1s);
+    c.store.busy = true;
+    for (int i = 0; i < 40; ++i)
+    {
+        submit();
+        c.time.run_for(50ms);
+    }
+    CHECK(n->pulse->is_failing());
+    all.clear();
+    submit();
+    std::optional<hosted::state_answer> state;
+    n->desk->query_state(
+        {"j1", {}}, c.time.now() + 2500ms, [&](hosted::state_answer it) { state = it; });
+    c.time.run_for(50ms);
+    CHECK(all.front().outcome == submit_outcome::not_accepted);
+    CHECK(state.has_value() && !state->known);
+    c.store.busy = false;
+    CHECK(c.time.run_until([&] { return !n->pulse->is_failing(); }, 1s));
+    submit();
+    c.time.run_for(200ms);
+    CHECK(all.back().outcome == submit_outcome::accepted);
+}
+
+// Guards against a node that counts as turned away because some of its calls fail.
+TEST(unresponsive_store, a_store_that_loses_answers_is_not_failing)
+{
+    CHECK(c.has_leader());
+    for (int i = 0; i < 40; ++i)
+    {
+        c.store.answers_to_lose = i % 2;
+        submit();
+        c.time.run_for(100ms);
+        CHECK(!n->pulse->is_failing());
+    }
+}
--- a/libs/relay/include/relay/server.hpp
+++ b/libs/relay/include/relay/server.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace camphorhitch::relay
@@ -60,6 +61,10 @@
     /// \return the port on which the relay listens.
     std::uint16_t port() const;
 
+    /// \return when a coordinator last sent an order, by server_parts::boot_now; nothing before the
+    /// first one. A coordinator sends orders only while the metadata store serves it.
+    std::optional<core::mono_time> last_order_at() const;
+
     /// Asks the coordinators to send no further orders. Orders in flight are still answered.
     void leave();
 
--- a/libs/relay/src/server.cpp
+++ b/libs/relay/src/server.cpp
@@ -43,6 +43,8 @@
     void add_client(const ACE_SOCK_Stream& socket);
     void handle_frame(std::uint64_t id, std::string_view frame);
     bool has_current_token(std::uint64_t id, const order_batch& batch);
+    std::optional<core::mono_time> last_order_at;
+
     void execute_order(std::uint64_t id, const order& o);
     void queue_answer(std::uint64_t id, answer a);
     void flush();
@@ -144,6 +146,7 @@
 
 void server_state::execute_order(std::uint64_t id, const order& o)
 {
+    last_order_at = parts.boot_now();
     const auto done = [weak = weak_from_this(), id, number = o.number](const auto& a)
     {
         if (const auto self = weak.lock())
@@ -358,6 +361,11 @@
     return at.get_port_number();
 }
 
+std::optional<core::mono_time> server::last_order_at() const
+{
+    return state_->last_order_at;
+}
+
 void server::leave()
 {
     state_->leaving = true;
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -32,6 +32,8 @@
 /// Maximum age of the store's last answer for readiness: callers of a node that has not heard from
 /// the store for longer are better served by another node.
 constexpr core::millis max_store_answer_age{2800};
+/// A coordinator that sent an order so long ago is still served by the store.
+constexpr core::millis max_order_age{1000};
 /// After the signal the load balancer needs two health checks, one second apart, before it stops
 /// sending callers to this node.
 constexpr core::millis balancer_delay{2300};
@@ -130,6 +132,10 @@
         {
             return store_health->is_unresponsive();
         };
+        ctx.store_failing = [this]
+        {
+            return store_health->is_failing();
+        };
     }
 }
 
@@ -220,6 +226,11 @@
     {
         return is_ready();
     };
+    sources.only_this_node_is_cut = [this]
+    {
+        const auto at = relay_server ? relay_server->last_order_at() : std::nullopt;
+        return hosted::is_store_failing(ctx) && at && boot_now() - *at < max_order_age;
+    };
     sources.metrics = [this]
     {
         return tel.render();
@@ -261,7 +272,8 @@
         ctx.time.now() - std::max(config->last_answer_at(), leadership->last_answer_at()) <
         max_store_answer_age;
     const auto* const in_force = config->config();
-    const bool ready = in_force != nullptr && store_heard && !stopping;
+    const bool ready =
+        in_force != nullptr && store_heard && !stopping && !hosted::is_store_failing(ctx);
     if (ready != was_ready)
     {
         was_ready = ready;
--- a/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
@@ -81,6 +81,10 @@
         {
             return n.pulse->is_unresponsive();
         };
+        n.ctx.store_failing = [&n]
+        {
+            return n.pulse->is_failing();
+        };
         n.ctx.best_other_share = [this, &n]
         {
             return max_other_share(n);
