A read follows an overdue watch at once only while changes arrive

Change: watches of new jobs wait 400 ms; after an answer that brought changes a watch counts as overdue after 250 ms; a check that runs late itself gives the watch more time, as answers may lie unread.

--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -193,6 +193,22 @@
     }
 }
 
+/// \return what the runs of an ended job require that may still be active; nothing for an open job.
+workflow::resources held_resources(const job_entry& j)
+{
+    workflow::resources sum;
+    if (!workflow::is_final(j.state) || j.live_runs == 0)
+    {
+        return sum;
+    }
+    for (std::size_t i = 0; i < j.tasks.size(); ++i)
+    {
+        const auto step = static_cast<std::size_t>(workflow::name_of_task(j.spec, i).step);
+        sum += j.spec.steps[step].need * static_cast<std::int64_t>(j.tasks[i].runs.size());
+    }
+    return sum;
+}
+
 } // namespace
 
 core::millis max_lease_time(const fleet& f)
@@ -501,22 +517,6 @@
     h.lease_until_ms = std::max(h.lease_until_ms, until_ms);
 }
 
-/// \return what the runs of a job require that has ended while they may still be active.
-static workflow::resources held_resources(const job_entry& j)
-{
-    workflow::resources sum;
-    if (!workflow::is_final(j.state) || j.live_runs == 0)
-    {
-        return sum;
-    }
-    for (std::size_t i = 0; i < j.tasks.size(); ++i)
-    {
-        const auto step = static_cast<std::size_t>(workflow::name_of_task(j.spec, i).step);
-        sum += j.spec.steps[step].need * static_cast<std::int64_t>(j.tasks[i].runs.size());
-    }
-    return sum;
-}
-
 workflow::job_progress progress_of(const job_entry& j)
 {
     workflow::job_progress out;
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -418,6 +418,7 @@
             " delay_ms=" + std::to_string(delay.count())});
 }
 
+/// Opens the hosts of machines that may be chosen again after a refusal.
 void reopen_busy_hosts(fleet& f, const rebalancer& r, core::mono_time now)
 {
     for (const auto& [machine, it] : r.busy_machines)
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -39,7 +39,7 @@
     /// Maximum wait of one watch of new jobs. Its answer states up to which store revision all jobs
     /// have been read, and so how old a count of waiting jobs is. Together with
     /// pending_record_interval this stays well below the 2 s that a count may lag behind.
-    core::millis job_watch_max_wait{150};
+    core::millis job_watch_max_wait{400};
     core::millis poll_wait{700};      ///< time that a runner holds a poll open until a run ends
     core::millis max_poll_wait{1400}; ///< upper bound of poll_wait in a fleet of many hosts
     core::millis poll_gap{30};        ///< delay after a poll that reported ends: gathers the next
--- a/libs/hosted/src/prefix_follower.cpp
+++ b/libs/hosted/src/prefix_follower.cpp
@@ -1,10 +1,14 @@
 #include "hosted/prefix_follower.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorhitch::hosted
 {
 
+/// A check that runs later than this after it was due proves nothing about the store.
+constexpr core::millis max_check_delay{20};
+
 /// Callbacks hold the state by weak pointer, because an answer may arrive after the follower is
 /// destroyed.
 struct follower_state : std::enable_shared_from_this<follower_state>
@@ -19,7 +23,9 @@
     int pages_read = 0;
     ports::timer_id timer = 0;
     ports::timer_id overdue_timer = 0;
-    std::int64_t open_watch = 0; ///< number of the watch whose answer counts
+    std::int64_t open_watch = 0;   ///< number of the watch whose answer counts
+    bool changes_arrive = false;   ///< the latest answer brought changes
+    ports::revision read_from = 0; ///< revision known before the present read of all keys
     bool store_reachable = true;
 
     void record_answer(bool ok, const char* call);
@@ -28,6 +34,7 @@
     void read_page();
     void apply_page(ports::page_read page);
     void watch();
+    void check_overdue_after(core::millis delay);
     void replace_overdue_watch();
     void apply_changes(ports::changes_read read);
 };
@@ -64,6 +71,7 @@
 {
     pages.clear();
     pages_read = 0;
+    read_from = revision;
     revision = 0;
     read_page();
 }
@@ -109,6 +117,9 @@
         read_page();
         return;
     }
+    changes_arrive = std::any_of(pages.begin(),
+        pages.end(),
+        [this](const ports::stored_item& it) { return it.modified > read_from; });
     // Set first because the event handlers may read it.
     through_revision = std::max(through_revision, revision);
     events.on_all(std::exchange(pages, {}));
@@ -130,14 +141,27 @@
                 self->apply_changes(std::move(read));
             }
         });
-    overdue_timer = ctx.time.after(settings.max_wait + settings.overdue_after,
-        [weak = weak_from_this(), number]
+    const auto usual = settings.max_wait + settings.overdue_after;
+    check_overdue_after(changes_arrive ? std::min(usual, settings.busy_overdue_after) : usual);
+}
+
+void follower_state::check_overdue_after(core::millis delay)
+{
+    overdue_timer = ctx.time.after(delay,
+        [weak = weak_from_this(), number = open_watch, due_at = ctx.time.now() + delay]
         {
             const auto self = weak.lock();
-            if (self != nullptr && self->open_watch == number)
+            if (self == nullptr || self->open_watch != number)
+            {
+                return;
+            }
+            if (self->ctx.time.now() - due_at > max_check_delay)
             {
-                self->replace_overdue_watch();
+                // This node was stalled, and the answer may lie unread.
+                self->check_overdue_after(self->settings.overdue_after);
+                return;
             }
+            self->replace_overdue_watch();
         });
 }
 
@@ -174,7 +198,8 @@
     }
     revision = std::max(revision, read.store_revision);
     through_revision = std::max(through_revision, revision);
-    if (!read.changes.empty())
+    changes_arrive = !read.changes.empty();
+    if (changes_arrive)
     {
         events.on_changes(std::move(read.changes));
     }
--- a/libs/hosted/tests/workspaces_tests.cpp
+++ b/libs/hosted/tests/workspaces_tests.cpp
@@ -40,8 +40,8 @@
 
     hosted::job_request_handler& desk()
     {
-        const auto alive =
-            std::find_if(c.nodes.begin(), c.nodes.end(), [](const node& n) { return !n.process.dead; });
+        const auto alive = std::find_if(
+            c.nodes.begin(), c.nodes.end(), [](const node& n) { return !n.process.dead; });
         return *alive->desk;
     }
 
@@ -49,8 +49,7 @@
     {
         c.hosts.expect(j);
         std::optional<submit_outcome> out;
-        desk().submit(
-            j, c.time.now() + 2500ms, [&](submit_outcome it) { out = it; });
+        desk().submit(j, c.time.now() + 2500ms, [&](submit_outcome it) { out = it; });
         c.time.run_until([&] { return out.has_value(); }, 5s);
         return out.value();
     }
@@ -58,8 +57,7 @@
     hosted::state_answer query(const hosted::job_reference& job)
     {
         std::optional<hosted::state_answer> out;
-        desk().query_state(
-            job, c.time.now() + 2500ms, [&](hosted::state_answer it) { out = it; });
+        desk().query_state(job, c.time.now() + 2500ms, [&](hosted::state_answer it) { out = it; });
         c.time.run_until([&] { return out.has_value(); }, 5s);
         return out.value();
     }
@@ -67,8 +65,7 @@
     cancel_outcome cancel(const hosted::job_reference& job)
     {
         std::optional<cancel_outcome> out;
-        desk().cancel(
-            job, c.time.now() + 2500ms, [&](cancel_outcome it) { out = it; });
+        desk().cancel(job, c.time.now() + 2500ms, [&](cancel_outcome it) { out = it; });
         c.time.run_until([&] { return out.has_value(); }, 5s);
         return out.value();
     }
