--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -39,7 +39,7 @@
     /// Maximum wait of one watch of new jobs. Its answer states up to which store revision all jobs
     /// have been read, and so how old a count of waiting jobs is. Together with
     /// pending_record_interval this stays well below the 2 s that a count may lag behind.
-    core::millis job_watch_max_wait{400};
+    core::millis job_watch_max_wait{700};
     core::millis poll_wait{700};      ///< time that a runner holds a poll open until a run ends
     core::millis max_poll_wait{1400}; ///< upper bound of poll_wait in a fleet of many hosts
     core::millis poll_gap{30};        ///< delay after a poll that reported ends: gathers the next
@@ -60,7 +60,7 @@
     /// Maximum wait of one watch of the list of runners. It bounds how long a watch whose
     /// connection has failed silently goes undetected; this stays well below the time during which
     /// a draining runner may still be given work.
-    core::millis runner_list_max_wait{300};
+    core::millis runner_list_max_wait{1000};
     core::millis runner_list_interval{60}; ///< between two such watches: gathers runners' writes
     core::millis liveness_check_interval{450}; ///< checks for unresponsive hosts and expired leases
     core::millis machine_list_interval{500};   ///< reads of the list of machines during a wave
--- a/libs/hosted/include/hosted/prefix_follower.hpp
+++ b/libs/hosted/include/hosted/prefix_follower.hpp
@@ -23,12 +23,6 @@
     /// each call.
     core::millis watch_delay{0};
     core::millis retry_delay{200}; ///< delay after a failed call
-    /// If a watch is not answered this long after max_wait, all keys are read: a store that is
-    /// about to truncate its change log may report no change to any watch while it answers reads.
-    core::millis overdue_after{120};
-    /// The same while changes arrive: after the previous answer brought some, a watch is answered
-    /// soon, or is suspect from this time on.
-    core::millis busy_overdue_after{250};
 };
 
 /// Calls of a prefix_follower.
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -236,7 +236,7 @@
         coordinator::cancel_job(term_.fleet, id, term_.now(), out);
         return;
     }
-    if (term_.fleet.jobs.contains(id))
+    if (term_.fleet.jobs.contains(id) || unreadable_progress_.contains(id))
     {
         return;
     }
@@ -256,6 +256,7 @@
             // The record of which tasks are done cannot be read. If the job were treated as new,
             // its finished tasks would run a second time.
             log_damaged_record(state->second, core::failure(found).message);
+            unreadable_progress_.insert(id);
             return;
         }
         progress = std::move(core::value(found));
--- a/libs/hosted/src/job_reader.hpp
+++ b/libs/hosted/src/job_reader.hpp
@@ -7,6 +7,7 @@
 #include "term.hpp"
 
 #include <map>
+#include <set>
 
 namespace camphorhitch::hosted
 {
@@ -50,6 +51,9 @@
     std::map<std::string, ports::stored_item> states_;
     std::string last_state_key_; ///< last key of the pages of progress read so far
     int state_pages_ = 0;
+    /// Ids of jobs whose progress can't be read. They are left out in each later read of all jobs
+    /// too, which comes without their states.
+    std::set<std::string> unreadable_progress_;
     damaged_record_log damaged_records_;
     /// Jobs added to the fleet and not yet recorded as arrivals.
     std::vector<workflow::job> arrivals_;
--- a/libs/hosted/src/prefix_follower.cpp
+++ b/libs/hosted/src/prefix_follower.cpp
@@ -1,14 +1,10 @@
 #include "hosted/prefix_follower.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace camphorhitch::hosted
 {
 
-/// A check that runs later than this after it was due proves nothing about the store.
-constexpr core::millis max_check_delay{20};
-
 /// Callbacks hold the state by weak pointer, because an answer may arrive after the follower is
 /// destroyed.
 struct follower_state : std::enable_shared_from_this<follower_state>
@@ -22,10 +18,6 @@
     std::vector<ports::stored_item> pages;
     int pages_read = 0;
     ports::timer_id timer = 0;
-    ports::timer_id overdue_timer = 0;
-    std::int64_t open_watch = 0;   ///< number of the watch whose answer counts
-    bool changes_arrive = false;   ///< the latest answer brought changes
-    ports::revision read_from = 0; ///< revision known before the present read of all keys
     bool store_reachable = true;
 
     void record_answer(bool ok, const char* call);
@@ -34,8 +26,6 @@
     void read_page();
     void apply_page(ports::page_read page);
     void watch();
-    void check_overdue_after(core::millis delay);
-    void replace_overdue_watch();
     void apply_changes(ports::changes_read read);
 };
 
@@ -71,7 +61,6 @@
 {
     pages.clear();
     pages_read = 0;
-    read_from = revision;
     revision = 0;
     read_page();
 }
@@ -117,9 +106,6 @@
         read_page();
         return;
     }
-    changes_arrive = std::any_of(pages.begin(),
-        pages.end(),
-        [this](const ports::stored_item& it) { return it.modified > read_from; });
     // Set first because the event handlers may read it.
     through_revision = std::max(through_revision, revision);
     events.on_all(std::exchange(pages, {}));
@@ -128,54 +114,16 @@
 
 void follower_state::watch()
 {
-    const auto number = ++open_watch;
     ctx.store.watch(settings.prefix,
         revision,
         settings.max_wait,
-        [weak = weak_from_this(), number](ports::changes_read read)
+        [weak = weak_from_this()](ports::changes_read read)
         {
-            const auto self = weak.lock();
-            if (self != nullptr && self->open_watch == number)
+            if (const auto self = weak.lock())
             {
-                self->ctx.time.cancel(self->overdue_timer);
                 self->apply_changes(std::move(read));
             }
         });
-    const auto usual = settings.max_wait + settings.overdue_after;
-    check_overdue_after(changes_arrive ? std::min(usual, settings.busy_overdue_after) : usual);
-}
-
-void follower_state::check_overdue_after(core::millis delay)
-{
-    overdue_timer = ctx.time.after(delay,
-        [weak = weak_from_this(), number = open_watch, due_at = ctx.time.now() + delay]
-        {
-            const auto self = weak.lock();
-            if (self == nullptr || self->open_watch != number)
-            {
-                return;
-            }
-            if (self->ctx.time.now() - due_at > max_check_delay)
-            {
-                // This node was stalled, and the answer may lie unread.
-                self->check_overdue_after(self->settings.overdue_after);
-                return;
-            }
-            self->replace_overdue_watch();
-        });
-}
-
-/// Reads all keys in place of the watch. Not while the store answers nothing: the reads would not
-/// be answered either, and the watch ends with its timeout.
-void follower_state::replace_overdue_watch()
-{
-    if (is_store_unresponsive(ctx))
-    {
-        return;
-    }
-    ++open_watch; // a late answer of the watch is ignored
-    ctx.tel.count("camphorhitch_overdue_watches_total", {{"prefix", settings.prefix}}, 1);
-    read_all();
 }
 
 void follower_state::apply_changes(ports::changes_read read)
@@ -198,8 +146,7 @@
     }
     revision = std::max(revision, read.store_revision);
     through_revision = std::max(through_revision, revision);
-    changes_arrive = !read.changes.empty();
-    if (changes_arrive)
+    if (!read.changes.empty())
     {
         events.on_changes(std::move(read.changes));
     }
@@ -217,7 +164,6 @@
 prefix_follower::~prefix_follower()
 {
     state_->ctx.time.cancel(state_->timer);
-    state_->ctx.time.cancel(state_->overdue_timer);
 }
 
 void prefix_follower::start()
--- a/libs/hosted/tests/broken_records_tests.cpp
+++ b/libs/hosted/tests/broken_records_tests.cpp
@@ -189,6 +189,21 @@
     LONGS_EQUAL(2, c.hosts.starts);
 }
 
+// Guards against running a job's tasks again that had ended: the store truncates its change log, so
+// all jobs are read once more, without their states.
+TEST(broken_records, a_job_with_damaged_progress_stays_left_out_when_jobs_are_read_again)
+{
+    c.put_job(c.make_job("a", 2));
+    c.store.put(hosted::state_key("a"), "{");
+    begin(2);
+    c.time.run_for(1s);
+    c.store.compact();
+    c.put_job(c.make_job("b", 2));
+    check_all_done("b");
+    c.time.run_for(3s);
+    LONGS_EQUAL(2, c.hosts.starts);
+}
+
 // The term number becomes unreadable. If it restarted from zero, the next coordinator's runs would
 // have lower numbers than those that the runners have seen, and would be refused for good.
 TEST(broken_records, a_damaged_term_number_does_not_restart_from_zero)
--- a/libs/hosted/tests/load_report_tests.cpp
+++ b/libs/hosted/tests/load_report_tests.cpp
@@ -230,9 +230,9 @@
     CHECK(more >= 3 && more <= 5);
 }
 
-// One node coordinates all the time. Its watch and its reads of accepted jobs get no answer while
-// its writes succeed, so the record is new and its counts are old. The age of the intake and the
-// revision up to which jobs were read show this.
+// One node coordinates all the time. Its watch of accepted jobs gets no answer while its writes
+// succeed, so the record is new and its counts are old. The age of the intake and the revision up
+// to which jobs were read show this.
 TEST(load_report, an_unanswered_job_watch_shows_in_the_lines_of_the_record)
 {
     hosted_fakes::cluster c;
@@ -255,14 +255,6 @@
                     }
                 });
         };
-        n.ctx.store.range = [&watch_fails, real = n.ctx.store.range](
-                                const std::string& prefix, const auto& after, const auto& done)
-        {
-            if (!watch_fails || prefix != hosted::job_prefix)
-            {
-                real(prefix, after, done);
-            }
-        };
     };
     c.add_node();
     CHECK(c.has_leader());
--- a/libs/hosted/tests/outdated_state_tests.cpp
+++ b/libs/hosted/tests/outdated_state_tests.cpp
@@ -118,14 +118,6 @@
                 real(prefix, after, wait, done);
             }
         };
-        n.ctx.store.range = [&, real = n.ctx.store.range](
-                                const std::string& prefix, const auto& after, const auto& done)
-        {
-            if (not_watching != &n || prefix != hosted::job_prefix)
-            {
-                real(prefix, after, done);
-            }
-        };
     };
     c.hosts.behaviour.run_time = 20s;
     c.hosts.add("p");
--- a/libs/hosted/tests/random_simulation.hpp
+++ b/libs/hosted/tests/random_simulation.hpp
@@ -49,7 +49,6 @@
         : c(seed), random(seed)
     {
         c.hosts.kept_id_share = 0.5;
-        c.store.is_deaf_before_truncation = seed % 2 == 0;
         if (prepare)
         {
             prepare(c);
--- a/programs/camphorhitchd/tests/hosted_operators_tests.cpp
+++ b/programs/camphorhitchd/tests/hosted_operators_tests.cpp
@@ -196,14 +196,6 @@
                 real(prefix, after, wait, done);
             }
         };
-        n.ctx.store.range = [&, real = n.ctx.store.range](
-                                const std::string& prefix, const auto& after, const auto& done)
-        {
-            if (!watch_blocked || prefix != hosted::job_prefix)
-            {
-                real(prefix, after, done);
-            }
-        };
     };
     begin();
     watch_blocked = true;
--- a/testing/hosted_fakes/include/hosted_fakes/store.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/store.hpp
@@ -32,8 +32,6 @@
     /// Truncates the change log: watches from an earlier revision fail.
     void compact();
 
-    /// Before the change log is truncated, watches report no change for a second, and then end.
-    bool is_deaf_before_truncation = false;
     bool down = false;                     ///< no call is answered
     core::millis timeout{1000};            ///< time after which a call without an answer fails
     bool pauses_leases_while_down = false; ///< false: leases expire while the store is down
@@ -73,7 +71,6 @@
         const std::function<void(ports::commit_result)>& done);
     ports::page_read range(const std::string& prefix, const std::string& after);
     bool answer_watch(const waiter& w);
-    void truncate_change_log();
     void watch(daemon_fakes::process& p, waiter w, core::millis wait);
     void record_change(const ports::stored_change& change);
     void expire(ports::lease_id id, std::uint64_t renewals);
@@ -83,7 +80,6 @@
     std::map<std::string, ports::stored_item> items_;
     std::vector<ports::stored_change> history_;
     ports::revision revision_ = 1;
-    bool deaf_ = false;             ///< watches are not answered
     ports::revision compacted_ = 0; ///< the change log up to this revision is truncated
     std::map<ports::lease_id, lease> leases_;
     ports::lease_id last_lease_ = 0;
--- a/testing/hosted_fakes/src/store.cpp
+++ b/testing/hosted_fakes/src/store.cpp
@@ -63,10 +63,6 @@
 void store::record_change(const ports::stored_change& change)
 {
     history_.push_back(change);
-    if (deaf_)
-    {
-        return;
-    }
     const auto waiting = waiters_;
     for (const auto& [id, w] : waiting)
     {
@@ -100,23 +96,6 @@
 }
 
 void store::compact()
-{
-    if (!is_deaf_before_truncation || deaf_)
-    {
-        truncate_change_log();
-        return;
-    }
-    constexpr core::millis deaf_time{1000};
-    deaf_ = true;
-    time_.after(deaf_time,
-        [this]
-        {
-            deaf_ = false;
-            truncate_change_log();
-        });
-}
-
-void store::truncate_change_log()
 {
     compacted_ = revision_;
     history_.clear();
@@ -283,7 +262,7 @@
             std::max(wait, timeout), [w, s] { w.answer(with_status<ports::changes_read>(s)); });
         return;
     }
-    if (!deaf_ && answer_watch(w))
+    if (answer_watch(w))
     {
         return;
     }
@@ -293,7 +272,7 @@
         [this, id]
         {
             const auto found = waiters_.find(id);
-            if (found != waiters_.end() && !deaf_)
+            if (found != waiters_.end())
             {
                 const auto waited = found->second;
                 waiters_.erase(found);
