--- a/libs/coordinator/include/coordinator/demand.hpp
+++ b/libs/coordinator/include/coordinator/demand.hpp
@@ -111,11 +111,6 @@
 /// intervals of earlier busy periods; nothing when they show no pattern.
 std::optional<core::mono_time> next_busy_time(const demand& d, const std::string& pool);
 
-/// \return the cores that the job's batch tasks use now, plus those that its ready tasks would need
-/// to be done within the horizon. Tasks of later steps don't count: more hosts would not speed them
-/// up.
-double demanded_cores(const fleet& f, const demand_settings& d, const job_entry& j);
-
 /// \return the need of each pool.
 std::map<std::string, pool_need> pool_needs(const fleet& f, const demand& d, core::mono_time now);
 
--- a/libs/coordinator/include/coordinator/workspaces.hpp
+++ b/libs/coordinator/include/coordinator/workspaces.hpp
@@ -5,7 +5,6 @@
 /// that this coordinator has not seen yet.
 #pragma once
 
-#include "core/names.hpp"
 #include "core/time.hpp"
 #include "workflow/model.hpp"
 
@@ -38,12 +37,6 @@
     dominant ///< the workspace with the smallest dominant share per weight comes first
 };
 
-inline constexpr core::name_table<share_rule, 3> share_rule_names{{
-    {share_rule::none, "none"},
-    {share_rule::rate, "rate"},
-    {share_rule::dominant, "dominant"},
-}};
-
 /// What the coordinator knows about one workspace.
 struct workspace_entry
 {
--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -213,7 +213,8 @@
 namespace
 {
 
-/// Cores for the batch tasks of a job.
+/// Cores for the batch tasks of a job. Tasks of later steps don't count: more hosts would not speed
+/// them up.
 struct job_cores
 {
     double running = 0;
@@ -267,12 +268,6 @@
 
 } // namespace
 
-double demanded_cores(const fleet& f, const demand_settings& d, const job_entry& j)
-{
-    const auto all = cores_for(f, d, j);
-    return all.running + all.waiting;
-}
-
 namespace
 {
 
