Settings of the policies for scarce capacity, and their specification

Cause: hosts are divided in the order of pools' names, needs and packing count cores only, shares count jobs, and nothing is rejected for load.

--- a/libs/coordinator/include/coordinator/demand.hpp
+++ b/libs/coordinator/include/coordinator/demand.hpp
@@ -13,9 +13,21 @@
 namespace camphorhitch::coordinator
 {
 
+/// The resources in which the need of a pool is counted.
+enum class need_rule
+{
+    cores, ///< cores only
+    vector ///< cores, memory and accelerators
+};
+
 /// Time constants and factors of the estimate.
 struct demand_settings
 {
+    need_rule needs = need_rule::cores;
+    /// Work that cannot be in time, even if hosts came, counts only with late_work_share. Set
+    /// together with placement_policy::forecasts.
+    bool discounts_late_work = false;
+    double late_work_share = 0.1;
     /// Waiting tasks should be done within about this time; longer tasks are expected to start at
     /// once.
     core::millis horizon{1300};
--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -55,8 +55,8 @@
     run_phase phase = run_phase::ordered;
     core::mono_time ordered_at; ///< when the start was ordered; for an adopted run, when found
     bool adopted = false;       ///< a previous coordinator started it: its start time is unknown
-    bool resumed = false;       ///< started from a checkpoint, so shorter than a complete run
-    bool confirmed = false;     ///< the runner has reported this run as active
+    bool resumed = false;   ///< started from a checkpoint, so shorter than a complete run
+    bool confirmed = false; ///< the runner has reported this run as active
     /// A poll of this incarnation has listed the run. The answer to a start does not name the
     /// incarnation, so that alone a run may be active on the next one.
     bool listed = false;
@@ -270,12 +270,40 @@
     {job_order::first_come, "first_come"},
 }};
 
+/// How host_choice::fullest compares hosts.
+enum class packing_rule
+{
+    cores,    ///< the host with the fewest free cores comes first
+    dominant, ///< the host with the highest dominant share comes first
+    best_fit  ///< the host whose resources are used most evenly comes first
+};
+
+inline constexpr core::name_table<packing_rule, 3> packing_rule_names{{
+    {packing_rule::cores, "cores"},
+    {packing_rule::dominant, "dominant"},
+    {packing_rule::best_fit, "best_fit"},
+}};
+
+/// Weighted shares in resource-time, with share_rule::work.
+struct share_settings
+{
+    /// Time constant of the exponential decay of what was used.
+    core::millis window{10000};
+    bool by_queue = false; ///< queues are a further level
+    bool by_zone = false;  ///< so are the availability zones of callers
+};
+
 /// How tasks are placed on hosts; bench/placement_days compares the variants.
 struct placement_policy
 {
     host_choice hosts = host_choice::fullest;
+    packing_rule packing = packing_rule::cores;
     job_order jobs = job_order::in_time_first;
+    /// The completion forecast determines which jobs can be in time; otherwise each job is
+    /// evaluated as if it had the pool to itself.
+    bool forecasts = false;
     share_rule shares = share_rule::rate;
+    share_settings share;
     bool uses_measured_run_times = true; ///< false: only declared run times are used
 };
 
@@ -309,6 +337,9 @@
     core::millis ticket_margin{150};
     /// Delay between a refused start and the next start of the same task.
     core::millis refused_start_delay{150};
+    /// Maximum time for which a run still works, and is listed as active, after its runner accepted
+    /// a stop.
+    core::millis max_stop_time{1000};
     /// Delay before an unanswered stop is repeated.
     core::millis stop_retry_delay{400};
     /// How long the list of runners may still contain a runner that has ended: the time for three
--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -3,6 +3,7 @@
 /// standby pool, whose machines are switched off.
 #pragma once
 
+#include "coordinator/allocation.hpp"
 #include "coordinator/demand.hpp"
 #include "coordinator/waves.hpp"
 
@@ -14,6 +15,7 @@
 /// Bounds and delays of moves between pools.
 struct rebalance_settings
 {
+    allocation_rule allocation = allocation_rule::in_order;
     /// Hosts that each pool keeps beyond its need, because work arrives in bursts.
     int spare_hosts = 1;
     /// A pool must have had a surplus for this long before hosts go to the standby pool: moving a
--- a/libs/coordinator/include/coordinator/workspaces.hpp
+++ b/libs/coordinator/include/coordinator/workspaces.hpp
@@ -32,9 +32,10 @@
 /// How the jobs of workspaces share a pool without capacity for all.
 enum class share_rule
 {
-    none,    ///< workspaces are not distinguished
-    rate,    ///< jobs that a workspace sends beyond its weight per second come last
-    dominant ///< the workspace with the smallest dominant share per weight comes first
+    none,     ///< workspaces are not distinguished
+    rate,     ///< jobs that a workspace sends beyond its weight per second come last
+    dominant, ///< the workspace with the smallest dominant share per weight comes first
+    work      ///< shares in resource-time over a window
 };
 
 /// What the coordinator knows about one workspace.
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -53,6 +53,7 @@
         return j.beyond_share ? 1 : 0;
     case share_rule::dominant:
         return weighted_dominant_share(f, j.spec.workspace);
+    case share_rule::work:
     case share_rule::none:
         break;
     }
--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -31,6 +31,7 @@
     bool hands_over_when_behind = true;   ///< hands the lead over when slowed or overloaded
     bool repeats_overdue_calls = true;    ///< repeats calls to runners whose answer is overdue
     bool throttles_best_effort = true;    ///< sends throttle orders for best-effort tasks
+    bool publishes_forecast = false;      ///< nodes reject jobs by the published forecast
     core::millis plan_delay{4};           ///< gathers events that arrive together into one plan
     core::millis plan_interval{100};      ///< plans without an event: leases expire, stops repeat
     core::millis host_plan_interval{40};  ///< waves and moves, which scan every job and host
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -11,6 +11,7 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace camphorhitch::settings
 {
@@ -46,20 +47,65 @@
     core::millis keep_finished{150000};
     /// Maximum time from the stop signal to the end of the process, in seconds.
     double stop_bound_s = 6;
+    /// Maximum time for which a run still works after its runner accepted a stop. The key is
+    /// longest_stop_ms.
+    core::millis max_stop_time{1000};
 };
 
 /// How workspaces share a pool without capacity for all their jobs.
 enum class share_policy
 {
-    none,    ///< workspaces are not distinguished
-    rate,    ///< jobs that a workspace sends beyond its weight per second come last
-    dominant ///< the workspace with the smallest dominant share per weight comes first
+    none,     ///< workspaces are not distinguished
+    rate,     ///< jobs that a workspace sends beyond its weight per second come last
+    dominant, ///< the workspace with the smallest dominant share per weight comes first
+    work      ///< shares in resource-time over a window
 };
 
-inline constexpr core::name_table<share_policy, 3> share_policy_names{{
+inline constexpr core::name_table<share_policy, 4> share_policy_names{{
     {share_policy::none, "none"},
     {share_policy::rate, "rate"},
     {share_policy::dominant, "dominant"},
+    {share_policy::work, "work"},
+}};
+
+/// How hosts are divided among pools when there are too few for all.
+enum class allocation_policy
+{
+    in_order, ///< pools in the order of their names
+    max_min,  ///< the pool with the smallest satisfied share of its need comes first
+    marginal  ///< the pool in which the next host completes most work in time comes first
+};
+
+inline constexpr core::name_table<allocation_policy, 3> allocation_policy_names{{
+    {allocation_policy::in_order, "in_order"},
+    {allocation_policy::max_min, "max_min"},
+    {allocation_policy::marginal, "marginal"},
+}};
+
+/// The resources in which the need of a pool is counted.
+enum class need_policy
+{
+    cores, ///< cores only
+    vector ///< cores, memory and accelerators
+};
+
+inline constexpr core::name_table<need_policy, 2> need_policy_names{{
+    {need_policy::cores, "cores"},
+    {need_policy::vector, "vector"},
+}};
+
+/// Which host with sufficient capacity receives a short task, if the fullest one comes first.
+enum class packing_policy
+{
+    cores,    ///< the host with the fewest free cores
+    dominant, ///< the host with the highest dominant share
+    best_fit  ///< the host whose resources are used most evenly
+};
+
+inline constexpr core::name_table<packing_policy, 3> packing_policy_names{{
+    {packing_policy::cores, "cores"},
+    {packing_policy::dominant, "dominant"},
+    {packing_policy::best_fit, "best_fit"},
 }};
 
 /// Policies for the distribution of hosts and the placement of tasks. Operators change them to
@@ -70,6 +116,17 @@
     bool in_time_first = true; ///< jobs that can still meet their objective are placed first
     bool fullest_first = true; ///< short tasks are placed on the fullest host that has capacity
     share_policy shares = share_policy::rate;
+    /// Window over which the resource-time of `shares` = work is counted.
+    core::millis share_window{10000};
+    bool shares_by_queue = false; ///< queues are further levels of `shares` = work
+    bool shares_by_zone = false;  ///< so are the availability zones of callers
+    allocation_policy allocation = allocation_policy::in_order;
+    need_policy needs = need_policy::cores;
+    packing_policy packing = packing_policy::cores;
+    /// The completion forecast determines the order of jobs and the work that counts as need.
+    bool forecasts = false;
+    /// Nodes reject jobs that cannot be completed in time according to the forecast.
+    bool rejects_hopeless = false;
     bool learns_times = true;  ///< measured run times replace declared run times
     bool hands_over = true;    ///< a slowed or overloaded coordinator hands over to another node
     bool repeats_calls = true; ///< orders and polls are sent again when their answers are overdue
@@ -110,6 +167,13 @@
     double young_share = 0.5; ///< share of the highest peak of any pool
 };
 
+/// A policy that applies in place of hosted_settings::policy where a condition is in force.
+struct conditional_policy
+{
+    std::string where; ///< name of the condition
+    hosted_policy policy;
+};
+
 /// All settings of one node.
 struct hosted_settings
 {
@@ -119,11 +183,18 @@
     service_settings services;
     hosted_timing timing;
     hosted_policy policy;
+    /// Names of the conditions in force at this deployment.
+    std::vector<std::string> conditions;
+    /// The first entry whose condition is in force replaces `policy`.
+    std::vector<conditional_policy> conditional_policies;
     std::string operators_token; ///< token that operators' clients must send
     double processor_share = 1;  ///< number of cores that this node may use
     ports::log_level log_level = ports::log_level::info;
 };
 
+/// \return the policy in force.
+const hosted_policy& effective_policy(const hosted_settings& s);
+
 /// \param file_name name of the document in findings.
 /// \return the settings, or all findings of \p text.
 std::variant<hosted_settings, core::findings> read_hosted_settings(
--- a/libs/settings/src/hosted_read.cpp
+++ b/libs/settings/src/hosted_read.cpp
@@ -1,6 +1,8 @@
 #include "checked_json/record.hpp"
 #include "settings/hosted_settings.hpp"
 
+#include <algorithm>
+
 namespace camphorhitch::settings
 {
 
@@ -24,6 +26,7 @@
 constexpr checked_json::real_range factor_range{1, 10};
 constexpr millis_range delay_range{millis{0}, millis{600000}};
 constexpr millis_range horizon_range{millis{1}, millis{600000}};
+constexpr millis_range window_range{millis{100}, millis{600000}};
 
 } // namespace
 
@@ -52,7 +55,8 @@
         .defaulted("longest_runner_lease_ms", r.max_runner_lease, lease_range)
         .defaulted("leader_lease_ms", r.leader_lease, lease_range)
         .defaulted("keep_finished_ms", r.keep_finished, retention_range)
-        .defaulted("stop_bound_s", r.stop_bound_s, stop_range);
+        .defaulted("stop_bound_s", r.stop_bound_s, stop_range)
+        .defaulted("longest_stop_ms", r.max_stop_time, delay_range);
 }
 
 template <class Keys>
@@ -62,6 +66,14 @@
         .defaulted("in_time_first", r.in_time_first)
         .defaulted("fullest_first", r.fullest_first)
         .defaulted("shares", r.shares, share_policy_names)
+        .defaulted("share_window_ms", r.share_window, window_range)
+        .defaulted("shares_by_queue", r.shares_by_queue)
+        .defaulted("shares_by_zone", r.shares_by_zone)
+        .defaulted("allocation", r.allocation, allocation_policy_names)
+        .defaulted("needs", r.needs, need_policy_names)
+        .defaulted("packing", r.packing, packing_policy_names)
+        .defaulted("forecasts", r.forecasts)
+        .defaulted("rejects_hopeless", r.rejects_hopeless)
         .defaulted("learns_times", r.learns_times)
         .defaulted("hands_over", r.hands_over)
         .defaulted("repeats_calls", r.repeats_calls)
@@ -84,6 +96,12 @@
         .defaulted("young_share", r.young_share, fraction_range);
 }
 
+template <class Keys>
+void describe(Keys& keys, conditional_policy& r)
+{
+    keys.required("where", r.where, check_name).required("policy", r.policy);
+}
+
 template <class Keys>
 void describe(Keys& keys, hosted_settings& r)
 {
@@ -93,6 +111,8 @@
         .required("services", r.services)
         .defaulted("timing", r.timing)
         .defaulted("policy", r.policy)
+        .optional("conditions", r.conditions)
+        .optional("conditional_policies", r.conditional_policies)
         .defaulted("operators_token", r.operators_token)
         .defaulted("processor_share", r.processor_share, share_range)
         .defaulted("log_level", r.log_level, ports::log_level_names);
@@ -127,8 +147,45 @@
     }
 }
 
+void check_policy(const hosted_policy& p,
+    const std::string& where,
+    const std::string& file,
+    core::findings& found)
+{
+    if (p.rejects_hopeless && !p.forecasts)
+    {
+        found.push_back({{file, where + "/rejects_hopeless", 0, 0},
+            "needs forecasts: true, by which nodes determine which jobs are hopeless",
+            {}});
+    }
+}
+
+void check_policies(const hosted_settings& s, const std::string& file, core::findings& found)
+{
+    check_policy(s.policy, "/policy", file, found);
+    for (std::size_t i = 0; i < s.conditional_policies.size(); ++i)
+    {
+        check_policy(s.conditional_policies[i].policy,
+            "/conditional_policies/" + std::to_string(i) + "/policy",
+            file,
+            found);
+    }
+}
+
 } // namespace
 
+const hosted_policy& effective_policy(const hosted_settings& s)
+{
+    for (const auto& it : s.conditional_policies)
+    {
+        if (std::find(s.conditions.begin(), s.conditions.end(), it.where) != s.conditions.end())
+        {
+            return it.policy;
+        }
+    }
+    return s.policy;
+}
+
 std::variant<hosted_settings, core::findings> read_hosted_settings(
     const std::string& text, const std::string& file_name)
 {
@@ -139,6 +196,7 @@
         core::findings found;
         check_leases(*s, file_name, found);
         check_operators(*s, file_name, found);
+        check_policies(*s, file_name, found);
         if (!found.empty())
         {
             return found;
--- a/libs/settings/tests/hosted_settings_tests.cpp
+++ b/libs/settings/tests/hosted_settings_tests.cpp
@@ -44,6 +44,36 @@
     CHECK(defaults.repeats_calls && defaults.watches_store && defaults.paces);
 }
 
+// Guards against a policy that acts at deployments whose conditions do not ask for it.
+TEST(hosted_settings, a_condition_in_force_replaces_the_policy)
+{
+    struct row
+    {
+        const char* conditions;
+        settings::allocation_policy expected;
+        int spare_hosts;
+    };
+    for (const auto& it : {row{"[]", settings::allocation_policy::in_order, 3},
+             row{R"(["other"])", settings::allocation_policy::in_order, 3},
+             row{R"(["contention"])", settings::allocation_policy::max_min, 1},
+             row{R"(["last","contention"])", settings::allocation_policy::max_min, 1},
+             row{R"(["last"])", settings::allocation_policy::marginal, 1}})
+    {
+        const auto read = settings::read_hosted_settings(
+            with(R"("zone":"z")",
+                R"("zone":"z","policy":{"spare_hosts":3},"conditions":)" +
+                    std::string(it.conditions) +
+                    R"(,"conditional_policies":[
+{"where":"contention","policy":{"allocation":"max_min"}},
+{"where":"last","policy":{"allocation":"marginal"}}])"),
+            "f");
+        const auto* const s = std::get_if<settings::hosted_settings>(&read);
+        CHECK_TEXT(s != nullptr, it.conditions);
+        CHECK_TEXT(settings::effective_policy(*s).allocation == it.expected, it.conditions);
+        LONGS_EQUAL_TEXT(it.spare_hosts, settings::effective_policy(*s).spare_hosts, it.conditions);
+    }
+}
+
 TEST(hosted_settings, all_errors_are_reported_with_their_positions)
 {
     struct row
@@ -61,6 +91,11 @@
         {with(R"("zone":"z")", R"("zone":"z","timing":{"runner_lease_ms":7000})"),
             "/timing/runner_lease_ms"},
         {with(R"("zone":"z")", R"("zone":"z","log_level":"loud")"), "/log_level"},
+        {with(R"("zone":"z")", R"("zone":"z","policy":{"rejects_hopeless":true})"),
+            "/policy/rejects_hopeless"},
+        {with(R"("zone":"z")",
+             R"("zone":"z","conditional_policies":[{"where":"a","policy":{"rejects_hopeless":true}}])"),
+            "/conditional_policies/0/policy/rejects_hopeless"},
         {with(R"("health")", R"("operators":"10.0.0.1:4","health")"), "/operators_token"},
         {with(R"("health")", R"("relay":"here","health")"), "/listen/relay"},
     };
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -123,7 +123,7 @@
     {
         return best_other_share;
     };
-    if (settings.policy.watches_store)
+    if (settings::effective_policy(settings).watches_store)
     {
         store_health = std::make_unique<hosted::store_health_monitor>(
             ctx.store, ctx.time, log, hosted::store_health_settings{});
@@ -211,7 +211,8 @@
     drive.rules.max_runner_lease = settings.timing.max_runner_lease;
     drive.rules.leader_lease = settings.timing.leader_lease;
     drive.processor_share = settings.processor_share;
-    apply_policy(settings.policy, drive);
+    drive.rules.max_stop_time = settings.timing.max_stop_time;
+    apply_policy(settings::effective_policy(settings), drive);
     drive.finished_job_retention = settings.timing.keep_finished;
     driver = std::make_unique<hosted::fleet_driver>(ctx, formats, drive, *leadership);
     job_requests =
