Types of the completion forecast

Cause: the order of jobs, the need of pools and admission use one forecast. Change: the types that these parts share, without behaviour. Result: builds; no behaviour changes.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -9,6 +9,7 @@
 /// values are read from the clock of this process.
 #pragma once
 
+#include "coordinator/completion_forecast.hpp"
 #include "coordinator/run_time_estimates.hpp"
 #include "coordinator/workspaces.hpp"
 #include "core/names.hpp"
@@ -388,6 +389,8 @@
     std::map<std::string, host_entry> hosts;   ///< by runner id
     workspace_table workspaces;
     coordinator::run_time_estimates run_time_estimates; ///< from runs of this term
+    /// By pool, from the latest plan; empty without placement_policy::forecasts.
+    std::map<std::string, pool_forecast> forecasts;
     /// Runners that have certainly ended, by runner id, with the time at which this became known.
     /// The list of runners may still contain them for ended_runner_retention.
     std::map<std::string, core::mono_time> ended_runners;
