A successor waits until inherited stops have taken effect

Cause: a runner lists a run as active until it has ended, up to the platform's longest stop time after it accepted a stop. A successor adopted a run that its predecessor had had stopped as working, and stopped one more task of the step than max_unavailable allows.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -56,6 +56,9 @@
     run_phase phase = run_phase::ordered;
     core::mono_time ordered_at; ///< when the start was ordered; for an adopted run, when found
     bool adopted = false;       ///< a previous coordinator started it: its start time is unknown
+    /// An adopted run that a previous coordinator may have had stopped: a runner lists a run as
+    /// active until it has ended, up to coordinator_settings::max_stop_time after the stop.
+    bool may_be_stopping = false;
     bool resumed = false;   ///< started from a checkpoint, so shorter than a complete run
     bool confirmed = false; ///< the runner has reported this run as active
     /// A poll of this incarnation has listed the run. The answer to a start does not name the
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -115,6 +115,7 @@
     run.phase = wanted ? run_phase::running : run_phase::stopping;
     run.ordered_at = now;
     run.adopted = true;
+    run.may_be_stopping = true;
     run.phase_changed_at = now;
     add_run(f, j, name, run);
     apply_later_run(t, it.run);
@@ -122,8 +123,12 @@
     record_event(out, wanted ? "run_adopted" : "run_unwanted", name, it.run, h.ref.id, "");
 }
 
-void apply_reported_run(
-    fleet& f, host_entry& h, const ports::reported_run& it, core::mono_time now, task_events& out)
+void apply_reported_run(fleet& f,
+    host_entry& h,
+    const ports::reported_run& it,
+    core::mono_time sent_at,
+    core::mono_time now,
+    task_events& out)
 {
     const auto read = workflow::read_task_name(it.task);
     const auto* const name = std::get_if<workflow::task_name>(&read);
@@ -142,6 +147,10 @@
     confirm_running(j, run, now);
     run.listed = true;
     run.sent_to_earlier = false;
+    // From the poll that found the run on, the runner refuses orders of previous coordinators, so
+    // the last stop that it accepted from one has taken effect by now.
+    run.may_be_stopping =
+        run.may_be_stopping && sent_at < run.ordered_at + f.settings.max_stop_time;
     run.progress_percent = it.progress_percent;
     run.load_metric = it.load_metric;
     clear_losses_if_proven(f, h, j, *name, run, out);
@@ -483,7 +492,7 @@
     std::set<std::string> listed;
     for (const auto& it : answer.running)
     {
-        apply_reported_run(f, *h, it, now, out);
+        apply_reported_run(f, *h, it, sent_at, now, out);
         listed.insert(it.task);
     }
     if (h->inherited)
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -374,8 +374,8 @@
 {
     constexpr int complete_percent = 100; // percent
     const auto h = f.hosts.find(it.host);
-    return it.phase == run_phase::running && it.progress_percent >= complete_percent &&
-           h != f.hosts.end() && h->second.reachable;
+    return it.phase == run_phase::running && !it.may_be_stopping &&
+           it.progress_percent >= complete_percent && h != f.hosts.end() && h->second.reachable;
 }
 
 } // namespace
--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -399,3 +399,50 @@
     CHECK(w.f.hosts["h1"].availability == host_availability::open);
     CHECK(plan_wave(w.f, v, list, {}, w.now, w.events).empty());
 }
+
+// Failure: the previous coordinator had a task stopped, and its runner still lists the run as
+// active. A successor that counts it as working stops one more task of the step than may be
+// unavailable.
+TEST(waves, a_successor_waits_until_inherited_stops_have_taken_effect)
+{
+    struct row
+    {
+        const char* what;
+        core::millis poll_sent_after; ///< the poll that found the runs
+        std::size_t stops;
+    };
+    const auto longest = w.f.settings.max_stop_time;
+    for (const auto& it : {row{"the runs were just found", 0ms, 0},
+             row{"a stop may still take effect", longest - 1ms, 0},
+             row{"all stops have taken effect", longest, 1}})
+    {
+        fleet_fixture here;
+        std::swap(w, here);
+        v = {};
+        list = {};
+        prepare(3, 3);
+        w.add_host("h4");
+        auto s = make_step(3, 1000);
+        s.long_running = true;
+        s.max_unavailable = 1;
+        s.max_per_host = 1;
+        w.accept_job(make_job("a", {s}));
+        const auto poll_all = [&](core::mono_time sent_at)
+        {
+            for (int i = 0; i < 3; ++i)
+            {
+                ports::poll_answer p;
+                p.call = {ports::runner_verdict::done, w.clock_ms()};
+                p.running = {{"a.0.0." + std::to_string(i), 7, {}, 100, 0}};
+                handle_poll_answer(w.f, "h" + std::to_string(i + 1), sent_at, p, w.now, w.events);
+            }
+        };
+        poll_all(w.now);
+        const auto found_at = w.now;
+        w.now += 2 * longest;
+        poll_all(found_at + it.poll_sent_after);
+        v.due = w.now;
+        plan_wave(w.f, v, list, {}, w.now, w.events);
+        LONGS_EQUAL_TEXT(it.stops, w.plan_next().stops.size(), it.what);
+    }
+}
