Test: late starts of cancelled jobs whose sender died are stopped

Change: late_starts.a_start_of_a_cancelled_job_is_stopped_after_its_sender_died, with four delays around the takeover.

--- a/libs/hosted/tests/late_starts_tests.cpp
+++ b/libs/hosted/tests/late_starts_tests.cpp
@@ -95,3 +95,50 @@
     STRCMP_EQUAL("", c.breaches().c_str());
     LONGS_EQUAL(2, c.hosts.starts);
 }
+
+// Failure: a runner carries out a start after the job was cancelled and after the node that sent it
+// has died. Guards against a successor that leaves the run of such a job active.
+TEST(late_starts, a_start_of_a_cancelled_job_is_stopped_after_its_sender_died)
+{
+    struct row
+    {
+        const char* what;
+        core::millis delay;
+    };
+    for (const auto& it : {row{"before the sender dies", 150ms},
+             row{"while no node leads", 900ms},
+             row{"about when the successor polls", 1800ms},
+             row{"after the successor polled", 4000ms}})
+    {
+        cluster fresh;
+        std::swap(fresh.settings, c.settings);
+        auto& at = fresh;
+        at.hosts.behaviour.run_time = 60s;
+        start_delay = it.delay;
+        surviving_process = {};
+        surviving_runners = at.hosts.runner_port(surviving_process);
+        at.customize_node = [&](node& n)
+        {
+            n.ctx.runners.start = [&](const auto& to, const auto& order, const auto&)
+            {
+                at.time.after(start_delay,
+                    [&at, this, to, order]
+                    { surviving_runners.start(to, order, [](const ports::runner_answer&) {}); });
+            };
+        };
+        at.hosts.add("p");
+        at.add_node();
+        at.add_node();
+        CHECK(at.has_leader());
+        at.time.run_for(1s);
+        at.put_job(at.make_job("a", 2));
+        at.time.run_for(100ms);
+        at.store.put(hosted::cancel_key("a"), "1");
+        at.time.run_for(100ms);
+        at.leader()->process.dead = true;
+        CHECK_TEXT(at.ends("a", job_state::cancelled, 5s), it.what);
+        at.time.run_for(it.delay);
+        CHECK_TEXT(at.time.run_until([&] { return at.running() == 0; }, 3s), it.what);
+        STRCMP_EQUAL_TEXT("", at.breaches().c_str(), it.what);
+    }
+}
