Packing of short tasks by all resources of a host

Cause: the fullest host is chosen by its used cores alone, so on a mix of tasks with much and with little memory hosts end up with idle cores and no memory. Change: policy.packing = dominant and best_fit compare hosts by the shares of cores, memory and accelerators after the start; long-running tasks are then spread by the dominant share. With cores the order of hosts is unchanged.

--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -3,13 +3,13 @@
 #include "abandoned_starts.hpp"
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
+#include "coordinator/packing.hpp"
 #include "coordinator/throttling.hpp"
 #include "isolated_runs.hpp"
 #include "lost_runs.hpp"
 #include "starts.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 namespace camphorhitch::coordinator
@@ -132,8 +132,7 @@
 {
     const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
     host_entry* best = nullptr;
-    auto lowest_cost =
-        std::tuple(true, true, true, std::int64_t{0}, 0, std::numeric_limits<std::int64_t>::max());
+    auto lowest_cost = std::tuple(true, true, true, std::int64_t{0}, 0, packing_cost{});
     for (auto* const h : hosts)
     {
         if (!has_required_ticket(*h, j, name.occurrence, name.step, now) ||
@@ -151,7 +150,8 @@
         // another pool or to standby at once. Long-running tasks are spread, so that few are lost
         // or moved together.
         const bool fills_up = !s.long_running && f.settings.placement.hosts == host_choice::fullest;
-        const auto fill = fills_up ? -h->used.cpu : h->used.cpu;
+        const auto fill =
+            cost_of_host(*h, required_resources(s), fills_up, f.settings.placement.packing);
         const auto cost = std::tuple(failed_here, suspect, far, near, disturbed, fill);
         if (best == nullptr || cost < lowest_cost)
         {
