Needs of pools in cores, memory and accelerators

Cause: hosts have less memory per core than the tasks of some pools, so a need counted in cores gives such a pool too few hosts and its tasks wait beside idle cores. Equal tasks are counted as one group.

--- a/libs/coordinator/include/coordinator/demand.hpp
+++ b/libs/coordinator/include/coordinator/demand.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace camphorhitch::coordinator
 {
@@ -98,6 +99,16 @@
     std::deque<busy_start> history; ///< busy periods of all pools, oldest first
 };
 
+/// Tasks of a pool with equal requirements.
+struct task_group
+{
+    workflow::resources each;
+    double tasks = 0;     ///< of batch tasks, the number that the pool's need has to run at once
+    int max_per_host = 0; ///< 0: unbounded
+
+    friend bool operator==(const task_group&, const task_group&) = default;
+};
+
 /// Present need of a pool.
 struct pool_need
 {
@@ -105,6 +116,13 @@
     double long_running_cores = 0; ///< of long-running tasks
     int min_hosts = 0; ///< minimum number of hosts for the spread of its long-running steps
     bool busy_expected = false; ///< the need is raised because a busy period is about to start
+    workflow::resources long_running; ///< declared by its long-running tasks
+    /// Of batch tasks: the rest of `cores`, with memory and accelerators in the ratio that its
+    /// running and waiting batch tasks have; without any, in the ratio of its hosts.
+    workflow::resources batch;
+    /// The tasks that the sums above consist of.
+    std::vector<task_group> long_running_tasks;
+    std::vector<task_group> batch_tasks;
 };
 
 /// Records the arrival of a job. Called once for each job.
--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -2,6 +2,7 @@
 
 #include "bookkeeping.hpp"
 #include "coordinator/run_time_estimates.hpp"
+#include "task_mix.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -282,6 +283,7 @@
         to.long_running_cores += static_cast<double>(s.need.cpu * s.tasks) / milli;
         const int each = s.max_per_host == 0 ? s.tasks : s.max_per_host;
         to.min_hosts = std::max(to.min_hosts, (s.tasks + each - 1) / each);
+        add_long_running_tasks(s, to);
     }
 }
 
@@ -292,12 +294,14 @@
     std::map<std::string, pool_need> out;
     std::map<std::string, double> work;
     std::map<std::string, double> room; // below the cap, by workspace
+    std::map<std::string, batch_mix> mixes;
     for (const auto& id : f.open_jobs)
     {
         const auto& j = *f.jobs.at(id);
         if (!workflow::is_final(j.state))
         {
             add_long_running(j, out[j.spec.pool]);
+            add_batch_tasks(f, d.settings, j, mixes[j.spec.pool]);
             const auto cores = cores_for(f, d.settings, j);
             work[j.spec.pool] +=
                 cores.running + within_cap(f, j.spec.workspace, cores.waiting, room);
@@ -328,6 +332,7 @@
         }
         need.cores = need.long_running_cores + batch * d.settings.margin;
     }
+    set_batch_needs(f, mixes, out);
     return out;
 }
 
