Pools request hosts by all resources with policy.needs = vector

Cause: the number of hosts that a pool requests is its need in cores divided by the cores of a host. Change: with need_rule::vector it is that of hosts_needed. pool_need in the log gains memory_mb, gpus and bound_by; the summary of the latest plan is kept for the metric. With need_rule::cores the number of hosts is unchanged.

--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -5,6 +5,7 @@
 
 #include "coordinator/allocation.hpp"
 #include "coordinator/demand.hpp"
+#include "coordinator/resource_needs.hpp"
 #include "coordinator/waves.hpp"
 
 #include <optional>
@@ -100,6 +101,7 @@
     /// By pool: numbers of wanted and present hosts that were logged last.
     std::map<std::string, std::pair<int, int>> logged_needs;
     core::mono_time needs_logged_at;
+    std::map<std::string, need_summary> needs; ///< by pool, from the latest plan
 };
 
 /// A move order for the platform.
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -29,6 +29,7 @@
     /// Hosts that are retained after an earlier need; the others may be given away.
     int retained = 0;
     double cores = 0;                              ///< the need in cores
+    need_summary need;                             ///< the need in all resources
     bool busy_expected = false;                    ///< a busy period is about to start
     bool busy = false;                             ///< the pool is in a busy period
     std::vector<const ports::machine_entry*> free; ///< up, and neither held by a wave nor moving
@@ -50,6 +51,12 @@
     return other > 0 ? static_cast<double>(other) / milli : default_host_cores;
 }
 
+int hosts_by_cores(const fleet& f, const std::string& pool, const pool_need& need)
+{
+    const auto hosts = static_cast<int>(std::ceil(need.cores / host_cores(f, pool)));
+    return std::max(hosts, need.min_hosts);
+}
+
 /// A host that is about to leave serves no pool, and refuses to move.
 bool is_leaving(const fleet& f, const ports::machine_entry& m)
 {
@@ -74,6 +81,8 @@
 {
     std::map<std::string, balance> out;
     const auto needs = pool_needs(f, d, now);
+    const bool counts_all = d.settings.needs == need_rule::vector;
+    const auto shapes = counts_all ? collect_shapes(f) : fleet_shapes{};
     for (const auto& it : pools)
     {
         auto& b = out[it.name];
@@ -82,9 +91,10 @@
         const auto need = needs.find(it.name);
         if (need != needs.end() && !it.standby)
         {
-            const auto hosts =
-                static_cast<int>(std::ceil(need->second.cores / host_cores(f, it.name)));
-            b.wanted = std::max(hosts, need->second.min_hosts);
+            const auto of_pool = counts_all ? shapes_of_pool(shapes, it.name) : host_shapes{};
+            b.wanted = counts_all ? hosts_needed(need->second, of_pool)
+                                  : hosts_by_cores(f, it.name, need->second);
+            b.need = summarize_need(need->second, of_pool);
             b.cores = need->second.cores;
             b.busy_expected = need->second.busy_expected;
         }
@@ -135,6 +145,18 @@
     }
 }
 
+void record_needs(rebalancer& r, const std::map<std::string, balance>& all)
+{
+    r.needs.clear();
+    for (const auto& [name, b] : all)
+    {
+        if (!b.standby)
+        {
+            r.needs[name] = b.need;
+        }
+    }
+}
+
 /// Logs the need and the hosts of each pool that have changed, once per interval.
 void log_needs(
     rebalancer& r, const std::map<std::string, balance>& all, core::mono_time now, task_events& out)
@@ -158,6 +180,9 @@
                 "wanted=" + std::to_string(b.wanted) + " have=" + std::to_string(b.have) +
                     " retained=" + std::to_string(b.retained) +
                     " cores=" + std::to_string(static_cast<int>(b.cores)) +
+                    " memory_mb=" + std::to_string(b.need.total.memory_mb) +
+                    " gpus=" + std::to_string(b.need.total.gpus) +
+                    " bound_by=" + std::string{name_of(resource_kind_names, b.need.bound_by)} +
                     (b.busy_expected ? " expected=1" : "")});
         }
     }
@@ -448,6 +473,7 @@
     }
     reopen_busy_hosts(f, r, now);
     auto all = compute_balances(f, r, d, list, pools, held, now);
+    record_needs(r, all);
     release_retained_hosts(r, all, now);
     log_needs(r, all, now, out);
     fill_short_pools(f, r, all, now, out);
