Types of the completion forecast: input by job, settings and results

Cause: forecast_pool needs more of a job than its total work: what its runs occupy, when its next tasks are ready, when it loses its value, and whether it was admitted before. The starvation bound needs the oldest late job. Result: no behaviour changes.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -135,6 +135,22 @@
     core::mono_time ready_at;
 };
 
+/// What the latest completion forecast expects of a job.
+struct job_forecast
+{
+    std::optional<job_outlook> outlook; ///< empty: none, the pool has no capacity or no forecast
+    std::optional<job_outlook> first_outlook;
+    core::mono_time due;          ///< its objective
+    core::mono_time latest_start; ///< with a start of its remaining tasks by then it is in time
+};
+
+/// Wrong first outlooks of jobs that were completed.
+struct forecast_error_counts
+{
+    std::int64_t in_time_missed = 0; ///< expected in time, completed after the objective
+    std::int64_t late_made = 0;      ///< expected late, completed within the objective
+};
+
 /// A job that the coordinator has read from the store.
 struct job_entry
 {
@@ -145,6 +161,7 @@
     bool dirty = false;     ///< the stored progress is older than this entry
     /// Its workspace had sent as many jobs as its weight within the second before.
     bool beyond_share = false;
+    job_forecast forecast;                 ///< with placement_policy::forecasts
     ports::revision accepted_revision = 0; ///< store revision at which the job was accepted
     ports::revision stored_revision = 0;   ///< store revision of the stored progress; 0: none
     core::mono_time added_at;       ///< when the coordinator first read the job; zero: unknown
@@ -315,6 +332,7 @@
 struct coordinator_settings
 {
     placement_policy placement;
+    forecast_settings forecast;
     /// Duration of a lease granted to a runner. Long enough to outlast a takeover (the leader's
     /// lease, the election, the first poll), short enough that the work of an unresponsive host
     /// restarts soon.
@@ -394,6 +412,10 @@
     coordinator::run_time_estimates run_time_estimates; ///< from runs of this term
     /// By pool, from the latest plan; empty without placement_policy::forecasts.
     std::map<std::string, pool_forecast> forecasts;
+    /// By pool: capacity of hosts that are moving to it, and when it is expected to be usable. Set
+    /// by the caller of plan_moves with arriving_capacity().
+    std::map<std::string, std::vector<capacity_step>> arriving_capacity;
+    std::map<std::string, forecast_error_counts> forecast_errors; ///< by pool, in this term
     /// Runners that have certainly ended, by runner id, with the time at which this became known.
     /// The list of runners may still contain them for ended_runner_retention.
     std::map<std::string, core::mono_time> ended_runners;
