The completion forecast decides the order of jobs

Cause: when each job is evaluated as if it had the pool to itself, all waiting jobs count as in time until they are late, and under overload nearly all end late. Change: forecast_pool reserves capacity for jobs in the order in which they are admitted; update_forecasts builds its input from the fleet in each plan; the outlook decides the order of service, jobs that have started come before new ones, and the oldest late job receives up to a tenth of the cores. With forecasts, stops that free capacity for which jobs wait are ordered first. No measurements of the order yet.

--- /dev/null
+++ b/libs/coordinator/src/forecast_order.hpp
@@ -0,0 +1,18 @@
+/// \file
+/// The order of service by the completion forecast.
+#pragma once
+
+#include "starts.hpp"
+
+namespace camphorhitch::coordinator
+{
+
+/// Replaces the outlook that the step has by itself by that of its job; without an outlook the step
+/// stays as it is. Later steps of a started job come before new jobs.
+void apply_forecast(waiting_step& w);
+
+/// Adds the steps of jobs that have waited too long once more, to be served before all others with
+/// the share of the cores that the forecast leaves to them.
+void add_overdue_steps(const fleet& f, std::vector<waiting_step>& all);
+
+} // namespace camphorhitch::coordinator
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -4,9 +4,12 @@
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
 #include "coordinator/throttling.hpp"
+#include "forecast_input.hpp"
+#include "forecast_order.hpp"
 #include "isolated_runs.hpp"
 #include "lost_runs.hpp"
 #include "starts.hpp"
+#include "stop_orders.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -28,11 +31,18 @@
     {
         if (order == job_order::first_come)
         {
-            return std::tuple(0.0, false, false, 0, it.job->spec.accepted_unix_ms);
+            return std::tuple(
+                !it.overdue, 0.0, false, false, false, 0, it.job->spec.accepted_unix_ms);
         }
         // When there is more work than capacity, serving in order of time would make all jobs late.
         // Jobs that can still be in time go first, so that some of them are.
-        return std::tuple(it.share, it.worthless, it.late, it.job->spec.priority, it.due_unix_ms);
+        return std::tuple(!it.overdue,
+            it.share,
+            it.worthless,
+            it.late,
+            !it.started,
+            it.job->spec.priority,
+            it.due_unix_ms);
     };
     return key(a) < key(b);
 }
@@ -41,9 +51,6 @@
 /// time.
 constexpr std::int64_t late_tolerance_ms = 200;
 
-/// Finishing a job has no value after this multiple of its objective.
-constexpr std::int64_t worthless_after_objectives = 3;
-
 /// \return the rank of the job by its workspace's share; jobs with a lower one are served first.
 double share_rank(const fleet& f, const job_entry& j)
 {
@@ -85,6 +92,7 @@
                 const bool late =
                     !long_running && unix_ms + remaining > due + objective + late_tolerance_ms;
                 out.push_back({&j, k, s, worthless, late, due + objective, share});
+                apply_forecast(out.back());
             }
         }
     }
@@ -103,6 +111,7 @@
             add_waiting_steps(f.run_time_estimates, j, share_rank(f, j), unix_ms, out);
         }
     }
+    add_overdue_steps(f, out);
     const auto order = f.settings.placement.jobs;
     std::sort(out.begin(),
         out.end(),
@@ -179,7 +188,10 @@
 {
     auto& j = *w.job;
     const int tasks = j.spec.steps[static_cast<std::size_t>(w.step)].tasks;
-    for (int i = 0; i < tasks && step_of(j, w.occurrence, w.step).idle > 0; ++i)
+    const auto most = to.starts.size() + static_cast<std::size_t>(w.max_starts);
+    for (int i = 0;
+         i < tasks && step_of(j, w.occurrence, w.step).idle > 0 && to.starts.size() < most;
+         ++i)
     {
         const workflow::task_name name{j.spec.id, w.occurrence, w.step, i};
         const auto& t = *find_task(f, name);
@@ -219,7 +231,8 @@
     {
         start_tasks(f, w, hosts, now, to, out);
     }
-    else if (may_start_beside_others(f, *w.job, {w.job->spec.id, w.occurrence, w.step, 0}, now))
+    else if (w.job->spec.steps[static_cast<std::size_t>(w.step)].tasks <= w.max_starts &&
+             may_start_beside_others(f, *w.job, {w.job->spec.id, w.occurrence, w.step, 0}, now))
     {
         start_gang(f, w, hosts, now, to, out);
     }
@@ -245,7 +258,7 @@
 {
     for (const auto& it : waiting)
     {
-        if (it.job->losses > 0 && !to.truncated)
+        if (it.job->losses > 0 && !it.overdue && !to.truncated)
         {
             start_isolated_runs(
                 f, it, find_pool_hosts(pools, f, it.job->spec.pool, now), now, to, out);
@@ -266,41 +279,6 @@
         });
 }
 
-void order_stops(fleet& f, core::mono_time now, plan& to)
-{
-    for (const auto& id : f.open_jobs)
-    {
-        auto& j = *f.jobs.at(id);
-        if (j.live_runs == 0)
-        {
-            continue;
-        }
-        for (std::size_t i = 0; i < j.tasks.size(); ++i)
-        {
-            for (auto& it : j.tasks[i].runs)
-            {
-                if (it.phase != run_phase::stopping || it.stop_in_flight || it.stop_confirmed ||
-                    now < it.stop_retry_at)
-                {
-                    continue;
-                }
-                const auto* const h = find_host(f, it.host);
-                if (h != nullptr && to.remaining_orders <= 0)
-                {
-                    to.truncated = true;
-                    return;
-                }
-                if (h != nullptr)
-                {
-                    --to.remaining_orders;
-                    it.stop_in_flight = true;
-                    to.stops.push_back({h->ref, workflow::name_of_task(j.spec, i), it.number});
-                }
-            }
-        }
-    }
-}
-
 } // namespace
 
 plan make_plan(fleet& f,
@@ -312,6 +290,10 @@
 {
     plan to;
     to.remaining_orders = max_orders;
+    if (f.settings.placement.forecasts)
+    {
+        update_forecasts(f, now, unix_ms, [&f](const job_entry& j) { return share_rank(f, j); });
+    }
     stop_abandoned_starts(f, now, to);
     order_stops(f, now, to);
     if (!may_start)
--- a/libs/coordinator/src/run_ends.cpp
+++ b/libs/coordinator/src/run_ends.cpp
@@ -1,6 +1,7 @@
 #include "run_ends.hpp"
 
 #include "bookkeeping.hpp"
+#include "forecast_input.hpp"
 #include "lost_runs.hpp"
 #include "workflow/records.hpp"
 
@@ -20,6 +21,7 @@
     if (j.done_tasks == j.tasks.size() && !workflow::is_final(j.state))
     {
         out.push_back({"job_completed", j.spec.id, 0, "", "all tasks finished"});
+        record_forecast_error(f, j, now);
         finish_job(f, j, workflow::job_state::completed, now);
     }
 }
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -30,6 +30,11 @@
 
 } // namespace
 
+bool has_started(const job_entry& j)
+{
+    return j.done_tasks > 0 || j.live_runs > 0 || j.state == workflow::job_state::running;
+}
+
 bool accepts_tasks(const fleet& f, const host_entry& h, core::mono_time now)
 {
     const auto unresponsive_after = f.settings.runner_lease;
--- a/libs/coordinator/src/starts.hpp
+++ b/libs/coordinator/src/starts.hpp
@@ -18,8 +18,18 @@
     bool late = false; ///< can't meet its objective any more, so that finishing it has little value
     std::int64_t due_unix_ms = 0; ///< wall time of its objective
     double share = 0;             ///< rank by its workspace's share; lower ranks are served first
+    bool started = false; ///< by the forecast: the job keeps its place before jobs that have not
+    /// It has waited too long as late work, and is served before all others within max_starts.
+    bool overdue = false;
+    int max_starts = std::numeric_limits<int>::max(); ///< tasks that may start in this plan
 };
 
+/// A completed job has no value after this multiple of its objective.
+inline constexpr std::int64_t worthless_after_objectives = 3;
+
+/// \return whether some task of the job was started.
+bool has_started(const job_entry& j);
+
 /// \return whether the host accepts new tasks: it is listed, answers, is recorded for the next
 /// coordinator, was polled in this term, has no abandoned start and no orphaned or isolated run,
 /// and is neither closed nor about to leave.
