Weighted shares of work: accounts, ranks and the check before a start

Cause: shares of workspaces were counted in jobs a second, not in work. Change: with policy.shares = work, runs are charged to accounts of their workspace, queue and zone when they start, and corrected when they end. Jobs beyond a share come last, hold at most 20% of a pool's cores while others wait, and nobody takes a pool for itself while others that are below their part of it need the capacity. Stored jobs may name the zone of the node that accepted them.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -11,6 +11,7 @@
 
 #include "coordinator/completion_forecast.hpp"
 #include "coordinator/run_time_estimates.hpp"
+#include "coordinator/share_accounts.hpp"
 #include "coordinator/workspaces.hpp"
 #include "core/names.hpp"
 #include "core/time.hpp"
@@ -79,6 +80,10 @@
     int progress_percent = 0;      ///< share of the work that is done, as last reported, 0 to 100
     std::int64_t load_metric = 0;  ///< latest ports::reported_run::load_metric
     int cpu_percent = 100;         ///< share of processor time that was last ordered, 0 to 100
+    /// Thousandths of a core that it counts with in the accounts of shares, by its dominant
+    /// resource; 0 unless share_rule::work is in force.
+    std::int64_t share_cpu = 0;
+    double share_charge = 0; ///< core-seconds that its accounts were charged with at its start
 };
 
 /// One task of a job, with its active runs.
@@ -145,6 +150,7 @@
     bool dirty = false;     ///< the stored progress is older than this entry
     /// Its workspace had sent as many jobs as its weight within the second before.
     bool beyond_share = false;
+    std::int64_t batch_share_cpu = 0; ///< run_entry::share_cpu of its batch runs together
     ports::revision accepted_revision = 0; ///< store revision at which the job was accepted
     ports::revision stored_revision = 0;   ///< store revision of the stored progress; 0: none
     core::mono_time added_at;       ///< when the coordinator first read the job; zero: unknown
@@ -391,6 +397,7 @@
     std::unordered_set<std::string> open_jobs; ///< ids of jobs that are not final or have live runs
     std::map<std::string, host_entry> hosts;   ///< by runner id
     workspace_table workspaces;
+    share_table shares;
     coordinator::run_time_estimates run_time_estimates; ///< from runs of this term
     /// By pool, from the latest plan; empty without placement_policy::forecasts.
     std::map<std::string, pool_forecast> forecasts;
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -81,7 +81,7 @@
     {
         discard_ticket(f, name, host);
     }
-    remove_run(f, *find_job(f, name.job), name, index);
+    remove_run(f, *find_job(f, name.job), name, index, now);
 }
 
 void record_orphaned_run(fleet& f, host_entry& h, const ports::reported_run& it, task_events& out)
@@ -232,7 +232,7 @@
         {
             record_event(out, "run_over", name, run.number, h.ref.id, "not listed by its runner");
             auto sent = run;
-            remove_run(f, j, name, i);
+            remove_run(f, j, name, i, now);
             if (sent.sent_to_earlier)
             {
                 sent.phase = run_phase::unsettled;
--- a/libs/coordinator/src/bookkeeping.cpp
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -153,6 +153,7 @@
         h->runs.emplace(workflow::write_task_name(name), name);
     }
     count_for_workspace(f, j, name, 1);
+    charge_run(f, j, step_spec(j, name), run);
     t.highest_run_number = std::max(t.highest_run_number, run.number);
     ++j.live_runs;
     f.open_jobs.insert(j.spec.id);
@@ -160,7 +161,8 @@
     return t.runs.back();
 }
 
-void remove_run(fleet& f, job_entry& j, const workflow::task_name& name, std::size_t index)
+void remove_run(
+    fleet& f, job_entry& j, const workflow::task_name& name, std::size_t index, core::mono_time now)
 {
     auto& t = task_of(j, name);
     const auto run = t.runs[index];
@@ -178,6 +180,7 @@
         }
     }
     count_for_workspace(f, j, name, -1);
+    settle_run(f, j, step_spec(j, name), run, now);
     --j.live_runs;
     if (t.runs.empty() && !t.progress.done)
     {
--- a/libs/coordinator/src/bookkeeping.hpp
+++ b/libs/coordinator/src/bookkeeping.hpp
@@ -42,11 +42,15 @@
 /// second time.
 bool is_empty(const host_entry& h);
 
-/// Adds a run and occupies its capacity.
+/// Adds a run, occupies its capacity and charges it to the accounts of shares.
 run_entry& add_run(fleet& f, job_entry& j, const workflow::task_name& name, run_entry run);
 
-/// Removes the run at \p index of task_entry::runs and frees its capacity.
-void remove_run(fleet& f, job_entry& j, const workflow::task_name& name, std::size_t index);
+/// Removes the run at \p index of task_entry::runs, frees its capacity and corrects its charge.
+void remove_run(fleet& f,
+    job_entry& j,
+    const workflow::task_name& name,
+    std::size_t index,
+    core::mono_time now);
 
 /// Moves a run to another host, with the capacity that it occupies.
 void move_run(const job_entry& j,
--- a/libs/coordinator/src/explain.cpp
+++ b/libs/coordinator/src/explain.cpp
@@ -130,10 +130,16 @@
     {
         return capped;
     }
-    return describe_unavailable_hosts(count_hosts(f, j, occurrence, step, now), j) +
-           (j.beyond_share ? "; workspace " + j.spec.workspace +
-                                 " has sent more than its share of jobs, so others come first"
-                           : "");
+    auto out = describe_unavailable_hosts(count_hosts(f, j, occurrence, step, now), j);
+    if (f.settings.placement.shares == share_rule::work)
+    {
+        const auto& s = j.spec.steps[static_cast<std::size_t>(step)];
+        const auto shares = describe_shares(f, j, s, now);
+        return out + (shares.empty() ? "" : "; " + shares);
+    }
+    return out + (j.beyond_share ? "; workspace " + j.spec.workspace +
+                                       " has sent more than its share of jobs, so others come first"
+                                 : "");
 }
 
 std::string describe_step(const fleet& f,
--- a/libs/coordinator/src/gangs.cpp
+++ b/libs/coordinator/src/gangs.cpp
@@ -103,6 +103,10 @@
         record_capped_step(f, j);
         return;
     }
+    if (!share_permits_start(f, j, s, s.tasks))
+    {
+        return;
+    }
     if (to.remaining_orders <= 0)
     {
         to.truncated = true;
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -65,7 +65,7 @@
     auto run = find_task(f, name)->runs[index];
     run.only_suspect = run.only_suspect || cause.only_task;
     record_event(out, cause.event, name, run.number, h.ref.id, cause.why);
-    remove_run(f, j, name, index);
+    remove_run(f, j, name, index, now);
     if (cause.by_itself)
     {
         record_lost_run(f, j, name, run, h, cause.certain ? cause.why : "", now, out);
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -54,6 +54,7 @@
     case share_rule::dominant:
         return weighted_dominant_share(f, j.spec.workspace);
     case share_rule::work:
+        return work_share_rank(f, j);
     case share_rule::none:
         break;
     }
@@ -193,6 +194,10 @@
             record_capped_step(f, j);
             return;
         }
+        if (!share_permits_start(f, j, j.spec.steps[static_cast<std::size_t>(w.step)]))
+        {
+            return;
+        }
         auto* const h = choose_host(f, hosts, j, name, t, now);
         if (h == nullptr)
         {
@@ -319,6 +324,7 @@
         return to;
     }
     update_unseen_use(f, now);
+    update_shares(f, now, unix_ms, out);
     const auto waiting = all_waiting_steps(f, now, unix_ms);
     std::map<std::string, pool_hosts> pools;
     start_suspects(f, waiting, now, pools, to, out);
--- a/libs/coordinator/src/run_ends.cpp
+++ b/libs/coordinator/src/run_ends.cpp
@@ -182,7 +182,7 @@
                 j.spec.steps[static_cast<std::size_t>(name->step)].image,
                 duration);
         }
-        remove_run(f, j, *name, index);
+        remove_run(f, j, *name, index, now);
     }
     else if (!t->runs.empty() || has_newer_run(f, *t, end.run))
     {
--- a/libs/workflow/include/workflow/model.hpp
+++ b/libs/workflow/include/workflow/model.hpp
@@ -86,6 +86,8 @@
     std::string pool;  ///< pool whose hosts run it
     /// Workspace whose caller submitted it; empty: its queue is open to all callers.
     std::string workspace;
+    /// Availability zone of the node that accepted it; empty: unknown.
+    std::string zone;
     std::string payload; ///< handed to each task byte for byte
     std::vector<step> steps;
     schedule timing;
