The planning of moves is split by decision

Change: balances (hosts and needs of the pools), retained_hosts, move_choice (hosts that move) and move_orders (orders and their answers) are files of their own; the functions are moved without a change.

--- /dev/null
+++ b/libs/coordinator/src/move_choice.cpp
@@ -0,0 +1,149 @@
+#include "move_choice.hpp"
+
+#include "bookkeeping.hpp"
+#include "host_release.hpp"
+#include "restarts.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace camphorhitch::coordinator
+{
+
+namespace
+{
+
+/// \return the cost of taking this host from its pool; lower is better.
+std::tuple<bool, int, std::int64_t> cost_of(fleet& f, const ports::machine_entry& m)
+{
+    const auto* const h = find_runner(f, m.runner);
+    if (h == nullptr)
+    {
+        return {false, 0, 0};
+    }
+    return {h->inherited || h->orphaned_runs > 0, long_running_tasks(f, *h), h->used.cpu};
+}
+
+} // namespace
+
+void choose_host_to_move(fleet& f,
+    rebalancer& r,
+    balance& from,
+    const std::string& to,
+    bool is_wanted,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto best = std::min_element(from.free.begin(),
+        from.free.end(),
+        [&](const auto* a, const auto* b) { return cost_of(f, *a) < cost_of(f, *b); });
+    const auto& m = **best;
+    auto* const h = find_runner(f, m.runner);
+    r.moves[m.id] = {to, h == nullptr ? m.runner : h->ref.id, false, now, is_wanted};
+    out.push_back({"move_chosen",
+        "",
+        0,
+        m.runner,
+        "machine=" + m.id + " from=" + from.name + " have=" + std::to_string(from.have) +
+            " wanted=" + std::to_string(from.wanted) + " to=" + to});
+    if (h != nullptr)
+    {
+        h->availability = host_availability::closed_for_move;
+        h->closed_at = now;
+        if (is_wanted && r.settings.task_stop_threshold.count() > 0)
+        {
+            stop_resumable_tasks(f, *h, r.settings.task_stop_threshold, now, out);
+        }
+    }
+    --from.have;
+    from.free.erase(best);
+}
+
+bool has_cheap_host(fleet& f, const balance& b)
+{
+    return std::any_of(b.free.begin(),
+        b.free.end(),
+        [&](const auto* m) { return cost_of(f, *m) < std::tuple(false, 1, std::int64_t{0}); });
+}
+
+namespace
+{
+
+/// \return the pool from which a host is taken, or nullptr.
+balance* find_donor(
+    fleet& f, const rebalancer& r, std::map<std::string, balance>& all, const balance& to)
+{
+    // A pool with an urgent shortage can't wait until the need of another pool has been low for a
+    // while.
+    const bool urgent = to.wanted - to.have >= r.settings.urgent_shortage;
+    balance* best = nullptr;
+    for (auto& [name, b] : all)
+    {
+        const int least = urgent ? b.wanted : b.retained;
+        if (name == to.name || b.have <= least || b.free.empty() || !has_cheap_host(f, b))
+        {
+            continue;
+        }
+        const auto surplus = [](const balance& it)
+        {
+            return it.have - it.retained;
+        };
+        const bool better = best == nullptr || (b.standby && !best->standby) ||
+                            (b.standby == best->standby && surplus(b) > surplus(*best));
+        best = better ? &b : best;
+    }
+    return best;
+}
+
+} // namespace
+
+void fill_short_pools(fleet& f,
+    rebalancer& r,
+    std::map<std::string, balance>& all,
+    core::mono_time now,
+    task_events& out)
+{
+    for (auto& [name, b] : all)
+    {
+        while (!b.standby && b.have < b.wanted)
+        {
+            auto* const donor = find_donor(f, r, all, b);
+            if (donor == nullptr)
+            {
+                return;
+            }
+            choose_host_to_move(f, r, *donor, name, true, now, out);
+            ++b.have;
+        }
+    }
+}
+
+void move_surplus_to_standby(fleet& f,
+    rebalancer& r,
+    std::map<std::string, balance>& all,
+    core::mono_time now,
+    task_events& out)
+{
+    const auto standby =
+        std::find_if(all.begin(), all.end(), [](const auto& it) { return it.second.standby; });
+    if (standby == all.end())
+    {
+        return;
+    }
+    for (auto& [name, b] : all)
+    {
+        if (b.standby || b.have <= b.retained)
+        {
+            r.surplus_since.erase(name);
+            continue;
+        }
+        const auto since = r.surplus_since.try_emplace(name, now).first->second;
+        while (
+            now - since >= r.settings.standby_delay && b.have > b.retained && has_cheap_host(f, b))
+        {
+            choose_host_to_move(f, r, b, standby->first, false, now, out);
+        }
+    }
+}
+
+} // namespace camphorhitch::coordinator
