Scarce hosts are divided among the pools by shares or by benefit

Cause: pools are filled in the order of their names, so that one wants 1,113 hosts and has 248 while another wants 800 and has 30.

Change: divide_hosts determines the hosts of each pool from the claims of all pools (in_order, max_min, marginal), with floors, a margin between pools that are both short, and a time for which hosts that arrived because of scarcity stay. With an allocation other than in_order, plan_moves moves hosts to these targets; machines that a previous coordinator moves count at their destination, and a machine that is lost during its move counts as absent. With in_order the present loop decides. The log event pool_allocation names the targets.

--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -16,6 +16,7 @@
 struct rebalance_settings
 {
     allocation_rule allocation = allocation_rule::in_order;
+    allocation_settings division; ///< unused with allocation_rule::in_order
     /// Hosts that each pool keeps beyond its need, because work arrives in bursts.
     int spare_hosts = 1;
     /// A pool must have had a surplus for this long before hosts go to the standby pool: moving a
@@ -68,7 +69,8 @@
     /// The order was sent to the platform.
     bool ordered = false;
     core::mono_time ordered_at;
-    bool is_wanted = false; ///< the other pool lacks hosts, so callers wait for the host
+    bool is_wanted = false;   ///< the other pool lacks hosts, so callers wait for the host
+    bool in_scarcity = false; ///< there were too few hosts for all pools when it was chosen
 };
 
 /// A machine that has refused an order because it was not up, or about to leave.
@@ -79,6 +81,17 @@
     core::mono_time not_before; ///< the machine is not chosen before this time
 };
 
+/// Hosts of one pool according to the latest plan.
+struct pool_hosts
+{
+    int wanted = 0;
+    int floor = 0; ///< part of wanted for long-running tasks and spare hosts
+    int have = 0;  ///< up, or moving to the pool
+    int target = 0;
+
+    bool operator==(const pool_hosts&) const = default;
+};
+
 /// State of the moves between pools.
 struct rebalancer
 {
@@ -97,6 +110,10 @@
     core::mono_time retained_at;
     /// Pools that have no host to give away, according to the latest plan.
     std::set<std::string> pools_without_spare;
+    /// By machine that arrived because of scarcity: when. It stays for payoff_time.
+    std::map<std::string, core::mono_time> scarce_arrivals;
+    std::map<std::string, pool_hosts> hosts;            ///< by pool
+    std::map<std::string, pool_hosts> logged_divisions; ///< by pool, as logged last
     /// By pool: numbers of wanted and present hosts that were logged last.
     std::map<std::string, std::pair<int, int>> logged_needs;
     core::mono_time needs_logged_at;
--- a/libs/coordinator/src/balances.cpp
+++ b/libs/coordinator/src/balances.cpp
@@ -32,6 +32,13 @@
     return other > 0 ? static_cast<double>(other) / milli : default_host_cores;
 }
 
+/// \return hosts for the long-running tasks of the pool and their spread.
+int long_running_hosts(const fleet& f, const std::string& pool, const pool_need& need)
+{
+    const auto hosts = std::ceil(need.long_running_cores / host_cores(f, pool));
+    return std::max(static_cast<int>(hosts), need.min_hosts);
+}
+
 /// \return whether the machine has refused an order and is not chosen again yet.
 bool is_busy(const rebalancer& r, const ports::machine_entry& m, core::mono_time now)
 {
@@ -39,6 +46,27 @@
     return it != r.busy_machines.end() && now < it->second.not_before;
 }
 
+/// \param pending the move of the machine that this coordinator has decided, or nullptr
+/// \return whether the machine will be a host of the pool that is its destination.
+bool is_on_its_way(const rebalance_settings& s,
+    const machine_table& list,
+    const ports::machine_entry& m,
+    const pending_move* pending)
+{
+    if (s.allocation == allocation_rule::in_order)
+    {
+        return pending != nullptr;
+    }
+    if (pending == nullptr)
+    {
+        return m.state == ports::machine_state::moving; // a previous coordinator ordered the move
+    }
+    // A list that was requested before the order does not show whether the machine was lost since.
+    const bool is_stale = pending->ordered && list.requested_at <= pending->ordered_at;
+    return is_stale || m.state == ports::machine_state::up ||
+           m.state == ports::machine_state::moving;
+}
+
 } // namespace
 
 bool is_leaving(const fleet& f, const ports::machine_entry& m)
@@ -68,10 +96,13 @@
             const auto hosts =
                 static_cast<int>(std::ceil(need->second.cores / host_cores(f, it.name)));
             b.wanted = std::max(hosts, need->second.min_hosts);
+            b.floor = long_running_hosts(f, it.name, need->second);
             b.cores = need->second.cores;
+            b.batch_cores = need->second.cores - need->second.long_running_cores;
             b.busy_expected = need->second.busy_expected;
         }
         b.wanted += it.standby ? 0 : r.settings.spare_hosts;
+        b.floor += it.standby ? 0 : r.settings.spare_hosts;
         const auto arrivals = d.pools.find(it.name);
         b.busy = arrivals != d.pools.end() && arrivals->second.busy;
     }
@@ -88,8 +119,9 @@
         // place.
         const bool up = m.state == ports::machine_state::up && !held.contains(id) &&
                         !is_leaving(f, m) && !is_busy(r, m, now);
-        b->second.have += up || move != r.moves.end() ? 1 : 0;
-        if (up && move == r.moves.end())
+        const auto* const pending = move == r.moves.end() ? nullptr : &move->second;
+        b->second.have += up || is_on_its_way(r.settings, list, m, pending) ? 1 : 0;
+        if (up && pending == nullptr)
         {
             b->second.free.push_back(&m);
         }
--- a/libs/coordinator/src/balances.hpp
+++ b/libs/coordinator/src/balances.hpp
@@ -14,9 +14,11 @@
     bool standby = false;
     int have = 0; ///< hosts that are up, or moving to this pool
     int wanted = 0;
+    int floor = 0; ///< part of wanted for long-running tasks, their spread and spare hosts
     /// Hosts that are retained after an earlier need; the others may be given away.
     int retained = 0;
     double cores = 0;                              ///< the need in cores
+    double batch_cores = 0;                        ///< part of it that is not long-running
     bool busy_expected = false;                    ///< a busy period is about to start
     bool busy = false;                             ///< the pool is in a busy period
     std::vector<const ports::machine_entry*> free; ///< up, and neither held by a wave nor moving
--- a/libs/coordinator/src/move_choice.cpp
+++ b/libs/coordinator/src/move_choice.cpp
@@ -5,16 +5,11 @@
 #include "restarts.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace camphorhitch::coordinator
 {
 
-namespace
-{
-
-/// \return the cost of taking this host from its pool; lower is better.
-std::tuple<bool, int, std::int64_t> cost_of(fleet& f, const ports::machine_entry& m)
+move_cost cost_of(fleet& f, const ports::machine_entry& m)
 {
     const auto* const h = find_runner(f, m.runner);
     if (h == nullptr)
@@ -24,9 +19,12 @@
     return {h->inherited || h->orphaned_runs > 0, long_running_tasks(f, *h), h->used.cpu};
 }
 
-} // namespace
+bool is_cheap(const move_cost& cost)
+{
+    return cost < move_cost{false, 1, 0};
+}
 
-void choose_host_to_move(fleet& f,
+pending_move& choose_host_to_move(fleet& f,
     rebalancer& r,
     balance& from,
     const std::string& to,
@@ -39,7 +37,8 @@
         [&](const auto* a, const auto* b) { return cost_of(f, *a) < cost_of(f, *b); });
     const auto& m = **best;
     auto* const h = find_runner(f, m.runner);
-    r.moves[m.id] = {to, h == nullptr ? m.runner : h->ref.id, false, now, is_wanted};
+    auto& move = r.moves[m.id];
+    move = {to, h == nullptr ? m.runner : h->ref.id, false, now, is_wanted};
     out.push_back({"move_chosen",
         "",
         0,
@@ -57,13 +56,13 @@
     }
     --from.have;
     from.free.erase(best);
+    return move;
 }
 
 bool has_cheap_host(fleet& f, const balance& b)
 {
-    return std::any_of(b.free.begin(),
-        b.free.end(),
-        [&](const auto* m) { return cost_of(f, *m) < std::tuple(false, 1, std::int64_t{0}); });
+    return std::any_of(
+        b.free.begin(), b.free.end(), [&](const auto* m) { return is_cheap(cost_of(f, *m)); });
 }
 
 namespace
--- a/libs/coordinator/src/move_orders.cpp
+++ b/libs/coordinator/src/move_orders.cpp
@@ -212,7 +212,13 @@
             }
             const bool there =
                 m->second.state == ports::machine_state::up && m->second.pool == move.to_pool;
-            return there && move.ordered && list.requested_at > move.ordered_at + list_lag;
+            const bool completed =
+                there && move.ordered && list.requested_at > move.ordered_at + list_lag;
+            if (completed && move.in_scarcity)
+            {
+                r.scarce_arrivals[it.first] = list.requested_at;
+            }
+            return completed;
         });
 }
 
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/rebalance.hpp"
 
 #include "balances.hpp"
+#include "host_division.hpp"
 #include "move_choice.hpp"
 #include "move_orders.hpp"
 #include "retained_hosts.hpp"
@@ -11,15 +12,21 @@
 namespace
 {
 
-/// Logs the need and the hosts of each pool that have changed, once per interval.
-void log_needs(
-    rebalancer& r, const std::map<std::string, balance>& all, core::mono_time now, task_events& out)
+/// Records what each pool has, wants and should have.
+void record_hosts(rebalancer& r,
+    const std::map<std::string, balance>& all,
+    const std::map<std::string, int>& targets)
 {
-    if (now - r.needs_logged_at < r.settings.need_log_interval)
+    r.hosts.clear();
+    for (const auto& [name, b] : all)
     {
-        return;
+        r.hosts[name] = {b.wanted, b.floor, b.have, targets.at(name)};
     }
-    r.needs_logged_at = now;
+}
+
+/// Logs the need and the hosts of each pool that have changed.
+void log_needs(rebalancer& r, const std::map<std::string, balance>& all, task_events& out)
+{
     for (const auto& [name, b] : all)
     {
         auto& logged = r.logged_needs[name];
@@ -39,6 +46,77 @@
     }
 }
 
+/// Logs the hosts that each pool should have, if they or their reasons have changed.
+void log_division(rebalancer& r, task_events& out)
+{
+    const auto rule = core::name_of(allocation_rule_names, r.settings.allocation);
+    for (const auto& [name, it] : r.hosts)
+    {
+        auto& logged = r.logged_divisions[name];
+        if (logged != it)
+        {
+            logged = it;
+            out.push_back({"pool_allocation",
+                name,
+                0,
+                "",
+                "wanted=" + std::to_string(it.wanted) + " floor=" + std::to_string(it.floor) +
+                    " have=" + std::to_string(it.have) + " target=" + std::to_string(it.target) +
+                    " rule=" + std::string{rule}});
+        }
+    }
+}
+
+/// Logs once per interval.
+void log_hosts(
+    rebalancer& r, const std::map<std::string, balance>& all, core::mono_time now, task_events& out)
+{
+    if (now - r.needs_logged_at < r.settings.need_log_interval)
+    {
+        return;
+    }
+    r.needs_logged_at = now;
+    log_needs(r, all, out);
+    if (r.settings.allocation != allocation_rule::in_order)
+    {
+        log_division(r, out);
+    }
+}
+
+/// \return what the pools are filled up to in the order of their names.
+std::map<std::string, int> wanted_hosts(const std::map<std::string, balance>& all)
+{
+    std::map<std::string, int> out;
+    for (const auto& [name, b] : all)
+    {
+        out[name] = b.standby ? b.have : b.wanted;
+    }
+    return out;
+}
+
+/// Chooses hosts for the pools that lack some.
+void supply_pools(fleet& f,
+    rebalancer& r,
+    const demand& d,
+    const machine_table& list,
+    std::map<std::string, balance>& all,
+    core::mono_time now,
+    task_events& out)
+{
+    if (r.settings.allocation == allocation_rule::in_order)
+    {
+        record_hosts(r, all, wanted_hosts(all));
+        log_hosts(r, all, now, out);
+        fill_short_pools(f, r, all, now, out);
+        return;
+    }
+    keep_scarce_arrivals(r, list, all, now);
+    const auto targets = choose_targets(f, r, d, all);
+    record_hosts(r, all, targets);
+    log_hosts(r, all, now, out);
+    move_to_targets(f, r, all, targets, now, out);
+}
+
 /// \return whether nothing is known of the demand yet, so that the pools keep their hosts.
 bool is_settling(rebalancer& r, const demand& d, core::mono_time now)
 {
@@ -65,8 +143,7 @@
     reopen_busy_hosts(f, r, now);
     auto all = compute_balances(f, r, d, list, pools, held, now);
     release_retained_hosts(r, all, now);
-    log_needs(r, all, now, out);
-    fill_short_pools(f, r, all, now, out);
+    supply_pools(f, r, d, list, all, now, out);
     if (!is_settling(r, d, now))
     {
         move_surplus_to_standby(f, r, all, now, out);
