The coordinator publishes its completion forecast

Cause: nodes accept every job, also those that cannot be in time, because only the coordinator knows the load of the pools. Readers of numbers in records are shared with the record of waiting jobs.

--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -18,6 +18,12 @@
 ///   coord/demand    the coordinator's demand rates and run time estimates
 ///   coord/pending   number of waiting jobs by queue, and the store revision up to which accepted
 ///                   jobs were included in the count; written only by the coordinator
+///   coord/forecast  the coordinator's completion forecast by pool and run times by image; written
+///                   only by the coordinator, together with coord/pending
+///   coord/refused/MEMBER  work that this node has refused by the forecast, since its start;
+///   written
+///                   by the node, and removed by it or by the coordinator when nothing is refused
+///                   any more
 ///   coord/wave/N    hosts of wave N whose maintenance has begun
 ///   relay/MEMBER    a node that relays orders to runners; attached to its lease
 #pragma once
@@ -39,6 +45,8 @@
 inline const std::string runners_key = "coord/runners";
 inline const std::string demand_key = "coord/demand";
 inline const std::string pending_key = "coord/pending";
+inline const std::string forecast_key = "coord/forecast";
+inline const std::string refused_prefix = "coord/refused/";
 inline const std::string relay_prefix = "relay/";
 
 inline std::string job_key(const std::string& id)
@@ -61,6 +69,11 @@
     return relay_prefix + member;
 }
 
+inline std::string refused_key(const std::string& member)
+{
+    return refused_prefix + member;
+}
+
 inline std::string wave_record_key(std::int64_t wave)
 {
     return "coord/wave/" + std::to_string(wave);
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -5,6 +5,7 @@
 #include "coordinator/intake.hpp"
 #include "coordinator/placement.hpp"
 #include "finished_job_cleaner.hpp"
+#include "forecast_digest.hpp"
 #include "handover_policy.hpp"
 #include "host_reader.hpp"
 #include "hosted/keys.hpp"
@@ -212,6 +213,12 @@
     change.conditions = {{leader_key, t.token}};
     change.puts = {{pending_key, write_pending({basis.intake_revision, basis.by_queue}), 0},
         {demand_key, machines->demand_record(), 0}};
+    if (t.settings.publishes_forecast)
+    {
+        change.puts.push_back({forecast_key,
+            write_forecast_digest(t.fleet.forecasts, t.fleet.run_time_estimates),
+            0});
+    }
     t.ctx.store.commit(std::move(change),
         t.guarded(
             [this, basis = std::move(basis)](const ports::commit_result& result)
--- a/libs/hosted/src/pending_record.cpp
+++ b/libs/hosted/src/pending_record.cpp
@@ -1,9 +1,9 @@
 #include "pending_record.hpp"
 
-#include <cstdint>
+#include "record_fields.hpp"
+
 #include <limits>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 namespace camphorhitch::hosted
 {
@@ -18,15 +18,6 @@
     return {core::error_code::invalid, what};
 }
 
-/// \return the number, or nullopt if it is not a whole number from 0 to \p most.
-template <class Whole>
-std::optional<Whole> whole_number_up_to(const json& from, Whole most)
-{
-    const bool fits =
-        from.is_number_unsigned() && from.get<std::uint64_t>() <= static_cast<std::uint64_t>(most);
-    return fits ? std::optional{from.get<Whole>()} : std::nullopt;
-}
-
 } // namespace
 
 std::string write_pending(const pending_record& r)
