Work that nodes refuse counts as demand

Cause: a pool whose jobs are refused has few waiting jobs and would get no hosts for the refused ones.

--- a/libs/hosted/src/machine_controller.cpp
+++ b/libs/hosted/src/machine_controller.cpp
@@ -1,6 +1,7 @@
 #include "machine_controller.hpp"
 
 #include "coordinator/intake.hpp"
+#include "core_seconds.hpp"
 #include "demand_record.hpp"
 
 #include <algorithm>
@@ -29,6 +30,13 @@
     on_list_ = std::move(on_list);
     has_open_wave_ = std::move(has_open_wave);
     read_list();
+    if (term_.settings.publishes_forecast)
+    {
+        refused_ = std::make_unique<refused_work_reader>(term_,
+            [this](const std::string& pool, double core_seconds)
+            { record_refused(pool, core_seconds); });
+        refused_->start();
+    }
 }
 
 void machine_controller::set_pools(const std::vector<pool_settings>& pools)
@@ -48,21 +56,16 @@
         return; // the previous coordinator has counted this job
     }
     counted_through_ = std::max(counted_through_, accepted);
-    double work = 0;
-    for (const auto& s : j.steps)
-    {
-        if (!s.long_running)
-        {
-            constexpr double milli = 1000.0;
-            work += static_cast<double>(s.need.cpu * s.tasks) / milli *
-                    static_cast<double>(
-                        coordinator::expected_run_time(term_.fleet.run_time_estimates, s).count()) /
-                    milli;
-        }
-    }
+    const auto work = batch_core_seconds(term_.fleet.run_time_estimates, j);
     coordinator::record_arrival(demand_, j.pool, work, at);
 }
 
+/// Refused work is demand too; otherwise a pool would never get hosts for it.
+void machine_controller::record_refused(const std::string& pool, double core_seconds)
+{
+    coordinator::record_arrival(demand_, pool, core_seconds, term_.now());
+}
+
 std::string machine_controller::demand_record() const
 {
     return write_demand(demand_,
--- a/libs/hosted/src/machine_controller.hpp
+++ b/libs/hosted/src/machine_controller.hpp
@@ -3,8 +3,11 @@
 #pragma once
 
 #include "coordinator/rebalance.hpp"
+#include "refused_work_reader.hpp"
 #include "term.hpp"
 
+#include <memory>
+
 namespace camphorhitch::hosted
 {
 
@@ -49,6 +52,7 @@
     bool needs_frequent_reads() const;
     void handle_list(core::mono_time sent_at, const ports::machine_list& list);
     void record_plan();
+    void record_refused(const std::string& pool, double core_seconds);
     void send_move(const coordinator::move_action& a);
 
     term& term_;
@@ -61,6 +65,7 @@
     std::vector<coordinator::pool_info> pools_;
     std::function<void()> on_list_;
     std::function<bool()> has_open_wave_;
+    std::unique_ptr<refused_work_reader> refused_; ///< null: no node refuses work by the forecast
 };
 
 } // namespace camphorhitch::hosted
