Nodes refuse batch jobs that cannot be in time

Cause: under overload everything was accepted and almost nothing was in time. Change: with policy.rejects_hopeless a node judges each submission by the newest digest, which it reads beside the submissions. A refusal is answered 503 with Retry-After, spread by the job's id, after reads of the job's record and of its state showed neither. A job of which an earlier write at this node may take effect is not refused. Without a digest of known age, at most 3 s, every job is accepted.

--- a/libs/hosted/include/hosted/job_request_handler.hpp
+++ b/libs/hosted/include/hosted/job_request_handler.hpp
@@ -21,16 +21,32 @@
     accepted,     ///< the job is stored
     not_accepted, ///< the job is certainly not stored and never will be by this request
     id_taken,     ///< a job of another workspace has this id; nothing was stored
+    overloaded,   ///< not accepted: by the forecast the pool cannot serve the job in time
     unknown       ///< the job may be stored already, or may get stored seconds later
 };
 
-inline constexpr core::name_table<submit_outcome, 4> submit_outcome_names{{
+inline constexpr core::name_table<submit_outcome, 5> submit_outcome_names{{
     {submit_outcome::accepted, "accepted"},
     {submit_outcome::not_accepted, "not_accepted"},
     {submit_outcome::id_taken, "id_taken"},
+    {submit_outcome::overloaded, "overloaded"},
     {submit_outcome::unknown, "unknown"},
 }};
 
+/// Answer to the submission of a job.
+struct submit_answer
+{
+    submit_outcome outcome = submit_outcome::unknown;
+    /// Time after which the caller may submit the job again, in whole seconds; only if overloaded.
+    core::millis retry_after{0};
+
+    /// For callers that need only the outcome.
+    operator submit_outcome() const
+    {
+        return outcome;
+    }
+};
+
 /// Result of the cancellation of a job.
 enum class cancel_outcome
 {
@@ -75,6 +91,10 @@
     /// A cached count is reported again without a store call if it was read at most this long ago
     /// and is still fresh enough.
     core::millis cached_count_max_age{500};
+    /// Refuses jobs that by the published forecast cannot be served in time.
+    bool rejects_hopeless = false;
+    /// Maximum wait for the reads that show whether a job that is to be refused is stored already.
+    core::millis stored_check_max_wait{300};
 };
 
 struct job_request_state;
@@ -89,11 +109,14 @@
     job_request_handler& operator=(const job_request_handler&) = delete;
     ~job_request_handler();
 
-    /// Stores a job.
+    /// Stores a job, or refuses it at once if it cannot be served in time.
     /// \param deadline time at which the caller stops waiting
     void submit(const workflow::job& spec,
         core::mono_time deadline,
-        std::function<void(submit_outcome)> done);
+        std::function<void(submit_answer)> done);
+
+    /// Withdraws this node's report of refused work, as the node shuts down.
+    void withdraw_reports();
 
     /// Cancels a job. A job that is final already stays as it is, and the cancel succeeds.
     /// \param deadline time at which the caller stops waiting
--- a/libs/hosted/src/job_request_handler.cpp
+++ b/libs/hosted/src/job_request_handler.cpp
@@ -3,7 +3,6 @@
 #include "hosted/keys.hpp"
 #include "job_request_state.hpp"
 #include "store_answer.hpp"
-#include "workflow/records.hpp"
 
 #include <utility>
 
@@ -19,46 +18,26 @@
     state_->settings = s;
     auto& store = state_->ctx.store;
     store = with_recorded_revisions(store, state_->ctx.boot_now, state_->pending.revisions);
+    if (s.rejects_hopeless)
+    {
+        state_->gate = std::make_unique<submission_gate>(state_->ctx);
+    }
 }
 
 job_request_handler::~job_request_handler() = default;
 
 void job_request_handler::submit(
-    const workflow::job& spec, core::mono_time deadline, std::function<void(submit_outcome)> done)
+    const workflow::job& spec, core::mono_time deadline, std::function<void(submit_answer)> done)
 {
-    auto w = std::make_shared<pending_write>();
-    w->id = spec.id;
-    w->deadline = deadline;
-    // A job that has ended leaves its state in the store, so a repeated submission does not create
-    // the job again.
-    w->change.conditions = {{job_key(spec.id), 0}, {state_key(spec.id), 0}};
-    w->change.puts = {{job_key(spec.id), workflow::write_job(spec), 0}};
-    w->done = [state = state_,
-                  id = spec.id,
-                  queue = spec.queue,
-                  workspace = spec.workspace,
-                  done = std::move(done)](const ports::commit_result& result, bool certain)
+    submit_job(state_, spec, deadline, std::move(done));
+}
+
+void job_request_handler::withdraw_reports()
+{
+    if (state_->gate != nullptr)
     {
-        auto outcome = certain ? submit_outcome::not_accepted : submit_outcome::unknown;
-        if (result.status == kv_status::ok)
-        {
-            outcome = submit_outcome::accepted;
-        }
-        else if (result.status == kv_status::conflict)
-        {
-            // The conflict shows that a job with this id was stored before.
-            outcome = is_visible(result.current, workspace) ? submit_outcome::accepted
-                                                            : submit_outcome::id_taken;
-        }
-        state->log("submit",
-            id,
-            {{"queue", queue},
-                {"workspace", workspace},
-                {"store", store_answer(result.status)},
-                {"outcome", std::string{core::name_of(submit_outcome_names, outcome)}}});
-        done(outcome);
-    };
-    start_write(state_, w);
+        state_->gate->withdraw_reports();
+    }
 }
 
 void job_request_handler::cancel(
--- a/libs/hosted/src/job_request_state.hpp
+++ b/libs/hosted/src/job_request_state.hpp
@@ -5,6 +5,7 @@
 
 #include "hosted/job_request_handler.hpp"
 #include "pending_count.hpp"
+#include "submission_gate.hpp"
 
 #include <functional>
 #include <memory>
@@ -19,6 +20,7 @@
     context ctx;
     job_request_settings settings;
     pending_count_cache pending;
+    std::unique_ptr<submission_gate> gate; ///< null: no job is refused by the forecast
 
     /// \return whether another attempt can still be answered before the caller's deadline.
     bool has_time(core::mono_time deadline) const
@@ -106,6 +108,12 @@
 void start_write(
     const std::shared_ptr<job_request_state>& state, const std::shared_ptr<pending_write>& w);
 
+/// Stores a job, or refuses it by the forecast. \p done is called by the deadline.
+void submit_job(const std::shared_ptr<job_request_state>& state,
+    const workflow::job& spec,
+    core::mono_time deadline,
+    std::function<void(submit_answer)> done);
+
 /// \param records a job's record, its state, or both
 /// \param workspace of the caller, as job_reference::workspace
 /// \return whether the job exists for the caller. A record that is damaged names no workspace.
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -215,8 +215,9 @@
     apply_policy(settings::effective_policy(settings), drive);
     drive.finished_job_retention = settings.timing.keep_finished;
     driver = std::make_unique<hosted::fleet_driver>(ctx, formats, drive, *leadership);
-    job_requests =
-        std::make_unique<hosted::job_request_handler>(ctx, hosted::job_request_settings{});
+    hosted::job_request_settings requests;
+    requests.rejects_hopeless = settings::effective_policy(settings).rejects_hopeless;
+    job_requests = std::make_unique<hosted::job_request_handler>(ctx, requests);
     follow_config();
     company::http_api_sources sources;
     sources.config = [this]
@@ -361,6 +362,7 @@
         registry->withdraw();
         relay_server->leave();
     }
+    job_requests->withdraw_reports();
     leadership->resign([this] { log.log(ports::log_level::info, "resigned", {}); });
     ctx.time.after(balancer_delay, [this] { check_stop(); });
 }
--- a/programs/camphorhitchd/src/hosted_operators.cpp
+++ b/programs/camphorhitchd/src/hosted_operators.cpp
@@ -48,6 +48,9 @@
     case hosted::submit_outcome::id_taken:
         return error_result(
             core::error_code::conflict, "job " + id + ": the id belongs to a job of a workspace");
+    case hosted::submit_outcome::overloaded:
+        return error_result(core::error_code::unavailable,
+            "job " + id + ": not accepted, as its pool can't complete it in time");
     case hosted::submit_outcome::unknown:
         break;
     }
