--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -171,6 +171,40 @@
     return best;
 }
 
+/// Hosts only lose capacity while a plan is made, so what did not fit on any host of a pool will
+/// not fit for the remaining steps of the plan. Without this, each of thousands of waiting steps
+/// would be compared with all hosts of a full pool.
+class unfit_needs
+{
+public:
+    bool contains(const workflow::job& j, const workflow::step& s) const
+    {
+        const auto need = required_resources(s);
+        const auto found = by_pool_.find(j.pool);
+        return found != by_pool_.end() && std::any_of(found->second.begin(),
+                                              found->second.end(),
+                                              [&](const workflow::resources& it) {
+                                                  return it.cpu <= need.cpu &&
+                                                         it.memory_mb <= need.memory_mb &&
+                                                         it.gpus <= need.gpus;
+                                              });
+    }
+
+    /// Records that no host takes a task of the step.
+    void add(const workflow::job& j, const workflow::step& s)
+    {
+        const bool only_resources_matter =
+            s.required_label.empty() && s.max_per_host == 0 && !j.needs_advice;
+        if (only_resources_matter && !contains(j, s))
+        {
+            by_pool_[j.pool].push_back(required_resources(s));
+        }
+    }
+
+private:
+    std::map<std::string, std::vector<workflow::resources>> by_pool_;
+};
+
 bool may_start_beside_others(
     const fleet& f, const job_entry& j, const workflow::task_name& name, core::mono_time now)
 {
@@ -182,12 +216,14 @@
 void start_tasks(fleet& f,
     const waiting_step& w,
     const std::vector<host_entry*>& hosts,
+    unfit_needs& unfit,
     core::mono_time now,
     plan& to,
     task_events& out)
 {
     auto& j = *w.job;
-    const int tasks = j.spec.steps[static_cast<std::size_t>(w.step)].tasks;
+    const auto& spec = j.spec.steps[static_cast<std::size_t>(w.step)];
+    const int tasks = spec.tasks;
     const auto most = to.starts.size() + static_cast<std::size_t>(w.max_starts);
     for (int i = 0;
          i < tasks && step_of(j, w.occurrence, w.step).idle > 0 && to.starts.size() < most;
@@ -200,14 +236,16 @@
         {
             continue;
         }
-        if (!fits_cap(f, j, j.spec.steps[static_cast<std::size_t>(w.step)].need))
+        if (!fits_cap(f, j, spec.need))
         {
             record_capped_step(f, j);
             return;
         }
-        auto* const h = choose_host(f, hosts, j, name, t, now);
+        auto* const h =
+            unfit.contains(j.spec, spec) ? nullptr : choose_host(f, hosts, j, name, t, now);
         if (h == nullptr)
         {
+            unfit.add(j.spec, spec);
             return; // the other tasks of the step have the same requirements
         }
         if (to.remaining_orders <= 0)
@@ -222,6 +260,7 @@
 void start_step(fleet& f,
     const waiting_step& w,
     const std::vector<host_entry*>& hosts,
+    unfit_needs& unfit,
     core::mono_time now,
     plan& to,
     task_events& out)
@@ -229,7 +268,7 @@
     const bool gang = w.job->spec.steps[static_cast<std::size_t>(w.step)].gang;
     if (!gang)
     {
-        start_tasks(f, w, hosts, now, to, out);
+        start_tasks(f, w, hosts, unfit, now, to, out);
     }
     else if (w.job->spec.steps[static_cast<std::size_t>(w.step)].tasks <= w.max_starts &&
              may_start_beside_others(f, *w.job, {w.job->spec.id, w.occurrence, w.step, 0}, now))
@@ -303,6 +342,7 @@
     update_unseen_use(f, now);
     const auto waiting = all_waiting_steps(f, now, unix_ms);
     std::map<std::string, pool_hosts> pools;
+    unfit_needs unfit;
     start_suspects(f, waiting, now, pools, to, out);
     for (const auto& it : waiting)
     {
@@ -320,7 +360,7 @@
                 to.advice_requests.push_back(std::move(ask));
             }
         }
-        start_step(f, it, hosts, now, to, out);
+        start_step(f, it, hosts, unfit, now, to, out);
     }
     return to;
 }
--- a/libs/coordinator/src/run_time_estimates.cpp
+++ b/libs/coordinator/src/run_time_estimates.cpp
@@ -35,12 +35,19 @@
 core::millis expected_critical_path(
     const run_time_estimates& estimates, const std::vector<workflow::step>& steps)
 {
-    auto timed = steps;
-    for (auto& it : timed)
+    std::vector<core::millis> ends(steps.size(), core::millis{0});
+    core::millis longest{0};
+    for (std::size_t i = 0; i < steps.size(); ++i)
     {
-        it.estimated_run_time = expected_run_time(estimates, it);
+        core::millis begin{0};
+        for (const int before : steps[i].depends_on)
+        {
+            begin = std::max(begin, ends[static_cast<std::size_t>(before)]);
+        }
+        ends[i] = begin + expected_run_time(estimates, steps[i]);
+        longest = std::max(longest, ends[i]);
     }
-    return workflow::critical_path(timed);
+    return longest;
 }
 
 core::millis completion_objective(const run_time_estimates& estimates, const workflow::job& j)
--- a/libs/coordinator/tests/placement_tests.cpp
+++ b/libs/coordinator/tests/placement_tests.cpp
@@ -84,6 +84,50 @@
     }
 }
 
+// What no host can take is not tried again for equal or larger needs in the same plan. Steps that
+// lack something else than free capacity must not keep others from starting.
+TEST(placement, a_step_that_no_host_can_take_does_not_keep_others_from_starting)
+{
+    struct row
+    {
+        const char* name;
+        void (*change)(workflow::step&); ///< of the step that is served first
+        std::int64_t next_cpu;
+        bool next_starts;
+    };
+    const row rows[] = {
+        {"a smaller need", [](workflow::step& s) { s.need.cpu = host_cpu + 1; }, 1000, true},
+        {"an equal need", [](workflow::step& s) { s.need.cpu = host_cpu + 1; }, 5000, false},
+        {"more memory", [](workflow::step& s) { s.need.memory_mb = 1 << 20; }, host_cpu, true},
+        {"an accelerator", [](workflow::step& s) { s.need.gpus = 1; }, host_cpu, true},
+        {"another label", [](workflow::step& s) { s.required_label = "b"; }, host_cpu, true},
+        {"its bound on a host",
+            [](workflow::step& s)
+            {
+                s.tasks = 2;
+                s.max_per_host = 1;
+            },
+            3000,
+            true},
+    };
+    for (const auto& it : rows)
+    {
+        fleet_fixture each;
+        each.add_host("h1");
+        auto first = make_step(1, 1000);
+        it.change(first);
+        each.accept_job(make_job("first", {first}));
+        auto next = make_job("next", {make_step(1, it.next_cpu)});
+        next.priority = 1;
+        each.accept_job(next);
+        const auto p = each.plan_next();
+        const bool starts = std::any_of(p.starts.begin(),
+            p.starts.end(),
+            [](const start_action& a) { return a.task.job == "next"; });
+        CHECK_TEXT(starts == it.next_starts, it.name);
+    }
+}
+
 TEST(placement, a_step_is_bounded_on_each_host)
 {
     w.add_host("h1");
