Metric of the pools' needs

Cause: operators see the hosts that a pool wants, but not which resource of its work they are for. Change: camphorhitch_pool_need by pool and resource, twice a second on the coordinator; 0 on a node that no longer coordinates.

--- a/libs/coordinator/src/resource_needs.cpp
+++ b/libs/coordinator/src/resource_needs.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-/// Assumed capacity of a host while the capacity of no host is known. Its memory and accelerators
-/// exceed all needs.
-constexpr workflow::resources assumed_host{32'000, 1'000'000'000'000, 1'000'000'000'000};
 /// Number of hosts that may be added to a pool; more than any fleet has.
 constexpr int unlimited_hosts = 1 << 29;
 /// Deviation of sums of fractions that is not counted as a further host.
@@ -25,11 +22,6 @@
     return std::array{r.cpu, r.memory_mb, r.gpus};
 }
 
-bool is_smaller(const workflow::resources& a, const workflow::resources& b)
-{
-    return amounts(a) < amounts(b);
-}
-
 /// \return the share of each resource of the host that \p need takes; 0 for a resource of which the
 /// host has nothing.
 std::array<double, 3> shares_of_host(
@@ -233,7 +225,7 @@
     }
     std::sort(large.begin(),
         large.end(),
-        [](const auto& a, const auto& b) { return is_smaller(a.each, b.each); });
+        [](const auto& a, const auto& b) { return amounts(a.each) < amounts(b.each); });
     for (std::size_t i = 0; i < large.size(); ++i)
     {
         const bool same = i > 0 && large[i].each == large[i - 1].each;
@@ -281,106 +273,8 @@
     return out;
 }
 
-/// \return the median of one resource.
-template <class Get>
-std::int64_t median_of(std::vector<host_shape> shapes, int hosts, Get get)
-{
-    std::sort(shapes.begin(),
-        shapes.end(),
-        [&](const auto& a, const auto& b) { return get(a.capacity) < get(b.capacity); });
-    int before = 0;
-    for (const auto& it : shapes)
-    {
-        before += it.hosts;
-        if (2 * before >= hosts)
-        {
-            return get(it.capacity);
-        }
-    }
-    return 0;
-}
-
-/// \return the median of each resource; zero without hosts.
-workflow::resources median_host(const std::vector<host_shape>& shapes)
-{
-    int hosts = 0;
-    for (const auto& it : shapes)
-    {
-        hosts += it.hosts;
-    }
-    return {median_of(shapes, hosts, [](const auto& it) { return it.cpu; }),
-        median_of(shapes, hosts, [](const auto& it) { return it.memory_mb; }),
-        median_of(shapes, hosts, [](const auto& it) { return it.gpus; })};
-}
-
-bool is_known(const workflow::resources& capacity)
-{
-    return capacity.cpu > 0;
-}
-
-/// Hosts that leave the pool are no measure of its capacity.
-bool stays_in_pool(const host_entry& h)
-{
-    return !h.draining && h.availability != host_availability::closed_for_move;
-}
-
-void add_shape(std::vector<host_shape>& to, const workflow::resources& capacity, int hosts)
-{
-    const auto it = std::lower_bound(to.begin(),
-        to.end(),
-        capacity,
-        [](const host_shape& a, const workflow::resources& b)
-        { return is_smaller(a.capacity, b); });
-    if (it != to.end() && it->capacity == capacity)
-    {
-        it->hosts += hosts;
-        return;
-    }
-    to.insert(it, {capacity, hosts});
-}
-
 } // namespace
 
-fleet_shapes collect_shapes(const fleet& f)
-{
-    fleet_shapes out;
-    std::vector<host_shape> all;
-    for (const auto& [id, h] : f.hosts)
-    {
-        if (!is_known(h.capacity))
-        {
-            continue;
-        }
-        add_shape(all, h.capacity, 1);
-        if (stays_in_pool(h))
-        {
-            add_shape(out.pools[h.pool], h.capacity, 1);
-        }
-    }
-    out.median = median_host(all);
-    return out;
-}
-
-host_shapes shapes_of_pool(const fleet_shapes& all, const std::string& pool)
-{
-    host_shapes out;
-    const auto found = all.pools.find(pool);
-    if (found != all.pools.end())
-    {
-        out.hosts = found->second;
-        out.further.push_back(median_host(out.hosts));
-    }
-    if (is_known(all.median) && (out.further.empty() || out.further.front() != all.median))
-    {
-        out.further.push_back(all.median);
-    }
-    if (out.further.empty())
-    {
-        out.further.push_back(assumed_host);
-    }
-    return out;
-}
-
 int hosts_needed(const pool_need& need, const host_shapes& shapes)
 {
     const auto load = divide_need(need, shapes);
--- a/libs/hosted/src/machine_controller.cpp
+++ b/libs/hosted/src/machine_controller.cpp
@@ -15,6 +15,20 @@
 /// A longer gap between two plans counts as a time without planning. Plans follow each other within
 /// a tenth of a second, and within this time on a node that is behind.
 constexpr core::millis max_planning_gap{1000};
+constexpr core::millis need_metric_interval{500};
+
+void publish_need(
+    const ports::telemetry& tel, const std::string& pool, const workflow::resources& need)
+{
+    constexpr double milli = 1000.0;
+    const auto set = [&](const char* resource, double value)
+    {
+        tel.gauge("camphorhitch_pool_need", {{"pool", pool}, {"resource", resource}}, value);
+    };
+    set("cores", static_cast<double>(need.cpu) / milli);
+    set("memory_mb", static_cast<double>(need.memory_mb));
+    set("gpus", static_cast<double>(need.gpus));
+}
 
 } // namespace
 
@@ -24,6 +38,14 @@
     demand_.settings = t.settings.demand;
 }
 
+machine_controller::~machine_controller()
+{
+    for (const auto& [pool, need] : moves_.needs)
+    {
+        publish_need(term_.ctx.tel, pool, {});
+    }
+}
+
 void machine_controller::start(std::function<void()> on_list, std::function<bool()> has_open_wave)
 {
     on_list_ = std::move(on_list);
@@ -164,6 +186,19 @@
     last_planned_at_ = now;
 }
 
+void machine_controller::publish_needs()
+{
+    if (term_.now() - needs_published_at_ < need_metric_interval)
+    {
+        return;
+    }
+    needs_published_at_ = term_.now();
+    for (const auto& [pool, need] : moves_.needs)
+    {
+        publish_need(term_.ctx.tel, pool, need.total);
+    }
+}
+
 void machine_controller::plan(const std::set<std::string>& held_machines)
 {
     record_plan();
@@ -175,6 +210,7 @@
     }
     const auto orders = coordinator::plan_moves(
         term_.fleet, moves_, demand_, table_, pools_, held_machines, term_.now(), out);
+    publish_needs();
     table_.pools_without_spare = coordinator::pools_without_spare(moves_);
     table_.moving.clear();
     for (const auto& [machine, move] : moves_.moves)
--- a/libs/hosted/src/machine_controller.hpp
+++ b/libs/hosted/src/machine_controller.hpp
@@ -12,6 +12,11 @@
 {
 public:
     explicit machine_controller(term& t);
+    machine_controller(const machine_controller&) = delete;
+    machine_controller& operator=(const machine_controller&) = delete;
+
+    /// Sets the metric of the pools' needs to 0, because another node coordinates.
+    ~machine_controller();
 
     /// Reads the list, and again at the intervals of the settings.
     /// \param on_list called after each successful read
@@ -49,6 +54,8 @@
     bool needs_frequent_reads() const;
     void handle_list(core::mono_time sent_at, const ports::machine_list& list);
     void record_plan();
+    /// Reports the needs of the pools as a metric, twice a second.
+    void publish_needs();
     void send_move(const coordinator::move_action& a);
 
     term& term_;
@@ -56,6 +63,7 @@
     coordinator::rebalancer moves_;
     coordinator::demand demand_;
     core::mono_time last_planned_at_;
+    core::mono_time needs_published_at_;
     ports::revision inherited_through_ = 0; ///< the inherited record covers jobs up to here
     ports::revision counted_through_ = 0;   ///< acceptance of the newest job that is counted
     std::vector<coordinator::pool_info> pools_;
