--- a/libs/hosted/tests/overload_tests.cpp
+++ b/libs/hosted/tests/overload_tests.cpp
@@ -96,6 +96,16 @@
         c.time.run_for(50ms);
     }
 
+    /// Replaces the digest that \p n has; the coordinator publishes no other.
+    void replace_digest(const std::string& text)
+    {
+        publishing = false;
+        c.time.run_for(600ms);
+        c.store.put(hosted::forecast_key, text);
+        submit("x"); // causes the read
+        c.time.run_for(50ms);
+    }
+
     bool is_stored(const std::string& id) const
     {
         return c.store.find(hosted::job_key(id)) != nullptr ||
@@ -243,6 +253,25 @@
     CHECK(is_stored("a"));
 }
 
+// The pool gets capacity while a node checks whether the job that it is about to refuse is stored,
+// and a second submission of the job is accepted meanwhile: the first one must not be refused.
+TEST(overload, a_job_that_is_stored_during_the_check_is_not_refused)
+{
+    overload(*n);
+    wait = 0ms;
+    c.time.run_for(600ms);
+    std::optional<submit_outcome> first;
+    std::optional<submit_outcome> second;
+    const auto deadline = c.time.now() + 2500ms;
+    n->desk->submit(c.make_job("a", 1), deadline, [&](submit_outcome it) { first = it; });
+    c.time.run_for(3ms); // the node has the next digest; a check takes 4 ms
+    CHECK_FALSE(first.has_value());
+    n->desk->submit(c.make_job("a", 1), deadline, [&](submit_outcome it) { second = it; });
+    c.time.run_for(100ms);
+    CHECK(first == submit_outcome::accepted);
+    CHECK(second == submit_outcome::accepted);
+}
+
 // Each row is a failure in which the forecast says nothing certain, so that jobs are accepted as if
 // there were none.
 TEST(overload, without_a_certain_forecast_jobs_are_accepted)
@@ -261,11 +290,7 @@
         {"the digest is damaged",
             [this]
             {
-                publishing = false;
-                c.time.run_for(600ms);
-                c.store.put(hosted::forecast_key, "{\"pools\":");
-                submit("x");
-                c.time.run_for(50ms);
+                replace_digest("{\"pools\":");
             }},
         {"the digest was removed",
             [this]
@@ -279,12 +304,8 @@
         {"the coordinator does not know the pool",
             [this]
             {
-                publishing = false;
-                c.time.run_for(600ms);
-                c.store.put(hosted::forecast_key,
+                replace_digest(
                     R"({"pools":{"r":{"cores":1,"wait_ms":60000,"admitted_core_ms":1}},"times":{}})");
-                submit("x");
-                c.time.run_for(50ms);
             }},
         {"the node was idle: its digest is old",
             [this]
@@ -320,6 +341,7 @@
     CHECK(lines_of(c.nodes.front(), "record_damaged").size() == 1);
 }
 
+// The coordinator is of the previous version, or has the default settings: it publishes nothing.
 TEST(overload, without_a_digest_jobs_are_accepted)
 {
     for (int i = 0; i < 8; ++i)
--- a/libs/hosted/tests/refused_work_tests.cpp
+++ b/libs/hosted/tests/refused_work_tests.cpp
@@ -207,6 +207,20 @@
     CHECK(rate() < 400 / long_time);
 }
 
+// A node writes again although it refused nothing in this pool, and a delayed write takes effect
+// after a later one. Hosts would be requested for work that does not exist.
+TEST(refused_demand, each_difference_counts_once)
+{
+    begin();
+    for (const int sum : {1000, 1400, 1401, 1200, 1401, 1402})
+    {
+        report(7, sum);
+    }
+    const double long_time = 20;
+    CHECK(rate() > 0.6 * 402 / long_time);
+    CHECK(rate() < 402 / long_time);
+}
+
 // The sum of a node that restarts begins at zero. Neither this nor a sum that decreases may count.
 TEST(refused_demand, a_restarted_node_begins_with_a_new_base)
 {
