A test that refused work is reported until the shutdown

Cause: the path from a refusal to the node's report, and its removal at the node's shutdown, was tested in parts only. Change: a test of the whole path.

--- a/libs/hosted/tests/overload_tests.cpp
+++ b/libs/hosted/tests/overload_tests.cpp
@@ -1,5 +1,6 @@
 #include "forecast_digest.hpp"
 #include "log_lines.hpp"
+#include "refused_work.hpp"
 
 #include <functional>
 #include <optional>
@@ -133,6 +134,25 @@
     LONGS_EQUAL(it.retry_after.count(), number_in(line, "retry_after_ms"));
 }
 
+// The coordinator learns of the refused work, also of a job that is refused repeatedly, until the
+// node shuts down.
+TEST(overload, refused_work_is_reported_until_the_shutdown)
+{
+    overload(*n);
+    for (int i = 0; i < 3; ++i)
+    {
+        CHECK(submit("a").outcome == submit_outcome::overloaded);
+    }
+    c.time.run_for(1100ms);
+    const auto* const it = c.store.find(hosted::refused_key("n1"));
+    CHECK(it != nullptr);
+    const auto read = core::value(hosted::read_refused_work(it->value));
+    DOUBLES_EQUAL(3 * 0.4, read.pools.at("p"), 0.001); // one task of one core and 400 ms each
+    n->desk->withdraw_reports();
+    c.time.run_for(50ms);
+    POINTERS_EQUAL(nullptr, c.store.find(hosted::refused_key("n1")));
+}
+
 // A caller should learn of a refusal long before its deadline, so that it can go elsewhere.
 TEST(overload, a_refusal_is_sent_at_once)
 {
