Accounts of shares survive the coordinator, and operators see them

Cause: a new coordinator knew nothing of what workspaces had used. Change: the record coord/demand gains the key shares with what was used until then; a successor continues from it and charges the runs that it adopts. A damaged record is logged (demand_damaged). Nodes store their zone in the jobs that they accept. why job names the shares; metric camphorhitch_share_used. Capacity is kept only for tasks that would start with it.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -150,9 +150,10 @@
     bool dirty = false;     ///< the stored progress is older than this entry
     /// Its workspace had sent as many jobs as its weight within the second before.
     bool beyond_share = false;
-    std::int64_t batch_share_cpu = 0; ///< run_entry::share_cpu of its batch runs together
-    ports::revision accepted_revision = 0; ///< store revision at which the job was accepted
-    ports::revision stored_revision = 0;   ///< store revision of the stored progress; 0: none
+    std::int64_t batch_share_cpu = 0;        ///< run_entry::share_cpu of its batch runs together
+    std::int64_t long_running_share_cpu = 0; ///< of its runs of long-running steps
+    ports::revision accepted_revision = 0;   ///< store revision at which the job was accepted
+    ports::revision stored_revision = 0;     ///< store revision of the stored progress; 0: none
     core::mono_time added_at;       ///< when the coordinator first read the job; zero: unknown
     std::int64_t ended_unix_ms = 0; ///< wall time at which its end was first stored; 0: not yet
     /// By workflow::task_index(); empty when the final state is stored and no run is left.
--- a/libs/coordinator/include/coordinator/share_accounts.hpp
+++ b/libs/coordinator/include/coordinator/share_accounts.hpp
@@ -67,10 +67,12 @@
 struct pool_share_state
 {
     std::int64_t capacity = 0;
+    std::int64_t long_running = 0;   ///< in use by long-running tasks
     std::int64_t free = 0;           ///< on hosts that accept tasks
     std::int64_t beyond_running = 0; ///< by batch tasks of jobs beyond their share
     std::int64_t within_waiting = 0; ///< as pool_share_use::waiting, of all jobs
     std::array<std::map<std::string, pool_share_use>, share_levels> uses; ///< by level and name
+    std::array<std::int64_t, share_levels> weights{}; ///< by level: sum over its uses
 };
 
 /// All accounts, and the state of the latest plan. Empty unless share_rule::work is in force.
@@ -126,6 +128,10 @@
 std::string describe_shares(
     const fleet& f, const job_entry& j, const workflow::step& s, core::mono_time now);
 
+/// \return by name, what the accounts of the level have used as a ratio to their shares; 0 for
+/// those that neither use nor wait. Empty unless share_rule::work is in force.
+std::map<std::string, double> share_ratios(const fleet& f, share_level level, core::mono_time now);
+
 /// \return the rows of the accounts for a successor, largest first, at most 64. They contain what
 /// the active runs have used until now and not their expected rest, since the successor charges
 /// the runs that it adopts.
--- a/libs/coordinator/src/share_accounts.cpp
+++ b/libs/coordinator/src/share_accounts.cpp
@@ -34,11 +34,36 @@
     return std::exp(-std::max(seconds(elapsed), 0.0) / window_seconds(f));
 }
 
-/// \return the decayed use, in core-seconds, of \p cpu thousandths of a core that were in use for
-/// the time until now.
+/// \return the decayed use, in core-seconds, of \p cpu thousandths of a core that have been in use
+/// for the time whose decay_factor() is \p left.
+double used_until(const fleet& f, std::int64_t cpu, double left)
+{
+    return static_cast<double>(cpu) / milli * window_seconds(f) * (1 - left);
+}
+
+/// \return the decayed use of \p cpu thousandths of a core that were in use for the time until now.
 double decayed_use(const fleet& f, std::int64_t cpu, core::mono_time::duration duration)
 {
-    return static_cast<double>(cpu) / milli * window_seconds(f) * (1 - decay_factor(f, duration));
+    return used_until(f, cpu, decay_factor(f, duration));
+}
+
+/// \return what the accounts of the job contain for its active batch runs beyond their use until
+/// now, in core-seconds.
+double expected_rest(const fleet& f, const job_entry& j, core::mono_time now)
+{
+    double sum = 0;
+    for (std::size_t i = 0; j.batch_share_cpu > 0 && i < j.tasks.size(); ++i)
+    {
+        for (const auto& it : j.tasks[i].runs)
+        {
+            if (it.share_charge > 0)
+            {
+                const auto left = decay_factor(f, now - it.ordered_at);
+                sum += it.share_charge * left - used_until(f, it.share_cpu, left);
+            }
+        }
+    }
+    return sum;
 }
 
 /// Lets the account decay, and adds the use of long-running tasks since its last update.
@@ -53,7 +78,8 @@
     a.updated_at = now;
 }
 
-void add_to_pool(fleet& f, const job_entry& j, const run_entry& run)
+/// Adds a run that starts to the state of the pool in the present plan.
+void add_to_pool(fleet& f, const job_entry& j, const workflow::step& s, const run_entry& run)
 {
     const auto found = f.shares.pools.find(j.spec.pool);
     if (found == f.shares.pools.end())
@@ -65,20 +91,22 @@
     {
         waiting = std::max(waiting - run.share_cpu, std::int64_t{0});
     };
+    const auto batch_cpu = s.long_running ? 0 : run.share_cpu;
     p.free -= run.share_cpu;
+    p.long_running += run.share_cpu - batch_cpu;
     bool beyond = false;
     for_each_account(f,
         j.spec,
         [&](share_level level, const std::string& name)
         {
             auto& it = p.uses[static_cast<std::size_t>(level)][name];
-            it.running += run.share_cpu;
+            it.running += batch_cpu;
             started(it.waiting);
             beyond = beyond || f.shares.accounts[static_cast<std::size_t>(level)][name].beyond;
         });
     if (beyond)
     {
-        p.beyond_running += run.share_cpu;
+        p.beyond_running += batch_cpu;
     }
     else
     {
@@ -118,7 +146,7 @@
     run.share_cpu = dominant_cpu(f, s);
     const auto expected = expected_run_time(f.run_time_estimates, s);
     run.share_charge = s.long_running ? 0 : decayed_use(f, run.share_cpu, expected);
-    j.batch_share_cpu += s.long_running ? 0 : run.share_cpu;
+    (s.long_running ? j.long_running_share_cpu : j.batch_share_cpu) += run.share_cpu;
     for_each_account(f,
         j.spec,
         [&](share_level level, const std::string& name)
@@ -128,10 +156,7 @@
             it.used += run.share_charge;
             it.long_running_cpu += s.long_running ? run.share_cpu : 0;
         });
-    if (!s.long_running)
-    {
-        add_to_pool(f, j, run);
-    }
+    add_to_pool(f, j, s, run);
 }
 
 void settle_run(
@@ -145,7 +170,7 @@
     const auto correction = s.long_running ? 0.0
                                            : decayed_use(f, run.share_cpu, duration) -
                                                  run.share_charge * decay_factor(f, duration);
-    j.batch_share_cpu -= s.long_running ? 0 : run.share_cpu;
+    (s.long_running ? j.long_running_share_cpu : j.batch_share_cpu) -= run.share_cpu;
     for_each_account(f,
         j.spec,
         [&](share_level level, const std::string& name)
@@ -157,8 +182,22 @@
         });
 }
 
+std::map<std::string, double> share_ratios(const fleet& f, share_level level, core::mono_time now)
+{
+    std::map<std::string, double> out;
+    for (const auto& [name, it] : f.shares.accounts[static_cast<std::size_t>(level)])
+    {
+        out[name] = it.share > 0 ? account_use(f, it, now) / it.share : 0;
+    }
+    return out;
+}
+
 std::vector<share_row> share_rows(const fleet& f, core::mono_time now)
 {
+    if (f.settings.placement.shares != share_rule::work)
+    {
+        return {};
+    }
     auto accounts = f.shares.accounts;
     for (auto& level : accounts)
     {
@@ -170,21 +209,7 @@
     for (const auto& id : f.open_jobs)
     {
         const auto& j = *f.jobs.at(id);
-        if (j.batch_share_cpu == 0)
-        {
-            continue;
-        }
-        double expected = 0;
-        for (const auto& t : j.tasks)
-        {
-            for (const auto& it : t.runs)
-            {
-                const auto elapsed = now - it.ordered_at;
-                expected += it.share_charge == 0 ? 0
-                                                 : it.share_charge * decay_factor(f, elapsed) -
-                                                       decayed_use(f, it.share_cpu, elapsed);
-            }
-        }
+        const auto expected = expected_rest(f, j, now);
         for_each_account(f,
             j.spec,
             [&](share_level level, const std::string& name)
--- a/libs/coordinator/src/share_ranks.cpp
+++ b/libs/coordinator/src/share_ranks.cpp
@@ -1,6 +1,6 @@
 #include "bookkeeping.hpp"
-#include "coordinator/intake.hpp"
 #include "coordinator/share_accounts.hpp"
+#include "share_demand.hpp"
 #include "share_levels.hpp"
 #include "starts.hpp"
 
@@ -24,26 +24,14 @@
 /// steady use stays close to it.
 constexpr double restored_ratio = 0.9;
 
-/// A job with work that runs or waits.
-struct active_job
+/// \return the thousandths of a core that are free, by the resource of which least is left.
+std::int64_t free_cpu(const workflow::resources& free, const workflow::resources& all)
 {
-    const job_entry* job = nullptr;
-    std::int64_t waiting = 0; ///< thousandths of a core that could start with free capacity
-};
-
-using pool_host_lists = std::map<std::string, std::vector<const host_entry*>>;
-
-pool_host_lists list_hosts(const fleet& f)
-{
-    pool_host_lists out;
-    for (const auto& [id, h] : f.hosts)
-    {
-        if (h.listed && h.capacity.cpu > 0)
-        {
-            out[h.pool].push_back(&h);
-        }
-    }
-    return out;
+    const auto by_memory = all.memory_mb == 0 ? static_cast<double>(free.cpu)
+                                              : static_cast<double>(free.memory_mb) /
+                                                    static_cast<double>(all.memory_mb) *
+                                                    static_cast<double>(all.cpu);
+    return std::min(free.cpu, static_cast<std::int64_t>(by_memory));
 }
 
 /// Replaces the state of the pools by that of the hosts; work is added later.
@@ -52,77 +40,29 @@
     auto& t = f.shares;
     t.pools.clear();
     t.capacity = {};
+    std::map<std::string, workflow::resources> free;
     for (const auto& [name, all] : hosts)
     {
         auto& p = t.pools[name];
+        auto& pool_free = free[name];
         for (const auto* const h : all)
         {
             p.capacity += h->capacity.cpu;
-            p.free += accepts_tasks(f, *h, now) ? h->capacity.cpu - h->used.cpu : 0;
-            if (!t.standby_pools.contains(name))
+            if (accepts_tasks(f, *h, now))
             {
-                t.capacity += h->capacity;
+                pool_free += h->capacity;
+                pool_free -= h->used;
             }
-        }
-    }
-}
-
-/// \return whether a task of the step could run on some host of the pool if that were empty.
-bool fits_some_host(const pool_host_lists& hosts, const std::string& pool, const workflow::step& s)
-{
-    const auto found = hosts.find(pool);
-    const auto need = required_resources(s);
-    const auto suits = [&](const host_entry* h)
-    {
-        return has_label(*h, s.required_label) && need.cpu <= h->capacity.cpu &&
-               need.memory_mb <= h->capacity.memory_mb && need.gpus <= h->capacity.gpus;
-    };
-    return found != hosts.end() && std::any_of(found->second.begin(), found->second.end(), suits);
-}
-
-std::int64_t waiting_cpu(
-    const fleet& f, const job_entry& j, const pool_host_lists& hosts, std::int64_t unix_ms)
-{
-    std::int64_t sum = 0;
-    for (int k = 0; k < workflow::occurrence_count(j.spec); ++k)
-    {
-        if (workflow::is_scheduled(j.spec) && occurrence_due_ms(j.spec, k) > unix_ms)
-        {
-            break;
-        }
-        for (int s = 0; s < static_cast<int>(j.spec.steps.size()); ++s)
-        {
-            const auto& step = j.spec.steps[static_cast<std::size_t>(s)];
-            const int idle = step_of(j, k, s).idle;
-            // A task that waits for its workspace's cap, or for a host that the pool does not have,
-            // would not start with more free capacity.
-            if (idle > 0 && is_step_ready(j, k, s) && fits_cap(f, j, step.need) &&
-                fits_some_host(hosts, j.spec.pool, step))
+            if (!t.standby_pools.contains(name))
             {
-                sum += dominant_cpu(f, step) * idle;
+                t.capacity += h->capacity;
             }
         }
     }
-    return sum;
-}
-
-std::vector<active_job> list_active_jobs(
-    const fleet& f, const pool_host_lists& hosts, core::mono_time now, std::int64_t unix_ms)
-{
-    std::vector<active_job> out;
-    const auto unseen = find_unseen_run_pools(f, now);
-    for (const auto& id : f.open_jobs)
+    for (auto& [name, p] : t.pools)
     {
-        const auto& j = *f.jobs.at(id);
-        const bool may_start = !workflow::is_final(j.state) &&
-                               !(j.inherited && may_have_unseen_runs(unseen, j.spec.pool));
-        const auto waiting = may_start ? waiting_cpu(f, j, hosts, unix_ms) : 0;
-        if (waiting > 0 || j.live_runs > 0)
-        {
-            out.push_back({&j, waiting});
-        }
+        p.free = free_cpu(free[name], t.capacity);
     }
-    return out;
 }
 
 int weight_of(const fleet& f, share_level level, const std::string& name)
@@ -135,11 +75,19 @@
     return it == f.workspaces.entries.end() ? 1 : std::max(it->second.settings.weight, 1);
 }
 
-void log_change(
-    share_level level, const std::string& name, share_account& a, double used, task_events& out)
+/// An account that is beyond its share stays reported while nothing else is active. Otherwise two
+/// lines would be written for each single job of others.
+/// \param contested several accounts of the level are active
+void log_change(share_level level,
+    const std::string& name,
+    share_account& a,
+    double used,
+    bool contested,
+    task_events& out)
 {
     const bool exceeded = a.beyond && !a.reported;
-    const bool restored = a.reported && (a.share == 0 || used < a.share * restored_ratio);
+    const bool below = contested && used < a.share * restored_ratio;
+    const bool restored = a.reported && (a.share == 0 || below);
     if (!exceeded && !restored)
     {
         return;
@@ -160,15 +108,15 @@
 /// Divides the capacity over the window among the accounts that use some or wait now, by weight.
 void divide_shares(fleet& f,
     share_level level,
-    const std::vector<active_job>& jobs,
+    const std::vector<active_work>& work,
     core::mono_time now,
     task_events& out)
 {
     auto& accounts = f.shares.accounts[static_cast<std::size_t>(level)];
     std::set<std::string> active;
-    for (const auto& it : jobs)
+    for (const auto& it : work)
     {
-        if (const auto& name = account_name(it.job->spec, level); !name.empty())
+        if (const auto& name = account_name(*it.sample, level); !name.empty())
         {
             active.insert(name);
         }
@@ -189,7 +137,7 @@
         const auto used = account_use(f, a, now);
         // One that shares with nobody, or in a fleet of unknown capacity, is within its share.
         a.beyond = active.size() > 1 && a.share > 0 && used > a.share;
-        log_change(level, name, a, used, out);
+        log_change(level, name, a, used, active.size() > 1, out);
     }
 }
 
@@ -200,45 +148,65 @@
     return it != accounts.end() && it->second.beyond;
 }
 
-bool is_beyond(const fleet& f, const job_entry& j)
+bool is_beyond(const fleet& f, const workflow::job& j)
 {
     bool out = false;
     for_each_account(f,
-        j.spec,
+        j,
         [&](share_level level, const std::string& name)
         { out = out || is_beyond(f, level, name); });
     return out;
 }
 
-void add_to_pool(fleet& f, const active_job& it)
+void add_to_pool(fleet& f, const active_work& it)
 {
-    const auto& j = *it.job;
-    auto& p = f.shares.pools[j.spec.pool];
+    const auto& j = *it.sample;
+    auto& p = f.shares.pools[j.pool];
     const bool beyond = is_beyond(f, j);
     const auto waiting = beyond ? 0 : it.waiting;
-    p.beyond_running += beyond ? j.batch_share_cpu : 0;
+    p.beyond_running += beyond ? it.batch : 0;
     p.within_waiting += waiting;
+    p.long_running += it.long_running;
     for_each_account(f,
-        j.spec,
+        j,
         [&](share_level level, const std::string& name)
         {
             auto& use = p.uses[static_cast<std::size_t>(level)][name];
             use.weight = weight_of(f, level, name);
-            use.running += j.batch_share_cpu;
+            use.running += it.batch;
             use.waiting += waiting;
         });
 }
 
+/// Adds up the weights, and bounds what workspaces need by their caps.
+void complete_pools(fleet& f)
+{
+    for (auto& [pool, p] : f.shares.pools)
+    {
+        for (std::size_t i = 0; i < share_levels; ++i)
+        {
+            for (const auto& [name, it] : p.uses[i])
+            {
+                p.weights[i] += it.weight;
+            }
+        }
+        for (auto& [name, it] : p.uses[static_cast<std::size_t>(share_level::workspace)])
+        {
+            const auto below_cap = cores_below_cap(f, name) * milli;
+            it.waiting = below_cap < static_cast<double>(it.waiting)
+                             ? static_cast<std::int64_t>(below_cap)
+                             : it.waiting;
+        }
+    }
+}
+
 /// \return the part of the pool that belongs to one of the uses by its weight, in thousandths of a
 /// core.
 std::int64_t pool_part(const pool_share_state& p, share_level level, const pool_share_use& use)
 {
-    std::int64_t weights = 0;
-    for (const auto& [name, it] : p.uses[static_cast<std::size_t>(level)])
-    {
-        weights += it.weight;
-    }
-    return weights == 0 ? p.capacity : p.capacity * use.weight / weights;
+    const auto weights = p.weights[static_cast<std::size_t>(level)];
+    const auto batch = std::max(p.capacity - p.long_running, std::int64_t{0});
+    return weights == 0 ? batch : batch * use.weight / weights;
 }
 
 /// \return the thousandths of a core that others at the level need to reach their parts of the
@@ -273,7 +241,7 @@
     }
     const auto& p = found->second;
     const auto cpu = dominant_cpu(f, s) * tasks;
-    if (p.within_waiting > 0 && is_beyond(f, j) &&
+    if (p.within_waiting > 0 && is_beyond(f, j.spec) &&
         (p.beyond_running + cpu) * pool_parts_beyond > p.capacity)
     {
         return share_block::beyond;
@@ -323,18 +291,19 @@
     }
     const auto hosts = list_hosts(f);
     reset_pools(f, hosts, now);
-    const auto jobs = list_active_jobs(f, hosts, now, unix_ms);
+    const auto work = list_active_work(f, hosts, now, unix_ms);
     for (const auto& it : share_level_names)
     {
         if (has_level(f, it.value))
         {
-            divide_shares(f, it.value, jobs, now, out);
+            divide_shares(f, it.value, work, now, out);
         }
     }
-    for (const auto& it : jobs)
+    for (const auto& it : work)
     {
         add_to_pool(f, it);
     }
+    complete_pools(f);
 }
 
 int work_share_rank(const fleet& f, const job_entry& j)
--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -15,7 +15,7 @@
 ///   coord/leader-slowed  name of the node that most recently handed leadership over because
 ///                   another node serves callers better
 ///   coord/runners   runners to which the coordinator may have given orders
-///   coord/demand    the coordinator's demand rates and run time estimates
+///   coord/demand    the coordinator's demand rates, run time estimates and accounts of shares
 ///   coord/pending   number of waiting jobs by queue, and the store revision up to which accepted
 ///                   jobs were included in the count; written only by the coordinator
 ///   coord/wave/N    hosts of wave N whose maintenance has begun
--- a/libs/hosted/src/demand_record.cpp
+++ b/libs/hosted/src/demand_record.cpp
@@ -1,6 +1,7 @@
 #include "demand_record.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <exception>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -59,6 +60,50 @@
     return p;
 }
 
+constexpr double milli = 1000.0;
+
+/// Bound of the text of the accounts of shares, in bytes. The record is written twice a second.
+constexpr std::size_t max_shares_text = 3000;
+constexpr std::size_t max_share_rows = 64;
+
+/// \return rows of level, name and used core-milliseconds.
+json shares_to_json(const std::vector<coordinator::share_row>& shares)
+{
+    auto out = json::array();
+    std::size_t size = 0;
+    for (const auto& it : shares)
+    {
+        json row{core::name_of(coordinator::share_level_names, it.level),
+            it.name,
+            std::llround(std::min(it.used * milli, max_value))};
+        size += row.dump().size() + 1;
+        if (size > max_shares_text)
+        {
+            break;
+        }
+        out.push_back(std::move(row));
+    }
+    return out;
+}
+
+coordinator::share_row share_from_json(const json& from)
+{
+    const auto level =
+        core::value_of(coordinator::share_level_names, from.at(0).get<std::string>());
+    if (!level)
+    {
+        throw damaged_record{};
+    }
+    return {*level, from.at(1).get<std::string>(), real_from(from.at(2)) / milli};
+}
+
+/// \return when the record was made, on the own clock; not later than \p now.
+core::mono_time record_time(const json& from, core::mono_time now, std::int64_t unix_ms)
+{
+    const auto at = whole_from(from.at("at_unix_ms"));
+    return now - core::millis{std::max<std::int64_t>(unix_ms - at, 0)};
+}
+
 std::int64_t ms_between(core::mono_time later, core::mono_time earlier)
 {
     return std::chrono::duration_cast<core::millis>(later - earlier).count();
@@ -70,7 +115,8 @@
     const coordinator::run_time_estimates& l,
     ports::revision through_revision,
     core::mono_time now,
-    std::int64_t unix_ms)
+    std::int64_t unix_ms,
+    const std::vector<coordinator::share_row>& shares)
 {
     json out{{"at_unix_ms", unix_ms},
         {"through", through_revision},
@@ -89,6 +135,10 @@
     {
         out["times"][image] = {it.mean_ms, it.samples};
     }
+    if (!shares.empty())
+    {
+        out["shares"] = shares_to_json(shares);
+    }
     return out.dump();
 }
 
@@ -105,7 +155,7 @@
         coordinator::demand next;
         coordinator::run_time_estimates times;
         const auto at = whole_from(from.at("at_unix_ms"));
-        const auto made = now - core::millis{std::max<std::int64_t>(unix_ms - at, 0)};
+        const auto made = record_time(from, now, unix_ms);
         for (const auto& [name, it] : from.at("pools").items())
         {
             next.pools[name] = rates_from_json(it, made);
@@ -139,4 +189,37 @@
     }
 }
 
+std::optional<stored_shares> read_shares(
+    const std::string& text, core::mono_time now, std::int64_t unix_ms)
+{
+    const auto from = json::parse(text, nullptr, false);
+    try
+    {
+        stored_shares out;
+        out.at = record_time(from, now, unix_ms);
+        const auto rows = from.find("shares");
+        if (rows == from.end())
+        {
+            return out;
+        }
+        for (const auto& it : rows->get_ref<const json::array_t&>())
+        {
+            out.rows.push_back(share_from_json(it));
+        }
+        if (out.rows.size() > max_share_rows)
+        {
+            return std::nullopt;
+        }
+        return out;
+    }
+    catch (const json::exception&)
+    {
+        return std::nullopt;
+    }
+    catch (const damaged_record&)
+    {
+        return std::nullopt;
+    }
+}
+
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/demand_record.hpp
+++ b/libs/hosted/src/demand_record.hpp
@@ -6,9 +6,12 @@
 
 #include "coordinator/demand.hpp"
 #include "coordinator/run_time_estimates.hpp"
+#include "coordinator/share_accounts.hpp"
 #include "ports/metadata_store.hpp"
 
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace camphorhitch::hosted
 {
@@ -17,11 +20,13 @@
 /// \param through_revision store revision of the newest job whose arrival is included
 /// \param unix_ms wall-clock time that corresponds to \p now, because a successor has another
 /// monotonic clock
+/// \param shares largest first; rows that would make the record more than 3 KB longer are left out
 std::string write_demand(const coordinator::demand& d,
     const coordinator::run_time_estimates& l,
     ports::revision through_revision,
     core::mono_time now,
-    std::int64_t unix_ms);
+    std::int64_t unix_ms,
+    const std::vector<coordinator::share_row>& shares = {});
 
 /// Reads a record into \p d and \p l; a damaged record changes nothing.
 ///
@@ -41,4 +46,17 @@
     core::mono_time now,
     std::int64_t unix_ms);
 
+/// Accounts of shares, as they were stored.
+struct stored_shares
+{
+    std::vector<coordinator::share_row> rows;
+    core::mono_time at; ///< when they were made, on the own clock
+};
+
+/// Reads the accounts of shares from the same record.
+/// \return no rows for a record without them, as the previous version writes it; nothing for a
+/// damaged record
+std::optional<stored_shares> read_shares(
+    const std::string& text, core::mono_time now, std::int64_t unix_ms);
+
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -98,6 +98,7 @@
         coordinator::make_plan(t.fleet, started, unix_ms, true, out, runners->available_orders());
     t.log(out);
     report_capped_steps();
+    machines->report_shares();
     runners->send(orders);
     if (!t.fleet.dirty_jobs.empty())
     {
--- a/libs/hosted/src/machine_controller.cpp
+++ b/libs/hosted/src/machine_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "coordinator/intake.hpp"
 #include "demand_record.hpp"
+#include "hosted/keys.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -24,6 +25,19 @@
     demand_.settings = t.settings.demand;
 }
 
+/// A node that no longer coordinates reports no use.
+machine_controller::~machine_controller()
+{
+    for (const auto& level : coordinator::share_level_names)
+    {
+        for (const auto& [name, a] :
+            term_.fleet.shares.accounts[static_cast<std::size_t>(level.value)])
+        {
+            publish_share(level.name, name, 0);
+        }
+    }
+}
+
 void machine_controller::start(std::function<void()> on_list, std::function<bool()> has_open_wave)
 {
     on_list_ = std::move(on_list);
@@ -38,6 +52,15 @@
     {
         pools_.push_back({it.name, it.standby});
     }
+    auto& standby = term_.fleet.shares.standby_pools;
+    standby.clear();
+    for (const auto& it : pools)
+    {
+        if (it.standby)
+        {
+            standby.insert(it.name);
+        }
+    }
 }
 
 void machine_controller::record_job(const workflow::job& j, core::mono_time at)
@@ -69,7 +92,8 @@
         term_.fleet.run_time_estimates,
         counted_through_,
         term_.now(),
-        core::to_unix_ms(term_.ctx.time.wall_now()));
+        core::to_unix_ms(term_.ctx.time.wall_now()),
+        coordinator::share_rows(term_.fleet, term_.now()));
 }
 
 void machine_controller::restore_demand(const ports::stored_item& record)
@@ -87,6 +111,45 @@
             {"through", std::to_string(inherited_through_)},
             {"pools", std::to_string(demand_.pools.size())},
             {"images", std::to_string(term_.fleet.run_time_estimates.images.size())}});
+    restore_shares(record);
+}
+
+/// With a damaged record, all accounts start at zero.
+void machine_controller::restore_shares(const ports::stored_item& record)
+{
+    if (term_.fleet.settings.placement.shares != coordinator::share_rule::work)
+    {
+        return;
+    }
+    const auto unix_ms = core::to_unix_ms(term_.ctx.time.wall_now());
+    if (const auto read = read_shares(record.value, term_.now(), unix_ms))
+    {
+        coordinator::restore_shares(term_.fleet, read->rows, read->at);
+        return;
+    }
+    term_.log(ports::log_level::warning,
+        "demand_damaged",
+        {{"key", demand_key}, {"revision", std::to_string(record.modified)}});
+}
+
+/// The series are bounded by the operators' lists of workspaces and queues, and by the zones.
+void machine_controller::report_shares() const
+{
+    const auto now = term_.now();
+    for (const auto& level : coordinator::share_level_names)
+    {
+        for (const auto& [name, used] : coordinator::share_ratios(term_.fleet, level.value, now))
+        {
+            publish_share(level.name, name, used);
+        }
+    }
+}
+
+void machine_controller::publish_share(
+    std::string_view level, const std::string& name, double used) const
+{
+    term_.ctx.tel.gauge(
+        "camphorhitch_share_used", {{"level", std::string{level}}, {"name", name}}, used);
 }
 
 void machine_controller::read_list()
--- a/libs/hosted/src/machine_controller.hpp
+++ b/libs/hosted/src/machine_controller.hpp
@@ -5,6 +5,8 @@
 #include "coordinator/rebalance.hpp"
 #include "term.hpp"
 
+#include <string_view>
+
 namespace camphorhitch::hosted
 {
 
@@ -12,6 +14,9 @@
 {
 public:
     explicit machine_controller(term& t);
+    machine_controller(const machine_controller&) = delete;
+    machine_controller& operator=(const machine_controller&) = delete;
+    ~machine_controller();
 
     /// Reads the list, and again at the intervals of the settings.
     /// \param on_list called after each successful read
@@ -34,6 +39,9 @@
     /// Applies the previous coordinator's record; a damaged record changes nothing.
     void restore_demand(const ports::stored_item& record);
 
+    /// Sets the gauges of what workspaces, queues and zones have used of their shares.
+    void report_shares() const;
+
     /// Plans and orders moves.
     /// \param held_machines machines that a wave has closed or taken down
     void plan(const std::set<std::string>& held_machines);
@@ -49,6 +57,8 @@
     bool needs_frequent_reads() const;
     void handle_list(core::mono_time sent_at, const ports::machine_list& list);
     void record_plan();
+    void restore_shares(const ports::stored_item& record);
+    void publish_share(std::string_view level, const std::string& name, double used) const;
     void send_move(const coordinator::move_action& a);
 
     term& term_;
--- a/libs/hosted/tests/disabled_safeguards.hpp
+++ b/libs/hosted/tests/disabled_safeguards.hpp
@@ -96,22 +96,23 @@
     };
 }
 
-/// Applies \p change to the record of runners whenever a node reads it.
-inline void change_runner_record_reads(
-    hosted_fakes::cluster& c, const std::function<void(std::optional<ports::stored_item>&)>& change)
+/// Applies \p change to the record at \p changed_key whenever a node reads it.
+inline void change_record_reads(hosted_fakes::cluster& c,
+    const std::string& changed_key,
+    const std::function<void(std::optional<ports::stored_item>&)>& change)
 {
-    c.customize_node = [change](hosted_fakes::node& n)
+    c.customize_node = [changed_key, change](hosted_fakes::node& n)
     {
         const auto get = n.ctx.store.get;
-        n.ctx.store.get = [get, change](const std::string& key,
+        n.ctx.store.get = [get, changed_key, change](const std::string& key,
                               ports::read_freshness fresh,
                               const std::function<void(ports::item_read)>& done)
         {
             get(key,
                 fresh,
-                [key, change, done](ports::item_read it)
+                [key, changed_key, change, done](ports::item_read it)
                 {
-                    if (key == hosted::runners_key)
+                    if (key == changed_key)
                     {
                         change(it.item);
                     }
@@ -121,6 +122,13 @@
     };
 }
 
+/// Applies \p change to the record of runners whenever a node reads it.
+inline void change_runner_record_reads(
+    hosted_fakes::cluster& c, const std::function<void(std::optional<ports::stored_item>&)>& change)
+{
+    change_record_reads(c, hosted::runners_key, change);
+}
+
 /// Hides from a successor which runners the previous coordinator used.
 inline void hide_runner_record(hosted_fakes::cluster& c)
 {
@@ -156,6 +164,22 @@
     };
 }
 
+/// Hides from a successor what workspaces have used: a share forgotten over a take-over.
+inline void hide_stored_shares(hosted_fakes::cluster& c)
+{
+    change_record_reads(c,
+        hosted::demand_key,
+        [](std::optional<ports::stored_item>& it)
+        {
+            const std::string key = "\"shares\"";
+            const auto at = it ? it->value.find(key) : std::string::npos;
+            if (at != std::string::npos)
+            {
+                it->value.replace(at, key.size(), "\"hidden\"");
+            }
+        });
+}
+
 /// Lets a node treat its leader lease as unlimited, and runners accept orders of any coordinator.
 inline void ignore_lease_and_tokens(hosted_fakes::cluster& c)
 {
--- a/libs/workflow/tests/records_tests.cpp
+++ b/libs/workflow/tests/records_tests.cpp
@@ -214,3 +214,12 @@
     LONGS_EQUAL(160, critical_path({a, b, c}).count());
     LONGS_EQUAL(150, critical_path({a, b, a}).count());
 }
+
+// Records of the previous version name no zone, and it ignores the key.
+TEST(workflow_records, the_zone_of_a_job_is_optional)
+{
+    auto j = job_with_all_fields();
+    CHECK(write_job(j).find("zone") == std::string::npos);
+    j.zone = "z1";
+    STRCMP_EQUAL("z1", core::value(read_job(write_job(j))).zone.c_str());
+}
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -236,8 +236,10 @@
     {
         return tel.render();
     };
-    front = std::make_unique<company::http_api>(
-        company::http_api_settings{}, sources, *job_requests, ctx.time, log);
+    company::http_api_settings api_settings;
+    api_settings.zone = settings.zone;
+    front =
+        std::make_unique<company::http_api>(api_settings, sources, *job_requests, ctx.time, log);
     operators = std::make_unique<hosted_operators>(hosted_sources{ctx,
                                                        formats,
                                                        *job_requests,
