--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -105,6 +105,7 @@
     {
         report_forecasts(t.fleet, reported_forecast_errors, t.ctx.tel);
     }
+    machines->report_shares();
     runners->send(orders);
     if (!t.fleet.dirty_jobs.empty())
     {
--- a/libs/hosted/src/machine_controller.hpp
+++ b/libs/hosted/src/machine_controller.hpp
@@ -7,6 +7,7 @@
 #include "term.hpp"
 
 #include <memory>
+#include <string_view>
 
 namespace camphorhitch::hosted
 {
@@ -18,7 +19,8 @@
     machine_controller(const machine_controller&) = delete;
     machine_controller& operator=(const machine_controller&) = delete;
 
-    /// Sets the metric of the pools' needs to 0, because another node coordinates.
+    /// Sets the metrics of the pools' needs and of the shares to 0, because another node
+    /// coordinates.
     ~machine_controller();
 
     /// Reads the list, and again at the intervals of the settings.
@@ -42,6 +44,9 @@
     /// Applies the previous coordinator's record; a damaged record changes nothing.
     void restore_demand(const ports::stored_item& record);
 
+    /// Sets the gauges of what workspaces, queues and zones have used of their shares.
+    void report_shares() const;
+
     /// Plans and orders moves.
     /// \param held_machines machines that a wave has closed or taken down
     void plan(const std::set<std::string>& held_machines);
@@ -60,6 +65,8 @@
     void record_refused(const std::string& pool, double core_seconds);
     /// Reports the needs of the pools as a metric, twice a second.
     void publish_needs();
+    void restore_shares(const ports::stored_item& record);
+    void publish_share(std::string_view level, const std::string& name, double used) const;
     void send_move(const coordinator::move_action& a);
 
     term& term_;
