Random faults with the completion forecast

Cause: the forecast changes the order of service and is recomputed by each successor; the random simulations ran without it only. Change: a further test plays the random faults with the forecast.

--- a/libs/hosted/tests/random_fleet_tests.cpp
+++ b/libs/hosted/tests/random_fleet_tests.cpp
@@ -73,6 +73,26 @@
         { play_seed(seed, steps, [](cluster& c) { c.settings.max_idle_polls_per_second = 1; }); });
 }
 
+// With the completion forecast, jobs are served in another order, and the outlooks are recomputed
+// by each successor from what it has read. That must not break a promise, and late jobs must end
+// too.
+TEST(random_fleet, no_promise_is_broken_with_completion_forecasts)
+{
+    constexpr std::uint64_t seeds = 12;
+    constexpr int steps = 120;
+    for_each_seed(seeds,
+        [](std::uint64_t seed)
+        {
+            play_seed(seed,
+                steps,
+                [](cluster& c)
+                {
+                    c.settings.rules.placement.forecasts = true;
+                    c.settings.demand.discounts_late_work = true;
+                });
+        });
+}
+
 namespace
 {
 
