Equal jobs are served in the order of their ids with the forecast

Cause: the jobs come from a hash table, so the order of equal jobs depended on the order in which they were read. Change: with the forecast, ids, occurrences and steps decide between equals. The test of the order of service also fails now when started jobs lose their place.

--- a/libs/coordinator/src/forecast_order.cpp
+++ b/libs/coordinator/src/forecast_order.cpp
@@ -109,6 +109,12 @@
     w.started = has_started(*w.job);
 }
 
+bool is_named_before(const waiting_step& a, const waiting_step& b)
+{
+    return std::tie(a.job->spec.id, a.occurrence, a.step) <
+           std::tie(b.job->spec.id, b.occurrence, b.step);
+}
+
 void add_overdue_steps(const fleet& f, std::vector<waiting_step>& all)
 {
     struct budget
--- a/libs/coordinator/src/forecast_order.hpp
+++ b/libs/coordinator/src/forecast_order.hpp
@@ -11,6 +11,9 @@
 /// stays as it is. Later steps of a started job come before new jobs.
 void apply_forecast(waiting_step& w);
 
+/// \return whether \p a precedes \p b in the order of job ids, occurrences and steps.
+bool is_named_before(const waiting_step& a, const waiting_step& b);
+
 /// Adds the steps of jobs that have waited too long once more, to be served before all others with
 /// the share of the cores that the forecast leaves to them.
 void add_overdue_steps(const fleet& f, std::vector<waiting_step>& all);
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -112,10 +112,16 @@
         }
     }
     add_overdue_steps(f, out);
-    const auto order = f.settings.placement.jobs;
+    const auto& policy = f.settings.placement;
     std::sort(out.begin(),
         out.end(),
-        [order](const auto& a, const auto& b) { return is_served_before(order, a, b); });
+        [&policy](const auto& a, const auto& b)
+        {
+            // The jobs come from a hash table, whose order must not decide between equals.
+            const bool before = is_served_before(policy.jobs, a, b);
+            return before || (policy.forecasts && !is_served_before(policy.jobs, b, a) &&
+                                 is_named_before(a, b));
+        });
     return out;
 }
 
--- a/libs/coordinator/tests/forecast_order_tests.cpp
+++ b/libs/coordinator/tests/forecast_order_tests.cpp
@@ -113,12 +113,13 @@
     auto two = whole_host_job("started");
     two.steps.push_back(two.steps[0]);
     two.steps[1].depends_on = {0};
+    two.slack = 20s;
     w.accept_job(two);
     auto p = w.plan_next();
     LONGS_EQUAL(1, p.starts.size());
     w.answer_start(p.starts[0]);
     auto urgent = whole_host_job("new");
-    urgent.accepted_unix_ms = wall_ms - 100; // due earlier
+    urgent.slack = 8s; // due earlier, and also in time
     w.accept_job(urgent);
     w.now += 100ms;
     w.f.hosts["h1"].last_answer_at = w.now;
@@ -127,7 +128,7 @@
     LONGS_EQUAL(1, p.starts.size());
     STRCMP_EQUAL("started", p.starts[0].task.job.c_str());
     const auto why = explain_job(w.f, "new", w.now, wall_ms + 100);
-    STRCMP_CONTAINS("outlook ", why[0].c_str());
+    STRCMP_CONTAINS("outlook in_time", why[0].c_str());
     STRCMP_CONTAINS("ahead of it 1 jobs of the pool, 1 of them started", why[0].c_str());
 }
 
@@ -252,3 +253,29 @@
     w.plan_next(wall_ms);
     CHECK(w.f.jobs.at("a")->forecast.outlook == job_outlook::in_time);
 }
+
+// The jobs are kept in a hash table. If its order decided between equal jobs, equal inputs would
+// give different plans.
+TEST(forecast_order, equal_jobs_are_served_in_the_same_order_however_they_were_read)
+{
+    std::vector<std::string> served[2];
+    for (const int reversed : {0, 1})
+    {
+        fleet_fixture each;
+        each.f.settings.placement.forecasts = true;
+        for (int i = 0; i < 4; ++i)
+        {
+            each.add_host("h" + std::to_string(i));
+        }
+        for (int i = 0; i < 50; ++i)
+        {
+            each.accept_job(whole_host_job("n" + std::to_string(reversed != 0 ? 49 - i : i)));
+        }
+        for (const auto& it : each.plan_next().starts)
+        {
+            served[reversed].push_back(it.task.job + " on " + it.host.id);
+        }
+    }
+    LONGS_EQUAL(4, served[0].size());
+    CHECK(served[0] == served[1]);
+}
