Less work for needs and packing in each plan

Cause: the groups of batch tasks were built in a map for each plan, also with policy.needs = cores, which does not use them, and the order of hosts by used cores cost a call for each waiting task and host. Change: groups are collected in a vector, merged once and only with vector; the cost with packing_rule::cores is inline; each host's capacity is looked up once.

--- a/libs/coordinator/include/coordinator/demand.hpp
+++ b/libs/coordinator/include/coordinator/demand.hpp
@@ -120,8 +120,8 @@
     /// Of batch tasks: the rest of `cores`, with memory and accelerators in the ratio that its
     /// running and waiting batch tasks have; without any, in the ratio of its hosts.
     workflow::resources batch;
-    /// The tasks that the sums above consist of.
-    std::vector<task_group> long_running_tasks;
+    std::vector<task_group> long_running_tasks; ///< those of the sum above
+    /// Those of the sum above; empty with need_rule::cores, and for a pool without batch tasks.
     std::vector<task_group> batch_tasks;
 };
 
--- a/libs/coordinator/src/host_shapes.cpp
+++ b/libs/coordinator/src/host_shapes.cpp
@@ -80,17 +80,19 @@
 fleet_shapes collect_shapes(const fleet& f)
 {
     fleet_shapes out;
-    std::vector<host_shape> all;
     for (const auto& [id, h] : f.hosts)
     {
-        if (!is_known(h.capacity))
+        if (is_known(h.capacity) && stays_in_pool(h))
         {
-            continue;
+            add_shape(out.pools[h.pool], h.capacity, 1);
         }
-        add_shape(all, h.capacity, 1);
-        if (stays_in_pool(h))
+    }
+    std::vector<host_shape> all;
+    for (const auto& [pool, shapes] : out.pools)
+    {
+        for (const auto& it : shapes)
         {
-            add_shape(out.pools[h.pool], h.capacity, 1);
+            add_shape(all, it.capacity, it.hosts);
         }
     }
     out.median = median_host(all);
--- a/libs/coordinator/src/packing.cpp
+++ b/libs/coordinator/src/packing.cpp
@@ -37,14 +37,9 @@
 
 } // namespace
 
-packing_cost cost_of_host(
+packing_cost cost_by_shares(
     const host_entry& h, const workflow::resources& need, bool fills_up, packing_rule rule)
 {
-    if (rule == packing_rule::cores)
-    {
-        const auto used = static_cast<double>(h.used.cpu);
-        return {fills_up ? -used : used, 0};
-    }
     const auto shares = shares_after_start(h, need);
     if (!fills_up)
     {
--- a/libs/coordinator/src/task_mix.cpp
+++ b/libs/coordinator/src/task_mix.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 namespace camphorhitch::coordinator
@@ -34,26 +35,46 @@
     return out;
 }
 
-/// Scales the tasks of the mix to the pool's need in cores.
-void apply_task_ratio(double cpu, const batch_mix& mix, pool_need& to)
+/// \return the groups with equal requirements merged, in a fixed order.
+std::vector<task_group> merge_groups(std::vector<task_group> all)
 {
-    double mix_cpu = 0;
-    for (const auto& [each, tasks] : mix)
+    const auto key = [](const task_group& it)
     {
-        mix_cpu += static_cast<double>(std::get<0>(each)) * tasks;
+        return std::tie(it.each.cpu, it.each.memory_mb, it.each.gpus);
+    };
+    std::sort(
+        all.begin(), all.end(), [&](const auto& a, const auto& b) { return key(a) < key(b); });
+    std::vector<task_group> out;
+    for (const auto& it : all)
+    {
+        if (!out.empty() && out.back().each == it.each)
+        {
+            out.back().tasks += it.tasks;
+        }
+        else
+        {
+            out.push_back(it);
+        }
     }
-    const double factor = mix_cpu > 0 ? cpu / mix_cpu : 1;
-    double memory_mb = 0;
-    double gpus = 0;
-    for (const auto& [each, tasks] : mix)
+    return out;
+}
+
+/// Scales the tasks of the mix to the pool's need in cores.
+void apply_task_ratio(double cpu, const batch_mix& mix, pool_need& to)
+{
+    const double factor = mix.cpu > 0 ? cpu / mix.cpu : 1;
+    to.batch.memory_mb = std::llround(mix.memory_mb * factor);
+    to.batch.gpus = std::llround(mix.gpus * factor);
+    to.batch_tasks = merge_groups(mix.groups);
+    for (auto& it : to.batch_tasks)
     {
-        const auto& [task_cpu, task_memory, task_gpus] = each;
-        to.batch_tasks.push_back({{task_cpu, task_memory, task_gpus}, tasks * factor, 0});
-        memory_mb += static_cast<double>(task_memory) * tasks * factor;
-        gpus += static_cast<double>(task_gpus) * tasks * factor;
+        it.tasks *= factor;
     }
-    to.batch.memory_mb = std::llround(memory_mb);
-    to.batch.gpus = std::llround(gpus);
+}
+
+bool has_tasks(const batch_mix& mix)
+{
+    return mix.cpu > 0 || mix.memory_mb > 0 || mix.gpus > 0;
 }
 
 void apply_host_ratio(double cpu, const workflow::resources& capacity, pool_need& to)
@@ -83,7 +104,13 @@
         const double tasks = s.long_running || s.best_effort ? 0 : tasks_at_once(f, d, j, k);
         if (tasks > 0)
         {
-            to[{s.need.cpu, s.need.memory_mb, s.need.gpus}] += tasks;
+            to.cpu += static_cast<double>(s.need.cpu) * tasks;
+            to.memory_mb += static_cast<double>(s.need.memory_mb) * tasks;
+            to.gpus += static_cast<double>(s.need.gpus) * tasks;
+            if (d.needs == need_rule::vector)
+            {
+                to.groups.push_back({s.need, tasks, 0});
+            }
         }
     }
 }
@@ -116,7 +143,7 @@
         const double cpu = (need.cores - need.long_running_cores) * milli;
         need.batch = {std::llround(cpu), 0, 0};
         const auto mix = mixes.find(pool);
-        if (mix != mixes.end() && !mix->second.empty())
+        if (mix != mixes.end() && has_tasks(mix->second))
         {
             apply_task_ratio(cpu, mix->second, need);
         }
--- a/libs/coordinator/src/task_mix.hpp
+++ b/libs/coordinator/src/task_mix.hpp
@@ -4,17 +4,23 @@
 
 #include "coordinator/demand.hpp"
 
-#include <cstdint>
 #include <map>
 #include <string>
-#include <tuple>
+#include <vector>
 
 namespace camphorhitch::coordinator
 {
 
-/// Batch tasks of one pool: by cores, memory and accelerators that a task requires, the number of
-/// tasks that should run at once.
-using batch_mix = std::map<std::tuple<std::int64_t, std::int64_t, std::int64_t>, double>;
+/// Batch tasks of one pool that should run at once.
+struct batch_mix
+{
+    /// Sums over the tasks, in the units of workflow::resources.
+    double cpu = 0;
+    double memory_mb = 0;
+    double gpus = 0;
+    /// A group for each step of each job. Empty with need_rule::cores, which counts no tasks.
+    std::vector<task_group> groups;
+};
 
 /// Adds the running and waiting batch tasks of a job. Waiting tasks that are shorter than the
 /// horizon count with the share of the horizon that they run.
--- a/libs/coordinator/tests/resource_needs_tests.cpp
+++ b/libs/coordinator/tests/resource_needs_tests.cpp
@@ -48,6 +48,7 @@
     void setup() override
     {
         d.settings.margin = 1;
+        d.settings.needs = need_rule::vector;
     }
 
     void add_host(const std::string& id, const std::string& pool, const resources& capacity)
