--- a/bench/placement_days/src/main.cpp
+++ b/bench/placement_days/src/main.cpp
@@ -96,10 +96,32 @@
     return all;
 }
 
+/// Policies that differ when memory is scarce.
+std::vector<day_policy> memory_policies()
+{
+    using coordinator::need_rule;
+    using coordinator::packing_rule;
+    std::vector<day_policy> all;
+    for (const auto needs : {need_rule::cores, need_rule::vector})
+    {
+        for (const auto& packing : coordinator::packing_rule_names)
+        {
+            day_policy it{"", {}, true, {}, {}};
+            it.name = std::string{needs == need_rule::vector ? "vector " : "cores "} +
+                      std::string{packing.name};
+            it.placement.packing = packing.value;
+            it.demand.needs = needs;
+            all.push_back(it);
+        }
+    }
+    return all;
+}
+
 struct named_shape
 {
     const char* name;
     day_shape shape;
+    bool memory_is_scarce = false; ///< memory_policies() are compared instead of policies()
 };
 
 std::vector<named_shape> shapes()
@@ -113,6 +135,10 @@
     large.shape.busy_cores = 6500;
     large.shape.quiet_cores = 260;
     all.push_back(large);
+    named_shape memory{"48 hosts, memory", {}, true};
+    memory.shape.busy_cores = 350;
+    memory.shape.large_memory_share = 0.5;
+    all.push_back(memory);
     return all;
 }
 
@@ -193,7 +219,7 @@
                 continue;
             }
             row base;
-            for (const auto& it : policies())
+            for (const auto& it : fleet.memory_is_scarce ? memory_policies() : policies())
             {
                 const bool large = fleet.shape.hosts > large_fleet;
                 const int n = large ? std::max(days / small_days_per_large_day, 1) : days;
--- a/testing/day_sim/include/day_sim/day.hpp
+++ b/testing/day_sim/include/day_sim/day.hpp
@@ -31,6 +31,9 @@
     core::millis move_time{1500};   ///< time that a host needs to start in another pool
     core::millis list_lag{250};     ///< delay until the host list shows a new host
     core::millis poll_lag{35};      ///< delay until the coordinator learns of the end of a task
+    /// Share of the jobs whose tasks require large_task_memory_mb instead of 1,024 MB each.
+    double large_memory_share = 0;
+    std::int64_t large_task_memory_mb = 24576;
 };
 
 /// Settings of the coordinator that are compared.
--- a/testing/day_sim/src/day.cpp
+++ b/testing/day_sim/src/day.cpp
@@ -28,6 +28,7 @@
 constexpr std::int64_t host_cpu = 32000;
 constexpr std::int64_t host_memory = 131072;
 constexpr std::int64_t day_start_unix_ms = 1'700'000'000'000;
+constexpr std::int64_t small_task_memory_mb = 1024;
 constexpr int tasks_per_step = 8;
 constexpr int steps_per_job = 2;
 constexpr const char* standby = "standby";
@@ -155,6 +156,14 @@
             [](const auto& a, const auto& b) { return a.at < b.at; });
     }
 
+    /// \return the memory of each task of the next job, in megabytes.
+    std::int64_t next_task_memory()
+    {
+        const bool large =
+            shape_.large_memory_share > 0 && uniform(0, 1) < shape_.large_memory_share;
+        return large ? shape_.large_task_memory_mb : small_task_memory_mb;
+    }
+
     workflow::job make_job(int pool)
     {
         workflow::job j;
@@ -167,11 +176,12 @@
         const double real = seconds * (1 + shape_.time_factor) / 2;
         const double cores =
             shape_.job_core_seconds / (steps_per_job * tasks_per_step * real) * uniform(0.5, 1.5);
+        const auto memory = next_task_memory();
         for (int i = 0; i < steps_per_job; ++i)
         {
             workflow::step s;
             s.tasks = tasks_per_step;
-            s.need = {static_cast<std::int64_t>(cores * 1000), 1024, 0};
+            s.need = {static_cast<std::int64_t>(cores * 1000), memory, 0};
             s.estimated_run_time = shape_.task_time;
             s.image = j.pool + "-" + std::to_string(random_() % 3);
             if (i > 0)
