The division of hosts is reported, and tested with faults

Cause: an operator has to see why a pool has few hosts; a check of starving pools must be shown to fail.

Change: the gauge camphorhitch_pool_hosts reports wanted, floor, have and target of each pool. The random simulation with pools that are busy in turn finds pools without hosts beside a surplus; with the injected fault "a pool that takes all" it must find one.

--- a/libs/coordinator/tests/allocation_tests.cpp
+++ b/libs/coordinator/tests/allocation_tests.cpp
@@ -1,8 +1,5 @@
 #include "coordinator/allocation.hpp"
 
-#include "coordinator/rebalance.hpp"
-#include "fleet_fixture.hpp"
-
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <numeric>
@@ -266,8 +263,7 @@
     }
 }
 
-// Guards against a division whose cost grows too fast for one plan, and against results that depend
-// on the order of the claims.
+// Guards against results that depend on the order of the claims.
 TEST(allocation, the_order_of_the_claims_does_not_matter)
 {
     std::mt19937_64 random(3);
--- a/libs/hosted/src/machine_controller.cpp
+++ b/libs/hosted/src/machine_controller.cpp
@@ -16,6 +16,21 @@
 /// a tenth of a second, and within this time on a node that is behind.
 constexpr core::millis max_planning_gap{1000};
 
+void publish(
+    const ports::telemetry& tel, const std::string& pool, const coordinator::pool_hosts& hosts)
+{
+    const std::pair<const char*, int> rows[] = {{"wanted", hosts.wanted},
+        {"floor", hosts.floor},
+        {"have", hosts.have},
+        {"target", hosts.target}};
+    for (const auto& [kind, value] : rows)
+    {
+        tel.gauge("camphorhitch_pool_hosts",
+            {{"pool", pool}, {"kind", kind}},
+            static_cast<double>(value));
+    }
+}
+
 } // namespace
 
 machine_controller::machine_controller(term& t) : term_(t), last_planned_at_(t.now())
@@ -24,6 +39,14 @@
     demand_.settings = t.settings.demand;
 }
 
+machine_controller::~machine_controller()
+{
+    for (const auto& [pool, hosts] : reported_hosts_)
+    {
+        publish(term_.ctx.tel, pool, {});
+    }
+}
+
 void machine_controller::start(std::function<void()> on_list, std::function<bool()> has_open_wave)
 {
     on_list_ = std::move(on_list);
@@ -164,6 +187,28 @@
     last_planned_at_ = now;
 }
 
+/// Reports the pools whose hosts have changed, and 0 for those that are configured no longer.
+void machine_controller::report_hosts()
+{
+    for (auto& [pool, hosts] : reported_hosts_)
+    {
+        if (!moves_.hosts.contains(pool))
+        {
+            hosts = {};
+            publish(term_.ctx.tel, pool, hosts);
+        }
+    }
+    for (const auto& [pool, hosts] : moves_.hosts)
+    {
+        const auto [it, added] = reported_hosts_.try_emplace(pool, hosts);
+        if (added || it->second != hosts)
+        {
+            it->second = hosts;
+            publish(term_.ctx.tel, pool, hosts);
+        }
+    }
+}
+
 void machine_controller::plan(const std::set<std::string>& held_machines)
 {
     record_plan();
@@ -175,6 +220,7 @@
     }
     const auto orders = coordinator::plan_moves(
         term_.fleet, moves_, demand_, table_, pools_, held_machines, term_.now(), out);
+    report_hosts();
     table_.pools_without_spare = coordinator::pools_without_spare(moves_);
     table_.moving.clear();
     for (const auto& [machine, move] : moves_.moves)
--- a/libs/hosted/src/machine_controller.hpp
+++ b/libs/hosted/src/machine_controller.hpp
@@ -12,6 +12,9 @@
 {
 public:
     explicit machine_controller(term& t);
+    machine_controller(const machine_controller&) = delete;
+    machine_controller& operator=(const machine_controller&) = delete;
+    ~machine_controller();
 
     /// Reads the list, and again at the intervals of the settings.
     /// \param on_list called after each successful read
@@ -49,6 +52,7 @@
     bool needs_frequent_reads() const;
     void handle_list(core::mono_time sent_at, const ports::machine_list& list);
     void record_plan();
+    void report_hosts();
     void send_move(const coordinator::move_action& a);
 
     term& term_;
@@ -59,6 +63,7 @@
     ports::revision inherited_through_ = 0; ///< the inherited record covers jobs up to here
     ports::revision counted_through_ = 0;   ///< acceptance of the newest job that is counted
     std::vector<coordinator::pool_info> pools_;
+    std::map<std::string, coordinator::pool_hosts> reported_hosts_; ///< by pool
     std::function<void()> on_list_;
     std::function<bool()> has_open_wave_;
 };
--- a/libs/hosted/tests/disabled_safeguards.hpp
+++ b/libs/hosted/tests/disabled_safeguards.hpp
@@ -192,6 +192,25 @@
     c.hosts.state_start_times(false);
 }
 
+/// Lets one pool take all: whichever pool a host moves to, it arrives in pool p.
+inline void let_one_pool_take_all(hosted_fakes::cluster& c)
+{
+    c.customize_node = [customize = c.customize_node](hosted_fakes::node& n)
+    {
+        if (customize)
+        {
+            customize(n);
+        }
+        n.ctx.machines.move = [move = n.ctx.machines.move](const std::string& machine,
+                                  const std::string&,
+                                  std::int64_t token,
+                                  const std::function<void(ports::machine_verdict)>& done)
+        {
+            move(machine, "p", token, done);
+        };
+    };
+}
+
 inline constexpr disabled_safeguard disabled_safeguards[] = {
     {"unanswered starts count as refused", treat_unanswered_as_refused},
     {"the record of runners is hidden", hide_runner_record},
