--- a/libs/hosted/src/machine_controller.hpp
+++ b/libs/hosted/src/machine_controller.hpp
@@ -19,7 +19,7 @@
     machine_controller(const machine_controller&) = delete;
     machine_controller& operator=(const machine_controller&) = delete;
 
-    /// Sets the metrics of the pools' needs and of the shares to 0, because another node
+    /// Sets the metrics of the pools and of the shares to 0, because another node
     /// coordinates.
     ~machine_controller();
 
@@ -67,6 +67,7 @@
     void publish_needs();
     void restore_shares(const ports::stored_item& record);
     void publish_share(std::string_view level, const std::string& name, double used) const;
+    void report_hosts();
     void send_move(const coordinator::move_action& a);
 
     term& term_;
@@ -78,6 +79,7 @@
     ports::revision inherited_through_ = 0; ///< the inherited record covers jobs up to here
     ports::revision counted_through_ = 0;   ///< acceptance of the newest job that is counted
     std::vector<coordinator::pool_info> pools_;
+    std::map<std::string, coordinator::pool_hosts> reported_hosts_; ///< by pool
     std::function<void()> on_list_;
     std::function<bool()> has_open_wave_;
     std::unique_ptr<refused_work_reader> refused_; ///< null: no node refuses work by the forecast
