--- a/libs/hosted/src/machine_controller.cpp
+++ b/libs/hosted/src/machine_controller.cpp
@@ -33,7 +33,7 @@
     set("gpus", static_cast<double>(need.gpus));
 }
 
-void publish(
+void publish_hosts(
     const ports::telemetry& tel, const std::string& pool, const coordinator::pool_hosts& hosts)
 {
     const std::pair<const char*, int> rows[] = {{"wanted", hosts.wanted},
@@ -73,7 +73,7 @@
     }
     for (const auto& [pool, hosts] : reported_hosts_)
     {
-        publish(term_.ctx.tel, pool, {});
+        publish_hosts(term_.ctx.tel, pool, {});
     }
 }
 
@@ -289,7 +289,7 @@
         if (!moves_.hosts.contains(pool))
         {
             hosts = {};
-            publish(term_.ctx.tel, pool, hosts);
+            publish_hosts(term_.ctx.tel, pool, hosts);
         }
     }
     for (const auto& [pool, hosts] : moves_.hosts)
@@ -298,7 +298,7 @@
         if (added || it->second != hosts)
         {
             it->second = hosts;
-            publish(term_.ctx.tel, pool, hosts);
+            publish_hosts(term_.ctx.tel, pool, hosts);
         }
     }
 }
