Jobs deferred by the forecast come before jobs that are late by themselves

Cause: when the forecast counts too little capacity, as after a takeover, it expects all jobs to be late, and they were served by due time, those that had missed their objective first.

--- a/libs/coordinator/src/forecast_order.cpp
+++ b/libs/coordinator/src/forecast_order.cpp
@@ -103,9 +103,11 @@
         return;
     }
     const bool scheduled = workflow::is_scheduled(w.job->spec);
+    const bool in_time = *outlook == job_outlook::in_time;
     // The outlook of a scheduled job is that of its newest occurrence; earlier ones are later.
     w.worthless = *outlook == job_outlook::worthless || (scheduled && w.worthless);
-    w.late = *outlook != job_outlook::in_time || (scheduled && w.late);
+    w.late = w.late && (scheduled || !in_time);
+    w.deferred = !in_time;
     w.started = has_started(*w.job);
 }
 
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -25,28 +25,6 @@
 /// free capacity.
 constexpr int suspect_failures = 3;
 
-bool is_served_before(job_order order, const waiting_step& a, const waiting_step& b)
-{
-    const auto key = [order](const waiting_step& it)
-    {
-        if (order == job_order::first_come)
-        {
-            return std::tuple(
-                !it.overdue, 0.0, false, false, false, 0, it.job->spec.accepted_unix_ms);
-        }
-        // When there is more work than capacity, serving in order of time would make all jobs late.
-        // Jobs that can still be in time go first, so that some of them are.
-        return std::tuple(!it.overdue,
-            it.share,
-            it.worthless,
-            it.late,
-            !it.started,
-            it.job->spec.priority,
-            it.due_unix_ms);
-    };
-    return key(a) < key(b);
-}
-
 /// Expected run times are means: a job that misses its objective by less than this may still be in
 /// time.
 constexpr std::int64_t late_tolerance_ms = 200;
@@ -331,6 +309,29 @@
 
 } // namespace
 
+bool is_served_before(job_order order, const waiting_step& a, const waiting_step& b)
+{
+    const auto key = [order](const waiting_step& it)
+    {
+        if (order == job_order::first_come)
+        {
+            return std::tuple(
+                !it.overdue, 0.0, false, false, false, false, 0, it.job->spec.accepted_unix_ms);
+        }
+        // When there is more work than capacity, serving in order of time would make all jobs late.
+        // Jobs that can still be in time go first, so that some of them are.
+        return std::tuple(!it.overdue,
+            it.share,
+            it.worthless,
+            it.late,
+            it.deferred,
+            !it.started,
+            it.job->spec.priority,
+            it.due_unix_ms);
+    };
+    return key(a) < key(b);
+}
+
 plan make_plan(fleet& f,
     core::mono_time now,
     std::int64_t unix_ms,
--- a/libs/coordinator/src/starts.hpp
+++ b/libs/coordinator/src/starts.hpp
@@ -18,6 +18,9 @@
     bool late = false; ///< can't meet its objective any more, so that finishing it has little value
     std::int64_t due_unix_ms = 0; ///< wall time of its objective
     double share = 0;             ///< rank by its workspace's share; lower ranks are served first
+    /// By the forecast the pool lacks the capacity to complete the job in time. It comes before
+    /// jobs that can't be in time anyway, since the forecast may be too low after a takeover.
+    bool deferred = false;
     bool started = false; ///< by the forecast: the job keeps its place before jobs that have not
     /// It has waited too long as late work, and is served before all others within max_starts.
     bool overdue = false;
@@ -27,6 +30,9 @@
 /// A completed job has no value after this multiple of its objective.
 inline constexpr std::int64_t worthless_after_objectives = 3;
 
+/// \return whether \p a is served before \p b.
+bool is_served_before(job_order order, const waiting_step& a, const waiting_step& b);
+
 /// \return whether some task of the job was started.
 bool has_started(const job_entry& j);
 
--- a/libs/coordinator/tests/forecast_order_tests.cpp
+++ b/libs/coordinator/tests/forecast_order_tests.cpp
@@ -2,6 +2,7 @@
 #include "coordinator/demand.hpp"
 #include "coordinator/explain.hpp"
 #include "fleet_fixture.hpp"
+#include "forecast_order.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -279,3 +280,40 @@
     LONGS_EQUAL(4, served[0].size());
     CHECK(served[0] == served[1]);
 }
+
+// Failure: right after a takeover or the loss of a rack, the forecast counts too little capacity
+// and expects every job to be late. Guards against serving jobs that have missed their objective
+// before jobs that can still meet it.
+TEST(forecast_order, jobs_that_can_be_in_time_by_themselves_come_before_those_that_can_not)
+{
+    struct row
+    {
+        const char* name;
+        job_outlook outlook;
+        bool late; ///< by itself
+    };
+    const row in_order[] = {
+        {"in time", job_outlook::in_time, false},
+        {"in time by the wider tolerance of the forecast", job_outlook::in_time, true},
+        {"deferred for lack of capacity", job_outlook::late, false},
+        {"late by itself", job_outlook::late, true},
+        {"worthless", job_outlook::worthless, true},
+    };
+    std::vector<waiting_step> steps;
+    for (const auto& it : in_order)
+    {
+        w.accept_job(whole_host_job(it.name));
+        auto& j = *w.f.jobs.at(it.name);
+        j.forecast.outlook = it.outlook;
+        // Jobs that are later in this order were due earlier.
+        const auto due = wall_ms - static_cast<std::int64_t>(steps.size());
+        steps.push_back({&j, 0, 0, false, it.late, due, 0});
+        apply_forecast(steps.back());
+    }
+    for (std::size_t i = 0; i + 1 < steps.size(); ++i)
+    {
+        const bool equal = i == 0; // the first two are both in time, so the due time decides
+        CHECK_TEXT(is_served_before(job_order::in_time_first, steps[i], steps[i + 1]) != equal,
+            in_order[i].name);
+    }
+}
