Merge the parts for scarce capacity

The division of hosts, needs in all resources, packing, shares in work, the completion forecast and admission at the nodes, which were built side by side.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -11,6 +11,7 @@
 
 #include "coordinator/completion_forecast.hpp"
 #include "coordinator/run_time_estimates.hpp"
+#include "coordinator/share_accounts.hpp"
 #include "coordinator/workspaces.hpp"
 #include "core/names.hpp"
 #include "core/time.hpp"
@@ -79,6 +80,10 @@
     int progress_percent = 0;      ///< share of the work that is done, as last reported, 0 to 100
     std::int64_t load_metric = 0;  ///< latest ports::reported_run::load_metric
     int cpu_percent = 100;         ///< share of processor time that was last ordered, 0 to 100
+    /// Thousandths of a core that it counts with in the accounts of shares, by its dominant
+    /// resource; 0 unless share_rule::work is in force.
+    std::int64_t share_cpu = 0;
+    double share_charge = 0; ///< core-seconds that its accounts were charged with at its start
 };
 
 /// One task of a job, with its active runs.
@@ -135,6 +140,22 @@
     core::mono_time ready_at;
 };
 
+/// What the latest completion forecast expects of a job.
+struct job_forecast
+{
+    std::optional<job_outlook> outlook; ///< empty: none, the pool has no capacity or no forecast
+    std::optional<job_outlook> first_outlook;
+    core::mono_time due;          ///< its objective
+    core::mono_time latest_start; ///< with a start of its remaining tasks by then it is in time
+};
+
+/// Wrong first outlooks of jobs that were completed.
+struct forecast_error_counts
+{
+    std::int64_t in_time_missed = 0; ///< expected in time, completed after the objective
+    std::int64_t late_made = 0;      ///< expected late, completed within the objective
+};
+
 /// A job that the coordinator has read from the store.
 struct job_entry
 {
@@ -145,8 +166,11 @@
     bool dirty = false;     ///< the stored progress is older than this entry
     /// Its workspace had sent as many jobs as its weight within the second before.
     bool beyond_share = false;
-    ports::revision accepted_revision = 0; ///< store revision at which the job was accepted
-    ports::revision stored_revision = 0;   ///< store revision of the stored progress; 0: none
+    job_forecast forecast;                   ///< with placement_policy::forecasts
+    std::int64_t batch_share_cpu = 0;        ///< run_entry::share_cpu of its batch runs together
+    std::int64_t long_running_share_cpu = 0; ///< of its runs of long-running steps
+    ports::revision accepted_revision = 0;   ///< store revision at which the job was accepted
+    ports::revision stored_revision = 0;     ///< store revision of the stored progress; 0: none
     core::mono_time added_at;       ///< when the coordinator first read the job; zero: unknown
     std::int64_t ended_unix_ms = 0; ///< wall time at which its end was first stored; 0: not yet
     /// By workflow::task_index(); empty when the final state is stored and no run is left.
@@ -315,6 +339,7 @@
 struct coordinator_settings
 {
     placement_policy placement;
+    forecast_settings forecast;
     /// Duration of a lease granted to a runner. Long enough to outlast a takeover (the leader's
     /// lease, the election, the first poll), short enough that the work of an unresponsive host
     /// restarts soon.
@@ -391,9 +416,14 @@
     std::unordered_set<std::string> open_jobs; ///< ids of jobs that are not final or have live runs
     std::map<std::string, host_entry> hosts;   ///< by runner id
     workspace_table workspaces;
+    share_table shares;
     coordinator::run_time_estimates run_time_estimates; ///< from runs of this term
     /// By pool, from the latest plan; empty without placement_policy::forecasts.
     std::map<std::string, pool_forecast> forecasts;
+    /// By pool: capacity of hosts that are moving to it, and when it is expected to be usable. Set
+    /// by the caller of plan_moves with arriving_capacity().
+    std::map<std::string, std::vector<capacity_step>> arriving_capacity;
+    std::map<std::string, forecast_error_counts> forecast_errors; ///< by pool, in this term
     /// Runners that have certainly ended, by runner id, with the time at which this became known.
     /// The list of runners may still contain them for ended_runner_retention.
     std::map<std::string, core::mono_time> ended_runners;
--- a/libs/coordinator/src/demand.cpp
+++ b/libs/coordinator/src/demand.cpp
@@ -2,6 +2,7 @@
 
 #include "bookkeeping.hpp"
 #include "coordinator/run_time_estimates.hpp"
+#include "task_mix.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -221,7 +222,18 @@
     double waiting = 0; ///< for its ready tasks to be done within the horizon
 };
 
-job_cores cores_for(const fleet& f, const demand_settings& d, const job_entry& j)
+/// \return the factor by which the waiting work of the job counts: hosts that arrive after
+/// trend_lookahead can't complete all jobs in time.
+double waiting_work_share(const demand_settings& d, const job_entry& j, core::mono_time now)
+{
+    const auto& it = j.forecast;
+    const bool could_be_in_time = !it.outlook || it.outlook == job_outlook::in_time ||
+                                  now + d.trend_lookahead <= it.latest_start;
+    return d.discounts_late_work && !could_be_in_time ? d.late_work_share : 1;
+}
+
+job_cores cores_for(
+    const fleet& f, const demand_settings& d, const job_entry& j, core::mono_time now)
 {
     job_cores out;
     for (std::size_t k = 0; k < j.steps.size(); ++k)
@@ -242,6 +254,7 @@
                            static_cast<double>(d.horizon.count());
         }
     }
+    out.waiting *= waiting_work_share(d, j, now);
     return out;
 }
 
@@ -282,6 +295,7 @@
         to.long_running_cores += static_cast<double>(s.need.cpu * s.tasks) / milli;
         const int each = s.max_per_host == 0 ? s.tasks : s.max_per_host;
         to.min_hosts = std::max(to.min_hosts, (s.tasks + each - 1) / each);
+        add_long_running_tasks(s, to);
     }
 }
 
@@ -292,13 +306,15 @@
     std::map<std::string, pool_need> out;
     std::map<std::string, double> work;
     std::map<std::string, double> room; // below the cap, by workspace
+    std::map<std::string, batch_mix> mixes;
     for (const auto& id : f.open_jobs)
     {
         const auto& j = *f.jobs.at(id);
         if (!workflow::is_final(j.state))
         {
             add_long_running(j, out[j.spec.pool]);
-            const auto cores = cores_for(f, d.settings, j);
+            add_batch_tasks(f, d.settings, j, mixes[j.spec.pool]);
+            const auto cores = cores_for(f, d.settings, j, now);
             work[j.spec.pool] +=
                 cores.running + within_cap(f, j.spec.workspace, cores.waiting, room);
         }
@@ -328,6 +344,7 @@
         }
         need.cores = need.long_running_cores + batch * d.settings.margin;
     }
+    set_batch_needs(f, mixes, out);
     return out;
 }
 
--- a/libs/coordinator/src/explain.cpp
+++ b/libs/coordinator/src/explain.cpp
@@ -2,6 +2,7 @@
 
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
+#include "forecast_order.hpp"
 #include "lost_runs.hpp"
 #include "starts.hpp"
 
@@ -130,10 +131,18 @@
     {
         return capped;
     }
-    return describe_unavailable_hosts(count_hosts(f, j, occurrence, step, now), j) +
-           (j.beyond_share ? "; workspace " + j.spec.workspace +
-                                 " has sent more than its share of jobs, so others come first"
-                           : "");
+    const auto& spec = j.spec.steps[static_cast<std::size_t>(step)];
+    const auto forecast = spec.long_running ? std::string{} : describe_forecast(f, j);
+    auto out = describe_unavailable_hosts(count_hosts(f, j, occurrence, step, now), j) +
+               (forecast.empty() ? "" : "; " + forecast);
+    if (f.settings.placement.shares == share_rule::work)
+    {
+        const auto shares = describe_shares(f, j, spec, now);
+        return out + (shares.empty() ? "" : "; " + shares);
+    }
+    return out + (j.beyond_share ? "; workspace " + j.spec.workspace +
+                                       " has sent more than its share of jobs, so others come first"
+                                 : "");
 }
 
 std::string describe_step(const fleet& f,
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -3,13 +3,16 @@
 #include "abandoned_starts.hpp"
 #include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
+#include "coordinator/packing.hpp"
 #include "coordinator/throttling.hpp"
+#include "forecast_input.hpp"
+#include "forecast_order.hpp"
 #include "isolated_runs.hpp"
 #include "lost_runs.hpp"
 #include "starts.hpp"
+#include "stop_orders.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 namespace camphorhitch::coordinator
@@ -22,28 +25,10 @@
 /// free capacity.
 constexpr int suspect_failures = 3;
 
-bool is_served_before(job_order order, const waiting_step& a, const waiting_step& b)
-{
-    const auto key = [order](const waiting_step& it)
-    {
-        if (order == job_order::first_come)
-        {
-            return std::tuple(0.0, false, false, 0, it.job->spec.accepted_unix_ms);
-        }
-        // When there is more work than capacity, serving in order of time would make all jobs late.
-        // Jobs that can still be in time go first, so that some of them are.
-        return std::tuple(it.share, it.worthless, it.late, it.job->spec.priority, it.due_unix_ms);
-    };
-    return key(a) < key(b);
-}
-
 /// Expected run times are means: a job that misses its objective by less than this may still be in
 /// time.
 constexpr std::int64_t late_tolerance_ms = 200;
 
-/// Finishing a job has no value after this multiple of its objective.
-constexpr std::int64_t worthless_after_objectives = 3;
-
 /// \return the rank of the job by its workspace's share; jobs with a lower one are served first.
 double share_rank(const fleet& f, const job_entry& j)
 {
@@ -54,6 +39,7 @@
     case share_rule::dominant:
         return weighted_dominant_share(f, j.spec.workspace);
     case share_rule::work:
+        return work_share_rank(f, j);
     case share_rule::none:
         break;
     }
@@ -85,6 +71,7 @@
                 const bool late =
                     !long_running && unix_ms + remaining > due + objective + late_tolerance_ms;
                 out.push_back({&j, k, s, worthless, late, due + objective, share});
+                apply_forecast(out.back());
             }
         }
     }
@@ -103,10 +90,17 @@
             add_waiting_steps(f.run_time_estimates, j, share_rank(f, j), unix_ms, out);
         }
     }
-    const auto order = f.settings.placement.jobs;
+    add_overdue_steps(f, out);
+    const auto& policy = f.settings.placement;
     std::sort(out.begin(),
         out.end(),
-        [order](const auto& a, const auto& b) { return is_served_before(order, a, b); });
+        [&policy](const auto& a, const auto& b)
+        {
+            // The jobs come from a hash table, whose order must not decide between equals.
+            const bool before = is_served_before(policy.jobs, a, b);
+            return before || (policy.forecasts && !is_served_before(policy.jobs, b, a) &&
+                                 is_named_before(a, b));
+        });
     return out;
 }
 
@@ -132,8 +126,7 @@
 {
     const auto& s = j.spec.steps[static_cast<std::size_t>(name.step)];
     host_entry* best = nullptr;
-    auto lowest_cost =
-        std::tuple(true, true, true, std::int64_t{0}, 0, std::numeric_limits<std::int64_t>::max());
+    auto lowest_cost = std::tuple(true, true, true, std::int64_t{0}, 0, packing_cost{});
     for (auto* const h : hosts)
     {
         if (!has_required_ticket(*h, j, name.occurrence, name.step, now) ||
@@ -151,7 +144,8 @@
         // another pool or to standby at once. Long-running tasks are spread, so that few are lost
         // or moved together.
         const bool fills_up = !s.long_running && f.settings.placement.hosts == host_choice::fullest;
-        const auto fill = fills_up ? -h->used.cpu : h->used.cpu;
+        const auto fill =
+            cost_of_host(*h, required_resources(s), fills_up, f.settings.placement.packing);
         const auto cost = std::tuple(failed_here, suspect, far, near, disturbed, fill);
         if (best == nullptr || cost < lowest_cost)
         {
@@ -162,6 +156,40 @@
     return best;
 }
 
+/// Hosts only lose capacity while a plan is made, so what did not fit on any host of a pool will
+/// not fit for the remaining steps of the plan. Without this, each of thousands of waiting steps
+/// would be compared with all hosts of a full pool.
+class unfit_needs
+{
+public:
+    bool contains(const workflow::job& j, const workflow::step& s) const
+    {
+        const auto need = required_resources(s);
+        const auto found = by_pool_.find(j.pool);
+        return found != by_pool_.end() && std::any_of(found->second.begin(),
+                                              found->second.end(),
+                                              [&](const workflow::resources& it) {
+                                                  return it.cpu <= need.cpu &&
+                                                         it.memory_mb <= need.memory_mb &&
+                                                         it.gpus <= need.gpus;
+                                              });
+    }
+
+    /// Records that no host takes a task of the step.
+    void add(const workflow::job& j, const workflow::step& s)
+    {
+        const bool only_resources_matter =
+            s.required_label.empty() && s.max_per_host == 0 && !j.needs_advice;
+        if (only_resources_matter && !contains(j, s))
+        {
+            by_pool_[j.pool].push_back(required_resources(s));
+        }
+    }
+
+private:
+    std::map<std::string, std::vector<workflow::resources>> by_pool_;
+};
+
 bool may_start_beside_others(
     const fleet& f, const job_entry& j, const workflow::task_name& name, core::mono_time now)
 {
@@ -173,13 +201,18 @@
 void start_tasks(fleet& f,
     const waiting_step& w,
     const std::vector<host_entry*>& hosts,
+    unfit_needs& unfit,
     core::mono_time now,
     plan& to,
     task_events& out)
 {
     auto& j = *w.job;
-    const int tasks = j.spec.steps[static_cast<std::size_t>(w.step)].tasks;
-    for (int i = 0; i < tasks && step_of(j, w.occurrence, w.step).idle > 0; ++i)
+    const auto& spec = j.spec.steps[static_cast<std::size_t>(w.step)];
+    const int tasks = spec.tasks;
+    const auto most = to.starts.size() + static_cast<std::size_t>(w.max_starts);
+    for (int i = 0;
+         i < tasks && step_of(j, w.occurrence, w.step).idle > 0 && to.starts.size() < most;
+         ++i)
     {
         const workflow::task_name name{j.spec.id, w.occurrence, w.step, i};
         const auto& t = *find_task(f, name);
@@ -188,14 +221,20 @@
         {
             continue;
         }
-        if (!fits_cap(f, j, j.spec.steps[static_cast<std::size_t>(w.step)].need))
+        if (!fits_cap(f, j, spec.need))
         {
             record_capped_step(f, j);
             return;
         }
-        auto* const h = choose_host(f, hosts, j, name, t, now);
+        if (!share_permits_start(f, j, spec))
+        {
+            return;
+        }
+        auto* const h =
+            unfit.contains(j.spec, spec) ? nullptr : choose_host(f, hosts, j, name, t, now);
         if (h == nullptr)
         {
+            unfit.add(j.spec, spec);
             return; // the other tasks of the step have the same requirements
         }
         if (to.remaining_orders <= 0)
@@ -210,6 +249,7 @@
 void start_step(fleet& f,
     const waiting_step& w,
     const std::vector<host_entry*>& hosts,
+    unfit_needs& unfit,
     core::mono_time now,
     plan& to,
     task_events& out)
@@ -217,9 +257,10 @@
     const bool gang = w.job->spec.steps[static_cast<std::size_t>(w.step)].gang;
     if (!gang)
     {
-        start_tasks(f, w, hosts, now, to, out);
+        start_tasks(f, w, hosts, unfit, now, to, out);
     }
-    else if (may_start_beside_others(f, *w.job, {w.job->spec.id, w.occurrence, w.step, 0}, now))
+    else if (w.job->spec.steps[static_cast<std::size_t>(w.step)].tasks <= w.max_starts &&
+             may_start_beside_others(f, *w.job, {w.job->spec.id, w.occurrence, w.step, 0}, now))
     {
         start_gang(f, w, hosts, now, to, out);
     }
@@ -245,7 +286,7 @@
 {
     for (const auto& it : waiting)
     {
-        if (it.job->losses > 0 && !to.truncated)
+        if (it.job->losses > 0 && !it.overdue && !to.truncated)
         {
             start_isolated_runs(
                 f, it, find_pool_hosts(pools, f, it.job->spec.pool, now), now, to, out);
@@ -266,43 +307,31 @@
         });
 }
 
-void order_stops(fleet& f, core::mono_time now, plan& to)
+} // namespace
+
+bool is_served_before(job_order order, const waiting_step& a, const waiting_step& b)
 {
-    for (const auto& id : f.open_jobs)
+    const auto key = [order](const waiting_step& it)
     {
-        auto& j = *f.jobs.at(id);
-        if (j.live_runs == 0)
-        {
-            continue;
-        }
-        for (std::size_t i = 0; i < j.tasks.size(); ++i)
+        if (order == job_order::first_come)
         {
-            for (auto& it : j.tasks[i].runs)
-            {
-                if (it.phase != run_phase::stopping || it.stop_in_flight || it.stop_confirmed ||
-                    now < it.stop_retry_at)
-                {
-                    continue;
-                }
-                const auto* const h = find_host(f, it.host);
-                if (h != nullptr && to.remaining_orders <= 0)
-                {
-                    to.truncated = true;
-                    return;
-                }
-                if (h != nullptr)
-                {
-                    --to.remaining_orders;
-                    it.stop_in_flight = true;
-                    to.stops.push_back({h->ref, workflow::name_of_task(j.spec, i), it.number});
-                }
-            }
+            return std::tuple(
+                !it.overdue, 0.0, false, false, false, false, 0, it.job->spec.accepted_unix_ms);
         }
-    }
+        // When there is more work than capacity, serving in order of time would make all jobs late.
+        // Jobs that can still be in time go first, so that some of them are.
+        return std::tuple(!it.overdue,
+            it.share,
+            it.worthless,
+            it.late,
+            it.deferred,
+            !it.started,
+            it.job->spec.priority,
+            it.due_unix_ms);
+    };
+    return key(a) < key(b);
 }
 
-} // namespace
-
 plan make_plan(fleet& f,
     core::mono_time now,
     std::int64_t unix_ms,
@@ -312,15 +341,21 @@
 {
     plan to;
     to.remaining_orders = max_orders;
+    update_unseen_use(f, now);
+    update_shares(f, now, unix_ms, out);
+    if (f.settings.placement.forecasts)
+    {
+        update_forecasts(f, now, unix_ms, [&f](const job_entry& j) { return share_rank(f, j); });
+    }
     stop_abandoned_starts(f, now, to);
     order_stops(f, now, to);
     if (!may_start)
     {
         return to;
     }
-    update_unseen_use(f, now);
     const auto waiting = all_waiting_steps(f, now, unix_ms);
     std::map<std::string, pool_hosts> pools;
+    unfit_needs unfit;
     start_suspects(f, waiting, now, pools, to, out);
     for (const auto& it : waiting)
     {
@@ -338,7 +373,7 @@
                 to.advice_requests.push_back(std::move(ask));
             }
         }
-        start_step(f, it, hosts, now, to, out);
+        start_step(f, it, hosts, unfit, now, to, out);
     }
     return to;
 }
--- a/libs/hosted/src/machine_controller.cpp
+++ b/libs/hosted/src/machine_controller.cpp
@@ -1,7 +1,10 @@
 #include "machine_controller.hpp"
 
+#include "coordinator/arriving_capacity.hpp"
 #include "coordinator/intake.hpp"
+#include "core_seconds.hpp"
 #include "demand_record.hpp"
+#include "hosted/keys.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -15,6 +18,35 @@
 /// A longer gap between two plans counts as a time without planning. Plans follow each other within
 /// a tenth of a second, and within this time on a node that is behind.
 constexpr core::millis max_planning_gap{1000};
+constexpr core::millis need_metric_interval{500};
+
+void publish_need(
+    const ports::telemetry& tel, const std::string& pool, const workflow::resources& need)
+{
+    constexpr double milli = 1000.0;
+    const auto set = [&](const char* resource, double value)
+    {
+        tel.gauge("camphorhitch_pool_need", {{"pool", pool}, {"resource", resource}}, value);
+    };
+    set("cores", static_cast<double>(need.cpu) / milli);
+    set("memory_mb", static_cast<double>(need.memory_mb));
+    set("gpus", static_cast<double>(need.gpus));
+}
+
+void publish_hosts(
+    const ports::telemetry& tel, const std::string& pool, const coordinator::pool_hosts& hosts)
+{
+    const std::pair<const char*, int> rows[] = {{"wanted", hosts.wanted},
+        {"floor", hosts.floor},
+        {"have", hosts.have},
+        {"target", hosts.target}};
+    for (const auto& [kind, value] : rows)
+    {
+        tel.gauge("camphorhitch_pool_hosts",
+            {{"pool", pool}, {"kind", kind}},
+            static_cast<double>(value));
+    }
+}
 
 } // namespace
 
@@ -24,11 +56,39 @@
     demand_.settings = t.settings.demand;
 }
 
+/// A node that no longer coordinates reports no need and no use.
+machine_controller::~machine_controller()
+{
+    for (const auto& [pool, need] : moves_.needs)
+    {
+        publish_need(term_.ctx.tel, pool, {});
+    }
+    for (const auto& level : coordinator::share_level_names)
+    {
+        for (const auto& [name, a] :
+            term_.fleet.shares.accounts[static_cast<std::size_t>(level.value)])
+        {
+            publish_share(level.name, name, 0);
+        }
+    }
+    for (const auto& [pool, hosts] : reported_hosts_)
+    {
+        publish_hosts(term_.ctx.tel, pool, {});
+    }
+}
+
 void machine_controller::start(std::function<void()> on_list, std::function<bool()> has_open_wave)
 {
     on_list_ = std::move(on_list);
     has_open_wave_ = std::move(has_open_wave);
     read_list();
+    if (term_.settings.publishes_forecast)
+    {
+        refused_ = std::make_unique<refused_work_reader>(term_,
+            [this](const std::string& pool, double core_seconds)
+            { record_refused(pool, core_seconds); });
+        refused_->start();
+    }
 }
 
 void machine_controller::set_pools(const std::vector<pool_settings>& pools)
@@ -38,6 +98,15 @@
     {
         pools_.push_back({it.name, it.standby});
     }
+    auto& standby = term_.fleet.shares.standby_pools;
+    standby.clear();
+    for (const auto& it : pools)
+    {
+        if (it.standby)
+        {
+            standby.insert(it.name);
+        }
+    }
 }
 
 void machine_controller::record_job(const workflow::job& j, core::mono_time at)
@@ -48,28 +117,24 @@
         return; // the previous coordinator has counted this job
     }
     counted_through_ = std::max(counted_through_, accepted);
-    double work = 0;
-    for (const auto& s : j.steps)
-    {
-        if (!s.long_running)
-        {
-            constexpr double milli = 1000.0;
-            work += static_cast<double>(s.need.cpu * s.tasks) / milli *
-                    static_cast<double>(
-                        coordinator::expected_run_time(term_.fleet.run_time_estimates, s).count()) /
-                    milli;
-        }
-    }
+    const auto work = batch_core_seconds(term_.fleet.run_time_estimates, j);
     coordinator::record_arrival(demand_, j.pool, work, at);
 }
 
+/// Refused work is demand too; otherwise a pool would never get hosts for it.
+void machine_controller::record_refused(const std::string& pool, double core_seconds)
+{
+    coordinator::record_arrival(demand_, pool, core_seconds, term_.now());
+}
+
 std::string machine_controller::demand_record() const
 {
     return write_demand(demand_,
         term_.fleet.run_time_estimates,
         counted_through_,
         term_.now(),
-        core::to_unix_ms(term_.ctx.time.wall_now()));
+        core::to_unix_ms(term_.ctx.time.wall_now()),
+        coordinator::share_rows(term_.fleet, term_.now()));
 }
 
 void machine_controller::restore_demand(const ports::stored_item& record)
@@ -87,6 +152,45 @@
             {"through", std::to_string(inherited_through_)},
             {"pools", std::to_string(demand_.pools.size())},
             {"images", std::to_string(term_.fleet.run_time_estimates.images.size())}});
+    restore_shares(record);
+}
+
+/// With a damaged record, all accounts start at zero.
+void machine_controller::restore_shares(const ports::stored_item& record)
+{
+    if (term_.fleet.settings.placement.shares != coordinator::share_rule::work)
+    {
+        return;
+    }
+    const auto unix_ms = core::to_unix_ms(term_.ctx.time.wall_now());
+    if (const auto read = read_shares(record.value, term_.now(), unix_ms))
+    {
+        coordinator::restore_shares(term_.fleet, read->rows, read->at);
+        return;
+    }
+    term_.log(ports::log_level::warning,
+        "demand_damaged",
+        {{"key", demand_key}, {"revision", std::to_string(record.modified)}});
+}
+
+/// The series are bounded by the operators' lists of workspaces and queues, and by the zones.
+void machine_controller::report_shares() const
+{
+    const auto now = term_.now();
+    for (const auto& level : coordinator::share_level_names)
+    {
+        for (const auto& [name, used] : coordinator::share_ratios(term_.fleet, level.value, now))
+        {
+            publish_share(level.name, name, used);
+        }
+    }
+}
+
+void machine_controller::publish_share(
+    std::string_view level, const std::string& name, double used) const
+{
+    term_.ctx.tel.gauge(
+        "camphorhitch_share_used", {{"level", std::string{level}}, {"name", name}}, used);
 }
 
 void machine_controller::read_list()
@@ -164,6 +268,41 @@
     last_planned_at_ = now;
 }
 
+void machine_controller::publish_needs()
+{
+    if (term_.now() - needs_published_at_ < need_metric_interval)
+    {
+        return;
+    }
+    needs_published_at_ = term_.now();
+    for (const auto& [pool, need] : moves_.needs)
+    {
+        publish_need(term_.ctx.tel, pool, need.total);
+    }
+}
+
+/// Reports the pools whose hosts have changed, and 0 for those that are configured no longer.
+void machine_controller::report_hosts()
+{
+    for (auto& [pool, hosts] : reported_hosts_)
+    {
+        if (!moves_.hosts.contains(pool))
+        {
+            hosts = {};
+            publish_hosts(term_.ctx.tel, pool, hosts);
+        }
+    }
+    for (const auto& [pool, hosts] : moves_.hosts)
+    {
+        const auto [it, added] = reported_hosts_.try_emplace(pool, hosts);
+        if (added || it->second != hosts)
+        {
+            it->second = hosts;
+            publish_hosts(term_.ctx.tel, pool, hosts);
+        }
+    }
+}
+
 void machine_controller::plan(const std::set<std::string>& held_machines)
 {
     record_plan();
@@ -175,6 +314,10 @@
     }
     const auto orders = coordinator::plan_moves(
         term_.fleet, moves_, demand_, table_, pools_, held_machines, term_.now(), out);
+    term_.fleet.arriving_capacity =
+        coordinator::arriving_capacity(term_.fleet, moves_, demand_.settings);
+    publish_needs();
+    report_hosts();
     table_.pools_without_spare = coordinator::pools_without_spare(moves_);
     table_.moving.clear();
     for (const auto& [machine, move] : moves_.moves)
--- a/libs/hosted/src/machine_controller.hpp
+++ b/libs/hosted/src/machine_controller.hpp
@@ -3,8 +3,12 @@
 #pragma once
 
 #include "coordinator/rebalance.hpp"
+#include "refused_work_reader.hpp"
 #include "term.hpp"
 
+#include <memory>
+#include <string_view>
+
 namespace camphorhitch::hosted
 {
 
@@ -12,6 +16,12 @@
 {
 public:
     explicit machine_controller(term& t);
+    machine_controller(const machine_controller&) = delete;
+    machine_controller& operator=(const machine_controller&) = delete;
+
+    /// Sets the metrics of the pools and of the shares to 0, because another node
+    /// coordinates.
+    ~machine_controller();
 
     /// Reads the list, and again at the intervals of the settings.
     /// \param on_list called after each successful read
@@ -34,6 +44,9 @@
     /// Applies the previous coordinator's record; a damaged record changes nothing.
     void restore_demand(const ports::stored_item& record);
 
+    /// Sets the gauges of what workspaces, queues and zones have used of their shares.
+    void report_shares() const;
+
     /// Plans and orders moves.
     /// \param held_machines machines that a wave has closed or taken down
     void plan(const std::set<std::string>& held_machines);
@@ -49,6 +62,12 @@
     bool needs_frequent_reads() const;
     void handle_list(core::mono_time sent_at, const ports::machine_list& list);
     void record_plan();
+    void record_refused(const std::string& pool, double core_seconds);
+    /// Reports the needs of the pools as a metric, twice a second.
+    void publish_needs();
+    void restore_shares(const ports::stored_item& record);
+    void publish_share(std::string_view level, const std::string& name, double used) const;
+    void report_hosts();
     void send_move(const coordinator::move_action& a);
 
     term& term_;
@@ -56,11 +75,14 @@
     coordinator::rebalancer moves_;
     coordinator::demand demand_;
     core::mono_time last_planned_at_;
+    core::mono_time needs_published_at_;
     ports::revision inherited_through_ = 0; ///< the inherited record covers jobs up to here
     ports::revision counted_through_ = 0;   ///< acceptance of the newest job that is counted
     std::vector<coordinator::pool_info> pools_;
+    std::map<std::string, coordinator::pool_hosts> reported_hosts_; ///< by pool
     std::function<void()> on_list_;
     std::function<bool()> has_open_wave_;
+    std::unique_ptr<refused_work_reader> refused_; ///< null: no node refuses work by the forecast
 };
 
 } // namespace camphorhitch::hosted
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -215,8 +215,9 @@
     apply_policy(settings::effective_policy(settings), drive);
     drive.finished_job_retention = settings.timing.keep_finished;
     driver = std::make_unique<hosted::fleet_driver>(ctx, formats, drive, *leadership);
-    job_requests =
-        std::make_unique<hosted::job_request_handler>(ctx, hosted::job_request_settings{});
+    hosted::job_request_settings requests;
+    requests.rejects_hopeless = settings::effective_policy(settings).rejects_hopeless;
+    job_requests = std::make_unique<hosted::job_request_handler>(ctx, requests);
     follow_config();
     company::http_api_sources sources;
     sources.config = [this]
@@ -236,8 +237,10 @@
     {
         return tel.render();
     };
-    front = std::make_unique<company::http_api>(
-        company::http_api_settings{}, sources, *job_requests, ctx.time, log);
+    company::http_api_settings api_settings;
+    api_settings.zone = settings.zone;
+    front =
+        std::make_unique<company::http_api>(api_settings, sources, *job_requests, ctx.time, log);
     operators = std::make_unique<hosted_operators>(hosted_sources{ctx,
                                                        formats,
                                                        *job_requests,
@@ -361,6 +364,7 @@
         registry->withdraw();
         relay_server->leave();
     }
+    job_requests->withdraw_reports();
     leadership->resign([this] { log.log(ports::log_level::info, "resigned", {}); });
     ctx.time.after(balancer_delay, [this] { check_stop(); });
 }
