An unanswered call counts as contact only if other runners answer meanwhile

Cause: a successor counted each inherited runner as asked once a call to it had no answer.

Change: a missing answer is evidence only if a call to another runner that was sent no earlier has been answered by then.

Tests: runner_answers.an_inherited_runner_does_not_expire_while_no_runner_is_heard and take_over.a_successor_that_hears_no_runner_starts_nothing_again.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -223,9 +223,10 @@
 
     /// A previous coordinator may have ordered runs here that this one has not seen in a poll.
     bool inherited = false;
-    /// How certain it is that the runner was asked in this term. A call that was sent adds 2,
-    /// answered or not. A call that was not sent adds 1, since the fault may be in this process or
-    /// in a relay. Compared with min_contact_score.
+    /// How certain it is that the runner was asked in this term. A call that was answered adds 2.
+    /// One without an answer adds 2 as well, or 1 if it was not sent, since the fault may be in
+    /// this process or in a relay; but only if a call to another runner that was sent no earlier
+    /// has been answered by then. Compared with min_contact_score.
     int contact_score = 0;
     bool reachable = false;             ///< the latest poll or renewal was answered
     bool address_lost = false;          ///< the latest answer from its address was another runner's
@@ -415,6 +416,8 @@
     std::unordered_map<std::string, std::unique_ptr<job_entry>> jobs; ///< by job id
     std::unordered_set<std::string> open_jobs; ///< ids of jobs that are not final or have live runs
     std::map<std::string, host_entry> hosts;   ///< by runner id
+    /// Of the polls and renewals of this term that were answered, when the newest one was sent.
+    core::mono_time newest_answered_call_sent_at;
     workspace_table workspaces;
     share_table shares;
     coordinator::run_time_estimates run_time_estimates; ///< from runs of this term
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -274,16 +274,34 @@
     h.reachable = false;
 }
 
+/// A missing answer is evidence only if another runner has answered a call that was sent since: on
+/// a node whose link is full, all answers are missing or late, also those of runners that have
+/// ended tasks in time.
+void record_contact_evidence(
+    fleet& f, host_entry& h, runner_verdict verdict, core::mono_time sent_at)
+{
+    if (verdict != runner_verdict::unknown && verdict != runner_verdict::not_sent)
+    {
+        f.newest_answered_call_sent_at = std::max(f.newest_answered_call_sent_at, sent_at);
+        h.contact_score += min_contact_score;
+    }
+    else if (f.newest_answered_call_sent_at >= sent_at)
+    {
+        h.contact_score += verdict == runner_verdict::not_sent ? 1 : min_contact_score;
+    }
+}
+
 /// Applies an answer, or its absence, to the host itself.
 /// \return false when the runner has accepted orders of a newer coordinator; true when the runner
 /// gave no answer; nothing when it answered.
 std::optional<bool> record_contact(fleet& f,
     host_entry& h,
     const ports::runner_answer& answer,
+    core::mono_time sent_at,
     core::mono_time now,
     task_events& out)
 {
-    h.contact_score += answer.verdict == runner_verdict::not_sent ? 1 : min_contact_score;
+    record_contact_evidence(f, h, answer.verdict, sent_at);
     if (answer.verdict == runner_verdict::fenced)
     {
         return false;
@@ -373,7 +391,8 @@
     }
     const ports::runner_answer unanswered;
     const bool restarted = is_of_next_incarnation(host, answer);
-    return record_contact(f, *h, restarted ? unanswered : answer, now, out).value_or(true);
+    return record_contact(f, *h, restarted ? unanswered : answer, h->polled_at, now, out)
+        .value_or(true);
 }
 
 bool handle_start_answer(fleet& f,
@@ -483,7 +502,7 @@
     {
         h = &replace_incarnation(f, host, born, now, out);
     }
-    if (const auto over = record_contact(f, *h, answer.call, now, out))
+    if (const auto over = record_contact(f, *h, answer.call, sent_at, now, out))
     {
         return *over;
     }
--- a/libs/coordinator/tests/runner_answers_tests.cpp
+++ b/libs/coordinator/tests/runner_answers_tests.cpp
@@ -319,6 +319,38 @@
     LONGS_EQUAL(1, w.plan_next().starts.size());
 }
 
+// Failure: the link of a new coordinator is full, and no runner's answer arrives. Guards against
+// taking all runners for lost, whose answers then arrive with the ends of tasks that run again.
+TEST(runner_answers, an_inherited_runner_does_not_expire_while_no_runner_is_heard)
+{
+    add_inherited_job_and_host(w, "h1");
+    w.add_host("h2");
+    const auto lose_call = [&]
+    {
+        auto& h = w.f.hosts.at("h1");
+        h.polled_at = w.now;
+        w.now += 700ms;
+        handle_renewal_answer(w.f, "h1", {ports::runner_verdict::unknown, -1}, w.now, w.events);
+        expire_hosts(w.f, w.now, w.events);
+    };
+    w.now += 10s;
+    lose_call();
+    lose_call();
+    CHECK(w.f.hosts.at("h1").inherited);
+    const auto sent_at = w.now;
+    handle_poll_answer(
+        w.f, "h2", sent_at, {{ports::runner_verdict::done, 1000}, {}, {}}, w.now, w.events);
+    w.now += 1ms;
+    lose_call(); // sent after the call that was answered
+    CHECK(w.f.hosts.at("h1").inherited);
+    w.f.hosts.at("h1").polled_at = w.now;
+    handle_poll_answer(
+        w.f, "h2", w.now, {{ports::runner_verdict::done, 2000}, {}, {}}, w.now, w.events);
+    handle_renewal_answer(w.f, "h1", {ports::runner_verdict::unknown, -1}, w.now, w.events);
+    expire_hosts(w.f, w.now, w.events);
+    CHECK_FALSE(w.f.hosts.at("h1").inherited);
+}
+
 // Failure: the leases of a runner expire without an answer, and it answers before its task is
 // started again. The task had finished in time. Its end must count, since this coordinator has
 // ordered no run of the task; starting it would run it twice.
--- a/libs/hosted/tests/take_over_tests.cpp
+++ b/libs/hosted/tests/take_over_tests.cpp
@@ -403,3 +403,49 @@
             value_in(log_line, "term").c_str());
     }
 }
+
+// Failure: the link of a successor is full, so that it hears no runner for longer than a lease, and
+// then one runner shortly before the others. Guards against taking the others for lost: their tasks
+// have ended in time and would run twice.
+TEST(take_over, a_successor_that_hears_no_runner_starts_nothing_again)
+{
+    constexpr core::millis call_timeout{700};
+    std::optional<core::mono_time> first_heard_at;
+    c.customize_node = [&](node& n)
+    {
+        n.ctx.runners.poll = [&, real = n.ctx.runners.poll](
+                                 const auto& to, const auto& order, const auto& done)
+        {
+            const auto sent_at = c.time.now();
+            const bool first = c.hosts.incarnation_of("m1") == to.id;
+            const auto heard_at = first_heard_at.value_or(sent_at) + (first ? 0ms : 100ms);
+            const auto deliver = [&, sent_at, heard_at, done](const ports::poll_answer& it)
+            {
+                const bool lost = heard_at > sent_at + call_timeout;
+                const auto at = lost ? sent_at + call_timeout : heard_at;
+                const auto answer = lost ? ports::poll_answer{} : it;
+                c.time.after(
+                    std::chrono::ceil<core::millis>(std::max(at - c.time.now(), core::micros{0})),
+                    [done, answer] { done(answer); });
+            };
+            real(to, order, deliver);
+        };
+    };
+    begin(2, 4);
+    for (int i = 0; i < 5; ++i)
+    {
+        c.put_job(c.make_job("a" + std::to_string(i), 3, 2));
+    }
+    c.time.run_for(200ms);
+    const auto started = c.hosts.starts;
+    CHECK(started > 0);
+    c.leader()->process.dead = true;
+    first_heard_at = c.time.now() + 8s;
+    CHECK(c.time.run_until([&] { return c.time.now() > *first_heard_at; }, 10s));
+    for (int i = 0; i < 5; ++i)
+    {
+        CHECK(c.ends("a" + std::to_string(i), job_state::completed, 10s));
+    }
+    LONGS_EQUAL(30, c.hosts.starts);
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
