Hosts that may move are sorted by their cost once a plan

Change: the cost of each free host is computed once, the hosts are sorted, and the cheapest is taken from the end.

Test: rebalance.the_work_of_choosing_hosts_grows_with_the_fleet.

--- a/libs/coordinator/src/balances.cpp
+++ b/libs/coordinator/src/balances.cpp
@@ -81,8 +81,32 @@
            m.state == ports::machine_state::moving;
 }
 
+move_cost cost_of(const fleet& f, const host_entry* h)
+{
+    if (h == nullptr)
+    {
+        return {false, 0, 0};
+    }
+    return {h->inherited || h->orphaned_runs > 0, long_running_tasks(f, *h), h->used.cpu};
+}
+
+/// Puts the hosts with the lowest cost last. Of hosts with equal costs, the one with the lowest
+/// machine id is last.
+void sort_free_hosts(std::vector<free_host>& hosts)
+{
+    std::reverse(hosts.begin(), hosts.end());
+    std::stable_sort(hosts.begin(),
+        hosts.end(),
+        [](const free_host& a, const free_host& b) { return b.cost < a.cost; });
+}
+
 } // namespace
 
+bool is_cheap(const move_cost& cost)
+{
+    return cost < move_cost{false, 1, 0};
+}
+
 bool is_leaving(const fleet& f, const ports::machine_entry& m)
 {
     const auto* const h = find_runner(f, m.runner);
@@ -135,15 +159,21 @@
         }
         // A host that a wave has closed accepts no tasks, so the pool needs another host in its
         // place.
-        const bool up = m.state == ports::machine_state::up && !held.contains(id) &&
-                        !is_leaving(f, m) && !is_busy(r, m, now);
+        const auto* const h = find_runner(f, m.runner);
+        const bool leaves = h != nullptr && h->draining;
+        const bool up = m.state == ports::machine_state::up && !held.contains(id) && !leaves &&
+                        !is_busy(r, m, now);
         const auto* const pending = move == r.moves.end() ? nullptr : &move->second;
         b->second.have += up || is_on_its_way(r.settings, list, m, pending) ? 1 : 0;
         if (up && pending == nullptr)
         {
-            b->second.free.push_back(&m);
+            b->second.free.push_back({&m, cost_of(f, h)});
         }
     }
+    for (auto& [name, b] : out)
+    {
+        sort_free_hosts(b.free);
+    }
     return out;
 }
 
--- a/libs/coordinator/src/bookkeeping.cpp
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -72,13 +72,13 @@
            h.used.gpus + need.gpus <= h.capacity.gpus;
 }
 
-int long_running_tasks(fleet& f, const host_entry& h)
+int long_running_tasks(const fleet& f, const host_entry& h)
 {
     int n = 0;
     for (const auto& [text, name] : h.runs)
     {
-        const auto* const j = find_job(f, name.job);
-        n += j->spec.steps[static_cast<std::size_t>(name.step)].long_running ? 1 : 0;
+        const auto& j = *f.jobs.at(name.job);
+        n += j.spec.steps[static_cast<std::size_t>(name.step)].long_running ? 1 : 0;
     }
     return n;
 }
--- a/libs/coordinator/src/bookkeeping.hpp
+++ b/libs/coordinator/src/bookkeeping.hpp
@@ -34,7 +34,7 @@
 
 /// \return number of runs of long-running steps on the host; each must move before the host can be
 /// taken away.
-int long_running_tasks(fleet& f, const host_entry& h);
+int long_running_tasks(const fleet& f, const host_entry& h);
 
 /// \return whether the runner may be ended without loss. An inherited host that was not polled in
 /// this term may still run tasks that a previous coordinator started. An end that is not stored yet
--- a/libs/coordinator/src/host_division.cpp
+++ b/libs/coordinator/src/host_division.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <optional>
 
 namespace camphorhitch::coordinator
 {
@@ -32,40 +31,21 @@
     return best;
 }
 
-/// Lowest cost of a free host, by pool; nothing: unknown.
-using lowest_costs = std::map<std::string, std::optional<move_cost>>;
-
-const move_cost& lowest_cost(fleet& f, const balance& b, lowest_costs& known)
-{
-    auto& it = known[b.name];
-    if (!it)
-    {
-        it = cost_of(f, *b.free.front());
-        for (const auto* m : b.free)
-        {
-            it = std::min(*it, cost_of(f, *m));
-        }
-    }
-    return *it;
-}
-
 /// \return the pool above its target that has the cheapest host, or nullptr. Of pools with equally
 /// cheap hosts the standby pool comes first, then the one that is furthest above its target.
-balance* cheapest_donor(fleet& f,
-    std::map<std::string, balance>& all,
-    const std::map<std::string, int>& targets,
-    lowest_costs& known)
+balance* cheapest_donor(
+    std::map<std::string, balance>& all, const std::map<std::string, int>& targets)
 {
     balance* best = nullptr;
     std::tuple<move_cost, bool, int> best_rank;
     for (auto& [name, b] : all)
     {
         const int excess = b.have - targets.at(name);
-        if (excess <= 0 || b.free.empty() || !is_cheap(lowest_cost(f, b, known)))
+        if (excess <= 0 || !has_cheap_host(b))
         {
             continue;
         }
-        const std::tuple rank{lowest_cost(f, b, known), !b.standby, -excess};
+        const std::tuple rank{b.free.back().cost, !b.standby, -excess};
         if (best == nullptr || rank < best_rank)
         {
             best = &b;
@@ -90,7 +70,8 @@
         });
     for (auto& [name, b] : all)
     {
-        std::erase_if(b.free, [&](const auto* m) { return r.scarce_arrivals.contains(m->id); });
+        std::erase_if(b.free,
+            [&](const free_host& it) { return r.scarce_arrivals.contains(it.machine->id); });
     }
 }
 
@@ -111,17 +92,15 @@
     task_events& out)
 {
     const bool in_scarcity = is_scarce(all);
-    lowest_costs known;
     for (auto* to = shortest_pool(all, targets); to != nullptr; to = shortest_pool(all, targets))
     {
-        auto* const from = cheapest_donor(f, all, targets, known);
+        auto* const from = cheapest_donor(all, targets);
         if (from == nullptr)
         {
             return;
         }
         choose_host_to_move(f, r, *from, to->name, true, now, out).in_scarcity = in_scarcity;
         ++to->have;
-        known[from->name].reset();
     }
 }
 
--- a/libs/coordinator/src/move_choice.cpp
+++ b/libs/coordinator/src/move_choice.cpp
@@ -9,21 +9,6 @@
 namespace camphorhitch::coordinator
 {
 
-move_cost cost_of(fleet& f, const ports::machine_entry& m)
-{
-    const auto* const h = find_runner(f, m.runner);
-    if (h == nullptr)
-    {
-        return {false, 0, 0};
-    }
-    return {h->inherited || h->orphaned_runs > 0, long_running_tasks(f, *h), h->used.cpu};
-}
-
-bool is_cheap(const move_cost& cost)
-{
-    return cost < move_cost{false, 1, 0};
-}
-
 pending_move& choose_host_to_move(fleet& f,
     rebalancer& r,
     balance& from,
@@ -32,10 +17,8 @@
     core::mono_time now,
     task_events& out)
 {
-    const auto best = std::min_element(from.free.begin(),
-        from.free.end(),
-        [&](const auto* a, const auto* b) { return cost_of(f, *a) < cost_of(f, *b); });
-    const auto& m = **best;
+    const auto& m = *from.free.back().machine;
+    from.free.pop_back();
     auto* const h = find_runner(f, m.runner);
     auto& move = r.moves[m.id];
     move = {to, h == nullptr ? m.runner : h->ref.id, false, now, is_wanted};
@@ -55,22 +38,19 @@
         }
     }
     --from.have;
-    from.free.erase(best);
     return move;
 }
 
-bool has_cheap_host(fleet& f, const balance& b)
+bool has_cheap_host(const balance& b)
 {
-    return std::any_of(
-        b.free.begin(), b.free.end(), [&](const auto* m) { return is_cheap(cost_of(f, *m)); });
+    return !b.free.empty() && is_cheap(b.free.back().cost);
 }
 
 namespace
 {
 
 /// \return the pool from which a host is taken, or nullptr.
-balance* find_donor(
-    fleet& f, const rebalancer& r, std::map<std::string, balance>& all, const balance& to)
+balance* find_donor(const rebalancer& r, std::map<std::string, balance>& all, const balance& to)
 {
     // A pool with an urgent shortage can't wait until the need of another pool has been low for a
     // while.
@@ -79,7 +59,7 @@
     for (auto& [name, b] : all)
     {
         const int least = urgent ? b.wanted : b.retained;
-        if (name == to.name || b.have <= least || b.free.empty() || !has_cheap_host(f, b))
+        if (name == to.name || b.have <= least || !has_cheap_host(b))
         {
             continue;
         }
@@ -106,7 +86,7 @@
     {
         while (!b.standby && b.have < b.wanted)
         {
-            auto* const donor = find_donor(f, r, all, b);
+            auto* const donor = find_donor(r, all, b);
             if (donor == nullptr)
             {
                 return;
@@ -137,8 +117,7 @@
             continue;
         }
         const auto since = r.surplus_since.try_emplace(name, now).first->second;
-        while (
-            now - since >= r.settings.standby_delay && b.have > b.retained && has_cheap_host(f, b))
+        while (now - since >= r.settings.standby_delay && b.have > b.retained && has_cheap_host(b))
         {
             choose_host_to_move(f, r, b, standby->first, false, now, out);
         }
--- a/libs/coordinator/src/move_choice.hpp
+++ b/libs/coordinator/src/move_choice.hpp
@@ -5,21 +5,9 @@
 
 #include "balances.hpp"
 
-#include <cstdint>
-#include <tuple>
-
 namespace camphorhitch::coordinator
 {
 
-/// Cost of taking a host from its pool; lower is better. Whether it may have runs that this
-/// coordinator has not seen, its number of long-running tasks, and its used thousandths of a core.
-using move_cost = std::tuple<bool, int, std::int64_t>;
-
-move_cost cost_of(fleet& f, const ports::machine_entry& m);
-
-/// \return whether the host can be taken without evacuating a long-running task.
-bool is_cheap(const move_cost& cost);
-
 /// Chooses the host with the lowest cost of a pool for a move, and closes it.
 /// \param is_wanted the other pool lacks hosts: its callers wait for the host
 /// \return the move, which is not ordered yet.
@@ -32,7 +20,7 @@
     task_events& out);
 
 /// \return whether the pool has a cheap host.
-bool has_cheap_host(fleet& f, const balance& b);
+bool has_cheap_host(const balance& b);
 
 /// Chooses hosts for the pools that lack some, in the order of their names.
 void fill_short_pools(fleet& f,
--- a/libs/coordinator/src/pool_claims.cpp
+++ b/libs/coordinator/src/pool_claims.cpp
@@ -105,10 +105,11 @@
                { return it.second.wanted - it.second.have >= r.settings.urgent_shortage; });
 }
 
-int count_cheap_hosts(fleet& f, const balance& b)
+int count_cheap_hosts(const balance& b)
 {
-    return static_cast<int>(std::count_if(
-        b.free.begin(), b.free.end(), [&](const auto* m) { return is_cheap(cost_of(f, *m)); }));
+    const auto first = std::partition_point(
+        b.free.begin(), b.free.end(), [](const free_host& it) { return !is_cheap(it.cost); });
+    return static_cast<int>(b.free.end() - first);
 }
 
 } // namespace
@@ -139,7 +140,7 @@
         it.have = b.have;
         it.shrink_to = b.retained;
         const int spare = std::max(0, b.have - b.retained);
-        it.takeable = any_short ? count_cheap_hosts(f, b) : 0;
+        it.takeable = any_short ? count_cheap_hosts(b) : 0;
         it.takeable = gives_retained ? it.takeable : std::min(it.takeable, spare);
     }
     if (any_short && r.settings.allocation == allocation_rule::marginal)
--- a/libs/coordinator/tests/rebalance_tests.cpp
+++ b/libs/coordinator/tests/rebalance_tests.cpp
@@ -5,6 +5,8 @@
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <cmath>
+#include <ctime>
+#include <limits>
 
 using namespace camphorhitch;
 using namespace camphorhitch::coordinator;
@@ -19,6 +21,41 @@
     return j.tasks[place].runs.front().phase;
 }
 
+/// \return the processor time of a plan that sends all hosts of a pool to the standby pool, and
+/// those of the standby pool to another one; the lowest of several measurements, in seconds.
+double time_of_moves(allocation_rule rule, int hosts)
+{
+    double lowest = std::numeric_limits<double>::max();
+    for (int n = 0; n < 5; ++n)
+    {
+        fleet_fixture w;
+        coordinator::demand d;
+        rebalancer r;
+        r.settings.settling_time = 0ms;
+        r.settings.allocation = rule;
+        machine_table list;
+        list.known = true;
+        for (int i = 0; i < hosts; ++i)
+        {
+            const auto id = std::to_string(i);
+            const auto* const pool = i % 2 == 0 ? "p" : "off";
+            list.machines[id] = {id, pool, "z", "h" + id, ports::machine_state::up};
+            w.add_host("h" + id);
+            w.f.hosts["h" + id].pool = pool;
+        }
+        auto j = make_job("a", {make_step(4 * hosts, 1000)});
+        j.pool = "q";
+        w.accept_job(j);
+        const std::vector<pool_info> pools{{"p", false}, {"q", false}, {"off", true}};
+        const auto started = std::clock();
+        plan_moves(w.f, r, d, list, pools, {}, w.now, w.events);
+        w.now += r.settings.standby_delay;
+        plan_moves(w.f, r, d, list, pools, {}, w.now, w.events);
+        lowest = std::min(lowest, static_cast<double>(std::clock() - started) / CLOCKS_PER_SEC);
+    }
+    return lowest;
+}
+
 } // namespace
 
 TEST_GROUP(rebalance)
@@ -434,3 +471,17 @@
         CHECK(lull.retained_after(1s, true) >= hosts - released - 1);
     }
 }
+
+// Pattern: half of a large fleet moves at once. Guards against a choice of hosts whose work grows
+// with the moves times the hosts: such a plan outlasts the coordinator's lease.
+TEST(rebalance, the_work_of_choosing_hosts_grows_with_the_fleet)
+{
+    for (const auto rule : {allocation_rule::in_order, allocation_rule::max_min})
+    {
+        constexpr int hosts = 400;
+        constexpr int factor = 10;
+        const auto few = time_of_moves(rule, hosts);
+        const auto many = time_of_moves(rule, factor * hosts);
+        CHECK(many < 3 * factor * few); // 100 times if each move compared all hosts
+    }
+}
