A plan looks at each host once, and at a full pool once for each requirement

Cause: a plan walked over all hosts of the fleet once for each pool with waiting steps. Steps with a bound of tasks per host searched a full pool again for each waiting step, counting the runs of the step over all of its tasks for each host.

Change: one pass collects the hosts of all pools; a failed search is remembered if no host has the capacity, whatever else the step requires; runs of a step on a host are counted among the host's runs. The type pool_hosts was defined twice in one namespace; the one of a plan is called candidate_hosts. bench_plan_cost measures 3,000, 6,000 and 12,000 hosts.

--- a/bench/plan_cost/src/main.cpp
+++ b/bench/plan_cost/src/main.cpp
@@ -21,13 +21,13 @@
 using namespace camphorhitch;
 using namespace std::chrono_literals;
 
-constexpr int hosts = 3000;
+constexpr int sizes[] = {3000, 6000, 12000}; ///< hosts
 constexpr int pools = 4;
 constexpr std::int64_t host_cpu = 32000;
 constexpr std::int64_t host_memory = 131072;
 constexpr int tasks_per_step = 8;
 constexpr std::int64_t task_cpu = 8000;
-constexpr int running_tasks = hosts * static_cast<int>(host_cpu / task_cpu);
+constexpr int tasks_per_host = static_cast<int>(host_cpu / task_cpu);
 constexpr int waiting_tasks = 10000;
 constexpr int ends_per_plan = 40;
 constexpr auto plan_interval = 20ms;
@@ -55,14 +55,14 @@
 class full_fleet
 {
 public:
-    explicit full_fleet(const coordinator::placement_policy& policy)
+    full_fleet(const coordinator::placement_policy& policy, int hosts) : hosts_(hosts)
     {
         fleet_.settings.placement = policy;
-        for (int i = 0; i < hosts; ++i)
+        for (int i = 0; i < hosts_; ++i)
         {
             add_host(i);
         }
-        while (jobs_ * tasks_per_step < running_tasks + waiting_tasks)
+        while (jobs_ * tasks_per_step < hosts_ * tasks_per_host + waiting_tasks)
         {
             add_job();
         }
@@ -93,6 +93,7 @@
     coordinator::task_events events_;
     core::mono_time now_{1000s};
     std::minstd_rand random_;
+    int hosts_;
     int jobs_ = 0;
     std::int64_t ends_ = 0;
 
@@ -143,7 +144,7 @@
     void end_a_run()
     {
         auto it = fleet_.hosts.begin();
-        std::advance(it, static_cast<std::ptrdiff_t>(random_() % hosts));
+        std::advance(it, static_cast<std::ptrdiff_t>(random_() % static_cast<unsigned>(hosts_)));
         ports::poll_answer p;
         p.call = {ports::runner_verdict::done, 1000 + elapsed_ms()};
         for (const auto& [text, task] : it->second.runs)
@@ -197,7 +198,7 @@
 }
 
 /// Measures the variants in turn, so that a change of the machine's speed affects all alike.
-std::vector<row> measure(int plans)
+std::vector<row> measure(int plans, int hosts)
 {
     const auto all = variants();
     std::vector<std::unique_ptr<full_fleet>> fleets;
@@ -205,7 +206,7 @@
     fleets.reserve(all.size());
     for (const auto& it : all)
     {
-        fleets.push_back(std::make_unique<full_fleet>(it.policy));
+        fleets.push_back(std::make_unique<full_fleet>(it.policy, hosts));
     }
     for (int i = 0; i < plans; ++i)
     {
@@ -222,6 +223,29 @@
     return out;
 }
 
+void print_rows(int hosts, const std::vector<row>& rows, nlohmann::json& to)
+{
+    for (const auto& it : rows)
+    {
+        const double median = it.median / rows.front().median;
+        const double high = it.high / rows.front().high;
+        std::printf("%-8d %-10s %10.2f %10.2f %8.2f %8.2f\n",
+            hosts,
+            it.name.c_str(),
+            it.median,
+            it.high,
+            median,
+            high);
+        to.push_back({{"policies", it.name},
+            {"hosts", hosts},
+            {"waiting_tasks", waiting_tasks},
+            {"median_ms", it.median},
+            {"p99_ms", it.high},
+            {"median_ratio", median},
+            {"p99_ratio", high}});
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -239,27 +263,18 @@
             std::cout << options.help();
             return 0;
         }
-        const auto rows = measure(given.count("quick") > 0 ? quick_plans : full_plans);
+        const int plans = given.count("quick") > 0 ? quick_plans : full_plans;
         auto out = nlohmann::json::array();
-        std::printf(
-            "%-10s %10s %10s %8s %8s\n", "policies", "median ms", "p99 ms", "ratio", "ratio");
-        for (const auto& it : rows)
+        std::printf("%-8s %-10s %10s %10s %8s %8s\n",
+            "hosts",
+            "policies",
+            "median ms",
+            "p99 ms",
+            "ratio",
+            "ratio");
+        for (const int hosts : sizes)
         {
-            const double median = it.median / rows.front().median;
-            const double high = it.high / rows.front().high;
-            std::printf("%-10s %10.2f %10.2f %8.2f %8.2f\n",
-                it.name.c_str(),
-                it.median,
-                it.high,
-                median,
-                high);
-            out.push_back({{"policies", it.name},
-                {"hosts", hosts},
-                {"waiting_tasks", waiting_tasks},
-                {"median_ms", it.median},
-                {"p99_ms", it.high},
-                {"median_ratio", median},
-                {"p99_ratio", high}});
+            print_rows(hosts, measure(plans, hosts), out);
         }
         if (given.count("json") > 0)
         {
--- a/libs/coordinator/src/isolated_runs.cpp
+++ b/libs/coordinator/src/isolated_runs.cpp
@@ -23,14 +23,14 @@
     return h.runs.empty() && h.orphaned_runs == 0;
 }
 
-bool may_isolate(const pool_hosts& hosts)
+bool may_isolate(const candidate_hosts& hosts)
 {
     return hosts.isolating < hosts.max_isolating_hosts;
 }
 
 /// \return whether the suspects of the pool have waited so long for an empty host that one is
 /// started beside other tasks: in a pool with long-running tasks, no host may ever become empty.
-bool has_waited_too_long(fleet& f, pool_hosts& hosts, core::mono_time now)
+bool has_waited_too_long(fleet& f, candidate_hosts& hosts, core::mono_time now)
 {
     hosts.suspect_waits = true;
     const auto since = f.isolation_wait_since.try_emplace(hosts.pool, now).first->second;
@@ -39,7 +39,7 @@
 
 /// \return the host for an isolated run: an empty one, or the least used one after a long wait.
 host_entry* choose_isolation_host(fleet& f,
-    pool_hosts& hosts,
+    candidate_hosts& hosts,
     const job_entry& j,
     const workflow::task_name& name,
     core::mono_time now)
@@ -72,7 +72,7 @@
     return nullptr;
 }
 
-void record_isolated_start(fleet& f, pool_hosts& hosts)
+void record_isolated_start(fleet& f, candidate_hosts& hosts)
 {
     f.isolation_wait_since.erase(hosts.pool);
     hosts.suspect_waits = false;
@@ -126,7 +126,7 @@
 
 void start_isolated_gang(fleet& f,
     const waiting_step& w,
-    pool_hosts& hosts,
+    candidate_hosts& hosts,
     core::mono_time now,
     plan& to,
     task_events& out)
@@ -203,7 +203,7 @@
 void start_isolated_task(fleet& f,
     const waiting_step& w,
     int index,
-    pool_hosts& hosts,
+    candidate_hosts& hosts,
     core::mono_time now,
     plan& to,
     task_events& out)
@@ -236,35 +236,33 @@
 
 } // namespace
 
-pool_hosts hosts_of_pool(fleet& f, const std::string& pool, core::mono_time now)
+std::map<std::string, candidate_hosts> hosts_by_pool(fleet& f, core::mono_time now)
 {
-    pool_hosts out;
-    out.pool = pool;
-    int all = 0;
-    int idle = 0;
+    std::map<std::string, candidate_hosts> out;
     for (auto& [id, h] : f.hosts)
     {
-        if (h.pool != pool)
-        {
-            continue;
-        }
-        all += h.listed ? 1 : 0;
-        out.isolating += h.isolated_runs > 0 ? 1 : 0;
+        auto& of = out[h.pool];
+        of.listed += h.listed ? 1 : 0;
+        of.isolating += h.isolated_runs > 0 ? 1 : 0;
         if (accepts_tasks(f, h, now))
         {
-            out.available.push_back(&h);
-            idle += is_idle(h) ? 1 : 0;
+            of.available.push_back(&h);
+            of.idle += is_idle(h) ? 1 : 0;
         }
     }
-    const int spare = (idle + out.isolating) / idle_hosts_per_isolated_run;
-    out.max_isolating_hosts =
-        std::max((all + hosts_per_isolated_run - 1) / hosts_per_isolated_run, spare);
+    for (auto& [pool, of] : out)
+    {
+        of.pool = pool;
+        const int spare = (of.idle + of.isolating) / idle_hosts_per_isolated_run;
+        of.max_isolating_hosts =
+            std::max((of.listed + hosts_per_isolated_run - 1) / hosts_per_isolated_run, spare);
+    }
     return out;
 }
 
 void start_isolated_runs(fleet& f,
     const waiting_step& w,
-    pool_hosts& hosts,
+    candidate_hosts& hosts,
     core::mono_time now,
     plan& to,
     task_events& out)
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -175,14 +175,16 @@
                                               });
     }
 
-    /// Records that no host takes a task of the step.
-    void add(const workflow::job& j, const workflow::step& s)
+    /// Records that none of \p hosts takes a task of the step. If one of them has the capacity, the
+    /// step has other requirements that it doesn't meet.
+    void add(const workflow::job& j, const workflow::step& s, const std::vector<host_entry*>& hosts)
     {
-        const bool only_resources_matter =
-            s.required_label.empty() && s.max_per_host == 0 && !j.needs_advice;
-        if (only_resources_matter && !contains(j, s))
+        const auto need = required_resources(s);
+        const bool by_capacity = std::none_of(
+            hosts.begin(), hosts.end(), [&](const host_entry* h) { return fits(*h, need); });
+        if (by_capacity && !contains(j, s))
         {
-            by_pool_[j.pool].push_back(required_resources(s));
+            by_pool_[j.pool].push_back(need);
         }
     }
 
@@ -234,7 +236,7 @@
             unfit.contains(j.spec, spec) ? nullptr : choose_host(f, hosts, j, name, t, now);
         if (h == nullptr)
         {
-            unfit.add(j.spec, spec);
+            unfit.add(j.spec, spec, hosts);
             return; // the other tasks of the step have the same requirements
         }
         if (to.remaining_orders <= 0)
@@ -266,21 +268,11 @@
     }
 }
 
-pool_hosts& find_pool_hosts(std::map<std::string, pool_hosts>& pools,
-    fleet& f,
-    const std::string& pool,
-    core::mono_time now)
-{
-    const auto found = pools.find(pool);
-    return found != pools.end() ? found->second
-                                : pools.emplace(pool, hosts_of_pool(f, pool, now)).first->second;
-}
-
 /// Starts suspects before all other tasks, while there are empty hosts.
 void start_suspects(fleet& f,
     const std::vector<waiting_step>& waiting,
     core::mono_time now,
-    std::map<std::string, pool_hosts>& pools,
+    std::map<std::string, candidate_hosts>& pools,
     plan& to,
     task_events& out)
 {
@@ -288,13 +280,12 @@
     {
         if (it.job->losses > 0 && !it.overdue && !to.truncated)
         {
-            start_isolated_runs(
-                f, it, find_pool_hosts(pools, f, it.job->spec.pool, now), now, to, out);
+            start_isolated_runs(f, it, pools[it.job->spec.pool], now, to, out);
         }
     }
     for (auto& [pool, hosts] : pools)
     {
-        if (hosts.available.size() > 1)
+        if (hosts.reserved_host != nullptr && hosts.available.size() > 1)
         {
             std::erase(hosts.available, hosts.reserved_host);
         }
@@ -354,7 +345,7 @@
         return to;
     }
     const auto waiting = all_waiting_steps(f, now, unix_ms);
-    std::map<std::string, pool_hosts> pools;
+    auto pools = waiting.empty() ? std::map<std::string, candidate_hosts>{} : hosts_by_pool(f, now);
     unfit_needs unfit;
     start_suspects(f, waiting, now, pools, to, out);
     for (const auto& it : waiting)
@@ -363,7 +354,7 @@
         {
             break; // steps later in the order of service would overtake
         }
-        const auto& hosts = find_pool_hosts(pools, f, it.job->spec.pool, now).available;
+        const auto& hosts = pools[it.job->spec.pool].available;
         const auto& need = it.job->spec.steps[static_cast<std::size_t>(it.step)].need;
         if (it.job->spec.needs_advice && fits_cap(f, *it.job, need))
         {
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -13,17 +13,18 @@
 {
 
 /// \return number of runs of one step on one host, in any phase.
-int runs_on_host(const job_entry& j, int occurrence, int step, const std::string& host)
+int runs_on_host(const host_entry& h, const job_entry& j, int occurrence, int step)
 {
     int n = 0;
-    const auto first = workflow::task_index(j.spec, occurrence, step, 0);
-    const auto tasks = static_cast<std::size_t>(j.spec.steps[static_cast<std::size_t>(step)].tasks);
-    for (std::size_t i = first; i < first + tasks; ++i)
+    for (const auto& [text, name] : h.runs)
     {
-        for (const auto& it : j.tasks[i].runs)
+        if (name.occurrence != occurrence || name.step != step || name.job != j.spec.id)
         {
-            n += it.host == host ? 1 : 0;
+            continue;
         }
+        const auto& runs = j.tasks[workflow::task_index(j.spec, occurrence, step, name.index)].runs;
+        n += static_cast<int>(std::count_if(
+            runs.begin(), runs.end(), [&](const run_entry& it) { return it.host == h.ref.id; }));
     }
     return n;
 }
@@ -62,7 +63,7 @@
     const host_entry& h, const job_entry& j, int occurrence, int step, const workflow::step& s)
 {
     return has_label(h, s.required_label) && fits(h, required_resources(s)) &&
-           (s.max_per_host == 0 || runs_on_host(j, occurrence, step, h.ref.id) < s.max_per_host);
+           (s.max_per_host == 0 || runs_on_host(h, j, occurrence, step) < s.max_per_host);
 }
 
 bool has_required_ticket(
--- a/libs/coordinator/src/workspaces.cpp
+++ b/libs/coordinator/src/workspaces.cpp
@@ -110,6 +110,10 @@
 
 void update_unseen_use(fleet& f, core::mono_time now)
 {
+    if (f.workspaces.entries.empty())
+    {
+        return;
+    }
     const auto unseen = find_unseen_run_pools(f, now);
     const bool some = has_unseen_or_orphaned_runs(f, unseen);
     for (auto& [name, w] : f.workspaces.entries)
