The record of runners is divided into buckets, and changes of the list are applied one by one

Cause: the record of the runners in use was one value with a row for each host (540 KB at 6,000 hosts, above the 1 MB of a value at 12,000). Each host that answered for the first time made the coordinator render and compare all rows, and each change of one entry of the list of runners copied and applied all entries.

Change: 256 buckets by runner, each under a key of its own and guarded by its revision; only the rows of hosts that changed are rendered at once, all of them at the check of liveness. The undivided record of earlier versions is read, and replaced by a mark that they take for damaged, so that an earlier version that leads next waits for all leases. Entries of the list are applied one by one; a pass over all follows at the next check of liveness.

Tests: runner_record.a_change_of_one_runner_rewrites_few_rows counts the bytes written for one runner at 600 hosts; damaged buckets, and rows in both records.

--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -37,6 +37,15 @@
 void apply_host_list(
     fleet& f, const std::vector<host_listing>& all, core::mono_time now, task_events& out);
 
+/// The parts of apply_host_list: marks all hosts as not listed, before the entries are applied.
+void begin_host_list(fleet& f, core::mono_time now);
+
+/// Applies one entry of the list of runners.
+void apply_host_listing(fleet& f, const host_listing& it, core::mono_time now, task_events& out);
+
+/// Marks the runner of an entry that is no longer in the list.
+void remove_host_listing(fleet& f, const host_listing& it);
+
 /// Evidence that an incarnation of a runner has certainly ended.
 enum class termination_evidence
 {
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -314,55 +314,76 @@
     f.inherited_not_before = now + max_inherited_lease(f);
 }
 
-void apply_host_list(
-    fleet& f, const std::vector<host_listing>& all, core::mono_time now, task_events& out)
+void begin_host_list(fleet& f, core::mono_time now)
 {
     for (auto& [id, h] : f.hosts)
     {
         h.listed = false;
     }
     forget_ended_runners(f, now);
+}
+
+void apply_host_listing(fleet& f, const host_listing& it, core::mono_time now, task_events& out)
+{
+    const auto id = f.ended_runners.contains(it.ref.id) ? std::string{}
+                                                        : find_listed_incarnation(f, it, now, out);
+    if (id.empty())
+    {
+        return;
+    }
+    auto [entry, added] = f.hosts.try_emplace(id);
+    auto& h = entry->second;
+    const bool conflicts = !added && conflicts_with(h, it);
+    if (conflicts && !h.entry_conflicts)
+    {
+        out.push_back(
+            {"host_entry_odd", "", 0, id, "address=" + it.ref.address + " pool=" + it.pool});
+    }
+    h.entry_conflicts = conflicts;
+    if (conflicts)
+    {
+        h.listed = false;
+        return;
+    }
+    if (added)
+    {
+        h.added_at = now;
+        h.inherited_leases_end_at = now;
+        out.push_back({"host_added", "", 0, id, "pool=" + it.pool});
+        inherit_from_earlier_incarnations(f, id, now, out);
+    }
+    if (h.draining != it.draining)
+    {
+        out.push_back({it.draining ? "host_draining" : "host_ready", "", 0, id, ""});
+    }
+    h.ref.id = id;
+    h.ref.address = it.ref.address;
+    h.ref.zone = it.ref.zone;
+    h.pool = it.pool;
+    h.zone = it.zone;
+    h.rack = it.rack;
+    h.labels = it.labels;
+    h.capacity = it.capacity;
+    h.draining = it.draining;
+    h.listed = true;
+}
+
+void remove_host_listing(fleet& f, const host_listing& it)
+{
+    auto* const h = find_runner(f, std::string(ports::runner_of(it.ref.id)));
+    if (h != nullptr)
+    {
+        h->listed = false;
+    }
+}
+
+void apply_host_list(
+    fleet& f, const std::vector<host_listing>& all, core::mono_time now, task_events& out)
+{
+    begin_host_list(f, now);
     for (const auto& it : all)
     {
-        const auto id = f.ended_runners.contains(it.ref.id)
-                            ? std::string{}
-                            : find_listed_incarnation(f, it, now, out);
-        if (id.empty())
-        {
-            continue;
-        }
-        auto [entry, added] = f.hosts.try_emplace(id);
-        auto& h = entry->second;
-        const bool conflicts = !added && conflicts_with(h, it);
-        if (conflicts && !h.entry_conflicts)
-        {
-            out.push_back(
-                {"host_entry_odd", "", 0, id, "address=" + it.ref.address + " pool=" + it.pool});
-        }
-        h.entry_conflicts = conflicts;
-        if (conflicts)
-        {
-            continue;
-        }
-        if (added)
-        {
-            h.added_at = now;
-            h.inherited_leases_end_at = now;
-            out.push_back({"host_added", "", 0, id, "pool=" + it.pool});
-            inherit_from_earlier_incarnations(f, id, now, out);
-        }
-        if (h.draining != it.draining)
-        {
-            out.push_back({it.draining ? "host_draining" : "host_ready", "", 0, id, ""});
-        }
-        h.ref = {id, it.ref.address, it.ref.zone};
-        h.pool = it.pool;
-        h.zone = it.zone;
-        h.rack = it.rack;
-        h.labels = it.labels;
-        h.capacity = it.capacity;
-        h.draining = it.draining;
-        h.listed = true;
+        apply_host_listing(f, it, now, out);
     }
 }
 
--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -14,7 +14,9 @@
 ///   coord/leader-term  number of coordinators so far; never removed
 ///   coord/leader-slowed  name of the node that most recently handed leadership over because
 ///                   another node serves callers better
-///   coord/runners   runners to which the coordinator may have given orders
+///   coord/runners/N  runners to which the coordinator may have given orders, whose bucket is N
+///   coord/runners   the same for all runners, written by earlier versions; later ones mark it as
+///                   divided
 ///   coord/demand    the coordinator's demand rates, run time estimates and accounts of shares
 ///   coord/pending   number of waiting jobs by queue, and the store revision up to which accepted
 ///                   jobs were included in the count; written only by the coordinator
@@ -43,6 +45,7 @@
 inline const std::string leader_term_key = "coord/leader-term";
 inline const std::string leader_slowed_key = "coord/leader-slowed";
 inline const std::string runners_key = "coord/runners";
+inline const std::string runner_bucket_prefix = "coord/runners/";
 inline const std::string demand_key = "coord/demand";
 inline const std::string pending_key = "coord/pending";
 inline const std::string forecast_key = "coord/forecast";
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -276,9 +276,9 @@
     {
         return p.jobs->last_job_answer_at();
     };
-    t.update_runner_record = [&p]
+    t.update_runner_record = [&p](const std::string& host)
     {
-        p.hosts->update_record();
+        p.hosts->update_record(host);
     };
     p.jobs = std::make_unique<job_reader>(t);
     p.pending_logger = std::make_unique<pending_count_logger>(t, *p.jobs);
--- a/libs/hosted/src/runner_controller_polls.cpp
+++ b/libs/hosted/src/runner_controller_polls.cpp
@@ -259,7 +259,7 @@
     }
     if (was_unresponsive)
     {
-        term_.update_runner_record();
+        term_.update_runner_record(host);
     }
     stop_orphaned_runs();
     const bool has_ends = !a.ended.empty();
--- a/libs/hosted/src/runner_list.cpp
+++ b/libs/hosted/src/runner_list.cpp
@@ -16,8 +16,7 @@
 
 } // namespace
 
-runner_list::runner_list(term& t, std::function<void()> on_change)
-    : term_(t), on_change_(std::move(on_change))
+runner_list::runner_list(term& t, runner_list_events events) : term_(t), events_(std::move(events))
 {
 }
 
@@ -61,20 +60,7 @@
         it.runner = read(it.item);
     }
     update_unusable_gauge();
-    on_change_();
-}
-
-std::vector<coordinator::host_listing> runner_list::usable() const
-{
-    std::vector<coordinator::host_listing> out;
-    for (const auto& [key, it] : entries_)
-    {
-        if (it.runner)
-        {
-            out.push_back(*it.runner);
-        }
-    }
-    return out;
+    events_.on_all();
 }
 
 void runner_list::apply_all(std::vector<ports::stored_item> all)
@@ -87,43 +73,46 @@
         entries_.insert_or_assign(std::move(key), entry{std::move(it), std::move(runner)});
     }
     update_unusable_gauge();
-    on_change_();
+    events_.on_all();
 }
 
 void runner_list::apply_changes(std::vector<ports::stored_change> all)
 {
-    bool changed = false;
+    std::vector<listing_change> changed;
     for (auto& it : all)
     {
-        changed = apply_change(std::move(it)) || changed;
+        auto change = apply_change(std::move(it));
+        if (change.before != change.after)
+        {
+            changed.push_back(std::move(change));
+        }
     }
     update_unusable_gauge();
-    if (changed)
+    if (!changed.empty())
     {
-        on_change_();
+        events_.on_changes(changed);
     }
 }
 
-/// \return whether a usable runner was added or removed, or its description changed.
-bool runner_list::apply_change(ports::stored_change c)
+listing_change runner_list::apply_change(ports::stored_change c)
 {
     const auto found = entries_.find(c.item.key);
-    auto before = found == entries_.end() ? listing{} : std::move(found->second.runner);
+    listing_change out;
+    out.before = found == entries_.end() ? optional_listing{} : std::move(found->second.runner);
     if (c.removed)
     {
         entries_.erase(c.item.key);
-        return before.has_value();
+        return out;
     }
-    auto runner = read(c.item);
-    const bool changed = runner != before;
+    out.after = read(c.item);
     auto key = c.item.key;
-    entries_.insert_or_assign(std::move(key), entry{std::move(c.item), std::move(runner)});
-    return changed;
+    entries_.insert_or_assign(std::move(key), entry{std::move(c.item), out.after});
+    return out;
 }
 
 /// An entry that is not usable counts as not listed. A runner that is already known then keeps its
 /// runs and its leases, which end only by its own answers or by expiry, and gets no new work.
-runner_list::listing runner_list::read(const ports::stored_item& it)
+optional_listing runner_list::read(const ports::stored_item& it)
 {
     auto runner = term_.text_formats->read_runner(
         it.key.substr(term_.text_formats->runner_prefix.size()), it.value);
--- a/libs/hosted/src/runner_list.hpp
+++ b/libs/hosted/src/runner_list.hpp
@@ -21,11 +21,25 @@
 namespace camphorhitch::hosted
 {
 
+using optional_listing = std::optional<coordinator::host_listing>;
+
+/// Change of one entry; empty: the entry is missing or not usable.
+struct listing_change
+{
+    optional_listing before;
+    optional_listing after;
+};
+
+struct runner_list_events
+{
+    std::function<void()> on_all; ///< all entries were read again
+    std::function<void(const std::vector<listing_change>&)> on_changes;
+};
+
 class runner_list
 {
 public:
-    /// \param on_change called whenever the usable runners or their descriptions have changed
-    runner_list(term& t, std::function<void()> on_change);
+    runner_list(term& t, runner_list_events events);
     runner_list(const runner_list&) = delete;
     runner_list& operator=(const runner_list&) = delete;
 
@@ -44,26 +58,34 @@
         return !entries_.empty();
     }
 
-    /// \return the runners whose entries are readable and name a pool in force.
-    std::vector<coordinator::host_listing> usable() const;
+    /// Calls \p fn for each runner whose entry is readable and names a pool in force.
+    template <class Fn>
+    void for_each_usable(Fn fn) const
+    {
+        for (const auto& [key, it] : entries_)
+        {
+            if (it.runner)
+            {
+                fn(*it.runner);
+            }
+        }
+    }
 
 private:
-    using listing = std::optional<coordinator::host_listing>;
-
     struct entry
     {
         ports::stored_item item;
-        listing runner; ///< empty: the entry is not usable
+        optional_listing runner; ///< empty: the entry is not usable
     };
 
     void apply_all(std::vector<ports::stored_item> all);
     void apply_changes(std::vector<ports::stored_change> all);
-    bool apply_change(ports::stored_change c);
-    listing read(const ports::stored_item& it);
+    listing_change apply_change(ports::stored_change c);
+    optional_listing read(const ports::stored_item& it);
     void update_unusable_gauge() const;
 
     term& term_;
-    std::function<void()> on_change_;
+    runner_list_events events_;
     std::map<std::string, entry> entries_; ///< by key
     std::set<std::string> pools_;
     damaged_record_log damaged_;
--- a/libs/hosted/src/term.hpp
+++ b/libs/hosted/src/term.hpp
@@ -32,8 +32,8 @@
     std::function<void()> request_plan; ///< schedules a plan within driver_settings::plan_delay
     std::function<void()> request_store_write;           ///< schedules a write of changed progress
     std::function<core::mono_time()> last_job_answer_at; ///< as job_reader::last_job_answer_at
-    /// Brings the record of runners up to date, after an unresponsive runner has answered again.
-    std::function<void()> update_runner_record;
+    /// Brings the record of the host up to date, after it was unresponsive and has answered again.
+    std::function<void(const std::string& host)> update_runner_record;
     /// Called for each job that is read; it was accepted \p at, which may lie before this term.
     std::function<void(const workflow::job&, core::mono_time at)> on_job_accepted;
 
--- a/libs/hosted/tests/disabled_safeguards.hpp
+++ b/libs/hosted/tests/disabled_safeguards.hpp
@@ -122,17 +122,39 @@
     };
 }
 
-/// Applies \p change to the record of runners whenever a node reads it.
+/// Applies \p change to the rows of the record of runners whenever a node reads it.
 inline void change_runner_record_reads(
-    hosted_fakes::cluster& c, const std::function<void(std::optional<ports::stored_item>&)>& change)
+    hosted_fakes::cluster& c, const std::function<void(hosted::runner_records&)>& change)
 {
-    change_record_reads(c, hosted::runners_key, change);
+    c.customize_node = [change](hosted_fakes::node& n)
+    {
+        n.ctx.store.range = [change, range = n.ctx.store.range](const std::string& prefix,
+                                const std::string& after,
+                                const std::function<void(ports::page_read)>& done)
+        {
+            range(prefix,
+                after,
+                [change, done](ports::page_read page)
+                {
+                    for (auto& it : page.items)
+                    {
+                        if (it.key.starts_with(hosted::runner_bucket_prefix))
+                        {
+                            auto rows = hosted::read_runners(it.value).value();
+                            change(rows);
+                            it.value = hosted::write_runners(rows);
+                        }
+                    }
+                    done(page);
+                });
+        };
+    };
 }
 
 /// Hides from a successor which runners the previous coordinator used.
 inline void hide_runner_record(hosted_fakes::cluster& c)
 {
-    change_runner_record_reads(c, [](std::optional<ports::stored_item>& it) { it.reset(); });
+    change_runner_record_reads(c, [](hosted::runner_records& all) { all.clear(); });
     c.customize_node = [hide = c.customize_node](hosted_fakes::node& n)
     {
         hide(n);
@@ -144,18 +166,12 @@
 inline void report_leases_as_ended(hosted_fakes::cluster& c)
 {
     change_runner_record_reads(c,
-        [](std::optional<ports::stored_item>& it)
+        [](hosted::runner_records& all)
         {
-            if (!it)
-            {
-                return;
-            }
-            auto all = hosted::read_runners(it->value).value();
             for (auto& [id, row] : all)
             {
                 row.remaining_lease = core::millis{0};
             }
-            it->value = hosted::write_runners(all);
         });
     c.customize_node = [hide = c.customize_node](hosted_fakes::node& n)
     {
--- a/libs/hosted/tests/runner_record_tests.cpp
+++ b/libs/hosted/tests/runner_record_tests.cpp
@@ -1,5 +1,6 @@
-#include "host_reader.hpp"
+#include "hosted/keys.hpp"
 #include "hosted_fakes/cluster.hpp"
+#include "runner_record.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -13,9 +14,15 @@
 
     hosted::runner_records stored() const
     {
-        const auto* const it = c.store.find(hosted::runners_key);
-        return it == nullptr ? hosted::runner_records{}
-                             : hosted::read_runners(it->value).value_or(hosted::runner_records{});
+        hosted::runner_records out;
+        for (std::size_t i = 0; i < hosted::runner_buckets; ++i)
+        {
+            if (const auto* const it = c.store.find(hosted::runner_bucket_key(i)))
+            {
+                out.merge(hosted::read_runners(it->value).value());
+            }
+        }
+        return out;
     }
 
     std::string runner_of(const std::string& machine) const
@@ -37,14 +44,18 @@
         CHECK(c.has_leader());
     }
 
-    /// Replaces the record by that of a version that does not know start times.
-    void forget_start_times()
+    /// Replaces the record by that of a version that knows neither start times nor buckets.
+    void store_earlier_record()
     {
         hosted::runner_records earlier;
         for (const auto& [id, it] : stored())
         {
             earlier.emplace(ports::runner_of(id), it);
         }
+        for (std::size_t i = 0; i < hosted::runner_buckets; ++i)
+        {
+            c.store.remove(hosted::runner_bucket_key(i));
+        }
         c.store.put(hosted::runners_key, hosted::write_runners(earlier));
     }
 
@@ -162,8 +173,8 @@
         n.ctx.store.commit = [&, real = n.ctx.store.commit](
                                  ports::store_transaction change, const auto& done)
         {
-            const bool late =
-                is_slow && !change.puts.empty() && change.puts.front().key == hosted::runners_key;
+            const bool late = is_slow && !change.puts.empty() &&
+                              change.puts.front().key.starts_with(hosted::runners_key);
             c.time.after(late ? 4s : 0s, [=] { real(change, done); });
         };
     };
@@ -173,7 +184,7 @@
     begin(2);
     c.put_job(c.make_job_on_each("a", 2));
     CHECK(c.time.run_until([this] { return c.running() == 2; }, 2s));
-    forget_start_times();
+    store_earlier_record();
     c.leader()->process.dead = true;
     is_slow = true;
     CHECK(c.ends("a", job_state::completed, 16s));
@@ -193,7 +204,7 @@
     c.put_job(c.make_job_on_each("a", 2));
     CHECK(c.time.run_until([this] { return c.running() == 2; }, 2s));
     c.leader()->process.dead = true;
-    forget_start_times();
+    store_earlier_record();
     CHECK(c.has_leader());
     CHECK(c.ends("a", job_state::completed, 8s));
     LONGS_EQUAL(2, c.hosts.starts);
@@ -221,3 +232,103 @@
     CHECK(c.ends("a", job_state::completed, 20s));
     STRCMP_EQUAL("", c.breaches().c_str());
 }
+
+// Guards against a damaged bucket that is taken for one without runners: tasks of its runners would
+// run twice.
+TEST(runner_record, a_damaged_bucket_holds_inherited_jobs_until_all_leases_end)
+{
+    c.hosts.behaviour.run_time = 5s;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    begin(2);
+    c.put_job(c.make_job_on_each("a", 2));
+    c.time.run_for(400ms);
+    c.hosts.cut("m1", 60s);
+    c.leader()->process.dead = true;
+    c.store.put(hosted::runner_bucket_key(hosted::bucket_of_runner(runner_of("m1"))), "{");
+    CHECK(c.has_leader());
+    c.time.run_for(500ms);
+    LONGS_EQUAL(2, c.hosts.starts);
+    CHECK(c.ends("a", job_state::completed, 20s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+// Guards against a node of an earlier version that leads after one that divides the record: it must
+// not take the undivided record, which is no longer written, for an empty one.
+TEST(runner_record, earlier_versions_read_a_divided_record_as_damaged)
+{
+    c.hosts.add("p");
+    begin(1);
+    c.time.run_for(1s);
+    const auto* const it = c.store.find(hosted::runners_key);
+    CHECK(it != nullptr);
+    CHECK(!hosted::read_runners(it->value));
+}
+
+// Guards against runners that an earlier version used after a later one had divided the record: the
+// bucket states that the leases have ended, and the undivided record that they have not.
+TEST(runner_record, the_row_without_a_lease_end_counts)
+{
+    c.hosts.behaviour.run_time = 5s;
+    c.hosts.add("p");
+    c.hosts.add("p");
+    begin(2);
+    c.put_job(c.make_job_on_each("a", 2));
+    CHECK(c.time.run_until([this] { return c.running() == 2; }, 2s));
+    c.leader()->process.dead = true;
+    const auto rows = stored();
+    c.store.put(hosted::runners_key, hosted::write_runners(rows));
+    for (auto [id, row] : rows)
+    {
+        row.remaining_lease = core::millis{0};
+        const auto bucket = hosted::bucket_of_runner(id);
+        c.store.put(hosted::runner_bucket_key(bucket), hosted::write_runners({{id, row}}));
+    }
+    c.hosts.cut("m1", 2s);
+    CHECK(c.ends("a", job_state::completed, 20s));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
+
+TEST(runner_record, keys_of_buckets_are_read_back)
+{
+    for (const std::size_t i : {std::size_t{0}, std::size_t{9}, hosted::runner_buckets - 1})
+    {
+        CHECK_EQUAL(i, hosted::read_runner_bucket_key(hosted::runner_bucket_key(i)).value());
+    }
+    for (const auto* const it : {"coord/runners", "coord/runners/", "coord/runners/256", "x/1"})
+    {
+        CHECK_TEXT(!hosted::read_runner_bucket_key(it), it);
+    }
+}
+
+// Pattern: runners join or fall silent one by one in a large fleet. Guards against writes that grow
+// with the fleet, which use up the coordinator's processor time and its link.
+TEST(runner_record, a_change_of_one_runner_rewrites_few_rows)
+{
+    std::size_t written = 0;
+    c.customize_node = [&](node& n)
+    {
+        n.ctx.store.commit = [&, real = n.ctx.store.commit](
+                                 ports::store_transaction change, const auto& done)
+        {
+            for (const auto& it : change.puts)
+            {
+                written += it.key.starts_with(hosted::runner_bucket_prefix) ? it.value.size() : 0;
+            }
+            real(change, done);
+        };
+    };
+    for (int i = 0; i < 600; ++i)
+    {
+        c.hosts.add("p");
+    }
+    begin(1);
+    CHECK(c.time.run_until([this] { return stored().size() == 600; }, 10s));
+    c.time.run_for(2s);
+    const auto whole = hosted::write_runners(stored()).size();
+    written = 0;
+    c.hosts.cut("m1", 60s);
+    CHECK(c.time.run_until([this] { return has_lease_end("m1"); }, 4s));
+    CHECK(written > 0);
+    CHECK(written * 20 < whole);
+}
