Polls of idle hosts are spread over their interval

Cause: a coordinator begins to poll all hosts in the same moment, and the interval is the same for all: in a fleet of thousands all idle hosts were polled within the same half second of every two, four times the mean load, and a delay of that half second cost all leases at once.

Change: the next poll of a host whose polling has just begun waits, and is followed, by a part of the usual times that depends on the host.

Test: idle_hosts.polls_spread_over_their_interval.

--- a/libs/hosted/src/runner_controller.hpp
+++ b/libs/hosted/src/runner_controller.hpp
@@ -80,6 +80,9 @@
     std::map<std::string, core::mono_time> polls_in_flight_; ///< by host: when the poll was sent
     std::set<std::string> polling_;         ///< hosts with a poll in flight or a timer for the next
     std::set<std::string> delayed_idle_;    ///< of polling_: idle hosts that wait for the timer
+    /// Of polling_: hosts whose polling began with that of many others. Their next poll waits, and
+    /// is followed, by a part of the usual times, so that the polls of idle hosts spread out.
+    std::set<std::string> in_step_;
     std::set<std::string> pools_with_jobs_; ///< with open jobs; known while idle polls are delayed
     std::set<std::string> orphan_stops_in_flight_; ///< "host/task/run"
 };
--- a/libs/hosted/src/runner_controller_polls.cpp
+++ b/libs/hosted/src/runner_controller_polls.cpp
@@ -3,10 +3,12 @@
 #include "cadence.hpp"
 #include "coordinator/answers.hpp"
 #include "coordinator/intake.hpp"
+#include "core/rendezvous.hpp"
 #include "repeated_order.hpp"
 #include "runner_controller.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace camphorhitch::hosted
 {
@@ -27,6 +29,14 @@
 /// whole lease has passed since the last renewal.
 constexpr core::millis renewal_lease{1200};
 
+/// \return a part of the time, from none to nearly all of it, that is the same for each host.
+core::millis part_for(const std::string& host, core::millis time)
+{
+    const auto share = static_cast<double>(core::stable_hash(host)) /
+                       static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return core::millis{static_cast<std::int64_t>(static_cast<double>(time.count()) * share)};
+}
+
 } // namespace
 
 bool runner_controller::delays_idle_polls() const
@@ -71,6 +81,7 @@
         if (!polling_.contains(id) && needs_polls(h))
         {
             polling_.insert(id);
+            in_step_.insert(id);
             poll(id);
         }
     }
@@ -122,6 +133,10 @@
     }
     order.wait =
         at_once ? core::millis{0} : scaled_poll_wait(term_.settings, term_.fleet.hosts.size());
+    if (in_step_.contains(host) && h.runs.empty())
+    {
+        order.wait = part_for(host, order.wait);
+    }
     const auto sent_at = term_.now();
     h.polled_at = sent_at;
     polls_in_flight_[host] = sent_at;
@@ -266,7 +281,7 @@
     const auto idle_delay = idle_poll_delay(term_.settings, term_.fleet.hosts.size());
     if (found->second.runs.empty() && !first_lease && idle_delay.count() > 0)
     {
-        delay_idle_poll(host, idle_delay);
+        delay_idle_poll(host, in_step_.erase(host) > 0 ? part_for(host, idle_delay) : idle_delay);
     }
     else
     {
--- a/libs/hosted/tests/idle_hosts_tests.cpp
+++ b/libs/hosted/tests/idle_hosts_tests.cpp
@@ -1,6 +1,7 @@
 #include "hosted_fakes/cluster.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 
 using namespace camphorhitch;
 using namespace camphorhitch::hosted_fakes;
@@ -130,3 +131,25 @@
     LONGS_EQUAL(0, f.c.hosts.expired_runs);
     STRCMP_EQUAL("", f.c.breaches().c_str());
 }
+
+// Pattern: a coordinator begins with thousands of idle hosts. Guards against polls in step: all
+// answers come in the same moment, and a delay of that moment costs all leases.
+TEST(idle_hosts, polls_spread_over_their_interval)
+{
+    idle_fleet_fixture f(400);
+    auto lasting = f.c.make_job("j", 1);
+    lasting.steps[0].long_running = true;
+    f.c.put_job(lasting);
+    f.c.time.run_for(6s);
+    constexpr int slots = 40;
+    int most = 0;
+    int all = 0;
+    for (int i = 0; i < slots; ++i)
+    {
+        const int polls = f.count_polls(100ms);
+        most = std::max(most, polls);
+        all += polls;
+    }
+    CHECK(all > 0);
+    CHECK(most * slots < 2 * all);
+}
