Moves are bounded by the orders that the machines' service accepts

Cause: each plan ordered at most 12 moves, whatever the service accepts; with thousands of hosts plans of moves are 120 ms apart, so that 100 hosts a second moved where the service takes 590, and a turn of the demand was over before its hosts had come. All moves were chosen at once, and the hosts were closed to tasks until their orders could be sent.

Change: machine_orders_per_second in the settings bounds the orders of a plan by the time since the last one, with 12 as the least. A plan chooses no more empty hosts than it can order.

--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -37,8 +37,10 @@
     /// A pool that lacks this many hosts also gets hosts that other pools retain above their
     /// present need.
     int urgent_shortage = 4;
-    /// Moves ordered in one plan; the platform limits its calls per second.
+    /// Moves ordered in one plan, if orders_per_second allows no more.
     int max_moves_per_plan = 12;
+    /// Orders that the platform accepts per second; 0: not known.
+    double orders_per_second = 0;
     /// A host that another pool lacks is freed of tasks with checkpoints that would occupy it for
     /// longer than this. 0: tasks are never stopped for a move.
     core::millis task_stop_threshold{800};
@@ -103,6 +105,11 @@
     std::map<std::string, busy_machine> busy_machines;
     int refusals_in_row = 0;           ///< orders refused for want of the service's capacity
     core::mono_time orders_not_before; ///< no order is sent before this time
+    core::mono_time orders_planned_at; ///< when orders were planned last
+    int allowed_orders = 0;            ///< bound of the orders of the present plan
+    /// How many more empty hosts may be chosen in the present plan: as many as can be ordered. A
+    /// host that is chosen takes no tasks while it waits for its order.
+    int moves_to_choose = 0;
     std::map<std::string, core::mono_time> surplus_since; ///< by pool
     /// By pool: number of hosts that it does not give away yet.
     std::map<std::string, double> retained;
--- a/libs/coordinator/src/host_division.cpp
+++ b/libs/coordinator/src/host_division.cpp
@@ -95,7 +95,7 @@
     for (auto* to = shortest_pool(all, targets); to != nullptr; to = shortest_pool(all, targets))
     {
         auto* const from = cheapest_donor(all, targets);
-        if (from == nullptr)
+        if (from == nullptr || r.moves_to_choose <= 0)
         {
             return;
         }
--- a/libs/coordinator/src/move_choice.cpp
+++ b/libs/coordinator/src/move_choice.cpp
@@ -18,6 +18,7 @@
     task_events& out)
 {
     const auto& m = *from.free.back().machine;
+    r.moves_to_choose -= from.free.back().cost == move_cost{} ? 1 : 0;
     from.free.pop_back();
     auto* const h = find_runner(f, m.runner);
     auto& move = r.moves[m.id];
@@ -84,7 +85,7 @@
 {
     for (auto& [name, b] : all)
     {
-        while (!b.standby && b.have < b.wanted)
+        while (!b.standby && b.have < b.wanted && r.moves_to_choose > 0)
         {
             auto* const donor = find_donor(r, all, b);
             if (donor == nullptr)
@@ -117,7 +118,8 @@
             continue;
         }
         const auto since = r.surplus_since.try_emplace(name, now).first->second;
-        while (now - since >= r.settings.standby_delay && b.have > b.retained && has_cheap_host(b))
+        const bool has_rested = now - since >= r.settings.standby_delay;
+        while (has_rested && b.have > b.retained && has_cheap_host(b) && r.moves_to_choose > 0)
         {
             choose_host_to_move(f, r, b, standby->first, false, now, out);
         }
--- a/libs/coordinator/src/move_orders.cpp
+++ b/libs/coordinator/src/move_orders.cpp
@@ -78,6 +78,12 @@
             " delay_ms=" + std::to_string(delay.count())});
 }
 
+bool has_empty_host(const fleet& f, const pending_move& move)
+{
+    const auto h = f.hosts.find(move.runner);
+    return h == f.hosts.end() || is_empty(h->second);
+}
+
 } // namespace
 
 void reopen_busy_hosts(fleet& f, const rebalancer& r, core::mono_time now)
@@ -117,6 +123,20 @@
         });
 }
 
+void update_move_bounds(const fleet& f, rebalancer& r, core::mono_time now)
+{
+    constexpr core::millis max_gap{1000}; // the platform counts its calls per second
+    const auto passed = std::min<core::micros>(now - r.orders_planned_at, max_gap);
+    const auto by_rate =
+        r.settings.orders_per_second * std::chrono::duration<double>(passed).count();
+    r.orders_planned_at = now;
+    r.allowed_orders = std::max(r.settings.max_moves_per_plan, static_cast<int>(by_rate));
+    const auto waiting = std::count_if(r.moves.begin(),
+        r.moves.end(),
+        [&](const auto& it) { return !it.second.ordered && has_empty_host(f, it.second); });
+    r.moves_to_choose = r.allowed_orders - static_cast<int>(waiting);
+}
+
 std::vector<move_action> order_moves(const fleet& f, rebalancer& r, core::mono_time now)
 {
     std::vector<move_action> ready;
@@ -128,10 +148,11 @@
     {
         for (auto& [machine, move] : r.moves)
         {
-            const auto h = f.hosts.find(move.runner);
-            const bool empty = h == f.hosts.end() || is_empty(h->second);
-            if (move.is_wanted == wanted && !move.ordered && empty &&
-                static_cast<int>(ready.size()) < r.settings.max_moves_per_plan)
+            if (static_cast<int>(ready.size()) >= r.allowed_orders)
+            {
+                return ready;
+            }
+            if (move.is_wanted == wanted && !move.ordered && has_empty_host(f, move))
             {
                 move.ordered = true;
                 move.ordered_at = now;
--- a/libs/coordinator/src/move_orders.hpp
+++ b/libs/coordinator/src/move_orders.hpp
@@ -14,6 +14,9 @@
 /// for the move; such a machine may be chosen again.
 void abandon_futile_moves(fleet& f, rebalancer& r, const machine_table& list, task_events& out);
 
+/// Sets the bounds of orders and choices for a plan at \p now.
+void update_move_bounds(const fleet& f, rebalancer& r, core::mono_time now);
+
 /// Selects the moves to order now: those of empty hosts, the ones that callers wait for first.
 std::vector<move_action> order_moves(const fleet& f, rebalancer& r, core::mono_time now);
 
--- a/libs/coordinator/src/rebalance.cpp
+++ b/libs/coordinator/src/rebalance.cpp
@@ -156,6 +156,7 @@
         return {};
     }
     reopen_busy_hosts(f, r, now);
+    update_move_bounds(f, r, now);
     auto all = compute_balances(f, r, d, list, pools, held, now);
     record_needs(r, all);
     release_retained_hosts(r, all, now);
--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -189,6 +189,8 @@
     std::vector<conditional_policy> conditional_policies;
     std::string operators_token; ///< token that operators' clients must send
     double processor_share = 1;  ///< number of cores that this node may use
+    /// Orders per second that the service of the machines accepts; 0: not known.
+    double machine_orders_per_second = 0;
     ports::log_level log_level = ports::log_level::info;
 };
 
