An answer for a host that has ended leads to polls of its runner only

Cause: when a poll of a host that is no longer known was answered, all hosts were looked at in order to find a later incarnation of its runner. Each host that moves has an open poll; with thousands of moves after a change of the coordinator, moves times hosts filled the processor, answers were read 2 s late, and the order window stayed at its minimum: 35 starts a second with 8,500 tasks waiting.

Change: only the incarnations of that runner are looked at.

--- a/libs/hosted/src/runner_controller.hpp
+++ b/libs/hosted/src/runner_controller.hpp
@@ -40,6 +40,8 @@
     void stop_orphaned_runs();
 
 private:
+    void begin_polling(const std::string& id, const coordinator::host_entry& h);
+    void poll_other_incarnations(const std::string& host);
     void poll(const std::string& host);
     /// \return the delay after a poll that reported ends.
     core::millis poll_delay() const;
--- a/libs/hosted/src/runner_controller_polls.cpp
+++ b/libs/hosted/src/runner_controller_polls.cpp
@@ -4,6 +4,7 @@
 #include "coordinator/answers.hpp"
 #include "coordinator/intake.hpp"
 #include "core/rendezvous.hpp"
+#include "ports/incarnation.hpp"
 #include "repeated_order.hpp"
 #include "runner_controller.hpp"
 
@@ -78,12 +79,33 @@
     }
     for (const auto& [id, h] : term_.fleet.hosts)
     {
-        if (!polling_.contains(id) && needs_polls(h))
-        {
-            polling_.insert(id);
-            in_step_.insert(id);
-            poll(id);
-        }
+        begin_polling(id, h);
+    }
+}
+
+void runner_controller::begin_polling(const std::string& id, const coordinator::host_entry& h)
+{
+    if (!polling_.contains(id) && needs_polls(h))
+    {
+        polling_.insert(id);
+        in_step_.insert(id);
+        poll(id);
+    }
+}
+
+void runner_controller::poll_other_incarnations(const std::string& host)
+{
+    const std::string runner{ports::runner_of(host)};
+    const auto& hosts = term_.fleet.hosts;
+    if (const auto it = hosts.find(runner); it != hosts.end())
+    {
+        begin_polling(it->first, it->second);
+    }
+    for (auto it = hosts.lower_bound(runner + '/');
+         it != hosts.end() && ports::is_same_runner(it->first, runner);
+         ++it)
+    {
+        begin_polling(it->first, it->second);
     }
 }
 
@@ -264,7 +286,7 @@
     if (!term_.fleet.hosts.contains(host))
     {
         polling_.erase(host);
-        poll_all(); // a later incarnation of the runner may have answered
+        poll_other_incarnations(host); // a later one may have answered
         return;
     }
     if (a.call.verdict != runner_verdict::done)
