--- a/libs/coordinator/include/coordinator/rebalance.hpp
+++ b/libs/coordinator/include/coordinator/rebalance.hpp
@@ -107,9 +107,12 @@
     core::mono_time orders_not_before; ///< no order is sent before this time
     core::mono_time orders_planned_at; ///< when orders were planned last
     int allowed_orders = 0;            ///< bound of the orders of the present plan
-    /// How many more empty hosts may be chosen in the present plan: as many as can be ordered. A
-    /// host that is chosen takes no tasks while it waits for its order.
+    /// How many more empty hosts may be chosen in the present plan for pools that lack hosts: as
+    /// many as can be ordered. A host that is chosen takes no tasks while it waits for its order.
     int moves_to_choose = 0;
+    /// Other moves that wait for their orders. They come after the ones above, and leave as many
+    /// fewer to choose for the standby pool.
+    int other_moves_waiting = 0;
     std::map<std::string, core::mono_time> surplus_since; ///< by pool
     /// By pool: number of hosts that it does not give away yet.
     std::map<std::string, double> retained;
--- a/libs/coordinator/src/move_choice.cpp
+++ b/libs/coordinator/src/move_choice.cpp
@@ -119,7 +119,8 @@
         }
         const auto since = r.surplus_since.try_emplace(name, now).first->second;
         const bool has_rested = now - since >= r.settings.standby_delay;
-        while (has_rested && b.have > b.retained && has_cheap_host(b) && r.moves_to_choose > 0)
+        while (has_rested && b.have > b.retained && has_cheap_host(b) &&
+               r.moves_to_choose > r.other_moves_waiting)
         {
             choose_host_to_move(f, r, b, standby->first, false, now, out);
         }
--- a/libs/coordinator/src/move_orders.cpp
+++ b/libs/coordinator/src/move_orders.cpp
@@ -131,10 +131,16 @@
         r.settings.orders_per_second * std::chrono::duration<double>(passed).count();
     r.orders_planned_at = now;
     r.allowed_orders = std::max(r.settings.max_moves_per_plan, static_cast<int>(by_rate));
-    const auto waiting = std::count_if(r.moves.begin(),
-        r.moves.end(),
-        [&](const auto& it) { return !it.second.ordered && has_empty_host(f, it.second); });
-    r.moves_to_choose = r.allowed_orders - static_cast<int>(waiting);
+    r.moves_to_choose = r.allowed_orders;
+    r.other_moves_waiting = 0;
+    for (const auto& [machine, move] : r.moves)
+    {
+        if (!move.ordered && has_empty_host(f, move))
+        {
+            r.moves_to_choose -= move.is_wanted ? 1 : 0;
+            r.other_moves_waiting += move.is_wanted ? 0 : 1;
+        }
+    }
 }
 
 std::vector<move_action> order_moves(const fleet& f, rebalancer& r, core::mono_time now)
--- a/libs/coordinator/tests/scarce_moves_tests.cpp
+++ b/libs/coordinator/tests/scarce_moves_tests.cpp
@@ -196,8 +196,8 @@
         t.r.settings.orders_per_second = per_second;
         t.add_machines("off", 1000);
         t.next();
-        t.add_work("q", 1000);
         t.w.now += after;
+        t.add_work("q", 1000);
         LONGS_EQUAL(expected, t.next().size());
     }
 }
