A runner has ended once its machine is shown in another pool

Cause: a coordinator that the store turns away moves hosts without storing that their runners have ended.

Change: a machine that the list shows in another pool than its runner's ends that runner, as one that is still moving does.

Test: waves.a_runner_whose_machine_has_moved_has_ended.

--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -50,7 +50,8 @@
 enum class termination_evidence
 {
     other_life,    ///< the machine list names another incarnation on its machine
-    no_life,       ///< the machine list shows its machine as moving or in maintenance
+    no_life,       ///< the machine list shows its machine as moving, in maintenance or in another
+                   ///< pool
     moved,         ///< the order of this coordinator to move its machine was carried out
     address_taken, ///< another runner answers at its address, and all of its own leases have
                    ///< expired
--- a/libs/coordinator/src/machine_list_evidence.cpp
+++ b/libs/coordinator/src/machine_list_evidence.cpp
@@ -70,6 +70,15 @@
     }
 }
 
+/// A machine that moves or is in maintenance runs nothing, and its next runner is another
+/// incarnation. The same holds for one that has moved, which has no runner if its pool is off.
+bool has_no_life(const ports::machine_entry& m, const host_entry& h)
+{
+    const bool has_moved = !h.pool.empty() && !m.pool.empty() && m.pool != h.pool;
+    return has_moved || m.state == ports::machine_state::moving ||
+           m.state == ports::machine_state::in_maintenance;
+}
+
 } // namespace
 
 const ports::machine_entry* find_machine(const machine_table& list, const std::string& id)
@@ -101,10 +110,7 @@
             h.machine.empty() || !is_newer ? nullptr : find_machine(list, h.machine);
         const bool other_life =
             m != nullptr && !m->runner.empty() && !ports::is_same_runner(m->runner, id);
-        // A machine that moves or is in maintenance runs nothing; its next runner is another
-        // incarnation.
-        const bool no_life = m != nullptr && (m->state == ports::machine_state::moving ||
-                                                 m->state == ports::machine_state::in_maintenance);
+        const bool no_life = m != nullptr && has_no_life(*m, h);
         if (other_life || no_life)
         {
             over.emplace_back(
--- a/libs/coordinator/tests/waves_tests.cpp
+++ b/libs/coordinator/tests/waves_tests.cpp
@@ -446,3 +446,23 @@
         LONGS_EQUAL_TEXT(it.stops, w.plan_next().stops.size(), it.what);
     }
 }
+
+// Failure: a coordinator moves hosts to the standby pool and is replaced before it has stored that
+// their runners have ended. Guards against a successor that waits for the leases of these runners:
+// inherited jobs of their pool would stand still for seconds.
+TEST(waves, a_runner_whose_machine_has_moved_has_ended)
+{
+    for (const auto* const pool : {"p", "off"})
+    {
+        prepare(1, 1);
+        auto& h = w.f.hosts.at("h1");
+        h.machine = "m1";
+        h.machine_known_at = w.now;
+        h.inherited = true;
+        w.now += 1s;
+        list.requested_at = w.now;
+        list.machines["m1"] = {"m1", pool, "z", "", ports::machine_state::up};
+        apply_machine_list(w.f, list, {}, w.now, w.events);
+        CHECK_EQUAL(std::string{pool} == "p", w.f.hosts.contains("h1"));
+    }
+}
