--- a/libs/coordinator/tests/scarce_moves_tests.cpp
+++ b/libs/coordinator/tests/scarce_moves_tests.cpp
@@ -190,14 +190,14 @@
              std::tuple{64.0, 40ms, 12},
              std::tuple{600.0, 100ms, 60},
              std::tuple{600.0, 120ms, 72},
-             std::tuple{600.0, 5000ms, 600}})
+             std::tuple{600.0, 1500ms, 600}})
     {
         scarce_fixture t;
         t.r.settings.orders_per_second = per_second;
+        t.add_machines("p", 1);
         t.add_machines("off", 1000);
-        t.next();
-        t.w.now += after;
         t.add_work("q", 1000);
+        t.r.orders_planned_at = t.w.now - after;
         LONGS_EQUAL(expected, t.next().size());
     }
 }
