A low limit of descriptors no longer disables epoll

Cause: the loop asked ACE for 16,384 descriptors; where the process's limit is lower, ACE opens no epoll reactor, and the loop fell back to select(2), which serves 1,024 descriptors and scans all of them (515 of 587 nodes of the whole fleet; ACE writes that its reactor could not be opened).

Change: the request is bounded by the limit. The event started names the reactor.

Test: event_loop.a_low_limit_of_descriptors_does_not_disable_epoll.

--- a/libs/reactor/include/reactor/event_loop.hpp
+++ b/libs/reactor/include/reactor/event_loop.hpp
@@ -75,6 +75,10 @@
     /// received.
     void on_signals(const std::vector<int>& numbers, std::function<void(int number)> callback);
 
+    /// \return whether the loop uses epoll; otherwise it uses select(2), which serves no descriptor
+    /// from 1024 on.
+    bool uses_epoll() const;
+
 private:
     friend class event_loop_builder;
     explicit event_loop(std::unique_ptr<loop_state> state);
@@ -86,7 +90,8 @@
 class event_loop_builder
 {
 public:
-    /// \param n maximum number of descriptors that ACE watches at the same time
+    /// \param n maximum number of descriptors that ACE watches at the same time; bounded by the
+    /// process's own limit
     event_loop_builder& max_descriptors(std::size_t n);
     /// Uses the reactor that is based on select(2) even when epoll is available.
     event_loop_builder& use_select(bool on);
--- a/libs/reactor/src/event_loop.cpp
+++ b/libs/reactor/src/event_loop.cpp
@@ -9,8 +9,10 @@
 #include <ace/Timer_Heap_T.h>
 #include <ace/Timer_Queue_Adapters.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <sys/resource.h>
 
 namespace camphorhitch::reactor
 {
@@ -65,6 +67,15 @@
     }
 };
 
+/// \return \p n, or the process's limit of descriptors if that is lower: ACE opens no reactor for
+/// more of them.
+std::size_t within_process_limit(std::size_t n)
+{
+    rlimit limit{};
+    const bool known = getrlimit(RLIMIT_NOFILE, &limit) == 0;
+    return known ? std::min<std::size_t>(n, limit.rlim_max) : n;
+}
+
 std::unique_ptr<ACE_Reactor_Impl> open_epoll(std::size_t max_descriptors, ACE_Timer_Queue* timers)
 {
     auto impl = std::make_unique<ACE_Dev_Poll_Reactor>(max_descriptors, true, nullptr, timers);
@@ -199,6 +210,11 @@
         });
 }
 
+bool event_loop::uses_epoll() const
+{
+    return state_->uses_epoll;
+}
+
 event_loop_builder& event_loop_builder::max_descriptors(std::size_t n)
 {
     max_descriptors_ = n;
@@ -219,14 +235,17 @@
     std::unique_ptr<ACE_Reactor_Impl> impl;
     if (!use_select_)
     {
-        impl = open_epoll(max_descriptors_, timers.get());
+        impl = open_epoll(within_process_limit(max_descriptors_), timers.get());
     }
+    const bool uses_epoll = impl != nullptr;
     if (!impl)
     {
         impl = open_select(timers.get());
     }
     core::require(impl != nullptr, "a reactor can be opened");
-    return event_loop(std::make_unique<loop_state>(std::move(timers), std::move(impl)));
+    auto state = std::make_unique<loop_state>(std::move(timers), std::move(impl));
+    state->uses_epoll = uses_epoll;
+    return event_loop(std::move(state));
 }
 
 } // namespace camphorhitch::reactor
--- a/libs/reactor/src/loop_state.hpp
+++ b/libs/reactor/src/loop_state.hpp
@@ -158,6 +158,7 @@
     descriptor_queue behind_descriptors;
     signal_handler signals;
     std::atomic<bool> stopping{false};
+    bool uses_epoll = false;
 };
 
 } // namespace camphorhitch::reactor
--- a/libs/reactor/tests/event_loop_tests.cpp
+++ b/libs/reactor/tests/event_loop_tests.cpp
@@ -1,9 +1,11 @@
 #include "reactor/event_loop.hpp"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <functional>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <tuple>
@@ -295,3 +297,15 @@
         }
     }
 }
+
+// Guards against a process whose limit of descriptors is low falling back to select(2).
+TEST(event_loop, a_low_limit_of_descriptors_does_not_disable_epoll)
+{
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    constexpr rlim_t many = 1 << 20;
+    const auto n = static_cast<std::size_t>(std::min(limit.rlim_max, many)) + 1;
+    const auto loop = reactor::event_loop::builder().max_descriptors(n).build();
+    CHECK(loop.uses_epoll());
+    CHECK(!reactor::event_loop::builder().use_select(true).build().uses_epoll());
+}
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -434,7 +434,8 @@
         "started",
         {{"callers", p.settings.listen.callers},
             {"zone", p.settings.zone},
-            {"store", p.settings.services.store}});
+            {"store", p.settings.services.store},
+            {"reactor", p.loop.uses_epoll() ? "epoll" : "select"}});
     p.loop.on_signals({SIGTERM, SIGINT, SIGHUP},
         [&p](int number)
         {
