A coordinator with a slow link reads the jobs in small parts

Cause: progress and jobs are read in pages of up to 1 MB.

Change: link_mbps in the settings. Where a page would take longer than a renewal may wait, progress and jobs are read by the first digit of their ids; a coordinator that advances that way does not hand over.

Test: unread_jobs.renewals_pass_between_small_parts_on_a_slow_link, which fails with link_mbps 0.

--- a/libs/hosted/include/hosted/fleet_driver.hpp
+++ b/libs/hosted/include/hosted/fleet_driver.hpp
@@ -74,6 +74,7 @@
     core::millis idle_pending_record_interval{5000};
     core::millis cleanup_interval{5000}; ///< removals of job states that can no longer be queried
     double processor_share = 0;          ///< of a core that this node may use; 0: not known
+    double link_mbps = 0;                ///< speed of this node's link in Mbit/s; 0: not known
     /// Time after a job's end for which its state can be queried and a repeated submission of it is
     /// answered from that state.
     core::millis finished_job_retention{150000};
--- a/libs/hosted/include/hosted/prefix_follower.hpp
+++ b/libs/hosted/include/hosted/prefix_follower.hpp
@@ -16,6 +16,9 @@
 struct follower_settings
 {
     std::string prefix; ///< prefix of the keys
+    /// Longer prefixes, in the order of the keys, that cover all keys: they are read one after the
+    /// other, in smaller pages. Empty: all keys are read under `prefix`.
+    std::vector<std::string> parts;
     /// Maximum time for which the store may hold back the answer to one watch. It also bounds how
     /// long a dead connection goes unnoticed.
     core::millis max_wait{1500};
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -48,6 +48,7 @@
     std::optional<std::map<std::string, int>> last_stored_pending;
     core::mono_time pending_stored_at; ///< when these counts were made
     std::map<std::string, coordinator::forecast_error_counts> reported_forecast_errors;
+    int pages_at_last_check = 0; ///< pages of jobs that were read at the last check of progress
     core::mono_time hosts_planned_at; ///< when waves, moves and throttling were last planned
 
     void schedule_plan();
@@ -187,6 +188,15 @@
         return;
     }
     auto& t = *active_term;
+    const bool advances =
+        jobs->pages_read() > std::exchange(pages_at_last_check, jobs->pages_read());
+    if (reads_in_parts(t.settings.link_mbps) && advances && runner_record_loaded)
+    {
+        // A successor with the same link would begin anew.
+        t.ctx.time.after(max_job_read_time(0),
+            t.guarded([this, term_started] { hand_over_if_unread(term_started); }));
+        return;
+    }
     const auto unread = std::chrono::duration_cast<core::millis>(t.now() - term_started);
     t.ctx.tel.log(ports::log_level::warning,
         "leadership_handed_over",
--- a/libs/hosted/src/job_reader.cpp
+++ b/libs/hosted/src/job_reader.cpp
@@ -6,12 +6,42 @@
 #include "workflow/records.hpp"
 
 #include <algorithm>
+#include <string_view>
 
 namespace camphorhitch::hosted
 {
 
+namespace
+{
+
+/// \return prefixes that divide the keys of jobs by the first digit of the id; the handover record
+/// sorts after them.
+std::vector<std::string> parts_by_first_digit(const std::string& prefix)
+{
+    std::vector<std::string> out;
+    for (const char it : std::string_view{"0123456789ABCDEFabcdef~"})
+    {
+        out.push_back(prefix + it);
+    }
+    return out;
+}
+
+} // namespace
+
+/// On a slow link a page of the store (1 MB) takes longer than a renewal of the lease may wait.
+bool reads_in_parts(double link_mbps)
+{
+    constexpr double page_mbit = 8;
+    constexpr double max_page_seconds = 0.35;
+    return link_mbps > 0 && page_mbit / link_mbps > max_page_seconds;
+}
+
 job_reader::job_reader(term& t) : term_(t), term_started_at_(t.now())
 {
+    if (reads_in_parts(t.settings.link_mbps))
+    {
+        state_parts_ = parts_by_first_digit(state_prefix);
+    }
 }
 
 void job_reader::start(std::function<void()> done)
@@ -38,7 +68,7 @@
 
 void job_reader::read_states()
 {
-    term_.ctx.store.range(state_prefix,
+    term_.ctx.store.range(state_parts_.empty() ? state_prefix : state_parts_[state_part_],
         last_state_key_,
         term_.guarded([this](ports::page_read page) { apply_states(std::move(page)); }));
 }
@@ -64,7 +94,8 @@
         const auto id = it.key.substr(state_prefix.size());
         states_[id] = std::move(it);
     }
-    if (more)
+    state_part_ += more ? 0 : 1;
+    if (more || state_part_ < state_parts_.size())
     {
         read_states();
         return;
@@ -76,6 +107,10 @@
 {
     follower_settings s;
     s.prefix = job_prefix;
+    if (!state_parts_.empty())
+    {
+        s.parts = parts_by_first_digit(job_prefix);
+    }
     s.watch_delay = term_.settings.job_watch_interval;
     s.max_wait = term_.settings.job_watch_max_wait;
     follower_events events;
--- a/libs/hosted/src/job_reader.hpp
+++ b/libs/hosted/src/job_reader.hpp
@@ -12,6 +12,10 @@
 namespace camphorhitch::hosted
 {
 
+/// \param link_mbps speed of this node's link in Mbit/s; 0: not known
+/// \return whether jobs are read in small parts, so that renewals of the lease pass in between.
+bool reads_in_parts(double link_mbps);
+
 class job_reader
 {
 public:
@@ -51,6 +55,9 @@
     std::map<std::string, ports::stored_item> states_;
     std::string last_state_key_; ///< last key of the pages of progress read so far
     int state_pages_ = 0;
+    /// Prefixes under which progress is read one after the other; empty: under state_prefix.
+    std::vector<std::string> state_parts_;
+    std::size_t state_part_ = 0; ///< index of the one that is read at present
     /// Ids of jobs whose progress can't be read. They are left out in each later read of all jobs
     /// too, which comes without their states.
     std::set<std::string> unreadable_progress_;
--- a/libs/hosted/src/prefix_follower.cpp
+++ b/libs/hosted/src/prefix_follower.cpp
@@ -17,6 +17,8 @@
     ports::revision through_revision = 0;
     std::vector<ports::stored_item> pages;
     int pages_read = 0;
+    std::size_t part = 0; ///< index of the part that is read at present
+    std::string last_key; ///< of the pages of that part
     ports::timer_id timer = 0;
     bool store_reachable = true;
 
@@ -61,15 +63,16 @@
 {
     pages.clear();
     pages_read = 0;
+    part = 0;
+    last_key.clear();
     revision = 0;
     read_page();
 }
 
 void follower_state::read_page()
 {
-    const auto after = pages.empty() ? std::string{} : pages.back().key;
-    ctx.store.range(settings.prefix,
-        after,
+    ctx.store.range(settings.parts.empty() ? settings.prefix : settings.parts[part],
+        last_key,
         [weak = weak_from_this()](ports::page_read page)
         {
             if (const auto self = weak.lock())
@@ -100,8 +103,11 @@
         revision = page.store_revision;
     }
     ++pages_read;
+    const bool more = page.more && !page.items.empty();
+    last_key = more ? page.items.back().key : std::string{};
     std::move(page.items.begin(), page.items.end(), std::back_inserter(pages));
-    if (page.more && !pages.empty())
+    part += more ? 0 : 1;
+    if (more || part < settings.parts.size())
     {
         read_page();
         return;
--- a/libs/hosted/tests/unread_jobs_tests.cpp
+++ b/libs/hosted/tests/unread_jobs_tests.cpp
@@ -1,6 +1,7 @@
 #include "hosted_fakes/cluster.hpp"
 #include "log_lines.hpp"
 
+#include <algorithm>
 #include <iterator>
 #include <map>
 
@@ -288,3 +289,80 @@
     LONGS_EQUAL(7, c.hosts.starts);
     STRCMP_EQUAL("", c.breaches().c_str());
 }
+
+namespace
+{
+
+/// A link that carries one answer after the other.
+struct slow_link
+{
+    double bytes_per_second = 250'000;
+    core::mono_time free_at;
+
+    /// Calls \p deliver once the link has carried the answer.
+    void carry(const hosted::context& n, std::size_t bytes, std::function<void()> deliver)
+    {
+        const auto now = n.time.now();
+        const std::chrono::duration<double> time{static_cast<double>(bytes) / bytes_per_second};
+        free_at = std::max(free_at, now) + std::chrono::ceil<core::micros>(time);
+        n.time.after(std::chrono::ceil<core::millis>(free_at - now), std::move(deliver));
+    }
+};
+
+} // namespace
+
+// Pattern: a coordinator with a link of 2 Mbit/s takes over jobs of more than a megabyte. Guards
+// against pages that hold up the renewals of its lease for longer than the lease lasts: no
+// coordinator would ever read the jobs.
+TEST(unread_jobs, renewals_pass_between_small_parts_on_a_slow_link)
+{
+    constexpr int jobs = 400;
+    constexpr std::size_t job_bytes = 5000;
+    const auto id_of = [](int i)
+    {
+        return std::to_string(i % 10) + "a" + std::to_string(i);
+    };
+    c.settings.link_mbps = 2;
+    c.add_node();
+    CHECK(c.has_leader());
+    auto link = std::make_shared<slow_link>();
+    for (int i = 0; i < jobs; ++i)
+    {
+        c.put_job(c.make_job(id_of(i), 1));
+    }
+    c.time.run_for(500ms);
+    c.customize_node = [&](node& n)
+    {
+        n.ctx.store.range = [&n, link, real = n.ctx.store.range](
+                                const auto& prefix, const auto& after, const page_answer& done)
+        {
+            real(prefix,
+                after,
+                [&n, link, done](const ports::page_read& page) {
+                    link->carry(n.ctx, page.items.size() * job_bytes, [done, page] { done(page); });
+                });
+        };
+        n.ctx.store.keep_alive = [&n, link, real = n.ctx.store.keep_alive](
+                                     ports::lease_id id, const auto& done)
+        {
+            real(id,
+                [&n, link, done](const ports::kv_lease& it)
+                { link->carry(n.ctx, 200, [done, it] { done(it); }); });
+        };
+    };
+    end_all();
+    c.hosts.add("p");
+    c.add_node();
+    const auto all_done = [&]
+    {
+        int n = 0;
+        for (int i = 0; i < jobs; ++i)
+        {
+            n += c.state_of(id_of(i)) == job_state::completed ? 1 : 0;
+        }
+        return n == jobs;
+    };
+    CHECK(c.time.run_until(all_done, 60s));
+    LONGS_EQUAL(0, lines("leadership_lost"));
+    STRCMP_EQUAL("", c.breaches().c_str());
+}
--- a/libs/settings/src/hosted_read.cpp
+++ b/libs/settings/src/hosted_read.cpp
@@ -22,6 +22,7 @@
 constexpr checked_json::real_range share_range{0.001, 1024};
 constexpr checked_json::int_range hosts_range{0, 10000};
 constexpr checked_json::real_range release_rate_range{0.01, 10000};
+constexpr checked_json::real_range link_range{0, 1e6};
 constexpr checked_json::real_range order_rate_range{0, 100000};
 constexpr checked_json::real_range fraction_range{0, 1};
 constexpr checked_json::real_range factor_range{1, 10};
@@ -116,6 +117,7 @@
         .optional("conditional_policies", r.conditional_policies)
         .defaulted("operators_token", r.operators_token)
         .defaulted("processor_share", r.processor_share, share_range)
+        .defaulted("link_mbps", r.link_mbps, link_range)
         .defaulted("machine_orders_per_second", r.machine_orders_per_second, order_rate_range)
         .defaulted("log_level", r.log_level, ports::log_level_names);
 }
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -213,6 +213,7 @@
     drive.processor_share = settings.processor_share;
     drive.rules.max_stop_time = settings.timing.max_stop_time;
     apply_policy(settings::effective_policy(settings), drive);
+    drive.link_mbps = settings.link_mbps;
     drive.rebalance.orders_per_second = settings.machine_orders_per_second;
     drive.finished_job_retention = settings.timing.keep_finished;
     driver = std::make_unique<hosted::fleet_driver>(ctx, formats, drive, *leadership);
