--- a/libs/hosted/src/runner_controller_polls.cpp
+++ b/libs/hosted/src/runner_controller_polls.cpp
@@ -155,7 +155,7 @@
     }
     order.wait =
         at_once ? core::millis{0} : scaled_poll_wait(term_.settings, term_.fleet.hosts.size());
-    if (in_step_.contains(host) && h.runs.empty())
+    if (delays_idle_polls() && in_step_.contains(host) && h.runs.empty())
     {
         order.wait = part_for(host, order.wait);
     }
--- a/libs/hosted/tests/idle_hosts_tests.cpp
+++ b/libs/hosted/tests/idle_hosts_tests.cpp
@@ -153,3 +153,13 @@
     CHECK(all > 0);
     CHECK(most * slots < 2 * all);
 }
+
+// Guards against hosts of a small fleet, or of one that has shrunk, that are polled after a part of
+// the usual wait for ever.
+TEST(idle_hosts, in_a_small_fleet_a_poll_waits_as_long_as_it_may)
+{
+    constexpr int hosts = 50;
+    idle_fleet_fixture f(hosts, false);
+    const auto interval = f.c.settings.poll_wait;
+    CHECK(f.count_polls(10 * interval) <= 11 * hosts);
+}
