A call without an answer counts once a call sent while it was open is answered

Cause: the answer to another call was required by the time at which the unanswered one was given up.

Change: the latest unanswered call is kept, and counts as soon as an answered call is known that was sent while it was open.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -201,6 +201,14 @@
 /// From this host_entry::contact_score on, a missing answer is attributed to the runner.
 inline constexpr int min_contact_score = 2;
 
+/// A poll or renewal that has no answer, and may yet count for host_entry::contact_score.
+struct unanswered_call_entry
+{
+    core::mono_time sent_at;
+    core::mono_time given_up_at;
+    int score = 0; ///< what it adds; 0: there is no such call
+};
+
 /// One runner, as the coordinator sees it.
 struct host_entry
 {
@@ -225,10 +233,11 @@
     bool inherited = false;
     /// How certain it is that the runner was asked in this term. A call that was answered adds 2.
     /// One without an answer adds 2 as well, or 1 if it was not sent, since the fault may be in
-    /// this process or in a relay; but only if a call to another runner that was sent no earlier
-    /// has been answered by then. Compared with min_contact_score.
+    /// this process or in a relay; but only once a call to another runner that was sent while it
+    /// was open has been answered. Compared with min_contact_score.
     int contact_score = 0;
-    bool reachable = false;             ///< the latest poll or renewal was answered
+    unanswered_call_entry unanswered_call; ///< the latest one that is not counted yet
+    bool reachable = false;                ///< the latest poll or renewal was answered
     bool address_lost = false;          ///< the latest answer from its address was another runner's
     core::mono_time unresponsive_since; ///< when reachable became false
     core::mono_time added_at;
@@ -416,8 +425,8 @@
     std::unordered_map<std::string, std::unique_ptr<job_entry>> jobs; ///< by job id
     std::unordered_set<std::string> open_jobs; ///< ids of jobs that are not final or have live runs
     std::map<std::string, host_entry> hosts;   ///< by runner id
-    /// Of the polls and renewals of this term that were answered, when the newest one was sent.
-    core::mono_time newest_answered_call_sent_at;
+    /// When polls and renewals that were answered in this term were sent, for the newest seconds.
+    std::set<core::mono_time> answered_calls_sent_at;
     workspace_table workspaces;
     share_table shares;
     coordinator::run_time_estimates run_time_estimates; ///< from runs of this term
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -274,21 +274,42 @@
     h.reachable = false;
 }
 
-/// A missing answer is evidence only if another runner has answered a call that was sent since: on
-/// a node whose link is full, all answers are missing or late, also those of runners that have
-/// ended tasks in time.
+/// Answered calls are remembered by the time at which they were sent, in steps of this size.
+constexpr core::millis answered_call_step{10};
+/// Longer than a call and the wait of a poll take together.
+constexpr core::millis answered_call_memory{10000};
+
+core::mono_time round_down(core::mono_time at)
+{
+    return core::mono_time{at.time_since_epoch() / answered_call_step * answered_call_step};
+}
+
+void record_answered_call(fleet& f, core::mono_time sent_at)
+{
+    auto& all = f.answered_calls_sent_at;
+    all.insert(round_down(sent_at));
+    while (*all.begin() + answered_call_memory < *all.rbegin())
+    {
+        all.erase(all.begin());
+    }
+}
+
+/// A missing answer is evidence only if another runner has answered a call that was sent while this
+/// one was open: on a node whose link is full, all answers are missing or late, also those of
+/// runners that have ended tasks in time.
 void record_contact_evidence(
-    fleet& f, host_entry& h, runner_verdict verdict, core::mono_time sent_at)
+    fleet& f, host_entry& h, runner_verdict verdict, core::mono_time sent_at, core::mono_time now)
 {
+    count_unanswered_call(f, h);
     if (verdict != runner_verdict::unknown && verdict != runner_verdict::not_sent)
     {
-        f.newest_answered_call_sent_at = std::max(f.newest_answered_call_sent_at, sent_at);
+        record_answered_call(f, sent_at);
         h.contact_score += min_contact_score;
+        return;
     }
-    else if (f.newest_answered_call_sent_at >= sent_at)
-    {
-        h.contact_score += verdict == runner_verdict::not_sent ? 1 : min_contact_score;
-    }
+    h.unanswered_call = {
+        round_down(sent_at), now, verdict == runner_verdict::not_sent ? 1 : min_contact_score};
+    count_unanswered_call(f, h);
 }
 
 /// Applies an answer, or its absence, to the host itself.
@@ -301,7 +322,7 @@
     core::mono_time now,
     task_events& out)
 {
-    record_contact_evidence(f, h, answer.verdict, sent_at);
+    record_contact_evidence(f, h, answer.verdict, sent_at, now);
     if (answer.verdict == runner_verdict::fenced)
     {
         return false;
@@ -378,6 +399,18 @@
 
 } // namespace
 
+void count_unanswered_call(const fleet& f, host_entry& h)
+{
+    auto& call = h.unanswered_call;
+    const auto answered = f.answered_calls_sent_at.lower_bound(call.sent_at);
+    if (call.score > 0 && answered != f.answered_calls_sent_at.end() &&
+        *answered <= call.given_up_at)
+    {
+        h.contact_score += call.score;
+        call = {};
+    }
+}
+
 bool handle_renewal_answer(fleet& f,
     const std::string& host,
     const ports::runner_answer& answer,
--- a/libs/coordinator/src/bookkeeping.hpp
+++ b/libs/coordinator/src/bookkeeping.hpp
@@ -36,6 +36,10 @@
 /// taken away.
 int long_running_tasks(const fleet& f, const host_entry& h);
 
+/// Adds the host's unanswered call to its contact_score if another runner has answered a call that
+/// was sent while it was open.
+void count_unanswered_call(const fleet& f, host_entry& h);
+
 /// \return whether the runner may be ended without loss. An inherited host that was not polled in
 /// this term may still run tasks that a previous coordinator started. An end that is not stored yet
 /// is known to this process only: if both the runner and this process ended, its task would run a
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -434,6 +434,7 @@
         // A missing answer is evidence only for a runner that was asked. A coordinator that is late
         // itself, with thousands of jobs to read, would otherwise treat runners as expired whose
         // answers it has not read yet, and start tasks a second time that have ended there in time.
+        count_unanswered_call(f, h);
         const bool not_asked = h.inherited && h.contact_score < min_contact_score;
         if (h.reachable || not_asked || !leases_expired(f, h, now))
         {
--- a/libs/hosted/src/runner_controller.hpp
+++ b/libs/hosted/src/runner_controller.hpp
@@ -80,8 +80,8 @@
     std::uint64_t last_order_ = 0;
     std::set<std::string> polled_again_; ///< hosts whose lack of an answer may be own delay
     std::map<std::string, core::mono_time> polls_in_flight_; ///< by host: when the poll was sent
-    std::set<std::string> polling_;         ///< hosts with a poll in flight or a timer for the next
-    std::set<std::string> delayed_idle_;    ///< of polling_: idle hosts that wait for the timer
+    std::set<std::string> polling_;      ///< hosts with a poll in flight or a timer for the next
+    std::set<std::string> delayed_idle_; ///< of polling_: idle hosts that wait for the timer
     /// Of polling_: hosts whose polling began with that of many others. Their next poll waits, and
     /// is followed, by a part of the usual times, so that the polls of idle hosts spread out.
     std::set<std::string> in_step_;
