--- a/libs/settings/include/settings/hosted_settings.hpp
+++ b/libs/settings/include/settings/hosted_settings.hpp
@@ -189,7 +189,7 @@
     std::vector<conditional_policy> conditional_policies;
     std::string operators_token; ///< token that operators' clients must send
     double processor_share = 1;  ///< number of cores that this node may use
-    double link_mbps = 0; ///< speed of this node's link in Mbit/s; 0: not known
+    double link_mbps = 0;        ///< speed of this node's link in Mbit/s; 0: not known
     /// Orders per second that the service of the machines accepts; 0: not known.
     double machine_orders_per_second = 0;
     ports::log_level log_level = ports::log_level::info;
