--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -1,6 +1,7 @@
 """A small deployment on loopback: the platform's stand-ins and nodes started as in deploy/system.toml."""
 
 import asyncio
+import base64
 import json
 import os
 import signal
@@ -147,10 +148,11 @@
         self.record("answered", node=node.name, method=method, path=path, status=status, body=value)
         return status, value
 
-    def coordinator(self):
-        """Returns the node that leads, by the key of the leader."""
+    def leader(self):
+        """Returns the node that leads, by the key that it holds in the store, or None."""
         item = self.store.items.get("coord/leader")
-        return None if item is None else item["value"]
+        name = "" if item is None else base64.b64decode(item["value"]).decode()
+        return next((it for it in self.nodes if it.name == name), None)
 
     def end(self):
         for node in self.nodes:
