Coordinator: job_failed and run_adopted log the task's losses by kind

job_failed told how many runners a task had crashed, but not which losses were certain, which were only a reservation, nor whether the task had a run at that moment; run_adopted told nothing. With these the log tells apart a job that fails with its last loss, one that fails by evidence that arrives later, and one that fails by a reservation that a later coordinator counts as an unseen loss. No change of logic.

--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -120,7 +120,12 @@
     add_run(f, j, name, run);
     apply_later_run(t, it.run);
     adopt_isolated_run(t, it.run);
-    record_event(out, wanted ? "run_adopted" : "run_unwanted", name, it.run, h.ref.id, "");
+    record_event(out,
+        wanted ? "run_adopted" : "run_unwanted",
+        name,
+        it.run,
+        h.ref.id,
+        t.progress.lost_runs.empty() ? "" : summarize_losses(t));
 }
 
 void apply_reported_run(fleet& f,
--- a/libs/coordinator/src/lost_runs.cpp
+++ b/libs/coordinator/src/lost_runs.cpp
@@ -125,6 +125,11 @@
                        : std::string{it.confirmed ? " possible" : " unconfirmed"});
 }
 
+std::int64_t newest_run(const task_entry& t)
+{
+    return t.runs.empty() ? 0 : t.runs.back().number;
+}
+
 void fail_job_if_crashing(
     fleet& f, job_entry& j, const workflow::task_name& name, core::mono_time now, task_events& out)
 {
@@ -137,8 +142,8 @@
         j.spec.id,
         0,
         "",
-        "task=" + workflow::write_task_name(name) +
-            " crashed_hosts=" + std::to_string(certain_losses(lost))});
+        "task=" + workflow::write_task_name(name) + " crashed_hosts=" +
+            std::to_string(certain_losses(lost)) + " " + summarize_losses(task_of(j, name))});
     finish_job(f, j, workflow::job_state::failed, now);
 }
 
@@ -209,6 +214,21 @@
 
 } // namespace
 
+std::string summarize_losses(const task_entry& t)
+{
+    const auto& all = t.progress.lost_runs;
+    const auto count = [&all](auto matches)
+    {
+        return std::to_string(std::count_if(all.begin(), all.end(), matches));
+    };
+    return "losses=" + std::to_string(losses_of(t)) +
+           " certain=" + std::to_string(certain_losses(all)) +
+           " sole=" + count([](const lost_run& it) { return it.certain && it.only_suspect; }) +
+           " unseen=" + count([](const lost_run& it) { return it.host.empty(); }) +
+           " reserved=" + std::to_string(t.reserved_run_number) +
+           " active_run=" + std::to_string(newest_run(t));
+}
+
 start_rule find_start_rule(
     const fleet& f, const job_entry& j, const workflow::task_name& name, core::mono_time now)
 {
--- a/libs/coordinator/src/lost_runs.hpp
+++ b/libs/coordinator/src/lost_runs.hpp
@@ -75,6 +75,10 @@
 /// Removes the reservation of an isolated run that ended without the loss of its host.
 void release_isolated_run(fleet& f, job_entry& j, task_entry& t, std::int64_t run);
 
+/// \return for the log, the numbers of the task's losses by kind, its reserved run and its active
+/// run; 0: there is none.
+std::string summarize_losses(const task_entry& t);
+
 /// Removes uncertain losses whose outcome no task of an open job depends on any more.
 void remove_irrelevant_losses(fleet& f);
 
