A job fails for lost runners only when each start of its task has crashed one

Callers saw an accepted job as `failed`, and its other tasks stopped at work, though no run of it had failed.

Cause: crashes of runners were counted as faults of the task that was on them. Three certain losses, two of them of isolated runs, failed the job, whatever its runs had done before, in the moment in which the last proof arrived, and whether or not a newer run of the task was at work. The reservation of that newer run counted as a loss that nobody saw, so that after a change of the coordinator two were enough. Evidence: crashing_tasks.a_job_whose_task_works_again_does_not_fail repeats the record (four runners lost, the proofs only while the fifth run works, with and without a change of the coordinator) and failed in the first second after the proofs; crashes_of_runners_at_work_fail_no_job failed at the third crash. On the code before, lost_runs.runs_that_survived_their_start_fail_no_job and evidence_of_earlier_losses_fails_no_job_while_a_newer_run_works fail with state(\"a\") == running.

Change: each lost run tells whether it survived its start (reported as active 250 ms after it, or by another coordinator; stored as `worked`). A job fails only when its task has used up its starts, five lost runs, none of which survived its start, at least three of them certain; and only where the task would be started next, so a run at work always decides first. A task with five losses of which some survived starts again, isolated, 6 s after the newest. Tests that were wrong: its_job_fails_after_three_crashes expected a verdict after three crashes, which the record contradicts (four losses of a task that then works); it is now its_job_fails_after_five_crashes, as exact as before. a_task_that_crashes_its_hosts_fails_its_job, an_unstored_crash_counts_with_the_next_one and the bound of crashes in other_tasks_are_not_lost_repeatedly (4, now 5) follow in the same way.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -100,6 +100,9 @@
     /// A previous coordinator may have ordered a run that was lost before anyone saw it. The
     /// possible run counts as a loss once the task has at least one known lost run.
     bool may_have_unseen_start = false;
+    /// Such a run is not counted as a loss, since nothing else shows that hosts were lost then; it
+    /// still counts for the bound on the starts of a task that crashes its hosts.
+    bool has_untraced_start = false;
     /// Number of the isolated run that is stored among the lost runs before it starts, so that the
     /// next coordinator counts it if it crashes its host; 0: none.
     std::int64_t reserved_run_number = 0;
@@ -387,8 +390,9 @@
     /// When a runner has been unresponsive for this long, the end of its leases is stored for the
     /// next coordinator. Moves and maintenance end a runner in less time, with proof of its end.
     core::millis lease_end_record_delay{300};
-    /// From this number of lost runs on, a task starts only after last_resort_wait, and never again
-    /// when all of its losses are certain.
+    /// Number of lost runs from which the job of a task that crashes its runners fails. While that
+    /// is not proven, the task starts only after last_resort_wait, or after uncertain_loss_wait if
+    /// some of its runs survived their start.
     int last_resort_losses = 5;
     /// Delay between the starts of such a task. It is finite because a task that crashes no host
     /// must not be withheld forever when the cause of its losses can't be determined.
@@ -398,6 +402,8 @@
     core::millis uncertain_loss_wait{6000};
     /// A run that has been active for this long shows that its task does not crash hosts.
     core::millis isolation_time{5000};
+    /// A run that was reported as active after this time was not lost by its start.
+    core::millis startup_crash_time{250};
     /// A suspect waits this long for an empty host, then its isolated run is placed on the least
     /// used host.
     core::millis isolation_max_wait{1500};
--- a/libs/coordinator/src/lost_runs.cpp
+++ b/libs/coordinator/src/lost_runs.cpp
@@ -4,7 +4,7 @@
 #include "workflow/records.hpp"
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <utility>
 
 namespace camphorhitch::coordinator
@@ -19,12 +19,13 @@
 constexpr int suspect_losses = 2;
 /// Number of lost runs, not all of them certain, from which a start waits for evidence.
 constexpr int uncertain_wait_losses = 3;
-/// Number of certain losses after which the job fails, provided that fatal_only_suspect_losses of
-/// them can't have been caused by another task.
-constexpr int fatal_losses = 3;
-constexpr int fatal_only_suspect_losses = 2;
-/// Number of certain losses after which the job fails in any case.
-constexpr int fatal_losses_regardless = 4;
+/// Among the losses of a task that has used up its starts, the number of certain ones that shows
+/// that it crashes its runners, provided that decisive_only_suspect_losses of them can't have been
+/// caused by another task.
+constexpr int decisive_losses = 3;
+constexpr int decisive_only_suspect_losses = 1;
+/// Number of certain losses that shows it in any case.
+constexpr int decisive_losses_regardless = 4;
 
 const workflow::step& step_of_task(const job_entry& j, const workflow::task_name& name)
 {
@@ -41,6 +42,9 @@
 {
     int losses = 0;
     int certain = 0;
+    int only_suspect = 0;   ///< of `certain`: no other suspected task was on the runner
+    int survived_start = 0; ///< of `losses`: the run was active for some time
+    bool unseen = false;    ///< some of `losses` are starts of previous coordinators without trace
     /// When this coordinator recorded the latest loss; zero: a previous coordinator did.
     core::mono_time newest;
 };
@@ -58,32 +62,46 @@
         std::count_if(all.begin(), all.end(), [](const lost_run& it) { return it.certain; }));
 }
 
+/// What is known about one lost run of a gang.
+struct gang_loss
+{
+    bool certain = false;
+    bool only_suspect = false;
+    bool survived_start = false;
+};
+
 /// Members of a gang share the number of their run, so a lost run counts once for all of them.
 loss_count count_gang_losses(const job_entry& j, const workflow::task_name& name)
 {
     loss_count out;
-    std::set<std::int64_t> runs;
-    std::set<std::int64_t> certain;
+    std::map<std::int64_t, gang_loss> runs; // by run number
     bool unseen = false;
     for (int i = 0; i < step_of_task(j, name).tasks; ++i)
     {
         const auto& t = task_of(j, {name.job, name.occurrence, name.step, i});
         for (const auto& it : t.progress.lost_runs)
         {
-            if (it.run != t.reserved_run_number)
-            {
-                runs.insert(it.run);
-            }
-            if (it.certain)
+            if (it.run == t.reserved_run_number)
             {
-                certain.insert(it.run);
+                continue;
             }
+            out.unseen = out.unseen || it.host.empty();
+            auto& run = runs[it.run];
+            run.certain = run.certain || it.certain;
+            run.only_suspect = run.only_suspect || (it.certain && it.only_suspect);
+            run.survived_start = run.survived_start || it.survived_start;
         }
         unseen = unseen || (t.may_have_unseen_start && !t.progress.lost_runs.empty());
+        out.unseen = out.unseen || t.has_untraced_start;
         out.newest = std::max(out.newest, t.last_loss_at);
     }
+    for (const auto& [number, it] : runs)
+    {
+        out.certain += it.certain ? 1 : 0;
+        out.only_suspect += it.only_suspect ? 1 : 0;
+        out.survived_start += it.survived_start ? 1 : 0;
+    }
     out.losses = static_cast<int>(runs.size()) + (unseen ? 1 : 0);
-    out.certain = static_cast<int>(certain.size());
     return out;
 }
 
@@ -94,33 +112,39 @@
         return count_gang_losses(j, name);
     }
     const auto& t = task_of(j, name);
-    return {losses_of(t), certain_losses(t.progress.lost_runs), t.last_loss_at};
+    const auto& all = t.progress.lost_runs;
+    loss_count out;
+    out.unseen = t.has_untraced_start;
+    out.losses = losses_of(t);
+    out.certain = certain_losses(all);
+    out.newest = t.last_loss_at;
+    for (const auto& it : all)
+    {
+        out.only_suspect += it.certain && it.only_suspect ? 1 : 0;
+        out.survived_start += it.survived_start ? 1 : 0;
+        out.unseen = out.unseen || (it.host.empty() && it.run != t.reserved_run_number);
+    }
+    return out;
 }
 
-/// A task that crashes no host may still lose its hosts more than once, by a power failure of a
-/// rack or beside a task that crashes them. Run apart from other suspects, it works.
-bool crashes_hosts(const std::vector<lost_run>& all)
+/// Runners crash by themselves, and a task may be on one of them each time. What no coincidence
+/// explains is that each run was lost at its start, on different runners and apart from other
+/// suspects, until the bound on the starts of a task that crashes its runners is reached.
+bool crashes_hosts(const loss_count& all, int max_losses)
 {
-    const auto only_suspect = std::count_if(
-        all.begin(), all.end(), [](const lost_run& it) { return it.certain && it.only_suspect; });
-    const int certain = certain_losses(all);
-    if (certain >= fatal_losses_regardless ||
-        (certain >= fatal_losses && only_suspect >= fatal_only_suspect_losses))
-    {
-        return true;
-    }
-    // There may have been more unseen crashes under previous coordinators: no further start is
-    // risked.
-    const bool unseen =
-        std::any_of(all.begin(), all.end(), [](const lost_run& it) { return it.host.empty(); });
-    return unseen && only_suspect >= fatal_only_suspect_losses;
+    // Two previous coordinators may each have ended without a trace of a start.
+    const int losses = all.losses + (all.unseen ? 1 : 0);
+    return losses >= max_losses && all.survived_start == 0 &&
+           (all.certain >= decisive_losses_regardless ||
+               (all.certain >= decisive_losses &&
+                   all.only_suspect >= decisive_only_suspect_losses));
 }
 
 std::string describe_loss(const task_entry& t, const lost_run& it, const std::string& proof)
 {
     return "losses=" + std::to_string(losses_of(t)) +
            " certain=" + std::to_string(certain_losses(t.progress.lost_runs)) +
-           " sole=" + (it.only_suspect ? "1" : "0") +
+           " sole=" + (it.only_suspect ? "1" : "0") + " worked=" + (it.survived_start ? "1" : "0") +
            (it.certain ? " proof=" + proof
                        : std::string{it.confirmed ? " possible" : " unconfirmed"});
 }
@@ -130,23 +154,6 @@
     return t.runs.empty() ? 0 : t.runs.back().number;
 }
 
-void fail_job_if_crashing(
-    fleet& f, job_entry& j, const workflow::task_name& name, core::mono_time now, task_events& out)
-{
-    const auto& lost = task_of(j, name).progress.lost_runs;
-    if (workflow::is_final(j.state) || !crashes_hosts(lost))
-    {
-        return;
-    }
-    out.push_back({"job_failed",
-        j.spec.id,
-        0,
-        "",
-        "task=" + workflow::write_task_name(name) + " crashed_hosts=" +
-            std::to_string(certain_losses(lost)) + " " + summarize_losses(task_of(j, name))});
-    finish_job(f, j, workflow::job_state::failed, now);
-}
-
 bool counts_as_loss(const fleet& f,
     const job_entry& j,
     const task_entry& t,
@@ -162,6 +169,13 @@
     return !workflow::is_final(j.state) && !t.progress.done && !stopped && !worked && !leaves;
 }
 
+/// An adopted run has outlived the coordinator that started it.
+bool survived_start(const fleet& f, const run_entry& run, const host_entry& h)
+{
+    return run.adopted ||
+           (run.listed && h.last_answer_at - run.ordered_at >= f.settings.startup_crash_time);
+}
+
 void add_loss(job_entry& j, task_entry& t, lost_run it)
 {
     if (t.progress.lost_runs.size() < workflow::max_lost_runs)
@@ -177,9 +191,14 @@
 {
     const bool lost =
         !t.progress.lost_runs.empty() || f.pools_with_lost_hosts.contains(j.spec.pool);
-    if (std::exchange(t.may_have_unseen_start, false) && lost)
+    const bool possible = std::exchange(t.may_have_unseen_start, false);
+    if (possible && lost)
+    {
+        add_loss(j, t, {f.term * f.settings.runs_per_term});
+    }
+    else if (possible)
     {
-        add_loss(j, t, {f.term * f.settings.runs_per_term, {}, {}, false, false, false});
+        t.has_untraced_start = true;
     }
 }
 
@@ -224,6 +243,7 @@
     return "losses=" + std::to_string(losses_of(t)) +
            " certain=" + std::to_string(certain_losses(all)) +
            " sole=" + count([](const lost_run& it) { return it.certain && it.only_suspect; }) +
+           " worked=" + count([](const lost_run& it) { return it.survived_start; }) +
            " unseen=" + count([](const lost_run& it) { return it.host.empty(); }) +
            " reserved=" + std::to_string(t.reserved_run_number) +
            " active_run=" + std::to_string(newest_run(t));
@@ -244,21 +264,55 @@
     // The next coordinator counts from the stored losses, so a loss that is not stored would be
     // missed.
     const bool stored = j.losses_stored == j.losses_recorded;
-    const bool uncertain = all.losses > all.certain;
-    const bool many = all.losses >= f.settings.last_resort_losses;
-    if (!stored || (many && !uncertain))
+    if (!stored || crashes_hosts(all, f.settings.last_resort_losses))
     {
         return start_rule::withheld;
     }
-    if (uncertain && all.losses >= uncertain_wait_losses)
+    const bool uncertain = all.losses > all.certain;
+    const bool many = all.losses >= f.settings.last_resort_losses;
+    if (many || (uncertain && all.losses >= uncertain_wait_losses))
     {
-        const auto wait = many ? f.settings.last_resort_wait : f.settings.uncertain_loss_wait;
-        const auto since = many ? std::max(all.newest, j.added_at) : all.newest;
+        const bool last_resort = many && all.survived_start == 0;
+        const auto wait =
+            last_resort ? f.settings.last_resort_wait : f.settings.uncertain_loss_wait;
+        const auto since = last_resort ? std::max(all.newest, j.added_at) : all.newest;
         return now - since >= wait ? start_rule::isolated : start_rule::withheld;
     }
     return all.losses >= suspect_losses ? start_rule::isolated : start_rule::separated;
 }
 
+void fail_crashing_jobs(
+    fleet& f, std::vector<waiting_step>& waiting, core::mono_time now, task_events& out)
+{
+    for (const auto& w : waiting)
+    {
+        auto& j = *w.job;
+        const auto& s = j.spec.steps[static_cast<std::size_t>(w.step)];
+        const bool gang_runs = s.gang && step_of(j, w.occurrence, w.step).idle < s.tasks;
+        for (int i = 0; j.losses > 0 && !gang_runs && i < s.tasks && !workflow::is_final(j.state);
+             ++i)
+        {
+            const workflow::task_name name{j.spec.id, w.occurrence, w.step, i};
+            const auto& t = task_of(j, name);
+            const auto all = count_losses(j, name);
+            if (t.progress.done || !t.runs.empty() ||
+                !crashes_hosts(all, f.settings.last_resort_losses))
+            {
+                continue;
+            }
+            out.push_back({"job_failed",
+                j.spec.id,
+                0,
+                "",
+                "task=" + workflow::write_task_name(name) +
+                    " crashed_hosts=" + std::to_string(all.certain) + " " + summarize_losses(t)});
+            finish_job(f, j, workflow::job_state::failed, now);
+        }
+    }
+    std::erase_if(
+        waiting, [](const waiting_step& it) { return workflow::is_final(it.job->state); });
+}
+
 void record_lost_run(fleet& f,
     job_entry& j,
     const workflow::task_name& name,
@@ -275,8 +329,13 @@
     }
     record_unseen_start(f, j, t);
     const bool certain = !proof.empty() && run.confirmed;
-    const lost_run lost{
-        run.number, h.ref.id, certain ? "" : h.machine, run.confirmed, certain, run.only_suspect};
+    const lost_run lost{run.number,
+        h.ref.id,
+        certain ? "" : h.machine,
+        run.confirmed,
+        certain,
+        run.only_suspect,
+        survived_start(f, run, h)};
     add_loss(j, t, lost);
     ++j.losses_recorded;
     t.last_loss_at = now;
@@ -288,7 +347,6 @@
     {
         add_uncertain_loss(f, h.ref.id, h.machine, name, run.number, now);
     }
-    fail_job_if_crashing(f, j, name, now, out);
 }
 
 void confirm_losses(fleet& f,
@@ -319,7 +377,6 @@
             run,
             host,
             describe_loss(*find_task(f, name), *it, proof));
-        fail_job_if_crashing(f, j, name, now, out);
     }
 }
 
@@ -373,6 +430,7 @@
         mark_dirty(f, j);
     }
     t.may_have_unseen_start = false;
+    t.has_untraced_start = false;
     t.reserved_run_number = 0;
     clear_loss_flags(h, run);
 }
@@ -409,7 +467,7 @@
 void reserve_isolated_run(fleet& f, job_entry& j, task_entry& t, std::int64_t number)
 {
     record_unseen_start(f, j, t);
-    add_loss(j, t, {number, {}, {}, false, false, false});
+    add_loss(j, t, {number});
     t.reserved_run_number = number;
     ++j.losses_recorded;
     mark_dirty(f, j);
--- a/libs/coordinator/src/lost_runs.hpp
+++ b/libs/coordinator/src/lost_runs.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "coordinator/fleet.hpp"
+#include "starts.hpp"
 
 #include <optional>
 
@@ -24,9 +25,15 @@
 start_rule find_start_rule(
     const fleet& f, const job_entry& j, const workflow::task_name& name, core::mono_time now);
 
+/// Fails the jobs of waiting tasks that have crashed the runner at each of their starts, and
+/// removes the steps of these jobs. Only tasks that would start now are considered: while a task
+/// has a run, or may have one that a previous coordinator started, that run decides.
+void fail_crashing_jobs(
+    fleet& f, std::vector<waiting_step>& waiting, core::mono_time now, task_events& out);
+
 /// Counts a run that ended together with its runner, or may have. A run doesn't count when it was
 /// being stopped, when it was active for long enough to show that the task crashes no host, or when
-/// its host was about to leave. The job fails when the task has certainly crashed its runners.
+/// its host was about to leave.
 /// \param run copy of the run; it is removed from the task already
 /// \param proof evidence of the end; empty: the leases expired without an answer, so the loss is
 /// only possible
--- a/libs/coordinator/src/placement.cpp
+++ b/libs/coordinator/src/placement.cpp
@@ -344,7 +344,8 @@
     {
         return to;
     }
-    const auto waiting = all_waiting_steps(f, now, unix_ms);
+    auto waiting = all_waiting_steps(f, now, unix_ms);
+    fail_crashing_jobs(f, waiting, now, out);
     auto pools = waiting.empty() ? std::map<std::string, candidate_hosts>{} : hosts_by_pool(f, now);
     unfit_needs unfit;
     start_suspects(f, waiting, now, pools, to, out);
--- a/libs/coordinator/tests/host_loss_fixture.hpp
+++ b/libs/coordinator/tests/host_loss_fixture.hpp
@@ -4,7 +4,10 @@
 
 #include "coordinator/waves.hpp"
 #include "fleet_fixture.hpp"
+#include "workflow/records.hpp"
 
+#include <CppUTest/TestHarness.h>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -16,6 +19,7 @@
 {
     bool stores = true;
     int replacements = 0;
+    std::map<std::string, std::int64_t> ends; ///< by host: number of its newest end
 
     void store_losses()
     {
@@ -101,6 +105,40 @@
         return n;
     }
 
+    /// Applies a poll answer that lists the run as active.
+    void report_active(const start_action& a)
+    {
+        ports::poll_answer p;
+        p.call = {ports::runner_verdict::done, clock_ms()};
+        p.running = {{workflow::write_task_name(a.task), a.run, {}, 100, 0}};
+        handle_poll_answer(f, a.host.id, now, p, now, events);
+    }
+
+    /// Starts the waiting task, or the gang, and loses the host of one start after the run has been
+    /// active for a second. The runs of the other members end.
+    void lose_after_start(int member)
+    {
+        const auto all = plan_starts();
+        CHECK(!all.empty());
+        for (const auto& it : all)
+        {
+            answer_start(it);
+        }
+        advance_time(1s);
+        for (const auto& it : all)
+        {
+            report_active(it);
+        }
+        for (const auto& it : all)
+        {
+            if (it.task.index != member)
+            {
+                report_end(it, ports::run_end::member_ended, ++ends[it.host.id]);
+            }
+        }
+        lose_host(all.at(static_cast<std::size_t>(member)).host.id);
+    }
+
     /// Starts the waiting tasks and loses all hosts with runs, this many times.
     void lose_used_hosts(int times)
     {
--- a/libs/workflow/include/workflow/model.hpp
+++ b/libs/workflow/include/workflow/model.hpp
@@ -153,6 +153,8 @@
     bool confirmed = false;    ///< the runner had confirmed the run
     bool certain = false;      ///< the runner has ended without an order, together with the run
     bool only_suspect = false; ///< no other suspected task was on that runner
+    /// The runner reported the run as active for some time, so it was not the start that ended it.
+    bool survived_start = false;
 
     friend bool operator==(const lost_run&, const lost_run&) = default;
 };
--- a/libs/workflow/src/records.cpp
+++ b/libs/workflow/src/records.cpp
@@ -79,6 +79,7 @@
     put_if_set(out, "ran", it.confirmed);
     put_if_set(out, "certain", it.certain);
     put_if_set(out, "sole", it.only_suspect);
+    put_if_set(out, "worked", it.survived_start);
     return out;
 }
 
@@ -91,6 +92,7 @@
     get_if_present(from, "ran", out.confirmed);
     get_if_present(from, "certain", out.certain);
     get_if_present(from, "sole", out.only_suspect);
+    get_if_present(from, "worked", out.survived_start);
     return out;
 }
 
