Test: a gang starts again after losses of different members

A gang that lost a runner in each of five runs, each time under another member, was never started again and never failed: the losses of all members were counted together when a start was withheld, but by task when the job was given up.

--- a/libs/coordinator/tests/lost_runs_tests.cpp
+++ b/libs/coordinator/tests/lost_runs_tests.cpp
@@ -301,3 +301,20 @@
     w.report_active(newest);
     LONGS_EQUAL(0, w.losses("a"));
 }
+
+// Guards against a gang that is never started again, nor fails, after its runs lost runners of
+// different members.
+TEST(lost_runs, a_gang_starts_again_after_losses_of_different_members)
+{
+    auto gang = make_step(5, 1000);
+    gang.gang = true;
+    gang.max_per_host = 1;
+    w.accept_job(make_job("a", {gang}));
+    for (int i = 0; i < 10; ++i)
+    {
+        w.lose_after_start(i % gang.tasks);
+        w.advance_time(w.f.settings.uncertain_loss_wait + w.f.settings.isolation_max_wait);
+    }
+    LONGS_EQUAL(gang.tasks, w.plan_starts().size());
+    CHECK(w.state("a") == job_state::running);
+}
