workflow: bounds of a job hold for its submission and its record alike

What callers saw: a job with an estimate above 30 years was accepted with 200 and stayed queued for ever. No coordinator could read its record (record_damaged).

Cause: the reader of records had ranges of its own (describe.hpp), and the check of submissions (check_job) had others or none. Beside the estimate these were accepted and not readable:

- the target of the tail latency above 30 years;
- a label, rack or image above 1 MB;
- so many dependencies that the record exceeds 2^18 values;
- resources up to 2^53 of each task: the sum over the runs of an ended job was stored and not read, so its state was lost ("damaged progress: number out of range"); a step that fills starts with any cpu.

And steps x tasks x occurrences could wrap around 64 bits to a number below 20,000, with which both sides accepted a job of 2^64 tasks.

Change: job_bounds defines each bound once. check_job() checks all of them; it guards submissions of both interfaces and each record that is read. The ranges in describe.hpp, which give operators the line and column, are taken from it, and so is the platform's bound on a queue's stretch. New bounds: 2^31 - 1 of each resource, 256 bytes for a label, rack or image, 256 dependencies of a step. The count of tasks is compared by a division. A submission beyond a bound is answered with 400 and its findings, as other bad ones are.

Reading each record back before it is stored was considered: it costs a parse of each job and would guard what the shared check guards by construction.

Upgrade: a stored job beyond the new bounds (more than 2,147,483 cores or 2 PB for a task, a label of over 256 bytes) is skipped as damaged from then on.

--- a/libs/workflow/src/checks.cpp
+++ b/libs/workflow/src/checks.cpp
@@ -13,9 +13,18 @@
     all.push_back({{"job", pointer, 0, 0}, std::move(text), {}});
 }
 
-void check_dependencies(
-    const step& s, int step_index, const std::string& pointer, core::findings& all)
+void check_dependencies(const step& s,
+    int step_index,
+    const std::string& pointer,
+    std::size_t max_count,
+    core::findings& all)
 {
+    if (s.depends_on.size() > max_count)
+    {
+        add_finding(
+            all, pointer + "/after", "more than " + std::to_string(max_count) + " dependencies");
+        return;
+    }
     for (std::size_t i = 0; i < s.depends_on.size(); ++i)
     {
         const int dependency = s.depends_on[i];
@@ -32,7 +41,32 @@
     }
 }
 
-void check_step(const step& s, int step_index, core::findings& all)
+void check_upper_bounds(
+    const step& s, const std::string& pointer, const job_bounds& bounds, core::findings& all)
+{
+    if (std::max({s.need.cpu, s.need.memory_mb, s.need.gpus}) > bounds.amount)
+    {
+        add_finding(all,
+            pointer,
+            "each resource of a task must be at most " + std::to_string(bounds.amount));
+    }
+    if (std::max(s.estimated_run_time, s.tail_latency_target) > bounds.duration)
+    {
+        add_finding(all,
+            pointer,
+            "a duration must be at most " + std::to_string(bounds.duration.count()) + " ms");
+    }
+    if (std::max({s.required_label.size(), s.preferred_rack.size(), s.image.size()}) >
+        bounds.name_bytes)
+    {
+        add_finding(all,
+            pointer,
+            "a label, rack or image must have at most " + std::to_string(bounds.name_bytes) +
+                " bytes");
+    }
+}
+
+void check_step(const step& s, int step_index, const job_bounds& bounds, core::findings& all)
 {
     const auto pointer = "/steps/" + std::to_string(step_index);
     if (s.tasks < 1)
@@ -51,10 +85,11 @@
     {
         add_finding(all, pointer, "a bound on tasks must not be negative");
     }
-    check_dependencies(s, step_index, pointer, all);
+    check_upper_bounds(s, pointer, bounds, all);
+    check_dependencies(s, step_index, pointer, bounds.steps, all);
 }
 
-void check_schedule(const job& j, core::findings& all)
+void check_schedule(const job& j, const job_bounds& bounds, core::findings& all)
 {
     if (j.timing.occurrences < 0)
     {
@@ -64,17 +99,20 @@
     {
         add_finding(all, "", "the interval between occurrences must not be negative");
     }
-    // The time of the last occurrence, in milliseconds, must fit into 64 bits with a margin for
-    // sums.
-    constexpr std::int64_t max_ms = std::int64_t{1} << 53;
     const std::int64_t count = std::max(j.timing.occurrences, 1);
-    if (j.timing.first_unix_ms < 0 || j.timing.first_unix_ms > max_ms ||
-        j.timing.interval_ms > max_ms / count)
+    if (j.timing.first_unix_ms < 0 || j.timing.first_unix_ms > bounds.unix_ms ||
+        j.timing.interval_ms > bounds.unix_ms / count)
     {
         add_finding(all, "", "the last occurrence is too far in the future");
     }
 }
 
+/// Divides, because the product of two valid counts may exceed 64 bits.
+bool has_more_tasks(const job& j, std::size_t max_tasks)
+{
+    return tasks_per_occurrence(j) > max_tasks / static_cast<std::size_t>(occurrence_count(j));
+}
+
 } // namespace
 
 core::findings check_job(const job& j, const job_bounds& bounds)
@@ -97,11 +135,10 @@
     }
     for (std::size_t i = 0; i < j.steps.size(); ++i)
     {
-        check_step(j.steps[i], static_cast<int>(i), all);
+        check_step(j.steps[i], static_cast<int>(i), bounds, all);
     }
-    check_schedule(j, all);
-    if (all.empty() &&
-        tasks_per_occurrence(j) * static_cast<std::size_t>(occurrence_count(j)) > bounds.tasks)
+    check_schedule(j, bounds, all);
+    if (all.empty() && has_more_tasks(j, bounds.tasks))
     {
         add_finding(all, "/steps", "more than " + std::to_string(bounds.tasks) + " tasks");
     }
--- a/libs/workflow/src/describe.hpp
+++ b/libs/workflow/src/describe.hpp
@@ -3,9 +3,11 @@
 #pragma once
 
 #include "checked_json/record.hpp"
+#include "workflow/checks.hpp"
 #include "workflow/documents.hpp"
 #include "workflow/model.hpp"
 
+#include <limits>
 #include <type_traits>
 
 namespace camphorhitch::workflow
@@ -15,23 +17,23 @@
 template <class T, class Record>
 concept is_record = std::is_same_v<std::remove_const_t<T>, Record>;
 
-inline constexpr checked_json::int_range whole_number{0, std::int64_t{1} << 53};
+inline constexpr job_bounds bounds;
+inline constexpr checked_json::int_range amount_range{0, bounds.amount};
+inline constexpr checked_json::int_range unix_time_range{0, bounds.unix_ms};
 inline constexpr checked_json::int_range small_number{0, std::numeric_limits<int>::max()};
 inline constexpr checked_json::int_range any_int{
     std::numeric_limits<int>::min(), std::numeric_limits<int>::max()};
-/// Keeps the product with a job's work inside 64 bits. Values in use are below 10.
-inline constexpr checked_json::real_range stretch_range{0, 1000};
-/// Up to 30 years, so that sums with a time of day fit into the 64-bit nanoseconds of the clocks.
-inline constexpr checked_json::millis_range time_span{
-    core::millis{0}, core::millis{std::int64_t{30} * 365 * 24 * 3600 * 1000}};
+inline constexpr checked_json::real_range stretch_range{0, bounds.stretch};
+inline constexpr checked_json::millis_range time_span{core::millis{0}, bounds.duration};
+inline constexpr checked_json::text_size name_size{0, bounds.name_bytes};
 
 template <class Keys, is_record<step> R>
 void describe(Keys& keys, R& r)
 {
     keys.defaulted("tasks", r.tasks, small_number)
-        .optional("cpu", r.need.cpu, whole_number)
-        .optional("memory_mb", r.need.memory_mb, whole_number)
-        .optional("gpus", r.need.gpus, whole_number)
+        .optional("cpu", r.need.cpu, amount_range)
+        .optional("memory_mb", r.need.memory_mb, amount_range)
+        .optional("gpus", r.need.gpus, amount_range)
         .optional("estimate_ms", r.estimated_run_time, time_span)
         .optional("after", r.depends_on)
         .optional("gang", r.gang)
@@ -40,10 +42,10 @@
         .optional("speculative", r.speculative)
         .optional("long_running", r.long_running)
         .optional("fills", r.best_effort)
-        .optional("label", r.required_label)
-        .optional("near_rack", r.preferred_rack)
+        .optional("label", r.required_label, name_size)
+        .optional("near_rack", r.preferred_rack, name_size)
         .optional("most_per_host", r.max_per_host, small_number)
-        .optional("image", r.image)
+        .optional("image", r.image, name_size)
         .optional("tail_target_ms", r.tail_latency_target, time_span)
         .optional("may_be_away", r.max_unavailable, small_number);
 }
@@ -52,8 +54,8 @@
 void describe_timing(Keys& keys, R& r)
 {
     keys.optional("occurrences", r.occurrences, small_number)
-        .optional("first_unix_ms", r.first_unix_ms, whole_number)
-        .optional("interval_ms", r.interval_ms, whole_number);
+        .optional("first_unix_ms", r.first_unix_ms, unix_time_range)
+        .optional("interval_ms", r.interval_ms, unix_time_range);
 }
 
 template <class Keys, is_record<job_request> R>
@@ -75,7 +77,7 @@
         .optional("workspace", r.workspace)
         .optional("zone", r.zone)
         .optional("payload", r.payload)
-        .optional("accepted_unix_ms", r.accepted_unix_ms, whole_number)
+        .optional("accepted_unix_ms", r.accepted_unix_ms, unix_time_range)
         .optional("priority", r.priority, any_int)
         .defaulted("most_attempts", r.max_attempts, any_int)
         .defaulted("stretch", r.stretch, stretch_range)
--- a/libs/workflow/tests/records_tests.cpp
+++ b/libs/workflow/tests/records_tests.cpp
@@ -1,6 +1,8 @@
 #include "workflow/checks.hpp"
 #include "workflow/records.hpp"
 
+#include <functional>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace camphorhitch;
@@ -195,6 +197,65 @@
     CHECK(check_job(job_with_all_fields()).empty());
 }
 
+// A job passes the check of submissions beyond a bound of the record's reader, and is lost.
+TEST(workflow_checks, the_check_and_the_reader_of_records_agree_on_the_bounds)
+{
+    constexpr job_bounds b;
+    struct row
+    {
+        const char* name;
+        std::function<void(job&, std::int64_t)> set;
+        std::int64_t bound;
+    };
+    const auto text = [](std::int64_t n)
+    {
+        return std::string(static_cast<std::size_t>(n), 'x');
+    };
+    const auto bytes = static_cast<std::int64_t>(b.name_bytes);
+    const auto tasks = static_cast<std::int64_t>(b.tasks);
+    const row rows[] = {
+        {"payload",
+            [&](job& j, std::int64_t n) { j.payload = text(n); },
+            static_cast<std::int64_t>(b.payload_bytes)},
+        {"occurrences",
+            [](job& j, std::int64_t n) { j.timing.occurrences = static_cast<int>(n); },
+            tasks},
+        {"first time", [](job& j, std::int64_t n) { j.timing.first_unix_ms = n; }, b.unix_ms},
+        {"interval", [](job& j, std::int64_t n) { j.timing.interval_ms = n; }, b.unix_ms},
+        {"tasks", [](job& j, std::int64_t n) { j.steps[0].tasks = static_cast<int>(n); }, tasks},
+        {"cpu", [](job& j, std::int64_t n) { j.steps[0].need.cpu = n; }, b.amount},
+        {"memory", [](job& j, std::int64_t n) { j.steps[0].need.memory_mb = n; }, b.amount},
+        {"GPUs", [](job& j, std::int64_t n) { j.steps[0].need.gpus = n; }, b.amount},
+        {"estimate",
+            [](job& j, std::int64_t n) { j.steps[0].estimated_run_time = core::millis{n}; },
+            b.duration.count()},
+        {"tail latency",
+            [](job& j, std::int64_t n) { j.steps[0].tail_latency_target = core::millis{n}; },
+            b.duration.count()},
+        {"label", [&](job& j, std::int64_t n) { j.steps[0].required_label = text(n); }, bytes},
+        {"rack", [&](job& j, std::int64_t n) { j.steps[0].preferred_rack = text(n); }, bytes},
+        {"image", [&](job& j, std::int64_t n) { j.steps[0].image = text(n); }, bytes},
+        {"dependencies",
+            [](job& j, std::int64_t n)
+            { j.steps.emplace_back().depends_on.assign(static_cast<std::size_t>(n), 0); },
+            static_cast<std::int64_t>(b.steps)},
+        {"steps",
+            [](job& j, std::int64_t n) { j.steps.resize(static_cast<std::size_t>(n)); },
+            static_cast<std::int64_t>(b.steps)},
+    };
+    for (const auto& it : rows)
+    {
+        auto within = job_of_steps({step{}});
+        it.set(within, it.bound);
+        CHECK_TEXT(check_job(within).empty(), it.name);
+        CHECK_TEXT(core::is_ok(read_job(write_job(within))), it.name);
+        auto beyond = job_of_steps({step{}});
+        it.set(beyond, it.bound + 1);
+        CHECK_FALSE_TEXT(check_job(beyond).empty(), it.name);
+        CHECK_FALSE_TEXT(core::is_ok(read_job(write_job(beyond))), it.name);
+    }
+}
+
 TEST(workflow_checks, all_faults_are_reported_together)
 {
     step s;
