workflow: a lost run with number 0 can be read back

What callers would see: a job whose progress no later coordinator reads. It is skipped, and its runs are stopped as those of an unknown job.

Cause: the first coordinator of a store has term 0, so an unseen start before it is recorded as a lost run with number 0 (record_unseen_start). The writer left out a number of 0, and the reader requires the key.

Change: the key is always written. The progress that an earlier version wrote without the key stays damaged, since the reader can't tell it from a truncated one.

--- a/libs/workflow/src/records.cpp
+++ b/libs/workflow/src/records.cpp
@@ -73,7 +73,7 @@
 json write_lost_run(const lost_run& it)
 {
     json out = json::object();
-    put_if_set(out, "run", it.run);
+    out["run"] = it.run; // 0: an unseen start in the first term
     put_if_set(out, "host", it.host);
     put_if_set(out, "machine", it.machine);
     put_if_set(out, "ran", it.confirmed);
--- a/libs/workflow/tests/records_tests.cpp
+++ b/libs/workflow/tests/records_tests.cpp
@@ -99,6 +99,19 @@
     STRCMP_EQUAL("c7", q.tasks[7].checkpoint.c_str());
 }
 
+// A loss under the first coordinator has run number 0, and the next one can't read the progress.
+TEST(workflow_records, a_lost_run_with_number_0_can_be_read_back)
+{
+    const auto j = job_with_all_fields();
+    job_progress p;
+    p.state = job_state::running;
+    p.tasks.resize(12);
+    p.tasks[5].lost_runs = {{0, {}, {}, false, false, false}};
+    const auto read = read_progress(j, write_progress(j, p));
+    CHECK(core::is_ok(read));
+    CHECK(core::value(read).tasks[5].lost_runs == p.tasks[5].lost_runs);
+}
+
 TEST(workflow_records, damaged_texts_are_rejected)
 {
     const auto j = job_with_all_fields();
