Run numbers: those of a term are above all of the terms before, also after many runs

What callers saw: a long-running task fails at once, again and again, 1,500 times within a minute. Its coordinator is replaced, and the task is sound from then on, but doesn't run for minutes: with 1,500 runs some 75 s, and longer the more runs there were.

Cause: a term had 1000 run numbers for each task, and nothing kept its runs within them. The next coordinator began below the numbers that the previous one had used. Runners that had ended higher runs refused its starts as superseded, and after each refusal, every 150 ms, the number rose by one.

Change: a term has 2^28 run numbers for each task, which last for 100 days of 30 starts a second. They stay within 2^53, which JSON numbers hold exactly, for the first 33 million terms. A term number above that, which can follow only from a damaged record, counts as the highest one (without this bound, broken_records. a_damaged_term_number_leaves_run_numbers_readable fails). Beyond the range, or with such a term number, a further rule bounds the time: after each start that is refused as superseded the number rises twice as far as before, so that 100 million numbers are passed in 27 refusals, about 4 s. It skips at most half of a term's numbers, so refusals alone never reach those of the next term.

An upgrade needs nothing: the first new term's numbers are above those of a version with 1000 a term. The reverse is not so. After a downgrade, or when a node of the earlier version takes over from one of this version during a rolling upgrade, runners refuse that node's starts of tasks of which they have ended a run.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -94,6 +94,8 @@
     std::vector<run_entry> runs;
     std::vector<std::string> failed_on; ///< runner ids that are avoided while others are available
     core::mono_time not_before; ///< after a refused start, the task does not start before this time
+    /// Number of latest starts that were refused as superseded, without an accepted one since.
+    int superseded_starts = 0;
     /// When the newest loss was recorded in this term, or, for losses of earlier terms only, when
     /// this coordinator first evaluated them; zero: neither has happened.
     core::mono_time last_loss_at;
@@ -402,8 +404,9 @@
     /// used host.
     core::millis isolation_max_wait{1500};
     /// Run numbers reserved for each task in one term: the numbers of a term start above those of
-    /// all earlier terms.
-    std::int64_t runs_per_term = 1000;
+    /// all earlier terms. They last a task that is started 30 times a second for 100 days, and
+    /// max_term() is 33 million.
+    std::int64_t runs_per_term = std::int64_t{1} << 28;
 };
 
 /// A job whose final state is stored.
@@ -417,7 +420,7 @@
 struct fleet
 {
     coordinator_settings settings;
-    std::int64_t term = 0;                   ///< number of terms before this one
+    std::int64_t term = 0;                   ///< number of terms before this one, up to max_term()
     ports::revision term_start_revision = 0; ///< store revision at its start; the fencing token
     /// No inherited task starts before this time, because the stored record of the previous
     /// coordinator's runners is damaged; zero: the record was readable.
--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -7,6 +7,10 @@
 namespace camphorhitch::coordinator
 {
 
+/// \return the highest value of fleet::term: all run numbers that are reserved for it are within
+/// workflow::max_run_number.
+std::int64_t max_term(const coordinator_settings& s);
+
 /// Adds a job. Does nothing when the job is already present.
 /// \param created store revision at which the job was accepted
 /// \param progress stored progress of the job
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -50,8 +50,9 @@
 
 /// Applies the runner's report that it executes the run. A run that is being stopped stays in that
 /// phase.
-void confirm_running(job_entry& j, run_entry& run, core::mono_time now)
+void confirm_running(job_entry& j, task_entry& t, run_entry& run, core::mono_time now)
 {
+    t.superseded_starts = 0;
     if (run.phase == run_phase::ordered || run.phase == run_phase::unsettled)
     {
         run.phase = run_phase::running;
@@ -61,6 +62,20 @@
     mark_job_started(j);
 }
 
+/// Raises the run number of a task after a start that was refused as superseded: its runner has
+/// seen the same or a higher number, which is not in the answer. The number rises twice as far with
+/// each such start, so that it passes the unknown one after few of them, but skips at most half of
+/// the term's numbers: the other half remains for runs.
+void skip_run_numbers(const fleet& f, task_entry& t)
+{
+    constexpr int max_doublings = 40;
+    const auto step = std::int64_t{1} << std::min(t.superseded_starts, max_doublings);
+    const auto middle = f.term * f.settings.runs_per_term + f.settings.runs_per_term / 2;
+    const auto left = std::max<std::int64_t>(middle - t.highest_run_number, 0);
+    t.highest_run_number += std::min(step - 1, left);
+    ++t.superseded_starts;
+}
+
 /// Applies a refused start: the run has not started and never will.
 void handle_refused_start(fleet& f,
     const workflow::task_name& name,
@@ -77,6 +92,10 @@
     t->not_before = now + f.settings.refused_start_delay;
     t->failed_on.push_back(host);
     record_event(out, "start_refused", name, number, host, verdict_text(answer));
+    if (answer.verdict == runner_verdict::superseded)
+    {
+        skip_run_numbers(f, *t);
+    }
     if (answer.verdict == runner_verdict::bad_ticket)
     {
         discard_ticket(f, name, host);
@@ -144,7 +163,7 @@
         adopt_run(f, h, j, *name, it, now, out);
     }
     auto& run = t->runs[run_index(*t, h.ref.id, it.run)];
-    confirm_running(j, run, now);
+    confirm_running(j, *t, run, now);
     run.listed = true;
     run.sent_to_earlier = false;
     // From the poll that found the run on, the runner refuses orders of previous coordinators, so
@@ -474,7 +493,7 @@
         handle_refused_start(f, task, host, run, answer, now, out);
         return true;
     }
-    confirm_running(*find_job(f, task.job), *it, now);
+    confirm_running(*find_job(f, task.job), *find_task(f, task), *it, now);
     return true;
 }
 
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -216,6 +216,11 @@
     return slow_clock_bound(f, f.settings.max_runner_lease) + f.settings.lease_expiry_margin;
 }
 
+std::int64_t max_term(const coordinator_settings& s)
+{
+    return workflow::max_run_number / s.runs_per_term - 1;
+}
+
 void erase_orphaned_runs(fleet& f, const std::string& host)
 {
     std::erase_if(f.orphaned_runs, [&](const orphaned_run& it) { return it.host == host; });
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -21,6 +21,7 @@
 #include "term.hpp"
 #include "wave_controller.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -268,7 +269,9 @@
     t.lead = &lead_;
     t.token = token;
     t.fleet.settings = settings_.rules;
-    t.fleet.term = number;
+    // After damage of its record, the term number continues from a store revision, which may be far
+    // above the number of terms.
+    t.fleet.term = std::min(number, coordinator::max_term(settings_.rules));
     t.fleet.term_start_revision = token;
     if (workspaces_)
     {
--- a/libs/hosted/tests/broken_records_tests.cpp
+++ b/libs/hosted/tests/broken_records_tests.cpp
@@ -225,6 +225,27 @@
     check_all_done("a");
 }
 
+// Guards against run numbers that can't be read, after a damaged term number became a store
+// revision.
+TEST(broken_records, a_damaged_term_number_leaves_run_numbers_readable)
+{
+    c.settings.rules.runs_per_term = std::int64_t{1} << 50;
+    begin(2);
+    c.store.put(hosted::leader_term_key, "x");
+    c.time.run_for(100ms);
+    c.leader()->process.dead = true;
+    c.add_node();
+    CHECK(c.has_leader());
+    const auto term = std::stoll(c.store.find(hosted::leader_term_key)->value);
+    CHECK(term > coordinator::max_term(c.settings.rules));
+    c.put_job(c.make_job("a", 1));
+    CHECK(c.time.run_until([this] { return c.running() == 1; }, 5s));
+    for (const auto& [name, h] : c.hosts.machines)
+    {
+        CHECK(h.runs.empty() || h.runs.begin()->second.number <= workflow::max_run_number);
+    }
+}
+
 TEST(broken_records, numbers_out_of_range_are_damage)
 {
     for (const auto* const it : {R"({"i":["a:1","m","p",18446744073709551615]})",
--- a/libs/hosted/tests/take_over_tests.cpp
+++ b/libs/hosted/tests/take_over_tests.cpp
@@ -2,6 +2,7 @@
 #include "log_lines.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <CppUTest/TestHarness.h>
 
@@ -9,6 +10,64 @@
 using namespace camphorhitch::hosted_fakes;
 using workflow::job_state;
 
+namespace
+{
+
+/// A long-running task, of which each runner has ended many runs.
+struct many_runs_fixture
+{
+    cluster c;
+
+    many_runs_fixture()
+    {
+        for (int i = 0; i < 3; ++i)
+        {
+            c.hosts.add("p");
+            c.add_node();
+        }
+        CHECK(c.has_leader());
+        auto j = c.make_job("a", 1);
+        j.steps[0].long_running = true;
+        c.put_job(j);
+        CHECK(c.time.run_until([&] { return c.running() == 1; }, 3s));
+    }
+
+    void end_runs(int runs)
+    {
+        for (auto& [name, h] : c.hosts.machines)
+        {
+            h.refused_through["a.0.0.0"] = runs;
+        }
+    }
+
+    /// Ends the present run as failed.
+    void fail_run()
+    {
+        for (auto& [name, h] : c.hosts.machines)
+        {
+            if (h.runs.empty())
+            {
+                continue;
+            }
+            const auto number = h.runs.begin()->second.number;
+            h.ends.push_back({++h.last_end, "a.0.0.0", number, ports::run_end::failed, {}});
+            h.ended_at[h.last_end] = c.time.now();
+            h.runs.clear();
+            const auto polls = std::exchange(h.polls, {});
+            c.time.after(0ms,
+                [polls]
+                {
+                    for (const auto& it : polls)
+                    {
+                        it();
+                    }
+                });
+        }
+    }
+};
+
+} // namespace
+
 TEST_GROUP(take_over)
 {
     cluster c;
@@ -139,6 +198,23 @@
     STRCMP_EQUAL("", c.breaches().c_str());
 }
 
+// Guards against a task that stays down because its runs were many in the term before.
+TEST(take_over, a_task_is_started_again_however_many_runs_it_had)
+{
+    for (const int runs : {10, 1500, 100'000})
+    {
+        many_runs_fixture f;
+        f.end_runs(runs);
+        f.c.leader()->process.dead = true;
+        CHECK(f.c.has_leader());
+        f.c.time.run_for(1s);
+        f.fail_run();
+        const auto text = std::to_string(runs);
+        CHECK_TEXT(f.c.time.run_until([&] { return f.c.running() == 1; }, 4s), text.c_str());
+        STRCMP_EQUAL("", f.c.breaches().c_str());
+    }
+}
+
 // The store removes the leader key, and the coordinator is slow to learn of it because its lease is
 // still renewed. A successor creates the key, and a caller submits a job, which both nodes receive
 // immediately. The successor may start the job, since no previous coordinator can have started it.
--- a/libs/workflow/include/workflow/model.hpp
+++ b/libs/workflow/include/workflow/model.hpp
@@ -157,6 +157,9 @@
     friend bool operator==(const lost_run&, const lost_run&) = default;
 };
 
+/// Bound on a run number. Runners read JSON numbers, which are exact only up to this value.
+inline constexpr std::int64_t max_run_number = std::int64_t{1} << 53;
+
 /// Bound on the size of task_progress::lost_runs. A task stops being started well below it.
 inline constexpr std::size_t max_lost_runs = 8;
 
--- a/libs/workflow/src/records.cpp
+++ b/libs/workflow/src/records.cpp
@@ -67,9 +67,6 @@
     return it == from.end() ? 0 : read_whole_number(*it, max_unix_ms);
 }
 
-/// Bound on a run number. Each term adds 1000 to the run numbers of a task.
-constexpr std::int64_t max_run_number = std::int64_t{1} << 53;
-
 json write_lost_run(const lost_run& it)
 {
     json out = json::object();
