A failed end of a task that is done fails no job

Callers could see a job as `failed` although the task was done: a run that was given up had ended as failed, a later run finished the task, and the next coordinator read the old end in its first poll of that runner, or a surplus run failed before its stop arrived. end_failed() counted such an end as an attempt; with the last attempt it failed the job and stopped its tasks. Found by reading, as another place where indirect evidence fails a job. Both tests failed before: failed_ends.an_old_end_of_a_finished_task_does_not_fail_its_job and a_surplus_run_that_fails_does_not_fail_the_job_of_a_finished_task, CHECK_FALSE(has_failed()).

--- a/libs/coordinator/src/run_ends.cpp
+++ b/libs/coordinator/src/run_ends.cpp
@@ -110,6 +110,10 @@
     {
         return; // long-running tasks are started again after any number of failures
     }
+    if (t.progress.done)
+    {
+        return; // another run has done the task's work
+    }
     auto& failed = t.progress.failed_runs;
     if (std::find(failed.begin(), failed.end(), end.run) != failed.end())
     {
