An ordered end of a runner is no evidence of a crash for the next coordinator

Callers saw tasks withheld, or their job failed, for crashes that never happened. A runner was unresponsive, its runs were recorded as uncertain losses, and then its machine went to upkeep or to another pool. The coordinator dropped the evidence, but the stored losses stayed as they were: the next coordinator read them, found another runner on the machine, and counted them as certain. Now such a loss is stored as one that can't become certain.

--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -408,7 +408,7 @@
     }
     else if (proof != termination_evidence::address_taken)
     {
-        f.uncertain_losses.erase(id); // the runner may have been active until then
+        abandon_evidence(f, id);
     }
     auto* const h = find_host(f, id);
     if (h == nullptr)
--- a/libs/coordinator/src/lost_runs.cpp
+++ b/libs/coordinator/src/lost_runs.cpp
@@ -404,6 +404,24 @@
     }
 }
 
+void abandon_evidence(fleet& f, const std::string& host)
+{
+    const auto found = f.uncertain_losses.extract(host);
+    if (found.empty())
+    {
+        return;
+    }
+    for (const auto& [name, run] : found.mapped().runs)
+    {
+        if (auto* const it = find_lost_run(f, host, name, run))
+        {
+            it->confirmed = false;
+            it->machine.clear();
+            mark_dirty(f, *find_job(f, name.job));
+        }
+    }
+}
+
 void clear_losses_if_proven(fleet& f,
     host_entry& h,
     job_entry& j,
--- a/libs/coordinator/src/lost_runs.hpp
+++ b/libs/coordinator/src/lost_runs.hpp
@@ -56,6 +56,10 @@
 /// Removes the uncertain losses of a runner that answers again: nothing was lost with it.
 void withdraw_losses(fleet& f, const std::string& host, task_events& out);
 
+/// Keeps the uncertain losses of a runner uncertain, since an order has ended it: it may have been
+/// active until then. Without that, the next coordinator would take its successor for evidence.
+void abandon_evidence(fleet& f, const std::string& host);
+
 /// Clears the losses of a task whose run has been active for so long that the task is no suspect
 /// any more.
 void clear_losses_if_proven(fleet& f,
--- a/libs/coordinator/tests/lost_runs_tests.cpp
+++ b/libs/coordinator/tests/lost_runs_tests.cpp
@@ -113,6 +113,28 @@
     }
 }
 
+// Guards against an upkeep or a move that the next coordinator takes for the crash of a runner that
+// was only unresponsive before.
+TEST(lost_runs, an_ordered_end_is_no_evidence_for_the_next_coordinator)
+{
+    for (const auto proof : {termination_evidence::no_life, termination_evidence::moved})
+    {
+        host_loss_fixture each;
+        each.add_host("h1");
+        each.accept_job(make_job("a", {make_step(1, 1000)}));
+        const auto a = each.plan_starts().at(0);
+        each.answer_start(a);
+        each.expire_host("h1");
+        each.lose_host("h1", proof);
+        host_loss_fixture next;
+        next.f.term = 1;
+        const auto stored = progress_of(*each.f.jobs.at("a"));
+        add_job(next.f, make_job("a", {make_step(1, 1000)}), 1, stored, 2);
+        next.list_next_incarnation("h1");
+        CHECK_FALSE(next.f.jobs.at("a")->tasks[0].progress.lost_runs.at(0).certain);
+    }
+}
+
 // Guards against a crash that is not counted because the unresponsive host was chosen for a move
 // before its leases expired.
 TEST(lost_runs, a_host_that_is_closed_after_its_last_answer_counts)
