Gangs: one checkpoint for all members of a run

What callers saw: a gang that saves its progress lost one runner, and its job stayed `running` for good. Its members were started from different checkpoints, could not work together and ended as absent members, run after run.

Cause: checkpoints were kept for each task by itself. The members that survive a crash list a newer one with their ends than the last poll of the lost member had shown, and each start carried its own task's. After a takeover the members had whatever the store had for each.

Change: a checkpoint that a runner reports for one member is recorded for all members, with the number of the run it comes from (`checkpoint_run`, stored, ignored by earlier versions). A later run's replaces an earlier run's, never the other way round; within a run the latest report counts. A coordinator that takes over gives all members the stored checkpoint of the latest run, or without run numbers the one that most members have. All members of a run are started in one plan, so they get one value. A report alone marks nothing to be stored, as before. Tasks outside gangs keep their behaviour.

The stand-in runners write checkpoints on request and check that the members of a gang's run resume from one.

--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -2,6 +2,7 @@
 
 #include "abandoned_starts.hpp"
 #include "bookkeeping.hpp"
+#include "checkpoints.hpp"
 #include "coordinator/advice.hpp"
 #include "coordinator/intake.hpp"
 #include "lost_runs.hpp"
@@ -154,10 +155,7 @@
     run.progress_percent = it.progress_percent;
     run.load_metric = it.load_metric;
     clear_losses_if_proven(f, h, j, *name, run, out);
-    if (!it.checkpoint.empty())
-    {
-        t->progress.checkpoint = it.checkpoint;
-    }
+    record_checkpoint(j, *name, it.run, it.checkpoint);
 }
 
 /// \return the numbers, if the end counts as applied before although its run is still recorded
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -2,6 +2,7 @@
 
 #include "abandoned_starts.hpp"
 #include "bookkeeping.hpp"
+#include "checkpoints.hpp"
 #include "lost_runs.hpp"
 #include "restarts.hpp"
 
@@ -249,6 +250,7 @@
             j.tasks[i].progress = progress.tasks[i];
         }
         raise_run_numbers(f, j);
+        unify_gang_checkpoints(j);
         count_steps(j);
         inherit_losses(f, j);
     }
--- a/libs/coordinator/src/run_ends.cpp
+++ b/libs/coordinator/src/run_ends.cpp
@@ -1,6 +1,7 @@
 #include "run_ends.hpp"
 
 #include "bookkeeping.hpp"
+#include "checkpoints.hpp"
 #include "forecast_input.hpp"
 #include "lost_runs.hpp"
 #include "workflow/records.hpp"
@@ -199,10 +200,7 @@
     apply_later_run(*t, end.run);
     release_isolated_run(f, j, *t, end.run);
     score_host(h, end.outcome);
-    if (!end.checkpoint.empty())
-    {
-        t->progress.checkpoint = end.checkpoint;
-    }
+    record_checkpoint(j, *name, end.run, end.checkpoint);
     if (workflow::is_final(j.state))
     {
         return;
--- a/libs/hosted/tests/crashing_tasks_tests.cpp
+++ b/libs/hosted/tests/crashing_tasks_tests.cpp
@@ -207,6 +207,27 @@
     STRCMP_EQUAL("", f.c.breaches().c_str());
 }
 
+// Guards against members of a gang that resume from different checkpoints after a crash.
+TEST(crashing_tasks, a_gang_resumes_from_one_checkpoint_and_completes)
+{
+    crash_loop_fixture f(6);
+    f.c.hosts.behaviour.run_time = 4s;
+    f.c.hosts.behaviour.checkpoint_interval = 130ms;
+    f.c.hosts.crashes.after = 1500ms;
+    f.c.hosts.crashes.task = [&](const workflow::task_name& it)
+    {
+        return it.index == 1 && f.c.hosts.crashes_of("a.0.0.1") == 0;
+    };
+    auto j = f.c.make_job("a", 3);
+    j.steps[0].gang = true;
+    j.steps[0].checkpoints = true;
+    j.steps[0].max_per_host = 1;
+    f.c.put_job(j);
+    CHECK(f.c.ends("a", job_state::completed, 60s));
+    LONGS_EQUAL(1, f.c.hosts.crashes_of("a.0.0.1"));
+    STRCMP_EQUAL("", f.c.breaches().c_str());
+}
+
 // Racks lose power twice within seconds. No task is the cause, so none of the jobs may fail.
 TEST(crashing_tasks, tasks_that_lose_their_hosts_twice_complete)
 {
--- a/libs/workflow/include/workflow/model.hpp
+++ b/libs/workflow/include/workflow/model.hpp
@@ -168,7 +168,9 @@
     /// also to another coordinator, and in any order, since the reports come from several runners.
     /// The highest number alone would therefore not show which of them were counted.
     std::vector<std::int64_t> failed_runs;
-    std::string checkpoint;          ///< newest known checkpoint; empty: none
+    std::string checkpoint; ///< newest known checkpoint; empty: none
+    /// Of a member of a gang: number of the run that reported the checkpoint; 0: unknown.
+    std::int64_t checkpoint_run = 0;
     std::vector<lost_run> lost_runs; ///< in the order in which they were recorded
 };
 
--- a/libs/workflow/src/records.cpp
+++ b/libs/workflow/src/records.cpp
@@ -129,6 +129,10 @@
         }
     }
     get_if_present(entry, "checkpoint", t.checkpoint);
+    if (const auto run = entry.find("checkpoint_run"); run != entry.end())
+    {
+        t.checkpoint_run = read_whole_number(*run, max_run_number);
+    }
     if (const auto lost = entry.find("lost_runs"); lost != entry.end())
     {
         read_lost_runs(*lost, t.lost_runs);
@@ -181,6 +185,7 @@
             json entry = json::object();
             put_if_set(entry, "failed_runs", t.failed_runs);
             put_if_set(entry, "checkpoint", t.done ? std::string{} : t.checkpoint);
+            put_if_set(entry, "checkpoint_run", t.done ? 0 : t.checkpoint_run);
             if (!t.done && !t.lost_runs.empty())
             {
                 auto& lost = entry["lost_runs"] = json::array();
--- a/libs/workflow/tests/records_tests.cpp
+++ b/libs/workflow/tests/records_tests.cpp
@@ -85,6 +85,7 @@
     p.tasks[5].failed_runs = {3, 1007};
     p.tasks[5].lost_runs = {{1008, "i-1", "m-1", true, false, true}, {1009, "i-2", {}, true, true}};
     p.tasks[7].checkpoint = "c7";
+    p.tasks[7].checkpoint_run = 1010;
     const auto read = read_progress(j, write_progress(j, p));
     CHECK(core::is_ok(read));
     const auto& q = core::value(read);
@@ -95,6 +96,7 @@
     CHECK(q.tasks[5].failed_runs == (std::vector<std::int64_t>{3, 1007}));
     CHECK(q.tasks[5].lost_runs == p.tasks[5].lost_runs);
     STRCMP_EQUAL("c7", q.tasks[7].checkpoint.c_str());
+    LONGS_EQUAL(1010, q.tasks[7].checkpoint_run);
 }
 
 TEST(workflow_records, damaged_texts_are_rejected)
@@ -108,6 +110,7 @@
             R"({"state":"odd"})",
             R"({"steps":3})",
             R"({"state":"running","tasks":{"99":{"failed_runs":[1]}}})",
+            R"({"state":"running","done":"000000000000","tasks":{"5":{"checkpoint_run":-1}}})",
             R"({"state":"running","done":"000000000000","tasks":{"5":{"lost_runs":3}}})",
             R"({"state":"running","done":"000000000000","tasks":{"5":{"lost_runs":[{}]}}})",
             R"({"state":"running","done":"000000000000","tasks":{"5":{"lost_runs":[{"run":-1}]}}})",
--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -26,6 +26,8 @@
 {
     core::millis run_time{400}; ///< mean; each run takes 50% to 150% of it
     double failure_share = 0;   ///< share of runs that end as failed
+    /// Time between the checkpoints of a task of a step with checkpoints; 0: it writes none.
+    core::millis checkpoint_interval{0};
 };
 
 /// Tasks that crash their runner's process.
@@ -43,6 +45,8 @@
     std::int64_t number = 0;
     core::mono_time started_at;
     bool stopping = false;
+    std::string resumed_from; ///< checkpoint in the start order
+    std::string checkpoint;   ///< newest checkpoint
 };
 
 /// A machine with the present incarnation of its runner.
@@ -177,6 +181,10 @@
     void acknowledge_end(const fake_host& h, const ports::reported_end& it);
     void check_reported_end(const std::string& task);
     void check_start(const fake_host& h, const ports::start_order& o);
+    /// Checks that all members of a gang's run resume from one checkpoint.
+    void check_gang_checkpoint(const ports::start_order& o);
+    /// Lets the run write its next checkpoint after task_behaviour::checkpoint_interval.
+    void schedule_checkpoint(const fake_host& h, const std::string& task, std::int64_t run);
     /// Checks that a start keeps its workspace within its cap.
     void check_cap(const workflow::job& j, const std::string& task, std::int64_t cpu);
     ports::machine_verdict shut_down(const std::string& machine, const std::string& pool);
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -325,6 +325,43 @@
     }
 }
 
+void hosts::check_gang_checkpoint(const ports::start_order& o)
+{
+    const auto name = core::value(workflow::read_task_name(o.task));
+    const auto& s = jobs_.at(name.job).steps[static_cast<std::size_t>(name.step)];
+    for (int i = 0; s.gang && i < s.tasks; ++i)
+    {
+        const auto member = workflow::write_task_name({name.job, name.occurrence, name.step, i});
+        for (const auto& [machine, h] : machines)
+        {
+            const auto it = h.runs.find(member);
+            if (it != h.runs.end() && it->second.number == o.run &&
+                it->second.resumed_from != o.checkpoint)
+            {
+                record_violation("resumes from '" + o.checkpoint + "' and " + member + " from '" +
+                                 it->second.resumed_from + "': " + o.task);
+            }
+        }
+    }
+}
+
+void hosts::schedule_checkpoint(const fake_host& h, const std::string& task, std::int64_t run)
+{
+    after_in_life(h,
+        behaviour.checkpoint_interval,
+        [this, task, run](fake_host& at)
+        {
+            const auto it = at.runs.find(task);
+            if (it == at.runs.end() || it->second.number != run || it->second.stopping)
+            {
+                return;
+            }
+            const auto& before = it->second.checkpoint;
+            it->second.checkpoint = std::to_string(before.empty() ? 1 : std::stoi(before) + 1);
+            schedule_checkpoint(at, task, run);
+        });
+}
+
 void hosts::check_start(const fake_host& h, const ports::start_order& o)
 {
     const auto read = workflow::read_task_name(o.task);
@@ -376,6 +413,7 @@
         record_violation("over its budget of attempts: " + o.task);
     }
     check_crashes(o.task);
+    check_gang_checkpoint(o);
     check_cap(job->second, o.task, s.need.cpu);
     if (h.pool != job->second.pool)
     {
@@ -443,11 +481,15 @@
     ++starts;
     started_[o.task] = time_.now();
     grant(h, o.lease_until_ms);
-    h.runs[o.task] = {o.run, time_.now(), false};
+    h.runs[o.task] = {o.run, time_.now(), false, o.checkpoint, o.checkpoint};
     const auto name = core::value(workflow::read_task_name(o.task));
     started_jobs.insert(name.job);
     schedule_crash(h, o);
     const auto& s = jobs_.at(name.job).steps[static_cast<std::size_t>(name.step)];
+    if (s.checkpoints && behaviour.checkpoint_interval.count() > 0)
+    {
+        schedule_checkpoint(h, o.task, o.run);
+    }
     if (!s.long_running)
     {
         const auto percent_of_run_time = std::uniform_int_distribution<int>(50, 150)(random_);
@@ -473,10 +515,10 @@
 
 void hosts::end_run(fake_host& h, const std::string& task, run_end outcome)
 {
-    const auto run = h.runs.at(task).number;
+    const auto ended = h.runs.at(task);
     h.runs.erase(task);
-    h.refused_through[task] = std::max(h.refused_through[task], run);
-    h.ends.push_back({++h.last_end, task, run, outcome, {}});
+    h.refused_through[task] = std::max(h.refused_through[task], ended.number);
+    h.ends.push_back({++h.last_end, task, ended.number, outcome, ended.checkpoint});
     h.ended_at[h.last_end] = time_.now();
     if (outcome == run_end::done)
     {
@@ -521,7 +563,7 @@
     out.call = {runner_verdict::done, clock_of(h), states_start_times_ ? h.born_ms : 0};
     for (const auto& [task, run] : h.runs)
     {
-        out.running.push_back({task, run.number, {}, percent_of_whole, 0});
+        out.running.push_back({task, run.number, run.checkpoint, percent_of_whole, 0});
     }
     const auto listed = std::min(h.ends.size(), max_listed_ends);
     out.ends_truncated = listed == max_listed_ends;
