Losses count against a task only since its last run that worked, and a reservation only once

Found by a reader who hadn't seen the work, before it landed: after a change of the coordinator the reservation of the fifth run counted twice, so that a job could fail after three or four losses; one run that had worked excused a task for ever, which was then started without end once it crashed its runners; and a run counted as lost at its start when its runner had answered for a second, but not yet to a poll.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -60,8 +60,9 @@
     /// An adopted run that a previous coordinator may have had stopped: a runner lists a run as
     /// active until it has ended, up to coordinator_settings::max_stop_time after the stop.
     bool may_be_stopping = false;
-    bool resumed = false;   ///< started from a checkpoint, so shorter than a complete run
-    bool confirmed = false; ///< the runner has reported this run as active
+    bool resumed = false;         ///< started from a checkpoint, so shorter than a complete run
+    bool confirmed = false;       ///< the runner has reported this run as active
+    core::mono_time confirmed_at; ///< when it first did
     /// A poll of this incarnation has listed the run. The answer to a start does not name the
     /// incarnation, so that alone a run may be active on the next one.
     bool listed = false;
@@ -404,7 +405,8 @@
     core::millis uncertain_loss_wait{6000};
     /// A run that has been active for this long shows that its task does not crash hosts.
     core::millis isolation_time{5000};
-    /// A run that was reported as active after this time was not lost by its start.
+    /// A run whose runner answered after this time since it confirmed the run was not lost by its
+    /// start.
     core::millis startup_crash_time{250};
     /// A suspect waits this long for an empty host, then its isolated run is placed on the least
     /// used host.
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -59,6 +59,7 @@
         run.phase = run_phase::running;
         run.phase_changed_at = now;
     }
+    run.confirmed_at = run.confirmed ? run.confirmed_at : now;
     run.confirmed = true;
     mark_job_started(j);
 }
--- a/libs/coordinator/src/isolated_runs.cpp
+++ b/libs/coordinator/src/isolated_runs.cpp
@@ -211,27 +211,30 @@
     auto& j = *w.job;
     const workflow::task_name name{j.spec.id, w.occurrence, w.step, index};
     auto& t = *find_task(f, name);
-    if (!ensure_reserved(f, j, t, next_run_number(t)))
-    {
-        ++hosts.isolating;
-        return;
-    }
     if (!fits_cap(f, j, j.spec.steps[static_cast<std::size_t>(w.step)].need))
     {
         record_capped_step(f, j);
         return;
     }
-    if (find_start_rule(f, j, name, now) != start_rule::isolated)
+    auto* const h = choose_isolation_host(f, hosts, j, name, now);
+    if (h == nullptr)
     {
-        return; // another task of the job has just been reserved, which is not stored yet
+        ++hosts.isolating; // counts for the bound, so that no other suspect takes its place
+        return;
     }
-    if (auto* const h = choose_isolation_host(f, hosts, j, name, now))
+    // The next coordinator counts a reservation as a start, so it is made only when a host is
+    // there.
+    if (!ensure_reserved(f, j, t, next_run_number(t)))
     {
-        order_start(f, *h, j, name, t.reserved_run_number, now, to, out);
-        record_isolated_start(f, hosts);
+        ++hosts.isolating;
         return;
     }
-    ++hosts.isolating; // counts for the bound, so that no other suspect takes its place
+    if (find_start_rule(f, j, name, now) != start_rule::isolated)
+    {
+        return; // another task of the job has just been reserved, which is not stored yet
+    }
+    order_start(f, *h, j, name, t.reserved_run_number, now, to, out);
+    record_isolated_start(f, hosts);
 }
 
 } // namespace
--- a/libs/coordinator/src/lost_runs.cpp
+++ b/libs/coordinator/src/lost_runs.cpp
@@ -37,18 +37,47 @@
     return j.tasks[workflow::task_index(j.spec, name.occurrence, name.step, name.index)];
 }
 
+/// Losses that may show that a task crashes its runners: those since the latest one of a run that
+/// survived its start.
+struct crash_evidence
+{
+    int losses = 0;
+    int certain = 0;
+    int only_suspect = 0; ///< of `certain`: no other suspected task was on the runner
+    /// Previous coordinators may have ordered starts that left no trace.
+    bool untraced = false;
+};
+
 /// Losses of a task, or of all members of a gang together.
 struct loss_count
 {
     int losses = 0;
     int certain = 0;
-    int only_suspect = 0;   ///< of `certain`: no other suspected task was on the runner
     int survived_start = 0; ///< of `losses`: the run was active for some time
-    bool unseen = false;    ///< some of `losses` are starts of previous coordinators without trace
+    crash_evidence evidence;
     /// When this coordinator recorded the latest loss; zero: a previous coordinator did.
     core::mono_time newest;
 };
 
+/// \return whether the entry stands for possible starts of previous coordinators, not for a run.
+bool is_unseen_start(const fleet& f, const lost_run& it)
+{
+    return it.host.empty() && it.run % f.settings.runs_per_term == 0;
+}
+
+void add_evidence(crash_evidence& to, const fleet& f, const lost_run& it)
+{
+    if (it.survived_start)
+    {
+        to = {};
+        return;
+    }
+    ++to.losses;
+    to.certain += it.certain ? 1 : 0;
+    to.only_suspect += it.certain && it.only_suspect ? 1 : 0;
+    to.untraced = to.untraced || is_unseen_start(f, it);
+}
+
 int losses_of(const task_entry& t)
 {
     const int reserved = t.reserved_run_number != 0 ? 1 : 0;
@@ -62,20 +91,13 @@
         std::count_if(all.begin(), all.end(), [](const lost_run& it) { return it.certain; }));
 }
 
-/// What is known about one lost run of a gang.
-struct gang_loss
-{
-    bool certain = false;
-    bool only_suspect = false;
-    bool survived_start = false;
-};
-
 /// Members of a gang share the number of their run, so a lost run counts once for all of them.
-loss_count count_gang_losses(const job_entry& j, const workflow::task_name& name)
+loss_count count_gang_losses(const fleet& f, const job_entry& j, const workflow::task_name& name)
 {
     loss_count out;
-    std::map<std::int64_t, gang_loss> runs; // by run number
+    std::map<std::int64_t, lost_run> runs; // by run number
     bool unseen = false;
+    bool untraced = false;
     for (int i = 0; i < step_of_task(j, name).tasks; ++i)
     {
         const auto& t = task_of(j, {name.job, name.occurrence, name.step, i});
@@ -85,59 +107,63 @@
             {
                 continue;
             }
-            out.unseen = out.unseen || it.host.empty();
-            auto& run = runs[it.run];
+            auto& run = runs.try_emplace(it.run, it).first->second;
+            run.host = run.host.empty() ? it.host : run.host;
+            run.only_suspect = (run.certain && run.only_suspect) || (it.certain && it.only_suspect);
             run.certain = run.certain || it.certain;
-            run.only_suspect = run.only_suspect || (it.certain && it.only_suspect);
             run.survived_start = run.survived_start || it.survived_start;
         }
         unseen = unseen || (t.may_have_unseen_start && !t.progress.lost_runs.empty());
-        out.unseen = out.unseen || t.has_untraced_start;
+        untraced = untraced || t.has_untraced_start;
         out.newest = std::max(out.newest, t.last_loss_at);
     }
     for (const auto& [number, it] : runs)
     {
         out.certain += it.certain ? 1 : 0;
-        out.only_suspect += it.only_suspect ? 1 : 0;
         out.survived_start += it.survived_start ? 1 : 0;
+        add_evidence(out.evidence, f, it);
     }
     out.losses = static_cast<int>(runs.size()) + (unseen ? 1 : 0);
+    out.evidence.losses += unseen ? 1 : 0;
+    out.evidence.untraced = out.evidence.untraced || untraced;
     return out;
 }
 
-loss_count count_losses(const job_entry& j, const workflow::task_name& name)
+loss_count count_losses(const fleet& f, const job_entry& j, const workflow::task_name& name)
 {
     if (step_of_task(j, name).gang)
     {
-        return count_gang_losses(j, name);
+        return count_gang_losses(f, j, name);
     }
     const auto& t = task_of(j, name);
     const auto& all = t.progress.lost_runs;
     loss_count out;
-    out.unseen = t.has_untraced_start;
     out.losses = losses_of(t);
     out.certain = certain_losses(all);
     out.newest = t.last_loss_at;
     for (const auto& it : all)
     {
-        out.only_suspect += it.certain && it.only_suspect ? 1 : 0;
         out.survived_start += it.survived_start ? 1 : 0;
-        out.unseen = out.unseen || (it.host.empty() && it.run != t.reserved_run_number);
+        if (it.run != t.reserved_run_number)
+        {
+            add_evidence(out.evidence, f, it);
+        }
     }
+    out.evidence.losses += t.may_have_unseen_start && !all.empty() ? 1 : 0;
+    out.evidence.untraced = out.evidence.untraced || t.has_untraced_start;
     return out;
 }
 
 /// Runners crash by themselves, and a task may be on one of them each time. What no coincidence
 /// explains is that each run was lost at its start, on different runners and apart from other
 /// suspects, until the bound on the starts of a task that crashes its runners is reached.
-bool crashes_hosts(const loss_count& all, int max_losses)
+bool crashes_hosts(const crash_evidence& it, int max_losses)
 {
     // Two previous coordinators may each have ended without a trace of a start.
-    const int losses = all.losses + (all.unseen ? 1 : 0);
-    return losses >= max_losses && all.survived_start == 0 &&
-           (all.certain >= decisive_losses_regardless ||
-               (all.certain >= decisive_losses &&
-                   all.only_suspect >= decisive_only_suspect_losses));
+    const int losses = it.losses + (it.untraced ? 1 : 0);
+    return losses >= max_losses &&
+           (it.certain >= decisive_losses_regardless ||
+               (it.certain >= decisive_losses && it.only_suspect >= decisive_only_suspect_losses));
 }
 
 std::string describe_loss(const task_entry& t, const lost_run& it, const std::string& proof)
@@ -173,16 +199,19 @@
 bool survived_start(const fleet& f, const run_entry& run, const host_entry& h)
 {
     return run.adopted ||
-           (run.listed && h.last_answer_at - run.ordered_at >= f.settings.startup_crash_time);
+           (run.confirmed && h.last_answer_at - run.confirmed_at >= f.settings.startup_crash_time);
 }
 
 void add_loss(job_entry& j, task_entry& t, lost_run it)
 {
-    if (t.progress.lost_runs.size() < workflow::max_lost_runs)
+    auto& all = t.progress.lost_runs;
+    if (all.size() == workflow::max_lost_runs)
     {
-        t.progress.lost_runs.push_back(std::move(it));
-        ++j.losses;
+        all.erase(all.begin());
+        --j.losses;
     }
+    all.push_back(std::move(it));
+    ++j.losses;
 }
 
 /// Records a possible unseen start as a lost run, so that it is stored together with the known
@@ -256,7 +285,7 @@
     {
         return start_rule::unrestricted;
     }
-    const auto all = count_losses(j, name);
+    const auto all = count_losses(f, j, name);
     if (all.losses == 0)
     {
         return start_rule::unrestricted;
@@ -264,7 +293,7 @@
     // The next coordinator counts from the stored losses, so a loss that is not stored would be
     // missed.
     const bool stored = j.losses_stored == j.losses_recorded;
-    if (!stored || crashes_hosts(all, f.settings.last_resort_losses))
+    if (!stored || crashes_hosts(all.evidence, f.settings.last_resort_losses))
     {
         return start_rule::withheld;
     }
@@ -272,7 +301,7 @@
     const bool many = all.losses >= f.settings.last_resort_losses;
     if (many || (uncertain && all.losses >= uncertain_wait_losses))
     {
-        const bool last_resort = many && all.survived_start == 0;
+        const bool last_resort = all.evidence.losses >= f.settings.last_resort_losses;
         const auto wait =
             last_resort ? f.settings.last_resort_wait : f.settings.uncertain_loss_wait;
         const auto since = last_resort ? std::max(all.newest, j.added_at) : all.newest;
@@ -294,9 +323,9 @@
         {
             const workflow::task_name name{j.spec.id, w.occurrence, w.step, i};
             const auto& t = task_of(j, name);
-            const auto all = count_losses(j, name);
+            const auto all = count_losses(f, j, name);
             if (t.progress.done || !t.runs.empty() ||
-                !crashes_hosts(all, f.settings.last_resort_losses))
+                !crashes_hosts(all.evidence, f.settings.last_resort_losses))
             {
                 continue;
             }
--- a/libs/coordinator/tests/lost_runs_tests.cpp
+++ b/libs/coordinator/tests/lost_runs_tests.cpp
@@ -340,3 +340,77 @@
     LONGS_EQUAL(gang.tasks, w.plan_starts().size());
     CHECK(w.state("a") == job_state::running);
 }
+
+// Guards against starting a task for ever that begins to crash its runners after a run of it
+// worked.
+TEST(lost_runs, a_run_that_worked_does_not_excuse_later_crashes)
+{
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    w.lose_after_start(0);
+    int starts = 0;
+    for (int i = 0; i < 30; ++i)
+    {
+        starts += w.crash_repeatedly(1);
+        w.advance_time(w.f.settings.last_resort_wait);
+    }
+    LONGS_EQUAL(w.f.settings.last_resort_losses, starts);
+    CHECK(w.state("a") == job_state::failed);
+}
+
+// Guards against counting a run as lost at its start although its runner answered long after it.
+TEST(lost_runs, a_runner_that_answers_after_the_start_was_not_lost_by_it)
+{
+    auto s = make_step(1, 1000);
+    s.long_running = true;
+    w.accept_job(make_job("a", {s}));
+    for (int i = 0; i < 5; ++i)
+    {
+        const auto all = w.plan_starts();
+        LONGS_EQUAL(1, all.size());
+        w.answer_start(all[0]);
+        w.advance_time(1s);
+        const ports::runner_answer answer{ports::runner_verdict::done, w.clock_ms()};
+        handle_renewal_answer(w.f, all[0].host.id, answer, w.now, w.events);
+        w.lose_host(all[0].host.id);
+    }
+    w.plan_starts();
+    CHECK(w.state("a") == job_state::running);
+}
+
+// Guards against starting a task for ever that crashes its runners, because its orders are slow.
+TEST(lost_runs, a_slow_order_is_no_survived_start)
+{
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    int starts = 0;
+    for (int i = 0; i < 30; ++i)
+    {
+        for (const auto& it : w.plan_starts())
+        {
+            ++starts;
+            w.advance_time(300ms);
+            w.answer_start(it);
+            w.report_active(it);
+            w.lose_host(it.host.id);
+        }
+        w.advance_time(w.f.settings.last_resort_wait);
+    }
+    LONGS_EQUAL(w.f.settings.last_resort_losses, starts);
+}
+
+// Guards against a job that fails after four losses because the reservation of a fifth run, which
+// works or was never ordered, counts more than once.
+TEST(lost_runs, a_reservation_counts_once)
+{
+    workflow::job_progress p;
+    p.state = job_state::running;
+    p.tasks.resize(1);
+    p.tasks[0].lost_runs = {{1, "x1", "", true, true, false},
+        {2, "x2", "", true, true, false},
+        {3, "x3", "", true, true, true},
+        {4}};
+    w.f.term = 1;
+    w.f.term_start_revision = 5;
+    add_job(w.f, make_job("a", {make_step(1, 1000)}), 1, p, 2);
+    w.plan_starts();
+    CHECK(w.state("a") == job_state::running);
+}
--- a/libs/workflow/include/workflow/model.hpp
+++ b/libs/workflow/include/workflow/model.hpp
@@ -162,7 +162,7 @@
 /// Bound on a run number. Runners read JSON numbers, which are exact only up to this value.
 inline constexpr std::int64_t max_run_number = std::int64_t{1} << 53;
 
-/// Bound on the size of task_progress::lost_runs. A task stops being started well below it.
+/// Bound on the size of task_progress::lost_runs, which keeps the newest ones.
 inline constexpr std::size_t max_lost_runs = 8;
 
 /// What is stored about one task.
