--- a/libs/coordinator/src/lost_runs.cpp
+++ b/libs/coordinator/src/lost_runs.cpp
@@ -175,6 +175,28 @@
                        : std::string{it.confirmed ? " possible" : " unconfirmed"});
 }
 
+/// \return a task of the step that waits for a start and has crashed its runners; empty: none.
+std::optional<workflow::task_name> find_crashing_task(const fleet& f, const waiting_step& w)
+{
+    const auto& j = *w.job;
+    const auto& s = j.spec.steps[static_cast<std::size_t>(w.step)];
+    if (s.gang && step_of(j, w.occurrence, w.step).idle < s.tasks)
+    {
+        return std::nullopt; // some member has a run
+    }
+    for (int i = 0; i < s.tasks; ++i)
+    {
+        const workflow::task_name name{j.spec.id, w.occurrence, w.step, i};
+        const auto& t = task_of(j, name);
+        if (!t.progress.done && t.runs.empty() &&
+            crashes_hosts(count_losses(f, j, name).evidence, f.settings.last_resort_losses))
+        {
+            return name;
+        }
+    }
+    return std::nullopt;
+}
+
 std::int64_t newest_run(const task_entry& t)
 {
     return t.runs.empty() ? 0 : t.runs.back().number;
@@ -316,25 +338,17 @@
     for (const auto& w : waiting)
     {
         auto& j = *w.job;
-        const auto& s = j.spec.steps[static_cast<std::size_t>(w.step)];
-        const bool gang_runs = s.gang && step_of(j, w.occurrence, w.step).idle < s.tasks;
-        for (int i = 0; j.losses > 0 && !gang_runs && i < s.tasks && !workflow::is_final(j.state);
-             ++i)
+        const auto name =
+            j.losses > 0 && !workflow::is_final(j.state) ? find_crashing_task(f, w) : std::nullopt;
+        if (name)
         {
-            const workflow::task_name name{j.spec.id, w.occurrence, w.step, i};
-            const auto& t = task_of(j, name);
-            const auto all = count_losses(f, j, name);
-            if (t.progress.done || !t.runs.empty() ||
-                !crashes_hosts(all.evidence, f.settings.last_resort_losses))
-            {
-                continue;
-            }
             out.push_back({"job_failed",
                 j.spec.id,
                 0,
                 "",
-                "task=" + workflow::write_task_name(name) +
-                    " crashed_hosts=" + std::to_string(all.certain) + " " + summarize_losses(t)});
+                "task=" + workflow::write_task_name(*name) +
+                    " crashed_hosts=" + std::to_string(count_losses(f, j, *name).certain) + " " +
+                    summarize_losses(task_of(j, *name))});
             finish_job(f, j, workflow::job_state::failed, now);
         }
     }
