--- a/libs/coordinator/src/lost_runs.cpp
+++ b/libs/coordinator/src/lost_runs.cpp
@@ -53,7 +53,6 @@
 {
     int losses = 0;
     int certain = 0;
-    int survived_start = 0; ///< of `losses`: the run was active for some time
     crash_evidence evidence;
     /// When this coordinator recorded the latest loss; zero: a previous coordinator did.
     core::mono_time newest;
@@ -120,7 +119,6 @@
     for (const auto& [number, it] : runs)
     {
         out.certain += it.certain ? 1 : 0;
-        out.survived_start += it.survived_start ? 1 : 0;
         add_evidence(out.evidence, f, it);
     }
     out.losses = static_cast<int>(runs.size()) + (unseen ? 1 : 0);
@@ -143,7 +141,6 @@
     out.newest = t.last_loss_at;
     for (const auto& it : all)
     {
-        out.survived_start += it.survived_start ? 1 : 0;
         if (it.run != t.reserved_run_number)
         {
             add_evidence(out.evidence, f, it);
