--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -357,7 +357,7 @@
         h.added_at = now;
         h.inherited_leases_end_at = now;
         out.push_back({"host_added", "", 0, id, "pool=" + it.pool});
-        inherit_from_earlier_incarnations(f, id, now, out);
+        inherit_from_earlier_incarnations(f, id, out);
     }
     if (h.draining != it.draining)
     {
@@ -406,7 +406,7 @@
     const std::string text{core::name_of(termination_evidence_names, proof)};
     if (by_itself)
     {
-        confirm_losses(f, id, text, now, out);
+        confirm_losses(f, id, text, out);
     }
     else if (proof != termination_evidence::address_taken)
     {
--- a/libs/coordinator/src/lost_runs.cpp
+++ b/libs/coordinator/src/lost_runs.cpp
@@ -389,11 +389,7 @@
     }
 }
 
-void confirm_losses(fleet& f,
-    const std::string& host,
-    const std::string& proof,
-    core::mono_time now,
-    task_events& out)
+void confirm_losses(fleet& f, const std::string& host, const std::string& proof, task_events& out)
 {
     const auto found = f.uncertain_losses.extract(host);
     if (found.empty())
--- a/libs/coordinator/src/lost_runs.hpp
+++ b/libs/coordinator/src/lost_runs.hpp
@@ -47,11 +47,7 @@
     task_events& out);
 
 /// Marks the uncertain losses of a runner as certain, after the runner has ended without an order.
-void confirm_losses(fleet& f,
-    const std::string& host,
-    const std::string& proof,
-    core::mono_time now,
-    task_events& out);
+void confirm_losses(fleet& f, const std::string& host, const std::string& proof, task_events& out);
 
 /// Removes the uncertain losses of a runner that answers again: nothing was lost with it.
 void withdraw_losses(fleet& f, const std::string& host, task_events& out);
--- a/libs/coordinator/src/machine_list_evidence.cpp
+++ b/libs/coordinator/src/machine_list_evidence.cpp
@@ -38,11 +38,8 @@
 
 /// Confirms uncertain losses of runners whose machine has another runner now, including runners
 /// that are no longer among the hosts.
-void confirm_listed_losses(fleet& f,
-    const machine_table& list,
-    core::millis list_lag,
-    core::mono_time now,
-    task_events& out)
+void confirm_listed_losses(
+    fleet& f, const machine_table& list, core::millis list_lag, task_events& out)
 {
     remove_irrelevant_losses(f);
     identify_lost_machines(f, list);
@@ -66,7 +63,7 @@
     {
         const std::string proof{
             core::name_of(termination_evidence_names, termination_evidence::other_life)};
-        confirm_losses(f, id, proof, now, out);
+        confirm_losses(f, id, proof, out);
     }
 }
 
@@ -121,7 +118,7 @@
     {
         end_host(f, id, proof, now, out);
     }
-    confirm_listed_losses(f, list, list_lag, now, out);
+    confirm_listed_losses(f, list, list_lag, out);
 }
 
 bool needs_machine_list(const fleet& f)
--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -96,8 +96,7 @@
     return found == nullptr ? nullptr : &f.hosts.at(found->ref.id);
 }
 
-void inherit_from_earlier_incarnations(
-    fleet& f, const std::string& id, core::mono_time now, task_events& out)
+void inherit_from_earlier_incarnations(fleet& f, const std::string& id, task_events& out)
 {
     for (const auto& it : earlier_incarnations(f.abandoned_starts, id))
     {
@@ -125,7 +124,6 @@
                 it,
                 std::string{
                     core::name_of(termination_evidence_names, termination_evidence::restarted)},
-                now,
                 out);
         }
     }
@@ -158,7 +156,7 @@
         0,
         id,
         "was=" + old + " machine=" + to.machine + " unsettled_runs=" + std::to_string(kept)});
-    inherit_from_earlier_incarnations(f, id, now, out);
+    inherit_from_earlier_incarnations(f, id, out);
     if (has_ended)
     {
         end_host(f, old, termination_evidence::restarted, now, out);
--- a/libs/coordinator/src/restarts.hpp
+++ b/libs/coordinator/src/restarts.hpp
@@ -15,8 +15,7 @@
 
 /// Passes on what concerns later incarnations of a runner to its host \p id, which was just added:
 /// starts that may still begin there must be stopped first, and earlier incarnations have ended.
-void inherit_from_earlier_incarnations(
-    fleet& f, const std::string& id, core::mono_time now, task_events& out);
+void inherit_from_earlier_incarnations(fleet& f, const std::string& id, task_events& out);
 
 /// Replaces host \p old by the incarnation of its runner that began at \p born_ms. Orders name a
 /// runner by its id only, so one that was sent to the old incarnation may have been carried out by
