--- a/libs/coordinator/src/bookkeeping.cpp
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -89,14 +89,14 @@
            h.last_stored_end >= h.last_applied_end;
 }
 
-namespace
-{
-
 const workflow::step& step_spec(const job_entry& j, const workflow::task_name& name)
 {
     return j.spec.steps[static_cast<std::size_t>(name.step)];
 }
 
+namespace
+{
+
 task_entry& task_of(job_entry& j, const workflow::task_name& name)
 {
     return j.tasks[workflow::task_index(j.spec, name.occurrence, name.step, name.index)];
--- a/libs/coordinator/src/bookkeeping.hpp
+++ b/libs/coordinator/src/bookkeeping.hpp
@@ -17,6 +17,9 @@
 /// \return the host, or nullptr when it is unknown.
 host_entry* find_host(fleet& f, const std::string& id);
 
+/// \return the step of the task, as it was submitted.
+const workflow::step& step_spec(const job_entry& j, const workflow::task_name& name);
+
 /// \return the counts of the step.
 step_entry& step_of(job_entry& j, int occurrence, int step);
 
--- a/libs/coordinator/src/checkpoints.cpp
+++ b/libs/coordinator/src/checkpoints.cpp
@@ -1,5 +1,7 @@
 #include "checkpoints.hpp"
 
+#include "bookkeeping.hpp"
+
 #include <map>
 #include <tuple>
 #include <utility>
@@ -13,11 +15,6 @@
 /// A checkpoint with the number of its run.
 using run_checkpoint = std::pair<std::int64_t, std::string>;
 
-const workflow::step& step_of_task(const job_entry& j, const workflow::task_name& name)
-{
-    return j.spec.steps[static_cast<std::size_t>(name.step)];
-}
-
 workflow::task_progress& progress_of_member(
     job_entry& j, const workflow::task_name& name, int member)
 {
@@ -26,7 +23,7 @@
 
 void set_gang_checkpoint(job_entry& j, const workflow::task_name& name, const run_checkpoint& it)
 {
-    for (int i = 0; i < step_of_task(j, name).tasks; ++i)
+    for (int i = 0; i < step_spec(j, name).tasks; ++i)
     {
         auto& p = progress_of_member(j, name, i);
         p.checkpoint_run = it.first;
@@ -38,7 +35,7 @@
 run_checkpoint find_newest_checkpoint(job_entry& j, const workflow::task_name& name)
 {
     std::map<run_checkpoint, int> members;
-    for (int i = 0; i < step_of_task(j, name).tasks; ++i)
+    for (int i = 0; i < step_spec(j, name).tasks; ++i)
     {
         const auto& p = progress_of_member(j, name, i);
         if (!p.checkpoint.empty())
@@ -69,7 +66,7 @@
     {
         return;
     }
-    if (!step_of_task(j, name).gang)
+    if (!step_spec(j, name).gang)
     {
         known.checkpoint = checkpoint;
         return;
--- a/libs/coordinator/src/lost_runs.cpp
+++ b/libs/coordinator/src/lost_runs.cpp
@@ -27,11 +27,6 @@
 /// Number of certain losses that shows it in any case.
 constexpr int decisive_losses_regardless = 4;
 
-const workflow::step& step_of_task(const job_entry& j, const workflow::task_name& name)
-{
-    return j.spec.steps[static_cast<std::size_t>(name.step)];
-}
-
 const task_entry& task_of(const job_entry& j, const workflow::task_name& name)
 {
     return j.tasks[workflow::task_index(j.spec, name.occurrence, name.step, name.index)];
@@ -97,7 +92,7 @@
     std::map<std::int64_t, lost_run> runs; // by run number
     bool unseen = false;
     bool untraced = false;
-    for (int i = 0; i < step_of_task(j, name).tasks; ++i)
+    for (int i = 0; i < step_spec(j, name).tasks; ++i)
     {
         const auto& t = task_of(j, {name.job, name.occurrence, name.step, i});
         for (const auto& it : t.progress.lost_runs)
@@ -129,7 +124,7 @@
 
 loss_count count_losses(const fleet& f, const job_entry& j, const workflow::task_name& name)
 {
-    if (step_of_task(j, name).gang)
+    if (step_spec(j, name).gang)
     {
         return count_gang_losses(f, j, name);
     }
@@ -181,7 +176,8 @@
     {
         return std::nullopt; // some member has a run
     }
-    for (int i = 0; i < s.tasks; ++i)
+    const int tasks = s.gang ? 1 : s.tasks; // the members of a gang are counted together
+    for (int i = 0; i < tasks; ++i)
     {
         const workflow::task_name name{j.spec.id, w.occurrence, w.step, i};
         const auto& t = task_of(j, name);
