--- a/review/standin-2/tests/platform.hpp
+++ b/review/standin-2/tests/platform.hpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <cstdlib>
 #include <deque>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -431,15 +432,43 @@
         return running_.size();
     }
 
+    // \return the tasks that last and are at work.
+    std::vector<std::string> at_work()
+    {
+        const std::lock_guard lock(mutex_);
+        std::vector<std::string> out;
+        for (const auto& [task, it] : running_)
+        {
+            if (it.duration == 0 && it.percent() == 100)
+            {
+                out.push_back(task);
+            }
+        }
+        return out;
+    }
+
 private:
     struct active_run
     {
         std::int64_t run;
         std::int64_t started;
-        std::int64_t duration;
+        std::int64_t duration; // 0: the task lasts
+        std::int64_t startup;  // of a task that lasts
         std::int64_t stopped_at = 0;
+
+        std::int64_t percent() const
+        {
+            const auto whole = std::max<std::int64_t>(duration + startup, 1);
+            const auto done = (now_ms() - started) * 100 / whole;
+            return std::min<std::int64_t>(done, duration == 0 ? 100 : 99);
+        }
     };
 
+    static std::int64_t number_in(const std::string& spec, const std::string& name)
+    {
+        return spec.rfind(name, 0) == 0 ? std::strtoll(spec.c_str() + name.size(), nullptr, 10) : 0;
+    }
+
     std::int64_t clock() const
     {
         return clock_offset_ + now_ms();
@@ -505,7 +534,7 @@
             return answer(409, "late");
         }
         const auto spec = body.at("spec").get<std::string>();
-        running_[task] = {run, now_ms(), std::stoll(spec.substr(3))};
+        running_[task] = {run, now_ms(), number_in(spec, "ms="), number_in(spec, "lasts=")};
         lock.unlock();
         events_.on_start(id_, task, run);
         return answer(200);
@@ -539,9 +568,7 @@
         json running = json::array();
         for (const auto& [task, it] : running_)
         {
-            const auto done =
-                (now_ms() - it.started) * 100 / std::max<std::int64_t>(it.duration, 1);
-            running.push_back({task, it.run, "", std::min<std::int64_t>(done, 99), 500});
+            running.push_back({task, it.run, "", it.percent(), 500});
         }
         json ended = json::array();
         for (const auto& it : ended_)
@@ -562,7 +589,7 @@
         {
             return "stopped";
         }
-        return now_ms() >= it.started + it.duration ? "done" : "";
+        return it.duration > 0 && now_ms() >= it.started + it.duration ? "done" : "";
     }
 
     void end_runs()
@@ -683,6 +710,19 @@
         delay_of_ = std::move(rule);
     }
 
+    // Called when an upkeep begins, with the tasks that last and are at work there.
+    void on_upkeep(std::function<void(const std::string&, const std::vector<std::string>&)> fn)
+    {
+        const std::lock_guard lock(mutex_);
+        on_upkeep_ = std::move(fn);
+    }
+
+    // Neither lists nor orders are answered or carried out.
+    void set_silent(bool silent)
+    {
+        silent_ = silent;
+    }
+
     void set_wave_cap(std::size_t cap)
     {
         cap_ = cap;
@@ -807,6 +847,11 @@
 
     response handle(const request& r)
     {
+        if (silent_)
+        {
+            record_.line("the cloud is silent: " + r.path + " " + r.body);
+            return {};
+        }
         if (r.method == "GET")
         {
             const std::lock_guard lock(mutex_);
@@ -904,6 +949,10 @@
         }
         m.state = "upkeep";
         done_.insert(name);
+        if (on_upkeep_)
+        {
+            on_upkeep_(name, m.life->at_work());
+        }
         record_.line("machine " + name + " goes down for its upkeep, with " +
                      std::to_string(m.life->running()) + " tasks");
     }
@@ -915,6 +964,8 @@
     std::map<std::string, machine> machines_;
     std::set<std::string> done_;
     delay_rule delay_of_;
+    std::function<void(const std::string&, const std::vector<std::string>&)> on_upkeep_;
+    std::atomic<bool> silent_{false};
     std::string last_holder_;
     std::size_t cap_ = 1;
     std::atomic<int> cap_broken_{0};
--- a/review/standin-2/tests/starved_task.cpp
+++ b/review/standin-2/tests/starved_task.cpp
@@ -52,7 +52,7 @@
                     {"estimateMs", 700},
                     {"longRunning", true},
                     {"requirements", "b"}},
-                "ms=1000000"))
+                "lasts=700"))
         {
             return 2;
         }
