--- a/review/standin-2/tests/killed_by_upkeep.cpp
+++ b/review/standin-2/tests/killed_by_upkeep.cpp
@@ -1,5 +1,5 @@
 // The order for a machine's upkeep is lost while the cloud is silent; meanwhile the machine's
-// runner crashes, comes back and gets three tasks that last, of which one may be missed. Does the
+// runner crashes, comes back and gets five tasks that last, of which one may be missed. Does the
 // repeat of the order end all five?
 #include "deployment.hpp"
 
