--- a/review/standin-2/tests/late_upkeep.cpp
+++ b/review/standin-2/tests/late_upkeep.cpp
@@ -11,6 +11,7 @@
 
 constexpr int machines_of_pool = 12;
 constexpr std::int64_t late_ms = 4500;
+constexpr std::int64_t submit_every_ms = 110; // keeps two thirds of the machines busy
 constexpr std::int64_t watched_ms = 45000;
 
 // The first upkeep order gets no answer and is carried out late; all other calls are carried out at
@@ -73,7 +74,7 @@
                 const json steps{
                     {{"count", 4}, {"cpu", 1800}, {"memMb", 256}, {"estimateMs", 800}}};
                 all.submit(all.new_id(), steps, "ms=800");
-                sleep_ms(200);
+                sleep_ms(submit_every_ms);
             }
         });
     sleep_ms(3000);
@@ -90,7 +91,8 @@
     bool killed = false;
     std::int64_t restart_at = 0;
     node* leader = nullptr;
-    while (now_ms() < until && all.machines.upkeeps_done() < machines_of_pool)
+    while (now_ms() < until && all.machines.upkeeps_done() < machines_of_pool &&
+           all.machines.cap_broken() == 0)
     {
         {
             const std::lock_guard lock(state.mutex);
