Reproduce calls for an earlier incarnation of a runner

A runner that starts again under its id carries out calls that were meant for its earlier incarnation: it knows no fencing token, has another clock and counts its ends from 1. The fakes lost every late call when the runner's process ended, so no test saw what follows.

Fakes: a test can hold back the next calls of a kind and release them at whichever incarnation then has the id, and state the next clock. With late_calls_outlive_process late calls of random worlds do the same; it is off by default. Throttles are carried out: a run at 0 percent pauses.

--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -39,14 +40,28 @@
     core::millis down{3500}; ///< time until the machine's next incarnation of the runner
 };
 
+/// Calls to a runner that a test can hold back.
+enum class runner_call
+{
+    start,
+    stop,
+    throttle,
+    poll,
+    poll_end ///< the list after a poll's wait
+};
+
 /// One run on a runner.
 struct fake_run
 {
     std::int64_t number = 0;
     core::mono_time started_at;
     bool stopping = false;
-    std::string resumed_from; ///< checkpoint in the start order
-    std::string checkpoint;   ///< newest checkpoint
+    std::string resumed_from;  ///< checkpoint in the start order
+    std::string checkpoint;    ///< newest checkpoint
+    core::millis work_left{0}; ///< at full speed, from throttled_at on
+    int cpu_percent = 100;
+    core::mono_time throttled_at{}; ///< when cpu_percent was last ordered; zero: never
+    int throttle_changes = 0;
 };
 
 /// A machine with the present incarnation of its runner.
@@ -112,6 +127,15 @@
     void transfer_address(
         const std::string& from, const std::string& to, core::millis cut_off_time);
 
+    /// Holds back the next calls of a kind that reach the machine. The sender of a held call gets
+    /// no answer, unless the call is released within its timeout.
+    void hold_next(runner_call kind, const std::string& machine, int calls = 1);
+    std::size_t held_calls() const;
+    /// Carries out the held calls now, at whichever incarnation has the id that they name.
+    void release_held();
+    /// Loses the held calls.
+    void drop_held();
+
     ports::runners runner_port(daemon_fakes::process& p);
     ports::machines machine_port(daemon_fakes::process& p);
 
@@ -139,8 +163,13 @@
     bool accepts_starts_under_any_lease = false;
     /// Share of restarts in which a runner keeps its id; the others give it a new one.
     double kept_id_share = 0;
-    /// Share of starts and stops that get no answer and are carried out seconds later.
+    /// Clock of the next incarnation at its start; empty: a clock unrelated to that of the others.
+    std::optional<std::int64_t> next_clock_at_birth_ms;
+    /// Share of starts, stops and throttles that get no answer and are carried out seconds later.
     double late_order_share = 0;
+    /// A late call is carried out even if its runner has started again under its id meanwhile;
+    /// otherwise it is lost with the process.
+    bool late_calls_outlive_process = false;
     int machine_answers_to_lose = 0; ///< number of next machine orders, carried out unanswered
     /// Share of polls that get no answer and take effect seconds later: leases are granted and ends
     /// acknowledged late.
@@ -161,15 +190,19 @@
     template <class Answer>
     void call(daemon_fakes::process& p,
         const ports::runner_ref& to,
-        bool order,
+        runner_call kind,
         std::function<Answer(fake_host&)> serve,
         std::function<void(Answer)> done);
     ports::runner_answer start(fake_host& h, const ports::start_order& o);
     ports::runner_answer stop(fake_host& h, const ports::stop_order& o);
+    ports::runner_answer throttle(fake_host& h, const ports::throttle_order& o);
     ports::poll_answer poll(fake_host& h, const ports::poll_order& o);
+    /// \return false for a token that is lower than one that the incarnation has seen.
+    bool accept_token(fake_host& h, std::int64_t token) const;
     ports::poll_answer list_runs(const fake_host& h);
     void grant(fake_host& h, std::int64_t until);
     void schedule_lease_end(const fake_host& h);
+    void schedule_finish(const fake_host& h, const std::string& task);
     void finish_run(const std::string& machine, const std::string& task, std::int64_t run);
     /// Calls \p then after the time if the host's incarnation is still there.
     void after_in_life(
@@ -200,7 +233,8 @@
     void record_violation(const std::string& what);
     std::int64_t clock() const;
     std::int64_t clock_of(const fake_host& h) const;
-    bool draws_late(bool order);
+    bool draws_late(runner_call kind);
+    bool takes_hold(runner_call kind, const ports::runner_ref& to);
     core::millis draw_answer_delay();
     fake_host* find_host(const ports::runner_ref& r);
 
@@ -208,6 +242,8 @@
     store& store_;
     std::mt19937_64 random_;
     std::map<std::string, workflow::job> jobs_;
+    std::map<std::pair<runner_call, std::string>, int> holds_; ///< calls to hold, by machine
+    std::vector<std::function<void()>> held_;                  ///< each carries one call out
     /// By workspace: its caps in milli-cores, each with the time of the change.
     std::map<std::string, std::vector<std::pair<core::mono_time, std::int64_t>>> caps_;
     std::set<std::string> ended_done_;                     ///< tasks that ended done
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -147,6 +147,7 @@
     constexpr std::int64_t clock_step_ms = 5'000'011;
     constexpr std::int64_t max_clock_at_birth_ms = 9'000'000;
     h.clock_at_birth_ms = ++lives_ * clock_step_ms % max_clock_at_birth_ms;
+    h.clock_at_birth_ms = std::exchange(next_clock_at_birth_ms, {}).value_or(h.clock_at_birth_ms);
     h.up = true;
     h.draining = false;
     h.fence = 0;
@@ -458,13 +459,22 @@
         });
 }
 
+bool hosts::accept_token(fake_host& h, std::int64_t token) const
+{
+    if (checks_fencing_tokens && token < h.fence)
+    {
+        return false;
+    }
+    h.fence = token;
+    return true;
+}
+
 ports::runner_answer hosts::start(fake_host& h, const ports::start_order& o)
 {
-    if (checks_fencing_tokens && o.fencing_token < h.fence)
+    if (!accept_token(h, o.fencing_token))
     {
         return {runner_verdict::fenced, clock_of(h)};
     }
-    h.fence = o.fencing_token;
     const auto here = h.runs.find(o.task);
     if (here != h.runs.end() && here->second.number == o.run)
     {
@@ -498,14 +508,31 @@
     if (!s.long_running)
     {
         const auto percent_of_run_time = std::uniform_int_distribution<int>(50, 150)(random_);
-        after_in_life(h,
-            behaviour.run_time * percent_of_run_time / percent_of_whole,
-            [this, task = o.task, run = o.run](fake_host& at)
-            { finish_run(at.machine, task, run); });
+        h.runs[o.task].work_left = behaviour.run_time * percent_of_run_time / percent_of_whole;
+        schedule_finish(h, o.task);
     }
     return {runner_verdict::done, clock_of(h)};
 }
 
+void hosts::schedule_finish(const fake_host& h, const std::string& task)
+{
+    const auto& run = h.runs.at(task);
+    if (run.cpu_percent == 0)
+    {
+        return;
+    }
+    after_in_life(h,
+        run.work_left * percent_of_whole / run.cpu_percent,
+        [this, task, number = run.number, changes = run.throttle_changes](fake_host& at)
+        {
+            const auto it = at.runs.find(task);
+            if (it != at.runs.end() && it->second.throttle_changes == changes)
+            {
+                finish_run(at.machine, task, number);
+            }
+        });
+}
+
 void hosts::finish_run(const std::string& machine, const std::string& task, std::int64_t run)
 {
     auto& h = machines.at(machine);
@@ -539,11 +566,10 @@
 
 ports::runner_answer hosts::stop(fake_host& h, const ports::stop_order& o)
 {
-    if (checks_fencing_tokens && o.fencing_token < h.fence)
+    if (!accept_token(h, o.fencing_token))
     {
         return {runner_verdict::fenced, clock_of(h)};
     }
-    h.fence = o.fencing_token;
     h.refused_through[o.task] = std::max(h.refused_through[o.task], o.run);
     const auto it = h.runs.find(o.task);
     if (it != h.runs.end() && it->second.number <= o.run && !it->second.stopping)
@@ -562,6 +588,32 @@
     return {runner_verdict::done, clock_of(h)};
 }
 
+ports::runner_answer hosts::throttle(fake_host& h, const ports::throttle_order& o)
+{
+    if (!accept_token(h, o.fencing_token))
+    {
+        return {runner_verdict::fenced, clock_of(h)};
+    }
+    const auto it = h.runs.find(o.task);
+    if (it != h.runs.end() && it->second.number == o.run)
+    {
+        auto& run = it->second;
+        const auto since = std::max(run.throttled_at, run.started_at);
+        const auto worked = std::chrono::duration_cast<core::millis>(time_.now() - since) *
+                            run.cpu_percent / percent_of_whole;
+        run.work_left = std::max(run.work_left - worked, core::millis{0});
+        run.cpu_percent = o.cpu_percent;
+        run.throttled_at = time_.now();
+        ++run.throttle_changes;
+        const auto name = core::value(workflow::read_task_name(o.task));
+        if (!jobs_.at(name.job).steps[static_cast<std::size_t>(name.step)].long_running)
+        {
+            schedule_finish(h, o.task);
+        }
+    }
+    return {runner_verdict::done, clock_of(h)};
+}
+
 ports::poll_answer hosts::list_runs(const fake_host& h)
 {
     ports::poll_answer out;
@@ -596,13 +648,12 @@
 
 ports::poll_answer hosts::poll(fake_host& h, const ports::poll_order& o)
 {
-    if (checks_fencing_tokens && o.fencing_token < h.fence)
+    if (!accept_token(h, o.fencing_token))
     {
         ports::poll_answer out;
         out.call = {runner_verdict::fenced, clock_of(h)};
         return out;
     }
-    h.fence = o.fencing_token;
     for (const auto& it : h.ends)
     {
         if (it.number > o.acknowledged_through)
@@ -623,8 +674,48 @@
     return list_runs(h);
 }
 
-bool hosts::draws_late(bool order)
+void hosts::hold_next(runner_call kind, const std::string& machine, int calls)
 {
+    holds_[{kind, machine}] += calls;
+}
+
+std::size_t hosts::held_calls() const
+{
+    return held_.size();
+}
+
+void hosts::release_held()
+{
+    for (const auto& it : std::exchange(held_, {}))
+    {
+        it();
+    }
+}
+
+void hosts::drop_held()
+{
+    held_.clear();
+}
+
+/// \return whether the call is to be held back.
+bool hosts::takes_hold(runner_call kind, const ports::runner_ref& to)
+{
+    const auto* const h = holds_.empty() ? nullptr : find_host(to);
+    const auto it = h == nullptr ? holds_.end() : holds_.find({kind, h->machine});
+    if (it == holds_.end())
+    {
+        return false;
+    }
+    if (--it->second == 0)
+    {
+        holds_.erase(it);
+    }
+    return true;
+}
+
+bool hosts::draws_late(runner_call kind)
+{
+    const bool order = kind != runner_call::poll && kind != runner_call::poll_end;
     const auto share = order ? late_order_share : late_poll_share;
     // Polls draw no random number unless some are late, so that the sequence of a seed is stable.
     return (order || share > 0) && std::uniform_real_distribution<>(0, 1)(random_) < share;
@@ -642,7 +733,7 @@
 template <class Answer>
 void hosts::call(process& p,
     const ports::runner_ref& to,
-    bool order,
+    runner_call kind,
     std::function<Answer(fake_host&)> serve,
     std::function<void(Answer)> done)
 {
@@ -670,7 +761,7 @@
         return {true, meant ? serve(*h) : answer_of(runner_verdict::other_life)};
     };
     time_.after(wire_delay,
-        [this, &p, to, order, carry_out, answer_of, done = std::move(done)]
+        [this, &p, to, kind, carry_out, answer_of, done = std::move(done)]
         {
             if (p.dead)
             {
@@ -686,13 +777,44 @@
                 time_.after(call_timeout, give_up);
                 return;
             }
-            if (draws_late(order))
+            if (takes_hold(kind, to))
+            {
+                const auto over = std::make_shared<bool>(false);
+                const auto once = [&p, over, done](const Answer& a)
+                {
+                    p.enter(
+                        [=]
+                        {
+                            if (!std::exchange(*over, true))
+                            {
+                                done(a);
+                            }
+                        });
+                };
+                held_.push_back(
+                    [this, carry_out, once]
+                    {
+                        const auto [answered, answer] = carry_out();
+                        if (answered)
+                        {
+                            time_.after(wire_delay, [once, answer = answer] { once(answer); });
+                        }
+                    });
+                time_.after(
+                    call_timeout, [once, answer_of] { once(answer_of(runner_verdict::unknown)); });
+                return;
+            }
+            if (draws_late(kind))
             {
                 const core::millis late{std::uniform_int_distribution<std::int64_t>(
                     min_late_delay.count(), max_late_delay.count())(random_)};
-                // The runner holds the call back, and loses it when its process ends.
-                if (const auto* const h = find_host(to); h != nullptr && h->up)
+                if (late_calls_outlive_process)
                 {
+                    time_.after(late, [carry_out] { carry_out(); });
+                }
+                else if (const auto* const h = find_host(to); h != nullptr && h->up)
+                {
+                    // The runner holds the call back, and loses it when its process ends.
                     after_in_life(*h, late, [carry_out](fake_host&) { carry_out(); });
                 }
                 time_.after(call_timeout, give_up);
@@ -717,20 +839,21 @@
                     const std::function<void(ports::runner_answer)>& done)
     {
         call<ports::runner_answer>(
-            p, to, true, [this, o](fake_host& h) { return start(h, o); }, done);
+            p, to, runner_call::start, [this, o](fake_host& h) { return start(h, o); }, done);
     };
     out.stop = [this, &p](const ports::runner_ref& to,
                    const ports::stop_order& o,
                    const std::function<void(ports::runner_answer)>& done)
     {
         call<ports::runner_answer>(
-            p, to, true, [this, o](fake_host& h) { return stop(h, o); }, done);
+            p, to, runner_call::stop, [this, o](fake_host& h) { return stop(h, o); }, done);
     };
-    out.throttle = [](const ports::runner_ref&,
-                       const ports::throttle_order&,
+    out.throttle = [this, &p](const ports::runner_ref& to,
+                       const ports::throttle_order& o,
                        const std::function<void(ports::runner_answer)>& done)
     {
-        done({runner_verdict::done, -1});
+        call<ports::runner_answer>(
+            p, to, runner_call::throttle, [this, o](fake_host& h) { return throttle(h, o); }, done);
     };
     out.poll = [this, &p](const ports::runner_ref& to,
                    const ports::poll_order& o,
@@ -754,7 +877,11 @@
                     return;
                 }
                 call<ports::poll_answer>(
-                    p, to, false, [this](fake_host& h) { return list_runs(h); }, done);
+                    p,
+                    to,
+                    runner_call::poll_end,
+                    [this](fake_host& h) { return list_runs(h); },
+                    done);
             };
             if (auto* const h = find_host(to);
                 h != nullptr && h->runner == ports::read_incarnation(to.id).runner)
@@ -764,7 +891,7 @@
             time_.after(o.wait, again);
         };
         call<ports::poll_answer>(
-            p, to, false, [this, o](fake_host& h) { return poll(h, o); }, on_answer);
+            p, to, runner_call::poll, [this, o](fake_host& h) { return poll(h, o); }, on_answer);
     };
     return out;
 }
