Relay: accept orders of one term with several fencing tokens

The calls to a runner that started again under its id are to carry a higher token than those to its earlier incarnation, so the orders of one coordinator no longer have one token. A relay closed the connection of a coordinator whose token fell.

A batch now states the first token of the term, which the relay compares instead. In its first frame a relay states that it reads this; orders with a higher token than the term's go through such relays only, and are called locally otherwise, so that versions can be mixed.

--- a/libs/relay/include/relay/pool.hpp
+++ b/libs/relay/include/relay/pool.hpp
@@ -92,7 +92,8 @@
     ports::runners port();
 
     /// Starts a term of this node as coordinator. From now on the pool may connect to relays.
-    void begin();
+    /// \param token the first fencing token of the term
+    void begin(std::int64_t token);
     /// Ends the term. Orders in flight end as unknown, connections close, and later orders are made
     /// locally.
     void end();
--- a/libs/relay/schema/relay.capnp
+++ b/libs/relay/schema/relay.capnp
@@ -9,6 +9,7 @@
   # From the coordinator to a relay: the orders collected during one iteration of the coordinator's
   # event loop.
   orders @0 :List(Order);
+  termToken @1 :Int64;        # the coordinator's first fencing token; 0: that of each order
 }
 
 struct Order {
@@ -55,6 +56,7 @@
   # From a relay to a coordinator.
   answers @0 :List(Answer);
   leaving @1 :Bool;           # the relay accepts no further orders, but answers those in flight
+  readsTermToken @2 :Bool;    # in the first batch: orders may have tokens above that of the term
 }
 
 struct Answer {
--- a/libs/relay/src/codec.cpp
+++ b/libs/relay/src/codec.cpp
@@ -222,8 +222,9 @@
 std::string encode(const order_batch& it)
 {
     capnp::MallocMessageBuilder message;
-    auto out =
-        message.initRoot<schema::OrderBatch>().initOrders(static_cast<unsigned>(it.orders.size()));
+    auto root = message.initRoot<schema::OrderBatch>();
+    root.setTermToken(it.term_token);
+    auto out = root.initOrders(static_cast<unsigned>(it.orders.size()));
     for (unsigned i = 0; i < out.size(); ++i)
     {
         const auto& from = it.orders[i];
@@ -244,6 +245,7 @@
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::AnswerBatch>();
     root.setLeaving(it.leaving);
+    root.setReadsTermToken(it.reads_term_token);
     auto out = root.initAnswers(static_cast<unsigned>(it.answers.size()));
     for (unsigned i = 0; i < out.size(); ++i)
     {
@@ -266,7 +268,9 @@
     return decode<order_batch>(bytes,
         [](capnp::MessageReader& message, order_batch& out)
         {
-            for (const auto it : message.getRoot<schema::OrderBatch>().getOrders())
+            const auto root = message.getRoot<schema::OrderBatch>();
+            out.term_token = std::max<std::int64_t>(root.getTermToken(), 0);
+            for (const auto it : root.getOrders())
             {
                 const ports::incarnation to{
                     to_text(it.getRunnerId()), std::max<std::int64_t>(it.getRunnerBornMs(), 0)};
@@ -284,6 +288,7 @@
         {
             const auto root = message.getRoot<schema::AnswerBatch>();
             out.leaving = root.getLeaving();
+            out.reads_term_token = root.getReadsTermToken();
             for (const auto it : root.getAnswers())
             {
                 out.answers.push_back(read_answer(it));
--- a/libs/relay/src/messages.hpp
+++ b/libs/relay/src/messages.hpp
@@ -27,6 +27,9 @@
 struct order_batch
 {
     std::vector<order> orders;
+    /// The coordinator's first fencing token. Orders to runners that started again have higher
+    /// ones. 0: not stated, as by earlier versions.
+    std::int64_t term_token = 0;
 };
 
 /// The answer to one order.
@@ -43,6 +46,9 @@
     std::vector<answer> answers;
     /// The relay accepts no further orders; orders in flight are still answered.
     bool leaving = false;
+    /// In the first batch on a connection: the relay reads order_batch::term_token. An earlier
+    /// version closes the connection when the tokens of its orders fall.
+    bool reads_term_token = false;
 };
 
 /// \return the fencing token in the order.
--- a/libs/relay/src/pool.cpp
+++ b/libs/relay/src/pool.cpp
@@ -161,7 +161,7 @@
 
 void pool_state::assign_order(waiting_order o)
 {
-    auto* const r = route(o.to);
+    auto* const r = route(o);
     if (r == nullptr)
     {
         queue_local_call(std::move(o));
@@ -268,6 +268,7 @@
 {
     auto orders = std::exchange(r.orders, {});
     order_batch part;
+    part.term_token = term_token;
     std::size_t bytes = 0;
     for (auto& it : orders)
     {
@@ -327,6 +328,10 @@
     }
     const auto& batch = core::value(read);
     const auto r = relays.find(member);
+    if (batch.reads_term_token && r != relays.end())
+    {
+        r->second.reads_term_token = true;
+    }
     if (batch.leaving && r != relays.end() && !r->second.leaving)
     {
         r->second.leaving = true;
@@ -408,9 +413,9 @@
     return {submit, submit, submit, submit};
 }
 
-void pool::begin()
+void pool::begin(std::int64_t token)
 {
-    state_->begin();
+    state_->begin(token);
 }
 
 void pool::end()
--- a/libs/relay/src/pool_relays.cpp
+++ b/libs/relay/src/pool_relays.cpp
@@ -28,10 +28,11 @@
     last_tick_at = now;
 }
 
-void pool_state::begin()
+void pool_state::begin(std::int64_t token)
 {
     close_all();
     active = true;
+    term_token = token;
     relays_needed = false;
     relay_list_known = false;
     polled_at.clear();
@@ -381,6 +382,7 @@
 {
     const auto connection = std::exchange(r.connection, nullptr);
     r.state = relay_state::idle;
+    r.reads_term_token = false;
     r.orders.clear();
     remove_relay(routes, r.endpoint.member);
     const auto written = connection ? connection->written_bytes() : 0;
--- a/libs/relay/src/pool_routes.cpp
+++ b/libs/relay/src/pool_routes.cpp
@@ -5,9 +5,10 @@
 namespace camphorhitch::relay
 {
 
-/// \return the relay that calls this runner; nullptr: this node calls it.
-relay_entry* pool_state::route(const ports::runner_ref& to)
+/// \return the relay that carries out this order; nullptr: this node does.
+relay_entry* pool_state::route(const waiting_order& o)
 {
+    const auto& to = o.to;
     if (!active || !relays_needed)
     {
         return nullptr;
@@ -16,7 +17,12 @@
     const auto& member = find_route(
         routes, to, avoided == avoided_relays.end() ? std::string_view{} : avoided->second.member);
     const auto found = relays.find(member);
-    return found == relays.end() ? nullptr : &found->second;
+    if (found == relays.end())
+    {
+        return nullptr;
+    }
+    const bool accepts = found->second.reads_term_token || fencing_token_of(o.body) == term_token;
+    return accepts ? &found->second : nullptr;
 }
 
 /// Orders that ended because their relay was lost give no information about its links, so only
--- a/libs/relay/src/pool_state.hpp
+++ b/libs/relay/src/pool_state.hpp
@@ -41,6 +41,7 @@
     relay_state state = relay_state::idle;
     bool is_listed = true;
     bool leaving = false;              ///< the relay has asked to receive no further orders
+    bool reads_term_token = false;     ///< as answer_batch::reads_term_token
     bool connection_attempted = false; ///< a connection was attempted in this term
     std::shared_ptr<channel> connection;
     /// The value of receive_count() of the connection when the relay was last heard.
@@ -101,6 +102,7 @@
     active_clock clock;
     ports::timer_id timer = 0;
     bool active = false;
+    std::int64_t term_token = 0;   ///< first fencing token of this term
     bool relays_needed = false;    ///< there are at least min_runners runners
     bool relay_list_known = false; ///< the list of relays was received in this term
     bool flush_scheduled = false;
@@ -128,7 +130,7 @@
     void flush();
     bool is_waiting_for_connections() const;
     void record_poll(const std::string& id);
-    relay_entry* route(const ports::runner_ref& to);
+    relay_entry* route(const waiting_order& o);
     void avoid_relay(const order_in_flight& it);
     void assign_order(waiting_order o);
     void queue_local_call(waiting_order o);
@@ -157,7 +159,7 @@
     lost_order_counts disconnect(relay_entry& r);
     void remove_expired_runners();
     void remove_expired_avoidances();
-    void begin();
+    void begin(std::int64_t token);
     void end();
     void close_all();
     void report_orders_in_flight() const;
--- a/libs/relay/src/server.cpp
+++ b/libs/relay/src/server.cpp
@@ -90,6 +90,7 @@
     c.last_heard = time.now();
     c.connection->open();
     c.answers.leaving = leaving;
+    c.answers.reads_term_token = true;
     send(c);
 }
 
@@ -127,13 +128,13 @@
 }
 
 /// A previous coordinator that has not noticed the end of its term may still send orders. The relay
-/// compares their fencing token with the highest token that it has received, which saves each
-/// runner the refusal.
+/// compares the first token of their term with the highest one that it has received, which saves
+/// each runner the refusal.
 bool server_state::has_current_token(std::uint64_t id, const order_batch& batch)
 {
     for (const auto& it : batch.orders)
     {
-        const auto token = fencing_token_of(it.body);
+        const auto token = batch.term_token != 0 ? batch.term_token : fencing_token_of(it.body);
         if (token < highest_token)
         {
             disconnect_client(id, "a former owner's token " + std::to_string(token));
@@ -228,6 +229,7 @@
     auto all = std::exchange(c.answers, {});
     answer_batch part;
     part.leaving = all.leaving;
+    part.reads_term_token = all.reads_term_token;
     std::size_t bytes = 0;
     for (auto& it : all.answers)
     {
@@ -241,7 +243,7 @@
         bytes += more;
         part.answers.push_back(std::move(it));
     }
-    const bool empty = part.answers.empty() && !part.leaving;
+    const bool empty = part.answers.empty() && !part.leaving && !part.reads_term_token;
     connection->send(empty ? std::string{} : encode(part));
 }
 
--- a/programs/camphorhitchd/src/hosted_node.cpp
+++ b/programs/camphorhitchd/src/hosted_node.cpp
@@ -191,7 +191,7 @@
     {
         if (relays)
         {
-            relays->begin();
+            relays->begin(token);
             registry->follow();
         }
         driver->begin_term(term, token);
