Restarts: a higher fencing token for the calls to the next incarnation

Callers saw two runs of a task at the same time: runners were back under their ids, took tasks, and were cut off soon after.

Cause: a runner that starts again has seen no fencing token and has the id that calls name, so it carries out calls that were meant for its earlier incarnation. Such a call names the end of a lease on the former clock; on the new one it grants the longest lease that there can be. The coordinator waited that long from its first answer, but calls could be carried out later; and a successor didn't know of it and waited for a usual lease. The class: the effect of a call was bounded by the moment at which its sender noticed something, not by something that its receiver checks.

Now the token of the calls to a runner rises when it has started again: to the store revision of a later write that succeeded on the condition that this coordinator leads. It is above the tokens of all earlier calls and below those of each successor. Once a call with it was answered, the runner refuses all earlier ones, whenever they arrive; from that answer on the longest lease counts. Until then no task is started there, and polls don't wait. A refusal that is owed to the higher token is no sign of another coordinator.

Other rows, and the waits for hosts that didn't start again, are as before.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -231,8 +231,8 @@
     bool draining = false;        ///< the platform is about to take the host away
     host_availability availability = host_availability::open;
     core::mono_time closed_at; ///< when availability last changed from open to closed
-    /// The stored record of runners in use contains it without an end of its leases, so the next
-    /// coordinator waits for them. Only such runners are granted leases and receive starts.
+    /// The stored record of runners in use contains it without an earlier end of its leases, so the
+    /// next coordinator waits for them. Only such runners are granted leases and receive starts.
     bool recorded = false;
 
     /// A previous coordinator may have ordered runs here that this one has not seen in a poll.
@@ -255,8 +255,15 @@
     /// By this time all leases granted by previous coordinators, or for an earlier incarnation,
     /// have certainly ended.
     core::mono_time inherited_leases_end_at;
-    /// Longest lease that calls for an earlier incarnation may have granted here; 0: none was.
-    core::millis foreign_lease{0};
+    bool has_restarted = false; ///< replaced an earlier incarnation in this term
+
+    /// Set while a call that was meant for an earlier incarnation may still take effect here: no
+    /// such call has a higher token. Once a call with a higher one was answered, the runner refuses
+    /// them all.
+    std::optional<std::int64_t> earlier_calls_token;
+    /// Leases that calls for earlier incarnations may have granted here end by then, and by
+    /// lease_until_ms; zero: there are none.
+    core::mono_time earlier_leases_end_at;
 
     workflow::resources used;          ///< by all runs, including stopping and unsettled ones
     std::size_t orphaned_runs = 0;     ///< reported runs without an open task; resources unknown
@@ -429,7 +436,10 @@
 {
     coordinator_settings settings;
     std::int64_t term = 0;                   ///< number of terms before this one, up to max_term()
-    ports::revision term_start_revision = 0; ///< store revision at its start; the fencing token
+    ports::revision term_start_revision = 0; ///< store revision at its start; its first token
+    /// Store revision of the newest write that succeeded on the condition that this coordinator
+    /// leads: not below any token that it has used, and below that of each of its successors.
+    ports::revision newest_token = 0;
     /// No inherited task starts before this time, because the stored record of the previous
     /// coordinator's runners is damaged; zero: the record was readable.
     core::mono_time inherited_not_before;
@@ -450,6 +460,11 @@
     /// Runners that have certainly ended, by runner id, with the time at which this became known.
     /// The list of runners may still contain them for ended_runner_retention.
     std::map<std::string, core::mono_time> ended_runners;
+    /// Hosts that were removed, by id, with the time of their removal; for ended_runner_retention.
+    std::map<std::string, core::mono_time> removed_hosts;
+    /// Fencing tokens of the calls to runners that have started again in this term, by the id that
+    /// the platform gave the runner. The calls to all others carry term_start_revision.
+    std::map<std::string, std::int64_t, std::less<>> raised_tokens;
     /// By runner id. The runner receives no lease and no start until all of these are confirmed as
     /// stopped.
     std::map<std::string, std::vector<abandoned_start>> abandoned_starts;
@@ -500,7 +515,7 @@
     std::string pool;    ///< pool of its runs; empty: unknown
     /// All leases that were ever granted to the runner end within this time after the record was
     /// read, measured by the clock of the coordinator that stored it. Empty: a previous coordinator
-    /// may still grant leases.
+    /// may still grant leases; they are shorter than the longest that a runner accepts.
     std::optional<core::millis> remaining;
 };
 
--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -104,6 +104,12 @@
 /// \return lower bound of the runner's clock at \p now, in milliseconds; -1: its clock is unknown
 std::int64_t min_runner_clock(const fleet& f, const host_entry& h, core::mono_time now);
 
+/// \param remaining as in inherited_host
+/// \return whether leases may be granted to a runner whose stored row states this: a successor
+/// waits
+///   for as long as any lease can last.
+bool may_grant_leases(const fleet& f, const std::optional<core::millis>& remaining);
+
 /// \return whether every lease that may have been granted to \p h has certainly expired.
 bool leases_expired(const fleet& f, const host_entry& h, core::mono_time now);
 
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -4,6 +4,7 @@
 #include "bookkeeping.hpp"
 #include "checkpoints.hpp"
 #include "coordinator/advice.hpp"
+#include "coordinator/fencing_tokens.hpp"
 #include "coordinator/intake.hpp"
 #include "lost_runs.hpp"
 #include "restarts.hpp"
@@ -396,6 +397,19 @@
     return std::abs(clock_ms - expected) <= max_delay.count();
 }
 
+/// \return the longest lease that a call of a previous coordinator, or for an earlier incarnation,
+///   may have granted before this answer; 0: all leases are known
+core::millis longest_unknown_lease(const fleet& f, const host_entry& h, core::mono_time now)
+{
+    const bool may_be_of_earlier_call =
+        h.earlier_calls_token || (h.inherited && now < h.earlier_leases_end_at);
+    if (may_be_of_earlier_call)
+    {
+        return f.settings.max_runner_lease;
+    }
+    return h.inherited ? f.settings.runner_lease + f.settings.leader_lease : core::millis{0};
+}
+
 /// \return whether the answer to a call for \p host is that of a later incarnation of its runner.
 bool is_of_next_incarnation(const std::string& host, const ports::runner_answer& answer)
 {
@@ -553,8 +567,9 @@
         return true;
     }
     const auto born = answer.call.born_ms;
-    if (answer.call.verdict == runner_verdict::done && born != 0 &&
-        born != ports::read_incarnation(host).born_ms)
+    const bool is_of_next = answer.call.verdict == runner_verdict::done && born != 0 &&
+                            born != ports::read_incarnation(host).born_ms;
+    if (is_of_next)
     {
         h = &replace_incarnation(f, host, born, now, out);
     }
@@ -570,14 +585,14 @@
         apply_reported_run(f, *h, it, sent_at, now, out);
         listed.insert(it.task);
     }
-    if (h->inherited)
+    if (const auto longest = longest_unknown_lease(f, *h, now); longest.count() > 0)
     {
-        // A lease of a previous coordinator, or for an earlier incarnation, may end later than the
-        // first lease of this one.
-        const auto longest =
-            std::max(f.settings.runner_lease + f.settings.leader_lease, h->foreign_lease);
         record_lease(*h, h->clock_ms + longest.count());
     }
+    if (!is_of_next)
+    {
+        settle_earlier_calls(f, *h, now, out);
+    }
     // When the list of ends is truncated, a run that is not listed may have ended and be reported
     // by a later answer. If its task started again now, it would have run twice by then.
     if (!answer.ends_truncated)
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -3,6 +3,7 @@
 #include "abandoned_starts.hpp"
 #include "bookkeeping.hpp"
 #include "checkpoints.hpp"
+#include "coordinator/fencing_tokens.hpp"
 #include "lost_runs.hpp"
 #include "restarts.hpp"
 
@@ -130,6 +131,8 @@
 
 void forget_ended_runners(fleet& f, core::mono_time now)
 {
+    std::erase_if(f.removed_hosts,
+        [&](const auto& it) { return now - it.second > f.settings.ended_runner_retention; });
     std::erase_if(f.ended_runners,
         [&](const auto& it)
         {
@@ -187,8 +190,7 @@
 /// incarnation of a host has none: if the host itself was inherited, it was recorded.
 void record_lost_inherited_host(fleet& f, const host_entry& h)
 {
-    const bool has_restarted = h.foreign_lease.count() > 0;
-    if (h.inherited && !has_restarted)
+    if (h.inherited && !h.has_restarted)
     {
         f.pools_with_lost_hosts.insert(h.pool);
     }
@@ -308,11 +310,15 @@
         h.inherited = true;
         h.added_at = now;
         h.unresponsive_since = now;
-        h.recorded = !it.remaining.has_value();
-        // With a stored remaining time, no coordinator has granted a lease since. A record may have
-        // been computed from the clocks of two incarnations; no lease outlasts the longest one.
+        h.recorded = may_grant_leases(f, it.remaining);
+        // With a shorter remaining time, no coordinator has granted a lease since. A record may
+        // have been computed from the clocks of two incarnations; no lease outlasts the longest.
         const auto end = it.remaining ? slow_clock_bound(f, *it.remaining) : max_inherited_lease(f);
         h.inherited_leases_end_at = now + std::min(end, max_lease_time(f));
+        if (it.remaining && h.recorded)
+        {
+            h.earlier_leases_end_at = h.inherited_leases_end_at;
+        }
     }
 }
 
@@ -357,6 +363,10 @@
         h.added_at = now;
         h.inherited_leases_end_at = now;
         out.push_back({"host_added", "", 0, id, "pool=" + it.pool});
+        if (has_earlier_incarnation(f, id))
+        {
+            expect_earlier_calls(f, h, now);
+        }
         inherit_from_earlier_incarnations(f, id, out);
     }
     if (h.draining != it.draining)
@@ -424,6 +434,7 @@
         text + " machine=" + h->machine + " runs=" + std::to_string(h->runs.size()) +
             (h->reachable ? " since_answer_ms=" + std::to_string(ms_since(h->last_answer_at, now))
                           : " silent_ms=" + std::to_string(ms_since(h->unresponsive_since, now)))});
+    f.removed_hosts[id] = now;
     record_lost_inherited_host(f, *h);
     abandon_starts(f, *h, out);
     remove_ended_runs(f, *h, {"run_lost", "host ended: " + text, by_itself, true}, now, out);
@@ -480,6 +491,7 @@
     for (const auto& it : unlisted)
     {
         out.push_back({"host_forgotten", "", 0, it, "not listed, and all leases have expired"});
+        f.removed_hosts[it] = now;
         f.hosts.erase(it);
     }
     return expired;
@@ -495,6 +507,11 @@
     return h.clock_ms + static_cast<std::int64_t>(passed * (1.0 - f.settings.clock_drift));
 }
 
+bool may_grant_leases(const fleet& f, const std::optional<core::millis>& remaining)
+{
+    return !remaining || *remaining >= f.settings.max_runner_lease;
+}
+
 bool leases_expired(const fleet& f, const host_entry& h, core::mono_time now)
 {
     if (h.inherited && now < h.inherited_leases_end_at)
--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -1,6 +1,7 @@
 #include "restarts.hpp"
 
 #include "bookkeeping.hpp"
+#include "coordinator/fencing_tokens.hpp"
 #include "lost_runs.hpp"
 
 #include <iterator>
@@ -63,6 +64,29 @@
     return n;
 }
 
+/// Sets up the host \p to, which has its id, for the incarnation after \p from.
+/// \param has_ended \p from has certainly ended
+void begin_incarnation(
+    const fleet& f, const host_entry& from, host_entry& to, bool has_ended, core::mono_time now)
+{
+    to.ref.address = from.ref.address;
+    to.ref.zone = from.ref.zone;
+    to.pool = has_ended ? std::string{} : from.pool;
+    to.zone = from.zone;
+    to.machine = from.machine;
+    to.machine_known_at = now;
+    to.inherited = true;
+    to.added_at = now;
+    to.unresponsive_since = now;
+    to.has_restarted = has_ended;
+    if (has_ended)
+    {
+        expect_earlier_calls(f, to, now);
+    }
+    to.inherited_leases_end_at =
+        now + (has_ended ? max_lease_time(f) : time_to_lease_expiry(f, from, now));
+}
+
 /// \return the earlier incarnations of the runner of \p id that are keys of \p all.
 template <class Value>
 std::vector<std::string> earlier_incarnations(
@@ -137,19 +161,8 @@
     auto& from = f.hosts.at(old);
     const auto id = ports::write_incarnation({was.runner, born_ms});
     auto& to = f.hosts[id];
-    to.ref = {id, from.ref.address, from.ref.zone};
-    to.pool = has_ended ? std::string{} : from.pool;
-    to.zone = from.zone;
-    to.machine = from.machine;
-    to.machine_known_at = now;
-    to.inherited = true;
-    to.added_at = now;
-    to.unresponsive_since = now;
-    // A lease for the old incarnation ends by the old clock: on the new one it lasts for as long as
-    // a lease can.
-    to.foreign_lease = has_ended ? f.settings.max_runner_lease : core::millis{0};
-    to.inherited_leases_end_at =
-        now + (has_ended ? max_lease_time(f) : time_to_lease_expiry(f, from, now));
+    to.ref.id = id;
+    begin_incarnation(f, from, to, has_ended, now);
     const int kept = pass_on_runs(f, from, to, has_ended, now, out);
     out.push_back({"host_restarted",
         "",
--- a/libs/coordinator/src/starts.cpp
+++ b/libs/coordinator/src/starts.cpp
@@ -40,7 +40,7 @@
 {
     const auto unresponsive_after = f.settings.runner_lease;
     return h.listed && h.recorded && !h.draining && h.reachable && !h.inherited &&
-           h.orphaned_runs == 0 && h.isolated_runs == 0 &&
+           h.orphaned_runs == 0 && h.isolated_runs == 0 && !h.earlier_calls_token &&
            h.availability == host_availability::open &&
            now - h.last_answer_at < unresponsive_after && !f.abandoned_starts.contains(h.ref.id);
 }
--- a/libs/coordinator/tests/restarts_tests.cpp
+++ b/libs/coordinator/tests/restarts_tests.cpp
@@ -1,3 +1,4 @@
+#include "coordinator/fencing_tokens.hpp"
 #include "coordinator/rebalance.hpp"
 #include "fleet_fixture.hpp"
 #include "restarts.hpp"
@@ -28,6 +29,7 @@
 TEST_GROUP(restarts)
 {
     fleet_fixture w;
+    ports::revision last_revision = 100;
 
     void poll(const std::string& host, const ports::poll_answer& answer)
     {
@@ -44,6 +46,14 @@
         apply_host_list(w.f, {it}, w.now, w.events);
     }
 
+    /// Polls the host with a token above those of all calls to its earlier incarnation.
+    void settle(const std::string& host)
+    {
+        record_own_write(w.f, ++last_revision);
+        raise_fencing_token(w.f, w.f.hosts.at(host));
+        poll(host, answer_of_next());
+    }
+
     std::string only_host() const
     {
         return w.f.hosts.size() == 1 ? w.f.hosts.begin()->first : "not one host";
@@ -251,6 +261,7 @@
     list(after);
     w.f.hosts.at(after).recorded = true;
     poll(after, answer_of_next());
+    settle(after);
     const auto p = w.plan_next();
     LONGS_EQUAL(0, p.starts.size());
     CHECK_EQUAL(1U, p.stops.size());
@@ -262,3 +273,52 @@
     j.losses_stored = j.losses_recorded;
     LONGS_EQUAL(1, w.plan_next().starts.size());
 }
+
+// Guards against a run under a lease of unknown length: until the next incarnation has answered a
+// call with a higher token, it may carry out calls that were meant for the one before.
+TEST(restarts, the_next_incarnation_takes_tasks_once_it_refuses_earlier_calls)
+{
+    w.add_host(before);
+    list(after);
+    w.f.hosts.at(after).recorded = true;
+    poll(after, answer_of_next());
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    LONGS_EQUAL(0, w.plan_next().starts.size());
+    settle(after);
+    const auto until = w.f.hosts.at(after).lease_until_ms;
+    LONGS_EQUAL(50 + w.f.settings.max_runner_lease.count(), until);
+    LONGS_EQUAL(1, w.plan_next().starts.size());
+    poll(after, answer_of_next());
+    LONGS_EQUAL(until, w.f.hosts.at(after).lease_until_ms);
+}
+
+// Guards against handing leadership over because a runner refuses a call that was sent before the
+// token of its calls was raised.
+TEST(restarts, only_a_refusal_of_the_newest_token_shows_another_coordinator)
+{
+    using ports::runner_verdict;
+    w.add_host(before);
+    list(after);
+    settle(after);
+    const auto token = fencing_token_for(w.f, after);
+    LONGS_EQUAL(last_revision, token);
+    struct row
+    {
+        std::int64_t token;
+        runner_verdict answered;
+        runner_verdict counts_as;
+    };
+    const row rows[] = {
+        {token - 1, runner_verdict::fenced, runner_verdict::unhealthy},
+        {token, runner_verdict::fenced, runner_verdict::fenced},
+        {token - 1, runner_verdict::done, runner_verdict::done},
+    };
+    for (const auto& it : rows)
+    {
+        for (const auto& host : {before, after})
+        {
+            CHECK(without_own_refusal(w.f, host, it.token, {it.answered, -1}).verdict ==
+                  it.counts_as);
+        }
+    }
+}
--- a/libs/hosted/src/runner_controller.cpp
+++ b/libs/hosted/src/runner_controller.cpp
@@ -1,6 +1,7 @@
 #include "runner_controller.hpp"
 
 #include "coordinator/answers.hpp"
+#include "coordinator/fencing_tokens.hpp"
 #include "coordinator/intake.hpp"
 #include "repeated_order.hpp"
 #include "workflow/records.hpp"
@@ -122,7 +123,7 @@
     order.payload = a.payload;
     order.checkpoint = a.checkpoint;
     order.ticket = a.ticket;
-    order.fencing_token = term_.token;
+    order.fencing_token = coordinator::fencing_token_for(term_.fleet, a.host.id);
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
     coordinator::record_lease(h, order.lease_until_ms);
     const auto sent = term_.now();
@@ -134,14 +135,16 @@
         [this, to = a.host, order](auto on_answer)
         { term_.ctx.runners.start(to, order, std::move(on_answer)); },
         term_.guarded(
-            [this, a, sent, order_id](const ports::runner_answer& answer)
+            [this, a, sent, order_id, token = order.fencing_token](
+                const ports::runner_answer& answer)
             {
                 term_.load.record_start_answer(answer, term_.now() - sent);
                 term_.ctx.tel.observe("camphorhitch_start_order_seconds",
                     {},
                     std::chrono::duration<double>(term_.now() - sent).count());
                 record_answered(order_id);
-                handle_start_answer(a, answer);
+                handle_start_answer(
+                    a, coordinator::without_own_refusal(term_.fleet, a.host.id, token, answer));
             }));
 }
 
@@ -149,16 +152,20 @@
 {
     for (const auto& it : all)
     {
+        const auto token = coordinator::fencing_token_for(term_.fleet, it.host.id);
         ports::throttle_order order{
-            workflow::write_task_name(it.task), it.run, it.cpu_percent, term_.token};
+            workflow::write_task_name(it.task), it.run, it.cpu_percent, token};
         term_.ctx.runners.throttle(it.host,
             std::move(order),
             term_.guarded(
-                [this, it](const ports::runner_answer& answer)
+                [this, it, token](const ports::runner_answer& answer)
                 {
                     // A lost order is made up for by the one that follows the next load report, so
                     // the answer matters only if it reveals a newer coordinator.
-                    finish_answer(answer.verdict != runner_verdict::fenced, it.host.id, {});
+                    const auto verdict =
+                        coordinator::without_own_refusal(term_.fleet, it.host.id, token, answer)
+                            .verdict;
+                    finish_answer(verdict != runner_verdict::fenced, it.host.id, {});
                 }));
     }
 }
@@ -198,17 +205,19 @@
         handle_stop_answer(a, {runner_verdict::not_sent, -1});
         return;
     }
-    ports::stop_order order{workflow::write_task_name(a.task), a.run, term_.token};
+    const auto token = coordinator::fencing_token_for(term_.fleet, a.host.id);
+    ports::stop_order order{workflow::write_task_name(a.task), a.run, token};
     const auto order_id = record_sent();
     send_repeated(
         term_.shared_from_this(),
         [this, to = a.host, order](auto on_answer)
         { term_.ctx.runners.stop(to, order, std::move(on_answer)); },
         term_.guarded(
-            [this, a, order_id](const ports::runner_answer& answer)
+            [this, a, order_id, token](const ports::runner_answer& answer)
             {
                 record_answered(order_id);
-                handle_stop_answer(a, answer);
+                handle_stop_answer(
+                    a, coordinator::without_own_refusal(term_.fleet, a.host.id, token, answer));
             }));
 }
 
@@ -231,14 +240,18 @@
         {
             continue;
         }
-        ports::stop_order order{it.task, it.number, term_.token};
+        const auto token = coordinator::fencing_token_for(term_.fleet, it.host);
+        ports::stop_order order{it.task, it.number, token};
         term_.ctx.runners.stop(host->second.ref,
             std::move(order),
             term_.guarded(
-                [this, it, name](const ports::runner_answer& answer)
+                [this, it, name, token](const ports::runner_answer& answer)
                 {
                     orphan_stops_in_flight_.erase(name);
-                    finish_answer(answer.verdict != runner_verdict::fenced, it.host, {});
+                    const auto verdict =
+                        coordinator::without_own_refusal(term_.fleet, it.host, token, answer)
+                            .verdict;
+                    finish_answer(verdict != runner_verdict::fenced, it.host, {});
                 }));
     }
 }
--- a/libs/hosted/src/runner_controller.hpp
+++ b/libs/hosted/src/runner_controller.hpp
@@ -86,6 +86,9 @@
     /// is followed, by a part of the usual times, so that the polls of idle hosts spread out.
     std::set<std::string> in_step_;
     std::set<std::string> pools_with_jobs_; ///< with open jobs; known while idle polls are delayed
+    /// Of polling_: runners that may still carry out calls for an earlier incarnation, with the
+    /// latest delay between their polls.
+    std::map<std::string, core::millis> settling_delays_;
     std::set<std::string> orphan_stops_in_flight_; ///< "host/task/run"
 };
 
--- a/libs/hosted/src/runner_controller_polls.cpp
+++ b/libs/hosted/src/runner_controller_polls.cpp
@@ -2,6 +2,7 @@
 /// Schedules the polls of each runner and handles their answers.
 #include "cadence.hpp"
 #include "coordinator/answers.hpp"
+#include "coordinator/fencing_tokens.hpp"
 #include "coordinator/intake.hpp"
 #include "core/rendezvous.hpp"
 #include "ports/incarnation.hpp"
@@ -30,6 +31,11 @@
 /// whole lease has passed since the last renewal.
 constexpr core::millis renewal_lease{1200};
 
+/// Delay of the next poll of a runner that may still carry out earlier calls: until the write of
+/// its row has succeeded, there may be no token above theirs. Doubled for each further poll, up to
+/// driver_settings::poll_retry_delay.
+constexpr core::millis first_settling_delay{15};
+
 /// \return a part of the time, from none to nearly all of it, that is the same for each host.
 core::millis part_for(const std::string& host, core::millis time)
 {
@@ -50,8 +56,9 @@
 /// its pool has a job.
 bool runner_controller::needs_polls(const coordinator::host_entry& h) const
 {
-    return !delays_idle_polls() || !h.runs.empty() || h.inherited || h.orphaned_runs > 0 ||
-           !h.reachable || h.clock_ms < 0 || pools_with_jobs_.contains(h.pool);
+    return !delays_idle_polls() || !h.runs.empty() || h.inherited || h.earlier_calls_token ||
+           h.orphaned_runs > 0 || !h.reachable || h.clock_ms < 0 ||
+           pools_with_jobs_.contains(h.pool);
 }
 
 void runner_controller::update_pools_with_jobs()
@@ -105,6 +112,7 @@
          it != hosts.end() && ports::is_same_runner(it->first, runner);
          ++it)
     {
+        term_.update_runner_record(it->first);
         begin_polling(it->first, it->second);
     }
 }
@@ -138,6 +146,7 @@
         return;
     }
     auto& h = found->second;
+    coordinator::raise_fencing_token(term_.fleet, h);
     auto order = term_.grant_lease(h, coordinator::lease_end_for(term_.fleet, h, term_.now()));
     // The runner answers at once where the answer is urgent. The first answer of a runner reveals
     // its clock, without which no lease can be expressed, and the runs of an inherited runner, for
@@ -145,8 +154,8 @@
     // no task until it answers.
     const bool not_heard_recently =
         term_.now() - h.last_answer_at >= term_.fleet.settings.runner_lease;
-    const bool at_once = h.clock_ms < 0 || !h.reachable || h.inherited || not_heard_recently ||
-                         polled_again_.contains(host);
+    const bool at_once = h.clock_ms < 0 || !h.reachable || h.inherited || h.earlier_calls_token ||
+                         not_heard_recently || polled_again_.contains(host);
     if (!h.reachable || not_heard_recently || polled_again_.contains(host))
     {
         // Another incarnation may answer. Its ends have low numbers again, and it would forget
@@ -166,10 +175,11 @@
     term_.ctx.runners.poll(h.ref,
         order,
         term_.guarded(
-            [this, host, sent_at](const ports::poll_answer& a)
+            [this, host, sent_at, token = order.fencing_token](ports::poll_answer a)
             {
                 if (is_open(host, sent_at))
                 {
+                    a.call = coordinator::without_own_refusal(term_.fleet, host, token, a.call);
                     handle_poll_answer(host, sent_at, a);
                 }
                 // Otherwise the answer to a renewal beside this poll has been used in its place.
@@ -222,8 +232,9 @@
     term_.ctx.runners.poll(h.ref,
         order,
         term_.guarded(
-            [this, host, sent_at, asked](const ports::poll_answer& a)
+            [this, host, sent_at, asked, token = order.fencing_token](ports::poll_answer a)
             {
+                a.call = coordinator::without_own_refusal(term_.fleet, host, token, a.call);
                 const bool unanswered = a.call.verdict == runner_verdict::unknown ||
                                         a.call.verdict == runner_verdict::not_sent;
                 if (is_open(host, sent_at) && !unanswered)
@@ -294,14 +305,25 @@
         schedule_poll(host, term_.settings.poll_retry_delay);
         return;
     }
-    if (was_unresponsive)
+    if (was_unresponsive || found->second.earlier_calls_token)
     {
         term_.update_runner_record(host);
     }
     stop_orphaned_runs();
     const bool has_ends = !a.ended.empty();
     const auto idle_delay = idle_poll_delay(term_.settings, term_.fleet.hosts.size());
-    if (found->second.runs.empty() && !first_lease && idle_delay.count() > 0)
+    if (found->second.earlier_calls_token)
+    {
+        auto& delay = settling_delays_[host];
+        delay = delay.count() == 0 ? first_settling_delay
+                                   : std::min(2 * delay, term_.settings.poll_retry_delay);
+        schedule_poll(host, delay);
+    }
+    else if (settling_delays_.erase(host) > 0)
+    {
+        schedule_poll(host, core::millis{0});
+    }
+    else if (found->second.runs.empty() && !first_lease && idle_delay.count() > 0)
     {
         delay_idle_poll(host, in_step_.erase(host) > 0 ? part_for(host, idle_delay) : idle_delay);
     }
--- a/libs/hosted/src/runner_record.hpp
+++ b/libs/hosted/src/runner_record.hpp
@@ -24,8 +24,10 @@
     std::string machine; ///< empty: not known yet
     std::string pool;    ///< empty: not known
     /// Set for an unresponsive runner: all its leases end within this time after the record was
-    /// stored, and none is granted before the record has been stored without this value. Otherwise
-    /// empty.
+    /// stored. If it is shorter than the longest lease of a runner, none is granted before the
+    /// record has been stored without it. The longest is also set for a runner that started again
+    /// recently, since calls for its earlier incarnation may have granted it. Otherwise empty: no
+    /// lease is longer than those that coordinators grant.
     std::optional<core::millis> remaining_lease;
 
     friend bool operator==(const runner_record&, const runner_record&) = default;
--- a/libs/hosted/src/runner_record_keeper.cpp
+++ b/libs/hosted/src/runner_record_keeper.cpp
@@ -23,15 +23,18 @@
 /// A transaction has at most 32 conditions and puts; one condition is the leader key.
 constexpr std::size_t max_buckets_per_write = 15;
 
-/// \return whether the rows name the runner in this pool without an end of its leases: a successor
-/// then waits until the runner answers or a whole lease has passed. A row without a start time
-/// stands for any incarnation.
-bool is_recorded_without_end(
-    const runner_records& all, const std::string& id, const std::string& pool)
+/// \return whether the rows name the runner in this pool without an earlier end of its leases: a
+/// successor then waits until the runner answers or a whole lease has passed. A row without a start
+/// time stands for any incarnation.
+bool is_recorded_without_end(const coordinator::fleet& f,
+    const runner_records& all,
+    const std::string& id,
+    const std::string& pool)
 {
     auto found = all.find(id);
     found = found != all.end() ? found : all.find(std::string(ports::runner_of(id)));
-    return found != all.end() && !found->second.remaining_lease && found->second.pool == pool;
+    return found != all.end() && coordinator::may_grant_leases(f, found->second.remaining_lease) &&
+           found->second.pool == pool;
 }
 
 /// Calls \p fn for each host that the row's id may stand for.
@@ -153,7 +156,8 @@
 
 /// Runners that have ended or never answered have no row, since a successor would wait for their
 /// leases in vain. The row of an unresponsive runner states when its leases end, so that
-/// coordinators that follow each other quickly do not each wait for a whole lease.
+/// coordinators that follow each other quickly do not each wait for a whole lease. While a call for
+/// an earlier incarnation may have granted a lease, the row states the longest that there can be.
 std::optional<runner_record> runner_record_keeper::wanted_row(
     const coordinator::host_entry& h, const bucket& of) const
 {
@@ -171,6 +175,10 @@
                                   ? stored->second
                                   : coordinator::time_to_lease_expiry(f, h, now);
     }
+    else if (now < h.earlier_leases_end_at)
+    {
+        row.remaining_lease = coordinator::max_lease_time(f);
+    }
     return row;
 }
 
@@ -206,8 +214,8 @@
 void runner_record_keeper::update_recorded(coordinator::host_entry& h)
 {
     const auto& b = buckets_[bucket_of_runner(h.ref.id)];
-    h.recorded =
-        is_recorded_without_end(b.recorded, h.ref.id, h.pool) && !b.unconfirmed.contains(h.ref.id);
+    h.recorded = is_recorded_without_end(term_.fleet, b.recorded, h.ref.id, h.pool) &&
+                 !b.unconfirmed.contains(h.ref.id);
 }
 
 void runner_record_keeper::update_recorded(const runner_records& rows)
@@ -298,7 +306,7 @@
     for (const auto& [id, row] : of.recorded)
     {
         // A runner that is left out now may be listed again later.
-        if (!is_recorded_without_end(of.wanted, id, row.pool))
+        if (!is_recorded_without_end(term_.fleet, of.wanted, id, row.pool))
         {
             of.unconfirmed.insert(id);
         }
@@ -306,7 +314,7 @@
             id,
             [&](const coordinator::host_entry& h)
             {
-                if (!is_recorded_without_end(of.wanted, h.ref.id, h.pool))
+                if (!is_recorded_without_end(term_.fleet, of.wanted, h.ref.id, h.pool))
                 {
                     of.unconfirmed.insert(h.ref.id);
                 }
@@ -327,7 +335,7 @@
         b.stored_remaining_leases.clear();
         for (const auto& [id, it] : b.wanted)
         {
-            if (it.remaining_lease)
+            if (!coordinator::may_grant_leases(term_.fleet, it.remaining_lease))
             {
                 b.stored_remaining_leases.emplace(id, *it.remaining_lease);
             }
--- a/libs/hosted/src/runner_record_keeper.hpp
+++ b/libs/hosted/src/runner_record_keeper.hpp
@@ -38,7 +38,8 @@
         /// Ids of runners for which a successor might not wait until their full leases end, if a
         /// write that is in flight or was never answered has reached the store.
         std::set<std::string> unconfirmed;
-        /// Values of runner_record::remaining_lease written in this term, by runner id.
+        /// Values of runner_record::remaining_lease written in this term for unresponsive runners
+        /// to which no lease may be granted, by runner id.
         std::map<std::string, core::millis> stored_remaining_leases;
         ports::revision revision = 0;
         bool write_in_flight = false;
--- a/libs/hosted/src/takeover_lease_renewer.cpp
+++ b/libs/hosted/src/takeover_lease_renewer.cpp
@@ -1,6 +1,7 @@
 #include "takeover_lease_renewer.hpp"
 
 #include "coordinator/answers.hpp"
+#include "coordinator/fencing_tokens.hpp"
 #include "coordinator/intake.hpp"
 
 namespace camphorhitch::hosted
@@ -51,16 +52,21 @@
     in_flight_.insert(host);
     term_.ctx.runners.poll(h.ref,
         order,
-        term_.guarded([this, host](const ports::poll_answer& a) { handle_answer(host, a); }));
+        term_.guarded(
+            [this, host, token = order.fencing_token](const ports::poll_answer& a) {
+                handle_answer(
+                    host, coordinator::without_own_refusal(term_.fleet, host, token, a.call));
+            }));
 }
 
-void takeover_lease_renewer::handle_answer(const std::string& host, const ports::poll_answer& a)
+void takeover_lease_renewer::handle_answer(
+    const std::string& host, const ports::runner_answer& answer)
 {
     in_flight_.erase(host);
     const bool first = is_unresponsive(host);
     coordinator::task_events out;
     const bool still_leads =
-        coordinator::handle_renewal_answer(term_.fleet, host, a.call, term_.now(), out);
+        coordinator::handle_renewal_answer(term_.fleet, host, answer, term_.now(), out);
     term_.log(out);
     if (!still_leads)
     {
--- a/libs/hosted/src/takeover_lease_renewer.hpp
+++ b/libs/hosted/src/takeover_lease_renewer.hpp
@@ -30,7 +30,7 @@
 private:
     void renew_all();
     void renew(const std::string& host);
-    void handle_answer(const std::string& host, const ports::poll_answer& a);
+    void handle_answer(const std::string& host, const ports::runner_answer& answer);
     bool is_unresponsive(const std::string& host) const;
 
     term& term_;
--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -1,5 +1,6 @@
 #include "term.hpp"
 
+#include "coordinator/fencing_tokens.hpp"
 #include "coordinator/intake.hpp"
 #include "hosted/keys.hpp"
 
@@ -68,10 +69,34 @@
     }
 }
 
+void term::record_own_writes()
+{
+    ctx.store.commit = [weak = weak_from_this(), own = token, commit = ctx.store.commit](
+                           ports::store_transaction change, auto done)
+    {
+        const auto proves = [own](const auto& it)
+        {
+            return it.key == leader_key && it.expected == own;
+        };
+        const bool proves_lead =
+            std::any_of(change.conditions.begin(), change.conditions.end(), proves);
+        commit(std::move(change),
+            [weak, proves_lead, done = std::move(done)](const ports::commit_result& result)
+            {
+                const auto self = weak.lock();
+                if (self && proves_lead && result.status == ports::kv_status::ok)
+                {
+                    coordinator::record_own_write(self->fleet, result.modified);
+                }
+                done(result);
+            });
+    };
+}
+
 ports::poll_order term::grant_lease(coordinator::host_entry& h, std::int64_t until_ms) const
 {
     ports::poll_order out;
-    out.fencing_token = token;
+    out.fencing_token = coordinator::fencing_token_for(fleet, h.ref.id);
     out.acknowledged_through = h.last_stored_end;
     out.lease_until_ms = until_ms;
     coordinator::record_lease(h, until_ms);
--- a/libs/hosted/src/term.hpp
+++ b/libs/hosted/src/term.hpp
@@ -49,6 +49,10 @@
     /// Counts a start order that is sent \p at, and records how long its task had been ready.
     void record_start(const workflow::task_name& task, std::int64_t run, core::mono_time at);
 
+    /// From now on, records each write of this term that proves the leadership, as a source of
+    /// higher fencing tokens.
+    void record_own_writes();
+
     /// Records the time from a job's acceptance until this node read it.
     void record_job_read(core::micros duration);
 
