Restarts: no repeat to the next incarnation, and no run lost while a send is open

An order is sent up to three times while its answer is overdue. Of a start whose repeat was answered, the first send could begin on the next incarnation of the runner: the run had been listed by the earlier one, counted as lost with it, and its task was running elsewhere.

Repeats now end with the incarnation. A run with an unanswered send of its start passes on as unsettled, like one that was never listed: the next incarnation is asked first, under a token that makes it refuse the send.

--- a/libs/coordinator/include/coordinator/fencing_tokens.hpp
+++ b/libs/coordinator/include/coordinator/fencing_tokens.hpp
@@ -29,6 +29,11 @@
 /// it refuses them.
 void expect_earlier_calls(const fleet& f, host_entry& h, core::mono_time now);
 
+/// Records that a start was sent several times and that not all sends have an answer: one of them
+/// may still take effect on the next incarnation.
+void record_unanswered_send(
+    fleet& f, const std::string& host, const workflow::task_name& task, std::int64_t run);
+
 /// Raises the token of calls to \p h if earlier calls may still take effect there; to be called
 /// before each poll, since settle_earlier_calls() takes the answered poll for one with the present
 /// token.
--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -66,6 +66,9 @@
     /// A poll of this incarnation has listed the run. The answer to a start does not name the
     /// incarnation, so that alone a run may be active on the next one.
     bool listed = false;
+    /// The start was sent several times, and not every send has an answer. The runner ignores the
+    /// others, but its next incarnation doesn't know the run.
+    bool has_unanswered_send = false;
     /// The start was sent to an earlier incarnation, which may have ended because of it.
     bool sent_to_earlier = false;
     bool confirmed_earlier = false; ///< that start was answered as done
--- a/libs/coordinator/src/fencing_tokens.cpp
+++ b/libs/coordinator/src/fencing_tokens.cpp
@@ -1,5 +1,6 @@
 #include "coordinator/fencing_tokens.hpp"
 
+#include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
 #include "ports/incarnation.hpp"
 
@@ -35,6 +36,19 @@
     h.earlier_leases_end_at = now + max_lease_time(f);
 }
 
+void record_unanswered_send(
+    fleet& f, const std::string& host, const workflow::task_name& task, std::int64_t run)
+{
+    if (auto* const t = find_task(f, task))
+    {
+        const auto index = run_index(*t, host, run);
+        if (index < t->runs.size())
+        {
+            t->runs[index].has_unanswered_send = true;
+        }
+    }
+}
+
 void raise_fencing_token(fleet& f, const host_entry& h)
 {
     if (h.earlier_calls_token)
--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -18,7 +18,7 @@
 /// \return whether the run may be active on the next incarnation.
 bool may_be_passed_on(const run_entry& run, bool has_ended)
 {
-    return !has_ended || !run.listed;
+    return !has_ended || !run.listed || run.has_unanswered_send;
 }
 
 /// Passes the runs of \p from on to \p to.
--- a/libs/coordinator/src/restarts.hpp
+++ b/libs/coordinator/src/restarts.hpp
@@ -22,7 +22,8 @@
 /// the new one. Runs that no poll of the old incarnation listed are therefore passed on as
 /// unsettled, and the new host counts as inherited until it was polled. All other runs have ended.
 /// If the start time of \p old is unknown, both may be the same incarnation, and all runs are
-/// passed on.
+/// passed on. The new host may be known: a coordinator that ends just after a restart leaves both
+/// in the record of runners.
 ///
 /// \param old not a reference into the host, which is removed
 /// \return the new host; its labels and capacity are unknown until the list of runners shows it
--- a/libs/coordinator/tests/restarts_tests.cpp
+++ b/libs/coordinator/tests/restarts_tests.cpp
@@ -292,6 +292,24 @@
     LONGS_EQUAL(until, w.f.hosts.at(after).lease_until_ms);
 }
 
+// Guards against a second start while the first send of an order, whose repeat was answered, may
+// begin on the next incarnation.
+TEST(restarts, a_listed_run_passes_on_while_a_send_of_its_start_is_unanswered)
+{
+    w.add_host(before);
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.plan_next().starts.at(0);
+    record_unanswered_send(w.f, before, a.task, a.run);
+    w.answer_start(a);
+    ports::poll_answer listing;
+    listing.call = {ports::runner_verdict::done, w.clock_ms(), first_start};
+    listing.running.push_back({workflow::write_task_name(a.task), a.run, {}, 0, 0});
+    poll(before, listing);
+    poll(before, answer_of_next());
+    LONGS_EQUAL(1, w.f.hosts.at(after).runs.size());
+    LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
+}
+
 // Guards against handing leadership over because a runner refuses a call that was sent before the
 // token of its calls was raised.
 TEST(restarts, only_a_refusal_of_the_newest_token_shows_another_coordinator)
--- a/libs/hosted/src/repeated_order.cpp
+++ b/libs/hosted/src/repeated_order.cpp
@@ -18,7 +18,7 @@
 {
     std::weak_ptr<term> sending_term; ///< no repeat is sent after its end
     order_sender send;
-    std::function<void(ports::runner_answer)> done;
+    std::function<void(ports::runner_answer, bool)> done;
     int sends = 0;
     int in_flight = 0;
     bool reported = false;
@@ -97,14 +97,14 @@
 void repeated_order::report(const ports::runner_answer& answer)
 {
     reported = true;
-    done(answer);
+    done(answer, in_flight == 0 && !any_unknown);
 }
 
 } // namespace
 
 void send_repeated(const std::shared_ptr<term>& t,
     order_sender send,
-    std::function<void(ports::runner_answer)> done)
+    std::function<void(ports::runner_answer, bool)> done)
 {
     const auto it = std::make_shared<repeated_order>();
     it->sending_term = t;
--- a/libs/hosted/src/repeated_order.hpp
+++ b/libs/hosted/src/repeated_order.hpp
@@ -32,9 +32,10 @@
 /// only that its own send did nothing, so it is reported only when no other send is unanswered.
 /// \param t term that sends; no repeat is sent after its end. \p done must accept an answer that
 /// arrives after that
-/// \param done called exactly once, with the resulting answer
+/// \param done called exactly once, with the resulting answer, and whether all sends have been
+///   answered
 void send_repeated(const std::shared_ptr<term>& t,
     order_sender send,
-    std::function<void(ports::runner_answer)> done);
+    std::function<void(ports::runner_answer, bool)> done);
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/runner_controller.cpp
+++ b/libs/hosted/src/runner_controller.cpp
@@ -3,7 +3,6 @@
 #include "coordinator/answers.hpp"
 #include "coordinator/fencing_tokens.hpp"
 #include "coordinator/intake.hpp"
-#include "repeated_order.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
@@ -65,6 +64,22 @@
     }
 }
 
+/// Orders name a runner by its id only, so the next incarnation of the runner would carry out a
+/// repeat.
+order_sender runner_controller::sender_to(const ports::runner_ref& to,
+    std::function<void(const ports::runner_ref&, std::function<void(ports::runner_answer)>)> send)
+{
+    return [this, to, send = std::move(send)](auto on_answer)
+    {
+        if (!term_.fleet.hosts.contains(to.id))
+        {
+            on_answer({runner_verdict::not_sent, -1});
+            return;
+        }
+        send(to, std::move(on_answer));
+    };
+}
+
 void runner_controller::send(const coordinator::plan& p)
 {
     for (const auto& it : p.stops)
@@ -130,19 +145,23 @@
     const auto order_id = record_sent();
     term_.record_start(a.task, a.run, sent);
     poll_if_delayed(a.host.id);
-    send_repeated(
-        term_.shared_from_this(),
-        [this, to = a.host, order](auto on_answer)
-        { term_.ctx.runners.start(to, order, std::move(on_answer)); },
+    send_repeated(term_.shared_from_this(),
+        sender_to(a.host,
+            [this, order](const auto& to, auto on_answer)
+            { term_.ctx.runners.start(to, order, std::move(on_answer)); }),
         term_.guarded(
             [this, a, sent, order_id, token = order.fencing_token](
-                const ports::runner_answer& answer)
+                const ports::runner_answer& answer, bool all_answered)
             {
                 term_.load.record_start_answer(answer, term_.now() - sent);
                 term_.ctx.tel.observe("camphorhitch_start_order_seconds",
                     {},
                     std::chrono::duration<double>(term_.now() - sent).count());
                 record_answered(order_id);
+                if (!all_answered)
+                {
+                    coordinator::record_unanswered_send(term_.fleet, a.host.id, a.task, a.run);
+                }
                 handle_start_answer(
                     a, coordinator::without_own_refusal(term_.fleet, a.host.id, token, answer));
             }));
@@ -208,12 +227,12 @@
     const auto token = coordinator::fencing_token_for(term_.fleet, a.host.id);
     ports::stop_order order{workflow::write_task_name(a.task), a.run, token};
     const auto order_id = record_sent();
-    send_repeated(
-        term_.shared_from_this(),
-        [this, to = a.host, order](auto on_answer)
-        { term_.ctx.runners.stop(to, order, std::move(on_answer)); },
+    send_repeated(term_.shared_from_this(),
+        sender_to(a.host,
+            [this, order](const auto& to, auto on_answer)
+            { term_.ctx.runners.stop(to, order, std::move(on_answer)); }),
         term_.guarded(
-            [this, a, order_id, token](const ports::runner_answer& answer)
+            [this, a, order_id, token](const ports::runner_answer& answer, bool)
             {
                 record_answered(order_id);
                 handle_stop_answer(
--- a/libs/hosted/src/runner_controller.hpp
+++ b/libs/hosted/src/runner_controller.hpp
@@ -5,6 +5,7 @@
 #include "coordinator/order_window.hpp"
 #include "coordinator/placement.hpp"
 #include "coordinator/throttling.hpp"
+#include "repeated_order.hpp"
 #include "term.hpp"
 
 #include <map>
@@ -58,6 +59,10 @@
     bool is_open(const std::string& host, core::mono_time sent_at) const;
     void schedule_renewal(const std::string& host, core::mono_time sent_at, core::millis delay);
     void renew(const std::string& host, core::mono_time sent_at, core::mono_time due);
+    /// \return \p send for this runner; `not_sent` once the incarnation is not known any more.
+    order_sender sender_to(const ports::runner_ref& to,
+        std::function<void(const ports::runner_ref&, std::function<void(ports::runner_answer)>)>
+            send);
     void start(const coordinator::start_action& a);
     void stop(const coordinator::stop_action& a);
     void handle_start_answer(
