Restarts: the answer of a known incarnation doesn't begin it anew

A coordinator that ends within the half second after a restart leaves the rows of both incarnations in the record. Its successor polled both; the answer to the poll of the earlier one set up the entry of the later one again, without the pool that the list had given it. The list isn't applied again, so no task started there, and all pools were held back as the host's pool was unknown: accepted jobs never started.

A host that is known already now only takes over what passes on.

earlier_calls.a_take_over_soon_after_a_restart_loses_no_host failed 20 and 40 ms after the restart ("the job did not end") and passes.

--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -160,9 +160,13 @@
     const bool has_ended = was.born_ms != 0;
     auto& from = f.hosts.at(old);
     const auto id = ports::write_incarnation({was.runner, born_ms});
-    auto& to = f.hosts[id];
-    to.ref.id = id;
-    begin_incarnation(f, from, to, has_ended, now);
+    const auto [entry, added] = f.hosts.try_emplace(id);
+    auto& to = entry->second;
+    if (added)
+    {
+        to.ref.id = id;
+        begin_incarnation(f, from, to, has_ended, now);
+    }
     const int kept = pass_on_runs(f, from, to, has_ended, now, out);
     out.push_back({"host_restarted",
         "",
