Throttling: order the share of runs that another order set

Callers with best-effort tasks could see a task stay paused after a take-over for as long as it lived, and callers of serving tasks could miss their target beside a task that nobody slowed down.

Cause: the processor share of a run is remembered by the coordinator that ordered it. An adopted run counted as unthrottled, so a paused one got no order while the latency was low, and was raised to 50% while it was high. A run that passed on to the next incarnation of its runner kept the share ordered from the one before, although it runs at full speed there.

Change: the share of such a run is unknown until this coordinator has ordered one from this incarnation. It is estimated from the processor time in use and ordered once; further orders follow only when it changes.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -81,6 +81,9 @@
     int progress_percent = 0;      ///< share of the work that is done, as last reported, 0 to 100
     std::int64_t load_metric = 0;  ///< latest ports::reported_run::load_metric
     int cpu_percent = 100;         ///< share of processor time that was last ordered, 0 to 100
+    /// False until this coordinator has ordered a share from this incarnation, if the run was
+    /// started by another coordinator or on an earlier incarnation.
+    bool cpu_percent_known = true;
     /// Thousandths of a core that it counts with in the accounts of shares, by its dominant
     /// resource; 0 unless share_rule::work is in force.
     std::int64_t share_cpu = 0;
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -137,6 +137,7 @@
     run.ordered_at = now;
     run.adopted = true;
     run.may_be_stopping = true;
+    run.cpu_percent_known = false;
     run.phase_changed_at = now;
     add_run(f, j, name, run);
     apply_later_run(t, it.run);
--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -53,6 +53,7 @@
             run.confirmed_earlier = run.confirmed;
             run.confirmed = false;
             run.listed = false;
+            run.cpu_percent_known = run.cpu_percent_known && !has_ended;
             run.stop_in_flight = false;
             run.stop_confirmed = false;
             run.stop_retry_at = {};
--- a/libs/coordinator/src/throttling.cpp
+++ b/libs/coordinator/src/throttling.cpp
@@ -61,6 +61,19 @@
     return worst;
 }
 
+/// \return the share that the runner applies to the run, estimated from the processor time in use
+/// if it is not known.
+int current_cpu_percent(const placed_run& it)
+{
+    const auto cpu = it.step->need.cpu;
+    if (it.run->cpu_percent_known || cpu <= 0)
+    {
+        return it.run->cpu_percent;
+    }
+    const auto in_use = std::clamp(it.run->load_metric, std::int64_t{0}, cpu);
+    return static_cast<int>(in_use * full_percent / cpu);
+}
+
 int next_cpu_percent(const throttling_settings& s, int cpu_percent, double worst)
 {
     if (worst > s.high_mark)
@@ -87,12 +100,14 @@
         const double worst = worst_latency_ratio(runs);
         for (const auto& it : runs)
         {
-            const int cpu_percent = next_cpu_percent(s, it.run->cpu_percent, worst);
-            if (!it.step->best_effort || cpu_percent == it.run->cpu_percent)
+            const int cpu_percent = next_cpu_percent(s, current_cpu_percent(it), worst);
+            const bool is_applied = it.run->cpu_percent_known && cpu_percent == it.run->cpu_percent;
+            if (!it.step->best_effort || is_applied)
             {
                 continue;
             }
             it.run->cpu_percent = cpu_percent;
+            it.run->cpu_percent_known = true;
             actions.push_back({h.ref, it.task, it.run->number, cpu_percent});
             record_event(out,
                 "pace_ordered",
--- a/libs/coordinator/tests/throttling_tests.cpp
+++ b/libs/coordinator/tests/throttling_tests.cpp
@@ -1,5 +1,6 @@
 #include "coordinator/throttling.hpp"
 #include "fleet_fixture.hpp"
+#include "workflow/records.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -10,16 +11,22 @@
 {
     fleet_fixture w;
 
-    /// A task with a latency target and a best-effort task on one host, both running.
-    void prepare()
+    /// Accepts a job with a task with a latency target and a best-effort task.
+    void accept_both()
     {
-        w.add_host("h1");
         auto serving_step = make_step(1, 1000);
         serving_step.tail_latency_target = 40ms;
         serving_step.long_running = true;
         auto best_effort_step = make_step(1, 2000);
         best_effort_step.best_effort = true;
         w.accept_job(make_job("a", {serving_step, best_effort_step}));
+    }
+
+    /// Both tasks run on one host.
+    void prepare(const std::string& host = "h1")
+    {
+        w.add_host(host);
+        accept_both();
         for (const auto& it : w.plan_next().starts)
         {
             w.answer_start(it);
@@ -40,6 +47,36 @@
         plan_throttling(w.f, {}, w.now, w.events);
         return run(1).cpu_percent;
     }
+
+    /// A poll of the host is answered by an incarnation that lists the first run of both tasks.
+    /// \param share processor share that the runner applies to the best-effort task, in percent
+    void list_both(const std::string& host, std::int64_t born_ms, int share)
+    {
+        const std::int64_t run_number = w.f.jobs.at("a")->tasks[0].highest_run_number;
+        ports::poll_answer it;
+        it.call = {ports::runner_verdict::done, w.clock_ms(), born_ms};
+        it.running = {
+            {"a.0.0.0", run_number, {}, 100, 30}, {"a.0.1.0", run_number, {}, 0, share * 20}};
+        w.now += 10ms;
+        handle_poll_answer(w.f, host, w.now, it, w.now, w.events);
+    }
+
+    /// Advances by four seconds with this tail latency, while the runner applies all orders.
+    /// \return the share that it applies to the best-effort task afterwards
+    int applied_after(std::int64_t tail, int share)
+    {
+        for (int i = 0; i < 8; ++i)
+        {
+            run(0).load_metric = tail;
+            run(1).load_metric = share * 20;
+            w.now += 500ms;
+            for (const auto& it : plan_throttling(w.f, {}, w.now, w.events))
+            {
+                share = it.cpu_percent;
+            }
+        }
+        return share;
+    }
 };
 
 // A best-effort task slows down a task with a latency target. After four metrics of half a second
@@ -88,3 +125,41 @@
     LONGS_EQUAL(1, p.starts.size());
     STRCMP_EQUAL("h2", p.starts[0].host.id.c_str());
 }
+
+// Guards against a best-effort task that stays paused, or is sped up while it disturbs others,
+// since only the previous coordinator knew its share.
+TEST(throttling, the_share_of_an_adopted_task_is_ordered)
+{
+    struct row
+    {
+        int share; ///< ordered by the previous coordinator
+        std::int64_t tail;
+        int share_after;
+    };
+    for (const auto& it : {row{0, 10, 100}, row{0, 60, 0}, row{100, 10, 100}, row{100, 60, 0}})
+    {
+        w = {};
+        w.add_host("h1");
+        accept_both();
+        w.f.jobs.at("a")->tasks[0].highest_run_number = 1;
+        list_both("h1", 0, it.share);
+        const auto orders_before = w.events.size();
+        LONGS_EQUAL(it.share_after, applied_after(it.tail, it.share));
+        CHECK(it.share != it.share_after || w.events.size() == orders_before + 1);
+    }
+}
+
+// Guards against a best-effort task that disturbs others at full speed, where the next incarnation
+// has started it, since its share at the incarnation before was 0.
+TEST(throttling, a_task_that_passed_on_is_slowed_again)
+{
+    prepare("h1/1700000000000");
+    for (int i = 0; i < 5; ++i)
+    {
+        after(60);
+    }
+    LONGS_EQUAL(0, run(1).cpu_percent);
+    list_both("h1/1700000000000", 1'700'000'060'000, 100);
+    STRCMP_EQUAL("h1/1700000060000", run(1).host.c_str());
+    LONGS_EQUAL(0, applied_after(60, 100));
+}
