Restarts: test a record that names two incarnations of a runner

The row of the next incarnation is written before that of the one before is removed. If the coordinator ends in between, its successor inherits both as hosts, and the answer to the poll of the earlier one resets the later one: it has no pool, and counts as inherited once more.

Measured: the test fails on this code (pool "p" expected, "" found).

--- a/libs/coordinator/tests/restarts_tests.cpp
+++ b/libs/coordinator/tests/restarts_tests.cpp
@@ -262,3 +262,20 @@
     j.losses_stored = j.losses_recorded;
     LONGS_EQUAL(1, w.plan_next().starts.size());
 }
+
+// Guards against a runner that gets no tasks after a take-over: the record named both its
+// incarnations, and the answer to a poll of the earlier one resets the later one.
+TEST(restarts, an_earlier_incarnation_in_the_record_does_not_reset_the_later_one)
+{
+    const std::vector<inherited_host> rows{
+        {{before, "10.0.0.1:80", {}}, {}, "p", {}}, {{after, "10.0.0.1:80", {}}, {}, "p", {}}};
+    add_inherited_hosts(w.f, rows, w.now);
+    list(after);
+    poll(after, answer_of_next());
+    poll(before, answer_of_next());
+    STRCMP_EQUAL(after.c_str(), only_host().c_str());
+    const auto& h = w.f.hosts.at(after);
+    STRCMP_EQUAL("p", h.pool.c_str());
+    CHECK(h.listed);
+    CHECK_FALSE(h.inherited);
+}
