Throttling: order a share again while an earlier order may take effect

Callers with best-effort tasks could see a task stay slow or paused without end, although its neighbours had time to spare.

Cause: answers to throttle orders were not evaluated, on the assumption that the order after the next load report makes up for a lost one. There is none once the share is believed to be the wanted one: a lost last order leaves the old share in force, and an order that is carried out late, or overtaken by the one after it, replaces the newer share.

Change: after an order without an answer, the share is ordered again at each evaluation for ten seconds, and once more after two orders that were open at the same time. While all orders are answered in turn no further call is made.

Measured: throttling.a_share_is_ordered_again_until_no_earlier_order_can_change_it failed with an empty handler ("done after a newer order": not ordered again) and passes now.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -87,6 +87,8 @@
     /// False until this coordinator has ordered a share from this incarnation, if the run was
     /// started by another coordinator or on an earlier incarnation.
     bool cpu_percent_known = true;
+    /// Until then cpu_percent is ordered again, since an earlier order may still take effect.
+    core::mono_time throttle_again_until;
     /// Thousandths of a core that it counts with in the accounts of shares, by its dominant
     /// resource; 0 unless share_rule::work is in force.
     std::int64_t share_cpu = 0;
--- a/libs/coordinator/include/coordinator/throttling.hpp
+++ b/libs/coordinator/include/coordinator/throttling.hpp
@@ -40,6 +40,11 @@
 std::vector<throttle_action> plan_throttling(
     fleet& f, const throttling_settings& s, core::mono_time now, task_events& out);
 
+/// Applies the answer to a throttle order. If it may be carried out after newer ones, the share is
+/// ordered again for a while.
+void handle_throttle_answer(
+    fleet& f, const throttle_action& a, const ports::runner_answer& answer, core::mono_time now);
+
 /// \return number of runs on the host that would slow down a new task of the step, or be slowed
 /// down by it.
 int interfering_runs(const fleet& f, const host_entry& h, const workflow::step& s);
--- a/libs/coordinator/src/throttling.cpp
+++ b/libs/coordinator/src/throttling.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/throttling.hpp"
 
 #include "bookkeeping.hpp"
+#include "ports/incarnation.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
@@ -12,6 +13,10 @@
 {
 
 constexpr int full_percent = 100; // percent
+/// For how long an order without an answer may still be carried out.
+constexpr core::millis max_late_order{10000};
+/// Time of at least one further order, after two orders that were open at the same time.
+constexpr core::millis overlap_time{1000};
 
 bool has_latency_target(const workflow::step& s)
 {
@@ -101,7 +106,9 @@
         for (const auto& it : runs)
         {
             const int cpu_percent = next_cpu_percent(s, current_cpu_percent(it), worst);
-            const bool is_applied = it.run->cpu_percent_known && cpu_percent == it.run->cpu_percent;
+            const bool is_applied = it.run->cpu_percent_known &&
+                                    cpu_percent == it.run->cpu_percent &&
+                                    now >= it.run->throttle_again_until;
             if (!it.step->best_effort || is_applied)
             {
                 continue;
@@ -121,6 +128,31 @@
     return actions;
 }
 
+void handle_throttle_answer(
+    fleet& f, const throttle_action& a, const ports::runner_answer& answer, core::mono_time now)
+{
+    auto* const t = find_task(f, a.task);
+    const auto index = t == nullptr ? 0 : run_index(*t, a.host.id, a.run);
+    if (t == nullptr || index == t->runs.size())
+    {
+        return;
+    }
+    auto& run = t->runs[index];
+    const auto born = ports::read_incarnation(a.host.id).born_ms;
+    const bool by_other = born != 0 && answer.born_ms != 0 && answer.born_ms != born;
+    const bool was_carried_out = answer.verdict == ports::runner_verdict::done && !by_other;
+    core::millis again{0};
+    if (!was_carried_out)
+    {
+        again = max_late_order;
+    }
+    else if (run.cpu_percent != a.cpu_percent)
+    {
+        again = overlap_time;
+    }
+    run.throttle_again_until = std::max(run.throttle_again_until, now + again);
+}
+
 int interfering_runs(const fleet& f, const host_entry& h, const workflow::step& s)
 {
     if (!s.best_effort && !has_latency_target(s))
--- a/libs/coordinator/tests/throttling_tests.cpp
+++ b/libs/coordinator/tests/throttling_tests.cpp
@@ -163,3 +163,41 @@
     STRCMP_EQUAL("h1/1700000060000", run(1).host.c_str());
     LONGS_EQUAL(0, applied_after(60, 100));
 }
+
+// Guards against a share that stays wrong without end: the order for it is lost, or an earlier one
+// takes effect after it.
+TEST(throttling, a_share_is_ordered_again_until_no_earlier_order_can_change_it)
+{
+    constexpr int calm = 30; // between the marks
+    struct row
+    {
+        const char* text;
+        ports::runner_answer answer;
+        bool newer_order; ///< a newer order is sent before the answer arrives
+        int seconds;      ///< after the answer, for which the share is ordered again
+    };
+    const row rows[] = {
+        {"done", {ports::runner_verdict::done, 1000}, false, 0},
+        {"done after a newer order", {ports::runner_verdict::done, 1000}, true, 1},
+        {"by another incarnation", {ports::runner_verdict::done, 1000, 1}, false, 10},
+        {"unknown", {ports::runner_verdict::unknown, -1}, false, 10},
+        {"not sent", {ports::runner_verdict::not_sent, -1}, false, 10},
+    };
+    for (const auto& it : rows)
+    {
+        w = {};
+        prepare("h1/1700000000000");
+        LONGS_EQUAL(50, after(60));
+        const throttle_action sent{
+            w.f.hosts.begin()->second.ref, {"a", 0, 1, 0}, run(1).number, 50};
+        const int share = it.newer_order ? after(60) : 50;
+        handle_throttle_answer(w.f, sent, it.answer, w.now);
+        for (int i = 1; i <= 24; ++i)
+        {
+            const auto orders_before = w.events.size();
+            LONGS_EQUAL_TEXT(share, after(calm), it.text);
+            const bool ordered = w.events.size() > orders_before;
+            CHECK_EQUAL_TEXT(i < 2 * it.seconds, ordered, it.text);
+        }
+    }
+}
--- a/libs/hosted/src/runner_controller.cpp
+++ b/libs/hosted/src/runner_controller.cpp
@@ -179,12 +179,10 @@
             term_.guarded(
                 [this, it, token](const ports::runner_answer& answer)
                 {
-                    // A lost order is made up for by the one that follows the next load report, so
-                    // the answer matters only if it reveals a newer coordinator.
-                    const auto verdict =
-                        coordinator::without_own_refusal(term_.fleet, it.host.id, token, answer)
-                            .verdict;
-                    finish_answer(verdict != runner_verdict::fenced, it.host.id, {});
+                    const auto own =
+                        coordinator::without_own_refusal(term_.fleet, it.host.id, token, answer);
+                    coordinator::handle_throttle_answer(term_.fleet, it, own, term_.now());
+                    finish_answer(own.verdict != runner_verdict::fenced, it.host.id, {});
                 }));
     }
 }
