Restarts: what a successor, a renewal and a late send may still miss

- A successor forgot the longest lease of a runner that had started again at that runner's first answer, so after a second cut it waited for a usual lease only.
The wait now counts from the answer, also for a row with a remaining time above the usual one, and for the answer to a renewal.
A renewal that the next incarnation answers makes the restart known.
- A run that a poll had listed before the answer to its start was read, or that a predecessor had started, counted as lost with its incarnation although a send of its start could be on its way.
Such a run passes on too, for as long as a call may be late.
- A damaged record is waited for as long as any lease can last.
- Polls of runners that are not settled respect the rate that the number of hosts allows.
- Restarts and their settling are logged regardless of the rate limit, with the lease that is waited for; the line of an expired host says how long it was waited for.

The relay test of a previous coordinator expects the verdict and no local call again. restarts.the_next_incarnation_takes_tasks_once_it_refuses_earlier_calls polls with a later clock, since the same clock could not show a lease that grows.

--- a/libs/coordinator/include/coordinator/answers.hpp
+++ b/libs/coordinator/include/coordinator/answers.hpp
@@ -16,7 +16,8 @@
     std::int64_t run,
     const ports::runner_answer& answer,
     core::mono_time now,
-    task_events& out);
+    task_events& out,
+    bool all_sends_answered = true);
 
 /// Applies the answer to a stop order.
 /// \return as handle_start_answer
@@ -29,8 +30,8 @@
     task_events& out);
 
 /// Applies the answer to a call that only renews a lease: whether the host answers, and its clock.
-/// Its active and ended runs are learned from polls. The answer of a later incarnation counts as
-/// none.
+/// Its active and ended runs are learned from polls. If the runner has started again, the host is
+/// replaced by one for its new incarnation, which is to be polled.
 /// \return as handle_start_answer
 bool handle_renewal_answer(fleet& f,
     const std::string& host,
--- a/libs/coordinator/include/coordinator/fencing_tokens.hpp
+++ b/libs/coordinator/include/coordinator/fencing_tokens.hpp
@@ -29,11 +29,6 @@
 /// it refuses them.
 void expect_earlier_calls(const fleet& f, host_entry& h, core::mono_time now);
 
-/// Records that a start was sent several times and that not all sends have an answer: one of them
-/// may still take effect on the next incarnation.
-void record_unanswered_send(
-    fleet& f, const std::string& host, const workflow::task_name& task, std::int64_t run);
-
 /// Raises the token of calls to \p h if earlier calls may still take effect there; to be called
 /// before each poll, since settle_earlier_calls() takes the answered poll for one with the present
 /// token.
@@ -41,7 +36,7 @@
 
 /// To be called when \p h has answered a poll: if its token was above those of all earlier calls,
 /// the runner refuses them from now on.
-void settle_earlier_calls(const fleet& f, host_entry& h, core::mono_time now, task_events& out);
+void settle_earlier_calls(const fleet& f, host_entry& h, task_events& out);
 
 /// \return whether a host of another incarnation of the same runner was removed recently.
 bool has_earlier_incarnation(const fleet& f, const std::string& host);
--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -66,9 +66,9 @@
     /// A poll of this incarnation has listed the run. The answer to a start does not name the
     /// incarnation, so that alone a run may be active on the next one.
     bool listed = false;
-    /// The start was sent several times, and not every send has an answer. The runner ignores the
-    /// others, but its next incarnation doesn't know the run.
-    bool has_unanswered_send = false;
+    /// Each send of the start has an answer. An unanswered one may begin the run once more on the
+    /// next incarnation, which doesn't know it.
+    bool all_sends_answered = false;
     /// The start was sent to an earlier incarnation, which may have ended because of it.
     bool sent_to_earlier = false;
     bool confirmed_earlier = false; ///< that start was answered as done
@@ -269,8 +269,8 @@
     /// such call has a higher token. Once a call with a higher one was answered, the runner refuses
     /// them all.
     std::optional<std::int64_t> earlier_calls_token;
-    /// Leases that calls for earlier incarnations may have granted here end by then, and by
-    /// lease_until_ms; zero: there are none.
+    /// By this time all leases that calls for earlier incarnations may have granted here have
+    /// ended; zero: there are none.
     core::mono_time earlier_leases_end_at;
 
     workflow::resources used;          ///< by all runs, including stopping and unsettled ones
@@ -400,6 +400,8 @@
     /// Maximum time for which a run still works, and is listed as active, after its runner accepted
     /// a stop.
     core::millis max_stop_time{1000};
+    /// For how long a call without an answer may still be carried out.
+    core::millis max_late_call{15000};
     /// Delay before an unanswered stop is repeated.
     core::millis stop_retry_delay{400};
     /// How long the list of runners may still contain a runner that has ended: the time for three
--- a/libs/coordinator/include/coordinator/intake.hpp
+++ b/libs/coordinator/include/coordinator/intake.hpp
@@ -106,8 +106,7 @@
 
 /// \param remaining as in inherited_host
 /// \return whether leases may be granted to a runner whose stored row states this: a successor
-/// waits
-///   for as long as any lease can last.
+/// waits for as long as they can last.
 bool may_grant_leases(const fleet& f, const std::optional<core::millis>& remaining);
 
 /// \return whether every lease that may have been granted to \p h has certainly expired.
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -398,17 +398,18 @@
     return std::abs(clock_ms - expected) <= max_delay.count();
 }
 
-/// \return the longest lease that a call of a previous coordinator, or for an earlier incarnation,
-///   may have granted before this answer; 0: all leases are known
-core::millis longest_unknown_lease(const fleet& f, const host_entry& h, core::mono_time now)
+/// Records the longest lease that a call for an earlier incarnation may have granted before this
+/// answer.
+/// \return whether there may be one
+bool record_lease_of_earlier_calls(const fleet& f, host_entry& h, core::mono_time now)
 {
-    const bool may_be_of_earlier_call =
-        h.earlier_calls_token || (h.inherited && now < h.earlier_leases_end_at);
-    if (may_be_of_earlier_call)
+    const bool may_be = h.earlier_calls_token || (h.inherited && now < h.earlier_leases_end_at);
+    if (may_be)
     {
-        return f.settings.max_runner_lease;
+        record_lease(h, h.clock_ms + f.settings.max_runner_lease.count());
+        h.earlier_leases_end_at = now + max_lease_time(f);
     }
-    return h.inherited ? f.settings.runner_lease + f.settings.leader_lease : core::millis{0};
+    return may_be;
 }
 
 /// \return whether the answer to a call for \p host is that of a later incarnation of its runner.
@@ -460,10 +461,17 @@
     {
         return true;
     }
-    const ports::runner_answer unanswered;
-    const bool restarted = is_of_next_incarnation(host, answer);
-    return record_contact(f, *h, restarted ? unanswered : answer, h->polled_at, now, out)
-        .value_or(true);
+    if (answer.verdict == runner_verdict::done && is_of_next_incarnation(host, answer))
+    {
+        replace_incarnation(f, host, answer.born_ms, now, out);
+        return true;
+    }
+    const auto over = record_contact(f, *h, answer, h->polled_at, now, out);
+    if (!over)
+    {
+        record_lease_of_earlier_calls(f, *h, now);
+    }
+    return over.value_or(true);
 }
 
 bool handle_start_answer(fleet& f,
@@ -472,7 +480,8 @@
     std::int64_t run,
     const ports::runner_answer& answer,
     core::mono_time now,
-    task_events& out)
+    task_events& out,
+    bool all_sends_answered)
 {
     if (answer.verdict == runner_verdict::fenced)
     {
@@ -512,6 +521,7 @@
         handle_refused_start(f, task, host, run, answer, now, out);
         return true;
     }
+    it->all_sends_answered = all_sends_answered;
     confirm_running(*find_job(f, task.job), *find_task(f, task), *it, now);
     return true;
 }
@@ -586,13 +596,16 @@
         apply_reported_run(f, *h, it, sent_at, now, out);
         listed.insert(it.task);
     }
-    if (const auto longest = longest_unknown_lease(f, *h, now); longest.count() > 0)
+    if (!record_lease_of_earlier_calls(f, *h, now) && h->inherited)
     {
+        // A lease of a previous coordinator may end later than the first lease of this one.
+        const auto longest = f.settings.runner_lease + f.settings.leader_lease;
         record_lease(*h, h->clock_ms + longest.count());
     }
+    // A poll of the incarnation before may have carried an earlier token.
     if (!is_of_next)
     {
-        settle_earlier_calls(f, *h, now, out);
+        settle_earlier_calls(f, *h, out);
     }
     // When the list of ends is truncated, a run that is not listed may have ended and be reported
     // by a later answer. If its task started again now, it would have run twice by then.
--- a/libs/coordinator/src/fencing_tokens.cpp
+++ b/libs/coordinator/src/fencing_tokens.cpp
@@ -1,6 +1,5 @@
 #include "coordinator/fencing_tokens.hpp"
 
-#include "bookkeeping.hpp"
 #include "coordinator/intake.hpp"
 #include "ports/incarnation.hpp"
 
@@ -36,19 +35,6 @@
     h.earlier_leases_end_at = now + max_lease_time(f);
 }
 
-void record_unanswered_send(
-    fleet& f, const std::string& host, const workflow::task_name& task, std::int64_t run)
-{
-    if (auto* const t = find_task(f, task))
-    {
-        const auto index = run_index(*t, host, run);
-        if (index < t->runs.size())
-        {
-            t->runs[index].has_unanswered_send = true;
-        }
-    }
-}
-
 void raise_fencing_token(fleet& f, const host_entry& h)
 {
     if (h.earlier_calls_token)
@@ -57,13 +43,12 @@
     }
 }
 
-void settle_earlier_calls(const fleet& f, host_entry& h, core::mono_time now, task_events& out)
+void settle_earlier_calls(const fleet& f, host_entry& h, task_events& out)
 {
     if (!h.earlier_calls_token)
     {
         return;
     }
-    h.earlier_leases_end_at = now + max_lease_time(f);
     const auto token = fencing_token_for(f, h.ref.id);
     if (token > *h.earlier_calls_token)
     {
@@ -72,7 +57,8 @@
             0,
             h.ref.id,
             "earlier_token=" + std::to_string(*h.earlier_calls_token) +
-                " token=" + std::to_string(token) + " clock_ms=" + std::to_string(h.clock_ms)});
+                " token=" + std::to_string(token) + " clock_ms=" + std::to_string(h.clock_ms) +
+                " lease_until_ms=" + std::to_string(h.lease_until_ms)});
         h.earlier_calls_token.reset();
     }
 }
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -315,7 +315,7 @@
         // have been computed from the clocks of two incarnations; no lease outlasts the longest.
         const auto end = it.remaining ? slow_clock_bound(f, *it.remaining) : max_inherited_lease(f);
         h.inherited_leases_end_at = now + std::min(end, max_lease_time(f));
-        if (it.remaining && h.recorded)
+        if (end > max_inherited_lease(f))
         {
             h.earlier_leases_end_at = h.inherited_leases_end_at;
         }
@@ -324,7 +324,7 @@
 
 void delay_inherited_tasks(fleet& f, core::mono_time now)
 {
-    f.inherited_not_before = now + max_inherited_lease(f);
+    f.inherited_not_before = now + max_lease_time(f);
 }
 
 void begin_host_list(fleet& f, core::mono_time now)
@@ -472,8 +472,12 @@
         {
             record_lost_inherited_host(f, h);
             h.inherited = false;
-            out.push_back(
-                {"host_lapsed", "", 0, id, "leases of the previous coordinator have expired"});
+            out.push_back({"host_lapsed",
+                "",
+                0,
+                id,
+                "all earlier leases have expired waited_ms=" +
+                    std::to_string(ms_since(h.added_at, now))});
         }
         if (h.address_lost)
         {
--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -16,9 +16,11 @@
 using ports::read_incarnation;
 
 /// \return whether the run may be active on the next incarnation.
-bool may_be_passed_on(const run_entry& run, bool has_ended)
+bool may_be_passed_on(const fleet& f, const run_entry& run, bool has_ended, core::mono_time now)
 {
-    return !has_ended || !run.listed || run.has_unanswered_send;
+    const bool may_be_sent =
+        !run.all_sends_answered && now - run.ordered_at < f.settings.max_late_call;
+    return !has_ended || !run.listed || may_be_sent;
 }
 
 /// Passes the runs of \p from on to \p to.
@@ -42,7 +44,7 @@
         }
         for (auto& run : t->runs)
         {
-            if (run.host != from.ref.id || !may_be_passed_on(run, has_ended))
+            if (run.host != from.ref.id || !may_be_passed_on(f, run, has_ended, now))
             {
                 continue;
             }
--- a/libs/coordinator/tests/restarts_tests.cpp
+++ b/libs/coordinator/tests/restarts_tests.cpp
@@ -288,10 +288,41 @@
     const auto until = w.f.hosts.at(after).lease_until_ms;
     LONGS_EQUAL(50 + w.f.settings.max_runner_lease.count(), until);
     LONGS_EQUAL(1, w.plan_next().starts.size());
-    poll(after, answer_of_next());
+    auto later = answer_of_next();
+    later.call.clock_ms += 10;
+    poll(after, later);
     LONGS_EQUAL(until, w.f.hosts.at(after).lease_until_ms);
 }
 
+// Guards against a successor that forgets the longest lease of a restarted runner at its first
+// answer, and starts the runner's tasks elsewhere once that is cut off again.
+TEST(restarts, a_successor_waits_for_the_longest_lease_after_an_answer_too)
+{
+    for (const core::millis remaining : {max_lease_time(w.f), core::millis{9000}})
+    {
+        for (const bool renewal : {false, true})
+        {
+            fleet_fixture fresh;
+            add_inherited_hosts(
+                fresh.f, {{{after, "10.0.0.1:80", {}}, {}, "p", remaining}}, fresh.now);
+            const auto answer = answer_of_next();
+            if (renewal)
+            {
+                handle_renewal_answer(fresh.f, after, answer.call, fresh.now, fresh.events);
+            }
+            else
+            {
+                handle_poll_answer(fresh.f, after, fresh.now, answer, fresh.now, fresh.events);
+            }
+            auto& h = fresh.f.hosts.at(after);
+            h.inherited = false;
+            h.reachable = false;
+            CHECK_FALSE(leases_expired(fresh.f, h, fresh.now + fresh.f.settings.max_runner_lease));
+            CHECK(leases_expired(fresh.f, h, fresh.now + 11s));
+        }
+    }
+}
+
 // Guards against a second start while the first send of an order, whose repeat was answered, may
 // begin on the next incarnation.
 TEST(restarts, a_listed_run_passes_on_while_a_send_of_its_start_is_unanswered)
@@ -299,8 +330,8 @@
     w.add_host(before);
     w.accept_job(make_job("a", {make_step(1, 1000)}));
     const auto a = w.plan_next().starts.at(0);
-    record_unanswered_send(w.f, before, a.task, a.run);
-    w.answer_start(a);
+    const ports::runner_answer done{ports::runner_verdict::done, w.clock_ms()};
+    handle_start_answer(w.f, before, a.task, a.run, done, w.now, w.events, false);
     ports::poll_answer listing;
     listing.call = {ports::runner_verdict::done, w.clock_ms(), first_start};
     listing.running.push_back({workflow::write_task_name(a.task), a.run, {}, 0, 0});
--- a/libs/hosted/src/fleet_driver.cpp
+++ b/libs/hosted/src/fleet_driver.cpp
@@ -273,7 +273,7 @@
     // above the number of terms.
     t.fleet.term = std::min(number, coordinator::max_term(settings_.rules));
     t.fleet.term_start_revision = token;
-    t.record_own_writes();
+    t.record_own_writes(); // before the parts take the store's port
     if (workspaces_)
     {
         coordinator::set_workspaces(t.fleet, *workspaces_);
--- a/libs/hosted/src/runner_controller.cpp
+++ b/libs/hosted/src/runner_controller.cpp
@@ -111,11 +111,11 @@
 }
 
 void runner_controller::handle_start_answer(
-    const coordinator::start_action& a, const ports::runner_answer& answer)
+    const coordinator::start_action& a, const ports::runner_answer& answer, bool all_answered)
 {
     coordinator::task_events out;
     const bool still_leads = coordinator::handle_start_answer(
-        term_.fleet, a.host.id, a.task, a.run, answer, term_.now(), out);
+        term_.fleet, a.host.id, a.task, a.run, answer, term_.now(), out, all_answered);
     finish_answer(still_leads, a.host.id, out);
     if (answer.verdict != runner_verdict::done)
     {
@@ -128,7 +128,7 @@
     if (!term_.lead->holds_lease())
     {
         // Checked for each order: sending the orders before it may have outlasted the lease.
-        handle_start_answer(a, {runner_verdict::not_sent, -1});
+        handle_start_answer(a, {runner_verdict::not_sent, -1}, true);
         return;
     }
     auto& h = term_.fleet.hosts.at(a.host.id);
@@ -158,12 +158,9 @@
                     {},
                     std::chrono::duration<double>(term_.now() - sent).count());
                 record_answered(order_id);
-                if (!all_answered)
-                {
-                    coordinator::record_unanswered_send(term_.fleet, a.host.id, a.task, a.run);
-                }
-                handle_start_answer(
-                    a, coordinator::without_own_refusal(term_.fleet, a.host.id, token, answer));
+                handle_start_answer(a,
+                    coordinator::without_own_refusal(term_.fleet, a.host.id, token, answer),
+                    all_answered);
             }));
 }
 
--- a/libs/hosted/src/runner_controller.hpp
+++ b/libs/hosted/src/runner_controller.hpp
@@ -66,7 +66,7 @@
     void start(const coordinator::start_action& a);
     void stop(const coordinator::stop_action& a);
     void handle_start_answer(
-        const coordinator::start_action& a, const ports::runner_answer& answer);
+        const coordinator::start_action& a, const ports::runner_answer& answer, bool all_answered);
     void handle_stop_answer(const coordinator::stop_action& a, const ports::runner_answer& answer);
     std::uint64_t record_sent();
     void record_answered(std::uint64_t order);
--- a/libs/hosted/src/runner_controller_polls.cpp
+++ b/libs/hosted/src/runner_controller_polls.cpp
@@ -33,7 +33,7 @@
 
 /// Delay of the next poll of a runner that may still carry out earlier calls: until the write of
 /// its row has succeeded, there may be no token above theirs. Doubled for each further poll, up to
-/// driver_settings::poll_retry_delay.
+/// driver_settings::poll_retry_delay or the interval that the number of hosts requires.
 constexpr core::millis first_settling_delay{15};
 
 /// \return a part of the time, from none to nearly all of it, that is the same for each host.
@@ -175,11 +175,12 @@
     term_.ctx.runners.poll(h.ref,
         order,
         term_.guarded(
-            [this, host, sent_at, token = order.fencing_token](ports::poll_answer a)
+            [this, host, sent_at, order](ports::poll_answer a)
             {
                 if (is_open(host, sent_at))
                 {
-                    a.call = coordinator::without_own_refusal(term_.fleet, host, token, a.call);
+                    a.call = coordinator::without_own_refusal(
+                        term_.fleet, host, order.fencing_token, a.call);
                     handle_poll_answer(host, sent_at, a);
                 }
                 // Otherwise the answer to a renewal beside this poll has been used in its place.
@@ -315,8 +316,9 @@
     if (found->second.earlier_calls_token)
     {
         auto& delay = settling_delays_[host];
-        delay = delay.count() == 0 ? first_settling_delay
-                                   : std::min(2 * delay, term_.settings.poll_retry_delay);
+        delay = delay.count() == 0
+                    ? first_settling_delay
+                    : std::min(2 * delay, std::max(term_.settings.poll_retry_delay, poll_delay()));
         schedule_poll(host, delay);
     }
     else if (settling_delays_.erase(host) > 0)
--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -24,6 +24,7 @@
 bool is_always_logged(const coordinator::task_event& it)
 {
     return it.event == "pool_need" || it.event == "host_ended" || it.event == "host_lapsed" ||
+           it.event == "host_restarted" || it.event == "earlier_calls_refused" ||
            it.event == "job_failed";
 }
 
--- a/libs/relay/tests/pool_tests.cpp
+++ b/libs/relay/tests/pool_tests.cpp
@@ -377,9 +377,17 @@
     const auto orders_before = a.runners.received_orders.size();
     b.instance->end();
     b.run_for(50ms);
-    b.connect(8);
-    start("i-1", 10); // above the token of the other term, as after a restart of the runner
+    const auto local_before = b.local.received_orders.size();
+    std::optional<ports::runner_answer> got;
+    b.instance->begin(8);
+    b.instance->set_relays(b.endpoints());
+    b.poll("first", [](const ports::poll_answer&) {});
+    b.start(
+        "i-1", "t", [&](const ports::runner_answer& it) { got = it; }, 10);
+    CHECK(b.run_until([&] { return got.has_value(); }));
+    CHECK(got->verdict == runner_verdict::unknown);
     CHECK_EQUAL(orders_before, a.runners.received_orders.size());
+    CHECK_EQUAL(local_before, b.local.received_orders.size());
     CHECK(a.log.has("a former owner's token 8"));
 }
 
