Polls acknowledge each end once

A poll for an earlier incarnation that the next one carries out acknowledges ends by the former's numbers: an end that the next incarnation has not reported yet is forgotten, counts as taken note of, and its task starts again. Each poll carried the number of the last stored end, also when the runner had long forgotten all of them, so any late poll could do this.

Now the number is sent only until a poll with it was answered. Idle runners and those with long tasks get polls that acknowledge nothing.

earlier_calls.a_late_idle_poll_acknowledges_nothing failed ("7242 starts after its end was acknowledged") and passes. Left: an acknowledgement that is under way while its runner restarts, beside a late start that ends before the first call of the next incarnation.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -276,7 +276,8 @@
     workflow::resources used;          ///< by all runs, including stopping and unsettled ones
     std::size_t orphaned_runs = 0;     ///< reported runs without an open task; resources unknown
     std::int64_t last_applied_end = 0; ///< highest number of an end that was applied
-    std::int64_t last_stored_end = 0;  ///< ends up to this number are stored and acknowledged
+    std::int64_t last_stored_end = 0;  ///< ends up to this number are stored
+    std::int64_t acknowledged_end = 0; ///< an answered poll has acknowledged ends up to this number
     int best_effort_runs = 0;          ///< runs of best-effort steps
     int runs_after_loss = 0;           ///< runs of tasks that lost earlier runs with their hosts
     int isolated_runs = 0;             ///< runs of suspects; above 0 the host takes no other task
--- a/libs/hosted/src/runner_controller.hpp
+++ b/libs/hosted/src/runner_controller.hpp
@@ -44,6 +44,8 @@
     void begin_polling(const std::string& id, const coordinator::host_entry& h);
     void poll_other_incarnations(const std::string& host);
     void poll(const std::string& host);
+    void record_acknowledgement(
+        const std::string& host, const ports::poll_order& order, const ports::poll_answer& a);
     /// \return the delay after a poll that reported ends.
     core::millis poll_delay() const;
     void handle_poll_answer(
--- a/libs/hosted/src/runner_controller_polls.cpp
+++ b/libs/hosted/src/runner_controller_polls.cpp
@@ -182,6 +182,7 @@
                     a.call = coordinator::without_own_refusal(
                         term_.fleet, host, order.fencing_token, a.call);
                     handle_poll_answer(host, sent_at, a);
+                    record_acknowledgement(host, order, a);
                 }
                 // Otherwise the answer to a renewal beside this poll has been used in its place.
             }));
@@ -246,6 +247,17 @@
             }));
 }
 
+void runner_controller::record_acknowledgement(
+    const std::string& host, const ports::poll_order& order, const ports::poll_answer& a)
+{
+    const auto found = term_.fleet.hosts.find(host); // gone if a later incarnation has answered
+    if (found != term_.fleet.hosts.end() && a.call.verdict == runner_verdict::done)
+    {
+        auto& h = found->second;
+        h.acknowledged_end = std::max(h.acknowledged_end, order.acknowledged_through);
+    }
+}
+
 core::millis runner_controller::poll_delay() const
 {
     const auto& s = term_.settings;
--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -98,7 +98,9 @@
 {
     ports::poll_order out;
     out.fencing_token = coordinator::fencing_token_for(fleet, h.ref.id);
-    out.acknowledged_through = h.last_stored_end;
+    // A poll that may reach the next incarnation late would acknowledge the ends of that one, so a
+    // number is sent only until a poll with it was answered.
+    out.acknowledged_through = h.last_stored_end > h.acknowledged_end ? h.last_stored_end : 0;
     out.lease_until_ms = until_ms;
     coordinator::record_lease(h, until_ms);
     return out;
--- a/libs/hosted/tests/earlier_calls_tests.cpp
+++ b/libs/hosted/tests/earlier_calls_tests.cpp
@@ -320,6 +320,31 @@
     STRCMP_EQUAL("", problems.c_str());
 }
 
+// A start for the earlier incarnation begins and ends in the next one, then a poll for the earlier
+// one takes effect. Guards against the loss of that end: idle polls must acknowledge nothing.
+TEST(earlier_calls, a_late_idle_poll_acknowledges_nothing)
+{
+    constexpr int ends = 5;
+    constexpr int sends = 3;
+    earlier_call_fixture f(release_time::later, 2);
+    f.c.put_job(f.c.make_job("b", ends));
+    STRCMP_EQUAL("", f.finish_job(5s, "b").c_str());
+    f.c.time.run_for(3s);
+    f.c.hosts.behaviour.run_time = 20ms;
+    f.hold(runner_call::poll);
+    f.c.hosts.hold_next(runner_call::start, "m1", sends);
+    f.c.put_job(f.c.make_job("a", 1));
+    CHECK(f.c.time.run_until([&] { return f.c.hosts.held_calls() == 2; }, 2s));
+    f.c.hosts.next_clock_at_birth_ms = 1000;
+    f.c.hosts.crash("m1", 100ms);
+    f.c.time.run_until([&] { return f.first().up; }, 200ms);
+    f.c.hosts.release_held(1);
+    CHECK(f.c.time.run_until([&] { return !f.first().ends.empty(); }, 100ms));
+    f.c.hosts.release_held();
+    STRCMP_EQUAL("", f.finish_job(f.longest_wait()).c_str());
+    LONGS_EQUAL(ends + 1, f.c.hosts.starts);
+}
+
 // A best-effort task whose start was sent several times begins in the next incarnation. Guards
 // against a throttle for the earlier one that pauses it there without end.
 TEST(earlier_calls, a_late_throttle_pauses_no_task_without_end)
--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -133,6 +133,9 @@
     std::size_t held_calls() const;
     /// Carries out the held calls now, at whichever incarnation has the id that they name.
     void release_held();
+    /// The same for one call.
+    /// \param index in the order in which the calls were held
+    void release_held(std::size_t index);
     /// Loses the held calls.
     void drop_held();
 
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -692,6 +692,14 @@
     }
 }
 
+void hosts::release_held(std::size_t index)
+{
+    const auto at = held_.begin() + static_cast<std::ptrdiff_t>(index);
+    const auto carry_out = std::move(*at);
+    held_.erase(at);
+    carry_out();
+}
+
 void hosts::drop_held()
 {
     held_.clear();
