A deeply nested row in a list of hosts or tasks no longer ends the process

The process ended by itself when an answer of the list of live hosts, or of a worker, contained a very deeply nested row: messages.cpp copied the list out of the parsed answer, and copying a JSON value is recursive, so the stack overflowed. Parsing and destroying it are not recursive.

The list is moved out of the answer instead, as all other readers refer to the parsed value.

--- a/libs/platform/src/messages.cpp
+++ b/libs/platform/src/messages.cpp
@@ -1,6 +1,7 @@
 #include "messages.hpp"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace camphorhitch::platform
 {
@@ -31,12 +32,13 @@
 
 json list_in(const std::string& text, const char* name)
 {
-    const auto parsed = json::parse(text, nullptr, false);
+    auto parsed = json::parse(text, nullptr, false);
     if (!parsed.is_object() || !parsed.contains(name) || !parsed[name].is_array())
     {
         return nullptr;
     }
-    return parsed[name];
+    // Copying is recursive: the stack would overflow on deeply nested rows.
+    return std::move(parsed[name]);
 }
 
 } // namespace
--- a/libs/platform/tests/platform_tests.cpp
+++ b/libs/platform/tests/platform_tests.cpp
@@ -27,6 +27,22 @@
     CHECK(list.hosts[1].state == ports::live_state::leaving);
 }
 
+// Guards against an end of the process: the stack overflowed when a list with deeply nested rows
+// was copied.
+TEST(platform_messages, deeply_nested_rows_are_omitted)
+{
+    constexpr std::size_t levels = 200'000;
+    const auto nested = std::string(levels, '[') + std::string(levels, ']');
+    const auto list =
+        platform::read_live_list(R"({"hosts":[)" + nested + R"(,{"id":"h1","state":"live"}]})");
+    CHECK(list.known);
+    LONGS_EQUAL(1, list.hosts.size());
+    const auto reports = platform::read_task_reports(
+        "h1", R"({"tasks":[{"task":)" + nested + R"(},{"task":"t","state":"running"}]})");
+    CHECK(reports.known);
+    LONGS_EQUAL(1, reports.tasks.size());
+}
+
 TEST_GROUP(platform_client){};
 
 // The answer to an order is lost after the worker has accepted the order. The status must not be
