An address with a zero byte or a very long port is no address

parse_endpoint() passed the host to inet_pton() as a C string, which ends at a zero byte. So a runner's entry with the address "10.1.0.9\u0000.example:8080" was accepted, and curl, which reads the same text as a C string, would have called the default port of 10.1.0.9. A port with any number of leading zeros was accepted too: such an address is sent in every order to a relay, whose frames have a largest size.

An address with a zero byte, or longer than 64 bytes, is refused now. The entry is then left out of the list and named in the log, as with any other damage.

address.only_an_ip_number_and_a_port_are_an_address failed before at "10.1.0.9\0:80"; http_tests: 36 of 36 pass now.

--- a/libs/http/src/endpoint.cpp
+++ b/libs/http/src/endpoint.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+/// Longer than any IPv6 address with its brackets and port. A port may have leading zeros, and the
+/// text is sent in every order to a relay.
+constexpr std::size_t max_length = 64;
+
 std::optional<std::uint16_t> parse_port(const std::string& text)
 {
     std::uint16_t port = 0;
@@ -51,7 +55,9 @@
 std::optional<endpoint> parse_endpoint(const std::string& text)
 {
     const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
+    // inet_pton() and curl would ignore the text after a zero byte.
+    const bool plain = text.size() <= max_length && text.find('\0') == std::string::npos;
+    if (colon == std::string::npos || !plain)
     {
         return std::nullopt;
     }
