A relay's entry with a host name or a port out of range is left out

read_relay() accepted any text as the address of a node that relays orders. An entry of another writer with a port out of range, or with a host name, was listed, and the coordinator passed it to ACE_INET_Addr, which asks a resolver for a host name while the event loop waits, and which gives port 0 of any address when it can't read the text.

The address is checked with check_address(), as addresses in the settings are: a numeric IP address and a port. A damaged entry is left out and logged, and the others are used.

relay_registry.an_unreadable_entry_is_ignored failed before at the new row "no port". The resolver and port 0 were found by reading, not by a run.

--- a/libs/hosted/src/relay_registry.cpp
+++ b/libs/hosted/src/relay_registry.cpp
@@ -1,5 +1,6 @@
 #include "hosted/relay_registry.hpp"
 
+#include "checked_json/rules.hpp"
 #include "hosted/keys.hpp"
 
 #include <algorithm>
@@ -29,9 +30,14 @@
         from.at("address").get_to(out.address);
         from.at("zone").get_to(out.zone);
         from.at("share").get_to(out.cpu_share);
-        if (out.address.empty() || !(out.cpu_share > 0))
+        if (!(out.cpu_share > 0))
         {
-            return core::error{core::error_code::invalid, "no address or no share"};
+            return core::error{core::error_code::invalid, "no share"};
+        }
+        // Connecting to a host name would wait for a resolver.
+        if (const auto wrong = checked_json::check_address(out.address); !wrong.empty())
+        {
+            return core::error{core::error_code::invalid, "the address " + wrong};
         }
         return out;
     }
--- a/libs/hosted/tests/relay_registry_tests.cpp
+++ b/libs/hosted/tests/relay_registry_tests.cpp
@@ -50,6 +50,13 @@
     {"a field of another type", R"({"address":7060,"zone":"z","share":1})"},
     {"no address", R"({"address":"","zone":"z","share":1})"},
     {"no share", R"({"address":"10.0.0.1:7060","zone":"z","share":0})"},
+    {"a share too large", R"({"address":"10.0.0.1:7060","zone":"z","share":1e999})"},
+    {"no port", R"({"address":"10.0.0.1","zone":"z","share":1})"},
+    {"a port out of range", R"({"address":"10.0.0.1:65536","zone":"z","share":1})"},
+    {"a port far out of range", R"({"address":"10.0.0.1:4294967376","zone":"z","share":1})"},
+    {"a negative port", R"({"address":"10.0.0.1:-1","zone":"z","share":1})"},
+    {"a host name", R"({"address":"relay.example:7060","zone":"z","share":1})"},
+    {"text after the IP number", R"({"address":"10.0.0.1\u0000x:7060","zone":"z","share":1})"},
 };
 
 } // namespace
@@ -148,6 +155,21 @@
     CHECK(watcher.log.has("relay_entry_damaged"));
 }
 
+// Guards against an end of the process, or a list that is not followed any more, caused by a deeply
+// nested entry.
+TEST(relay_registry, a_deeply_nested_entry_is_ignored)
+{
+    constexpr std::size_t levels = 200'000;
+    const auto nested = std::string(levels, '[') + std::string(levels, ']');
+    kv.put(hosted::relay_key("b"), nested);
+    watcher.registry->follow();
+    kv.put(hosted::relay_key("c"), R"({"address":)" + nested + R"(,"zone":"z","share":1})");
+    kv.put(hosted::relay_key("d"), std::string(levels, '['));
+    a.registry->advertise(endpoint);
+    CHECK(lists(1));
+    STRCMP_EQUAL("a", watcher.listed[0].member.c_str());
+}
+
 TEST(relay_registry, calls_to_a_failing_store_are_retried)
 {
     kv.busy = true;
