A damaged entry of a relay is logged once for each write

Each time that a node read all entries of the relays again, because the store had truncated its change log, it logged every damaged one again, for as long as the entry stayed.

The registry remembers the revisions that it has logged, as the lists of runners, of the operator's keys and of jobs do.

relay_registry.a_damaged_entry_is_logged_once failed before with 3 lines for one write, and passes now: relay_registry 10 of 10.

--- a/libs/hosted/src/relay_registry.cpp
+++ b/libs/hosted/src/relay_registry.cpp
@@ -1,6 +1,7 @@
 #include "hosted/relay_registry.hpp"
 
 #include "checked_json/rules.hpp"
+#include "damaged_record_log.hpp"
 #include "hosted/keys.hpp"
 
 #include <algorithm>
@@ -69,6 +70,7 @@
     ports::timer_id timer = 0;
     std::unique_ptr<prefix_follower> follower;
     std::map<std::string, ports::relay_endpoint> endpoints; ///< registered relays, by key
+    damaged_record_log damaged;
 
     void schedule(core::millis delay, void (registry_state::*next)());
     void register_relay();
@@ -171,14 +173,16 @@
 void registry_state::apply_entry(const ports::stored_item& it)
 {
     const auto read = read_relay(it.key.substr(relay_prefix.size()), it.value);
-    if (!core::is_ok(read))
+    if (core::is_ok(read))
+    {
+        endpoints[it.key] = core::value(read);
+    }
+    else if (should_log(damaged, it))
     {
         ctx.tel.log(ports::log_level::warning,
             "relay_entry_damaged",
             {{"key", it.key}, {"reason", core::failure(read).message}});
-        return;
     }
-    endpoints[it.key] = core::value(read);
 }
 
 /// \return whether the change modified the list: each node rewrites its key regularly, mostly
--- a/libs/hosted/tests/relay_registry_tests.cpp
+++ b/libs/hosted/tests/relay_registry_tests.cpp
@@ -170,6 +170,34 @@
     STRCMP_EQUAL("a", watcher.listed[0].member.c_str());
 }
 
+// Guards against a log line for each time that the list is read, about an entry that stays damaged.
+TEST(relay_registry, a_damaged_entry_is_logged_once)
+{
+    const auto lines_with = [this](const char* text)
+    {
+        return std::count_if(watcher.log.lines.begin(),
+            watcher.log.lines.end(),
+            [text](const auto& it) { return it.find(text) != std::string::npos; });
+    };
+    kv.put(hosted::relay_key("b"), "{");
+    watcher.registry->follow();
+    for (int i = 0; i < 3; ++i)
+    {
+        kv.busy = true;
+        kv.put(hosted::relay_key("c"), hosted::write_relay(endpoint));
+        time.run_for(40s);
+        kv.put(hosted::relay_key("c"), hosted::write_relay(endpoint));
+        kv.compact();
+        kv.busy = false;
+        time.run_for(40s);
+    }
+    CHECK(lines_with("history_lost") >= 2);
+    LONGS_EQUAL(1, lines_with("relay_entry_damaged"));
+    kv.put(hosted::relay_key("b"), "[");
+    time.run_for(40s);
+    LONGS_EQUAL(2, lines_with("relay_entry_damaged"));
+}
+
 TEST(relay_registry, calls_to_a_failing_store_are_retried)
 {
     kv.busy = true;
