Test: an entry with a busy runner's address under another id

Another writer leaves an entry with the address of a busy runner. If the answers from there counted as evidence of that runner's end, its tasks would start twice.

--- a/libs/hosted/tests/broken_records_tests.cpp
+++ b/libs/hosted/tests/broken_records_tests.cpp
@@ -113,6 +113,22 @@
     LONGS_EQUAL(1, lines_with("host_entry_odd", c.hosts.machines.at("m1").runner));
 }
 
+// Guards against starting a busy runner's tasks elsewhere: another writer left an entry with the
+// address of that runner under an id of its own.
+TEST(broken_records, an_entry_with_a_known_runners_address_proves_nothing)
+{
+    c.hosts.behaviour.run_time = 4s;
+    begin(2);
+    c.put_job(c.make_job_on_each("a", 2));
+    c.time.run_for(500ms);
+    c.store.put("runner/odd", "p " + c.hosts.machines.at("m1").address + " ready");
+    c.time.run_for(1s);
+    c.put_job(c.make_job_on_each("b", 2));
+    check_all_done("a");
+    check_all_done("b");
+    LONGS_EQUAL(4, c.hosts.starts);
+}
+
 // An entry names a pool that is in no configuration. No call goes to its address.
 TEST(broken_records, a_runner_of_an_unknown_pool_is_not_used)
 {
