Random restarts: lose late starts that no coordinator could prevent

A start is sent twice: the first send is late, the repeat is answered, its task ends done and the end is acknowledged. The runner starts again, and the late send begins in the next incarnation before that has answered any call, so no coordinator could have made the runner refuse it.

So the world loses a late start if the incarnation has not yet answered a call that names it, and the task is done or has run elsewhere since before the incarnation. The checks are unchanged.

--- a/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/hosts.hpp
@@ -80,6 +80,7 @@
     bool up = true;                        ///< the runner's process is running
     bool cut_off = false;                  ///< unreachable, and its process continues
     bool draining = false;
+    bool has_answered = false;       ///< a call that names this incarnation was answered
     double clock_rate = 1;           ///< of the runner's steady clock, which its leases count by
     std::int64_t fence = 0;          ///< highest fencing token seen
     std::int64_t lease_until_ms = 0; ///< on the runner's clock
@@ -168,7 +169,8 @@
     /// Share of starts, stops and throttles that get no answer and are carried out seconds later.
     double late_order_share = 0;
     /// A late call is carried out even if its runner has started again under its id meanwhile;
-    /// otherwise it is lost with the process.
+    /// otherwise it is lost with the process. A start is lost where no coordinator could prevent
+    /// its harm: see loses_late_start().
     bool late_calls_outlive_process = false;
     int machine_answers_to_lose = 0; ///< number of next machine orders, carried out unanswered
     /// Share of polls that get no answer and take effect seconds later: leases are granted and ends
@@ -192,7 +194,8 @@
         const ports::runner_ref& to,
         runner_call kind,
         std::function<Answer(fake_host&)> serve,
-        std::function<void(Answer)> done);
+        std::function<void(Answer)> done,
+        const std::string& started_task = {});
     ports::runner_answer start(fake_host& h, const ports::start_order& o);
     ports::runner_answer stop(fake_host& h, const ports::stop_order& o);
     ports::runner_answer throttle(fake_host& h, const ports::throttle_order& o);
@@ -235,6 +238,8 @@
     std::int64_t clock_of(const fake_host& h) const;
     bool draws_late(runner_call kind);
     bool takes_hold(runner_call kind, const ports::runner_ref& to);
+    void record_answer(const ports::runner_ref& to);
+    bool loses_late_start(const ports::runner_ref& to, const std::string& task);
     core::millis draw_answer_delay();
     fake_host* find_host(const ports::runner_ref& r);
 
--- a/testing/hosted_fakes/src/hosts.cpp
+++ b/testing/hosted_fakes/src/hosts.cpp
@@ -150,6 +150,7 @@
     h.clock_at_birth_ms = std::exchange(next_clock_at_birth_ms, {}).value_or(h.clock_at_birth_ms);
     h.up = true;
     h.draining = false;
+    h.has_answered = false;
     h.fence = 0;
     h.lease_until_ms = 0;
     h.runs.clear();
@@ -713,6 +714,28 @@
     return true;
 }
 
+/// Records that the incarnation that a call names has answered.
+void hosts::record_answer(const ports::runner_ref& to)
+{
+    auto& h = *find_host(to);
+    h.has_answered = h.has_answered || ports::read_incarnation(to.id).born_ms == h.born_ms;
+}
+
+/// \return whether a late start is lost since no coordinator could prevent its harm: its task is
+/// done, or has run elsewhere since before the present incarnation, which has answered no call yet.
+bool hosts::loses_late_start(const ports::runner_ref& to, const std::string& task)
+{
+    const auto* const h = find_host(to);
+    const auto runs_elsewhere = [&](const auto& it)
+    {
+        const auto run = it.second.runs.find(task);
+        return it.second.up && run != it.second.runs.end() && run->second.started_at < h->born_at;
+    };
+    return h != nullptr && !h->has_answered &&
+           (ended_done_.contains(task) ||
+               std::any_of(machines.begin(), machines.end(), runs_elsewhere));
+}
+
 bool hosts::draws_late(runner_call kind)
 {
     const bool order = kind != runner_call::poll && kind != runner_call::poll_end;
@@ -735,7 +758,8 @@
     const ports::runner_ref& to,
     runner_call kind,
     std::function<Answer(fake_host&)> serve,
-    std::function<void(Answer)> done)
+    std::function<void(Answer)> done,
+    const std::string& started_task)
 {
     const auto answer_of = [](runner_verdict v)
     {
@@ -761,7 +785,7 @@
         return {true, meant ? serve(*h) : answer_of(runner_verdict::other_life)};
     };
     time_.after(wire_delay,
-        [this, &p, to, kind, carry_out, answer_of, done = std::move(done)]
+        [this, &p, to, kind, started_task, carry_out, answer_of, done = std::move(done)]
         {
             if (p.dead)
             {
@@ -810,7 +834,14 @@
                     min_late_delay.count(), max_late_delay.count())(random_)};
                 if (late_calls_outlive_process)
                 {
-                    time_.after(late, [carry_out] { carry_out(); });
+                    time_.after(late,
+                        [this, to, started_task, carry_out]
+                        {
+                            if (!loses_late_start(to, started_task))
+                            {
+                                carry_out();
+                            }
+                        });
                 }
                 else if (const auto* const h = find_host(to); h != nullptr && h->up)
                 {
@@ -826,6 +857,7 @@
                 time_.after(call_timeout, give_up);
                 return;
             }
+            record_answer(to);
             time_.after(draw_answer_delay(),
                 [&p, done, answer = answer] { p.enter([=] { done(answer); }); });
         });
@@ -839,7 +871,12 @@
                     const std::function<void(ports::runner_answer)>& done)
     {
         call<ports::runner_answer>(
-            p, to, runner_call::start, [this, o](fake_host& h) { return start(h, o); }, done);
+            p,
+            to,
+            runner_call::start,
+            [this, o](fake_host& h) { return start(h, o); },
+            done,
+            o.task);
     };
     out.stop = [this, &p](const ports::runner_ref& to,
                    const ports::stop_order& o,
