Reproduce a late start of a stopped run after a restart

A start gets no answer, its run is stopped, and the next run of the task begins on the same runner, which lists it. The runner starts again: its next incarnation knows of no stop, so it carries out the first start. The second run counts as lost for certain, and the task starts elsewhere at once, before the next incarnation has answered.

--- a/libs/hosted/tests/earlier_calls_tests.cpp
+++ b/libs/hosted/tests/earlier_calls_tests.cpp
@@ -251,6 +251,31 @@
     STRCMP_EQUAL("", problems.c_str());
 }
 
+// A start without any answer was stopped, and the next run of its task began on the same runner.
+// Guards against a second run when the next incarnation, which knows of no stop, carries out that
+// start.
+TEST(earlier_calls, a_late_start_of_a_stopped_run_makes_no_task_run_twice)
+{
+    constexpr int sends = 3;
+    const auto play = [](release_time at)
+    {
+        earlier_call_fixture f(at);
+        f.c.hosts.behaviour.run_time = 12s;
+        f.c.hosts.hold_next(runner_call::start, "m1", sends);
+        f.c.put_job(f.c.make_job("a", 1));
+        f.c.time.run_until([&] { return f.c.hosts.starts == 1; }, 10s);
+        f.c.hosts.add("p");
+        f.c.time.run_for(1500ms);
+        f.restart();
+        f.c.time.run_for(500ms);
+        f.reach(release_time::once_started);
+        return f.finish_job(f.longest_wait() + f.longest_run());
+    };
+    const auto problems = play_all(
+        {release_time::at_restart, release_time::once_answered, release_time::once_started}, play);
+    STRCMP_EQUAL("", problems.c_str());
+}
+
 // Guards against a stop for the earlier incarnation that keeps a task from running in the next one.
 TEST(earlier_calls, a_late_stop_leaves_the_task_running)
 {
