Reproduce a late poll before two quick take-overs

A late poll grants the longest lease to a runner that has started again. The runner is cut off, and the record states the end of that lease. A coordinator whose term lasts less than the delay after which the end of a silent runner's leases is stored rewrites the row without it, and its successor waits for a usual lease.

--- a/libs/hosted/tests/earlier_calls_tests.cpp
+++ b/libs/hosted/tests/earlier_calls_tests.cpp
@@ -194,6 +194,35 @@
     STRCMP_EQUAL("", problems.c_str());
 }
 
+// Guards against a coordinator of a short term that rewrites the record without the lease that a
+// late poll may have granted, so that its successor waits for a usual one.
+TEST(earlier_calls, a_late_poll_makes_no_task_run_twice_after_quick_take_overs)
+{
+    constexpr core::millis step{50};
+    constexpr core::millis longest_term{500};
+    std::string problems;
+    for (auto term = step; term <= longest_term; term += step)
+    {
+        earlier_call_fixture f(release_time::at_restart, 3);
+        f.c.hosts.behaviour.run_time = 24s;
+        f.hold(runner_call::poll);
+        f.restart();
+        f.start_job();
+        f.c.hosts.cut("m1", cut_time);
+        f.c.time.run_for(2s);
+        f.kill_leader();
+        f.c.has_leader();
+        f.c.time.run_for(term);
+        f.c.leader()->process.dead = true;
+        f.c.has_leader();
+        const bool again =
+            f.c.time.run_until([&] { return f.c.hosts.starts == 2; }, f.longest_wait());
+        const auto problem = f.c.breaches() + (again ? "" : "no second start\n");
+        problems += problem.empty() ? "" : std::to_string(term.count()) + " ms: " + problem;
+    }
+    STRCMP_EQUAL("", problems.c_str());
+}
+
 // Guards against a coordinator that counts the longest lease from the restart, while a call for the
 // earlier incarnation grants it seconds later.
 TEST(earlier_calls, a_late_poll_makes_no_task_run_twice_under_the_same_coordinator)
