Restarts: a removed run whose start may still be under way holds its task on the runner

A run whose start had no answer was stopped, and the next run of the task was listed by the same runner. When the runner started again, that run counted as lost, and the task started elsewhere at once. The late start of the first run then began on the next incarnation, since the stop is forgotten with the one before: two runs at once.

The host now remembers, for as long as a call may be late, the tasks of removed runs with an unanswered send. A run of such a task passes on at a restart, as if it were its own start that is under way.

earlier_calls.a_late_start_of_a_stopped_run_makes_no_task_run_twice failed ("6791 runs twice: a.0.0.0 on m1 and m2") and passes.

--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -283,6 +283,9 @@
     int isolated_runs = 0;             ///< runs of suspects; above 0 the host takes no other task
     core::mono_time throttled_at;      ///< when throttling of its runs was last evaluated
     int recent_failures = 0;           ///< failed runs minus finished ones, not below 0
+    /// Tasks, by the same text as in runs, with a run that was removed while a send of its start
+    /// had no answer, and when the latest such run was ordered.
+    std::map<std::string, core::mono_time> unanswered_starts;
     /// Tasks with a run here, by workflow::write_task_name().
     std::map<std::string, workflow::task_name> runs;
 };
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -516,12 +516,12 @@
         }
         return true;
     }
+    it->all_sends_answered = all_sends_answered;
     if (answer.verdict != runner_verdict::done)
     {
         handle_refused_start(f, task, host, run, answer, now, out);
         return true;
     }
-    it->all_sends_answered = all_sends_answered;
     confirm_running(*find_job(f, task.job), *find_task(f, task), *it, now);
     return true;
 }
--- a/libs/coordinator/src/bookkeeping.cpp
+++ b/libs/coordinator/src/bookkeeping.cpp
@@ -132,6 +132,21 @@
         "the use of a workspace is never negative");
 }
 
+/// The runner refuses to begin the run later; its next incarnation wouldn't.
+void record_unanswered_start(const fleet& f,
+    host_entry& h,
+    const workflow::task_name& name,
+    const run_entry& run,
+    core::mono_time now)
+{
+    std::erase_if(h.unanswered_starts,
+        [&](const auto& it) { return now - it.second >= f.settings.max_late_call; });
+    if (now - run.ordered_at < f.settings.max_late_call)
+    {
+        h.unanswered_starts[workflow::write_task_name(name)] = run.ordered_at;
+    }
+}
+
 bool runs_on(const task_entry& t, const std::string& host)
 {
     return std::any_of(
@@ -174,6 +189,10 @@
     if (auto* const h = find_host(f, run.host))
     {
         count_run(*h, step_spec(j, name), run, -1);
+        if (!run.all_sends_answered)
+        {
+            record_unanswered_start(f, *h, name, run, now);
+        }
         if (!runs_on(t, run.host))
         {
             h->runs.erase(workflow::write_task_name(name));
--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -15,11 +15,23 @@
 
 using ports::read_incarnation;
 
-/// \return whether the run may be active on the next incarnation.
-bool may_be_passed_on(const fleet& f, const run_entry& run, bool has_ended, core::mono_time now)
+/// \return whether the run, or an earlier one of its task, may be active on the next incarnation.
+/// \param text name of the task
+bool may_be_passed_on(const fleet& f,
+    const host_entry& from,
+    const std::string& text,
+    const run_entry& run,
+    bool has_ended,
+    core::mono_time now)
 {
+    const auto is_recent = [&](core::mono_time ordered_at)
+    {
+        return now - ordered_at < f.settings.max_late_call;
+    };
+    const auto earlier = from.unanswered_starts.find(text);
     const bool may_be_sent =
-        !run.all_sends_answered && now - run.ordered_at < f.settings.max_late_call;
+        (!run.all_sends_answered && is_recent(run.ordered_at)) ||
+        (earlier != from.unanswered_starts.end() && is_recent(earlier->second));
     return !has_ended || !run.listed || may_be_sent;
 }
 
@@ -44,7 +56,7 @@
         }
         for (auto& run : t->runs)
         {
-            if (run.host != from.ref.id || !may_be_passed_on(f, run, has_ended, now))
+            if (run.host != from.ref.id || !may_be_passed_on(f, from, text, run, has_ended, now))
             {
                 continue;
             }
