--- a/libs/coordinator/include/coordinator/answers.hpp
+++ b/libs/coordinator/include/coordinator/answers.hpp
@@ -8,6 +8,7 @@
 {
 
 /// Applies the answer to a start order.
+/// \param all_sends_answered no send of the order may still be carried out
 /// \return false when the runner has accepted orders of a newer coordinator: this coordinator no
 /// longer leads.
 bool handle_start_answer(fleet& f,
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -602,7 +602,7 @@
         const auto longest = f.settings.runner_lease + f.settings.leader_lease;
         record_lease(*h, h->clock_ms + longest.count());
     }
-    // A poll of the incarnation before may have carried an earlier token.
+    // A poll that was meant for the incarnation before may have carried an earlier token.
     if (!is_of_next)
     {
         settle_earlier_calls(f, *h, out);
--- a/libs/coordinator/src/intake.cpp
+++ b/libs/coordinator/src/intake.cpp
@@ -476,7 +476,7 @@
                 "",
                 0,
                 id,
-                "all earlier leases have expired waited_ms=" +
+                "leases of the previous coordinator have expired waited_ms=" +
                     std::to_string(ms_since(h.added_at, now))});
         }
         if (h.address_lost)
--- a/libs/coordinator/src/throttling.cpp
+++ b/libs/coordinator/src/throttling.cpp
@@ -13,8 +13,6 @@
 {
 
 constexpr int full_percent = 100; // percent
-/// For how long an order without an answer may still be carried out.
-constexpr core::millis max_late_order{10000};
 /// Time of at least one further order, after two orders that were open at the same time.
 constexpr core::millis overlap_time{1000};
 
@@ -144,7 +142,7 @@
     core::millis again{0};
     if (!was_carried_out)
     {
-        again = max_late_order;
+        again = f.settings.max_late_call;
     }
     else if (run.cpu_percent != a.cpu_percent)
     {
--- a/libs/coordinator/tests/throttling_tests.cpp
+++ b/libs/coordinator/tests/throttling_tests.cpp
@@ -179,9 +179,9 @@
     const row rows[] = {
         {"done", {ports::runner_verdict::done, 1000}, false, 0},
         {"done after a newer order", {ports::runner_verdict::done, 1000}, true, 1},
-        {"by another incarnation", {ports::runner_verdict::done, 1000, 1}, false, 10},
-        {"unknown", {ports::runner_verdict::unknown, -1}, false, 10},
-        {"not sent", {ports::runner_verdict::not_sent, -1}, false, 10},
+        {"by another incarnation", {ports::runner_verdict::done, 1000, 1}, false, 15},
+        {"unknown", {ports::runner_verdict::unknown, -1}, false, 15},
+        {"not sent", {ports::runner_verdict::not_sent, -1}, false, 15},
     };
     for (const auto& it : rows)
     {
@@ -192,7 +192,7 @@
             w.f.hosts.begin()->second.ref, {"a", 0, 1, 0}, run(1).number, 50};
         const int share = it.newer_order ? after(60) : 50;
         handle_throttle_answer(w.f, sent, it.answer, w.now);
-        for (int i = 1; i <= 24; ++i)
+        for (int i = 1; i <= 36; ++i)
         {
             const auto orders_before = w.events.size();
             LONGS_EQUAL_TEXT(share, after(calm), it.text);
