--- a/libs/coordinator/include/coordinator/fleet.hpp
+++ b/libs/coordinator/include/coordinator/fleet.hpp
@@ -66,6 +66,9 @@
     /// A poll of this incarnation has listed the run. The answer to a start does not name the
     /// incarnation, so that alone a run may be active on the next one.
     bool listed = false;
+    /// Each send of the start has an answer. An unanswered one may begin the run once more on the
+    /// next incarnation, which doesn't know it.
+    bool all_sends_answered = false;
     /// The start was sent to an earlier incarnation, which may have ended because of it.
     bool sent_to_earlier = false;
     bool confirmed_earlier = false; ///< that start was answered as done
@@ -81,6 +84,11 @@
     int progress_percent = 0;      ///< share of the work that is done, as last reported, 0 to 100
     std::int64_t load_metric = 0;  ///< latest ports::reported_run::load_metric
     int cpu_percent = 100;         ///< share of processor time that was last ordered, 0 to 100
+    /// False until this coordinator has ordered a share from this incarnation, if the run was
+    /// started by another coordinator or on an earlier incarnation.
+    bool cpu_percent_known = true;
+    /// Until then cpu_percent is ordered again, since an earlier order may still take effect.
+    core::mono_time throttle_again_until;
     /// Thousandths of a core that it counts with in the accounts of shares, by its dominant
     /// resource; 0 unless share_rule::work is in force.
     std::int64_t share_cpu = 0;
@@ -231,8 +239,8 @@
     bool draining = false;        ///< the platform is about to take the host away
     host_availability availability = host_availability::open;
     core::mono_time closed_at; ///< when availability last changed from open to closed
-    /// The stored record of runners in use contains it without an end of its leases, so the next
-    /// coordinator waits for them. Only such runners are granted leases and receive starts.
+    /// The stored record of runners in use contains it without an earlier end of its leases, so the
+    /// next coordinator waits for them. Only such runners are granted leases and receive starts.
     bool recorded = false;
 
     /// A previous coordinator may have ordered runs here that this one has not seen in a poll.
@@ -255,18 +263,29 @@
     /// By this time all leases granted by previous coordinators, or for an earlier incarnation,
     /// have certainly ended.
     core::mono_time inherited_leases_end_at;
-    /// Longest lease that calls for an earlier incarnation may have granted here; 0: none was.
-    core::millis foreign_lease{0};
+    bool has_restarted = false; ///< replaced an earlier incarnation in this term
+
+    /// Set while a call that was meant for an earlier incarnation may still take effect here: no
+    /// such call has a higher token. Once a call with a higher one was answered, the runner refuses
+    /// them all.
+    std::optional<std::int64_t> earlier_calls_token;
+    /// By this time all leases that calls for earlier incarnations may have granted here have
+    /// ended; zero: there are none.
+    core::mono_time earlier_leases_end_at;
 
     workflow::resources used;          ///< by all runs, including stopping and unsettled ones
     std::size_t orphaned_runs = 0;     ///< reported runs without an open task; resources unknown
     std::int64_t last_applied_end = 0; ///< highest number of an end that was applied
-    std::int64_t last_stored_end = 0;  ///< ends up to this number are stored and acknowledged
+    std::int64_t last_stored_end = 0;  ///< ends up to this number are stored
+    std::int64_t acknowledged_end = 0; ///< an answered poll has acknowledged ends up to this number
     int best_effort_runs = 0;          ///< runs of best-effort steps
     int runs_after_loss = 0;           ///< runs of tasks that lost earlier runs with their hosts
     int isolated_runs = 0;             ///< runs of suspects; above 0 the host takes no other task
     core::mono_time throttled_at;      ///< when throttling of its runs was last evaluated
     int recent_failures = 0;           ///< failed runs minus finished ones, not below 0
+    /// Tasks, by the same text as in runs, with a run that was removed while a send of its start
+    /// had no answer, and when the latest such run was ordered.
+    std::map<std::string, core::mono_time> unanswered_starts;
     /// Tasks with a run here, by workflow::write_task_name().
     std::map<std::string, workflow::task_name> runs;
 };
@@ -385,6 +404,8 @@
     /// Maximum time for which a run still works, and is listed as active, after its runner accepted
     /// a stop.
     core::millis max_stop_time{1000};
+    /// For how long a call without an answer may still be carried out.
+    core::millis max_late_call{15000};
     /// Delay before an unanswered stop is repeated.
     core::millis stop_retry_delay{400};
     /// How long the list of runners may still contain a runner that has ended: the time for three
@@ -429,7 +450,10 @@
 {
     coordinator_settings settings;
     std::int64_t term = 0;                   ///< number of terms before this one, up to max_term()
-    ports::revision term_start_revision = 0; ///< store revision at its start; the fencing token
+    ports::revision term_start_revision = 0; ///< store revision at its start; its first token
+    /// Store revision of the newest write that succeeded on the condition that this coordinator
+    /// leads: not below any token that it has used, and below that of each of its successors.
+    ports::revision newest_token = 0;
     /// No inherited task starts before this time, because the stored record of the previous
     /// coordinator's runners is damaged; zero: the record was readable.
     core::mono_time inherited_not_before;
@@ -450,6 +474,11 @@
     /// Runners that have certainly ended, by runner id, with the time at which this became known.
     /// The list of runners may still contain them for ended_runner_retention.
     std::map<std::string, core::mono_time> ended_runners;
+    /// Hosts that were removed, by id, with the time of their removal; for ended_runner_retention.
+    std::map<std::string, core::mono_time> removed_hosts;
+    /// Fencing tokens of the calls to runners that have started again in this term, by the id that
+    /// the platform gave the runner. The calls to all others carry term_start_revision.
+    std::map<std::string, std::int64_t, std::less<>> raised_tokens;
     /// By runner id. The runner receives no lease and no start until all of these are confirmed as
     /// stopped.
     std::map<std::string, std::vector<abandoned_start>> abandoned_starts;
@@ -500,7 +529,7 @@
     std::string pool;    ///< pool of its runs; empty: unknown
     /// All leases that were ever granted to the runner end within this time after the record was
     /// read, measured by the clock of the coordinator that stored it. Empty: a previous coordinator
-    /// may still grant leases.
+    /// may still grant leases; they are shorter than the longest that a runner accepts.
     std::optional<core::millis> remaining;
 };
 
--- a/libs/coordinator/src/answers.cpp
+++ b/libs/coordinator/src/answers.cpp
@@ -4,6 +4,7 @@
 #include "bookkeeping.hpp"
 #include "checkpoints.hpp"
 #include "coordinator/advice.hpp"
+#include "coordinator/fencing_tokens.hpp"
 #include "coordinator/intake.hpp"
 #include "lost_runs.hpp"
 #include "restarts.hpp"
@@ -137,6 +138,7 @@
     run.ordered_at = now;
     run.adopted = true;
     run.may_be_stopping = true;
+    run.cpu_percent_known = false;
     run.phase_changed_at = now;
     add_run(f, j, name, run);
     apply_later_run(t, it.run);
@@ -396,6 +398,20 @@
     return std::abs(clock_ms - expected) <= max_delay.count();
 }
 
+/// Records the longest lease that a call for an earlier incarnation may have granted before this
+/// answer.
+/// \return whether there may be one
+bool record_lease_of_earlier_calls(const fleet& f, host_entry& h, core::mono_time now)
+{
+    const bool may_be = h.earlier_calls_token || (h.inherited && now < h.earlier_leases_end_at);
+    if (may_be)
+    {
+        record_lease(h, h.clock_ms + f.settings.max_runner_lease.count());
+        h.earlier_leases_end_at = now + max_lease_time(f);
+    }
+    return may_be;
+}
+
 /// \return whether the answer to a call for \p host is that of a later incarnation of its runner.
 bool is_of_next_incarnation(const std::string& host, const ports::runner_answer& answer)
 {
@@ -445,10 +461,17 @@
     {
         return true;
     }
-    const ports::runner_answer unanswered;
-    const bool restarted = is_of_next_incarnation(host, answer);
-    return record_contact(f, *h, restarted ? unanswered : answer, h->polled_at, now, out)
-        .value_or(true);
+    if (answer.verdict == runner_verdict::done && is_of_next_incarnation(host, answer))
+    {
+        replace_incarnation(f, host, answer.born_ms, now, out);
+        return true;
+    }
+    const auto over = record_contact(f, *h, answer, h->polled_at, now, out);
+    if (!over)
+    {
+        record_lease_of_earlier_calls(f, *h, now);
+    }
+    return over.value_or(true);
 }
 
 bool handle_start_answer(fleet& f,
@@ -457,7 +480,8 @@
     std::int64_t run,
     const ports::runner_answer& answer,
     core::mono_time now,
-    task_events& out)
+    task_events& out,
+    bool all_sends_answered)
 {
     if (answer.verdict == runner_verdict::fenced)
     {
@@ -492,6 +516,7 @@
         }
         return true;
     }
+    it->all_sends_answered = all_sends_answered;
     if (answer.verdict != runner_verdict::done)
     {
         handle_refused_start(f, task, host, run, answer, now, out);
@@ -553,8 +578,9 @@
         return true;
     }
     const auto born = answer.call.born_ms;
-    if (answer.call.verdict == runner_verdict::done && born != 0 &&
-        born != ports::read_incarnation(host).born_ms)
+    const bool is_of_next = answer.call.verdict == runner_verdict::done && born != 0 &&
+                            born != ports::read_incarnation(host).born_ms;
+    if (is_of_next)
     {
         h = &replace_incarnation(f, host, born, now, out);
     }
@@ -570,14 +596,17 @@
         apply_reported_run(f, *h, it, sent_at, now, out);
         listed.insert(it.task);
     }
-    if (h->inherited)
+    if (!record_lease_of_earlier_calls(f, *h, now) && h->inherited)
     {
-        // A lease of a previous coordinator, or for an earlier incarnation, may end later than the
-        // first lease of this one.
-        const auto longest =
-            std::max(f.settings.runner_lease + f.settings.leader_lease, h->foreign_lease);
+        // A lease of a previous coordinator may end later than the first lease of this one.
+        const auto longest = f.settings.runner_lease + f.settings.leader_lease;
         record_lease(*h, h->clock_ms + longest.count());
     }
+    // A poll of the incarnation before may have carried an earlier token.
+    if (!is_of_next)
+    {
+        settle_earlier_calls(f, *h, out);
+    }
     // When the list of ends is truncated, a run that is not listed may have ended and be reported
     // by a later answer. If its task started again now, it would have run twice by then.
     if (!answer.ends_truncated)
--- a/libs/coordinator/src/restarts.cpp
+++ b/libs/coordinator/src/restarts.cpp
@@ -1,6 +1,7 @@
 #include "restarts.hpp"
 
 #include "bookkeeping.hpp"
+#include "coordinator/fencing_tokens.hpp"
 #include "lost_runs.hpp"
 
 #include <iterator>
@@ -14,10 +15,24 @@
 
 using ports::read_incarnation;
 
-/// \return whether the run may be active on the next incarnation.
-bool may_be_passed_on(const run_entry& run, bool has_ended)
+/// \return whether the run, or an earlier one of its task, may be active on the next incarnation.
+/// \param text name of the task
+bool may_be_passed_on(const fleet& f,
+    const host_entry& from,
+    const std::string& text,
+    const run_entry& run,
+    bool has_ended,
+    core::mono_time now)
 {
-    return !has_ended || !run.listed;
+    const auto is_recent = [&](core::mono_time ordered_at)
+    {
+        return now - ordered_at < f.settings.max_late_call;
+    };
+    const auto earlier = from.unanswered_starts.find(text);
+    const bool may_be_sent =
+        (!run.all_sends_answered && is_recent(run.ordered_at)) ||
+        (earlier != from.unanswered_starts.end() && is_recent(earlier->second));
+    return !has_ended || !run.listed || may_be_sent;
 }
 
 /// Passes the runs of \p from on to \p to.
@@ -41,7 +56,7 @@
         }
         for (auto& run : t->runs)
         {
-            if (run.host != from.ref.id || !may_be_passed_on(run, has_ended))
+            if (run.host != from.ref.id || !may_be_passed_on(f, from, text, run, has_ended, now))
             {
                 continue;
             }
@@ -53,6 +68,7 @@
             run.confirmed_earlier = run.confirmed;
             run.confirmed = false;
             run.listed = false;
+            run.cpu_percent_known = run.cpu_percent_known && !has_ended;
             run.stop_in_flight = false;
             run.stop_confirmed = false;
             run.stop_retry_at = {};
@@ -63,6 +79,29 @@
     return n;
 }
 
+/// Sets up the host \p to, which has its id, for the incarnation after \p from.
+/// \param has_ended \p from has certainly ended
+void begin_incarnation(
+    const fleet& f, const host_entry& from, host_entry& to, bool has_ended, core::mono_time now)
+{
+    to.ref.address = from.ref.address;
+    to.ref.zone = from.ref.zone;
+    to.pool = has_ended ? std::string{} : from.pool;
+    to.zone = from.zone;
+    to.machine = from.machine;
+    to.machine_known_at = now;
+    to.inherited = true;
+    to.added_at = now;
+    to.unresponsive_since = now;
+    to.has_restarted = has_ended;
+    if (has_ended)
+    {
+        expect_earlier_calls(f, to, now);
+    }
+    to.inherited_leases_end_at =
+        now + (has_ended ? max_lease_time(f) : time_to_lease_expiry(f, from, now));
+}
+
 /// \return the earlier incarnations of the runner of \p id that are keys of \p all.
 template <class Value>
 std::vector<std::string> earlier_incarnations(
@@ -136,20 +175,13 @@
     const bool has_ended = was.born_ms != 0;
     auto& from = f.hosts.at(old);
     const auto id = ports::write_incarnation({was.runner, born_ms});
-    auto& to = f.hosts[id];
-    to.ref = {id, from.ref.address, from.ref.zone};
-    to.pool = has_ended ? std::string{} : from.pool;
-    to.zone = from.zone;
-    to.machine = from.machine;
-    to.machine_known_at = now;
-    to.inherited = true;
-    to.added_at = now;
-    to.unresponsive_since = now;
-    // A lease for the old incarnation ends by the old clock: on the new one it lasts for as long as
-    // a lease can.
-    to.foreign_lease = has_ended ? f.settings.max_runner_lease : core::millis{0};
-    to.inherited_leases_end_at =
-        now + (has_ended ? max_lease_time(f) : time_to_lease_expiry(f, from, now));
+    const auto [entry, added] = f.hosts.try_emplace(id);
+    auto& to = entry->second;
+    if (added)
+    {
+        to.ref.id = id;
+        begin_incarnation(f, from, to, has_ended, now);
+    }
     const int kept = pass_on_runs(f, from, to, has_ended, now, out);
     out.push_back({"host_restarted",
         "",
--- a/libs/coordinator/src/throttling.cpp
+++ b/libs/coordinator/src/throttling.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/throttling.hpp"
 
 #include "bookkeeping.hpp"
+#include "ports/incarnation.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
@@ -12,6 +13,10 @@
 {
 
 constexpr int full_percent = 100; // percent
+/// For how long an order without an answer may still be carried out.
+constexpr core::millis max_late_order{10000};
+/// Time of at least one further order, after two orders that were open at the same time.
+constexpr core::millis overlap_time{1000};
 
 bool has_latency_target(const workflow::step& s)
 {
@@ -61,6 +66,19 @@
     return worst;
 }
 
+/// \return the share that the runner applies to the run, estimated from the processor time in use
+/// if it is not known.
+int current_cpu_percent(const placed_run& it)
+{
+    const auto cpu = it.step->need.cpu;
+    if (it.run->cpu_percent_known || cpu <= 0)
+    {
+        return it.run->cpu_percent;
+    }
+    const auto in_use = std::clamp(it.run->load_metric, std::int64_t{0}, cpu);
+    return static_cast<int>(in_use * full_percent / cpu);
+}
+
 int next_cpu_percent(const throttling_settings& s, int cpu_percent, double worst)
 {
     if (worst > s.high_mark)
@@ -87,12 +105,16 @@
         const double worst = worst_latency_ratio(runs);
         for (const auto& it : runs)
         {
-            const int cpu_percent = next_cpu_percent(s, it.run->cpu_percent, worst);
-            if (!it.step->best_effort || cpu_percent == it.run->cpu_percent)
+            const int cpu_percent = next_cpu_percent(s, current_cpu_percent(it), worst);
+            const bool is_applied = it.run->cpu_percent_known &&
+                                    cpu_percent == it.run->cpu_percent &&
+                                    now >= it.run->throttle_again_until;
+            if (!it.step->best_effort || is_applied)
             {
                 continue;
             }
             it.run->cpu_percent = cpu_percent;
+            it.run->cpu_percent_known = true;
             actions.push_back({h.ref, it.task, it.run->number, cpu_percent});
             record_event(out,
                 "pace_ordered",
@@ -106,6 +128,31 @@
     return actions;
 }
 
+void handle_throttle_answer(
+    fleet& f, const throttle_action& a, const ports::runner_answer& answer, core::mono_time now)
+{
+    auto* const t = find_task(f, a.task);
+    const auto index = t == nullptr ? 0 : run_index(*t, a.host.id, a.run);
+    if (t == nullptr || index == t->runs.size())
+    {
+        return;
+    }
+    auto& run = t->runs[index];
+    const auto born = ports::read_incarnation(a.host.id).born_ms;
+    const bool by_other = born != 0 && answer.born_ms != 0 && answer.born_ms != born;
+    const bool was_carried_out = answer.verdict == ports::runner_verdict::done && !by_other;
+    core::millis again{0};
+    if (!was_carried_out)
+    {
+        again = max_late_order;
+    }
+    else if (run.cpu_percent != a.cpu_percent)
+    {
+        again = overlap_time;
+    }
+    run.throttle_again_until = std::max(run.throttle_again_until, now + again);
+}
+
 int interfering_runs(const fleet& f, const host_entry& h, const workflow::step& s)
 {
     if (!s.best_effort && !has_latency_target(s))
--- a/libs/coordinator/tests/restarts_tests.cpp
+++ b/libs/coordinator/tests/restarts_tests.cpp
@@ -1,3 +1,4 @@
+#include "coordinator/fencing_tokens.hpp"
 #include "coordinator/rebalance.hpp"
 #include "fleet_fixture.hpp"
 #include "restarts.hpp"
@@ -28,6 +29,7 @@
 TEST_GROUP(restarts)
 {
     fleet_fixture w;
+    ports::revision last_revision = 100;
 
     void poll(const std::string& host, const ports::poll_answer& answer)
     {
@@ -44,6 +46,14 @@
         apply_host_list(w.f, {it}, w.now, w.events);
     }
 
+    /// Polls the host with a token above those of all calls to its earlier incarnation.
+    void settle(const std::string& host)
+    {
+        record_own_write(w.f, ++last_revision);
+        raise_fencing_token(w.f, w.f.hosts.at(host));
+        poll(host, answer_of_next());
+    }
+
     std::string only_host() const
     {
         return w.f.hosts.size() == 1 ? w.f.hosts.begin()->first : "not one host";
@@ -251,6 +261,7 @@
     list(after);
     w.f.hosts.at(after).recorded = true;
     poll(after, answer_of_next());
+    settle(after);
     const auto p = w.plan_next();
     LONGS_EQUAL(0, p.starts.size());
     CHECK_EQUAL(1U, p.stops.size());
@@ -262,3 +273,118 @@
     j.losses_stored = j.losses_recorded;
     LONGS_EQUAL(1, w.plan_next().starts.size());
 }
+
+// Guards against a run under a lease of unknown length: until the next incarnation has answered a
+// call with a higher token, it may carry out calls that were meant for the one before.
+TEST(restarts, the_next_incarnation_takes_tasks_once_it_refuses_earlier_calls)
+{
+    w.add_host(before);
+    list(after);
+    w.f.hosts.at(after).recorded = true;
+    poll(after, answer_of_next());
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    LONGS_EQUAL(0, w.plan_next().starts.size());
+    settle(after);
+    const auto until = w.f.hosts.at(after).lease_until_ms;
+    LONGS_EQUAL(50 + w.f.settings.max_runner_lease.count(), until);
+    LONGS_EQUAL(1, w.plan_next().starts.size());
+    auto later = answer_of_next();
+    later.call.clock_ms += 10;
+    poll(after, later);
+    LONGS_EQUAL(until, w.f.hosts.at(after).lease_until_ms);
+}
+
+// Guards against a successor that forgets the longest lease of a restarted runner at its first
+// answer, and starts the runner's tasks elsewhere once that is cut off again.
+TEST(restarts, a_successor_waits_for_the_longest_lease_after_an_answer_too)
+{
+    for (const core::millis remaining : {max_lease_time(w.f), core::millis{9000}})
+    {
+        for (const bool renewal : {false, true})
+        {
+            fleet_fixture fresh;
+            add_inherited_hosts(
+                fresh.f, {{{after, "10.0.0.1:80", {}}, {}, "p", remaining}}, fresh.now);
+            const auto answer = answer_of_next();
+            if (renewal)
+            {
+                handle_renewal_answer(fresh.f, after, answer.call, fresh.now, fresh.events);
+            }
+            else
+            {
+                handle_poll_answer(fresh.f, after, fresh.now, answer, fresh.now, fresh.events);
+            }
+            auto& h = fresh.f.hosts.at(after);
+            h.inherited = false;
+            h.reachable = false;
+            CHECK_FALSE(leases_expired(fresh.f, h, fresh.now + fresh.f.settings.max_runner_lease));
+            CHECK(leases_expired(fresh.f, h, fresh.now + 11s));
+        }
+    }
+}
+
+// Guards against a second start while the first send of an order, whose repeat was answered, may
+// begin on the next incarnation.
+TEST(restarts, a_listed_run_passes_on_while_a_send_of_its_start_is_unanswered)
+{
+    w.add_host(before);
+    w.accept_job(make_job("a", {make_step(1, 1000)}));
+    const auto a = w.plan_next().starts.at(0);
+    const ports::runner_answer done{ports::runner_verdict::done, w.clock_ms()};
+    handle_start_answer(w.f, before, a.task, a.run, done, w.now, w.events, false);
+    ports::poll_answer listing;
+    listing.call = {ports::runner_verdict::done, w.clock_ms(), first_start};
+    listing.running.push_back({workflow::write_task_name(a.task), a.run, {}, 0, 0});
+    poll(before, listing);
+    poll(before, answer_of_next());
+    LONGS_EQUAL(1, w.f.hosts.at(after).runs.size());
+    LONGS_EQUAL(1, w.f.jobs.at("a")->live_runs);
+}
+
+// Guards against handing leadership over because a runner refuses a call that was sent before the
+// token of its calls was raised.
+TEST(restarts, only_a_refusal_of_the_newest_token_shows_another_coordinator)
+{
+    using ports::runner_verdict;
+    w.add_host(before);
+    list(after);
+    settle(after);
+    const auto token = fencing_token_for(w.f, after);
+    LONGS_EQUAL(last_revision, token);
+    struct row
+    {
+        std::int64_t token;
+        runner_verdict answered;
+        runner_verdict counts_as;
+    };
+    const row rows[] = {
+        {token - 1, runner_verdict::fenced, runner_verdict::unhealthy},
+        {token, runner_verdict::fenced, runner_verdict::fenced},
+        {token - 1, runner_verdict::done, runner_verdict::done},
+    };
+    for (const auto& it : rows)
+    {
+        for (const auto& host : {before, after})
+        {
+            CHECK(without_own_refusal(w.f, host, it.token, {it.answered, -1}).verdict ==
+                  it.counts_as);
+        }
+    }
+}
+
+// Guards against a runner that gets no tasks after a take-over: the record named both its
+// incarnations, and the answer to a poll of the earlier one resets the later one.
+TEST(restarts, an_earlier_incarnation_in_the_record_does_not_reset_the_later_one)
+{
+    const std::vector<inherited_host> rows{
+        {{before, "10.0.0.1:80", {}}, {}, "p", {}}, {{after, "10.0.0.1:80", {}}, {}, "p", {}}};
+    add_inherited_hosts(w.f, rows, w.now);
+    list(after);
+    poll(after, answer_of_next());
+    poll(before, answer_of_next());
+    STRCMP_EQUAL(after.c_str(), only_host().c_str());
+    const auto& h = w.f.hosts.at(after);
+    STRCMP_EQUAL("p", h.pool.c_str());
+    CHECK(h.listed);
+    CHECK_FALSE(h.inherited);
+}
--- a/libs/hosted/src/runner_controller.cpp
+++ b/libs/hosted/src/runner_controller.cpp
@@ -1,8 +1,8 @@
 #include "runner_controller.hpp"
 
 #include "coordinator/answers.hpp"
+#include "coordinator/fencing_tokens.hpp"
 #include "coordinator/intake.hpp"
-#include "repeated_order.hpp"
 #include "workflow/records.hpp"
 
 #include <algorithm>
@@ -64,6 +64,22 @@
     }
 }
 
+/// Orders name a runner by its id only, so the next incarnation of the runner would carry out a
+/// repeat.
+order_sender runner_controller::sender_to(const ports::runner_ref& to,
+    std::function<void(const ports::runner_ref&, std::function<void(ports::runner_answer)>)> send)
+{
+    return [this, to, send = std::move(send)](auto on_answer)
+    {
+        if (!term_.fleet.hosts.contains(to.id))
+        {
+            on_answer({runner_verdict::not_sent, -1});
+            return;
+        }
+        send(to, std::move(on_answer));
+    };
+}
+
 void runner_controller::send(const coordinator::plan& p)
 {
     for (const auto& it : p.stops)
@@ -95,11 +111,11 @@
 }
 
 void runner_controller::handle_start_answer(
-    const coordinator::start_action& a, const ports::runner_answer& answer)
+    const coordinator::start_action& a, const ports::runner_answer& answer, bool all_answered)
 {
     coordinator::task_events out;
     const bool still_leads = coordinator::handle_start_answer(
-        term_.fleet, a.host.id, a.task, a.run, answer, term_.now(), out);
+        term_.fleet, a.host.id, a.task, a.run, answer, term_.now(), out, all_answered);
     finish_answer(still_leads, a.host.id, out);
     if (answer.verdict != runner_verdict::done)
     {
@@ -112,7 +128,7 @@
     if (!term_.lead->holds_lease())
     {
         // Checked for each order: sending the orders before it may have outlasted the lease.
-        handle_start_answer(a, {runner_verdict::not_sent, -1});
+        handle_start_answer(a, {runner_verdict::not_sent, -1}, true);
         return;
     }
     auto& h = term_.fleet.hosts.at(a.host.id);
@@ -122,26 +138,29 @@
     order.payload = a.payload;
     order.checkpoint = a.checkpoint;
     order.ticket = a.ticket;
-    order.fencing_token = term_.token;
+    order.fencing_token = coordinator::fencing_token_for(term_.fleet, a.host.id);
     order.lease_until_ms = coordinator::lease_end_for(term_.fleet, h, term_.now());
     coordinator::record_lease(h, order.lease_until_ms);
     const auto sent = term_.now();
     const auto order_id = record_sent();
     term_.record_start(a.task, a.run, sent);
     poll_if_delayed(a.host.id);
-    send_repeated(
-        term_.shared_from_this(),
-        [this, to = a.host, order](auto on_answer)
-        { term_.ctx.runners.start(to, order, std::move(on_answer)); },
+    send_repeated(term_.shared_from_this(),
+        sender_to(a.host,
+            [this, order](const auto& to, auto on_answer)
+            { term_.ctx.runners.start(to, order, std::move(on_answer)); }),
         term_.guarded(
-            [this, a, sent, order_id](const ports::runner_answer& answer)
+            [this, a, sent, order_id, token = order.fencing_token](
+                const ports::runner_answer& answer, bool all_answered)
             {
                 term_.load.record_start_answer(answer, term_.now() - sent);
                 term_.ctx.tel.observe("camphorhitch_start_order_seconds",
                     {},
                     std::chrono::duration<double>(term_.now() - sent).count());
                 record_answered(order_id);
-                handle_start_answer(a, answer);
+                handle_start_answer(a,
+                    coordinator::without_own_refusal(term_.fleet, a.host.id, token, answer),
+                    all_answered);
             }));
 }
 
@@ -149,16 +168,18 @@
 {
     for (const auto& it : all)
     {
+        const auto token = coordinator::fencing_token_for(term_.fleet, it.host.id);
         ports::throttle_order order{
-            workflow::write_task_name(it.task), it.run, it.cpu_percent, term_.token};
+            workflow::write_task_name(it.task), it.run, it.cpu_percent, token};
         term_.ctx.runners.throttle(it.host,
             std::move(order),
             term_.guarded(
-                [this, it](const ports::runner_answer& answer)
+                [this, it, token](const ports::runner_answer& answer)
                 {
-                    // A lost order is made up for by the one that follows the next load report, so
-                    // the answer matters only if it reveals a newer coordinator.
-                    finish_answer(answer.verdict != runner_verdict::fenced, it.host.id, {});
+                    const auto own =
+                        coordinator::without_own_refusal(term_.fleet, it.host.id, token, answer);
+                    coordinator::handle_throttle_answer(term_.fleet, it, own, term_.now());
+                    finish_answer(own.verdict != runner_verdict::fenced, it.host.id, {});
                 }));
     }
 }
@@ -198,17 +219,19 @@
         handle_stop_answer(a, {runner_verdict::not_sent, -1});
         return;
     }
-    ports::stop_order order{workflow::write_task_name(a.task), a.run, term_.token};
+    const auto token = coordinator::fencing_token_for(term_.fleet, a.host.id);
+    ports::stop_order order{workflow::write_task_name(a.task), a.run, token};
     const auto order_id = record_sent();
-    send_repeated(
-        term_.shared_from_this(),
-        [this, to = a.host, order](auto on_answer)
-        { term_.ctx.runners.stop(to, order, std::move(on_answer)); },
+    send_repeated(term_.shared_from_this(),
+        sender_to(a.host,
+            [this, order](const auto& to, auto on_answer)
+            { term_.ctx.runners.stop(to, order, std::move(on_answer)); }),
         term_.guarded(
-            [this, a, order_id](const ports::runner_answer& answer)
+            [this, a, order_id, token](const ports::runner_answer& answer, bool)
             {
                 record_answered(order_id);
-                handle_stop_answer(a, answer);
+                handle_stop_answer(
+                    a, coordinator::without_own_refusal(term_.fleet, a.host.id, token, answer));
             }));
 }
 
@@ -231,14 +254,18 @@
         {
             continue;
         }
-        ports::stop_order order{it.task, it.number, term_.token};
+        const auto token = coordinator::fencing_token_for(term_.fleet, it.host);
+        ports::stop_order order{it.task, it.number, token};
         term_.ctx.runners.stop(host->second.ref,
             std::move(order),
             term_.guarded(
-                [this, it, name](const ports::runner_answer& answer)
+                [this, it, name, token](const ports::runner_answer& answer)
                 {
                     orphan_stops_in_flight_.erase(name);
-                    finish_answer(answer.verdict != runner_verdict::fenced, it.host, {});
+                    const auto verdict =
+                        coordinator::without_own_refusal(term_.fleet, it.host, token, answer)
+                            .verdict;
+                    finish_answer(verdict != runner_verdict::fenced, it.host, {});
                 }));
     }
 }
--- a/libs/hosted/src/term.cpp
+++ b/libs/hosted/src/term.cpp
@@ -1,5 +1,6 @@
 #include "term.hpp"
 
+#include "coordinator/fencing_tokens.hpp"
 #include "coordinator/intake.hpp"
 #include "hosted/keys.hpp"
 
@@ -23,6 +24,7 @@
 bool is_always_logged(const coordinator::task_event& it)
 {
     return it.event == "pool_need" || it.event == "host_ended" || it.event == "host_lapsed" ||
+           it.event == "host_restarted" || it.event == "earlier_calls_refused" ||
            it.event == "job_failed";
 }
 
@@ -68,11 +70,37 @@
     }
 }
 
+void term::record_own_writes()
+{
+    ctx.store.commit = [weak = weak_from_this(), own = token, commit = ctx.store.commit](
+                           ports::store_transaction change, auto done)
+    {
+        const auto proves = [own](const auto& it)
+        {
+            return it.key == leader_key && it.expected == own;
+        };
+        const bool proves_lead =
+            std::any_of(change.conditions.begin(), change.conditions.end(), proves);
+        commit(std::move(change),
+            [weak, proves_lead, done = std::move(done)](const ports::commit_result& result)
+            {
+                const auto self = weak.lock();
+                if (self && proves_lead && result.status == ports::kv_status::ok)
+                {
+                    coordinator::record_own_write(self->fleet, result.modified);
+                }
+                done(result);
+            });
+    };
+}
+
 ports::poll_order term::grant_lease(coordinator::host_entry& h, std::int64_t until_ms) const
 {
     ports::poll_order out;
-    out.fencing_token = token;
-    out.acknowledged_through = h.last_stored_end;
+    out.fencing_token = coordinator::fencing_token_for(fleet, h.ref.id);
+    // A poll that may reach the next incarnation late would acknowledge the ends of that one, so a
+    // number is sent only until a poll with it was answered.
+    out.acknowledged_through = h.last_stored_end > h.acknowledged_end ? h.last_stored_end : 0;
     out.lease_until_ms = until_ms;
     coordinator::record_lease(h, until_ms);
     return out;
