Add review case 12: a sound job is shown as failed after crashes of one machine

Cause: lost starts count as proof against the task by incarnation of a runner, so five crashes of one faulty machine fail the job, although no runner has listed an end `failed`. Change: a script on the stand-ins of cases 10 and 11, whose runners can now crash. No code is changed.

--- a/review/standins-3/tests/cases.cpp
+++ b/review/standins-3/tests/cases.cpp
@@ -433,6 +433,58 @@
     return d.service().over_cap() ? broken : held;
 }
 
+/// One of two machines that may run a job has a fault: its runner crashes each time it gets work.
+int run_crash(deployment& d)
+{
+    constexpr int contact_ms = 3000;
+    constexpr int crash_after_ms = 150;
+    constexpr int crashes = 5;
+    constexpr int back_ms = 2000;
+    d.add_machines(8, 2);
+    if (!d.start(3))
+    {
+        return fail(d, "the nodes are not ready");
+    }
+    sleep_ms(contact_ms + 1000);
+    // The first task occupies one machine of the rack, the second would leave room on the other.
+    const json rack{{"requirements", "r1-4"}, {"cpu", 16000}};
+    const auto first = d.call_node(0, "POST", job_id(1), job_body(1, 45000, rack), 2500);
+    sleep_ms(500);
+    auto& machines = d.machines();
+    const bool on_last = machines.at(7)->runs_task_of(job_id(1));
+    if (!first || first->status != 200 || !(on_last || machines.at(6)->runs_task_of(job_id(1))))
+    {
+        return fail(d, "the first job does not run");
+    }
+    auto& faulty = *machines.at(on_last ? 6 : 7);
+    if (has_trouble())
+    {
+        faulty.crash_after_starts(crash_after_ms, crashes, back_ms);
+    }
+    const auto id = job_id(2);
+    const auto second = d.call_node(1, "POST", id, job_body(1, 1000, rack), 2500);
+    if (!second || second->status != 200)
+    {
+        return fail(d, "the second job was not accepted");
+    }
+    std::string state;
+    for (int i = 0; i < 80 && state != "completed" && state != "failed"; ++i)
+    {
+        sleep_ms(1000);
+        const auto out = d.call_node(2, "GET", id, "", 3000);
+        state = out && out->status == 200 ? json::parse(out->body).value("state", std::string{})
+                                          : std::string{};
+    }
+    int failed_ends = 0;
+    for (const auto& it : machines)
+    {
+        failed_ends += it->failed_ends();
+    }
+    d.record().write("the second job is shown as " + state +
+                     "; ends `failed` at all runners: " + std::to_string(failed_ends));
+    return state == "failed" && failed_ends == 0 ? broken : held;
+}
+
 } // namespace
 
 } // namespace review
@@ -451,7 +503,9 @@
         const std::string name = argv[1];
         // The threads of the stand-ins use it until the process ends.
         auto& d = *new review::deployment(argv[2], argv[3], argv[4], 1);
-        out = name == "cancel" ? review::run_cancel(d) : review::run_upkeep(d);
+        out = name == "cancel"   ? review::run_cancel(d)
+              : name == "upkeep" ? review::run_upkeep(d)
+                                 : review::run_crash(d);
         d.record().write("exit " + std::to_string(out));
         d.stop();
     }
--- a/review/standins-3/tests/platform.hpp
+++ b/review/standins-3/tests/platform.hpp
@@ -453,7 +453,10 @@
         const std::lock_guard hold(mutex_);
         json out{{"machine", name_},
             {"pool", pool_},
-            {"state", up_ ? "up" : "upkeep"},
+            {"state",
+                up_        ? "up"
+                : crashed_ ? "down"
+                           : "upkeep"},
             {"zone", "zone-a"},
             {"labels", {"a", rack_}},
             {"capacity", {{"cpu", 16000}, {"memMb", 32768}, {"gpu", 0}}}};
@@ -467,6 +470,32 @@
         return up_;
     }
 
+    /// Ends the runner without a word; its entry disappears after three heartbeats of silence.
+    void crash(int back_ms)
+    {
+        std::string old;
+        {
+            const std::lock_guard hold(mutex_);
+            up_ = false;
+            crashed_ = true;
+            crash_due_.reset();
+            old = id_;
+            record_.write("runner " + id_ + " on " + name_ + " crashes with " +
+                          std::to_string(runs_.size()) + " tasks");
+            runs_.clear();
+            ended_.notify_all();
+        }
+        std::thread(
+            [this, old, back_ms]
+            {
+                sleep_ms(back_ms);
+                begin_life();
+                sleep_ms(4500 - back_ms);
+                store_.remove("servers/" + old);
+            })
+            .detach();
+    }
+
     /// Ends the runner; a new one joins after \p down_ms.
     void go_down(int down_ms)
     {
@@ -488,6 +517,23 @@
             .detach();
     }
 
+    /// The runner crashes that long after it has begun a task, \p times times; a new one is there
+    /// \p back_ms later.
+    void crash_after_starts(int after_ms, int times, int back_ms)
+    {
+        const std::lock_guard hold(mutex_);
+        crash_after_ms_ = after_ms;
+        crashes_left_ = times;
+        crash_back_ms_ = back_ms;
+    }
+
+    /// \return the ends `failed` that the machine's runners have listed
+    int failed_ends()
+    {
+        const std::lock_guard hold(mutex_);
+        return failed_ends_;
+    }
+
     std::vector<started_run> starts()
     {
         const std::lock_guard hold(mutex_);
@@ -527,7 +573,9 @@
             last_end_ = 0;
             ends_.clear();
             highest_.clear();
+            crashed_ = false;
             up_ = true;
+            record_.write("runner " + id_ + " on " + name_ + " is there");
         }
         beat();
     }
@@ -578,6 +626,16 @@
         {
             beat();
         }
+        if (is_crash_due())
+        {
+            crash(crash_back_ms_);
+        }
+    }
+
+    bool is_crash_due()
+    {
+        const std::lock_guard hold(mutex_);
+        return up_ && crash_due_ && steady::now() >= *crash_due_;
     }
 
     void end_run(std::size_t index, const char* how)
@@ -585,6 +643,7 @@
         const auto it = runs_[index];
         runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(index));
         ends_.push_back({++last_end_, it.task, it.number, how, ""});
+        failed_ends_ += std::string{how} == "failed" ? 1 : 0;
         record_.write("runner " + id_ + " on " + name_ + ": " + it.task + " run " +
                       std::to_string(it.number) + " ends: " + how);
         ended_.notify_all();
@@ -664,6 +723,11 @@
         const auto duration = std::stoll(body.at("spec").get<std::string>());
         runs_.push_back({task, number, clock() + duration, duration});
         starts_.push_back({task, record_.now()});
+        if (crashes_left_ > 0 && !crash_due_)
+        {
+            --crashes_left_;
+            crash_due_ = steady::now() + std::chrono::milliseconds(crash_after_ms_);
+        }
         record_.write("runner " + id_ + " on " + name_ + ": starts " + task + " run " +
                       std::to_string(number));
         return {200, json{{"clockMs", clock()}}.dump()};
@@ -723,6 +787,12 @@
     std::mutex mutex_;
     std::condition_variable ended_;
     bool up_ = false;
+    bool crashed_ = false;
+    int crash_after_ms_ = 0;
+    int crashes_left_ = 0;
+    int crash_back_ms_ = 0;
+    int failed_ends_ = 0;
+    std::optional<steady::time_point> crash_due_;
     int life_ = 0;
     std::string id_;
     steady::time_point born_;
