Drop the review's cases that earlier ones show, keep one as review/9

Cause: review/8, 6 and 7 show the same faults as the cases 9, 11 and 12 of this review (the queue of isolated runs, a late upkeep order of a killed coordinator, a job failed by crashes of one machine). Change: these three are removed; case 10 is now review/9, and its stand-ins have lost what it does not use.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 9 to 13 into target/review-3.
+# Builds the stand-ins of case 9 into target/review-3.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-"${CXX:-c++}" -std=c++20 -O1 -g -pthread -o target/review-3/review_cases review/standins-3/tests/cases.cpp
+"${CXX:-c++}" -std=c++20 -O1 -g -pthread -o target/review-3/review_case review/standin-3/tests/case.cpp
--- a/review/standins-3/tests/cases.cpp
+++ b/review/standin-3/tests/case.cpp
@@ -1,8 +1,8 @@
 /// \file
-/// Runs one case of the review: starts the stand-ins and three nodes, brings about the trouble, and
+/// Runs case 9 of the review: starts the stand-ins and three nodes, brings about the trouble, and
 /// judges what clients, runners and the platform have seen.
 ///
-/// usage: review_cases CASE DAEMON TEMPORARY_FOLDER RECORD
+/// usage: review_case DAEMON TEMPORARY_FOLDER RECORD
 /// Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 #include "platform.hpp"
 
@@ -38,8 +38,8 @@
 class deployment
 {
 public:
-    deployment(std::string daemon, std::string folder, const std::string& record, int cap)
-        : record_(record), store_(record_), service_(record_, machines_, cap),
+    deployment(std::string daemon, std::string folder, const std::string& record)
+        : record_(record), store_(record_), service_(machines_),
           advice_(
               [](const request&) {
                   return response{200, R"({"good":[],"validityMs":3000})"};
@@ -131,22 +131,6 @@
         return out;
     }
 
-    /// Kills the node, which starts again half a second later.
-    void kill_and_restart(const std::string& name)
-    {
-        for (auto& it : nodes_)
-        {
-            if (it.name == name)
-            {
-                record_.write("platform: kills " + name);
-                end(it);
-                sleep_ms(500);
-                launch(it);
-                record_.write("platform: starts " + name + " again");
-            }
-        }
-    }
-
     recorder& record()
     {
         return record_;
@@ -157,11 +141,6 @@
         return store_;
     }
 
-    machine_service& service()
-    {
-        return service_;
-    }
-
     machine_list& machines()
     {
         return machines_;
@@ -266,10 +245,9 @@
 };
 
 /// \return the body of a job whose tasks take \p task_ms
-std::string job_body(int tasks, int task_ms, const json& more = json::object())
+std::string job_body(int tasks, int task_ms)
 {
-    json step{{"count", tasks}, {"cpu", 500}, {"memMb", 256}, {"estimateMs", task_ms}};
-    step.update(more);
+    const json step{{"count", tasks}, {"cpu", 500}, {"memMb", 256}, {"estimateMs", task_ms}};
     return json{{"spec", std::to_string(task_ms)}, {"steps", {step}}}.dump();
 }
 
@@ -377,137 +355,23 @@
     return runs || started_late ? broken : held;
 }
 
-/// An order for an upkeep is carried out late, and the node that gave it is killed meanwhile.
-int run_upkeep(deployment& d)
-{
-    constexpr int contact_ms = 3000;
-    constexpr int late_ms = 9000;
-    constexpr int kill_after_ms = 1300;
-    constexpr std::size_t per_rack = 4;
-    d.add_machines(8, per_rack);
-    if (!d.start(3))
-    {
-        return fail(d, "the nodes are not ready");
-    }
-    sleep_ms(contact_ms + 1000);
-    // The machines of the second rack come first in the wave, and are busy as it begins.
-    const json alone{{"requirements", "r1-2"}, {"antiAffinity", 1}};
-    const auto job = d.call_node(0, "POST", job_id(1), job_body(4, 1500, alone), 2500);
-    if (!job || job->status != 200)
-    {
-        return fail(d, "the job was not accepted");
-    }
-    sleep_ms(600);
-    if (has_trouble())
-    {
-        d.service().hold_next_order(late_ms);
-    }
-    json names = json::array();
-    for (std::size_t i = 0; i < d.machines().size(); ++i)
-    {
-        names.push_back(d.machines().at((i + per_rack) % d.machines().size())->name());
-    }
-    d.metadata().put(
-        "op/wave/1", {{"wave", 1}, {"machines", names}, {"durationS", 40}, {"cap", 1}});
-    d.record().write("operator: wave 1 over 8 machines, one at a time");
-    if (has_trouble())
-    {
-        for (int i = 0; i < 200 && d.service().held_machine().empty(); ++i)
-        {
-            sleep_ms(50);
-        }
-        if (d.service().held_machine().empty())
-        {
-            return fail(d, "no upkeep was ordered");
-        }
-        sleep_ms(kill_after_ms);
-        d.kill_and_restart(d.service().held_by());
-    }
-    for (int i = 0; i < 600 && d.service().upkeeps() < d.machines().size(); ++i)
-    {
-        sleep_ms(100);
-    }
-    d.record().write(
-        std::to_string(d.service().upkeeps()) + " machines had their upkeep; an upkeep " +
-        "began while as many as allowed were down: " + (d.service().over_cap() ? "yes" : "no"));
-    return d.service().over_cap() ? broken : held;
-}
-
-/// One of two machines that may run a job has a fault: its runner crashes each time it gets work.
-int run_crash(deployment& d)
-{
-    constexpr int contact_ms = 3000;
-    constexpr int crash_after_ms = 150;
-    constexpr int crashes = 5;
-    constexpr int back_ms = 2000;
-    d.add_machines(8, 2);
-    if (!d.start(3))
-    {
-        return fail(d, "the nodes are not ready");
-    }
-    sleep_ms(contact_ms + 1000);
-    // The first task occupies one machine of the rack, the second would leave room on the other.
-    const json rack{{"requirements", "r1-4"}, {"cpu", 16000}};
-    const auto first = d.call_node(0, "POST", job_id(1), job_body(1, 45000, rack), 2500);
-    sleep_ms(500);
-    auto& machines = d.machines();
-    const bool on_last = machines.at(7)->runs_task_of(job_id(1));
-    if (!first || first->status != 200 || !(on_last || machines.at(6)->runs_task_of(job_id(1))))
-    {
-        return fail(d, "the first job does not run");
-    }
-    auto& faulty = *machines.at(on_last ? 6 : 7);
-    if (has_trouble())
-    {
-        faulty.crash_after_starts(crash_after_ms, crashes, back_ms);
-    }
-    const auto id = job_id(2);
-    const auto second = d.call_node(1, "POST", id, job_body(1, 1000, rack), 2500);
-    if (!second || second->status != 200)
-    {
-        return fail(d, "the second job was not accepted");
-    }
-    std::string state;
-    for (int i = 0; i < 80 && state != "completed" && state != "failed"; ++i)
-    {
-        sleep_ms(1000);
-        const auto out = d.call_node(2, "GET", id, "", 3000);
-        state = out && out->status == 200 ? json::parse(out->body).value("state", std::string{})
-                                          : std::string{};
-    }
-    int failed_ends = 0;
-    for (const auto& it : machines)
-    {
-        failed_ends += it->failed_ends();
-    }
-    d.record().write("the second job is shown as " + state +
-                     "; ends `failed` at all runners: " + std::to_string(failed_ends));
-    return state == "failed" && failed_ends == 0 ? broken : held;
-}
-
 } // namespace
 
 } // namespace review
 
 int main(int argc, char** argv)
 {
-    constexpr int arguments = 5;
+    constexpr int arguments = 4;
     if (argc != arguments)
     {
-        std::cerr << "usage: review_cases CASE DAEMON TEMPORARY_FOLDER RECORD\n";
+        std::cerr << "usage: review_case DAEMON TEMPORARY_FOLDER RECORD\n";
         return review::not_run;
     }
     ::signal(SIGPIPE, SIG_IGN);
-    int out = review::not_run;
-    {
-        const std::string name = argv[1];
-        // The threads of the stand-ins use it until the process ends.
-        auto& d = *new review::deployment(argv[2], argv[3], argv[4], 1);
-        out = name == "cancel"   ? review::run_cancel(d)
-              : name == "upkeep" ? review::run_upkeep(d)
-                                 : review::run_crash(d);
-        d.record().write("exit " + std::to_string(out));
-        d.stop();
-    }
+    // The threads of the stand-ins use it until the process ends.
+    auto& d = *new review::deployment(argv[1], argv[2], argv[3]);
+    const int out = review::run_cancel(d);
+    d.record().write("exit " + std::to_string(out));
+    d.stop();
     ::_exit(out);
 }
--- a/review/standins-3/tests/platform.hpp
+++ b/review/standin-3/tests/platform.hpp
@@ -453,87 +453,14 @@
         const std::lock_guard hold(mutex_);
         json out{{"machine", name_},
             {"pool", pool_},
-            {"state",
-                up_        ? "up"
-                : crashed_ ? "down"
-                           : "upkeep"},
+            {"state", "up"},
             {"zone", "zone-a"},
             {"labels", {"a", rack_}},
             {"capacity", {{"cpu", 16000}, {"memMb", 32768}, {"gpu", 0}}}};
-        out["id"] = up_ ? json(id_) : json(nullptr);
+        out["id"] = id_;
         return out;
     }
 
-    bool is_up()
-    {
-        const std::lock_guard hold(mutex_);
-        return up_;
-    }
-
-    /// Ends the runner without a word; its entry disappears after three heartbeats of silence.
-    void crash(int back_ms)
-    {
-        std::string old;
-        {
-            const std::lock_guard hold(mutex_);
-            up_ = false;
-            crashed_ = true;
-            crash_due_.reset();
-            old = id_;
-            record_.write("runner " + id_ + " on " + name_ + " crashes with " +
-                          std::to_string(runs_.size()) + " tasks");
-            runs_.clear();
-            ended_.notify_all();
-        }
-        std::thread(
-            [this, old, back_ms]
-            {
-                sleep_ms(back_ms);
-                begin_life();
-                sleep_ms(4500 - back_ms);
-                store_.remove("servers/" + old);
-            })
-            .detach();
-    }
-
-    /// Ends the runner; a new one joins after \p down_ms.
-    void go_down(int down_ms)
-    {
-        std::string old;
-        {
-            const std::lock_guard hold(mutex_);
-            up_ = false;
-            runs_.clear();
-            old = id_;
-            ended_.notify_all();
-        }
-        store_.remove("servers/" + old);
-        std::thread(
-            [this, down_ms]
-            {
-                sleep_ms(down_ms);
-                begin_life();
-            })
-            .detach();
-    }
-
-    /// The runner crashes that long after it has begun a task, \p times times; a new one is there
-    /// \p back_ms later.
-    void crash_after_starts(int after_ms, int times, int back_ms)
-    {
-        const std::lock_guard hold(mutex_);
-        crash_after_ms_ = after_ms;
-        crashes_left_ = times;
-        crash_back_ms_ = back_ms;
-    }
-
-    /// \return the ends `failed` that the machine's runners have listed
-    int failed_ends()
-    {
-        const std::lock_guard hold(mutex_);
-        return failed_ends_;
-    }
-
     std::vector<started_run> starts()
     {
         const std::lock_guard hold(mutex_);
@@ -573,8 +500,6 @@
             last_end_ = 0;
             ends_.clear();
             highest_.clear();
-            crashed_ = false;
-            up_ = true;
             record_.write("runner " + id_ + " on " + name_ + " is there");
         }
         beat();
@@ -586,10 +511,6 @@
         std::string key;
         {
             const std::lock_guard hold(mutex_);
-            if (!up_)
-            {
-                return;
-            }
             key = "servers/" + id_;
             beaten_ = steady::now();
             entry = {{"service", pool_},
@@ -612,7 +533,7 @@
         bool due = false;
         {
             const std::lock_guard hold(mutex_);
-            due = up_ && ms_since(beaten_) >= 1500;
+            due = ms_since(beaten_) >= 1500;
             const bool lapsed = clock() > lease_until_;
             for (std::size_t i = runs_.size(); i-- > 0;)
             {
@@ -626,16 +547,6 @@
         {
             beat();
         }
-        if (is_crash_due())
-        {
-            crash(crash_back_ms_);
-        }
-    }
-
-    bool is_crash_due()
-    {
-        const std::lock_guard hold(mutex_);
-        return up_ && crash_due_ && steady::now() >= *crash_due_;
     }
 
     void end_run(std::size_t index, const char* how)
@@ -643,7 +554,6 @@
         const auto it = runs_[index];
         runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(index));
         ends_.push_back({++last_end_, it.task, it.number, how, ""});
-        failed_ends_ += std::string{how} == "failed" ? 1 : 0;
         record_.write("runner " + id_ + " on " + name_ + ": " + it.task + " run " +
                       std::to_string(it.number) + " ends: " + how);
         ended_.notify_all();
@@ -657,10 +567,6 @@
     std::optional<response> answer(const request& r)
     {
         std::unique_lock hold(mutex_);
-        if (!up_)
-        {
-            return response{}; // the connection is closed
-        }
         const auto instance = r.fields.find("x-expected-instance");
         if (instance != r.fields.end() && instance->second != id_)
         {
@@ -723,11 +629,6 @@
         const auto duration = std::stoll(body.at("spec").get<std::string>());
         runs_.push_back({task, number, clock() + duration, duration});
         starts_.push_back({task, record_.now()});
-        if (crashes_left_ > 0 && !crash_due_)
-        {
-            --crashes_left_;
-            crash_due_ = steady::now() + std::chrono::milliseconds(crash_after_ms_);
-        }
         record_.write("runner " + id_ + " on " + name_ + ": starts " + task + " run " +
                       std::to_string(number));
         return {200, json{{"clockMs", clock()}}.dump()};
@@ -756,11 +657,7 @@
         const auto wait = std::chrono::milliseconds(body.value("waitMs", std::int64_t{0}));
         if (ends_.empty() && wait.count() > 0)
         {
-            ended_.wait_for(hold, wait, [this] { return !ends_.empty() || !up_; });
-        }
-        if (!up_)
-        {
-            return {};
+            ended_.wait_for(hold, wait, [this] { return !ends_.empty(); });
         }
         json running = json::array();
         for (const auto& it : runs_)
@@ -786,13 +683,6 @@
     std::string rack_;
     std::mutex mutex_;
     std::condition_variable ended_;
-    bool up_ = false;
-    bool crashed_ = false;
-    int crash_after_ms_ = 0;
-    int crashes_left_ = 0;
-    int crash_back_ms_ = 0;
-    int failed_ends_ = 0;
-    std::optional<steady::time_point> crash_due_;
     int life_ = 0;
     std::string id_;
     steady::time_point born_;
@@ -810,12 +700,12 @@
 
 using machine_list = std::vector<std::unique_ptr<machine>>;
 
-/// The service that takes orders about machines.
+/// The service that lists the machines. It takes no orders, since the case needs none.
 class machine_service
 {
 public:
-    machine_service(recorder& to, machine_list& all, int cap)
-        : record_(to), all_(all), cap_(cap), server_([this](const request& r) { return answer(r); })
+    explicit machine_service(machine_list& all)
+        : all_(all), server_([this](const request& r) { return answer(r); })
     {
     }
 
@@ -824,129 +714,23 @@
         return server_.address();
     }
 
-    /// The next order for an upkeep gets no answer and is carried out that much later.
-    void hold_next_order(int ms)
-    {
-        const std::lock_guard hold(mutex_);
-        hold_ms_ = ms;
-    }
-
-    /// \return the machine whose order was held; empty: none yet
-    std::string held_machine()
-    {
-        const std::lock_guard hold(mutex_);
-        return held_;
-    }
-
-    /// \return the node that gave the held order
-    std::string held_by()
-    {
-        const std::lock_guard hold(mutex_);
-        return held_by_;
-    }
-
-    /// \return whether an upkeep began while `cap` machines of the wave were down for theirs
-    bool over_cap()
-    {
-        const std::lock_guard hold(mutex_);
-        return over_cap_;
-    }
-
-    std::size_t upkeeps()
-    {
-        const std::lock_guard hold(mutex_);
-        return done_.size();
-    }
-
 private:
-    static constexpr int maintenance_ms = 2000;
-
     std::optional<response> answer(const request& r)
     {
         sleep_ms(4);
-        const std::lock_guard hold(mutex_);
-        if (r.path == "/api/machines")
-        {
-            json rows = json::array();
-            for (const auto& it : all_)
-            {
-                rows.push_back(it->list_row());
-            }
-            return response{200, json{{"machines", rows}, {"nextToken", nullptr}}.dump()};
-        }
-        const auto body = json::parse(r.body, nullptr, false);
-        const std::string name = body.value("machine", std::string{});
-        const auto fence = std::stoll(r.fields.at("x-fencing-token"));
-        if (r.path != "/api/machine-upkeep")
+        if (r.path != "/api/machines")
         {
             return response{409, json{{"reason", "busy"}}.dump()};
         }
-        const auto text = "upkeep of " + name + " ordered by " + r.fields.at("x-lease-holder") +
-                          " with token " + std::to_string(fence);
-        if (hold_ms_ > 0)
+        json rows = json::array();
+        for (const auto& it : all_)
         {
-            const auto ms = std::exchange(hold_ms_, 0);
-            held_ = name;
-            held_by_ = r.fields.at("x-lease-holder");
-            record_.write(text + ": no answer, carried out " + std::to_string(ms) + " ms later");
-            std::thread(
-                [this, name, fence, ms]
-                {
-                    sleep_ms(ms);
-                    const std::lock_guard late(mutex_);
-                    const auto out = carry_out(name, fence);
-                    record_.write("late upkeep of " + name + ": " + std::to_string(out.status) +
-                                  " " + out.body);
-                })
-                .detach();
-            return {};
+            rows.push_back(it->list_row());
         }
-        const auto out = carry_out(name, fence);
-        record_.write(text + ": " + std::to_string(out.status) + " " + out.body);
-        return out;
+        return response{200, json{{"machines", rows}, {"nextToken", nullptr}}.dump()};
     }
 
-    response carry_out(const std::string& name, std::int64_t fence)
-    {
-        const auto found = std::find_if(
-            all_.begin(), all_.end(), [&](const auto& it) { return it->name() == name; });
-        if (found == all_.end())
-        {
-            return {400, "{}"};
-        }
-        if (fence < fences_[name])
-        {
-            return {409, json{{"reason", "fence"}}.dump()};
-        }
-        fences_[name] = fence;
-        if (done_.contains(name))
-        {
-            return {200, "{}"};
-        }
-        if (!(*found)->is_up())
-        {
-            return {409, json{{"reason", "busy"}}.dump()};
-        }
-        const auto down =
-            std::count_if(all_.begin(), all_.end(), [](const auto& it) { return !it->is_up(); });
-        record_.write("upkeep of " + name + " begins while " + std::to_string(down) +
-                      " machines of the wave are down for theirs; cap " + std::to_string(cap_));
-        over_cap_ = over_cap_ || down >= cap_;
-        done_.insert(name);
-        (*found)->go_down(maintenance_ms);
-        return {200, "{}"};
-    }
-
-    recorder& record_;
     machine_list& all_;
-    int cap_;
-    std::mutex mutex_;
-    std::map<std::string, std::int64_t> fences_;
-    std::set<std::string> done_;
-    int hold_ms_ = 0;
-    std::string held_;
-    std::string held_by_;
-    bool over_cap_ = false;
     server server_; // last: its threads use the members above
 };
 
