Add review case 10: a thawed coordinator orders after its successor

Cause: the lease is checked when an order is handed to the HTTP client, not when it is sent; a connection that opens during a freeze carries the order after the thaw. No code is changed.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -17,7 +17,7 @@
 trap end EXIT
 cd "$root" || exit 2
 [ -x target/bin/camphorhitchd ] && [ -x target/review-3/review_case ] || exit 2
-timeout -s KILL 115 target/review-3/review_case target/bin/camphorhitchd "$folder" "$here/record.txt"
+timeout -s KILL 115 target/review-3/review_case target/bin/camphorhitchd "$folder" "$here/record.txt" cancel
 case $? in
 0) exit 0 ;;
 1) exit 1 ;;
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of case 9 into target/review-3.
+# Builds the stand-ins of the cases 9 and 10 into target/review-3.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/standin-3/tests/case.cpp
+++ b/review/standin-3/tests/case.cpp
@@ -1,8 +1,8 @@
 /// \file
-/// Runs case 9 of the review: starts the stand-ins and three nodes, brings about the trouble, and
+/// Runs a case of the review: starts the stand-ins and three nodes, brings about the trouble, and
 /// judges what clients, runners and the platform have seen.
 ///
-/// usage: review_case DAEMON TEMPORARY_FOLDER RECORD
+/// usage: review_case DAEMON TEMPORARY_FOLDER RECORD CASE
 /// Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 #include "platform.hpp"
 
@@ -38,8 +38,9 @@
 class deployment
 {
 public:
-    deployment(std::string daemon, std::string folder, const std::string& record)
-        : record_(record), store_(record_), service_(machines_),
+    deployment(
+        site_bounds bounds, std::string daemon, std::string folder, const std::string& record)
+        : bounds_(bounds), record_(record), store_(record_), service_(record_, machines_),
           advice_(
               [](const request&) {
                   return response{200, R"({"good":[],"validityMs":3000})"};
@@ -60,8 +61,9 @@
     {
         for (int i = 1; i <= count; ++i)
         {
+            const auto rack = "r1-" + std::to_string((i - 1) / per_rack + 1);
             machines_.push_back(std::make_unique<machine>(
-                record_, store_, i, "huvo11a", "r1-" + std::to_string((i - 1) / per_rack + 1)));
+                record_, store_, bounds_.max_hold_ms, i, "huvo11a", rack));
         }
     }
 
@@ -141,6 +143,11 @@
         return store_;
     }
 
+    machine_service& service()
+    {
+        return service_;
+    }
+
     machine_list& machines()
     {
         return machines_;
@@ -179,9 +186,9 @@
             {"link_mbps", 1000.0},
             {"machine_orders_per_second", 64.0},
             {"timing",
-                {{"longest_runner_lease_ms", 10000},
+                {{"longest_runner_lease_ms", bounds_.max_hold_ms},
                     {"stop_bound_s", 6},
-                    {"longest_stop_ms", 200}}},
+                    {"longest_stop_ms", bounds_.stop_ms}}},
             {"policy", {{"moves", true}}},
             {"conditions",
                 {"base",
@@ -234,6 +241,7 @@
         return out && out->status == 200;
     }
 
+    site_bounds bounds_;
     recorder record_;
     store store_;
     machine_list machines_;
@@ -355,22 +363,75 @@
     return runs || started_late ? broken : held;
 }
 
+/// The coordinator freezes while it connects to the machines' service, and gives its order after
+/// its successor has given one for the same machine.
+int run_thaw(deployment& d)
+{
+    constexpr int contact_ms = 3000;
+    d.add_machines(8, 4);
+    if (!d.start(3))
+    {
+        return fail(d, "the nodes are not ready");
+    }
+    sleep_ms(contact_ms + 1000);
+    const auto holder = d.metadata().value_of("coord/leader");
+    pid_t leader = -1;
+    for (const auto& it : d.nodes())
+    {
+        leader = to_base64(it.name) == holder ? it.pid : leader;
+    }
+    if (leader < 0)
+    {
+        return fail(d, "no node holds the lead");
+    }
+    if (has_trouble())
+    {
+        d.service().set_silent(true);
+    }
+    const auto names = json::array({d.machines().front()->name()});
+    d.metadata().put(
+        "op/wave/1", {{"wave", 1}, {"machines", names}, {"durationS", 40}, {"cap", 1}});
+    d.record().write("operator: wave 1 over one machine");
+    if (has_trouble())
+    {
+        sleep_ms(300);
+        d.record().write("platform: freezes the coordinator");
+        ::kill(leader, SIGSTOP);
+        sleep_ms(1500);
+        d.service().set_silent(false);
+        sleep_ms(2400);
+        ::kill(leader, SIGCONT);
+        d.record().write("platform: the coordinator goes on");
+    }
+    sleep_ms(3000);
+    if (d.service().orders() == 0)
+    {
+        return fail(d, "the wave did not end");
+    }
+    d.record().write(std::string{"an order with a lower token after one with a higher: "} +
+                     (d.service().had_lower_token() ? "yes" : "no"));
+    return d.service().had_lower_token() ? broken : held;
+}
+
 } // namespace
 
 } // namespace review
 
 int main(int argc, char** argv)
 {
-    constexpr int arguments = 4;
+    constexpr int arguments = 5;
     if (argc != arguments)
     {
-        std::cerr << "usage: review_case DAEMON TEMPORARY_FOLDER RECORD\n";
+        std::cerr << "usage: review_case DAEMON TEMPORARY_FOLDER RECORD CASE\n";
         return review::not_run;
     }
     ::signal(SIGPIPE, SIG_IGN);
+    const bool thaw = std::string{argv[4]} == "thaw";
+    constexpr review::site_bounds lensmandu{10000, 200};
+    constexpr review::site_bounds robotlig{6000, 400};
     // The threads of the stand-ins use it until the process ends.
-    auto& d = *new review::deployment(argv[1], argv[2], argv[3]);
-    const int out = review::run_cancel(d);
+    auto& d = *new review::deployment(thaw ? robotlig : lensmandu, argv[1], argv[2], argv[3]);
+    const int out = thaw ? review::run_thaw(d) : review::run_cancel(d);
     d.record().write("exit " + std::to_string(out));
     d.stop();
     ::_exit(out);
--- a/review/standin-3/tests/http.hpp
+++ b/review/standin-3/tests/http.hpp
@@ -16,6 +16,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace review
 {
@@ -197,14 +198,22 @@
 class server
 {
 public:
-    explicit server(handler h) : handler_(std::move(h)), fd_(listen_free(port_))
+    /// \param closes whether each connection ends after one answer
+    explicit server(handler h, bool closes = false)
+        : handler_(std::move(h)), closes_(closes), fd_(listen_free(port_))
     {
         std::thread(
             [this]
             {
                 while (true)
                 {
-                    const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
+                    pollfd it{fd_, POLLIN, 0};
+                    const bool waits = !silent_ && ::poll(&it, 1, 20) > 0;
+                    const int fd = waits ? ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC) : -1;
+                    if (!waits && silent_)
+                    {
+                        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                    }
                     if (fd >= 0)
                     {
                         std::thread([this, fd] { serve(fd); }).detach();
@@ -219,6 +228,31 @@
         return port_;
     }
 
+    /// While the server is silent, the opening packets of new connections are not answered: its
+    /// queue of connections is full.
+    void set_silent(bool on)
+    {
+        silent_ = on;
+        if (!on)
+        {
+            for (const int fd : filling_)
+            {
+                ::close(fd);
+            }
+            filling_.clear();
+            return;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        ::listen(fd_, 0);
+        for (int i = 0; i < 3; ++i)
+        {
+            const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+            const auto at = loopback(port_);
+            ::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
+            filling_.push_back(fd);
+        }
+    }
+
     std::string address() const
     {
         return "127.0.0.1:" + std::to_string(port_);
@@ -255,12 +289,11 @@
                 }
                 break;
             }
-            if (out->status == 0 ||
-                !send_all(fd,
-                    "HTTP/1.1 " + std::to_string(out->status) +
-                        " X\r\nContent-Type: application/json\r\n"
-                        "Content-Length: " +
-                        std::to_string(out->body.size()) + "\r\n\r\n" + out->body))
+            const std::string end = closes_ ? "\r\nConnection: close" : "";
+            const auto head = "HTTP/1.1 " + std::to_string(out->status) +
+                              " X\r\nContent-Type: application/json\r\nContent-Length: " +
+                              std::to_string(out->body.size()) + end + "\r\n\r\n";
+            if (out->status == 0 || !send_all(fd, head + out->body) || closes_)
             {
                 break;
             }
@@ -269,6 +302,9 @@
     }
 
     handler handler_;
+    bool closes_;
+    std::atomic<bool> silent_ = false;
+    std::vector<int> filling_;
     int port_ = 0;
     int fd_;
 };
--- a/review/standin-3/tests/platform.hpp
+++ b/review/standin-3/tests/platform.hpp
@@ -421,14 +421,22 @@
     std::int64_t at_ms = 0;
 };
 
+/// Bounds of the deployment that a case is like.
+struct site_bounds
+{
+    int max_hold_ms;
+    int stop_ms;
+};
+
 /// One machine with its present runner. The spec of a job is the duration of its tasks in ms.
 class machine
 {
 public:
-    machine(recorder& to, store& in, int number, std::string pool, std::string rack)
-        : record_(to), store_(in), name_("m-0000" + std::to_string(number)), number_(number),
-          pool_(std::move(pool)), rack_(std::move(rack)),
-          server_([this](const request& r) { return answer(r); })
+    machine(
+        recorder& to, store& in, int max_hold_ms, int number, std::string pool, std::string rack)
+        : record_(to), store_(in), max_hold_ms_(max_hold_ms),
+          name_("m-0000" + std::to_string(number)), number_(number), pool_(std::move(pool)),
+          rack_(std::move(rack)), server_([this](const request& r) { return answer(r); })
     {
         begin_life();
         std::thread(
@@ -453,14 +461,35 @@
         const std::lock_guard hold(mutex_);
         json out{{"machine", name_},
             {"pool", pool_},
-            {"state", "up"},
+            {"state", up_ ? "up" : "upkeep"},
             {"zone", "zone-a"},
             {"labels", {"a", rack_}},
             {"capacity", {{"cpu", 16000}, {"memMb", 32768}, {"gpu", 0}}}};
-        out["id"] = id_;
+        out["id"] = up_ ? json(id_) : json(nullptr);
         return out;
     }
 
+    /// Ends the runner; a new one joins after \p down_ms.
+    void go_down(int down_ms)
+    {
+        std::string old;
+        {
+            const std::lock_guard hold(mutex_);
+            up_ = false;
+            old = id_;
+            runs_.clear();
+            ended_.notify_all();
+        }
+        store_.remove("servers/" + old);
+        std::thread(
+            [this, down_ms]
+            {
+                sleep_ms(down_ms);
+                begin_life();
+            })
+            .detach();
+    }
+
     std::vector<started_run> starts()
     {
         const std::lock_guard hold(mutex_);
@@ -500,6 +529,7 @@
             last_end_ = 0;
             ends_.clear();
             highest_.clear();
+            up_ = true;
             record_.write("runner " + id_ + " on " + name_ + " is there");
         }
         beat();
@@ -533,7 +563,7 @@
         bool due = false;
         {
             const std::lock_guard hold(mutex_);
-            due = ms_since(beaten_) >= 1500;
+            due = up_ && ms_since(beaten_) >= 1500;
             const bool lapsed = clock() > lease_until_;
             for (std::size_t i = runs_.size(); i-- > 0;)
             {
@@ -567,6 +597,10 @@
     std::optional<response> answer(const request& r)
     {
         std::unique_lock hold(mutex_);
+        if (!up_)
+        {
+            return response{}; // the connection is closed
+        }
         const auto instance = r.fields.find("x-expected-instance");
         if (instance != r.fields.end() && instance->second != id_)
         {
@@ -600,7 +634,7 @@
 
     void extend_lease(const json& body)
     {
-        const auto until = std::min(body.value("untilMs", std::int64_t{0}), clock() + 10000);
+        const auto until = std::min(body.value("untilMs", std::int64_t{0}), clock() + max_hold_ms_);
         lease_until_ = std::max(lease_until_, until);
     }
 
@@ -657,7 +691,11 @@
         const auto wait = std::chrono::milliseconds(body.value("waitMs", std::int64_t{0}));
         if (ends_.empty() && wait.count() > 0)
         {
-            ended_.wait_for(hold, wait, [this] { return !ends_.empty(); });
+            ended_.wait_for(hold, wait, [this] { return !ends_.empty() || !up_; });
+        }
+        if (!up_)
+        {
+            return {};
         }
         json running = json::array();
         for (const auto& it : runs_)
@@ -677,12 +715,14 @@
 
     recorder& record_;
     store& store_;
+    int max_hold_ms_;
     std::string name_;
     int number_;
     std::string pool_;
     std::string rack_;
     std::mutex mutex_;
     std::condition_variable ended_;
+    bool up_ = false;
     int life_ = 0;
     std::string id_;
     steady::time_point born_;
@@ -700,12 +740,12 @@
 
 using machine_list = std::vector<std::unique_ptr<machine>>;
 
-/// The service that lists the machines. It takes no orders, since the case needs none.
+/// The service that lists the machines and takes orders about them, without a check of the tokens.
 class machine_service
 {
 public:
-    explicit machine_service(machine_list& all)
-        : all_(all), server_([this](const request& r) { return answer(r); })
+    machine_service(recorder& to, machine_list& all)
+        : record_(to), all_(all), server_([this](const request& r) { return answer(r); }, true)
     {
     }
 
@@ -714,23 +754,72 @@
         return server_.address();
     }
 
+    void set_silent(bool on)
+    {
+        record_.write(on ? "machines' service: silent" : "machines' service: answers again");
+        server_.set_silent(on);
+    }
+
+    /// \return whether an order for a machine had a lower token than one before it
+    bool had_lower_token()
+    {
+        const std::lock_guard hold(mutex_);
+        return had_lower_token_;
+    }
+
+    std::size_t orders()
+    {
+        const std::lock_guard hold(mutex_);
+        return orders_;
+    }
+
 private:
+    static constexpr int maintenance_ms = 2000;
+
     std::optional<response> answer(const request& r)
     {
         sleep_ms(4);
-        if (r.path != "/api/machines")
+        const std::lock_guard hold(mutex_);
+        if (r.path == "/api/machines")
+        {
+            json rows = json::array();
+            for (const auto& it : all_)
+            {
+                rows.push_back(it->list_row());
+            }
+            return response{200, json{{"machines", rows}, {"nextToken", nullptr}}.dump()};
+        }
+        if (r.path != "/api/machine-upkeep")
         {
             return response{409, json{{"reason", "busy"}}.dump()};
         }
-        json rows = json::array();
+        const auto name = json::parse(r.body).at("machine").get<std::string>();
+        const auto token = std::stoll(r.fields.at("x-fencing-token"));
+        auto& highest = highest_[name];
+        const bool lower = token < highest;
+        record_.write("upkeep of " + name + " ordered by " + r.fields.at("x-lease-holder") +
+                      " with token " + std::to_string(token) +
+                      (lower ? ", lower than " + std::to_string(highest) + " before it" : ""));
+        had_lower_token_ = had_lower_token_ || lower;
+        highest = std::max<std::int64_t>(highest, token);
+        ++orders_;
         for (const auto& it : all_)
         {
-            rows.push_back(it->list_row());
+            if (it->name() == name && done_.insert(name).second)
+            {
+                it->go_down(maintenance_ms);
+            }
         }
-        return response{200, json{{"machines", rows}, {"nextToken", nullptr}}.dump()};
+        return response{200, "{}"};
     }
 
+    recorder& record_;
     machine_list& all_;
+    std::mutex mutex_;
+    std::map<std::string, std::int64_t> highest_;
+    std::set<std::string> done_;
+    std::size_t orders_ = 0;
+    bool had_lower_token_ = false;
     server server_; // last: its threads use the members above
 };
 
