Log which attempt of a write took effect, and what a cancel has read

The lines of the time couldn't tell which of three causes it was: the sender's repeat stored the job, the store carried out its first write late, or the cancel read an old state.

Change: submit tells the attempts, how many got no answer, and the revision at which the job was stored; cancel tells the store's revision at its read.

Nothing in the store would stop the late first write either, had the repeat not come.

--- a/libs/hosted/include/hosted/job_request_handler.hpp
+++ b/libs/hosted/include/hosted/job_request_handler.hpp
@@ -71,6 +71,7 @@
     bool known = false; ///< false: the store could not be read
     bool exists = false;
     workflow::job_state state = workflow::job_state::queued;
+    ports::revision store_revision = 0; ///< of the read that the answer rests on; 0: not known
 };
 
 /// Number of waiting jobs of a queue as reported to a caller.
--- a/libs/hosted/src/job_request_handler.cpp
+++ b/libs/hosted/src/job_request_handler.cpp
@@ -48,7 +48,10 @@
     {
         if (!it.known || !it.exists)
         {
-            state->log("cancel", id, {{"outcome", it.known ? "no_such_job" : "not_cancelled"}});
+            state->log("cancel",
+                id,
+                {{"store_revision", std::to_string(it.store_revision)},
+                    {"outcome", it.known ? "no_such_job" : "not_cancelled"}});
             done(it.known ? cancel_outcome::no_such_job : cancel_outcome::not_cancelled);
             return;
         }
--- a/libs/hosted/src/job_request_read.cpp
+++ b/libs/hosted/src/job_request_read.cpp
@@ -36,13 +36,13 @@
 
 /// \return the answer given by a stored state; not known if the record is damaged.
 state_answer state_from(
-    const job_request_state& state, const job_reference& job, const std::string& text)
+    const job_request_state& state, const job_reference& job, const item_read& found)
 {
-    const auto read = workflow::read_progress_end(text);
+    const auto read = workflow::read_progress_end(found.item->value);
     if (core::is_ok(read))
     {
         const auto& end = core::value(read);
-        return {true, is_visible_to(end.workspace, job.workspace), end.state};
+        return {true, is_visible_to(end.workspace, job.workspace), end.state, found.store_revision};
     }
     state.log("record_damaged", job.id, {{"reason", core::failure(read).message}});
     return {};
@@ -66,15 +66,16 @@
                 done({});
                 return;
             }
-            done(read->item ? state_from(*state, job, read->item->value)
-                            : state_answer{true, false, workflow::job_state::queued});
+            done(read->item ? state_from(*state, job, *read)
+                            : state_answer{
+                                  true, false, workflow::job_state::queued, read->store_revision});
         });
 }
 
 /// \return the answer given by a job's record and its cancel.
 state_answer state_from(const job_reference& job, const page_read& page)
 {
-    state_answer out{true, false, workflow::job_state::queued};
+    state_answer out{true, false, workflow::job_state::queued, page.store_revision};
     for (const auto& it : page.items)
     {
         out.exists = out.exists || (it.key == job_key(job.id) && is_visible({it}, job.workspace));
@@ -134,7 +135,7 @@
                 read_job_record(state, job, deadline, done);
                 return;
             }
-            done(state_from(*state, job, read->item->value));
+            done(state_from(*state, job, *read));
         });
 }
 
--- a/libs/hosted/src/job_request_state.hpp
+++ b/libs/hosted/src/job_request_state.hpp
@@ -99,10 +99,15 @@
     bool in_flight = false;
     bool answered = false; ///< the caller has received its answer
     int refusals = 0;
+    int attempts = 0;   ///< number of times that it was sent
+    int unanswered = 0; ///< attempts that ended without an answer
     /// Receives the result. \p certain is false if the write may still take effect.
     std::function<void(const ports::commit_result& result, bool certain)> done;
 };
 
+/// \return fields of a log line that tell which attempt of a write took effect, and when.
+ports::log_fields describe_write(const pending_write& w, const ports::commit_result& result);
+
 /// Starts a write. If a store call hangs beyond the caller's deadline, the result is reported as
 /// not certain.
 void start_write(
--- a/libs/hosted/src/job_request_submit.cpp
+++ b/libs/hosted/src/job_request_submit.cpp
@@ -39,14 +39,15 @@
 void answer(const job_request_state& state,
     const submission& s,
     const std::string& store,
-    submit_outcome outcome)
+    submit_outcome outcome,
+    const ports::log_fields& write = {})
 {
-    state.log("submit",
-        s.spec.id,
-        {{"queue", s.spec.queue},
-            {"workspace", s.spec.workspace},
-            {"store", store},
-            {"outcome", std::string{core::name_of(submit_outcome_names, outcome)}}});
+    ports::log_fields fields{{"queue", s.spec.queue},
+        {"workspace", s.spec.workspace},
+        {"store", store},
+        {"outcome", std::string{core::name_of(submit_outcome_names, outcome)}}};
+    fields.insert(fields.end(), write.begin(), write.end());
+    state.log("submit", s.spec.id, std::move(fields));
     s.done({outcome});
 }
 
@@ -60,7 +61,7 @@
     // the job again.
     w->change.conditions = {{job_key(spec.id), 0}, {state_key(spec.id), 0}};
     w->change.puts = {{job_key(spec.id), workflow::write_job(spec), 0}};
-    w->done = [state, s](const ports::commit_result& result, bool certain)
+    w->done = [state, s, sent = std::weak_ptr{w}](const ports::commit_result& result, bool certain)
     {
         auto outcome = certain ? submit_outcome::not_accepted : submit_outcome::unknown;
         if (result.status == kv_status::ok)
@@ -76,7 +77,8 @@
         {
             state->gate->unsettled().end(s->spec.id, certain, state->ctx.boot_now());
         }
-        answer(*state, *s, store_answer(result.status), outcome);
+        answer(
+            *state, *s, store_answer(result.status), outcome, describe_write(*sent.lock(), result));
     };
     if (state->gate != nullptr)
     {
--- a/libs/hosted/src/job_request_write.cpp
+++ b/libs/hosted/src/job_request_write.cpp
@@ -41,6 +41,7 @@
         return;
     }
     w->in_flight = true;
+    ++w->attempts;
     state->ctx.store.commit(w->change,
         [state, w](const ports::commit_result& result)
         {
@@ -55,7 +56,8 @@
                 w->done(result, true);
                 return;
             }
-            w->may_have_effect = w->may_have_effect || result.status == kv_status::unknown;
+            w->unanswered += result.status == kv_status::unknown ? 1 : 0;
+            w->may_have_effect = w->unanswered > 0;
             w->refusals += is_refusal(result.status) ? 1 : 0;
             const bool give_up = !w->may_have_effect && w->refusals >= state->settings.max_refusals;
             if (give_up || !state->has_time(w->deadline))
@@ -77,6 +79,13 @@
 
 } // namespace
 
+ports::log_fields describe_write(const pending_write& w, const ports::commit_result& result)
+{
+    return {{"attempts", std::to_string(w.attempts)},
+        {"unanswered", std::to_string(w.unanswered)},
+        {"revision", std::to_string(result.modified)}};
+}
+
 void start_write(
     const std::shared_ptr<job_request_state>& state, const std::shared_ptr<pending_write>& w)
 {
--- a/libs/hosted/tests/job_request_handler_tests.cpp
+++ b/libs/hosted/tests/job_request_handler_tests.cpp
@@ -177,6 +177,23 @@
     CHECK(*cancelled == cancel_outcome::not_cancelled);
 }
 
+// Whether a job was stored before or after a cancel found none can only be told by the revisions in
+// the log lines, and which attempt stored it by the number of attempts.
+TEST(job_request_handler, the_log_lines_tell_which_write_took_effect_and_what_was_read)
+{
+    c.store.put("other", "1");
+    cancel("a");
+    const auto read = number_in(lines_of(*n, "cancel").back(), "store_revision");
+    LONGS_EQUAL(c.store.find("other")->modified, read);
+    c.store.writes_to_delay = 1;
+    submit("b");
+    const auto line = lines_of(*n, "submit").back();
+    LONGS_EQUAL(2, number_in(line, "attempts"));
+    LONGS_EQUAL(1, number_in(line, "unanswered"));
+    LONGS_EQUAL(c.store.find(hosted::job_key("b"))->created, number_in(line, "revision"));
+    CHECK(number_in(line, "revision") > read);
+}
+
 TEST(job_request_handler, counts_of_waiting_jobs)
 {
     CHECK(c.has_leader());
