A cancel that finds no job keeps its submission from being stored later

Cause: "no such job" was concluded from reads, which tell of one moment, while a write was on its way. The write could be stored by its sender's repeat, or by the store itself seconds later. The cancel left nothing behind that either of the two would meet. A change at the sender alone is not whole: a node that stops repeating, or dies, can't take back the attempt that is under way.

Change: the cancel writes tombstone/ID, on condition that job and state are as it found them, and answers 410 once that write is confirmed. A submission is conditional on the tombstone too, so the store puts the two in an order, and each of the two outcomes is told truly. The record names the workspaces that cancelled, so that nobody can keep others from using an id. It hangs on a lease that the cancels of a node share for 60 s, lasts 120 to 240 s, and is written again if the node was suspended meanwhile. A write is not sent any more once its caller's deadline has passed by the clock that counts suspensions.

--- a/libs/hosted/include/hosted/job_request_handler.hpp
+++ b/libs/hosted/include/hosted/job_request_handler.hpp
@@ -22,14 +22,16 @@
     not_accepted, ///< the job is certainly not stored and never will be by this request
     id_taken,     ///< a job of another workspace has this id; nothing was stored
     overloaded,   ///< not accepted: by the forecast the pool cannot serve the job in time
+    cancelled,    ///< not accepted: the job was cancelled before it was stored
     unknown       ///< the job may be stored already, or may get stored seconds later
 };
 
-inline constexpr core::name_table<submit_outcome, 5> submit_outcome_names{{
+inline constexpr core::name_table<submit_outcome, 6> submit_outcome_names{{
     {submit_outcome::accepted, "accepted"},
     {submit_outcome::not_accepted, "not_accepted"},
     {submit_outcome::id_taken, "id_taken"},
     {submit_outcome::overloaded, "overloaded"},
+    {submit_outcome::cancelled, "cancelled"},
     {submit_outcome::unknown, "unknown"},
 }};
 
@@ -37,7 +39,8 @@
 struct submit_answer
 {
     submit_outcome outcome = submit_outcome::unknown;
-    /// Time after which the caller may submit the job again, in whole seconds; only if overloaded.
+    /// Time after which the caller may submit the job again, in whole seconds; only if overloaded
+    /// or cancelled.
     core::millis retry_after{0};
 
     /// For callers that need only the outcome.
@@ -50,8 +53,8 @@
 /// Result of the cancellation of a job.
 enum class cancel_outcome
 {
-    cancelled, ///< the cancel is stored, or the job was final already
-    no_such_job,
+    cancelled,     ///< the cancel is stored, or the job was final already
+    no_such_job,   ///< no submission made before will be stored
     not_cancelled, ///< the cancel is certainly not stored
     unknown        ///< the cancel may be stored already, or may get stored seconds later
 };
@@ -96,6 +99,9 @@
     bool rejects_hopeless = false;
     /// Maximum wait for the reads that show whether a job that is to be refused is stored already.
     core::millis stored_check_max_wait{300};
+    /// Minimum time for which a cancelled job that was not found can't be stored. It is longer than
+    /// a submission is repeated by its node and delayed on its way to the store.
+    core::millis tombstone_retention{120000};
 };
 
 struct job_request_state;
@@ -119,7 +125,9 @@
     /// Withdraws this node's report of refused work, as the node shuts down.
     void withdraw_reports();
 
-    /// Cancels a job. A job that is final already stays as it is, and the cancel succeeds.
+    /// Cancels a job. A job that is final already stays as it is, and the cancel succeeds. A job
+    /// that does not exist can't be submitted for a while, because an earlier submission of it may
+    /// still be on its way to the store.
     /// \param deadline time at which the caller stops waiting
     void cancel(const job_reference& job,
         core::mono_time deadline,
--- a/libs/hosted/include/hosted/keys.hpp
+++ b/libs/hosted/include/hosted/keys.hpp
@@ -9,6 +9,8 @@
 ///                   receives it after, every job that was accepted under that coordinator
 ///   state/ID        the job's progress; written only by the coordinator. It remains for a while
 ///                   after the job is final
+///   tombstone/ID    a cancel that found no job; a job is stored only if it has none. Attached to a
+///                   lease of the node that wrote it
 ///   coord/leader    name of the coordinator; attached to its lease. The key's revision is the
 ///                   fencing token
 ///   coord/leader-term  number of coordinators so far; never removed
@@ -40,6 +42,7 @@
 inline const std::string cancel_suffix = "/cancel";
 inline const std::string handover_key = "job/~handover";
 inline const std::string state_prefix = "state/";
+inline const std::string tombstone_prefix = "tombstone/";
 inline const std::string leader_prefix = "coord/leader";
 inline const std::string leader_key = "coord/leader";
 inline const std::string leader_term_key = "coord/leader-term";
@@ -67,6 +70,11 @@
     return state_prefix + id;
 }
 
+inline std::string tombstone_key(const std::string& id)
+{
+    return tombstone_prefix + id;
+}
+
 inline std::string relay_key(const std::string& member)
 {
     return relay_prefix + member;
--- a/libs/hosted/src/job_request_read.cpp
+++ b/libs/hosted/src/job_request_read.cpp
@@ -92,6 +92,7 @@
 void read_job_record(const std::shared_ptr<job_request_state>& state,
     const job_reference& job,
     core::mono_time deadline,
+    absence_check check,
     const state_callback& done)
 {
     read_until<page_read>(
@@ -99,14 +100,14 @@
         deadline,
         [state, id = job.id](std::function<void(page_read)> got)
         { state->ctx.store.range(job_key(id), {}, std::move(got)); },
-        [state, job, deadline, done](const std::optional<page_read>& page)
+        [state, job, deadline, check, done](const std::optional<page_read>& page)
         {
             if (!page)
             {
                 done({});
                 return;
             }
-            if (page->items.empty())
+            if (page->items.empty() && check == absence_check::second_read)
             {
                 read_state_again(state, job, deadline, done);
                 return;
@@ -118,12 +119,13 @@
 void read_progress_record(const std::shared_ptr<job_request_state>& state,
     const job_reference& job,
     core::mono_time deadline,
+    absence_check check,
     const state_callback& done)
 {
     read_item(state,
         state_key(job.id),
         deadline,
-        [state, job, deadline, done](const std::optional<item_read>& read)
+        [state, job, deadline, check, done](const std::optional<item_read>& read)
         {
             if (!read)
             {
@@ -132,7 +134,7 @@
             }
             if (!read->item)
             {
-                read_job_record(state, job, deadline, done);
+                read_job_record(state, job, deadline, check, done);
                 return;
             }
             done(state_from(*state, job, *read));
@@ -153,9 +155,25 @@
         });
 }
 
+tombstone tombstone_from(const job_request_state& state, const ports::stored_item& it)
+{
+    auto read = read_tombstone(it.value);
+    if (core::is_ok(read))
+    {
+        return std::move(core::value(read));
+    }
+    state.log("record_damaged",
+        it.key.substr(tombstone_prefix.size()),
+        {{"key", it.key}, {"reason", core::failure(read).message}});
+    tombstone out;
+    out.covers_all = true;
+    return out;
+}
+
 void read_state(const std::shared_ptr<job_request_state>& state,
     const job_reference& job,
     core::mono_time deadline,
+    absence_check check,
     state_callback done)
 {
     const auto answered = std::make_shared<bool>(false);
@@ -167,7 +185,7 @@
         }
     };
     state->run_at_deadline(deadline, [answer] { answer({}); });
-    read_progress_record(state, job, deadline, answer);
+    read_progress_record(state, job, deadline, check, answer);
 }
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/job_request_state.hpp
+++ b/libs/hosted/src/job_request_state.hpp
@@ -6,6 +6,7 @@
 #include "hosted/job_request_handler.hpp"
 #include "pending_count.hpp"
 #include "submission_gate.hpp"
+#include "tombstone.hpp"
 
 #include <functional>
 #include <memory>
@@ -21,6 +22,7 @@
     job_request_settings settings;
     pending_count_cache pending;
     std::unique_ptr<submission_gate> gate; ///< null: no job is refused by the forecast
+    std::unique_ptr<tombstone_lease> lease;
 
     /// \return whether another attempt can still be answered before the caller's deadline.
     bool has_time(core::mono_time deadline) const
@@ -95,6 +97,8 @@
     std::string id;
     ports::store_transaction change;
     core::mono_time deadline;
+    /// The same by the clock that runs during suspensions. The write is not sent later.
+    core::mono_time send_until{};
     bool may_have_effect = false; ///< true after an attempt that got no answer
     bool in_flight = false;
     bool answered = false; ///< the caller has received its answer
@@ -119,16 +123,35 @@
     core::mono_time deadline,
     std::function<void(submit_answer)> done);
 
+/// Stores the cancel of a job, or a tombstone if the job doesn't exist. \p done is called by the
+/// deadline.
+void cancel_job(const std::shared_ptr<job_request_state>& state,
+    const job_reference& job,
+    core::mono_time deadline,
+    std::function<void(cancel_outcome)> done);
+
+/// \return the stored tombstone. A damaged one is logged and covers all jobs of its id, because
+/// whose job was cancelled is not known.
+tombstone tombstone_from(const job_request_state& state, const ports::stored_item& it);
+
 /// \param records a job's record, its state, or both
 /// \param workspace of the caller, as job_reference::workspace
 /// \return whether the job exists for the caller. A record that is damaged names no workspace.
 bool is_visible(
     const std::vector<ports::stored_item>& records, const std::optional<std::string>& workspace);
 
+/// How it is made sure that a job that was not found does not exist.
+enum class absence_check
+{
+    second_read,
+    conditional_write ///< by the caller
+};
+
 /// Reads the state of a job. \p done is called by the deadline, even if a store call hangs.
 void read_state(const std::shared_ptr<job_request_state>& state,
     const job_reference& job,
     core::mono_time deadline,
+    absence_check check,
     std::function<void(state_answer)> done);
 
 } // namespace camphorhitch::hosted
--- a/libs/hosted/src/job_request_submit.cpp
+++ b/libs/hosted/src/job_request_submit.cpp
@@ -4,6 +4,8 @@
 #include "workflow/records.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 #include <utility>
 
 namespace camphorhitch::hosted
@@ -24,6 +26,8 @@
     std::function<void(submit_answer)> done;
     admission_decision decision;
     bool checked = false; ///< the check whether the job is stored has ended
+    /// Of a tombstone that does not apply to the job; 0: none is stored, as far as is known.
+    ports::revision tombstone = 0;
 };
 
 using submission_ref = std::shared_ptr<submission>;
@@ -39,16 +43,58 @@
 void answer(const job_request_state& state,
     const submission& s,
     const std::string& store,
-    submit_outcome outcome,
+    submit_answer out,
     const ports::log_fields& write = {})
 {
     ports::log_fields fields{{"queue", s.spec.queue},
         {"workspace", s.spec.workspace},
         {"store", store},
-        {"outcome", std::string{core::name_of(submit_outcome_names, outcome)}}};
+        {"outcome", std::string{core::name_of(submit_outcome_names, out.outcome)}}};
     fields.insert(fields.end(), write.begin(), write.end());
     state.log("submit", s.spec.id, std::move(fields));
-    s.done({outcome});
+    s.done(out);
+}
+
+void store_job(const state_ref& state, const submission_ref& s);
+
+/// \return the time until the tombstone is gone, in whole seconds.
+core::millis time_left(const job_request_state& state, const tombstone& t)
+{
+    const auto now = core::to_unix_ms(state.ctx.time.wall_now());
+    const auto left = std::clamp(
+        core::millis{t.expires_unix_ms - now}, core::millis{1000}, state.lease->max_time());
+    return std::chrono::ceil<std::chrono::seconds>(left);
+}
+
+/// Handles a submission that was not stored because a record of its id exists or has changed.
+/// \return the answer, or nothing if the job is submitted once more
+std::optional<submit_answer> handle_conflict(
+    const state_ref& state, const submission_ref& s, std::vector<ports::stored_item> found)
+{
+    const auto it = std::find_if(found.begin(),
+        found.end(),
+        [](const ports::stored_item& each) { return each.key.starts_with(tombstone_prefix); });
+    const auto buried =
+        it == found.end() ? std::nullopt : std::optional{tombstone_from(*state, *it)};
+    s->tombstone = it == found.end() ? 0 : it->modified;
+    std::erase_if(found,
+        [](const ports::stored_item& each) { return each.key.starts_with(tombstone_prefix); });
+    if (!found.empty())
+    {
+        // The conflict shows that a job with this id was stored before.
+        return submit_answer{outcome_of_stored(found, s->spec)};
+    }
+    if (buried && is_covered(*buried, s->spec.workspace))
+    {
+        state->ctx.tel.count("camphorhitch_cancelled_submissions_total", {}, 1);
+        return submit_answer{submit_outcome::cancelled, time_left(*state, *buried)};
+    }
+    if (!state->has_time(s->deadline))
+    {
+        return submit_answer{submit_outcome::not_accepted};
+    }
+    store_job(state, s);
+    return {};
 }
 
 void store_job(const state_ref& state, const submission_ref& s)
@@ -59,26 +105,34 @@
     w->deadline = s->deadline;
     // A job that has ended leaves its state in the store, so a repeated submission does not create
     // the job again.
-    w->change.conditions = {{job_key(spec.id), 0}, {state_key(spec.id), 0}};
+    w->change.conditions = {
+        {job_key(spec.id), 0}, {state_key(spec.id), 0}, {tombstone_key(spec.id), s->tombstone}};
     w->change.puts = {{job_key(spec.id), workflow::write_job(spec), 0}};
     w->done = [state, s, sent = std::weak_ptr{w}](const ports::commit_result& result, bool certain)
     {
-        auto outcome = certain ? submit_outcome::not_accepted : submit_outcome::unknown;
-        if (result.status == kv_status::ok)
+        if (state->gate != nullptr)
         {
-            outcome = submit_outcome::accepted;
+            state->gate->unsettled().end(s->spec.id, certain, state->ctx.boot_now());
         }
-        else if (result.status == kv_status::conflict)
+        std::optional<submit_answer> out;
+        if (result.status == kv_status::conflict)
         {
-            // The conflict shows that a job with this id was stored before.
-            outcome = outcome_of_stored(result.current, s->spec);
+            out = handle_conflict(state, s, result.current);
         }
-        if (state->gate != nullptr)
+        else
         {
-            state->gate->unsettled().end(s->spec.id, certain, state->ctx.boot_now());
+            out = submit_answer{result.status == kv_status::ok ? submit_outcome::accepted
+                                : certain                      ? submit_outcome::not_accepted
+                                                               : submit_outcome::unknown};
+        }
+        if (out)
+        {
+            answer(*state,
+                *s,
+                store_answer(result.status),
+                *out,
+                describe_write(*sent.lock(), result));
         }
-        answer(
-            *state, *s, store_answer(result.status), outcome, describe_write(*sent.lock(), result));
     };
     if (state->gate != nullptr)
     {
@@ -122,7 +176,7 @@
             s->checked = true;
             if (read.status == kv_status::ok)
             {
-                answer(*state, *s, "exists", outcome_of_stored({*read.item}, s->spec));
+                answer(*state, *s, "exists", {outcome_of_stored({*read.item}, s->spec)});
                 return;
             }
             store_job(state, s);
--- a/libs/hosted/src/job_request_write.cpp
+++ b/libs/hosted/src/job_request_write.cpp
@@ -30,13 +30,28 @@
     return true;
 }
 
-/// Sends the write once. The change is idempotent because its keys are created only once. If an
-/// answer was lost, the repeat therefore shows whether the earlier attempt took effect: the repeat
-/// then fails with a conflict.
+/// Ends a write whose caller's deadline passed while the machine was suspended. Sent now, it could
+/// outlast a tombstone. \return whether the write ended
+bool give_up_after_suspension(const job_request_state& state, pending_write& w)
+{
+    if (state.ctx.boot_now() <= w.send_until)
+    {
+        return false;
+    }
+    w.answered = true;
+    ports::commit_result unanswered;
+    unanswered.status = kv_status::unknown;
+    w.done(unanswered, !w.may_have_effect);
+    return true;
+}
+
+/// Sends the write once. The change is idempotent because its conditions fail once it has taken
+/// effect. If an answer was lost, the repeat therefore shows whether the earlier attempt took
+/// effect: the repeat then fails with a conflict.
 void try_write(
     const std::shared_ptr<job_request_state>& state, const std::shared_ptr<pending_write>& w)
 {
-    if (refuse_without_sending(state, *w))
+    if (refuse_without_sending(state, *w) || give_up_after_suspension(*state, *w))
     {
         return;
     }
@@ -50,7 +65,8 @@
             {
                 return;
             }
-            if (result.status == kv_status::ok || result.status == kv_status::conflict)
+            if (result.status == kv_status::ok || result.status == kv_status::conflict ||
+                result.lease_missing)
             {
                 w->answered = true;
                 w->done(result, true);
@@ -89,6 +105,8 @@
 void start_write(
     const std::shared_ptr<job_request_state>& state, const std::shared_ptr<pending_write>& w)
 {
+    const auto left = w->deadline - state->ctx.time.now();
+    w->send_until = state->ctx.boot_now() + std::chrono::duration_cast<core::millis>(left);
     state->run_at_deadline(w->deadline,
         [w]
         {
--- a/programs/camphorhitchd/src/hosted_operators.cpp
+++ b/programs/camphorhitchd/src/hosted_operators.cpp
@@ -51,6 +51,9 @@
     case hosted::submit_outcome::overloaded:
         return error_result(core::error_code::unavailable,
             "job " + id + ": not accepted, as its pool can't complete it in time");
+    case hosted::submit_outcome::cancelled:
+        return error_result(core::error_code::conflict,
+            "job " + id + ": not accepted, as it was cancelled before it was stored");
     case hosted::submit_outcome::unknown:
         break;
     }
--- a/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
+++ b/testing/hosted_fakes/include/hosted_fakes/cluster.hpp
@@ -45,6 +45,7 @@
     int last_node = 0;
     hosted::driver_settings settings;
     hosted::leadership_settings leadership;
+    hosted::job_request_settings requests;
     double processor_share = 0; ///< share of a core for each new node; 0: its work takes no time
     std::vector<coordinator::workspace_settings> workspaces; ///< given to each new node
     std::function<void(node&)> on_lost; ///< called after the end of a node's term
@@ -110,8 +111,7 @@
         settings.processor_share = processor_share;
         n.driver = std::make_unique<hosted::fleet_driver>(n.ctx, n.formats, settings, *n.lead);
         n.driver->set_workspaces(workspaces);
-        n.desk =
-            std::make_unique<hosted::job_request_handler>(n.ctx, hosted::job_request_settings{});
+        n.desk = std::make_unique<hosted::job_request_handler>(n.ctx, requests);
         n.lead->start();
         return n;
     }
