A submission removes a cancel that an earlier job of its id left behind

What callers would see: a job that was answered as accepted is cancelled at once.

Cause: a cancel that is stored after its job's end is removed by the coordinator that recorded the end. If another node takes over in that moment, nobody knows of the job any more, and job/ID/cancel stays for good. A later job of this id, once the state of the earlier one is gone, meets it.

Evidence: a_leftover_cancel_does_not_cancel_a_later_job failed before. It puts the key by hand; the takeover in that moment was not played.

Change: the write that stores a job, which is conditional on there being no job and no state of the id, removes the cancel. No call more. Without a later job the key (1 B) stays, as before.

--- a/libs/hosted/src/job_request_submit.cpp
+++ b/libs/hosted/src/job_request_submit.cpp
@@ -108,6 +108,8 @@
     w->change.conditions = {
         {job_key(spec.id), 0}, {state_key(spec.id), 0}, {tombstone_key(spec.id), s->tombstone}};
     w->change.puts = {{job_key(spec.id), workflow::write_job(spec), 0}};
+    // Without a record of the job, a cancel belongs to an earlier job of this id that has ended.
+    w->change.removals = {cancel_key(spec.id)};
     w->done = [state, s, sent = std::weak_ptr{w}](const ports::commit_result& result, bool certain)
     {
         if (state->gate != nullptr)
--- a/libs/hosted/tests/cancelled_submissions_tests.cpp
+++ b/libs/hosted/tests/cancelled_submissions_tests.cpp
@@ -235,6 +235,15 @@
     CHECK(c.store.find(key) == nullptr);
 }
 
+// A cancel was stored after its job had ended, and no coordinator removed it. It must not cancel a
+// later job that was answered as accepted.
+TEST(cancelled_submissions, a_leftover_cancel_does_not_cancel_a_later_job)
+{
+    c.store.put(hosted::cancel_key("a"), "1");
+    CHECK(submit_and_wait(*first) == submit_outcome::accepted);
+    CHECK(c.ends("a", workflow::job_state::completed, 5s));
+}
+
 // One lease for each cancel would double the writes of a cancel.
 TEST(cancelled_submissions, cancels_share_a_lease)
 {
