Known red: a refused repeat of a submission that is stored later

The same cause as that of cancels that find no job: a node that refuses a job by the forecast concludes from two reads that it isn't stored, while the write of another node may be on its way. Then a caller is told 503, which means that the job never runs, and it runs. unsettled_submissions knows this node's own writes only.

Not changed: a record for each refusal costs a write where refusals are many, and a caller who comes back after Retry-After has to pass it.

--- a/libs/hosted/tests/overload_tests.cpp
+++ b/libs/hosted/tests/overload_tests.cpp
@@ -114,6 +114,23 @@
     }
 };
 
+// A node's write gets no answer, and the caller repeats the submission at a node that refuses it.
+// The first write is carried out after the refusal, and the job runs.
+TEST(overload, a_job_that_another_node_refuses_is_not_stored_later)
+{
+    overload(*n);
+    auto& first = add_node();
+    c.store.writes_to_delay = 1;
+    const auto job = c.make_job("a", 1);
+    c.hosts.expect(job);
+    first.desk->submit(job, c.time.now() + 2500ms, [](submit_answer) {});
+    c.time.run_for(300ms);
+    first.process.dead = true;
+    CHECK(submit(*n, job).outcome == submit_outcome::overloaded);
+    c.time.run_for(10s);
+    CHECK(!is_stored("a"));
+}
+
 TEST(overload, a_refused_job_is_not_stored_and_never_runs)
 {
     c.hosts.add("p");
