--- a/libs/hosted/src/job_request_cancel.cpp
+++ b/libs/hosted/src/job_request_cancel.cpp
@@ -31,7 +31,7 @@
 using cancellation_ref = std::shared_ptr<cancellation>;
 
 void read_and_cancel(const state_ref& state, const cancellation_ref& c);
-void bury(const state_ref& state, const cancellation_ref& c);
+void place_tombstone(const state_ref& state, const cancellation_ref& c);
 
 void answer(const job_request_state& state,
     cancellation& c,
@@ -138,7 +138,7 @@
             }
             else
             {
-                bury(state, c);
+                place_tombstone(state, c);
             }
         });
 }
@@ -184,13 +184,13 @@
         }
         // The tombstone would be gone too early, or already is.
         state->lease->discard(lease);
-        bury(state, c);
+        place_tombstone(state, c);
     };
     start_write(state, w);
 }
 
-/// Keeps submissions of a job that doesn't exist from being stored from now on.
-void bury(const state_ref& state, const cancellation_ref& c)
+/// Gets a lease and stores the tombstone of a job that doesn't exist.
+void place_tombstone(const state_ref& state, const cancellation_ref& c)
 {
     const auto requested = std::make_shared<bool>(true);
     const auto give_up = [state, c]
@@ -223,7 +223,7 @@
             }
             else
             {
-                state->run_after_retry_delay([state, c] { bury(state, c); });
+                state->run_after_retry_delay([state, c] { place_tombstone(state, c); });
             }
         });
 }
@@ -243,7 +243,7 @@
             }
             else if (!it.exists)
             {
-                bury(state, c);
+                place_tombstone(state, c);
             }
             else if (workflow::is_final(it.state))
             {
--- a/libs/hosted/src/job_request_state.hpp
+++ b/libs/hosted/src/job_request_state.hpp
@@ -21,8 +21,8 @@
     context ctx;
     job_request_settings settings;
     pending_count_cache pending;
-    std::unique_ptr<submission_gate> gate; ///< null: no job is refused by the forecast
-    std::unique_ptr<tombstone_lease> lease;
+    std::unique_ptr<submission_gate> gate;  ///< null: no job is refused by the forecast
+    std::unique_ptr<tombstone_lease> lease; ///< of this node's tombstones
 
     /// \return whether another attempt can still be answered before the caller's deadline.
     bool has_time(core::mono_time deadline) const
@@ -97,7 +97,7 @@
     std::string id;
     ports::store_transaction change;
     core::mono_time deadline;
-    /// The same by the clock that runs during suspensions. The write is not sent later.
+    /// The deadline by the clock that runs during suspensions. The write is not sent later.
     core::mono_time send_until{};
     bool may_have_effect = false; ///< true after an attempt that got no answer
     bool in_flight = false;
--- a/libs/hosted/src/job_request_submit.cpp
+++ b/libs/hosted/src/job_request_submit.cpp
@@ -69,25 +69,32 @@
 /// Handles a submission that was not stored because a record of its id exists or has changed.
 /// \return the answer, or nothing if the job is submitted once more
 std::optional<submit_answer> handle_conflict(
-    const state_ref& state, const submission_ref& s, std::vector<ports::stored_item> found)
+    const state_ref& state, const submission_ref& s, const std::vector<ports::stored_item>& found)
 {
-    const auto it = std::find_if(found.begin(),
-        found.end(),
-        [](const ports::stored_item& each) { return each.key.starts_with(tombstone_prefix); });
-    const auto buried =
-        it == found.end() ? std::nullopt : std::optional{tombstone_from(*state, *it)};
-    s->tombstone = it == found.end() ? 0 : it->modified;
-    std::erase_if(found,
-        [](const ports::stored_item& each) { return each.key.starts_with(tombstone_prefix); });
-    if (!found.empty())
+    std::vector<ports::stored_item> records; // of the job
+    std::optional<tombstone> cancel;
+    s->tombstone = 0;
+    for (const auto& it : found)
+    {
+        if (it.key == tombstone_key(s->spec.id))
+        {
+            cancel = tombstone_from(*state, it);
+            s->tombstone = it.modified;
+        }
+        else
+        {
+            records.push_back(it);
+        }
+    }
+    if (!records.empty())
     {
         // The conflict shows that a job with this id was stored before.
-        return submit_answer{outcome_of_stored(found, s->spec)};
+        return submit_answer{outcome_of_stored(records, s->spec)};
     }
-    if (buried && is_covered(*buried, s->spec.workspace))
+    if (cancel && is_covered(*cancel, s->spec.workspace))
     {
         state->ctx.tel.count("camphorhitch_cancelled_submissions_total", {}, 1);
-        return submit_answer{submit_outcome::cancelled, time_left(*state, *buried)};
+        return submit_answer{submit_outcome::cancelled, time_left(*state, *cancel)};
     }
     if (!state->has_time(s->deadline))
     {
